--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Every target makes the environment first: exact versions from requirements.lock.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
+
+environment: $(STAMP)
+
+format: environment
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: environment
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: environment
+	$(BIN)/mypy
+
+doctest: environment
+	$(BIN)/python -m tests.doctests
+
+unit: environment
+	$(BIN)/python -m tests.runner
+
+test: lint types doctest unit
+
+demo: environment
+	$(BIN)/python -m bench.demo
+
+generate: environment
+	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
--- /dev/null
+++ b/anvilshift/__init__.py
@@ -0,0 +1,1 @@
+"""Route requests of organisations that spend from prepaid token budgets."""
--- /dev/null
+++ b/anvilshift/client/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the caller's library."""
--- /dev/null
+++ b/anvilshift/core/clock.py
@@ -0,0 +1,58 @@
+"""Time in milliseconds.
+
+The core never reads a clock: it takes instants as arguments.  Daemons hold one
+`Clock`; tests and virtual-time runs hold a `ManualClock`.
+"""
+
+import time
+from typing import Protocol
+
+Millis = float
+"""An instant or a span in milliseconds; instants share an arbitrary origin."""
+
+SECOND: Millis = 1000.0
+
+
+class Clock(Protocol):
+    """Tell the present instant."""
+
+    def now(self) -> Millis:
+        """Return the present instant in milliseconds."""
+
+
+class MonotonicClock:
+    """Tell time by the machine's monotonic clock, which never goes back.
+
+    Examples
+    --------
+    >>> clock = MonotonicClock()
+    >>> clock.now() <= clock.now()
+    True
+    """
+
+    def now(self) -> Millis:
+        """Return the present instant in milliseconds."""
+        return time.monotonic() * SECOND
+
+
+class ManualClock:
+    """Tell the time that its owner has set.
+
+    Examples
+    --------
+    >>> clock = ManualClock(start=5.0)
+    >>> clock.advance(2.5)
+    7.5
+    """
+
+    def __init__(self, start: Millis = 0.0) -> None:
+        self._now = start
+
+    def now(self) -> Millis:
+        """Return the instant that was set last."""
+        return self._now
+
+    def advance(self, span: Millis) -> Millis:
+        """Move the clock on by a span and return the new instant."""
+        self._now += span
+        return self._now
--- /dev/null
+++ b/anvilshift/core/labels.py
@@ -0,0 +1,82 @@
+"""Labels, and the selectors that match them.
+
+A selector is a conjunction: every equality and every set-based requirement
+must hold.  The empty selector matches everything.
+
+References
+----------
+The semantics follow label selectors as published object APIs have them.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+Labels = Mapping[str, str]
+
+
+class Operator(Enum):
+    """How a requirement compares a label."""
+
+    IN = "In"
+    NOT_IN = "NotIn"
+    EXISTS = "Exists"
+    DOES_NOT_EXIST = "DoesNotExist"
+
+
+@dataclass(frozen=True)
+class Requirement:
+    """One set-based requirement on a label.
+
+    Examples
+    --------
+    >>> Requirement("tier", Operator.IN, ("gold", "silver")).matches({"tier": "gold"})
+    True
+    >>> Requirement("tier", Operator.NOT_IN, ("gold",)).matches({})
+    True
+    """
+
+    key: str
+    operator: Operator
+    values: tuple[str, ...] = ()
+
+    def matches(self, labels: Labels) -> bool:
+        """Tell whether the labels meet the requirement."""
+        if self.operator is Operator.EXISTS:
+            return self.key in labels
+        if self.operator is Operator.DOES_NOT_EXIST:
+            return self.key not in labels
+        within = self.key in labels and labels[self.key] in self.values
+        return within if self.operator is Operator.IN else not within
+
+    def __str__(self) -> str:
+        values = f" ({', '.join(self.values)})" if self.values else ""
+        return f"{self.key} {self.operator.value}{values}"
+
+
+@dataclass(frozen=True)
+class Selector:
+    """A conjunction of equalities and set-based requirements.
+
+    Examples
+    --------
+    >>> selector = Selector({"region": "kosice"})
+    >>> selector.matches({"region": "kosice", "tier": "gold"})
+    True
+    >>> selector.matches({"region": "zilina"})
+    False
+    """
+
+    equal: Labels = field(default_factory=dict)
+    requirements: tuple[Requirement, ...] = ()
+
+    def matches(self, labels: Labels) -> bool:
+        """Tell whether the labels meet every requirement."""
+        if any(labels.get(key) != value for key, value in self.equal.items()):
+            return False
+        return all(requirement.matches(labels) for requirement in self.requirements)
+
+    def __str__(self) -> str:
+        equal = [f"{key}={value}" for key, value in sorted(self.equal.items())]
+        rest = [str(requirement) for requirement in self.requirements]
+        return ", ".join([*equal, *rest]) or "everything"
--- /dev/null
+++ b/anvilshift/core/work.py
@@ -0,0 +1,151 @@
+"""The events that the dispatcher takes and the actions that it returns."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from anvilshift.core.clock import Millis
+from anvilshift.core.errors import Code
+
+
+@dataclass(frozen=True)
+class Target:
+    """An engine or plain service as the dispatcher sees it.
+
+    Parameters
+    ----------
+    slots
+        Requests that it runs at once, as declared.
+    """
+
+    name: str
+    failure_domain: str
+    slots: int = 8
+
+
+@dataclass(frozen=True)
+class Work:
+    """A request that waits for a target.
+
+    Parameters
+    ----------
+    candidates
+        By target name, the priority that the policies give this work there.
+    prompt_tokens, answer_tokens
+        Upper bounds; the answer's bound is what the caller asked for.
+    deadline
+        Instant after which the answer is of no use.
+    prefixes
+        Digests of the prompt's leading blocks, shortest prefix first.
+    content
+        Digest of what is to run, equal for a request that is sent again under
+        another id.
+    idempotent
+        Whether it may be sent again after it may have run.
+    """
+
+    identity: str
+    organisation: str
+    request_class: str
+    candidates: Mapping[str, int]
+    prompt_tokens: int
+    answer_tokens: int
+    deadline: Millis
+    weight: float = 1.0
+    prefixes: tuple[str, ...] = ()
+    content: str = ""
+    idempotent: bool = True
+
+
+class Failure(Enum):
+    """How an attempt ended without an answer."""
+
+    NOT_SENT = "not sent"
+    REJECTED = "rejected"
+    BROKE_OFF = "broke off"
+    CRASHED = "crashed"
+    TIMED_OUT = "timed out"
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """What a target says of its load, as of an instant in the past."""
+
+    target: str
+    running: int
+    waiting: int
+    as_of: Millis
+    cached_tokens: int = 0
+    tokens_per_second: float = 0.0
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A target stored or evicted prefix blocks.
+
+    Parameters
+    ----------
+    sequence
+        Number of the event at its target; a gap means that events are lost.
+    """
+
+    target: str
+    sequence: int
+    stored: tuple[str, ...] = ()
+    evicted: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Send:
+    """Send the work to a target now."""
+
+    identity: str
+    target: str
+    attempt: int
+    priority: int = 0
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Answer the caller at once: the work is given up."""
+
+    identity: str
+    code: Code
+    detail: str = ""
+    retry_after: Millis | None = None
+
+
+@dataclass(frozen=True)
+class Cancel:
+    """Stop an attempt that runs: nobody waits for its answer."""
+
+    identity: str
+    target: str
+    attempt: int
+
+
+Action = Send | Refuse | Cancel
+Actions = list[Action]
+
+
+@dataclass(frozen=True)
+class DispatchSettings:
+    """The dispatcher's figures; each policy module explains its own.
+
+    Parameters
+    ----------
+    failure_domain
+        Where this router runs.
+    queue_length
+        Most requests that wait at once.
+    attempts
+        Most times that one request is sent.
+    routers
+        Routers that share the targets, as far as this one knows.
+    """
+
+    failure_domain: str = ""
+    queue_length: int = 1_000
+    attempts: int = 3
+    routers: int = 1
+    extra: Mapping[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/anvilshift/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Call model engines and plain services."""
--- /dev/null
+++ b/anvilshift/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the operator's command line."""
--- /dev/null
+++ b/anvilshift/operator/platformside.py
@@ -0,0 +1,144 @@
+"""What operators do against the platform: declarations, top-ups, spend."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.declarations import KINDS
+from anvilshift.core.ledger import Ledger
+from anvilshift.platform.records import decode, encode
+from anvilshift.platform.store import (
+    Body,
+    ConflictError,
+    ObjectStore,
+    Stored,
+    update,
+)
+from anvilshift.router.following import ROUTER_KIND
+from anvilshift.router.treasury import LEDGER_KIND, LEDGER_NAME
+
+Documents = Mapping[tuple[str, str], Body]
+_POLL: Millis = 100.0
+
+
+@dataclass(frozen=True)
+class Difference:
+    """How one declaration differs from what is stored."""
+
+    kind: str
+    name: str
+    change: str
+    version: int = 0
+
+
+@dataclass(frozen=True)
+class Acceptance:
+    """How far a change has come into force.
+
+    Parameters
+    ----------
+    waiting
+        Routers that have not acknowledged the revision yet.
+    """
+
+    revision: int
+    waiting: tuple[str, ...]
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether every live router has the revision in force."""
+        return not self.waiting
+
+
+async def read_stored(store: ObjectStore) -> dict[tuple[str, str], Stored]:
+    """Return every stored declaration."""
+    listing = await store.list(KINDS)
+    return {(item.kind, item.name): item for item in listing.items}
+
+
+def compare(
+    documents: Documents, stored: Mapping[tuple[str, str], Stored], prune: bool
+) -> list[Difference]:
+    """Return what applying the documents would change."""
+    found = []
+    for key, body in documents.items():
+        old = stored.get(key)
+        if old is None:
+            found.append(Difference(*key, "create"))
+        elif old.body != body:
+            found.append(Difference(*key, "change", old.version))
+    if prune:
+        gone = [item for key, item in stored.items() if key not in documents]
+        found += [Difference(i.kind, i.name, "delete", i.version) for i in gone]
+    return found
+
+
+async def write_differences(
+    store: ObjectStore, documents: Documents, differences: list[Difference]
+) -> tuple[int, list[Difference]]:
+    """Write what differs, each on the version that was compared.
+
+    Returns
+    -------
+    tuple
+        The newest revision written, and the differences that lost a race with
+        another operator; those are left as the other wrote them.
+    """
+    newest = 0
+    lost = []
+    for item in differences:
+        try:
+            if item.change == "delete":
+                await store.delete(item.kind, item.name, item.version)
+                continue
+            body = documents[item.kind, item.name]
+            written = await store.put(item.kind, item.name, body, item.version)
+            newest = max(newest, written.version)
+        except ConflictError:
+            lost.append(item)
+    return newest, lost
+
+
+async def wait_accepted(
+    store: ObjectStore, clock: Clock, revision: int, timeout: Millis
+) -> Acceptance:
+    """Wait until every router has acknowledged a revision."""
+    until = clock.now() + timeout
+    while True:
+        listing = await store.list([ROUTER_KIND])
+        waiting = tuple(
+            item.name for item in listing.items if item.body["revision"] < revision
+        )
+        if not waiting or clock.now() >= until:
+            return Acceptance(revision, waiting)
+        await asyncio.sleep(_POLL / SECOND)
+
+
+async def top_up(store: ObjectStore, budget: str, tokens: int, identity: str) -> int:
+    """Add prepaid tokens to a budget once; return its total."""
+
+    def change(body: Body | None) -> Body:
+        ledger = decode(Ledger, body) if body else Ledger()
+        return encode(ledger.top_up(budget, identity, tokens))
+
+    stored = await update(store, LEDGER_KIND, LEDGER_NAME, change)
+    return decode(Ledger, stored.body).account(budget).total
+
+
+async def read_usage(store: ObjectStore) -> dict[str, dict[str, Any]]:
+    """Return what each budget has, has spent and has handed out."""
+    found = await store.get(LEDGER_KIND, LEDGER_NAME)
+    ledger = decode(Ledger, found.body) if found else Ledger()
+    return {
+        name: {
+            "total": account.total,
+            "spent": account.spent,
+            "held": account.held,
+            "in_doubt": account.doubt,
+            "free": account.free,
+            "by_organisation": dict(account.usage),
+        }
+        for name, account in sorted(ledger.accounts.items())
+    }
--- /dev/null
+++ b/anvilshift/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Call other routers over grpclib."""
--- /dev/null
+++ b/anvilshift/router/__init__.py
@@ -0,0 +1,1 @@
+"""Run the router daemon: sockets and timers round the core."""
--- /dev/null
+++ b/anvilshift/router/answers.py
@@ -0,0 +1,117 @@
+"""Write runs to callers: server-sent events, or one JSON object."""
+
+import json
+from typing import Any
+
+from anvilshift.core.claims import Answer
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.router.requests import Job
+from anvilshift.router.runs import Run
+from anvilshift.wire.events import Event
+from anvilshift.wire.jsons import dump_json
+from anvilshift.wire.messages import EVENT_STREAM_TYPE, JSON_TYPE, Fields, Reply
+from anvilshift.wire.server import Responder, render_error
+
+REQUEST_HEADER = "anvilshift-request"
+
+
+def _head(job: Job) -> Fields:
+    return [(REQUEST_HEADER, job.key)]
+
+
+def _usage(run: Run) -> dict[str, int]:
+    usage = run.usage
+    prompt, answer = (usage.prompt, usage.answer) if usage else (0, 0)
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": answer,
+        "total_tokens": prompt + answer,
+    }
+
+
+def make_completion(run: Run) -> dict[str, Any]:
+    """Return a whole answer as a chat completion."""
+    message = {"role": "assistant", "content": run.text}
+    choice = {"index": 0, "message": message, "finish_reason": run.finish}
+    return {
+        "id": run.job.key,
+        "object": "chat.completion",
+        "model": run.job.route.name,
+        "choices": [choice],
+        "usage": _usage(run),
+    }
+
+
+def _encode_chunk(job: Job, text: str, offset: int) -> bytes:
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+    chunk = {
+        "id": job.key,
+        "object": "chat.completion.chunk",
+        "model": job.route.name,
+        "choices": [choice],
+    }
+    return Event(json.dumps(chunk), str(offset)).encode()
+
+
+def _encode_last(run: Run) -> bytes:
+    choice = {"index": 0, "delta": {}, "finish_reason": run.finish}
+    chunk = {
+        "id": run.job.key,
+        "object": "chat.completion.chunk",
+        "model": run.job.route.name,
+        "choices": [choice],
+        "usage": _usage(run),
+    }
+    return Event(json.dumps(chunk)).encode() + Event("[DONE]").encode()
+
+
+async def write_stream(run: Run, job: Job, responder: Responder) -> None:
+    """Write a run as events whose ids count the characters so far.
+
+    The head is sent with the first text, so that a refusal still has its own
+    status; an error after that is an event, and the stream ends without its
+    end mark.
+    """
+    offset = job.resume_from
+    try:
+        async for text in run.read(offset):
+            if not responder.started:
+                await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+            offset += len(text)
+            await responder.write(_encode_chunk(job, text, offset))
+    except AnvilshiftError as error:
+        if not responder.started:
+            raise
+        await responder.write(Event(render_error(error).body.decode()).encode())
+        await responder.finish()
+        return
+    if not responder.started:
+        await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+    await responder.write(_encode_last(run))
+    await responder.finish()
+
+
+async def read_whole(run: Run) -> Answer:
+    """Wait for a run and return its whole answer."""
+    async for _ in run.read(len(run.text)):
+        pass
+    body = dump_json(make_completion(run)).decode()
+    return Answer(200, JSON_TYPE[1], body)
+
+
+async def write_answer(answer: Answer, job: Job, responder: Responder) -> None:
+    """Write a whole answer in the form that the caller asked for."""
+    headers = [("content-type", answer.content_type), *_head(job)]
+    if not job.stream:
+        await responder.send(Reply(answer.status, headers, answer.body.encode()))
+        return
+    completion = json.loads(answer.body)
+    text = completion["choices"][0]["message"]["content"]
+    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+    rest = text[job.resume_from :]
+    await responder.write(_encode_chunk(job, rest, len(text)))
+    choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
+    last = {"choices": [choice], "usage": completion["usage"]}
+    await responder.write(Event(json.dumps(last)).encode())
+    await responder.write(Event("[DONE]").encode())
+    await responder.finish()
--- /dev/null
+++ b/anvilshift/router/callers.py
@@ -0,0 +1,146 @@
+"""The caller's port: chat completions, plain services, address lookup."""
+
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+
+from anvilshift.core.claims import Answer
+from anvilshift.core.clock import Millis
+from anvilshift.core.declarations import Organisation, TargetKind
+from anvilshift.core.errors import (
+    DRAINING,
+    NOT_READY,
+    OUTCOME_UNKNOWN,
+    UNKNOWN_ROUTE,
+    AnvilshiftError,
+    Fate,
+)
+from anvilshift.router.answers import (
+    REQUEST_HEADER,
+    read_whole,
+    write_answer,
+    write_stream,
+)
+from anvilshift.router.claims import ClaimBook
+from anvilshift.router.gate import Gate
+from anvilshift.router.requests import Job, read_chat, read_service_call
+from anvilshift.router.runs import Runs, Shared
+from anvilshift.router.services import ServiceCall
+from anvilshift.wire.jsons import dump_json
+from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
+from anvilshift.wire.server import Responder
+
+CHAT_PATH = "/v1/chat/completions"
+ADDRESSES_PATH = "/v1/addresses"
+SERVICES_PATH = "/services/"
+_RETRY_ELSEWHERE: Millis = 200.0
+
+
+class CallerPort:
+    """Answer callers.
+
+    Parameters
+    ----------
+    ready
+        Tells whether this router may serve.
+    addresses
+        Returns the addresses that a caller shall use, as JSON.
+    """
+
+    def __init__(
+        self,
+        shared: Shared,
+        gate: Gate,
+        claims: ClaimBook,
+        ready: Callable[[], bool],
+        addresses: Callable[[], dict[str, object]],
+    ) -> None:
+        self.runs = Runs(shared)
+        self.refusing = False
+        self.calls = 0
+        self._shared = shared
+        self._gate = gate
+        self._claims = claims
+        self._ready = ready
+        self._addresses = addresses
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests have not ended."""
+        return self.runs.in_flight + self.calls
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        if not self._ready():
+            raise AnvilshiftError(NOT_READY, "", _RETRY_ELSEWHERE)
+        organisation = self._gate.authenticate(request)
+        if request.path == ADDRESSES_PATH and request.method == "GET":
+            body = dump_json(self._addresses())
+            await responder.send(Reply(200, [JSON_TYPE], body))
+            return
+        if self.refusing:
+            raise AnvilshiftError(DRAINING, "", _RETRY_ELSEWHERE)
+        self.calls += 1
+        try:
+            if request.path == CHAT_PATH and request.method == "POST":
+                await self._chat(request, organisation, responder)
+            elif request.path.startswith(SERVICES_PATH):
+                await self._service(request, organisation, responder)
+            else:
+                raise AnvilshiftError(UNKNOWN_ROUTE, "no such path")
+        finally:
+            self.calls -= 1
+
+    async def _chat(
+        self, request: HttpRequest, organisation: Organisation, responder: Responder
+    ) -> None:
+        now = self._shared.clock.now()
+        routes = dict(self._gate.catalogue.routes)
+        job = read_chat(request, organisation, routes, now)
+        if job.non_idempotent:
+            answer = await self._run_once(job, lambda: self._run_model(job))
+            await write_answer(answer, job, responder)
+            return
+        run = self.runs.join(job, self._gate.make_work(job))
+        if job.stream:
+            await write_stream(run, job, responder)
+        else:
+            await write_answer(await read_whole(run), job, responder)
+
+    async def _run_model(self, job: Job) -> Answer:
+        return await read_whole(self.runs.join(job, self._gate.make_work(job)))
+
+    async def _service(
+        self, request: HttpRequest, organisation: Organisation, responder: Responder
+    ) -> None:
+        name, _, rest = request.target.removeprefix(SERVICES_PATH).partition("/")
+        route = self._gate.find_route(name)
+        if route is None or route.kind is not TargetKind.SERVICE:
+            raise AnvilshiftError(UNKNOWN_ROUTE, "no such service")
+        now = self._shared.clock.now()
+        job = read_service_call(request, organisation, route, rest, now)
+        call = ServiceCall(self._shared, job, request, f"/{rest}")
+        work = self._gate.make_work(job)
+        if job.non_idempotent:
+            answer = await self._run_once(job, lambda: call.run(work))
+        else:
+            answer = await call.run(work)
+        headers = [("content-type", answer.content_type), (REQUEST_HEADER, job.key)]
+        body = answer.body.encode("latin-1")
+        await responder.send(Reply(answer.status, headers, body))
+
+    async def _run_once(self, job: Job, run: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Run work that may run at most once, under its claim."""
+        recorded = await self._claims.take(job)
+        if recorded is not None:
+            return recorded
+        try:
+            answer = await run()
+        except AnvilshiftError as error:
+            if error.code.fate is Fate.NOT_RUN:
+                await self._claims.void(job)
+                raise
+            logging.warning("outcome unknown request=%s %s", job.identity, error)
+            raise AnvilshiftError(OUTCOME_UNKNOWN, error.detail) from error
+        await self._claims.finish(job, answer)
+        return answer
--- /dev/null
+++ b/anvilshift/router/dispatching.py
@@ -0,0 +1,117 @@
+"""Run the dispatcher on a real loop: futures for callers, a timer for ticks."""
+
+import asyncio
+from collections.abc import Callable
+
+from anvilshift.core.clock import SECOND, Clock
+from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.work import Actions, Cancel, Failure, Refuse, Send, Work
+
+
+class DispatchLoop:
+    """Hand the dispatcher's actions to the requests that they are for."""
+
+    def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
+        self.dispatcher = dispatcher
+        self._clock = clock
+        self._turns: dict[str, asyncio.Future[Send]] = {}
+        self._stops: dict[str, Callable[[], None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for their turn."""
+        return len(self._turns)
+
+    async def submit(self, work: Work, stop: Callable[[], None]) -> Send:
+        """Wait for a target.
+
+        Parameters
+        ----------
+        stop
+            Called when the dispatcher cancels the attempt.
+
+        Raises
+        ------
+        AnvilshiftError
+            The refusal, with when to come back.
+        """
+        self._stops[work.identity] = stop
+        turn = self._expect(work.identity)
+        self.act(self.dispatcher.arrive(work, self._clock.now()))
+        return await self._await(work.identity, turn)
+
+    async def retry(self, identity: str, failure: Failure) -> Send:
+        """Report a failed attempt and wait for the next.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the work is given up.
+        """
+        turn = self._expect(identity)
+        self.act(self.dispatcher.failed(identity, failure, self._clock.now()))
+        return await self._await(identity, turn)
+
+    def first_token(self, identity: str) -> None:
+        """Report that an answer has begun."""
+        self.act(self.dispatcher.first_token(identity, self._clock.now()))
+
+    def done(self, identity: str, tokens: int) -> None:
+        """Report that an answer is whole."""
+        self._stops.pop(identity, None)
+        self.act(self.dispatcher.done(identity, tokens, self._clock.now()))
+
+    def cancel(self, identity: str) -> None:
+        """Report that nobody waits for the work any more."""
+        self._stops.pop(identity, None)
+        self.act(self.dispatcher.cancel(identity, self._clock.now()))
+
+    def _expect(self, identity: str) -> asyncio.Future[Send]:
+        turn: asyncio.Future[Send] = asyncio.get_running_loop().create_future()
+        self._turns[identity] = turn
+        return turn
+
+    async def _await(self, identity: str, turn: asyncio.Future[Send]) -> Send:
+        try:
+            return await turn
+        except asyncio.CancelledError:
+            self.cancel(identity)
+            raise
+        finally:
+            if self._turns.get(identity) is turn:
+                del self._turns[identity]
+
+    def act(self, actions: Actions) -> None:
+        """Carry out what the dispatcher decided."""
+        for action in actions:
+            if isinstance(action, Cancel):
+                stop = self._stops.get(action.identity)
+                if stop is not None:
+                    stop()
+                continue
+            turn = self._turns.get(action.identity)
+            if turn is None or turn.done():
+                continue
+            if isinstance(action, Refuse):
+                self._stops.pop(action.identity, None)
+                error = AnvilshiftError(action.code, action.detail, action.retry_after)
+                turn.set_exception(error)
+            else:
+                turn.set_result(action)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = self._clock.now()
+        due = self.dispatcher.next_tick(now)
+        if due is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, due - now) / SECOND, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.act(self.dispatcher.tick(self._clock.now()))
--- /dev/null
+++ b/anvilshift/router/fleet.py
@@ -0,0 +1,299 @@
+"""Take part in the fleet: renew the own record, beat to others, remove the lost."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from absl import logging
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.ledger import Bill
+from anvilshift.core.membership import Member, Roster
+from anvilshift.peers.generated.peers_grpc import PeersBase, PeersStub
+from anvilshift.peers.generated.peers_pb2 import (
+    GiveBackReply,
+    GiveBackRequest,
+    Heartbeat,
+    KeepReply,
+    KeepRequest,
+    PendingBill,
+)
+from anvilshift.platform.records import decode, encode
+from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
+from anvilshift.router.following import ROUTER_KIND
+from anvilshift.router.treasury import Treasury
+from anvilshift.wire.messages import Address
+
+_PEER_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
+_CALL_TIMEOUT_S = 1.0
+_RENEWALS_PER_LEASE = 4
+_MAX_COPIES = 10_000
+
+Copies = dict[str, dict[str, tuple[str, Bill]]]
+
+
+class Fleet(PeersBase):
+    """One router's part in the fleet.
+
+    Parameters
+    ----------
+    member
+        This router, as the others shall know it.
+    in_flight
+        Tells how many requests this router has in flight.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        member: Member,
+        treasury: Treasury,
+        lease: Millis,
+        heartbeat: Millis,
+        in_flight: Callable[[], int],
+    ) -> None:
+        self.member = member
+        self.roster = Roster(lease)
+        self._store = store
+        self._clock = clock
+        self._treasury = treasury
+        self._heartbeat = heartbeat
+        self._in_flight = in_flight
+        self._renewed = clock.now() - 2 * lease
+        self._reaches_platform = False
+        self._channels: dict[str, Channel] = {}
+        self._copies: Copies = {}
+        self._renew_now = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server: Server | None = None
+        treasury.keep_copies = self.keep_copies
+        treasury.ask_peers = self.ask_peers
+
+    async def start(self, address: Address) -> None:
+        """Listen to other routers and begin to beat and renew."""
+        self._server = Server([self])
+        await self._server.start(address.ip, address.port)
+        loop = asyncio.get_running_loop()
+        for work in (self._keep_renewing(), self._keep_beating()):
+            self._tasks.append(loop.create_task(work))
+
+    def may_serve(self) -> bool:
+        """Tell whether this router's lease, or an outage of all, lets it serve."""
+        return self.roster.may_serve(self._renewed, self._clock.now())
+
+    def acknowledge(self, revision: int) -> None:
+        """State that declarations of a revision are in force here."""
+        if revision > self.member.revision:
+            self.member = replace(self.member, revision=revision)
+            self._renew_now.set()
+
+    def take_router(self, name: str, body: Body | None) -> None:
+        """Take in a router's record."""
+        if name == self.member.name:
+            return
+        if body is None:
+            self.roster = self.roster.remove(name)
+            return
+        self.roster = self.roster.record(decode(Member, body), self._clock.now())
+
+    async def leave(self) -> None:
+        """Tell everyone that this router is leaving."""
+        self.member = replace(self.member, leaving=True)
+        await self._renew()
+        await self._beat_all()
+
+    async def close(self) -> None:
+        """Take the own record away and stop."""
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        with contextlib.suppress(AnvilshiftError):
+            found = await self._store.get(ROUTER_KIND, self.member.name)
+            if found and found.body.get("incarnation") == self.member.incarnation:
+                await self._store.delete(ROUTER_KIND, found.name, found.version)
+        if self._server is not None:
+            self._server.close()
+        for channel in self._channels.values():
+            channel.close()
+
+    async def _keep_renewing(self) -> None:
+        pause = self.roster.lease / _RENEWALS_PER_LEASE / SECOND
+        while True:
+            self._renew_now.clear()
+            await self._renew()
+            await self._remove_lost()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._renew_now.wait()
+
+    async def _renew(self) -> None:
+        self.member = replace(self.member, beat=self.member.beat + 1)
+        body = encode(self.member)
+        began = self._clock.now()
+        try:
+            await update(self._store, ROUTER_KIND, self.member.name, lambda _: body)
+            # Counted from before the call: the others may have seen it then.
+            self._renewed = began
+            self._reaches_platform = True
+        except AnvilshiftError as error:
+            self._reaches_platform = False
+            logging.warning("renewal failed code=%d", error.code.number)
+
+    async def _remove_lost(self) -> None:
+        if not self._reaches_platform:
+            return
+        for member in self.roster.lost(self._clock.now()):
+            try:
+                await self._remove(member)
+            except AnvilshiftError as error:
+                logging.warning("removal failed code=%d", error.code.number)
+
+    async def _remove(self, member: Member) -> None:
+        logging.warning("removing lost router=%s", member.name)
+        await self._treasury.seal(member.incarnation)
+        await self._hand_in_copies(member.incarnation)
+        found = await self._store.get(ROUTER_KIND, member.name)
+        if found and found.body.get("incarnation") == member.incarnation:
+            with contextlib.suppress(ConflictError):
+                await self._store.delete(ROUTER_KIND, found.name, found.version)
+        self.roster = self.roster.remove(member.name)
+
+    async def _hand_in_copies(self, incarnation: str) -> None:
+        for holder in [h for h in self._copies if h.startswith(incarnation)]:
+            copies = self._copies.pop(holder)
+            await self._treasury.hand_in(holder, tuple(copies.values()))
+
+    def _stub(self, address: str) -> PeersStub:
+        if address not in self._channels:
+            parsed = Address.parse(address)
+            self._channels[address] = Channel(parsed.ip, parsed.port)
+        return PeersStub(self._channels[address])
+
+    def _make_heartbeat(self) -> Heartbeat:
+        member = self.member
+        return Heartbeat(
+            router=member.name,
+            incarnation=member.incarnation,
+            host=member.host,
+            address=member.address,
+            peer_address=member.peer_address,
+            failure_domain=member.failure_domain,
+            leaving=member.leaving,
+            revision=member.revision,
+            beat=member.beat,
+            reaches_platform=self._reaches_platform,
+            in_flight=self._in_flight(),
+        )
+
+    def _hear(self, beat: Heartbeat) -> None:
+        member = Member(
+            beat.router,
+            beat.incarnation,
+            beat.host,
+            beat.address,
+            beat.peer_address,
+            beat.failure_domain,
+            beat.revision,
+            beat.leaving,
+            beat.beat,
+        )
+        self.roster = self.roster.hear(
+            member, beat.reaches_platform, beat.in_flight, self._clock.now()
+        )
+
+    async def _keep_beating(self) -> None:
+        while True:
+            await self._beat_all()
+            await asyncio.sleep(self._heartbeat / SECOND)
+
+    async def _beat_all(self) -> None:
+        addresses = self._peer_addresses()
+        await asyncio.gather(*(self._beat_one(address) for address in addresses))
+
+    def _peer_addresses(self) -> list[str]:
+        return [s.member.peer_address for s in self.roster.sightings.values()]
+
+    async def _beat_one(self, address: str) -> None:
+        with contextlib.suppress(*_PEER_ERRORS):
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                self._hear(await self._stub(address).Beat(self._make_heartbeat()))
+
+    async def keep_copies(
+        self, holder: str, bills: tuple[tuple[str, Bill], ...]
+    ) -> bool:
+        """Leave copies of bills with the other routers; True if one took them."""
+        pending = [
+            PendingBill(
+                account=account,
+                key=bill.key,
+                organisation=bill.organisation,
+                tokens=bill.tokens,
+            )
+            for account, bill in bills
+        ]
+        request = KeepRequest(holder=holder, bills=pending)
+        addresses = self._peer_addresses()
+        kept = await asyncio.gather(*(self._keep_one(a, request) for a in addresses))
+        return any(kept)
+
+    async def _keep_one(self, address: str, request: KeepRequest) -> bool:
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                reply = await self._stub(address).Keep(request)
+                return bool(reply.kept)
+        except _PEER_ERRORS:
+            return False
+
+    async def ask_peers(self, account: str) -> None:
+        """Ask the other routers to give unused tokens of a budget back."""
+        request = GiveBackRequest(account=account)
+        addresses = self._peer_addresses()
+        await asyncio.gather(*(self._ask_one(a, request) for a in addresses))
+
+    async def _ask_one(self, address: str, request: GiveBackRequest) -> None:
+        with contextlib.suppress(*_PEER_ERRORS):
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                await self._stub(address).GiveBack(request)
+
+    async def Beat(self, stream: Stream[Heartbeat, Heartbeat]) -> None:  # noqa: N802
+        """Answer a heartbeat with the own."""
+        beat = await stream.recv_message()
+        if beat is not None:
+            self._hear(beat)
+            await stream.send_message(self._make_heartbeat())
+
+    async def Keep(self, stream: Stream[KeepRequest, KeepReply]) -> None:  # noqa: N802
+        """Keep copies of another router's bills."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        copies = self._copies.setdefault(request.holder, {})
+        for item in request.bills:
+            bill = Bill(
+                item.key,
+                item.organisation,
+                item.tokens,
+                request.holder,
+                int(time.time()),
+            )
+            copies[item.key] = (item.account, bill)
+        await stream.send_message(KeepReply(kept=len(copies) <= _MAX_COPIES))
+
+    async def GiveBack(  # noqa: N802
+        self, stream: Stream[GiveBackRequest, GiveBackReply]
+    ) -> None:
+        """Give unused tokens of a budget back to the platform."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        await self._treasury.give_back(request.account)
+        await stream.send_message(GiveBackReply())
--- /dev/null
+++ b/anvilshift/router/following.py
@@ -0,0 +1,132 @@
+"""Follow the platform's declarations and router records by watch."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from absl import logging
+
+from anvilshift.core.backoff import Backoff
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.declarations import KINDS, Catalogue, Declaration
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.platform.store import Body, Change, ObjectStore
+from anvilshift.settings.declarations import parse_declaration
+
+ROUTER_KIND = "Router"
+_WATCHED = (*KINDS, ROUTER_KIND)
+_WAIT: Millis = 20 * SECOND
+
+
+class Follower:
+    """Keep a catalogue at the platform's newest revision.
+
+    Parameters
+    ----------
+    take_catalogue
+        Called with each new catalogue.
+    take_router
+        Called with a router record's name and body, None when it is gone.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        take_catalogue: Callable[[Catalogue], None],
+        take_router: Callable[[str, Body | None], None],
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._take_catalogue = take_catalogue
+        self._take_router = take_router
+        self._rng = rng
+        self._backoff = Backoff()
+        self._declarations: dict[tuple[str, str], Declaration] = {}
+        self._routers: set[str] = set()
+        self._revision = 0
+        self.current = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        failures = 0
+        listed = False
+        while True:
+            try:
+                if not listed:
+                    await self._list()
+                    listed = True
+                listed = await self._watch()
+                failures = 0
+            except AnvilshiftError as error:
+                logging.warning("watch failed code=%d", error.code.number)
+                pause = self._backoff.draw(failures, self._rng)
+                failures += 1
+                await asyncio.sleep(pause / SECOND)
+
+    async def _list(self) -> None:
+        listing = await self._store.list(_WATCHED)
+        # A platform that answers from an old copy must not take back what was
+        # accepted: versions never go back.
+        if listing.revision < self._revision:
+            return
+        old, self._declarations = self._declarations, {}
+        seen = set()
+        for item in listing.items:
+            if item.kind == ROUTER_KIND:
+                seen.add(item.name)
+                self._take_router(item.name, item.body)
+                continue
+            self._put(item.kind, item.name, item.body, old)
+        for name in self._routers - seen:
+            self._take_router(name, None)
+        self._routers = seen
+        self._revision = listing.revision
+        self._publish(listing.revision)
+        self.current.set()
+
+    async def _watch(self) -> bool:
+        """Take in one answer of the watch; False when it is too old."""
+        changes = await self._store.watch(_WATCHED, self._revision, _WAIT)
+        if changes.too_old:
+            return False
+        declared = [self._apply(change) for change in changes.changes]
+        self._revision = max(self._revision, changes.revision)
+        if any(declared):
+            newest = max(c.version for c in changes.changes if c.kind != ROUTER_KIND)
+            self._publish(newest)
+        return True
+
+    def _apply(self, change: Change) -> bool:
+        """Take in a change; tell whether it was one of a declaration."""
+        if change.version <= self._revision:
+            return False
+        if change.kind == ROUTER_KIND:
+            self._routers.add(change.name)
+            self._take_router(change.name, change.body)
+            return False
+        if change.body is None:
+            self._declarations.pop((change.kind, change.name), None)
+        else:
+            self._put(change.kind, change.name, change.body, self._declarations)
+        return True
+
+    def _put(
+        self,
+        kind: str,
+        name: str,
+        body: Body,
+        old: dict[tuple[str, str], Declaration],
+    ) -> None:
+        key = (kind, name)
+        try:
+            self._declarations[key] = parse_declaration(body, f"{kind}/{name}")
+        except AnvilshiftError as error:
+            # A declaration that this version can't read keeps its last
+            # readable state instead of vanishing from under its callers.
+            logging.error("declaration unreadable %s", error)
+            if key in old:
+                self._declarations[key] = old[key]
+
+    def _publish(self, revision: int) -> None:
+        declarations = list(self._declarations.values())
+        self._take_catalogue(Catalogue.from_declarations(declarations, revision))
--- /dev/null
+++ b/anvilshift/router/gate.py
@@ -0,0 +1,92 @@
+"""Find out who calls and what they may use."""
+
+import hashlib
+import hmac
+
+from anvilshift.core.declarations import Catalogue, Organisation, Route
+from anvilshift.core.errors import UNAUTHENTICATED, AnvilshiftError
+from anvilshift.core.work import Work
+from anvilshift.router.requests import Job
+from anvilshift.wire.messages import HttpRequest
+
+_SCHEME = "bearer "
+
+
+def hash_token(token: str) -> str:
+    """Return the form in which a token is kept.
+
+    Examples
+    --------
+    >>> hash_token("secret")[:8]
+    '2bb80d53'
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def read_token(request: HttpRequest) -> str:
+    """Return the bearer token of a request, or an empty string."""
+    value = request.headers.get("authorization") or ""
+    if value[: len(_SCHEME)].lower() != _SCHEME:
+        return ""
+    return value[len(_SCHEME) :].strip()
+
+
+def check_token(request: HttpRequest, expected: str) -> bool:
+    """Tell in constant time whether a request carries the token of a hash."""
+    token = hash_token(read_token(request))
+    return bool(expected) and hmac.compare_digest(token, expected)
+
+
+class Gate:
+    """The catalogue in force, with organisations found by credential."""
+
+    def __init__(self) -> None:
+        self.catalogue = Catalogue()
+        self._by_credential: dict[str, Organisation] = {}
+
+    def configure(self, catalogue: Catalogue) -> None:
+        """Take in a new catalogue."""
+        self.catalogue = catalogue
+        self._by_credential = {
+            credential: organisation
+            for organisation in catalogue.organisations.values()
+            for credential in organisation.credentials
+        }
+
+    def authenticate(self, request: HttpRequest) -> Organisation:
+        """Return the calling organisation.
+
+        The look-up is by the token's hash, so its timing tells nothing of the
+        token itself.
+
+        Raises
+        ------
+        AnvilshiftError
+            Code 1004 without a valid credential.
+        """
+        token = read_token(request)
+        found = self._by_credential.get(hash_token(token)) if token else None
+        if found is None:
+            raise AnvilshiftError(UNAUTHENTICATED)
+        return found
+
+    def find_route(self, name: str) -> Route | None:
+        """Return a route by its name."""
+        return self.catalogue.routes.get(name)
+
+    def make_work(self, job: Job) -> Work:
+        """Return what the dispatcher needs of a job."""
+        candidates = self.catalogue.candidates(job.organisation, job.route)
+        return Work(
+            identity=job.identity,
+            organisation=job.organisation.name,
+            request_class=job.route.request_class,
+            candidates={c.engine.name: c.priority for c in candidates},
+            prompt_tokens=job.prompt_bound,
+            answer_tokens=job.answer_bound,
+            deadline=job.deadline,
+            weight=job.organisation.weight,
+            prefixes=job.prefixes,
+            content=job.content,
+            idempotent=not job.non_idempotent,
+        )
--- /dev/null
+++ b/anvilshift/router/targets.py
@@ -0,0 +1,105 @@
+"""The adapters of the targets in force, and polls of what they report."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from typing import Any
+
+from absl import logging
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.declarations import Catalogue, Engine, TargetKind
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.work import CacheEvent, LoadReport
+from anvilshift.engines.engine import ModelEngine, PlainService
+from anvilshift.engines.http import HttpModelEngine, HttpPlainService
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.messages import Address
+
+REPORT_INTERVAL: Millis = 250.0
+
+
+class Targets:
+    """Every declared target with its adapter."""
+
+    def __init__(self, client: HttpClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+        self._engines: dict[str, ModelEngine] = {}
+        self._services: dict[str, PlainService] = {}
+        self._declared: dict[str, Engine] = {}
+        self._sequences: dict[str, int] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    def configure(self, catalogue: Catalogue) -> None:
+        """Make adapters for what is declared now."""
+        engines: dict[str, ModelEngine] = {}
+        services: dict[str, PlainService] = {}
+        declared: dict[str, Engine] = {}
+        for group in catalogue.groups.values():
+            for engine in group.engines:
+                address = Address.parse(engine.address)
+                declared[engine.name] = engine
+                if group.kind is TargetKind.MODEL:
+                    engines[engine.name] = HttpModelEngine(
+                        self._client, engine.name, address
+                    )
+                else:
+                    services[engine.name] = HttpPlainService(self._client, address)
+        self._engines, self._services = engines, services
+        self._declared = declared
+
+    def engine(self, name: str) -> ModelEngine | None:
+        """Return the adapter of a model engine."""
+        return self._engines.get(name)
+
+    def service(self, name: str) -> PlainService | None:
+        """Return the adapter of a plain service."""
+        return self._services.get(name)
+
+    def cancel(self, name: str, attempt: str) -> None:
+        """Tell an engine in the background that nobody waits for an attempt."""
+        engine = self._engines.get(name)
+        if engine is not None:
+            self._spawn(engine.cancel(attempt))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(_ignore_errors(work))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def poll(
+        self,
+        take_report: Callable[[LoadReport], None],
+        take_event: Callable[[CacheEvent], None],
+    ) -> None:
+        """Read every engine's reports again and again."""
+        while True:
+            engines = list(self._engines.items())
+            await asyncio.gather(
+                *(self._poll_one(n, e, take_report, take_event) for n, e in engines)
+            )
+            await asyncio.sleep(REPORT_INTERVAL / SECOND)
+
+    async def _poll_one(
+        self,
+        name: str,
+        engine: ModelEngine,
+        take_report: Callable[[LoadReport], None],
+        take_event: Callable[[CacheEvent], None],
+    ) -> None:
+        try:
+            report = await engine.load()
+            take_report(replace(report, as_of=self._clock.now() - report.as_of))
+            for event in await engine.cache_events(self._sequences.get(name, 0)):
+                self._sequences[name] = event.sequence
+                take_event(event)
+        except AnvilshiftError as error:
+            logging.debug("no report engine=%s code=%d", name, error.code.number)
+
+
+async def _ignore_errors(work: Coroutine[Any, Any, None]) -> None:
+    try:
+        await work
+    except AnvilshiftError as error:
+        logging.debug("cancel failed code=%d", error.code.number)
--- /dev/null
+++ b/anvilshift/router/telemetry.py
@@ -0,0 +1,76 @@
+"""Metrics of one router, kept by OpenTelemetry and read in Prometheus's format."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+from anvilshift.core.clock import Millis
+from anvilshift.core.errors import Code
+
+_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 920, 2_000, 5_000, 10_000, 30_000)
+"""Bounds of the histograms; 920 ms is the users' bound for the first token."""
+_GAP_BUCKETS_MS = (1, 2, 5, 10, 20, 56, 100, 200, 500, 1_000, 5_000)
+"""56 ms is the users' bound between two tokens."""
+
+
+class Telemetry:
+    """Histograms by organisation and class, and counters."""
+
+    def __init__(self) -> None:
+        views = [
+            View(
+                instrument_name="anvilshift_between_tokens_ms",
+                aggregation=ExplicitBucketHistogramAggregation(_GAP_BUCKETS_MS),
+            ),
+            View(
+                instrument_name="anvilshift_*_wait_ms",
+                aggregation=ExplicitBucketHistogramAggregation(_BUCKETS_MS),
+            ),
+        ]
+        reader = PrometheusMetricReader()
+        provider = MeterProvider(metric_readers=[reader], views=views)
+        meter = provider.get_meter("anvilshift")
+        make = meter.create_histogram
+        self._queue = make("anvilshift_queue_wait_ms", "ms")
+        self._first = make("anvilshift_first_token_wait_ms", "ms")
+        self._whole = make("anvilshift_whole_answer_wait_ms", "ms")
+        self._bill = make("anvilshift_bill_wait_ms", "ms")
+        self._gap = make("anvilshift_between_tokens_ms", "ms")
+        self._answers = meter.create_counter("anvilshift_answers")
+        self._events = meter.create_counter("anvilshift_events")
+
+    def record_queue(self, organisation: str, kind: str, span: Millis) -> None:
+        """Count the time from arrival until the work was sent."""
+        self._queue.record(span, {"organisation": organisation, "class": kind})
+
+    def record_first(self, organisation: str, kind: str, span: Millis) -> None:
+        """Count the time from arrival to the first token."""
+        self._first.record(span, {"organisation": organisation, "class": kind})
+
+    def record_gap(self, organisation: str, kind: str, span: Millis) -> None:
+        """Count the time between two tokens."""
+        self._gap.record(span, {"organisation": organisation, "class": kind})
+
+    def record_whole(self, organisation: str, kind: str, span: Millis) -> None:
+        """Count the time from arrival to the end of the answer."""
+        self._whole.record(span, {"organisation": organisation, "class": kind})
+
+    def record_bill(self, organisation: str, kind: str, span: Millis) -> None:
+        """Count the time that an answer's end waited for its bill."""
+        self._bill.record(span, {"organisation": organisation, "class": kind})
+
+    def count_answer(self, organisation: str, kind: str, code: Code | None) -> None:
+        """Count an answer by its code; None is a whole one."""
+        number = code.number if code else 0
+        self._answers.add(
+            1, {"organisation": organisation, "class": kind, "code": number}
+        )
+
+    def count_event(self, event: str) -> None:
+        """Count something that operators watch for."""
+        self._events.add(1, {"event": event})
+
+    def render(self) -> bytes:
+        """Return every metric in Prometheus's text format."""
+        return generate_latest(REGISTRY)
--- /dev/null
+++ b/anvilshift/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Convert YAML settings into checked data classes."""
--- /dev/null
+++ b/anvilshift/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems in tests and the demo."""
--- /dev/null
+++ b/anvilshift/wire/client.py
@@ -0,0 +1,306 @@
+"""Call HTTP/1.1 servers through h11 with pooled connections."""
+
+import asyncio
+import contextlib
+from collections import defaultdict, deque
+from collections.abc import AsyncIterator
+
+import h11
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.wire.messages import Address, Fields, Headers, HttpAnswer
+
+_READ_AHEAD_BYTES = 256 * 1024
+_IDLE_PER_ADDRESS = 64
+_HEAD_BYTES = 64 * 1024
+DEFAULT_BODY_BYTES = 16 * 1024 * 1024
+
+
+class ExchangeError(ConnectionError):
+    """An exchange with a server failed.
+
+    Parameters
+    ----------
+    detail
+        What failed.
+    sent
+        Whether any byte of the request may have left.  Only when this is False
+        is the request provably not run.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class _Connection(asyncio.Protocol):
+    """One connection to a server; it carries one exchange at a time."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
+        self._events: deque[h11.Event] = deque()
+        self._buffered = 0
+        self._arrived = asyncio.Event()
+        self._failure: Exception | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self.closed = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._writable.set()
+        if self._failure is None:
+            self._failure = exc or ConnectionError("the server closed the connection")
+        self._arrived.set()
+
+    def eof_received(self) -> bool:
+        self._feed(b"")
+        return False
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            while True:
+                event = self._h11.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    break
+                if isinstance(event, h11.ConnectionClosed):
+                    break
+                assert not isinstance(event, type)
+                self._events.append(event)
+                if isinstance(event, h11.Data):
+                    self._buffered += len(event.data)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            self._failure = error
+            if self.transport is not None:
+                self.transport.abort()
+        # An engine that streams faster than its caller reads would fill the
+        # router's memory; reading stops until the backlog is taken.
+        if self._buffered > _READ_AHEAD_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+        self._arrived.set()
+
+    async def send(self, method: str, path: str, headers: Fields, body: bytes) -> None:
+        assert self.transport is not None
+        head = h11.Request(method=method, target=path, headers=headers)
+        parts = [self._h11.send(head)]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        self.transport.write(b"".join(part for part in parts if part))
+        await self._writable.wait()
+
+    async def receive(self) -> h11.Event:
+        while not self._events:
+            if self._failure is not None:
+                raise self._failure
+            self._arrived.clear()
+            await self._arrived.wait()
+        event = self._events.popleft()
+        if isinstance(event, h11.Data):
+            before = self._buffered
+            self._buffered -= len(event.data)
+            if before > _READ_AHEAD_BYTES >= self._buffered and self.transport:
+                self.transport.resume_reading()
+        return event
+
+    def take_ready(self) -> bytes:
+        """Return body bytes that have arrived already, without waiting."""
+        parts = []
+        while self._events and isinstance(self._events[0], h11.Data):
+            event = self._events.popleft()
+            assert isinstance(event, h11.Data)
+            self._buffered -= len(event.data)
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    def reset(self) -> bool:
+        """Make ready for another exchange; False when the connection can't."""
+        if self.closed or self._events or self._failure is not None:
+            return False
+        try:
+            self._h11.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        return True
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Response:
+    """An answer whose body is still arriving."""
+
+    def __init__(self, status: int, headers: Headers, connection: _Connection) -> None:
+        self.status = status
+        self.headers = headers
+        self.whole = False
+        self._connection = connection
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body piece by piece; what has arrived together stays together.
+
+        Raises
+        ------
+        ExchangeError
+            When the body breaks off before its end.
+        """
+        while not self.whole:
+            try:
+                event = await self._connection.receive()
+            except (OSError, h11.ProtocolError, RuntimeError) as error:
+                raise ExchangeError(f"the answer broke off: {error}", True) from error
+            if isinstance(event, h11.EndOfMessage):
+                self.whole = True
+            elif isinstance(event, h11.Data):
+                yield bytes(event.data) + self._connection.take_ready()
+
+    async def read(self, limit: int = DEFAULT_BODY_BYTES) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        ExchangeError
+            When the body breaks off or is over the limit.
+        """
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > limit:
+                raise ExchangeError("the answer is over the limit", True)
+        return bytes(body)
+
+
+class HttpClient:
+    """Exchange requests with servers, keeping idle connections for reuse.
+
+    Parameters
+    ----------
+    connect_timeout
+        Milliseconds until an attempt to connect is given up.
+    """
+
+    def __init__(self, connect_timeout: Millis = SECOND) -> None:
+        self._connect_timeout = connect_timeout
+        self._idle: dict[Address, list[_Connection]] = defaultdict(list)
+
+    async def _connect(self, address: Address) -> _Connection:
+        idle = self._idle[address]
+        while idle:
+            connection = idle.pop()
+            if not connection.closed:
+                return connection
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_connection(_Connection, address.ip, address.port)
+        try:
+            _, made = await asyncio.wait_for(connecting, self._connect_timeout / SECOND)
+        except (OSError, TimeoutError) as error:
+            raise ExchangeError(f"can't connect to {address}", False) from error
+        return made
+
+    def _release(self, address: Address, connection: _Connection) -> None:
+        idle = self._idle[address]
+        if len(idle) < _IDLE_PER_ADDRESS and connection.reset():
+            idle.append(connection)
+        else:
+            connection.close()
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: Fields | None = None,
+        body: bytes = b"",
+        timeout: Millis | None = None,
+    ) -> AsyncIterator[Response]:
+        """Send a request and give its answer once the head has arrived.
+
+        Leaving the block before the body's end closes the connection, which is
+        how a server learns that nobody waits any more.
+
+        Parameters
+        ----------
+        timeout
+            Milliseconds until the head of the answer must have arrived.
+
+        Raises
+        ------
+        ExchangeError
+            With ``sent`` False when the request provably never left.
+        """
+        connection = await self._connect(address)
+        fields = [("host", str(address)), *(headers or [])]
+        fields.append(("content-length", str(len(body))))
+        response: Response | None = None
+        try:
+            async with asyncio.timeout(timeout / SECOND if timeout else None):
+                await connection.send(method, path, fields, body)
+                head = await connection.receive()
+                while isinstance(head, h11.InformationalResponse):
+                    head = await connection.receive()
+            assert isinstance(head, h11.Response)
+            response = Response(
+                head.status_code, Headers.from_raw(head.headers.raw_items()), connection
+            )
+        except TimeoutError as error:
+            connection.close()
+            raise ExchangeError(f"{address} did not answer in time", True) from error
+        except (OSError, h11.ProtocolError, RuntimeError, AssertionError) as error:
+            connection.close()
+            raise ExchangeError(f"{address} broke off: {error}", True) from error
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        try:
+            yield response
+        finally:
+            if response.whole:
+                self._release(address, connection)
+            else:
+                connection.close()
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: Fields | None = None,
+        body: bytes = b"",
+        timeout: Millis | None = None,
+    ) -> HttpAnswer:
+        """Send a request and return its whole answer within one timeout."""
+        try:
+            async with (
+                asyncio.timeout(timeout / SECOND if timeout else None),
+                self.exchange(address, method, path, headers, body) as response,
+            ):
+                whole = await response.read()
+                return HttpAnswer(response.status, response.headers, whole)
+        except TimeoutError as error:
+            raise ExchangeError(f"{address} did not answer in time", True) from error
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/anvilshift/wire/events.py
@@ -0,0 +1,80 @@
+"""Read and write server-sent events.
+
+See Also
+--------
+The format: HTML Living Standard, section "Server-sent events".
+"""
+
+from dataclasses import dataclass
+
+from anvilshift.core.errors import ENGINE_FAILED, AnvilshiftError
+
+_MAX_EVENT_BYTES = 1024 * 1024
+
+
+@dataclass(frozen=True)
+class Event:
+    """One event: its data, and its id where it has one."""
+
+    data: str
+    id: str | None = None
+
+    def encode(self) -> bytes:
+        r"""Return the event as it stands on the wire.
+
+        Examples
+        --------
+        >>> Event("hello", "7").encode()
+        b'id: 7\ndata: hello\n\n'
+        """
+        head = f"id: {self.id}\n" if self.id is not None else ""
+        lines = "".join(f"data: {line}\n" for line in self.data.split("\n"))
+        return f"{head}{lines}\n".encode()
+
+
+class EventReader:
+    r"""Cut a byte stream into events.
+
+    Examples
+    --------
+    >>> reader = EventReader()
+    >>> reader.feed(b"data: on")
+    []
+    >>> reader.feed(b"e\n\n")
+    [Event(data='one', id=None)]
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take bytes and return the events that are whole now.
+
+        Raises
+        ------
+        AnvilshiftError
+            Code 4001 when an event is over the limit or isn't UTF-8.
+        """
+        buffer = (self._rest + data).replace(b"\r\n", b"\n")
+        *blocks, self._rest = buffer.split(b"\n\n")
+        if len(self._rest) > _MAX_EVENT_BYTES:
+            raise AnvilshiftError(ENGINE_FAILED, "an event is over the limit")
+        events = [_parse(block) for block in blocks]
+        return [event for event in events if event is not None]
+
+
+def _parse(block: bytes) -> Event | None:
+    data: list[str] = []
+    identity: str | None = None
+    try:
+        text = block.decode()
+    except UnicodeDecodeError as error:
+        raise AnvilshiftError(ENGINE_FAILED, "an event is not UTF-8") from error
+    for line in text.split("\n"):
+        field, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if field == "data":
+            data.append(value)
+        elif field == "id":
+            identity = value
+    return Event("\n".join(data), identity) if data else None
--- /dev/null
+++ b/anvilshift/wire/server.py
@@ -0,0 +1,340 @@
+"""Serve HTTP/1.1 on one loop: h11 reads and writes, this module moves bytes."""
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Awaitable, Callable
+
+import h11
+from absl import logging
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.errors import (
+    CODES,
+    MALFORMED,
+    TOO_LARGE,
+    TOO_SLOW,
+    AnvilshiftError,
+    Code,
+)
+from anvilshift.wire.jsons import dump_json
+from anvilshift.wire.messages import (
+    DEFAULT_LIMITS,
+    JSON_TYPE,
+    Address,
+    Fields,
+    Headers,
+    HttpRequest,
+    Limits,
+    Reply,
+)
+
+_PIPELINE_BYTES = 64 * 1024
+_HEAD_TOO_LARGE = 431
+
+
+class CallerGoneError(ConnectionError):
+    """The peer closed or stopped reading before its answer was whole."""
+
+
+class Responder:
+    """Write one answer, whole or in pieces."""
+
+    def __init__(self, connection: "_Connection") -> None:
+        self._connection = connection
+        self.started = False
+        self.finished = False
+
+    async def send(self, reply: Reply) -> None:
+        """Write a whole answer."""
+        length = ("content-length", str(len(reply.body)))
+        await self.start(reply.status, [*reply.headers, length])
+        await self.write(reply.body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Fields) -> None:
+        """Write the head; without a content length the body is chunked."""
+        self.started = True
+        self._connection.send(h11.Response(status_code=status, headers=headers))
+
+    async def write(self, data: bytes) -> None:
+        """Write a piece of the body, waiting while the peer reads too slowly."""
+        if data:
+            self._connection.send(h11.Data(data=data))
+        await self._connection.drain()
+
+    async def finish(self) -> None:
+        """End the body."""
+        self.finished = True
+        self._connection.send(h11.EndOfMessage())
+        await self._connection.drain()
+
+    def abort(self) -> None:
+        """Cut the connection, so that the peer sees an answer that isn't whole."""
+        self._connection.abort()
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+def render_error(error: AnvilshiftError) -> Reply:
+    """Turn an error into the answer that callers see."""
+    headers: Fields = [JSON_TYPE]
+    body: dict[str, object] = {
+        "code": error.code.number,
+        "name": error.code.name,
+        "fate": error.code.fate.value,
+        "message": error.detail,
+    }
+    if error.retry_after is not None:
+        body["retry_after_ms"] = math.ceil(error.retry_after)
+        seconds = max(1, math.ceil(error.retry_after / SECOND))
+        headers.append(("retry-after", str(seconds)))
+    return Reply(error.code.status, headers, dump_json({"error": body}))
+
+
+class _Connection(asyncio.Protocol):
+    """One accepted connection."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._limits = server.limits
+        self._h11 = self._make_parser()
+        self._transport: asyncio.Transport | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._gone = False
+
+    def _make_parser(self) -> h11.Connection:
+        head_bytes = self._limits.head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+
+    @property
+    def busy(self) -> bool:
+        return self._task is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._set_timer(self._limits.head_timeout)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._gone = True
+        self._writable.set()
+        self._clear_timer()
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        self._h11.receive_data(data)
+        if self.busy:
+            self._bound_pipeline()
+            return
+        self._read_events()
+
+    def _bound_pipeline(self) -> None:
+        # A peer that pipelines without end would grow h11's buffer without
+        # bound while its first request runs; reading stops until that ends.
+        if len(self._h11.trailing_data[0]) > _PIPELINE_BYTES and self._transport:
+            self._transport.pause_reading()
+
+    def _read_events(self) -> None:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(
+                    TOO_LARGE
+                    if error.error_status_hint == _HEAD_TOO_LARGE
+                    else MALFORMED,
+                    str(error),
+                )
+                return
+            if isinstance(event, h11.Request):
+                self._head = event
+                self._set_timer(self._limits.body_timeout)
+                if self._h11.they_are_waiting_for_100_continue:
+                    self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self._limits.body_bytes:
+                    self._refuse(TOO_LARGE, "the body is over the limit")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+                return
+            else:
+                return
+
+    def _dispatch(self) -> None:
+        assert self._head is not None
+        self._clear_timer()
+        request = HttpRequest(
+            self._head.method.decode("ascii"),
+            self._head.target.decode("latin-1"),
+            Headers.from_raw(self._head.headers.raw_items()),
+            bytes(self._body),
+        )
+        self._body = bytearray()
+        self._task = asyncio.get_running_loop().create_task(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        responder = Responder(self)
+        try:
+            await self._server.handler(request, responder)
+        except AnvilshiftError as error:
+            await self._answer_error(responder, error)
+        except (CallerGoneError, asyncio.CancelledError):
+            self.abort()
+        except Exception:
+            logging.exception("handler failed path=%s", request.path)
+            await self._answer_error(responder, AnvilshiftError(CODES[9001]))
+        finally:
+            self._task = None
+        if responder.finished:
+            self._begin_next()
+        else:
+            self.abort()
+
+    async def _answer_error(self, responder: Responder, error: AnvilshiftError) -> None:
+        if responder.started:
+            self.abort()
+            return
+        with contextlib.suppress(CallerGoneError, h11.LocalProtocolError):
+            await responder.send(render_error(error))
+
+    def _begin_next(self) -> None:
+        if self._gone or self._transport is None:
+            return
+        if self._server.stopping or self._h11.our_state is not h11.DONE:
+            self._transport.close()
+            return
+        try:
+            self._h11.start_next_cycle()
+        except h11.ProtocolError:
+            self._transport.close()
+            return
+        self._head = None
+        self._transport.resume_reading()
+        self._set_timer(self._limits.idle_timeout)
+        self._read_events()
+
+    def _refuse(self, code: Code, detail: str) -> None:
+        """Answer a request that could not be read, then close."""
+        self._clear_timer()
+        reply = render_error(AnvilshiftError(code, detail))
+        length = ("content-length", str(len(reply.body)))
+        head = h11.Response(
+            status_code=reply.status,
+            headers=[*reply.headers, length, ("connection", "close")],
+        )
+        with contextlib.suppress(h11.LocalProtocolError, CallerGoneError):
+            for event in (head, h11.Data(data=reply.body), h11.EndOfMessage()):
+                self.send(event)
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, event: h11.Event) -> None:
+        if self._gone or self._transport is None:
+            raise CallerGoneError("the caller closed the connection")
+        data = self._h11.send(event)
+        if data:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        if self._writable.is_set():
+            return
+        timeout = self._limits.write_timeout / SECOND
+        try:
+            await asyncio.wait_for(self._writable.wait(), timeout)
+        except TimeoutError:
+            # A caller that stops reading would hold its buffer and its engine
+            # slot for ever; it is cut so that both are freed.
+            self.abort()
+            raise CallerGoneError("the caller stopped reading") from None
+        if self._gone:
+            raise CallerGoneError("the caller closed the connection")
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_idle(self) -> None:
+        if not self.busy and self._transport is not None:
+            self._transport.close()
+
+    def _set_timer(self, span: Millis) -> None:
+        self._clear_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(span / SECOND, self._time_out)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self) -> None:
+        idle = self._head is None and not self._h11.trailing_data[0]
+        if idle and self._transport is not None:
+            self._transport.close()
+        else:
+            self._refuse(TOO_SLOW, "the request did not arrive in time")
+
+
+class HttpServer:
+    """Listen on one address and hand each whole request to a handler.
+
+    Parameters
+    ----------
+    handler
+        Coroutine that answers a request; an `AnvilshiftError` that it raises
+        becomes the answer, as long as none was begun.
+    limits
+        What a connection may cost.
+    """
+
+    def __init__(self, handler: Handler, limits: Limits = DEFAULT_LIMITS) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[_Connection] = set()
+        self.stopping = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> Address:
+        """Listen, and return the address; port 0 takes a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), address.ip, address.port, backlog=1024
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        return Address(address.ip, port)
+
+    def stop_listening(self) -> None:
+        """Accept no new connection; those that are open go on."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    async def close(self) -> None:
+        """Stop listening and cut every connection."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.abort()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the package: load patterns, comparisons of policies, slopes."""
--- /dev/null
+++ b/tests/core/test_ledger.py
@@ -0,0 +1,101 @@
+"""The ledger: every token is in one place, whatever is lost or repeated."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from anvilshift.core.ledger import Bill, BillState, Commit, Draw, Ledger
+
+
+def make_ledger(tokens: int = 1_000) -> Ledger:
+    return Ledger().top_up("pounds", "invoice", tokens)
+
+
+def draw(ledger: Ledger, holder: str, want: int, allowance: int = 0) -> Ledger:
+    commit = Commit(holder, draws={"pounds": Draw(want, allowance)})
+    return ledger.apply(commit)[0]
+
+
+def bill(key: str, tokens: int, holder: str = "r1") -> tuple[str, Bill]:
+    return "pounds", Bill(key, "kosice", tokens, holder)
+
+
+class LedgerTest(unittest.TestCase):
+    def test_draws_never_exceed_the_budget(self):
+        ledger = draw(draw(make_ledger(), "r1", 700), "r2", 700)
+        account = ledger.account("pounds")
+        self.assertEqual(account.grants["r2"].held, 300)
+        self.assertEqual(account.free, 0)
+
+    def test_bill_recorded_twice_is_recorded_once(self):
+        """A commit takes effect and its answer is lost, so it is sent again.
+
+        The franchisee must pay for the answer once.
+        """
+        commit = Commit("r1", (bill("k", 100),))
+        once, _ = draw(make_ledger(), "r1", 500).apply(commit)
+        twice, outcome = once.apply(commit)
+        self.assertEqual(twice.account("pounds").spent, 100)
+        self.assertEqual(outcome.bills["pounds", "k"], BillState.RECORDED)
+
+    def test_second_router_does_not_bill_the_same_request(self):
+        """A router dies after its bill was recorded but before the answer ended.
+
+        The caller sends the request again through another router.
+        """
+        ledger = draw(draw(make_ledger(), "r1", 300), "r2", 300)
+        ledger, _ = ledger.apply(Commit("r1", (bill("k", 100),)))
+        ledger, outcome = ledger.apply(Commit("r2", (bill("k", 120, "r2"),)))
+        self.assertEqual(outcome.bills["pounds", "k"], BillState.DUPLICATE)
+        self.assertEqual(ledger.account("pounds").spent, 100)
+
+    def test_sealed_holder_cannot_bill_or_draw(self):
+        """A router is paused past its lease and wakes with bills in hand.
+
+        Its tokens have been given to others, so nothing more may be billed on
+        its grant than what was set aside as its allowance.
+        """
+        ledger = draw(make_ledger(), "r1", 600, allowance=100).seal("r1")
+        self.assertEqual(ledger.account("pounds").free, 900)
+        after, outcome = ledger.apply(Commit("r1", (bill("k", 50),)))
+        self.assertTrue(outcome.sealed)
+        self.assertEqual(after, ledger)
+
+    def test_late_bills_take_only_what_is_in_doubt(self):
+        ledger = draw(make_ledger(), "r1", 600, allowance=100).seal("r1")
+        ledger, states = ledger.hand_in("r1", (bill("a", 80), bill("b", 30)))
+        self.assertEqual(states["pounds", "a"], BillState.RECORDED)
+        self.assertEqual(states["pounds", "b"], BillState.REFUSED)
+        account = ledger.account("pounds")
+        self.assertEqual((account.spent, account.doubt, account.free), (80, 20, 900))
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["draw", "bill", "seal", "hand_in", "topup"]),
+                st.sampled_from(["r1", "r2", "r3"]),
+                st.integers(0, 9),
+                st.integers(0, 400),
+            ),
+            max_size=40,
+        )
+    )
+    def test_no_sequence_of_operations_overspends(self, steps):
+        ledger = make_ledger()
+        for kind, holder, key, tokens in steps:
+            one = (bill(f"k{key}", tokens, holder),)
+            if kind == "draw":
+                ledger = draw(ledger, holder, tokens, allowance=key * 10)
+            elif kind == "bill":
+                ledger, _ = ledger.apply(Commit(holder, one))
+            elif kind == "seal":
+                ledger = ledger.seal(holder)
+            elif kind == "hand_in":
+                ledger, _ = ledger.hand_in(holder, one)
+            else:
+                ledger = ledger.top_up("pounds", f"i{key}", tokens)
+            account = ledger.account("pounds")
+            kept = account.spent + account.held + account.doubt + account.free
+            self.assertEqual(kept, account.total)
+            self.assertGreaterEqual(account.free, 0)
