--- a/anvilshift/core/clock.py
+++ b/anvilshift/core/clock.py
@@ -19,6 +19,9 @@
     def now(self) -> Millis:
         """Return the present instant in milliseconds."""
 
+    def wall(self) -> int:
+        """Return seconds since the epoch, for records that outlive a process."""
+
 
 class MonotonicClock:
     """Tell time by the machine's monotonic clock, which never goes back.
@@ -34,6 +37,10 @@
         """Return the present instant in milliseconds."""
         return time.monotonic() * SECOND
 
+    def wall(self) -> int:
+        """Return seconds since the epoch."""
+        return int(time.time())
+
 
 class ManualClock:
     """Tell the time that its owner has set.
@@ -52,6 +59,10 @@
         """Return the instant that was set last."""
         return self._now
 
+    def wall(self) -> int:
+        """Return the instant in whole seconds."""
+        return int(self._now / SECOND)
+
     def advance(self, span: Millis) -> Millis:
         """Move the clock on by a span and return the new instant."""
         self._now += span
--- a/anvilshift/engines/engine.py
+++ b/anvilshift/engines/engine.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from anvilshift.core.clock import Millis
+from anvilshift.core.declarations import Engine
 from anvilshift.core.work import CacheEvent, LoadReport
 from anvilshift.wire.messages import Fields, HttpAnswer
 
@@ -113,3 +114,13 @@
         self, method: str, path: str, headers: Fields, body: bytes, timeout: Millis
     ) -> HttpAnswer:
         """Pass a call through and return the whole answer."""
+
+
+class Connector(Protocol):
+    """Make the adapter of a declared target."""
+
+    def engine(self, engine: Engine) -> ModelEngine:
+        """Return the adapter of a model engine."""
+
+    def service(self, engine: Engine) -> PlainService:
+        """Return the adapter of a plain service."""
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.declarations import Engine
 from anvilshift.core.errors import ENGINE_FAILED, AnvilshiftError
 from anvilshift.core.work import CacheEvent, Failure, LoadReport
 from anvilshift.engines.engine import ModelCall, Order, Piece, Usage
@@ -199,3 +200,19 @@
             )
         except ExchangeError as error:
             raise _convert(error) from error
+
+
+class HttpConnector:
+    """Make adapters that share one client."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    def engine(self, engine: Engine) -> HttpModelEngine:
+        """Return the adapter of a model engine."""
+        address = Address.parse(engine.address)
+        return HttpModelEngine(self._client, engine.name, address)
+
+    def service(self, engine: Engine) -> HttpPlainService:
+        """Return the adapter of a plain service."""
+        return HttpPlainService(self._client, Address.parse(engine.address))
--- /dev/null
+++ b/anvilshift/peers/link.py
@@ -0,0 +1,144 @@
+"""Call other routers, and be called by them, over grpclib."""
+
+import asyncio
+from typing import Protocol
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.peers.generated.peers_grpc import PeersBase, PeersStub
+from anvilshift.peers.generated.peers_pb2 import (
+    GiveBackReply,
+    GiveBackRequest,
+    Heartbeat,
+    KeepReply,
+    KeepRequest,
+)
+from anvilshift.wire.messages import Address
+
+_CALL_TIMEOUT: Millis = 1 * SECOND
+
+
+class PeerError(ConnectionError):
+    """Another router did not answer."""
+
+
+class PeerLink(Protocol):
+    """Call other routers; every method raises `PeerError` without an answer."""
+
+    async def beat(self, address: str, beat: Heartbeat) -> Heartbeat:
+        """Exchange heartbeats."""
+
+    async def keep(self, address: str, request: KeepRequest) -> KeepReply:
+        """Leave copies of bills."""
+
+    async def give_back(self, address: str, request: GiveBackRequest) -> GiveBackReply:
+        """Ask for unused tokens to be given back."""
+
+    def close(self) -> None:
+        """Close every connection."""
+
+
+class PeerHandler(Protocol):
+    """Answer other routers."""
+
+    async def take_beat(self, beat: Heartbeat) -> Heartbeat:
+        """Take in a heartbeat and return the own."""
+
+    async def take_copies(self, request: KeepRequest) -> KeepReply:
+        """Keep copies of another router's bills."""
+
+    async def take_give_back(self, request: GiveBackRequest) -> GiveBackReply:
+        """Give unused tokens of a budget back to the platform."""
+
+
+class GrpcPeerLink:
+    """Calls over grpclib, one channel a router.
+
+    Parameters
+    ----------
+    timeout
+        Milliseconds that a call may take.
+    """
+
+    def __init__(self, timeout: Millis = _CALL_TIMEOUT) -> None:
+        self._timeout = timeout
+        self._channels: dict[str, Channel] = {}
+
+    def _stub(self, address: str) -> PeersStub:
+        if address not in self._channels:
+            parsed = Address.parse(address)
+            self._channels[address] = Channel(parsed.ip, parsed.port)
+        return PeersStub(self._channels[address])
+
+    async def beat(self, address: str, beat: Heartbeat) -> Heartbeat:
+        """Exchange heartbeats."""
+        return await self._call(self._stub(address).Beat, beat)
+
+    async def keep(self, address: str, request: KeepRequest) -> KeepReply:
+        """Leave copies of bills."""
+        return await self._call(self._stub(address).Keep, request)
+
+    async def give_back(self, address: str, request: GiveBackRequest) -> GiveBackReply:
+        """Ask for unused tokens to be given back."""
+        return await self._call(self._stub(address).GiveBack, request)
+
+    async def _call(self, method, message):  # type: ignore[no-untyped-def]
+        try:
+            async with asyncio.timeout(self._timeout / SECOND):
+                return await method(message)
+        except (
+            OSError,
+            TimeoutError,
+            GRPCError,
+            ProtocolError,
+            StreamTerminatedError,
+        ) as error:
+            raise PeerError(str(error)) from error
+
+    def close(self) -> None:
+        """Close every connection."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+
+class _Service(PeersBase):
+    """The generated service, handing each message to a handler."""
+
+    def __init__(self, handler: PeerHandler) -> None:
+        self._handler = handler
+
+    async def Beat(self, stream: Stream[Heartbeat, Heartbeat]) -> None:  # noqa: N802
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._handler.take_beat(message))
+
+    async def Keep(self, stream: Stream[KeepRequest, KeepReply]) -> None:  # noqa: N802
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._handler.take_copies(message))
+
+    async def GiveBack(  # noqa: N802
+        self, stream: Stream[GiveBackRequest, GiveBackReply]
+    ) -> None:
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._handler.take_give_back(message))
+
+
+class PeerServer:
+    """Listen to other routers."""
+
+    def __init__(self, handler: PeerHandler) -> None:
+        self._server = Server([_Service(handler)])
+
+    async def start(self, address: Address) -> None:
+        """Listen."""
+        await self._server.start(address.ip, address.port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
--- a/anvilshift/router/claims.py
+++ b/anvilshift/router/claims.py
@@ -1,8 +1,7 @@
 """Keep claims of non-idempotent work in the platform."""
 
 import asyncio
-import time
-import uuid
+import random
 from collections.abc import Callable
 
 from anvilshift.core.claims import Answer, Claim, ClaimState, Verdict, judge
@@ -13,6 +12,7 @@
     PLATFORM_DOWN,
     AnvilshiftError,
 )
+from anvilshift.core.identity import make_identity
 from anvilshift.platform.records import decode, encode
 from anvilshift.platform.store import Body, ObjectStore, update
 from anvilshift.router.requests import Job
@@ -31,8 +31,11 @@
         This router's incarnation.
     """
 
-    def __init__(self, store: ObjectStore, clock: Clock, holder: str) -> None:
+    def __init__(
+        self, store: ObjectStore, clock: Clock, holder: str, rng: random.Random
+    ) -> None:
         self._store = store
+        self._rng = rng
         self._clock = clock
         self._holder = holder
 
@@ -50,7 +53,9 @@
             Code 5001 when the platform is out (the work is not run), 1007 for
             a key with another body, 4003 or 4004 when it runs or ran elsewhere.
         """
-        wish = Claim(job.content, self._holder, uuid.uuid4().hex, int(time.time()))
+        wish = Claim(
+            job.content, self._holder, make_identity(self._rng), self._clock.wall()
+        )
         pause = _POLL
         while True:
             found = await self._try(job.identity, wish)
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -2,20 +2,15 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable
 from dataclasses import replace
 
 from absl import logging
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server, Stream
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.ledger import Bill
 from anvilshift.core.membership import Member, Roster
-from anvilshift.peers.generated.peers_grpc import PeersBase, PeersStub
 from anvilshift.peers.generated.peers_pb2 import (
     GiveBackReply,
     GiveBackRequest,
@@ -24,21 +19,19 @@
     KeepRequest,
     PendingBill,
 )
+from anvilshift.peers.link import PeerError, PeerLink
 from anvilshift.platform.records import decode, encode
 from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
 from anvilshift.router.treasury import Treasury
-from anvilshift.wire.messages import Address
 
-_PEER_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
-_CALL_TIMEOUT_S = 1.0
 _RENEWALS_PER_LEASE = 4
 _MAX_COPIES = 10_000
 
 Copies = dict[str, dict[str, tuple[str, Bill]]]
 
 
-class Fleet(PeersBase):
+class Fleet:
     """One router's part in the fleet.
 
     Parameters
@@ -52,6 +45,7 @@
     def __init__(
         self,
         store: ObjectStore,
+        link: PeerLink,
         clock: Clock,
         member: Member,
         treasury: Treasury,
@@ -62,24 +56,21 @@
         self.member = member
         self.roster = Roster(lease)
         self._store = store
+        self._link = link
         self._clock = clock
         self._treasury = treasury
         self._heartbeat = heartbeat
         self._in_flight = in_flight
         self._renewed = clock.now() - 2 * lease
         self._reaches_platform = False
-        self._channels: dict[str, Channel] = {}
         self._copies: Copies = {}
         self._renew_now = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._server: Server | None = None
         treasury.keep_copies = self.keep_copies
         treasury.ask_peers = self.ask_peers
 
-    async def start(self, address: Address) -> None:
-        """Listen to other routers and begin to beat and renew."""
-        self._server = Server([self])
-        await self._server.start(address.ip, address.port)
+    def start(self) -> None:
+        """Begin to beat and renew."""
         loop = asyncio.get_running_loop()
         for work in (self._keep_renewing(), self._keep_beating()):
             self._tasks.append(loop.create_task(work))
@@ -120,10 +111,7 @@
             found = await self._store.get(ROUTER_KIND, self.member.name)
             if found and found.body.get("incarnation") == self.member.incarnation:
                 await self._store.delete(ROUTER_KIND, found.name, found.version)
-        if self._server is not None:
-            self._server.close()
-        for channel in self._channels.values():
-            channel.close()
+        self._link.close()
 
     async def _keep_renewing(self) -> None:
         pause = self.roster.lease / _RENEWALS_PER_LEASE / SECOND
@@ -172,12 +160,6 @@
             copies = self._copies.pop(holder)
             await self._treasury.hand_in(holder, tuple(copies.values()))
 
-    def _stub(self, address: str) -> PeersStub:
-        if address not in self._channels:
-            parsed = Address.parse(address)
-            self._channels[address] = Channel(parsed.ip, parsed.port)
-        return PeersStub(self._channels[address])
-
     def _make_heartbeat(self) -> Heartbeat:
         member = self.member
         return Heartbeat(
@@ -223,9 +205,8 @@
         return [s.member.peer_address for s in self.roster.sightings.values()]
 
     async def _beat_one(self, address: str) -> None:
-        with contextlib.suppress(*_PEER_ERRORS):
-            async with asyncio.timeout(_CALL_TIMEOUT_S):
-                self._hear(await self._stub(address).Beat(self._make_heartbeat()))
+        with contextlib.suppress(PeerError):
+            self._hear(await self._link.beat(address, self._make_heartbeat()))
 
     async def keep_copies(
         self, holder: str, bills: tuple[tuple[str, Bill], ...]
@@ -247,10 +228,8 @@
 
     async def _keep_one(self, address: str, request: KeepRequest) -> bool:
         try:
-            async with asyncio.timeout(_CALL_TIMEOUT_S):
-                reply = await self._stub(address).Keep(request)
-                return bool(reply.kept)
-        except _PEER_ERRORS:
+            return (await self._link.keep(address, request)).kept
+        except PeerError:
             return False
 
     async def ask_peers(self, account: str) -> None:
@@ -260,22 +239,16 @@
         await asyncio.gather(*(self._ask_one(a, request) for a in addresses))
 
     async def _ask_one(self, address: str, request: GiveBackRequest) -> None:
-        with contextlib.suppress(*_PEER_ERRORS):
-            async with asyncio.timeout(_CALL_TIMEOUT_S):
-                await self._stub(address).GiveBack(request)
-
-    async def Beat(self, stream: Stream[Heartbeat, Heartbeat]) -> None:  # noqa: N802
-        """Answer a heartbeat with the own."""
-        beat = await stream.recv_message()
-        if beat is not None:
-            self._hear(beat)
-            await stream.send_message(self._make_heartbeat())
-
-    async def Keep(self, stream: Stream[KeepRequest, KeepReply]) -> None:  # noqa: N802
+        with contextlib.suppress(PeerError):
+            await self._link.give_back(address, request)
+
+    async def take_beat(self, beat: Heartbeat) -> Heartbeat:
+        """Take in a heartbeat and return the own."""
+        self._hear(beat)
+        return self._make_heartbeat()
+
+    async def take_copies(self, request: KeepRequest) -> KeepReply:
         """Keep copies of another router's bills."""
-        request = await stream.recv_message()
-        if request is None:
-            return
         copies = self._copies.setdefault(request.holder, {})
         for item in request.bills:
             bill = Bill(
@@ -283,17 +256,12 @@
                 item.organisation,
                 item.tokens,
                 request.holder,
-                int(time.time()),
+                self._clock.wall(),
             )
             copies[item.key] = (item.account, bill)
-        await stream.send_message(KeepReply(kept=len(copies) <= _MAX_COPIES))
+        return KeepReply(kept=len(copies) <= _MAX_COPIES)
 
-    async def GiveBack(  # noqa: N802
-        self, stream: Stream[GiveBackRequest, GiveBackReply]
-    ) -> None:
+    async def take_give_back(self, request: GiveBackRequest) -> GiveBackReply:
         """Give unused tokens of a budget back to the platform."""
-        request = await stream.recv_message()
-        if request is None:
-            return
         await self._treasury.give_back(request.account)
-        await stream.send_message(GiveBackReply())
+        return GiveBackReply()
--- a/anvilshift/router/requests.py
+++ b/anvilshift/router/requests.py
@@ -1,7 +1,7 @@
 """Turn callers' HTTP requests into checked requests of the project's own."""
 
 import hashlib
-import uuid
+import random
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +16,7 @@
     UNKNOWN_ROUTE,
     AnvilshiftError,
 )
+from anvilshift.core.identity import make_identity
 from anvilshift.wire.jsons import dump_json, parse_object
 from anvilshift.wire.messages import HttpRequest
 
@@ -32,6 +33,7 @@
 _MAX_MESSAGES = 10_000
 _PREFIX_BYTES = 1024
 _MAX_PREFIXES = 32
+_RNG = random.SystemRandom()
 
 
 class _Message(BaseModel):
@@ -150,7 +152,7 @@
     non_idempotent = _read_mark(request, route)
     if non_idempotent and key is None:
         raise AnvilshiftError(KEY_REQUIRED)
-    name = key or uuid.uuid4().hex
+    name = key or make_identity(_RNG)
     return Job(
         organisation=organisation,
         route=route,
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -11,10 +11,7 @@
 from anvilshift.core.declarations import Catalogue, Engine, TargetKind
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import CacheEvent, LoadReport
-from anvilshift.engines.engine import ModelEngine, PlainService
-from anvilshift.engines.http import HttpModelEngine, HttpPlainService
-from anvilshift.wire.client import HttpClient
-from anvilshift.wire.messages import Address
+from anvilshift.engines.engine import Connector, ModelEngine, PlainService
 
 REPORT_INTERVAL: Millis = 250.0
 
@@ -22,8 +19,8 @@
 class Targets:
     """Every declared target with its adapter."""
 
-    def __init__(self, client: HttpClient, clock: Clock) -> None:
-        self._client = client
+    def __init__(self, connector: Connector, clock: Clock) -> None:
+        self._connector = connector
         self._clock = clock
         self._engines: dict[str, ModelEngine] = {}
         self._services: dict[str, PlainService] = {}
@@ -38,14 +35,11 @@
         declared: dict[str, Engine] = {}
         for group in catalogue.groups.values():
             for engine in group.engines:
-                address = Address.parse(engine.address)
                 declared[engine.name] = engine
                 if group.kind is TargetKind.MODEL:
-                    engines[engine.name] = HttpModelEngine(
-                        self._client, engine.name, address
-                    )
+                    engines[engine.name] = self._connector.engine(engine)
                 else:
-                    services[engine.name] = HttpPlainService(self._client, address)
+                    services[engine.name] = self._connector.service(engine)
         self._engines, self._services = engines, services
         self._declared = declared
 
--- a/anvilshift/router/telemetry.py
+++ b/anvilshift/router/telemetry.py
@@ -15,9 +15,15 @@
 
 
 class Telemetry:
-    """Histograms by organisation and class, and counters."""
+    """Histograms by organisation and class, and counters.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    exported
+        Whether `render` shows them; one instance a process may be.
+    """
+
+    def __init__(self, exported: bool = True) -> None:
         views = [
             View(
                 instrument_name="anvilshift_between_tokens_ms",
@@ -28,8 +34,8 @@
                 aggregation=ExplicitBucketHistogramAggregation(_BUCKETS_MS),
             ),
         ]
-        reader = PrometheusMetricReader()
-        provider = MeterProvider(metric_readers=[reader], views=views)
+        readers = [PrometheusMetricReader()] if exported else []
+        provider = MeterProvider(metric_readers=readers, views=views)
         meter = provider.get_meter("anvilshift")
         make = meter.create_histogram
         self._queue = make("anvilshift_queue_wait_ms", "ms")
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -149,7 +148,7 @@
         """
         if key not in self._escrow.purses[account].reserved:
             await self.reserve(account, key, tokens)
-        bill = Bill(key, organisation, tokens, self.holder, int(time.time()))
+        bill = Bill(key, organisation, tokens, self.holder, self._clock.wall())
         self._escrow.bill(account, bill)
         done: asyncio.Future[BillState] = asyncio.get_running_loop().create_future()
         self._states[account, key] = done
@@ -209,7 +208,7 @@
             nonlocal outcome
             ledger = decode(Ledger, body) if body else Ledger()
             ledger, outcome = ledger.apply(commit)
-            ledger = ledger.forget(int(time.time()) - BILL_LIFETIME_S)
+            ledger = ledger.forget(self._clock.wall() - BILL_LIFETIME_S)
             self.last_ledger = ledger
             return encode(ledger)
 
