--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -104,12 +104,13 @@
         token: str,
         clock: Clock | None = None,
         rng: random.Random | None = None,
+        http: HttpClient | None = None,
     ) -> None:
         self._seeds = seeds
         self._authorization = ("authorization", f"Bearer {token}")
         self._clock = clock or MonotonicClock()
         self._rng = rng or random.Random()
-        self._http = HttpClient()
+        self._http = http or HttpClient()
         self._backoff = Backoff()
         self._addresses: list[Address] = []
         self._keep_until: Millis = 0.0
