Add a platform in memory with faults for tests and seeded runs

Cause: tests of budgets need a store that goes out, cuts one router off, loses writes and loses answers after the write took effect, without a socket and on a loop of virtual time.

Ruled out: the HTTP stand-in for these tests, because each fault would need real time and ports.

--- /dev/null
+++ b/tests/standins/test_memory.py
@@ -0,0 +1,51 @@
+"""The platform in memory behaves as the one behind HTTP, faults included."""
+
+import asyncio
+import unittest
+
+from anvilshift.core.errors import PLATFORM_DOWN, AnvilshiftError
+from anvilshift.platform.store import ConflictError, UncertainError, update
+from anvilshift.standins.memory import MemoryStore
+
+
+class MemoryStoreTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+
+    async def test_write_needs_the_version(self):
+        first = await self.store.put("Note", "a", {"n": 1}, 0)
+        with self.assertRaises(ConflictError):
+            await self.store.put("Note", "a", {"n": 2}, 0)
+        second = await self.store.put("Note", "a", {"n": 2}, first.version)
+        await self.store.delete("Note", "a", second.version)
+        self.assertIsNone(await self.store.get("Note", "a"))
+
+    async def test_lost_answer_took_effect_and_lost_write_did_not(self):
+        self.store.faults.lose_answers = 1
+        with self.assertRaises(UncertainError):
+            await self.store.put("Note", "a", {"n": 1}, 0)
+        self.assertEqual(self.store.peek("Note", "a"), {"n": 1})
+        self.store.faults.lose_writes = 1
+        await update(self.store, "Note", "b", lambda _: {"n": 2})
+        self.assertEqual(self.store.peek("Note", "b"), {"n": 2})
+
+    async def test_cut_stops_one_caller_only(self):
+        self.store.faults.cut = {"r1"}
+        with self.assertRaises(AnvilshiftError) as caught:
+            await self.store.view("r1").get("Note", "a")
+        self.assertEqual(caught.exception.code, PLATFORM_DOWN)
+        self.assertIsNone(await self.store.view("r2").get("Note", "a"))
+
+    async def test_watch_hears_a_later_change(self):
+        watching = asyncio.create_task(self.store.watch(["Note"], 0, 5_000.0))
+        await self.store.put("Note", "a", {"n": 1}, 0)
+        changes = await watching
+        self.assertEqual([c.body for c in changes.changes], [{"n": 1}])
+        self.store.forget_history()
+        self.assertTrue((await self.store.watch(["Note"], 0, 0.0)).too_old)
+
+    async def test_kept_body_is_apart_from_the_callers(self):
+        body = {"list": [1]}
+        await self.store.put("Note", "a", body, 0)
+        body["list"].append(2)
+        self.assertEqual(self.store.peek("Note", "a"), {"list": [1]})
