Run the daemon's own logic under random faults in virtual time

Ruled out: real processes for the long runs (a minute a minute, no replay), and a model of the logic (it would prove the model). Change: bench/soak runs Nodes, the caller's library and a MemoryStore on a loop whose time jumps; fakes stand at the interfaces; the run keeps its own ledger.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,8 @@
 
 generate: environment
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
+
+SEED ?= 1
+SECONDS ?= 300
+soak: environment
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS)
--- a/anvilshift/standins/memory.py
+++ b/anvilshift/standins/memory.py
@@ -90,7 +90,7 @@
         self._objects: dict[tuple[str, str], _Kept] = {}
         self._history: deque[Change] = deque(maxlen=_HISTORY)
         self._forgotten = 0
-        self._waiting: set[asyncio.Event] = set()
+        self._waiting: dict[asyncio.Event, None] = {}
 
     def view(self, caller: str) -> "MemoryView":
         """Return the store as one caller reaches it."""
@@ -175,7 +175,7 @@
         return Changes(self.revision, tuple(found[::-1])) if found else None
 
     def _wake(self) -> None:
-        for event in self._waiting:
+        for event in list(self._waiting):
             event.set()
 
 
@@ -247,7 +247,7 @@
         wanted = frozenset(kinds)
         await self._begin("watch")
         event = asyncio.Event()
-        self._store._waiting.add(event)
+        self._store._waiting[event] = None
         try:
             async with asyncio.timeout(wait / SECOND):
                 while (found := self._store._since(wanted, after)) is None:
@@ -256,7 +256,7 @@
         except TimeoutError:
             found = Changes(self._store.revision)
         finally:
-            self._store._waiting.discard(event)
+            self._store._waiting.pop(event, None)
         await self._end("watch")
         return found
 
--- /dev/null
+++ b/bench/soak/http.py
@@ -0,0 +1,221 @@
+"""The callers' way to the nodes: an HTTP client without sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.errors import NOT_READY, AnvilshiftError
+from anvilshift.router.node import Node
+from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.messages import (
+    Address,
+    Fields,
+    Headers,
+    HttpAnswer,
+    HttpRequest,
+    Reply,
+)
+from anvilshift.wire.server import render_error
+from bench.soak.journal import Journal
+from bench.soak.network import Network, Presence
+
+
+@dataclass(frozen=True)
+class _Head:
+    status: int
+    headers: Headers
+
+
+_END = b""
+_Item = _Head | bytes | None
+"""A head, a piece of body, the empty end, or None for a broken connection."""
+
+
+class SoakResponder:
+    """Write an answer into the caller's queue."""
+
+    def __init__(self, own: Presence) -> None:
+        self.started = False
+        self.finished = False
+        self.queue: asyncio.Queue[_Item] = asyncio.Queue()
+        self._own = own
+
+    async def send(self, reply: Reply) -> None:
+        """Write a whole answer."""
+        await self.start(reply.status, reply.headers)
+        await self.write(reply.body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Fields) -> None:
+        """Write the head."""
+        self.started = True
+        await self._own.pass_through()
+        self.queue.put_nowait(_Head(status, Headers(headers)))
+
+    async def write(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        await self._own.pass_through()
+        if data:
+            self.queue.put_nowait(data)
+
+    async def finish(self) -> None:
+        """End the body."""
+        self.finished = True
+        await self._own.pass_through()
+        self.queue.put_nowait(_END)
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self.queue.put_nowait(None)
+
+
+class SoakResponse:
+    """An answer that is still arriving."""
+
+    def __init__(self, head: _Head, queue: "asyncio.Queue[_Item]") -> None:
+        self.status = head.status
+        self.headers = head.headers
+        self.whole = False
+        self._queue = queue
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body piece by piece."""
+        while True:
+            item = await self._queue.get()
+            if item is None or isinstance(item, _Head):
+                raise ExchangeError("the connection broke", True)
+            if item == _END:
+                self.whole = True
+                return
+            yield item
+
+    async def read(self, limit: int = 0) -> bytes:
+        """Return the whole body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+
+@dataclass
+class Entry:
+    """A node that callers can connect to."""
+
+    node: Node
+    presence: Presence
+    open: list["asyncio.Queue[_Item]"] = field(default_factory=list)
+
+    def break_connections(self) -> None:
+        """Break every open connection, as a killed process does."""
+        for queue in self.open:
+            queue.put_nowait(None)
+
+
+class SoakHttp:
+    """An `HttpClient` that calls nodes in the same process."""
+
+    def __init__(
+        self,
+        entries: dict[str, Entry],
+        network: Network,
+        journal: Journal,
+        accepted: Callable[[], int],
+    ) -> None:
+        self._entries = entries
+        self._network = network
+        self._journal = journal
+        self._accepted = accepted
+
+    async def _serve(
+        self, entry: Entry, request: HttpRequest, responder: SoakResponder
+    ) -> None:
+        await entry.presence.pass_through()
+        accepted = self._accepted()
+        revision = entry.node.gate.catalogue.revision
+        served = True
+        try:
+            await entry.node.callers.handle(request, responder)  # type: ignore[arg-type]
+        except AnvilshiftError as error:
+            served = error.code is not NOT_READY
+            if responder.started:
+                responder.abort()
+            else:
+                await responder.send(render_error(error))
+        except ConnectionError:
+            responder.abort()
+        if served:
+            detail = f"{entry.presence.name} served {revision}, accepted {accepted}"
+            self._journal.check(
+                "accepted configuration is in force", revision >= accepted, detail
+            )
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: Fields | None = None,
+        body: bytes = b"",
+        timeout: Millis | None = None,
+    ) -> AsyncIterator[SoakResponse]:
+        """Send a request and give its answer once the head has arrived."""
+        entry = self._entries.get(str(address))
+        await self._network.travel()
+        if entry is None or entry.presence.dead:
+            raise ExchangeError("connection refused", False)
+        request = HttpRequest(method, path, Headers(headers or []), body)
+        responder = SoakResponder(entry.presence)
+        entry.open.append(responder.queue)
+        serving = asyncio.create_task(self._serve(entry, request, responder))
+        serving.add_done_callback(self._raise_broken)
+        response: SoakResponse | None = None
+        try:
+            response = await self._receive_head(responder, timeout)
+            yield response
+        finally:
+            entry.open.remove(responder.queue)
+            if not serving.done() and not entry.presence.dead:
+                serving.cancel()
+
+    async def _receive_head(
+        self, responder: SoakResponder, timeout: Millis | None
+    ) -> SoakResponse:
+        try:
+            async with asyncio.timeout(timeout / SECOND if timeout else None):
+                head = await responder.queue.get()
+        except TimeoutError as error:
+            raise ExchangeError("no answer in time", True) from error
+        if not isinstance(head, _Head):
+            raise ExchangeError("the connection broke", True)
+        return SoakResponse(head, responder.queue)
+
+    def _raise_broken(self, task: "asyncio.Task[Any]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_exception_handler(
+                {"message": "a handler failed", "exception": task.exception()}
+            )
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: Fields | None = None,
+        body: bytes = b"",
+        timeout: Millis | None = None,
+    ) -> HttpAnswer:
+        """Send a request and return its whole answer."""
+        try:
+            async with (
+                asyncio.timeout(timeout / SECOND if timeout else None),
+                self.exchange(address, method, path, headers, body) as response,
+            ):
+                whole = await response.read()
+                return HttpAnswer(response.status, response.headers, whole)
+        except TimeoutError as error:
+            raise ExchangeError("no answer in time", True) from error
+
+    def close(self) -> None:
+        """Close nothing."""
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,415 @@
+"""One seeded run: nodes, callers, faults, and the checks at its end.
+
+``make soak SEED=7 SECONDS=600`` runs one; the seed fixes every choice.
+"""
+
+import asyncio
+import itertools
+import random
+import sys
+from dataclasses import dataclass
+from typing import Any
+
+from absl import logging
+
+from anvilshift.client.client import CallError, Client, Conversation
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.ledger import Bill, Ledger
+from anvilshift.operator.platformside import top_up
+from anvilshift.platform.records import decode
+from anvilshift.platform.store import Body, Stored
+from anvilshift.router.gate import hash_token
+from anvilshift.router.node import Node, World
+from anvilshift.router.requests import digest
+from anvilshift.router.telemetry import Telemetry
+from anvilshift.settings.router import RouterSettings
+from anvilshift.standins.engine import POISON, make_answer
+from anvilshift.standins.memory import MemoryStore
+from anvilshift.wire.messages import Address
+from bench.soak.faults import FaultSchedule
+from bench.soak.http import Entry, SoakHttp
+from bench.soak.journal import BrokenInvariantError, Journal, Receipt
+from bench.soak.loop import VirtualClock, run_virtual
+from bench.soak.network import (
+    Network,
+    Presence,
+    SoakConnector,
+    SoakEngine,
+    SoakLink,
+    SoakService,
+)
+
+ROUTERS = 4
+ENGINES = 4
+LEASE: Millis = 5 * SECOND
+_SETTLE_S = 60.0
+_DOMAINS = ("north", "south", "east")
+_ORGANISATIONS = ("kosice", "zilina", "counter")
+_FIRST_TOPUP = 60_000
+_REQUEST_GAP_S = 0.25
+_ORDER_GAP_S = 1.5
+_POISON_SHARE = 0.004
+_DEADLINE: Millis = 8 * SECOND
+
+
+class ObservedStore(MemoryStore):
+    """A platform that tells the run what every write of a ledger recorded."""
+
+    def __init__(self, soak: "Soak") -> None:
+        super().__init__()
+        self._soak = soak
+
+    def _write(self, kind: str, name: str, body: Body | None, version: int) -> Stored:
+        stored = super()._write(kind, name, body, version)
+        if kind == "Ledger" and body is not None:
+            self._soak.observe_ledger(name, decode(Ledger, body))
+        return stored
+
+
+@dataclass(frozen=True)
+class Asked:
+    """What a caller asked for, by which its bill and its answer are judged."""
+
+    organisation: str
+    request: str
+    tokens: int
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, clock: VirtualClock, seconds: float) -> None:
+        self.rng = random.Random(seed)
+        self.clock = clock
+        self.seconds = seconds
+        self.journal = Journal(clock.now)
+        self.network = Network(random.Random(seed + 1))
+        self.store = ObservedStore(self)
+        self.accepted = 0
+        self.entries: dict[str, Entry] = {}
+        self.topped: dict[str, int] = {}
+        self.asked: dict[str, Asked] = {}
+        self.billed: dict[str, Bill] = {}
+        self.spent: dict[str, int] = {}
+        self.engines = {
+            f"e{i}": SoakEngine(f"e{i}", self.journal, self.network)
+            for i in range(ENGINES)
+        }
+        self.services = {"desk": SoakService("desk", self.journal)}
+        self.telemetry = Telemetry(exported=False)
+        self.quiet = False
+        self._numbers = itertools.count()
+        self._callers: set[asyncio.Task[None]] = set()
+        self._failure: BaseException | None = None
+        self._failed = asyncio.Event()
+        self.journal.fail = self.fail
+
+    def observe_ledger(self, name: str, ledger: Ledger) -> None:
+        """Compare a ledger that was just written with all that came before."""
+        for account_name, account in ledger.accounts.items():
+            kept = account.spent + account.held + account.doubt + account.free
+            fits = account.free >= 0 and kept == account.total
+            self.journal.check("no budget overspent", fits, account_name)
+            for key, bill in account.bills.items():
+                if key not in self.billed:
+                    self._observe_bill(account_name, key, bill)
+            recorded = self.spent.get(account_name, 0)
+            detail = f"{account_name} spent {account.spent}, bills {recorded}"
+            once = account.spent == recorded
+            self.journal.check("billed exactly once", once, detail)
+
+    def _observe_bill(self, account: str, key: str, bill: Bill) -> None:
+        self.billed[key] = bill
+        self.spent[account] = self.spent.get(account, 0) + bill.tokens
+        self.journal.events += 1
+
+    def settings(self, index: int) -> RouterSettings:
+        """Return a node's settings."""
+        addresses = [Address("127.0.0.1", 1000 * (index + 1) + i) for i in range(3)]
+        return RouterSettings(
+            f"r{index}",
+            f"host-{index}",
+            _DOMAINS[index % len(_DOMAINS)],
+            *addresses,
+            platform=Address("127.0.0.1", 1),
+            lease=LEASE,
+            keep_addresses=2 * SECOND,
+            grace=20 * SECOND,
+        )
+
+    def start_node(self, index: int) -> Entry:
+        """Start a node; one that was there before is gone for good."""
+        settings = self.settings(index)
+        presence = Presence(settings.name)
+        world = World(
+            self.clock,
+            self.store.view(settings.name),
+            SoakLink(self.network, presence),
+            SoakConnector(self.engines, self.services, presence, self.network),
+            self.telemetry,
+            random.Random(self.rng.getrandbits(64)),
+        )
+        node = Node(settings, world)
+        entry = Entry(node, presence)
+        self.entries[str(settings.listen)] = entry
+        self.network.presences[str(settings.peer_listen)] = presence
+        self.network.handlers[str(settings.peer_listen)] = node.fleet
+        node.start()
+        return entry
+
+    def entry(self, index: int) -> Entry:
+        """Return the present entry of a node."""
+        return self.entries[str(self.settings(index).listen)]
+
+    async def _hold_frozen(self, caller: str, verb: str) -> None:
+        """Delay a call of the platform; hold one of a frozen or dead node."""
+        await self.network.travel()
+        for entry in self.entries.values():
+            if entry.presence.name == caller:
+                await entry.presence.pass_through()
+
+    async def prepare(self) -> None:
+        """Store declarations, top budgets up and start every node."""
+        self.store.faults.before = self._hold_frozen
+        self.store.faults.after = self._hold_frozen
+        for name in _ORGANISATIONS:
+            budget = {"kind": "Budget", "name": name, "allowance": 1500, "grant": 8000}
+            await self.store.put("Budget", name, budget, 0)
+            organisation = {
+                "kind": "Organisation",
+                "name": name,
+                "budget": name,
+                "labels": {"user": name},
+                "credentials": [hash_token(f"{name}-token")],
+            }
+            await self.store.put("Organisation", name, organisation, 0)
+            await self.add_tokens(name, _FIRST_TOPUP)
+        await self._declare_targets()
+        for index in range(ROUTERS):
+            self.start_node(index)
+        while not all(e.node.is_ready() for e in self.entries.values()):
+            await asyncio.sleep(0.1)
+
+    async def _declare_targets(self) -> None:
+        engines = [
+            {"name": n, "address": "127.0.0.1:1", "failure_domain": _DOMAINS[i % 3]}
+            for i, n in enumerate(self.engines)
+        ]
+        desk = {"name": "desk", "address": "127.0.0.1:1", "failure_domain": "north"}
+        documents: list[dict[str, Any]] = [
+            {
+                "kind": "EngineGroup",
+                "name": "models",
+                "target": "model",
+                "models": ["advice"],
+                "engines": engines,
+            },
+            {
+                "kind": "EngineGroup",
+                "name": "desks",
+                "target": "service",
+                "engines": [desk],
+            },
+            {"kind": "Route", "name": "advice", "target": "model"},
+            {
+                "kind": "Route",
+                "name": "orders",
+                "target": "service",
+                "cost": 5,
+                "non_idempotent": True,
+            },
+            {"kind": "Policy", "name": "all", "priority": 1},
+        ]
+        for document in documents:
+            await self.store.put(document["kind"], document["name"], document, 0)
+
+    async def add_tokens(self, budget: str, tokens: int) -> None:
+        """Top a budget up, as an operator does, until it is stored."""
+        identity = f"topup-{next(self._numbers)}"
+        self.topped[budget] = self.topped.get(budget, 0) + tokens
+        await top_up(self.store, budget, tokens, identity)
+
+    def _client(self, organisation: str) -> Client:
+        seeds = [Address.parse(address) for address in self.entries]
+        http: Any = SoakHttp(
+            self.entries, self.network, self.journal, lambda: self.accepted
+        )
+        rng = random.Random(self.rng.getrandbits(64))
+        return Client(seeds, f"{organisation}-token", self.clock, rng, http)
+
+    async def _ask(self, organisation: str, poison: bool) -> None:
+        """Be one caller of a model."""
+        number = next(self._numbers)
+        tokens = self.rng.randrange(5, 60)
+        content = f"{POISON} {number % 3}" if poison else f"question {number}"
+        prompt = f"{organisation}|{content}"
+        key = f"key-{number}"
+        identity = digest(organisation, key)
+        self.asked[identity] = Asked(organisation, prompt, tokens)
+        messages = [{"role": "user", "content": prompt}]
+        conversation = Conversation("advice", messages, tokens, _DEADLINE, key)
+        try:
+            text = await self._client(organisation).ask(conversation)
+        except CallError as error:
+            outcome = f"model, code {error.number}, {error.fate}"
+            self.journal.received(Receipt(identity, organisation, outcome))
+            return
+        right = text == make_answer(prompt, tokens)
+        self.journal.check("whole answer to the right caller", right, prompt)
+        cost = len(prompt) // 4 + 1 + tokens
+        receipt = Receipt(identity, organisation, "model, whole", cost)
+        self.journal.received(receipt)
+
+    async def _order(self, organisation: str) -> None:
+        """Be one caller who orders, now and then twice with one key."""
+        number = next(self._numbers)
+        key = f"order-{number}"
+        identity = digest(organisation, key)
+        order = f"{organisation}|order {number}"
+        self.asked[identity] = Asked(organisation, order, 5)
+        twice = self.rng.random() < 0.3
+        sends = [self._send_order(organisation, key, order) for _ in range(1 + twice)]
+        outcomes = await asyncio.gather(*sends)
+        runs = self.journal.service_runs[order]
+        for outcome in outcomes:
+            if outcome == "answered":
+                self.journal.check("answered order ran", runs == 1, order)
+            if outcome.endswith("not run"):
+                told = f"{order} ran {runs} times, {outcome}"
+                self.journal.check("not run means not run", runs == 0 or twice, told)
+            receipt = Receipt(identity, organisation, f"order, {outcome}", 5)
+            self.journal.received(receipt)
+
+    async def _send_order(self, organisation: str, key: str, order: str) -> str:
+        try:
+            await self._client(organisation).call(
+                "orders",
+                "/book",
+                order.encode(),
+                key=key,
+                non_idempotent=True,
+                deadline=_DEADLINE,
+            )
+        except CallError as error:
+            return f"code {error.number}, {error.fate}"
+        return "answered"
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._callers.add(task)
+        task.add_done_callback(self._finish_caller)
+
+    def _finish_caller(self, task: "asyncio.Task[None]") -> None:
+        self._callers.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.fail(task.exception())
+
+    def fail(self, error: BaseException | None) -> None:
+        """End the run with an error."""
+        self._failure = self._failure or error
+        self._failed.set()
+
+    async def _keep_asking(self, organisation: str) -> None:
+        while not self.quiet:
+            await asyncio.sleep(self.rng.expovariate(1 / _REQUEST_GAP_S))
+            poison = self.rng.random() < _POISON_SHARE
+            self._spawn(self._ask(organisation, poison))
+
+    async def _keep_ordering(self, organisation: str) -> None:
+        while not self.quiet:
+            await asyncio.sleep(self.rng.expovariate(1 / _ORDER_GAP_S))
+            self._spawn(self._order(organisation))
+
+    async def run(self) -> Journal:
+        """Run traffic and faults, then check the books."""
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._take_exception)
+        await self.prepare()
+        for name in _ORGANISATIONS:
+            self._spawn(self._keep_asking(name))
+            self._spawn(self._keep_ordering(name))
+        schedule = FaultSchedule(self, random.Random(self.rng.getrandbits(64)))
+        faults = asyncio.create_task(schedule.run())
+        await self._wait(self.seconds)
+        self.quiet = True
+        faults.cancel()
+        await schedule.heal()
+        await self._wait(_SETTLE_S)
+        self.check_books()
+        return self.journal
+
+    async def _wait(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._failed.wait()
+        except TimeoutError:
+            return
+        if self._failure is not None:
+            raise self._failure
+
+    def _take_exception(self, loop: Any, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if isinstance(error, Exception):
+            self.fail(error)
+
+    def check_books(self) -> None:
+        """Compare what callers received with what was billed."""
+        journal = self.journal
+        spent: dict[str, int] = {}
+        for identity, bill in self.billed.items():
+            asked = self.asked[identity]
+            ran = journal.engine_runs[asked.request]
+            ran += journal.service_runs[asked.request]
+            journal.check("nothing billed that did not run", ran > 0, asked.request)
+            spent[asked.organisation] = spent.get(asked.organisation, 0) + bill.tokens
+        for name, tokens in spent.items():
+            detail = f"{name} {tokens} of {self.topped[name]}"
+            fits = tokens <= self.topped[name]
+            journal.check("bills within the budget", fits, detail)
+        for receipt in journal.receipts.values():
+            if receipt.outcome in ("model, whole", "order, answered"):
+                billed = receipt.request in self.billed
+                asked = self.asked[receipt.request]
+                detail = f"{asked.request} was answered and never billed"
+                journal.check("answer is billed", billed, detail)
+
+
+def run_seed(seed: int, seconds: float) -> Journal:
+    """Run one seed.
+
+    Raises
+    ------
+    BrokenInvariantError
+        The first invariant that did not hold.
+    """
+    holder: dict[str, Soak] = {}
+
+    def make(clock: VirtualClock) -> Any:
+        holder["soak"] = Soak(seed, clock, seconds)
+        return holder["soak"].run()
+
+    try:
+        journal: Journal = run_virtual(make)
+    except Exception as error:
+        error.add_note(f"seed {seed}\n{holder['soak'].journal.show()}")
+        raise
+    return journal
+
+
+def main(seed: int, seconds: float) -> int:
+    """Run one seed and print its counts; return the exit code."""
+    logging.set_verbosity(logging.FATAL)
+    print(f"seed {seed}, {seconds:.0f} virtual seconds")
+    try:
+        journal = run_seed(seed, seconds)
+    except BrokenInvariantError as error:
+        print(f"BROKEN {error}")
+        for note in error.__notes__:
+            print(note)
+        return 1
+    print(journal.show())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), float(sys.argv[2])))
