Tell not run, ran and unknown apart on every path

Cause: an audit of the paths that end in a not-run code after something was sent found eight. The bill of an order that ran could fail with 2001 or 2002, the claim was then voided and the next sending ran the order again. A second attempt refused for want of an engine said not run although the first may have run. A record of the outcome that failed with 5001 told a caller whose order ran that it had not. A void that was written late matched on the router alone and could free a claim that another request with the key held by then. A caller that left cut its order off in the midst.

Change: a Progress value holds what was sent and what ran, and turns a refusal into what it may claim. Claims are ended by token only, in the background when the platform is out. Claimed work runs apart from its callers' connections. Runs join a caller only when their text begins with what the caller has; text is kept in pieces; usage that an engine reports is bounded on both sides.

--- a/anvilshift/core/claims.py
+++ b/anvilshift/core/claims.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+LIFETIME_S = 24 * 3600
+"""Seconds for which a key is remembered: far longer than a client retries (its
+deadline is ten minutes at most) and than a person waits before asking again."""
+
 
 class ClaimState(Enum):
     """How far claimed work has come."""
@@ -16,6 +20,7 @@
     OPEN = "open"
     DONE = "done"
     VOID = "void"
+    LOST = "lost"
 
 
 @dataclass(frozen=True)
@@ -40,9 +45,14 @@
     token
         Names the one request that may; two requests with one key can reach the
         same router at once, so the holder alone doesn't tell them apart.
+    at
+        Wall-clock seconds when it was made.
     state
-        OPEN from before it is sent; DONE once its answer is recorded; VOID
-        when it provably never left, so that another may claim it.
+        OPEN from before it is sent; DONE once it ran; VOID when it provably
+        never left, so that another may claim it; LOST when it was sent and its
+        outcome will never be known.
+    answer
+        The answer of DONE work, unless it is too large to be kept.
     """
 
     content: str
@@ -52,14 +62,52 @@
     state: ClaimState = ClaimState.OPEN
     answer: Answer | None = None
 
-    def finish(self, answer: Answer) -> "Claim":
-        """Return the claim with its answer."""
+    def finish(self, answer: Answer | None) -> "Claim":
+        """Return the claim of work that ran, with its answer if it is kept."""
         return replace(self, state=ClaimState.DONE, answer=answer)
 
     def void(self) -> "Claim":
         """Return the claim of work that provably never left."""
         return replace(self, state=ClaimState.VOID)
 
+    def lose(self) -> "Claim":
+        """Return the claim of work that was sent and whose outcome is unknown."""
+        return replace(self, state=ClaimState.LOST)
+
+    def is_expired(self, now: int) -> bool:
+        """Tell whether the key may be forgotten, given wall-clock seconds.
+
+        Examples
+        --------
+        >>> claim = Claim("digest", "r1", "t1", at=100)
+        >>> claim.is_expired(100 + LIFETIME_S), claim.is_expired(101 + LIFETIME_S)
+        (False, True)
+        """
+        return now - self.at > LIFETIME_S
+
+
+def end(found: Claim | None, ended: Claim) -> Claim | None:
+    """Return what to write so that a claim stands ended; None leaves it.
+
+    Only the request that made a claim ends it.  A void that was written late
+    or twice would otherwise free a claim that another request with the same
+    key has taken since at the same router, and the work would run again.  A
+    claim that isn't there is made, so that a creation still under way after
+    its caller gave up on it fails.
+
+    Examples
+    --------
+    >>> mine = Claim("digest", "r1", "t1", at=0)
+    >>> end(mine, mine.void()).state
+    <ClaimState.VOID: 'void'>
+    >>> end(Claim("digest", "r1", "t2", at=0), mine.void()) is None
+    True
+    """
+    if found is None:
+        return ended
+    same = found.token == ended.token and found.state is ClaimState.OPEN
+    return ended if same else None
+
 
 class Verdict(Enum):
     """What a router does with a request, given the claim that it found."""
@@ -67,6 +115,7 @@
     RUN = "run"
     ANSWER = "answer"
     WAIT = "wait"
+    LOST = "lost"
     REUSED = "reused"
 
 
@@ -89,6 +138,8 @@
         return Verdict.REUSED
     if found.state is ClaimState.DONE:
         return Verdict.ANSWER
+    if found.state is ClaimState.LOST:
+        return Verdict.LOST
     if found.state is ClaimState.VOID or found.token == wish.token:
         return Verdict.RUN
     return Verdict.WAIT
--- a/anvilshift/engines/engine.py
+++ b/anvilshift/engines/engine.py
@@ -1,6 +1,6 @@
 """What the router needs of a target, whatever dialect it speaks."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -88,7 +88,7 @@
 
     def generate(
         self, call: ModelCall, timeout: Millis
-    ) -> AbstractAsyncContextManager[AsyncIterator[list[Piece]]]:
+    ) -> AbstractAsyncContextManager[AsyncGenerator[list[Piece]]]:
         """Begin an answer; pieces that arrived together come together."""
 
     async def cancel(self, attempt: str) -> None:
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
 from anvilshift.core.clock import SECOND, Millis
@@ -11,12 +11,23 @@
 from anvilshift.core.work import CacheEvent, Failure, LoadReport
 from anvilshift.engines.engine import ModelCall, Order, Piece, Usage
 from anvilshift.wire.client import ExchangeError, HttpClient, Response
-from anvilshift.wire.events import EventReader
+from anvilshift.wire.events import Event, EventReader
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, Fields, HttpAnswer
 
+_UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading JSON of the wrong shape raises; a number can be infinite."""
 _DONE = "[DONE]"
 _CONTROL_TIMEOUT: Millis = 1 * SECOND
+_REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429})
 _ATTEMPT_HEADER = "x-request-id"
 
 
@@ -34,6 +45,13 @@
         self.failure = failure
 
 
+class LateAnswerError(TargetError):
+    """An answer came that belongs to another attempt, and was discarded."""
+
+    def __init__(self) -> None:
+        super().__init__(Failure.BROKE_OFF, "the answer is of another attempt")
+
+
 def _convert(error: ExchangeError) -> TargetError:
     failure = Failure.BROKE_OFF if error.sent else Failure.NOT_SENT
     return TargetError(failure, str(error))
@@ -41,12 +59,14 @@
 
 def _check_status(status: int) -> None:
     """Raise unless the target took the work."""
-    # Only 429 and client errors say that nothing ran; a 503 can come from a
-    # target that failed half-way, so it proves nothing.
+    # Only these say that nothing ran.  A 503 can come from a target that
+    # failed half-way, a 409 from one that runs the same work already.
+    if status in _REFUSALS:
+        raise TargetError(Failure.REJECTED, f"the target answered {status}")
     if status >= 500:
         raise TargetError(Failure.CRASHED, f"the target answered {status}")
-    if status >= 300:
-        raise TargetError(Failure.REJECTED, f"the target answered {status}")
+    if status != 200:
+        raise TargetError(Failure.BROKE_OFF, f"the target answered {status}")
 
 
 class HttpModelEngine:
@@ -66,7 +86,7 @@
     @contextlib.asynccontextmanager
     async def generate(
         self, call: ModelCall, timeout: Millis
-    ) -> AsyncIterator[AsyncIterator[list[Piece]]]:
+    ) -> AsyncIterator[AsyncGenerator[list[Piece]]]:
         """Begin an answer; pieces that arrived together come together."""
         body = {**call.body, "stream": True, "priority": call.priority}
         body["stream_options"] = {"include_usage": True}
@@ -82,6 +102,12 @@
                 dump_json(body),
                 timeout,
             ) as response:
+                # A faulty engine or a connection that carried an earlier
+                # exchange can bring another attempt's answer; one that names
+                # its attempt is checked, so that no caller reads a stranger's.
+                named = response.headers.get(_ATTEMPT_HEADER)
+                if named is not None and named != call.attempt:
+                    raise LateAnswerError
                 _check_status(response.status)
                 yield _read_pieces(response)
         except ExchangeError as error:
@@ -147,15 +173,15 @@
         return value if isinstance(value, dict) else {}
 
 
-async def _read_pieces(response: Response) -> AsyncIterator[list[Piece]]:
+async def _read_pieces(response: Response) -> AsyncGenerator[list[Piece]]:
     reader = EventReader()
     ended = False
     async for chunk in response.chunks():
         pieces = []
-        for event in reader.feed(chunk):
+        for event in _feed(reader, chunk):
             if event.data == _DONE:
                 ended = True
-            else:
+            elif not ended:
                 pieces.append(_read_piece(event.data))
         if pieces:
             yield pieces
@@ -165,6 +191,13 @@
         raise TargetError(Failure.BROKE_OFF, "the stream ended without its end mark")
 
 
+def _feed(reader: EventReader, chunk: bytes) -> list[Event]:
+    try:
+        return reader.feed(chunk)
+    except AnvilshiftError as error:
+        raise TargetError(Failure.BROKE_OFF, error.detail) from error
+
+
 def _read_piece(data: str) -> Piece:
     try:
         value = json.loads(data)
@@ -178,7 +211,7 @@
         )
         if not isinstance(text, str):
             raise TypeError("content is no text")
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+    except _UNREADABLE as error:
         raise TargetError(Failure.BROKE_OFF, "an event can't be read") from error
     return Piece(text, 1 if text else 0, choice.get("finish_reason"), counted)
 
--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -1,5 +1,6 @@
 """Write runs to callers: server-sent events, or one JSON object."""
 
+import contextlib
 import json
 from typing import Any
 
@@ -31,7 +32,7 @@
 
 def make_completion(run: Run) -> dict[str, Any]:
     """Return a whole answer as a chat completion."""
-    message = {"role": "assistant", "content": run.text}
+    message = {"role": "assistant", "content": run.text.whole()}
     choice = {"index": 0, "message": message, "finish_reason": run.finish}
     return {
         "id": run.job.key,
@@ -42,7 +43,7 @@
     }
 
 
-def _encode_chunk(job: Job, text: str, offset: int) -> bytes:
+def _encode_chunk(job: Job, text: str, identity: str) -> bytes:
     choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
     chunk = {
         "id": job.key,
@@ -50,7 +51,7 @@
         "model": job.route.name,
         "choices": [choice],
     }
-    return Event(json.dumps(chunk), str(offset)).encode()
+    return Event(json.dumps(chunk), identity).encode()
 
 
 def _encode_last(run: Run) -> bytes:
@@ -66,7 +67,7 @@
 
 
 async def write_stream(run: Run, job: Job, responder: Responder) -> None:
-    """Write a run as events whose ids count the characters so far.
+    """Write a run as events whose ids name it and count the characters so far.
 
     The head is sent with the first text, so that a refusal still has its own
     status; an error after that is an event, and the stream ends without its
@@ -74,11 +75,13 @@
     """
     offset = job.resume_from
     try:
-        async for text in run.read(offset):
-            if not responder.started:
-                await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
-            offset += len(text)
-            await responder.write(_encode_chunk(job, text, offset))
+        async with contextlib.aclosing(run.read(offset)) as texts:
+            async for text in texts:
+                if not responder.started:
+                    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+                offset += len(text)
+                chunk = _encode_chunk(job, text, f"{run.tag}-{offset}")
+                await responder.write(chunk)
     except AnvilshiftError as error:
         if not responder.started:
             raise
@@ -93,8 +96,9 @@
 
 async def read_whole(run: Run) -> Answer:
     """Wait for a run and return its whole answer."""
-    async for _ in run.read(len(run.text)):
-        pass
+    async with contextlib.aclosing(run.read(len(run.text))) as texts:
+        async for _ in texts:
+            pass
     body = dump_json(make_completion(run)).decode()
     return Answer(200, JSON_TYPE[1], body)
 
@@ -109,7 +113,7 @@
     text = completion["choices"][0]["message"]["content"]
     await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
     rest = text[job.resume_from :]
-    await responder.write(_encode_chunk(job, rest, len(text)))
+    await responder.write(_encode_chunk(job, rest, str(len(text))))
     choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
     last = {"choices": [choice], "usage": completion["usage"]}
     await responder.write(Event(json.dumps(last)).encode())
--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -1,8 +1,6 @@
 """The caller's port: chat completions, plain services, address lookup."""
 
-from collections.abc import Awaitable, Callable
-
-from absl import logging
+from collections.abc import Callable
 
 from anvilshift.core.claims import Answer
 from anvilshift.core.clock import Millis
@@ -10,10 +8,8 @@
 from anvilshift.core.errors import (
     DRAINING,
     NOT_READY,
-    OUTCOME_UNKNOWN,
     UNKNOWN_ROUTE,
     AnvilshiftError,
-    Fate,
 )
 from anvilshift.router.answers import (
     REQUEST_HEADER,
@@ -21,6 +17,7 @@
     write_answer,
     write_stream,
 )
+from anvilshift.router.claimed import ClaimedRuns
 from anvilshift.router.claims import ClaimBook
 from anvilshift.router.gate import Gate
 from anvilshift.router.requests import Job, read_chat, read_service_call
@@ -56,18 +53,18 @@
         addresses: Callable[[], dict[str, object]],
     ) -> None:
         self.runs = Runs(shared)
+        self.claimed = ClaimedRuns(claims, shared.clock)
         self.refusing = False
         self.calls = 0
         self._shared = shared
         self._gate = gate
-        self._claims = claims
         self._ready = ready
         self._addresses = addresses
 
     @property
     def in_flight(self) -> int:
         """Return how many requests have not ended."""
-        return self.runs.in_flight + self.calls
+        return self.runs.in_flight + self.calls + self.claimed.in_flight
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
@@ -98,7 +95,7 @@
         routes = dict(self._gate.catalogue.routes)
         job = read_chat(request, organisation, routes, now)
         if job.non_idempotent:
-            answer = await self._run_once(job, lambda: self._run_model(job))
+            answer = await self.claimed.run(job, lambda: self._run_model(job))
             await write_answer(answer, job, responder)
             return
         run = self.runs.join(job, self._gate.make_work(job))
@@ -122,25 +119,9 @@
         call = ServiceCall(self._shared, job, request, f"/{rest}")
         work = self._gate.make_work(job)
         if job.non_idempotent:
-            answer = await self._run_once(job, lambda: call.run(work))
+            answer = await self.claimed.run(job, lambda: call.run(work))
         else:
             answer = await call.run(work)
         headers = [("content-type", answer.content_type), (REQUEST_HEADER, job.key)]
         body = answer.body.encode("latin-1")
         await responder.send(Reply(answer.status, headers, body))
-
-    async def _run_once(self, job: Job, run: Callable[[], Awaitable[Answer]]) -> Answer:
-        """Run work that may run at most once, under its claim."""
-        recorded = await self._claims.take(job)
-        if recorded is not None:
-            return recorded
-        try:
-            answer = await run()
-        except AnvilshiftError as error:
-            if error.code.fate is Fate.NOT_RUN:
-                await self._claims.void(job)
-                raise
-            logging.warning("outcome unknown request=%s %s", job.identity, error)
-            raise AnvilshiftError(OUTCOME_UNKNOWN, error.detail) from error
-        await self._claims.finish(job, answer)
-        return answer
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -99,8 +99,17 @@
             self.targets,
             world.telemetry,
         )
-        claims = ClaimBook(world.store, world.clock, self.incarnation, world.rng)
-        return CallerPort(shared, self.gate, claims, self.is_ready, self.list_addresses)
+        self.claims = ClaimBook(
+            world.store, world.clock, self.incarnation, world.rng, self._lives
+        )
+        return CallerPort(
+            shared, self.gate, self.claims, self.is_ready, self.list_addresses
+        )
+
+    def _lives(self, incarnation: str) -> bool:
+        """Tell whether an incarnation is known to live."""
+        sightings = self.fleet.roster.sightings.values()
+        return any(s.member.incarnation == incarnation for s in sightings)
 
     def _make_member(self) -> Member:
         settings = self.settings
@@ -169,7 +178,8 @@
                 self.dispatcher.cache_event(event, self.clock.now())
             ),
         )
-        for work in (self.follower.run(), polling, self._watch_hosts()):
+        sweeping = self.claims.keep_sweeping()
+        for work in (self.follower.run(), polling, self._watch_hosts(), sweeping):
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
@@ -203,6 +213,7 @@
         """Settle grants and stop every task."""
         for task in self._tasks:
             task.cancel()
+        self.claims.close()
         await self.treasury.close()
         await self.fleet.close()
 
--- a/anvilshift/router/requests.py
+++ b/anvilshift/router/requests.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.declarations import Organisation, Route, TargetKind
 from anvilshift.core.errors import (
     BAD_VALUE,
@@ -30,6 +30,9 @@
 _DEFAULT_ANSWER_TOKENS = 256
 _MAX_ANSWER_TOKENS = 1_000_000
 _MAX_KEY = 200
+_MAX_EVENT_ID = 24
+_MAX_TIMEOUT: Millis = 600 * SECOND
+"""A request ends by then whatever it asks for; a bill's key is known as long."""
 _MAX_MESSAGES = 10_000
 _PREFIX_BYTES = 1024
 _MAX_PREFIXES = 32
@@ -76,6 +79,8 @@
         Most tokens that the request can cost.
     resume_from
         Characters of the answer that the caller has, when it resumes.
+    resume_tag
+        The run that gave them, when the caller names it.
     """
 
     organisation: Organisation
@@ -93,6 +98,7 @@
     body: dict[str, Any] | None = None
     received: str = ""
     resume_from: int = 0
+    resume_tag: str = ""
     prefixes: tuple[str, ...] = ()
 
     @property
@@ -123,7 +129,7 @@
 def _read_timeout(request: HttpRequest, route: Route) -> Millis:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
-        return route.timeout
+        return min(route.timeout or _MAX_TIMEOUT, _MAX_TIMEOUT)
     try:
         span = float(text)
     except ValueError:
@@ -133,7 +139,7 @@
         raise AnvilshiftError(BAD_VALUE, detail)
     if span <= 0:
         raise AnvilshiftError(PAST_DEADLINE)
-    return min(span, route.timeout) if route.timeout else span
+    return min(span, route.timeout or _MAX_TIMEOUT, _MAX_TIMEOUT)
 
 
 def _read_mark(request: HttpRequest, route: Route) -> bool:
@@ -203,6 +209,7 @@
     body["max_tokens"] = chat.max_tokens
     content = dump_json({k: v for k, v in body.items() if k != "stream"})
     received = chat.anvilshift.received
+    tag, offset = _read_resume(request, received)
     return _make_job(
         request,
         organisation,
@@ -214,7 +221,8 @@
         stream=chat.stream,
         body=body,
         received=received,
-        resume_from=_read_resume(request, received),
+        resume_from=offset,
+        resume_tag=tag,
         prefixes=_cut_prefixes(chat),
     )
 
@@ -229,13 +237,18 @@
     return texts + TEMPLATE_TOKENS + TOKENS_PER_MESSAGE * len(chat.messages)
 
 
-def _read_resume(request: HttpRequest, received: str) -> int:
+def _read_resume(request: HttpRequest, received: str) -> tuple[str, int]:
+    """Return the run and the count of characters that a caller goes on from."""
     text = request.headers.get(RESUME_HEADER)
     if text is None:
-        return len(received)
-    if not text.isdecimal() or len(text) > 12:
-        raise AnvilshiftError(BAD_VALUE, f"{RESUME_HEADER} must be a count")
-    return int(text)
+        return "", len(received)
+    tag, _, count = text.rpartition("-")
+    if not (count.isascii() and count.isdecimal()) or len(text) > _MAX_EVENT_ID:
+        raise AnvilshiftError(BAD_VALUE, f"{RESUME_HEADER} is no id of an event")
+    if received and int(count) != len(received):
+        detail = f"{RESUME_HEADER} and anvilshift.received differ in length"
+        raise AnvilshiftError(BAD_VALUE, detail)
+    return tag, int(count)
 
 
 def _cut_prefixes(chat: _Chat) -> tuple[str, ...]:
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -7,23 +7,27 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections import deque
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
 
 from absl import logging
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import (
-    ANSWER_LATE,
+    BAD_VALUE,
     ENGINE_FAILED,
     KEY_REUSED,
+    OVERLOADED,
     AnvilshiftError,
     check_invariant,
 )
+from anvilshift.core.transcripts import Transcript
 from anvilshift.core.work import Failure, Send, Work
 from anvilshift.engines.engine import ModelCall, Piece, Usage
-from anvilshift.engines.http import TargetError
+from anvilshift.engines.http import LateAnswerError, TargetError
 from anvilshift.router.dispatching import DispatchLoop
+from anvilshift.router.fates import NEVER_RAN, Progress
 from anvilshift.router.requests import Job, digest
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
@@ -34,6 +38,10 @@
 needs one address lookup and one connection, well under a second."""
 _KEEP_FINISHED: Millis = 30 * SECOND
 _MAX_FINISHED = 2_000
+_MAX_FINISHED_CHARS = 8 * 1024 * 1024
+"""Text that ended runs may hold together: 2,000 answers of 1,000 tokens."""
+_MAX_ANSWER_CHARS = 8 * 1024 * 1024
+"""An engine whose tokens grow without end is cut off before it fills the memory."""
 
 
 @dataclass
@@ -49,26 +57,47 @@
 
 
 class Run:
-    """The making of one answer."""
+    """The making of one answer.
 
-    def __init__(self, shared: Shared, job: Job, work: Work) -> None:
+    Parameters
+    ----------
+    after
+        A run of the same request that must have ended before this one begins.
+    on_end
+        Called when the run has ended.
+    """
+
+    def __init__(
+        self,
+        shared: Shared,
+        job: Job,
+        work: Work,
+        on_end: Callable[["Run"], None] = lambda run: None,
+        after: "Run | None" = None,
+    ) -> None:
         self.job = job
-        self.text = job.received
+        self.text = Transcript(job.received)
         self.usage: Usage | None = None
         self.finish = "stop"
         self.error: AnvilshiftError | None = None
         self.ended = False
+        self.ended_at: Millis = 0.0
+        self.tag = digest(job.identity, shared.incarnation, str(shared.clock.now()))[:8]
         self._shared = shared
         self._work = work
+        self._on_end = on_end
+        self._progress = Progress()
         self._tokens = 0
+        self._overrun = False
         self._readers = 0
         self._changed = asyncio.Event()
         self._last_token: Millis | None = None
         self._attempt: tuple[str, str] | None = None
         self._unread: asyncio.TimerHandle | None = None
-        self._task = asyncio.get_running_loop().create_task(self._make())
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._make(after))
 
-    async def read(self, start: int) -> AsyncIterator[str]:
+    async def read(self, start: int) -> AsyncGenerator[str]:
         """Yield the answer's text from a character on, until it is whole.
 
         Raises
@@ -83,9 +112,9 @@
         try:
             sent = start
             while True:
-                if sent < len(self.text):
-                    piece = self.text[sent:]
-                    sent = len(self.text)
+                piece = self.text.read(sent)
+                if piece:
+                    sent += len(piece)
                     yield piece
                     continue
                 if self.error is not None:
@@ -108,9 +137,15 @@
         """End the run; no more tokens are made for it."""
         self._task.cancel()
 
-    async def _make(self) -> None:
+    async def wait_ended(self) -> None:
+        """Wait until the run has ended, whatever came of it."""
+        await asyncio.wait([self._task])
+
+    async def _make(self, after: "Run | None") -> None:
         shared, job = self._shared, self.job
         try:
+            if after is not None:
+                await after.wait_ended()
             async with asyncio.timeout((job.deadline - shared.clock.now()) / SECOND):
                 await shared.treasury.reserve(
                     job.organisation.budget, job.identity, job.bound
@@ -118,14 +153,15 @@
                 await self._attempt_until_whole()
                 await self._settle()
         except AnvilshiftError as error:
-            self.error = error
+            self.error = self._progress.tell(error)
         except TimeoutError:
-            self.error = AnvilshiftError(ANSWER_LATE)
+            self.error = self._progress.tell_late()
         except asyncio.CancelledError:
-            self.error = AnvilshiftError(ENGINE_FAILED, "the run was stopped")
+            stopped = AnvilshiftError(OVERLOADED, "the run was stopped", SECOND)
+            self.error = self._progress.tell(stopped)
         except Exception:
             logging.exception("run failed request=%s", job.identity)
-            self.error = AnvilshiftError(ENGINE_FAILED)
+            self.error = self._progress.tell(AnvilshiftError(ENGINE_FAILED))
         finally:
             self._end()
 
@@ -136,7 +172,9 @@
             shared.dispatch.cancel(job.identity)
             self._cancel_attempt()
         self.ended = True
+        self.ended_at = shared.clock.now()
         self._changed.set()
+        self._on_end(self)
         code = self.error.code if self.error else None
         kind = job.route.request_class
         organisation = job.organisation.name
@@ -166,38 +204,61 @@
             self.job.organisation.name, self.job.route.request_class, waited
         )
         while True:
+            sent_before = self._progress.sent
             try:
                 await self._generate(send)
                 return
             except TargetError as error:
-                logging.warning(
-                    "attempt failed request=%s engine=%s failure=%s",
-                    self.job.identity,
-                    send.target,
-                    error.failure.value,
-                )
+                self._note_failure(send, error)
                 failure = error.failure
+            if failure in NEVER_RAN:
+                self._progress.sent = sent_before
             send = await dispatch.retry(self.job.identity, failure)
 
+    def _note_failure(self, send: Send, error: TargetError) -> None:
+        if isinstance(error, LateAnswerError):
+            self._shared.telemetry.count_event("late_answer")
+        logging.warning(
+            "attempt failed request=%s engine=%s failure=%s",
+            self.job.identity,
+            send.target,
+            error.failure.value,
+        )
+
     async def _generate(self, send: Send) -> None:
         job = self.job
-        attempt = digest(job.identity, self._shared.incarnation, str(send.attempt))
+        attempt = digest(job.identity, self.tag, str(send.attempt))
         self._attempt = (send.target, attempt)
         engine = self._shared.targets.engine(send.target)
         if engine is None:
             raise TargetError(Failure.NOT_SENT, "the target is gone")
-        call = ModelCall(attempt, job.body or {}, send.priority, self.text)
+        call = ModelCall(attempt, job.body or {}, send.priority, self.text.whole())
         timeout = job.deadline - self._shared.clock.now()
-        async with engine.generate(call, timeout) as batches:
+        # Set before the first byte can leave: work that the deadline cuts off
+        # in its midst must not be told "not run".
+        self._progress.sent = True
+        async with (
+            engine.generate(call, timeout) as batches,
+            contextlib.aclosing(batches),
+        ):
             async for batch in batches:
                 self._take(batch)
+                if len(self.text) > _MAX_ANSWER_CHARS:
+                    raise TargetError(Failure.BROKE_OFF, "the answer is over the limit")
+                if self._overrun:
+                    # The engine makes more than was asked for and reserved.
+                    self._cancel_attempt()
+                    self.finish = "length"
+                    return
 
     def _take(self, batch: list[Piece]) -> None:
         now = self._shared.clock.now()
         for piece in batch:
-            if piece.text:
+            if piece.text and self._tokens >= self.job.answer_bound:
+                self._overrun = True
+            elif piece.text:
                 self._count_token(now)
-                self.text += piece.text
+                self.text.append(piece.text)
                 self._tokens += piece.tokens
             self.usage = piece.usage or self.usage
             self.finish = piece.finish or self.finish
@@ -215,15 +276,15 @@
 
     async def _settle(self) -> None:
         job, treasury = self.job, self._shared.treasury
+        self._progress.ran = True
         self._shared.dispatch.done(job.identity, self._tokens)
-        counted = self.usage or Usage(job.prompt_bound, self._tokens)
-        self.usage = counted
-        # An engine that reports more than the bound must not overspend the
-        # budget: the caller's reservation is the most that is ever billed.
-        tokens = min(counted.total, job.bound)
+        self.usage = self._bound_usage()
         began = self._shared.clock.now()
         await treasury.settle(
-            job.organisation.budget, job.identity, job.organisation.name, tokens
+            job.organisation.budget,
+            job.identity,
+            job.organisation.name,
+            self.usage.total,
         )
         self._shared.telemetry.record_bill(
             job.organisation.name,
@@ -231,50 +292,95 @@
             self._shared.clock.now() - began,
         )
 
+    def _bound_usage(self) -> Usage:
+        """Return what to bill: the engine's count, within what was reserved.
+
+        An engine that counts wrongly must neither overspend the budget nor,
+        with a negative count, hand tokens out; the caller's reservation is the
+        most that is ever billed.
+        """
+        job = self.job
+        counted = self.usage or Usage(job.prompt_bound, self._tokens)
+        usage = Usage(
+            min(max(counted.prompt, 0), job.prompt_bound),
+            min(max(counted.answer, 0), job.answer_bound),
+        )
+        if usage != counted:
+            self._shared.telemetry.count_event("absurd_usage")
+        return usage
+
 
 class Runs:
     """The runs of one router, found again by who repeats a key."""
 
     def __init__(self, shared: Shared) -> None:
+        self.in_flight = 0
         self._shared = shared
         self._runs: dict[str, Run] = {}
-
-    @property
-    def in_flight(self) -> int:
-        """Return how many runs have not ended."""
-        return sum(not run.ended for run in self._runs.values())
+        self._finished: deque[Run] = deque()
+        self._finished_chars = 0
 
     def join(self, job: Job, work: Work) -> Run:
         """Return the run of a job: the one under way, or a new one.
 
+        A run goes on for a caller that resumes only if what the caller has is
+        the beginning of its text: two engines may well answer the same
+        question in other words, and a mixture would be nobody's answer.
+
         Raises
         ------
         AnvilshiftError
-            Code 1007 when the key came with another body before.
+            Code 1007 when the key came with another body before, 1009 when
+            the caller resumes what isn't here.
         """
         self._forget()
         found = self._runs.get(job.identity)
         if found is not None:
             if found.job.content != job.content:
                 raise AnvilshiftError(KEY_REUSED)
-            resumable = found.error is None and job.resume_from <= len(found.text)
-            if resumable:
+            if found.error is None and _goes_on(found, job):
                 return found
-        run = Run(self._shared, job, work)
+        if job.resume_from != len(job.received):
+            raise AnvilshiftError(
+                BAD_VALUE,
+                "that stream isn't here; send what was received as "
+                "anvilshift.received, or ask anew without last-event-id",
+            )
+        after = found if found is not None and not found.ended else None
+        if after is not None:
+            after.stop()
+        run = Run(self._shared, job, work, self._note_end, after)
+        self.in_flight += 1
         self._runs[job.identity] = run
         check_invariant(run.job.identity == job.identity, "a run answers another job")
         return run
 
+    def _note_end(self, run: Run) -> None:
+        self.in_flight -= 1
+        self._finished.append(run)
+        self._finished_chars += len(run.text)
+        self._forget()
+
     def _forget(self) -> None:
         now = self._shared.clock.now()
-        for identity, run in list(self._runs.items()):
-            old = now - run.job.arrived > _KEEP_FINISHED
-            if run.ended and (old or len(self._runs) > _MAX_FINISHED):
-                del self._runs[identity]
-
-    async def wait_idle(self) -> None:
-        """Wait until no run is in flight."""
-        while self.in_flight:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.05):
-                    await asyncio.Event().wait()
+        while self._finished:
+            oldest = self._finished[0]
+            crowded = (
+                len(self._finished) > _MAX_FINISHED
+                or self._finished_chars > _MAX_FINISHED_CHARS
+            )
+            if not crowded and now - oldest.ended_at <= _KEEP_FINISHED:
+                return
+            self._finished.popleft()
+            self._finished_chars -= len(oldest.text)
+            if self._runs.get(oldest.job.identity) is oldest:
+                del self._runs[oldest.job.identity]
+
+
+def _goes_on(found: Run, job: Job) -> bool:
+    """Tell whether a run's text goes on from what the caller has."""
+    if job.received:
+        return found.text.starts_with(job.received)
+    if not job.resume_from:
+        return True
+    return job.resume_tag == found.tag and job.resume_from <= len(found.text)
--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -1,12 +1,18 @@
 """Pass calls through to plain services."""
 
 import asyncio
+import random
+from dataclasses import replace
+
+from absl import logging
 
 from anvilshift.core.claims import Answer
 from anvilshift.core.clock import SECOND
-from anvilshift.core.errors import ANSWER_LATE, AnvilshiftError
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.identity import make_identity
 from anvilshift.core.work import Failure, Send, Work
 from anvilshift.engines.http import TargetError
+from anvilshift.router.fates import NEVER_RAN, Progress
 from anvilshift.router.requests import KEY_HEADER, Job, digest
 from anvilshift.router.runs import Shared
 from anvilshift.wire.messages import Fields, HttpRequest
@@ -23,6 +29,7 @@
     "upgrade",
     "proxy-authorization",
 }
+_RNG = random.SystemRandom()
 _DEFAULT_TYPE = "application/octet-stream"
 
 
@@ -30,45 +37,81 @@
     """One call of a plain service."""
 
     def __init__(self, shared: Shared, job: Job, request: HttpRequest, path: str):
-        self.sent = False
+        self._progress = Progress()
+        # Two calls with one key can be under way at once; the dispatcher tells
+        # them apart, the budget bills them once.
+        self._turn = make_identity(_RNG)
         self._shared = shared
         self._job = job
         self._request = request
         self._path = path
 
     async def run(self, work: Work) -> Answer:
-        """Reserve, place, call and bill; return the whole answer."""
-        job, shared = self._job, self._shared
-        account = job.organisation.budget
+        """Reserve, place, call and bill; return the whole answer.
+
+        Raises
+        ------
+        AnvilshiftError
+            A *not run* code only when the call provably never left.
+        """
+        work = replace(work, identity=self._turn)
+        error: AnvilshiftError | None = None
         try:
-            span = (job.deadline - shared.clock.now()) / SECOND
-            async with asyncio.timeout(span):
-                if job.bound:
-                    await shared.treasury.reserve(account, job.identity, job.bound)
-                answer = await self._attempt_until_answered(work)
-                if job.bound:
-                    await shared.treasury.settle(
-                        account, job.identity, job.organisation.name, job.bound
-                    )
-                return answer
-        except TimeoutError as error:
-            raise AnvilshiftError(ANSWER_LATE) from error
+            return await self._run(work)
+        except TimeoutError as cause:
+            error = self._progress.tell_late()
+            raise error from cause
+        except AnvilshiftError as cause:
+            error = self._progress.tell(cause)
+            raise error from cause
         finally:
-            shared.treasury.release(account, job.identity)
-            shared.dispatch.cancel(job.identity)
+            self._end(error)
+
+    async def _run(self, work: Work) -> Answer:
+        job, treasury = self._job, self._shared.treasury
+        account = job.organisation.budget
+        span = (job.deadline - self._shared.clock.now()) / SECOND
+        async with asyncio.timeout(span):
+            if job.bound:
+                await treasury.reserve(account, job.identity, job.bound)
+            answer = await self._attempt_until_answered(work)
+            if job.bound:
+                name = job.organisation.name
+                await treasury.settle(account, job.identity, name, job.bound)
+            return answer
+
+    def _end(self, error: AnvilshiftError | None) -> None:
+        job, shared = self._job, self._shared
+        shared.treasury.release(job.organisation.budget, job.identity)
+        shared.dispatch.cancel(self._turn)
+        name, kind = job.organisation.name, job.route.request_class
+        shared.telemetry.count_answer(name, kind, error.code if error else None)
+        span = shared.clock.now() - job.arrived
+        if error is None:
+            shared.telemetry.record_whole(name, kind, span)
+        logging.info(
+            "call ended request=%s organisation=%s route=%s code=%d",
+            job.identity,
+            name,
+            job.route.name,
+            error.code.number if error else 0,
+        )
 
     async def _attempt_until_answered(self, work: Work) -> Answer:
         dispatch, job = self._shared.dispatch, self._job
         send = await dispatch.submit(work, lambda: None)
         while True:
             try:
+                sent_before = self._progress.sent
                 answer = await self._call(send)
-                dispatch.done(job.identity, job.bound)
+                self._progress.ran = True
+                dispatch.done(self._turn, job.bound)
                 return answer
             except TargetError as error:
-                self.sent = self.sent or error.failure is not Failure.NOT_SENT
                 failure = error.failure
-            send = await dispatch.retry(job.identity, failure)
+                if failure in NEVER_RAN:
+                    self._progress.sent = sent_before
+            send = await dispatch.retry(self._turn, failure)
 
     async def _call(self, send: Send) -> Answer:
         job = self._job
@@ -76,6 +119,9 @@
         if service is None:
             raise TargetError(Failure.NOT_SENT, "the target is gone")
         timeout = job.deadline - self._shared.clock.now()
+        # Set before the first byte can leave: a call that is cut off in its
+        # midst by the deadline must not be told "not run".
+        self._progress.sent = True
         answer = await service.call(
             self._request.method,
             self._path,
@@ -83,7 +129,6 @@
             self._request.body,
             timeout,
         )
-        self.sent = True
         kind = answer.headers.get("content-type") or _DEFAULT_TYPE
         return Answer(answer.status, kind, answer.body.decode("latin-1"))
 
--- a/anvilshift/standins/engine.py
+++ b/anvilshift/standins/engine.py
@@ -241,7 +241,8 @@
         limit = int(body.get("max_tokens", _DEFAULT_ANSWER))
         stream = bool(body.get("stream"))
         if stream:
-            await responder.start(200, [EVENT_STREAM_TYPE])
+            named = ("x-request-id", run.attempt)
+            await responder.start(200, [EVENT_STREAM_TYPE, named])
         for position in range(begin, limit):
             await self._spend(self.figures.decode_ms)
             if run.stopped or (
