Test at most once through two routers on a platform in memory

Thirteen tests with a story each, on real HTTP between caller, router and service.

Ruled out: a wait on a watch of every claim, which would deliver every order of the fleet to each waiter.

--- a/anvilshift/standins/service.py
+++ b/anvilshift/standins/service.py
@@ -58,6 +58,9 @@
         if self.faults.lose_answers:
             responder.abort()
             return
+        if request.path == "/echo":
+            await responder.send(Reply(200, [JSON_TYPE], request.body))
+            return
         number = sum(self.ran.values())
         body = dump_json({"accepted": number, "path": request.path})
         await responder.send(Reply(201, [JSON_TYPE], body))
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from anvilshift.core.claims import Answer, Claim, Verdict, judge
+from anvilshift.core.claims import Answer, Claim, Verdict, end, judge
 
 OPEN = Claim("digest", "r1", "t1", at=0)
 
@@ -32,3 +32,26 @@
     def test_work_that_never_left_may_be_claimed_again(self):
         wish = Claim("digest", "r2", "t2", at=0)
         self.assertEqual(judge(OPEN.void(), wish), Verdict.RUN)
+
+    def test_lost_work_is_not_waited_for(self):
+        wish = Claim("digest", "r2", "t2", at=0)
+        self.assertEqual(judge(OPEN.lose(), wish), Verdict.LOST)
+
+
+class EndTest(unittest.TestCase):
+    def test_late_void_does_not_free_a_later_claim_of_the_same_router(self):
+        """A void takes effect, its answer is lost, and it is written again.
+
+        Meanwhile another request with the key has claimed it at the same
+        router and its booking runs.  Were that claim freed, a third sending
+        would book a second truck.
+        """
+        later = Claim("digest", "r1", "t2", at=1)
+        self.assertIsNone(end(later, OPEN.void()))
+
+    def test_void_bars_a_creation_that_is_still_under_way(self):
+        self.assertEqual(end(None, OPEN.void()), OPEN.void())
+
+    def test_recorded_answer_is_never_taken_back(self):
+        done = OPEN.finish(Answer(201, "application/json", "{}"))
+        self.assertIsNone(end(done, OPEN.lose()))
--- /dev/null
+++ b/tests/router/test_claimed.py
@@ -0,0 +1,172 @@
+"""Orders run at most once, and *not run* is never said of one that ran."""
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+from anvilshift.core.claims import LIFETIME_S, Claim, ClaimState
+from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
+from anvilshift.platform.records import decode, encode
+from anvilshift.router.claims import CLAIM_KIND
+from anvilshift.router.requests import digest
+from anvilshift.standins.memory import MemoryFaults
+from bench.fleet import wait_until
+from tests.router.fleetlet import Fleetlet, read_code
+
+
+class ClaimedTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Fleetlet(routers=2)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+        self.store = self.fleet.store
+
+    @property
+    def ran(self) -> int:
+        return sum(self.fleet.service.ran.values())
+
+    def read_claim(self, key: str) -> Claim | None:
+        body = self.store.peek(CLAIM_KIND, digest("pound", key))
+        return decode(Claim, body) if body else None
+
+    async def test_order_whose_bill_fails_is_not_told_not_run(self):
+        """A router's grant is sealed while a booking runs at the service.
+
+        The bill then fails for want of tokens, code 2002 *not run*.  The claim
+        was voided, the clerk's client sent the key again, and a second truck
+        left the yard.
+        """
+        failing = AnvilshiftError(BUDGET_UNREACHABLE)
+        treasury = self.fleet.nodes[0].treasury
+        with mock.patch.object(treasury, "settle", side_effect=failing):
+            self.assertEqual(read_code(await self.fleet.book("k")), (4005, "ran"))
+        again = await self.fleet.book("k", router=1)
+        self.assertEqual(read_code(again)[1], "ran")
+        self.assertEqual(self.ran, 1)
+
+    async def test_record_that_fails_leaves_the_answer(self):
+        """The platform goes out while a booking runs, so its outcome can't be kept.
+
+        The caller was told 5001 *not run* of an order that stood in the book.
+        The answer is the caller's; the claim stays, and is ended afterwards.
+        """
+        self.fleet.service.faults.delay_ms = 100.0
+        booking = asyncio.create_task(self.fleet.book("k"))
+        await wait_until(lambda: self.read_claim("k"))
+        self.store.faults.cut.add("r1")
+        first = await booking
+        self.assertEqual(first.status, 201)
+        self.assertEqual((await self.fleet.book("k")).body, first.body)
+        self.store.faults.cut.clear()
+        await wait_until(lambda: self.read_claim("k").state is ClaimState.DONE)
+        self.assertEqual((await self.fleet.book("k", router=1)).body, first.body)
+        self.assertEqual(self.ran, 1)
+
+    async def test_new_order_in_an_outage_is_promptly_not_run(self):
+        self.store.faults.outage = True
+        answer = await self.fleet.book("k")
+        self.assertEqual(read_code(answer), (5001, "not run"))
+        self.assertEqual(answer.headers.get("retry-after"), "2")
+        self.assertEqual(self.ran, 0)
+
+    async def test_claim_whose_answers_were_lost_does_not_block_the_key(self):
+        """Claim writes take effect and their answers are lost, then it is out.
+
+        The order is refused as *not run*.  Its claim stands in the platform
+        and nobody would ever end it, so each repeat waited to its deadline and
+        heard *unknown*.
+        """
+
+        async def cut(caller: str, verb: str) -> None:
+            if verb == "put" and self.read_claim("k"):
+                self.store.faults.cut.add("r1")
+
+        self.store.faults.after = cut
+        self.assertEqual(read_code(await self.fleet.book("k")), (5001, "not run"))
+        self.assertIs(self.read_claim("k").state, ClaimState.OPEN)
+        self.store.faults = MemoryFaults()
+        self.assertEqual((await self.fleet.book("k", router=1)).status, 201)
+        self.assertEqual(self.ran, 1)
+
+    async def test_answer_lost_once_runs_once(self):
+        self.store.faults.lose_answers = 1
+        self.assertEqual((await self.fleet.book("k")).status, 201)
+        self.assertEqual(self.ran, 1)
+
+    async def test_repeats_at_both_routers_get_one_answer(self):
+        self.fleet.service.faults.delay_ms = 150.0
+        calls = (self.fleet.book("k", router=i % 2) for i in range(6))
+        answers = await asyncio.gather(*calls)
+        self.assertEqual({answer.body for answer in answers}, {answers[0].body})
+        self.assertEqual(self.ran, 1)
+        self.assertEqual(self.fleet.spent, 10)
+
+    async def test_another_body_under_the_key_is_refused(self):
+        await self.fleet.book("k")
+        for router in (0, 1):
+            answer = await self.fleet.book("k", drums=2, router=router)
+            self.assertEqual(read_code(answer), (1007, "not run"))
+
+    async def test_order_goes_on_when_its_caller_leaves(self):
+        """A clerk's connection breaks while the booking runs.
+
+        The call was cut off in its midst, its outcome lost, and the clerk's
+        next sending heard *unknown* although the truck was booked.
+        """
+        self.fleet.service.faults.delay_ms = 100.0
+        booking = asyncio.create_task(self.fleet.book("k"))
+        await wait_until(lambda: self.read_claim("k"))
+        booking.cancel()
+        answer = await self.fleet.book("k", router=1)
+        self.assertEqual(answer.status, 201)
+        self.assertEqual(self.ran, 1)
+
+    async def test_order_of_a_dead_router_is_unknown_at_once(self):
+        """A router is killed after it sent a booking; its claim stays open.
+
+        Nobody can tell whether the truck is booked, and nobody may send it
+        again.  The caller hears so at once, not at the end of its deadline.
+        """
+        content = digest("book", "POST", "runs", json.dumps({"drums": 1}).encode())
+        claim = Claim(content, "r9-0123456789ab", "t", at=0)
+        name = digest("pound", "k")
+        await self.store.put(CLAIM_KIND, name, encode(claim), 0)
+        async with asyncio.timeout(2):
+            answer = await self.fleet.book("k")
+        self.assertEqual(read_code(answer), (4003, "unknown"))
+        self.assertEqual(self.ran, 0)
+
+    async def test_service_that_cuts_off_leaves_unknown_for_everyone(self):
+        self.fleet.service.faults.lose_answers = True
+        for router in (0, 0, 1):
+            answer = await self.fleet.book("k", router=router)
+            self.assertEqual(read_code(answer), (4003, "unknown"))
+        self.assertEqual(self.ran, 1)
+
+    async def test_order_that_never_left_may_be_sent_again(self):
+        address = self.fleet.nodes[0].gate.catalogue.groups["ss"].engines[0].address
+        await self.fleet.service.close()
+        answer = await self.fleet.book("k")
+        self.assertEqual(read_code(answer)[1], "not run")
+        await self.fleet.service.start(type(self.fleet.addresses[0]).parse(address))
+        self.assertEqual((await self.fleet.book("k", router=1)).status, 201)
+
+    async def test_expired_claims_are_deleted_and_others_kept(self):
+        node = self.fleet.nodes[0]
+        now = node.clock.wall()
+        for name, at in (("old", now - LIFETIME_S - 1), ("new", now - 1)):
+            claim = Claim("digest", "r1-x", name, at)
+            await self.store.put(CLAIM_KIND, name, encode(claim), 0)
+        self.assertEqual(await node.claims.sweep(pause=0.0), 1)
+        self.assertEqual(self.store.names(CLAIM_KIND), ["new"])
+
+    async def test_answer_too_large_to_keep_says_ran(self):
+        text = "x" * 1_100_000
+        path = "/services/book/echo"
+        headers = ("idempotency-key", "k")
+        first = await self.fleet.post(path, text.encode(), headers)
+        self.assertEqual(len(first.body), len(text))
+        again = await self.fleet.post(path, text.encode(), headers, router=1)
+        self.assertEqual(read_code(again), (4005, "ran"))
+        self.assertEqual(self.ran, 1)
