--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -213,6 +213,7 @@
         """Settle grants and stop every task."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         self.claims.close()
         await self.treasury.close()
         await self.fleet.close()
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -46,6 +46,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self.closed = False
+        self._idle = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -69,6 +70,11 @@
         self._writable.set()
 
     def data_received(self, data: bytes) -> None:
+        if self._idle:
+            # Bytes that nobody asked for would be read as the answer to the
+            # next request on this connection, which is another caller's.
+            self.close()
+            return
         self._feed(data)
 
     def _feed(self, data: bytes) -> None:
@@ -98,7 +104,10 @@
 
     async def send(self, method: str, path: str, headers: Fields, body: bytes) -> None:
         assert self.transport is not None
-        head = h11.Request(method=method, target=path, headers=headers)
+        # Fields that a caller sent pass on as the bytes that they were.
+        raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        target = path.encode("latin-1")
+        head = h11.Request(method=method, target=target, headers=raw)
         parts = [self._h11.send(head)]
         if body:
             parts.append(self._h11.send(h11.Data(data=body)))
@@ -138,9 +147,16 @@
             self._h11.start_next_cycle()
         except h11.ProtocolError:
             return False
-        return True
+        self._idle = not self._h11.trailing_data[0]
+        return self._idle
+
+    def wake(self) -> bool:
+        """Begin another exchange; False when the connection was closed."""
+        self._idle = False
+        return not self.closed
 
     def close(self) -> None:
+        self.closed = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -205,7 +221,7 @@
         idle = self._idle[address]
         while idle:
             connection = idle.pop()
-            if not connection.closed:
+            if connection.wake():
                 return connection
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(_Connection, address.ip, address.port)
--- a/tests/router/fleetlet.py
+++ b/tests/router/fleetlet.py
@@ -159,6 +159,10 @@
     def client(self, token: str = "pound") -> Client:
         return Client(self.addresses, token)
 
+    async def cut(self, router: int) -> None:
+        """Cut a router's connections to callers; it answers no more."""
+        await self._servers[router].close()
+
     async def close(self) -> None:
         for server in self._servers:
             await server.close()
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -83,3 +83,40 @@
     async def test_slow_sender_is_cut(self):
         answer = await self.send_raw(b"POST / HTTP/1.1\r\nHost:")
         self.assertIn(b'"code":1003', answer)
+
+
+class PooledConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_bytes_nobody_asked_for_answer_no_later_request(self):
+        """An engine answers one request twice; the second comes a little late.
+
+        The connection was kept for reuse, and the next caller's request would
+        be answered by the bytes that lay there.
+        """
+        answered = asyncio.Event()
+
+        async def serve(reader, writer):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + b"one")
+            await answered.wait()
+            writer.write(head + b"bad")
+            served.set()
+            await reader.read()
+            writer.close()
+
+        served = asyncio.Event()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        client = HttpClient()
+        first = await client.call(address, "GET", "/")
+        self.assertEqual(first.body, b"one")
+        kept = client._idle[address][0]
+        answered.set()
+        await served.wait()
+        async with asyncio.timeout(5):
+            while not kept.closed:
+                await asyncio.sleep(0)
+        second = await client.call(address, "GET", "/")
+        self.assertEqual(second.body, b"one")
+        client.close()
+        server.close()
