Reach the platform through a peer, and remove only by majority

Cause: a router cut off from the platform alone lost its lease and its money though its peers reached the platform. Removal of a lost router and serving on through an outage were judged apart: a router that alone reached the platform could remove a majority that took the platform for out and served on under old declarations.

Ruled out: sending an uncertain write again through a peer (it can take effect twice or meet itself as a conflict); a second hop (two cut-off routers would ask each other for ever); leases alone (they blip in an outage, because they lapse at different instants).

Change: platform/relayed.py calls directly, else through a peer's direct store, one hop; a probe finds the own way again. core/lease.py stops a router whose lease lapsed unless nobody it hears renews and a majority is heard, latches the stop, and distrusts heartbeats after a pause. A record is removed only by a majority of those that the lost router can have known, each renewing for two leases; sealing of grants stays immediate. A router whose record was gone serves once it holds what was stored when the record came back. An unreadable declaration is not acknowledged. Deletes carry a revision that routers acknowledge.

--- a/anvilshift/core/membership.py
+++ b/anvilshift/core/membership.py
@@ -1,9 +1,15 @@
-"""Who is in the fleet, who is lost, and whether this router may serve.
+"""Who is in the fleet, who is lost, and who may be removed.
 
 A router gives two signs of life: its record in the platform, which it renews,
 and heartbeats to the other routers.  It counts as lost only when both have
-been absent for a lease.  Removing a lost router is safe without any clock
-(its grants are sealed); the lease only decides when that is tried.
+been absent for a lease.  Its grants are sealed then, which is safe without any
+clock.  Its record is removed only when a majority of the routers that it knew
+reach the platform: a cut-off majority may go on serving (`core.lease`), and
+two majorities share a router, from which each learns of the other.
+
+See Also
+--------
+anvilshift.core.lease
 """
 
 from collections.abc import Mapping
@@ -11,6 +17,10 @@
 
 from anvilshift.core.clock import Millis
 
+_SETTLED_LEASES = 2
+"""For so many leases a router's renewals must have succeeded before it counts
+for a removal; within one lease another may still rely on its having failed."""
+
 
 @dataclass(frozen=True)
 class Member:
@@ -19,9 +29,12 @@
     Parameters
     ----------
     revision
-        Newest revision of the declarations that it has in force.
+        Newest revision of the platform up to which all declarations are in
+        force there.
     beat
         Number of the renewal, so that two records can be told apart.
+    since
+        Revision of the platform that it had seen when it joined.
     """
 
     name: str
@@ -33,16 +46,45 @@
     revision: int = 0
     leaving: bool = False
     beat: int = 0
+    since: int = 0
+
+
+@dataclass(frozen=True)
+class Vitals:
+    """What a router says of itself at a heartbeat.
+
+    Parameters
+    ----------
+    reaches_platform
+        Whether its own last call of the platform was answered.
+    renewing_for
+        Milliseconds for which all its renewals succeeded, by itself or through
+        a peer; 0 when the last one did not.
+    serving
+        Whether it takes new work.
+    """
+
+    reaches_platform: bool = True
+    renewing_for: Millis = 0.0
+    serving: bool = True
+    in_flight: int = 0
 
 
 @dataclass(frozen=True)
 class Sighting:
-    """A member and when it last gave a sign of life."""
+    """A member and when it last gave a sign of life.
+
+    Parameters
+    ----------
+    seen
+        Instant of its last sign of either kind.
+    heard
+        Instant of its last heartbeat.
+    """
 
     member: Member
     seen: Millis
-    reaches_platform: bool = True
-    in_flight: int = 0
+    vitals: Vitals = field(default_factory=Vitals)
     heard: Millis | None = None
 
 
@@ -75,11 +117,9 @@
         sighting = replace(base or Sighting(member, now), member=member, seen=now)
         return replace(self, sightings={**self.sightings, member.name: sighting})
 
-    def hear(
-        self, member: Member, reaches_platform: bool, in_flight: int, now: Millis
-    ) -> "Roster":
+    def hear(self, member: Member, vitals: Vitals, now: Millis) -> "Roster":
         """Return the roster after a heartbeat of a member."""
-        sighting = Sighting(member, now, reaches_platform, in_flight, heard=now)
+        sighting = Sighting(member, now, vitals, heard=now)
         return replace(self, sightings={**self.sightings, member.name: sighting})
 
     def remove(self, name: str) -> "Roster":
@@ -89,28 +129,52 @@
 
     def lost(self, now: Millis) -> list[Member]:
         """Return the members that gave no sign of life for a lease."""
-        return [
-            sighting.member
-            for sighting in self.sightings.values()
-            if now - sighting.seen > self.lease
-        ]
+        return [s.member for s in self.sightings.values() if self._is_lost(s, now)]
+
+    def present(self, now: Millis) -> list[Sighting]:
+        """Return the members that gave a sign of life within a lease."""
+        return [s for s in self.sightings.values() if not self._is_lost(s, now)]
 
-    def may_serve(self, renewed: Millis, now: Millis) -> bool:
-        """Tell whether a router whose record was last renewed then may serve.
+    def _is_lost(self, sighting: Sighting, now: Millis) -> bool:
+        return now - sighting.seen > self.lease
 
-        Past its lease others may have removed it, and a declaration may have
-        been accepted without it.  It goes on only while most of the fleet is
-        within its hearing and reaches the platform no more than itself: then
-        the platform is out and nothing can have been accepted.
+    def is_platform_out(self, now: Millis) -> bool:
+        """Tell whether nobody heard renews, and a majority is heard.
+
+        Then no router can be removed and no declaration accepted, because a
+        removal needs a majority that renews.
         """
-        if now - renewed <= self.lease:
-            return True
         heard = [
             sighting
             for sighting in self.sightings.values()
             if sighting.heard is not None and now - sighting.heard <= self.lease
         ]
-        if any(sighting.reaches_platform for sighting in heard):
+        if any(sighting.vitals.renewing_for > 0 for sighting in heard):
+            return False
+        return 2 * (len(heard) + 1) > len(self.sightings) + 1
+
+    def may_remove(
+        self, lost: Member, own: Member, renewing_for: Millis, now: Millis
+    ) -> bool:
+        """Tell whether a lost member's record may be removed.
+
+        Only routers that the lost one can have known count, so that newcomers
+        can't outvote a majority that was cut off together with it.  Each must
+        have said, after the loss, that it has been renewing for a while.
+        """
+        sighting = self.sightings.get(lost.name)
+        if sighting is None or not self._is_lost(sighting, now):
             return False
-        fleet = len(self.sightings) + 1
-        return 2 * (len(heard) + 1) > fleet
+        since = sighting.seen + self.lease
+        settled = _SETTLED_LEASES * self.lease
+        known = [s for s in self.sightings.values() if s.member.since <= lost.revision]
+        voters = [
+            s
+            for s in known
+            if s.heard is not None
+            and s.heard >= since
+            and s.vitals.renewing_for >= settled
+        ]
+        own_known = own.since <= lost.revision
+        own_votes = own_known and renewing_for >= settled
+        return 2 * (len(voters) + own_votes) > len(known) + own_known
--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -91,7 +91,8 @@
     for item in differences:
         try:
             if item.change == "delete":
-                await store.delete(item.kind, item.name, item.version)
+                deleted = await store.delete(item.kind, item.name, item.version)
+                newest = max(newest, deleted)
                 continue
             body = documents[item.kind, item.name]
             written = await store.put(item.kind, item.name, body, item.version)
@@ -109,7 +110,9 @@
     while True:
         listing = await store.list([ROUTER_KIND])
         waiting = tuple(
-            item.name for item in listing.items if item.body["revision"] < revision
+            item.name
+            for item in listing.items
+            if int(item.body.get("revision", 0)) < revision
         )
         if not waiting or clock.now() >= until:
             return Acceptance(revision, waiting)
--- a/anvilshift/peers/link.py
+++ b/anvilshift/peers/link.py
@@ -15,6 +15,8 @@
     Heartbeat,
     KeepReply,
     KeepRequest,
+    StoreReply,
+    StoreRequest,
 )
 from anvilshift.wire.messages import Address
 
@@ -22,7 +24,17 @@
 
 
 class PeerError(ConnectionError):
-    """Another router did not answer."""
+    """Another router did not answer.
+
+    Parameters
+    ----------
+    sent
+        Whether the call may have reached it.
+    """
+
+    def __init__(self, detail: str, sent: bool = True) -> None:
+        super().__init__(detail)
+        self.sent = sent
 
 
 class PeerLink(Protocol):
@@ -37,6 +49,11 @@
     async def give_back(self, address: str, request: GiveBackRequest) -> GiveBackReply:
         """Ask for unused tokens to be given back."""
 
+    async def call_store(
+        self, address: str, request: StoreRequest, timeout: Millis
+    ) -> StoreReply:
+        """Have another router make a call of the platform."""
+
     def close(self) -> None:
         """Close every connection."""
 
@@ -53,6 +70,9 @@
     async def take_give_back(self, request: GiveBackRequest) -> GiveBackReply:
         """Give unused tokens of a budget back to the platform."""
 
+    async def take_store_call(self, request: StoreRequest) -> StoreReply:
+        """Make a call of the platform for another router."""
+
 
 class GrpcPeerLink:
     """Calls over grpclib, one channel a router.
@@ -85,10 +105,18 @@
         """Ask for unused tokens to be given back."""
         return await self._call(self._stub(address).GiveBack, request)
 
-    async def _call(self, method, message):  # type: ignore[no-untyped-def]
+    async def call_store(
+        self, address: str, request: StoreRequest, timeout: Millis
+    ) -> StoreReply:
+        """Have another router make a call of the platform."""
+        return await self._call(self._stub(address).CallStore, request, timeout)
+
+    async def _call(self, method, message, timeout=None):  # type: ignore[no-untyped-def]
         try:
-            async with asyncio.timeout(self._timeout / SECOND):
+            async with asyncio.timeout((timeout or self._timeout) / SECOND):
                 return await method(message)
+        except ConnectionRefusedError as error:
+            raise PeerError(str(error), sent=False) from error
         except (
             OSError,
             TimeoutError,
@@ -128,6 +156,13 @@
         if message is not None:
             await stream.send_message(await self._handler.take_give_back(message))
 
+    async def CallStore(  # noqa: N802
+        self, stream: Stream[StoreRequest, StoreReply]
+    ) -> None:
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._handler.take_store_call(message))
+
 
 class PeerServer:
     """Listen to other routers."""
--- /dev/null
+++ b/anvilshift/platform/relayed.py
@@ -0,0 +1,270 @@
+"""Reach the platform through another router while the own way to it is cut."""
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from dataclasses import asdict
+from typing import Any, TypeVar
+
+from absl import logging
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import (
+    CODES,
+    CONFLICT,
+    PLATFORM_DOWN,
+    PLATFORM_GARBAGE,
+    AnvilshiftError,
+)
+from anvilshift.peers.generated.peers_pb2 import StoreReply, StoreRequest
+from anvilshift.peers.link import PeerError, PeerLink
+from anvilshift.platform.records import decode
+from anvilshift.platform.store import (
+    Body,
+    Changes,
+    ConflictError,
+    HostEntry,
+    Listing,
+    ObjectStore,
+    Stored,
+    UncertainError,
+)
+from anvilshift.wire.jsons import dump_json
+
+Result = TypeVar("Result")
+_PROBE_INTERVAL: Millis = 500.0
+_CALL_TIMEOUT: Millis = 2_500.0
+"""The other router's own call may take two seconds."""
+_WATCH_WAIT: Millis = 2 * SECOND
+"""Short, so that a peer that is cut off in its turn is found out soon."""
+_PEERS_TRIED = 2
+_WRITES = ("put", "delete")
+
+
+class RelayedStore:
+    """Call the platform directly, or through a peer that reaches it.
+
+    A call takes one hop at most: the peer makes it on its own direct store.  A
+    write that may have taken effect is never sent again by another way: it
+    fails as uncertain, and `update` reads the object before it writes again.
+
+    Parameters
+    ----------
+    direct
+        The own way to the platform.
+    peers
+        Returns the peer addresses of the routers that reach the platform.
+    """
+
+    def __init__(
+        self,
+        direct: ObjectStore,
+        link: PeerLink,
+        clock: Clock,
+        peers: Callable[[], list[str]],
+    ) -> None:
+        self._direct = direct
+        self._link = link
+        self._clock = clock
+        self._peers = peers
+        self._cut = asyncio.Event()
+        self._probe: asyncio.Task[None] | None = None
+        self.reaches_platform = False
+
+    async def get(self, kind: str, name: str) -> Stored | None:
+        """Return an object, or None."""
+        request = StoreRequest(method="get", kinds=[kind], name=name)
+        value = await self._run(lambda: self._direct.get(kind, name), request)
+        return value if isinstance(value, Stored | None) else decode(Stored, value)
+
+    async def list(self, kinds: Iterable[str]) -> Listing:
+        """Return every object of some kinds at one revision."""
+        wanted = list(kinds)
+        request = StoreRequest(method="list", kinds=wanted)
+        value = await self._run(lambda: self._direct.list(wanted), request)
+        return value if isinstance(value, Listing) else decode(Listing, value)
+
+    async def put(self, kind: str, name: str, body: Body, version: int) -> Stored:
+        """Write an object if it still has a version; 0 creates it."""
+        request = StoreRequest(
+            method="put",
+            kinds=[kind],
+            name=name,
+            version=version,
+            body=dump_json(body),
+        )
+        value = await self._run(
+            lambda: self._direct.put(kind, name, body, version), request
+        )
+        return value if isinstance(value, Stored) else decode(Stored, value)
+
+    async def delete(self, kind: str, name: str, version: int) -> int:
+        """Delete an object if it still has a version; return the revision."""
+        request = StoreRequest(
+            method="delete", kinds=[kind], name=name, version=version
+        )
+        value = await self._run(
+            lambda: self._direct.delete(kind, name, version), request
+        )
+        return value if isinstance(value, int) else int(value["revision"])
+
+    async def watch(self, kinds: Iterable[str], after: int, wait: Millis) -> Changes:
+        """Wait for changes after a revision."""
+        wanted = list(kinds)
+        request = StoreRequest(
+            method="watch",
+            kinds=wanted,
+            version=after,
+            wait_ms=min(wait, _WATCH_WAIT),
+        )
+        value = await self._run(
+            lambda: self._watch_direct(wanted, after, wait), request
+        )
+        return value if isinstance(value, Changes) else decode(Changes, value)
+
+    async def hosts(self) -> tuple[HostEntry, ...]:
+        """Return the lagging list of hosts."""
+        value = await self._run(self._direct.hosts, StoreRequest(method="hosts"))
+        if isinstance(value, tuple):
+            return value
+        return tuple(decode(HostEntry, item) for item in value["hosts"])
+
+    async def _watch_direct(
+        self, kinds: Sequence[str], after: int, wait: Millis
+    ) -> Changes:
+        """Watch until another call finds the way to the platform cut.
+
+        A watch on a connection that went silent would otherwise wait out its
+        whole time while a change comes into force everywhere else.
+        """
+        watching = asyncio.ensure_future(self._direct.watch(kinds, after, wait))
+        cut = asyncio.ensure_future(self._cut.wait())
+        try:
+            await asyncio.wait([watching, cut], return_when=asyncio.FIRST_COMPLETED)
+            if watching.done():
+                return watching.result()
+        finally:
+            cut.cancel()
+            watching.cancel()
+        raise AnvilshiftError(PLATFORM_DOWN, "the way to the platform was cut")
+
+    async def _run(
+        self,
+        call: Callable[[], Coroutine[Any, Any, Result]],
+        request: StoreRequest,
+    ) -> Any:
+        """Return what the direct call returned, or a peer's answer as JSON."""
+        if not self._cut.is_set():
+            try:
+                return await self._call_direct(call)
+            except AnvilshiftError as error:
+                if error.code is not PLATFORM_DOWN or _is_uncertain(error):
+                    raise
+            return await self._ask_peers(request)
+        try:
+            return await self._ask_peers(request)
+        except AnvilshiftError as error:
+            # Only a call that provably had no effect is made again.
+            if error.code is not PLATFORM_DOWN or _is_uncertain(error):
+                raise
+        return await self._call_direct(call)
+
+    async def _call_direct(
+        self, call: Callable[[], Coroutine[Any, Any, Result]]
+    ) -> Any:
+        try:
+            result = await call()
+        except AnvilshiftError as error:
+            if error.code is PLATFORM_DOWN:
+                self._mark_cut()
+            raise
+        self.reaches_platform = True
+        return result
+
+    def _mark_cut(self) -> None:
+        self.reaches_platform = False
+        self._cut.set()
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.get_running_loop().create_task(self._probe_direct())
+
+    async def _probe_direct(self) -> None:
+        """Try the own way again and again, so that no call has to wait for it."""
+        while self._cut.is_set():
+            try:
+                await self._direct.hosts()
+                self.reaches_platform = True
+                self._cut.clear()
+            except AnvilshiftError:
+                await asyncio.sleep(_PROBE_INTERVAL / SECOND)
+
+    async def _ask_peers(self, request: StoreRequest) -> Any:
+        timeout = _CALL_TIMEOUT + request.wait_ms
+        for address in self._peers()[:_PEERS_TRIED]:
+            try:
+                reply = await self._link.call_store(address, request, timeout)
+            except PeerError as error:
+                if error.sent and request.method in _WRITES:
+                    detail = "a write through a peer got no answer"
+                    raise UncertainError(detail) from error
+                continue
+            if reply.code == PLATFORM_DOWN.number and not reply.uncertain:
+                continue
+            return _read_reply(reply, request)
+        raise AnvilshiftError(PLATFORM_DOWN, "neither directly nor through a peer")
+
+    def close(self) -> None:
+        """Stop trying the own way."""
+        if self._probe is not None:
+            self._probe.cancel()
+
+
+def _is_uncertain(error: AnvilshiftError) -> bool:
+    return isinstance(error, UncertainError)
+
+
+def _read_reply(reply: StoreReply, request: StoreRequest) -> Any:
+    if reply.uncertain:
+        raise UncertainError(reply.detail)
+    if reply.code == CONFLICT.number:
+        raise ConflictError(f"{'/'.join(request.kinds)}/{request.name}")
+    if reply.code:
+        raise AnvilshiftError(CODES.get(reply.code, PLATFORM_GARBAGE), reply.detail)
+    try:
+        return json.loads(reply.value)
+    except ValueError as error:
+        raise AnvilshiftError(PLATFORM_GARBAGE) from error
+
+
+async def call_store(store: ObjectStore, request: StoreRequest) -> StoreReply:
+    """Make a call for another router; store must be the direct one."""
+    try:
+        value = await _dispatch(store, request)
+    except UncertainError as error:
+        return StoreReply(code=error.code.number, detail=error.detail, uncertain=True)
+    except AnvilshiftError as error:
+        return StoreReply(code=error.code.number, detail=error.detail)
+    except (ValueError, IndexError) as error:
+        logging.warning("a peer's store call can't be read: %s", error)
+        return StoreReply(code=PLATFORM_GARBAGE.number)
+    return StoreReply(value=dump_json(value))
+
+
+async def _dispatch(store: ObjectStore, request: StoreRequest) -> Any:
+    kinds = list(request.kinds)
+    if request.method == "get":
+        found = await store.get(kinds[0], request.name)
+        return asdict(found) if found else None
+    if request.method == "list":
+        return asdict(await store.list(kinds))
+    if request.method == "put":
+        body = json.loads(request.body)
+        return asdict(await store.put(kinds[0], request.name, body, request.version))
+    if request.method == "delete":
+        revision = await store.delete(kinds[0], request.name, request.version)
+        return {"revision": revision}
+    if request.method == "watch":
+        wait = min(request.wait_ms, _WATCH_WAIT)
+        return asdict(await store.watch(kinds, request.version, wait))
+    if request.method == "hosts":
+        return {"hosts": [asdict(host) for host in await store.hosts()]}
+    raise ValueError(f"unknown method {request.method}")
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -108,8 +108,8 @@
             When the write may or may not have taken effect.
         """
 
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object if it still has a version."""
+    async def delete(self, kind: str, name: str, version: int) -> int:
+        """Delete an object if it still has a version; return the revision."""
 
     async def watch(self, kinds: Iterable[str], after: int, wait: Millis) -> Changes:
         """Wait for changes after a revision."""
@@ -200,12 +200,16 @@
         except AnvilshiftError as error:
             raise UncertainError(error.detail) from error
 
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object if it still has a version."""
+    async def delete(self, kind: str, name: str, version: int) -> int:
+        """Delete an object if it still has a version; return the revision."""
         extra = [("if-match", str(version)), (WRITE_ID, uuid.uuid4().hex)]
         answer = await self._call("DELETE", _path(kind, name), b"", extra)
-        if answer.status in (409, 412):
+        if answer.status in (404, 409, 412):
             raise ConflictError(f"{kind}/{name}")
+        try:
+            return int(_read(answer)["version"])
+        except (AnvilshiftError, KeyError, TypeError, ValueError) as error:
+            raise UncertainError("the delete's answer can't be read") from error
 
     async def watch(self, kinds: Iterable[str], after: int, wait: Millis) -> Changes:
         """Wait for changes after a revision."""
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -9,8 +9,9 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.lease import Lease
 from anvilshift.core.ledger import Bill
-from anvilshift.core.membership import Member, Roster
+from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.peers.generated.peers_pb2 import (
     GiveBackReply,
     GiveBackRequest,
@@ -18,15 +19,21 @@
     KeepReply,
     KeepRequest,
     PendingBill,
+    StoreReply,
+    StoreRequest,
 )
 from anvilshift.peers.link import PeerError, PeerLink
 from anvilshift.platform.records import decode, encode
+from anvilshift.platform.relayed import RelayedStore, call_store
 from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
 from anvilshift.router.treasury import Treasury
 
 _RENEWALS_PER_LEASE = 4
 _MAX_COPIES = 10_000
+_ACKNOWLEDGE_SPACING: Millis = 200.0
+"""Least time between two writes of the record: a burst of declarations is
+acknowledged together, at most five writes a second."""
 
 Copies = dict[str, dict[str, tuple[str, Bill]]]
 
@@ -40,6 +47,8 @@
         This router, as the others shall know it.
     in_flight
         Tells how many requests this router has in flight.
+    direct
+        The own way to the platform, for calls made for other routers.
     """
 
     def __init__(
@@ -52,18 +61,24 @@
         lease: Millis,
         heartbeat: Millis,
         in_flight: Callable[[], int],
+        direct: ObjectStore | None = None,
     ) -> None:
         self.member = member
         self.roster = Roster(lease)
+        self.lease = Lease(lease)
+        self.must_hold = 0
+        """Revision that must be in force here before new work is taken."""
+        self.read_revision: Callable[[], int] = lambda: self.member.revision
         self._store = store
+        self._direct = direct or store
         self._link = link
         self._clock = clock
         self._treasury = treasury
         self._heartbeat = heartbeat
         self._in_flight = in_flight
-        self._renewed = clock.now() - 2 * lease
-        self._reaches_platform = False
         self._copies: Copies = {}
+        self._sealed: set[str] = set()
+        self._listed = asyncio.Event()
         self._renew_now = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         treasury.keep_copies = self.keep_copies
@@ -76,11 +91,20 @@
             self._tasks.append(loop.create_task(work))
 
     def may_serve(self) -> bool:
-        """Tell whether this router's lease, or an outage of all, lets it serve."""
-        return self.roster.may_serve(self._renewed, self._clock.now())
+        """Tell whether this router may take new work.
+
+        Its lease holds, or the platform is out for all.  A router whose record
+        was gone may have missed what was accepted without it, so it first
+        holds what was stored when its record came back.
+        """
+        leased = self.lease.may_serve(self.roster, self._clock.now())
+        return leased and self.read_revision() >= self.must_hold
 
     def acknowledge(self, revision: int) -> None:
         """State that declarations of a revision are in force here."""
+        if not self._listed.is_set():
+            self.member = replace(self.member, since=revision)
+            self._listed.set()
         if revision > self.member.revision:
             self.member = replace(self.member, revision=revision)
             self._renew_now.set()
@@ -114,43 +138,76 @@
         self._link.close()
 
     async def _keep_renewing(self) -> None:
+        # A router joins once it has listed the declarations: before that it
+        # could only hold up their acceptance.
+        await self._listed.wait()
         pause = self.roster.lease / _RENEWALS_PER_LEASE / SECOND
         while True:
             self._renew_now.clear()
             await self._renew()
             await self._remove_lost()
+            await asyncio.sleep(_ACKNOWLEDGE_SPACING / SECOND)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause):
                     await self._renew_now.wait()
 
     async def _renew(self) -> None:
-        self.member = replace(self.member, beat=self.member.beat + 1)
+        revision = max(self.member.revision, self.read_revision())
+        beat = self.member.beat + 1
+        self.member = replace(self.member, beat=beat, revision=revision)
         body = encode(self.member)
-        began = self._clock.now()
+        absent = False
+
+        def change(old: Body | None) -> Body:
+            nonlocal absent
+            own = old is not None and old.get("incarnation") == self.member.incarnation
+            absent = absent or not own
+            return body
+
+        self.lease.begin(self._clock.now())
         try:
-            await update(self._store, ROUTER_KIND, self.member.name, lambda _: body)
-            # Counted from before the call: the others may have seen it then.
-            self._renewed = began
-            self._reaches_platform = True
+            stored = await update(self._store, ROUTER_KIND, self.member.name, change)
         except AnvilshiftError as error:
-            self._reaches_platform = False
+            self.lease.fail()
             logging.warning("renewal failed code=%d", error.code.number)
+            return
+        if absent:
+            self.must_hold = max(self.must_hold, stored.version)
+        self.lease.succeed(self._clock.now())
 
     async def _remove_lost(self) -> None:
-        if not self._reaches_platform:
+        now = self._clock.now()
+        lost = self.roster.lost(now)
+        self._sealed &= {member.incarnation for member in lost}
+        if not self.lease.holds(now):
             return
-        for member in self.roster.lost(self._clock.now()):
+        for member in lost:
             try:
-                await self._remove(member)
+                await self._seal(member)
+                if self._may_remove(member):
+                    await self._remove(member)
             except AnvilshiftError as error:
                 logging.warning("removal failed code=%d", error.code.number)
 
-    async def _remove(self, member: Member) -> None:
-        logging.warning("removing lost router=%s", member.name)
+    def _may_remove(self, member: Member) -> bool:
+        now = self._clock.now()
+        renewing_for = self.lease.renewing_for(now)
+        return self.roster.may_remove(member, self.member, renewing_for, now)
+
+    async def _seal(self, member: Member) -> None:
+        if member.incarnation in self._sealed:
+            return
+        logging.warning("sealing lost router=%s", member.name)
         await self._treasury.seal(member.incarnation)
         await self._hand_in_copies(member.incarnation)
+        self._sealed.add(member.incarnation)
+
+    async def _remove(self, member: Member) -> None:
+        logging.warning("removing lost router=%s", member.name)
         found = await self._store.get(ROUTER_KIND, member.name)
         if found and found.body.get("incarnation") == member.incarnation:
+            if found.body.get("beat") != member.beat:
+                return
             with contextlib.suppress(ConflictError):
                 await self._store.delete(ROUTER_KIND, found.name, found.version)
         self.roster = self.roster.remove(member.name)
@@ -172,10 +229,27 @@
             leaving=member.leaving,
             revision=member.revision,
             beat=member.beat,
-            reaches_platform=self._reaches_platform,
+            since=member.since,
+            reaches_platform=self._reaches_platform(),
+            renewing_for_ms=self.lease.renewing_for(self._clock.now()),
+            serving=self.may_serve() and not member.leaving,
             in_flight=self._in_flight(),
         )
 
+    def _reaches_platform(self) -> bool:
+        if isinstance(self._store, RelayedStore):
+            return self._store.reaches_platform
+        return self.lease.holds(self._clock.now())
+
+    def list_relays(self) -> list[str]:
+        """Return the peer addresses of routers that reach the platform."""
+        present = self.roster.present(self._clock.now())
+        return [
+            s.member.peer_address
+            for s in present
+            if s.vitals.reaches_platform and s.heard is not None
+        ]
+
     def _hear(self, beat: Heartbeat) -> None:
         member = Member(
             beat.router,
@@ -187,13 +261,16 @@
             beat.revision,
             beat.leaving,
             beat.beat,
+            beat.since,
         )
-        self.roster = self.roster.hear(
-            member, beat.reaches_platform, beat.in_flight, self._clock.now()
+        vitals = Vitals(
+            beat.reaches_platform, beat.renewing_for_ms, beat.serving, beat.in_flight
         )
+        self.roster = self.roster.hear(member, vitals, self._clock.now())
 
     async def _keep_beating(self) -> None:
         while True:
+            self.may_serve()
             await self._beat_all()
             await asyncio.sleep(self._heartbeat / SECOND)
 
@@ -265,3 +342,7 @@
         """Give unused tokens of a budget back to the platform."""
         await self._treasury.give_back(request.account)
         return GiveBackReply()
+
+    async def take_store_call(self, request: StoreRequest) -> StoreReply:
+        """Make a call of the platform for another router, on the own way only."""
+        return await call_store(self._direct, request)
--- a/anvilshift/router/following.py
+++ b/anvilshift/router/following.py
@@ -9,8 +9,8 @@
 from anvilshift.core.backoff import Backoff
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.declarations import KINDS, Catalogue, Declaration
-from anvilshift.core.errors import AnvilshiftError
-from anvilshift.platform.store import Body, Change, ObjectStore
+from anvilshift.core.errors import PLATFORM_GARBAGE, AnvilshiftError
+from anvilshift.platform.store import Body, Change, ObjectStore, Stored
 from anvilshift.settings.declarations import parse_declaration
 
 ROUTER_KIND = "Router"
@@ -43,9 +43,20 @@
         self._backoff = Backoff()
         self._declarations: dict[tuple[str, str], Declaration] = {}
         self._routers: set[str] = set()
+        self._unreadable: dict[tuple[str, str], int] = {}
         self._revision = 0
         self.current = asyncio.Event()
 
+    @property
+    def acknowledged(self) -> int:
+        """Return the revision up to which every declaration is in force here.
+
+        A declaration that can't be read is not in force, so nothing from it on
+        is acknowledged; operators see which router they wait for.
+        """
+        oldest = min(self._unreadable.values(), default=self._revision + 1)
+        return min(self._revision, oldest - 1)
+
     async def run(self) -> None:
         """Follow until cancelled."""
         failures = 0
@@ -68,20 +79,21 @@
         # A platform that answers from an old copy must not take back what was
         # accepted: versions never go back.
         if listing.revision < self._revision:
-            return
+            raise AnvilshiftError(PLATFORM_GARBAGE, "the listing is an old copy")
         old, self._declarations = self._declarations, {}
+        self._unreadable = {}
         seen = set()
         for item in listing.items:
             if item.kind == ROUTER_KIND:
                 seen.add(item.name)
                 self._take_router(item.name, item.body)
                 continue
-            self._put(item.kind, item.name, item.body, old)
+            self._put(item, item.body, old)
         for name in self._routers - seen:
             self._take_router(name, None)
         self._routers = seen
         self._revision = listing.revision
-        self._publish(listing.revision)
+        self._publish()
         self.current.set()
 
     async def _watch(self) -> bool:
@@ -92,8 +104,7 @@
         declared = [self._apply(change) for change in changes.changes]
         self._revision = max(self._revision, changes.revision)
         if any(declared):
-            newest = max(c.version for c in changes.changes if c.kind != ROUTER_KIND)
-            self._publish(newest)
+            self._publish()
         return True
 
     def _apply(self, change: Change) -> bool:
@@ -106,27 +117,31 @@
             return False
         if change.body is None:
             self._declarations.pop((change.kind, change.name), None)
+            self._unreadable.pop((change.kind, change.name), None)
         else:
-            self._put(change.kind, change.name, change.body, self._declarations)
+            self._put(change, change.body, self._declarations)
         return True
 
     def _put(
         self,
-        kind: str,
-        name: str,
+        item: Stored | Change,
         body: Body,
         old: dict[tuple[str, str], Declaration],
     ) -> None:
-        key = (kind, name)
+        key = (item.kind, item.name)
         try:
-            self._declarations[key] = parse_declaration(body, f"{kind}/{name}")
+            where = f"{item.kind}/{item.name}"
+            self._declarations[key] = parse_declaration(body, where)
+            self._unreadable.pop(key, None)
         except AnvilshiftError as error:
             # A declaration that this version can't read keeps its last
             # readable state instead of vanishing from under its callers.
             logging.error("declaration unreadable %s", error)
+            self._unreadable.setdefault(key, item.version)
             if key in old:
                 self._declarations[key] = old[key]
 
-    def _publish(self, revision: int) -> None:
+    def _publish(self) -> None:
         declarations = list(self._declarations.values())
-        self._take_catalogue(Catalogue.from_declarations(declarations, revision))
+        catalogue = Catalogue.from_declarations(declarations, self.acknowledged)
+        self._take_catalogue(catalogue)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -20,6 +20,7 @@
 from anvilshift.core.work import DispatchSettings, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
+from anvilshift.platform.relayed import RelayedStore
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
@@ -62,9 +63,12 @@
         self.settings = settings
         self.world = world
         self.clock = world.clock
+        self.store = RelayedStore(
+            world.store, world.link, world.clock, lambda: self.fleet.list_relays()
+        )
         self.incarnation = f"{settings.name}-{make_identity(world.rng)[:12]}"
         self.treasury = Treasury(
-            world.store, world.clock, self.incarnation, settings.commit_spacing
+            self.store, world.clock, self.incarnation, settings.commit_spacing
         )
         figures = DispatchSettings(
             settings.failure_domain, settings.queue_length, settings.attempts
@@ -75,7 +79,7 @@
         self.gate = Gate()
         self.callers = self._make_caller_port()
         self.fleet = Fleet(
-            world.store,
+            self.store,
             world.link,
             world.clock,
             self._make_member(),
@@ -83,10 +87,12 @@
             settings.lease,
             settings.heartbeat,
             lambda: self.callers.in_flight,
+            world.store,
         )
         self.follower = Follower(
-            world.store, self._configure, self.fleet.take_router, world.rng
+            self.store, self._configure, self.fleet.take_router, world.rng
         )
+        self.fleet.read_revision = lambda: self.follower.acknowledged
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -99,7 +105,7 @@
             self.targets,
             world.telemetry,
         )
-        claims = ClaimBook(world.store, world.clock, self.incarnation, world.rng)
+        claims = ClaimBook(self.store, world.clock, self.incarnation, world.rng)
         return CallerPort(shared, self.gate, claims, self.is_ready, self.list_addresses)
 
     def _make_member(self) -> Member:
@@ -132,13 +138,19 @@
 
     def list_addresses(self) -> dict[str, object]:
         """Return where callers shall connect, this router's domain first."""
+        now = self.clock.now()
         own = self.settings.failure_domain
-        members = [self.fleet.member]
-        members += [s.member for s in self.fleet.roster.sightings.values()]
-        staying = [member for member in members if not member.leaving]
-        staying.sort(key=lambda member: member.failure_domain != own)
+        found = [
+            (s.member, s.vitals.in_flight)
+            for s in self.fleet.roster.present(now)
+            if s.vitals.serving
+        ]
+        found.append((self.fleet.member, self.callers.in_flight))
+        staying = [(m, load) for m, load in found if not m.leaving]
+        staying.sort(key=lambda item: (item[0].failure_domain != own, item[1]))
         addresses = [
-            {"address": m.address, "failure_domain": m.failure_domain} for m in staying
+            {"address": m.address, "failure_domain": m.failure_domain}
+            for m, _ in staying
         ]
         return {"addresses": addresses, "keep_ms": self.settings.keep_addresses}
 
@@ -205,13 +217,14 @@
             task.cancel()
         await self.treasury.close()
         await self.fleet.close()
+        self.store.close()
 
     async def _watch_hosts(self) -> None:
         """Take in the platform's list: a host on its way out gets no new work."""
         leaving: set[str] = set()
         while True:
             with contextlib.suppress(AnvilshiftError):
-                listed = {h.name for h in await self.world.store.hosts() if h.leaving}
+                listed = {h.name for h in await self.store.hosts() if h.leaving}
                 now = self.clock.now()
                 for name in listed - leaving:
                     self.dispatch.act(self.dispatcher.leaving(name, now))
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,140 @@
+"""Who may be removed, and who may serve on, in partitions and outages."""
+
+import unittest
+
+from anvilshift.core.lease import Lease
+from anvilshift.core.membership import Member, Roster, Vitals
+
+LEASE = 4_000.0
+OUT = Vitals(reaches_platform=False, renewing_for=0.0)
+SETTLED = Vitals(renewing_for=2 * LEASE)
+
+
+def make_member(name, revision=100, since=1):
+    address = "127.0.0.1:1"
+    return Member(
+        name, f"{name}-a", name, address, address, "north", revision, since=since
+    )
+
+
+def make_roster(**heard):
+    """Return a roster of members and when and how each was heard last."""
+    roster = Roster(LEASE)
+    for name, (vitals, at) in heard.items():
+        roster = roster.hear(make_member(name), vitals, at)
+    return roster
+
+
+class LeaseTest(unittest.TestCase):
+    def setUp(self):
+        self.lease = Lease(LEASE)
+        self.lease.begin(0.0)
+        self.lease.succeed(10.0)
+
+    def serve_until(self, roster_at, end):
+        """Check at each heartbeat, as a router does; return the last verdict."""
+        verdict = True
+        for step in range(0, int(end) + 1, 500):
+            verdict = self.lease.may_serve(roster_at(float(step)), float(step))
+        return verdict
+
+    def test_isolated_router_stops_when_its_lease_lapses(self):
+        roster = make_roster(r2=(SETTLED, 0.0), r3=(SETTLED, 0.0))
+        self.assertTrue(self.serve_until(lambda now: roster, 4_000))
+        self.assertFalse(self.lease.may_serve(roster, 4_500.0))
+
+    def test_whole_fleet_serves_on_through_an_outage(self):
+        def all_out(now):
+            return make_roster(r2=(OUT, now), r3=(OUT, now))
+
+        self.assertTrue(self.serve_until(all_out, 60_000))
+
+    def test_minority_stops_in_an_outage_with_a_partition(self):
+        def one_of_five(now):
+            silent = (OUT, 0.0)
+            return make_roster(r2=(OUT, now), r3=silent, r4=silent, r5=silent)
+
+        self.assertFalse(self.serve_until(one_of_five, 9_000))
+
+    def test_router_that_hears_one_renewing_stops(self):
+        def one_renews(now):
+            return make_roster(r2=(OUT, now), r3=(Vitals(renewing_for=1.0), now))
+
+        self.assertFalse(self.serve_until(one_renews, 4_500))
+
+    def test_stopped_router_stays_stopped_when_an_outage_begins(self):
+        """A router is cut off from the platform and removed; a declaration is
+        accepted without it.  Then the platform goes out for all.  Hearing that
+        nobody renews, it would serve again under what it held before.
+        """
+
+        def renews_until_six(now):
+            vitals = SETTLED if now < 6_000 else OUT
+            return make_roster(r2=(vitals, now), r3=(vitals, now))
+
+        self.assertFalse(self.serve_until(renews_until_six, 60_000))
+        self.lease.begin(60_500.0)
+        self.lease.succeed(60_510.0)
+        self.assertTrue(self.lease.may_serve(renews_until_six(60_510.0), 60_510.0))
+
+    def test_paused_router_does_not_believe_heartbeats_that_waited(self):
+        """A router is paused in an outage, which ends during the pause.
+
+        Heartbeats from before its end lie in its sockets; read at waking they
+        seem new and say that the platform is out.
+        """
+
+        def all_out(now):
+            return make_roster(r2=(OUT, now), r3=(OUT, now))
+
+        self.assertTrue(self.serve_until(all_out, 6_000))
+        self.assertFalse(self.lease.may_serve(all_out(30_000.0), 30_000.0))
+
+    def test_slow_renewal_counts_as_failed_for_others(self):
+        self.lease.begin(1_000.0)
+        self.assertGreater(self.lease.renewing_for(1_400.0), 0.0)
+        self.assertEqual(self.lease.renewing_for(1_600.0), 0.0)
+        self.lease.succeed(1_700.0)
+        self.assertEqual(self.lease.renewing_for(1_900.0), 200.0)
+
+
+class RemovalTest(unittest.TestCase):
+    own = make_member("r1")
+
+    def may_remove(self, roster, now=5_000.0, renewing_for=2 * LEASE):
+        lost = make_member("r9")
+        return roster.may_remove(lost, self.own, renewing_for, now)
+
+    def test_majority_that_renews_removes(self):
+        roster = make_roster(r2=(SETTLED, 4_500.0), r9=(SETTLED, 0.0))
+        self.assertTrue(self.may_remove(roster))
+
+    def test_minority_with_the_platform_removes_nobody(self):
+        """Of five routers one reaches the platform and hears no other.
+
+        The four hear each other, take the platform for out and serve on; were
+        they removed, a declaration could be accepted without them.
+        """
+        silent = (SETTLED, 0.0)
+        roster = make_roster(r2=silent, r3=silent, r4=silent, r9=silent)
+        self.assertFalse(self.may_remove(roster))
+
+    def test_voice_from_before_the_loss_does_not_count(self):
+        roster = make_roster(r2=(SETTLED, 3_900.0), r9=(SETTLED, 0.0))
+        self.assertFalse(self.may_remove(roster))
+
+    def test_router_that_renews_only_lately_does_not_count(self):
+        late = Vitals(renewing_for=LEASE)
+        roster = make_roster(r2=(late, 4_500.0), r9=(SETTLED, 0.0))
+        self.assertFalse(self.may_remove(roster))
+
+    def test_newcomers_do_not_outvote_a_cut_off_majority(self):
+        roster = make_roster(r2=(SETTLED, 0.0), r9=(SETTLED, 0.0))
+        for name in ("r5", "r6", "r7"):
+            newcomer = make_member(name, since=101)
+            roster = roster.hear(newcomer, SETTLED, 4_500.0)
+        self.assertFalse(self.may_remove(roster))
+
+    def test_member_with_a_sign_of_life_is_not_removed(self):
+        roster = make_roster(r2=(SETTLED, 4_500.0), r9=(SETTLED, 1_500.0))
+        self.assertFalse(self.may_remove(roster))
--- /dev/null
+++ b/tests/platform/test_relayed.py
@@ -0,0 +1,96 @@
+"""A router without a way to the platform works through its peers."""
+
+import asyncio
+import unittest
+
+from anvilshift.core.clock import ManualClock
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.platform.relayed import RelayedStore
+from anvilshift.platform.store import ConflictError, UncertainError, update
+from tests.platform.fakes import Link, Platform, Way
+
+
+class RelayedStoreTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.platform = Platform()
+        self.own = Way(self.platform)
+        self.peer = Way(self.platform)
+        self.link = Link({"p1": self.peer})
+        self.peers = ["p1"]
+        self.store = RelayedStore(
+            self.own, self.link, ManualClock(), lambda: self.peers
+        )
+        self.addCleanup(self.store.close)
+
+    async def test_every_call_goes_through_a_peer_when_the_own_way_is_cut(self):
+        self.own.cut = True
+        written = await self.store.put("Budget", "pounds", {"grant": 5}, 0)
+        self.assertEqual(written.body, {"grant": 5})
+        self.assertEqual(await self.store.get("Budget", "pounds"), written)
+        self.assertEqual((await self.store.list(["Budget"])).items, (written,))
+        self.assertIsNone(await self.store.get("Budget", "none"))
+        changes = await self.store.watch(["Budget"], 1, 100.0)
+        self.assertEqual([c.name for c in changes.changes], ["pounds"])
+        self.assertEqual(await self.store.hosts(), ())
+        with self.assertRaises(ConflictError):
+            await self.store.put("Budget", "pounds", {}, 99)
+        self.assertEqual(await self.store.delete("Budget", "pounds", 2), 3)
+        self.assertFalse(self.store.reaches_platform)
+
+    async def test_a_reachable_platform_is_called_directly(self):
+        await self.store.put("Budget", "pounds", {}, 0)
+        self.assertEqual((self.own.calls, self.peer.calls), (1, 0))
+        self.assertTrue(self.store.reaches_platform)
+
+    async def test_write_with_a_lost_answer_is_not_sent_through_a_peer(self):
+        """A top-up takes effect and its answer is lost on the way back.
+
+        Sent again through a peer without a look, it would meet its own first
+        write as another's, or be applied twice.
+        """
+        self.own.lose_next_answer = True
+        with self.assertRaises(UncertainError):
+            await self.store.put("Ledger", "main", {"total": 10}, 0)
+        self.assertEqual((self.platform.writes, self.peer.calls), (1, 0))
+
+    async def test_lost_reply_of_a_peer_is_looked_up(self):
+        """The peer writes, and the peer's own reply is lost.
+
+        `update` must find the write in place and not make it a second time.
+        """
+        self.own.cut = True
+        self.link.lose_next_reply = True
+
+        def add(body):
+            return {**(body or {}), "invoice-1": 10}
+
+        with self.assertRaises(UncertainError):
+            await self.store.put("Ledger", "main", add(None), 0)
+        stored = await update(self.store, "Ledger", "main", add)
+        self.assertEqual(stored.body, {"invoice-1": 10})
+        self.assertEqual(self.platform.writes, 1)
+
+    async def test_call_is_not_passed_on_a_second_hop(self):
+        """Two routers, both cut off, would otherwise ask each other for ever."""
+        self.own.cut = self.peer.cut = True
+        with self.assertRaises(AnvilshiftError) as caught:
+            await self.store.get("Budget", "pounds")
+        self.assertEqual(caught.exception.code.number, 5001)
+        self.assertEqual(self.peer.calls, 1)
+
+    async def test_dead_peer_is_passed_over(self):
+        self.own.cut = True
+        self.peers = ["gone", "p1"]
+        await self.store.put("Budget", "pounds", {}, 0)
+        self.assertEqual(self.platform.writes, 1)
+
+    async def test_own_way_is_used_again_once_it_works(self):
+        self.own.cut = True
+        await self.store.get("Budget", "pounds")
+        self.own.cut = False
+        async with asyncio.timeout(5):
+            while not self.store.reaches_platform:
+                await asyncio.sleep(0)
+        before = self.peer.calls
+        await self.store.get("Budget", "pounds")
+        self.assertEqual(self.peer.calls, before)
