Test the relay on the platform in memory

Cause: the relay's tests brought a platform in memory of their own, while standins/memory.py has one with faults. Change: use it; its delete now returns the revision, as the protocol asks. Conclusion: one fake fewer.

--- a/anvilshift/standins/memory.py
+++ b/anvilshift/standins/memory.py
@@ -123,9 +123,9 @@
         """Write an object if it still has a version; 0 creates it."""
         return await self.view("").put(kind, name, body, version)
 
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object if it still has a version."""
-        await self.view("").delete(kind, name, version)
+    async def delete(self, kind: str, name: str, version: int) -> int:
+        """Delete an object if it still has a version; return the revision."""
+        return await self.view("").delete(kind, name, version)
 
     async def watch(self, kinds: Iterable[str], after: int, wait: Millis) -> Changes:
         """Wait for changes after a revision."""
@@ -219,10 +219,11 @@
         """Write an object if it still has a version; 0 creates it."""
         return await self._write("put", kind, name, body, version)
 
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object if it still has a version."""
-        if version:
-            await self._write("delete", kind, name, None, version)
+    async def delete(self, kind: str, name: str, version: int) -> int:
+        """Delete an object if it still has a version; return the revision."""
+        if not version:
+            raise ConflictError(f"{kind}/{name}")
+        return (await self._write("delete", kind, name, None, version)).version
 
     async def _write(
         self, verb: str, kind: str, name: str, body: Body | None, version: int
--- a/tests/platform/test_relayed.py
+++ b/tests/platform/test_relayed.py
@@ -5,41 +5,61 @@
 
 from anvilshift.core.clock import ManualClock
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.platform.relayed import RelayedStore
+from anvilshift.peers.link import PeerError
+from anvilshift.platform.relayed import RelayedStore, call_store
 from anvilshift.platform.store import ConflictError, UncertainError, update
-from tests.platform.fakes import Link, Platform, Way
+from anvilshift.standins.memory import MemoryStore
+
+
+class Link:
+    """Carry store calls to the one peer there is."""
+
+    def __init__(self, store):
+        self.store = store
+        self.calls = 0
+        self.lose_next_reply = False
+
+    async def call_store(self, address, request, timeout):
+        if address != "p1":
+            raise PeerError("refused", sent=False)
+        self.calls += 1
+        reply = await call_store(self.store, request)
+        if self.lose_next_reply:
+            self.lose_next_reply = False
+            raise PeerError("lost")
+        return reply
 
 
 class RelayedStoreTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.platform = Platform()
-        self.own = Way(self.platform)
-        self.peer = Way(self.platform)
-        self.link = Link({"p1": self.peer})
+        self.platform = MemoryStore()
+        self.link = Link(self.platform.view("peer"))
         self.peers = ["p1"]
-        self.store = RelayedStore(
-            self.own, self.link, ManualClock(), lambda: self.peers
-        )
+        own = self.platform.view("own")
+        self.store = RelayedStore(own, self.link, ManualClock(), lambda: self.peers)
         self.addCleanup(self.store.close)
 
+    def cut(self, *callers):
+        self.platform.faults.cut = set(callers)
+
     async def test_every_call_goes_through_a_peer_when_the_own_way_is_cut(self):
-        self.own.cut = True
+        self.cut("own")
         written = await self.store.put("Budget", "pounds", {"grant": 5}, 0)
         self.assertEqual(written.body, {"grant": 5})
         self.assertEqual(await self.store.get("Budget", "pounds"), written)
         self.assertEqual((await self.store.list(["Budget"])).items, (written,))
         self.assertIsNone(await self.store.get("Budget", "none"))
-        changes = await self.store.watch(["Budget"], 1, 100.0)
+        changes = await self.store.watch(["Budget"], 0, 100.0)
         self.assertEqual([c.name for c in changes.changes], ["pounds"])
         self.assertEqual(await self.store.hosts(), ())
         with self.assertRaises(ConflictError):
             await self.store.put("Budget", "pounds", {}, 99)
-        self.assertEqual(await self.store.delete("Budget", "pounds", 2), 3)
+        self.assertEqual(await self.store.delete("Budget", "pounds", 1), 2)
         self.assertFalse(self.store.reaches_platform)
 
     async def test_a_reachable_platform_is_called_directly(self):
         await self.store.put("Budget", "pounds", {}, 0)
-        self.assertEqual((self.own.calls, self.peer.calls), (1, 0))
+        self.assertEqual((self.platform.calls["put"], self.link.calls), (1, 0))
         self.assertTrue(self.store.reaches_platform)
 
     async def test_write_with_a_lost_answer_is_not_sent_through_a_peer(self):
@@ -48,17 +68,17 @@
         Sent again through a peer without a look, it would meet its own first
         write as another's, or be applied twice.
         """
-        self.own.lose_next_answer = True
+        self.platform.faults.lose_answers = 1
         with self.assertRaises(UncertainError):
             await self.store.put("Ledger", "main", {"total": 10}, 0)
-        self.assertEqual((self.platform.writes, self.peer.calls), (1, 0))
+        self.assertEqual((self.platform.calls["put"], self.link.calls), (1, 0))
 
     async def test_lost_reply_of_a_peer_is_looked_up(self):
         """The peer writes, and the peer's own reply is lost.
 
         `update` must find the write in place and not make it a second time.
         """
-        self.own.cut = True
+        self.cut("own")
         self.link.lose_next_reply = True
 
         def add(body):
@@ -68,29 +88,29 @@
             await self.store.put("Ledger", "main", add(None), 0)
         stored = await update(self.store, "Ledger", "main", add)
         self.assertEqual(stored.body, {"invoice-1": 10})
-        self.assertEqual(self.platform.writes, 1)
+        self.assertEqual(self.platform.calls["put"], 1)
 
     async def test_call_is_not_passed_on_a_second_hop(self):
         """Two routers, both cut off, would otherwise ask each other for ever."""
-        self.own.cut = self.peer.cut = True
+        self.cut("own", "peer")
         with self.assertRaises(AnvilshiftError) as caught:
             await self.store.get("Budget", "pounds")
         self.assertEqual(caught.exception.code.number, 5001)
-        self.assertEqual(self.peer.calls, 1)
+        self.assertEqual(self.link.calls, 1)
 
     async def test_dead_peer_is_passed_over(self):
-        self.own.cut = True
+        self.cut("own")
         self.peers = ["gone", "p1"]
         await self.store.put("Budget", "pounds", {}, 0)
-        self.assertEqual(self.platform.writes, 1)
+        self.assertEqual(self.platform.calls["put"], 1)
 
     async def test_own_way_is_used_again_once_it_works(self):
-        self.own.cut = True
+        self.cut("own")
         await self.store.get("Budget", "pounds")
-        self.own.cut = False
+        self.cut()
         async with asyncio.timeout(5):
             while not self.store.reaches_platform:
                 await asyncio.sleep(0)
-        before = self.peer.calls
+        before = self.link.calls
         await self.store.get("Budget", "pounds")
-        self.assertEqual(self.peer.calls, before)
+        self.assertEqual(self.link.calls, before)
