Prove acceptance in partitions and outages on whole routers

Cause: `apply` of a delete, and a second `apply` after an unfinished first, said accepted at once, because no revision was waited for.

Ruled out: waiting for the newest stored version (a delete leaves none).

Change: a delete returns its revision; without any write the platform's own revision is waited for. tests/router/nodes.py joins routers without sockets on the platform in memory; test_acceptance cuts them off from the platform, from peers and from both, in an outage, and races operators.

--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -83,8 +83,10 @@
     Returns
     -------
     tuple
-        The newest revision written, and the differences that lost a race with
-        another operator; those are left as the other wrote them.
+        The newest revision written, or the platform's where nothing was, so
+        that applying again still waits for what an earlier run has stored; and
+        the differences that lost a race with another operator, which are left
+        as the other wrote them.
     """
     newest = 0
     lost = []
@@ -99,6 +101,8 @@
             newest = max(newest, written.version)
         except ConflictError:
             lost.append(item)
+    if not newest:
+        newest = (await store.list([])).revision
     return newest, lost
 
 
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -141,14 +141,15 @@
         # A router joins once it has listed the declarations: before that it
         # could only hold up their acceptance.
         await self._listed.wait()
-        pause = self.roster.lease / _RENEWALS_PER_LEASE / SECOND
+        pause = self.roster.lease / _RENEWALS_PER_LEASE
+        spacing = min(_ACKNOWLEDGE_SPACING, pause)
         while True:
             self._renew_now.clear()
             await self._renew()
             await self._remove_lost()
-            await asyncio.sleep(_ACKNOWLEDGE_SPACING / SECOND)
+            await asyncio.sleep(spacing / SECOND)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(pause):
+                async with asyncio.timeout((pause - spacing) / SECOND):
                     await self._renew_now.wait()
 
     async def _renew(self) -> None:
--- a/anvilshift/standins/platform.py
+++ b/anvilshift/standins/platform.py
@@ -122,7 +122,7 @@
             return await self._watch(request)
         if parts == ["objects"]:
             self.state.calls["list"] += 1
-            kinds = request.query["kinds"].split(",")
+            kinds = request.query.get("kinds", "").split(",")
             items = [o for (k, _), o in self.state.objects.items() if k in kinds]
             return _reply(200, {"revision": self.state.revision, "items": items})
         if len(parts) != 3:
@@ -179,7 +179,7 @@
             self._changed.notify_all()
 
     async def _watch(self, request: HttpRequest) -> Reply:
-        kinds = request.query["kinds"].split(",")
+        kinds = request.query.get("kinds", "").split(",")
         after = int(request.query["after"])
         wait = float(request.query.get("wait_ms", "0")) / SECOND
         if after < self.state.forgotten:
--- /dev/null
+++ b/tests/router/nodes.py
@@ -0,0 +1,121 @@
+"""Routers without sockets on a platform in memory, with cuts between all."""
+
+import asyncio
+import random
+
+from anvilshift.core.clock import MonotonicClock
+from anvilshift.peers.link import PeerError
+from anvilshift.router.node import Node, World
+from anvilshift.router.telemetry import Telemetry
+from anvilshift.settings.router import RouterSettings
+from anvilshift.standins.memory import MemoryStore
+from anvilshift.wire.messages import Address
+
+LEASE = 800.0
+HEARTBEAT = 50.0
+
+
+class Nodes:
+    """A fleet in one process; routers are numbered from 1."""
+
+    def __init__(self, engine=None):
+        self.platform = MemoryStore()
+        self.nodes = {}
+        self.peer_cuts = set()
+        self._engine = engine
+
+    async def start(self, *names):
+        for name in names:
+            self.start_one(name)
+        await wait_until(lambda: all(self.nodes[n].is_ready() for n in names))
+
+    def start_one(self, name):
+        number = int(name[1:])
+        addresses = [Address("127.0.0.1", 100 * k + number) for k in (1, 2, 3)]
+        platform = Address("127.0.0.1", 1)
+        settings = RouterSettings(
+            name,
+            f"host-{name}",
+            "north",
+            *addresses,
+            platform,
+            lease=LEASE,
+            heartbeat=HEARTBEAT,
+            keep_addresses=100.0,
+        )
+        world = World(
+            MonotonicClock(),
+            self.platform.view(name),
+            NodeLink(self, name),
+            NodeConnector(self._engine),
+            Telemetry(exported=False),
+            random.Random(name),
+        )
+        self.nodes[name] = Node(settings, world)
+        self.nodes[name].start()
+        return self.nodes[name]
+
+    def cut_from_platform(self, *names):
+        self.platform.faults.cut = set(names)
+        # A watch that waits when the cut comes must end, as its connection would.
+        self.platform._wake()
+
+    def cut_peers(self, *names):
+        self.peer_cuts = set(names)
+
+    def ready(self):
+        return {name for name, node in self.nodes.items() if node.is_ready()}
+
+    async def close(self):
+        self.platform.faults.outage = False
+        self.cut_from_platform()
+        for node in self.nodes.values():
+            await node.close()
+
+
+class NodeLink:
+    """Peer calls within the process."""
+
+    def __init__(self, nodes, name):
+        self._nodes = nodes
+        self._name = name
+
+    def _find(self, address):
+        for name, node in self._nodes.nodes.items():
+            if node.fleet.member.peer_address == address:
+                if self._nodes.peer_cuts & {name, self._name}:
+                    break
+                return node.fleet
+        raise PeerError("cut")
+
+    async def beat(self, address, beat):
+        return await self._find(address).take_beat(beat)
+
+    async def keep(self, address, request):
+        return await self._find(address).take_copies(request)
+
+    async def give_back(self, address, request):
+        return await self._find(address).take_give_back(request)
+
+    async def call_store(self, address, request, timeout):
+        return await self._find(address).take_store_call(request)
+
+    def close(self):
+        pass
+
+
+class NodeConnector:
+    def __init__(self, engine):
+        self._engine = engine
+
+    def engine(self, engine):
+        return self._engine(engine)
+
+    def service(self, engine):
+        return None
+
+
+async def wait_until(condition, timeout=20.0):
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/router/test_acceptance.py
@@ -0,0 +1,188 @@
+"""Accepted means in force at every router that takes new work."""
+
+import asyncio
+import random
+import unittest
+
+from anvilshift.core.clock import MonotonicClock
+from anvilshift.operator.platformside import (
+    compare,
+    read_stored,
+    wait_accepted,
+    write_differences,
+)
+from anvilshift.platform.store import Changes, Listing, Stored
+from anvilshift.router.following import Follower
+from tests.router.nodes import LEASE, Nodes, wait_until
+
+
+def make_budget(grant):
+    return {("Budget", "pounds"): {"kind": "Budget", "name": "pounds", "grant": grant}}
+
+
+class AcceptanceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Nodes()
+        await self.fleet.start("r1", "r2", "r3")
+        await self.apply(make_budget(1))
+
+    async def asyncTearDown(self):
+        await self.fleet.close()
+
+    async def store(self, documents):
+        store = self.fleet.platform
+        differences = compare(documents, await read_stored(store), prune=True)
+        return await write_differences(store, documents, differences)
+
+    async def apply(self, documents, timeout=20_000.0):
+        newest, lost = await self.store(documents)
+        self.assertEqual(lost, [])
+        clock = MonotonicClock()
+        return await wait_accepted(self.fleet.platform, clock, newest, timeout)
+
+    def grant(self, name):
+        budget = self.fleet.nodes[name].gate.catalogue.budgets.get("pounds")
+        return budget.grant if budget else None
+
+    async def test_accepted_is_in_force_at_once_everywhere(self):
+        acceptance = await self.apply(make_budget(2))
+        self.assertTrue(acceptance.accepted)
+        self.assertEqual([self.grant(n) for n in ("r1", "r2", "r3")], [2, 2, 2])
+
+    async def test_delete_is_acknowledged_too(self):
+        """An operator deletes a budget and is told that this is in force.
+
+        A delete wrote no revision to wait for, so `apply` said so at once.
+        """
+        self.fleet.cut_from_platform("r3")
+        self.fleet.cut_peers("r3")
+        newest, _ = await self.store({})
+        acceptance = await wait_accepted(
+            self.fleet.platform, MonotonicClock(), newest, 0.0
+        )
+        self.assertIn("r3", acceptance.waiting)
+        self.fleet.cut_from_platform()
+        self.fleet.cut_peers()
+        self.assertTrue((await self.apply({})).accepted)
+        self.assertEqual([self.grant(n) for n in ("r1", "r2", "r3")], [None] * 3)
+
+    async def test_router_cut_from_the_platform_only_works_through_peers(self):
+        self.fleet.cut_from_platform("r3")
+        acceptance = await self.apply(make_budget(2))
+        self.assertTrue(acceptance.accepted)
+        self.assertEqual(self.grant("r3"), 2)
+        self.assertIn("r3", self.fleet.platform.names("Router"))
+        self.assertIn("r3", self.fleet.ready())
+
+    async def test_isolated_router_never_serves_on_what_was_replaced(self):
+        """A router loses the platform and its peers; a declaration is accepted
+        without it.  Callers that still reach it would be served under the old.
+        """
+        self.fleet.cut_from_platform("r3")
+        self.fleet.cut_peers("r3")
+        await wait_until(lambda: self.grant("r3") == 1)
+        accepting = asyncio.create_task(self.apply(make_budget(2)))
+        while not accepting.done():
+            await asyncio.sleep(0.01)
+        self.assertTrue(accepting.result().accepted)
+        self.assertNotIn("r3", self.fleet.ready())
+        self.fleet.cut_from_platform()
+        self.fleet.cut_peers()
+        async with asyncio.timeout(20):
+            while "r3" not in self.fleet.ready():
+                await asyncio.sleep(0)
+            served_old = self.grant("r3") == 1
+        self.assertFalse(served_old)
+
+    async def test_outage_stops_nobody_and_a_newcomer_waits_for_its_end(self):
+        """The platform goes out for longer than every lease.
+
+        All routers must serve on; one that starts meanwhile knows nothing and
+        must turn callers away until it holds the newest declarations.
+        """
+        self.fleet.platform.faults.outage = True
+        self.fleet.cut_from_platform()
+        newcomer = self.fleet.start_one("r4")
+        clock = MonotonicClock()
+        end = clock.now() + 4 * LEASE
+        while clock.now() < end:
+            self.assertEqual(self.fleet.ready(), {"r1", "r2", "r3"})
+            await asyncio.sleep(0.02)
+        self.fleet.platform.faults.outage = False
+        await wait_until(newcomer.is_ready)
+        self.assertEqual(self.grant("r4"), 1)
+
+    async def test_minority_with_the_platform_waits_for_the_majority(self):
+        """One of three keeps the platform; the other two hear only each other.
+
+        They take the platform for out and serve on, so the one must not get a
+        declaration accepted without them.
+        """
+        self.fleet.cut_from_platform("r2", "r3")
+        self.fleet.cut_peers("r1")
+        await wait_until(
+            lambda: len(self.fleet.nodes["r1"].fleet.roster.lost(_now())) == 2
+        )
+        acceptance = await self.apply(make_budget(2), timeout=4 * LEASE)
+        self.assertEqual(set(acceptance.waiting), {"r2", "r3"})
+        self.assertEqual(self.fleet.ready(), {"r1", "r2", "r3"})
+        self.fleet.cut_from_platform()
+        self.fleet.cut_peers()
+        self.assertTrue((await self.apply(make_budget(2))).accepted)
+        self.assertEqual([self.grant(n) for n in ("r1", "r2", "r3")], [2, 2, 2])
+
+    async def test_loser_of_a_race_overwrites_nothing(self):
+        store = self.fleet.platform
+        stored = await read_stored(store)
+        differences = compare(make_budget(5), stored, prune=False)
+        await self.apply(make_budget(4))
+        _, lost = await write_differences(store, make_budget(5), differences)
+        self.assertEqual([item.name for item in lost], ["pounds"])
+        self.assertEqual(store.peek("Budget", "pounds")["grant"], 4)
+
+    async def test_unreadable_declaration_is_not_acknowledged(self):
+        """A newer program stores a field that these routers can't read.
+
+        They keep the last state they could read, and `apply` names them.
+        """
+        newest, _ = await self.store(make_budget("many"))
+        acceptance = await wait_accepted(
+            self.fleet.platform, MonotonicClock(), newest, LEASE
+        )
+        self.assertEqual(set(acceptance.waiting), {"r1", "r2", "r3"})
+        self.assertEqual(self.grant("r1"), 1)
+        self.assertTrue((await self.apply(make_budget(3))).accepted)
+
+
+def _now():
+    return MonotonicClock().now()
+
+
+class StaleStore:
+    """Lists a new state, then an older copy, then the new one again."""
+
+    def __init__(self):
+        body = make_budget(2)["Budget", "pounds"]
+        old = make_budget(1)["Budget", "pounds"]
+        new = Listing(9, (Stored("Budget", "pounds", 9, body),))
+        self.listings = [new, Listing(4, (Stored("Budget", "pounds", 4, old),)), new]
+
+    async def list(self, kinds):
+        if not self.listings:
+            await asyncio.Event().wait()
+        return self.listings.pop(0)
+
+    async def watch(self, kinds, after, wait):
+        return Changes(after, too_old=True)
+
+
+class StaleListingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_older_copy_takes_nothing_back(self):
+        store = StaleStore()
+        seen = []
+        follower = Follower(store, seen.append, lambda n, b: None, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await wait_until(lambda: not store.listings)
+        task.cancel()
+        self.assertEqual({c.budgets["pounds"].grant for c in seen}, {2})
+        self.assertEqual(follower.acknowledged, 9)
