Beat to each peer on its own, and name the relay call plainly

Cause: one unanswered heartbeat held up those to all other routers, which then took this one for lost.

--- a/anvilshift/peers/link.py
+++ b/anvilshift/peers/link.py
@@ -21,6 +21,8 @@
 from anvilshift.wire.messages import Address
 
 _CALL_TIMEOUT: Millis = 1 * SECOND
+_STORE_TIMEOUT: Millis = 2.5 * SECOND
+"""The other router's own call of the platform may take two seconds."""
 
 
 class PeerError(ConnectionError):
@@ -49,9 +51,7 @@
     async def give_back(self, address: str, request: GiveBackRequest) -> GiveBackReply:
         """Ask for unused tokens to be given back."""
 
-    async def call_store(
-        self, address: str, request: StoreRequest, timeout: Millis
-    ) -> StoreReply:
+    async def call_store(self, address: str, request: StoreRequest) -> StoreReply:
         """Have another router make a call of the platform."""
 
     def close(self) -> None:
@@ -70,7 +70,7 @@
     async def take_give_back(self, request: GiveBackRequest) -> GiveBackReply:
         """Give unused tokens of a budget back to the platform."""
 
-    async def take_store_call(self, request: StoreRequest) -> StoreReply:
+    async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router."""
 
 
@@ -105,10 +105,9 @@
         """Ask for unused tokens to be given back."""
         return await self._call(self._stub(address).GiveBack, request)
 
-    async def call_store(
-        self, address: str, request: StoreRequest, timeout: Millis
-    ) -> StoreReply:
+    async def call_store(self, address: str, request: StoreRequest) -> StoreReply:
         """Have another router make a call of the platform."""
+        timeout = _STORE_TIMEOUT + request.wait_ms
         return await self._call(self._stub(address).CallStore, request, timeout)
 
     async def _call(self, method, message, timeout=None):  # type: ignore[no-untyped-def]
@@ -161,7 +160,7 @@
     ) -> None:
         message = await stream.recv_message()
         if message is not None:
-            await stream.send_message(await self._handler.take_store_call(message))
+            await stream.send_message(await self._handler.take_call_store(message))
 
 
 class PeerServer:
--- a/anvilshift/platform/relayed.py
+++ b/anvilshift/platform/relayed.py
@@ -33,8 +33,6 @@
 
 Result = TypeVar("Result")
 _PROBE_INTERVAL: Millis = 500.0
-_CALL_TIMEOUT: Millis = 2_500.0
-"""The other router's own call may take two seconds."""
 _WATCH_WAIT: Millis = 2 * SECOND
 """Short, so that a peer that is cut off in its turn is found out soon."""
 _PEERS_TRIED = 2
@@ -198,10 +196,9 @@
                 await asyncio.sleep(_PROBE_INTERVAL / SECOND)
 
     async def _ask_peers(self, request: StoreRequest) -> Any:
-        timeout = _CALL_TIMEOUT + request.wait_ms
         for address in self._peers()[:_PEERS_TRIED]:
             try:
-                reply = await self._link.call_store(address, request, timeout)
+                reply = await self._link.call_store(address, request)
             except PeerError as error:
                 if error.sent and request.method in _WRITES:
                     detail = "a write through a peer got no answer"
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -78,6 +78,7 @@
         self._in_flight = in_flight
         self._copies: Copies = {}
         self._sealed: set[str] = set()
+        self._beats: dict[str, asyncio.Task[None]] = {}
         self._listed = asyncio.Event()
         self._renew_now = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -126,9 +127,10 @@
 
     async def close(self) -> None:
         """Take the own record away and stop."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._beats.values()]
+        for task in tasks:
             task.cancel()
-        for task in self._tasks:
+        for task in tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         with contextlib.suppress(AnvilshiftError):
@@ -270,9 +272,15 @@
         self.roster = self.roster.hear(member, vitals, self._clock.now())
 
     async def _keep_beating(self) -> None:
+        # Each peer has its own beat: a peer that does not answer must not make
+        # this router look lost to the others.
         while True:
             self.may_serve()
-            await self._beat_all()
+            running = {a: t for a, t in self._beats.items() if not t.done()}
+            self._beats = running
+            for address in self._peer_addresses():
+                if address not in running:
+                    running[address] = asyncio.create_task(self._beat_one(address))
             await asyncio.sleep(self._heartbeat / SECOND)
 
     async def _beat_all(self) -> None:
@@ -344,6 +352,6 @@
         await self._treasury.give_back(request.account)
         return GiveBackReply()
 
-    async def take_store_call(self, request: StoreRequest) -> StoreReply:
+    async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router, on the own way only."""
         return await call_store(self._direct, request)
--- a/tests/platform/test_relayed.py
+++ b/tests/platform/test_relayed.py
@@ -19,7 +19,7 @@
         self.calls = 0
         self.lose_next_reply = False
 
-    async def call_store(self, address, request, timeout):
+    async def call_store(self, address, request):
         if address != "p1":
             raise PeerError("refused", sent=False)
         self.calls += 1
--- a/tests/router/nodes.py
+++ b/tests/router/nodes.py
@@ -97,8 +97,8 @@
     async def give_back(self, address, request):
         return await self._find(address).take_give_back(request)
 
-    async def call_store(self, address, request, timeout):
-        return await self._find(address).take_store_call(request)
+    async def call_store(self, address, request):
+        return await self._find(address).take_call_store(request)
 
     def close(self):
         pass
