Send no new work to a target after the first sign that it leaves

Cause: only the platform's lagging list counted, by the engine's name; a report, a refused connection and other routers' knowledge were unused, and one engine that hung made the reports of all others late.

Ruled out: passing on a peer's word (two routers would keep a target away for ever); passing on a refused connection (it may be this router's own trouble).

EngineGroup's engines name their host. Each engine is polled on its own.

--- a/anvilshift/core/declarations.py
+++ b/anvilshift/core/declarations.py
@@ -92,6 +92,8 @@
         Requests that the target runs at once before it queues them itself.
     checks_fencing
         Whether it refuses an order that carries an old fencing number.
+    host
+        Its host's name on the platform's list; empty when it is the target's.
     """
 
     name: str
@@ -99,17 +101,31 @@
     failure_domain: str
     slots: int = 8
     checks_fencing: bool = False
+    host: str = ""
+
+    @property
+    def host_name(self) -> str:
+        """Return the name under which the platform lists its host."""
+        return self.host or self.name
 
 
 @dataclass(frozen=True)
 class EngineGroup:
-    """Targets of one kind that share labels."""
+    """Targets of one kind that share labels.
+
+    Parameters
+    ----------
+    desired
+        What every engine of the group shall have loaded, such as its model,
+        adapter, version and role; orders are given until it has.
+    """
 
     name: str
     kind: TargetKind
     engines: tuple[Engine, ...]
     labels: Labels = field(default_factory=dict)
     models: tuple[str, ...] = ()
+    desired: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -69,7 +69,13 @@
 
 @dataclass(frozen=True)
 class LoadReport:
-    """What a target says of its load, as of an instant in the past."""
+    """What a target says of its load, as of an instant in the past.
+
+    Parameters
+    ----------
+    leaving
+        Whether it says that it takes no new work.
+    """
 
     target: str
     running: int
@@ -77,6 +83,7 @@
     as_of: Millis
     cached_tokens: int = 0
     tokens_per_second: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -115,6 +115,7 @@
                 float(value["age_ms"]),
                 int(value.get("cached_tokens", 0)),
                 float(value.get("tokens_per_second", 0.0)),
+                bool(value.get("leaving", False)),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise TargetError(Failure.BROKE_OFF, "the load report is wrong") from error
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from absl import logging
@@ -38,6 +38,10 @@
 Copies = dict[str, dict[str, tuple[str, Bill]]]
 
 
+def _ignore_targets(router: str, targets: Iterable[str]) -> None:
+    return None
+
+
 class Fleet:
     """One router's part in the fleet.
 
@@ -68,6 +72,8 @@
         self.lease = Lease(lease)
         self.must_hold = 0
         """Revision that must be in force here before new work is taken."""
+        self.tell_targets: Callable[[], Iterable[str]] = tuple
+        self.hear_targets: Callable[[str, Iterable[str]], None] = _ignore_targets
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self._store = store
         self._direct = direct or store
@@ -237,6 +243,7 @@
             renewing_for_ms=self.lease.renewing_for(self._clock.now()),
             serving=self.may_serve() and not member.leaving,
             in_flight=self._in_flight(),
+            leaving_targets=self.tell_targets(),
         )
 
     def _reaches_platform(self) -> bool:
@@ -270,6 +277,7 @@
             beat.reaches_platform, beat.renewing_for_ms, beat.serving, beat.in_flight
         )
         self.roster = self.roster.hear(member, vitals, self._clock.now())
+        self.hear_targets(beat.router, beat.leaving_targets)
 
     async def _keep_beating(self) -> None:
         # Each peer has its own beat: a peer that does not answer must not make
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -14,16 +14,16 @@
 from anvilshift.core.clock import SECOND, Clock
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
-from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
-from anvilshift.core.work import DispatchSettings, Target
+from anvilshift.core.work import DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
 from anvilshift.platform.relayed import RelayedStore
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
+from anvilshift.router.departing import Departing
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.following import Follower
@@ -34,7 +34,6 @@
 from anvilshift.router.treasury import Treasury
 from anvilshift.settings.router import RouterSettings
 
-_HOSTS_INTERVAL_S = 0.5
 _IDLE_CHECK_S = 0.02
 
 
@@ -76,6 +75,7 @@
         self.dispatcher = Dispatcher(figures, world.rng)
         self.dispatch = DispatchLoop(self.dispatcher, world.clock)
         self.targets = Targets(world.connector, world.clock)
+        self.departing = Departing(self._tell_dispatcher)
         self.gate = Gate()
         self.callers = self._make_caller_port()
         self.fleet = Fleet(
@@ -92,6 +92,8 @@
         self.follower = Follower(
             self.store, self._configure, self.fleet.take_router, world.rng
         )
+        self.fleet.tell_targets = lambda: self.departing.told
+        self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -133,6 +135,7 @@
             for engine in group.engines
         ]
         self.dispatch.act(self.dispatcher.configure(targets, self.clock.now()))
+        self.departing.configure(catalogue)
         self.fleet.acknowledge(catalogue.revision)
         logging.info("declarations in force revision=%d", catalogue.revision)
 
@@ -166,6 +169,7 @@
             "in_flight": self.callers.in_flight,
             "waiting": self.dispatch.waiting,
             "peers": sorted(s.member.name for s in sightings),
+            "leaving_targets": sorted(self.departing.leaving),
         }
 
     def start(self) -> None:
@@ -174,14 +178,14 @@
         self.treasury.start()
         loop = asyncio.get_running_loop()
         polling = self.targets.poll(
-            lambda report: self.dispatch.act(
-                self.dispatcher.load_report(report, self.clock.now())
-            ),
+            self._take_report,
             lambda event: self.dispatch.act(
                 self.dispatcher.cache_event(event, self.clock.now())
             ),
+            self.departing.take_refusal,
         )
-        for work in (self.follower.run(), polling, self._watch_hosts()):
+        leaving = self.departing.follow(self.store, self._name_routers)
+        for work in (self.follower.run(), polling, leaving):
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
@@ -219,16 +223,14 @@
         await self.fleet.close()
         self.store.close()
 
-    async def _watch_hosts(self) -> None:
-        """Take in the platform's list: a host on its way out gets no new work."""
-        leaving: set[str] = set()
-        while True:
-            with contextlib.suppress(AnvilshiftError):
-                listed = {h.name for h in await self.store.hosts() if h.leaving}
-                now = self.clock.now()
-                for name in listed - leaving:
-                    self.dispatch.act(self.dispatcher.leaving(name, now))
-                for name in leaving - listed:
-                    self.dispatch.act(self.dispatcher.staying(name, now))
-                leaving = listed
-            await asyncio.sleep(_HOSTS_INTERVAL_S)
+    def _take_report(self, report: LoadReport) -> None:
+        self.departing.take_report(report)
+        self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
+
+    def _name_routers(self) -> set[str]:
+        present = self.fleet.roster.present(self.clock.now())
+        return {sighting.member.name for sighting in present}
+
+    def _tell_dispatcher(self, target: str, leaving: bool) -> None:
+        change = self.dispatcher.leaving if leaving else self.dispatcher.staying
+        self.dispatch.act(change(target, self.clock.now()))
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -10,8 +10,9 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import Catalogue, Engine, TargetKind
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.work import CacheEvent, LoadReport
+from anvilshift.core.work import CacheEvent, Failure, LoadReport
 from anvilshift.engines.engine import Connector, ModelEngine, PlainService
+from anvilshift.engines.http import TargetError
 
 REPORT_INTERVAL: Millis = 250.0
 
@@ -66,14 +67,27 @@
         self,
         take_report: Callable[[LoadReport], None],
         take_event: Callable[[CacheEvent], None],
+        take_refusal: Callable[[str], None],
     ) -> None:
-        """Read every engine's reports again and again."""
-        while True:
-            engines = list(self._engines.items())
-            await asyncio.gather(
-                *(self._poll_one(n, e, take_report, take_event) for n, e in engines)
-            )
-            await asyncio.sleep(REPORT_INTERVAL / SECOND)
+        """Read every engine's reports again and again.
+
+        One poll an engine is under way: an engine that hangs must not make the
+        reports of all the others late.
+        """
+        polls: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                polls = {n: task for n, task in polls.items() if not task.done()}
+                for name, engine in self._engines.items():
+                    if name not in polls:
+                        work = self._poll_one(
+                            name, engine, take_report, take_event, take_refusal
+                        )
+                        polls[name] = asyncio.create_task(work)
+                await asyncio.sleep(REPORT_INTERVAL / SECOND)
+        finally:
+            for task in polls.values():
+                task.cancel()
 
     async def _poll_one(
         self,
@@ -81,6 +95,7 @@
         engine: ModelEngine,
         take_report: Callable[[LoadReport], None],
         take_event: Callable[[CacheEvent], None],
+        take_refusal: Callable[[str], None],
     ) -> None:
         try:
             report = await engine.load()
@@ -88,6 +103,10 @@
             for event in await engine.cache_events(self._sequences.get(name, 0)):
                 self._sequences[name] = event.sequence
                 take_event(event)
+        except TargetError as error:
+            logging.debug("no report engine=%s %s", name, error)
+            if error.failure is Failure.NOT_SENT:
+                take_refusal(name)
         except AnvilshiftError as error:
             logging.debug("no report engine=%s code=%d", name, error.code.number)
 
--- a/anvilshift/settings/declarations.py
+++ b/anvilshift/settings/declarations.py
@@ -109,6 +109,7 @@
     failure_domain: str
     slots: int = Field(default=Engine.slots, ge=1)
     checks_fencing: bool = Engine.checks_fencing
+    host: str = Engine.host
 
     def convert(self) -> Engine:
         return Engine(
@@ -117,6 +118,7 @@
             self.failure_domain,
             self.slots,
             self.checks_fencing,
+            self.host,
         )
 
 
@@ -127,11 +129,24 @@
     labels: Labels = {}
     models: list[Name] = []
     engines: list[_EngineModel]
+    desired: dict[str, str] = {}
+
+    @model_validator(mode="after")
+    def _check_desired(self) -> "_EngineGroupModel":
+        if self.desired and self.target == "service":
+            raise ValueError("desired: plain services take no orders")
+        return self
 
     def convert(self) -> EngineGroup:
         engines = tuple(engine.convert() for engine in self.engines)
-        target = TargetKind(self.target)
-        return EngineGroup(self.name, target, engines, self.labels, tuple(self.models))
+        return EngineGroup(
+            self.name,
+            TargetKind(self.target),
+            engines,
+            self.labels,
+            tuple(self.models),
+            self.desired,
+        )
 
 
 class _PolicyModel(_Model):
--- a/anvilshift/standins/engine.py
+++ b/anvilshift/standins/engine.py
@@ -62,12 +62,15 @@
         Answer every request with a 500.
     hang
         Take requests and answer nothing.
+    leaving
+        Say in load reports that no new work is taken.
     """
 
     slow: float = 1.0
     break_after: int = 0
     fail: bool = False
     hang: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
@@ -178,7 +181,11 @@
             self._reported_at = now
             running = self.figures.slots - self._free
             self._report = {"running": running, "waiting": len(self._queue)}
-        return {**self._report, "age_ms": now - self._reported_at}
+        return {
+            **self._report,
+            "age_ms": now - self._reported_at,
+            "leaving": self.faults.leaving,
+        }
 
     def _take_order(self, request: HttpRequest) -> Reply:
         order = parse_object(request.body)
