Give orders to engines from one owner at a time

Cause: orders to load a model or change a role had an adapter and no owner.

Ruled out: an owner by lease alone (a paused one wakes and orders); numbers alone (some engines ignore them).

Figures: 4 tests in virtual time, with an owner paused between its check and its order's arrival; an ignoring engine is set right within 2 s.

Conclusion: between the paused owner's waking and the next round an ignoring engine has the old state; nothing on our side can prevent that.

--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -28,6 +28,7 @@
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.following import Follower
 from anvilshift.router.gate import Gate
+from anvilshift.router.orders import Orders
 from anvilshift.router.runs import Shared
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
@@ -92,6 +93,9 @@
         self.follower = Follower(
             self.store, self._configure, self.fleet.take_router, world.rng
         )
+        self.orders = Orders(
+            self.store, world.clock, self.fleet, lambda name: self.targets.engine(name)
+        )
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
@@ -136,6 +140,7 @@
         ]
         self.dispatch.act(self.dispatcher.configure(targets, self.clock.now()))
         self.departing.configure(catalogue)
+        self.orders.configure(catalogue)
         self.fleet.acknowledge(catalogue.revision)
         logging.info("declarations in force revision=%d", catalogue.revision)
 
@@ -169,6 +174,7 @@
             "in_flight": self.callers.in_flight,
             "waiting": self.dispatch.waiting,
             "peers": sorted(s.member.name for s in sightings),
+            "owns_orders": self.orders.owns,
             "leaving_targets": sorted(self.departing.leaving),
         }
 
@@ -185,7 +191,7 @@
             self.departing.take_refusal,
         )
         leaving = self.departing.follow(self.store, self._name_routers)
-        for work in (self.follower.run(), polling, leaving):
+        for work in (self.follower.run(), polling, leaving, self.orders.run()):
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
--- a/tests/router/nodes.py
+++ b/tests/router/nodes.py
@@ -56,7 +56,7 @@
             self.clock,
             self.platform.view(name),
             NodeLink(self, name),
-            NodeConnector(self._engine),
+            NodeConnector(self._engine, name),
             Telemetry(exported=False),
             random.Random(name),
         )
@@ -114,11 +114,12 @@
 
 
 class NodeConnector:
-    def __init__(self, engine):
+    def __init__(self, engine, router):
         self._engine = engine
+        self._router = router
 
     def engine(self, engine):
-        return self._engine(engine)
+        return self._engine(engine, self._router)
 
     def service(self, engine):
         return None
--- /dev/null
+++ b/tests/router/test_orders.py
@@ -0,0 +1,143 @@
+"""One owner of orders at a time, for engines that check numbers and others."""
+
+import asyncio
+
+from anvilshift.core.clock import SECOND
+from anvilshift.core.errors import PLATFORM_DOWN, AnvilshiftError
+from anvilshift.core.orders import compute_wait
+from tests.router.nodes import LEASE, Nodes, VirtualTestCase, wait_until
+
+
+class Engine:
+    """An engine that every router reaches, with a gate for one router's orders."""
+
+    def __init__(self, clock, checks_fencing):
+        self.clock = clock
+        self.checks = checks_fencing
+        self.fencing = 0
+        self.loaded = {}
+        self.taken = []
+        self.paused = set()
+        self.resume = asyncio.Event()
+
+    async def give(self, router, order):
+        if router in self.paused:
+            await self.resume.wait()
+        if self.checks and order.fencing < self.fencing:
+            self.taken.append((router, "refused"))
+            return False
+        self.fencing = max(self.fencing, order.fencing)
+        self.loaded = dict(order.desired)
+        self.taken.append((router, order.desired["model"]))
+        return True
+
+
+class EngineOfRouter:
+    def __init__(self, engine, router):
+        self._engine = engine
+        self._router = router
+
+    async def give(self, order):
+        return await self._engine.give(self._router, order)
+
+    async def state(self):
+        return self._engine.loaded
+
+    async def load(self):
+        raise AnvilshiftError(PLATFORM_DOWN)
+
+
+def make_group(model, checks_fencing):
+    engine = {
+        "name": "e1",
+        "address": "127.0.0.1:9",
+        "failure_domain": "north",
+        "checks_fencing": checks_fencing,
+    }
+    return {
+        "kind": "EngineGroup",
+        "name": "advisors",
+        "target": "model",
+        "engines": [engine],
+        "desired": {"model": model},
+    }
+
+
+class OrdersTest(VirtualTestCase):
+    async def begin(self, checks_fencing):
+        self.fleet = Nodes(lambda engine, router: EngineOfRouter(self.engine, router))
+        self.addAsyncCleanup(self.fleet.close)
+        self.engine = Engine(self.fleet.clock, checks_fencing)
+        self.checks = checks_fencing
+        await self.fleet.start("r1", "r2", "r3")
+        await self.declare("old")
+
+    async def declare(self, model):
+        store = self.fleet.platform
+        found = await store.get("EngineGroup", "advisors")
+        body = make_group(model, self.checks)
+        await store.put("EngineGroup", "advisors", body, found.version if found else 0)
+
+    def isolate(self, *names):
+        self.fleet.cut_from_platform(*names)
+        self.fleet.cut_peers(*names)
+
+    async def pause_owner_in_the_act(self):
+        """Stop r1, the owner, between its last check and its order's arrival."""
+        self.engine.paused = {"r1"}
+        await wait_until(lambda: self.fleet.nodes["r1"].orders.owns)
+        await asyncio.sleep(2)
+        self.isolate("r1")
+        await self.declare("new")
+        return self.fleet.clock.now()
+
+    async def wait_loaded(self, model):
+        await wait_until(lambda: self.engine.loaded.get("model") == model)
+
+    async def test_one_router_brings_the_engine_to_the_desired_state(self):
+        await self.begin(checks_fencing=False)
+        await self.wait_loaded("old")
+        await self.declare("new")
+        await self.wait_loaded("new")
+        self.assertEqual(self.engine.taken, [("r1", "old"), ("r1", "new")])
+
+    async def test_checking_engine_refuses_the_paused_owner(self):
+        """The owner is paused with an order on its way; another takes over and
+        loads a newer model.  The old order then arrives.
+        """
+        await self.begin(checks_fencing=True)
+        await self.pause_owner_in_the_act()
+        await self.wait_loaded("new")
+        self.engine.resume.set()
+        await wait_until(lambda: ("r1", "refused") in self.engine.taken)
+        self.assertEqual(self.engine.loaded, {"model": "new"})
+        self.assertEqual(self.engine.fencing, 2)
+
+    async def test_ignoring_engine_is_read_back_and_corrected(self):
+        """As above, but the engine takes any order: it loads the old model when
+        the paused owner wakes.  The new owner sees it and orders again.
+        """
+        await self.begin(checks_fencing=False)
+        began = await self.pause_owner_in_the_act()
+        await self.wait_loaded("new")
+        waited = self.fleet.clock.now() - began
+        self.assertGreaterEqual(waited, compute_wait(LEASE))
+        self.engine.resume.set()
+        await self.wait_loaded("old")
+        woke = self.fleet.clock.now()
+        await self.wait_loaded("new")
+        self.assertLessEqual(self.fleet.clock.now() - woke, 2 * SECOND)
+        self.assertEqual(self.engine.taken[-1], ("r2", "new"))
+
+    async def test_owner_that_was_replaced_stays_silent(self):
+        """A cut-off owner comes back when another has the orders."""
+        await self.begin(checks_fencing=False)
+        await self.wait_loaded("old")
+        self.isolate("r1")
+        await self.declare("new")
+        await self.wait_loaded("new")
+        self.isolate()
+        await wait_until(lambda: len(self.fleet.ready()) == 3)
+        await asyncio.sleep(10)
+        self.assertEqual(self.engine.taken, [("r1", "old"), ("r2", "new")])
+        self.assertFalse(self.fleet.nodes["r1"].orders.owns)
