Settle before a planned stop ends, and name what it cuts off

Cause: a planned stop tried to give its grants back once; in an outage they stayed out and the exit code was 0. What was cut off was a count.

Ruled out: exit 0 with grants still out (nobody would look); waiting past the grace limit for the platform.

Change: router/stopping.py leaves, serves on for the keep-for time, turns new work away, waits for what is in flight, then settles again and again until the grace limit or a second signal. Each request cut off is logged with its organisation; exit 1 if any was or if the grants stay out.

Conclusion: within the grace limit an outage costs time, past it the peers seal the grants.

--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -1,5 +1,6 @@
 """The caller's port: chat completions, plain services, address lookup."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from absl import logging
@@ -58,6 +59,7 @@
         self.runs = Runs(shared)
         self.refusing = False
         self.calls = 0
+        self._open: dict[asyncio.Task[None] | None, Job] = {}
         self._shared = shared
         self._gate = gate
         self._claims = claims
@@ -90,6 +92,13 @@
                 raise AnvilshiftError(UNKNOWN_ROUTE, "no such path")
         finally:
             self.calls -= 1
+            self._open.pop(asyncio.current_task(), None)
+
+    def list_open(self) -> list[tuple[str, str]]:
+        """Return id and organisation of each request that has not ended."""
+        jobs = {job.identity: job for job in self._open.values()}
+        jobs |= {job.identity: job for job in self.runs.list_jobs()}
+        return [(job.identity, job.organisation.name) for job in jobs.values()]
 
     async def _chat(
         self, request: HttpRequest, organisation: Organisation, responder: Responder
@@ -97,6 +106,7 @@
         now = self._shared.clock.now()
         routes = dict(self._gate.catalogue.routes)
         job = read_chat(request, organisation, routes, now)
+        self._open[asyncio.current_task()] = job
         if job.non_idempotent:
             answer = await self._run_once(job, lambda: self._run_model(job))
             await write_answer(answer, job, responder)
@@ -119,6 +129,7 @@
             raise AnvilshiftError(UNKNOWN_ROUTE, "no such service")
         now = self._shared.clock.now()
         job = read_service_call(request, organisation, route, rest, now)
+        self._open[asyncio.current_task()] = job
         call = ServiceCall(self._shared, job, request, f"/{rest}")
         work = self._gate.make_work(job)
         if job.non_idempotent:
--- a/anvilshift/router/daemon.py
+++ b/anvilshift/router/daemon.py
@@ -63,7 +63,7 @@
         await self._stopping.wait()
         cut_off = await self.node.drain(self._abandoned)
         await self.close()
-        return 1 if cut_off else 0
+        return 0 if not cut_off and self.node.settled else 1
 
     async def start(self) -> None:
         """Listen and begin every background task."""
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -11,9 +11,10 @@
 
 from absl import logging
 
-from anvilshift.core.clock import SECOND, Clock
+from anvilshift.core.clock import Clock
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
 from anvilshift.core.work import DispatchSettings, LoadReport, Target
@@ -30,13 +31,12 @@
 from anvilshift.router.gate import Gate
 from anvilshift.router.orders import Orders
 from anvilshift.router.runs import Shared
+from anvilshift.router.stopping import PlannedStop, StopSteps
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.router.treasury import Treasury
 from anvilshift.settings.router import RouterSettings
 
-_IDLE_CHECK_S = 0.02
-
 
 @dataclass(frozen=True)
 class World:
@@ -99,6 +99,7 @@
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
+        self.settled = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -195,32 +196,31 @@
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
-        """Leave the address answers, finish what runs; return what was cut off.
+        """Stop as planned; return how many requests were cut off.
 
         Parameters
         ----------
         abandoned
             Set when the stop must end at once.
         """
-        logging.info("planned stop begins in_flight=%d", self.callers.in_flight)
-        try:
-            async with asyncio.timeout(self.settings.grace / SECOND):
-                await self.fleet.leave()
-                # Callers keep an address for a stated time and are served for
-                # as long; only then is new work turned away.
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(self.settings.keep_addresses / SECOND):
-                        await abandoned.wait()
-                self.callers.refusing = True
-                while self.callers.in_flight and not abandoned.is_set():
-                    await asyncio.sleep(_IDLE_CHECK_S)
-        except TimeoutError:
-            pass
-        cut_off = self.callers.in_flight
-        if cut_off:
-            logging.error("planned stop cut off in_flight=%d", cut_off)
+        steps = StopSteps(
+            self._leave, self._refuse, self.treasury.give_back, self.callers.list_open
+        )
+        settings = self.settings
+        keep, grace = settings.keep_addresses, settings.grace
+        stop = PlannedStop(steps, keep, grace, abandoned)
+        cut_off = await stop.run()
+        self.settled = stop.settled
         return cut_off
 
+    async def _leave(self) -> None:
+        await self.fleet.leave()
+        with contextlib.suppress(AnvilshiftError):
+            await self.orders.release()
+
+    def _refuse(self) -> None:
+        self.callers.refusing = True
+
     async def close(self) -> None:
         """Settle grants and stop every task."""
         for task in self._tasks:
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -265,6 +265,10 @@
         check_invariant(run.job.identity == job.identity, "a run answers another job")
         return run
 
+    def list_jobs(self) -> list[Job]:
+        """Return the jobs of the runs that have not ended."""
+        return [run.job for run in self._runs.values() if not run.ended]
+
     def _forget(self) -> None:
         now = self._shared.clock.now()
         for identity, run in list(self._runs.items()):
