--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -361,6 +361,10 @@
         self._finished_chars += len(run.text)
         self._forget()
 
+    def list_jobs(self) -> list[Job]:
+        """Return the jobs of the runs that have not ended."""
+        return [run.job for run in self._runs.values() if not run.ended]
+
     def _forget(self) -> None:
         now = self._shared.clock.now()
         while self._finished:
