--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -6,49 +6,15 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
 
-from anvilshift.core.errors import check_invariant
-from anvilshift.core.ledger import Bill, BillState, Commit, Draw, Grant, Outcome
+from anvilshift.core.account import Bill, BillState
+from anvilshift.core.clock import Millis
+from anvilshift.core.errors import InvariantError
+from anvilshift.core.ledger import BillKey, Commit, Outcome
+from anvilshift.core.purse import LEAN_SPAN, Purse
 
-REFILL_BELOW = 0.5
-"""Refill when less than this share of the wanted level is left: early enough
-that a refill under way (one platform write) ends before the rest is spent."""
-
-
-@dataclass
-class Purse:
-    """What a holder knows of its grant of one account.
-
-    Parameters
-    ----------
-    level
-        Tokens that the holder wants to hold.
-    """
-
-    account: str
-    allowance: int
-    level: int
-    grant: Grant = field(default_factory=Grant)
-    reserved: dict[str, int] = field(default_factory=dict)
-    pending: dict[str, Bill] = field(default_factory=dict)
-    released: set[str] = field(default_factory=set)
-    shortage: int = 0
-
-    @property
-    def unrecorded(self) -> int:
-        """Return the tokens of bills that are not recorded yet."""
-        return sum(bill.tokens for bill in self.pending.values())
-
-    @property
-    def available(self) -> int:
-        """Return the tokens that a new request may reserve."""
-        return self.grant.held - self.unrecorded - sum(self.reserved.values())
-
-    @property
-    def exposed(self) -> int:
-        """Return the tokens released to callers before they were recorded."""
-        return sum(self.pending[key].tokens for key in self.released)
+Bills = tuple[tuple[str, Bill], ...]
+"""Bills with the accounts that they belong to."""
 
 
 class Escrow:
@@ -56,6 +22,7 @@
 
     Examples
     --------
+    >>> from anvilshift.core.ledger import Grant
     >>> escrow = Escrow("r1")
     >>> escrow.open("pounds", allowance=100, level=300)
     >>> commit = escrow.begin_commit()
@@ -71,6 +38,7 @@
 
     def __init__(self, holder: str) -> None:
         self.holder = holder
+        self.joined = False
         self.purses: dict[str, Purse] = {}
 
     def open(self, account: str, allowance: int, level: int) -> None:
@@ -79,28 +47,25 @@
         purse.allowance = allowance
         purse.level = level
 
-    def reserve(self, account: str, key: str, tokens: int) -> bool:
+    def choose_witness(self, witness: str) -> None:
+        """Name the router that is to keep copies, from the next commit on."""
+        for purse in self.purses.values():
+            purse.witness = witness
+
+    def reserve(self, account: str, key: str, tokens: int, now: Millis = 0.0) -> bool:
         """Set tokens aside for a request; False when too few are held."""
-        purse = self.purses[account]
-        if key in purse.reserved:
-            return True
-        if tokens > purse.available:
-            purse.shortage = max(purse.shortage, tokens)
-            return False
-        purse.reserved[key] = tokens
-        return True
+        return self.purses[account].reserve(key, tokens, now)
 
     def release(self, account: str, key: str) -> None:
         """Give up a reservation of a request that costs nothing."""
-        self.purses[account].reserved.pop(key, None)
+        purse = self.purses[account]
+        purse.reserved.pop(key, None)
+        purse.waiting.pop(key, None)
+        purse.carried.discard(key)
 
     def bill(self, account: str, bill: Bill) -> None:
         """Turn a reservation into a bill that waits to be recorded."""
-        purse = self.purses[account]
-        reserved = purse.reserved.pop(bill.key, None)
-        check_invariant(reserved is not None, "a bill came without a reservation")
-        check_invariant(bill.tokens <= (reserved or 0), "a bill is over its bound")
-        purse.pending[bill.key] = bill
+        self.purses[account].bill(bill)
 
     def release_early(self, account: str, key: str) -> bool:
         """Tell whether an answer may end before its bill is recorded.
@@ -109,74 +74,106 @@
         this holder is lost now, sealing it leaves these tokens in doubt and
         hands them to nobody.
         """
-        purse = self.purses[account]
-        if key not in purse.pending:
-            return True
-        if key in purse.released:
-            return True
-        # The lower of the two allowances counts: one that is being lowered may
-        # be in the ledger already although the answer was lost.
-        bound = min(purse.allowance, purse.grant.allowance, purse.grant.held)
-        if purse.exposed + purse.pending[key].tokens > bound:
-            return False
-        purse.released.add(key)
-        return True
-
-    def wants_commit(self) -> bool:
-        """Tell whether there is a bill to record or a grant to change."""
-        return any(p.pending or self._needs_draw(p) for p in self.purses.values())
+        return self.purses[account].expose(key)
 
-    def _needs_draw(self, purse: Purse) -> bool:
-        if purse.shortage or purse.grant.allowance != purse.allowance:
-            return True
-        return purse.available < purse.level * REFILL_BELOW
+    def wants_commit(self, now: Millis = 0.0) -> bool:
+        """Tell whether there is a bill to record or a grant to change."""
+        return any(
+            purse.needs_draw(now) or (purse.pending and not purse.frozen)
+            for purse in self.purses.values()
+        )
 
-    def begin_commit(self) -> Commit:
-        """Return the commit that records what is pending and refills grants."""
-        draws: dict[str, Draw] = {}
-        for name, purse in self.purses.items():
-            if self._needs_draw(purse):
-                want = purse.level + sum(purse.reserved.values()) + purse.shortage
-                kept = purse.grant.held - purse.unrecorded
-                draws[name] = Draw(max(want, kept), purse.allowance)
-        return Commit(self.holder, self._list_bills(), draws)
+    def begin_commit(self, now: Millis = 0.0) -> Commit:
+        """Return the commit that records what is pending and changes grants."""
+        draws = {
+            name: purse.draw(now)
+            for name, purse in self.purses.items()
+            if purse.needs_draw(now)
+        }
+        return Commit(self.holder, self._list_bills(), draws, self.joined)
 
-    def _list_bills(self) -> tuple[tuple[str, Bill], ...]:
+    def _list_bills(self) -> Bills:
         return tuple(
             (name, bill)
             for name, purse in self.purses.items()
             for bill in purse.pending.values()
+            if not purse.frozen
         )
 
     def finish_commit(
-        self, commit: Commit, outcome: Outcome
-    ) -> Mapping[tuple[str, str], BillState]:
+        self, commit: Commit, outcome: Outcome, now: Millis = 0.0
+    ) -> Mapping[BillKey, BillState]:
         """Take in what a commit did; return what became of its bills."""
-        for name, grant in outcome.grants.items():
-            self.purses[name].grant = grant
+        self.joined = True
         for name, bill in commit.bills:
-            purse = self.purses[name]
-            if outcome.bills.get((name, bill.key)) is BillState.REFUSED:
-                continue
-            purse.pending.pop(bill.key, None)
-            purse.released.discard(bill.key)
-        for name in commit.draws:
-            self.purses[name].shortage = 0
-        for purse in self.purses.values():
-            check_invariant(purse.available >= 0, "a holder reserved more than it has")
+            if (name, bill.key) in outcome.bills:
+                self._drop_bill(name, bill.key, outcome.bills[name, bill.key])
+        for name, grant in outcome.grants.items():
+            free = outcome.free.get(name, 0)
+            elsewhere = outcome.elsewhere.get(name, 0)
+            try:
+                self.purses[name].take(grant, free, elsewhere, now)
+            except InvariantError:
+                self.purses[name].frozen = True
+        for name in outcome.frozen:
+            self.purses[name].frozen = True
         return outcome.bills
 
-    def give_back(self, account: str | None = None) -> Commit:
-        """Return the commit that hands back what is not reserved, of one or all."""
+    def _drop_bill(self, name: str, key: str, state: BillState) -> None:
+        purse = self.purses[name]
+        # The ledger counted the allowance beforehand, so it can't refuse what
+        # was released within it; if it does, the figures are wrong.
+        if state is BillState.REFUSED and key in purse.released:
+            purse.frozen = True
+        purse.pending.pop(key, None)
+        purse.released.discard(key)
+
+    def give_back(self, account: str | None = None, now: Millis = 0.0) -> Commit:
+        """Return the commit that hands back what no request needs, of one or all."""
         draws = {}
         for name, purse in self.purses.items():
-            if account not in (None, name):
-                continue
-            want = sum(purse.reserved.values())
-            draws[name] = Draw(want, purse.allowance)
-            # Given back before it is sent: were the answer lost after the
-            # write took effect, a holder that still counted these tokens would
-            # spend what another router has drawn meanwhile.
-            drawn = purse.grant.billed + purse.unrecorded + want
-            purse.grant = replace(purse.grant, drawn=min(drawn, purse.grant.drawn))
-        return Commit(self.holder, self._list_bills(), draws)
+            if account in (None, name) and not purse.frozen:
+                purse.lean_until = now + LEAN_SPAN
+                draws[name] = purse.draw(now, cushion=0)
+        return Commit(self.holder, self._list_bills(), draws, self.joined)
+
+    def close(self) -> Commit:
+        """Return the commit that records what is pending and ends the holder."""
+        for purse in self.purses.values():
+            purse.reserved.clear()
+            purse.waiting.clear()
+        commit = self.give_back()
+        return Commit(
+            self.holder, commit.bills, commit.draws, self.joined, closing=True
+        )
+
+    def list_released(self) -> Bills:
+        """Return the pending bills whose answers may have ended."""
+        return tuple(
+            (name, purse.pending[key])
+            for name, purse in self.purses.items()
+            for key in sorted(purse.released)
+        )
+
+    def succeed(self, holder: str) -> "Escrow":
+        """Return the escrow of the holder that follows this one, now sealed.
+
+        Work in flight goes on: its reservations and its unreleased bills are
+        carried over.  The tokens behind them may be another router's by now,
+        so the ledger draws what they need anew, or refuses the bill.
+        """
+        heir = Escrow(holder)
+        for name, purse in self.purses.items():
+            heir.open(name, purse.allowance, purse.level)
+            new = heir.purses[name]
+            new.use, new.used_at = purse.use, purse.used_at
+            new.witness, new.frozen = purse.witness, purse.frozen
+            new.reserved = dict(purse.reserved)
+            new.waiting = dict(purse.waiting)
+            for key, bill in purse.pending.items():
+                if key not in purse.released:
+                    new.pending[key] = Bill(
+                        key, bill.organisation, bill.tokens, holder, bill.at
+                    )
+            new.carried = set(new.reserved) | set(new.pending)
+        return heir
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -1,9 +1,6 @@
 """The ledger: what the platform keeps of budgets, grants and bills.
 
 One ledger object holds many accounts and changes by conditional update only.
-Tokens of an account are in exactly one place:
-
-    topped up = spent + held by open grants + in doubt + free
 
 A *holder* is one incarnation of a router.  It spends from its grant locally
 and records its bills here in groups.  Whoever finds a holder lost *seals* it:
@@ -17,137 +14,53 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from enum import Enum
-
-from anvilshift.core.errors import check_invariant
-
-
-@dataclass(frozen=True)
-class Grant:
-    """Tokens that one holder may spend from one account.
-
-    Parameters
-    ----------
-    drawn
-        Tokens handed to the holder in all, less those it gave back.
-    billed
-        Tokens of its recorded bills.
-    allowance
-        Tokens that the holder may bill before they are recorded.
-    doubt
-        Tokens of a sealed holder that it may have billed unseen.
-    """
-
-    drawn: int = 0
-    billed: int = 0
-    allowance: int = 0
-    doubt: int = 0
-    sealed: bool = False
-
-    @property
-    def held(self) -> int:
-        """Return the tokens that the holder may still spend."""
-        return 0 if self.sealed else self.drawn - self.billed
-
-    def seal(self) -> "Grant":
-        """Return the grant closed: the allowance in doubt, the rest let go."""
-        if self.sealed:
-            return self
-        return replace(self, sealed=True, doubt=min(self.allowance, self.held))
-
-
-@dataclass(frozen=True)
-class Bill:
-    """What one request of an organisation cost.
-
-    Parameters
-    ----------
-    key
-        The request, unique within the account: a digest of organisation and
-        request id.
-    at
-        Wall-clock seconds when it was recorded, for forgetting old keys.
-    """
-
-    key: str
-    organisation: str
-    tokens: int
-    holder: str
-    at: int = 0
-
-
-@dataclass(frozen=True)
-class Account:
-    """The state of one budget."""
-
-    topups: Mapping[str, int] = field(default_factory=dict)
-    spent: int = 0
-    grants: Mapping[str, Grant] = field(default_factory=dict)
-    bills: Mapping[str, Bill] = field(default_factory=dict)
-    usage: Mapping[str, int] = field(default_factory=dict)
-
-    @property
-    def total(self) -> int:
-        """Return the tokens topped up."""
-        return sum(self.topups.values())
-
-    @property
-    def held(self) -> int:
-        """Return the tokens in open grants."""
-        return sum(grant.held for grant in self.grants.values())
-
-    @property
-    def doubt(self) -> int:
-        """Return the tokens that sealed holders may have billed unseen."""
-        return sum(grant.doubt for grant in self.grants.values())
-
-    @property
-    def free(self) -> int:
-        """Return the tokens that can be drawn."""
-        return self.total - self.spent - self.held - self.doubt
 
-    def check(self) -> "Account":
-        """Return the account, after asserting that nothing is overspent."""
-        check_invariant(self.spent >= 0, "an account spent a negative amount")
-        check_invariant(self.free >= 0, "an account has handed out more than it has")
-        return self
+from anvilshift.core.account import Account, Bill, BillState, Draw, Grant
+from anvilshift.core.errors import InvariantError
 
+__all__ = [
+    "Account",
+    "Bill",
+    "BillState",
+    "Commit",
+    "Draw",
+    "Grant",
+    "Ledger",
+    "Outcome",
+]
 
-class BillState(Enum):
-    """What became of a bill in a commit."""
+MAX_MARKS = 600_000
+"""Characters of bill marks in one ledger, well under the megabyte that the
+platform holds: a ledger too large to write would stop every budget in it."""
 
-    RECORDED = "recorded"
-    DUPLICATE = "duplicate"
-    REFUSED = "refused"
+BillKey = tuple[str, str]
+"""The account and the key of a bill."""
 
 
 @dataclass(frozen=True)
-class Draw:
-    """A holder's wish to change its grant of one account.
+class Commit:
+    """One group of bills and draws of one holder.
 
     Parameters
     ----------
-    want
-        Tokens that the holder wants to hold after its bills are recorded.  A
-        level and not a difference, so that applying it twice draws once.
-    allowance
-        Allowance of the grant from now on.
-    least
-        Fewest tokens that are of use; less than that leaves the grant as it is.
+    joined
+        Whether the holder knows that an earlier commit of its took effect.  A
+        holder that has joined and isn't in the ledger was sealed and
+        forgotten; one that hasn't may be new.
+    closing
+        Whether the holder gives everything back and ends.
     """
 
-    want: int
-    allowance: int
-    least: int = 0
-
-
-@dataclass(frozen=True)
-class Commit:
-    """One group of bills and draws of one holder."""
-
     holder: str
     bills: tuple[tuple[str, Bill], ...] = ()
     draws: Mapping[str, Draw] = field(default_factory=dict)
+    joined: bool = False
+    closing: bool = False
+
+    @property
+    def touched(self) -> list[str]:
+        """Return the accounts that the commit changes, in a fixed order."""
+        return sorted({name for name, _ in self.bills} | set(self.draws))
 
 
 @dataclass(frozen=True)
@@ -162,24 +75,52 @@
         By account and key, what became of each bill.
     grants
         By account, the holder's grant after the commit.
+    free
+        By account, the tokens that can be drawn.
+    elsewhere
+        By account, the tokens in other holders' open grants.
+    frozen
+        Accounts whose figures are impossible; the commit left them alone.
     """
 
     sealed: bool = False
-    bills: Mapping[tuple[str, str], BillState] = field(default_factory=dict)
+    bills: Mapping[BillKey, BillState] = field(default_factory=dict)
     grants: Mapping[str, Grant] = field(default_factory=dict)
+    free: Mapping[str, int] = field(default_factory=dict)
+    elsewhere: Mapping[str, int] = field(default_factory=dict)
+    frozen: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
 class Ledger:
-    """Accounts that share one object of the platform."""
+    """Accounts that share one object of the platform.
+
+    Parameters
+    ----------
+    holders
+        By name, the wall-clock second at which the holder was sealed; 0 is
+        open.
+    """
 
     accounts: Mapping[str, Account] = field(default_factory=dict)
-    sealed: frozenset[str] = frozenset()
+    holders: Mapping[str, int] = field(default_factory=dict)
 
     def account(self, name: str) -> Account:
         """Return an account; one that nobody topped up is empty."""
         return self.accounts.get(name, Account())
 
+    def is_sealed(self, holder: str) -> bool:
+        """Tell whether a holder is known to be sealed."""
+        return self.holders.get(holder, 0) > 0
+
+    def list_open(self) -> list[str]:
+        """Return the holders that may still commit."""
+        return [name for name, sealed_at in self.holders.items() if not sealed_at]
+
+    def list_sealed(self, before: int) -> list[str]:
+        """Return the holders sealed before an instant and not forgotten."""
+        return [name for name, at in self.holders.items() if 0 < at < before]
+
     def _with(self, changed: Mapping[str, Account]) -> "Ledger":
         return replace(self, accounts={**self.accounts, **changed})
 
@@ -209,21 +150,37 @@
         >>> outcome.grants["pounds"].held, ledger.account("pounds").free
         (300, 200)
         """
-        if commit.holder in self.sealed:
+        holder = commit.holder
+        if self.is_sealed(holder) or (commit.joined and holder not in self.holders):
             return self, Outcome(sealed=True)
-        accounts = dict(self.accounts)
-        states: dict[tuple[str, str], BillState] = {}
-        for name, bill in commit.bills:
-            account = accounts.get(name, Account())
-            accounts[name], states[name, bill.key] = _record(account, bill)
-        for name, draw in commit.draws.items():
-            account = accounts.get(name, Account())
-            accounts[name] = _draw(account, commit.holder, draw)
-        touched = {name for name, _ in commit.bills} | set(commit.draws)
-        grants = {n: accounts[n].grants.get(commit.holder, Grant()) for n in touched}
-        return replace(self, accounts=accounts), Outcome(False, states, grants)
-
-    def seal(self, holder: str) -> "Ledger":
+        changed: dict[str, Account] = {}
+        states: dict[BillKey, BillState] = {}
+        frozen = set()
+        for name in commit.touched:
+            try:
+                account, found = _apply_one(self.account(name), name, commit)
+            except InvariantError:
+                frozen.add(name)
+                continue
+            changed[name] = account
+            states.update(found)
+        ledger = replace(self._with(changed), holders={**self.holders, holder: 0})
+        outcome = Outcome(
+            bills=states,
+            grants={name: a.grant(holder) for name, a in changed.items()},
+            free={name: a.free for name, a in changed.items()},
+            elsewhere={n: a.held - a.grant(holder).held for n, a in changed.items()},
+            frozen=frozenset(frozen),
+        )
+        return (ledger._close(holder) if commit.closing else ledger), outcome
+
+    def _close(self, holder: str) -> "Ledger":
+        gone = {holder}
+        accounts = {n: a.without_grants(gone) for n, a in self.accounts.items()}
+        holders = {name: o for name, o in self.holders.items() if name != holder}
+        return Ledger(accounts, holders)
+
+    def seal(self, holder: str, at: int = 1) -> "Ledger":
         """Return the ledger with a lost holder closed for good.
 
         Examples
@@ -234,89 +191,90 @@
         >>> account.doubt, account.free
         (100, 400)
         """
-        if holder in self.sealed:
+        if self.holders.get(holder, 1):
             return self
-        accounts = {}
-        for name, account in self.accounts.items():
-            if holder not in account.grants:
-                continue
-            grants = {**account.grants, holder: account.grants[holder].seal()}
-            accounts[name] = replace(account, grants=grants).check()
-        return replace(self._with(accounts), sealed=self.sealed | {holder})
+        accounts = {
+            name: account.with_grant(holder, account.grants[holder].seal())
+            for name, account in self.accounts.items()
+            if holder in account.grants
+        }
+        holders = {**self.holders, holder: max(1, at)}
+        return replace(self._with(accounts), holders=holders)
 
     def hand_in(
-        self, holder: str, bills: tuple[tuple[str, Bill], ...]
-    ) -> tuple["Ledger", Mapping[tuple[str, str], BillState]]:
-        """Record late bills of a sealed holder against what is in doubt."""
-        ledger = self
-        states: dict[tuple[str, str], BillState] = {}
+        self, holder: str, bills: tuple[tuple[str, Bill], ...], closer: str = ""
+    ) -> tuple["Ledger", Mapping[BillKey, BillState]]:
+        """Record late bills of a sealed holder against what is in doubt.
+
+        Parameters
+        ----------
+        closer
+            Who vouches that these are all the bills that the holder may have
+            billed unseen: the holder itself, or its grant's witness, which
+            takes no more copies.  What stays in doubt there is free again.
+        """
+        accounts = dict(self.accounts)
+        states: dict[BillKey, BillState] = {}
         for name, bill in bills:
-            account = ledger.account(name)
-            grant = account.grants.get(holder, Grant())
-            if bill.key in account.bills:
-                states[name, bill.key] = _judge_repeat(account, bill)
-                continue
-            if not grant.sealed or bill.tokens > grant.doubt:
-                states[name, bill.key] = BillState.REFUSED
-                continue
-            grant = replace(
-                grant,
-                doubt=grant.doubt - bill.tokens,
-                billed=grant.billed + bill.tokens,
-            )
-            account = _add_bill(account, bill, grant)
-            ledger = ledger._with({name: account})
-            states[name, bill.key] = BillState.RECORDED
-        return ledger, states
+            late = replace(bill, holder=holder)
+            account = accounts.get(name, Account())
+            accounts[name], states[name, bill.key] = account.record_late(late)
+        for name, account in accounts.items():
+            grant = account.grant(holder)
+            if grant.doubt and closer and closer in (holder, grant.witness):
+                accounts[name] = account.with_grant(holder, replace(grant, doubt=0))
+        return replace(self, accounts=accounts), states
 
     def forget(self, before: int) -> "Ledger":
-        """Return the ledger without the keys of bills recorded before an instant.
+        """Return the ledger without what no longer matters.
 
-        The tokens stay counted; only a request that is sent again after its
-        stated lifetime could no longer be recognised.
+        That is the marks of bills before an instant, and sealed holders with
+        nothing in doubt: such a holder's commit says that it had joined, which
+        tells it from a new one.  The tokens stay counted.
         """
+        accounts = {name: a.forget(before) for name, a in self.accounts.items()}
+        gone = {name for name, sealed_at in self.holders.items() if sealed_at}
+        for account in accounts.values():
+            gone -= {name for name, grant in account.grants.items() if grant.doubt}
+        if gone:
+            accounts = {n: a.without_grants(gone) for n, a in accounts.items()}
+        holders = {name: o for name, o in self.holders.items() if name not in gone}
+        return Ledger(_drop_oldest(accounts), holders)
+
+    def write_off(self, holder: str) -> "Ledger":
+        """Return the ledger without a sealed holder; its doubt counts as spent."""
+        if not self.is_sealed(holder):
+            return self
         accounts = {}
         for name, account in self.accounts.items():
-            kept = {k: bill for k, bill in account.bills.items() if bill.at >= before}
-            if len(kept) < len(account.bills):
-                accounts[name] = replace(account, bills=kept)
-        return self._with(accounts) if accounts else self
-
-
-def _judge_repeat(account: Account, bill: Bill) -> BillState:
-    # A commit whose answer was lost is applied again: the holder's own bill is
-    # there already and is no duplicate of another router's.
-    recorded = account.bills[bill.key]
-    mine = recorded.holder == bill.holder and recorded.tokens == bill.tokens
-    return BillState.RECORDED if mine else BillState.DUPLICATE
-
-
-def _record(account: Account, bill: Bill) -> tuple[Account, BillState]:
-    if bill.key in account.bills:
-        return account, _judge_repeat(account, bill)
-    grant = account.grants.get(bill.holder, Grant())
-    if bill.tokens > grant.held:
-        return account, BillState.REFUSED
-    grant = replace(grant, billed=grant.billed + bill.tokens)
-    return _add_bill(account, bill, grant), BillState.RECORDED
-
-
-def _add_bill(account: Account, bill: Bill, grant: Grant) -> Account:
-    usage = dict(account.usage)
-    usage[bill.organisation] = usage.get(bill.organisation, 0) + bill.tokens
-    return replace(
-        account,
-        spent=account.spent + bill.tokens,
-        grants={**account.grants, bill.holder: grant},
-        bills={**account.bills, bill.key: bill},
-        usage=usage,
-    ).check()
-
-
-def _draw(account: Account, holder: str, draw: Draw) -> Account:
-    grant = account.grants.get(holder, Grant())
-    change = min(draw.want - grant.held, account.free)
-    if change > 0 and grant.held + change < draw.least:
-        change = 0
-    drawn = replace(grant, drawn=grant.drawn + change, allowance=draw.allowance)
-    return replace(account, grants={**account.grants, holder: drawn}).check()
+            lost = account.written_off + account.grant(holder).doubt
+            kept = {n: g for n, g in account.grants.items() if n != holder}
+            accounts[name] = replace(account, grants=kept, written_off=lost).check()
+        holders = {name: o for name, o in self.holders.items() if name != holder}
+        return Ledger(accounts, holders)
+
+
+def _apply_one(
+    account: Account, name: str, commit: Commit
+) -> tuple[Account, dict[BillKey, BillState]]:
+    states: dict[BillKey, BillState] = {}
+    for owner, bill in commit.bills:
+        if owner == name:
+            account, states[name, bill.key] = account.record(bill)
+    draw = commit.draws.get(name)
+    if draw is not None:
+        account = account.draw(commit.holder, draw)
+    return account.check(), states
+
+
+def _drop_oldest(accounts: dict[str, Account]) -> dict[str, Account]:
+    while sum(account.marks for account in accounts.values()) > MAX_MARKS:
+        oldest = min(slot for a in accounts.values() for slot in map(int, a.recent))
+        accounts = {
+            name: replace(
+                account,
+                recent={s: m for s, m in account.recent.items() if int(s) != oldest},
+            )
+            for name, account in accounts.items()
+        }
+    return accounts
--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -7,17 +7,14 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import KINDS
-from anvilshift.core.ledger import Ledger
-from anvilshift.platform.records import decode, encode
+from anvilshift.platform import ledgers
 from anvilshift.platform.store import (
     Body,
     ConflictError,
     ObjectStore,
     Stored,
-    update,
 )
 from anvilshift.router.following import ROUTER_KIND
-from anvilshift.router.treasury import LEDGER_KIND, LEDGER_NAME
 
 Documents = Mapping[tuple[str, str], Body]
 _POLL: Millis = 100.0
@@ -118,19 +115,11 @@
 
 async def top_up(store: ObjectStore, budget: str, tokens: int, identity: str) -> int:
     """Add prepaid tokens to a budget once; return its total."""
-
-    def change(body: Body | None) -> Body:
-        ledger = decode(Ledger, body) if body else Ledger()
-        return encode(ledger.top_up(budget, identity, tokens))
-
-    stored = await update(store, LEDGER_KIND, LEDGER_NAME, change)
-    return decode(Ledger, stored.body).account(budget).total
+    return await ledgers.top_up(store, budget, identity, tokens)
 
 
 async def read_usage(store: ObjectStore) -> dict[str, dict[str, Any]]:
     """Return what each budget has, has spent and has handed out."""
-    found = await store.get(LEDGER_KIND, LEDGER_NAME)
-    ledger = decode(Ledger, found.body) if found else Ledger()
     return {
         name: {
             "total": account.total,
@@ -140,5 +129,5 @@
             "free": account.free,
             "by_organisation": dict(account.usage),
         }
-        for name, account in sorted(ledger.accounts.items())
+        for name, account in (await ledgers.read_accounts(store)).items()
     }
--- /dev/null
+++ b/anvilshift/router/branch.py
@@ -0,0 +1,413 @@
+"""Spend from the grants of one ledger object and record its bills in groups."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from absl import logging
+
+from anvilshift.core.account import Bill, BillState
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import (
+    BUDGET_EXHAUSTED,
+    BUDGET_FROZEN,
+    BUDGET_UNREACHABLE,
+    NOT_RECORDED,
+    AnvilshiftError,
+    Code,
+)
+from anvilshift.core.escrow import Bills, Escrow
+from anvilshift.core.ledger import BillKey, Commit, Ledger, Outcome
+from anvilshift.platform.cached import CachedObject
+from anvilshift.platform.ledgers import LEDGER_KIND, change_body, read_body
+from anvilshift.platform.records import encode
+from anvilshift.platform.store import Body, ObjectStore
+
+BILL_LIFETIME_S = 180
+"""Seconds for which a request that is sent again is recognised by its bill:
+several times the longest deadline.  Kept longer, the marks of 250 requests a
+second would outgrow the ledger's object."""
+RELEASE_AFTER: Millis = 400.0
+"""Time that an answer's end waits for its bill before it is released within
+the allowance: twice the spacing of commits, so that it is rare while the
+platform answers."""
+RETRY_AFTER_UNREACHABLE: Millis = 1 * SECOND
+"""When a refused caller may come back while tokens are in other routers: about
+as long as an answer in flight there holds its reservation."""
+RETRY_AFTER_EXHAUSTED: Millis = 30 * SECOND
+_IDLE_TICK: Millis = 1 * SECOND
+_OUTAGE_AFTER: Millis = 400.0
+_STUCK_AFTER: Millis = 1 * SECOND
+_RETRY_PAUSE: Millis = 100.0
+_REFILL_TRIES = 2
+_CLOSE_WAIT: Millis = 2 * SECOND
+_LAST_WORD: Millis = 20.0
+"""Time before a deadline at which a caller is told that its bill isn't recorded;
+at the deadline itself it would be told only that the answer is late."""
+
+KeepCopies = Callable[[str, Bills], Awaitable[bool]]
+"""Leaves copies of a holder's bills with other routers; False if none took them."""
+AskPeers = Callable[[str], Awaitable[None]]
+"""Asks other routers to give unused tokens of a budget back."""
+
+
+async def _keep_nothing(holder: str, bills: Bills) -> bool:
+    return False
+
+
+async def _ask_nobody(account: str) -> None:
+    return None
+
+
+@dataclass
+class Hooks:
+    """What a treasury asks of the rest of its router."""
+
+    keep_copies: KeepCopies = _keep_nothing
+    ask_peers: AskPeers = _ask_nobody
+    count_event: Callable[[str], None] = lambda event: None
+
+
+class Branch:
+    """The part of a treasury that works on one ledger object.
+
+    Parameters
+    ----------
+    incarnation
+        The router's incarnation, unique for ever; it names the holder.
+    spacing
+        Least milliseconds between two group commits.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        name: str,
+        clock: Clock,
+        incarnation: str,
+        spacing: Millis,
+        hooks: Hooks,
+    ) -> None:
+        self.name = name
+        self.escrow = Escrow(incarnation)
+        self.last_ledger = Ledger()
+        self._clock = clock
+        self._incarnation = incarnation
+        self._generation = 0
+        self._spacing = spacing
+        self._hooks = hooks
+        self._object = CachedObject(store, LEDGER_KIND, name)
+        self._lock = asyncio.Lock()
+        self._wake = asyncio.Event()
+        self._round = asyncio.Condition()
+        self._begun = 0
+        self._ended = 0
+        self._awaited = 0
+        self._states: dict[BillKey, asyncio.Future[BillState]] = {}
+        self._failures = 0
+        self._failing_since: Millis | None = None
+        self._in_flight_since: Millis | None = None
+        self._loop: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def platform_out(self) -> bool:
+        """Tell whether commits have been failing, or one been stuck, for a while."""
+        now = self._clock.now()
+        failing, stuck = self._failing_since, self._in_flight_since
+        return (failing is not None and now - failing > _OUTAGE_AFTER) or (
+            stuck is not None and now - stuck > _STUCK_AFTER
+        )
+
+    def start(self) -> None:
+        """Begin to commit in the background."""
+        self._loop = asyncio.get_running_loop().create_task(self._run())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def reserve(self, account: str, key: str, tokens: int) -> None:
+        """Set tokens aside for a request, or raise why that can't be."""
+        for attempt in range(_REFILL_TRIES + 1):
+            self._raise_known_refusal(account, tokens)
+            if self.escrow.reserve(account, key, tokens, self._clock.now()):
+                if self.escrow.wants_commit(self._clock.now()):
+                    self._wake.set()
+                return
+            if self.platform_out or attempt == _REFILL_TRIES:
+                break
+            # The first round finds out what others hold.
+            if attempt and self.escrow.purses[account].elsewhere:
+                await self._hooks.ask_peers(account)
+            elif attempt:
+                break
+            try:
+                await self._wait_round()
+            except asyncio.CancelledError:
+                self.escrow.release(account, key)
+                raise
+        self._refuse(account, key, tokens)
+
+    def _raise_known_refusal(self, account: str, tokens: int) -> None:
+        purse = self.escrow.purses[account]
+        if purse.frozen:
+            raise AnvilshiftError(BUDGET_FROZEN)
+        code = purse.recall_refusal(tokens, self._clock.now())
+        if code is not None and tokens > purse.available:
+            raise _make_refusal(code)
+
+    def _refuse(self, account: str, key: str, tokens: int) -> None:
+        purse = self.escrow.purses[account]
+        if self.platform_out or self._failing_since is not None:
+            purse.waiting.pop(key, None)
+            detail = "the platform is out and this router's grant is spent"
+            raise AnvilshiftError(BUDGET_UNREACHABLE, detail, 2 * SECOND)
+        raise _make_refusal(purse.refuse(key, tokens, self._clock.now()))
+
+    def release(self, account: str, key: str) -> None:
+        """Give up a reservation of a request that costs nothing."""
+        if account in self.escrow.purses:
+            self.escrow.release(account, key)
+
+    async def settle(self, account: str, bill: Bill, until: Millis | None) -> None:
+        """Bill a request and wait until its answer may end."""
+        if bill.key not in self.escrow.purses[account].reserved:
+            await self._reserve_late(account, bill)
+        self.escrow.bill(account, replace(bill, holder=self.escrow.holder))
+        done = self._await_state(account, bill.key)
+        self._wake.set()
+        until = None if until is None else until - _LAST_WORD
+        wait = 0.0 if self.platform_out else RELEASE_AFTER
+        while not done.done():
+            left = wait if until is None else min(wait, until - self._clock.now())
+            await asyncio.wait([done], timeout=max(0.0, left) / SECOND)
+            if done.done() or await self._release_early(account, bill.key):
+                break
+            if until is not None and self._clock.now() >= until:
+                raise AnvilshiftError(NOT_RECORDED)
+            wait = _RETRY_PAUSE
+        if done.done() and done.result() is BillState.REFUSED:
+            raise AnvilshiftError(NOT_RECORDED, "the bill was refused")
+
+    async def _reserve_late(self, account: str, bill: Bill) -> None:
+        # The work has run: a refusal that says "not run" would be untrue.
+        try:
+            await self.reserve(account, bill.key, bill.tokens)
+        except AnvilshiftError as error:
+            raise AnvilshiftError(NOT_RECORDED, str(error)) from error
+
+    def _await_state(self, account: str, key: str) -> "asyncio.Future[BillState]":
+        # Shared, for the same request may be settled twice at a time.
+        if (account, key) not in self._states:
+            loop = asyncio.get_running_loop()
+            self._states[account, key] = loop.create_future()
+        return self._states[account, key]
+
+    async def _release_early(self, account: str, key: str) -> bool:
+        escrow = self.escrow
+        bill = escrow.purses[account].pending.get(key)
+        # A bill that isn't pending here is being handed in for a holder that
+        # was sealed; only its record ends the answer.
+        if bill is None or not escrow.release_early(account, key):
+            return False
+        await self._hooks.keep_copies(escrow.holder, ((account, bill),))
+        return True
+
+    async def _wait_round(self) -> None:
+        """Wait until a commit that begins from now on has ended.
+
+        One that is under way began before the shortage was known; taking its
+        end for an answer would refuse a request that the budget can pay.
+        """
+        awaited = self._begun + 1
+        self._awaited = max(self._awaited, awaited)
+        self._wake.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((2 * self._spacing + SECOND) / SECOND):
+                async with self._round:
+                    await self._round.wait_for(lambda: self._ended >= awaited)
+
+    async def _run(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_IDLE_TICK / SECOND):
+                    await self._wake.wait()
+            self._wake.clear()
+            if not self._has_work():
+                continue
+            began = self._clock.now()
+            # An error that nobody foresaw must not end the loop unseen: every
+            # answer of this router would wait for its bill for ever.
+            try:
+                await self._commit(lambda: self.escrow.begin_commit(self._clock.now()))
+            except Exception:
+                logging.exception("commit broke ledger=%s", self.name)
+                self._hooks.count_event("commit_broke")
+                self._wake.set()
+            pause = self._spacing * (1 + min(self._failures, 3))
+            spent = self._clock.now() - began
+            await asyncio.sleep(max(0.0, pause - spent) / SECOND)
+
+    def _has_work(self) -> bool:
+        wanted = self.escrow.wants_commit(self._clock.now())
+        # After a failure it goes on until a commit succeeds, for nothing else
+        # would find out that the platform is back.
+        failing = self._failing_since is not None
+        return wanted or failing or self._awaited > self._ended
+
+    async def _commit(self, begin: Callable[[], Commit]) -> bool:
+        # One commit at a time: were two in flight, the older outcome could be
+        # taken in last and bring back a grant that was given up since.
+        async with self._lock:
+            self._begun += 1
+            self._in_flight_since = self._clock.now()
+            try:
+                return await self._commit_one(begin())
+            finally:
+                self._in_flight_since = None
+                self._ended = self._begun
+                async with self._round:
+                    self._round.notify_all()
+
+    async def _commit_one(self, commit: Commit) -> bool:
+        outcome = Outcome()
+
+        def change(body: Body | None) -> Body:
+            nonlocal outcome
+            ledger, outcome = read_body(body).apply(commit)
+            ledger = ledger.forget(self._clock.wall() - BILL_LIFETIME_S)
+            self.last_ledger = ledger
+            return encode(ledger)
+
+        try:
+            await self._object.update(change)
+        except AnvilshiftError as error:
+            self._note_failure(error)
+            return False
+        self._failures, self._failing_since = 0, None
+        if outcome.sealed:
+            self._restart()
+            return False
+        self._finish(commit, outcome)
+        return True
+
+    def _note_failure(self, error: AnvilshiftError) -> None:
+        self._failures += 1
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
+        logging.warning("commit failed code=%d", error.code.number)
+        self._wake.set()
+
+    def _finish(self, commit: Commit, outcome: Outcome) -> None:
+        before = self._list_frozen()
+        states = self.escrow.finish_commit(commit, outcome, self._clock.now())
+        for account in self._list_frozen() - before:
+            logging.error("budget frozen account=%s", account)
+            self._hooks.count_event("budget_frozen")
+        self._resolve(states)
+
+    def _list_frozen(self) -> set[str]:
+        return {name for name, purse in self.escrow.purses.items() if purse.frozen}
+
+    def _resolve(self, states: Mapping[BillKey, BillState]) -> None:
+        for key, state in states.items():
+            done = self._states.pop(key, None)
+            if done is not None and not done.done():
+                done.set_result(state)
+
+    def _restart(self) -> None:
+        """Begin a new holder after this one was sealed.
+
+        A router that was paused past its lease finds its grant sealed.  What
+        it released unrecorded is in doubt there and is handed in; the rest is
+        carried over and billed by the new holder.
+        """
+        sealed = self.escrow
+        logging.warning("holder sealed holder=%s", sealed.holder)
+        self._hooks.count_event("holder_sealed")
+        self._generation += 1
+        self.escrow = sealed.succeed(f"{self._incarnation}.{self._generation}")
+        self._spawn(self._hand_in_own(sealed))
+        self._wake.set()
+
+    async def _hand_in_own(self, sealed: Escrow) -> None:
+        released = sealed.list_released()
+        while True:
+            try:
+                states = await self.hand_in(sealed.holder, released, sealed.holder)
+            except AnvilshiftError as error:
+                logging.warning("hand-in failed code=%d", error.code.number)
+                await asyncio.sleep(self._spacing / SECOND)
+                continue
+            self._resolve(states)
+            return
+
+    async def hand_in(
+        self, holder: str, bills: Bills, closer: str = ""
+    ) -> Mapping[BillKey, BillState]:
+        """Record bills of a sealed holder that it released within its allowance."""
+        states: Mapping[BillKey, BillState] = {}
+
+        def change(ledger: Ledger) -> Ledger:
+            nonlocal states
+            ledger, states = ledger.hand_in(holder, bills, closer)
+            return ledger
+
+        async with self._lock:
+            await self._object.update(change_body(change))
+        return states
+
+    async def seal(self, incarnation: str) -> None:
+        """Close every holder of a lost router for good."""
+
+        def change(ledger: Ledger) -> Ledger:
+            for name in ledger.list_open():
+                if belongs(name, incarnation):
+                    ledger = ledger.seal(name, self._clock.wall())
+            return ledger
+
+        async with self._lock:
+            await self._object.update(change_body(change))
+
+    async def give_back(self, account: str | None) -> bool:
+        """Record what is pending and hand back all that no request needs."""
+        return await self._commit(
+            lambda: self.escrow.give_back(account, self._clock.now())
+        )
+
+    async def close(self) -> None:
+        """Settle everything and stop; the grants go back."""
+        if self._loop is not None:
+            self._loop.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._loop
+        if not self._begun:
+            return
+        generation = self._generation
+        await self._commit(self.escrow.close)
+        if self._generation > generation:
+            # It was sealed meanwhile: what was carried over is billed anew.
+            await self._commit(self.escrow.close)
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=_CLOSE_WAIT / SECOND)
+
+
+def _make_refusal(code: Code) -> AnvilshiftError:
+    spent = code is BUDGET_EXHAUSTED
+    retry = RETRY_AFTER_EXHAUSTED if spent else RETRY_AFTER_UNREACHABLE
+    return AnvilshiftError(code, "", retry)
+
+
+def belongs(holder: str, incarnation: str) -> bool:
+    """Tell whether a holder is one of an incarnation of a router.
+
+    Examples
+    --------
+    >>> belongs("r1-ab.2", "r1-ab"), belongs("r1-abc", "r1-ab")
+    (True, False)
+    """
+    return holder == incarnation or holder.startswith(f"{incarnation}.")
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -139,6 +139,9 @@
     async def _remove_lost(self) -> None:
         if not self._reaches_platform:
             return
+        known = {s.member.incarnation for s in self.roster.sightings.values()}
+        with contextlib.suppress(AnvilshiftError):
+            await self._treasury.sweep(known)
         for member in self.roster.lost(self._clock.now()):
             try:
                 await self._remove(member)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -66,6 +66,7 @@
         self.treasury = Treasury(
             world.store, world.clock, self.incarnation, settings.commit_spacing
         )
+        self.treasury.hooks.count_event = world.telemetry.count_event
         figures = DispatchSettings(
             settings.failure_domain, settings.queue_length, settings.attempts
         )
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -223,7 +223,11 @@
         tokens = min(counted.total, job.bound)
         began = self._shared.clock.now()
         await treasury.settle(
-            job.organisation.budget, job.identity, job.organisation.name, tokens
+            job.organisation.budget,
+            job.identity,
+            job.organisation.name,
+            tokens,
+            until=job.deadline,
         )
         self._shared.telemetry.record_bill(
             job.organisation.name,
--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -48,7 +48,11 @@
                 answer = await self._attempt_until_answered(work)
                 if job.bound:
                     await shared.treasury.settle(
-                        account, job.identity, job.organisation.name, job.bound
+                        account,
+                        job.identity,
+                        job.organisation.name,
+                        job.bound,
+                        until=job.deadline,
                     )
                 return answer
         except TimeoutError as error:
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -1,47 +1,37 @@
-"""Spend from grants and record bills in groups: the escrow on a real platform."""
+"""The budgets that one router spends from, over all ledger objects."""
 
-import asyncio
-import contextlib
-from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from collections.abc import Collection
 
 from absl import logging
 
+from anvilshift.core.account import Bill
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import Budget
-from anvilshift.core.errors import (
-    BUDGET_EXHAUSTED,
-    BUDGET_UNREACHABLE,
-    NOT_RECORDED,
-    AnvilshiftError,
+from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
+from anvilshift.core.escrow import Bills
+from anvilshift.platform.ledgers import (
+    LEDGER_KIND,
+    LEDGER_NAME,
+    ledger_name,
+    list_names,
+    read_body,
+    read_shards,
+)
+from anvilshift.platform.store import ObjectStore
+from anvilshift.router.branch import (
+    BILL_LIFETIME_S,
+    AskPeers,
+    Branch,
+    Hooks,
+    KeepCopies,
+    belongs,
 )
-from anvilshift.core.escrow import Escrow
-from anvilshift.core.ledger import Bill, BillState, Commit, Ledger, Outcome
-from anvilshift.platform.cached import CachedObject
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import Body, ObjectStore
-
-LEDGER_KIND = "Ledger"
-LEDGER_NAME = "main"
-BILL_LIFETIME_S = 600
-"""Seconds for which a request that is sent again is recognised by its bill."""
-_OUTAGE_AFTER: Millis = 400.0
-_RETRY_PAUSE: Millis = 100.0
-_REFILL_TRIES = 2
-_EXHAUSTED_RETRY: Millis = 30 * SECOND
-
-KeepCopies = Callable[[str, tuple[tuple[str, Bill], ...]], Awaitable[bool]]
-"""Leaves copies of a holder's bills with other routers; False if none took them."""
-AskPeers = Callable[[str], Awaitable[None]]
-"""Asks other routers to give unused tokens of a budget back."""
-
-
-async def _keep_nothing(holder: str, bills: tuple[tuple[str, Bill], ...]) -> bool:
-    return False
 
+__all__ = ["BILL_LIFETIME_S", "LEDGER_KIND", "LEDGER_NAME", "Treasury"]
 
-async def _ask_nobody(account: str) -> None:
-    return None
+ORPHAN_AFTER: Millis = 15 * SECOND
+"""Time for which a holder must be unknown before it is sealed: several leases,
+for a router that has just started is known a little later than its grants."""
 
 
 class Treasury:
@@ -58,50 +48,80 @@
     def __init__(
         self, store: ObjectStore, clock: Clock, incarnation: str, spacing: Millis
     ) -> None:
-        self.keep_copies: KeepCopies = _keep_nothing
-        self.ask_peers: AskPeers = _ask_nobody
+        self.hooks = Hooks()
+        self._store = store
         self._clock = clock
         self._incarnation = incarnation
-        self._generation = 0
         self._spacing = spacing
-        self._object = CachedObject(store, LEDGER_KIND, LEDGER_NAME)
-        self._escrow = Escrow(incarnation)
         self._budgets: dict[str, Budget] = {}
-        self._lock = asyncio.Lock()
-        self._wake = asyncio.Event()
-        self._round = asyncio.Event()
-        self._begun = 0
-        self._ended = 0
-        self._states: dict[tuple[str, str], asyncio.Future[BillState]] = {}
-        self._failing_since: Millis | None = None
-        self._task: asyncio.Task[None] | None = None
-        self.last_ledger = Ledger()
+        self._shards = 0
+        self._branches: dict[str, Branch] = {}
+        self._orphans: dict[str, Millis] = {}
+
+    @property
+    def keep_copies(self) -> KeepCopies:
+        """What leaves copies of bills with other routers."""
+        return self.hooks.keep_copies
+
+    @keep_copies.setter
+    def keep_copies(self, keep: KeepCopies) -> None:
+        self.hooks.keep_copies = keep
 
     @property
-    def holder(self) -> str:
-        """Return the present holder's name."""
-        return self._escrow.holder
+    def ask_peers(self) -> AskPeers:
+        """What asks other routers to give tokens back."""
+        return self.hooks.ask_peers
+
+    @ask_peers.setter
+    def ask_peers(self, ask: AskPeers) -> None:
+        self.hooks.ask_peers = ask
 
     @property
     def platform_out(self) -> bool:
         """Tell whether commits have been failing for a while."""
-        since = self._failing_since
-        return since is not None and self._clock.now() - since > _OUTAGE_AFTER
+        return any(branch.platform_out for branch in self._branches.values())
+
+    @property
+    def branches(self) -> Collection[Branch]:
+        """Return the parts, one a ledger object in use."""
+        return self._branches.values()
 
     def start(self) -> None:
-        """Begin to commit in the background."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        """Begin to commit; each ledger does so from its first use on."""
 
     def configure(self, budgets: dict[str, Budget]) -> None:
         """Take in the declared budgets."""
         self._budgets = budgets
-        for name in self._escrow.purses:
-            if name in budgets:
-                self._open(name)
+        for branch in self.branches:
+            for account in branch.escrow.purses:
+                if account in budgets:
+                    self._open(branch, account)
 
-    def _open(self, account: str) -> None:
+    def _open(self, branch: Branch, account: str) -> None:
         budget = self._budgets.get(account) or Budget(account)
-        self._escrow.open(account, budget.allowance, budget.grant)
+        branch.escrow.open(account, budget.allowance, budget.grant)
+
+    async def _find_branch(self, account: str) -> Branch:
+        if not self._shards:
+            self._shards = await read_shards(self._store)
+        branch = self._make_branch(ledger_name(account, self._shards))
+        if account not in branch.escrow.purses:
+            self._open(branch, account)
+        return branch
+
+    def _make_branch(self, name: str) -> Branch:
+        if name not in self._branches:
+            branch = Branch(
+                self._store,
+                name,
+                self._clock,
+                self._incarnation,
+                self._spacing,
+                self.hooks,
+            )
+            branch.start()
+            self._branches[name] = branch
+        return self._branches[name]
 
     async def reserve(self, account: str, key: str, tokens: int) -> None:
         """Set tokens aside for a request.
@@ -109,185 +129,102 @@
         Raises
         ------
         AnvilshiftError
-            Code 2001 when the budget has too few tokens, code 2002 when more
-            can't be drawn now.
+            Code 2001 when the budget has too few tokens anywhere, code 2002
+            when more may be there but can't be drawn now, code 2003 when this
+            router has stopped spending the budget.
         """
-        if account not in self._escrow.purses:
-            self._open(account)
-        for attempt in range(_REFILL_TRIES):
-            if self._escrow.reserve(account, key, tokens):
-                if self._escrow.wants_commit():
-                    self._wake.set()
-                return
-            if self.platform_out:
-                detail = "the platform is out and this router's grant is spent"
-                raise AnvilshiftError(BUDGET_UNREACHABLE, detail, 2 * SECOND)
-            if attempt:
-                await self.ask_peers(account)
-            await self._wait_round()
-        if self._escrow.reserve(account, key, tokens):
-            return
-        if self._failing_since is not None:
-            raise AnvilshiftError(BUDGET_UNREACHABLE, "", 2 * SECOND)
-        raise AnvilshiftError(BUDGET_EXHAUSTED, "", _EXHAUSTED_RETRY)
+        try:
+            branch = await self._find_branch(account)
+        except AnvilshiftError as error:
+            detail = "the ledger can't be found now"
+            raise AnvilshiftError(BUDGET_UNREACHABLE, detail, 2 * SECOND) from error
+        await branch.reserve(account, key, tokens)
 
     def release(self, account: str, key: str) -> None:
         """Give up a reservation of a request that costs nothing."""
-        if account in self._escrow.purses:
-            self._escrow.release(account, key)
+        for branch in self.branches:
+            branch.release(account, key)
 
     async def settle(
-        self, account: str, key: str, organisation: str, tokens: int
+        self,
+        account: str,
+        key: str,
+        organisation: str,
+        tokens: int,
+        until: Millis | None = None,
     ) -> None:
         """Bill a request and wait until its answer may end.
 
+        Parameters
+        ----------
+        until
+            Instant by which the answer must end.
+
         Raises
         ------
         AnvilshiftError
-            Code 4005 when the bill can't be recorded.
+            Code 4005 when the bill isn't recorded by then.
         """
-        if key not in self._escrow.purses[account].reserved:
-            await self.reserve(account, key, tokens)
-        bill = Bill(key, organisation, tokens, self.holder, self._clock.wall())
-        self._escrow.bill(account, bill)
-        done: asyncio.Future[BillState] = asyncio.get_running_loop().create_future()
-        self._states[account, key] = done
-        self._wake.set()
-        while not done.done():
-            if self.platform_out and await self._release_early(account, bill):
-                return
-            await asyncio.wait([done], timeout=_RETRY_PAUSE / SECOND)
-        if done.result() is BillState.REFUSED:
-            raise AnvilshiftError(NOT_RECORDED, "the bill was refused")
-
-    async def _release_early(self, account: str, bill: Bill) -> bool:
-        if not self._escrow.release_early(account, bill.key):
-            return False
-        await self.keep_copies(self.holder, ((account, bill),))
-        return True
-
-    async def _wait_round(self) -> None:
-        """Wait until a commit that begins from now on has ended.
-
-        One that is under way began before the shortage was known; taking its
-        end for an answer would refuse a request that the budget can pay.
-        """
-        awaited = self._begun + 1
-        self._wake.set()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(2 * self._spacing / SECOND + 1):
-                while self._ended < awaited:
-                    self._round.clear()
-                    await self._round.wait()
-
-    async def _run(self) -> None:
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            began = self._clock.now()
-            await self._commit(lambda: self._escrow.begin_commit())
-            spent = self._clock.now() - began
-            await asyncio.sleep(max(0.0, self._spacing - spent) / SECOND)
-
-    async def _commit(self, begin: Callable[[], Commit]) -> bool:
-        # One commit at a time: were two in flight, the older outcome could be
-        # taken in last and bring back a grant that was given up since.
-        async with self._lock:
-            self._begun += 1
-            try:
-                return await self._commit_one(begin())
-            finally:
-                self._ended = self._begun
-                self._round.set()
-
-    async def _commit_one(self, commit: Commit) -> bool:
-        escrow = self._escrow
-        outcome = Outcome()
-
-        def change(body: Body | None) -> Body:
-            nonlocal outcome
-            ledger = decode(Ledger, body) if body else Ledger()
-            ledger, outcome = ledger.apply(commit)
-            ledger = ledger.forget(self._clock.wall() - BILL_LIFETIME_S)
-            self.last_ledger = ledger
-            return encode(ledger)
+        branch = await self._find_branch(account)
+        bill = Bill(key, organisation, tokens, "", self._clock.wall())
+        await branch.settle(account, bill, until)
 
-        try:
-            await self._object.update(change)
-        except AnvilshiftError as error:
-            if self._failing_since is None:
-                self._failing_since = self._clock.now()
-            logging.warning("commit failed code=%d", error.code.number)
-            self._wake.set()
-            return False
-        self._failing_since = None
-        if outcome.sealed:
-            self._restart(escrow)
-            return False
-        states = escrow.finish_commit(commit, outcome)
-        for key, state in states.items():
-            done = self._states.pop(key, None)
-            if done is not None and not done.done():
-                done.set_result(state)
-        return True
-
-    def _restart(self, sealed: Escrow) -> None:
-        """Begin a new holder after this one was sealed.
-
-        A router that was paused past its lease finds its grant sealed.  What
-        it had reserved may be another's by now, so it begins with nothing.
-        """
-        logging.warning("holder sealed holder=%s", sealed.holder)
-        self._generation += 1
-        self._escrow = Escrow(f"{self._incarnation}.{self._generation}")
-        for name in sealed.purses:
-            self._open(name)
-        for done in self._states.values():
-            if not done.done():
-                done.set_result(BillState.REFUSED)
-        self._states.clear()
-        self._wake.set()
-        released = tuple(
-            (name, purse.pending[key])
-            for name, purse in sealed.purses.items()
-            for key in purse.released
-        )
-        if released:
-            self._late = asyncio.get_running_loop().create_task(
-                self.hand_in(sealed.holder, released)
-            )
+    async def _all_branches(self) -> list[Branch]:
+        if not self._shards:
+            self._shards = await read_shards(self._store)
+        return [self._make_branch(name) for name in list_names(self._shards)]
 
-    async def hand_in(self, holder: str, bills: tuple[tuple[str, Bill], ...]) -> None:
+    async def hand_in(self, holder: str, bills: Bills) -> None:
         """Record bills of a sealed holder that it released within its allowance."""
-        bills = tuple((name, replace(bill, holder=holder)) for name, bill in bills)
-
-        def change(body: Body | None) -> Body:
-            ledger = decode(Ledger, body) if body else Ledger()
-            return encode(ledger.hand_in(holder, bills)[0])
+        for branch in await self._all_branches():
+            kept = tuple(
+                (account, bill)
+                for account, bill in bills
+                if ledger_name(account, self._shards) == branch.name
+            )
+            if kept:
+                await branch.hand_in(holder, kept)
 
-        await self._object.update(change)
+    async def seal(self, incarnation: str) -> None:
+        """Close a lost router's grants for good."""
+        for branch in await self._all_branches():
+            await branch.seal(incarnation)
 
-    async def seal(self, holder: str) -> None:
-        """Close a lost holder's grants for good."""
+    async def sweep(self, incarnations: Collection[str]) -> None:
+        """Seal holders that belong to no known router.
 
-        def change(body: Body | None) -> Body:
-            ledger = decode(Ledger, body) if body else Ledger()
-            names = {n for a in ledger.accounts.values() for n in a.grants}
-            for name in names | {holder}:
-                if name == holder or name.startswith(f"{holder}."):
-                    ledger = ledger.seal(name)
-            return encode(ledger)
+        A router that dies before its first record, or whose record went but
+        not its grants, is on nobody's roster: its tokens would lie stranded.
 
-        await self._object.update(change)
+        Parameters
+        ----------
+        incarnations
+            Every router on the roster; this one is known anyway.
+        """
+        known = {*incarnations, self._incarnation}
+        now = self._clock.now()
+        unknown = set()
+        for branch in await self._all_branches():
+            found = await self._store.get(LEDGER_KIND, branch.name)
+            for holder in read_body(found.body if found else None).list_open():
+                if not any(belongs(holder, one) for one in known):
+                    unknown.add(holder)
+        self._orphans = {h: self._orphans.get(h, now) for h in unknown}
+        for holder, since in self._orphans.items():
+            if now - since > ORPHAN_AFTER:
+                logging.warning("sealing orphan holder=%s", holder)
+                await self.seal(holder)
 
     async def give_back(self, account: str | None = None) -> bool:
-        """Record what is pending and hand back all that is not reserved."""
-        return await self._commit(lambda: self._escrow.give_back(account))
+        """Record what is pending and hand back all that no request needs."""
+        results = [
+            await branch.give_back(account)
+            for branch in self.branches
+            if account is None or account in branch.escrow.purses
+        ]
+        return all(results)
 
     async def close(self) -> None:
         """Settle everything and stop; the grants go back."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
-        await self.give_back()
+        for branch in self.branches:
+            await branch.close()
--- a/tests/core/test_escrow.py
+++ b/tests/core/test_escrow.py
@@ -2,8 +2,9 @@
 
 import unittest
 
+from anvilshift.core.errors import BUDGET_EXHAUSTED, BUDGET_UNREACHABLE
 from anvilshift.core.escrow import Escrow
-from anvilshift.core.ledger import Bill, Ledger
+from anvilshift.core.ledger import Bill, BillState, Grant, Ledger
 
 
 def make_escrow(tokens: int = 1_000, allowance: int = 100) -> tuple[Escrow, Ledger]:
@@ -56,3 +57,64 @@
         ledger, _ = ledger.apply(escrow.give_back())
         self.assertEqual(ledger.account("pounds").free, 1_000)
         self.assertFalse(escrow.reserve("pounds", "a", 1))
+
+    def test_allowance_lowered_in_vain_counts_as_lowered(self):
+        """An operator lowers the allowance and raises it again.
+
+        The platform takes the lower one and its answer is lost.  Were the
+        router to live on the old figure, more would be released than sealing
+        it leaves in doubt, and the difference would be handed out twice.
+        """
+        escrow, ledger = make_escrow(allowance=100)
+        escrow.open("pounds", 10, level=500)
+        ledger, _ = ledger.apply(escrow.begin_commit())
+        escrow.open("pounds", 100, level=500)
+        escrow.reserve("pounds", "a", 70)
+        escrow.bill("pounds", Bill("a", "kosice", 70, "r1"))
+        self.assertFalse(escrow.release_early("pounds", "a"))
+        self.assertEqual(ledger.seal("r1").account("pounds").doubt, 10)
+
+    def test_no_early_release_while_the_witness_changes(self):
+        escrow, ledger = make_escrow(allowance=100)
+        escrow.choose_witness("r2-a")
+        escrow.reserve("pounds", "a", 70)
+        escrow.bill("pounds", Bill("a", "kosice", 70, "r1"))
+        self.assertFalse(escrow.release_early("pounds", "a"))
+        ledger = commit(escrow, ledger)
+        self.assertEqual(ledger.account("pounds").grants["r1"].witness, "r2-a")
+
+    def test_request_sent_again_while_its_bill_waits_is_one_bill(self):
+        escrow, ledger = make_escrow()
+        for tokens in (40, 60):
+            escrow.reserve("pounds", "a", tokens)
+            escrow.bill("pounds", Bill("a", "kosice", tokens, "r1"))
+        self.assertEqual(commit(escrow, ledger).account("pounds").spent, 40)
+
+    def test_idle_router_hands_its_cushion_back(self):
+        escrow, ledger = make_escrow(allowance=50)
+        escrow.reserve("pounds", "a", 10, now=0.0)
+        wish = escrow.begin_commit(now=60_000.0)
+        ledger, _ = ledger.apply(wish)
+        self.assertEqual(ledger.account("pounds").held, 60)
+
+    def test_heir_bills_what_its_sealed_forerunner_had_in_hand(self):
+        escrow, ledger = make_escrow()
+        escrow.reserve("pounds", "a", 40)
+        escrow.bill("pounds", Bill("a", "kosice", 40, "r1"))
+        ledger = ledger.seal("r1")
+        heir = escrow.succeed("r1.1")
+        wish = heir.begin_commit()
+        ledger, outcome = ledger.apply(wish)
+        heir.finish_commit(wish, outcome)
+        self.assertEqual(outcome.bills["pounds", "a"], BillState.RECORDED)
+        self.assertEqual(ledger.account("pounds").spent, 40)
+
+    def test_refusal_says_where_the_tokens_are(self):
+        escrow, _ = make_escrow()
+        purse = escrow.purses["pounds"]
+        purse.take(Grant(), free=0, elsewhere=300, now=0.0)
+        self.assertEqual(purse.refuse("a", 300, now=0.0), BUDGET_UNREACHABLE)
+        self.assertEqual(purse.refuse("a", 301, now=0.0), BUDGET_EXHAUSTED)
+        self.assertEqual(purse.recall_refusal(400, now=500.0), BUDGET_EXHAUSTED)
+        self.assertIsNone(purse.recall_refusal(300, now=500.0))
+        self.assertIsNone(purse.recall_refusal(400, now=900.0))
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -1,11 +1,19 @@
 """The ledger: every token is in one place, whatever is lost or repeated."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from anvilshift.core.ledger import Bill, BillState, Commit, Draw, Ledger
+from anvilshift.core.ledger import (
+    MAX_MARKS,
+    Bill,
+    BillState,
+    Commit,
+    Draw,
+    Ledger,
+)
 
 
 def make_ledger(tokens: int = 1_000) -> Ledger:
@@ -70,6 +78,55 @@
         account = ledger.account("pounds")
         self.assertEqual((account.spent, account.doubt, account.free), (80, 20, 900))
 
+    def test_cushions_leave_a_share_and_needs_are_met(self):
+        ledger = make_ledger()
+        for holder, held in (("r1", 500), ("r2", 166), ("r3", 83)):
+            commit = Commit(holder, draws={"pounds": Draw(700, 0, need=0)})
+            ledger, outcome = ledger.apply(commit)
+            self.assertEqual(outcome.grants["pounds"].held, held)
+        commit = Commit("r4", draws={"pounds": Draw(700, 0, need=240)})
+        self.assertEqual(ledger.apply(commit)[1].grants["pounds"].held, 242)
+
+    def test_forgotten_holder_stays_sealed(self):
+        """Thousands of routers are replaced a day; the ledger must not grow.
+
+        A router that slept through its sealing and its being forgotten wakes
+        with tokens in mind that others have drawn.
+        """
+        ledger = draw(make_ledger(), "r1", 600).seal("r1").forget(0)
+        self.assertEqual(ledger.holders, {})
+        self.assertEqual(ledger.account("pounds").grants, {})
+        again = Commit("r1", (bill("k", 50),), joined=True)
+        self.assertTrue(ledger.apply(again)[1].sealed)
+
+    def test_witness_closes_the_doubt_and_no_other(self):
+        commit = Commit("r1", draws={"pounds": Draw(600, 100, witness="r2")})
+        ledger = make_ledger().apply(commit)[0].seal("r1")
+        copies = (bill("a", 30),)
+        kept, _ = ledger.hand_in("r1", copies, closer="r3")
+        self.assertEqual(kept.account("pounds").doubt, 70)
+        closed, _ = ledger.hand_in("r1", copies, closer="r2")
+        account = closed.account("pounds")
+        self.assertEqual((account.spent, account.doubt, account.free), (30, 0, 970))
+
+    def test_closing_twice_gives_back_once(self):
+        ledger = draw(make_ledger(), "r1", 600, allowance=100)
+        draws = {"pounds": Draw(0, 0)}
+        commit = Commit("r1", (bill("k", 50),), draws, joined=True, closing=True)
+        ledger, _ = ledger.apply(commit)
+        again, outcome = ledger.apply(commit)
+        self.assertTrue(outcome.sealed)
+        self.assertEqual((again.account("pounds").free, again.holders), (950, {}))
+
+    def test_marks_stay_within_the_platforms_value(self):
+        """A ledger too large to write would stop every budget in it."""
+        ledger = draw(make_ledger(), "r1", 600)
+        slots = {str(n): {"r1": "x" * (MAX_MARKS // 4)} for n in range(1, 6)}
+        account = replace(ledger.account("pounds"), recent=slots)
+        ledger = replace(ledger, accounts={"pounds": account})
+        ledger = ledger.apply(Commit("r1", (bill("k", 5),)))[0].forget(0)
+        self.assertEqual(sorted(ledger.account("pounds").recent), ["2", "3", "4", "5"])
+
     @given(
         st.lists(
             st.tuples(
--- /dev/null
+++ b/tests/router/test_treasury.py
@@ -0,0 +1,286 @@
+"""The treasury on a platform that fails: nobody overspends, nobody is told wrong."""
+
+import asyncio
+import unittest
+
+from anvilshift.core.declarations import Budget
+from anvilshift.core.errors import (
+    BUDGET_EXHAUSTED,
+    BUDGET_FROZEN,
+    BUDGET_UNREACHABLE,
+    NOT_RECORDED,
+    AnvilshiftError,
+)
+from anvilshift.core.ledger import Ledger
+from anvilshift.platform import ledgers
+from anvilshift.platform.records import decode, encode
+from anvilshift.platform.store import update
+from anvilshift.router.treasury import LEDGER_KIND, LEDGER_NAME, Treasury
+from anvilshift.standins.memory import MemoryStore
+from anvilshift.standins.virtual import VirtualClock, run_virtual
+
+SPACING = 200.0
+
+
+class Bank:
+    """A platform and some routers' treasuries that ask each other for tokens."""
+
+    def __init__(
+        self, routers: int = 1, tokens: int = 1_000, allowance: int = 100
+    ) -> None:
+        self.store = MemoryStore()
+        self.budget = Budget("pounds", allowance=allowance, grant=500)
+        self.tokens = tokens
+        self.treasuries = [self.make(f"r{n}") for n in range(1, routers + 1)]
+
+    def make(self, name: str) -> Treasury:
+        view = self.store.view(name)
+        treasury = Treasury(view, VirtualClock(), f"{name}-a", SPACING)
+        treasury.configure({"pounds": self.budget})
+
+        async def ask(account: str) -> None:
+            others = [t for t in self.treasuries if t is not treasury]
+            await asyncio.gather(*(t.give_back(account) for t in others))
+
+        treasury.ask_peers = ask
+        return treasury
+
+    async def open(self) -> None:
+        await ledgers.top_up(self.store, "pounds", "invoice", self.tokens)
+        for treasury in self.treasuries:
+            treasury.start()
+
+    async def spend(self, treasury: Treasury, key: str, tokens: int, **more) -> None:
+        await treasury.reserve("pounds", key, tokens)
+        await treasury.settle("pounds", key, "kosice", tokens, **more)
+
+    @property
+    def account(self):
+        ledger = decode(Ledger, self.store.peek(LEDGER_KIND, LEDGER_NAME) or {})
+        return ledger.account("pounds")
+
+
+def virtual(test):
+    def run(self):
+        run_virtual(test(self))
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+class TreasuryTest(unittest.TestCase):
+    async def refused(self, work) -> AnvilshiftError:
+        with self.assertRaises(AnvilshiftError) as caught:
+            await work
+        return caught.exception
+
+    @virtual
+    async def test_sealed_router_bills_what_it_had_in_hand(self):
+        """A router is paused past its lease and sealed while answers end.
+
+        The callers would see "not recorded" for answers that they have read
+        to the last token.  The waking router finds its holder sealed; what
+        waited for its bill must be billed by the next holder.
+        """
+        bank = Bank(routers=2)
+        await bank.open()
+        first, second = bank.treasuries
+        await first.reserve("pounds", "a", 50)
+        await first.reserve("pounds", "b", 50)
+        await second.seal("r1-a")
+        await first.settle("pounds", "a", "kosice", 40)
+        await first.settle("pounds", "b", "kosice", 30)
+        self.assertEqual(bank.account.spent, 70)
+        await asyncio.sleep(2)
+        self.assertEqual(bank.account.doubt, 0)
+
+    @virtual
+    async def test_sealed_in_an_outage_the_released_is_billed_once(self):
+        """The platform goes out, a router ends an answer within its allowance.
+
+        It is then held for lost and sealed before its bill is recorded.  The
+        answer is with the caller: it must be billed, and only once.
+        """
+        bank = Bank(routers=2)
+        await bank.open()
+        first, second = bank.treasuries
+        await first.reserve("pounds", "a", 60)
+        await first.reserve("pounds", "b", 60)
+        bank.store.faults.cut = {"r1"}
+        await first.settle("pounds", "a", "kosice", 60)
+        self.assertEqual(bank.account.spent, 0)
+        waiting = asyncio.create_task(first.settle("pounds", "b", "kosice", 60))
+        await second.seal("r1-a")
+        self.assertEqual(bank.account.doubt, 100)
+        bank.store.faults.cut = set()
+        await waiting
+        await asyncio.sleep(5)
+        self.assertEqual((bank.account.spent, bank.account.doubt), (120, 0))
+
+    @virtual
+    async def test_broken_account_freezes_and_others_go_on(self):
+        """An operator's script writes an account that has more spent than it had.
+
+        Every budget of the router would stop without a word, because the task
+        that commits has ended.  Only the broken one may stop.
+        """
+        bank = Bank()
+        await bank.open()
+        treasury = bank.treasuries[0]
+        await ledgers.top_up(bank.store, "drums", "invoice", 500)
+
+        def spoil(body):
+            ledger = decode(Ledger, body)
+            body = encode(ledger)
+            body["accounts"]["pounds"]["spent"] = 5_000
+            return body
+
+        await update(bank.store, LEDGER_KIND, LEDGER_NAME, spoil)
+        error = await self.refused(bank.spend(treasury, "a", 10))
+        self.assertEqual(error.code, BUDGET_FROZEN)
+        await treasury.reserve("drums", "b", 10)
+        await treasury.settle("drums", "b", "counter", 10)
+
+    @virtual
+    async def test_last_tokens_are_within_reach_of_every_router(self):
+        """A small budget is drawn on through five routers.
+
+        A franchisee would be told that its budget is spent while most of it
+        lies in the grants of routers that nobody asks.
+        """
+        bank = Bank(routers=5, tokens=1_000, allowance=100)
+        await bank.open()
+        for treasury in bank.treasuries:
+            await bank.spend(treasury, f"first-{id(treasury)}", 10)
+        for number in range(9):
+            await bank.spend(bank.treasuries[0], f"k{number}", 100)
+        self.assertEqual(bank.account.spent, 950)
+
+    @virtual
+    async def test_many_requests_short_at_once_are_all_paid(self):
+        """An opening burst finds the grant empty: ten requests wait at once."""
+        bank = Bank(tokens=10_000)
+        await bank.open()
+        work = [bank.spend(bank.treasuries[0], f"k{n}", 400) for n in range(20)]
+        await asyncio.gather(*work)
+        self.assertEqual(bank.account.spent, 8_000)
+
+    @virtual
+    async def test_exhausted_budget_costs_no_write_a_request(self):
+        """A franchisee's callers go on calling after the budget is spent."""
+        bank = Bank(routers=2, tokens=300, allowance=0)
+        await bank.open()
+        first = bank.treasuries[0]
+        await bank.spend(first, "a", 300)
+        await self.refused(bank.spend(first, "b", 100))
+        before = bank.store.calls["put"]
+        for number in range(200):
+            error = await self.refused(bank.spend(first, f"c{number}", 100))
+            self.assertEqual(error.code, BUDGET_EXHAUSTED)
+            await asyncio.sleep(0.01)
+        self.assertLessEqual(bank.store.calls["put"] - before, 2)
+        await ledgers.top_up(bank.store, "pounds", "invoice-2", 500)
+        await asyncio.sleep(1)
+        await bank.spend(first, "d", 100)
+        self.assertEqual(bank.account.spent, 400)
+
+    @virtual
+    async def test_unreachable_is_not_called_exhausted(self):
+        """The rest of a budget is reserved by work in flight elsewhere."""
+        bank = Bank(routers=2, tokens=300, allowance=0)
+        await bank.open()
+        first, second = bank.treasuries
+        await first.reserve("pounds", "a", 300)
+        error = await self.refused(second.reserve("pounds", "b", 100))
+        self.assertEqual(error.code, BUDGET_UNREACHABLE)
+        self.assertIsNotNone(error.retry_after)
+
+    @virtual
+    async def test_bill_that_fits_nowhere_ends_before_the_deadline(self):
+        """The platform is out and the allowance is used up.
+
+        The caller must hear at its deadline that the work ran and its bill
+        isn't recorded, not that nothing is known.
+        """
+        bank = Bank(allowance=50)
+        await bank.open()
+        treasury = bank.treasuries[0]
+        await treasury.reserve("pounds", "a", 80)
+        bank.store.faults.outage = True
+        began = VirtualClock().now()
+        settling = treasury.settle("pounds", "a", "kosice", 80, until=began + 3_000)
+        error = await self.refused(settling)
+        self.assertEqual(error.code, NOT_RECORDED)
+        self.assertLess(VirtualClock().now(), began + 3_000)
+        bank.store.faults.outage = False
+        await asyncio.sleep(3)
+        self.assertEqual(bank.account.spent, 80)
+
+    @virtual
+    async def test_slow_platform_does_not_hold_the_end_of_an_answer(self):
+        """The platform answers after seconds but never fails."""
+        bank = Bank()
+        await bank.open()
+        treasury = bank.treasuries[0]
+        await treasury.reserve("pounds", "a", 80)
+
+        async def wait(caller, verb):
+            await asyncio.sleep(5)
+
+        bank.store.faults.after = wait
+        began = VirtualClock().now()
+        await treasury.settle("pounds", "a", "kosice", 80)
+        self.assertLess(VirtualClock().now() - began, 500)
+
+    @virtual
+    async def test_lost_answers_bill_and_close_once(self):
+        """Every answer of the platform is lost once, that to the close as well."""
+        bank = Bank()
+        await bank.open()
+        treasury = bank.treasuries[0]
+        for number in range(5):
+            bank.store.faults.lose_answers = 1
+            await bank.spend(treasury, f"k{number}", 20)
+        bank.store.faults.lose_answers = 1
+        await treasury.close()
+        self.assertEqual((bank.account.spent, bank.account.free), (100, 900))
+
+    @virtual
+    async def test_first_bill_after_a_quiet_time_commits_at_once(self):
+        bank = Bank()
+        await bank.open()
+        await bank.spend(bank.treasuries[0], "a", 10)
+        await asyncio.sleep(10)
+        await bank.treasuries[0].reserve("pounds", "b", 10)
+        await asyncio.sleep(2 * SPACING / 1_000)
+        began = VirtualClock().now()
+        await bank.treasuries[0].settle("pounds", "b", "kosice", 10)
+        self.assertEqual(VirtualClock().now(), began)
+
+    @virtual
+    async def test_orphaned_grant_comes_back(self):
+        """A router dies before its first record, so that nobody knows it."""
+        bank = Bank(routers=2, allowance=0)
+        await bank.open()
+        await bank.treasuries[0].reserve("pounds", "a", 300)
+        for _ in range(20):
+            await bank.treasuries[1].sweep([])
+            await asyncio.sleep(1)
+        self.assertEqual(bank.account.free, 1_000)
+
+    @virtual
+    async def test_top_up_reaches_routers_on_both_sides_of_a_cut(self):
+        """A budget is topped up while one router can't reach the platform."""
+        bank = Bank(routers=2, tokens=200)
+        await bank.open()
+        first, second = bank.treasuries
+        await bank.spend(first, "a", 50)
+        bank.store.faults.cut = {"r1"}
+        await ledgers.top_up(bank.store, "pounds", "invoice-2", 400)
+        await bank.spend(second, "b", 400)
+        error = await self.refused(first.reserve("pounds", "c", 400))
+        self.assertEqual(error.code, BUDGET_UNREACHABLE)
+        bank.store.faults.cut = set()
+        await asyncio.sleep(2)
+        await bank.spend(first, "d", 100)
+        self.assertEqual(bank.account.spent, 550)
