Name a witness for each allowance and number the commits of a holder

Cause: after a SIGKILL the whole allowance stayed in doubt for ever. And, found on the way: a router that is cut off as its commit takes effect, and comes back after the marks of that time are forgotten, billed the same request again (tests/core/test_ledger.py, bill recorded once after its mark is forgotten).

Ruled out: asking all peers for copies (a copy that one of them has lost can't be told from one that never was); keeping marks until every holder has confirmed them (a router that is cut off would fill the ledger).

Change: a grant names a witness, a router's incarnation. Commits are numbered, so a bill made before the newest one began counts as judged. The generated peers code follows two new fields.

--- a/anvilshift/core/account.py
+++ b/anvilshift/core/account.py
@@ -70,6 +70,9 @@
         request id.
     at
         Wall-clock seconds when it was made, for forgetting old keys.
+    after
+        How many commits its holder had begun when the bill was made; only
+        later ones list it.
     """
 
     key: str
@@ -77,6 +80,7 @@
     tokens: int
     holder: str
     at: int = 0
+    after: int = 0
 
 
 class BillState(Enum):
--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -6,8 +6,9 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import replace
 
-from anvilshift.core.account import Bill, BillState
+from anvilshift.core.account import Bill, BillState, Draw
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import InvariantError
 from anvilshift.core.ledger import BillKey, Commit, Outcome
@@ -39,6 +40,8 @@
     def __init__(self, holder: str) -> None:
         self.holder = holder
         self.joined = False
+        self.begun = 0
+        self.witness = ""
         self.purses: dict[str, Purse] = {}
 
     def open(self, account: str, allowance: int, level: int) -> None:
@@ -46,9 +49,11 @@
         purse = self.purses.setdefault(account, Purse(account, allowance, level))
         purse.allowance = allowance
         purse.level = level
+        purse.witness = self.witness
 
     def choose_witness(self, witness: str) -> None:
         """Name the router that is to keep copies, from the next commit on."""
+        self.witness = witness
         for purse in self.purses.values():
             purse.witness = witness
 
@@ -65,7 +70,7 @@
 
     def bill(self, account: str, bill: Bill) -> None:
         """Turn a reservation into a bill that waits to be recorded."""
-        self.purses[account].bill(bill)
+        self.purses[account].bill(replace(bill, after=self.begun))
 
     def release_early(self, account: str, key: str) -> bool:
         """Tell whether an answer may end before its bill is recorded.
@@ -90,7 +95,12 @@
             for name, purse in self.purses.items()
             if purse.needs_draw(now)
         }
-        return Commit(self.holder, self._list_bills(), draws, self.joined)
+        return self._make_commit(draws)
+
+    def _make_commit(self, draws: Mapping[str, Draw], closing: bool = False) -> Commit:
+        self.begun += 1
+        bills = self._list_bills()
+        return Commit(self.holder, bills, draws, self.joined, closing, self.begun)
 
     def _list_bills(self) -> Bills:
         return tuple(
@@ -128,24 +138,23 @@
         purse.pending.pop(key, None)
         purse.released.discard(key)
 
-    def give_back(self, account: str | None = None, now: Millis = 0.0) -> Commit:
+    def give_back(
+        self, account: str | None = None, now: Millis = 0.0, closing: bool = False
+    ) -> Commit:
         """Return the commit that hands back what no request needs, of one or all."""
         draws = {}
         for name, purse in self.purses.items():
             if account in (None, name) and not purse.frozen:
                 purse.lean_until = now + LEAN_SPAN
                 draws[name] = purse.draw(now, cushion=0)
-        return Commit(self.holder, self._list_bills(), draws, self.joined)
+        return self._make_commit(draws, closing)
 
     def close(self) -> Commit:
         """Return the commit that records what is pending and ends the holder."""
         for purse in self.purses.values():
             purse.reserved.clear()
             purse.waiting.clear()
-        commit = self.give_back()
-        return Commit(
-            self.holder, commit.bills, commit.draws, self.joined, closing=True
-        )
+        return self.give_back(closing=True)
 
     def list_released(self) -> Bills:
         """Return the pending bills whose answers may have ended."""
@@ -155,6 +164,11 @@
             for key in sorted(purse.released)
         )
 
+    def drop_judged(self, states: Mapping[BillKey, BillState]) -> None:
+        """Forget the bills that a commit had recorded before the sealing."""
+        for (name, key), state in states.items():
+            self._drop_bill(name, key, state)
+
     def succeed(self, holder: str) -> "Escrow":
         """Return the escrow of the holder that follows this one, now sealed.
 
@@ -163,17 +177,16 @@
         so the ledger draws what they need anew, or refuses the bill.
         """
         heir = Escrow(holder)
+        heir.witness = self.witness
         for name, purse in self.purses.items():
             heir.open(name, purse.allowance, purse.level)
             new = heir.purses[name]
             new.use, new.used_at = purse.use, purse.used_at
-            new.witness, new.frozen = purse.witness, purse.frozen
+            new.frozen = purse.frozen
             new.reserved = dict(purse.reserved)
             new.waiting = dict(purse.waiting)
             for key, bill in purse.pending.items():
                 if key not in purse.released:
-                    new.pending[key] = Bill(
-                        key, bill.organisation, bill.tokens, holder, bill.at
-                    )
+                    new.pending[key] = replace(bill, holder=holder, after=0)
             new.carried = set(new.reserved) | set(new.pending)
         return heir
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -37,12 +37,42 @@
 """The account and the key of a bill."""
 
 
+@dataclass(frozen=True)
+class Holder:
+    """What the ledger knows of a holder.
+
+    Parameters
+    ----------
+    sealed_at
+        Wall-clock second at which it was sealed; 0 while it is open.
+    last
+        Number of its newest commit.  Every commit lists every bill that waits,
+        so a bill made before that commit began is judged, even when its mark
+        is forgotten: a router cut off for longer than marks are kept would
+        bill again what it had recorded by a commit whose answer was lost.
+    refused
+        Keys of the bills that its newest commit refused.
+    """
+
+    sealed_at: int = 0
+    last: int = 0
+    refused: tuple[str, ...] = ()
+
+    def judge(self, bill: Bill) -> BillState | None:
+        """Return what became of a bill in an earlier commit; None is unknown."""
+        if bill.after >= self.last:
+            return None
+        return BillState.REFUSED if bill.key in self.refused else BillState.RECORDED
+
+
 @dataclass(frozen=True)
 class Commit:
     """One group of bills and draws of one holder.
 
     Parameters
     ----------
+    number
+        How many commits the holder has begun, this one included.
     joined
         Whether the holder knows that an earlier commit of its took effect.  A
         holder that has joined and isn't in the ledger was sealed and
@@ -56,6 +86,7 @@
     draws: Mapping[str, Draw] = field(default_factory=dict)
     joined: bool = False
     closing: bool = False
+    number: int = 0
 
     @property
     def touched(self) -> list[str]:
@@ -72,7 +103,8 @@
     sealed
         Whether the holder was sealed, so that nothing was done.
     bills
-        By account and key, what became of each bill.
+        By account and key, what became of each bill; of a sealed holder, of
+        those that an earlier commit recorded or refused.
     grants
         By account, the holder's grant after the commit.
     free
@@ -98,12 +130,11 @@
     Parameters
     ----------
     holders
-        By name, the wall-clock second at which the holder was sealed; 0 is
-        open.
+        By name, the holders that are open and those sealed of late.
     """
 
     accounts: Mapping[str, Account] = field(default_factory=dict)
-    holders: Mapping[str, int] = field(default_factory=dict)
+    holders: Mapping[str, Holder] = field(default_factory=dict)
 
     def account(self, name: str) -> Account:
         """Return an account; one that nobody topped up is empty."""
@@ -111,15 +142,20 @@
 
     def is_sealed(self, holder: str) -> bool:
         """Tell whether a holder is known to be sealed."""
-        return self.holders.get(holder, 0) > 0
+        return self.holders.get(holder, Holder()).sealed_at > 0
 
     def list_open(self) -> list[str]:
         """Return the holders that may still commit."""
-        return [name for name, sealed_at in self.holders.items() if not sealed_at]
+        return [name for name, one in self.holders.items() if not one.sealed_at]
 
     def list_sealed(self, before: int) -> list[str]:
         """Return the holders sealed before an instant and not forgotten."""
-        return [name for name, at in self.holders.items() if 0 < at < before]
+        return [n for n, one in self.holders.items() if 0 < one.sealed_at < before]
+
+    def list_witnesses(self, holder: str) -> set[str]:
+        """Return the witnesses of a holder's grants that have tokens in doubt."""
+        grants = [account.grant(holder) for account in self.accounts.values()]
+        return {grant.witness for grant in grants if grant.doubt}
 
     def _with(self, changed: Mapping[str, Account]) -> "Ledger":
         return replace(self, accounts={**self.accounts, **changed})
@@ -152,19 +188,21 @@
         """
         holder = commit.holder
         if self.is_sealed(holder) or (commit.joined and holder not in self.holders):
-            return self, Outcome(sealed=True)
+            return self, Outcome(True, self._judge(holder, commit.bills))
         changed: dict[str, Account] = {}
         states: dict[BillKey, BillState] = {}
         frozen = set()
         for name in commit.touched:
             try:
-                account, found = _apply_one(self.account(name), name, commit)
+                account, found = self._apply_one(name, commit)
             except InvariantError:
                 frozen.add(name)
                 continue
             changed[name] = account
             states.update(found)
-        ledger = replace(self._with(changed), holders={**self.holders, holder: 0})
+        refused = tuple(k for (_, k), s in states.items() if s is BillState.REFUSED)
+        holders = {**self.holders, holder: Holder(0, commit.number, refused)}
+        ledger = replace(self._with(changed), holders=holders)
         outcome = Outcome(
             bills=states,
             grants={name: a.grant(holder) for name, a in changed.items()},
@@ -174,6 +212,27 @@
         )
         return (ledger._close(holder) if commit.closing else ledger), outcome
 
+    def _judge(
+        self, holder: str, bills: tuple[tuple[str, Bill], ...]
+    ) -> dict[BillKey, BillState]:
+        known = self.holders.get(holder, Holder())
+        states = {(name, bill.key): known.judge(bill) for name, bill in bills}
+        return {key: state for key, state in states.items() if state}
+
+    def _apply_one(
+        self, name: str, commit: Commit
+    ) -> tuple[Account, dict[BillKey, BillState]]:
+        account = self.account(name)
+        bills = tuple((owner, bill) for owner, bill in commit.bills if owner == name)
+        states = self._judge(commit.holder, bills)
+        for _, bill in bills:
+            if (name, bill.key) not in states:
+                account, states[name, bill.key] = account.record(bill)
+        draw = commit.draws.get(name)
+        if draw is not None:
+            account = account.draw(commit.holder, draw)
+        return account.check(), states
+
     def _close(self, holder: str) -> "Ledger":
         gone = {holder}
         accounts = {n: a.without_grants(gone) for n, a in self.accounts.items()}
@@ -191,14 +250,16 @@
         >>> account.doubt, account.free
         (100, 400)
         """
-        if self.holders.get(holder, 1):
+        known = self.holders.get(holder)
+        if known is None or known.sealed_at:
             return self
         accounts = {
             name: account.with_grant(holder, account.grants[holder].seal())
             for name, account in self.accounts.items()
             if holder in account.grants
         }
-        holders = {**self.holders, holder: max(1, at)}
+        sealed = replace(known, sealed_at=max(1, at))
+        holders = {**self.holders, holder: sealed}
         return replace(self._with(accounts), holders=holders)
 
     def hand_in(
@@ -214,8 +275,10 @@
             takes no more copies.  What stays in doubt there is free again.
         """
         accounts = dict(self.accounts)
-        states: dict[BillKey, BillState] = {}
+        states = self._judge(holder, bills)
         for name, bill in bills:
+            if (name, bill.key) in states:
+                continue
             late = replace(bill, holder=holder)
             account = accounts.get(name, Account())
             accounts[name], states[name, bill.key] = account.record_late(late)
@@ -225,15 +288,16 @@
                 accounts[name] = account.with_grant(holder, replace(grant, doubt=0))
         return replace(self, accounts=accounts), states
 
-    def forget(self, before: int) -> "Ledger":
+    def forget(self, marks_before: int, holders_before: int) -> "Ledger":
         """Return the ledger without what no longer matters.
 
-        That is the marks of bills before an instant, and sealed holders with
-        nothing in doubt: such a holder's commit says that it had joined, which
-        tells it from a new one.  The tokens stay counted.
+        That is the marks of bills before an instant, and holders that were
+        sealed before an instant and have nothing in doubt: such a holder's
+        commit says that it had joined, which tells it from a new one.  The
+        tokens stay counted.
         """
-        accounts = {name: a.forget(before) for name, a in self.accounts.items()}
-        gone = {name for name, sealed_at in self.holders.items() if sealed_at}
+        accounts = {n: a.forget(marks_before) for n, a in self.accounts.items()}
+        gone = set(self.list_sealed(holders_before))
         for account in accounts.values():
             gone -= {name for name, grant in account.grants.items() if grant.doubt}
         if gone:
@@ -254,19 +318,6 @@
         return Ledger(accounts, holders)
 
 
-def _apply_one(
-    account: Account, name: str, commit: Commit
-) -> tuple[Account, dict[BillKey, BillState]]:
-    states: dict[BillKey, BillState] = {}
-    for owner, bill in commit.bills:
-        if owner == name:
-            account, states[name, bill.key] = account.record(bill)
-    draw = commit.draws.get(name)
-    if draw is not None:
-        account = account.draw(commit.holder, draw)
-    return account.check(), states
-
-
 def _drop_oldest(accounts: dict[str, Account]) -> dict[str, Account]:
     while sum(account.marks for account in accounts.values()) > MAX_MARKS:
         oldest = min(slot for a in accounts.values() for slot in map(int, a.recent))
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -29,6 +29,9 @@
 """Seconds for which a request that is sent again is recognised by its bill:
 several times the longest deadline.  Kept longer, the marks of 250 requests a
 second would outgrow the ledger's object."""
+HOLDER_LIFETIME_S = 24 * 3600
+"""Seconds for which a sealed holder is remembered.  No paused process comes
+back later; 100 lost hosts a day are then some 10 kB of the ledger."""
 RELEASE_AFTER: Millis = 400.0
 """Time that an answer's end waits for its bill before it is released within
 the allowance: twice the spacing of commits, so that it is rare while the
@@ -49,6 +52,8 @@
 
 KeepCopies = Callable[[str, Bills], Awaitable[bool]]
 """Leaves copies of a holder's bills with other routers; False if none took them."""
+KeepWitnessed = Callable[[str, str, Bills], Awaitable[bool]]
+"""Leaves copies with one router, named first; True once it has them."""
 AskPeers = Callable[[str], Awaitable[None]]
 """Asks other routers to give unused tokens of a budget back."""
 
@@ -57,6 +62,10 @@
     return False
 
 
+async def _reach_no_witness(witness: str, holder: str, bills: Bills) -> bool:
+    return False
+
+
 async def _ask_nobody(account: str) -> None:
     return None
 
@@ -66,6 +75,8 @@
     """What a treasury asks of the rest of its router."""
 
     keep_copies: KeepCopies = _keep_nothing
+    keep_witnessed: KeepWitnessed = _reach_no_witness
+    choose_witness: Callable[[str], str] = lambda current: ""
     ask_peers: AskPeers = _ask_nobody
     count_event: Callable[[str], None] = lambda event: None
 
@@ -185,7 +196,7 @@
         while not done.done():
             left = wait if until is None else min(wait, until - self._clock.now())
             await asyncio.wait([done], timeout=max(0.0, left) / SECOND)
-            if done.done() or await self._release_early(account, bill.key):
+            if done.done() or await self._try_release(account, bill.key, until):
                 break
             if until is not None and self._clock.now() >= until:
                 raise AnvilshiftError(NOT_RECORDED)
@@ -207,6 +218,13 @@
             self._states[account, key] = loop.create_future()
         return self._states[account, key]
 
+    async def _try_release(self, account: str, key: str, until: Millis | None) -> bool:
+        left = None if until is None else (until - self._clock.now()) / SECOND
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left):
+                return await self._release_early(account, key)
+        return False
+
     async def _release_early(self, account: str, key: str) -> bool:
         escrow = self.escrow
         bill = escrow.purses[account].pending.get(key)
@@ -214,7 +232,13 @@
         # was sealed; only its record ends the answer.
         if bill is None or not escrow.release_early(account, key):
             return False
-        await self._hooks.keep_copies(escrow.holder, ((account, bill),))
+        witness = escrow.purses[account].grant.witness
+        copies = ((account, bill),)
+        if witness:
+            # Without its copy, closing the witness would give back tokens
+            # that this answer has spent.
+            return await self._hooks.keep_witnessed(witness, escrow.holder, copies)
+        await self._hooks.keep_copies(escrow.holder, copies)
         return True
 
     async def _wait_round(self) -> None:
@@ -243,6 +267,7 @@
             # An error that nobody foresaw must not end the loop unseen: every
             # answer of this router would wait for its bill for ever.
             try:
+                self._choose_witness()
                 await self._commit(lambda: self.escrow.begin_commit(self._clock.now()))
             except Exception:
                 logging.exception("commit broke ledger=%s", self.name)
@@ -252,6 +277,13 @@
             spent = self._clock.now() - began
             await asyncio.sleep(max(0.0, pause - spent) / SECOND)
 
+    def _choose_witness(self) -> None:
+        # Not while commits fail: the change could not be recorded, and until
+        # it is nothing may be released unrecorded.
+        if self._failing_since is None:
+            chosen = self._hooks.choose_witness(self.escrow.witness)
+            self.escrow.choose_witness(chosen)
+
     def _has_work(self) -> bool:
         wanted = self.escrow.wants_commit(self._clock.now())
         # After a failure it goes on until a commit succeeds, for nothing else
@@ -279,7 +311,8 @@
         def change(body: Body | None) -> Body:
             nonlocal outcome
             ledger, outcome = read_body(body).apply(commit)
-            ledger = ledger.forget(self._clock.wall() - BILL_LIFETIME_S)
+            wall = self._clock.wall()
+            ledger = ledger.forget(wall - BILL_LIFETIME_S, wall - HOLDER_LIFETIME_S)
             self.last_ledger = ledger
             return encode(ledger)
 
@@ -290,6 +323,8 @@
             return False
         self._failures, self._failing_since = 0, None
         if outcome.sealed:
+            self.escrow.drop_judged(outcome.bills)
+            self._resolve(outcome.bills)
             self._restart()
             return False
         self._finish(commit, outcome)
@@ -361,6 +396,12 @@
             await self._object.update(change_body(change))
         return states
 
+    async def write_off(self, holder: str) -> None:
+        """Forget a sealed holder; what is in doubt there counts as spent."""
+        async with self._lock:
+            change = change_body(lambda ledger: ledger.write_off(holder))
+            await self._object.update(change)
+
     async def seal(self, incarnation: str) -> None:
         """Close every holder of a lost router for good."""
 
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import zlib
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -26,9 +27,6 @@
 from anvilshift.router.treasury import Treasury
 
 _RENEWALS_PER_LEASE = 4
-_MAX_COPIES = 10_000
-
-Copies = dict[str, dict[str, tuple[str, Bill]]]
 
 
 class Fleet:
@@ -63,11 +61,12 @@
         self._in_flight = in_flight
         self._renewed = clock.now() - 2 * lease
         self._reaches_platform = False
-        self._copies: Copies = {}
         self._renew_now = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         treasury.keep_copies = self.keep_copies
         treasury.ask_peers = self.ask_peers
+        treasury.hooks.keep_witnessed = self.keep_witnessed
+        treasury.hooks.choose_witness = self.choose_witness
 
     def start(self) -> None:
         """Begin to beat and renew."""
@@ -139,9 +138,8 @@
     async def _remove_lost(self) -> None:
         if not self._reaches_platform:
             return
-        known = {s.member.incarnation for s in self.roster.sightings.values()}
         with contextlib.suppress(AnvilshiftError):
-            await self._treasury.sweep(known)
+            await self._treasury.sweep(self._list_incarnations())
         for member in self.roster.lost(self._clock.now()):
             try:
                 await self._remove(member)
@@ -151,17 +149,15 @@
     async def _remove(self, member: Member) -> None:
         logging.warning("removing lost router=%s", member.name)
         await self._treasury.seal(member.incarnation)
-        await self._hand_in_copies(member.incarnation)
+        await self._treasury.sweep(self._list_incarnations())
         found = await self._store.get(ROUTER_KIND, member.name)
         if found and found.body.get("incarnation") == member.incarnation:
             with contextlib.suppress(ConflictError):
                 await self._store.delete(ROUTER_KIND, found.name, found.version)
         self.roster = self.roster.remove(member.name)
 
-    async def _hand_in_copies(self, incarnation: str) -> None:
-        for holder in [h for h in self._copies if h.startswith(incarnation)]:
-            copies = self._copies.pop(holder)
-            await self._treasury.hand_in(holder, tuple(copies.values()))
+    def _list_incarnations(self) -> set[str]:
+        return {s.member.incarnation for s in self.roster.sightings.values()}
 
     def _make_heartbeat(self) -> Heartbeat:
         member = self.member
@@ -215,23 +211,49 @@
         self, holder: str, bills: tuple[tuple[str, Bill], ...]
     ) -> bool:
         """Leave copies of bills with the other routers; True if one took them."""
-        pending = [
-            PendingBill(
-                account=account,
-                key=bill.key,
-                organisation=bill.organisation,
-                tokens=bill.tokens,
-            )
-            for account, bill in bills
-        ]
-        request = KeepRequest(holder=holder, bills=pending)
+        request = make_keep_request(holder, bills)
         addresses = self._peer_addresses()
         kept = await asyncio.gather(*(self._keep_one(a, request) for a in addresses))
         return any(kept)
 
+    async def keep_witnessed(
+        self, witness: str, holder: str, bills: tuple[tuple[str, Bill], ...]
+    ) -> bool:
+        """Leave copies of bills with the holder's witness; True once it has them."""
+        request = make_keep_request(holder, bills, witness)
+        for sighting in self.roster.sightings.values():
+            if sighting.member.incarnation == witness:
+                return await self._keep_one(sighting.member.peer_address, request)
+        return False
+
+    def choose_witness(self, current: str) -> str:
+        """Return the incarnation of the router that is to keep copies here.
+
+        The present one, while it is heard; else one of another failure domain,
+        so that one lost domain doesn't take both.
+        """
+        now = self._clock.now()
+        heard = {
+            s.member.incarnation: s.member
+            for s in self.roster.sightings.values()
+            if s.heard is not None
+            and now - s.heard <= self.roster.lease
+            and not s.member.leaving
+        }
+        if current in heard or not heard:
+            return current if current in heard else ""
+        own = self.member.failure_domain
+        return min(
+            heard, key=lambda name: (heard[name].failure_domain == own, self._mix(name))
+        )
+
+    def _mix(self, name: str) -> int:
+        # Another order at each router spreads the copies over the fleet.
+        return zlib.crc32(f"{self.member.incarnation}/{name}".encode())
+
     async def _keep_one(self, address: str, request: KeepRequest) -> bool:
         try:
-            return (await self._link.keep(address, request)).kept
+            return bool((await self._link.keep(address, request)).kept)
         except PeerError:
             return False
 
@@ -252,19 +274,42 @@
 
     async def take_copies(self, request: KeepRequest) -> KeepReply:
         """Keep copies of another router's bills."""
-        copies = self._copies.setdefault(request.holder, {})
-        for item in request.bills:
-            bill = Bill(
-                item.key,
-                item.organisation,
-                item.tokens,
-                request.holder,
-                self._clock.wall(),
+        wall = self._clock.wall()
+        bills = tuple(
+            (
+                item.account,
+                Bill(
+                    item.key,
+                    item.organisation,
+                    item.tokens,
+                    request.holder,
+                    wall,
+                    item.after,
+                ),
             )
-            copies[item.key] = (item.account, bill)
-        return KeepReply(kept=len(copies) <= _MAX_COPIES)
+            for item in request.bills
+        )
+        kept = self._treasury.copies.add(request.holder, bills, request.witness)
+        return KeepReply(kept=kept)
 
     async def take_give_back(self, request: GiveBackRequest) -> GiveBackReply:
         """Give unused tokens of a budget back to the platform."""
         await self._treasury.give_back(request.account)
         return GiveBackReply()
+
+
+def make_keep_request(
+    holder: str, bills: tuple[tuple[str, Bill], ...], witness: str = ""
+) -> KeepRequest:
+    """Return the request to keep copies of a holder's bills."""
+    pending = [
+        PendingBill(
+            account=account,
+            key=bill.key,
+            organisation=bill.organisation,
+            tokens=bill.tokens,
+            after=bill.after,
+        )
+        for account, bill in bills
+    ]
+    return KeepRequest(holder=holder, bills=pending, witness=witness)
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -6,9 +6,11 @@
 
 from anvilshift.core.account import Bill
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.copies import Copies
 from anvilshift.core.declarations import Budget
 from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
 from anvilshift.core.escrow import Bills
+from anvilshift.core.ledger import Ledger
 from anvilshift.platform.ledgers import (
     LEDGER_KIND,
     LEDGER_NAME,
@@ -20,6 +22,7 @@
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.branch import (
     BILL_LIFETIME_S,
+    HOLDER_LIFETIME_S,
     AskPeers,
     Branch,
     Hooks,
@@ -49,6 +52,7 @@
         self, store: ObjectStore, clock: Clock, incarnation: str, spacing: Millis
     ) -> None:
         self.hooks = Hooks()
+        self.copies = Copies(incarnation)
         self._store = store
         self._clock = clock
         self._incarnation = incarnation
@@ -177,21 +181,24 @@
     async def hand_in(self, holder: str, bills: Bills) -> None:
         """Record bills of a sealed holder that it released within its allowance."""
         for branch in await self._all_branches():
-            kept = tuple(
-                (account, bill)
-                for account, bill in bills
-                if ledger_name(account, self._shards) == branch.name
-            )
+            kept = self._select(bills, branch)
             if kept:
                 await branch.hand_in(holder, kept)
 
+    def _select(self, bills: Bills, branch: Branch) -> Bills:
+        return tuple(
+            (account, bill)
+            for account, bill in bills
+            if ledger_name(account, self._shards) == branch.name
+        )
+
     async def seal(self, incarnation: str) -> None:
         """Close a lost router's grants for good."""
         for branch in await self._all_branches():
             await branch.seal(incarnation)
 
     async def sweep(self, incarnations: Collection[str]) -> None:
-        """Seal holders that belong to no known router.
+        """Seal holders of no known router and resolve what is in doubt.
 
         A router that dies before its first record, or whose record went but
         not its grants, is on nobody's roster: its tokens would lie stranded.
@@ -202,13 +209,37 @@
             Every router on the roster; this one is known anyway.
         """
         known = {*incarnations, self._incarnation}
-        now = self._clock.now()
-        unknown = set()
+        unknown: set[str] = set()
+        holders: set[str] = set()
         for branch in await self._all_branches():
             found = await self._store.get(LEDGER_KIND, branch.name)
-            for holder in read_body(found.body if found else None).list_open():
-                if not any(belongs(holder, one) for one in known):
-                    unknown.add(holder)
+            ledger = read_body(found.body if found else None)
+            self.copies.drop_recorded(ledger)
+            holders |= set(ledger.holders)
+            await self._resolve_doubt(branch, ledger)
+            unknown |= {
+                holder
+                for holder in ledger.list_open()
+                if not any(belongs(holder, one) for one in known)
+            }
+        self.copies.keep_only(holders)
+        await self._seal_orphans(unknown)
+
+    async def _resolve_doubt(self, branch: Branch, ledger: Ledger) -> None:
+        old = self._clock.wall() - HOLDER_LIFETIME_S
+        for holder in ledger.list_sealed(before=self._clock.wall() + 1):
+            witnesses = ledger.list_witnesses(holder)
+            if self._incarnation in witnesses:
+                bills = self._select(self.copies.close(holder), branch)
+                await branch.hand_in(holder, bills, closer=self._incarnation)
+            elif self._select(self.copies.list(holder), branch):
+                bills = self._select(self.copies.list(holder), branch)
+                await branch.hand_in(holder, bills)
+            elif holder in ledger.list_sealed(before=old):
+                await branch.write_off(holder)
+
+    async def _seal_orphans(self, unknown: set[str]) -> None:
+        now = self._clock.now()
         self._orphans = {h: self._orphans.get(h, now) for h in unknown}
         for holder, since in self._orphans.items():
             if now - since > ORPHAN_AFTER:
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -93,12 +93,32 @@
         A router that slept through its sealing and its being forgotten wakes
         with tokens in mind that others have drawn.
         """
-        ledger = draw(make_ledger(), "r1", 600).seal("r1").forget(0)
+        ledger = draw(make_ledger(), "r1", 600).seal("r1").forget(0, holders_before=9)
         self.assertEqual(ledger.holders, {})
         self.assertEqual(ledger.account("pounds").grants, {})
         again = Commit("r1", (bill("k", 50),), joined=True)
         self.assertTrue(ledger.apply(again)[1].sealed)
 
+    def test_bill_is_recorded_once_after_its_mark_is_forgotten(self):
+        """A router is cut off as it commits, and comes back minutes later.
+
+        Its commit took effect and the answer was lost; the other routers have
+        gone on and the marks of that time are forgotten.  The request must
+        not be billed again, neither by its holder nor after a sealing.
+        """
+        ledger = draw(make_ledger(), "r1", 500, allowance=100)
+        one = bill("k", 60)
+        ledger, _ = ledger.apply(Commit("r1", (one,), joined=True, number=1))
+        ledger = ledger.forget(10_000, 0)
+        self.assertIsNone(ledger.account("pounds").find(one[1]))
+        again = Commit("r1", (one,), joined=True, number=2)
+        after, outcome = ledger.apply(again)
+        self.assertEqual(outcome.bills["pounds", "k"], BillState.RECORDED)
+        self.assertEqual(after.account("pounds").spent, 60)
+        sealed, states = ledger.seal("r1").hand_in("r1", (one,), closer="r1")
+        self.assertEqual(states["pounds", "k"], BillState.RECORDED)
+        self.assertEqual(sealed.account("pounds").spent, 60)
+
     def test_witness_closes_the_doubt_and_no_other(self):
         commit = Commit("r1", draws={"pounds": Draw(600, 100, witness="r2")})
         ledger = make_ledger().apply(commit)[0].seal("r1")
@@ -124,7 +144,7 @@
         slots = {str(n): {"r1": "x" * (MAX_MARKS // 4)} for n in range(1, 6)}
         account = replace(ledger.account("pounds"), recent=slots)
         ledger = replace(ledger, accounts={"pounds": account})
-        ledger = ledger.apply(Commit("r1", (bill("k", 5),)))[0].forget(0)
+        ledger = ledger.apply(Commit("r1", (bill("k", 5),)))[0].forget(0, 0)
         self.assertEqual(sorted(ledger.account("pounds").recent), ["2", "3", "4", "5"])
 
     @given(
