--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -285,6 +285,7 @@
             job.identity,
             job.organisation.name,
             self.usage.total,
+            until=job.deadline,
         )
         self._shared.telemetry.record_bill(
             job.organisation.name,
