Replace the plain queue by policies for admission, fairness and failures

Cause: the dispatcher refused nothing before its deadline, served the hot organisation by its share of arrivals and sent a crashing request again and again. Each event walked the whole queue.

Ruled out: one shared queue sorted by priority and deadline (a hot organisation with tight deadlines would still win); picking the least loaded target by a scan (cost grows with targets, and routers that read the same late report herd); a push to peers inside the core (no I/O there: Announce is an action instead).

--- /dev/null
+++ b/anvilshift/core/pools.py
@@ -0,0 +1,201 @@
+"""The sets of targets that requests may use, with what waits for each.
+
+Requests of many organisations share few sets of candidates.  Each distinct set
+with its priorities is a pool, which holds its own queues and knows without a
+search which of its targets have room.  Pools that have a target in common are
+of one kind: they share what organisations were given and what was learned of
+durations.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from anvilshift.core.concurrency import Limit
+from anvilshift.core.durations import Durations, Mean
+from anvilshift.core.ejection import Health, State
+from anvilshift.core.queue import Entry, FairQueue, Shares
+from anvilshift.core.sampling import SampledSet
+from anvilshift.core.work import Target
+
+_LONG = 4.0
+"""Work that runs over four times the typical work is long."""
+_LONG_PART = 0.7
+"""Part of the slots that long work may hold: the rest turns over quickly for
+short work, and long work alone still fills most of the targets."""
+_MOST_REMEMBERED = 10_000
+
+
+@dataclass(eq=False)
+class Kind:
+    """Targets that can stand in for one another."""
+
+    shares: Shares = field(default_factory=Shares)
+    durations: Durations = field(default_factory=Durations)
+    typical: Mean = field(default_factory=lambda: Mean(1.0))
+    pools: "list[Pool]" = field(default_factory=list)
+    bays: "dict[str, Bay]" = field(default_factory=dict)
+
+    def count_out(self) -> int:
+        """Return how many targets are ejected or return only now."""
+        return sum(b.health.state is not State.HEALTHY for b in self.bays.values())
+
+
+@dataclass(eq=False)
+class Bay:
+    """A target with this router's view of it."""
+
+    target: Target
+    limit: Limit
+    health: Health = field(default_factory=Health)
+    leaving: bool = False
+    whole: int = 0
+    counted: float = 0.0
+    pools: "list[Pool]" = field(default_factory=list)
+    kind: Kind = field(default_factory=Kind)
+
+    @property
+    def part(self) -> float:
+        """Return how many requests this router may have here, as a mean."""
+        if self.leaving or self.health.state is State.EJECTED:
+            return 0.0
+        if self.health.state is State.PROBING:
+            return min(float(self.health.cap), self.limit.part)
+        return self.limit.part
+
+    def has_room(self) -> bool:
+        """Tell whether another request may be sent."""
+        most = self.whole
+        if self.health.state is State.PROBING:
+            most = min(self.health.cap, max(1, self.whole))
+        usable = not self.leaving and self.health.state is not State.EJECTED
+        return usable and self.limit.own < most
+
+    def refresh(self) -> None:
+        """Bring the pools up to date after a change."""
+        part, room = self.part, self.has_room()
+        for pool in self.pools:
+            pool.slots += part - self.counted
+            if room:
+                pool.open.add(self.target.name)
+            else:
+                pool.open.discard(self.target.name)
+        self.counted = part
+
+
+class Pool:
+    """A set of candidates with their priorities."""
+
+    def __init__(self, priorities: Mapping[str, int], kind: Kind) -> None:
+        self.priorities = priorities
+        self.top = max(priorities.values())
+        self.kind = kind
+        self.open = SampledSet()
+        self.usable = 0
+        self.slots = 0.0
+        self.long_running = 0
+        self.short = FairQueue(kind.shares)
+        self.long = FairQueue(kind.shares)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return self.short.count + self.long.count
+
+    @property
+    def backlog(self) -> float:
+        """Return the expected run time of all that waits."""
+        return self.short.backlog + self.long.backlog
+
+    def classify(self, entry: Entry) -> None:
+        """Decide whether work is long; it stays so."""
+        typical = self.kind.typical
+        entry.is_long = typical.count > 0 and entry.service > _LONG * typical.value
+        typical.add(entry.service)
+
+    def queue_of(self, entry: Entry) -> FairQueue:
+        """Return the queue in which work waits."""
+        return self.long if entry.is_long else self.short
+
+    def may_run_long(self) -> bool:
+        """Tell whether one more long request leaves room for short ones.
+
+        Long jobs that took every slot would make each short one wait for a
+        long one's end; it shows as late short answers while engines are full.
+        """
+        return self.long_running < max(1.0, _LONG_PART * self.slots)
+
+    def queues(self) -> Iterator[FairQueue]:
+        """Return the queues that may be served now and are not empty."""
+        if self.short.count:
+            yield self.short
+        if self.long.count and self.may_run_long():
+            yield self.long
+
+
+class Pools:
+    """Find the pool of a set of candidates.
+
+    Parameters
+    ----------
+    bays
+        Every target by name.
+    """
+
+    def __init__(self, bays: Mapping[str, Bay]) -> None:
+        self._bays = bays
+        self._pools: dict[frozenset[tuple[str, int]], Pool] = {}
+        self._known: dict[int, tuple[Mapping[str, int], Pool | None]] = {}
+
+    def __iter__(self) -> Iterator[Pool]:
+        return iter(self._pools.values())
+
+    def find(self, candidates: Mapping[str, int]) -> Pool | None:
+        """Return the pool of candidates; None when none of them is declared.
+
+        The same object is found again by its identity: a thousand candidates
+        need not be read for each request.
+        """
+        known = self._known.get(id(candidates))
+        if known is not None:
+            return known[1]
+        declared = {n: p for n, p in candidates.items() if n in self._bays}
+        key = frozenset(declared.items())
+        pool = self._pools.get(key)
+        if pool is None and declared:
+            pool = self._pools[key] = self._make(declared)
+        if len(self._known) >= _MOST_REMEMBERED:
+            self._known.clear()
+        # The object is kept, or another could come to have its identity.
+        self._known[id(candidates)] = candidates, pool
+        return pool
+
+    def _make(self, priorities: Mapping[str, int]) -> Pool:
+        bays = [self._bays[name] for name in priorities]
+        kind = self._join(bays)
+        pool = Pool(priorities, kind)
+        kind.pools.append(pool)
+        for bay in bays:
+            bay.pools.append(pool)
+            pool.usable += not bay.leaving
+            pool.slots += bay.counted
+            bay.refresh()
+        return pool
+
+    def _join(self, bays: list[Bay]) -> Kind:
+        """Make the targets' kinds one."""
+        kind = max((bay.kind for bay in bays), key=lambda k: len(k.bays))
+        for bay in bays:
+            other = bay.kind
+            if other is kind:
+                kind.bays[bay.target.name] = bay
+                continue
+            kind.shares.merge(other.shares)
+            for moved in [*other.bays.values(), bay]:
+                moved.kind = kind
+                kind.bays[moved.target.name] = moved
+            for pool in other.pools:
+                pool.kind = kind
+                pool.short.shares = pool.long.shares = kind.shares
+                kind.pools.append(pool)
+            other.pools = []
+        return kind
--- /dev/null
+++ b/anvilshift/core/queue.py
@@ -0,0 +1,258 @@
+"""Order waiting work: fair by tokens among organisations, then by deadline.
+
+Load pattern: one organisation sends far more than its share, or many send at
+once just before their deadlines.  Without this, first come first served gives
+the hot organisation whatever share of the engines it has of the arrivals, and
+urgent work waits behind work that has time.
+
+Organisations are served by start-time fair queueing: each has a tag, the
+tokens it was given over its weight, and the lowest tag is next.  One that was
+idle begins at the tag served last, so that it neither saves up service nor
+owes any.  Inside an organisation the earliest deadline is next.  Tags only
+grow, so that heaps with outdated entries need no search: an event costs the
+logarithm of what waits.
+
+References
+----------
+Goyal, Vin, Cheng: Start-time fair queueing, SIGCOMM 1996.
+"""
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+from anvilshift.core.clock import Millis
+from anvilshift.core.work import Work
+
+_SPARE = 16
+"""Outdated heap entries that are left before a heap is rebuilt; any small
+number keeps the rebuild's cost constant for each event."""
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """A request that waits or runs.
+
+    Parameters
+    ----------
+    service
+        Milliseconds that it is expected to run.
+    cost
+        Tokens that it is expected to use.
+    """
+
+    work: Work
+    service: Millis
+    cost: float
+    is_long: bool = False
+    attempts: int = 0
+    tried: set[str] = field(default_factory=set)
+    lane: "_Lane | None" = None
+
+    @property
+    def waits(self) -> bool:
+        """Tell whether it is in a queue."""
+        return self.lane is not None
+
+
+class Shares:
+    """What each organisation has been given of a set of targets."""
+
+    def __init__(self) -> None:
+        self.tags: dict[str, float] = {}
+        self._served = 0.0
+
+    def enter(self, organisation: str) -> None:
+        """Bring an organisation that was idle up to what was served last."""
+        tag = self.tags.get(organisation, 0.0)
+        self.tags[organisation] = max(tag, self._served)
+
+    def charge(self, organisation: str, cost: float, weight: float) -> None:
+        """Count tokens that an organisation was given."""
+        tag = self.tags[organisation]
+        self._served = max(self._served, tag)
+        self.tags[organisation] = tag + cost / weight
+
+    def merge(self, other: "Shares") -> None:
+        """Take in what was given of another set of targets."""
+        for organisation, tag in other.tags.items():
+            self.tags[organisation] = max(tag, self.tags.get(organisation, 0.0))
+        self._served = max(self._served, other._served)
+
+
+class _Lane:
+    """The waiting work of one organisation."""
+
+    def __init__(self, queue: "FairQueue", organisation: str) -> None:
+        self.queue = queue
+        self.organisation = organisation
+        self.weight = 1.0
+        self.count = 0
+        self.backlog: Millis = 0.0
+        self._urgent: list[tuple[Millis, int, Entry]] = []
+        self._longest: list[tuple[Millis, int, Entry]] = []
+
+    def push(self, entry: Entry, number: int) -> None:
+        if not self.count:
+            self.weight = entry.work.weight
+        self.count += 1
+        self.backlog += entry.service
+        heapq.heappush(self._urgent, (entry.work.deadline, number, entry))
+        heapq.heappush(self._longest, (-entry.service, number, entry))
+        self._urgent = self._rebuild(self._urgent)
+        self._longest = self._rebuild(self._longest)
+
+    def _rebuild(
+        self, heap: list[tuple[Millis, int, Entry]]
+    ) -> list[tuple[Millis, int, Entry]]:
+        if len(heap) <= 2 * self.count + _SPARE:
+            return heap
+        kept = [item for item in heap if item[2].lane is self]
+        heapq.heapify(kept)
+        return kept
+
+    def _top(self, heap: list[tuple[Millis, int, Entry]]) -> Entry:
+        while heap[0][2].lane is not self:
+            heapq.heappop(heap)
+        return heap[0][2]
+
+    def most_urgent(self) -> Entry:
+        return self._top(self._urgent)
+
+    def longest(self) -> Entry:
+        return self._top(self._longest)
+
+
+class FairQueue:
+    """Waiting work of many organisations for one set of targets.
+
+    Parameters
+    ----------
+    shares
+        What organisations were given; queues over the same targets share it.
+
+    Examples
+    --------
+    >>> queue = FairQueue(Shares())
+    >>> for name, organisation in (("a", "hot"), ("b", "hot"), ("c", "quiet")):
+    ...     work = Work(name, organisation, "advice", {}, 0, 10, deadline=9.0)
+    ...     queue.push(Entry(work, service=1.0, cost=10.0))
+    >>> [queue.pop().work.identity for _ in range(3)]
+    ['a', 'c', 'b']
+    """
+
+    def __init__(self, shares: Shares) -> None:
+        self.shares = shares
+        self.count = 0
+        self.backlog: Millis = 0.0
+        self.weight = 0.0
+        self._lanes: dict[str, _Lane] = {}
+        self._heads: list[tuple[float, str]] = []
+        self._largest: list[tuple[float, str]] = []
+        self._numbers = itertools.count()
+
+    def push(self, entry: Entry) -> None:
+        """Take in work."""
+        name = entry.work.organisation
+        lane = self._lanes.get(name)
+        if lane is None:
+            lane = self._lanes[name] = _Lane(self, name)
+        idle = not lane.count
+        entry.lane = lane
+        lane.push(entry, next(self._numbers))
+        self.count += 1
+        self.backlog += entry.service
+        heapq.heappush(self._largest, (-lane.backlog / lane.weight, name))
+        if len(self._largest) > 2 * self.count + _SPARE:
+            self._rank_lanes()
+        if idle:
+            self.weight += lane.weight
+            self.shares.enter(name)
+            heapq.heappush(self._heads, (self.shares.tags[name], name))
+
+    def _rank_lanes(self) -> None:
+        busy = [lane for lane in self._lanes.values() if lane.count]
+        self._largest = [(-ln.backlog / ln.weight, ln.organisation) for ln in busy]
+        heapq.heapify(self._largest)
+
+    def next_tag(self) -> float:
+        """Return the tag of the organisation that is next."""
+        return self.shares.tags[self._next_lane().organisation]
+
+    def _next_lane(self) -> _Lane:
+        while True:
+            tag, name = self._heads[0]
+            lane = self._lanes[name]
+            current = self.shares.tags[name]
+            if not lane.count:
+                heapq.heappop(self._heads)
+            elif current > tag:
+                heapq.heapreplace(self._heads, (current, name))
+            else:
+                return lane
+
+    def peek(self) -> Entry:
+        """Return the work that is next."""
+        return self._next_lane().most_urgent()
+
+    def pop(self) -> Entry:
+        """Remove and return the work that is next, charged to its organisation."""
+        entry = self.peek()
+        self.take(entry)
+        return entry
+
+    def take(self, entry: Entry) -> None:
+        """Remove work that is served now and charge its organisation."""
+        self.remove(entry)
+        self.shares.charge(entry.work.organisation, entry.cost, entry.work.weight)
+
+    def remove(self, entry: Entry) -> None:
+        """Remove work that waits."""
+        lane = entry.lane
+        if lane is None:
+            return
+        entry.lane = None
+        lane.count -= 1
+        lane.backlog -= entry.service
+        self.count -= 1
+        self.backlog -= entry.service
+        if not lane.count:
+            self.weight -= lane.weight
+            lane.backlog = 0.0
+        if not self.count:
+            self.backlog = 0.0
+            self.weight = 0.0
+
+    def backlog_of(self, organisation: str) -> Millis:
+        """Return the expected run time of what an organisation has waiting."""
+        lane = self._lanes.get(organisation)
+        return lane.backlog if lane else 0.0
+
+    def least_valuable(self) -> Entry:
+        """Return what to drop when the queue is full.
+
+        That is the longest work of the organisation that has most waiting for
+        its weight: dropping it makes room for most answers of others.
+        """
+        while True:
+            size, name = self._largest[0]
+            lane = self._lanes[name]
+            current = -lane.backlog / lane.weight
+            if not lane.count:
+                heapq.heappop(self._largest)
+            elif current > size:
+                heapq.heapreplace(self._largest, (current, name))
+            else:
+                return lane.longest()
+
+    def drain(self) -> list[Entry]:
+        """Remove and return everything."""
+        found = [
+            item[2]
+            for lane in self._lanes.values()
+            for item in lane._urgent
+            if item[2].lane is lane
+        ]
+        for entry in found:
+            self.remove(entry)
+        return found
--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -124,7 +124,15 @@
     attempt: int
 
 
-Action = Send | Refuse | Cancel
+@dataclass(frozen=True)
+class Announce:
+    """Tell the other routers that a target crashed while it ran this content."""
+
+    content: str
+    target: str
+
+
+Action = Send | Refuse | Cancel | Announce
 Actions = list[Action]
 
 
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -6,14 +6,21 @@
 from anvilshift.core.clock import SECOND, Clock
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.work import Actions, Cancel, Failure, Refuse, Send, Work
+from anvilshift.core.work import Actions, Announce, Cancel, Failure, Refuse, Send, Work
 
 
 class DispatchLoop:
-    """Hand the dispatcher's actions to the requests that they are for."""
+    """Hand the dispatcher's actions to the requests that they are for.
+
+    Attributes
+    ----------
+    announce
+        Called with what the other routers must hear at once.
+    """
 
     def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
         self.dispatcher = dispatcher
+        self.announce: Callable[[Announce], None] = lambda news: None
         self._clock = clock
         self._turns: dict[str, asyncio.Future[Send]] = {}
         self._stops: dict[str, Callable[[], None]] = {}
@@ -86,6 +93,9 @@
     def act(self, actions: Actions) -> None:
         """Carry out what the dispatcher decided."""
         for action in actions:
+            if isinstance(action, Announce):
+                self.announce(action)
+                continue
             if isinstance(action, Cancel):
                 stop = self._stops.get(action.identity)
                 if stop is not None:
--- a/anvilshift/router/gate.py
+++ b/anvilshift/router/gate.py
@@ -43,10 +43,12 @@
     def __init__(self) -> None:
         self.catalogue = Catalogue()
         self._by_credential: dict[str, Organisation] = {}
+        self._candidates: dict[tuple[str, str], dict[str, int]] = {}
 
     def configure(self, catalogue: Catalogue) -> None:
         """Take in a new catalogue."""
         self.catalogue = catalogue
+        self._candidates.clear()
         self._by_credential = {
             credential: organisation
             for organisation in catalogue.organisations.values()
@@ -76,12 +78,11 @@
 
     def make_work(self, job: Job) -> Work:
         """Return what the dispatcher needs of a job."""
-        candidates = self.catalogue.candidates(job.organisation, job.route)
         return Work(
             identity=job.identity,
             organisation=job.organisation.name,
             request_class=job.route.request_class,
-            candidates={c.engine.name: c.priority for c in candidates},
+            candidates=self._list_candidates(job.organisation, job.route),
             prompt_tokens=job.prompt_bound,
             answer_tokens=job.answer_bound,
             deadline=job.deadline,
@@ -90,3 +91,14 @@
             content=job.content,
             idempotent=not job.non_idempotent,
         )
+
+    def _list_candidates(
+        self, organisation: Organisation, route: Route
+    ) -> dict[str, int]:
+        # One object for each pair: the dispatcher knows a set of candidates
+        # again by its identity and need not read it for each request.
+        key = organisation.name, route.name
+        if key not in self._candidates:
+            found = self.catalogue.candidates(organisation, route)
+            self._candidates[key] = {c.engine.name: c.priority for c in found}
+        return self._candidates[key]
--- /dev/null
+++ b/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Compare load policies on seeded traces in virtual time; `make load` runs it."""
