--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,9 @@
 
 generate: environment
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
+
+load: environment
+	$(BIN)/python -m bench.load
+
+load-quick: environment
+	$(BIN)/python -m bench.load --seeds 2
--- a/bench/load/baselines.py
+++ b/bench/load/baselines.py
@@ -148,9 +148,27 @@
         return min(self._names, key=key)
 
 
+class LeastReported(RoundRobin):
+    """Send each request to the target that reported the least load."""
+
+    def __init__(self, settings: DispatchSettings, rng: random.Random) -> None:
+        super().__init__(settings, rng)
+        self._reported: dict[str, int] = {}
+
+    def load_report(self, report: LoadReport, now: Millis) -> Actions:
+        """Take in a load report."""
+        self._reported[report.target] = report.running + report.waiting
+        return []
+
+    def choose(self) -> str:
+        """Return the target with the least reported load."""
+        return min(self._names, key=lambda n: (self._reported.get(n, 0), n))
+
+
 POLICIES: dict[str, Callable[[DispatchSettings, random.Random], Policy]] = {
     "round robin": RoundRobin,
     "least requests": LeastRequests,
+    "least reported": LeastReported,
     "thin": ThinDispatcher,
     "anvilshift": Dispatcher,
 }
--- /dev/null
+++ b/bench/load/measures.py
@@ -0,0 +1,141 @@
+"""What callers got, as figures."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from anvilshift.core.clock import SECOND, Millis
+from bench.load.bounds import bound_answers, bound_tokens, share_fairly
+from bench.load.runs import Outcome, Result
+from bench.load.traces import URGENT
+
+_RECOVERED = 0.95
+_BUCKET: Millis = 0.5 * SECOND
+
+Figures = dict[str, float]
+
+
+def percentile(values: Iterable[float], part: float) -> float:
+    """Return a percentile; nothing has the percentile 0.
+
+    Examples
+    --------
+    >>> percentile([1.0, 2.0, 3.0, 4.0], 0.5)
+    3.0
+    """
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def share(outcomes: Iterable[Outcome]) -> float:
+    """Return the share answered whole and in time."""
+    found = list(outcomes)
+    answered = sum(outcome.answered is not None for outcome in found)
+    return answered / len(found) if found else 1.0
+
+
+def jain(values: list[float]) -> float:
+    """Return Jain's index of fairness.
+
+    Examples
+    --------
+    >>> jain([1.0, 1.0]), jain([1.0, 0.0])
+    (1.0, 0.5)
+    """
+    squares = sum(value * value for value in values)
+    return sum(values) ** 2 / (len(values) * squares) if squares else 1.0
+
+
+def _measure_fairness(result: Result) -> float:
+    """Return Jain's index of tokens got over the fair share of each.
+
+    The fair share divides what was given in all by weight, nobody having more
+    than it asked for.
+    """
+    asked: Counter[str] = Counter()
+    got: Counter[str] = Counter()
+    weights: dict[str, float] = {}
+    for outcome in result.outcomes:
+        call = outcome.call
+        asked[call.organisation] += call.tokens
+        weights[call.organisation] = call.weight
+        if outcome.answered is not None:
+            got[call.organisation] += call.tokens
+    fair = share_fairly(asked, weights, float(got.total()))
+    return jain([min(2.0, got[n] / fair[n]) for n in fair if fair[n]])
+
+
+def _measure_recovery(result: Result) -> float:
+    """Return seconds from a disturbance until callers are served well again."""
+    if result.trace.disturbed is None:
+        return 0.0
+    _, end = result.trace.disturbed
+    buckets: dict[int, list[Outcome]] = defaultdict(list)
+    for outcome in result.outcomes:
+        if not outcome.call.poison:
+            buckets[int(outcome.call.at // _BUCKET)].append(outcome)
+    bad = [index for index, found in buckets.items() if share(found) < _RECOVERED]
+    last = max(((index + 1) * _BUCKET for index in bad), default=end)
+    return max(0.0, last - end) / SECOND
+
+
+def _measure_hopeless(result: Result) -> float:
+    """Return how long after they became hopeless callers learned of it (p99).
+
+    A request is hopeless when an idle engine couldn't end it in time any more.
+    One that is neither answered nor refused learns it at its deadline.
+    """
+    figures = result.trace.figures
+    spans = []
+    for outcome in result.outcomes:
+        if outcome.answered is not None:
+            continue
+        call = outcome.call
+        fastest = call.tokens * (figures.base + figures.slope)
+        told = call.deadline if outcome.refused is None else outcome.refused
+        spans.append(max(0.0, told - (call.deadline - fastest)))
+    return percentile(spans, 0.99)
+
+
+def measure(result: Result) -> Figures:
+    """Return the figures of one run."""
+    outcomes = result.outcomes
+    whole = [outcome for outcome in outcomes if outcome.answered is not None]
+    refused = [outcome for outcome in outcomes if outcome.refused is not None]
+    good = sum(outcome.call.tokens for outcome in whole)
+    wasted = sum(outcome.made for outcome in outcomes)
+    firsts = [outcome.first - outcome.call.at for outcome in whole]
+    by_name: dict[str, list[Outcome]] = defaultdict(list)
+    by_class: dict[str, list[Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        if not outcome.call.poison:
+            by_name[outcome.call.organisation].append(outcome)
+            by_class[outcome.call.request_class].append(outcome)
+    urgent = [o for o in outcomes if o.call.organisation in URGENT]
+    figures = {
+        "in time": share(outcomes),
+        "urgent in time": share(urgent),
+        "worst organisation": min(share(found) for found in by_name.values()),
+        "others in time": share(o for o in outcomes if o.call.organisation != "org7"),
+        "refused": len(refused) / len(outcomes),
+        "late": 1 - (len(whole) + len(refused)) / len(outcomes),
+        "wasted tokens": wasted / max(1.0, good + wasted),
+        "of bound, answers": len(whole) / bound_answers(result.trace),
+        "of bound, tokens": good / bound_tokens(result.trace),
+        "first p50 ms": percentile(firsts, 0.5),
+        "first p95 ms": percentile(firsts, 0.95),
+        "first p99 ms": percentile(firsts, 0.99),
+        "refusal p50 ms": percentile((o.refused - o.call.at for o in refused), 0.5),
+        "hopeless p99 ms": _measure_hopeless(result),
+        "jain": _measure_fairness(result),
+        "recovery s": _measure_recovery(result),
+        "engine queue p99": percentile((s[2] for s in result.samples), 0.99),
+        "crashes": float(result.crashes),
+        "bare refusals": float(sum(not o.retry_after for o in refused)),
+    }
+    for name, found in sorted(by_class.items()):
+        figures[f"class {name}"] = share(found)
+    for name, found in sorted(by_name.items()):
+        figures[f"organisation {name}"] = share(found)
+    return figures
