Learn the safety margin, let bursts go by deadline, judge probes by their own

Cause: in overload one answer in forty was cut at its deadline, since run times were taken as means; a burst that could be served was refused for the sake of an even order; and a slow target's old answers passed for its recovery.

Change: the spread of run times is learned and 1.5 deviations are kept free; organisations within 5,000 tokens of each other go by deadline; only attempts sent since probing began speak for a returning target.

The slow target still costs a caller for each probe.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -43,9 +43,6 @@
     Work,
 )
 
-_MARGIN = 1.1
-"""Expected run times are means; a tenth more keeps most of what is sent with
-little time left from ending late."""
 _OVERDUE = 4.0
 _OVERDUE_LEAST: Millis = 250.0
 """A first token that takes so many times the expected span, and so long beyond
@@ -72,6 +69,11 @@
     warm: bool
     first: Millis | None = None
 
+    @property
+    def counts(self) -> bool:
+        """Tell whether it says something of its target as it is now."""
+        return self.sent >= self.bay.health.since
+
 
 class Dispatcher:
     """Queue work and place it on targets.
@@ -222,7 +224,8 @@
         attempt.first = now
         work, span = attempt.entry.work, now - attempt.sent
         durations = attempt.pool.kind.durations
-        attempt.bay.health.add_span(span, durations.first(work.request_class))
+        if attempt.counts:
+            attempt.bay.health.add_span(span, durations.first(work.request_class))
         durations.add_first(work, span, now, attempt.warm)
         return self._check_health(attempt.bay, now)
 
@@ -235,11 +238,13 @@
         durations = attempt.pool.kind.durations
         if attempt.first is None:
             span = now - attempt.sent
-            bay.health.add_span(span, durations.first(work.request_class))
+            if attempt.counts:
+                bay.health.add_span(span, durations.first(work.request_class))
             durations.add_first(work, span, now)
         else:
             durations.add_whole(work, tokens, now - attempt.first, now)
-        bay.health.add_answer()
+        if attempt.counts:
+            bay.health.add_answer()
         self._retries.earn()
         self._quarantine.clear(work.content)
         self._refresh(bay)
@@ -256,7 +261,8 @@
         if self._quarantine.failed(content, name, failure, attempt.sent, now):
             actions.append(Announce(content, name))
         self._stop(identity, now)
-        bay.health.add_failure(content or identity)
+        if attempt.counts:
+            bay.health.add_failure(content or identity)
         self._refresh(bay)
         actions += self._check_health(bay, now)
         actions += self._retry(entry, attempt.pool, failure, now)
@@ -335,7 +341,7 @@
         if not pool.kind.durations.is_fresh(now):
             return None
         wait = 0.0 if len(pool.open) else self._predict_wait(entry, pool)
-        service = entry.service * _MARGIN
+        service = pool.kind.durations.safe_service(entry.work)
         if not is_hopeless(entry.work.deadline, now, wait, service):
             return None
         excess = wait + service - (entry.work.deadline - now)
@@ -361,7 +367,8 @@
         identity = entry.work.identity
         self._entries[identity] = entry, pool
         pool.queue_of(entry).push(entry)
-        latest = entry.work.deadline - entry.service * _MARGIN
+        safe = pool.kind.durations.safe_service(entry.work)
+        latest = entry.work.deadline - safe
         if not pool.kind.durations.is_fresh(now):
             latest = entry.work.deadline
         self._at(max(now, latest), lambda at: self._expire(entry, at))
@@ -491,7 +498,7 @@
         durations = pool.kind.durations
         if not durations.is_fresh(now):
             return False
-        service = durations.service(entry.work) * _MARGIN
+        service = durations.safe_service(entry.work)
         return is_hopeless(entry.work.deadline, now, 0.0, service)
 
     def _send(self, entry: Entry, pool: Pool, bay: Bay, now: Millis) -> Send:
@@ -579,7 +586,8 @@
             return []
         kind = attempt.entry.work.request_class
         expected = attempt.pool.kind.durations.first(kind)
-        attempt.bay.health.add_span(now - attempt.sent, expected)
+        if attempt.counts:
+            attempt.bay.health.add_span(now - attempt.sent, expected)
         return self._check_health(attempt.bay, now)
 
     def _check_health(self, bay: Bay, now: Millis) -> Actions:
@@ -600,7 +608,7 @@
         """Let an ejected target have a request again."""
         if self._bays.get(bay.target.name) is not bay:
             return []
-        bay.health.probe()
+        bay.health.probe(now)
         self._refresh(bay, draw=True)
         return self._fill(bay, now)
 
--- a/anvilshift/core/durations.py
+++ b/anvilshift/core/durations.py
@@ -23,6 +23,10 @@
 _FRESH: Millis = 5 * SECOND
 """Without an answer for so long the figures describe the past.  They refuse
 nobody then, or a router that refused everything would never learn better."""
+_SAFETY = 1.5
+"""Deviations beyond the mean: about one in fifteen runs longer, and an attempt
+cut at its deadline wastes more than an early refusal."""
+_LEAST_SAFE, _MOST_SAFE = 1.05, 2.0
 _FIRST: Millis = 20.0
 _SAVED = 0.5
 """Until measured: half of the time to a first token is taken as prefill."""
@@ -44,13 +48,20 @@
 
     value: float
     count: int = 0
+    variance: float = 0.0
 
     def add(self, sample: float) -> None:
         """Take in a sample."""
         self.count += 1
         gain = max(_GAIN, 1.0 / min(self.count, _WARM_UP))
         old = math.log(self.value)
-        self.value = math.exp(old + gain * (math.log(max(sample, 1e-3)) - old))
+        off = math.log(max(sample, 1e-3)) - old
+        self.value = math.exp(old + gain * off)
+        self.variance = (1.0 - gain) * (self.variance + gain * off * off)
+
+    def high(self) -> float:
+        """Return what few samples are over."""
+        return self.value * math.exp(_SAFETY * math.sqrt(self.variance))
 
 
 @dataclass
@@ -72,6 +83,7 @@
     _first: dict[str, Mean] = field(default_factory=dict)
     _warm: dict[str, Mean] = field(default_factory=dict)
     _used: dict[tuple[str, str], Mean] = field(default_factory=dict)
+    _error: Mean = field(default_factory=lambda: Mean(1.0))
     _learned: Millis = -math.inf
 
     def first(self, request_class: str) -> Millis:
@@ -88,6 +100,11 @@
         """Return the expected run time of work."""
         return self.first(work.request_class) + self.pace.value * self.tokens(work)
 
+    def safe_service(self, work: Work) -> Millis:
+        """Return a run time that few answers exceed."""
+        factor = min(_MOST_SAFE, max(_LEAST_SAFE, self._error.high()))
+        return self.service(work) * factor
+
     def is_fresh(self, now: Millis) -> bool:
         """Tell whether the figures are of the last seconds."""
         return now - self._learned <= _FRESH
@@ -116,6 +133,9 @@
 
     def add_whole(self, work: Work, tokens: int, span: Millis, now: Millis) -> None:
         """Take in how long an answer took after its first token."""
+        expected = self.service(work) - self.first(work.request_class)
+        if expected > 0:
+            self._error.add(max(span, 1.0) / expected)
         if tokens > 1:
             self.pace.add(span / (tokens - 1))
         if tokens and work.answer_tokens:
--- a/anvilshift/core/ejection.py
+++ b/anvilshift/core/ejection.py
@@ -47,6 +47,12 @@
 class Health:
     """What is known of one target's answers.
 
+    Attributes
+    ----------
+    since
+        Work that was sent earlier says nothing of the target as it is now: a
+        slow target's last answers would otherwise pass for its recovery.
+
     Examples
     --------
     >>> health = Health()
@@ -63,6 +69,7 @@
     until: Millis = 0.0
     cap: int = 0
     ratio: float = 1.0
+    since: Millis = float("-inf")
     _samples: int = 0
     _failed: set[str] = field(default_factory=set)
     _ejections: int = 0
@@ -99,9 +106,9 @@
         self.until = now + span * rng.uniform(1.0, 1.0 + _JITTER)
         self.state = State.EJECTED
 
-    def probe(self) -> None:
+    def probe(self, now: Millis) -> None:
         """Let the target have one request at a time."""
-        self.state, self.cap = State.PROBING, 1
+        self.state, self.cap, self.since = State.PROBING, 1, now
         self.ratio, self._samples = 1.0, 0
         self._failed.clear()
 
--- a/anvilshift/core/queue.py
+++ b/anvilshift/core/queue.py
@@ -8,9 +8,10 @@
 Organisations are served by start-time fair queueing: each has a tag, the
 tokens it was given over its weight, and the lowest tag is next.  One that was
 idle begins at the tag served last, so that it neither saves up service nor
-owes any.  Inside an organisation the earliest deadline is next.  Tags only
-grow, so that heaps with outdated entries need no search: an event costs the
-logarithm of what waits.
+owes any.  Among organisations whose tags are close the earliest deadline is
+next, so that a burst that can be served in time is not refused for the sake of
+an even order.  Tags only grow, so that heaps with outdated entries need no
+search: an event costs the logarithm of what waits.
 
 References
 ----------
@@ -24,6 +25,10 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.work import Work
 
+_CLOSE = 5_000.0
+"""Tokens for each unit of weight by which an organisation may be ahead: about
+eight requests, what one sends a router in the first second of an opening
+burst."""
 _SPARE = 16
 """Outdated heap entries that are left before a heap is rebuilt; any small
 number keeps the rebuild's cost constant for each event."""
@@ -136,7 +141,7 @@
     >>> queue = FairQueue(Shares())
     >>> for name, organisation in (("a", "hot"), ("b", "hot"), ("c", "quiet")):
     ...     work = Work(name, organisation, "advice", {}, 0, 10, deadline=9.0)
-    ...     queue.push(Entry(work, service=1.0, cost=10.0))
+    ...     queue.push(Entry(work, service=1.0, cost=6_000.0))
     >>> [queue.pop().work.identity for _ in range(3)]
     ['a', 'c', 'b']
     """
@@ -148,6 +153,8 @@
         self.weight = 0.0
         self._lanes: dict[str, _Lane] = {}
         self._heads: list[tuple[float, str]] = []
+        self._ahead: list[tuple[float, str]] = []
+        self._ready: list[tuple[Millis, str]] = []
         self._largest: list[tuple[float, str]] = []
         self._numbers = itertools.count()
 
@@ -169,6 +176,10 @@
             self.weight += lane.weight
             self.shares.enter(name)
             heapq.heappush(self._heads, (self.shares.tags[name], name))
+            heapq.heappush(self._ahead, (self.shares.tags[name], name))
+        elif lane.most_urgent() is entry:
+            heapq.heappush(self._ready, (entry.work.deadline, name))
+            self._bound_ready()
 
     def _rank_lanes(self) -> None:
         busy = [lane for lane in self._lanes.values() if lane.count]
@@ -193,7 +204,33 @@
 
     def peek(self) -> Entry:
         """Return the work that is next."""
-        return self._next_lane().most_urgent()
+        bound = self.next_tag() + _CLOSE
+        while self._ahead and self._ahead[0][0] <= bound:
+            _, name = heapq.heappop(self._ahead)
+            lane = self._lanes[name]
+            if lane.count:
+                key = lane.most_urgent().work.deadline, name
+                heapq.heappush(self._ready, key)
+        while True:
+            deadline, name = self._ready[0]
+            lane = self._lanes[name]
+            if not lane.count:
+                heapq.heappop(self._ready)
+                continue
+            entry = lane.most_urgent()
+            tag = self.shares.tags[name]
+            if tag > bound:
+                heapq.heappop(self._ready)
+                heapq.heappush(self._ahead, (tag, name))
+            elif entry.work.deadline != deadline:
+                heapq.heapreplace(self._ready, (entry.work.deadline, name))
+            else:
+                return entry
+
+    def _bound_ready(self) -> None:
+        if len(self._ready) <= 2 * len(self._lanes) + _SPARE:
+            return
+        self._ready = sorted(set(self._ready))
 
     def pop(self) -> Entry:
         """Remove and return the work that is next, charged to its organisation."""
--- /dev/null
+++ b/tests/core/test_quarantine.py
@@ -0,0 +1,51 @@
+"""Blame for crashes falls on what caused them."""
+
+import unittest
+
+from anvilshift.core.quarantine import FORGET_AFTER, Quarantine
+
+
+class QuarantineTest(unittest.TestCase):
+    def test_faulty_engines_victims_are_released(self):
+        """An engine crashes three times by itself, under different work.
+
+        A request that was aboard there and at one other crash would stay
+        refused although it did no harm.
+        """
+        book = Quarantine()
+        book.crashed("victim", "e1", began=0.0, now=10.0)
+        book.crashed("victim", "e2", began=20.0, now=30.0)
+        self.assertTrue(book.is_quarantined("victim", 40.0))
+        book.crashed("a", "e2", began=1_000.0, now=1_010.0)
+        book.crashed("b", "e2", began=2_000.0, now=2_010.0)
+        self.assertFalse(book.is_quarantined("victim", 2_020.0))
+
+    def test_suspect_alone_is_blamed_for_the_second_crash(self):
+        book = Quarantine()
+        book.crashed("suspect", "e1", began=0.0, now=10.0)
+        book.sent("suspect", "e2")
+        self.assertFalse(book.crashed("neighbour", "e2", began=11.0, now=20.0))
+        book.ended("suspect", "e2")
+        self.assertTrue(book.crashed("suspect", "e2", began=12.0, now=20.0))
+        self.assertFalse(book.is_suspect("neighbour"))
+        self.assertTrue(book.is_quarantined("suspect", 21.0))
+
+    def test_second_suspect_waits_for_a_target_of_its_own(self):
+        book = Quarantine()
+        book.sent("suspect", "e1")
+        self.assertFalse(book.is_free("e1", "other"))
+        self.assertTrue(book.is_free("e2", "other"))
+
+    def test_answer_clears_and_time_forgets(self):
+        book = Quarantine()
+        for name in ("e1", "e2"):
+            book.crashed("p", name, began=0.0, now=10.0)
+        self.assertTrue(book.is_quarantined("p", 20.0))
+        self.assertFalse(book.is_quarantined("p", 21.0 + FORGET_AFTER))
+        book.crashed("q", "e3", began=0.0, now=10.0)
+        book.clear("q")
+        self.assertFalse(book.is_suspect("q"))
+
+
+if __name__ == "__main__":
+    unittest.main()
