--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,8 @@
 
 load-quick: environment
 	$(BIN)/python -m bench.load --seeds 2
+
+SEED ?= 1
+SECONDS ?= 300
+soak: environment
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS)
--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -258,7 +258,8 @@
         entry, bay, content = attempt.entry, attempt.bay, attempt.entry.work.content
         name = bay.target.name
         actions: Actions = []
-        if self._quarantine.failed(content, name, failure, attempt.sent, now):
+        begun = attempt.first is not None
+        if self._quarantine.failed(content, name, failure, attempt.sent, now, begun):
             actions.append(Announce(content, name))
         self._stop(identity, now)
         if attempt.counts:
@@ -421,6 +422,7 @@
         names = pool.open.draw(self._rng, DRAWN)
         prefixes = entry.work.prefixes
         holders = self._prefixes.holders(prefixes, self._rng, HOLDERS)
+        holders += self._quarantine.list_confined(entry.work.content)
         names += [name for name in holders if name in pool.open]
         bays = [self._bays[name] for name in dict.fromkeys(names)]
         options = [
@@ -448,7 +450,8 @@
         """Tell whether work may go to a target that has room."""
         work, name = entry.work, bay.target.name
         pool = self._entries[work.identity][1]
-        if name in entry.tried and len(entry.tried) < pool.usable:
+        confined = self._quarantine.list_confined(work.content)
+        if not confined and name in entry.tried and len(entry.tried) < pool.usable:
             return False
         if bay.health.state is State.PROBING:
             slack = work.deadline - now
@@ -555,7 +558,8 @@
             return [refusal]
         if not self._retries.take(failure):
             return [refusal]
-        if len(entry.tried) < pool.usable:
+        confined = self._quarantine.list_confined(work.content)
+        if not confined and len(entry.tried) < pool.usable:
             return [*self._wait(entry, pool, now), *self._offer(entry, pool, now)]
         return self._back_off(entry, pool, now)
 
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -9,6 +9,10 @@
 does, so a second crash blames it alone and not its neighbours; after a second
 crash it is quarantined and answered at once.  A whole answer clears it.
 
+A stream that breaks in its midst looks like a crash but is as often the
+network's doing.  After two such breaks the work may run once more, at a target
+that it broke off from already, so that it costs no third one.
+
 A target that crashes again and again under different work is at fault itself:
 what was blamed on work there is withdrawn.  Quarantine also ends when nobody
 has asked for the work for some time, and in any case after a day.
@@ -38,6 +42,7 @@
     first: Millis
     asked: Millis
     strikes: list[str] = field(default_factory=list)
+    unbegun: bool = False
 
 
 @dataclass
@@ -53,11 +58,11 @@
     Examples
     --------
     >>> book = Quarantine()
-    >>> book.crashed("poison", "e1", began=0.0, now=10.0)
+    >>> book.crashed("poison", "e1", sent=0.0, now=10.0)
     True
     >>> book.is_suspect("poison"), book.is_quarantined("poison", now=11.0)
     (True, False)
-    >>> book.crashed("poison", "e2", began=11.0, now=20.0)
+    >>> book.crashed("poison", "e2", sent=11.0, now=20.0)
     True
     >>> book.is_quarantined("poison", now=21.0)
     True
@@ -81,10 +86,21 @@
             del self._records[content]
             return False
         record.asked = now
-        return len(record.strikes) >= _CRASHES
+        most = _CRASHES if record.unbegun else _CRASHES + 1
+        return len(record.strikes) >= most
+
+    def list_confined(self, content: str) -> list[str]:
+        """Return the only targets that may run work; empty for any target."""
+        record = self._records.get(content)
+        if record is None or len(record.strikes) < _CRASHES:
+            return []
+        return record.strikes
 
     def is_free(self, target: str, content: str) -> bool:
         """Tell whether a suspect may run at a target: no other runs there."""
+        confined = self.list_confined(content)
+        if confined and target not in confined:
+            return False
         return self._aboard.get(target, content) == content
 
     def sent(self, content: str, target: str) -> None:
@@ -101,14 +117,33 @@
         self._records.pop(content, None)
 
     def failed(
-        self, content: str, target: str, failure: Failure, began: Millis, now: Millis
+        self,
+        content: str,
+        target: str,
+        failure: Failure,
+        sent: Millis,
+        now: Millis,
+        begun: bool = False,
     ) -> bool:
-        """Take in a failed attempt; True when others must hear of a crash."""
+        """Take in a failed attempt; True when others must hear of a crash.
+
+        Parameters
+        ----------
+        begun
+            Whether the answer had begun.
+        """
         if failure not in _CRASH_LIKE or not content:
             return False
-        return self.crashed(content, target, began, now)
-
-    def crashed(self, content: str, target: str, began: Millis, now: Millis) -> bool:
+        return self.crashed(content, target, sent, now, begun)
+
+    def crashed(
+        self,
+        content: str,
+        target: str,
+        sent: Millis,
+        now: Millis,
+        begun: bool = False,
+    ) -> bool:
         """Take in that a target crashed while it ran work.
 
         Returns
@@ -116,7 +151,7 @@
         bool
             Whether the work is blamed for it.
         """
-        incident = self._find_incident(target, began, now)
+        incident = self._find_incident(target, sent, now)
         if incident.suspect is None:
             incident.suspect = self._aboard.get(target)
         # The suspect is the likely cause; its neighbours' failures come as
@@ -130,14 +165,15 @@
             self._withdraw(target)
             return False
         self._strike(content, target, now)
+        self._records[content].unbegun |= not begun
         return True
 
-    def _find_incident(self, target: str, began: Millis, now: Millis) -> _Incident:
+    def _find_incident(self, target: str, sent: Millis, now: Millis) -> _Incident:
         incidents = self._incidents.setdefault(target, deque())
         while incidents and now - incidents[0].at > _WINDOW:
             incidents.popleft()
-        # Work that began before the crash fell with it, whenever that is heard.
-        if not incidents or began > incidents[-1].at:
+        # Work that was sent before the crash fell with it, whenever that is heard.
+        if not incidents or sent > incidents[-1].at:
             incidents.append(_Incident(now))
         return incidents[-1]
 
