Count repeated news of one crash once

Cause: heartbeats repeat news, and each repetition would be a further strike. Ruled out: numbering the news (the content and target already say which it is). Change: news of a target that is blamed on the content already is ignored. Conclusion: news can be repeated until it has surely arrived.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -56,8 +56,6 @@
 """A target that restarts or is replaced takes a second at least."""
 _PROBE_SLACK = 3.0
 """A request that probes a returning target has time to run elsewhere after."""
-_NEWS_AGE: Millis = 2 * SECOND
-"""News of a crash from another router is at most so old."""
 
 
 @dataclass(eq=False, slots=True)
@@ -206,7 +204,7 @@
 
     def crashed(self, content: str, target: str, now: Millis) -> None:
         """Take in another router's news of a crash."""
-        self._quarantine.crashed(content, target, now - _NEWS_AGE, now)
+        self._quarantine.hear(content, target, now)
 
     # Requests
 
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -30,6 +30,9 @@
 _FAULTY_INCIDENTS = 3
 """Crashes of one target in a minute with no work in common.  Two can be two
 poisonous requests; a third at the same target is far likelier its own fault."""
+_NEWS_AGE: Millis = 2 * SECOND
+"""News of a crash from another router is at most so old: what it blames fell
+with the work that this router lost there."""
 FORGET_AFTER: Millis = 600 * SECOND
 """Longer than callers' retries of one request are apart."""
 _LONGEST: Millis = 24 * 3600 * SECOND
@@ -168,6 +171,13 @@
         self._records[content].unbegun |= not begun
         return True
 
+    def hear(self, content: str, target: str, now: Millis) -> None:
+        """Take in another router's news of a crash; repeated news is one."""
+        record = self._records.get(content)
+        if record is not None and target in record.strikes:
+            return
+        self.crashed(content, target, now - _NEWS_AGE, now)
+
     def _find_incident(self, target: str, sent: Millis, now: Millis) -> _Incident:
         incidents = self._incidents.setdefault(target, deque())
         while incidents and now - incidents[0].at > _WINDOW:
