--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -83,21 +83,26 @@
     Returns
     -------
     tuple
-        The newest revision written, and the differences that lost a race with
-        another operator; those are left as the other wrote them.
+        The newest revision written, or the platform's where nothing was, so
+        that applying again still waits for what an earlier run has stored; and
+        the differences that lost a race with another operator, which are left
+        as the other wrote them.
     """
     newest = 0
     lost = []
     for item in differences:
         try:
             if item.change == "delete":
-                await store.delete(item.kind, item.name, item.version)
+                deleted = await store.delete(item.kind, item.name, item.version)
+                newest = max(newest, deleted)
                 continue
             body = documents[item.kind, item.name]
             written = await store.put(item.kind, item.name, body, item.version)
             newest = max(newest, written.version)
         except ConflictError:
             lost.append(item)
+    if not newest:
+        newest = (await store.list([])).revision
     return newest, lost
 
 
@@ -109,7 +114,9 @@
     while True:
         listing = await store.list([ROUTER_KIND])
         waiting = tuple(
-            item.name for item in listing.items if item.body["revision"] < revision
+            item.name
+            for item in listing.items
+            if int(item.body.get("revision", 0)) < revision
         )
         if not waiting or clock.now() >= until:
             return Acceptance(revision, waiting)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -11,31 +11,32 @@
 
 from absl import logging
 
-from anvilshift.core.clock import SECOND, Clock
+from anvilshift.core.clock import Clock
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
-from anvilshift.core.work import DispatchSettings, Target
+from anvilshift.core.work import DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
+from anvilshift.platform.relayed import RelayedStore
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
+from anvilshift.router.departing import Departing
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.following import Follower
 from anvilshift.router.gate import Gate
+from anvilshift.router.orders import Orders
 from anvilshift.router.runs import Shared
+from anvilshift.router.stopping import PlannedStop, StopSteps
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.router.treasury import Treasury
 from anvilshift.settings.router import RouterSettings
 
-_HOSTS_INTERVAL_S = 0.5
-_IDLE_CHECK_S = 0.02
-
 
 @dataclass(frozen=True)
 class World:
@@ -62,9 +63,12 @@
         self.settings = settings
         self.world = world
         self.clock = world.clock
+        self.store = RelayedStore(
+            world.store, world.link, world.clock, lambda: self.fleet.list_relays()
+        )
         self.incarnation = f"{settings.name}-{make_identity(world.rng)[:12]}"
         self.treasury = Treasury(
-            world.store, world.clock, self.incarnation, settings.commit_spacing
+            self.store, world.clock, self.incarnation, settings.commit_spacing
         )
         figures = DispatchSettings(
             settings.failure_domain, settings.queue_length, settings.attempts
@@ -72,10 +76,11 @@
         self.dispatcher = Dispatcher(figures, world.rng)
         self.dispatch = DispatchLoop(self.dispatcher, world.clock)
         self.targets = Targets(world.connector, world.clock)
+        self.departing = Departing(self._tell_dispatcher)
         self.gate = Gate()
         self.callers = self._make_caller_port()
         self.fleet = Fleet(
-            world.store,
+            self.store,
             world.link,
             world.clock,
             self._make_member(),
@@ -83,10 +88,18 @@
             settings.lease,
             settings.heartbeat,
             lambda: self.callers.in_flight,
+            world.store,
         )
         self.follower = Follower(
-            world.store, self._configure, self.fleet.take_router, world.rng
+            self.store, self._configure, self.fleet.take_router, world.rng
         )
+        self.orders = Orders(
+            self.store, world.clock, self.fleet, lambda name: self.targets.engine(name)
+        )
+        self.fleet.tell_targets = lambda: self.departing.told
+        self.fleet.hear_targets = self.departing.hear
+        self.fleet.read_revision = lambda: self.follower.acknowledged
+        self.settled = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -100,7 +113,7 @@
             world.telemetry,
         )
         self.claims = ClaimBook(
-            world.store, world.clock, self.incarnation, world.rng, self._lives
+            self.store, world.clock, self.incarnation, world.rng, self._lives
         )
         return CallerPort(
             shared, self.gate, self.claims, self.is_ready, self.list_addresses
@@ -108,8 +121,8 @@
 
     def _lives(self, incarnation: str) -> bool:
         """Tell whether an incarnation is known to live."""
-        sightings = self.fleet.roster.sightings.values()
-        return any(s.member.incarnation == incarnation for s in sightings)
+        present = self.fleet.roster.present(self.clock.now())
+        return any(s.member.incarnation == incarnation for s in present)
 
     def _make_member(self) -> Member:
         settings = self.settings
@@ -136,18 +149,26 @@
             for engine in group.engines
         ]
         self.dispatch.act(self.dispatcher.configure(targets, self.clock.now()))
+        self.departing.configure(catalogue)
+        self.orders.configure(catalogue)
         self.fleet.acknowledge(catalogue.revision)
         logging.info("declarations in force revision=%d", catalogue.revision)
 
     def list_addresses(self) -> dict[str, object]:
         """Return where callers shall connect, this router's domain first."""
+        now = self.clock.now()
         own = self.settings.failure_domain
-        members = [self.fleet.member]
-        members += [s.member for s in self.fleet.roster.sightings.values()]
-        staying = [member for member in members if not member.leaving]
-        staying.sort(key=lambda member: member.failure_domain != own)
+        found = [
+            (s.member, s.vitals.in_flight)
+            for s in self.fleet.roster.present(now)
+            if s.vitals.serving
+        ]
+        found.append((self.fleet.member, self.callers.in_flight))
+        staying = [(m, load) for m, load in found if not m.leaving]
+        staying.sort(key=lambda item: (item[0].failure_domain != own, item[1]))
         addresses = [
-            {"address": m.address, "failure_domain": m.failure_domain} for m in staying
+            {"address": m.address, "failure_domain": m.failure_domain}
+            for m, _ in staying
         ]
         return {"addresses": addresses, "keep_ms": self.settings.keep_addresses}
 
@@ -163,6 +184,8 @@
             "in_flight": self.callers.in_flight,
             "waiting": self.dispatch.waiting,
             "peers": sorted(s.member.name for s in sightings),
+            "owns_orders": self.orders.owns,
+            "leaving_targets": sorted(self.departing.leaving),
         }
 
     def start(self) -> None:
@@ -171,44 +194,44 @@
         self.treasury.start()
         loop = asyncio.get_running_loop()
         polling = self.targets.poll(
-            lambda report: self.dispatch.act(
-                self.dispatcher.load_report(report, self.clock.now())
-            ),
+            self._take_report,
             lambda event: self.dispatch.act(
                 self.dispatcher.cache_event(event, self.clock.now())
             ),
+            self.departing.take_refusal,
         )
+        leaving = self.departing.follow(self.store, self._name_routers)
         sweeping = self.claims.keep_sweeping()
-        for work in (self.follower.run(), polling, self._watch_hosts(), sweeping):
+        following = self.follower.run()
+        for work in (following, polling, leaving, sweeping, self.orders.run()):
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
-        """Leave the address answers, finish what runs; return what was cut off.
+        """Stop as planned; return how many requests were cut off.
 
         Parameters
         ----------
         abandoned
             Set when the stop must end at once.
         """
-        logging.info("planned stop begins in_flight=%d", self.callers.in_flight)
-        try:
-            async with asyncio.timeout(self.settings.grace / SECOND):
-                await self.fleet.leave()
-                # Callers keep an address for a stated time and are served for
-                # as long; only then is new work turned away.
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(self.settings.keep_addresses / SECOND):
-                        await abandoned.wait()
-                self.callers.refusing = True
-                while self.callers.in_flight and not abandoned.is_set():
-                    await asyncio.sleep(_IDLE_CHECK_S)
-        except TimeoutError:
-            pass
-        cut_off = self.callers.in_flight
-        if cut_off:
-            logging.error("planned stop cut off in_flight=%d", cut_off)
+        steps = StopSteps(
+            self._leave, self._refuse, self.treasury.give_back, self.callers.list_open
+        )
+        settings = self.settings
+        keep, grace = settings.keep_addresses, settings.grace
+        stop = PlannedStop(steps, keep, grace, abandoned)
+        cut_off = await stop.run()
+        self.settled = stop.settled
         return cut_off
 
+    async def _leave(self) -> None:
+        await self.fleet.leave()
+        with contextlib.suppress(AnvilshiftError):
+            await self.orders.release()
+
+    def _refuse(self) -> None:
+        self.callers.refusing = True
+
     async def close(self) -> None:
         """Settle grants and stop every task."""
         for task in self._tasks:
@@ -217,17 +240,16 @@
         self.claims.close()
         await self.treasury.close()
         await self.fleet.close()
+        self.store.close()
+
+    def _take_report(self, report: LoadReport) -> None:
+        self.departing.take_report(report)
+        self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
+
+    def _name_routers(self) -> set[str]:
+        present = self.fleet.roster.present(self.clock.now())
+        return {sighting.member.name for sighting in present}
 
-    async def _watch_hosts(self) -> None:
-        """Take in the platform's list: a host on its way out gets no new work."""
-        leaving: set[str] = set()
-        while True:
-            with contextlib.suppress(AnvilshiftError):
-                listed = {h.name for h in await self.world.store.hosts() if h.leaving}
-                now = self.clock.now()
-                for name in listed - leaving:
-                    self.dispatch.act(self.dispatcher.leaving(name, now))
-                for name in leaving - listed:
-                    self.dispatch.act(self.dispatcher.staying(name, now))
-                leaving = listed
-            await asyncio.sleep(_HOSTS_INTERVAL_S)
+    def _tell_dispatcher(self, target: str, leaving: bool) -> None:
+        change = self.dispatcher.leaving if leaving else self.dispatcher.staying
+        self.dispatch.act(change(target, self.clock.now()))
