--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,12 @@
 generate: environment
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
 
+load: environment
+	$(BIN)/python -m bench.load
+
+load-quick: environment
+	$(BIN)/python -m bench.load --seeds 2
+
 SEED ?= 1
 SECONDS ?= 300
 soak: environment
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -89,6 +89,7 @@
         self._progress = Progress()
         self._tokens = 0
         self._overrun = False
+        self._begun = False
         self._readers = 0
         self._changed = asyncio.Event()
         self._last_token: Millis | None = None
@@ -229,6 +230,7 @@
         job = self.job
         attempt = digest(job.identity, self.tag, str(send.attempt))
         self._attempt = (send.target, attempt)
+        self._begun = False
         engine = self._shared.targets.engine(send.target)
         if engine is None:
             raise TargetError(Failure.NOT_SENT, "the target is gone")
@@ -267,9 +269,11 @@
     def _count_token(self, now: Millis) -> None:
         telemetry, job = self._shared.telemetry, self.job
         organisation, kind = job.organisation.name, job.route.request_class
+        if not self._begun:
+            self._begun = True
+            self._shared.dispatch.first_token(job.identity)
         if self._last_token is None:
             telemetry.record_first(organisation, kind, now - job.arrived)
-            self._shared.dispatch.first_token(job.identity)
         else:
             telemetry.record_gap(organisation, kind, now - self._last_token)
         self._last_token = now
