--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,9 @@
 
 generate: environment
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
+
+bench: environment
+	$(BIN)/python -m bench.overhead
+
+capacity: environment
+	$(BIN)/python -m bench.capacity
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -34,6 +34,9 @@
 needs one address lookup and one connection, well under a second."""
 _KEEP_FINISHED: Millis = 30 * SECOND
 _MAX_FINISHED = 2_000
+_SWEEP_EVERY = 256
+"""Requests between two sweeps of finished runs: a sweep for each request cost
+more than the rest of it once some thousand runs were kept."""
 
 
 @dataclass
@@ -194,11 +197,13 @@
 
     def _take(self, batch: list[Piece]) -> None:
         now = self._shared.clock.now()
+        # What arrived together reaches the caller together, so a batch is one
+        # wait; a record for every token took a third of the processor.
+        if any(piece.text for piece in batch):
+            self._count_token(now)
         for piece in batch:
-            if piece.text:
-                self._count_token(now)
-                self.text += piece.text
-                self._tokens += piece.tokens
+            self.text += piece.text
+            self._tokens += piece.tokens
             self.usage = piece.usage or self.usage
             self.finish = piece.finish or self.finish
         self._changed.set()
@@ -238,6 +243,7 @@
     def __init__(self, shared: Shared) -> None:
         self._shared = shared
         self._runs: dict[str, Run] = {}
+        self._joined = 0
 
     @property
     def in_flight(self) -> int:
@@ -252,7 +258,9 @@
         AnvilshiftError
             Code 1007 when the key came with another body before.
         """
-        self._forget()
+        self._joined += 1
+        if self._joined % _SWEEP_EVERY == 0:
+            self._forget()
         found = self._runs.get(job.identity)
         if found is not None:
             if found.job.content != job.content:
--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,153 @@
+"""Drive streams at one or more addresses and print what was received, as JSON.
+
+A process of its own, started by `bench.overhead` as often as it takes to be
+faster than what it measures.
+"""
+
+import asyncio
+import itertools
+import json
+import math
+import sys
+import time
+from dataclasses import asdict, dataclass, field
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.events import EventReader
+from anvilshift.wire.jsons import dump_json
+from anvilshift.wire.messages import JSON_TYPE, Address
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What one process of callers shall do.
+
+    Parameters
+    ----------
+    streams
+        Requests under way at once; 0 for an open loop.
+    rate
+        Requests a second of an open loop.
+    seconds
+        How long new requests are begun.
+    """
+
+    addresses: tuple[str, ...]
+    token: str = "bench-token"
+    model: str = "fast"
+    prompt: str = "a prompt"
+    max_tokens: int = 8
+    streams: int = 0
+    rate: float = 0.0
+    seconds: float = 4.0
+
+
+@dataclass
+class Received:
+    """What callers received; times in milliseconds."""
+
+    requests: int = 0
+    failed: int = 0
+    tokens: int = 0
+    first: list[Millis] = field(default_factory=list)
+    seconds: float = 0.0
+
+
+def pick_percentile(values: list[float], share: float) -> float:
+    """Return the least value that a share of the values doesn't exceed.
+
+    Examples
+    --------
+    >>> pick_percentile([3.0, 1.0, 2.0, 4.0], 0.5)
+    2.0
+    """
+    ranked = sorted(values)
+    return ranked[max(0, math.ceil(share * len(ranked)) - 1)]
+
+
+class Callers:
+    """Callers that share a process."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.received = Received()
+        self._http = HttpClient()
+        self._turns = itertools.cycle([Address.parse(a) for a in plan.addresses])
+        body = {
+            "model": plan.model,
+            "messages": [{"role": "user", "content": plan.prompt}],
+            "max_tokens": plan.max_tokens,
+            "stream": True,
+        }
+        self._body = dump_json(body)
+        self._headers = [JSON_TYPE, ("authorization", f"Bearer {plan.token}")]
+
+    async def ask(self) -> None:
+        """Send one request and read its stream to the end."""
+        began = time.monotonic()
+        try:
+            await self._read(began)
+        except ExchangeError:
+            self.received.failed += 1
+
+    async def _read(self, began: float) -> None:
+        received = self.received
+        reader = EventReader()
+        ended = False
+        first = True
+        async with self._http.exchange(
+            next(self._turns),
+            "POST",
+            "/v1/chat/completions",
+            self._headers,
+            self._body,
+            30 * SECOND,
+        ) as response:
+            async for chunk in response.chunks():
+                if first and response.status == 200:
+                    received.first.append((time.monotonic() - began) * SECOND)
+                    first = False
+                for event in reader.feed(chunk):
+                    if event.data == "[DONE]":
+                        ended = True
+                        continue
+                    value = json.loads(event.data)
+                    usage = value.get("usage")
+                    if usage:
+                        received.tokens += usage["completion_tokens"]
+        received.requests += ended
+        received.failed += not ended
+
+    async def _repeat(self, until: float) -> None:
+        while time.monotonic() < until:
+            await self.ask()
+
+    async def run(self) -> Received:
+        """Follow the plan to its end."""
+        began = time.monotonic()
+        until = began + self.plan.seconds
+        if self.plan.streams:
+            tasks = [self._repeat(until) for _ in range(self.plan.streams)]
+            await asyncio.gather(*tasks)
+        else:
+            await self._run_open(began, until)
+        self.received.seconds = time.monotonic() - began
+        self._http.close()
+        return self.received
+
+    async def _run_open(self, began: float, until: float) -> None:
+        tasks = []
+        for number in itertools.count():
+            due = began + number / self.plan.rate
+            if due >= until:
+                break
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            tasks.append(asyncio.create_task(self.ask()))
+        await asyncio.gather(*tasks)
+
+
+if __name__ == "__main__":
+    print(
+        json.dumps(asdict(asyncio.run(Callers(Plan(**json.loads(sys.argv[1]))).run())))
+    )
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -65,6 +65,11 @@
                 command, stdout=output, stderr=subprocess.STDOUT, cwd=ROOT
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the process's id."""
+        return self._process.pid
+
     def send(self, number: signal.Signals) -> None:
         """Send the process a signal, if it runs."""
         if self._process.poll() is None:
@@ -99,6 +104,8 @@
         Further flags for every engine stand-in.
     router_options
         Further settings for every router.
+    examples
+        Directory of the declarations; each engine gets a free address.
     """
 
     def __init__(
@@ -106,7 +113,9 @@
         domains: tuple[str, ...] = ("poprad", "zvolen", "martin"),
         engine_options: tuple[str, ...] = (),
         router_options: dict[str, Any] | None = None,
+        examples: pathlib.Path = EXAMPLES,
     ) -> None:
+        self._examples = examples
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="anvilshift-"))
         self.http = HttpClient()
         self.processes: dict[str, Process] = {}
@@ -135,13 +144,13 @@
         await asyncio.gather(*(self.wait_ready(n) for n in self.router_names))
 
     def _start_targets(self) -> None:
-        for path in sorted(EXAMPLES.rglob("*.yaml")):
+        for path in sorted(self._examples.rglob("*.yaml")):
             documents = list(yaml.safe_load_all(path.read_text()))
             for document in documents:
                 if document["kind"] == "EngineGroup":
                     for engine in document["engines"]:
                         self._start_target(engine, document["target"])
-            copy = self.declarations / path.relative_to(EXAMPLES)
+            copy = self.declarations / path.relative_to(self._examples)
             copy.parent.mkdir(parents=True, exist_ok=True)
             copy.write_text(yaml.safe_dump_all(documents))
 
