Cut what a token that arrives alone costs in the router

Cause: a token that arrives alone took 201 microseconds of the router's processor. A microbenchmark of its parts gave 21 for an OpenTelemetry record, 18 for h11's read, 17 for a read into a fresh 256 KB buffer, 13 for the JSON that goes out, 11 for each change of task, 8 for the JSON that comes in, 7 for h11's write.

Ruled out: skipping h11's second look for an event saves 3 microseconds and needs knowledge of its framing.

Change: sockets read into one buffer of the loop; an answer's mean and longest gap are recorded once at its end; the shared part of a stream's events is encoded once.

--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -42,15 +42,22 @@
     }
 
 
-def _encode_chunk(job: Job, text: str, offset: int) -> bytes:
-    choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
-    chunk = {
-        "id": job.key,
-        "object": "chat.completion.chunk",
-        "model": job.route.name,
-        "choices": [choice],
-    }
-    return Event(json.dumps(chunk), str(offset)).encode()
+class _ChunkEncoder:
+    """Encode the pieces of one answer; what they share is encoded once."""
+
+    def __init__(self, job: Job) -> None:
+        shared = {
+            "id": job.key,
+            "object": "chat.completion.chunk",
+            "model": job.route.name,
+        }
+        self._head = f"{json.dumps(shared)[:-1]}, "
+
+    def encode(self, text: str, offset: int) -> bytes:
+        """Return a piece as an event whose id counts the characters so far."""
+        choice = f'{{"index": 0, "delta": {{"content": {json.dumps(text)}}}'
+        data = f'{self._head}"choices": [{choice}, "finish_reason": null}}]}}'
+        return Event(data, str(offset)).encode()
 
 
 def _encode_last(run: Run) -> bytes:
@@ -73,12 +80,13 @@
     end mark.
     """
     offset = job.resume_from
+    encoder = _ChunkEncoder(job)
     try:
         async for text in run.read(offset):
             if not responder.started:
                 await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
             offset += len(text)
-            await responder.write(_encode_chunk(job, text, offset))
+            await responder.write(encoder.encode(text, offset))
     except AnvilshiftError as error:
         if not responder.started:
             raise
@@ -109,7 +117,7 @@
     text = completion["choices"][0]["message"]["content"]
     await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
     rest = text[job.resume_from :]
-    await responder.write(_encode_chunk(job, rest, len(text)))
+    await responder.write(_ChunkEncoder(job).encode(rest, len(text)))
     choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
     last = {"choices": [choice], "usage": completion["usage"]}
     await responder.write(Event(json.dumps(last)).encode())
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -66,7 +66,9 @@
         self._tokens = 0
         self._readers = 0
         self._changed = asyncio.Event()
-        self._last_token: Millis | None = None
+        self._first_token: Millis | None = None
+        self._last_token: Millis = 0.0
+        self._longest_gap: Millis = 0.0
         self._attempt: tuple[str, str] | None = None
         self._unread: asyncio.TimerHandle | None = None
         self._task = asyncio.get_running_loop().create_task(self._make())
@@ -144,6 +146,7 @@
         kind = job.route.request_class
         organisation = job.organisation.name
         shared.telemetry.count_answer(organisation, kind, code)
+        self._record_gaps()
         if self.error is None:
             span = shared.clock.now() - job.arrived
             shared.telemetry.record_whole(organisation, kind, span)
@@ -197,10 +200,9 @@
 
     def _take(self, batch: list[Piece]) -> None:
         now = self._shared.clock.now()
-        # What arrived together reaches the caller together, so a batch is one
-        # wait; a record for every token took a third of the processor.
+        # What arrived together reaches the caller together: a batch is one wait.
         if any(piece.text for piece in batch):
-            self._count_token(now)
+            self._count_wait(now)
         for piece in batch:
             self.text += piece.text
             self._tokens += piece.tokens
@@ -208,16 +210,30 @@
             self.finish = piece.finish or self.finish
         self._changed.set()
 
-    def _count_token(self, now: Millis) -> None:
-        telemetry, job = self._shared.telemetry, self.job
-        organisation, kind = job.organisation.name, job.route.request_class
-        if self._last_token is None:
-            telemetry.record_first(organisation, kind, now - job.arrived)
+    def _count_wait(self, now: Millis) -> None:
+        if self._first_token is None:
+            telemetry, job = self._shared.telemetry, self.job
+            span = now - job.arrived
+            telemetry.record_first(job.organisation.name, job.route.request_class, span)
             self._shared.dispatch.first_token(job.identity)
+            self._first_token = now
         else:
-            telemetry.record_gap(organisation, kind, now - self._last_token)
+            self._longest_gap = max(self._longest_gap, now - self._last_token)
         self._last_token = now
 
+    def _record_gaps(self) -> None:
+        # Once for an answer: a record for every token took a third of the
+        # processor of a router that streams.
+        if self._first_token is None or self._tokens < 2:
+            return
+        mean = (self._last_token - self._first_token) / (self._tokens - 1)
+        self._shared.telemetry.record_gaps(
+            self.job.organisation.name,
+            self.job.route.request_class,
+            mean,
+            self._longest_gap,
+        )
+
     async def _settle(self) -> None:
         job, treasury = self.job, self._shared.treasury
         self._shared.dispatch.done(job.identity, self._tokens)
--- a/anvilshift/router/telemetry.py
+++ b/anvilshift/router/telemetry.py
@@ -25,9 +25,15 @@
 
     def __init__(self, exported: bool = True) -> None:
         views = [
-            View(
-                instrument_name="anvilshift_between_tokens_ms",
-                aggregation=ExplicitBucketHistogramAggregation(_GAP_BUCKETS_MS),
+            *(
+                View(
+                    instrument_name=name,
+                    aggregation=ExplicitBucketHistogramAggregation(_GAP_BUCKETS_MS),
+                )
+                for name in (
+                    "anvilshift_between_tokens_ms",
+                    "anvilshift_longest_gap_ms",
+                )
             ),
             View(
                 instrument_name="anvilshift_*_wait_ms",
@@ -43,6 +49,7 @@
         self._whole = make("anvilshift_whole_answer_wait_ms", "ms")
         self._bill = make("anvilshift_bill_wait_ms", "ms")
         self._gap = make("anvilshift_between_tokens_ms", "ms")
+        self._longest_gap = make("anvilshift_longest_gap_ms", "ms")
         self._answers = meter.create_counter("anvilshift_answers")
         self._events = meter.create_counter("anvilshift_events")
 
@@ -54,9 +61,13 @@
         """Count the time from arrival to the first token."""
         self._first.record(span, {"organisation": organisation, "class": kind})
 
-    def record_gap(self, organisation: str, kind: str, span: Millis) -> None:
-        """Count the time between two tokens."""
-        self._gap.record(span, {"organisation": organisation, "class": kind})
+    def record_gaps(
+        self, organisation: str, kind: str, mean: Millis, longest: Millis
+    ) -> None:
+        """Count an answer's mean and longest time between two tokens."""
+        labels = {"organisation": organisation, "class": kind}
+        self._gap.record(mean, labels)
+        self._longest_gap.record(longest, labels)
 
     def record_whole(self, organisation: str, kind: str, span: Millis) -> None:
         """Count the time from arrival to the end of the answer."""
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -8,7 +8,13 @@
 import h11
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.messages import Address, Fields, Headers, HttpAnswer
+from anvilshift.wire.messages import (
+    RECEIVE_BUFFER,
+    Address,
+    Fields,
+    Headers,
+    HttpAnswer,
+)
 
 _READ_AHEAD_BYTES = 256 * 1024
 _IDLE_PER_ADDRESS = 64
@@ -33,7 +39,7 @@
         self.sent = sent
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One connection to a server; it carries one exchange at a time."""
 
     def __init__(self) -> None:
@@ -68,8 +74,11 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
-        self._feed(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._feed(bytes(RECEIVE_BUFFER[:nbytes]))
 
     def _feed(self, data: bytes) -> None:
         try:
--- a/anvilshift/wire/events.py
+++ b/anvilshift/wire/events.py
@@ -28,8 +28,8 @@
         b'id: 7\ndata: hello\n\n'
         """
         head = f"id: {self.id}\n" if self.id is not None else ""
-        lines = "".join(f"data: {line}\n" for line in self.data.split("\n"))
-        return f"{head}{lines}\n".encode()
+        lines = self.data.replace("\n", "\ndata: ")
+        return f"{head}data: {lines}\n\n".encode()
 
 
 class EventReader:
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -7,6 +7,13 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import MALFORMED, AnvilshiftError
 
+RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
+"""Where sockets of the one loop put what arrives, to be copied out at once.
+
+A stream hands each connection a fresh 256 KB buffer for a token of 100 bytes,
+which costs more than the read itself.
+"""
+
 
 @dataclass(frozen=True)
 class Address:
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -21,6 +21,7 @@
 from anvilshift.wire.messages import (
     DEFAULT_LIMITS,
     JSON_TYPE,
+    RECEIVE_BUFFER,
     Address,
     Fields,
     Headers,
@@ -93,7 +94,7 @@
     return Reply(error.code.status, headers, dump_json({"error": body}))
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One accepted connection."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -140,8 +141,11 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
-        self._h11.receive_data(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._h11.receive_data(bytes(RECEIVE_BUFFER[:nbytes]))
         if self.busy:
             self._bound_pipeline()
             return
