--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,7 @@
 
 capacity: environment
 	$(BIN)/python -m bench.capacity
+SEED ?= 1
+SECONDS ?= 300
+soak: environment
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS)
