--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,396 @@
+"""What each role of a router costs by size, measured in one process.
+
+Each function builds a state of a given size and returns one figure.  Times are
+processor time, best of a few repeats, so that other load on the machine shows
+as little as it can.
+"""
+
+import asyncio
+import contextlib
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from anvilshift.core.clock import MonotonicClock
+from anvilshift.core.declarations import (
+    Budget,
+    Catalogue,
+    Declaration,
+    Engine,
+    EngineGroup,
+    Organisation,
+    Policy,
+    Route,
+    TargetKind,
+)
+from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.escrow import Escrow
+from anvilshift.core.labels import Selector
+from anvilshift.core.ledger import Bill, Commit, Draw, Grant, Ledger, Outcome
+from anvilshift.core.membership import Member, Roster
+from anvilshift.core.work import DispatchSettings, LoadReport, Target, Work
+from anvilshift.engines.http import HttpConnector
+from anvilshift.peers.generated.peers_pb2 import Heartbeat
+from anvilshift.peers.link import GrpcPeerLink, PeerServer
+from anvilshift.platform.records import decode, encode
+from anvilshift.router.targets import Targets
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.jsons import dump_json
+from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
+from anvilshift.wire.server import HttpServer, Responder
+from bench.fleet import take_free_port
+
+MODELS = 24
+DOMAINS = 27
+ORGANISATIONS = 270
+_REPEATS = 3
+_MICROS = 1e6
+_CALLS = 300
+_BILLS_A_COMMIT = 4
+
+
+def time_micros(work: Callable[[], Any]) -> float:
+    """Return the processor time of one call in microseconds."""
+    best = float("inf")
+    for _ in range(_REPEATS):
+        began = time.process_time()
+        work()
+        best = min(best, time.process_time() - began)
+    return best * _MICROS
+
+
+def weigh_bytes(make: Callable[[], Any]) -> float:
+    """Return the memory that a state holds, in bytes."""
+    tracemalloc.start()
+    kept = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def make_member(index: int) -> Member:
+    """Return a member of a large fleet."""
+    return Member(
+        f"router-{index:04}",
+        f"router-{index:04}-0123456789ab",
+        f"host-{index:04}",
+        f"10.{index % 12}.{index // 256}.{index % 256}:8080",
+        f"10.{index % 12}.{index // 256}.{index % 256}:8081",
+        f"domain-{index % DOMAINS:02}",
+        revision=1_000_000,
+        beat=100_000,
+    )
+
+
+def make_roster(size: int) -> Roster:
+    """Return the fleet as one of its routers sees it."""
+    roster = Roster(lease=5_000.0)
+    for index in range(size):
+        roster = roster.record(make_member(index), 0.0)
+    return roster
+
+
+def hear_everyone(size: int) -> float:
+    """Return microseconds to take in one heartbeat of each other router."""
+    roster = make_roster(size)
+
+    def work() -> None:
+        heard = roster
+        for index in range(size):
+            heard = heard.hear(make_member(index), True, 10, 1.0)
+
+    return time_micros(work)
+
+
+def make_heartbeat() -> Heartbeat:
+    """Return a heartbeat of a member of a large fleet."""
+    member = make_member(2_199)
+    return Heartbeat(
+        router=member.name,
+        incarnation=member.incarnation,
+        host=member.host,
+        address=member.address,
+        peer_address=member.peer_address,
+        failure_domain=member.failure_domain,
+        revision=member.revision,
+        beat=member.beat,
+        reaches_platform=True,
+        in_flight=100,
+    )
+
+
+class _Echo:
+    """Answer a heartbeat with the same."""
+
+    async def take_beat(self, beat: Heartbeat) -> Heartbeat:
+        return beat
+
+
+class _Counter:
+    """Count the bytes that a connection carries, in both directions."""
+
+    def __init__(self, to: int) -> None:
+        self.counted = 0
+        self._to = to
+
+    async def relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Join an accepted connection to the one behind it."""
+        there, back = await asyncio.open_connection("127.0.0.1", self._to)
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(self._copy(reader, back), self._copy(there, writer))
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            self.counted += len(data)
+            writer.write(data)
+        writer.close()
+
+
+async def _exchange_beats() -> tuple[float, float]:
+    """Return processor microseconds, both ends, and bytes of one exchange."""
+    port, between = take_free_port(), take_free_port()
+    server = PeerServer(_Echo())  # type: ignore[arg-type]
+    await server.start(Address("127.0.0.1", port))
+    counter = _Counter(port)
+    relay = await asyncio.start_server(counter.relay, "127.0.0.1", between)
+    link = GrpcPeerLink()
+    beat = make_heartbeat()
+    direct, counted = f"127.0.0.1:{port}", f"127.0.0.1:{between}"
+    await link.beat(direct, beat)
+    began = time.process_time()
+    for _ in range(_CALLS):
+        await link.beat(direct, beat)
+    spent = (time.process_time() - began) / _CALLS * _MICROS
+    await link.beat(counted, beat)
+    before = counter.counted
+    for _ in range(_CALLS):
+        await link.beat(counted, beat)
+    size = (counter.counted - before) / _CALLS
+    link.close()
+    relay.close()
+    server.close()
+    return spent, size
+
+
+def exchange_beat(size: int) -> float:
+    """Return processor microseconds of one exchange of heartbeats, both ends."""
+    return asyncio.run(_exchange_beats())[0]
+
+
+def weigh_beat(size: int) -> float:
+    """Return the bytes of one exchange of heartbeats, without TCP's own."""
+    return asyncio.run(_exchange_beats())[1]
+
+
+def weigh_roster(size: int) -> float:
+    """Return the bytes of memory of the fleet as one router sees it."""
+    return weigh_bytes(lambda: make_roster(size))
+
+
+def make_ledger(accounts: int, holders: int = 1, bills: int = 0) -> Ledger:
+    """Return a ledger whose accounts each have some grants and kept bills."""
+    parts: dict[str, Any] = {}
+    for index in range(accounts):
+        one = Ledger().top_up("budget", "invoice-2026-12", 10_000_000)
+        for holder in range(holders):
+            name = f"router-{holder:04}-0123456789ab"
+            draw = Commit(name, (), {"budget": Draw(20_000, 2_000)})
+            one = one.apply(draw)[0]
+        for number in range(bills):
+            key = f"{index:016x}{number:016x}"
+            bill = Bill(key, "organisation-001", 1, "router-0000-0123456789ab", 1)
+            one = one.apply(Commit(bill.holder, (("budget", bill),)))[0]
+        parts[f"budget-{index:05}"] = one.account("budget")
+    return Ledger(parts)
+
+
+def _commit_once(ledger: Ledger) -> None:
+    holder = "router-0000-0123456789ab"
+    account = next(iter(ledger.accounts))
+    bills = tuple(
+        (account, Bill(f"new-{n}", "organisation-001", 1, holder, 1))
+        for n in range(_BILLS_A_COMMIT)
+    )
+    read = decode(Ledger, encode(ledger))
+    dump_json(encode(read.apply(Commit(holder, bills))[0]))
+
+
+def commit_by_accounts(size: int) -> float:
+    """Return microseconds of a group commit, by accounts in the one object."""
+    ledger = make_ledger(size)
+    return time_micros(lambda: _commit_once(ledger))
+
+
+def commit_by_bills(size: int) -> float:
+    """Return microseconds of a group commit, by bills kept in one account."""
+    ledger = make_ledger(1, bills=size)
+    return time_micros(lambda: _commit_once(ledger))
+
+
+def weigh_ledger_by_accounts(size: int) -> float:
+    """Return the bytes of the ledger's object, by accounts."""
+    return float(len(dump_json(encode(make_ledger(size)))))
+
+
+def weigh_ledger_by_holders(size: int) -> float:
+    """Return the bytes of one account, by routers that hold a grant of it."""
+    return float(len(dump_json(encode(make_ledger(1, holders=size)))))
+
+
+def weigh_ledger_by_bills(size: int) -> float:
+    """Return the bytes of one account, by bills that it keeps."""
+    return float(len(dump_json(encode(make_ledger(1, bills=size)))))
+
+
+def make_escrow(size: int) -> Escrow:
+    """Return a holder with a purse of each of many budgets."""
+    escrow = Escrow("router-0000-0123456789ab")
+    for index in range(size):
+        escrow.open(f"budget-{index:05}", 2_000, 20_000)
+    commit = escrow.begin_commit()
+    grants = {name: Grant(20_000, 0, 2_000) for name in commit.draws}
+    escrow.finish_commit(commit, Outcome(grants=grants))
+    return escrow
+
+
+def begin_commit(size: int) -> float:
+    """Return microseconds to gather a commit, by purses that a router holds."""
+    escrow = make_escrow(size)
+    return time_micros(lambda: escrow.begin_commit())
+
+
+def weigh_escrow(size: int) -> float:
+    """Return the bytes of memory of a router's purses."""
+    return weigh_bytes(lambda: make_escrow(size))
+
+
+def make_declarations(engines: int, budgets: int = 10) -> list[Declaration]:
+    """Return a whole set of declarations, its engines shared among the models."""
+    groups: list[Declaration] = []
+    for model in range(MODELS):
+        members = tuple(
+            Engine(
+                f"engine-{index:05}", "10.0.0.1:80", f"domain-{index % DOMAINS:02}", 16
+            )
+            for index in range(model, engines, MODELS)
+        )
+        name = f"model-{model:02}"
+        labels = {"model": name}
+        group = EngineGroup(name, TargetKind.MODEL, members, labels, (name,))
+        route = Route(name, TargetKind.MODEL, Selector({"model": name}))
+        policy = Policy(name, Selector(), Selector({"model": name}), 1)
+        groups += [group, route, policy]
+    organisations: list[Declaration] = [
+        Organisation(f"organisation-{n:03}", f"budget-{n:05}", {"tier": "gold"})
+        for n in range(ORGANISATIONS)
+    ]
+    named: list[Declaration] = [Budget(f"budget-{n:05}") for n in range(budgets)]
+    return [*groups, *organisations, *named]
+
+
+def publish_by_budgets(size: int) -> float:
+    """Return microseconds to bring one change into force, by budgets."""
+    declarations = make_declarations(100, size)
+    return time_micros(lambda: Catalogue.from_declarations(declarations, 1))
+
+
+def weigh_catalogue(size: int) -> float:
+    """Return the bytes of memory of the declarations, by budgets."""
+    return weigh_bytes(lambda: make_declarations(11_000, size))
+
+
+def configure_targets(size: int) -> float:
+    """Return microseconds to take in a change where engines are declared."""
+    catalogue = Catalogue.from_declarations(make_declarations(size), 1)
+    targets = Targets(HttpConnector(HttpClient()), MonotonicClock())
+    dispatcher = _make_dispatcher(size)
+    declared = [
+        Target(engine.name, engine.failure_domain, engine.slots)
+        for group in catalogue.groups.values()
+        for engine in group.engines
+    ]
+
+    def work() -> None:
+        targets.configure(catalogue)
+        dispatcher.configure(declared, 1.0)
+
+    return time_micros(work)
+
+
+def find_candidates(size: int) -> float:
+    """Return microseconds to find a request's candidates, by engines in all."""
+    catalogue = Catalogue.from_declarations(make_declarations(size), 1)
+    organisation = catalogue.organisations["organisation-001"]
+    route = catalogue.routes["model-01"]
+    return time_micros(lambda: catalogue.candidates(organisation, route))
+
+
+def _make_dispatcher(size: int) -> Dispatcher:
+    settings = DispatchSettings("domain-00", routers=2_200)
+    dispatcher = Dispatcher(settings, random.Random(0))
+    targets = [
+        Target(f"engine-{n:05}", f"domain-{n % DOMAINS:02}", 16) for n in range(size)
+    ]
+    dispatcher.configure(targets, 0.0)
+    return dispatcher
+
+
+def place_work(size: int) -> float:
+    """Return microseconds from a request's arrival to its end, by engines.
+
+    A model's share of the engines are the request's candidates.
+    """
+    dispatcher = _make_dispatcher(size)
+    candidates = {f"engine-{n:05}": 0 for n in range(0, size, MODELS)}
+
+    def work() -> None:
+        for number in range(10):
+            identity = f"r{number}"
+            wish = Work(identity, "o", "c", candidates, 100, 300, deadline=1e6)
+            dispatcher.arrive(wish, 1.0)
+            dispatcher.first_token(identity, 2.0)
+            dispatcher.done(identity, 300, 3.0)
+
+    return time_micros(work) / 10
+
+
+def take_reports(size: int) -> float:
+    """Return microseconds to take in one load report of each engine."""
+    dispatcher = _make_dispatcher(size)
+    names = [f"engine-{n:05}" for n in range(size)]
+
+    def work() -> None:
+        for name in names:
+            dispatcher.load_report(LoadReport(name, 3, 1, 0.0), 10.0)
+
+    return time_micros(work)
+
+
+def call_http(size: int) -> float:
+    """Return microseconds of one HTTP call, both ends, after so many warm ones."""
+    return asyncio.run(_call_http())
+
+
+async def _call_http() -> float:
+    async def handle(request: HttpRequest, responder: Responder) -> None:
+        body = dump_json({"running": 1, "waiting": 0, "age_ms": 3.0})
+        await responder.send(Reply(200, [JSON_TYPE], body))
+
+    server = HttpServer(handle)
+    address = await server.start(Address("127.0.0.1", 0))
+    client = HttpClient()
+    await client.call(address, "GET", "/load")
+    began = time.process_time()
+    for _ in range(_CALLS):
+        await client.call(address, "GET", "/load", [JSON_TYPE])
+    spent = time.process_time() - began
+    client.close()
+    await server.close()
+    return spent / _CALLS * _MICROS
