--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity
+.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity pages
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -48,3 +48,6 @@
 SECONDS ?= 300
 soak: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS)
+
+pages: environment
+	$(BIN)/python -m anvilshift.operator.codes > docs/ERRORS.md
