--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -52,6 +52,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self.closed = False
+        self._idle = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -78,6 +79,11 @@
         return RECEIVE_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
+        if self._idle:
+            # Bytes that nobody asked for would be read as the answer to the
+            # next request on this connection, which is another caller's.
+            self.close()
+            return
         self._feed(bytes(RECEIVE_BUFFER[:nbytes]))
 
     def _feed(self, data: bytes) -> None:
@@ -107,7 +113,10 @@
 
     async def send(self, method: str, path: str, headers: Fields, body: bytes) -> None:
         assert self.transport is not None
-        head = h11.Request(method=method, target=path, headers=headers)
+        # Fields that a caller sent pass on as the bytes that they were.
+        raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        target = path.encode("latin-1")
+        head = h11.Request(method=method, target=target, headers=raw)
         parts = [self._h11.send(head)]
         if body:
             parts.append(self._h11.send(h11.Data(data=body)))
@@ -147,9 +156,16 @@
             self._h11.start_next_cycle()
         except h11.ProtocolError:
             return False
-        return True
+        self._idle = not self._h11.trailing_data[0]
+        return self._idle
+
+    def wake(self) -> bool:
+        """Begin another exchange; False when the connection was closed."""
+        self._idle = False
+        return not self.closed
 
     def close(self) -> None:
+        self.closed = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -214,7 +230,7 @@
         idle = self._idle[address]
         while idle:
             connection = idle.pop()
-            if not connection.closed:
+            if connection.wake():
                 return connection
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(_Connection, address.ip, address.port)
