--- a/anvilshift/router/telemetry.py
+++ b/anvilshift/router/telemetry.py
@@ -12,6 +12,19 @@
 """Bounds of the histograms; 920 ms is the users' bound for the first token."""
 _GAP_BUCKETS_MS = (1, 2, 5, 10, 20, 56, 100, 200, 500, 1_000, 5_000)
 """56 ms is the users' bound between two tokens."""
+_WAIT_NAMES = (
+    "anvilshift_queue_wait",
+    "anvilshift_first_token_wait",
+    "anvilshift_whole_answer_wait",
+    "anvilshift_bill_wait",
+)
+_GAP_NAMES = ("anvilshift_between_tokens", "anvilshift_longest_gap")
+
+
+def _make_views(names: tuple[str, ...], bounds: tuple[int, ...]) -> list[View]:
+    """Return what gives each histogram its bounds."""
+    aggregation = ExplicitBucketHistogramAggregation(bounds)
+    return [View(instrument_name=name, aggregation=aggregation) for name in names]
 
 
 class Telemetry:
@@ -24,32 +37,16 @@
     """
 
     def __init__(self, exported: bool = True) -> None:
-        views = [
-            *(
-                View(
-                    instrument_name=name,
-                    aggregation=ExplicitBucketHistogramAggregation(_GAP_BUCKETS_MS),
-                )
-                for name in (
-                    "anvilshift_between_tokens_ms",
-                    "anvilshift_longest_gap_ms",
-                )
-            ),
-            View(
-                instrument_name="anvilshift_*_wait_ms",
-                aggregation=ExplicitBucketHistogramAggregation(_BUCKETS_MS),
-            ),
-        ]
+        views = [*_make_views(_GAP_NAMES, _GAP_BUCKETS_MS)]
+        views += _make_views(_WAIT_NAMES, _BUCKETS_MS)
         readers = [PrometheusMetricReader()] if exported else []
         provider = MeterProvider(metric_readers=readers, views=views)
         meter = provider.get_meter("anvilshift")
         make = meter.create_histogram
-        self._queue = make("anvilshift_queue_wait_ms", "ms")
-        self._first = make("anvilshift_first_token_wait_ms", "ms")
-        self._whole = make("anvilshift_whole_answer_wait_ms", "ms")
-        self._bill = make("anvilshift_bill_wait_ms", "ms")
-        self._gap = make("anvilshift_between_tokens_ms", "ms")
-        self._longest_gap = make("anvilshift_longest_gap_ms", "ms")
+        self._queue, self._first, self._whole, self._bill = (
+            make(name, "ms") for name in _WAIT_NAMES
+        )
+        self._gap, self._longest_gap = (make(name, "ms") for name in _GAP_NAMES)
         self._answers = meter.create_counter("anvilshift_answers")
         self._events = meter.create_counter("anvilshift_events")
 
