Prove at most once and whole answers with real processes

Cause: an integration test that kills a router found the client library calling an order *not run* that had run: the last of its sendings met a closed port, an earlier one was at the service. A paused router kept its callers until their deadline, because a stopped process keeps its connections open.

Change: the library remembers over all sendings of a key whether one may have run. After a second of silence it asks the router for addresses and leaves one that does not answer. A relay stands in for bad networks: delay, one-way cuts, drip, half-open, reset, refusal.

Ruled out: a deadline between tokens in the client, because a queued request is rightly silent for as long as it waits.

--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -1,23 +1,30 @@
 """Call the fleet: look addresses up, connect, retry with one key, resume."""
 
 import asyncio
+import contextlib
 import json
 import random
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from anvilshift.core.backoff import Backoff
 from anvilshift.core.clock import SECOND, Clock, Millis, MonotonicClock
-from anvilshift.wire.client import ExchangeError, HttpClient
-from anvilshift.wire.events import EventReader
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.wire.client import ExchangeError, HttpClient, Response
+from anvilshift.wire.events import Event, EventReader
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, Fields, HttpAnswer
 
+Result = TypeVar("Result")
 _LOOKUP_TIMEOUT: Millis = 1 * SECOND
 _DEFAULT_DEADLINE: Millis = 30 * SECOND
+_STALL: Millis = 1 * SECOND
+"""Silence after which a router is asked whether it still answers.  One that is
+paused keeps its connections open, and nothing else would tell."""
 _NOT_RUN = "not run"
+_UNKNOWN = "unknown"
 
 
 class CallError(Exception):
@@ -38,10 +45,31 @@
     ) -> None:
         super().__init__(f"{number}: {message} ({fate})")
         self.number = number
+        self.detail = message
         self.fate = fate
         self.retry_after = retry_after
 
 
+class _Outcome:
+    """What the caller of several sendings of one key may be told.
+
+    A router speaks for the sending that it answers.  Once an earlier one got
+    no answer, it may have run, and *not run* would invite the caller to place
+    the order again under a new key.
+    """
+
+    def __init__(self) -> None:
+        self._unsure = False
+
+    def note(self, error: CallError) -> CallError:
+        """Take in how a sending failed; return the error to raise."""
+        if error.fate != _NOT_RUN:
+            self._unsure = True
+        elif self._unsure:
+            return CallError(error.number, _UNKNOWN, error.detail, error.retry_after)
+        return error
+
+
 @dataclass(frozen=True)
 class Conversation:
     """What is asked of a model.
@@ -77,16 +105,28 @@
 def _read_error(answer_body: bytes, status: int, fate: str) -> CallError:
     try:
         error = json.loads(answer_body)["error"]
+        span = error.get("retry_after_ms")
         return CallError(
             int(error["code"]),
             str(error["fate"]),
             str(error["message"]),
-            error.get("retry_after_ms"),
+            float(span) if span is not None else None,
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, AttributeError):
         return CallError(0, fate, f"status {status}")
 
 
+def _read_text(data: str) -> str:
+    """Return the text of one event of a stream."""
+    try:
+        value = json.loads(data)
+        if "error" in value:
+            raise _read_error(data.encode(), 200, _UNKNOWN)
+        return str(value["choices"][0]["delta"].get("content", ""))
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
+        raise ExchangeError("an event of the stream can't be read", True) from error
+
+
 class Client:
     """A caller of the fleet.
 
@@ -193,6 +233,7 @@
         until = self._clock.now() + conversation.deadline
         received = ""
         attempt = 0
+        outcome = _Outcome()
         while True:
             address = await self._choose()
             try:
@@ -202,13 +243,12 @@
                 return
             except ExchangeError as error:
                 self._mark_failed(address)
-                unsure = error.sent and conversation.non_idempotent
-                fate = "unknown" if unsure else _NOT_RUN
-                failure = CallError(0, fate, str(error))
+                fate = _UNKNOWN if error.sent else _NOT_RUN
+                failure = outcome.note(CallError(0, fate, str(error)))
             except CallError as error:
+                failure = outcome.note(error)
                 if not _is_worth_retry(error):
-                    raise
-                failure = error
+                    raise failure from error
                 if error.number in _LEAVING_CODES:
                     self._mark_failed(address)
             await self._pause(failure, attempt, until)
@@ -226,30 +266,65 @@
         if received:
             headers.append(("last-event-id", str(len(received))))
         left = max(1.0, until - self._clock.now())
-        async with self._http.exchange(
-            address,
-            "POST",
-            "/v1/chat/completions",
-            headers,
-            conversation.make_body(received),
-            left,
-        ) as response:
+        async with contextlib.AsyncExitStack() as stack:
+            entering = stack.enter_async_context(
+                self._http.exchange(
+                    address,
+                    "POST",
+                    "/v1/chat/completions",
+                    headers,
+                    conversation.make_body(received),
+                    left,
+                )
+            )
+            response = await self._watch(address, entering)
             if response.status != 200:
                 body = await response.read()
-                raise _read_error(body, response.status, "unknown")
+                raise _read_error(body, response.status, _UNKNOWN)
             reader = EventReader()
-            async for chunk in response.chunks():
-                for event in reader.feed(chunk):
+            while (chunk := await self._next_chunk(address, response)) is not None:
+                for event in _feed(reader, chunk):
                     if event.data == "[DONE]":
                         return
-                    value = json.loads(event.data)
-                    if "error" in value:
-                        raise _read_error(event.data.encode(), 200, "unknown")
-                    text = value["choices"][0]["delta"].get("content", "")
+                    text = _read_text(event.data)
                     if text:
                         yield text
         raise ExchangeError("the stream ended without its end mark", True)
 
+    async def _next_chunk(self, address: Address, response: Response) -> bytes | None:
+        """Return the next piece of a body, None at its end."""
+        while True:
+            try:
+                async with asyncio.timeout(_STALL / SECOND):
+                    return await anext(response.chunks(), None)
+            except TimeoutError:
+                await self._require_life(address)
+
+    async def _watch(
+        self, address: Address, work: Coroutine[Any, Any, Result]
+    ) -> Result:
+        """Wait for an answer as long as its router lives."""
+        task = asyncio.ensure_future(work)
+        try:
+            while not (await asyncio.wait([task], timeout=_STALL / SECOND))[0]:
+                await self._require_life(address)
+            return task.result()
+        finally:
+            task.cancel()
+
+    async def _require_life(self, address: Address) -> None:
+        """Raise unless a router that has been silent answers a look-up."""
+        try:
+            await self._http.call(
+                address,
+                "GET",
+                "/v1/addresses",
+                [self._authorization],
+                timeout=_LOOKUP_TIMEOUT,
+            )
+        except ExchangeError as error:
+            raise ExchangeError(f"{address} stopped answering", True) from error
+
     async def ask(self, conversation: Conversation) -> str:
         """Return a whole answer."""
         return "".join([text async for text in self.stream(conversation)])
@@ -274,23 +349,28 @@
         until = self._clock.now() + deadline
         key = key or uuid.uuid4().hex
         attempt = 0
+        outcome = _Outcome()
         while True:
             address = await self._choose()
             headers = self._headers(key, until, non_idempotent)
             left = max(1.0, until - self._clock.now())
             try:
-                answer = await self._http.call(
+                calling = self._http.call(
                     address, method, f"/services/{route}{path}", headers, body, left
                 )
+                answer = await self._watch(address, calling)
                 if answer.headers.get("anvilshift-request") is not None:
                     return answer
-                failure = _read_error(answer.body, answer.status, "unknown")
-                if not _is_worth_retry(failure):
+                error = _read_error(answer.body, answer.status, _UNKNOWN)
+                failure = outcome.note(error)
+                if not _is_worth_retry(error):
                     raise failure
-            except ExchangeError as error:
+                if error.number in _LEAVING_CODES:
+                    self._mark_failed(address)
+            except ExchangeError as broken:
                 self._mark_failed(address)
-                fate = "unknown" if error.sent else _NOT_RUN
-                failure = CallError(0, fate, str(error))
+                fate = _UNKNOWN if broken.sent else _NOT_RUN
+                failure = outcome.note(CallError(0, fate, str(broken)))
             await self._pause(failure, attempt, until)
             attempt += 1
 
@@ -299,6 +379,13 @@
         self._http.close()
 
 
+def _feed(reader: EventReader, chunk: bytes) -> list[Event]:
+    try:
+        return reader.feed(chunk)
+    except AnvilshiftError as error:
+        raise ExchangeError(error.detail, True) from error
+
+
 _LEAVING_CODES = (3004, 3005)
 _FINAL_CODES = range(1000, 2002)
 _FINAL_OTHERS = (3003, 4003)
--- a/anvilshift/operator/standins.py
+++ b/anvilshift/operator/standins.py
@@ -7,6 +7,7 @@
 
 from anvilshift.standins.engine import EngineFigures, EngineStandin
 from anvilshift.standins.platform import PlatformStandin
+from anvilshift.standins.relay import Relay
 from anvilshift.standins.service import ServiceStandin
 from anvilshift.wire.messages import Address
 
@@ -46,6 +47,15 @@
         """Run a stand-in of a plain service."""
         asyncio.run(_serve(ServiceStandin, listen))
 
+    def relay(self, listen: str, target: str, control: str = "") -> None:
+        """Run a TCP relay with faults, set by POST /control/faults at `control`.
+
+        Example: anvilshift standin relay --listen 127.0.0.1:7001 \
+--target 127.0.0.1:7000 --control 127.0.0.1:7002
+        """
+        port = Address.parse(control) if control else None
+        asyncio.run(_serve(lambda: Relay(Address.parse(target), port), listen))
+
 
 async def _serve(make: Callable[[], _Standin], listen: str) -> None:
     standin = make()
--- a/anvilshift/standins/service.py
+++ b/anvilshift/standins/service.py
@@ -17,12 +17,15 @@
     Parameters
     ----------
     delay_ms
-        Wait before each call.
+        Wait before each call runs.
+    hold_ms
+        Wait between a call's run and its answer.
     lose_answers
         Run each call and cut the connection instead of answering.
     """
 
     delay_ms: float = 0.0
+    hold_ms: float = 0.0
     lose_answers: bool = False
 
 
@@ -55,6 +58,7 @@
         await asyncio.sleep(self.faults.delay_ms / SECOND)
         work = f"{request.method} {request.path} {request.body.decode()}"
         self.ran[work] += 1
+        await asyncio.sleep(self.faults.hold_ms / SECOND)
         if self.faults.lose_answers:
             responder.abort()
             return
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -114,6 +114,8 @@
         self.operators: dict[str, Address] = {}
         self.platform = make_address()
         self.router_platform: dict[str, Address] = {}
+        self.controls: dict[str, Address] = {}
+        self.relayed: set[str] = set()
         self._domains = domains
         self._engine_options = engine_options
         self._router_options = router_options or {}
@@ -130,6 +132,8 @@
         )
         self._start_targets()
         await self._wait_listening(self.platform)
+        for control in self.controls.values():
+            await self._wait_listening(control)
         for index in range(len(self._domains)):
             self.start_router(index)
         await asyncio.gather(*(self.wait_ready(n) for n in self.router_names))
@@ -151,9 +155,11 @@
         return self.directory / "declarations"
 
     def _start_target(self, engine: dict[str, Any], target: str) -> None:
-        address = make_address()
+        name, address = engine["name"], make_address()
         engine["address"] = str(address)
-        self.addresses[engine["name"]] = address
+        self.addresses[name] = address
+        if name in self.relayed:
+            engine["address"] = str(self.start_relay(f"net-{name}", address))
         self.start_target(engine["name"], "engine" if target == "model" else "service")
 
     def start_target(self, name: str, kind: str) -> None:
@@ -202,6 +208,26 @@
 
         await wait_until(answers, _START_TIMEOUT_S)
 
+    def start_relay(self, name: str, target: Address) -> Address:
+        """Start a faulty network before an address; return where it listens.
+
+        Its faults are set with `set_faults` at ``controls[name]``.  Targets
+        named in `relayed` get one each, named ``net-`` and the target's name.
+        """
+        listen, control = make_address(), make_address()
+        self.controls[name] = control
+        self.start_process(
+            name,
+            [
+                "standin",
+                "relay",
+                f"--listen={listen}",
+                f"--target={target}",
+                f"--control={control}",
+            ],
+        )
+        return listen
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a router is ready to serve."""
         await wait_until(lambda: self._is_ready(name), _START_TIMEOUT_S)
--- /dev/null
+++ b/tests/integration/fleetcase.py
@@ -0,0 +1,126 @@
+"""A fleet of real processes for one test, and what its callers received."""
+
+import asyncio
+import json
+import signal
+import unittest
+
+from anvilshift.client.client import CallError, Client, Conversation
+from anvilshift.standins.engine import make_answer
+from bench.fleet import LocalFleet, wait_until
+
+OPTIONS = {
+    "lease_ms": 1500.0,
+    "heartbeat_ms": 200.0,
+    "keep_addresses_ms": 500.0,
+    "commit_spacing_ms": 50.0,
+}
+TOKENS = 200_000
+
+
+def count_tokens(prompt: str, tokens: int) -> int:
+    """Return what the engine stand-in counts for a whole answer."""
+    return len(prompt.encode()) // 4 + 1 + tokens
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Start three routers, engines, a service and the platform."""
+
+    relayed: tuple[str, ...] = ()
+    cut_off: tuple[str, ...] = ()
+
+    async def asyncSetUp(self):
+        self.fleet = LocalFleet(router_options=OPTIONS)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.relayed = set(self.relayed)
+        for name in self.cut_off:
+            relay = self.fleet.start_relay(f"net-{name}", self.fleet.platform)
+            self.fleet.router_platform[name] = relay
+        self.justified = 0
+        await self.fleet.start()
+        await self.fleet.apply()
+        await self.fleet.top_up("kosice", TOKENS, "invoice-1")
+        await self.fleet.top_up("order-desk", TOKENS, "invoice-2")
+
+    async def asyncTearDown(self):
+        if self._outcome is not None and not self._outcome.success:
+            print(self.fleet.read_logs())
+
+    def client(self, organisation: str, router: str = "") -> Client:
+        names = [router] if router else self.fleet.router_names
+        seeds = [self.fleet.addresses[name] for name in names]
+        client = Client(seeds, f"{organisation}-token")
+        if router:
+            client.look_up = lambda: _give(seeds)
+        self.addCleanup(client.close)
+        return client
+
+    async def ask(self, prompt: str, tokens: int, client: Client | None = None) -> None:
+        """Ask and require the whole answer, each character once."""
+        client = client or self.client("kosice")
+        message = {"role": "user", "content": prompt}
+        asked = Conversation("tank-advisor", [message], tokens, deadline=15_000.0)
+        self.assertEqual(await client.ask(asked), make_answer(prompt, tokens))
+        self.justified += count_tokens(prompt, tokens)
+
+    def begin_streams(self, count: int, tokens: int) -> list[asyncio.Task[None]]:
+        return [
+            asyncio.create_task(self.ask(f"tank {n}", tokens)) for n in range(count)
+        ]
+
+    async def order(self, key: str, router: str = "", deadline: float = 8_000.0):
+        """Place an order; return the answer's body, or the error's fate."""
+        body = json.dumps({"order": key}).encode()
+        client = self.client("warehouse", router)
+        try:
+            answer = await client.call(
+                "delivery",
+                "/runs",
+                body,
+                key=key,
+                non_idempotent=True,
+                deadline=deadline,
+            )
+        except CallError as error:
+            return error.fate
+        return answer.body
+
+    async def count_orders(self) -> dict[str, int]:
+        """Return how often each order ran, past every fault of the network."""
+        ran = (await self.fleet.audit("stock-1"))["ran"]
+        return {
+            json.loads(work.split(" ", 2)[2])["order"]: n for work, n in ran.items()
+        }
+
+    async def wait_busy(self, least: int = 1) -> str:
+        """Return a router with so many requests in flight."""
+
+        async def find() -> str:
+            for name in self.fleet.router_names:
+                if self.fleet.processes[name].exit_code is not None:
+                    continue
+                if (await self.fleet.status(name))["in_flight"] >= least:
+                    return name
+            return ""
+
+        return await wait_until(find)
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        self.fleet.processes[name].send(number)
+
+    async def check_spend(self, budget: str, justified: int) -> None:
+        """Wait until just what was served is recorded, and nothing is missing."""
+
+        async def is_settled() -> bool:
+            row = (await self.fleet.usage())[budget]
+            self.assertLessEqual(row["spent"], justified)
+            return row["spent"] == justified
+
+        await wait_until(is_settled)
+        row = (await self.fleet.usage())[budget]
+        kept = row["spent"] + row["held"] + row["in_doubt"] + row["free"]
+        self.assertEqual(kept, TOKENS)
+
+
+async def _give(value):
+    return value
