--- a/anvilshift/router/requests.py
+++ b/anvilshift/router/requests.py
@@ -12,6 +12,7 @@
 from anvilshift.core.errors import (
     BAD_VALUE,
     KEY_REQUIRED,
+    MALFORMED,
     PAST_DEADLINE,
     UNKNOWN_ROUTE,
     AnvilshiftError,
@@ -59,6 +60,8 @@
     max_tokens: int = Field(default=_DEFAULT_ANSWER_TOKENS, ge=1, le=_MAX_ANSWER_TOKENS)
     stream: bool = False
     n: int = Field(default=1, ge=1, le=1)
+    best_of: int = Field(default=1, ge=1, le=1)
+    max_completion_tokens: int | None = Field(default=None, ge=1, le=_MAX_ANSWER_TOKENS)
     anvilshift: _Resume = _Resume()
 
 
@@ -200,13 +203,33 @@
     AnvilshiftError
         A numbered code that says what is wrong.
     """
+    try:
+        return _read_checked(request, organisation, routes, now)
+    except RecursionError as error:
+        raise AnvilshiftError(MALFORMED, "the body is nested too deeply") from error
+    except UnicodeEncodeError as error:
+        detail = "a text holds half a surrogate pair"
+        raise AnvilshiftError(BAD_VALUE, detail) from error
+
+
+def _read_checked(
+    request: HttpRequest,
+    organisation: Organisation,
+    routes: dict[str, Route],
+    now: Millis,
+) -> Job:
     chat = _parse_chat(request)
     route = routes.get(chat.model)
     if route is None or route.kind is not TargetKind.MODEL:
         raise AnvilshiftError(UNKNOWN_ROUTE, "no such model")
     body = parse_object(request.body)
     body.pop("anvilshift", None)
-    body["max_tokens"] = chat.max_tokens
+    # The newer name of the same limit: an engine that reads it must find the
+    # number that was reserved, or it would make more.
+    limit = chat.max_completion_tokens or chat.max_tokens
+    body["max_tokens"] = limit
+    if "max_completion_tokens" in body:
+        body["max_completion_tokens"] = limit
     content = dump_json({k: v for k, v in body.items() if k != "stream"})
     received = chat.anvilshift.received
     tag, offset = _read_resume(request, received)
@@ -217,7 +240,7 @@
         now,
         content=digest(content),
         prompt_bound=_bound_prompt(chat) + len(received.encode()),
-        answer_bound=chat.max_tokens,
+        answer_bound=limit,
         stream=chat.stream,
         body=body,
         received=received,
@@ -231,10 +254,13 @@
     """Return a bound on the prompt's tokens.
 
     A token covers at least one byte of text, and the template adds a bounded
-    number for each message, so the prompt can't have more.
+    number for each message, so the prompt can't have more.  What else the
+    request holds, such as descriptions of tools, can become part of it too.
     """
+    extras = [chat.model_extra, *(message.model_extra for message in chat.messages)]
+    rest = sum(len(dump_json(extra)) for extra in extras if extra)
     texts = sum(len(m.content.encode()) + len(m.role) for m in chat.messages)
-    return texts + TEMPLATE_TOKENS + TOKENS_PER_MESSAGE * len(chat.messages)
+    return texts + rest + TEMPLATE_TOKENS + TOKENS_PER_MESSAGE * len(chat.messages)
 
 
 def _read_resume(request: HttpRequest, received: str) -> tuple[str, int]:
