--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -7,17 +7,14 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import KINDS
-from anvilshift.core.ledger import Ledger
-from anvilshift.platform.records import decode, encode
+from anvilshift.platform import ledgers
 from anvilshift.platform.store import (
     Body,
     ConflictError,
     ObjectStore,
     Stored,
-    update,
 )
 from anvilshift.router.following import ROUTER_KIND
-from anvilshift.router.treasury import LEDGER_KIND, LEDGER_NAME
 
 Documents = Mapping[tuple[str, str], Body]
 _POLL: Millis = 100.0
@@ -83,21 +80,26 @@
     Returns
     -------
     tuple
-        The newest revision written, and the differences that lost a race with
-        another operator; those are left as the other wrote them.
+        The newest revision written, or the platform's where nothing was, so
+        that applying again still waits for what an earlier run has stored; and
+        the differences that lost a race with another operator, which are left
+        as the other wrote them.
     """
     newest = 0
     lost = []
     for item in differences:
         try:
             if item.change == "delete":
-                await store.delete(item.kind, item.name, item.version)
+                deleted = await store.delete(item.kind, item.name, item.version)
+                newest = max(newest, deleted)
                 continue
             body = documents[item.kind, item.name]
             written = await store.put(item.kind, item.name, body, item.version)
             newest = max(newest, written.version)
         except ConflictError:
             lost.append(item)
+    if not newest:
+        newest = (await store.list([])).revision
     return newest, lost
 
 
@@ -109,7 +111,9 @@
     while True:
         listing = await store.list([ROUTER_KIND])
         waiting = tuple(
-            item.name for item in listing.items if item.body["revision"] < revision
+            item.name
+            for item in listing.items
+            if int(item.body.get("revision", 0)) < revision
         )
         if not waiting or clock.now() >= until:
             return Acceptance(revision, waiting)
@@ -118,19 +122,11 @@
 
 async def top_up(store: ObjectStore, budget: str, tokens: int, identity: str) -> int:
     """Add prepaid tokens to a budget once; return its total."""
-
-    def change(body: Body | None) -> Body:
-        ledger = decode(Ledger, body) if body else Ledger()
-        return encode(ledger.top_up(budget, identity, tokens))
-
-    stored = await update(store, LEDGER_KIND, LEDGER_NAME, change)
-    return decode(Ledger, stored.body).account(budget).total
+    return await ledgers.top_up(store, budget, identity, tokens)
 
 
 async def read_usage(store: ObjectStore) -> dict[str, dict[str, Any]]:
     """Return what each budget has, has spent and has handed out."""
-    found = await store.get(LEDGER_KIND, LEDGER_NAME)
-    ledger = decode(Ledger, found.body) if found else Ledger()
     return {
         name: {
             "total": account.total,
@@ -140,5 +136,5 @@
             "free": account.free,
             "by_organisation": dict(account.usage),
         }
-        for name, account in sorted(ledger.accounts.items())
+        for name, account in (await ledgers.read_accounts(store)).items()
     }
