--- a/tests/router/fleetlet.py
+++ b/tests/router/fleetlet.py
@@ -24,7 +24,7 @@
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, Fields, HttpAnswer
 from anvilshift.wire.server import HttpServer
-from bench.fleet import wait_until
+from bench.fleet import make_address, wait_until
 
 ANY = Address("127.0.0.1", 0)
 TOKENS = 100_000
@@ -71,18 +71,19 @@
         await self.declare(addresses, await self.service.start(ANY))
         await self.top_up()
         for index in range(self._count):
-            node = self._make_node(index)
+            address = make_address()
+            node = self._make_node(index, address)
             server = HttpServer(node.callers.handle)
-            self.addresses.append(await server.start(ANY))
+            self.addresses.append(await server.start(address))
             self._servers.append(server)
             self.nodes.append(node)
             node.start()
         await wait_until(lambda: all(node.is_ready() for node in self.nodes))
 
-    def _make_node(self, index: int) -> Node:
+    def _make_node(self, index: int, listen: Address) -> Node:
         name = f"r{index + 1}"
         settings = RouterSettings(
-            name, name, "north", ANY, ANY, ANY, ANY, commit_spacing=5.0
+            name, name, "north", listen, ANY, ANY, ANY, commit_spacing=5.0
         )
         world = World(
             MonotonicClock(),
