Stream claimed work while it is made

Cause: an order that a model engine answers was shown only once it was whole and recorded, so its first token came with its last.

Change: callers of a claimed stream read its run; the end mark waits for the record of the outcome, and an error is what the claim says, not what the run says.

--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -1,11 +1,12 @@
 """Write runs to callers: server-sent events, or one JSON object."""
 
+import asyncio
 import contextlib
 import json
 from typing import Any
 
 from anvilshift.core.claims import Answer
-from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.errors import NOT_RECORDED, AnvilshiftError
 from anvilshift.router.requests import Job
 from anvilshift.router.runs import Run
 from anvilshift.wire.events import Event
@@ -73,12 +74,22 @@
     return Event(json.dumps(chunk)).encode() + Event("[DONE]").encode()
 
 
-async def write_stream(run: Run, job: Job, responder: Responder) -> None:
+async def write_stream(
+    run: Run,
+    job: Job,
+    responder: Responder,
+    recorded: asyncio.Future[Answer] | None = None,
+) -> None:
     """Write a run as events whose ids name it and count the characters so far.
 
     The head is sent with the first text, so that a refusal still has its own
     status; an error after that is an event, and the stream ends without its
     end mark.
+
+    Parameters
+    ----------
+    recorded
+        The outcome of claimed work; the end mark waits until it is recorded.
     """
     offset = job.resume_from
     encoder = _ChunkEncoder(job)
@@ -90,9 +101,12 @@
                 offset += len(text)
                 chunk = encoder.encode(text, f"{run.tag}-{offset}")
                 await responder.write(chunk)
-    except AnvilshiftError as error:
+        if recorded is not None:
+            await recorded
+    except AnvilshiftError as failure:
+        error = await _find_error(failure, recorded)
         if not responder.started:
-            raise
+            raise error from failure
         await responder.write(Event(render_error(error).body.decode()).encode())
         await responder.finish()
         return
@@ -102,6 +116,19 @@
     await responder.finish()
 
 
+async def _find_error(
+    failure: AnvilshiftError, recorded: asyncio.Future[Answer] | None
+) -> AnvilshiftError:
+    """Return what the caller hears; of claimed work, what its claim says."""
+    if recorded is None:
+        return failure
+    try:
+        await recorded
+    except AnvilshiftError as error:
+        return error
+    return failure
+
+
 async def read_whole(run: Run) -> Answer:
     """Wait for a run and return its whole answer."""
     async with contextlib.aclosing(run.read(len(run.text))) as texts:
@@ -119,6 +146,9 @@
         return
     completion = json.loads(answer.body)
     text = completion["choices"][0]["message"]["content"]
+    if not text.startswith(job.received):
+        detail = "the recorded answer doesn't begin with what was received"
+        raise AnvilshiftError(NOT_RECORDED, detail)
     await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
     rest = text[job.resume_from :]
     await responder.write(_ChunkEncoder(job).encode(rest, str(len(text))))
--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -22,7 +22,7 @@
 from anvilshift.router.claims import ClaimBook
 from anvilshift.router.gate import Gate
 from anvilshift.router.requests import Job, read_chat, read_service_call
-from anvilshift.router.runs import Runs, Shared
+from anvilshift.router.runs import Runs, Shared, goes_on
 from anvilshift.router.services import ServiceCall
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
@@ -105,8 +105,7 @@
         job = read_chat(request, organisation, routes, now)
         self._open[asyncio.current_task()] = job
         if job.non_idempotent:
-            answer = await self.claimed.run(job, lambda: self._run_model(job))
-            await write_answer(answer, job, responder)
+            await self._chat_once(job, responder)
             return
         run = self.runs.join(job, self._gate.make_work(job))
         if job.stream:
@@ -114,6 +113,25 @@
         else:
             await write_answer(await read_whole(run), job, responder)
 
+    async def _chat_once(self, job: Job, responder: Responder) -> None:
+        """Answer claimed work; a stream shows its text while it is made."""
+        claimed = self.claimed.run(job, lambda: self._run_model(job))
+        outcome = asyncio.ensure_future(claimed)
+        running = asyncio.ensure_future(self.runs.find_claimed(job.identity))
+        try:
+            if job.stream:
+                first = asyncio.FIRST_COMPLETED
+                await asyncio.wait([outcome, running], return_when=first)
+            run = running.result() if running.done() else None
+            if run is not None and not outcome.done() and goes_on(run, job):
+                await write_stream(run, job, responder, outcome)
+            else:
+                await write_answer(await outcome, job, responder)
+        finally:
+            # Only this caller stops waiting; the work goes on to its record.
+            running.cancel()
+            outcome.cancel()
+
     async def _run_model(self, job: Job) -> Answer:
         return await read_whole(self.runs.join(job, self._gate.make_work(job)))
 
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -343,6 +343,7 @@
         self.in_flight = 0
         self._shared = shared
         self._runs: dict[str, Run] = {}
+        self._began = asyncio.Event()
         self._finished: deque[Run] = deque()
         self._finished_chars = 0
 
@@ -364,7 +365,7 @@
         if found is not None:
             if found.job.content != job.content:
                 raise AnvilshiftError(KEY_REUSED)
-            if found.error is None and _goes_on(found, job):
+            if found.error is None and goes_on(found, job):
                 return found
         if job.resume_from != len(job.received):
             raise AnvilshiftError(
@@ -378,9 +379,19 @@
         run = Run(self._shared, job, work, self._note_end, after)
         self.in_flight += 1
         self._runs[job.identity] = run
+        self._began.set()
+        self._began = asyncio.Event()
         check_invariant(run.job.identity == job.identity, "a run answers another job")
         return run
 
+    async def find_claimed(self, identity: str) -> Run:
+        """Wait until claimed work runs here, and return its run."""
+        while True:
+            run = self._runs.get(identity)
+            if run is not None and run.job.non_idempotent and run.error is None:
+                return run
+            await self._began.wait()
+
     def _note_end(self, run: Run) -> None:
         self.in_flight -= 1
         self._finished.append(run)
@@ -407,7 +418,7 @@
                 del self._runs[oldest.job.identity]
 
 
-def _goes_on(found: Run, job: Job) -> bool:
+def goes_on(found: Run, job: Job) -> bool:
     """Tell whether a run's text goes on from what the caller has."""
     if job.received:
         return found.text.starts_with(job.received)
--- a/tests/router/test_claimed.py
+++ b/tests/router/test_claimed.py
@@ -5,11 +5,13 @@
 import unittest
 from unittest import mock
 
+from anvilshift.client.client import Conversation
 from anvilshift.core.claims import LIFETIME_S, Claim, ClaimState
 from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
 from anvilshift.platform.records import decode, encode
 from anvilshift.router.claims import CLAIM_KIND
 from anvilshift.router.requests import digest
+from anvilshift.standins.engine import make_answer
 from anvilshift.standins.memory import MemoryFaults
 from bench.fleet import wait_until
 from tests.router.fleetlet import Fleetlet, read_code
@@ -152,6 +154,44 @@
         await self.fleet.service.start(type(self.fleet.addresses[0]).parse(address))
         self.assertEqual((await self.fleet.book("k", router=1)).status, 201)
 
+    async def test_claimed_stream_is_read_while_it_is_made(self):
+        """An order-desk model answers an order at length.
+
+        Its clerk saw nothing until the end.  Both of two sendings read the one
+        run, and the end mark follows the record.
+        """
+        self.fleet.engines[0].faults.slow = 20.0
+        headers = (("idempotency-key", "k"), ("anvilshift-non-idempotent", "true"))
+        client = self.fleet.client()
+        message = {"role": "user", "content": "order"}
+        asked = Conversation("m", [message], 20, 8_000.0, "k", non_idempotent=True)
+        texts = []
+        async for text in client.stream(asked):
+            if not texts:
+                second = asyncio.create_task(
+                    self.fleet.chat("order", *headers, tokens=20)
+                )
+            texts.append(text)
+        client.close()
+        self.assertGreater(len(texts), 2)
+        self.assertEqual("".join(texts), make_answer("order", 20))
+        self.assertIs(self.read_claim("k").state, ClaimState.DONE)
+        repeated = json.loads((await second).body)
+        self.assertEqual(
+            repeated["choices"][0]["message"]["content"], make_answer("order", 20)
+        )
+        self.assertEqual(len(self.fleet.engines[0].runs), 1)
+
+    async def test_claimed_stream_that_breaks_is_unknown(self):
+        self.fleet.engines[0].faults.break_after = 3
+        headers = (("idempotency-key", "k"), ("anvilshift-non-idempotent", "true"))
+        answer = await self.fleet.chat("order", *headers, extra={"stream": True})
+        self.assertIn(b'"code":4003', answer.body)
+        self.assertNotIn(b"[DONE]", answer.body)
+        again = await self.fleet.chat("order", *headers, router=1)
+        self.assertEqual(read_code(again), (4003, "unknown"))
+        self.assertEqual(len(self.fleet.engines[0].runs), 1)
+
     async def test_expired_claims_are_deleted_and_others_kept(self):
         node = self.fleet.nodes[0]
         now = node.clock.wall()
