--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -10,10 +10,9 @@
 import fire
 from absl import logging
 
-from anvilshift.client.client import Client
 from anvilshift.core.clock import SECOND, MonotonicClock
 from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
-from anvilshift.operator.calling import make_conversation, print_answer
+from anvilshift.operator.calling import Calls
 from anvilshift.operator.platformside import (
     compare,
     read_stored,
@@ -57,7 +56,7 @@
     return asyncio.run(work)
 
 
-class Commands:
+class Commands(Calls):
     """Operate a fleet of anvilshift routers.
 
     Example: anvilshift apply declarations --platform 127.0.0.1:7000
@@ -217,34 +216,6 @@
         rows = [{"budget": name, **row} for name, row in found.items()]
         _print(rows, output)
 
-    def call(
-        self,
-        model: str,
-        prompt: str,
-        seeds: str,
-        token: str,
-        tokens: int = 256,
-        deadline: float = 30 * SECOND,
-        key: str = "",
-        non_idempotent: bool = False,
-    ) -> None:
-        """Ask a model through the fleet and print its answer as it comes.
-
-        Exit code 5 says that the work was not run, 6 that it ran, 7 that it
-        isn't known; 5 may be sent again, an order with 6 or 7 only under its
-        own `--key`.
-
-        Example: anvilshift call advice "How warm must the tank be?" \
---seeds 127.0.0.1:8011,127.0.0.1:8021 --token "$TOKEN"
-        """
-        # Fire reads a list of addresses as a tuple.
-        found = seeds.split(",") if isinstance(seeds, str) else list(seeds)
-        client = Client.from_config({"seeds": found, "token": str(token)})
-        asked = make_conversation(
-            str(model), str(prompt), tokens, deadline, str(key), non_idempotent
-        )
-        sys.exit(_run(print_answer(client, asked)))
-
     def status(self, address: str, token: str, output: str = "text") -> None:
         """Show a router's state, asked at its operator address.
 
