--- a/anvilshift/router/claims.py
+++ b/anvilshift/router/claims.py
@@ -34,6 +34,7 @@
 """How long one claim or record may take: a caller at its deadline gains nothing
 from a platform that hasn't answered three hundred times its usual delay."""
 _RETRY_PAUSE: Millis = 500.0
+_RETRY_LIMIT: Millis = 8 * SECOND
 _RETRY_AFTER: Millis = 2 * SECOND
 _SWEEP_INTERVAL_S = 3_600.0
 _DELETE_PAUSE_S = 0.5
@@ -93,9 +94,8 @@
         found = await self._flush(job)
         if found is not None:
             return found
-        wish = Claim(
-            job.content, self._holder, make_identity(self._rng), self._clock.wall()
-        )
+        token = f"{self._holder}/{make_identity(self._rng)}"
+        wish = Claim(job.content, self._holder, token, self._clock.wall())
         pause = _POLL
         others = False
         while True:
@@ -215,9 +215,10 @@
         return True
 
     async def _keep_writing(self, identity: str, ended: Claim) -> None:
+        pause = _RETRY_PAUSE
         while not await self._write(identity, ended):
-            pause = _RETRY_PAUSE * self._rng.uniform(1.0, 2.0)
-            await asyncio.sleep(pause / SECOND)
+            await asyncio.sleep(pause * self._rng.uniform(1.0, 2.0) / SECOND)
+            pause = min(_RETRY_LIMIT, 2 * pause)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -237,9 +238,9 @@
         listing = await self._store.list([CLAIM_KIND])
         deleted = 0
         for item in listing.items:
-            if not decode(Claim, item.body).is_expired(self._clock.wall()):
-                continue
             with contextlib.suppress(AnvilshiftError):
+                if not decode(Claim, item.body).is_expired(self._clock.wall()):
+                    continue
                 await self._store.delete(CLAIM_KIND, item.name, item.version)
                 deleted += 1
             await asyncio.sleep(pause)
