Leave an engine that answers nothing at all

Cause: a paused engine keeps its connections open, and a request that streamed from it waited there until its deadline and got 4002. With the change to the run taken out, test_request_leaves_an_engine_that_fell_silent failed after 8 s with the first two tokens; with it, the answer is whole.

Ruled out: a bound on the span between tokens, which a queue in the engine may rightly exceed; a poll for each attempt, when the engine is polled anyway.

Change: an attempt is given up when neither it nor the engine's load polls were answered at two looks half a second apart, once the polls are 1.5 s old.

--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -29,6 +29,7 @@
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fates import NEVER_RAN, Progress
 from anvilshift.router.requests import Job, digest
+from anvilshift.router.silence import WATCH, watch
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.router.treasury import Treasury
@@ -89,6 +90,7 @@
         self._progress = Progress()
         self._tokens = 0
         self._overrun = False
+        self._heard: Millis = 0.0
         self._begun = False
         self._readers = 0
         self._changed = asyncio.Event()
@@ -242,22 +244,34 @@
         # Set before the first byte can leave: work that the deadline cuts off
         # in its midst must not be told "not run".
         self._progress.sent = True
-        async with (
-            engine.generate(call, timeout) as batches,
-            contextlib.aclosing(batches),
-        ):
-            async for batch in batches:
-                self._take(batch)
-                if len(self.text) > _MAX_ANSWER_CHARS:
-                    raise TargetError(Failure.BROKE_OFF, "the answer is over the limit")
-                if self._overrun:
-                    # The engine makes more than was asked for and reserved.
-                    self._cancel_attempt()
-                    self.finish = "length"
-                    return
+        self._heard = self._shared.clock.now()
+        with watch(lambda: self._is_silent(send.target)) as guard:
+            async with (
+                guard,
+                engine.generate(call, timeout) as batches,
+                contextlib.aclosing(batches),
+            ):
+                await self._take_all(batches)
+
+    def _is_silent(self, target: str) -> bool:
+        """Tell whether an engine has stopped answering, here and elsewhere."""
+        if self._shared.clock.now() - self._heard < WATCH:
+            return False
+        return self._shared.targets.is_silent(target)
+
+    async def _take_all(self, batches: AsyncGenerator[list[Piece]]) -> None:
+        async for batch in batches:
+            self._take(batch)
+            if len(self.text) > _MAX_ANSWER_CHARS:
+                raise TargetError(Failure.BROKE_OFF, "the answer is over the limit")
+            if self._overrun:
+                # The engine makes more than was asked for and reserved.
+                self._cancel_attempt()
+                self.finish = "length"
+                return
 
     def _take(self, batch: list[Piece]) -> None:
-        now = self._shared.clock.now()
+        now = self._heard = self._shared.clock.now()
         grown = False
         for piece in batch:
             if piece.text and self._tokens >= self.job.answer_bound:
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -15,6 +15,9 @@
 from anvilshift.engines.http import TargetError
 
 REPORT_INTERVAL: Millis = 250.0
+_SILENCE: Millis = 1_500.0
+"""An engine is asked every 250 ms and given a second: one that works has
+answered within this span."""
 
 
 class Targets:
@@ -27,6 +30,7 @@
         self._services: dict[str, PlainService] = {}
         self._declared: dict[str, Engine] = {}
         self._sequences: dict[str, int] = {}
+        self._answered: dict[str, Millis] = {}
         self._background: set[asyncio.Task[None]] = set()
 
     def configure(self, catalogue: Catalogue) -> None:
@@ -52,6 +56,11 @@
         """Return the adapter of a plain service."""
         return self._services.get(name)
 
+    def is_silent(self, name: str) -> bool:
+        """Tell whether an engine that used to answer its polls has stopped."""
+        answered = self._answered.get(name)
+        return answered is not None and self._clock.now() - answered > _SILENCE
+
     def cancel(self, name: str, attempt: str) -> None:
         """Tell an engine in the background that nobody waits for an attempt."""
         engine = self._engines.get(name)
@@ -99,6 +108,7 @@
     ) -> None:
         try:
             report = await engine.load()
+            self._answered[name] = self._clock.now()
             take_report(replace(report, as_of=self._clock.now() - report.as_of))
             for event in await engine.cache_events(self._sequences.get(name, 0)):
                 self._sequences[name] = event.sequence
--- a/tests/integration/test_networks.py
+++ b/tests/integration/test_networks.py
@@ -1,6 +1,7 @@
 """A platform that is out or loses answers, and networks that fail one way."""
 
 import asyncio
+import signal
 import time
 
 from bench.fleet import wait_until
@@ -72,10 +73,15 @@
         self.assertEqual(await self.count_orders(), {"drums": 1})
 
     async def test_streams_go_on_while_engines_networks_fail(self):
-        """One engine's connections are reset in mid-stream, another's drip."""
+        """One engine's connections are reset, another's drip, a third is paused.
+
+        Answers go on at whichever engine still answers, long before the paused
+        one's callers reach their deadlines.
+        """
         await self.set_network("advisor-2", drip=200)
         streams = self.begin_streams(9, 200)
         await self.wait_busy(2)
+        self.send("advisor-3", signal.SIGSTOP)
         for _ in range(3):
             control = self.fleet.controls["net-advisor-1"]
             await self.fleet.http.call(control, "POST", "/control/reset")
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -58,6 +58,27 @@
         self.assertEqual(text, make_answer("tank", 12))
         self.assertTrue(ended)
 
+    async def test_request_leaves_an_engine_that_fell_silent(self):
+        """An engine is paused in the midst of an answer; its connection stays.
+
+        The request waited there until its deadline.  It goes on elsewhere as
+        soon as the engine's polls go unanswered too.
+        """
+        self.set_faults(slow=10.0)
+        asking = asyncio.create_task(self.stream(tokens=20))
+        engines = self.fleet.engines
+        await wait_until(lambda: any(r.tokens for e in engines for r in e.runs))
+        paused = next(engine for engine in engines if engine.runs)
+
+        async def hang(request, responder):
+            await asyncio.Event().wait()
+
+        paused.faults.slow = 1e6
+        with mock.patch.object(paused._server, "handler", hang):
+            text, _, ended = read_events(await asking)
+        self.assertEqual(text, make_answer("tank", 20))
+        self.assertTrue(ended)
+
     async def test_stream_that_breaks_has_no_end_mark(self):
         self.set_faults(break_after=1)
         answer = await self.stream(tokens=20)
