--- a/anvilshift/core/claims.py
+++ b/anvilshift/core/claims.py
@@ -92,8 +92,8 @@
     Only the request that made a claim ends it.  A void that was written late
     or twice would otherwise free a claim that another request with the same
     key has taken since at the same router, and the work would run again.  A
-    claim that isn't there is made, so that a creation still under way after
-    its caller gave up on it fails.
+    claim that isn't there is made, and another's void is written anew, so that
+    a write of the claim that is still under way fails.
 
     Examples
     --------
@@ -105,8 +105,9 @@
     """
     if found is None:
         return ended
-    same = found.token == ended.token and found.state is ClaimState.OPEN
-    return ended if same else None
+    own = found.token == ended.token and found.state is ClaimState.OPEN
+    both_void = found.state is ended.state is ClaimState.VOID
+    return ended if own or both_void else None
 
 
 class Verdict(Enum):
