--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -12,6 +12,7 @@
 
 from anvilshift.core.clock import SECOND, MonotonicClock
 from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
+from anvilshift.operator.calling import Calls
 from anvilshift.operator.platformside import (
     compare,
     read_stored,
@@ -55,7 +56,7 @@
     return asyncio.run(work)
 
 
-class Commands:
+class Commands(Calls):
     """Operate a fleet of anvilshift routers.
 
     Example: anvilshift apply declarations --platform 127.0.0.1:7000
