Make the operator verbs and the settings checks whole

Cause: `check` looked at each declaration alone, `explain` named only the deciding policy, `status` knew one router, errors of a settings file did not say what was expected, and an unreachable router gave a traceback.

Conclusion: a race lost at the command line (exit 3) is tested below the command only.

--- a/anvilshift/core/declarations.py
+++ b/anvilshift/core/declarations.py
@@ -127,6 +127,12 @@
     models: tuple[str, ...] = ()
     desired: Mapping[str, str] = field(default_factory=dict)
 
+    def serves(self, route: "Route") -> bool:
+        """Tell whether the group's targets can serve a route."""
+        if self.kind is not route.kind or not route.engines.matches(self.labels):
+            return False
+        return route.kind is TargetKind.SERVICE or route.name in self.models
+
 
 @dataclass(frozen=True)
 class Policy:
@@ -201,7 +207,7 @@
         """Return the engines that may serve an organisation's call of a route."""
         found = []
         for group in self.groups.values():
-            if not _serves(group, route):
+            if not group.serves(route):
                 continue
             policy = self.decide(organisation, group)
             if policy is None:
@@ -210,9 +216,3 @@
                 chosen = Candidate(engine, group.name, policy.priority, policy.name)
                 found.append(chosen)
         return found
-
-
-def _serves(group: EngineGroup, route: Route) -> bool:
-    if group.kind is not route.kind or not route.engines.matches(group.labels):
-        return False
-    return route.kind is TargetKind.SERVICE or route.name in group.models
--- a/anvilshift/core/labels.py
+++ b/anvilshift/core/labels.py
@@ -72,9 +72,23 @@
 
     def matches(self, labels: Labels) -> bool:
         """Tell whether the labels meet every requirement."""
-        if any(labels.get(key) != value for key, value in self.equal.items()):
-            return False
-        return all(requirement.matches(labels) for requirement in self.requirements)
+        return self.find_unmet(labels) is None
+
+    def find_unmet(self, labels: Labels) -> str | None:
+        """Return the first requirement that the labels don't meet, if any.
+
+        Examples
+        --------
+        >>> Selector({"tier": "gold"}).find_unmet({"tier": "silver"})
+        'tier=gold'
+        """
+        for key, value in self.equal.items():
+            if labels.get(key) != value:
+                return f"{key}={value}"
+        for requirement in self.requirements:
+            if not requirement.matches(labels):
+                return str(requirement)
+        return None
 
     def __str__(self) -> str:
         equal = [f"{key}={value}" for key, value in sorted(self.equal.items())]
--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -2,18 +2,24 @@
 
 import asyncio
 import json
+import pathlib
 import sys
 import uuid
 from collections.abc import Coroutine
+from dataclasses import asdict
 from typing import Any
 
 import fire
 from absl import logging
 
 from anvilshift.core.clock import SECOND, MonotonicClock
-from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
+from anvilshift.core.errors import BAD_DECLARATION, BAD_SETTINGS, AnvilshiftError
+from anvilshift.operator.checking import ERROR, cross_check
+from anvilshift.operator.explaining import explain
 from anvilshift.operator.platformside import (
     compare,
+    forget_router,
+    read_fleet,
     read_stored,
     read_usage,
     top_up,
@@ -21,11 +27,11 @@
     write_differences,
 )
 from anvilshift.operator.standins import Standins
-from anvilshift.platform.store import HttpObjectStore
+from anvilshift.platform.store import ConflictError, HttpObjectStore
 from anvilshift.router.daemon import Router
 from anvilshift.settings.declarations import parse_declaration, read_documents
 from anvilshift.settings.router import RouterSettings
-from anvilshift.wire.client import HttpClient
+from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.messages import Address
 
 EXIT_FAILED = 1
@@ -47,8 +53,23 @@
             print(row)
 
 
+def _read_secret(given: str) -> str:
+    """Return a credential given as it is, or as ``@file``.
+
+    A command line can be read by every user of the machine; a file need not.
+    """
+    text = str(given)
+    if not text.startswith("@"):
+        return text
+    try:
+        return pathlib.Path(text[1:]).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise AnvilshiftError(BAD_SETTINGS, f"{text[1:]}: {error}") from error
+
+
 def _open(platform: str, credential: str = "") -> HttpObjectStore:
-    return HttpObjectStore(HttpClient(), Address.parse(platform), credential)
+    secret = _read_secret(credential)
+    return HttpObjectStore(HttpClient(), Address.parse(platform), secret)
 
 
 def _run(work: Coroutine[Any, Any, Any]) -> Any:
@@ -80,13 +101,27 @@
         sys.exit(_run(serve()))
 
     def check(self, directory: str, output: str = "text") -> None:
-        """Check declarations without touching the platform.
+        """Check declarations, each and against each other, without the platform.
+
+        Exit code 2 says that one is wrong; warnings leave it at 0.
 
         Example: anvilshift check declarations
         """
         documents = read_documents(directory)
-        rows = [{"kind": kind, "name": name} for kind, name in documents]
-        _print(rows, output)
+        declarations = [
+            parse_declaration(body, f"{kind}/{name}")
+            for (kind, name), body in documents.items()
+        ]
+        findings = cross_check(declarations)
+        summary = {
+            "declarations": len(documents),
+            "findings": [vars(item) for item in findings],
+        }
+        _print(summary if output == "json" else summary["findings"], output)
+        if output != "json":
+            print(f"{len(documents)} declarations, {len(findings)} findings")
+        if any(item.severity == ERROR for item in findings):
+            sys.exit(EXIT_USAGE)
 
     def diff(
         self,
@@ -177,14 +212,20 @@
 
         Example: anvilshift explain kosice --platform 127.0.0.1:7000
         """
-        from anvilshift.operator.explaining import explain
-
         stored = _run(read_stored(_open(platform, credential)))
         declarations = [
             parse_declaration(item.body, f"{item.kind}/{item.name}")
             for item in stored.values()
         ]
-        _print(explain(declarations, organisation, engine), output)
+        rows = explain(declarations, str(organisation), str(engine))
+        if output == "json":
+            _print([asdict(row) for row in rows], output)
+            return
+        for row in rows:
+            verdict = f"priority {row.priority}" if row.allowed else "not allowed"
+            print(f"{row.engine} ({row.group}): {verdict}: {row.why}")
+            for item in row.policies:
+                print(f"    {item.policy} priority {item.priority}: {item.outcome}")
 
     def topup(
         self,
@@ -215,32 +256,64 @@
         rows = [{"budget": name, **row} for name, row in found.items()]
         _print(rows, output)
 
-    def status(self, address: str, token: str, output: str = "text") -> None:
-        """Show a router's state, asked at its operator address.
+    def status(
+        self,
+        address: str = "",
+        token: str = "",
+        platform: str = "",
+        credential: str = "",
+        output: str = "text",
+    ) -> None:
+        """Show one router's state, or with --platform that of the whole fleet.
 
-        Example: anvilshift status 127.0.0.1:8091 --token "$OPERATOR_TOKEN"
+        Example: anvilshift status 127.0.0.1:8091 --token @operator.token
         """
+        if platform:
+            _print(_run(read_fleet(_open(platform, credential))), output)
+            return
+        if not address:
+            detail = "expected a router's operator address, or --platform"
+            raise AnvilshiftError(BAD_SETTINGS, detail)
         _print(_run(_ask_router("GET", address, "/status", token)), output)
 
     def drain(self, address: str, token: str, output: str = "text") -> None:
         """Begin a router's planned stop, asked at its operator address.
 
-        Example: anvilshift drain 127.0.0.1:8091 --token "$OPERATOR_TOKEN"
+        Example: anvilshift drain 127.0.0.1:8091 --token @operator.token
         """
         _print(_run(_ask_router("POST", address, "/drain", token)), output)
 
+    def forget(
+        self, router: str, platform: str, credential: str = "", output: str = "text"
+    ) -> None:
+        """Remove the record of a router that is known to have ended.
+
+        Only for one that the others can't remove, because most of them were
+        lost with it; if it still runs, it may serve under old declarations.
+
+        Example: anvilshift forget r3 --platform 127.0.0.1:7000
+        """
+        found = _run(forget_router(_open(platform, credential), str(router)))
+        _print({"router": str(router), "forgotten": found}, output)
+        if not found:
+            sys.exit(EXIT_FAILED)
+
 
 async def _ask_router(method: str, address: str, path: str, token: str) -> Any:
-    headers = [("authorization", f"Bearer {token}")]
+    headers = [("authorization", f"Bearer {_read_secret(token)}")]
     answer = await HttpClient().call(
         Address.parse(address), method, path, headers, timeout=5 * SECOND
     )
-    value = json.loads(answer.body)
-    if answer.status >= 300:
+    try:
+        value = json.loads(answer.body)
+        if answer.status < 300:
+            return value
         error = value["error"]
-        print(f"{error['code']} {error['name']}: {error['message']}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-    return value
+        detail = f"{error['code']} {error['name']}: {error['message']}"
+    except (ValueError, KeyError, TypeError):
+        detail = f"{address} answered {answer.status} and nothing that can be read"
+    print(detail, file=sys.stderr)
+    sys.exit(EXIT_FAILED)
 
 
 def run() -> None:
@@ -249,9 +322,15 @@
     logging.use_absl_handler()
     try:
         fire.Fire(Commands, name="anvilshift")
+    except ConflictError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_CONFLICT)
     except AnvilshiftError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_USAGE if error.code.number in (6001, 6002) else EXIT_FAILED)
+    except ExchangeError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_FAILED)
     except ValueError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_USAGE)
--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import KINDS
 from anvilshift.core.ledger import Ledger
+from anvilshift.core.membership import Member
 from anvilshift.platform.records import decode, encode
 from anvilshift.platform.store import (
     Body,
@@ -123,6 +124,29 @@
         await asyncio.sleep(_POLL / SECOND)
 
 
+async def read_fleet(store: ObjectStore) -> list[dict[str, Any]]:
+    """Return what each router's record says, and how far it is behind."""
+    listing = await store.list([ROUTER_KIND, *KINDS])
+    declared = [i.version for i in listing.items if i.kind != ROUTER_KIND]
+    newest = max(declared, default=0)
+    rows = []
+    for item in sorted(listing.items, key=lambda item: item.name):
+        if item.kind == ROUTER_KIND:
+            member = decode(Member, item.body)
+            in_force = member.revision >= newest
+            rows.append({**asdict(member), "newest_in_force": in_force})
+    return rows
+
+
+async def forget_router(store: ObjectStore, name: str) -> bool:
+    """Remove a router's record; False when there is none."""
+    found = await store.get(ROUTER_KIND, name)
+    if found is None:
+        return False
+    await store.delete(ROUTER_KIND, name, found.version)
+    return True
+
+
 async def top_up(store: ObjectStore, budget: str, tokens: int, identity: str) -> int:
     """Add prepaid tokens to a budget once; return its total."""
 
--- a/anvilshift/settings/files.py
+++ b/anvilshift/settings/files.py
@@ -1,8 +1,9 @@
 """Read YAML files into checked models, with errors that name file and key."""
 
+import difflib
 import ipaddress
 import pathlib
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, TypeVar, get_args
 
 import yaml
 from pydantic import AfterValidator, BaseModel, ValidationError
@@ -59,13 +60,52 @@
         return model.model_validate(value)
     except ValidationError as error:
         lines = [
-            f"{where}: {'.'.join(str(p) for p in fault['loc']) or '(top)'}: "
-            f"{fault['msg']}"
+            f"{where}: {_write_path(fault['loc'])}: {_write_fault(fault, model)}"
             for fault in error.errors()
         ]
         raise AnvilshiftError(code, "\n".join(lines)) from error
 
 
+def _write_path(path: tuple[str | int, ...]) -> str:
+    return ".".join(str(part) for part in path) or "(top)"
+
+
+def _write_fault(fault: Any, model: type[BaseModel]) -> str:
+    """Return what was found and what was expected; never a credential."""
+    key = str(fault["loc"][-1]) if fault["loc"] else ""
+    if fault["type"] == "extra_forbidden":
+        known = _list_keys(model, fault["loc"][:-1])
+        close = difflib.get_close_matches(key, known, n=1, cutoff=0.4)
+        hint = f"expected {close[0]}" if close else f"expected {', '.join(known)}"
+        return f"unknown key, {hint}"
+    message = str(fault["msg"]).removeprefix("Value error, ")
+    if key.endswith("_ms") and fault["type"].startswith("float"):
+        message = f"expected milliseconds as a number; {message}"
+    if "credential" in key or not isinstance(fault["input"], str | int | float):
+        return message
+    return f"{message}, found {fault['input']!r}"
+
+
+def _list_keys(model: type[BaseModel], path: tuple[str | int, ...]) -> list[str]:
+    """Return the keys of the model that stands at a path."""
+    for part in path:
+        field = model.model_fields.get(str(part))
+        if field is None:
+            continue
+        inner = _find_model(field.annotation)
+        if inner is None:
+            return []
+        model = inner
+    return list(model.model_fields)
+
+
+def _find_model(annotation: Any) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    found = (_find_model(item) for item in get_args(annotation))
+    return next((item for item in found if item is not None), None)
+
+
 def load_settings(path: str, model: type[Model]) -> Model:
     """Read a YAML file of one document into a checked model."""
     documents = read_yaml(path)
--- a/anvilshift/settings/router.py
+++ b/anvilshift/settings/router.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.settings.files import IpPort, load_settings
 from anvilshift.wire.messages import DEFAULT_LIMITS, Address, Limits
 
+_HEARTBEATS_PER_LEASE = 4
+"""With fewer, one lost heartbeat and a slow one make a router look lost."""
+
 
 @dataclass(frozen=True)
 class RouterSettings:
@@ -115,6 +118,33 @@
     attempts: int = Field(default=RouterSettings.attempts, ge=1)
     limits: _LimitsModel = _LimitsModel()
 
+    @model_validator(mode="after")
+    def _check_addresses(self) -> "_RouterModel":
+        found = {"platform.address": self.platform.address}
+        for key in ("listen", "peer_listen", "operator_listen"):
+            address = getattr(self, key)
+            for other, taken in found.items():
+                if taken == address:
+                    detail = f"{key}: expected another address than {other}, {taken}"
+                    raise ValueError(detail)
+            found[key] = address
+        return self
+
+    @model_validator(mode="after")
+    def _check_spans(self) -> "_RouterModel":
+        least = _HEARTBEATS_PER_LEASE * self.heartbeat_ms
+        if self.lease_ms < least:
+            raise ValueError(
+                f"lease_ms: expected at least {_HEARTBEATS_PER_LEASE} times "
+                f"heartbeat_ms, {least:g}; found {self.lease_ms:g}"
+            )
+        if self.grace_ms <= self.keep_addresses_ms:
+            raise ValueError(
+                f"grace_ms: expected more than keep_addresses_ms, "
+                f"{self.keep_addresses_ms:g}; found {self.grace_ms:g}"
+            )
+        return self
+
     def convert(self) -> RouterSettings:
         return RouterSettings(
             name=self.name,
--- /dev/null
+++ b/tests/operator/test_verbs.py
@@ -0,0 +1,171 @@
+"""Operator verbs as a person types them: output, exit codes, races."""
+
+import json
+import pathlib
+import unittest
+
+import yaml
+
+from anvilshift.operator.checking import cross_check
+from anvilshift.operator.explaining import explain
+from anvilshift.settings.declarations import parse_declaration
+from bench.fleet import OPERATOR_TOKEN, LocalFleet
+
+
+def parse(*values):
+    return [parse_declaration(value, "test") for value in values]
+
+
+def make_policy(name, priority, **labels):
+    selector = {"match_labels": labels}
+    return {
+        "kind": "Policy",
+        "name": name,
+        "priority": priority,
+        "organisations": selector,
+    }
+
+
+GROUP = {
+    "kind": "EngineGroup",
+    "name": "advisors",
+    "target": "model",
+    "models": ["advice"],
+    "engines": [
+        {"name": "e1", "address": "127.0.0.1:1", "failure_domain": "north"},
+        {"name": "e2", "address": "127.0.0.1:2", "failure_domain": "north"},
+    ],
+}
+POUND = {
+    "kind": "Organisation",
+    "name": "pound",
+    "budget": "pounds",
+    "labels": {"size": "large"},
+}
+
+
+class ExplainTest(unittest.TestCase):
+    def test_every_policy_is_accounted_for(self):
+        declarations = parse(
+            GROUP,
+            POUND,
+            make_policy("large", 20, size="large"),
+            make_policy("all", 10),
+            make_policy("also", 20),
+            make_policy("small", 90, size="small"),
+        )
+        (row,) = explain(declarations, "pound", "e2")
+        self.assertEqual((row.engine, row.policy, row.priority), ("e2", "large", 20))
+        self.assertEqual(
+            [(item.policy, item.outcome) for item in row.policies],
+            [
+                ("large", "decides"),
+                ("also", "lost to large by name"),
+                ("all", "lost to large by priority"),
+                ("small", "organisation lacks size=small"),
+            ],
+        )
+
+
+class CrossCheckTest(unittest.TestCase):
+    def find(self, *values):
+        return [
+            (item.severity, item.kind, item.name, item.message.split(":")[0])
+            for item in cross_check(parse(*values))
+        ]
+
+    def test_good_declarations_have_no_finding(self):
+        budget = {"kind": "Budget", "name": "pounds"}
+        route = {"kind": "Route", "name": "advice", "target": "model"}
+        found = self.find(GROUP, POUND, budget, route, make_policy("all", 1))
+        self.assertEqual(found, [])
+
+    def test_slips_are_found(self):
+        twice = {**GROUP, "name": "more", "engines": GROUP["engines"][:1]}
+        route = {"kind": "Route", "name": "other", "target": "model"}
+        self.assertEqual(
+            self.find(GROUP, POUND, route, twice),
+            [
+                ("error", "Organisation", "pound", "budget"),
+                ("warning", "Organisation", "pound", "labels"),
+                ("error", "Route", "other", "engines"),
+                ("error", "EngineGroup", "advisors", "engines"),
+                ("warning", "EngineGroup", "advisors", "engines"),
+                ("error", "EngineGroup", "more", "engines"),
+                ("warning", "EngineGroup", "more", "engines"),
+            ],
+        )
+
+
+class VerbsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = LocalFleet(domains=("poprad",))
+        self.addCleanup(self.fleet.stop)
+        await self.fleet.start()
+        self.platform = f"--platform={self.fleet.platform}"
+
+    async def run_verb(self, *arguments):
+        code, output = await self.fleet.run_operator(*arguments, "--output=json")
+        return code, output
+
+    async def test_a_day_of_an_operator(self):
+        directory = str(self.fleet.declarations)
+        code, output = await self.run_verb("check", directory)
+        self.assertEqual((code, json.loads(output)["findings"]), (0, []))
+        code, output = await self.run_verb("diff", directory, self.platform)
+        self.assertEqual((code, len(json.loads(output))), (0, 15))
+        code, output = await self.run_verb("apply", directory, self.platform)
+        self.assertEqual((code, json.loads(output)["accepted"]), (0, True))
+        code, output = await self.run_verb("apply", directory, self.platform)
+        summary = json.loads(output)
+        self.assertEqual((code, summary["changes"]), (0, []))
+        self.assertTrue(summary["accepted"])
+        code, output = await self.run_verb("diff", directory, self.platform)
+        self.assertEqual((code, json.loads(output)), (0, []))
+        for _ in range(2):
+            code, output = await self.run_verb(
+                "topup", "kosice", "500", "--id=invoice-7", self.platform
+            )
+            self.assertEqual((code, json.loads(output)["total"]), (0, 500))
+        code, output = await self.run_verb("get", "--kind=Budget", self.platform)
+        self.assertEqual(len(json.loads(output)), 3)
+        code, output = await self.run_verb("explain", "kosice", self.platform)
+        self.assertEqual(json.loads(output)[0]["policy"], "large-first")
+        code, output = await self.run_verb("explain", "nobody", self.platform)
+        self.assertEqual(code, 2)
+        code, output = await self.run_verb("status", self.platform)
+        (row,) = json.loads(output)
+        self.assertEqual((row["name"], row["newest_in_force"]), ("r1", True))
+
+    async def test_router_verbs_need_the_operator_credential(self):
+        address = str(self.fleet.operators["r1"])
+        for verb in ("status", "drain"):
+            code, output = await self.run_verb(verb, address, "--token=guess")
+            self.assertEqual(code, 1)
+            self.assertIn("5004", output)
+        path = pathlib.Path(self.fleet.directory) / "operator.token"
+        path.write_text(f"{OPERATOR_TOKEN}\n")
+        code, output = await self.run_verb("status", address, f"--token=@{path}")
+        self.assertEqual((code, json.loads(output)["ready"]), (0, True))
+
+    async def test_apply_says_which_router_it_waits_for(self):
+        """A router that is gone for good holds up an acceptance."""
+        await self.run_verb("apply", str(self.fleet.declarations), self.platform)
+        self.fleet.processes["r1"].end()
+        path = self.fleet.directory / "more" / "budget.yaml"
+        path.parent.mkdir()
+        path.write_text(yaml.safe_dump({"kind": "Budget", "name": "late"}))
+        code, output = await self.run_verb(
+            "apply", str(path.parent), self.platform, "--timeout=0.5"
+        )
+        self.assertEqual((code, json.loads(output)["waiting_for"]), (4, ["r1"]))
+        code, output = await self.run_verb("forget", "r1", self.platform)
+        self.assertEqual((code, json.loads(output)["forgotten"]), (0, True))
+        code, output = await self.run_verb("apply", str(path.parent), self.platform)
+        self.assertEqual((code, json.loads(output)["accepted"]), (0, True))
+
+    async def test_unreachable_platform_is_one_line_and_exit_code_1(self):
+        self.fleet.processes["platform"].end()
+        code, output = await self.run_verb("usage", self.platform)
+        self.assertEqual((code, output.count("\n")), (1, 1))
+        self.assertIn("5001", output)
