Pace calls of the platform, money first, and trust no answer of it

Cause: a router's calls had no rate of their own; a burst of reads could hold up bills. A hypothesis test found two answers that raised something other than a numbered error: a revision of 1e400, and names that are no text.

Ruled out: refusing calls over the rate (callers would see an outage).

Change: platform/paced.py lets calls wait for a permit, ledger calls first (default 100 a second, 50 saved up). The client checks each revision and name; 429 means not done and is no reason to go through a peer.

Conclusion: the rate a router needs follows from the ledger's commits; the default is not measured under load yet.

--- a/anvilshift/platform/relayed.py
+++ b/anvilshift/platform/relayed.py
@@ -156,14 +156,14 @@
             try:
                 return await self._call_direct(call)
             except AnvilshiftError as error:
-                if error.code is not PLATFORM_DOWN or _is_uncertain(error):
+                if not _is_unreached(error):
                     raise
             return await self._ask_peers(request)
         try:
             return await self._ask_peers(request)
         except AnvilshiftError as error:
             # Only a call that provably had no effect is made again.
-            if error.code is not PLATFORM_DOWN or _is_uncertain(error):
+            if not _is_unreached(error):
                 raise
         return await self._call_direct(call)
 
@@ -173,7 +173,8 @@
         try:
             result = await call()
         except AnvilshiftError as error:
-            if error.code is PLATFORM_DOWN:
+            # A platform whose rate is used up is reached; peers are no way round.
+            if error.code is PLATFORM_DOWN and error.retry_after is None:
                 self._mark_cut()
             raise
         self.reaches_platform = True
@@ -215,8 +216,10 @@
             self._probe.cancel()
 
 
-def _is_uncertain(error: AnvilshiftError) -> bool:
-    return isinstance(error, UncertainError)
+def _is_unreached(error: AnvilshiftError) -> bool:
+    """Tell whether a call provably had no effect and another way may have."""
+    uncertain = isinstance(error, UncertainError)
+    return error.code is PLATFORM_DOWN and error.retry_after is None and not uncertain
 
 
 def _read_reply(reply: StoreReply, request: StoreRequest) -> Any:
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -21,6 +21,8 @@
 
 Body = dict[str, Any]
 WRITE_ID = "write-id"
+_MAX_REVISION = 2**63 - 1
+_RATE_PAUSE: Millis = 1 * SECOND
 
 
 @dataclass(frozen=True)
@@ -167,6 +169,9 @@
                 raise UncertainError(f"the platform answered {answer.status}")
             detail = f"the platform answered {answer.status}"
             raise AnvilshiftError(PLATFORM_DOWN, detail)
+        if answer.status == 429:
+            detail = "the platform's rate is used up"
+            raise AnvilshiftError(PLATFORM_DOWN, detail, _RATE_PAUSE)
         if answer.status in (401, 403):
             raise AnvilshiftError(FORBIDDEN, "the platform refused the credential")
         return answer
@@ -184,7 +189,7 @@
         value = _read(await self._call("GET", f"/v1/objects?{query}"))
         try:
             items = tuple(_read_stored(item) for item in value["items"])
-            return Listing(int(value["revision"]), items)
+            return Listing(_read_revision(value["revision"]), items)
         except (KeyError, TypeError, ValueError) as error:
             raise _garbage() from error
 
@@ -207,7 +212,7 @@
         if answer.status in (404, 409, 412):
             raise ConflictError(f"{kind}/{name}")
         try:
-            return int(_read(answer)["version"])
+            return _read_revision(_read(answer)["version"])
         except (AnvilshiftError, KeyError, TypeError, ValueError) as error:
             raise UncertainError("the delete's answer can't be read") from error
 
@@ -222,7 +227,7 @@
         value = _read(answer)
         try:
             changes = tuple(_read_change(item) for item in value["changes"])
-            return Changes(int(value["revision"]), changes)
+            return Changes(_read_revision(value["revision"]), changes)
         except (KeyError, TypeError, ValueError) as error:
             raise _garbage() from error
 
@@ -231,7 +236,7 @@
         value = _read(await self._call("GET", "/v1/hosts"))
         try:
             return tuple(
-                HostEntry(str(item["name"]), bool(item["leaving"]))
+                HostEntry(_read_text(item["name"]), bool(item["leaving"]))
                 for item in value["hosts"]
             )
         except (KeyError, TypeError) as error:
@@ -256,23 +261,39 @@
     return value
 
 
+def _read_revision(value: Any) -> int:
+    # JSON knows numbers that no revision is: 1e400, NaN, ten thousand digits.
+    if type(value) is not int or not 0 <= value <= _MAX_REVISION:
+        raise _garbage()
+    return value
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise _garbage()
+    return value
+
+
 def _read_stored(value: Any) -> Stored:
+    change = _read_change(value)
+    if change.body is None:
+        raise _garbage()
+    return Stored(change.kind, change.name, change.version, change.body)
+
+
+def _read_change(value: Any) -> Change:
     try:
         body = value["body"]
-        if not isinstance(body, dict):
+        if body is not None and not isinstance(body, dict):
             raise _garbage()
-        return Stored(value["kind"], value["name"], int(value["version"]), body)
-    except (KeyError, TypeError, ValueError) as error:
+        version = _read_revision(value["version"])
+        return Change(
+            _read_text(value["kind"]), _read_text(value["name"]), version, body
+        )
+    except (KeyError, TypeError) as error:
         raise _garbage() from error
 
 
-def _read_change(value: Any) -> Change:
-    body = value["body"]
-    if body is not None and not isinstance(body, dict):
-        raise _garbage()
-    return Change(value["kind"], value["name"], int(value["version"]), body)
-
-
 Mutation = Callable[[Body | None], Body | None]
 """Turns an object's body into its next; None leaves the object as it is.
 
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -20,6 +20,7 @@
 from anvilshift.core.work import DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
+from anvilshift.platform.paced import PacedStore
 from anvilshift.platform.relayed import RelayedStore
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
@@ -63,8 +64,11 @@
         self.settings = settings
         self.world = world
         self.clock = world.clock
+        direct = PacedStore(
+            world.store, world.clock, settings.platform_rate, settings.platform_burst
+        )
         self.store = RelayedStore(
-            world.store, world.link, world.clock, lambda: self.fleet.list_relays()
+            direct, world.link, world.clock, lambda: self.fleet.list_relays()
         )
         self.incarnation = f"{settings.name}-{make_identity(world.rng)[:12]}"
         self.treasury = Treasury(
@@ -88,7 +92,7 @@
             settings.lease,
             settings.heartbeat,
             lambda: self.callers.in_flight,
-            world.store,
+            direct,
         )
         self.follower = Follower(
             self.store, self._configure, self.fleet.take_router, world.rng
--- a/anvilshift/settings/router.py
+++ b/anvilshift/settings/router.py
@@ -28,6 +28,9 @@
         Addresses for callers, other routers and operators.
     platform
         Address of the object API.
+    platform_rate, platform_burst
+        Calls of the object API a second, and how many may be saved up.  Five
+        routers at 100 leave three quarters of 2,000 reads a second to others.
     operator_credential
         SHA-256 of the token that operators present, in hexadecimal.
     commit_spacing
@@ -50,6 +53,8 @@
     operator_listen: Address
     platform: Address
     platform_credential: str = ""
+    platform_rate: float = 100.0
+    platform_burst: float = 50.0
     operator_credential: str = ""
     commit_spacing: Millis = 200.0
     lease: Millis = 5 * SECOND
@@ -79,6 +84,8 @@
 class _PlatformModel(_Model):
     address: IpPort
     credential: str = ""
+    calls_per_second: float = Field(default=RouterSettings.platform_rate, gt=0)
+    burst: float = Field(default=RouterSettings.platform_burst, ge=1)
 
 
 class _LimitsModel(_Model):
@@ -155,6 +162,8 @@
             operator_listen=Address.parse(self.operator_listen),
             platform=Address.parse(self.platform.address),
             platform_credential=self.platform.credential,
+            platform_rate=self.platform.calls_per_second,
+            platform_burst=self.platform.burst,
             operator_credential=self.operator_credential,
             commit_spacing=self.commit_spacing_ms,
             lease=self.lease_ms,
--- /dev/null
+++ b/tests/platform/test_paced.py
@@ -0,0 +1,45 @@
+"""Calls of the platform keep to their rate, and money goes first."""
+
+import asyncio
+
+from anvilshift.platform.paced import PacedStore
+from anvilshift.standins.memory import MemoryStore
+from bench.soak.loop import VirtualClock
+from tests.router.nodes import VirtualTestCase
+
+
+class PacedStoreTest(VirtualTestCase):
+    async def asyncSetUp(self):
+        self.platform = MemoryStore()
+        clock = VirtualClock(asyncio.get_running_loop())
+        self.store = PacedStore(self.platform, clock, rate=10.0, burst=2.0)
+        self.order = []
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def write(self, kind, name):
+        await self.store.put(kind, name, {}, 0)
+        self.order.append(name)
+
+    async def test_money_overtakes_what_waits(self):
+        """A burst of claims fills the queue; a commit comes last."""
+        claims = [self.write("Claim", f"c{n}") for n in range(6)]
+        lists = self.store.list(["Budget"])
+        await asyncio.gather(lists, *claims, self.write("Ledger", "bill"))
+        self.assertLessEqual(self.order.index("bill"), 2)
+
+    async def test_rate_holds(self):
+        await asyncio.gather(*(self.write("Claim", f"c{n}") for n in range(22)))
+        # Two saved permits, then ten a second.
+        self.assertAlmostEqual(self.now(), 2.0, delta=0.1)
+
+    async def test_call_that_is_given_up_takes_no_permit(self):
+        await asyncio.gather(self.write("Claim", "a"), self.write("Claim", "b"))
+        given_up = asyncio.ensure_future(self.write("Claim", "never"))
+        waiting = asyncio.ensure_future(self.write("Claim", "c"))
+        await asyncio.sleep(0)
+        given_up.cancel()
+        await waiting
+        self.assertAlmostEqual(self.now(), 0.1, delta=0.02)
+        self.assertEqual(self.platform.names("Claim"), ["a", "b", "c"])
--- a/tests/router/test_acceptance.py
+++ b/tests/router/test_acceptance.py
@@ -142,6 +142,18 @@
         self.assertEqual([item.name for item in lost], ["pounds"])
         self.assertEqual(store.peek("Budget", "pounds")["grant"], 4)
 
+    async def test_delete_in_a_gap_of_the_watch_is_found(self):
+        """A budget is deleted in an outage, and the platform forgets its past.
+
+        A watch that went on from the old revision would never hear of it.
+        """
+        self.fleet.cut_from_platform("r1", "r2", "r3")
+        await self.store({})
+        self.fleet.platform.forget_history()
+        self.fleet.cut_from_platform()
+        await wait_until(lambda: self.grant("r1") is None)
+        self.assertTrue((await self.apply({})).accepted)
+
     async def test_unreadable_declaration_is_not_acknowledged(self):
         """A newer program stores a field that these routers can't read.
 
