--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -116,8 +116,17 @@
             self.targets,
             world.telemetry,
         )
-        claims = ClaimBook(self.store, world.clock, self.incarnation, world.rng)
-        return CallerPort(shared, self.gate, claims, self.is_ready, self.list_addresses)
+        self.claims = ClaimBook(
+            self.store, world.clock, self.incarnation, world.rng, self._lives
+        )
+        return CallerPort(
+            shared, self.gate, self.claims, self.is_ready, self.list_addresses
+        )
+
+    def _lives(self, incarnation: str) -> bool:
+        """Tell whether an incarnation is known to live."""
+        present = self.fleet.roster.present(self.clock.now())
+        return any(s.member.incarnation == incarnation for s in present)
 
     def _make_member(self) -> Member:
         settings = self.settings
@@ -196,7 +205,14 @@
             self.departing.take_refusal,
         )
         leaving = self.departing.follow(self.store, self._name_routers)
-        for work in (self.follower.run(), polling, leaving, self.orders.run()):
+        works = (
+            self.follower.run(),
+            polling,
+            leaving,
+            self.orders.run(),
+            self.claims.keep_sweeping(),
+        )
+        for work in works:
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
@@ -208,7 +224,11 @@
             Set when the stop must end at once.
         """
         steps = StopSteps(
-            self._leave, self._refuse, self.treasury.give_back, self.callers.list_open
+            self._leave,
+            self._refuse,
+            self.treasury.give_back,
+            lambda: self.callers.in_flight,
+            self.callers.list_open,
         )
         settings = self.settings
         keep, grace = settings.keep_addresses, settings.grace
@@ -229,6 +249,8 @@
         """Settle grants and stop every task."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.claims.close()
         await self.treasury.close()
         await self.fleet.close()
         self.store.close()
