--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -76,8 +76,13 @@
                 await treasury.reserve(account, job.identity, job.bound)
             answer = await self._attempt_until_answered(work)
             if job.bound:
-                name = job.organisation.name
-                await treasury.settle(account, job.identity, name, job.bound)
+                await treasury.settle(
+                    account,
+                    job.identity,
+                    job.organisation.name,
+                    job.bound,
+                    until=job.deadline,
+                )
             return answer
 
     def _end(self, error: AnvilshiftError | None) -> None:
