Tell the other routers of crashes and of the fleet's size

Cause: the quarantine knew only this router's crashes, and the dispatcher took itself for the only router.

Copies and give-backs are asked of present routers only: a lost one cost each caller a timeout. A lost router whose beats went on while its renewals failed could never be removed, because its record's beat was older; now only a newer one keeps it.

--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -14,6 +14,7 @@
 from anvilshift.core.ledger import Bill
 from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.peers.generated.peers_pb2 import (
+    Crash,
     GiveBackReply,
     GiveBackRequest,
     Heartbeat,
@@ -40,6 +41,14 @@
     return None
 
 
+def _ignore_crashes(crashes: Iterable[Crash]) -> None:
+    return None
+
+
+def _ignore_beat() -> None:
+    return None
+
+
 class Fleet:
     """One router's part in the fleet.
 
@@ -72,6 +81,9 @@
         """Revision that must be in force here before new work is taken."""
         self.tell_targets: Callable[[], Iterable[str]] = tuple
         self.hear_targets: Callable[[str, Iterable[str]], None] = _ignore_targets
+        self.tell_crashes: Callable[[], Iterable[Crash]] = tuple
+        self.hear_crashes: Callable[[Iterable[Crash]], None] = _ignore_crashes
+        self.at_beat: Callable[[], None] = _ignore_beat
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self._store = store
         self._direct = direct or store
@@ -128,7 +140,7 @@
         """Tell everyone that this router is leaving."""
         self.member = replace(self.member, leaving=True)
         await self._renew()
-        await self._beat_all()
+        await self.beat_all()
 
     async def close(self) -> None:
         """Take the own record away and stop."""
@@ -216,7 +228,7 @@
         logging.warning("removing lost router=%s", member.name)
         found = await self._store.get(ROUTER_KIND, member.name)
         if found and found.body.get("incarnation") == member.incarnation:
-            if found.body.get("beat") != member.beat:
+            if decode(Member, found.body).beat > member.beat:
                 return
             with contextlib.suppress(ConflictError):
                 await self._store.delete(ROUTER_KIND, found.name, found.version)
@@ -243,6 +255,7 @@
             serving=self.may_serve() and not member.leaving,
             in_flight=self._in_flight(),
             leaving_targets=self.tell_targets(),
+            crashes=self.tell_crashes(),
         )
 
     def _reaches_platform(self) -> bool:
@@ -277,12 +290,14 @@
         )
         self.roster = self.roster.hear(member, vitals, self._clock.now())
         self.hear_targets(beat.router, beat.leaving_targets)
+        self.hear_crashes(beat.crashes)
 
     async def _keep_beating(self) -> None:
         # Each peer has its own beat: a peer that does not answer must not make
         # this router look lost to the others.
         while True:
             self.may_serve()
+            self.at_beat()
             running = {a: t for a, t in self._beats.items() if not t.done()}
             self._beats = running
             for address in self._peer_addresses():
@@ -290,13 +305,19 @@
                     running[address] = asyncio.create_task(self._beat_one(address))
             await asyncio.sleep(self._heartbeat / SECOND)
 
-    async def _beat_all(self) -> None:
-        addresses = self._peer_addresses()
+    async def beat_all(self) -> None:
+        """Send a heartbeat to every other router now."""
+        addresses = self._present_addresses()
         await asyncio.gather(*(self._beat_one(address) for address in addresses))
 
     def _peer_addresses(self) -> list[str]:
         return [s.member.peer_address for s in self.roster.sightings.values()]
 
+    def _present_addresses(self) -> list[str]:
+        # A lost router would cost each caller of these the whole timeout.
+        present = self.roster.present(self._clock.now())
+        return [sighting.member.peer_address for sighting in present]
+
     async def _beat_one(self, address: str) -> None:
         with contextlib.suppress(PeerError):
             self._hear(await self._link.beat(address, self._make_heartbeat()))
@@ -306,7 +327,7 @@
     ) -> bool:
         """Leave copies of bills with the other routers; True if one took them."""
         request = make_keep_request(holder, bills)
-        addresses = self._peer_addresses()
+        addresses = self._present_addresses()
         kept = await asyncio.gather(*(self._keep_one(a, request) for a in addresses))
         return any(kept)
 
@@ -354,7 +375,7 @@
     async def ask_peers(self, account: str) -> None:
         """Ask the other routers to give unused tokens of a budget back."""
         request = GiveBackRequest(account=account)
-        addresses = self._peer_addresses()
+        addresses = self._present_addresses()
         await asyncio.gather(*(self._ask_one(a, request) for a in addresses))
 
     async def _ask_one(self, address: str, request: GiveBackRequest) -> None:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -17,6 +17,7 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
+from anvilshift.core.spreading import Entrance, order_entrances
 from anvilshift.core.work import DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
@@ -25,6 +26,7 @@
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
+from anvilshift.router.crashes import CrashNews
 from anvilshift.router.departing import Departing
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fleet import Fleet
@@ -101,10 +103,16 @@
         self.orders = Orders(
             self.store, world.clock, self.fleet, lambda name: self.targets.engine(name)
         )
+        self.crashes = CrashNews(world.clock, self._take_crash, self.fleet.beat_all)
+        self.dispatch.announce = self.crashes.announce
+        self.fleet.tell_crashes = self.crashes.list_told
+        self.fleet.hear_crashes = self.crashes.hear
+        self.fleet.at_beat = self._count_routers
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
         self.settled = False
+        self._routers = 1
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -161,19 +169,24 @@
 
     def list_addresses(self) -> dict[str, object]:
         """Return where callers shall connect, this router's domain first."""
-        now = self.clock.now()
-        own = self.settings.failure_domain
-        found = [
-            (s.member, s.vitals.in_flight)
-            for s in self.fleet.roster.present(now)
+        entrances = [
+            Entrance(
+                s.member.address,
+                s.member.failure_domain,
+                s.vitals.in_flight,
+                s.member.leaving,
+            )
+            for s in self.fleet.roster.present(self.clock.now())
             if s.vitals.serving
         ]
-        found.append((self.fleet.member, self.callers.in_flight))
-        staying = [(m, load) for m, load in found if not m.leaving]
-        staying.sort(key=lambda item: (item[0].failure_domain != own, item[1]))
+        own = self.fleet.member
+        in_flight = self.callers.in_flight
+        entrances.append(
+            Entrance(own.address, own.failure_domain, in_flight, own.leaving)
+        )
+        ordered = order_entrances(entrances, own.failure_domain, self.world.rng)
         addresses = [
-            {"address": m.address, "failure_domain": m.failure_domain}
-            for m, _ in staying
+            {"address": e.address, "failure_domain": e.failure_domain} for e in ordered
         ]
         return {"addresses": addresses, "keep_ms": self.settings.keep_addresses}
 
@@ -264,6 +277,17 @@
         present = self.fleet.roster.present(self.clock.now())
         return {sighting.member.name for sighting in present}
 
+    def _take_crash(self, content: str, target: str) -> None:
+        self.dispatcher.crashed(content, target, self.clock.now())
+
+    def _count_routers(self) -> None:
+        """Tell the dispatcher with how many routers it shares the targets."""
+        present = self.fleet.roster.present(self.clock.now())
+        routers = 1 + sum(s.vitals.serving for s in present)
+        if routers != self._routers:
+            self._routers = routers
+            self.dispatcher.set_routers(routers)
+
     def _tell_dispatcher(self, target: str, leaving: bool) -> None:
         change = self.dispatcher.leaving if leaving else self.dispatcher.staying
         self.dispatch.act(change(target, self.clock.now()))
--- /dev/null
+++ b/tests/router/test_crashes.py
@@ -0,0 +1,40 @@
+"""Every router hears of a crash at once, and of each crash once."""
+
+import asyncio
+
+from anvilshift.core.work import Announce
+from tests.router.nodes import HEARTBEAT, Nodes, VirtualTestCase, wait_until
+
+
+class CrashNewsTest(VirtualTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Nodes()
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start("r1", "r2", "r3")
+        self.heard = []
+        for name, node in self.fleet.nodes.items():
+            node.crashes._take = lambda c, t, name=name: self.heard.append((name, c, t))
+
+    async def test_news_is_quicker_than_the_caller_that_sends_again(self):
+        """A poisonous request crashes a target; its caller sends it again
+        through another router, which must not lose a third target to it.
+        """
+        began = self.fleet.clock.now()
+        self.fleet.nodes["r1"].dispatch.announce(Announce("poison", "e1"))
+        await wait_until(lambda: len(self.heard) == 2)
+        self.assertLess(self.fleet.clock.now() - began, HEARTBEAT / 5)
+        self.assertEqual({name for name, _, _ in self.heard}, {"r2", "r3"})
+
+    async def test_repeated_news_is_taken_once(self):
+        self.fleet.nodes["r1"].dispatch.announce(Announce("poison", "e1"))
+        await asyncio.sleep(20)
+        self.assertEqual(len(self.heard), 2)
+        self.assertEqual(self.fleet.nodes["r1"].crashes.list_told(), [])
+
+    async def test_router_that_missed_a_beat_hears_with_the_next(self):
+        self.fleet.cut_peers("r3")
+        self.fleet.nodes["r1"].dispatch.announce(Announce("poison", "e1"))
+        await wait_until(lambda: len(self.heard) == 1)
+        self.fleet.cut_peers()
+        await wait_until(lambda: len(self.heard) == 2)
+        self.assertEqual(self.heard[1], ("r3", "poison", "e1"))
