--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -26,9 +26,9 @@
 )
 from anvilshift.peers.link import PeerError, PeerLink
 from anvilshift.platform.records import decode, encode
-from anvilshift.platform.relayed import RelayedStore, call_store
 from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
+from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.router.treasury import Treasury
 
 _RENEWALS_PER_LEASE = 4
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -22,7 +22,6 @@
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
 from anvilshift.platform.paced import PacedStore
-from anvilshift.platform.relayed import RelayedStore
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
@@ -33,6 +32,7 @@
 from anvilshift.router.following import Follower
 from anvilshift.router.gate import Gate
 from anvilshift.router.orders import Orders
+from anvilshift.router.relayed import RelayedStore
 from anvilshift.router.runs import Shared
 from anvilshift.router.stopping import PlannedStop, StopSteps
 from anvilshift.router.targets import Targets
