Move the routers' messages out of the fleet module

Change: router/messages.py turns heartbeats and copies into core types and back. Conclusion: one job a module.

--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -11,7 +11,6 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.lease import Lease
-from anvilshift.core.ledger import Bill
 from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.peers.generated.peers_pb2 import (
     Crash,
@@ -20,7 +19,6 @@
     Heartbeat,
     KeepReply,
     KeepRequest,
-    PendingBill,
     StoreReply,
     StoreRequest,
 )
@@ -28,6 +26,14 @@
 from anvilshift.platform.records import decode, encode
 from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
+from anvilshift.router.messages import (
+    Bills,
+    make_heartbeat,
+    make_keep_request,
+    read_bills,
+    read_member,
+    read_vitals,
+)
 from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.router.treasury import Treasury
 
@@ -238,24 +244,14 @@
         return {s.member.incarnation for s in self.roster.sightings.values()}
 
     def _make_heartbeat(self) -> Heartbeat:
-        member = self.member
-        return Heartbeat(
-            router=member.name,
-            incarnation=member.incarnation,
-            host=member.host,
-            address=member.address,
-            peer_address=member.peer_address,
-            failure_domain=member.failure_domain,
-            leaving=member.leaving,
-            revision=member.revision,
-            beat=member.beat,
-            since=member.since,
-            reaches_platform=self._reaches_platform(),
-            renewing_for_ms=self.lease.renewing_for(self._clock.now()),
-            serving=self.may_serve() and not member.leaving,
-            in_flight=self._in_flight(),
-            leaving_targets=self.tell_targets(),
-            crashes=self.tell_crashes(),
+        vitals = Vitals(
+            self._reaches_platform(),
+            self.lease.renewing_for(self._clock.now()),
+            self.may_serve() and not self.member.leaving,
+            self._in_flight(),
+        )
+        return make_heartbeat(
+            self.member, vitals, self.tell_targets(), self.tell_crashes()
         )
 
     def _reaches_platform(self) -> bool:
@@ -273,22 +269,9 @@
         ]
 
     def _hear(self, beat: Heartbeat) -> None:
-        member = Member(
-            beat.router,
-            beat.incarnation,
-            beat.host,
-            beat.address,
-            beat.peer_address,
-            beat.failure_domain,
-            beat.revision,
-            beat.leaving,
-            beat.beat,
-            beat.since,
-        )
-        vitals = Vitals(
-            beat.reaches_platform, beat.renewing_for_ms, beat.serving, beat.in_flight
+        self.roster = self.roster.hear(
+            read_member(beat), read_vitals(beat), self._clock.now()
         )
-        self.roster = self.roster.hear(member, vitals, self._clock.now())
         self.hear_targets(beat.router, beat.leaving_targets)
         self.hear_crashes(beat.crashes)
 
@@ -322,18 +305,14 @@
         with contextlib.suppress(PeerError):
             self._hear(await self._link.beat(address, self._make_heartbeat()))
 
-    async def keep_copies(
-        self, holder: str, bills: tuple[tuple[str, Bill], ...]
-    ) -> bool:
+    async def keep_copies(self, holder: str, bills: Bills) -> bool:
         """Leave copies of bills with the other routers; True if one took them."""
         request = make_keep_request(holder, bills)
         addresses = self._present_addresses()
         kept = await asyncio.gather(*(self._keep_one(a, request) for a in addresses))
         return any(kept)
 
-    async def keep_witnessed(
-        self, witness: str, holder: str, bills: tuple[tuple[str, Bill], ...]
-    ) -> bool:
+    async def keep_witnessed(self, witness: str, holder: str, bills: Bills) -> bool:
         """Leave copies of bills with the holder's witness; True once it has them."""
         request = make_keep_request(holder, bills, witness)
         for sighting in self.roster.sightings.values():
@@ -389,21 +368,7 @@
 
     async def take_copies(self, request: KeepRequest) -> KeepReply:
         """Keep copies of another router's bills."""
-        wall = self._clock.wall()
-        bills = tuple(
-            (
-                item.account,
-                Bill(
-                    item.key,
-                    item.organisation,
-                    item.tokens,
-                    request.holder,
-                    wall,
-                    item.after,
-                ),
-            )
-            for item in request.bills
-        )
+        bills = read_bills(request, self._clock.wall())
         kept = self._treasury.copies.add(request.holder, bills, request.witness)
         return KeepReply(kept=kept)
 
@@ -415,20 +380,3 @@
     async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router, on the own way only."""
         return await call_store(self._direct, request)
-
-
-def make_keep_request(
-    holder: str, bills: tuple[tuple[str, Bill], ...], witness: str = ""
-) -> KeepRequest:
-    """Return the request to keep copies of a holder's bills."""
-    pending = [
-        PendingBill(
-            account=account,
-            key=bill.key,
-            organisation=bill.organisation,
-            tokens=bill.tokens,
-            after=bill.after,
-        )
-        for account, bill in bills
-    ]
-    return KeepRequest(holder=holder, bills=pending, witness=witness)
