--- a/tests/router/nodes.py
+++ b/tests/router/nodes.py
@@ -30,6 +30,7 @@
         self.platform = MemoryStore()
         self.nodes = {}
         self.peer_cuts = set()
+        self.pair_cuts = set()
         self.clock = VirtualClock(asyncio.get_running_loop())
         self._engine = engine
 
@@ -92,7 +93,8 @@
     def _find(self, address):
         for name, node in self._nodes.nodes.items():
             if node.fleet.member.peer_address == address:
-                if self._nodes.peer_cuts & {name, self._name}:
+                pair = frozenset({name, self._name})
+                if self._nodes.peer_cuts & pair or pair in self._nodes.pair_cuts:
                     break
                 return node.fleet
         raise PeerError("cut")
