--- a/anvilshift/core/membership.py
+++ b/anvilshift/core/membership.py
@@ -3,9 +3,10 @@
 A router gives two signs of life: its record in the platform, which it renews,
 and heartbeats to the other routers.  It counts as lost only when both have
 been absent for a lease.  Its grants are sealed then, which is safe without any
-clock.  Its record is removed only when a majority of the routers that it knew
-reach the platform: a cut-off majority may go on serving (`core.lease`), and
-two majorities share a router, from which each learns of the other.
+clock.  Its record is removed only when half of the routers that it knew, itself
+counted but not among them, reach the platform: a cut-off majority may go on
+serving (`core.lease`), and would share a router with them, from which it
+learns that it must stop.
 
 See Also
 --------
@@ -177,4 +178,6 @@
         ]
         own_known = own.since <= lost.revision
         own_votes = own_known and renewing_for >= settled
-        return 2 * (len(voters) + own_votes) > len(known) + own_known
+        # A cut-off side that serves on has more than half, the lost one among
+        # them; so half of all, without the lost one, meet it in some router.
+        return 2 * (len(voters) + own_votes) >= len(known) + own_known
