Let no unreadable object end a router's watch unseen

Cause: hypothesis found a declaration (a list for its kind) that raised TypeError; in a router that would have ended the watch, and it would have served on under old declarations with a lease that it renewed. A Router record that can't be read stopped every router's watch in the same way.

Change: both are read or named; a background part of a router that ends for whatever fault is logged and the router takes no new work.

Conclusion: what can't be read is named by apply, and the rest goes on.

--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from typing import Any
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import KINDS
+from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.membership import Member
 from anvilshift.platform import ledgers
 from anvilshift.platform.records import decode
@@ -113,15 +114,21 @@
     while True:
         listing = await store.list([ROUTER_KIND])
         waiting = tuple(
-            item.name
-            for item in listing.items
-            if int(item.body.get("revision", 0)) < revision
+            item.name for item in listing.items if _read_revision(item) < revision
         )
         if not waiting or clock.now() >= until:
             return Acceptance(revision, waiting)
         await asyncio.sleep(_POLL / SECOND)
 
 
+def _read_revision(item: Stored) -> int:
+    """Return what a router has in force; none for a record that can't be read."""
+    try:
+        return decode(Member, item.body).revision
+    except AnvilshiftError:
+        return -1
+
+
 async def read_fleet(store: ObjectStore) -> list[dict[str, Any]]:
     """Return what each router's record says, and how far it is behind."""
     listing = await store.list([ROUTER_KIND, *KINDS])
@@ -130,9 +137,8 @@
     rows = []
     for item in sorted(listing.items, key=lambda item: item.name):
         if item.kind == ROUTER_KIND:
-            member = decode(Member, item.body)
-            in_force = member.revision >= newest
-            rows.append({**asdict(member), "newest_in_force": in_force})
+            in_force = _read_revision(item) >= newest
+            rows.append({**item.body, "name": item.name, "newest_in_force": in_force})
     return rows
 
 
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -102,7 +102,7 @@
         self._beats: dict[str, asyncio.Task[None]] = {}
         self._listed = asyncio.Event()
         self._renew_now = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks: list[asyncio.Task[None]] = []
         treasury.keep_copies = self.keep_copies
         treasury.ask_peers = self.ask_peers
         treasury.hooks.keep_witnessed = self.keep_witnessed
@@ -112,7 +112,7 @@
         """Begin to beat and renew."""
         loop = asyncio.get_running_loop()
         for work in (self._keep_renewing(), self._keep_beating()):
-            self._tasks.append(loop.create_task(work))
+            self.tasks.append(loop.create_task(work))
 
     def may_serve(self) -> bool:
         """Tell whether this router may take new work.
@@ -140,7 +140,13 @@
         if body is None:
             self.roster = self.roster.remove(name)
             return
-        self.roster = self.roster.record(decode(Member, body), self._clock.now())
+        try:
+            member = decode(Member, body)
+        except AnvilshiftError as error:
+            # One record that can't be read must not end the watch of all.
+            logging.error("router record unreadable name=%s %s", name, error)
+            return
+        self.roster = self.roster.record(member, self._clock.now())
 
     async def leave(self) -> None:
         """Tell everyone that this router is leaving."""
@@ -150,12 +156,10 @@
 
     async def close(self) -> None:
         """Take the own record away and stop."""
-        tasks = [*self._tasks, *self._beats.values()]
+        tasks = [*self.tasks, *self._beats.values()]
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
         with contextlib.suppress(AnvilshiftError):
             found = await self._store.get(ROUTER_KIND, self.member.name)
             if found and found.body.get("incarnation") == self.member.incarnation:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -113,6 +113,7 @@
         self.fleet.read_revision = lambda: self.follower.acknowledged
         self.settled = False
         self._routers = 1
+        self._broken = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -150,7 +151,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether this router holds current declarations and its lease."""
-        return self.follower.current.is_set() and self.fleet.may_serve()
+        current = self.follower.current.is_set()
+        return current and self.fleet.may_serve() and not self._broken
 
     def _configure(self, catalogue: Catalogue) -> None:
         self.gate.configure(catalogue)
@@ -227,7 +229,22 @@
             self.claims.keep_sweeping(),
         )
         for work in works:
-            self._tasks.append(loop.create_task(work))
+            task = loop.create_task(work)
+            task.add_done_callback(self._note_end)
+            self._tasks.append(task)
+        for task in self.fleet.tasks:
+            task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Take no new work once a part that must always run has ended.
+
+        Without its watch, say, a router would serve on under old declarations
+        and look well; callers are better off elsewhere.
+        """
+        if task.cancelled():
+            return
+        logging.error("a part ended, no new work is taken", exc_info=task.exception())
+        self._broken = True
 
     async def drain(self, abandoned: asyncio.Event) -> int:
         """Stop as planned; return how many requests were cut off.
--- a/anvilshift/settings/declarations.py
+++ b/anvilshift/settings/declarations.py
@@ -179,7 +179,7 @@
         Code 6002 with where it stands, key path and what was expected.
     """
     kind = value.get("kind") if isinstance(value, dict) else None
-    if kind not in _MODELS:
+    if not isinstance(kind, str) or kind not in _MODELS:
         detail = f"{where}: kind: expected one of {', '.join(_MODELS)}"
         raise AnvilshiftError(BAD_DECLARATION, detail)
     declaration: Declaration = check(
--- a/tests/router/test_acceptance.py
+++ b/tests/router/test_acceptance.py
@@ -154,6 +154,18 @@
         await wait_until(lambda: self.grant("r1") is None)
         self.assertTrue((await self.apply({})).accepted)
 
+    async def test_record_that_cannot_be_read_stops_nobody(self):
+        """Something else writes a Router object that is none.
+
+        Routers that ended their watch over it would never hear of a change.
+        """
+        store = self.fleet.platform
+        await store.put("Router", "r9", {"name": 5}, 0)
+        newest, _ = await self.store(make_budget(2))
+        await wait_until(lambda: {self.grant(n) for n in ("r1", "r2", "r3")} == {2})
+        acceptance = await wait_accepted(store, self.fleet.clock, newest, 5_000.0)
+        self.assertEqual(acceptance.waiting, ("r9",))
+
     async def test_unreadable_declaration_is_not_acknowledged(self):
         """A newer program stores a field that these routers can't read.
 
@@ -196,3 +208,20 @@
         task.cancel()
         self.assertEqual({c.budgets["pounds"].grant for c in seen}, {2})
         self.assertEqual(follower.acknowledged, 9)
+
+
+class BrokenPartTest(VirtualTestCase):
+    async def test_router_whose_watch_has_ended_takes_no_new_work(self):
+        """A fault in the program ends the watch.  The router would serve on
+        under old declarations, with a lease that it goes on renewing.
+        """
+        fleet = Nodes()
+        self.addAsyncCleanup(fleet.close)
+        await fleet.start("r1", "r2")
+        node = fleet.nodes["r1"]
+        node.follower._take_catalogue = None
+        await fleet.platform.put(
+            "Budget", "pounds", make_budget(1)["Budget", "pounds"], 0
+        )
+        await wait_until(lambda: not node.is_ready())
+        self.assertTrue(fleet.nodes["r2"].is_ready())
--- a/tests/router/test_random_acceptance.py
+++ b/tests/router/test_random_acceptance.py
@@ -51,7 +51,7 @@
             await asyncio.sleep(self.rng.uniform(20, 60))
             name = self.rng.choice(NAMES)
             old = self.fleet.nodes[name]
-            for task in [*old._tasks, *old.fleet._tasks, *old.fleet._beats.values()]:
+            for task in [*old._tasks, *old.fleet.tasks, *old.fleet._beats.values()]:
                 task.cancel()
             self.fleet.start_one(name)
 
