--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -7,7 +7,10 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import KINDS
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.membership import Member
 from anvilshift.platform import ledgers
+from anvilshift.platform.records import decode
 from anvilshift.platform.store import (
     Body,
     ConflictError,
@@ -111,15 +114,43 @@
     while True:
         listing = await store.list([ROUTER_KIND])
         waiting = tuple(
-            item.name
-            for item in listing.items
-            if int(item.body.get("revision", 0)) < revision
+            item.name for item in listing.items if _read_revision(item) < revision
         )
         if not waiting or clock.now() >= until:
             return Acceptance(revision, waiting)
         await asyncio.sleep(_POLL / SECOND)
 
 
+def _read_revision(item: Stored) -> int:
+    """Return what a router has in force; none for a record that can't be read."""
+    try:
+        return decode(Member, item.body).revision
+    except AnvilshiftError:
+        return -1
+
+
+async def read_fleet(store: ObjectStore) -> list[dict[str, Any]]:
+    """Return what each router's record says, and how far it is behind."""
+    listing = await store.list([ROUTER_KIND, *KINDS])
+    declared = [i.version for i in listing.items if i.kind != ROUTER_KIND]
+    newest = max(declared, default=0)
+    rows = []
+    for item in sorted(listing.items, key=lambda item: item.name):
+        if item.kind == ROUTER_KIND:
+            in_force = _read_revision(item) >= newest
+            rows.append({**item.body, "name": item.name, "newest_in_force": in_force})
+    return rows
+
+
+async def forget_router(store: ObjectStore, name: str) -> bool:
+    """Remove a router's record; False when there is none."""
+    found = await store.get(ROUTER_KIND, name)
+    if found is None:
+        return False
+    await store.delete(ROUTER_KIND, name, found.version)
+    return True
+
+
 async def top_up(store: ObjectStore, budget: str, tokens: int, identity: str) -> int:
     """Add prepaid tokens to a budget once; return its total."""
     return await ledgers.top_up(store, budget, identity, tokens)
--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -94,7 +94,8 @@
     def list_open(self) -> list[tuple[str, str]]:
         """Return id and organisation of each request that has not ended."""
         jobs = {job.identity: job for job in self._open.values()}
-        jobs |= {job.identity: job for job in self.runs.list_jobs()}
+        running = [*self.runs.list_jobs(), *self.claimed.list_jobs()]
+        jobs |= {job.identity: job for job in running}
         return [(job.identity, job.organisation.name) for job in jobs.values()]
 
     async def _chat(
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -11,23 +11,31 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.lease import Lease
-from anvilshift.core.ledger import Bill
 from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.peers.generated.peers_pb2 import (
+    Crash,
     GiveBackReply,
     GiveBackRequest,
     Heartbeat,
     KeepReply,
     KeepRequest,
-    PendingBill,
     StoreReply,
     StoreRequest,
 )
 from anvilshift.peers.link import PeerError, PeerLink
-from anvilshift.peers.relayed import RelayedStore, call_store
+from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.platform.records import decode, encode
 from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
+from anvilshift.router.messages import (
+    Bills,
+    make_heartbeat,
+    make_keep_request,
+    read_bills,
+    read_member,
+    read_vitals,
+)
+from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.router.treasury import Treasury
 
 _RENEWALS_PER_LEASE = 4
@@ -40,6 +48,14 @@
     return None
 
 
+def _ignore_crashes(crashes: Iterable[Crash]) -> None:
+    return None
+
+
+def _ignore_beat() -> None:
+    return None
+
+
 class Fleet:
     """One router's part in the fleet.
 
@@ -72,6 +88,9 @@
         """Revision that must be in force here before new work is taken."""
         self.tell_targets: Callable[[], Iterable[str]] = tuple
         self.hear_targets: Callable[[str, Iterable[str]], None] = _ignore_targets
+        self.tell_crashes: Callable[[], Iterable[Crash]] = tuple
+        self.hear_crashes: Callable[[Iterable[Crash]], None] = _ignore_crashes
+        self.at_beat: Callable[[], None] = _ignore_beat
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self._store = store
         self._direct = direct or store
@@ -84,7 +103,7 @@
         self._beats: dict[str, asyncio.Task[None]] = {}
         self._listed = asyncio.Event()
         self._renew_now = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks: list[asyncio.Task[None]] = []
         treasury.keep_copies = self.keep_copies
         treasury.ask_peers = self.ask_peers
         treasury.hooks.keep_witnessed = self.keep_witnessed
@@ -94,7 +113,7 @@
         """Begin to beat and renew."""
         loop = asyncio.get_running_loop()
         for work in (self._keep_renewing(), self._keep_beating()):
-            self._tasks.append(loop.create_task(work))
+            self.tasks.append(loop.create_task(work))
 
     def may_serve(self) -> bool:
         """Tell whether this router may take new work.
@@ -122,22 +141,26 @@
         if body is None:
             self.roster = self.roster.remove(name)
             return
-        self.roster = self.roster.record(decode(Member, body), self._clock.now())
+        try:
+            member = decode(Member, body)
+        except AnvilshiftError as error:
+            # One record that can't be read must not end the watch of all.
+            logging.error("router record unreadable name=%s %s", name, error)
+            return
+        self.roster = self.roster.record(member, self._clock.now())
 
     async def leave(self) -> None:
         """Tell everyone that this router is leaving."""
         self.member = replace(self.member, leaving=True)
         await self._renew()
-        await self._beat_all()
+        await self.beat_all()
 
     async def close(self) -> None:
         """Take the own record away and stop."""
-        tasks = [*self._tasks, *self._beats.values()]
+        tasks = [*self.tasks, *self._beats.values()]
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
         with contextlib.suppress(AnvilshiftError):
             found = await self._store.get(ROUTER_KIND, self.member.name)
             if found and found.body.get("incarnation") == self.member.incarnation:
@@ -216,7 +239,7 @@
         logging.warning("removing lost router=%s", member.name)
         found = await self._store.get(ROUTER_KIND, member.name)
         if found and found.body.get("incarnation") == member.incarnation:
-            if found.body.get("beat") != member.beat:
+            if decode(Member, found.body).beat > member.beat:
                 return
             with contextlib.suppress(ConflictError):
                 await self._store.delete(ROUTER_KIND, found.name, found.version)
@@ -226,23 +249,14 @@
         return {s.member.incarnation for s in self.roster.sightings.values()}
 
     def _make_heartbeat(self) -> Heartbeat:
-        member = self.member
-        return Heartbeat(
-            router=member.name,
-            incarnation=member.incarnation,
-            host=member.host,
-            address=member.address,
-            peer_address=member.peer_address,
-            failure_domain=member.failure_domain,
-            leaving=member.leaving,
-            revision=member.revision,
-            beat=member.beat,
-            since=member.since,
-            reaches_platform=self._reaches_platform(),
-            renewing_for_ms=self.lease.renewing_for(self._clock.now()),
-            serving=self.may_serve() and not member.leaving,
-            in_flight=self._in_flight(),
-            leaving_targets=self.tell_targets(),
+        vitals = Vitals(
+            self._reaches_platform(),
+            self.lease.renewing_for(self._clock.now()),
+            self.may_serve() and not self.member.leaving,
+            self._in_flight(),
+        )
+        return make_heartbeat(
+            self.member, vitals, self.tell_targets(), self.tell_crashes()
         )
 
     def _reaches_platform(self) -> bool:
@@ -260,29 +274,18 @@
         ]
 
     def _hear(self, beat: Heartbeat) -> None:
-        member = Member(
-            beat.router,
-            beat.incarnation,
-            beat.host,
-            beat.address,
-            beat.peer_address,
-            beat.failure_domain,
-            beat.revision,
-            beat.leaving,
-            beat.beat,
-            beat.since,
+        self.roster = self.roster.hear(
+            read_member(beat), read_vitals(beat), self._clock.now()
         )
-        vitals = Vitals(
-            beat.reaches_platform, beat.renewing_for_ms, beat.serving, beat.in_flight
-        )
-        self.roster = self.roster.hear(member, vitals, self._clock.now())
         self.hear_targets(beat.router, beat.leaving_targets)
+        self.hear_crashes(beat.crashes)
 
     async def _keep_beating(self) -> None:
         # Each peer has its own beat: a peer that does not answer must not make
         # this router look lost to the others.
         while True:
             self.may_serve()
+            self.at_beat()
             running = {a: t for a, t in self._beats.items() if not t.done()}
             self._beats = running
             for address in self._peer_addresses():
@@ -290,29 +293,31 @@
                     running[address] = asyncio.create_task(self._beat_one(address))
             await asyncio.sleep(self._heartbeat / SECOND)
 
-    async def _beat_all(self) -> None:
-        addresses = self._peer_addresses()
+    async def beat_all(self) -> None:
+        """Send a heartbeat to every other router now."""
+        addresses = self._present_addresses()
         await asyncio.gather(*(self._beat_one(address) for address in addresses))
 
     def _peer_addresses(self) -> list[str]:
         return [s.member.peer_address for s in self.roster.sightings.values()]
 
+    def _present_addresses(self) -> list[str]:
+        # A lost router would cost each caller of these the whole timeout.
+        present = self.roster.present(self._clock.now())
+        return [sighting.member.peer_address for sighting in present]
+
     async def _beat_one(self, address: str) -> None:
         with contextlib.suppress(PeerError):
             self._hear(await self._link.beat(address, self._make_heartbeat()))
 
-    async def keep_copies(
-        self, holder: str, bills: tuple[tuple[str, Bill], ...]
-    ) -> bool:
+    async def keep_copies(self, holder: str, bills: Bills) -> bool:
         """Leave copies of bills with the other routers; True if one took them."""
         request = make_keep_request(holder, bills)
-        addresses = self._peer_addresses()
+        addresses = self._present_addresses()
         kept = await asyncio.gather(*(self._keep_one(a, request) for a in addresses))
         return any(kept)
 
-    async def keep_witnessed(
-        self, witness: str, holder: str, bills: tuple[tuple[str, Bill], ...]
-    ) -> bool:
+    async def keep_witnessed(self, witness: str, holder: str, bills: Bills) -> bool:
         """Leave copies of bills with the holder's witness; True once it has them."""
         request = make_keep_request(holder, bills, witness)
         for sighting in self.roster.sightings.values():
@@ -354,7 +359,7 @@
     async def ask_peers(self, account: str) -> None:
         """Ask the other routers to give unused tokens of a budget back."""
         request = GiveBackRequest(account=account)
-        addresses = self._peer_addresses()
+        addresses = self._present_addresses()
         await asyncio.gather(*(self._ask_one(a, request) for a in addresses))
 
     async def _ask_one(self, address: str, request: GiveBackRequest) -> None:
@@ -368,21 +373,7 @@
 
     async def take_copies(self, request: KeepRequest) -> KeepReply:
         """Keep copies of another router's bills."""
-        wall = self._clock.wall()
-        bills = tuple(
-            (
-                item.account,
-                Bill(
-                    item.key,
-                    item.organisation,
-                    item.tokens,
-                    request.holder,
-                    wall,
-                    item.after,
-                ),
-            )
-            for item in request.bills
-        )
+        bills = read_bills(request, self._clock.wall())
         kept = self._treasury.copies.add(request.holder, bills, request.witness)
         return KeepReply(kept=kept)
 
@@ -394,20 +385,3 @@
     async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router, on the own way only."""
         return await call_store(self._direct, request)
-
-
-def make_keep_request(
-    holder: str, bills: tuple[tuple[str, Bill], ...], witness: str = ""
-) -> KeepRequest:
-    """Return the request to keep copies of a holder's bills."""
-    pending = [
-        PendingBill(
-            account=account,
-            key=bill.key,
-            organisation=bill.organisation,
-            tokens=bill.tokens,
-            after=bill.after,
-        )
-        for account, bill in bills
-    ]
-    return KeepRequest(holder=holder, bills=pending, witness=witness)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -17,19 +17,22 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
+from anvilshift.core.spreading import Entrance, order_entrances
 from anvilshift.core.work import DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
-from anvilshift.peers.relayed import RelayedStore
+from anvilshift.platform.paced import PacedStore
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
+from anvilshift.router.crashes import CrashNews
 from anvilshift.router.departing import Departing
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.following import Follower
 from anvilshift.router.gate import Gate
 from anvilshift.router.orders import Orders
+from anvilshift.router.relayed import RelayedStore
 from anvilshift.router.runs import Shared
 from anvilshift.router.stopping import PlannedStop, StopSteps
 from anvilshift.router.targets import Targets
@@ -63,8 +66,11 @@
         self.settings = settings
         self.world = world
         self.clock = world.clock
+        direct = PacedStore(
+            world.store, world.clock, settings.platform_rate, settings.platform_burst
+        )
         self.store = RelayedStore(
-            world.store, world.link, world.clock, lambda: self.fleet.list_relays()
+            direct, world.link, world.clock, lambda: self.fleet.list_relays()
         )
         self.incarnation = f"{settings.name}-{make_identity(world.rng)[:12]}"
         self.treasury = Treasury(
@@ -89,7 +95,7 @@
             settings.lease,
             settings.heartbeat,
             lambda: self.callers.in_flight,
-            world.store,
+            direct,
         )
         self.follower = Follower(
             self.store, self._configure, self.fleet.take_router, world.rng
@@ -97,10 +103,17 @@
         self.orders = Orders(
             self.store, world.clock, self.fleet, lambda name: self.targets.engine(name)
         )
+        self.crashes = CrashNews(world.clock, self._take_crash, self.fleet.beat_all)
+        self.dispatch.announce = self.crashes.announce
+        self.fleet.tell_crashes = self.crashes.list_told
+        self.fleet.hear_crashes = self.crashes.hear
+        self.fleet.at_beat = self._count_routers
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
         self.settled = False
+        self._routers = 1
+        self._broken = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -138,7 +151,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether this router holds current declarations and its lease."""
-        return self.follower.current.is_set() and self.fleet.may_serve()
+        current = self.follower.current.is_set()
+        return current and self.fleet.may_serve() and not self._broken
 
     def _configure(self, catalogue: Catalogue) -> None:
         self.gate.configure(catalogue)
@@ -157,19 +171,24 @@
 
     def list_addresses(self) -> dict[str, object]:
         """Return where callers shall connect, this router's domain first."""
-        now = self.clock.now()
-        own = self.settings.failure_domain
-        found = [
-            (s.member, s.vitals.in_flight)
-            for s in self.fleet.roster.present(now)
+        entrances = [
+            Entrance(
+                s.member.address,
+                s.member.failure_domain,
+                s.vitals.in_flight,
+                s.member.leaving,
+            )
+            for s in self.fleet.roster.present(self.clock.now())
             if s.vitals.serving
         ]
-        found.append((self.fleet.member, self.callers.in_flight))
-        staying = [(m, load) for m, load in found if not m.leaving]
-        staying.sort(key=lambda item: (item[0].failure_domain != own, item[1]))
+        own = self.fleet.member
+        in_flight = self.callers.in_flight
+        entrances.append(
+            Entrance(own.address, own.failure_domain, in_flight, own.leaving)
+        )
+        ordered = order_entrances(entrances, own.failure_domain, self.world.rng)
         addresses = [
-            {"address": m.address, "failure_domain": m.failure_domain}
-            for m, _ in staying
+            {"address": e.address, "failure_domain": e.failure_domain} for e in ordered
         ]
         return {"addresses": addresses, "keep_ms": self.settings.keep_addresses}
 
@@ -202,10 +221,30 @@
             self.departing.take_refusal,
         )
         leaving = self.departing.follow(self.store, self._name_routers)
-        sweeping = self.claims.keep_sweeping()
-        following = self.follower.run()
-        for work in (following, polling, leaving, sweeping, self.orders.run()):
-            self._tasks.append(loop.create_task(work))
+        works = (
+            self.follower.run(),
+            polling,
+            leaving,
+            self.orders.run(),
+            self.claims.keep_sweeping(),
+        )
+        for work in works:
+            task = loop.create_task(work)
+            task.add_done_callback(self._note_end)
+            self._tasks.append(task)
+        for task in self.fleet.tasks:
+            task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Take no new work once a part that must always run has ended.
+
+        Without its watch, say, a router would serve on under old declarations
+        and look well; callers are better off elsewhere.
+        """
+        if task.cancelled():
+            return
+        logging.error("a part ended, no new work is taken", exc_info=task.exception())
+        self._broken = True
 
     async def drain(self, abandoned: asyncio.Event) -> int:
         """Stop as planned; return how many requests were cut off.
@@ -216,7 +255,11 @@
             Set when the stop must end at once.
         """
         steps = StopSteps(
-            self._leave, self._refuse, self.treasury.give_back, self.callers.list_open
+            self._leave,
+            self._refuse,
+            self.treasury.give_back,
+            lambda: self.callers.in_flight,
+            self.callers.list_open,
         )
         settings = self.settings
         keep, grace = settings.keep_addresses, settings.grace
@@ -251,6 +294,17 @@
         present = self.fleet.roster.present(self.clock.now())
         return {sighting.member.name for sighting in present}
 
+    def _take_crash(self, content: str, target: str) -> None:
+        self.dispatcher.crashed(content, target, self.clock.now())
+
+    def _count_routers(self) -> None:
+        """Tell the dispatcher with how many routers it shares the targets."""
+        present = self.fleet.roster.present(self.clock.now())
+        routers = 1 + sum(s.vitals.serving for s in present)
+        if routers != self._routers:
+            self._routers = routers
+            self.dispatcher.set_routers(routers)
+
     def _tell_dispatcher(self, target: str, leaving: bool) -> None:
         change = self.dispatcher.leaving if leaving else self.dispatcher.staying
         self.dispatch.act(change(target, self.clock.now()))
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -86,8 +86,7 @@
         order = [
             {"core"},
             {"wire"},
-            {"settings", "platform", "engines", "client"},
-            {"peers"},
+            {"settings", "platform", "engines", "peers", "client"},
             {"router", "standins"},
             {"operator"},
         ]
--- a/tests/peers/test_relayed.py
+++ b/tests/router/test_relayed.py
@@ -6,8 +6,12 @@
 from anvilshift.core.clock import ManualClock
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.peers.link import PeerError
-from anvilshift.peers.relayed import RelayedStore, call_store
+<<<<<<<< HEAD:tests/peers/test_relayed.py
+from anvilshift.router.relayed import RelayedStore, call_store
+========
+>>>>>>>> control:tests/router/test_relayed.py
 from anvilshift.platform.store import ConflictError, UncertainError, update
+from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.standins.memory import MemoryStore
 
 
