--- a/anvilshift/core/account.py
+++ b/anvilshift/core/account.py
@@ -7,16 +7,19 @@
 
 import base64
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from anvilshift.core.errors import check_invariant
 
-MARK_CHARS = 12
-"""Characters that remember a recorded bill: 72 bits, at which the 45,000 bills
-of three minutes at 250 requests a second collide once in 10^12 requests.  A
-collision leaves one request unbilled and can overspend nothing."""
+KEY_CHARS = 12
+"""Characters that recognise a recorded bill: 72 bits, at which the 37,500 bills
+of 150 s at 250 requests a second collide once in 10^12 requests.  A collision
+leaves one request unbilled and can overspend nothing."""
+TOKEN_CHARS = 4
+"""Characters for a bill's tokens, for who audits the sums: up to 16 million."""
+MARK_CHARS = KEY_CHARS + TOKEN_CHARS
 SLOT_S = 20
 """Seconds of bills that are forgotten together."""
 
@@ -83,6 +86,21 @@
     after: int = 0
 
 
+@dataclass(frozen=True)
+class Mark:
+    """What is remembered of a recorded bill.
+
+    Parameters
+    ----------
+    key
+        What `make_mark` makes of the bill's key.
+    """
+
+    key: str
+    holder: str
+    tokens: int
+
+
 class BillState(Enum):
     """What became of a bill in a commit."""
 
@@ -214,12 +232,23 @@
         grant = replace(grant, doubt=doubt, billed=billed)
         return self._add(bill, grant), BillState.RECORDED
 
+    def list_marks(self) -> Iterator["Mark"]:
+        """Yield what is remembered of recorded bills."""
+        for by_holder in self.recent.values():
+            for holder, marks in by_holder.items():
+                for at in range(0, len(marks), MARK_CHARS):
+                    key = marks[at : at + KEY_CHARS]
+                    tokens = marks[at + KEY_CHARS : at + MARK_CHARS]
+                    count = int.from_bytes(base64.urlsafe_b64decode(tokens))
+                    yield Mark(key, holder, count)
+
     def _add(self, bill: Bill, grant: Grant) -> "Account":
         usage = dict(self.usage)
         usage[bill.organisation] = usage.get(bill.organisation, 0) + bill.tokens
         slot = str(bill.at // SLOT_S)
         by_holder = dict(self.recent.get(slot, {}))
         marks = by_holder.get(bill.holder, "") + make_mark(bill.key)
+        marks += _write_tokens(bill.tokens)
         by_holder[bill.holder] = marks
         return replace(
             self,
@@ -263,12 +292,17 @@
         return sum(len(m) for by in self.recent.values() for m in by.values())
 
 
+def _write_tokens(tokens: int) -> str:
+    most = min(tokens, 2 ** (6 * TOKEN_CHARS) - 1)
+    return base64.urlsafe_b64encode(most.to_bytes(3)).decode()
+
+
 def make_mark(key: str) -> str:
     """Return the short mark by which a recorded bill is recognised.
 
     Examples
     --------
-    >>> len(make_mark("request-1")) == MARK_CHARS
+    >>> len(make_mark("request-1")) == KEY_CHARS
     True
     """
     digest = hashlib.blake2b(key.encode(), digest_size=9).digest()
--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -169,6 +169,21 @@
         for (name, key), state in states.items():
             self._drop_bill(name, key, state)
 
+    def adopt(self, states: Mapping[BillKey, BillState], bills: Bills) -> None:
+        """Carry over the bills that were refused when handed in.
+
+        The witness had closed before it got a copy: the answer hasn't ended,
+        and its bill is drawn for anew.
+        """
+        for name, bill in bills:
+            if states.get((name, bill.key)) is BillState.REFUSED:
+                purse = self.purses[name]
+                heirs = replace(bill, holder=self.holder, after=self.begun)
+                purse.pending.setdefault(bill.key, heirs)
+                # The bill may take tokens that back other requests here, so
+                # those are as uncertain until the grant covers all again.
+                purse.carried = set(purse.reserved) | set(purse.pending)
+
     def succeed(self, holder: str) -> "Escrow":
         """Return the escrow of the holder that follows this one, now sealed.
 
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -15,7 +15,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from anvilshift.core.account import Account, Bill, BillState, Draw, Grant
+from anvilshift.core.account import (
+    Account,
+    Bill,
+    BillState,
+    Draw,
+    Grant,
+    make_mark,
+)
 from anvilshift.core.errors import InvariantError
 
 __all__ = [
@@ -33,6 +40,8 @@
 """Characters of bill marks in one ledger, well under the megabyte that the
 platform holds: a ledger too large to write would stop every budget in it."""
 
+_REFUSED = BillState.REFUSED
+
 BillKey = tuple[str, str]
 """The account and the key of a bill."""
 
@@ -52,14 +61,21 @@
         bill again what it had recorded by a commit whose answer was lost.
     refused
         Keys of the bills that its newest commit refused.
+    late
+        Marks of the bills handed in after it was sealed.  They are kept as
+        long as the holder: whoever has copies may hand them in again after an
+        outage longer than other marks are kept.
     """
 
     sealed_at: int = 0
     last: int = 0
     refused: tuple[str, ...] = ()
+    late: tuple[str, ...] = ()
 
     def judge(self, bill: Bill) -> BillState | None:
         """Return what became of a bill in an earlier commit; None is unknown."""
+        if make_mark(bill.key) in self.late:
+            return BillState.RECORDED
         if bill.after >= self.last:
             return None
         return BillState.REFUSED if bill.key in self.refused else BillState.RECORDED
@@ -282,11 +298,22 @@
             late = replace(bill, holder=holder)
             account = accounts.get(name, Account())
             accounts[name], states[name, bill.key] = account.record_late(late)
+        holders = self._note_late(holder, states)
         for name, account in accounts.items():
             grant = account.grant(holder)
             if grant.doubt and closer and closer in (holder, grant.witness):
                 accounts[name] = account.with_grant(holder, replace(grant, doubt=0))
-        return replace(self, accounts=accounts), states
+        return Ledger(accounts, holders), states
+
+    def _note_late(
+        self, holder: str, states: Mapping[BillKey, BillState]
+    ) -> Mapping[str, Holder]:
+        known = self.holders.get(holder)
+        kept = [make_mark(k) for (_, k), s in states.items() if s is not _REFUSED]
+        new = tuple(mark for mark in kept if known and mark not in known.late)
+        if not known or not new:
+            return self.holders
+        return {**self.holders, holder: replace(known, late=known.late + new)}
 
     def forget(self, marks_before: int, holders_before: int) -> "Ledger":
         """Return the ledger without what no longer matters.
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -25,7 +25,7 @@
 from anvilshift.platform.records import encode
 from anvilshift.platform.store import Body, ObjectStore
 
-BILL_LIFETIME_S = 180
+BILL_LIFETIME_S = 150
 """Seconds for which a request that is sent again is recognised by its bill:
 several times the longest deadline.  Kept longer, the marks of 250 requests a
 second would outgrow the ledger's object."""
@@ -378,7 +378,11 @@
                 logging.warning("hand-in failed code=%d", error.code.number)
                 await asyncio.sleep(self._spacing / SECOND)
                 continue
-            self._resolve(states)
+            self.escrow.adopt(states, released)
+            self._wake.set()
+            self._resolve(
+                {k: s for k, s in states.items() if s is not BillState.REFUSED}
+            )
             return
 
     async def hand_in(
