Leave spare copies of released bills besides the witness's

Change: copies go to two other routers as well, which hand them in but close nothing; no longer to every router, which would cost 2,200 calls an answer at size.

Conclusion: a bill released unrecorded is lost only with four routers at once.

--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -234,12 +234,17 @@
             return False
         witness = escrow.purses[account].grant.witness
         copies = ((account, bill),)
-        if witness:
-            # Without its copy, closing the witness would give back tokens
-            # that this answer has spent.
-            return await self._hooks.keep_witnessed(witness, escrow.holder, copies)
-        await self._hooks.keep_copies(escrow.holder, copies)
-        return True
+        # Copies elsewhere count for nothing when the doubt is closed; they
+        # bring the bill in when holder and witness are lost together.
+        spare = self._hooks.keep_copies(escrow.holder, copies)
+        if not witness:
+            await spare
+            return True
+        # Without its copy, closing the witness would give back tokens that
+        # this answer has spent.
+        asked = self._hooks.keep_witnessed(witness, escrow.holder, copies)
+        kept, _ = await asyncio.gather(asked, spare)
+        return kept
 
     async def _wait_round(self) -> None:
         """Wait until a commit that begins from now on has ended.
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -27,6 +27,9 @@
 from anvilshift.router.treasury import Treasury
 
 _RENEWALS_PER_LEASE = 4
+_SPARE_COPIES = 2
+"""Routers that keep copies besides the witness: with more, each answer in an
+outage would cost a call to every router."""
 
 
 class Fleet:
@@ -210,11 +213,11 @@
     async def keep_copies(
         self, holder: str, bills: tuple[tuple[str, Bill], ...]
     ) -> bool:
-        """Leave copies of bills with the other routers; True if one took them."""
+        """Leave copies of bills with a few other routers; True if one took them."""
         request = make_keep_request(holder, bills)
-        addresses = self._peer_addresses()
-        kept = await asyncio.gather(*(self._keep_one(a, request) for a in addresses))
-        return any(kept)
+        chosen = self._rank_keepers()[:_SPARE_COPIES]
+        work = [self._keep_one(member.peer_address, request) for member in chosen]
+        return any(await asyncio.gather(*work))
 
     async def keep_witnessed(
         self, witness: str, holder: str, bills: tuple[tuple[str, Bill], ...]
@@ -232,19 +235,23 @@
         The present one, while it is heard; else one of another failure domain,
         so that one lost domain doesn't take both.
         """
+        ranked = [member.incarnation for member in self._rank_keepers()]
+        if current in ranked or not ranked:
+            return current if current in ranked else ""
+        return ranked[0]
+
+    def _rank_keepers(self) -> list[Member]:
         now = self._clock.now()
-        heard = {
-            s.member.incarnation: s.member
+        heard = [
+            s.member
             for s in self.roster.sightings.values()
             if s.heard is not None
             and now - s.heard <= self.roster.lease
             and not s.member.leaving
-        }
-        if current in heard or not heard:
-            return current if current in heard else ""
+        ]
         own = self.member.failure_domain
-        return min(
-            heard, key=lambda name: (heard[name].failure_domain == own, self._mix(name))
+        return sorted(
+            heard, key=lambda m: (m.failure_domain == own, self._mix(m.incarnation))
         )
 
     def _mix(self, name: str) -> int:
