--- a/tests/router/test_treasury.py
+++ b/tests/router/test_treasury.py
@@ -284,3 +284,33 @@
         await asyncio.sleep(2)
         await bank.spend(first, "d", 100)
         self.assertEqual(bank.account.spent, 550)
+
+    @virtual
+    async def test_crumbs_of_all_pay_for_one_of_those_who_wait(self):
+        """The last tokens lie in crumbs in three routers, and all three want more.
+
+        A clerk is refused a quote that the budget could pay, because each
+        router keeps its crumb for its own request.
+        """
+        bank = Bank(routers=3, tokens=300, allowance=0)
+        await bank.open()
+        for treasury in bank.treasuries:
+            await treasury.reserve("pounds", "crumb", 90)
+        for treasury in bank.treasuries:
+            treasury.release("pounds", "crumb")
+        work = [t.reserve("pounds", "k", 250) for t in bank.treasuries]
+        results = await asyncio.gather(*work, return_exceptions=True)
+        self.assertEqual(
+            sorted(result is None for result in results)[1:], [False, True]
+        )
+
+    @virtual
+    async def test_refusals_that_ask_peers_cost_one_commit_a_round(self):
+        bank = Bank(routers=3, tokens=300, allowance=0)
+        await bank.open()
+        await bank.treasuries[1].reserve("pounds", "a", 200)
+        await bank.treasuries[0].reserve("pounds", "warm", 10)
+        before = bank.store.calls["put"]
+        work = [bank.treasuries[0].reserve("pounds", f"k{n}", 250) for n in range(50)]
+        await asyncio.gather(*work, return_exceptions=True)
+        self.assertLessEqual(bank.store.calls["put"] - before, 6)
