--- a/Makefile
+++ b/Makefile
@@ -61,3 +61,7 @@
 
 inforce: environment
 	$(BIN)/python -m bench.inforce
+
+# Ways to spend a budget, on the same requests in virtual time.
+budgets: environment
+	$(BIN)/python -m bench.budgets
--- a/anvilshift/settings/router.py
+++ b/anvilshift/settings/router.py
@@ -56,7 +56,7 @@
     platform_rate: float = 200.0
     platform_burst: float = 100.0
     operator_credential: str = ""
-    commit_spacing: Millis = 200.0
+    commit_spacing: Millis = 250.0
     lease: Millis = 5 * SECOND
     heartbeat: Millis = 500.0
     keep_addresses: Millis = 5 * SECOND
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -14,7 +14,7 @@
 from absl import logging
 
 from anvilshift.client.client import CallError, Client, Conversation
-from anvilshift.core.account import MARK_CHARS, make_mark
+from anvilshift.core.account import KEY_CHARS, MARK_CHARS, make_mark
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ledger import Ledger
 from anvilshift.operator.platformside import top_up
@@ -124,7 +124,7 @@
 
     def _observe_marks(self, account: str, place: str, marks: str) -> None:
         for start in range(self.seen.get((account, place), 0), len(marks), MARK_CHARS):
-            mark = marks[start : start + MARK_CHARS]
+            mark = marks[start : start + KEY_CHARS]
             self.journal.events += 1
             once = (account, mark) not in self.billed
             detail = f"{self.marks[mark].request} in {place}"
--- a/tests/router/test_relayed.py
+++ b/tests/router/test_relayed.py
@@ -6,10 +6,6 @@
 from anvilshift.core.clock import ManualClock
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.peers.link import PeerError
-<<<<<<<< HEAD:tests/peers/test_relayed.py
-from anvilshift.router.relayed import RelayedStore, call_store
-========
->>>>>>>> control:tests/router/test_relayed.py
 from anvilshift.platform.store import ConflictError, UncertainError, update
 from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.standins.memory import MemoryStore
