Tell routers of each other's crashes, shares and bills

Cause: the dispatcher of a daemon never learned how many routers share the targets, so each took all slots; crashes seen by one router were unknown to the others; and answers that were whole in time came late when their bill was slow, which admission didn't know.

Ruled out: counting routers at each load report (costs routers x reports); a call of its own for crashes (heartbeats have the field, and one goes out at once); leaving time for bills as a fixed span (it depends on the platform).

Change: set_routers from the roster at each heartbeat, crash news with an immediate heartbeat, order_entrances for callers' addresses, and the time that bills take is learned and kept free before deadlines.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -15,6 +15,7 @@
 from anvilshift.core.admission import Ahead, draw_retry, is_hopeless
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.concurrency import STALE, Limit
+from anvilshift.core.durations import Mean
 from anvilshift.core.ejection import State, may_eject
 from anvilshift.core.errors import (
     ENGINE_FAILED,
@@ -57,6 +58,9 @@
 _PROBE_SLACK = 3.0
 """A request that probes a returning target has time to run elsewhere after."""
 
+_LONGEST_RECORDING: Millis = 1 * SECOND
+"""Bills slower than this come of an outage, in which they aren't waited for."""
+
 
 @dataclass(eq=False, slots=True)
 class _Attempt:
@@ -107,6 +111,7 @@
         self._timers: list[tuple[Millis, int, Callable[[Millis], Actions]]] = []
         self._numbers = itertools.count()
         self._swept: Millis = 0.0
+        self._recording = Mean(1.0)
 
     @property
     def waiting(self) -> int:
@@ -248,6 +253,18 @@
         self._refresh(bay)
         return [*self._check_health(bay, now), *self._fill(bay, now)]
 
+    def recorded(self, span: Millis) -> None:
+        """Take in how long the end of an answer waited for its bill."""
+        self._recording.add(max(span, 1.0))
+
+    def _due(self, work: Work) -> Millis:
+        """Return when an answer must be whole for its bill to be in time.
+
+        A bill that takes longer than the little time left turns an answer that
+        was made in time into one that comes too late.
+        """
+        return work.deadline - min(_LONGEST_RECORDING, self._recording.high())
+
     def failed(self, identity: str, failure: Failure, now: Millis) -> Actions:
         """Take in that an attempt failed; the work is sent again or refused."""
         attempt = self._running.get(identity)
@@ -341,9 +358,10 @@
             return None
         wait = 0.0 if len(pool.open) else self._predict_wait(entry, pool)
         service = pool.kind.durations.safe_service(entry.work)
-        if not is_hopeless(entry.work.deadline, now, wait, service):
+        due = self._due(entry.work)
+        if not is_hopeless(due, now, wait, service):
             return None
-        excess = wait + service - (entry.work.deadline - now)
+        excess = wait + service - (due - now)
         detail = f"expected to wait {wait:.0f} ms and run {service:.0f} ms"
         return self._refuse(entry, OVERLOADED, detail, excess)
 
@@ -367,7 +385,7 @@
         self._entries[identity] = entry, pool
         pool.queue_of(entry).push(entry)
         safe = pool.kind.durations.safe_service(entry.work)
-        latest = entry.work.deadline - safe
+        latest = self._due(entry.work) - safe
         if not pool.kind.durations.is_fresh(now):
             latest = entry.work.deadline
         self._at(max(now, latest), lambda at: self._expire(entry, at))
@@ -500,7 +518,7 @@
         if not durations.is_fresh(now):
             return False
         service = durations.safe_service(entry.work)
-        return is_hopeless(entry.work.deadline, now, 0.0, service)
+        return is_hopeless(self._due(entry.work), now, 0.0, service)
 
     def _send(self, entry: Entry, pool: Pool, bay: Bay, now: Millis) -> Send:
         work, name = entry.work, bay.target.name
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from anvilshift.core.clock import SECOND, Clock
+from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import Actions, Announce, Cancel, Failure, Refuse, Send, Work
@@ -70,6 +70,10 @@
         self._stops.pop(identity, None)
         self.act(self.dispatcher.done(identity, tokens, self._clock.now()))
 
+    def recorded(self, span: Millis) -> None:
+        """Report how long the end of an answer waited for its bill."""
+        self.dispatcher.recorded(span)
+
     def cancel(self, identity: str) -> None:
         """Report that nobody waits for the work any more."""
         self._stops.pop(identity, None)
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -12,7 +12,9 @@
 from anvilshift.core.lease import Lease
 from anvilshift.core.ledger import Bill
 from anvilshift.core.membership import Member, Roster, Vitals
+from anvilshift.core.work import Announce
 from anvilshift.peers.generated.peers_pb2 import (
+    Crash,
     GiveBackReply,
     GiveBackRequest,
     Heartbeat,
@@ -38,6 +40,10 @@
 Copies = dict[str, dict[str, tuple[str, Bill]]]
 
 
+def _ignore_news(news: Iterable[Announce]) -> None:
+    """Hear of a crash without a dispatcher that could use it."""
+
+
 def _ignore_targets(router: str, targets: Iterable[str]) -> None:
     return None
 
@@ -74,6 +80,8 @@
         """Revision that must be in force here before new work is taken."""
         self.tell_targets: Callable[[], Iterable[str]] = tuple
         self.hear_targets: Callable[[str, Iterable[str]], None] = _ignore_targets
+        self.tell_crashes: Callable[[], Iterable[Announce]] = tuple
+        self.hear_crashes: Callable[[Iterable[Announce]], None] = _ignore_news
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self._store = store
         self._direct = direct or store
@@ -84,6 +92,7 @@
         self._in_flight = in_flight
         self._copies: Copies = {}
         self._sealed: set[str] = set()
+        self._hurried: set[asyncio.Task[None]] = set()
         self._beats: dict[str, asyncio.Task[None]] = {}
         self._listed = asyncio.Event()
         self._renew_now = asyncio.Event()
@@ -133,7 +142,7 @@
 
     async def close(self) -> None:
         """Take the own record away and stop."""
-        tasks = [*self._tasks, *self._beats.values()]
+        tasks = [*self._tasks, *self._beats.values(), *self._hurried]
         for task in tasks:
             task.cancel()
         for task in tasks:
@@ -244,6 +253,10 @@
             serving=self.may_serve() and not member.leaving,
             in_flight=self._in_flight(),
             leaving_targets=self.tell_targets(),
+            crashes=[
+                Crash(content=news.content, target=news.target)
+                for news in self.tell_crashes()
+            ],
         )
 
     def _reaches_platform(self) -> bool:
@@ -278,6 +291,7 @@
         )
         self.roster = self.roster.hear(member, vitals, self._clock.now())
         self.hear_targets(beat.router, beat.leaving_targets)
+        self.hear_crashes(Announce(c.content, c.target) for c in beat.crashes)
 
     async def _keep_beating(self) -> None:
         # Each peer has its own beat: a peer that does not answer must not make
@@ -291,6 +305,12 @@
                     running[address] = asyncio.create_task(self._beat_one(address))
             await asyncio.sleep(self._heartbeat / SECOND)
 
+    def beat_now(self) -> None:
+        """Send a heartbeat to every router without waiting for its turn."""
+        task = asyncio.get_running_loop().create_task(self._beat_all())
+        self._hurried.add(task)
+        task.add_done_callback(self._hurried.discard)
+
     async def _beat_all(self) -> None:
         addresses = self._peer_addresses()
         await asyncio.gather(*(self._beat_one(address) for address in addresses))
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -11,12 +11,13 @@
 
 from absl import logging
 
-from anvilshift.core.clock import Clock
+from anvilshift.core.clock import SECOND, Clock
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
+from anvilshift.core.spreading import Entrance, order_entrances
 from anvilshift.core.work import DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
@@ -24,6 +25,7 @@
 from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
+from anvilshift.router.crashes import CrashNews
 from anvilshift.router.departing import Departing
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fleet import Fleet
@@ -93,6 +95,10 @@
         self.follower = Follower(
             self.store, self._configure, self.fleet.take_router, world.rng
         )
+        self.crashes = CrashNews(self.dispatcher, world.clock, self.fleet.beat_now)
+        self.dispatch.announce = self.crashes.tell
+        self.fleet.tell_crashes = self.crashes.list_recent
+        self.fleet.hear_crashes = self.crashes.hear
         self.orders = Orders(
             self.store, world.clock, self.fleet, lambda name: self.targets.engine(name)
         )
@@ -156,19 +162,20 @@
 
     def list_addresses(self) -> dict[str, object]:
         """Return where callers shall connect, this router's domain first."""
-        now = self.clock.now()
         own = self.settings.failure_domain
         found = [
             (s.member, s.vitals.in_flight)
-            for s in self.fleet.roster.present(now)
+            for s in self.fleet.roster.present(self.clock.now())
             if s.vitals.serving
         ]
         found.append((self.fleet.member, self.callers.in_flight))
-        staying = [(m, load) for m, load in found if not m.leaving]
-        staying.sort(key=lambda item: (item[0].failure_domain != own, item[1]))
+        entrances = [
+            Entrance(m.address, m.failure_domain, in_flight, m.leaving)
+            for m, in_flight in found
+        ]
         addresses = [
-            {"address": m.address, "failure_domain": m.failure_domain}
-            for m, _ in staying
+            {"address": e.address, "failure_domain": e.failure_domain}
+            for e in order_entrances(entrances, own, self.world.rng)
         ]
         return {"addresses": addresses, "keep_ms": self.settings.keep_addresses}
 
@@ -203,7 +210,8 @@
         leaving = self.departing.follow(self.store, self._name_routers)
         sweeping = self.claims.keep_sweeping()
         following = self.follower.run()
-        for work in (following, polling, leaving, sweeping, self.orders.run()):
+        sharing = self._share_targets()
+        for work in (following, polling, leaving, sweeping, sharing, self.orders.run()):
             self._tasks.append(loop.create_task(work))
 
     async def drain(self, abandoned: asyncio.Event) -> int:
@@ -246,6 +254,17 @@
         self.departing.take_report(report)
         self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
 
+    async def _share_targets(self) -> None:
+        """Tell the dispatcher again and again how many routers take work."""
+        routers = 0
+        while True:
+            present = self.fleet.roster.present(self.clock.now())
+            serving = 1 + sum(sighting.vitals.serving for sighting in present)
+            if serving != routers:
+                routers = serving
+                self.dispatcher.set_routers(routers)
+            await asyncio.sleep(self.settings.heartbeat / SECOND)
+
     def _name_routers(self) -> set[str]:
         present = self.fleet.roster.present(self.clock.now())
         return {sighting.member.name for sighting in present}
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -290,11 +290,10 @@
             job.organisation.name,
             self.usage.total,
         )
-        self._shared.telemetry.record_bill(
-            job.organisation.name,
-            job.route.request_class,
-            self._shared.clock.now() - began,
-        )
+        waited = self._shared.clock.now() - began
+        self._shared.dispatch.recorded(waited)
+        organisation, kind = job.organisation.name, job.route.request_class
+        self._shared.telemetry.record_bill(organisation, kind, waited)
 
     def _bound_usage(self) -> Usage:
         """Return what to bill: the engine's count, within what was reserved.
