Compare each target's times with the others'

Ruled out: outliers clipped in the expected time (then a slowdown of all looks like one of each, and half would be ejected). Change: a target's level is a mean of logarithms and is compared with the mean of the others', kept up to date without a walk over the targets.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -228,7 +229,7 @@
         work, span = attempt.entry.work, now - attempt.sent
         durations = attempt.pool.kind.durations
         if attempt.counts:
-            attempt.bay.health.add_span(span, durations.first(work.request_class))
+            attempt.bay.add_span(span, durations.first(work.request_class))
         durations.add_first(work, span, now, attempt.warm)
         return self._check_health(attempt.bay, now)
 
@@ -242,7 +243,7 @@
         if attempt.first is None:
             span = now - attempt.sent
             if attempt.counts:
-                bay.health.add_span(span, durations.first(work.request_class))
+                bay.add_span(span, durations.first(work.request_class))
             durations.add_first(work, span, now)
         else:
             durations.add_whole(work, tokens, now - attempt.first, now)
@@ -457,7 +458,7 @@
         return Option(
             name,
             bay.limit.occupancy(),
-            bay.health.ratio,
+            math.exp(bay.health.level),
             matched / len(prefixes) if prefixes else 0.0,
             bay.target.failure_domain != self._settings.failure_domain,
         )
@@ -607,13 +608,13 @@
         kind = attempt.entry.work.request_class
         expected = attempt.pool.kind.durations.first(kind)
         if attempt.counts:
-            attempt.bay.health.add_span(now - attempt.sent, expected)
+            attempt.bay.add_span(now - attempt.sent, expected)
         return self._check_health(attempt.bay, now)
 
     def _check_health(self, bay: Bay, now: Millis) -> Actions:
         """Eject a target that has turned bad, if enough others are left."""
         health = bay.health
-        if health.state is State.EJECTED or not health.is_bad():
+        if health.state is State.EJECTED or not bay.is_bad():
             return []
         kind = bay.kind
         returning = health.state is State.PROBING
@@ -628,7 +629,7 @@
         """Let an ejected target have a request again."""
         if self._bays.get(bay.target.name) is not bay:
             return []
-        bay.health.probe(now)
+        bay.probe(now)
         self._refresh(bay, draw=True)
         return self._fill(bay, now)
 
--- a/anvilshift/core/ejection.py
+++ b/anvilshift/core/ejection.py
@@ -5,15 +5,17 @@
 requests until their deadlines, and the failing one draws more work than any
 other.
 
-A target is slow when its times are several times those of its kind, each
+A target is slow when its times are several times those of the others, each
 measured against what the same work is expected to take; that holds under
-overload too, when all are slow alike.  It is failing after several failures
+overload too, when all are slow alike, and with few targets, where the slow one
+itself moves what is expected.  It is failing after several failures
 with different work and no answer between: one request that fails everywhere
 can't eject a target.  An ejected target comes back by one request at a time,
 then two, four and so on.  At most half of a kind is ejected: when more look
 bad, the measure or the load is at fault, and the rest must not be tipped over.
 """
 
+import math
 import random
 from dataclasses import dataclass, field
 from enum import Enum
@@ -21,11 +23,11 @@
 from anvilshift.core.clock import SECOND, Millis
 
 _SLOW = 3.0
-"""Times the expected span.  A full batch makes an engine up to about twice as
+"""Times the span of the others.  A full batch makes an engine up to about twice as
 slow as an idle one, so less than three would eject the merely busy."""
 _SLOW_SAMPLES = 4
 _GAIN = 0.3
-"""Four samples of a target ten times slower lift the mean over three."""
+"""Three samples decide most of a mean of logarithms."""
 _FAILURES = 3
 _BASE: Millis = 2 * SECOND
 """A restarted engine needs seconds; a first probe costs one request."""
@@ -49,6 +51,8 @@
 
     Attributes
     ----------
+    level
+        Mean logarithm of its times over the expected ones.
     since
         Work that was sent earlier says nothing of the target as it is now: a
         slow target's last answers would otherwise pass for its recovery.
@@ -58,7 +62,7 @@
     >>> health = Health()
     >>> for content in "abc":
     ...     health.add_failure(content)
-    >>> health.is_bad()
+    >>> health.is_bad(usual=0.0)
     True
     >>> health.eject(now=0.0, rng=random.Random(0))
     >>> health.state.value, health.until >= 2_000.0
@@ -68,7 +72,7 @@
     state: State = State.HEALTHY
     until: Millis = 0.0
     cap: int = 0
-    ratio: float = 1.0
+    level: float = 0.0
     since: Millis = float("-inf")
     _samples: int = 0
     _failed: set[str] = field(default_factory=set)
@@ -77,13 +81,14 @@
     def add_span(self, span: Millis, expected: Millis) -> None:
         """Take in how long a step took against what was expected."""
         self._samples += 1
-        sample = span / max(expected, 1.0)
-        self.ratio += _GAIN * (sample - self.ratio)
+        gain = max(_GAIN, 1.0 / self._samples)
+        sample = math.log(max(span, 1.0) / max(expected, 1.0))
+        self.level += gain * (sample - self.level)
 
     def add_answer(self) -> None:
         """Take in a whole answer."""
         self._failed.clear()
-        if self.state is State.PROBING and not self.is_bad():
+        if self.state is State.PROBING:
             self.cap *= 2
             if self.cap >= _PROVEN:
                 self.state, self._ejections = State.HEALTHY, 0
@@ -92,12 +97,19 @@
         """Take in a failed attempt."""
         self._failed.add(content)
 
-    def is_bad(self) -> bool:
-        """Tell whether the target should be out of use."""
+    def is_bad(self, usual: float) -> bool:
+        """Tell whether the target should be out of use.
+
+        Parameters
+        ----------
+        usual
+            The level of the others.
+        """
+        is_slow = self.level - usual > math.log(_SLOW)
         if self.state is State.PROBING:
-            return bool(self._failed) or self.ratio > _SLOW
-        slow = self._samples >= _SLOW_SAMPLES and self.ratio > _SLOW
-        return slow or len(self._failed) >= _FAILURES
+            return bool(self._failed) or is_slow
+        is_slow = is_slow and self._samples >= _SLOW_SAMPLES
+        return is_slow or len(self._failed) >= _FAILURES
 
     def eject(self, now: Millis, rng: random.Random) -> None:
         """Take the target out of use for a while, longer each time."""
@@ -109,7 +121,7 @@
     def probe(self, now: Millis) -> None:
         """Let the target have one request at a time."""
         self.state, self.cap, self.since = State.PROBING, 1, now
-        self.ratio, self._samples = 1.0, 0
+        self.level, self._samples = 0.0, 0
         self._failed.clear()
 
 
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
+from anvilshift.core.clock import Millis
 from anvilshift.core.concurrency import Limit
 from anvilshift.core.durations import Durations, Mean
 from anvilshift.core.ejection import Health, State
@@ -34,6 +35,11 @@
     typical: Mean = field(default_factory=lambda: Mean(1.0))
     pools: "list[Pool]" = field(default_factory=list)
     bays: "dict[str, Bay]" = field(default_factory=dict)
+    levels: float = 0.0
+
+    def sum_levels(self) -> None:
+        """Add up the targets' levels anew."""
+        self.levels = sum(bay.health.level for bay in self.bays.values())
 
     def count_out(self) -> int:
         """Return how many targets are ejected or return only now."""
@@ -62,6 +68,24 @@
             return min(float(self.health.cap), self.limit.part)
         return self.limit.part
 
+    def add_span(self, span: Millis, expected: Millis) -> None:
+        """Take in how long a step took against what was expected."""
+        before = self.health.level
+        self.health.add_span(span, expected)
+        self.kind.levels += self.health.level - before
+
+    def probe(self, now: Millis) -> None:
+        """Let the target have one request at a time."""
+        self.kind.levels -= self.health.level
+        self.health.probe(now)
+
+    def is_bad(self) -> bool:
+        """Tell whether the target should be out of use."""
+        others = len(self.kind.bays) - 1
+        level = self.health.level
+        usual = (self.kind.levels - level) / others if others > 0 else level
+        return self.health.is_bad(usual)
+
     def has_room(self) -> bool:
         """Tell whether another request may be sent."""
         most = self.whole
@@ -198,4 +222,5 @@
                 pool.short.shares = pool.long.shares = kind.shares
                 kind.pools.append(pool)
             other.pools = []
+        kind.sum_levels()
         return kind
