Move work away from a target that does not begin to answer

Cause: a hung or slow target kept what it had been sent until each caller's deadline, and each probe of it cost a caller.

Ruled out: ending the run and letting the caller retry (the caller waits for the news, and is billed for nothing but late); moving answers that have begun (what was made would be thrown away, and the router can't tell how much is left); preferring the fastest target by its measured times (the others were never measured; the test of late answers failed on it).

Change: an attempt without a first token after four times the expected span and 250 ms is stopped and sent elsewhere, if it may run twice, another target has room and the retry budget allows. Spans are compared with 50 ms added: in the new test eight first tokens at once took 50 ms in place of 5 and got the healthy engine ejected in place of the hung one.

Answers that have begun at a target that turns slow stay lost.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -8,7 +8,6 @@
 
 import heapq
 import itertools
-import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -36,6 +35,7 @@
     Actions,
     Announce,
     CacheEvent,
+    Cancel,
     DispatchSettings,
     Failure,
     LoadReport,
@@ -228,8 +228,7 @@
         attempt.first = now
         work, span = attempt.entry.work, now - attempt.sent
         durations = attempt.pool.kind.durations
-        if attempt.counts:
-            attempt.bay.add_span(span, durations.first(work.request_class))
+        self._compare(attempt, span)
         durations.add_first(work, span, now, attempt.warm)
         return self._check_health(attempt.bay, now)
 
@@ -242,8 +241,7 @@
         durations = attempt.pool.kind.durations
         if attempt.first is None:
             span = now - attempt.sent
-            if attempt.counts:
-                bay.add_span(span, durations.first(work.request_class))
+            self._compare(attempt, span)
             durations.add_first(work, span, now)
         else:
             durations.add_whole(work, tokens, now - attempt.first, now)
@@ -458,7 +456,7 @@
         return Option(
             name,
             bay.limit.occupancy(),
-            math.exp(bay.health.level),
+            bay.slowness(),
             matched / len(prefixes) if prefixes else 0.0,
             bay.target.failure_domain != self._settings.failure_domain,
         )
@@ -600,16 +598,50 @@
 
     # Health of targets
 
+    def _compare(self, attempt: _Attempt, span: Millis) -> None:
+        """Compare the span to a first token with what is expected of it."""
+        durations = attempt.pool.kind.durations
+        request_class = attempt.entry.work.request_class
+        if attempt.counts and durations.knows(request_class):
+            attempt.bay.add_span(span, durations.first(request_class))
+
     def _check_overdue(self, attempt: _Attempt, now: Millis) -> Actions:
         """Count a first token that is long overdue against its target."""
         running = self._running.get(attempt.entry.work.identity)
         if running is not attempt or attempt.first is not None:
             return []
-        kind = attempt.entry.work.request_class
-        expected = attempt.pool.kind.durations.first(kind)
-        if attempt.counts:
-            attempt.bay.add_span(now - attempt.sent, expected)
-        return self._check_health(attempt.bay, now)
+        self._compare(attempt, now - attempt.sent)
+        actions = self._check_health(attempt.bay, now)
+        moved = self._move(attempt, now)
+        if not moved:
+            again = now + _OVERDUE_LEAST
+            self._at(again, lambda at: self._check_overdue(attempt, at))
+        return [*actions, *moved]
+
+    def _move(self, attempt: _Attempt, now: Millis) -> Actions:
+        """Send work elsewhere that its target has not begun to answer.
+
+        A hung or very slow target would keep it until its deadline; what shows
+        is a caller that waits for nothing while other targets have room.  Work
+        that may not run twice stays where it is.
+        """
+        entry, pool = attempt.entry, attempt.pool
+        work = entry.work
+        # Plain services make no tokens; their calls can't be stopped.
+        if not (work.idempotent and work.answer_tokens):
+            return []
+        others = any(name not in entry.tried for name in pool.open.draw(self._rng, 2))
+        left = entry.attempts < self._settings.attempts
+        if not (others and left) or self._has_no_hope(entry, pool, now):
+            return []
+        if not self._retries.take(Failure.TIMED_OUT):
+            return []
+        name = attempt.bay.target.name
+        self._stop(work.identity, now)
+        self._refresh(attempt.bay)
+        stopped = Cancel(work.identity, name, entry.attempts)
+        waiting = self._wait(entry, pool, now)
+        return [stopped, *waiting, *self._offer(entry, pool, now)]
 
     def _check_health(self, bay: Bay, now: Millis) -> Actions:
         """Eject a target that has turned bad, if enough others are left."""
--- a/anvilshift/core/durations.py
+++ b/anvilshift/core/durations.py
@@ -91,6 +91,10 @@
         mean = self._first.get(request_class) or self._warm.get(request_class)
         return mean.value if mean else _FIRST
 
+    def knows(self, request_class: str) -> bool:
+        """Tell whether a first token of a class has been measured."""
+        return request_class in self._first or request_class in self._warm
+
     def tokens(self, work: Work) -> float:
         """Return the expected length of an answer."""
         mean = self._used.get((work.organisation, work.request_class))
--- a/anvilshift/core/ejection.py
+++ b/anvilshift/core/ejection.py
@@ -25,6 +25,9 @@
 _SLOW = 3.0
 """Times the span of the others.  A full batch makes an engine up to about twice as
 slow as an idle one, so less than three would eject the merely busy."""
+_NOTICEABLE: Millis = 50.0
+"""Added to both spans: a few milliseconds more are no reason to eject, however
+many times the usual they are.  Users give a first token 920 ms."""
 _SLOW_SAMPLES = 4
 _GAIN = 0.3
 """Three samples decide most of a mean of logarithms."""
@@ -82,7 +85,7 @@
         """Take in how long a step took against what was expected."""
         self._samples += 1
         gain = max(_GAIN, 1.0 / self._samples)
-        sample = math.log(max(span, 1.0) / max(expected, 1.0))
+        sample = math.log((span + _NOTICEABLE) / (expected + _NOTICEABLE))
         self.level += gain * (sample - self.level)
 
     def add_answer(self) -> None:
@@ -111,6 +114,12 @@
         is_slow = is_slow and self._samples >= _SLOW_SAMPLES
         return is_slow or len(self._failed) >= _FAILURES
 
+    def slowness(self, usual: float) -> float:
+        """Return its times over the others', at least one."""
+        if self._samples < _SLOW_SAMPLES:
+            return 1.0
+        return math.exp(max(0.0, self.level - usual))
+
     def eject(self, now: Millis, rng: random.Random) -> None:
         """Take the target out of use for a while, longer each time."""
         span = min(_LIMIT, _BASE * 2.0**self._ejections)
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -79,12 +79,22 @@
         self.kind.levels -= self.health.level
         self.health.probe(now)
 
-    def is_bad(self) -> bool:
-        """Tell whether the target should be out of use."""
+    def _usual(self) -> float:
+        """Return the mean level of the others."""
         others = len(self.kind.bays) - 1
         level = self.health.level
-        usual = (self.kind.levels - level) / others if others > 0 else level
-        return self.health.is_bad(usual)
+        return (self.kind.levels - level) / others if others > 0 else level
+
+    def is_bad(self) -> bool:
+        """Tell whether the target should be out of use."""
+        return self.health.is_bad(self._usual())
+
+    def slowness(self) -> float:
+        """Return its times over the others'; one for all that aren't slow.
+
+        Were a fast one preferred, the others would never be measured.
+        """
+        return self.health.slowness(self._usual())
 
     def has_room(self) -> bool:
         """Tell whether another request may be sent."""
--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -124,7 +124,7 @@
 
 @dataclass(frozen=True)
 class Cancel:
-    """Stop an attempt that runs: nobody waits for its answer."""
+    """Stop an attempt that has not begun to answer; another `Send` follows."""
 
     identity: str
     target: str
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -37,7 +37,8 @@
         Parameters
         ----------
         stop
-            Called when the dispatcher cancels the attempt.
+            Called when the dispatcher cancels the attempt; who submitted the
+            work then calls `follow`.
 
         Raises
         ------
@@ -61,6 +62,16 @@
         self.act(self.dispatcher.failed(identity, failure, self._clock.now()))
         return await self._await(identity, turn)
 
+    async def follow(self, identity: str) -> Send:
+        """Wait for the next target of work whose attempt was stopped.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the work is given up.
+        """
+        return await self._await(identity, self._turns[identity])
+
     def first_token(self, identity: str) -> None:
         """Report that an answer has begun."""
         self.act(self.dispatcher.first_token(identity, self._clock.now()))
@@ -101,6 +112,8 @@
                 self.announce(action)
                 continue
             if isinstance(action, Cancel):
+                # The next target may follow in the same list of actions.
+                self._expect(action.identity)
                 stop = self._stops.get(action.identity)
                 if stop is not None:
                     stop()
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -90,6 +90,8 @@
         self._tokens = 0
         self._overrun = False
         self._begun = False
+        self._abandoned = False
+        self._generating: asyncio.Task[None] | None = None
         self._readers = 0
         self._changed = asyncio.Event()
         self._last_token: Millis | None = None
@@ -199,7 +201,7 @@
 
     async def _attempt_until_whole(self) -> None:
         dispatch = self._shared.dispatch
-        send = await dispatch.submit(self._work, self.stop)
+        send = await dispatch.submit(self._work, self._abandon)
         waited = self._shared.clock.now() - self.job.arrived
         self._shared.telemetry.record_queue(
             self.job.organisation.name, self.job.route.request_class, waited
@@ -207,8 +209,10 @@
         while True:
             sent_before = self._progress.sent
             try:
-                await self._generate(send)
-                return
+                if await self._generate_unless_abandoned(send):
+                    return
+                send = await dispatch.follow(self.job.identity)
+                continue
             except TargetError as error:
                 self._note_failure(send, error)
                 failure = error.failure
@@ -216,6 +220,31 @@
                 self._progress.sent = sent_before
             send = await dispatch.retry(self.job.identity, failure)
 
+    def _abandon(self) -> None:
+        """Stop the attempt under way; the run goes on at another target."""
+        if self._generating is not None:
+            self._abandoned = True
+            self._generating.cancel()
+
+    async def _generate_unless_abandoned(self, send: Send) -> bool:
+        """Make the answer; False when the attempt was abandoned."""
+        loop = asyncio.get_running_loop()
+        self._abandoned = False
+        self._generating = loop.create_task(self._generate(send))
+        try:
+            await self._generating
+            return True
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            # The run itself may be stopped at the same time.
+            if not self._abandoned or (task is not None and task.cancelling()):
+                raise
+            self._cancel_attempt()
+            self._shared.telemetry.count_event("attempt_abandoned")
+            return False
+        finally:
+            self._generating = None
+
     def _note_failure(self, send: Send, error: TargetError) -> None:
         if isinstance(error, LateAnswerError):
             self._shared.telemetry.count_event("late_answer")
--- a/bench/load/runs.py
+++ b/bench/load/runs.py
@@ -9,6 +9,7 @@
     Actions,
     Announce,
     CacheEvent,
+    Cancel,
     DispatchSettings,
     Failure,
     LoadReport,
@@ -230,6 +231,8 @@
                 self._send(action)
             elif isinstance(action, Refuse):
                 self._refuse(action)
+            elif isinstance(action, Cancel):
+                self._stop_attempt(action)
             elif isinstance(action, Announce):
                 self._announce(number, action)
         self._set_tick(number)
@@ -258,6 +261,14 @@
 
         self._timeline.at(self._timeline.now + _NETWORK, tell)
 
+    def _stop_attempt(self, action: Cancel) -> None:
+        flight = self._flights.get(action.identity)
+        if flight is None:
+            return
+        self._abandon(flight)
+        flight.stream = None
+        flight.number += 1
+
     def _refuse(self, action: Refuse) -> None:
         flight = self._flights.pop(action.identity, None)
         if flight is None:
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -7,6 +7,7 @@
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import NO_ENGINE, OVERLOADED, PAST_DEADLINE, QUARANTINED
 from anvilshift.core.work import (
+    Cancel,
     DispatchSettings,
     Failure,
     LoadReport,
@@ -207,6 +208,23 @@
         targets = Counter(send.target for send in bench.sent.values())
         self.assertEqual(targets["e1"], 1)
 
+    def test_work_at_a_hung_target_is_sent_elsewhere(self):
+        """An engine takes a request and never answers a token.
+
+        Its caller would wait until the deadline while others are idle; work
+        that may not run twice must wait all the same.
+        """
+        bench = Bench(engines=3, slots=4)
+        bench.teach()
+        bench.arrive("asks", deadline=bench.now + 5_000)
+        bench.arrive("orders", deadline=bench.now + 5_000, idempotent=False)
+        first = bench.sent["asks"].target
+        actions = bench.take(bench.dispatcher.tick(bench.now + 1_000))
+        self.assertEqual([a.identity for a in actions], ["asks", "asks"])
+        self.assertIsInstance(actions[0], Cancel)
+        self.assertNotEqual(bench.sent["asks"].target, first)
+        self.assertEqual(bench.sent["asks"].attempt, 2)
+
     def test_failing_target_is_left_and_its_work_answered_elsewhere(self):
         bench = Bench(engines=4, slots=8)
         for index in range(40):
--- /dev/null
+++ b/tests/router/test_moving.py
@@ -0,0 +1,55 @@
+"""Work at a hung engine goes on elsewhere; news of crashes reaches the others."""
+
+import asyncio
+import unittest
+
+from anvilshift.core.work import Announce
+from anvilshift.standins.engine import make_answer
+from bench.fleet import wait_until
+from tests.router.fleetlet import Fleetlet
+from tests.router.test_runs import read_events
+
+
+class MovingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Fleetlet(engines=2)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+
+    async def ask(self, prompt: str) -> str:
+        answer = await self.fleet.chat(prompt, tokens=4, extra={"stream": True})
+        return read_events(answer)[0]
+
+    async def test_callers_at_a_hung_engine_are_answered_whole_by_another(self):
+        """One of two engines hangs: it takes requests and answers nothing.
+
+        Each caller must get one whole answer, well before its deadline of
+        eight seconds, and nothing is left at the hung engine.
+        """
+        for index in range(8):
+            await self.ask(f"warm {index}")
+        hung = self.fleet.engines[0]
+        hung.faults.hang = True
+        prompts = [f"tank {index}" for index in range(8)]
+        async with asyncio.timeout(4):
+            texts = await asyncio.gather(*(self.ask(p) for p in prompts))
+        self.assertEqual(texts, [make_answer(p, 4) for p in prompts])
+        await wait_until(lambda: not hung._live)
+        events = self.fleet.nodes[0].world.telemetry.events
+        self.assertGreaterEqual(events.count("attempt_abandoned"), 1)
+
+    async def test_heartbeats_carry_news_of_crashes(self):
+        node = self.fleet.nodes[0]
+        node.dispatch.act([Announce("poison", "es0")])
+        beat = node.fleet._make_heartbeat()
+        found = [(crash.content, crash.target) for crash in beat.crashes]
+        self.assertEqual(found, [("poison", "es0")])
+        for _ in range(2):
+            node.fleet.hear_crashes([Announce("other", "es1")])
+        book = node.dispatcher._quarantine
+        self.assertTrue(book.is_suspect("other"))
+        self.assertFalse(book.is_quarantined("other", node.clock.now()))
+
+
+if __name__ == "__main__":
+    unittest.main()
