Part the dispatcher into what waits, what is sent and what is watched

Ruled out: parts that inherit from each other (the facade would hide what shares what).

Conclusion: no change of behaviour but for the waiting poison.

--- /dev/null
+++ b/anvilshift/core/backlog.py
@@ -0,0 +1,111 @@
+"""The work that waits: what is let in, given up and dropped."""
+
+from anvilshift.core.admission import Ahead, is_hopeless
+from anvilshift.core.clock import Millis
+from anvilshift.core.errors import NO_ENGINE, OVERLOADED, PAST_DEADLINE, Code
+from anvilshift.core.pools import Pool
+from anvilshift.core.queue import Entry
+from anvilshift.core.state import NO_TARGET_RETRY, DispatchState
+from anvilshift.core.work import Actions, Refuse
+
+
+class Backlog:
+    """Work that waits for a target, by identity."""
+
+    def __init__(self, state: DispatchState) -> None:
+        self.entries: dict[str, tuple[Entry, Pool]] = {}
+        self._state = state
+
+    def admit(self, entry: Entry, now: Millis) -> Actions:
+        """Let work in or refuse it; a full queue drops the least valuable."""
+        work = entry.work
+        pool = self._state.pools.find(work.candidates)
+        if pool is None or not pool.usable:
+            return [self._state.refuse(entry, NO_ENGINE, "", NO_TARGET_RETRY)]
+        durations = pool.kind.durations
+        entry.service = durations.service(work)
+        entry.cost = work.prompt_tokens + durations.tokens(work)
+        pool.classify(entry)
+        refusal = self._judge(entry, pool, now)
+        if refusal is not None:
+            return [refusal]
+        self.wait(entry, pool, now)
+        if len(self.entries) > self._state.settings.queue_length:
+            return [self._drop()]
+        return []
+
+    def _judge(self, entry: Entry, pool: Pool, now: Millis) -> Refuse | None:
+        """Refuse work that has no hope; None lets it in."""
+        if entry.work.deadline <= now:
+            return self._state.refuse(entry, PAST_DEADLINE, "", 0.0)
+        if not pool.kind.durations.is_fresh(now):
+            return None
+        wait = 0.0 if len(pool.open) else self._predict_wait(entry, pool)
+        service = pool.kind.durations.safe_service(entry.work)
+        due = self._state.due(entry.work)
+        if not is_hopeless(due, now, wait, service):
+            return None
+        excess = wait + service - (due - now)
+        detail = f"expected to wait {wait:.0f} ms and run {service:.0f} ms"
+        return self._state.refuse(entry, OVERLOADED, detail, excess)
+
+    def _predict_wait(self, entry: Entry, pool: Pool) -> Millis:
+        ahead = [p for p in pool.kind.pools if p.top >= pool.top]
+        organisation = entry.work.organisation
+        return Ahead(
+            backlog=sum(p.backlog for p in ahead),
+            own=sum(
+                queue.backlog_of(organisation)
+                for p in ahead
+                for queue in (p.short, p.long)
+            ),
+            weight=entry.work.weight,
+            weights=sum(p.short.weight + p.long.weight for p in ahead),
+            slots=pool.slots,
+        ).wait()
+
+    def wait(self, entry: Entry, pool: Pool, now: Millis) -> Actions:
+        """Queue work until a target has room or it becomes hopeless."""
+        identity = entry.work.identity
+        self.entries[identity] = entry, pool
+        pool.queue_of(entry).push(entry)
+        safe = pool.kind.durations.safe_service(entry.work)
+        latest = self._state.due(entry.work) - safe
+        if not pool.kind.durations.is_fresh(now):
+            latest = entry.work.deadline
+        self._state.timers.at(max(now, latest), lambda at: self._expire(entry, at))
+        return []
+
+    def _expire(self, entry: Entry, now: Millis) -> Actions:
+        """Refuse work that has waited until it became hopeless."""
+        found = self.entries.get(entry.work.identity)
+        if found is None or found[0] is not entry or not entry.waits:
+            return []
+        if entry.work.deadline <= now:
+            return [self.give_up(entry, PAST_DEADLINE)]
+        return [self.give_up(entry, OVERLOADED, "no slot came free in time")]
+
+    def _drop(self) -> Refuse:
+        """Make room in a full queue: the least valuable work goes."""
+        queues = [
+            (pool.top, -queue.backlog, index, queue)
+            for index, pool in enumerate(self._state.pools)
+            for queue in (pool.short, pool.long)
+            if queue.count
+        ]
+        victim = min(queues, key=lambda item: item[:3])[3].least_valuable()
+        return self.give_up(victim, OVERLOADED, "queue is full")
+
+    def give_up(self, entry: Entry, code: Code, detail: str = "") -> Refuse:
+        """Refuse work that waits."""
+        _, pool = self.entries.pop(entry.work.identity)
+        pool.queue_of(entry).remove(entry)
+        wait = self._predict_wait(entry, pool)
+        return self._state.refuse(entry, code, detail, wait)
+
+    def give_up_all(self, pool: Pool) -> Actions:
+        """Refuse everything that waits for targets that are gone."""
+        entries = [*pool.short.drain(), *pool.long.drain()]
+        for entry in entries:
+            del self.entries[entry.work.identity]
+        return [self._state.refuse(e, NO_ENGINE, "", NO_TARGET_RETRY) for e in entries]
--- /dev/null
+++ b/anvilshift/core/sending.py
@@ -0,0 +1,170 @@
+"""Send waiting work to targets that have room."""
+
+from collections.abc import Callable
+
+from anvilshift.core.backlog import Backlog
+from anvilshift.core.clock import Millis
+from anvilshift.core.ejection import State
+from anvilshift.core.errors import OVERLOADED, QUARANTINED
+from anvilshift.core.placement import DRAWN, HOLDERS, Option, choose
+from anvilshift.core.pools import Bay, Pool
+from anvilshift.core.quarantine import FORGET_AFTER
+from anvilshift.core.queue import Entry, FairQueue
+from anvilshift.core.state import Attempt, DispatchState
+from anvilshift.core.work import Actions, Refuse, Send
+
+_PASSED_OVER = 4
+"""Most requests passed over for one slot, so that an event's cost is bounded."""
+_PROBE_SLACK = 3.0
+"""A request that probes a returning target has time to run elsewhere after."""
+
+
+class Sender:
+    """Match waiting work with targets.
+
+    Attributes
+    ----------
+    on_sent
+        Called with each attempt that begins.
+    """
+
+    def __init__(self, state: DispatchState, backlog: Backlog) -> None:
+        self.running: dict[str, Attempt] = {}
+        self.on_sent: Callable[[Attempt, Millis], None] = lambda attempt, now: None
+        self._state = state
+        self._backlog = backlog
+
+    def offer(self, entry: Entry, pool: Pool, now: Millis) -> Actions:
+        """Send work at once when a target has room."""
+        if not entry.waits or not len(pool.open):
+            return []
+        if entry.is_long and not pool.may_run_long():
+            return []
+        if self._state.quarantine.is_quarantined(entry.work.content, now):
+            return [self._quarantine(entry, pool)]
+        names = pool.open.draw(self._state.rng, DRAWN)
+        prefixes = entry.work.prefixes
+        holders = self._state.prefixes.holders(prefixes, self._state.rng, HOLDERS)
+        holders += self._state.quarantine.list_confined(entry.work.content)
+        names += [name for name in holders if name in pool.open]
+        bays = [self._state.bays[name] for name in dict.fromkeys(names)]
+        options = [
+            self._weigh(entry, bay) for bay in bays if self._suits(entry, bay, now)
+        ]
+        durations = pool.kind.durations
+        saving = durations.saving(entry.work.request_class)
+        option = choose(options, entry.service, saving, self._state.rng)
+        if option is None:
+            return []
+        return [self._send(entry, pool, self._state.bays[option.name], now)]
+
+    def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
+        """Refuse work that was found poisonous while it waited."""
+        del self._backlog.entries[entry.work.identity]
+        pool.queue_of(entry).remove(entry)
+        return Refuse(entry.work.identity, QUARANTINED, "", FORGET_AFTER)
+
+    def _weigh(self, entry: Entry, bay: Bay) -> Option:
+        name, prefixes = bay.target.name, entry.work.prefixes
+        matched = self._state.prefixes.matched(name, prefixes)
+        return Option(
+            name,
+            bay.limit.occupancy(),
+            bay.slowness(),
+            matched / len(prefixes) if prefixes else 0.0,
+            bay.target.failure_domain != self._state.settings.failure_domain,
+        )
+
+    def _suits(self, entry: Entry, bay: Bay, now: Millis) -> bool:
+        """Tell whether work may go to a target that has room."""
+        work, name = entry.work, bay.target.name
+        pool = self._backlog.entries[work.identity][1]
+        confined = self._state.quarantine.list_confined(work.content)
+        if not confined and name in entry.tried and len(entry.tried) < pool.usable:
+            return False
+        if bay.health.state is State.PROBING:
+            slack = work.deadline - now
+            if not work.idempotent or slack < _PROBE_SLACK * entry.service:
+                return False
+        content = work.content
+        if not self._state.quarantine.is_suspect(content):
+            return True
+        return self._state.quarantine.is_free(name, content)
+
+    def fill(self, bay: Bay, now: Millis) -> Actions:
+        """Send waiting work to a target while it has room."""
+        actions: Actions = []
+        aside: list[tuple[Entry, FairQueue]] = []
+        while bay.has_room() and len(aside) < _PASSED_OVER:
+            found = self._next_for(bay)
+            if found is None:
+                break
+            queue, pool = found
+            entry = queue.peek()
+            if self._state.quarantine.is_quarantined(entry.work.content, now):
+                actions.append(self._quarantine(entry, pool))
+            elif self._state.has_no_hope(entry, pool, now):
+                detail = "no slot came free in time"
+                actions.append(self._backlog.give_up(entry, OVERLOADED, detail))
+            elif self._suits(entry, bay, now):
+                actions.append(self._send(entry, pool, bay, now))
+            else:
+                queue.remove(entry)
+                aside.append((entry, queue))
+        for entry, queue in aside:
+            queue.push(entry)
+        return actions
+
+    def _next_for(self, bay: Bay) -> tuple[FairQueue, Pool] | None:
+        """Return the queue that a target serves next: priority, then tag."""
+        name = bay.target.name
+        found = [
+            (-pool.priorities[name], queue.next_tag(), index, queue, pool)
+            for index, pool in enumerate(bay.pools)
+            for queue in pool.queues()
+        ]
+        if not found:
+            return None
+        best = min(found, key=lambda item: item[:3])
+        return best[3], best[4]
+
+    def _send(self, entry: Entry, pool: Pool, bay: Bay, now: Millis) -> Send:
+        work, name = entry.work, bay.target.name
+        pool.queue_of(entry).take(entry)
+        del self._backlog.entries[work.identity]
+        entry.attempts += 1
+        entry.tried.add(name)
+        if self._state.quarantine.is_suspect(work.content):
+            self._state.quarantine.sent(work.content, name)
+        warm = bool(work.prefixes) and (
+            self._state.prefixes.matched(name, work.prefixes) == len(work.prefixes)
+        )
+        self._state.prefixes.add(name, work.prefixes)
+        attempt = Attempt(entry, pool, bay, now, warm)
+        self.running[work.identity] = attempt
+        pool.long_running += entry.is_long
+        bay.limit.change(+1, now)
+        bay.refresh()
+        self.on_sent(attempt, now)
+        return Send(work.identity, name, entry.attempts, pool.priorities[name])
+
+    def stop(self, identity: str, now: Millis) -> Attempt | None:
+        """Take in that a target no longer runs work."""
+        attempt = self.running.pop(identity, None)
+        if attempt is None:
+            return None
+        attempt.pool.long_running -= attempt.entry.is_long
+        attempt.bay.limit.change(-1, now)
+        name = attempt.bay.target.name
+        self._state.quarantine.ended(attempt.entry.work.content, name)
+        return attempt
+
+    def sweep(self, now: Millis) -> Actions:
+        """Look again at work that was passed over while targets had room."""
+        actions: Actions = []
+        for pool in self._state.pools:
+            if not pool.waiting:
+                continue
+            for name in pool.open.draw(self._state.rng, DRAWN):
+                actions += self.fill(self._state.bays[name], now)
+        return actions
--- /dev/null
+++ b/anvilshift/core/state.py
@@ -0,0 +1,96 @@
+"""What the parts of the dispatcher share."""
+
+import random
+from dataclasses import dataclass, field
+
+from anvilshift.core.admission import draw_retry, is_hopeless
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.durations import Mean
+from anvilshift.core.errors import Code
+from anvilshift.core.pools import Bay, Pool, Pools
+from anvilshift.core.prefixes import PrefixBelief
+from anvilshift.core.quarantine import Quarantine
+from anvilshift.core.queue import Entry
+from anvilshift.core.retries import RetryBudget
+from anvilshift.core.timers import Timers
+from anvilshift.core.work import DispatchSettings, Refuse, Work
+
+NO_TARGET_RETRY: Millis = 1 * SECOND
+"""A target that restarts or is replaced takes a second at least."""
+_LONGEST_RECORDING: Millis = 1 * SECOND
+"""Bills slower than this come of an outage, in which they aren't waited for."""
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """Work that a target has now.
+
+    Parameters
+    ----------
+    warm
+        Whether the target was believed to hold the prompt's prefix.
+    first
+        When its first token came.
+    """
+
+    entry: Entry
+    pool: Pool
+    bay: Bay
+    sent: Millis
+    warm: bool
+    first: Millis | None = None
+
+    @property
+    def counts(self) -> bool:
+        """Tell whether it says something of its target as it is now."""
+        return self.sent >= self.bay.health.since
+
+
+@dataclass(eq=False)
+class DispatchState:
+    """The targets and what is known of them.
+
+    Parameters
+    ----------
+    recording
+        How long the ends of answers waited for their bills.
+    """
+
+    settings: DispatchSettings
+    rng: random.Random
+    bays: dict[str, Bay] = field(default_factory=dict)
+    timers: Timers = field(default_factory=Timers)
+    prefixes: PrefixBelief = field(default_factory=PrefixBelief)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    recording: Mean = field(default_factory=lambda: Mean(1.0))
+
+    def __post_init__(self) -> None:
+        self.pools = Pools(self.bays)
+
+    def refresh(self, bay: Bay, draw: bool = False) -> None:
+        """Bring the pools up to date after a change of a target."""
+        if draw:
+            bay.whole = bay.limit.draw_whole(self.rng)
+        bay.refresh()
+
+    def due(self, work: Work) -> Millis:
+        """Return when an answer must be whole for its bill to be in time.
+
+        A bill that takes longer than the little time left turns an answer that
+        was made in time into one that comes too late.
+        """
+        return work.deadline - min(_LONGEST_RECORDING, self.recording.high())
+
+    def has_no_hope(self, entry: Entry, pool: Pool, now: Millis) -> bool:
+        """Tell whether work sent now would end too late."""
+        durations = pool.kind.durations
+        if not durations.is_fresh(now):
+            return False
+        service = durations.safe_service(entry.work)
+        return is_hopeless(self.due(entry.work), now, 0.0, service)
+
+    def refuse(self, entry: Entry, code: Code, detail: str, excess: Millis) -> Refuse:
+        """Return a refusal that says when to come back."""
+        retry = draw_retry(excess, self.rng)
+        return Refuse(entry.work.identity, code, detail, retry)
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -5,7 +5,13 @@
 from collections import Counter
 
 from anvilshift.core.dispatcher import Dispatcher
-from anvilshift.core.errors import NO_ENGINE, OVERLOADED, PAST_DEADLINE, QUARANTINED
+from anvilshift.core.errors import (
+    ENGINE_FAILED,
+    NO_ENGINE,
+    OVERLOADED,
+    PAST_DEADLINE,
+    QUARANTINED,
+)
 from anvilshift.core.work import (
     Cancel,
     DispatchSettings,
@@ -304,6 +310,26 @@
                 bench.finish(name)
         self.assertEqual(bench.sent, {})
 
+    def test_poison_that_waits_is_refused_when_it_is_found_out(self):
+        bench = Bench(engines=1)
+        bench.arrive("runs")
+        bench.arrive("waits", content="poison")
+        for target in ("e8", "e9"):
+            bench.dispatcher.crashed("poison", target, 1.0)
+        bench.finish("runs")
+        self.assertIs(bench.refused["waits"].code, QUARANTINED)
+
+    def test_targets_change_while_work_waits(self):
+        bench = Bench()
+        bench.arrive("runs")
+        candidates = {"e1": 0, "e2": 0}
+        bench.arrive("waits", candidates=candidates)
+        targets = [Target("e2", "north", 1)]
+        bench.take(bench.dispatcher.configure(targets, 1.0))
+        self.assertEqual(bench.sent["waits"].target, "e2")
+        bench.take(bench.dispatcher.failed("runs", Failure.BROKE_OFF, 2.0))
+        self.assertIs(bench.refused["runs"].code, ENGINE_FAILED)
+
     def test_news_of_other_routers_quarantines_too(self):
         bench = Bench(engines=3)
         bench.dispatcher.crashed("poison", "e1", 0.0)
--- a/tests/router/test_moving.py
+++ b/tests/router/test_moving.py
@@ -46,7 +46,7 @@
         self.assertEqual(found, [("poison", "es0")])
         for _ in range(2):
             node.fleet.hear_crashes([Announce("other", "es1")])
-        book = node.dispatcher._quarantine
+        book = node.dispatcher._state.quarantine
         self.assertTrue(book.is_suspect("other"))
         self.assertFalse(book.is_quarantined("other", node.clock.now()))
 
