Draw no work to a target that is declared no more

Ruled out: keeping the old queues alive (they hold nothing any more). Change: a removed target forgets its pools.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -76,7 +76,8 @@
         """Take in the targets that are declared now."""
         declared = {target.name: target for target in targets}
         for name in set(self._state.bays) - set(declared):
-            del self._state.bays[name]
+            # Work that still runs there must not draw more work when it ends.
+            self._state.bays.pop(name).pools = []
             self._state.prefixes.forget(name)
         for name, target in declared.items():
             self._declare(name, target)
