--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -456,6 +456,12 @@
         if any(purses[name].giving for name in names):
             await self._wait_round()
 
+    def is_settled(self) -> bool:
+        """Tell whether every bill is recorded and what was given back is back."""
+        purses = self.escrow.purses.values()
+        open_purses = [purse for purse in purses if purse.pending or purse.giving]
+        return self._failing_since is None and not open_purses
+
     async def close(self) -> None:
         """Settle everything and stop; the grants go back."""
         if self._loop is not None:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-from anvilshift.core.clock import Clock
+from anvilshift.core.clock import SECOND, Clock
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
@@ -227,6 +227,7 @@
             leaving,
             self.orders.run(),
             self.claims.keep_sweeping(),
+            self._share_targets(),
         )
         for work in works:
             task = loop.create_task(work)
@@ -257,7 +258,7 @@
         steps = StopSteps(
             self._leave,
             self._refuse,
-            self.treasury.give_back,
+            self.treasury.hand_back,
             lambda: self.callers.in_flight,
             self.callers.list_open,
         )
@@ -290,6 +291,17 @@
         self.departing.take_report(report)
         self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
 
+    async def _share_targets(self) -> None:
+        """Tell the dispatcher again and again how many routers take work."""
+        routers = 0
+        while True:
+            present = self.fleet.roster.present(self.clock.now())
+            serving = 1 + sum(sighting.vitals.serving for sighting in present)
+            if serving != routers:
+                routers = serving
+                self.dispatcher.set_routers(routers)
+            await asyncio.sleep(self.settings.heartbeat / SECOND)
+
     def _name_routers(self) -> set[str]:
         present = self.fleet.roster.present(self.clock.now())
         return {sighting.member.name for sighting in present}
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -252,6 +252,11 @@
             if account is None or account in branch.escrow.purses:
                 await branch.give_back(account)
 
+    async def hand_back(self) -> bool:
+        """Record every bill and hand back what is free; False when it failed."""
+        await self.give_back()
+        return all(branch.is_settled() for branch in self.branches)
+
     async def close(self) -> None:
         """Settle everything and stop; the grants go back."""
         for branch in self.branches:
