--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -86,7 +86,8 @@
         order = [
             {"core"},
             {"wire"},
-            {"settings", "platform", "engines", "peers", "client"},
+            {"settings", "engines", "peers", "client"},
+            {"platform"},
             {"router", "standins"},
             {"operator"},
         ]
