--- a/Makefile
+++ b/Makefile
@@ -39,11 +39,18 @@
 generate: environment
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
 
+load: environment
+	$(BIN)/python -m bench.load
+
+load-quick: environment
+	$(BIN)/python -m bench.load --seeds 2
+
 bench: environment
 	$(BIN)/python -m bench.overhead
 
 capacity: environment
 	$(BIN)/python -m bench.capacity
+
 SEED ?= 1
 SECONDS ?= 300
 soak: environment
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -89,6 +89,7 @@
         self._progress = Progress()
         self._tokens = 0
         self._overrun = False
+        self._begun = False
         self._readers = 0
         self._changed = asyncio.Event()
         self._first_token: Millis | None = None
@@ -232,6 +233,7 @@
         job = self.job
         attempt = digest(job.identity, self.tag, str(send.attempt))
         self._attempt = (send.target, attempt)
+        self._begun = False
         engine = self._shared.targets.engine(send.target)
         if engine is None:
             raise TargetError(Failure.NOT_SENT, "the target is gone")
@@ -272,11 +274,13 @@
         self._changed.set()
 
     def _count_wait(self, now: Millis) -> None:
+        if not self._begun:
+            self._begun = True
+            self._shared.dispatch.first_token(self.job.identity)
         if self._first_token is None:
             telemetry, job = self._shared.telemetry, self.job
             span = now - job.arrived
             telemetry.record_first(job.organisation.name, job.route.request_class, span)
-            self._shared.dispatch.first_token(job.identity)
             self._first_token = now
         else:
             self._longest_gap = max(self._longest_gap, now - self._last_token)
@@ -306,6 +310,7 @@
             job.identity,
             job.organisation.name,
             self.usage.total,
+            until=job.deadline,
         )
         self._shared.telemetry.record_bill(
             job.organisation.name,
