Write a short answer in one packet

Cause: a whole answer went out in two or three writes (head, body, end mark), a stream's first and last pieces in two each; with the machine under load a write took 93 microseconds of the profile.

Change: the head and the last piece may be held until what follows.

Figures: a whole answer is one write where it was two, a stream saves two.

Conclusion: kept for the packets it saves; not counted as a gain in time.

--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -86,7 +86,9 @@
         async with contextlib.aclosing(run.read(offset)) as texts:
             async for text in texts:
                 if not responder.started:
-                    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+                    await responder.start(
+                        200, [EVENT_STREAM_TYPE, *_head(job)], hold=True
+                    )
                 offset += len(text)
                 chunk = encoder.encode(text, f"{run.tag}-{offset}")
                 await responder.write(chunk)
@@ -97,9 +99,8 @@
         await responder.finish()
         return
     if not responder.started:
-        await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
-    await responder.write(_encode_last(run))
-    await responder.finish()
+        await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)], hold=True)
+    await responder.finish(_encode_last(run))
 
 
 async def read_whole(run: Run) -> Answer:
@@ -119,7 +120,7 @@
         return
     completion = json.loads(answer.body)
     text = completion["choices"][0]["message"]["content"]
-    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)], hold=True)
     rest = text[job.resume_from :]
     await responder.write(_ChunkEncoder(job).encode(rest, str(len(text))))
     choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -49,14 +49,20 @@
     async def send(self, reply: Reply) -> None:
         """Write a whole answer."""
         length = ("content-length", str(len(reply.body)))
-        await self.start(reply.status, [*reply.headers, length])
-        await self.write(reply.body)
-        await self.finish()
+        await self.start(reply.status, [*reply.headers, length], hold=True)
+        await self.finish(reply.body)
 
-    async def start(self, status: int, headers: Fields) -> None:
-        """Write the head; without a content length the body is chunked."""
+    async def start(self, status: int, headers: Fields, hold: bool = False) -> None:
+        """Write the head; without a content length the body is chunked.
+
+        Parameters
+        ----------
+        hold
+            Whether the head may go out with the next piece, in one packet.
+        """
         self.started = True
-        self._connection.send(h11.Response(status_code=status, headers=headers))
+        head = h11.Response(status_code=status, headers=headers)
+        self._connection.send(head, hold=hold)
 
     async def write(self, data: bytes) -> None:
         """Write a piece of the body, waiting while the peer reads too slowly."""
@@ -64,9 +70,11 @@
             self._connection.send(h11.Data(data=data))
         await self._connection.drain()
 
-    async def finish(self) -> None:
-        """End the body."""
+    async def finish(self, data: bytes = b"") -> None:
+        """End the body, with its last piece where there is one."""
         self.finished = True
+        if data:
+            self._connection.send(h11.Data(data=data), hold=True)
         self._connection.send(h11.EndOfMessage())
         await self._connection.drain()
 
@@ -108,6 +116,7 @@
         self._task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._held = b""
         self._gone = False
 
     def _make_parser(self) -> h11.Connection:
@@ -253,12 +262,13 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, event: h11.Event) -> None:
+    def send(self, event: h11.Event, hold: bool = False) -> None:
         if self._gone or self._transport is None:
             raise CallerGoneError("the caller closed the connection")
-        data = self._h11.send(event)
-        if data:
-            self._transport.write(data)
+        self._held += self._h11.send(event) or b""
+        if self._held and not hold:
+            self._transport.write(self._held)
+            self._held = b""
 
     async def drain(self) -> None:
         if self._writable.is_set():
