--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity pages
+.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity pages quiet
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -58,3 +58,6 @@
 
 pages: environment
 	$(BIN)/python -m anvilshift.operator.codes > docs/ERRORS.md
+
+quiet: environment
+	$(BIN)/python -m bench.quiet
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,6 +14,7 @@
 ENGINES = (24, 240, 2_400, 11_000)
 BILLS = (10, 100, 1_000, 5_000)
 HOLDERS = (2, 8, 32, 64, 256)
+ORGANISATIONS = 270
 
 
 @dataclass(frozen=True)
@@ -82,6 +83,7 @@
     Series("find candidates", "us", ENGINES, slopes.find_candidates, 11_000),
     Series("place a request", "us", ENGINES, slopes.place_work, 11_000),
     Series("take all reports", "us", ENGINES, slopes.take_reports, 11_000),
+    Series("metrics, one read", "B", (ORGANISATIONS,), slopes.weigh_metrics, 270),
     Series("HTTP call, both ends", "us", (1,), slopes.call_http, 1),
 )
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,13 +29,14 @@
 from anvilshift.core.escrow import Escrow
 from anvilshift.core.labels import Selector
 from anvilshift.core.ledger import Bill, Commit, Draw, Grant, Ledger, Outcome
-from anvilshift.core.membership import Member, Roster
+from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.core.work import DispatchSettings, LoadReport, Target, Work
 from anvilshift.engines.http import HttpConnector
 from anvilshift.peers.generated.peers_pb2 import Heartbeat
 from anvilshift.peers.link import GrpcPeerLink, PeerServer
 from anvilshift.platform.records import decode, encode
 from anvilshift.router.targets import Targets
+from anvilshift.router.telemetry import Telemetry
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
@@ -49,6 +50,7 @@
 _MICROS = 1e6
 _CALLS = 300
 _BILLS_A_COMMIT = 4
+_BILLS_AT_ONCE = 100
 
 
 def time_micros(work: Callable[[], Any]) -> float:
@@ -100,7 +102,7 @@
     def work() -> None:
         heard = roster
         for index in range(size):
-            heard = heard.hear(make_member(index), True, 10, 1.0)
+            heard = heard.hear(make_member(index), Vitals(in_flight=10), 1.0)
 
     return time_micros(work)
 
@@ -196,30 +198,35 @@
 
 def make_ledger(accounts: int, holders: int = 1, bills: int = 0) -> Ledger:
     """Return a ledger whose accounts each have some grants and kept bills."""
-    parts: dict[str, Any] = {}
+    parts = {}
+    names = {}
     for index in range(accounts):
         one = Ledger().top_up("budget", "invoice-2026-12", 10_000_000)
         for holder in range(holders):
-            name = f"router-{holder:04}-0123456789ab"
-            draw = Commit(name, (), {"budget": Draw(20_000, 2_000)})
+            draw = Commit(_holder(holder), (), {"budget": Draw(20_000, 2_000)})
             one = one.apply(draw)[0]
-        for number in range(bills):
-            key = f"{index:016x}{number:016x}"
-            bill = Bill(key, "organisation-001", 1, "router-0000-0123456789ab", 1)
-            one = one.apply(Commit(bill.holder, (("budget", bill),)))[0]
+        for begin in range(0, bills, _BILLS_AT_ONCE):
+            group = range(begin, min(bills, begin + _BILLS_AT_ONCE))
+            made = tuple(("budget", _make_bill(f"{index:016x}{n:016x}")) for n in group)
+            one = one.apply(Commit(_holder(0), made))[0]
         parts[f"budget-{index:05}"] = one.account("budget")
-    return Ledger(parts)
+        names.update(one.holders)
+    return Ledger(parts, names)
+
+
+def _holder(number: int) -> str:
+    return f"router-{number:04}-0123456789ab"
+
+
+def _make_bill(key: str) -> Bill:
+    return Bill(key, "organisation-001", 1, _holder(0), at=1)
 
 
 def _commit_once(ledger: Ledger) -> None:
-    holder = "router-0000-0123456789ab"
     account = next(iter(ledger.accounts))
-    bills = tuple(
-        (account, Bill(f"new-{n}", "organisation-001", 1, holder, 1))
-        for n in range(_BILLS_A_COMMIT)
-    )
+    bills = tuple((account, _make_bill(f"new-{n}")) for n in range(_BILLS_A_COMMIT))
     read = decode(Ledger, encode(ledger))
-    dump_json(encode(read.apply(Commit(holder, bills))[0]))
+    dump_json(encode(read.apply(Commit(_holder(0), bills))[0]))
 
 
 def commit_by_accounts(size: int) -> float:
@@ -295,6 +302,20 @@
     return [*groups, *organisations, *named]
 
 
+def weigh_metrics(size: int) -> float:
+    """Return the bytes of a router's metrics as they are read, by organisations."""
+    telemetry = Telemetry()
+    for index in range(size):
+        name = f"organisation-{index:03}"
+        telemetry.record_queue(name, "advice", 1.0)
+        telemetry.record_first(name, "advice", 1.0)
+        telemetry.record_whole(name, "advice", 1.0)
+        telemetry.record_bill(name, "advice", 1.0)
+        telemetry.record_gaps(name, "advice", 1.0, 1.0)
+        telemetry.count_answer(name, "advice", None)
+    return float(len(telemetry.render()))
+
+
 def publish_by_budgets(size: int) -> float:
     """Return microseconds to bring one change into force, by budgets."""
     declarations = make_declarations(100, size)
