--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -97,7 +97,9 @@
         async with contextlib.aclosing(run.read(offset)) as texts:
             async for text in texts:
                 if not responder.started:
-                    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+                    await responder.start(
+                        200, [EVENT_STREAM_TYPE, *_head(job)], hold=True
+                    )
                 offset += len(text)
                 chunk = encoder.encode(text, f"{run.tag}-{offset}")
                 await responder.write(chunk)
@@ -111,9 +113,8 @@
         await responder.finish()
         return
     if not responder.started:
-        await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
-    await responder.write(_encode_last(run))
-    await responder.finish()
+        await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)], hold=True)
+    await responder.finish(_encode_last(run))
 
 
 async def _find_error(
@@ -149,7 +150,7 @@
     if not text.startswith(job.received):
         detail = "the recorded answer doesn't begin with what was received"
         raise AnvilshiftError(NOT_RECORDED, detail)
-    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)])
+    await responder.start(200, [EVENT_STREAM_TYPE, *_head(job)], hold=True)
     rest = text[job.resume_from :]
     await responder.write(_ChunkEncoder(job).encode(rest, str(len(text))))
     choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
