Bound a caller's wait by its deadline, and let virtual time creep

Ruled out: the routers' own deadlines (the paused router can't act). Change: the client stops reading at the deadline and falls back on its seeds; the virtual loop moves a nanosecond a turn.

--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -182,7 +182,7 @@
                     found = [Address.parse(i["address"]) for i in value["addresses"]]
                     self._addresses = found or self._addresses
                     self._keep_until = self._clock.now() + float(value["keep_ms"])
-                    return self._addresses
+                    return self._addresses or self._seeds
                 if answer.status == 401:
                     raise _read_error(answer.body, answer.status, _NOT_RUN)
             except (ExchangeError, ValueError, KeyError, TypeError):
@@ -282,7 +282,10 @@
                 body = await response.read()
                 raise _read_error(body, response.status, _UNKNOWN)
             reader = EventReader()
-            while (chunk := await self._next_chunk(address, response)) is not None:
+            while True:
+                chunk = await self._next_chunk(address, response, until)
+                if chunk is None:
+                    break
                 for event in _feed(reader, chunk):
                     if event.data == "[DONE]":
                         return
@@ -291,14 +294,21 @@
                         yield text
         raise ExchangeError("the stream ended without its end mark", True)
 
-    async def _next_chunk(self, address: Address, response: Response) -> bytes | None:
-        """Return the next piece of a body, None at its end."""
-        while True:
+    async def _next_chunk(
+        self, address: Address, response: Response, until: Millis
+    ) -> bytes | None:
+        """Return the next piece of a body, None at its end.
+
+        A router that is paused in mid-stream keeps its connection; without the
+        deadline here its caller would wait for as long as the pause lasts.
+        """
+        while (left := until - self._clock.now()) > 0:
             try:
-                async with asyncio.timeout(_STALL / SECOND):
+                async with asyncio.timeout(min(left, _STALL) / SECOND):
                     return await anext(response.chunks(), None)
             except TimeoutError:
                 await self._require_life(address)
+        raise ExchangeError("the deadline passed in mid-stream", True)
 
     async def _watch(
         self, address: Address, work: Coroutine[Any, Any, Result]
--- a/bench/soak/http.py
+++ b/bench/soak/http.py
@@ -46,10 +46,9 @@
     async def send(self, reply: Reply) -> None:
         """Write a whole answer."""
         await self.start(reply.status, reply.headers)
-        await self.write(reply.body)
-        await self.finish()
+        await self.finish(reply.body)
 
-    async def start(self, status: int, headers: Fields) -> None:
+    async def start(self, status: int, headers: Fields, hold: bool = False) -> None:
         """Write the head."""
         self.started = True
         await self._own.pass_through()
@@ -61,9 +60,10 @@
         if data:
             self.queue.put_nowait(data)
 
-    async def finish(self) -> None:
-        """End the body."""
+    async def finish(self, data: bytes = b"") -> None:
+        """End the body, with its last piece where there is one."""
         self.finished = True
+        await self.write(data)
         await self._own.pass_through()
         self.queue.put_nowait(_END)
 
--- a/bench/soak/loop.py
+++ b/bench/soak/loop.py
@@ -8,6 +8,11 @@
 from anvilshift.core.clock import SECOND, Millis
 
 
+_ROUNDING: Millis = 1e-6
+_CREEP_S = 1e-9
+"""Time that each turn of the loop takes, so that no timer is missed for ever."""
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """Wait for no socket: move the time on by what the loop would have slept."""
 
@@ -18,7 +23,7 @@
     def select(self, timeout: float | None = None) -> list[Any]:
         if timeout is None:
             raise RuntimeError("every task waits for another: the run is stuck")
-        self.now += max(0.0, timeout)
+        self.now += max(0.0, timeout) + _CREEP_S
         return []
 
 
@@ -28,6 +33,10 @@
     def __init__(self) -> None:
         self._jumping = _JumpingSelector()
         super().__init__(self._jumping)
+        # A timer that is due within the resolution fires at once; in virtual
+        # time the clock would then stand still, and a loop that waits for the
+        # last billionth of a second would never end.
+        self._clock_resolution = 0.0
 
     def time(self) -> float:
         """Return virtual seconds."""
@@ -41,8 +50,12 @@
         self._loop = loop
 
     def now(self) -> Millis:
-        """Return the present instant in milliseconds."""
-        return self._loop.time() * SECOND
+        """Return the present instant in milliseconds, rounded up a little.
+
+        Seconds times a thousand can fall short of an instant by the last bit,
+        which no timer can wait for.
+        """
+        return self._loop.time() * SECOND + _ROUNDING
 
     def wall(self) -> int:
         """Return the present instant in whole seconds."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -51,7 +51,7 @@
 _ORDER_COST = 5
 _REQUEST_GAP_S = 0.25
 _ORDER_GAP_S = 1.5
-_POISON_SHARE = 0.0
+_POISON_SHARE = 0.004
 _DEADLINE: Millis = 8 * SECOND
 _LATE_LIMIT: Millis = 2 * SECOND
 """A frozen router tells nobody anything; its callers give up by themselves."""
