Tell a router that starts anew what is quarantined

Cause: the new integration test sends one poison under new ids to every router, kills one and starts it anew. It cost 3 engines of 3 before the news of crashes was exchanged, and 3 again in some runs afterwards, because news is told for 1.5 s and the successor had heard none.

Change: a router tells a newcomer all that stands in quarantine with the first heartbeats, and a newcomer serves only after one round of heartbeats.

Ruled out: telling it for ever, since two routers would then keep alive what each would forget alone; waiting in the test, since callers do not wait either.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -164,6 +164,11 @@
         """Take in another router's news of a crash."""
         self._state.quarantine.hear(content, target, now)
 
+    def list_crashes(self, now: Millis) -> list[Announce]:
+        """Return what a router that has just started must hear."""
+        strikes = self._state.quarantine.list_strikes(now)
+        return [Announce(content, target) for content, target in strikes]
+
     # Requests
 
     def arrive(self, work: Work, now: Millis) -> Actions:
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -178,6 +178,21 @@
             return
         self.crashed(content, target, now - _NEWS_AGE, now)
 
+    def list_strikes(self, now: Millis) -> list[tuple[str, str]]:
+        """Return each quarantined content with the targets that it cost.
+
+        A router that starts anew must learn them from the others, or the same
+        work would cost two more targets there.
+        """
+        return [
+            (content, target)
+            for content, record in self._records.items()
+            if len(record.strikes) >= _CRASHES
+            and now - record.asked <= FORGET_AFTER
+            and now - record.first <= _LONGEST
+            for target in record.strikes
+        ]
+
     def _find_incident(self, target: str, sent: Millis, now: Millis) -> _Incident:
         incidents = self._incidents.setdefault(target, deque())
         while incidents and now - incidents[0].at > _WINDOW:
--- a/anvilshift/router/crashes.py
+++ b/anvilshift/router/crashes.py
@@ -15,6 +15,9 @@
 """Three heartbeats; the quarantine takes news for at most two seconds old."""
 _REMEMBERED_FOR: Millis = 60 * SECOND
 """News heard again after the work was cleared must not blame it again."""
+_GREETED_FOR: Millis = 10 * SECOND
+"""A newcomer's record is seen up to some seconds before it is first heard."""
+_MOST_MET = 10_000
 
 
 class CrashNews:
@@ -26,6 +29,11 @@
         Called with a content and a target, once for each piece of news.
     beat
         Sends a heartbeat to every other router.
+
+    Attributes
+    ----------
+    list_standing
+        Returns what is quarantined now.
     """
 
     def __init__(
@@ -39,6 +47,9 @@
         self._beat = beat
         self._told: dict[Announce, Millis] = {}
         self._heard: dict[Announce, Millis] = {}
+        self._met: set[str] = set()
+        self._greeted: Millis = -_GREETED_FOR
+        self.list_standing: Callable[[], Iterable[Announce]] = tuple
         self._beating: set[asyncio.Future[None]] = set()
 
     def announce(self, news: Announce) -> None:
@@ -48,10 +59,27 @@
         self._beating.add(beating)
         beating.add_done_callback(self._beating.discard)
 
+    def greet(self, incarnation: str) -> None:
+        """Take in a router's incarnation; to one that is new all is told again.
+
+        A router that was killed and started anew has forgotten what crashed
+        targets.  Only newcomers are told: routers that told one another for
+        ever would keep alive what each would forget alone.
+        """
+        if incarnation in self._met:
+            return
+        if len(self._met) >= _MOST_MET:
+            self._met.clear()
+        self._met.add(incarnation)
+        self._greeted = self._clock.now()
+
     def list_told(self) -> list[Crash]:
         """Return what the next heartbeat carries."""
         self._told = self._keep_recent(self._told, _TOLD_FOR)
-        return [Crash(content=n.content, target=n.target) for n in self._told]
+        news = dict.fromkeys(self._told)
+        if self._clock.now() - self._greeted <= _GREETED_FOR:
+            news |= dict.fromkeys(self.list_standing())
+        return [Crash(content=n.content, target=n.target) for n in news]
 
     def hear(self, crashes: Iterable[Crash]) -> None:
         """Take in what a heartbeat carries."""
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -50,6 +50,10 @@
     return None
 
 
+def _ignore_newcomer(incarnation: str) -> None:
+    return None
+
+
 def _ignore_crashes(crashes: Iterable[Crash]) -> None:
     return None
 
@@ -91,6 +95,7 @@
         self.tell_targets: Callable[[], Iterable[str]] = tuple
         self.hear_targets: Callable[[str, Iterable[str]], None] = _ignore_targets
         self.tell_crashes: Callable[[], Iterable[Crash]] = tuple
+        self.greet: Callable[[str], None] = _ignore_newcomer
         self.hear_crashes: Callable[[Iterable[Crash]], None] = _ignore_crashes
         self.at_beat: Callable[[], None] = _ignore_beat
         self.read_revision: Callable[[], int] = lambda: self.member.revision
@@ -149,6 +154,7 @@
             # One record that can't be read must not end the watch of all.
             logging.error("router record unreadable name=%s %s", name, error)
             return
+        self.greet(member.incarnation)
         self.roster = self.roster.record(member, self._clock.now())
 
     async def leave(self) -> None:
@@ -280,6 +286,7 @@
             read_member(beat), read_vitals(beat), self._clock.now()
         )
         self.hear_targets(beat.router, beat.leaving_targets)
+        self.greet(beat.incarnation)
         self.hear_crashes(beat.crashes)
 
     async def _keep_beating(self) -> None:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -18,7 +18,7 @@
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
 from anvilshift.core.spreading import Entrance, order_entrances
-from anvilshift.core.work import DispatchSettings, LoadReport, Target
+from anvilshift.core.work import Announce, DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
 from anvilshift.peers.link import PeerLink
 from anvilshift.platform.paced import PacedStore
@@ -107,6 +107,8 @@
         self.dispatch.announce = self.crashes.announce
         self.fleet.tell_crashes = self.crashes.list_told
         self.fleet.hear_crashes = self.crashes.hear
+        self.fleet.greet = self.crashes.greet
+        self.crashes.list_standing = self._list_crashes
         self.fleet.at_beat = self._count_routers
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
@@ -114,6 +116,7 @@
         self.settled = False
         self._routers = 1
         self._broken = False
+        self._introduced = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerPort:
@@ -151,8 +154,20 @@
 
     def is_ready(self) -> bool:
         """Tell whether this router holds current declarations and its lease."""
-        current = self.follower.current.is_set()
-        return current and self.fleet.may_serve() and not self._broken
+        return self._introduced and self.fleet.may_serve() and not self._broken
+
+    async def _introduce(self) -> None:
+        """Hear the other routers once before serving.
+
+        A router that starts anew doesn't know what crashed targets lately;
+        what it served before the others told it could cost two more.
+        """
+        await self.follower.current.wait()
+        await self.fleet.beat_all()
+        self._introduced = True
+
+    def _list_crashes(self) -> list[Announce]:
+        return self.dispatcher.list_crashes(self.clock.now())
 
     def _configure(self, catalogue: Catalogue) -> None:
         self.gate.configure(catalogue)
@@ -233,6 +248,7 @@
             task = loop.create_task(work)
             task.add_done_callback(self._note_end)
             self._tasks.append(task)
+        self._tasks.append(loop.create_task(self._introduce()))
         for task in self.fleet.tasks:
             task.add_done_callback(self._note_end)
 
--- a/tests/router/test_crashes.py
+++ b/tests/router/test_crashes.py
@@ -38,3 +38,19 @@
         self.fleet.cut_peers()
         await wait_until(lambda: len(self.heard) == 2)
         self.assertEqual(self.heard[1], ("r3", "poison", "e1"))
+
+    async def test_router_that_starts_anew_hears_what_is_quarantined(self):
+        """A router is killed and replaced after a poison cost two targets.
+
+        Its successor knew nothing of it and lost a third target to the first
+        request that its callers sent again.
+        """
+        for target in ("e1", "e2"):
+            self.fleet.nodes["r1"].dispatcher.crashed("poison", target, 0.0)
+        await asyncio.sleep(30)
+        await self.fleet.start("r4")
+        node = self.fleet.nodes["r4"]
+        await wait_until(node.is_ready)
+        known = node.dispatcher.list_crashes(self.fleet.clock.now())
+        expected = [Announce("poison", "e1"), Announce("poison", "e2")]
+        self.assertEqual(known, expected)
