--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -21,8 +21,9 @@
 from anvilshift.router.claimed import ClaimedRuns
 from anvilshift.router.claims import ClaimBook
 from anvilshift.router.gate import Gate
+from anvilshift.router.registry import Runs, goes_on
 from anvilshift.router.requests import Job, read_chat, read_service_call
-from anvilshift.router.runs import Runs, Shared, goes_on
+from anvilshift.router.runs import Shared
 from anvilshift.router.services import ServiceCall
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -8,7 +8,7 @@
 from anvilshift.client.client import Conversation
 from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
 from anvilshift.engines.engine import Piece, Usage
-from anvilshift.router import runs
+from anvilshift.router import registry, runs
 from anvilshift.standins.engine import make_answer
 from anvilshift.wire.events import EventReader
 from anvilshift.wire.messages import HttpAnswer
@@ -225,7 +225,7 @@
         self.assertEqual(read_code(answer), (4005, "ran"))
 
     async def test_finished_answers_are_kept_within_a_bound(self):
-        with mock.patch.object(runs, "_MAX_FINISHED_CHARS", 200):
+        with mock.patch.object(registry, "_MAX_FINISHED_CHARS", 200):
             for number in range(10):
                 await self.fleet.chat(f"tank {number}", tokens=10)
             kept = self.fleet.nodes[0].callers.runs._runs.values()
