Let a repeat read on at a router that is leaving

Cause: during a planned stop a repeated key heard 3004 not run although its order ran at that very router.

Change: what runs there may be joined; new work is refused as before.

--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -78,8 +78,6 @@
             body = dump_json(self._addresses())
             await responder.send(Reply(200, [JSON_TYPE], body))
             return
-        if self.refusing:
-            raise AnvilshiftError(DRAINING, "", _RETRY_ELSEWHERE)
         self.calls += 1
         try:
             if request.path == CHAT_PATH and request.method == "POST":
@@ -92,6 +90,16 @@
             self.calls -= 1
             self._open.pop(asyncio.current_task(), None)
 
+    def _admit(self, job: Job) -> None:
+        """Refuse new work of a planned stop; what runs here may be read on.
+
+        A caller whose connection broke repeats its key.  Told *not run* while
+        its order runs at this very router, it could place the order anew.
+        """
+        if self.refusing and not self.claimed.has(job) and not self.runs.has(job):
+            raise AnvilshiftError(DRAINING, "", _RETRY_ELSEWHERE)
+        self._open[asyncio.current_task()] = job
+
     def list_open(self) -> list[tuple[str, str]]:
         """Return id and organisation of each request that has not ended."""
         jobs = {job.identity: job for job in self._open.values()}
@@ -105,7 +113,7 @@
         now = self._shared.clock.now()
         routes = dict(self._gate.catalogue.routes)
         job = read_chat(request, organisation, routes, now)
-        self._open[asyncio.current_task()] = job
+        self._admit(job)
         if job.non_idempotent:
             await self._chat_once(job, responder)
             return
@@ -146,7 +154,7 @@
             raise AnvilshiftError(UNKNOWN_ROUTE, "no such service")
         now = self._shared.clock.now()
         job = read_service_call(request, organisation, route, rest, now)
-        self._open[asyncio.current_task()] = job
+        self._admit(job)
         call = ServiceCall(self._shared, job, request, f"/{rest}")
         work = self._gate.make_work(job)
         if job.non_idempotent:
--- a/anvilshift/router/claimed.py
+++ b/anvilshift/router/claimed.py
@@ -53,6 +53,11 @@
         """Return the jobs whose work has not ended."""
         return [entry.job for entry in self._entries.values()]
 
+    def has(self, job: Job) -> bool:
+        """Tell whether the job's work runs here under its claim."""
+        entry = self._entries.get(job.identity)
+        return entry is not None and entry.job.content == job.content
+
     async def run(self, job: Job, work: Callable[[], Awaitable[Answer]]) -> Answer:
         """Return the answer of work that runs at most once under its key.
 
--- a/anvilshift/router/registry.py
+++ b/anvilshift/router/registry.py
@@ -68,6 +68,13 @@
         check_invariant(run.job.identity == job.identity, "a run answers another job")
         return run
 
+    def has(self, job: Job) -> bool:
+        """Tell whether a run that a job would join is under way."""
+        run = self._runs.get(job.identity)
+        if run is None or run.ended or run.job.content != job.content:
+            return False
+        return goes_on(run, job)
+
     async def find_claimed(self, identity: str) -> Run:
         """Wait until claimed work runs here, and return its run."""
         while True:
--- a/tests/router/test_claimed.py
+++ b/tests/router/test_claimed.py
@@ -124,6 +124,21 @@
         self.assertEqual(answer.status, 201)
         self.assertEqual(self.ran, 1)
 
+    async def test_order_is_read_on_at_a_router_that_is_leaving(self):
+        """A clerk's connection breaks while its router's planned stop begins.
+
+        The repeat heard 3004 *not run* of an order that ran at this router.
+        New work is refused all the same.
+        """
+        self.fleet.service.faults.delay_ms = 200.0
+        booking = asyncio.create_task(self.fleet.book("k"))
+        await wait_until(lambda: self.read_claim("k"))
+        booking.cancel()
+        self.fleet.nodes[0].callers.refusing = True
+        self.assertEqual(read_code(await self.fleet.book("new")), (3004, "not run"))
+        self.assertEqual((await self.fleet.book("k")).status, 201)
+        self.assertEqual(self.ran, 1)
+
     async def test_order_of_a_dead_router_is_unknown_at_once(self):
         """A router is killed after it sent a booking; its claim stays open.
 
