Test that an engine removed from its group gets no new work

Cause: the change of a declaration as the first sign was untested. Change: the test of leaving engines removes one and applies.

--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -6,6 +6,8 @@
 import time
 import unittest
 
+import yaml
+
 from anvilshift.client.client import CallError, Client, Conversation
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE
@@ -77,6 +79,15 @@
 
         await wait_until(works)
 
+    async def remove_engine(self, name):
+        path = next(self.fleet.declarations.rglob("engines.yaml"))
+        documents = list(yaml.safe_load_all(path.read_text()))
+        for document in documents:
+            engines = document["engines"]
+            document["engines"] = [e for e in engines if e["name"] != name]
+        path.write_text(yaml.safe_dump_all(documents))
+        self.assertTrue((await self.fleet.apply())["accepted"])
+
     async def set_hosts(self, **leaving):
         hosts = [
             {"name": n.replace("_", "-"), "leaving": v} for n, v in leaving.items()
@@ -116,6 +127,12 @@
         took["refused"] = await self.check_leaves("advisor-3", began)
         self.fleet.start_target("advisor-3", "engine")
         await self.check_returns("advisor-3")
+
+        began = time.monotonic()
+        await self.remove_engine("advisor-1")
+        took["declaration"] = time.monotonic() - began
+        self.assertLess(took["declaration"], WITHIN_S)
+        await self.check_idle_while_others_work("advisor-1")
         self.assertEqual(self.failed, 0)
         figures = {sign: round(span, 2) for sign, span in took.items()}
         print(f"seconds until no router sends new work: {json.dumps(figures)}")
