--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity pages inforce
+.PHONY: environment demo test format lint types doctest unit generate bench load load-quick soak mutants capacity pages inforce budgets quiet
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -61,3 +61,10 @@
 
 inforce: environment
 	$(BIN)/python -m bench.inforce
+
+# Ways to spend a budget, on the same requests in virtual time.
+budgets: environment
+	$(BIN)/python -m bench.budgets
+
+quiet: environment
+	$(BIN)/python -m bench.quiet
--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -14,6 +14,7 @@
 
 from anvilshift.core.clock import SECOND, MonotonicClock
 from anvilshift.core.errors import BAD_DECLARATION, BAD_SETTINGS, AnvilshiftError
+from anvilshift.operator.calling import Calls
 from anvilshift.operator.checking import ERROR, cross_check
 from anvilshift.operator.explaining import explain
 from anvilshift.operator.platformside import (
@@ -76,7 +77,7 @@
     return asyncio.run(work)
 
 
-class Commands:
+class Commands(Calls):
     """Operate a fleet of anvilshift routers.
 
     Example: anvilshift apply declarations --platform 127.0.0.1:7000
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -29,6 +29,7 @@
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fates import NEVER_RAN, Progress
 from anvilshift.router.requests import Job, digest
+from anvilshift.router.silence import WATCH, watch
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.router.treasury import Treasury
@@ -89,7 +90,10 @@
         self._progress = Progress()
         self._tokens = 0
         self._overrun = False
+        self._heard: Millis = 0.0
         self._begun = False
+        self._abandoned = False
+        self._generating: asyncio.Task[None] | None = None
         self._readers = 0
         self._changed = asyncio.Event()
         self._first_token: Millis | None = None
@@ -202,7 +206,7 @@
 
     async def _attempt_until_whole(self) -> None:
         dispatch = self._shared.dispatch
-        send = await dispatch.submit(self._work, self.stop)
+        send = await dispatch.submit(self._work, self._abandon)
         waited = self._shared.clock.now() - self.job.arrived
         self._shared.telemetry.record_queue(
             self.job.organisation.name, self.job.route.request_class, waited
@@ -210,8 +214,10 @@
         while True:
             sent_before = self._progress.sent
             try:
-                await self._generate(send)
-                return
+                if await self._generate_unless_abandoned(send):
+                    return
+                send = await dispatch.follow(self.job.identity)
+                continue
             except TargetError as error:
                 self._note_failure(send, error)
                 failure = error.failure
@@ -219,6 +225,31 @@
                 self._progress.sent = sent_before
             send = await dispatch.retry(self.job.identity, failure)
 
+    def _abandon(self) -> None:
+        """Stop the attempt under way; the run goes on at another target."""
+        if self._generating is not None:
+            self._abandoned = True
+            self._generating.cancel()
+
+    async def _generate_unless_abandoned(self, send: Send) -> bool:
+        """Make the answer; False when the attempt was abandoned."""
+        loop = asyncio.get_running_loop()
+        self._abandoned = False
+        self._generating = loop.create_task(self._generate(send))
+        try:
+            await self._generating
+            return True
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            # The run itself may be stopped at the same time.
+            if not self._abandoned or (task is not None and task.cancelling()):
+                raise
+            self._cancel_attempt()
+            self._shared.telemetry.count_event("attempt_abandoned")
+            return False
+        finally:
+            self._generating = None
+
     def _note_failure(self, send: Send, error: TargetError) -> None:
         if isinstance(error, LateAnswerError):
             self._shared.telemetry.count_event("late_answer")
@@ -242,22 +273,34 @@
         # Set before the first byte can leave: work that the deadline cuts off
         # in its midst must not be told "not run".
         self._progress.sent = True
-        async with (
-            engine.generate(call, timeout) as batches,
-            contextlib.aclosing(batches),
-        ):
-            async for batch in batches:
-                self._take(batch)
-                if len(self.text) > _MAX_ANSWER_CHARS:
-                    raise TargetError(Failure.BROKE_OFF, "the answer is over the limit")
-                if self._overrun:
-                    # The engine makes more than was asked for and reserved.
-                    self._cancel_attempt()
-                    self.finish = "length"
-                    return
+        self._heard = self._shared.clock.now()
+        with watch(lambda: self._is_silent(send.target)) as guard:
+            async with (
+                guard,
+                engine.generate(call, timeout) as batches,
+                contextlib.aclosing(batches),
+            ):
+                await self._take_all(batches)
+
+    def _is_silent(self, target: str) -> bool:
+        """Tell whether an engine has stopped answering, here and elsewhere."""
+        if self._shared.clock.now() - self._heard < WATCH:
+            return False
+        return self._shared.targets.is_silent(target)
+
+    async def _take_all(self, batches: AsyncGenerator[list[Piece]]) -> None:
+        async for batch in batches:
+            self._take(batch)
+            if len(self.text) > _MAX_ANSWER_CHARS:
+                raise TargetError(Failure.BROKE_OFF, "the answer is over the limit")
+            if self._overrun:
+                # The engine makes more than was asked for and reserved.
+                self._cancel_attempt()
+                self.finish = "length"
+                return
 
     def _take(self, batch: list[Piece]) -> None:
-        now = self._shared.clock.now()
+        now = self._heard = self._shared.clock.now()
         grown = False
         for piece in batch:
             if piece.text and self._tokens >= self.job.answer_bound:
@@ -312,11 +355,10 @@
             self.usage.total,
             until=job.deadline,
         )
-        self._shared.telemetry.record_bill(
-            job.organisation.name,
-            job.route.request_class,
-            self._shared.clock.now() - began,
-        )
+        waited = self._shared.clock.now() - began
+        self._shared.dispatch.recorded(waited)
+        organisation, kind = job.organisation.name, job.route.request_class
+        self._shared.telemetry.record_bill(organisation, kind, waited)
 
     def _bound_usage(self) -> Usage:
         """Return what to bill: the engine's count, within what was reserved.
@@ -343,6 +385,7 @@
         self.in_flight = 0
         self._shared = shared
         self._runs: dict[str, Run] = {}
+        self._began = asyncio.Event()
         self._finished: deque[Run] = deque()
         self._finished_chars = 0
 
@@ -364,7 +407,7 @@
         if found is not None:
             if found.job.content != job.content:
                 raise AnvilshiftError(KEY_REUSED)
-            if found.error is None and _goes_on(found, job):
+            if found.error is None and goes_on(found, job):
                 return found
         if job.resume_from != len(job.received):
             raise AnvilshiftError(
@@ -378,9 +421,19 @@
         run = Run(self._shared, job, work, self._note_end, after)
         self.in_flight += 1
         self._runs[job.identity] = run
+        self._began.set()
+        self._began = asyncio.Event()
         check_invariant(run.job.identity == job.identity, "a run answers another job")
         return run
 
+    async def find_claimed(self, identity: str) -> Run:
+        """Wait until claimed work runs here, and return its run."""
+        while True:
+            run = self._runs.get(identity)
+            if run is not None and run.job.non_idempotent and run.error is None:
+                return run
+            await self._began.wait()
+
     def _note_end(self, run: Run) -> None:
         self.in_flight -= 1
         self._finished.append(run)
@@ -407,7 +460,7 @@
                 del self._runs[oldest.job.identity]
 
 
-def _goes_on(found: Run, job: Job) -> bool:
+def goes_on(found: Run, job: Job) -> bool:
     """Tell whether a run's text goes on from what the caller has."""
     if job.received:
         return found.text.starts_with(job.received)
