Let an empty answer to an address look-up end no caller

Change: the client asks the next one, and its seeds at the end. Conclusion: the rule that no leaving host is given stands.

--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -180,7 +180,10 @@
                 if answer.status == 200:
                     value = json.loads(answer.body)
                     found = [Address.parse(i["address"]) for i in value["addresses"]]
-                    self._addresses = found or self._addresses
+                    # A router that is leaving and hears no other knows none.
+                    if not found:
+                        continue
+                    self._addresses = found
                     self._keep_until = self._clock.now() + float(value["keep_ms"])
                     return self._addresses
                 if answer.status == 401:
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -19,6 +19,7 @@
         self.silent = False
         self.server = HttpServer(self.handle)
         self.address = await self.server.start(ANY)
+        self.given = [{"address": str(self.address)}]
         self.client = Client([self.address], "token")
 
     async def asyncTearDown(self):
@@ -29,7 +30,7 @@
         if self.silent:
             await asyncio.Event().wait()
         if request.path == "/v1/addresses":
-            found = {"addresses": [{"address": str(self.address)}], "keep_ms": 1e6}
+            found = {"addresses": self.given, "keep_ms": 1e6}
             await responder.send(Reply(200, [JSON_TYPE], dump_json(found)))
             return
         await self.steps.pop(0)(responder)
@@ -51,6 +52,13 @@
         await responder.write(b"data: {]\n\n")
         await responder.finish()
 
+    async def test_router_that_knows_no_address_is_no_dead_end(self):
+        """The one router that answers is leaving and hears no other: its answer
+        to the look-up is empty.
+        """
+        self.given = []
+        self.assertEqual(await self.client.look_up(), [self.address])
+
     async def test_order_that_may_have_run_is_never_told_not_run(self):
         """The first sending is cut off; the second is refused by a drain.
 
