Count for a removal, and against it, the same routers

Cause: who may be removed was judged by those that the lost router can have known up to what it acknowledged, and serving on by all that a router hears. A router with an unreadable declaration acknowledges less than it knows; and newcomers that lost the platform together with a cut-off router helped it to a majority.

Change: each record and heartbeat says up to which revision its router knows the others; both counts take the routers that joined up to there.

Conclusion: the two counts now have one definition.

--- a/anvilshift/core/lease.py
+++ b/anvilshift/core/lease.py
@@ -72,12 +72,17 @@
             return 0.0
         return now - self._renewing_since
 
-    def may_serve(self, roster: Roster, now: Millis) -> bool:
+    def may_serve(self, roster: Roster, seen: int, now: Millis) -> bool:
         """Tell whether the router may take new work.
 
         It must be called at every heartbeat.  A router that stopped stays
         stopped until its next renewal: what it heard in between does not tell
         whether it was removed in the meantime.
+
+        Parameters
+        ----------
+        seen
+            Revision up to which the router knows the others' records.
         """
         since, self._checked = self._checked, now
         if self.holds(now):
@@ -85,7 +90,7 @@
         # After a pause of the process, heartbeats that waited in its sockets
         # arrive as if they were new; they say nothing of the present.
         paused = since is None or now - since > self.span / _GAP_SHARE
-        if self._renewed is None or paused or not roster.is_platform_out(now):
+        if self._renewed is None or paused or not roster.is_platform_out(seen, now):
             self._stopped = True
         return not self._stopped
 
--- a/anvilshift/core/membership.py
+++ b/anvilshift/core/membership.py
@@ -36,6 +36,8 @@
         Number of the renewal, so that two records can be told apart.
     since
         Revision of the platform that it had seen when it joined.
+    seen
+        Revision of the platform up to which it knows the others' records.
     """
 
     name: str
@@ -48,6 +50,7 @@
     leaving: bool = False
     beat: int = 0
     since: int = 0
+    seen: int = 0
 
 
 @dataclass(frozen=True)
@@ -115,6 +118,9 @@
         if old is not None and old.member == member:
             return self
         base = old if old and old.member.incarnation == member.incarnation else None
+        if base is not None:
+            # A watch can be behind a heartbeat; what a router knows never shrinks.
+            member = replace(member, seen=max(member.seen, base.member.seen))
         sighting = replace(base or Sighting(member, now), member=member, seen=now)
         return replace(self, sightings={**self.sightings, member.name: sighting})
 
@@ -139,11 +145,20 @@
     def _is_lost(self, sighting: Sighting, now: Millis) -> bool:
         return now - sighting.seen > self.lease
 
-    def is_platform_out(self, now: Millis) -> bool:
+    def _list_known(self, seen: int) -> list[Sighting]:
+        """Return the members that a router had to know at a revision."""
+        return [s for s in self.sightings.values() if s.member.since <= seen]
+
+    def is_platform_out(self, seen: int, now: Millis) -> bool:
         """Tell whether nobody heard renews, and a majority is heard.
 
         Then no router can be removed and no declaration accepted, because a
-        removal needs a majority that renews.
+        removal needs half of those that the removed one knows.
+
+        Parameters
+        ----------
+        seen
+            Revision up to which this router knows the others' records.
         """
         heard = [
             sighting
@@ -152,7 +167,11 @@
         ]
         if any(sighting.vitals.renewing_for > 0 for sighting in heard):
             return False
-        return 2 * (len(heard) + 1) > len(self.sightings) + 1
+        # Newcomers don't count: those that could remove this router don't
+        # count them either.
+        known = self._list_known(seen)
+        voices = sum(sighting in heard for sighting in known) + 1
+        return 2 * voices > len(known) + 1
 
     def may_remove(
         self, lost: Member, own: Member, renewing_for: Millis, now: Millis
@@ -168,7 +187,7 @@
             return False
         since = sighting.seen + self.lease
         settled = _SETTLED_LEASES * self.lease
-        known = [s for s in self.sightings.values() if s.member.since <= lost.revision]
+        known = self._list_known(lost.seen)
         voters = [
             s
             for s in known
@@ -176,7 +195,7 @@
             and s.heard >= since
             and s.vitals.renewing_for >= settled
         ]
-        own_known = own.since <= lost.revision
+        own_known = own.since <= lost.seen
         own_votes = own_known and renewing_for >= settled
         # A cut-off side that serves on has more than half, the lost one among
         # them; so half of all, without the lost one, meet it in some router.
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -94,6 +94,7 @@
         self.hear_crashes: Callable[[Iterable[Crash]], None] = _ignore_crashes
         self.at_beat: Callable[[], None] = _ignore_beat
         self.read_revision: Callable[[], int] = lambda: self.member.revision
+        self.read_seen: Callable[[], int] = lambda: self.member.revision
         self._store = store
         self._direct = direct or store
         self._link = link
@@ -124,7 +125,8 @@
         was gone may have missed what was accepted without it, so it first
         holds what was stored when its record came back.
         """
-        leased = self.lease.may_serve(self.roster, self._clock.now())
+        seen, now = self.read_seen(), self._clock.now()
+        leased = self.lease.may_serve(self.roster, seen, now)
         return leased and self.read_revision() >= self.must_hold
 
     def acknowledge(self, revision: int) -> None:
@@ -154,7 +156,8 @@
     async def leave(self) -> None:
         """Tell everyone that this router is leaving."""
         self.member = replace(self.member, leaving=True)
-        await self._renew()
+        if self._listed.is_set():
+            await self._renew()
         await self.beat_all()
 
     async def close(self) -> None:
@@ -187,7 +190,9 @@
     async def _renew(self) -> None:
         revision = max(self.member.revision, self.read_revision())
         beat = self.member.beat + 1
-        self.member = replace(self.member, beat=beat, revision=revision)
+        self.member = replace(
+            self.member, beat=beat, revision=revision, seen=self.read_seen()
+        )
         body = encode(self.member)
         absent = False
 
@@ -257,9 +262,8 @@
             self.may_serve() and not self.member.leaving,
             self._in_flight(),
         )
-        return make_heartbeat(
-            self.member, vitals, self.tell_targets(), self.tell_crashes()
-        )
+        member = replace(self.member, seen=self.read_seen())
+        return make_heartbeat(member, vitals, self.tell_targets(), self.tell_crashes())
 
     def _reaches_platform(self) -> bool:
         if isinstance(self._store, RelayedStore):
--- a/anvilshift/router/following.py
+++ b/anvilshift/router/following.py
@@ -47,6 +47,11 @@
         self._revision = 0
         self.current = asyncio.Event()
 
+    @property
+    def seen(self) -> int:
+        """Return the revision up to which everything was taken in."""
+        return self._revision
+
     @property
     def acknowledged(self) -> int:
         """Return the revision up to which every declaration is in force here.
--- a/anvilshift/router/messages.py
+++ b/anvilshift/router/messages.py
@@ -32,6 +32,7 @@
         revision=member.revision,
         beat=member.beat,
         since=member.since,
+        seen=member.seen,
         reaches_platform=vitals.reaches_platform,
         renewing_for_ms=vitals.renewing_for,
         serving=vitals.serving,
@@ -54,6 +55,7 @@
         beat.leaving,
         beat.beat,
         beat.since,
+        beat.seen,
     )
 
 
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -111,6 +111,7 @@
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
+        self.fleet.read_seen = lambda: self.follower.seen
         self.settled = False
         self._routers = 1
         self._broken = False
@@ -200,6 +201,8 @@
             "incarnation": self.incarnation,
             "ready": self.is_ready(),
             "leaving": self.fleet.member.leaving,
+            "holds_lease": self.fleet.lease.holds(self.clock.now()),
+            "reaches_platform": self.store.reaches_platform,
             "revision": self.fleet.member.revision,
             "in_flight": self.callers.in_flight,
             "waiting": self.dispatch.waiting,
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -10,10 +10,13 @@
 SETTLED = Vitals(renewing_for=2 * LEASE)
 
 
-def make_member(name, revision=100, since=1):
+SEEN = 100
+
+
+def make_member(name, seen=SEEN, since=1):
     address = "127.0.0.1:1"
     return Member(
-        name, f"{name}-a", name, address, address, "north", revision, since=since
+        name, f"{name}-a", name, address, address, "north", since=since, seen=seen
     )
 
 
@@ -35,13 +38,13 @@
         """Check at each heartbeat, as a router does; return the last verdict."""
         verdict = True
         for step in range(0, int(end) + 1, 500):
-            verdict = self.lease.may_serve(roster_at(float(step)), float(step))
+            verdict = self.lease.may_serve(roster_at(float(step)), SEEN, float(step))
         return verdict
 
     def test_isolated_router_stops_when_its_lease_lapses(self):
         roster = make_roster(r2=(SETTLED, 0.0), r3=(SETTLED, 0.0))
         self.assertTrue(self.serve_until(lambda now: roster, 4_000))
-        self.assertFalse(self.lease.may_serve(roster, 4_500.0))
+        self.assertFalse(self.lease.may_serve(roster, SEEN, 4_500.0))
 
     def test_whole_fleet_serves_on_through_an_outage(self):
         def all_out(now):
@@ -75,7 +78,9 @@
         self.assertFalse(self.serve_until(renews_until_six, 60_000))
         self.lease.begin(60_500.0)
         self.lease.succeed(60_510.0)
-        self.assertTrue(self.lease.may_serve(renews_until_six(60_510.0), 60_510.0))
+        self.assertTrue(
+            self.lease.may_serve(renews_until_six(60_510.0), SEEN, 60_510.0)
+        )
 
     def test_paused_router_does_not_believe_heartbeats_that_waited(self):
         """A router is paused in an outage, which ends during the pause.
@@ -88,7 +93,7 @@
             return make_roster(r2=(OUT, now), r3=(OUT, now))
 
         self.assertTrue(self.serve_until(all_out, 6_000))
-        self.assertFalse(self.lease.may_serve(all_out(30_000.0), 30_000.0))
+        self.assertFalse(self.lease.may_serve(all_out(30_000.0), SEEN, 30_000.0))
 
     def test_slow_renewal_counts_as_failed_for_others(self):
         self.lease.begin(1_000.0)
@@ -118,7 +123,7 @@
 
     def test_half_of_a_fleet_without_the_platform_does_not_serve(self):
         roster = make_roster(r2=(OUT, 4_500.0), r3=(OUT, 0.0), r4=(OUT, 0.0))
-        self.assertFalse(roster.is_platform_out(4_600.0))
+        self.assertFalse(roster.is_platform_out(SEEN, 4_600.0))
 
     def test_minority_with_the_platform_removes_nobody(self):
         """Of five routers one reaches the platform and hears no other.
@@ -134,6 +139,17 @@
         roster = make_roster(r2=(SETTLED, 3_900.0), r9=(SETTLED, 0.0))
         self.assertFalse(self.may_remove(roster))
 
+    def test_newcomers_do_not_help_a_cut_off_minority(self):
+        """Of three routers one is cut off.  Two that join meanwhile lose the
+        platform too, and all three hear each other: three of five, but only
+        one of those that can remove it.
+        """
+        roster = make_roster(r2=(SETTLED, 0.0), r3=(SETTLED, 0.0))
+        for name in ("r5", "r6"):
+            newcomer = make_member(name, since=SEEN + 1)
+            roster = roster.hear(newcomer, OUT, 4_500.0)
+        self.assertFalse(roster.is_platform_out(SEEN, 4_600.0))
+
     def test_router_that_renews_only_lately_does_not_count(self):
         late = Vitals(renewing_for=LEASE)
         roster = make_roster(r2=(late, 4_500.0), r9=(SETTLED, 0.0))
