--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity
+.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity pages
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -39,6 +39,18 @@
 generate: environment
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m anvilshift.peers.generate
 
+load: environment
+	$(BIN)/python -m bench.load
+
+load-quick: environment
+	$(BIN)/python -m bench.load --seeds 2
+
+bench: environment
+	$(BIN)/python -m bench.overhead
+
+capacity: environment
+	$(BIN)/python -m bench.capacity
+
 SEED ?= 1
 SECONDS ?= 300
 soak: environment
@@ -47,3 +59,6 @@
 # Ways to spend a budget, on the same requests in virtual time.
 budgets: environment
 	$(BIN)/python -m bench.budgets
+
+pages: environment
+	$(BIN)/python -m anvilshift.operator.codes > docs/ERRORS.md
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -441,14 +441,15 @@
         async with self._lock:
             await self._object.update(change_body(change))
 
-    async def give_back(self, account: str | None) -> None:
-        """Hand back what no request has reserved, with the next commit."""
+    async def give_back(self, account: str | None) -> bool:
+        """Hand back what no request has reserved; False if that wasn't recorded."""
         purses = self.escrow.purses
         names = [name for name in purses if account in (None, name)]
         for name in names:
             purses[name].give(self._clock.now())
         if any(purses[name].giving for name in names):
             await self._wait_round()
+        return self._failing_since is None
 
     async def close(self) -> None:
         """Settle everything and stop; the grants go back."""
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -89,9 +89,12 @@
         self._progress = Progress()
         self._tokens = 0
         self._overrun = False
+        self._begun = False
         self._readers = 0
         self._changed = asyncio.Event()
-        self._last_token: Millis | None = None
+        self._first_token: Millis | None = None
+        self._last_token: Millis = 0.0
+        self._longest_gap: Millis = 0.0
         self._attempt: tuple[str, str] | None = None
         self._unread: asyncio.TimerHandle | None = None
         loop = asyncio.get_running_loop()
@@ -179,6 +182,7 @@
         kind = job.route.request_class
         organisation = job.organisation.name
         shared.telemetry.count_answer(organisation, kind, code)
+        self._record_gaps()
         if self.error is None:
             span = shared.clock.now() - job.arrived
             shared.telemetry.record_whole(organisation, kind, span)
@@ -229,6 +233,7 @@
         job = self.job
         attempt = digest(job.identity, self.tag, str(send.attempt))
         self._attempt = (send.target, attempt)
+        self._begun = False
         engine = self._shared.targets.engine(send.target)
         if engine is None:
             raise TargetError(Failure.NOT_SENT, "the target is gone")
@@ -253,27 +258,47 @@
 
     def _take(self, batch: list[Piece]) -> None:
         now = self._shared.clock.now()
+        grown = False
         for piece in batch:
             if piece.text and self._tokens >= self.job.answer_bound:
                 self._overrun = True
             elif piece.text:
-                self._count_token(now)
+                grown = True
                 self.text.append(piece.text)
                 self._tokens += piece.tokens
             self.usage = piece.usage or self.usage
             self.finish = piece.finish or self.finish
+        # What arrived together reaches the caller together: a batch is one wait.
+        if grown:
+            self._count_wait(now)
         self._changed.set()
 
-    def _count_token(self, now: Millis) -> None:
-        telemetry, job = self._shared.telemetry, self.job
-        organisation, kind = job.organisation.name, job.route.request_class
-        if self._last_token is None:
-            telemetry.record_first(organisation, kind, now - job.arrived)
-            self._shared.dispatch.first_token(job.identity)
+    def _count_wait(self, now: Millis) -> None:
+        if not self._begun:
+            self._begun = True
+            self._shared.dispatch.first_token(self.job.identity)
+        if self._first_token is None:
+            telemetry, job = self._shared.telemetry, self.job
+            span = now - job.arrived
+            telemetry.record_first(job.organisation.name, job.route.request_class, span)
+            self._first_token = now
         else:
-            telemetry.record_gap(organisation, kind, now - self._last_token)
+            self._longest_gap = max(self._longest_gap, now - self._last_token)
         self._last_token = now
 
+    def _record_gaps(self) -> None:
+        # Once for an answer: a record for every token took a third of the
+        # processor of a router that streams.
+        if self._first_token is None or self._tokens < 2:
+            return
+        mean = (self._last_token - self._first_token) / (self._tokens - 1)
+        self._shared.telemetry.record_gaps(
+            self.job.organisation.name,
+            self.job.route.request_class,
+            mean,
+            self._longest_gap,
+        )
+
     async def _settle(self) -> None:
         job, treasury = self.job, self._shared.treasury
         self._progress.ran = True
@@ -362,6 +387,10 @@
         self._finished_chars += len(run.text)
         self._forget()
 
+    def list_jobs(self) -> list[Job]:
+        """Return the jobs of the runs that have not ended."""
+        return [run.job for run in self._runs.values() if not run.ended]
+
     def _forget(self) -> None:
         now = self._shared.clock.now()
         while self._finished:
--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -76,9 +76,12 @@
                 await treasury.reserve(account, job.identity, job.bound)
             answer = await self._attempt_until_answered(work)
             if job.bound:
-                name = job.organisation.name
                 await treasury.settle(
-                    account, job.identity, name, job.bound, until=job.deadline
+                    account,
+                    job.identity,
+                    job.organisation.name,
+                    job.bound,
+                    until=job.deadline,
                 )
             return answer
 
