--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -46,6 +46,9 @@
 _RETRY_PAUSE: Millis = 100.0
 _REFILL_TRIES = 2
 _CLOSE_WAIT: Millis = 2 * SECOND
+_COPY_TIME: Millis = 150.0
+"""Time before a deadline at which a bill is released within the allowance: one
+call to the witness, with room for a busy router."""
 _LAST_WORD: Millis = 20.0
 """Time before a deadline at which a caller is told that its bill isn't recorded;
 at the deadline itself it would be told only that the answer is late."""
@@ -211,23 +214,27 @@
         self._wake.set()
         until = None if until is None else until - _LAST_WORD
         wait = 0.0 if self.platform_out else RELEASE_AFTER
+        if until is not None:
+            # Sooner when the deadline is near: the next commit may come after
+            # it, and the whole answer would be for nothing.
+            wait = min(wait, until - _COPY_TIME - self._clock.now())
         while not done.done():
             left = wait if until is None else min(wait, until - self._clock.now())
             await asyncio.wait([done], timeout=max(0.0, left) / SECOND)
             if done.done() or await self._try_release(account, bill.key, until):
                 break
             if until is not None and self._clock.now() >= until:
-                raise AnvilshiftError(NOT_RECORDED)
+                raise _make_unrecorded("no commit was answered in time")
             wait = _RETRY_PAUSE
         if done.done() and done.result() is BillState.REFUSED:
-            raise AnvilshiftError(NOT_RECORDED, "the bill was refused")
+            raise _make_unrecorded("the bill was refused")
 
     async def _reserve_late(self, account: str, bill: Bill) -> None:
         # The work has run: a refusal that says "not run" would be untrue.
         try:
             await self.reserve(account, bill.key, bill.tokens)
         except AnvilshiftError as error:
-            raise AnvilshiftError(NOT_RECORDED, str(error)) from error
+            raise _make_unrecorded(str(error)) from error
 
     def _await_state(self, account: str, key: str) -> "asyncio.Future[BillState]":
         # Shared, for the same request may be settled twice at a time.
@@ -468,6 +475,10 @@
             await asyncio.wait(self._tasks, timeout=_CLOSE_WAIT / SECOND)
 
 
+def _make_unrecorded(detail: str) -> AnvilshiftError:
+    return AnvilshiftError(NOT_RECORDED, detail, RETRY_AFTER_UNREACHABLE)
+
+
 def _make_refusal(code: Code) -> AnvilshiftError:
     spent = code is BUDGET_EXHAUSTED
     retry = RETRY_AFTER_EXHAUSTED if spent else RETRY_AFTER_UNREACHABLE
--- a/tests/router/test_treasury.py
+++ b/tests/router/test_treasury.py
@@ -314,3 +314,19 @@
         work = [bank.treasuries[0].reserve("pounds", f"k{n}", 250) for n in range(50)]
         await asyncio.gather(*work, return_exceptions=True)
         self.assertLessEqual(bank.store.calls["put"] - before, 6)
+
+    @virtual
+    async def test_answer_that_ends_just_before_its_deadline_is_released(self):
+        """Callers send at the last moment, and the next commit is after it.
+
+        The caller would be told that its bill isn't recorded, with the whole
+        answer made and read.
+        """
+        bank = Bank()
+        await bank.open()
+        treasury = bank.treasuries[0]
+        await treasury.reserve("pounds", "a", 80)
+        bank.store.faults.after = lambda caller, verb: asyncio.sleep(0.3)
+        until = VirtualClock().now() + 200
+        await treasury.settle("pounds", "a", "kosice", 80, until=until)
+        self.assertLess(VirtualClock().now(), until)
