--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load soak mutants capacity pages
+.PHONY: environment demo test format lint types doctest unit generate bench load load-quick soak mutants capacity pages inforce budgets quiet
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -56,9 +56,15 @@
 soak: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS)
 
+pages: environment
+	$(BIN)/python -m anvilshift.operator.codes > docs/ERRORS.md
+
+inforce: environment
+	$(BIN)/python -m bench.inforce
+
 # Ways to spend a budget, on the same requests in virtual time.
 budgets: environment
 	$(BIN)/python -m bench.budgets
 
-pages: environment
-	$(BIN)/python -m anvilshift.operator.codes > docs/ERRORS.md
+quiet: environment
+	$(BIN)/python -m bench.quiet
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -46,13 +46,14 @@
 _RETRY_PAUSE: Millis = 100.0
 _REFILL_TRIES = 2
 _CLOSE_WAIT: Millis = 2 * SECOND
-_COPY_TIME: Millis = 150.0
-"""Time before a deadline at which a bill is released within the allowance: one
-call to the witness, with room for a busy router."""
 _LAST_WORD: Millis = 20.0
 """Time before a deadline at which a caller is told that its bill isn't recorded;
 at the deadline itself it would be told only that the answer is late."""
 
+_RELEASE_TIME: Millis = 100.0
+"""Time before the last word at which a bill that isn't recorded is released
+within the allowance instead: one call of the witness."""
+
 KeepCopies = Callable[[str, Bills], Awaitable[bool]]
 """Leaves copies of a holder's bills with other routers; False if none took them."""
 KeepWitnessed = Callable[[str, str, Bills], Awaitable[bool]]
@@ -215,9 +216,7 @@
         until = None if until is None else until - _LAST_WORD
         wait = 0.0 if self.platform_out else RELEASE_AFTER
         if until is not None:
-            # Sooner when the deadline is near: the next commit may come after
-            # it, and the whole answer would be for nothing.
-            wait = min(wait, until - _COPY_TIME - self._clock.now())
+            wait = min(wait, until - self._clock.now() - _RELEASE_TIME)
         while not done.done():
             left = wait if until is None else min(wait, until - self._clock.now())
             await asyncio.wait([done], timeout=max(0.0, left) / SECOND)
@@ -458,6 +457,12 @@
             await self._wait_round()
         return self._failing_since is None
 
+    def is_settled(self) -> bool:
+        """Tell whether every bill is recorded and what was given back is back."""
+        purses = self.escrow.purses.values()
+        open_purses = [purse for purse in purses if purse.pending or purse.giving]
+        return self._failing_since is None and not open_purses
+
     async def close(self) -> None:
         """Settle everything and stop; the grants go back."""
         if self._loop is not None:
--- a/anvilshift/settings/router.py
+++ b/anvilshift/settings/router.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.settings.files import IpPort, load_settings
 from anvilshift.wire.messages import DEFAULT_LIMITS, Address, Limits
 
+_HEARTBEATS_PER_LEASE = 4
+"""With fewer, one lost heartbeat and a slow one make a router look lost."""
+
 
 @dataclass(frozen=True)
 class RouterSettings:
@@ -25,6 +28,9 @@
         Addresses for callers, other routers and operators.
     platform
         Address of the object API.
+    platform_rate, platform_burst
+        Calls of the object API a second, and how many may be saved up.  Five
+        routers at 200 leave half of 2,000 reads a second to others.
     operator_credential
         SHA-256 of the token that operators present, in hexadecimal.
     commit_spacing
@@ -47,6 +53,8 @@
     operator_listen: Address
     platform: Address
     platform_credential: str = ""
+    platform_rate: float = 200.0
+    platform_burst: float = 100.0
     operator_credential: str = ""
     commit_spacing: Millis = 250.0
     lease: Millis = 5 * SECOND
@@ -76,6 +84,8 @@
 class _PlatformModel(_Model):
     address: IpPort
     credential: str = ""
+    calls_per_second: float = Field(default=RouterSettings.platform_rate, gt=0)
+    burst: float = Field(default=RouterSettings.platform_burst, ge=1)
 
 
 class _LimitsModel(_Model):
@@ -115,6 +125,33 @@
     attempts: int = Field(default=RouterSettings.attempts, ge=1)
     limits: _LimitsModel = _LimitsModel()
 
+    @model_validator(mode="after")
+    def _check_addresses(self) -> "_RouterModel":
+        found = {"platform.address": self.platform.address}
+        for key in ("listen", "peer_listen", "operator_listen"):
+            address = getattr(self, key)
+            for other, taken in found.items():
+                if taken == address:
+                    detail = f"{key}: expected another address than {other}, {taken}"
+                    raise ValueError(detail)
+            found[key] = address
+        return self
+
+    @model_validator(mode="after")
+    def _check_spans(self) -> "_RouterModel":
+        least = _HEARTBEATS_PER_LEASE * self.heartbeat_ms
+        if self.lease_ms < least:
+            raise ValueError(
+                f"lease_ms: expected at least {_HEARTBEATS_PER_LEASE} times "
+                f"heartbeat_ms, {least:g}; found {self.lease_ms:g}"
+            )
+        if self.grace_ms <= self.keep_addresses_ms:
+            raise ValueError(
+                f"grace_ms: expected more than keep_addresses_ms, "
+                f"{self.keep_addresses_ms:g}; found {self.grace_ms:g}"
+            )
+        return self
+
     def convert(self) -> RouterSettings:
         return RouterSettings(
             name=self.name,
@@ -125,6 +162,8 @@
             operator_listen=Address.parse(self.operator_listen),
             platform=Address.parse(self.platform.address),
             platform_credential=self.platform.credential,
+            platform_rate=self.platform.calls_per_second,
+            platform_burst=self.platform.burst,
             operator_credential=self.operator_credential,
             commit_spacing=self.commit_spacing_ms,
             lease=self.lease_ms,
--- a/tests/router/test_stopping.py
+++ b/tests/router/test_stopping.py
@@ -17,7 +17,13 @@
         self.abandoned = asyncio.Event()
 
     def begin(self, grace=30 * SECOND):
-        steps = StopSteps(self.leave, self.refuse, self.settle, lambda: self.open)
+        steps = StopSteps(
+            self.leave,
+            self.refuse,
+            self.settle,
+            lambda: len(self.open),
+            lambda: self.open,
+        )
         stop = PlannedStop(steps, 5 * SECOND, grace, self.abandoned)
         return stop, asyncio.ensure_future(stop.run())
 
