--- a/anvilshift/core/purse.py
+++ b/anvilshift/core/purse.py
@@ -27,6 +27,10 @@
 minutes of an opening burst."""
 CUSHION_SPAN: Millis = 3 * SECOND
 """Use that the cushion covers: several commits and their retries."""
+PLENTY = 4
+"""Free tokens, in levels, from which on the whole level is held: with so much
+left nobody lacks what lies idle here, and an opening burst after a quiet night
+finds it at hand instead of waiting for a commit."""
 LEAN_SPAN: Millis = 2 * SECOND
 """Time without a cushion after tokens were handed back for another router:
 drawn again at once, they would never get there."""
@@ -132,12 +136,13 @@
     def cushion(self, now: Millis) -> int:
         """Return the tokens wanted beyond what requests need.
 
-        Before anything is known it is the whole level.  An idle purse keeps
-        its allowance, which it would live on in an outage.
+        Before anything is known, and while the budget has plenty, it is the
+        whole level.  An idle purse keeps its allowance, which it would live on
+        in an outage.
         """
         if now < self.lean_until:
             return 0
-        if self.use is None:
+        if self.use is None or self.free >= PLENTY * self.level:
             return self.level
         used = self._decay(now) * CUSHION_SPAN / USE_SPAN
         return min(self.level, max(int(used), self.allowance))
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -223,17 +223,17 @@
             if done.done() or await self._try_release(account, bill.key, until):
                 break
             if until is not None and self._clock.now() >= until:
-                raise AnvilshiftError(NOT_RECORDED)
+                raise _make_unrecorded("no commit was answered in time")
             wait = _RETRY_PAUSE
         if done.done() and done.result() is BillState.REFUSED:
-            raise AnvilshiftError(NOT_RECORDED, "the bill was refused")
+            raise _make_unrecorded("the bill was refused")
 
     async def _reserve_late(self, account: str, bill: Bill) -> None:
         # The work has run: a refusal that says "not run" would be untrue.
         try:
             await self.reserve(account, bill.key, bill.tokens)
         except AnvilshiftError as error:
-            raise AnvilshiftError(NOT_RECORDED, str(error)) from error
+            raise _make_unrecorded(str(error)) from error
 
     def _await_state(self, account: str, key: str) -> "asyncio.Future[BillState]":
         # Shared, for the same request may be settled twice at a time.
@@ -447,14 +447,15 @@
         async with self._lock:
             await self._object.update(change_body(change))
 
-    async def give_back(self, account: str | None) -> None:
-        """Hand back what no request has reserved, with the next commit."""
+    async def give_back(self, account: str | None) -> bool:
+        """Hand back what no request has reserved; False if that wasn't recorded."""
         purses = self.escrow.purses
         names = [name for name in purses if account in (None, name)]
         for name in names:
             purses[name].give(self._clock.now())
         if any(purses[name].giving for name in names):
             await self._wait_round()
+        return self._failing_since is None
 
     def is_settled(self) -> bool:
         """Tell whether every bill is recorded and what was given back is back."""
@@ -479,6 +480,10 @@
             await asyncio.wait(self._tasks, timeout=_CLOSE_WAIT / SECOND)
 
 
+def _make_unrecorded(detail: str) -> AnvilshiftError:
+    return AnvilshiftError(NOT_RECORDED, detail, RETRY_AFTER_UNREACHABLE)
+
+
 def _make_refusal(code: Code) -> AnvilshiftError:
     spent = code is BUDGET_EXHAUSTED
     retry = RETRY_AFTER_EXHAUSTED if spent else RETRY_AFTER_UNREACHABLE
