--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -12,7 +12,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import InvariantError
 from anvilshift.core.ledger import BillKey, Commit, Outcome
-from anvilshift.core.purse import LEAN_SPAN, Purse
+from anvilshift.core.purse import Purse
 
 Bills = tuple[tuple[str, Bill], ...]
 """Bills with the accounts that they belong to."""
@@ -145,8 +145,9 @@
         draws = {}
         for name, purse in self.purses.items():
             if account in (None, name) and not purse.frozen:
-                purse.lean_until = now + LEAN_SPAN
-                draws[name] = purse.draw(now, cushion=0)
+                purse.give(now)
+                purse.giving = True
+                draws[name] = purse.draw(now)
         return self._make_commit(draws, closing)
 
     def close(self) -> Commit:
@@ -169,6 +170,21 @@
         for (name, key), state in states.items():
             self._drop_bill(name, key, state)
 
+    def adopt(self, states: Mapping[BillKey, BillState], bills: Bills) -> None:
+        """Carry over the bills that were refused when handed in.
+
+        The witness had closed before it got a copy: the answer hasn't ended,
+        and its bill is drawn for anew.
+        """
+        for name, bill in bills:
+            if states.get((name, bill.key)) is BillState.REFUSED:
+                purse = self.purses[name]
+                heirs = replace(bill, holder=self.holder, after=self.begun)
+                purse.pending.setdefault(bill.key, heirs)
+                # The bill may take tokens that back other requests here, so
+                # those are as uncertain until the grant covers all again.
+                purse.carried = set(purse.reserved) | set(purse.pending)
+
     def succeed(self, holder: str) -> "Escrow":
         """Return the escrow of the holder that follows this one, now sealed.
 
--- a/anvilshift/router/crashes.py
+++ b/anvilshift/router/crashes.py
@@ -1,49 +1,69 @@
-"""Tell the other routers at once which content crashed a target, and hear it."""
+"""Exchange news of crashed targets with the other routers.
 
-from collections import deque
-from collections.abc import Callable, Iterable
+A request that crashes what runs it comes back through another router within
+milliseconds, so news goes out at once and with the next few heartbeats.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.work import Announce
+from anvilshift.peers.generated.peers_pb2 import Crash
 
-_TOLD_FOR: Millis = 10 * SECOND
-"""News goes out at once and with each heartbeat for so long: a caller sends a
-failed request again within seconds, and a lost heartbeat must not hide it."""
-_MOST_TOLD = 200
+_TOLD_FOR: Millis = 1.5 * SECOND
+"""Three heartbeats; the quarantine takes news for at most two seconds old."""
+_REMEMBERED_FOR: Millis = 60 * SECOND
+"""News heard again after the work was cleared must not blame it again."""
 
 
 class CrashNews:
-    """News of crashes, from this router and to it.
+    """What this router tells and has heard of crashes.
 
     Parameters
     ----------
-    hurry
-        Sends a heartbeat to every router now.
+    take
+        Called with a content and a target, once for each piece of news.
+    beat
+        Sends a heartbeat to every other router.
     """
 
     def __init__(
-        self, dispatcher: Dispatcher, clock: Clock, hurry: Callable[[], None]
+        self,
+        clock: Clock,
+        take: Callable[[str, str], None],
+        beat: Callable[[], Awaitable[None]],
     ) -> None:
-        self._dispatcher = dispatcher
         self._clock = clock
-        self._hurry = hurry
-        self._told: deque[tuple[Millis, Announce]] = deque(maxlen=_MOST_TOLD)
-
-    def tell(self, news: Announce) -> None:
-        """Send news out."""
-        self._told.append((self._clock.now(), news))
-        self._hurry()
-
-    def list_recent(self) -> list[Announce]:
-        """Return what each heartbeat carries."""
-        oldest = self._clock.now() - _TOLD_FOR
-        while self._told and self._told[0][0] < oldest:
-            self._told.popleft()
-        return [news for _, news in self._told]
-
-    def hear(self, news: Iterable[Announce]) -> None:
-        """Take in another router's news, which may have come before."""
+        self._take = take
+        self._beat = beat
+        self._told: dict[Announce, Millis] = {}
+        self._heard: dict[Announce, Millis] = {}
+        self._beating: set[asyncio.Future[None]] = set()
+
+    def announce(self, news: Announce) -> None:
+        """Tell the other routers of a crash."""
+        self._told[news] = self._heard[news] = self._clock.now()
+        beating = asyncio.ensure_future(self._beat())
+        self._beating.add(beating)
+        beating.add_done_callback(self._beating.discard)
+
+    def list_told(self) -> list[Crash]:
+        """Return what the next heartbeat carries."""
+        self._told = self._keep_recent(self._told, _TOLD_FOR)
+        return [Crash(content=n.content, target=n.target) for n in self._told]
+
+    def hear(self, crashes: Iterable[Crash]) -> None:
+        """Take in what a heartbeat carries."""
+        self._heard = self._keep_recent(self._heard, _REMEMBERED_FOR)
+        for item in crashes:
+            news = Announce(item.content, item.target)
+            if news not in self._heard:
+                self._heard[news] = self._clock.now()
+                self._take(news.content, news.target)
+
+    def _keep_recent(
+        self, news: dict[Announce, Millis], span: Millis
+    ) -> dict[Announce, Millis]:
         now = self._clock.now()
-        for crash in news:
-            self._dispatcher.crashed(crash.content, crash.target, now)
+        return {item: at for item, at in news.items() if now - at <= span}
--- a/anvilshift/router/stopping.py
+++ b/anvilshift/router/stopping.py
@@ -26,6 +26,8 @@
         Turns new work away from now on.
     settle
         Records bills and gives grants back; False when it failed.
+    count_open
+        Returns how much is in flight, records of outcomes included.
     list_open
         Returns the requests in flight as pairs of id and organisation.
     """
@@ -33,6 +35,7 @@
     leave: Callable[[], Awaitable[None]]
     refuse: Callable[[], None]
     settle: Callable[[], Awaitable[bool]]
+    count_open: Callable[[], int]
     list_open: Callable[[], list[tuple[str, str]]]
 
 
@@ -61,7 +64,7 @@
     async def run(self) -> int:
         """Stop; return how many requests were cut off."""
         steps = self._steps
-        logging.info("planned stop begins in_flight=%d", len(steps.list_open()))
+        logging.info("planned stop begins in_flight=%d", steps.count_open())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._grace / SECOND):
                 await self._unless_abandoned(steps.leave())
@@ -92,7 +95,7 @@
             leaving.cancel()
 
     async def _wait_idle(self) -> None:
-        while self._steps.list_open():
+        while self._steps.count_open():
             await asyncio.sleep(_IDLE_CHECK / SECOND)
 
     async def _settle(self) -> None:
