--- a/bench/load/measures.py
+++ b/bench/load/measures.py
@@ -10,6 +10,7 @@
 
 _RECOVERED = 0.95
 _BUCKET: Millis = 0.5 * SECOND
+_SETTLED: Millis = 3 * SECOND
 
 Figures = dict[str, float]
 
@@ -83,6 +84,17 @@
     return max(0.0, last - end) / SECOND
 
 
+def _measure_faulty(result: Result) -> float:
+    """Return what part of the work goes to faulty targets three seconds on."""
+    events = result.trace.events
+    faults = {e.target: e.at for e in events if e.kind in ("slow", "failing")}
+    if not faults:
+        return 0.0
+    begin = max(faults.values()) + _SETTLED
+    sent = [target for at, target in result.sent if at >= begin]
+    return sum(target in faults for target in sent) / max(1, len(sent))
+
+
 def _measure_hopeless(result: Result) -> float:
     """Return how long after they became hopeless callers were refused (p99).
 
@@ -131,6 +143,7 @@
         "hopeless p99 ms": _measure_hopeless(result),
         "jain": _measure_fairness(result),
         "recovery s": _measure_recovery(result),
+        "to faulty after 3 s": _measure_faulty(result),
         "engine queue p99": percentile((s[2] for s in result.samples), 0.99),
         "crashes": float(result.crashes),
         "bare refusals": float(sum(not o.retry_after for o in refused)),
