Bound what is kept of targets that never report, and hear restarted ones

Cause: plain services never report, so the history of own work grew without end; an engine that restarts numbers its cache events anew and was ignored; and each pair of organisation and route held its own list of candidates, some 260 MB at 270 organisations, 24 models and 450 engines by reckoning.

Ruled out: numbers alone as a sign of a restart below one (late events look the same), so only a first number or a refused connection counts.

Change: at most 1,000 changes are kept, a refused connection or a first number empties the belief, organisations with equal candidates share one object.

--- a/anvilshift/core/concurrency.py
+++ b/anvilshift/core/concurrency.py
@@ -31,6 +31,9 @@
 """How much the others' load is taken to be like the own, which is up to date,
 in place of the last report, which isn't.  Half was best on the traces of stale
 reports and of a hot prefix; either alone was worse on one of them."""
+_MOST_CHANGES = 1_000
+"""Changes of the own number that are kept for a report to come: seconds of a
+busy target, and a bound for one that never reports."""
 _GROWTH = 1.0
 _MOST_GROWTH = 2.0
 """A target that is full without a queue is offered one more with each report,
@@ -61,7 +64,8 @@
         self._declared = slots
         self._slots = float(slots)
         self._routers = max(1, routers)
-        self._history: deque[tuple[Millis, int]] = deque([(float("-inf"), 0)])
+        first = float("-inf"), 0
+        self._history: deque[tuple[Millis, int]] = deque([first], _MOST_CHANGES)
         self._reported: Millis | None = None
         self._as_of: Millis = float("-inf")
         self._set_unreported()
--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -229,6 +229,9 @@
             content, name, failure, attempt.sent, now, begun
         ):
             actions.append(Announce(content, name))
+        if failure is Failure.NOT_SENT:
+            # Nobody listens there: it restarts, with an empty cache.
+            self._state.prefixes.forget(name)
         self._sender.stop(identity, now)
         if attempt.counts:
             bay.health.add_failure(content or identity)
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -23,7 +23,7 @@
 _LONG_PART = 0.7
 """Part of the slots that long work may hold: the rest turns over quickly for
 short work, and long work alone still fills most of the targets."""
-_MOST_REMEMBERED = 10_000
+_MOST_REMEMBERED = 1_000
 
 
 @dataclass(eq=False)
--- a/anvilshift/core/prefixes.py
+++ b/anvilshift/core/prefixes.py
@@ -18,6 +18,9 @@
 from anvilshift.core.sampling import SampledSet
 from anvilshift.core.work import CacheEvent
 
+_FIRST_SEQUENCE = 1
+"""A number so low after a higher one: the target has restarted, its cache is
+empty, and it would count for long below what was seen before."""
 _MOST_BLOCKS = 4_096
 """Blocks believed at one target: about 100 bytes each, so that a thousand
 targets cost a router some hundred megabytes at most and usually far less."""
@@ -45,7 +48,9 @@
     def take(self, event: CacheEvent) -> None:
         """Take in a cache event."""
         last = self._sequences.get(event.target)
-        if last is not None and event.sequence <= last:
+        if last is not None and event.sequence <= min(last, _FIRST_SEQUENCE):
+            self.forget(event.target)
+        elif last is not None and event.sequence <= last:
             return
         self._sequences[event.target] = event.sequence
         for block in event.evicted:
--- a/anvilshift/router/gate.py
+++ b/anvilshift/router/gate.py
@@ -48,11 +48,13 @@
         self.catalogue = Catalogue()
         self._by_credential: dict[str, Organisation] = {}
         self._candidates: dict[tuple[str, str], dict[str, int]] = {}
+        self._shared: dict[frozenset[tuple[str, int]], dict[str, int]] = {}
 
     def configure(self, catalogue: Catalogue) -> None:
         """Take in a new catalogue."""
         self.catalogue = catalogue
         self._candidates.clear()
+        self._shared.clear()
         self._by_credential = {
             credential: organisation
             for organisation in catalogue.organisations.values()
@@ -99,10 +101,13 @@
     def _list_candidates(
         self, organisation: Organisation, route: Route
     ) -> dict[str, int]:
-        # One object for each pair: the dispatcher knows a set of candidates
-        # again by its identity and need not read it for each request.
+        # Organisations with the same candidates share one object: the
+        # dispatcher knows it again by its identity, and ten thousand pairs of
+        # organisation and route cost no more than the few distinct ones.
         key = organisation.name, route.name
         if key not in self._candidates:
             found = self.catalogue.candidates(organisation, route)
-            self._candidates[key] = {c.engine.name: c.priority for c in found}
+            fresh = {c.engine.name: c.priority for c in found}
+            shared = self._shared.setdefault(frozenset(fresh.items()), fresh)
+            self._candidates[key] = shared
         return self._candidates[key]
