Believe other routers' blame although an own suspect was aboard

A router whose own suspect was at the second engine took that one for the culprit and ignored the news of the other router's poison, which then ran once more through it.

Ruled out: telling which of the two suspects it was (nothing tells).

Change: news is believed whatever was aboard here; both are blamed.

--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -161,6 +161,14 @@
         # separate events and must not make suspects of them as well.
         if incident.suspect not in (None, content):
             return False
+        if not self._blame(content, target, incident, now):
+            return False
+        self._records[content].unbegun |= not begun
+        return True
+
+    def _blame(
+        self, content: str, target: str, incident: _Incident, now: Millis
+    ) -> bool:
         if content in incident.contents:
             return False
         incident.contents.add(content)
@@ -168,15 +176,22 @@
             self._withdraw(target)
             return False
         self._strike(content, target, now)
-        self._records[content].unbegun |= not begun
         return True
 
     def hear(self, content: str, target: str, now: Millis) -> None:
-        """Take in another router's news of a crash; repeated news is one."""
+        """Take in another router's news of a crash; repeated news is one.
+
+        Two routers may each have had a suspect at the target.  Which of the
+        two it was nobody can tell then, and both are blamed: were the other
+        router's ignored for the own one, the poison could cost a third target
+        through this router.
+        """
         record = self._records.get(content)
         if record is not None and target in record.strikes:
             return
-        self.crashed(content, target, now - _NEWS_AGE, now)
+        incident = self._find_incident(target, now - _NEWS_AGE, now)
+        if self._blame(content, target, incident, now):
+            self._records[content].unbegun = True
 
     def _find_incident(self, target: str, sent: Millis, now: Millis) -> _Incident:
         incidents = self._incidents.setdefault(target, deque())
--- a/bench/load/engines.py
+++ b/bench/load/engines.py
@@ -94,7 +94,7 @@
         self._numbers = itertools.count()
         self._sequence = 0
         self._held: OrderedDict[str, None] = OrderedDict()
-        self._streams: set[Stream] = set()
+        self._streams: dict[Stream, None] = {}
         self._decoding: list[tuple[float, int, Stream]] = []
         self._count = 0
         self._made = 0.0
@@ -128,7 +128,7 @@
             self._count -= 1
             stream.made = min(stream.tokens, self._made - stream.start)
         stream.state = "ended"
-        self._streams.discard(stream)
+        self._streams.pop(stream, None)
         self._admit()
         self._schedule()
 
@@ -171,7 +171,7 @@
             _, _, stream = heapq.heappop(self._waiting)
             if stream.state != "waiting":
                 continue
-            self._streams.add(stream)
+            self._streams[stream] = None
             stream.state = "prefill"
             span = self._prefill(stream) * self.faults.slow
             at = self._timeline.now + span
@@ -243,7 +243,7 @@
         stream.state = "ended"
         stream.made = stream.tokens
         self._count -= 1
-        self._streams.discard(stream)
+        self._streams.pop(stream, None)
         self._admit()
         self._schedule()
         stream.on_done()
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -30,6 +30,21 @@
         self.assertFalse(book.is_suspect("neighbour"))
         self.assertTrue(book.is_quarantined("suspect", 21.0))
 
+    def test_poison_is_known_although_an_own_suspect_was_aboard_too(self):
+        """Two routers each had a suspect at the engine that crashed second.
+
+        A router that blamed its own suspect alone would run the other's
+        poison once more and lose a third engine.
+        """
+        book = Quarantine()
+        book.crashed("own", "e1", sent=0.0, now=10.0)
+        book.hear("poison", "e1", now=11.0)
+        book.sent("own", "e2")
+        book.crashed("own", "e2", sent=12.0, now=20.0)
+        for _ in range(2):
+            book.hear("poison", "e2", now=21.0)
+        self.assertTrue(book.is_quarantined("poison", 22.0))
+
     def test_second_suspect_waits_for_a_target_of_its_own(self):
         book = Quarantine()
         book.sent("suspect", "e1")
