Name the dispatcher's view of a target for what it is

Cause: bay, aboard and strike are images; the code asks for plain terms. Ruled out: node and backend (the users' words are engine and target). Change: names only.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -13,7 +13,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.concurrency import STALE, Limit
 from anvilshift.core.errors import ENGINE_FAILED, NO_ENGINE, QUARANTINED
-from anvilshift.core.pools import Bay, Pool, Pools
+from anvilshift.core.pools import Pool, Pools, TargetView
 from anvilshift.core.quarantine import FORGET_AFTER
 from anvilshift.core.queue import Entry
 from anvilshift.core.retries import BACKOFF
@@ -75,19 +75,19 @@
     def configure(self, targets: Iterable[Target], now: Millis) -> Actions:
         """Take in the targets that are declared now."""
         declared = {target.name: target for target in targets}
-        for name in set(self._state.bays) - set(declared):
+        for name in set(self._state.views) - set(declared):
             # Work that still runs there must not draw more work when it ends.
-            self._state.bays.pop(name).pools = []
+            self._state.views.pop(name).pools = []
             self._state.prefixes.forget(name)
         for name, target in declared.items():
             self._declare(name, target)
         waiting = [entry for entry, _ in self._backlog.entries.values()]
         self._backlog.entries.clear()
-        self._state.pools = Pools(self._state.bays)
-        for bay in self._state.bays.values():
-            bay.pools = []
-            bay.kind.pools = []
-            bay.kind.bays = {bay.target.name: bay}
+        self._state.pools = Pools(self._state.views)
+        for view in self._state.views.values():
+            view.pools = []
+            view.kind.pools = []
+            view.kind.views = {view.target.name: view}
         actions: Actions = []
         for entry in waiting:
             entry.lane = None
@@ -95,30 +95,30 @@
         return actions
 
     def _declare(self, name: str, target: Target) -> None:
-        bay = self._state.bays.get(name)
-        if bay is None:
-            bay = Bay(target, Limit(target.slots, self._routers))
-            self._state.bays[name] = bay
-        bay.target = target
-        bay.limit.set_slots(target.slots)
-        self._state.refresh(bay, draw=True)
+        view = self._state.views.get(name)
+        if view is None:
+            view = TargetView(target, Limit(target.slots, self._routers))
+            self._state.views[name] = view
+        view.target = target
+        view.limit.set_slots(target.slots)
+        self._state.refresh(view, draw=True)
 
     def set_routers(self, routers: int) -> None:
         """Take in how many routers share the targets."""
         self._routers = routers
-        for bay in self._state.bays.values():
-            bay.limit.set_routers(routers)
-            self._state.refresh(bay, draw=True)
+        for view in self._state.views.values():
+            view.limit.set_routers(routers)
+            self._state.refresh(view, draw=True)
 
     def leaving(self, target: str, now: Millis) -> Actions:
         """Take in that a target is leaving: it gets no new work."""
-        bay = self._state.bays.get(target)
-        if bay is None or bay.leaving:
+        view = self._state.views.get(target)
+        if view is None or view.leaving:
             return []
-        bay.leaving = True
-        self._state.refresh(bay)
+        view.leaving = True
+        self._state.refresh(view)
         actions: Actions = []
-        for pool in bay.pools:
+        for pool in view.pools:
             pool.usable -= 1
             if not pool.usable:
                 actions += self._backlog.give_up_all(pool)
@@ -126,37 +126,37 @@
 
     def staying(self, target: str, now: Millis) -> Actions:
         """Take in that a target is not leaving after all."""
-        bay = self._state.bays.get(target)
-        if bay is None or not bay.leaving:
+        view = self._state.views.get(target)
+        if view is None or not view.leaving:
             return []
-        bay.leaving = False
-        for pool in bay.pools:
+        view.leaving = False
+        for pool in view.pools:
             pool.usable += 1
-        self._state.refresh(bay)
-        return self._sender.fill(bay, now)
+        self._state.refresh(view)
+        return self._sender.fill(view, now)
 
     def load_report(self, report: LoadReport, now: Millis) -> Actions:
         """Take in a target's late report of its load."""
-        bay = self._state.bays.get(report.target)
-        if bay is None:
+        view = self._state.views.get(report.target)
+        if view is None:
             return []
-        if not bay.limit.reported:
-            self._state.timers.at(now + STALE, lambda at: self._check_reports(bay, at))
-        bay.limit.report(report, now)
-        self._state.refresh(bay, draw=True)
-        return self._sender.fill(bay, now)
+        if not view.limit.reported:
+            self._state.timers.at(now + STALE, lambda at: self._check_reports(view, at))
+        view.limit.report(report, now)
+        self._state.refresh(view, draw=True)
+        return self._sender.fill(view, now)
 
-    def _check_reports(self, bay: Bay, now: Millis) -> Actions:
+    def _check_reports(self, view: TargetView, now: Millis) -> Actions:
         """Stop trusting the figures of a target whose reports have stopped."""
-        if not bay.limit.expire(now):
-            self._state.timers.at(now + STALE, lambda at: self._check_reports(bay, at))
+        if not view.limit.expire(now):
+            self._state.timers.at(now + STALE, lambda at: self._check_reports(view, at))
             return []
-        self._state.refresh(bay, draw=True)
-        return self._sender.fill(bay, now)
+        self._state.refresh(view, draw=True)
+        return self._sender.fill(view, now)
 
     def cache_event(self, event: CacheEvent, now: Millis) -> Actions:
         """Take in a change of a target's prefix cache."""
-        if event.target in self._state.bays:
+        if event.target in self._state.views:
             self._state.prefixes.take(event)
         return []
 
@@ -190,14 +190,14 @@
         durations = attempt.pool.kind.durations
         self._upkeep.compare(attempt, span)
         durations.add_first(work, span, now, attempt.warm)
-        return self._upkeep.check_health(attempt.bay, now)
+        return self._upkeep.check_health(attempt.view, now)
 
     def done(self, identity: str, tokens: int, now: Millis) -> Actions:
         """Take in that an answer is whole."""
         attempt = self._sender.stop(identity, now)
         if attempt is None:
             return []
-        work, bay = attempt.entry.work, attempt.bay
+        work, view = attempt.entry.work, attempt.view
         durations = attempt.pool.kind.durations
         if attempt.first is None:
             span = now - attempt.sent
@@ -206,11 +206,11 @@
         else:
             durations.add_whole(work, tokens, now - attempt.first, now)
         if attempt.counts:
-            bay.health.add_answer()
+            view.health.add_answer()
         self._state.retries.earn()
         self._state.quarantine.clear(work.content)
-        self._state.refresh(bay)
-        return [*self._upkeep.check_health(bay, now), *self._sender.fill(bay, now)]
+        self._state.refresh(view)
+        return [*self._upkeep.check_health(view, now), *self._sender.fill(view, now)]
 
     def recorded(self, span: Millis) -> None:
         """Take in how long the end of an answer waited for its bill."""
@@ -221,8 +221,8 @@
         attempt = self._sender.running.get(identity)
         if attempt is None:
             return []
-        entry, bay, content = attempt.entry, attempt.bay, attempt.entry.work.content
-        name = bay.target.name
+        entry, view, content = attempt.entry, attempt.view, attempt.entry.work.content
+        name = view.target.name
         actions: Actions = []
         begun = attempt.first is not None
         if self._state.quarantine.failed(
@@ -234,11 +234,11 @@
             self._state.prefixes.forget(name)
         self._sender.stop(identity, now)
         if attempt.counts:
-            bay.health.add_failure(content or identity)
-        self._state.refresh(bay)
-        actions += self._upkeep.check_health(bay, now)
+            view.health.add_failure(content or identity)
+        self._state.refresh(view)
+        actions += self._upkeep.check_health(view, now)
         actions += self._retry(entry, failure, now)
-        return [*actions, *self._sender.fill(bay, now)]
+        return [*actions, *self._sender.fill(view, now)]
 
     def cancel(self, identity: str, now: Millis) -> Actions:
         """Take in that the caller left, or that the request is given up."""
@@ -249,8 +249,8 @@
         attempt = self._sender.stop(identity, now)
         if attempt is None:
             return []
-        self._state.refresh(attempt.bay)
-        return self._sender.fill(attempt.bay, now)
+        self._state.refresh(attempt.view)
+        return self._sender.fill(attempt.view, now)
 
     # Time
 
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -34,20 +34,20 @@
     durations: Durations = field(default_factory=Durations)
     typical: Mean = field(default_factory=lambda: Mean(1.0))
     pools: "list[Pool]" = field(default_factory=list)
-    bays: "dict[str, Bay]" = field(default_factory=dict)
+    views: "dict[str, TargetView]" = field(default_factory=dict)
     levels: float = 0.0
 
     def sum_levels(self) -> None:
         """Add up the targets' levels anew."""
-        self.levels = sum(bay.health.level for bay in self.bays.values())
+        self.levels = sum(view.health.level for view in self.views.values())
 
     def count_out(self) -> int:
         """Return how many targets are ejected or return only now."""
-        return sum(b.health.state is not State.HEALTHY for b in self.bays.values())
+        return sum(b.health.state is not State.HEALTHY for b in self.views.values())
 
 
 @dataclass(eq=False)
-class Bay:
+class TargetView:
     """A target with this router's view of it."""
 
     target: Target
@@ -81,7 +81,7 @@
 
     def _usual(self) -> float:
         """Return the mean level of the others."""
-        others = len(self.kind.bays) - 1
+        others = len(self.kind.views) - 1
         level = self.health.level
         return (self.kind.levels - level) / others if others > 0 else level
 
@@ -171,12 +171,12 @@
 
     Parameters
     ----------
-    bays
+    views
         Every target by name.
     """
 
-    def __init__(self, bays: Mapping[str, Bay]) -> None:
-        self._bays = bays
+    def __init__(self, views: Mapping[str, TargetView]) -> None:
+        self._bays = views
         self._pools: dict[frozenset[tuple[str, int]], Pool] = {}
         self._known: dict[int, tuple[Mapping[str, int], Pool | None]] = {}
 
@@ -204,29 +204,29 @@
         return pool
 
     def _make(self, priorities: Mapping[str, int]) -> Pool:
-        bays = [self._bays[name] for name in priorities]
-        kind = self._join(bays)
+        views = [self._bays[name] for name in priorities]
+        kind = self._join(views)
         pool = Pool(priorities, kind)
         kind.pools.append(pool)
-        for bay in bays:
-            bay.pools.append(pool)
-            pool.usable += not bay.leaving
-            pool.slots += bay.counted
-            bay.refresh()
+        for view in views:
+            view.pools.append(pool)
+            pool.usable += not view.leaving
+            pool.slots += view.counted
+            view.refresh()
         return pool
 
-    def _join(self, bays: list[Bay]) -> Kind:
+    def _join(self, views: list[TargetView]) -> Kind:
         """Make the targets' kinds one."""
-        kind = max((bay.kind for bay in bays), key=lambda k: len(k.bays))
-        for bay in bays:
-            other = bay.kind
+        kind = max((view.kind for view in views), key=lambda k: len(k.views))
+        for view in views:
+            other = view.kind
             if other is kind:
-                kind.bays[bay.target.name] = bay
+                kind.views[view.target.name] = view
                 continue
             kind.shares.merge(other.shares)
-            for moved in [*other.bays.values(), bay]:
+            for moved in [*other.views.values(), view]:
                 moved.kind = kind
-                kind.bays[moved.target.name] = moved
+                kind.views[moved.target.name] = moved
             for pool in other.pools:
                 pool.kind = kind
                 pool.short.shares = pool.long.shares = kind.shares
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -44,7 +44,7 @@
 class _Record:
     first: Millis
     asked: Millis
-    strikes: list[str] = field(default_factory=list)
+    crashes: list[str] = field(default_factory=list)
     unbegun: bool = False
 
 
@@ -74,7 +74,7 @@
     def __init__(self) -> None:
         self._records: OrderedDict[str, _Record] = OrderedDict()
         self._incidents: dict[str, deque[_Incident]] = {}
-        self._aboard: dict[str, str] = {}
+        self._suspects: dict[str, str] = {}
 
     def is_suspect(self, content: str) -> bool:
         """Tell whether work was running where a target crashed."""
@@ -90,30 +90,30 @@
             return False
         record.asked = now
         most = _CRASHES if record.unbegun else _CRASHES + 1
-        return len(record.strikes) >= most
+        return len(record.crashes) >= most
 
     def list_confined(self, content: str) -> list[str]:
         """Return the only targets that may run work; empty for any target."""
         record = self._records.get(content)
-        if record is None or len(record.strikes) < _CRASHES:
+        if record is None or len(record.crashes) < _CRASHES:
             return []
-        return record.strikes
+        return record.crashes
 
     def is_free(self, target: str, content: str) -> bool:
         """Tell whether a suspect may run at a target: no other runs there."""
         confined = self.list_confined(content)
         if confined and target not in confined:
             return False
-        return self._aboard.get(target, content) == content
+        return self._suspects.get(target, content) == content
 
     def sent(self, content: str, target: str) -> None:
         """Take in that a suspect runs at a target."""
-        self._aboard[target] = content
+        self._suspects[target] = content
 
     def ended(self, content: str, target: str) -> None:
         """Take in that work has left a target, whatever became of it."""
-        if self._aboard.get(target) == content:
-            del self._aboard[target]
+        if self._suspects.get(target) == content:
+            del self._suspects[target]
 
     def clear(self, content: str) -> None:
         """Take in that work was answered whole: it is not poisonous."""
@@ -156,7 +156,7 @@
         """
         incident = self._find_incident(target, sent, now)
         if incident.suspect is None:
-            incident.suspect = self._aboard.get(target)
+            incident.suspect = self._suspects.get(target)
         # The suspect is the likely cause; its neighbours' failures come as
         # separate events and must not make suspects of them as well.
         if incident.suspect not in (None, content):
@@ -175,7 +175,7 @@
         if self._is_faulty(target):
             self._withdraw(target)
             return False
-        self._strike(content, target, now)
+        self._add_crash(content, target, now)
         return True
 
     def hear(self, content: str, target: str, now: Millis) -> None:
@@ -187,7 +187,7 @@
         through this router.
         """
         record = self._records.get(content)
-        if record is not None and target in record.strikes:
+        if record is not None and target in record.crashes:
             return
         incident = self._find_incident(target, now - _NEWS_AGE, now)
         if self._blame(content, target, incident, now):
@@ -214,13 +214,13 @@
                 record = self._records.get(content)
                 if record is None:
                     continue
-                record.strikes = [name for name in record.strikes if name != target]
-                if not record.strikes:
+                record.crashes = [name for name in record.crashes if name != target]
+                if not record.crashes:
                     del self._records[content]
 
-    def _strike(self, content: str, target: str, now: Millis) -> None:
+    def _add_crash(self, content: str, target: str, now: Millis) -> None:
         record = self._records.setdefault(content, _Record(now, now))
-        record.strikes.append(target)
+        record.crashes.append(target)
         record.asked = now
         self._records.move_to_end(content)
         if len(self._records) > _MOST_RECORDS:
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -7,7 +7,7 @@
 from anvilshift.core.ejection import State
 from anvilshift.core.errors import OVERLOADED, QUARANTINED
 from anvilshift.core.placement import DRAWN, HOLDERS, Option, choose
-from anvilshift.core.pools import Bay, Pool
+from anvilshift.core.pools import Pool, TargetView
 from anvilshift.core.quarantine import FORGET_AFTER
 from anvilshift.core.queue import Entry, FairQueue
 from anvilshift.core.state import Attempt, DispatchState
@@ -47,16 +47,16 @@
         holders = self._state.prefixes.holders(prefixes, self._state.rng, HOLDERS)
         holders += self._state.quarantine.list_confined(entry.work.content)
         names += [name for name in holders if name in pool.open]
-        bays = [self._state.bays[name] for name in dict.fromkeys(names)]
+        views = [self._state.views[name] for name in dict.fromkeys(names)]
         options = [
-            self._weigh(entry, bay) for bay in bays if self._suits(entry, bay, now)
+            self._weigh(entry, view) for view in views if self._suits(entry, view, now)
         ]
         durations = pool.kind.durations
         saving = durations.saving(entry.work.request_class)
         option = choose(options, entry.service, saving, self._state.rng)
         if option is None:
             return []
-        return [self._send(entry, pool, self._state.bays[option.name], now)]
+        return [self._send(entry, pool, self._state.views[option.name], now)]
 
     def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
         """Refuse work that was found poisonous while it waited."""
@@ -64,25 +64,25 @@
         pool.queue_of(entry).remove(entry)
         return Refuse(entry.work.identity, QUARANTINED, "", FORGET_AFTER)
 
-    def _weigh(self, entry: Entry, bay: Bay) -> Option:
-        name, prefixes = bay.target.name, entry.work.prefixes
+    def _weigh(self, entry: Entry, view: TargetView) -> Option:
+        name, prefixes = view.target.name, entry.work.prefixes
         matched = self._state.prefixes.matched(name, prefixes)
         return Option(
             name,
-            bay.limit.occupancy(),
-            bay.slowness(),
+            view.limit.occupancy(),
+            view.slowness(),
             matched / len(prefixes) if prefixes else 0.0,
-            bay.target.failure_domain != self._state.settings.failure_domain,
+            view.target.failure_domain != self._state.settings.failure_domain,
         )
 
-    def _suits(self, entry: Entry, bay: Bay, now: Millis) -> bool:
+    def _suits(self, entry: Entry, view: TargetView, now: Millis) -> bool:
         """Tell whether work may go to a target that has room."""
-        work, name = entry.work, bay.target.name
+        work, name = entry.work, view.target.name
         pool = self._backlog.entries[work.identity][1]
         confined = self._state.quarantine.list_confined(work.content)
         if not confined and name in entry.tried and len(entry.tried) < pool.usable:
             return False
-        if bay.health.state is State.PROBING:
+        if view.health.state is State.PROBING:
             slack = work.deadline - now
             if not work.idempotent or slack < _PROBE_SLACK * entry.service:
                 return False
@@ -91,12 +91,12 @@
             return True
         return self._state.quarantine.is_free(name, content)
 
-    def fill(self, bay: Bay, now: Millis) -> Actions:
+    def fill(self, view: TargetView, now: Millis) -> Actions:
         """Send waiting work to a target while it has room."""
         actions: Actions = []
         aside: list[tuple[Entry, FairQueue]] = []
-        while bay.has_room() and len(aside) < _PASSED_OVER:
-            found = self._next_for(bay)
+        while view.has_room() and len(aside) < _PASSED_OVER:
+            found = self._next_for(view)
             if found is None:
                 break
             queue, pool = found
@@ -106,8 +106,8 @@
             elif self._state.has_no_hope(entry, pool, now):
                 detail = "no slot came free in time"
                 actions.append(self._backlog.give_up(entry, OVERLOADED, detail))
-            elif self._suits(entry, bay, now):
-                actions.append(self._send(entry, pool, bay, now))
+            elif self._suits(entry, view, now):
+                actions.append(self._send(entry, pool, view, now))
             else:
                 queue.remove(entry)
                 aside.append((entry, queue))
@@ -115,12 +115,12 @@
             queue.push(entry)
         return actions
 
-    def _next_for(self, bay: Bay) -> tuple[FairQueue, Pool] | None:
+    def _next_for(self, view: TargetView) -> tuple[FairQueue, Pool] | None:
         """Return the queue that a target serves next: priority, then tag."""
-        name = bay.target.name
+        name = view.target.name
         found = [
             (-pool.priorities[name], queue.next_tag(), index, queue, pool)
-            for index, pool in enumerate(bay.pools)
+            for index, pool in enumerate(view.pools)
             for queue in pool.queues()
         ]
         if not found:
@@ -128,8 +128,8 @@
         best = min(found, key=lambda item: item[:3])
         return best[3], best[4]
 
-    def _send(self, entry: Entry, pool: Pool, bay: Bay, now: Millis) -> Send:
-        work, name = entry.work, bay.target.name
+    def _send(self, entry: Entry, pool: Pool, view: TargetView, now: Millis) -> Send:
+        work, name = entry.work, view.target.name
         pool.queue_of(entry).take(entry)
         del self._backlog.entries[work.identity]
         entry.attempts += 1
@@ -140,11 +140,11 @@
             self._state.prefixes.matched(name, work.prefixes) == len(work.prefixes)
         )
         self._state.prefixes.add(name, work.prefixes)
-        attempt = Attempt(entry, pool, bay, now, warm)
+        attempt = Attempt(entry, pool, view, now, warm)
         self.running[work.identity] = attempt
         pool.long_running += entry.is_long
-        bay.limit.change(+1, now)
-        bay.refresh()
+        view.limit.change(+1, now)
+        view.refresh()
         self.on_sent(attempt, now)
         return Send(work.identity, name, entry.attempts, pool.priorities[name])
 
@@ -154,8 +154,8 @@
         if attempt is None:
             return None
         attempt.pool.long_running -= attempt.entry.is_long
-        attempt.bay.limit.change(-1, now)
-        name = attempt.bay.target.name
+        attempt.view.limit.change(-1, now)
+        name = attempt.view.target.name
         self._state.quarantine.ended(attempt.entry.work.content, name)
         return attempt
 
@@ -166,5 +166,5 @@
             if not pool.waiting:
                 continue
             for name in pool.open.draw(self._state.rng, DRAWN):
-                actions += self.fill(self._state.bays[name], now)
+                actions += self.fill(self._state.views[name], now)
         return actions
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -7,7 +7,7 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.durations import Mean
 from anvilshift.core.errors import Code
-from anvilshift.core.pools import Bay, Pool, Pools
+from anvilshift.core.pools import Pool, Pools, TargetView
 from anvilshift.core.prefixes import PrefixBelief
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.core.queue import Entry
@@ -35,7 +35,7 @@
 
     entry: Entry
     pool: Pool
-    bay: Bay
+    view: TargetView
     sent: Millis
     warm: bool
     first: Millis | None = None
@@ -43,7 +43,7 @@
     @property
     def counts(self) -> bool:
         """Tell whether it says something of its target as it is now."""
-        return self.sent >= self.bay.health.since
+        return self.sent >= self.view.health.since
 
 
 @dataclass(eq=False)
@@ -58,7 +58,7 @@
 
     settings: DispatchSettings
     rng: random.Random
-    bays: dict[str, Bay] = field(default_factory=dict)
+    views: dict[str, TargetView] = field(default_factory=dict)
     timers: Timers = field(default_factory=Timers)
     prefixes: PrefixBelief = field(default_factory=PrefixBelief)
     quarantine: Quarantine = field(default_factory=Quarantine)
@@ -66,13 +66,13 @@
     recording: Mean = field(default_factory=lambda: Mean(1.0))
 
     def __post_init__(self) -> None:
-        self.pools = Pools(self.bays)
+        self.pools = Pools(self.views)
 
-    def refresh(self, bay: Bay, draw: bool = False) -> None:
+    def refresh(self, view: TargetView, draw: bool = False) -> None:
         """Bring the pools up to date after a change of a target."""
         if draw:
-            bay.whole = bay.limit.draw_whole(self.rng)
-        bay.refresh()
+            view.whole = view.limit.draw_whole(self.rng)
+        view.refresh()
 
     def due(self, work: Work) -> Millis:
         """Return when an answer must be whole for its bill to be in time.
--- a/anvilshift/core/upkeep.py
+++ b/anvilshift/core/upkeep.py
@@ -3,7 +3,7 @@
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
 from anvilshift.core.ejection import State, may_eject
-from anvilshift.core.pools import Bay
+from anvilshift.core.pools import TargetView
 from anvilshift.core.sending import Sender
 from anvilshift.core.state import Attempt, DispatchState
 from anvilshift.core.work import Actions, Cancel, Failure
@@ -33,7 +33,7 @@
         durations = attempt.pool.kind.durations
         request_class = attempt.entry.work.request_class
         if attempt.counts and durations.knows(request_class):
-            attempt.bay.add_span(span, durations.first(request_class))
+            attempt.view.add_span(span, durations.first(request_class))
 
     def _check_overdue(self, attempt: Attempt, now: Millis) -> Actions:
         """Count a first token that is long overdue against its target."""
@@ -41,7 +41,7 @@
         if running is not attempt or attempt.first is not None:
             return []
         self.compare(attempt, now - attempt.sent)
-        actions = self.check_health(attempt.bay, now)
+        actions = self.check_health(attempt.view, now)
         moved = self._move(attempt, now)
         if not moved:
             again = now + _OVERDUE_LEAST
@@ -68,31 +68,31 @@
             return []
         if not self._state.retries.take(Failure.TIMED_OUT):
             return []
-        name = attempt.bay.target.name
+        name = attempt.view.target.name
         self._sender.stop(work.identity, now)
-        self._state.refresh(attempt.bay)
+        self._state.refresh(attempt.view)
         stopped = Cancel(work.identity, name, entry.attempts)
         waiting = self._backlog.wait(entry, pool, now)
         return [stopped, *waiting, *self._sender.offer(entry, pool, now)]
 
-    def check_health(self, bay: Bay, now: Millis) -> Actions:
+    def check_health(self, view: TargetView, now: Millis) -> Actions:
         """Eject a target that has turned bad, if enough others are left."""
-        health = bay.health
-        if health.state is State.EJECTED or not bay.is_bad():
+        health = view.health
+        if health.state is State.EJECTED or not view.is_bad():
             return []
-        kind = bay.kind
+        kind = view.kind
         returning = health.state is State.PROBING
-        if not returning and not may_eject(kind.count_out(), len(kind.bays)):
+        if not returning and not may_eject(kind.count_out(), len(kind.views)):
             return []
         health.eject(now, self._state.rng)
-        self._state.refresh(bay)
-        self._state.timers.at(health.until, lambda at: self._probe(bay, at))
+        self._state.refresh(view)
+        self._state.timers.at(health.until, lambda at: self._probe(view, at))
         return []
 
-    def _probe(self, bay: Bay, now: Millis) -> Actions:
+    def _probe(self, view: TargetView, now: Millis) -> Actions:
         """Let an ejected target have a request again."""
-        if self._state.bays.get(bay.target.name) is not bay:
+        if self._state.views.get(view.target.name) is not view:
             return []
-        bay.probe(now)
-        self._state.refresh(bay, draw=True)
-        return self._sender.fill(bay, now)
+        view.probe(now)
+        self._state.refresh(view, draw=True)
+        return self._sender.fill(view, now)
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -296,10 +296,10 @@
                 target = bench.sent[name].target
                 lost[target] += 1
                 bench.now += 1
-                aboard = [n for n, s in bench.sent.items() if s.target == target]
-                for other in aboard:
+                neighbours = [n for n, s in bench.sent.items() if s.target == target]
+                for other in neighbours:
                     del bench.sent[other]
-                for other in aboard:
+                for other in neighbours:
                     failure = Failure.BROKE_OFF
                     bench.take(bench.dispatcher.failed(other, failure, bench.now))
         self.assertEqual(lost.total(), 2)
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -9,7 +9,7 @@
     def test_faulty_engines_victims_are_released(self):
         """An engine crashes three times by itself, under different work.
 
-        A request that was aboard there and at one other crash would stay
+        A request that ran there and at one other crash would stay
         refused although it did no harm.
         """
         book = Quarantine()
@@ -30,7 +30,7 @@
         self.assertFalse(book.is_suspect("neighbour"))
         self.assertTrue(book.is_quarantined("suspect", 21.0))
 
-    def test_poison_is_known_although_an_own_suspect_was_aboard_too(self):
+    def test_poison_is_known_although_an_own_suspect_was_there_too(self):
         """Two routers each had a suspect at the engine that crashed second.
 
         A router that blamed its own suspect alone would run the other's
