--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -13,7 +13,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.concurrency import STALE, Limit
 from anvilshift.core.errors import ENGINE_FAILED, NO_ENGINE, QUARANTINED
-from anvilshift.core.pools import Pool, Pools, TargetView
+from anvilshift.core.pools import Kind, Pool, Pools, TargetView
 from anvilshift.core.quarantine import FORGET_AFTER
 from anvilshift.core.queue import Entry
 from anvilshift.core.retries import BACKOFF
@@ -77,7 +77,8 @@
         declared = {target.name: target for target in targets}
         for name in set(self._state.views) - set(declared):
             # Work that still runs there must not draw more work when it ends.
-            self._state.views.pop(name).pools = []
+            removed = self._state.views.pop(name)
+            removed.pools, removed.kind = [], Kind()
             self._state.prefixes.forget(name)
         for name, target in declared.items():
             self._declare(name, target)
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -48,7 +48,15 @@
 
 @dataclass(eq=False)
 class TargetView:
-    """A target with this router's view of it."""
+    """A target with this router's view of it.
+
+    Parameters
+    ----------
+    whole
+        Requests that this router may have there, its fraction drawn by lot.
+    counted
+        What the pools' slots hold of this target.
+    """
 
     target: Target
     limit: Limit
--- a/anvilshift/core/queue.py
+++ b/anvilshift/core/queue.py
@@ -284,12 +284,13 @@
 
     def drain(self) -> list[Entry]:
         """Remove and return everything."""
-        found = [
+        # Work that was passed over and put back stands twice in its heap.
+        found = dict.fromkeys(
             item[2]
             for lane in self._lanes.values()
             for item in lane._urgent
             if item[2].lane is lane
-        ]
+        )
         for entry in found:
             self.remove(entry)
-        return found
+        return list(found)
