--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -22,7 +22,7 @@
 from anvilshift.router.claims import ClaimBook
 from anvilshift.router.gate import Gate
 from anvilshift.router.requests import Job, read_chat, read_service_call
-from anvilshift.router.runs import Runs, Shared
+from anvilshift.router.runs import Runs, Shared, goes_on
 from anvilshift.router.services import ServiceCall
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
@@ -94,7 +94,8 @@
     def list_open(self) -> list[tuple[str, str]]:
         """Return id and organisation of each request that has not ended."""
         jobs = {job.identity: job for job in self._open.values()}
-        jobs |= {job.identity: job for job in self.runs.list_jobs()}
+        running = [*self.runs.list_jobs(), *self.claimed.list_jobs()]
+        jobs |= {job.identity: job for job in running}
         return [(job.identity, job.organisation.name) for job in jobs.values()]
 
     async def _chat(
@@ -105,8 +106,7 @@
         job = read_chat(request, organisation, routes, now)
         self._open[asyncio.current_task()] = job
         if job.non_idempotent:
-            answer = await self.claimed.run(job, lambda: self._run_model(job))
-            await write_answer(answer, job, responder)
+            await self._chat_once(job, responder)
             return
         run = self.runs.join(job, self._gate.make_work(job))
         if job.stream:
@@ -114,6 +114,25 @@
         else:
             await write_answer(await read_whole(run), job, responder)
 
+    async def _chat_once(self, job: Job, responder: Responder) -> None:
+        """Answer claimed work; a stream shows its text while it is made."""
+        claimed = self.claimed.run(job, lambda: self._run_model(job))
+        outcome = asyncio.ensure_future(claimed)
+        running = asyncio.ensure_future(self.runs.find_claimed(job.identity))
+        try:
+            if job.stream:
+                first = asyncio.FIRST_COMPLETED
+                await asyncio.wait([outcome, running], return_when=first)
+            run = running.result() if running.done() else None
+            if run is not None and not outcome.done() and goes_on(run, job):
+                await write_stream(run, job, responder, outcome)
+            else:
+                await write_answer(await outcome, job, responder)
+        finally:
+            # Only this caller stops waiting; the work goes on to its record.
+            running.cancel()
+            outcome.cancel()
+
     async def _run_model(self, job: Job) -> Answer:
         return await read_whole(self.runs.join(job, self._gate.make_work(job)))
 
--- a/anvilshift/router/claimed.py
+++ b/anvilshift/router/claimed.py
@@ -32,7 +32,7 @@
 
 @dataclass
 class _Entry:
-    content: str
+    job: Job
     task: asyncio.Task[Answer]
 
 
@@ -49,6 +49,10 @@
         """Return how much claimed work has no record of its end yet."""
         return len(self._entries) + self.book.unrecorded
 
+    def list_jobs(self) -> list[Job]:
+        """Return the jobs whose work has not ended."""
+        return [entry.job for entry in self._entries.values()]
+
     async def run(self, job: Job, work: Callable[[], Awaitable[Answer]]) -> Answer:
         """Return the answer of work that runs at most once under its key.
 
@@ -60,7 +64,7 @@
         entry = self._entries.get(job.identity)
         if entry is None:
             entry = self._begin(job, work)
-        elif entry.content != job.content:
+        elif entry.job.content != job.content:
             raise AnvilshiftError(KEY_REUSED)
         left = max(0.0, job.deadline - self._clock.now()) + _RECORD_SLACK
         try:
@@ -71,7 +75,7 @@
 
     def _begin(self, job: Job, work: Callable[[], Awaitable[Answer]]) -> _Entry:
         task = asyncio.get_running_loop().create_task(self._run_once(job, work))
-        entry = _Entry(job.content, task)
+        entry = _Entry(job, task)
         self._entries[job.identity] = entry
         task.add_done_callback(lambda _: self._finish(job.identity, task))
         return entry
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -20,6 +20,9 @@
 """Rounds between two reads of an engine's cache events.  These come late and
 with gaps anyway; asking for load and events in every round took two fifths of
 a quiet router's processor."""
+_SILENCE: Millis = 1_500.0
+"""An engine is asked every 250 ms and given a second: one that works has
+answered within this span."""
 
 
 class Targets:
@@ -33,6 +36,7 @@
         self._declared: dict[str, Engine] = {}
         self._sequences: dict[str, int] = {}
         self._rounds: Counter[str] = Counter()
+        self._answered: dict[str, Millis] = {}
         self._background: set[asyncio.Task[None]] = set()
 
     def configure(self, catalogue: Catalogue) -> None:
@@ -59,6 +63,11 @@
         """Return the adapter of a plain service."""
         return self._services.get(name)
 
+    def is_silent(self, name: str) -> bool:
+        """Tell whether an engine that used to answer its polls has stopped."""
+        answered = self._answered.get(name)
+        return answered is not None and self._clock.now() - answered > _SILENCE
+
     def cancel(self, name: str, attempt: str) -> None:
         """Tell an engine in the background that nobody waits for an attempt."""
         engine = self._engines.get(name)
@@ -106,6 +115,7 @@
     ) -> None:
         try:
             report = await engine.load()
+            self._answered[name] = self._clock.now()
             take_report(replace(report, as_of=self._clock.now() - report.as_of))
             if self._rounds[name] % _EVENTS_EVERY == 0:
                 for event in await engine.cache_events(self._sequences.get(name, 0)):
