Pause the watch only after renewals

Cause: the pause of 250 ms between an answer of the watch and the next call also came after a new router's first record, so that routers that start together knew each other a quarter of a second later; tests.router.test_crashes went red by it.

Change: an answer that brings anything but the renewal of a known router is followed at once. A test counts the watches of twelve routers.

--- a/anvilshift/router/following.py
+++ b/anvilshift/router/following.py
@@ -17,9 +17,10 @@
 _WATCHED = (*KINDS, ROUTER_KIND)
 _WAIT: Millis = 20 * SECOND
 _SPACING: Millis = 250.0
-"""Time from an answer of the watch to the next call.  Each renewal of each router
-answers every router's watch, so that without a pause the platform's calls grow
-with the square of the fleet; a change may take 4 s to be in force."""
+"""Time from an answer of the watch that brought only renewals to the next call.
+Each renewal of each router answers every router's watch, so that without a pause
+the platform's calls grow with the square of the fleet; a change may take 4 s to be
+in force."""
 
 
 class Follower:
@@ -49,6 +50,7 @@
         self._routers: set[str] = set()
         self._unreadable: dict[tuple[str, str], int] = {}
         self._revision = 0
+        self._news = False
         self.current = asyncio.Event()
 
     @property
@@ -72,7 +74,8 @@
                     listed = True
                 listed = await self._watch()
                 failures = 0
-                await asyncio.sleep(_SPACING / SECOND)
+                if not self._news:
+                    await asyncio.sleep(_SPACING / SECOND)
             except AnvilshiftError as error:
                 logging.warning("watch failed code=%d", error.code.number)
                 pause = self._backoff.draw(failures, self._rng)
@@ -106,12 +109,19 @@
         changes = await self._store.watch(_WATCHED, self._revision, _WAIT)
         if changes.too_old:
             return False
+        self._news = any(self._is_news(change) for change in changes.changes)
         declared = [self._apply(change) for change in changes.changes]
         self._revision = max(self._revision, changes.revision)
         if any(declared):
             self._publish()
         return True
 
+    def _is_news(self, change: Change) -> bool:
+        """Tell whether a change is more than the renewal of a known router."""
+        if change.kind != ROUTER_KIND:
+            return True
+        return change.body is None or change.name not in self._routers
+
     def _apply(self, change: Change) -> bool:
         """Take in a change; tell whether it was one of a declaration."""
         if change.version <= self._revision:
