Let each router commit at its own pace

Cause: with the whole level held while a budget has plenty, five routers at 50 requests a second each fell into step and met in conflicts: 5.5 writes a second a router on make budgets' steady load, over the aim of 5.

Change: the spacing is longer by up to a fifth, by the incarnation.

--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import zlib
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
@@ -112,6 +113,9 @@
         self._incarnation = incarnation
         self._generation = 0
         self._spacing = spacing
+        # Routers that commit at the same pace and by chance at the same
+        # instant would meet in conflicts for ever.
+        self._pause = spacing * (1 + zlib.crc32(incarnation.encode()) % 100 / 500)
         self._hooks = hooks
         self._object = CachedObject(store, LEDGER_KIND, name)
         self._lock = asyncio.Lock()
@@ -302,7 +306,7 @@
                 logging.exception("commit broke ledger=%s", self.name)
                 self._hooks.count_event("commit_broke")
                 self._wake.set()
-            pause = self._spacing * (1 + min(self._failures, 3))
+            pause = self._pause * (1 + min(self._failures, 3))
             spent = self._clock.now() - began
             await asyncio.sleep(max(0.0, pause - spent) / SECOND)
 
