--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import zlib
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import replace
 from typing import Any
 
 from absl import logging
@@ -12,19 +12,19 @@
 from anvilshift.core.account import Bill, BillState
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import (
-    BUDGET_EXHAUSTED,
     BUDGET_FROZEN,
     BUDGET_UNREACHABLE,
-    NOT_RECORDED,
     AnvilshiftError,
-    Code,
 )
-from anvilshift.core.escrow import Bills, Escrow
+from anvilshift.core.escrow import Escrow
 from anvilshift.core.ledger import BillKey, Commit, Ledger, Outcome
 from anvilshift.platform.cached import CachedObject
-from anvilshift.platform.ledgers import LEDGER_KIND, change_body, read_body
+from anvilshift.platform.ledgers import LEDGER_KIND, read_body
 from anvilshift.platform.records import encode
 from anvilshift.platform.store import Body, ObjectStore
+from anvilshift.router.hooks import Hooks
+from anvilshift.router.refusals import make_refusal, make_unrecorded
+from anvilshift.router.sealing import Sealing
 
 BILL_LIFETIME_S = 150
 """Seconds for which a request that is sent again is recognised by its bill:
@@ -37,10 +37,6 @@
 """Time that an answer's end waits for its bill before it is released within
 the allowance: twice the spacing of commits, so that it is rare while the
 platform answers."""
-RETRY_AFTER_UNREACHABLE: Millis = 1 * SECOND
-"""When a refused caller may come back while tokens are in other routers: about
-as long as an answer in flight there holds its reservation."""
-RETRY_AFTER_EXHAUSTED: Millis = 30 * SECOND
 _IDLE_TICK: Millis = 1 * SECOND
 _OUTAGE_AFTER: Millis = 400.0
 _STUCK_AFTER: Millis = 1 * SECOND
@@ -55,36 +51,6 @@
 """Time before the last word at which a bill that isn't recorded is released
 within the allowance instead: one call of the witness."""
 
-KeepCopies = Callable[[str, Bills], Awaitable[bool]]
-"""Leaves copies of a holder's bills with other routers; False if none took them."""
-KeepWitnessed = Callable[[str, str, Bills], Awaitable[bool]]
-"""Leaves copies with one router, named first; True once it has them."""
-AskPeers = Callable[[str], Awaitable[None]]
-"""Asks other routers to give unused tokens of a budget back."""
-
-
-async def _keep_nothing(holder: str, bills: Bills) -> bool:
-    return False
-
-
-async def _reach_no_witness(witness: str, holder: str, bills: Bills) -> bool:
-    return False
-
-
-async def _ask_nobody(account: str) -> None:
-    return None
-
-
-@dataclass
-class Hooks:
-    """What a treasury asks of the rest of its router."""
-
-    keep_copies: KeepCopies = _keep_nothing
-    keep_witnessed: KeepWitnessed = _reach_no_witness
-    choose_witness: Callable[[str], str] = lambda current: ""
-    ask_peers: AskPeers = _ask_nobody
-    count_event: Callable[[str], None] = lambda event: None
-
 
 class Branch:
     """The part of a treasury that works on one ledger object.
@@ -119,6 +85,7 @@
         self._hooks = hooks
         self._object = CachedObject(store, LEDGER_KIND, name)
         self._lock = asyncio.Lock()
+        self.sealing = Sealing(self._object, self._lock, clock)
         self._wake = asyncio.Event()
         self._round = asyncio.Condition()
         self._begun = 0
@@ -196,14 +163,14 @@
         purse = self.escrow.purses[account]
         code = purse.recall_refusal(tokens, self._clock.now())
         if code is not None:
-            raise _make_refusal(code)
+            raise make_refusal(code)
 
     def _refuse(self, account: str, key: str, tokens: int) -> None:
         purse = self.escrow.purses[account]
         if self.platform_out or self._failing_since is not None:
             detail = "the platform is out and this router's grant is spent"
             raise AnvilshiftError(BUDGET_UNREACHABLE, detail, 2 * SECOND)
-        raise _make_refusal(purse.refuse(key, tokens, self._clock.now()))
+        raise make_refusal(purse.refuse(key, tokens, self._clock.now()))
 
     def release(self, account: str, key: str) -> None:
         """Give up a reservation of a request that costs nothing."""
@@ -227,17 +194,17 @@
             if done.done() or await self._try_release(account, bill.key, until):
                 break
             if until is not None and self._clock.now() >= until:
-                raise _make_unrecorded("no commit was answered in time")
+                raise make_unrecorded("no commit was answered in time")
             wait = _RETRY_PAUSE
         if done.done() and done.result() is BillState.REFUSED:
-            raise _make_unrecorded("the bill was refused")
+            raise make_unrecorded("the bill was refused")
 
     async def _reserve_late(self, account: str, bill: Bill) -> None:
         # The work has run: a refusal that says "not run" would be untrue.
         try:
             await self.reserve(account, bill.key, bill.tokens)
         except AnvilshiftError as error:
-            raise _make_unrecorded(str(error)) from error
+            raise make_unrecorded(str(error)) from error
 
     def _await_state(self, account: str, key: str) -> "asyncio.Future[BillState]":
         # Shared, for the same request may be settled twice at a time.
@@ -406,7 +373,9 @@
         released = sealed.list_released()
         while True:
             try:
-                states = await self.hand_in(sealed.holder, released, sealed.holder)
+                states = await self.sealing.hand_in(
+                    sealed.holder, released, sealed.holder
+                )
             except AnvilshiftError as error:
                 logging.warning("hand-in failed code=%d", error.code.number)
                 await asyncio.sleep(self._spacing / SECOND)
@@ -418,39 +387,6 @@
             )
             return
 
-    async def hand_in(
-        self, holder: str, bills: Bills, closer: str = ""
-    ) -> Mapping[BillKey, BillState]:
-        """Record bills of a sealed holder that it released within its allowance."""
-        states: Mapping[BillKey, BillState] = {}
-
-        def change(ledger: Ledger) -> Ledger:
-            nonlocal states
-            ledger, states = ledger.hand_in(holder, bills, closer)
-            return ledger
-
-        async with self._lock:
-            await self._object.update(change_body(change))
-        return states
-
-    async def write_off(self, holder: str) -> None:
-        """Forget a sealed holder; what is in doubt there counts as spent."""
-        async with self._lock:
-            change = change_body(lambda ledger: ledger.write_off(holder))
-            await self._object.update(change)
-
-    async def seal(self, incarnation: str) -> None:
-        """Close every holder of a lost router for good."""
-
-        def change(ledger: Ledger) -> Ledger:
-            for name in ledger.list_open():
-                if belongs(name, incarnation):
-                    ledger = ledger.seal(name, self._clock.wall())
-            return ledger
-
-        async with self._lock:
-            await self._object.update(change_body(change))
-
     async def give_back(self, account: str | None) -> bool:
         """Hand back what no request has reserved; False if that wasn't recorded."""
         purses = self.escrow.purses
@@ -482,24 +418,3 @@
             await self._commit(self.escrow.close)
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=_CLOSE_WAIT / SECOND)
-
-
-def _make_unrecorded(detail: str) -> AnvilshiftError:
-    return AnvilshiftError(NOT_RECORDED, detail, RETRY_AFTER_UNREACHABLE)
-
-
-def _make_refusal(code: Code) -> AnvilshiftError:
-    spent = code is BUDGET_EXHAUSTED
-    retry = RETRY_AFTER_EXHAUSTED if spent else RETRY_AFTER_UNREACHABLE
-    return AnvilshiftError(code, "", retry)
-
-
-def belongs(holder: str, incarnation: str) -> bool:
-    """Tell whether a holder is one of an incarnation of a router.
-
-    Examples
-    --------
-    >>> belongs("r1-ab.2", "r1-ab"), belongs("r1-abc", "r1-ab")
-    (True, False)
-    """
-    return holder == incarnation or holder.startswith(f"{incarnation}.")
--- /dev/null
+++ b/anvilshift/router/hooks.py
@@ -0,0 +1,36 @@
+"""What a treasury asks of the rest of its router."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from anvilshift.core.escrow import Bills
+
+KeepCopies = Callable[[str, Bills], Awaitable[bool]]
+"""Leaves copies of a holder's bills with other routers; False if none took them."""
+KeepWitnessed = Callable[[str, str, Bills], Awaitable[bool]]
+"""Leaves copies with one router, named first; True once it has them."""
+AskPeers = Callable[[str], Awaitable[None]]
+"""Asks other routers to give unused tokens of a budget back."""
+
+
+async def _keep_nothing(holder: str, bills: Bills) -> bool:
+    return False
+
+
+async def _reach_no_witness(witness: str, holder: str, bills: Bills) -> bool:
+    return False
+
+
+async def _ask_nobody(account: str) -> None:
+    return None
+
+
+@dataclass
+class Hooks:
+    """What a treasury asks of the rest of its router."""
+
+    keep_copies: KeepCopies = _keep_nothing
+    keep_witnessed: KeepWitnessed = _reach_no_witness
+    choose_witness: Callable[[str], str] = lambda current: ""
+    ask_peers: AskPeers = _ask_nobody
+    count_event: Callable[[str], None] = lambda event: None
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -23,12 +23,10 @@
 from anvilshift.router.branch import (
     BILL_LIFETIME_S,
     HOLDER_LIFETIME_S,
-    AskPeers,
     Branch,
-    Hooks,
-    KeepCopies,
-    belongs,
 )
+from anvilshift.router.hooks import AskPeers, Hooks, KeepCopies
+from anvilshift.router.sealing import belongs
 
 __all__ = ["BILL_LIFETIME_S", "LEDGER_KIND", "LEDGER_NAME", "Treasury"]
 
@@ -183,7 +181,7 @@
         for branch in await self._all_branches():
             kept = self._select(bills, branch)
             if kept:
-                await branch.hand_in(holder, kept)
+                await branch.sealing.hand_in(holder, kept)
 
     def _select(self, bills: Bills, branch: Branch) -> Bills:
         return tuple(
@@ -195,7 +193,7 @@
     async def seal(self, incarnation: str) -> None:
         """Close a lost router's grants for good."""
         for branch in await self._all_branches():
-            await branch.seal(incarnation)
+            await branch.sealing.seal(incarnation)
 
     async def sweep(self, incarnations: Collection[str]) -> None:
         """Seal holders of no known router and resolve what is in doubt.
@@ -231,12 +229,12 @@
             witnesses = ledger.list_witnesses(holder)
             if self._incarnation in witnesses:
                 bills = self._select(self.copies.close(holder), branch)
-                await branch.hand_in(holder, bills, closer=self._incarnation)
+                await branch.sealing.hand_in(holder, bills, closer=self._incarnation)
             elif self._select(self.copies.list(holder), branch):
                 bills = self._select(self.copies.list(holder), branch)
-                await branch.hand_in(holder, bills)
+                await branch.sealing.hand_in(holder, bills)
             elif holder in ledger.list_sealed(before=old):
-                await branch.write_off(holder)
+                await branch.sealing.write_off(holder)
 
     async def _seal_orphans(self, unknown: set[str]) -> None:
         now = self._clock.now()
