--- /dev/null
+++ b/tests/platform/test_cached.py
@@ -0,0 +1,37 @@
+"""An object that is written often costs the fewest writes, alone and contended."""
+
+import unittest
+
+from anvilshift.platform.cached import CachedObject
+from anvilshift.platform.store import update
+from anvilshift.standins.memory import MemoryStore
+
+
+def count(body):
+    return {"n": (body or {"n": 0})["n"] + 1}
+
+
+class CachedObjectTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.cached = CachedObject(self.store, "Note", "a")
+
+    async def test_alone_it_writes_without_reading(self):
+        for _ in range(5):
+            await self.cached.update(count)
+        self.assertEqual(self.store.calls, {"get": 1, "put": 5})
+
+    async def test_contended_it_reads_first_and_wastes_one_write(self):
+        """Another router writes between any two of this one's writes."""
+        for _ in range(10):
+            await self.cached.update(count)
+            await update(self.store, "Note", "a", count)
+        self.assertEqual(self.store.peek("Note", "a"), {"n": 20})
+        self.assertEqual(self.store.calls["put"], 21)
+
+    async def test_lost_answer_is_not_taken_for_a_change_of_another(self):
+        await self.cached.update(count)
+        self.store.faults.lose_answers = 1
+        await self.cached.update(lambda body: {"n": 7})
+        await self.cached.update(count)
+        self.assertEqual(self.store.peek("Note", "a"), {"n": 8})
