Let quarantine outlast a cut between routers, and confine what it forgives

Change: a router tells what it saw for as long as the quarantine lasts, with its age, at most 50 a heartbeat; what is heard is not told on, so nothing is kept alive for ever. Work blamed for two targets is forgiven at those two only.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -161,13 +161,15 @@
             self._state.prefixes.take(event)
         return []
 
-    def crashed(self, content: str, target: str, now: Millis) -> None:
-        """Take in another router's news of a crash."""
-        self._state.quarantine.hear(content, target, now)
+    def crashed(
+        self, content: str, target: str, now: Millis, age: Millis = 0.0
+    ) -> None:
+        """Take in another router's news of a crash that is so old."""
+        self._state.quarantine.hear(content, target, now, age)
 
     def list_crashes(self, now: Millis) -> list[Announce]:
         """Return what a router that has just started must hear."""
-        strikes = self._state.quarantine.list_strikes(now)
+        strikes = self._state.quarantine.list_crashes(now)
         return [Announce(content, target) for content, target in strikes]
 
     # Requests
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -14,7 +14,8 @@
 that it broke off from already, so that it costs no third one.
 
 A target that crashes again and again under different work is at fault itself:
-what was blamed on work there is withdrawn.  Quarantine also ends when nobody
+what was blamed on work there is withdrawn; work that was blamed for two targets
+may run once more, at one of those two.  Quarantine also ends when nobody
 has asked for the work for some time, and in any case after a day.
 """
 
@@ -37,6 +38,8 @@
 """Longer than callers' retries of one request are apart."""
 _LONGEST: Millis = 24 * 3600 * SECOND
 _MOST_RECORDS = 10_000
+_MOST_TOLD = 1_000
+"""The newest records that a newcomer is told: some 50 kB in one heartbeat."""
 _CRASH_LIKE = (Failure.CRASHED, Failure.BROKE_OFF)
 
 
@@ -46,6 +49,7 @@
     asked: Millis
     crashes: list[str] = field(default_factory=list)
     unbegun: bool = False
+    pardoned: bool = False
 
 
 @dataclass
@@ -89,8 +93,8 @@
             del self._records[content]
             return False
         record.asked = now
-        most = _CRASHES if record.unbegun else _CRASHES + 1
-        return len(record.crashes) >= most
+        spared = int(not record.unbegun) + int(record.pardoned)
+        return len(record.crashes) >= _CRASHES + spared
 
     def list_confined(self, content: str) -> list[str]:
         """Return the only targets that may run work; empty for any target."""
@@ -178,7 +182,7 @@
         self._add_crash(content, target, now)
         return True
 
-    def hear(self, content: str, target: str, now: Millis) -> None:
+    def hear(self, content: str, target: str, now: Millis, age: Millis = 0.0) -> None:
         """Take in another router's news of a crash; repeated news is one.
 
         Two routers may each have had a suspect at the target.  Which of the
@@ -189,23 +193,22 @@
         record = self._records.get(content)
         if record is not None and target in record.crashes:
             return
-        incident = self._find_incident(target, now - _NEWS_AGE, now)
+        at = now - age
+        incident = self._find_incident(target, at - _NEWS_AGE, at)
         if self._blame(content, target, incident, now):
             self._records[content].unbegun = True
 
-    def list_strikes(self, now: Millis) -> list[tuple[str, str]]:
-        """Return each quarantined content with the targets that it cost.
+    def list_crashes(self, now: Millis) -> list[tuple[str, str]]:
+        """Return each blamed content with the targets that it cost.
 
-        A router that starts anew must learn them from the others, or the same
-        work would cost two more targets there.
+        A router that starts anew must learn them from the others, those with
+        one crash included, or the same work would cost more targets there.
         """
         return [
             (content, target)
-            for content, record in self._records.items()
-            if len(record.strikes) >= _CRASHES
-            and now - record.asked <= FORGET_AFTER
-            and now - record.first <= _LONGEST
-            for target in record.strikes
+            for content, record in list(self._records.items())[-_MOST_TOLD:]
+            if now - record.asked <= FORGET_AFTER and now - record.first <= _LONGEST
+            for target in record.crashes
         ]
 
     def _find_incident(self, target: str, sent: Millis, now: Millis) -> _Incident:
@@ -223,12 +226,20 @@
             return False
         return not set.intersection(*(incident.contents for incident in incidents))
 
+    def _is_confined(self, record: _Record) -> bool:
+        # Were blame withdrawn from work that two targets died of, it would be
+        # free to cost a third; it may run once more, but only at those two.
+        return len(set(record.crashes)) >= _CRASHES
+
     def _withdraw(self, target: str) -> None:
         for incident in self._incidents[target]:
             for content in incident.contents:
                 record = self._records.get(content)
                 if record is None:
                     continue
+                if self._is_confined(record):
+                    record.pardoned = True
+                    continue
                 record.crashes = [name for name in record.crashes if name != target]
                 if not record.crashes:
                     del self._records[content]
--- a/anvilshift/router/crashes.py
+++ b/anvilshift/router/crashes.py
@@ -1,20 +1,25 @@
 """Exchange news of crashed targets with the other routers.
 
 A request that crashes what runs it comes back through another router within
-milliseconds, so news goes out at once and with the next few heartbeats.
+milliseconds, so news goes out at once, and then with every heartbeat for as
+long as the quarantine lasts: a router that was cut off when it was new must
+hear it once the cut has healed, or the same work costs a third target there.
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.quarantine import FORGET_AFTER
 from anvilshift.core.work import Announce
 from anvilshift.peers.generated.peers_pb2 import Crash
 
-_TOLD_FOR: Millis = 1.5 * SECOND
-"""Three heartbeats; the quarantine takes news for at most two seconds old."""
-_REMEMBERED_FOR: Millis = 60 * SECOND
-"""News heard again after the work was cleared must not blame it again."""
+_TOLD_FOR: Millis = FORGET_AFTER
+_REMEMBERED_FOR: Millis = 2 * FORGET_AFTER
+"""News heard again after the work was cleared must not blame it again, so it is
+remembered for longer than anybody tells it."""
+_MOST_TOLD = 50
+"""Crashes seen by this router that a heartbeat carries: some 3 kB."""
 _GREETED_FOR: Millis = 10 * SECOND
 """A newcomer's record is seen up to some seconds before it is first heard."""
 _MOST_MET = 10_000
@@ -26,7 +31,8 @@
     Parameters
     ----------
     take
-        Called with a content and a target, once for each piece of news.
+        Called with a content, a target and the news' age in milliseconds, once
+        for each piece of news.
     beat
         Sends a heartbeat to every other router.
 
@@ -39,7 +45,7 @@
     def __init__(
         self,
         clock: Clock,
-        take: Callable[[str, str], None],
+        take: Callable[[str, str, Millis], None],
         beat: Callable[[], Awaitable[None]],
     ) -> None:
         self._clock = clock
@@ -75,11 +81,16 @@
 
     def list_told(self) -> list[Crash]:
         """Return what the next heartbeat carries."""
-        self._told = self._keep_recent(self._told, _TOLD_FOR)
-        news = dict.fromkeys(self._told)
-        if self._clock.now() - self._greeted <= _GREETED_FOR:
-            news |= dict.fromkeys(self.list_standing())
-        return [Crash(content=n.content, target=n.target) for n in news]
+        now = self._clock.now()
+        recent = list(self._keep_recent(self._told, _TOLD_FOR).items())
+        self._told = dict(recent[-_MOST_TOLD:])
+        ages = {news: now - at for news, at in self._told.items()}
+        if now - self._greeted <= _GREETED_FOR:
+            ages = dict.fromkeys(self.list_standing(), 0.0) | ages
+        return [
+            Crash(content=news.content, target=news.target, age_ms=age)
+            for news, age in ages.items()
+        ]
 
     def hear(self, crashes: Iterable[Crash]) -> None:
         """Take in what a heartbeat carries."""
@@ -88,7 +99,7 @@
             news = Announce(item.content, item.target)
             if news not in self._heard:
                 self._heard[news] = self._clock.now()
-                self._take(news.content, news.target)
+                self._take(news.content, news.target, item.age_ms)
 
     def _keep_recent(
         self, news: dict[Announce, Millis], span: Millis
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-from anvilshift.core.clock import SECOND, Clock
+from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
@@ -325,8 +325,8 @@
         present = self.fleet.roster.present(self.clock.now())
         return {sighting.member.name for sighting in present}
 
-    def _take_crash(self, content: str, target: str) -> None:
-        self.dispatcher.crashed(content, target, self.clock.now())
+    def _take_crash(self, content: str, target: str, age: Millis) -> None:
+        self.dispatcher.crashed(content, target, self.clock.now(), age)
 
     def _count_routers(self) -> None:
         """Tell the dispatcher with how many routers it shares the targets."""
