Log a heartbeat that fails by a fault of the program

Cause: such a fault showed only as an unretrieved task, and the router as lost to the others. Conclusion: the router still serves then, because its record is renewed.

--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -62,6 +62,11 @@
     return None
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logging.error("heartbeat failed", exc_info=task.exception())
+
+
 class Fleet:
     """One router's part in the fleet.
 
@@ -303,7 +308,9 @@
             self._beats = running
             for address in self._peer_addresses():
                 if address not in running:
-                    running[address] = asyncio.create_task(self._beat_one(address))
+                    beat = asyncio.create_task(self._beat_one(address))
+                    beat.add_done_callback(_log_failure)
+                    running[address] = beat
             await asyncio.sleep(self._heartbeat / SECOND)
 
     async def beat_all(self) -> None:
