--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -46,22 +46,10 @@
 outage would cost a call to every router."""
 
 
-def _ignore_targets(router: str, targets: Iterable[str]) -> None:
-    return None
-
-
 def _ignore_newcomer(incarnation: str) -> None:
     return None
 
 
-def _ignore_crashes(crashes: Iterable[Crash]) -> None:
-    return None
-
-
-def _ignore_beat() -> None:
-    return None
-
-
 def _log_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         logging.error("heartbeat failed", exc_info=task.exception())
@@ -98,11 +86,11 @@
         self.must_hold = 0
         """Revision that must be in force here before new work is taken."""
         self.tell_targets: Callable[[], Iterable[str]] = tuple
-        self.hear_targets: Callable[[str, Iterable[str]], None] = _ignore_targets
+        self.hear_targets: Callable[[str, Iterable[str]], None] = lambda r, t: None
         self.tell_crashes: Callable[[], Iterable[Crash]] = tuple
         self.greet: Callable[[str], None] = _ignore_newcomer
-        self.hear_crashes: Callable[[Iterable[Crash]], None] = _ignore_crashes
-        self.at_beat: Callable[[], None] = _ignore_beat
+        self.hear_crashes: Callable[[Iterable[Crash]], None] = lambda c: None
+        self.at_beat: Callable[[], None] = lambda: None
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self.read_seen: Callable[[], int] = lambda: self.member.revision
         self._store = store
