--- a/anvilshift/core/prefixes.py
+++ b/anvilshift/core/prefixes.py
@@ -5,9 +5,10 @@
 prefixes each are overwritten all the time.
 
 What is believed comes from cache events and from the work that was sent there.
-Events are late and some are lost: after a gap in a target's numbers an
-eviction may have been missed, so all that was believed of it is dropped.  A
-wrong belief costs the time of one prefill and never an answer.
+Events are late and some are lost, so a belief may be wrong: an eviction went
+unheard.  A wrong belief costs the time of one prefill and never an answer, and
+it ends when newer blocks crowd it out.  Were all that is believed of a target
+dropped at a gap, its hot prefixes would be forgotten with the rest.
 """
 
 import random
@@ -17,6 +18,9 @@
 from anvilshift.core.sampling import SampledSet
 from anvilshift.core.work import CacheEvent
 
+_FIRST_SEQUENCE = 1
+"""A number so low after a higher one: the target has restarted, its cache is
+empty, and it would count for long below what was seen before."""
 _MOST_BLOCKS = 4_096
 """Blocks believed at one target: about 100 bytes each, so that a thousand
 targets cost a router some hundred megabytes at most and usually far less."""
@@ -31,9 +35,9 @@
     >>> belief.take(CacheEvent("e1", 1, stored=("p1", "p2")))
     >>> belief.matched("e1", ("p1", "p2", "p3"))
     2
-    >>> belief.take(CacheEvent("e1", 3))
-    >>> belief.matched("e1", ("p1",))
-    0
+    >>> belief.take(CacheEvent("e1", 3, evicted=("p2",)))
+    >>> belief.matched("e1", ("p1", "p2"))
+    1
     """
 
     def __init__(self) -> None:
@@ -44,10 +48,10 @@
     def take(self, event: CacheEvent) -> None:
         """Take in a cache event."""
         last = self._sequences.get(event.target)
-        if last is not None and event.sequence <= last:
-            return
-        if last is not None and event.sequence > last + 1:
+        if last is not None and event.sequence <= min(last, _FIRST_SEQUENCE):
             self.forget(event.target)
+        elif last is not None and event.sequence <= last:
+            return
         self._sequences[event.target] = event.sequence
         for block in event.evicted:
             self._drop(event.target, block)
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -246,11 +246,14 @@
                 logging.warning("sealing orphan holder=%s", holder)
                 await self.seal(holder)
 
-    async def give_back(self, account: str | None = None) -> None:
-        """Hand back what no request has reserved, with the next commit."""
-        for branch in self.branches:
-            if account is None or account in branch.escrow.purses:
-                await branch.give_back(account)
+    async def give_back(self, account: str | None = None) -> bool:
+        """Hand back what no request has reserved; False if that wasn't recorded."""
+        results = [
+            await branch.give_back(account)
+            for branch in self.branches
+            if account is None or account in branch.escrow.purses
+        ]
+        return all(results)
 
     async def hand_back(self) -> bool:
         """Record every bill and hand back what is free; False when it failed."""
