Begin a run only when all before it under its key have ended

What the first gives back late would be the last one's.

Change: a run waits for the whole chain; one that never began gives nothing back.

--- a/anvilshift/router/registry.py
+++ b/anvilshift/router/registry.py
@@ -57,7 +57,7 @@
                 "that stream isn't here; send what was received as "
                 "anvilshift.received, or ask anew without last-event-id",
             )
-        after = found if found is not None and not found.ended else None
+        after = found if found is not None and not found.over else None
         if after is not None:
             after.stop()
         run = Run(self._shared, job, work, self._note_end, after)
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -79,6 +79,8 @@
         self._shared = shared
         self._work = work
         self._on_end = on_end
+        self._after = after
+        self._entered = False
         self._progress = Progress()
         self._tokens = 0
         self._overrun = False
@@ -94,7 +96,7 @@
         self._attempt: tuple[str, str] | None = None
         self._unread: asyncio.TimerHandle | None = None
         loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._make(after))
+        self._task = loop.create_task(self._make())
 
     async def read(self, start: int) -> AsyncGenerator[str]:
         """Yield the answer's text from a character on, until it is whole.
@@ -136,15 +138,24 @@
         """End the run; no more tokens are made for it."""
         self._task.cancel()
 
+    @property
+    def over(self) -> bool:
+        """Tell whether this run and those that it waited for have ended."""
+        return self.ended and (self._after is None or self._after.over)
+
     async def wait_ended(self) -> None:
         """Wait until the run has ended, whatever came of it."""
+        if self._after is not None:
+            await self._after.wait_ended()
         await asyncio.wait([self._task])
 
-    async def _make(self, after: "Run | None") -> None:
+    async def _make(self) -> None:
         shared, job = self._shared, self.job
         try:
-            if after is not None:
-                await after.wait_ended()
+            if self._after is not None:
+                await self._after.wait_ended()
+                self._after = None
+            self._entered = True
             async with asyncio.timeout((job.deadline - shared.clock.now()) / SECOND):
                 await shared.treasury.reserve(
                     job.organisation.budget, job.identity, job.bound
@@ -166,8 +177,9 @@
 
     def _end(self) -> None:
         shared, job = self._shared, self.job
-        shared.treasury.release(job.organisation.budget, job.identity)
-        if self.error is not None:
+        if self._entered:
+            shared.treasury.release(job.organisation.budget, job.identity)
+        if self._entered and self.error is not None:
             shared.dispatch.cancel(job.identity)
             self._cancel_attempt()
         self.ended = True
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -121,6 +121,30 @@
             raw = ("last-event-id", wrong.encode().decode("latin-1"))
             self.assertEqual(read_code(await self.stream(KEY, raw))[0], 1009)
 
+    async def test_resumes_that_differ_replace_one_another(self):
+        """A caller's client resumes three times at once, from different texts.
+
+        Each run takes the place of the one before and begins only when all
+        before it have ended: what one that ends late gives back would be the
+        reservation and the place in the queue of the last.
+        """
+        self.set_faults(slow=10.0)
+        runs = self.fleet.nodes[0].callers.runs
+        received = ("", "one ", "two ", "three ")
+        asking = []
+        for text in received:
+            extra = {"anvilshift": {"received": text}}
+            asking.append(asyncio.create_task(self.stream(KEY, extra=extra)))
+            await wait_until(
+                lambda: runs.in_flight + len(runs._finished) >= len(asking)
+            )
+        answers = await asyncio.gather(*asking)
+        text, _, ended = read_events(answers[-1])
+        self.assertEqual(text, make_answer("tank", 8)[6:])
+        self.assertTrue(ended)
+        self.assertEqual(self.fleet.nodes[0].callers.in_flight, 0)
+        self.assertEqual(self.fleet.nodes[0].dispatch.waiting, 0)
+
     async def test_received_and_offset_must_agree(self):
         extra = {"anvilshift": {"received": "abc"}}
         answer = await self.stream(KEY, ("last-event-id", "7"), extra=extra)
