--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -202,10 +202,10 @@
         return [
             (content, target)
             for content, record in self._records.items()
-            if len(record.strikes) >= _CRASHES
+            if len(record.crashes) >= _CRASHES
             and now - record.asked <= FORGET_AFTER
             and now - record.first <= _LONGEST
-            for target in record.strikes
+            for target in record.crashes
         ]
 
     def _find_incident(self, target: str, sent: Millis, now: Millis) -> _Incident:
--- a/bench/soak/loop.py
+++ b/bench/soak/loop.py
@@ -7,7 +7,6 @@
 
 from anvilshift.core.clock import SECOND, Millis
 
-
 _ROUNDING: Millis = 1e-6
 _CREEP_S = 1e-9
 """Time that each turn of the loop takes, so that no timer is missed for ever."""
