--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -27,3 +27,19 @@
                 journal = run_seed(seed, VIRTUAL_SECONDS)
                 self.assertGreater(journal.events, 500)
                 self.assertGreater(journal.checks["billed exactly once"], 100)
+
+    def test_poison_at_an_engine_that_fails_by_itself(self):
+        """An engine crashes three times in a minute, then a poison crashes it too.
+
+        The engine counts as faulty, so the poison isn't blamed for it, and
+        costs two engines more.
+        """
+        run_seed(41, 14.0)
+
+    def test_poison_beside_another_suspect(self):
+        """A poison and an innocent request both ran where an engine crashed.
+
+        Both are suspects.  When the next engine crashes under both routers'
+        work, the innocent one takes the blame, and the poison runs once more.
+        """
+        run_seed(48, 32.0)
