Run the two red seeds as the soak ran them

Cause: with a shorter run the first seed took another course and was green. Change: 200 virtual seconds, as found.

--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -34,7 +34,7 @@
         The engine counts as faulty, so the poison isn't blamed for it, and
         costs two engines more.
         """
-        run_seed(41, 14.0)
+        run_seed(41, 200.0)
 
     def test_poison_beside_another_suspect(self):
         """A poison and an innocent request both ran where an engine crashed.
@@ -42,4 +42,4 @@
         Both are suspects.  When the next engine crashes under both routers'
         work, the innocent one takes the blame, and the poison runs once more.
         """
-        run_seed(48, 32.0)
+        run_seed(48, 200.0)
