--- a/tests/router/test_moving.py
+++ b/tests/router/test_moving.py
@@ -4,6 +4,7 @@
 import unittest
 
 from anvilshift.core.work import Announce
+from anvilshift.peers.generated.peers_pb2 import Crash
 from anvilshift.standins.engine import make_answer
 from bench.fleet import wait_until
 from tests.router.fleetlet import Fleetlet
@@ -45,7 +46,7 @@
         found = [(crash.content, crash.target) for crash in beat.crashes]
         self.assertEqual(found, [("poison", "es0")])
         for _ in range(2):
-            node.fleet.hear_crashes([Announce("other", "es1")])
+            node.fleet.hear_crashes([Crash(content="other", target="es1")])
         book = node.dispatcher._state.quarantine
         self.assertTrue(book.is_suspect("other"))
         self.assertFalse(book.is_quarantined("other", node.clock.now()))
