--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,7 +7,6 @@
 import itertools
 import random
 import sys
-from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,6 +28,7 @@
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from anvilshift.wire.messages import Address
+from bench.soak.books import check_books, check_fleet
 from bench.soak.faults import FaultSchedule
 from bench.soak.http import Entry, SoakHttp
 from bench.soak.journal import BrokenInvariantError, Journal, Receipt
@@ -367,8 +367,8 @@
         faults.cancel()
         await schedule.heal()
         await self._wait(_SETTLE_S)
-        self.check_books()
-        self.check_fleet()
+        check_books(self)
+        check_fleet(self)
         return self.journal
 
     async def _wait(self, seconds: float) -> None:
@@ -385,55 +385,6 @@
         if isinstance(error, Exception):
             self.fail(error)
 
-    def check_books(self) -> None:
-        """Compare what callers received with what was billed."""
-        journal = self.journal
-        cost: Counter[str] = Counter()
-        unbilled: Counter[str] = Counter()
-        for asked in self.billed.values():
-            ran = journal.engine_runs[asked.request]
-            ran += journal.service_runs[asked.request]
-            journal.check("nothing billed that did not run", ran > 0, asked.request)
-            cost[asked.organisation] += asked.cost
-        for name, tokens in self.spent.items():
-            detail = f"{name} spent {tokens}, its bills cost {cost[name]}"
-            journal.check("spent is what was billed", tokens == cost[name], detail)
-            fits = tokens <= self.topped[name]
-            journal.check("bills within the budget", fits, name)
-        for receipt in journal.receipts.values():
-            if receipt.outcome in ("model, whole", "order, answered"):
-                asked = self.asked[receipt.request]
-                mark = make_mark(receipt.request)
-                billed = (asked.organisation, mark) in self.billed
-                if not billed and journal.may_lose_bill(receipt):
-                    unbilled[asked.organisation] += asked.cost
-                    continue
-                detail = f"{asked.request} was answered and never billed"
-                journal.check("answer is billed", billed, detail)
-        for name, tokens in unbilled.items():
-            detail = f"{name} has {self.doubt[name]} in doubt for {tokens}"
-            covered = tokens <= self.doubt[name]
-            journal.check("lost bills stay in doubt", covered, detail)
-
-    def check_fleet(self) -> None:
-        """Check that everything has come back once the faults are over."""
-        journal = self.journal
-        live = tuple(entry.node.incarnation for entry in self.entries.values())
-        for name in self.store.names(LEDGER_KIND):
-            ledger = read_body(self.store.peek(LEDGER_KIND, name))
-            for account in ledger.accounts.values():
-                for holder, grant in account.grants.items():
-                    back = not grant.held or holder.startswith(live)
-                    journal.check("tokens of lost routers come back", back, holder)
-        for entry in self.entries.values():
-            ready = entry.node.is_ready()
-            journal.check("routers are ready again", ready, entry.presence.name)
-            newest = entry.node.gate.catalogue.revision >= self.accepted
-            journal.check("declarations converge", newest, entry.presence.name)
-        for identity, asked in self.asked.items():
-            told = identity in journal.receipts
-            journal.check("every caller gets an answer", told, asked.request)
-
 
 def run_seed(seed: int, seconds: float) -> Journal:
     """Run one seed.
