--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -1,7 +1,7 @@
 """The events that the dispatcher takes and the actions that it returns."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from anvilshift.core.clock import Millis
@@ -163,4 +163,3 @@
     queue_length: int = 1_000
     attempts: int = 3
     routers: int = 1
-    extra: Mapping[str, float] = field(default_factory=dict)
