--- /dev/null
+++ b/anvilshift/core/wallet.py
@@ -0,0 +1,224 @@
+"""What one router may spend of each organisation's prepaid total, and has spent.
+
+Load pattern: callers send large prompts in bursts while the platform's store
+is out of reach for many seconds.  Without a cushion the router would refuse
+proper work as soon as the store is gone; with too large a cushion a killed
+router strands tokens that nobody can spend any more.
+
+A request reserves the most that it can cost and settles what it used.  The
+cushion follows the rate of use, so that an idle organisation strands little.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from anvilshift.core.allotments import Allotment, Allotments, Wish
+from anvilshift.core.clock import SECOND, Millis
+
+COVER: Millis = 9 * SECOND
+"""Use that a full cushion lasts for: the longest cuts from the store that the
+deployments name last 8 s."""
+_REFILL_BELOW = 0.8
+"""Part of the cushion below which more is drawn; each draw is a priced write, and
+at 0.8 a router writes about every 2 s of steady use."""
+_GIVE_ABOVE = 2.0
+"""Part of the cushion above which tokens go back, far enough from the refill
+that a wave in the traffic doesn't draw and give back in turn."""
+_FIRST_PART = 1 / 16
+"""Part of a total that a router asks for before it has seen any use: with five
+routers a third of the total lies ready and two thirds are free to draw."""
+_RATE_SPAN: Millis = 6 * SECOND
+"""Time constant of the measured rate: longer than the pause between two
+large prompts, shorter than an organisation's burst."""
+
+
+@dataclass
+class Purse:
+    """One organisation's tokens at this router.
+
+    Parameters
+    ----------
+    ceiling
+        Tokens that may be spent in all; only what the store confirmed counts.
+    settled
+        Tokens of requests that have ended.
+    reserved
+        By request, the most that it can cost.
+    waiting
+        By request, what it needs and could not reserve.
+    """
+
+    total: int = 0
+    ceiling: int = 0
+    settled: int = 0
+    reserved: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
+    rate: float | None = None
+    rated_at: Millis = 0.0
+    lean_until: Millis = -math.inf
+    dry_until: Millis = -math.inf
+    limited: bool = True
+
+    @property
+    def spent(self) -> int:
+        """Return what is spent or may yet be by requests that run."""
+        return self.settled + sum(self.reserved.values())
+
+    @property
+    def available(self) -> int:
+        """Return what another request may reserve."""
+        return self.ceiling - self.spent
+
+    def count_use(self, tokens: int, now: Millis) -> None:
+        """Follow the rate of use, in tokens a millisecond."""
+        gone = math.exp(-(now - self.rated_at) / _RATE_SPAN)
+        old = 0.0 if self.rate is None else self.rate
+        self.rate = old * gone + tokens / _RATE_SPAN
+        self.rated_at = now
+
+    def current_rate(self, now: Millis) -> float:
+        """Return the rate of use now, in tokens a millisecond."""
+        if self.rate is None:
+            return 0.0
+        return self.rate * math.exp(-(now - self.rated_at) / _RATE_SPAN)
+
+    def cushion(self, now: Millis) -> int:
+        """Return the tokens that should lie ready beyond what is reserved."""
+        if now < self.lean_until:
+            return 0
+        first = int(self.total * _FIRST_PART)
+        if self.rate is None:
+            return first
+        return max(int(self.current_rate(now) * COVER), first // 4)
+
+    def make_wish(self, now: Millis) -> Wish:
+        """Return what to ask of the store now."""
+        needed = self.spent + sum(self.waiting.values())
+        cushion = self.cushion(now)
+        ceiling = needed + cushion
+        if needed <= self.ceiling <= needed + int(cushion * _GIVE_ABOVE):
+            ceiling = max(ceiling, self.ceiling)
+        return Wish(ceiling, needed, self.spent)
+
+    def needs_change(self, now: Millis) -> bool:
+        """Tell whether the share in the store should change."""
+        if not self.limited:
+            return False
+        if self.waiting:
+            return True
+        cushion = self.cushion(now)
+        if self.available > max(1, int(cushion * _GIVE_ABOVE)):
+            return True
+        return now >= self.dry_until and self.available < cushion * _REFILL_BELOW
+
+
+_DRY_SPAN: Millis = 1 * SECOND
+"""After a draw that found nothing free: a total grows by seconds, and each look is
+a priced write."""
+LEAN_SPAN: Millis = 2 * SECOND
+"""How long a router keeps no cushion after another has asked for its tokens."""
+
+
+class Wallet:
+    """Reserve and settle tokens of all organisations at one router.
+
+    Examples
+    --------
+    >>> wallet = Wallet("r1")
+    >>> wallet.configure({"pounds": 1_600}, now=0.0)
+    >>> wallet.reserve("pounds", "a", 60, now=0.0)
+    False
+    >>> from anvilshift.core.allotments import Allotment, Share
+    >>> held = Allotment(1_600, shares={"r1": Share(100, 0)})
+    >>> wallet.take(Allotments({"pounds": held}), now=1.0)
+    >>> wallet.reserve("pounds", "a", 60, now=1.0)
+    True
+    >>> wallet.settle("pounds", "a", 25, now=2.0)
+    >>> wallet.purses["pounds"].available
+    75
+    """
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+        self.purses: dict[str, Purse] = {}
+        self.seen = Allotments()
+
+    def configure(self, totals: Mapping[str, int | None], now: Millis) -> None:
+        """Take in the totals of a configuration; None is no limit."""
+        for name, total in totals.items():
+            purse = self.purses.setdefault(name, Purse())
+            purse.limited = total is not None
+            if total is not None and total < purse.total:
+                # Less is prepaid than before: what lies ready here may be more
+                # than is left, so it goes back before anything else is drawn.
+                purse.ceiling = min(purse.ceiling, purse.spent)
+            if total is not None and total > purse.total:
+                purse.dry_until = now
+            purse.total = total or 0
+
+    def reserve(self, name: str, key: str, tokens: int, now: Millis) -> bool:
+        """Set tokens aside for a request; False when too few lie ready."""
+        purse = self.purses.setdefault(name, Purse())
+        if purse.limited and tokens > purse.available:
+            purse.waiting[key] = tokens
+            return False
+        purse.waiting.pop(key, None)
+        purse.reserved[key] = tokens
+        return True
+
+    def give_up(self, name: str, key: str) -> None:
+        """Forget a request that waited for tokens."""
+        self.purses[name].waiting.pop(key, None)
+
+    def settle(self, name: str, key: str, tokens: int, now: Millis) -> None:
+        """Turn a reservation into what was used; 0 gives all of it back."""
+        purse = self.purses[name]
+        used = min(tokens, purse.reserved.pop(key, 0))
+        purse.settled += used
+        if used:
+            purse.count_use(used, now)
+
+    def wants_change(self, now: Millis) -> bool:
+        """Tell whether the shares in the store should change."""
+        return any(purse.needs_change(now) for purse in self.purses.values())
+
+    def make_wishes(self, now: Millis) -> dict[str, Wish]:
+        """Return what to ask now, and stop counting on what is given back.
+
+        What a wish lowers is given up before it is sent: were the answer lost
+        after the write took effect, this router would spend tokens that
+        another has drawn meanwhile.
+        """
+        wishes = {}
+        for name, purse in self.purses.items():
+            if purse.needs_change(now):
+                wishes[name] = purse.make_wish(now)
+                purse.ceiling = min(purse.ceiling, wishes[name].ceiling)
+        return wishes
+
+    def take(self, allotments: Allotments, now: Millis) -> None:
+        """Take in the object after a write of this router took effect."""
+        self.seen = allotments
+        for name, purse in self.purses.items():
+            purse.ceiling = max(allotments.ceiling(name, self.holder), purse.spent)
+            if purse.available < purse.cushion(now) * _REFILL_BELOW:
+                purse.dry_until = now + _DRY_SPAN
+
+    def release_cushion(self, name: str, now: Millis) -> None:
+        """Give back what no request has reserved; another router needs it."""
+        if name in self.purses:
+            self.purses[name].lean_until = now + LEAN_SPAN
+
+    def is_exhausted(self, name: str, tokens: int) -> bool:
+        """Tell whether the total certainly can't cover as many tokens.
+
+        What others hold and have not recorded as spent, and what ended holders
+        left in doubt, may still be there: then nobody can say so.
+        """
+        purse = self.purses[name]
+        known: Allotment = self.seen.of(name)
+        total = min(purse.total, known.total) if known.version else purse.total
+        own = known.shares.get(self.holder)
+        others = known.spent_at_least() - (own.recorded if own else 0)
+        return total - others - purse.spent < tokens
--- /dev/null
+++ b/anvilshift/gateway/allotting.py
@@ -0,0 +1,245 @@
+"""Keep this router's shares of the prepaid totals in the platform's store.
+
+One object holds all organisations' allotments; it changes by conditional
+update only.  Requests spend from the wallet without a call; this module draws
+and gives back in the background.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from anvilshift.core.allotments import Allotments, Totals
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import (
+    BUDGET_EXHAUSTED,
+    BUDGET_UNREACHABLE,
+    AnvilshiftError,
+)
+from anvilshift.core.wallet import Wallet
+from anvilshift.gateway.journal import Journal
+from anvilshift.objects.cached import CachedObject
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import Body, ObjectStore
+
+KIND = "anvilshift-allotments"
+NAME = "main"
+_LOOK: Millis = 250.0
+"""Between two looks at the cushions: a cushion lasts for seconds."""
+_SPACING: Millis = 40.0
+"""Least time between two writes: requests that wait for tokens are drawn for
+together, at a delay that is small against a first token's."""
+_PAUSE: Millis = 250.0
+"""After a failed write."""
+_WAIT: Millis = 700.0
+"""How long a request waits for tokens: two rounds of the store when it is slow
+(240 ms a call), during which the others may give tokens back."""
+_RETRY: Millis = 1 * SECOND
+_REMEMBER: Millis = 500.0
+"""How long a refusal of an organisation's request holds for others as large:
+without it each of a burst of them would cost writes and wait in vain."""
+
+
+@dataclass
+class _Refusal:
+    tokens: int
+    until: Millis
+    certain: bool
+
+
+@dataclass
+class Allotter:
+    """Draw, spend and give back tokens.
+
+    Parameters
+    ----------
+    node
+        Name of the host, the same after a restart: former incarnations there
+        have ended.
+    holder
+        Name of this incarnation.
+    """
+
+    store: ObjectStore
+    node: str
+    holder: str
+    clock: Clock
+    journal: Journal
+    ask_peers: Callable[[str], None] = lambda organisation: None
+    totals: Totals = field(default_factory=lambda: Totals(0))
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
+    _round: asyncio.Event = field(default_factory=asyncio.Event)
+    _refusals: dict[str, _Refusal] = field(default_factory=dict)
+    _failing: bool = False
+    _writes: int = 0
+    _written: Millis = -1e12
+
+    def __post_init__(self) -> None:
+        self.wallet = Wallet(self.holder)
+        self._object = CachedObject(self.store, KIND, NAME)
+        self._begun = False
+
+    def configure(self, version: int, totals: Mapping[str, int | None]) -> None:
+        """Take in the prepaid totals of a configuration."""
+        limited = {name: total for name, total in totals.items() if total is not None}
+        self.totals = Totals(version, limited)
+        self.wallet.configure(totals, self.clock.now())
+        self._refusals.clear()
+        self._wake.set()
+
+    def release_cushion(self, organisation: str) -> None:
+        """Give back what is to spare; another router lacks it."""
+        self.wallet.release_cushion(organisation, self.clock.now())
+        self._wake.set()
+
+    async def reserve(self, name: str, key: str, tokens: int, until: Millis) -> None:
+        """Set tokens aside for a request.
+
+        Raises
+        ------
+        AnvilshiftError
+            Code 2001 when the total certainly can't cover them, code 2002 when
+            more may be there but can't be drawn now.
+        """
+        now = self.clock.now()
+        if self.wallet.reserve(name, key, tokens, now):
+            return
+        try:
+            refusal = self._refusals.get(name)
+            if refusal and now < refusal.until and tokens >= refusal.tokens:
+                raise self._make_refusal(name, tokens, refusal.certain)
+            await self._wait_for_tokens(name, key, tokens, min(until, now + _WAIT))
+        finally:
+            self.wallet.give_up(name, key)
+
+    async def _wait_for_tokens(
+        self, name: str, key: str, tokens: int, until: Millis
+    ) -> None:
+        asked = False
+        while (now := self.clock.now()) < until:
+            self._wake.set()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout((until - now) / SECOND):
+                    await self._round.wait()
+            if self.wallet.reserve(name, key, tokens, self.clock.now()):
+                return
+            if self._is_certain(name, tokens):
+                break
+            if not asked:
+                asked = True
+                self.ask_peers(name)
+        certain = self._is_certain(name, tokens)
+        until = self.clock.now() + _REMEMBER
+        self._refusals[name] = _Refusal(tokens, until, certain)
+        raise self._make_refusal(name, tokens, certain)
+
+    def _is_certain(self, name: str, tokens: int) -> bool:
+        recent = self.clock.now() - self._written < _RETRY
+        return recent and self.wallet.is_exhausted(name, tokens)
+
+    def _make_refusal(self, name: str, tokens: int, certain: bool) -> AnvilshiftError:
+        purse = self.wallet.purses[name]
+        self.journal.write(
+            "budget_refused",
+            organisation=name,
+            tokens=tokens,
+            available=purse.available,
+            total=purse.total,
+            certain=certain,
+            share_age=round(self.clock.now() - self._written),
+        )
+        if certain:
+            return AnvilshiftError(BUDGET_EXHAUSTED)
+        return AnvilshiftError(BUDGET_UNREACHABLE, retry_after=_RETRY)
+
+    def settle(self, name: str, key: str, tokens: int) -> None:
+        """Count what a request used; 0 when it did not run."""
+        self.wallet.settle(name, key, tokens, self.clock.now())
+
+    async def run(self) -> None:
+        """Draw and give back for ever."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_LOOK / SECOND):
+                    await self._wake.wait()
+            self._wake.clear()
+            if not self.totals.version or not self._needs_write():
+                continue
+            try:
+                await self._write()
+            except AnvilshiftError as error:
+                self._note_failure(error)
+                await asyncio.sleep(_PAUSE / SECOND)
+            finally:
+                self._end_round()
+            await asyncio.sleep(_SPACING / SECOND)
+
+    def _needs_write(self) -> bool:
+        return not self._begun or self.wallet.wants_change(self.clock.now())
+
+    def _end_round(self) -> None:
+        """Wake who waits for a round, each of them once."""
+        done, self._round = self._round, asyncio.Event()
+        done.set()
+
+    def _note_failure(self, error: AnvilshiftError) -> None:
+        if not self._failing:
+            self._failing = True
+            self.journal.write(
+                "shares_unwritten", code=error.code.number, why=error.detail
+            )
+
+    async def _write(self) -> None:
+        """Write the wishes, and take in what was granted."""
+        now = self.clock.now()
+        wishes = self.wallet.make_wishes(now)
+        self._writes += 1
+        mark = f"{self.holder}:{self._writes}"
+
+        def change(body: Body | None) -> Body:
+            # A write without an answer may take effect later, if its condition
+            # still holds.  So each write changes the object, by its mark, and
+            # only a write that was answered is counted on: then no earlier one
+            # of this router can take effect any more.
+            if body is not None and body.get("mark") == mark:
+                return body
+            allotments = self._end_former(read_allotments(body))
+            allotments = allotments.grant(self.holder, wishes, self.totals)
+            return {**encode(allotments), "mark": mark}
+
+        stored = await self._object.update(change)
+        self._begun = True
+        self._written = self.clock.now()
+        self.wallet.take(read_allotments(stored.body), self._written)
+        if self._failing:
+            self._failing = False
+            self.journal.write("shares_regained")
+
+    def _end_former(self, allotments: Allotments) -> Allotments:
+        """End the shares of this host's former incarnations."""
+        for holder in allotments.list_holders():
+            if holder != self.holder and holder.rpartition(".")[0] == self.node:
+                self.journal.write("share_ended", holder=holder)
+                allotments = allotments.end(holder)
+        return allotments
+
+    async def close(self) -> None:
+        """Give everything back that was not spent."""
+        spent = {name: purse.spent for name, purse in self.wallet.purses.items()}
+        for purse in self.wallet.purses.values():
+            purse.ceiling = purse.spent
+
+        def change(body: Body | None) -> Body:
+            allotments = read_allotments(body).end(self.holder, spent)
+            return {**encode(allotments), "mark": f"{self.holder}:end"}
+
+        if self._begun:
+            await self._object.update(change)
+
+
+def read_allotments(body: Body | None) -> Allotments:
+    """Return the allotments that a stored body holds; none is an empty one."""
+    if not body:
+        return Allotments()
+    return decode(Allotments, {"organisations": body.get("organisations", {})})
--- /dev/null
+++ b/anvilshift/gateway/attempts.py
@@ -0,0 +1,159 @@
+"""Send a request to one target, and say what became of it.
+
+Every send, first byte and end goes into this router's load map and to the
+other routers, whatever comes of the attempt.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from anvilshift.core.choosing import Choice
+from anvilshift.core.clock import Clock
+from anvilshift.core.loadmap import LoadMap, Prompt
+from anvilshift.core.work import Failure
+from anvilshift.gateway.border import Delivery, Dialect, Notes
+from anvilshift.gateway.messages import Begun, Ended, Sent
+from anvilshift.gateway.peers import Peers
+from anvilshift.wire.client import ExchangeError, HttpClient, Response
+from anvilshift.wire.messages import Address, Headers, HttpRequest
+
+
+class AttemptError(Exception):
+    """An attempt failed before anything of it could be used.
+
+    Parameters
+    ----------
+    failure
+        Whether the target may have run the request.
+    detail
+        What happened.
+    """
+
+    def __init__(self, failure: Failure, detail: str) -> None:
+        super().__init__(f"{failure.value}: {detail}")
+        self.failure = failure
+        self.detail = detail
+
+    @property
+    def never_ran(self) -> bool:
+        """Tell whether the target certainly did not run the request."""
+        return self.failure in (Failure.NOT_SENT, Failure.REJECTED)
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """One request as it goes to one target.
+
+    Parameters
+    ----------
+    run
+        Names the attempt among all routers'.
+    capacity
+        Tokens that the target's memory holds; 0 for a plain service.
+    """
+
+    run: str
+    request: HttpRequest
+    identity: str
+    host: str
+    prompt: Prompt
+    delivery: Delivery
+    choice: Choice
+    capacity: int
+
+
+@dataclass
+class Answer:
+    """A target's answer whose body is still arriving."""
+
+    status: int
+    headers: Headers
+    notes: Notes
+    response: Response
+
+
+@dataclass
+class Sender:
+    """Send attempts of this router."""
+
+    client: HttpClient
+    dialect: Dialect
+    loads: LoadMap
+    peers: Peers
+    clock: Clock
+
+    @contextlib.asynccontextmanager
+    async def send(self, outgoing: Outgoing) -> AsyncIterator[Answer]:
+        """Send a request and give its answer once the head has arrived.
+
+        Raises
+        ------
+        AttemptError
+            When there is no answer to this request, or the target states that
+            it did not run it.
+        """
+        self._note_send(outgoing)
+        try:
+            async with self._exchange(outgoing) as response:
+                notes = self.dialect.read_notes(response.status, response.headers)
+                _check(outgoing, notes)
+                yield Answer(response.status, response.headers, notes, response)
+        except ExchangeError as error:
+            failure = Failure.BROKE_OFF if error.sent else Failure.NOT_SENT
+            raise AttemptError(failure, str(error)) from error
+        finally:
+            self._note_end(outgoing)
+
+    def _exchange(
+        self, outgoing: Outgoing
+    ) -> contextlib.AbstractAsyncContextManager[Response]:
+        request = outgoing.request
+        headers = self.dialect.write_delivery(request, outgoing.delivery)
+        address = Address.parse(outgoing.choice.target.info.address)
+        return self.client.exchange(
+            address,
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            host=outgoing.host,
+        )
+
+    def _note_send(self, outgoing: Outgoing) -> None:
+        name, prompt = outgoing.choice.target.info.name, outgoing.prompt
+        cached, now = outgoing.choice.cached, self.clock.now()
+        self.loads.send(name, outgoing.run, prompt, cached, now, outgoing.capacity)
+        self.peers.tell(
+            Sent(
+                outgoing.run,
+                name,
+                prompt.parts,
+                prompt.tokens,
+                prompt.most_answer,
+                cached,
+            )
+        )
+
+    def note_begin(self, outgoing: Outgoing) -> None:
+        """Take in that the target began to answer."""
+        name = outgoing.choice.target.info.name
+        self.loads.begin(name, outgoing.run, self.clock.now())
+        self.peers.tell(Begun(outgoing.run, name))
+
+    def _note_end(self, outgoing: Outgoing) -> None:
+        name = outgoing.choice.target.info.name
+        self.loads.end(name, outgoing.run)
+        self.peers.tell(Ended(outgoing.run, name))
+
+
+def _check(outgoing: Outgoing, notes: Notes) -> None:
+    """Refuse what isn't the answer to this request."""
+    if notes.identity is not None and notes.identity != outgoing.identity:
+        # A second answer to an earlier request came late on a kept connection.
+        # Taken for this one's, a caller would get another's answer.
+        raise AttemptError(Failure.BROKE_OFF, "an answer to another request")
+    if notes.misdirected:
+        raise AttemptError(Failure.REJECTED, "another target has the address")
+    if notes.not_run:
+        raise AttemptError(Failure.REJECTED, "the target did not run it")
--- /dev/null
+++ b/anvilshift/gateway/messages.py
@@ -0,0 +1,144 @@
+"""What routers tell one another, and its encoding in datagrams.
+
+The messages are soft state: each may be lost.  What was lost of a run's course
+is made good by the next message on it or by its longest time.
+"""
+
+import json
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, fields
+from typing import Any
+
+MAX_DATAGRAM = 1_300
+"""Bytes that a datagram carries without being cut into fragments."""
+
+
+@dataclass(frozen=True)
+class Beat:
+    """A router's heartbeat.
+
+    Parameters
+    ----------
+    entrance
+        Where callers connect to it.
+    version
+        The configuration that it has in force.
+    fresh
+        Whether it reached the platform's store within the last seconds.
+    wanted
+        Organisations whose tokens it lacks: who has some to spare gives back.
+    known
+        Addresses of the routers that it knows.
+    """
+
+    router: str
+    incarnation: str
+    ip: str
+    entrance: str
+    failure_domain: str
+    version: int
+    serving: bool
+    leaving: bool
+    fresh: bool
+    wanted: tuple[str, ...] = ()
+    known: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A run was sent to a target."""
+
+    run: str
+    target: str
+    parts: tuple[tuple[str, int], ...]
+    tokens: int
+    most_answer: int
+    cached: int
+
+
+@dataclass(frozen=True)
+class Begun:
+    """A run began to answer."""
+
+    run: str
+    target: str
+
+
+@dataclass(frozen=True)
+class Ended:
+    """A run ended, whatever came of it."""
+
+    run: str
+    target: str
+
+
+@dataclass(frozen=True)
+class Leaving:
+    """A target leaves or is gone: it gets no new work."""
+
+    target: str
+
+
+Message = Beat | Sent | Begun | Ended | Leaving
+_KINDS: dict[str, type[Message]] = {
+    kind.__name__: kind for kind in (Beat, Sent, Begun, Ended, Leaving)
+}
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as a line of JSON.
+
+    Examples
+    --------
+    >>> encode(Ended("r1/7", "e1"))
+    b'["Ended","r1/7","e1"]'
+    """
+    values = list(asdict(message).values())
+    return json.dumps([type(message).__name__, *values], separators=(",", ":")).encode()
+
+
+def pack(lines: Iterable[bytes]) -> list[bytes]:
+    r"""Return lines as datagrams, as many in each as fit.
+
+    Examples
+    --------
+    >>> pack([b"a", b"b"])
+    [b'a\\nb']
+    """
+    datagrams: list[bytes] = []
+    for line in lines:
+        if datagrams and len(datagrams[-1]) + len(line) < MAX_DATAGRAM:
+            datagrams[-1] += b"\n" + line
+        else:
+            datagrams.append(line)
+    return datagrams
+
+
+def decode(datagram: bytes) -> list[Message]:
+    """Return the messages of a datagram.
+
+    Raises
+    ------
+    ValueError
+        When the bytes are something else.
+
+    Examples
+    --------
+    >>> decode(encode(Ended("r1/7", "e1")))
+    [Ended(run='r1/7', target='e1')]
+    """
+    return [_decode_line(json.loads(line)) for line in datagram.split(b"\n")]
+
+
+def _decode_line(values: Any) -> Message:
+    if not isinstance(values, list) or not values or values[0] not in _KINDS:
+        raise ValueError("no message of a router")
+    kind = _KINDS[values[0]]
+    if len(values) != len(fields(kind)) + 1:
+        raise ValueError(f"a {values[0]} has another number of fields")
+    return kind(*(_freeze(value) for value in values[1:]))
+
+
+def _freeze(value: Any) -> Any:
+    """Return a value with its lists as tuples."""
+    return tuple(_freeze(one) for one in value) if isinstance(value, list) else value
--- /dev/null
+++ b/anvilshift/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Read and write the platform's objects."""
--- a/anvilshift/platform/cached.py
+++ b/anvilshift/objects/cached.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from anvilshift.platform.store import (
+from anvilshift.objects.store import (
     Body,
     ConflictError,
     ObjectStore,
--- a/anvilshift/platform/ledgers.py
+++ b/anvilshift/objects/ledgers.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from anvilshift.core.ledger import Account, Ledger
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import Body, ObjectStore, update
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import Body, ObjectStore, update
 
 LEDGER_KIND = "Ledger"
 LEDGER_NAME = "main"
--- a/anvilshift/platform/paced.py
+++ b/anvilshift/objects/paced.py
@@ -12,7 +12,7 @@
 
 from anvilshift.core.bucket import Bucket
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.platform.store import (
+from anvilshift.objects.store import (
     Body,
     Changes,
     HostEntry,
--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -14,6 +14,7 @@
 
 from anvilshift.core.clock import SECOND, MonotonicClock
 from anvilshift.core.errors import BAD_DECLARATION, BAD_SETTINGS, AnvilshiftError
+from anvilshift.objects.store import ConflictError, HttpObjectStore
 from anvilshift.operator.calling import Calls
 from anvilshift.operator.checking import ERROR, cross_check
 from anvilshift.operator.explaining import explain
@@ -28,7 +29,6 @@
     write_differences,
 )
 from anvilshift.operator.standins import Standins
-from anvilshift.platform.store import ConflictError, HttpObjectStore
 from anvilshift.router.daemon import Router
 from anvilshift.settings.declarations import parse_declaration, read_documents
 from anvilshift.settings.router import RouterSettings
--- a/anvilshift/operator/platformside.py
+++ b/anvilshift/operator/platformside.py
@@ -9,9 +9,9 @@
 from anvilshift.core.declarations import KINDS
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.membership import Member
-from anvilshift.platform import ledgers
-from anvilshift.platform.records import decode
-from anvilshift.platform.store import (
+from anvilshift.objects import ledgers
+from anvilshift.objects.records import decode
+from anvilshift.objects.store import (
     Body,
     ConflictError,
     ObjectStore,
--- a/anvilshift/platform/__init__.py
+++ b/anvilshift/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Read and write the platform's objects."""
+"""Translate between the users' platform and the gateway; nothing is decided here."""
--- /dev/null
+++ b/anvilshift/platform/main.py
@@ -0,0 +1,90 @@
+"""The process that the platform starts: ``python3 -m anvilshift.platform.main``."""
+
+import asyncio
+import gc
+import random
+import signal
+import sys
+
+from anvilshift.core.clock import MonotonicClock
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.node import GatewayNode
+from anvilshift.gateway.settings import GatewaySettings
+from anvilshift.platform.dialect import PlatformDialect
+from anvilshift.platform.entrance import EntrancePort
+from anvilshift.platform.settings import find_path, read_settings
+from anvilshift.platform.store import PlatformStore
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.server import HttpServer
+
+_BAD_SETTINGS_EXIT = 2
+
+
+class Process:
+    """One gateway process: sockets and signals round a node."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self._settings = settings
+        clock = MonotonicClock()
+        self._journal = Journal(settings.name, clock)
+        self._store_client = HttpClient()
+        store = PlatformStore(self._store_client, settings.store)
+        rng = random.Random(random.SystemRandom().getrandbits(64))
+        self.node = GatewayNode(
+            settings, PlatformDialect(), store, clock, self._journal, rng
+        )
+        port = EntrancePort(self.node.is_ready, self.node.list_entrances)
+        self._entrance = port
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until the signal to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self._settings
+        servers = []
+        for address in (settings.ready, settings.directory):
+            if address is not None:
+                server = HttpServer(self._entrance.handle)
+                await server.start(address)
+                servers.append(server)
+        await self.node.start()
+        self._journal.write("started", incarnation=self.node.incarnation)
+        gc.collect()
+        gc.freeze()
+        await self._stopping.wait()
+        await self.node.stop()
+        for server in servers:
+            await server.close()
+        await self.node.close()
+
+    def _reload(self) -> None:
+        """Look at the settings file; its addresses are read at a start only."""
+        try:
+            read_settings(find_path())
+        except AnvilshiftError as error:
+            self._journal.write("settings_unreadable", why=error.detail)
+            return
+        self._journal.write("settings_read")
+
+
+def run() -> int:
+    """Run the process; return its exit code."""
+    try:
+        settings = read_settings(find_path())
+    except AnvilshiftError as error:
+        print(error, file=sys.stderr)
+        return _BAD_SETTINGS_EXIT
+
+    async def serve() -> None:
+        await Process(settings).run()
+
+    asyncio.run(serve())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/anvilshift/platform/settings.py
@@ -0,0 +1,89 @@
+"""The settings file that the platform lays for each process."""
+
+import os
+import pathlib
+import tomllib
+
+from pydantic import BaseModel, Field, ValidationError
+
+from anvilshift.core.clock import SECOND
+from anvilshift.core.errors import BAD_SETTINGS, AnvilshiftError
+from anvilshift.gateway.settings import GatewaySettings
+from anvilshift.platform import names
+from anvilshift.wire.messages import Address
+
+_DEFAULT_PATH = "/etc/anvilshift/local.toml"
+
+
+class _Listen(BaseModel):
+    front: str
+    ready: str | None = None
+    control: str | None = None
+    directory: str | None = None
+
+
+class _Bounds(BaseModel):
+    grace_s: float = Field(default=8.0, alias="graceS")
+    retry_allowance: float = Field(default=40.0, alias="retryAllowance")
+
+
+class _Store(BaseModel):
+    address: str
+
+
+class SettingsRecord(BaseModel):
+    """The fields that are read; others are ignored."""
+
+    name: str = Field(alias="nodeName")
+    ip: str
+    zone: str
+    ports: tuple[int, int] = Field(alias="internalPorts")
+    seeds: list[str] = Field(default_factory=list)
+    listen: _Listen
+    bounds: _Bounds = Field(default_factory=_Bounds)
+    platform: _Store
+
+    def convert(self) -> GatewaySettings:
+        """Return the product's settings."""
+        listen = self.listen
+        return GatewaySettings(
+            name=self.name,
+            ip=self.ip,
+            failure_domain=self.zone,
+            front=Address.parse(listen.front),
+            ready=Address.parse(listen.ready) if listen.ready else None,
+            directory=Address.parse(listen.directory) if listen.directory else None,
+            peer_port=self.ports[0],
+            operator_port=self.ports[0] + 1,
+            store=Address.parse(self.platform.address),
+            seeds=tuple(Address.parse(seed).ip for seed in self.seeds),
+            grace=self.bounds.grace_s * SECOND,
+            retry_allowance=self.bounds.retry_allowance,
+        )
+
+
+def find_path() -> str:
+    """Return where the platform has laid the settings file."""
+    return os.environ.get(names.BOOT_VARIABLE, _DEFAULT_PATH)
+
+
+def read_settings(path: str) -> GatewaySettings:
+    """Return the settings that a file holds.
+
+    Raises
+    ------
+    AnvilshiftError
+        Code 6001 with the file and the field that is missing or ill-typed.
+    """
+    try:
+        values = tomllib.loads(pathlib.Path(path).read_text())
+        return SettingsRecord.model_validate(values).convert()
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise AnvilshiftError(BAD_SETTINGS, f"{path}: {error}") from error
+    except ValidationError as error:
+        fault = error.errors()[0]
+        where = ".".join(str(part) for part in fault["loc"])
+        detail = f"{path}: {where}: {fault['msg']}"
+        raise AnvilshiftError(BAD_SETTINGS, detail) from error
+    except ValueError as error:
+        raise AnvilshiftError(BAD_SETTINGS, f"{path}: {error}") from error
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -18,10 +18,10 @@
 )
 from anvilshift.core.escrow import Escrow
 from anvilshift.core.ledger import BillKey, Commit, Ledger, Outcome
-from anvilshift.platform.cached import CachedObject
-from anvilshift.platform.ledgers import LEDGER_KIND, read_body
-from anvilshift.platform.records import encode
-from anvilshift.platform.store import Body, ObjectStore
+from anvilshift.objects.cached import CachedObject
+from anvilshift.objects.ledgers import LEDGER_KIND, read_body
+from anvilshift.objects.records import encode
+from anvilshift.objects.store import Body, ObjectStore
 from anvilshift.router.hooks import Hooks
 from anvilshift.router.refusals import make_refusal, make_unrecorded
 from anvilshift.router.sealing import Sealing
--- a/anvilshift/router/claims.py
+++ b/anvilshift/router/claims.py
@@ -18,8 +18,8 @@
     AnvilshiftError,
 )
 from anvilshift.core.identity import make_identity
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import Body, ObjectStore, update
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import Body, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
 from anvilshift.router.requests import Job
 from anvilshift.wire.jsons import dump_json
--- a/anvilshift/router/daemon.py
+++ b/anvilshift/router/daemon.py
@@ -9,8 +9,8 @@
 
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.engines.http import HttpConnector
+from anvilshift.objects.store import HttpObjectStore
 from anvilshift.peers.link import GrpcPeerLink, PeerServer
-from anvilshift.platform.store import HttpObjectStore
 from anvilshift.router.node import Node, World
 from anvilshift.router.operations import OperatorPort
 from anvilshift.router.telemetry import Telemetry
--- a/anvilshift/router/departing.py
+++ b/anvilshift/router/departing.py
@@ -11,7 +11,7 @@
 from anvilshift.core.departures import HOST_LIST, REFUSED, REPORT, Departures
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import LoadReport
-from anvilshift.platform.store import HostEntry, ObjectStore
+from anvilshift.objects.store import HostEntry, ObjectStore
 
 _HOSTS_INTERVAL: Millis = 500.0
 _REFUSALS = 2
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -12,6 +12,8 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.lease import Lease
 from anvilshift.core.membership import Member, Roster, Vitals
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import Body, ConflictError, ObjectStore, update
 from anvilshift.peers.generated.peers_pb2 import (
     Crash,
     GiveBackReply,
@@ -23,8 +25,6 @@
     StoreRequest,
 )
 from anvilshift.peers.link import PeerError, PeerLink
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import Body, ConflictError, ObjectStore, update
 from anvilshift.router.following import ROUTER_KIND
 from anvilshift.router.messages import (
     Bills,
--- a/anvilshift/router/following.py
+++ b/anvilshift/router/following.py
@@ -10,7 +10,7 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.declarations import KINDS, Catalogue, Declaration
 from anvilshift.core.errors import PLATFORM_GARBAGE, AnvilshiftError
-from anvilshift.platform.store import Body, Change, ObjectStore, Stored
+from anvilshift.objects.store import Body, Change, ObjectStore, Stored
 from anvilshift.settings.declarations import parse_declaration
 
 ROUTER_KIND = "Router"
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -20,9 +20,9 @@
 from anvilshift.core.spreading import Entrance, order_entrances
 from anvilshift.core.work import Announce, DispatchSettings, LoadReport, Target
 from anvilshift.engines.engine import Connector
+from anvilshift.objects.paced import PacedStore
+from anvilshift.objects.store import ObjectStore
 from anvilshift.peers.link import PeerLink
-from anvilshift.platform.paced import PacedStore
-from anvilshift.platform.store import ObjectStore
 from anvilshift.router.callers import CallerPort
 from anvilshift.router.claims import ClaimBook
 from anvilshift.router.crashes import CrashNews
--- a/anvilshift/router/orders.py
+++ b/anvilshift/router/orders.py
@@ -17,8 +17,8 @@
     list_assignments,
 )
 from anvilshift.engines.engine import ModelEngine, Order
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import ConflictError, ObjectStore, Stored
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import ConflictError, ObjectStore, Stored
 from anvilshift.router.fleet import Fleet
 
 OWNER_KIND = "OrderOwner"
--- a/anvilshift/router/relayed.py
+++ b/anvilshift/router/relayed.py
@@ -16,10 +16,8 @@
     PLATFORM_GARBAGE,
     AnvilshiftError,
 )
-from anvilshift.peers.generated.peers_pb2 import StoreReply, StoreRequest
-from anvilshift.peers.link import PeerError, PeerLink
-from anvilshift.platform.records import decode
-from anvilshift.platform.store import (
+from anvilshift.objects.records import decode
+from anvilshift.objects.store import (
     Body,
     Changes,
     ConflictError,
@@ -30,6 +28,8 @@
     Stored,
     UncertainError,
 )
+from anvilshift.peers.generated.peers_pb2 import StoreReply, StoreRequest
+from anvilshift.peers.link import PeerError, PeerLink
 from anvilshift.wire.jsons import dump_json
 
 Result = TypeVar("Result")
--- a/anvilshift/router/sealing.py
+++ b/anvilshift/router/sealing.py
@@ -7,8 +7,8 @@
 from anvilshift.core.clock import Clock
 from anvilshift.core.escrow import Bills
 from anvilshift.core.ledger import BillKey, Ledger
-from anvilshift.platform.cached import CachedObject
-from anvilshift.platform.ledgers import change_body
+from anvilshift.objects.cached import CachedObject
+from anvilshift.objects.ledgers import change_body
 
 
 class Sealing:
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -11,7 +11,7 @@
 from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
 from anvilshift.core.escrow import Bills
 from anvilshift.core.ledger import Ledger
-from anvilshift.platform.ledgers import (
+from anvilshift.objects.ledgers import (
     LEDGER_KIND,
     LEDGER_NAME,
     ledger_name,
@@ -19,7 +19,7 @@
     read_body,
     read_shards,
 )
-from anvilshift.platform.store import ObjectStore
+from anvilshift.objects.store import ObjectStore
 from anvilshift.router.branch import (
     BILL_LIFETIME_S,
     HOLDER_LIFETIME_S,
--- a/anvilshift/standins/memory.py
+++ b/anvilshift/standins/memory.py
@@ -13,7 +13,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import PLATFORM_DOWN, PLATFORM_GARBAGE, AnvilshiftError
-from anvilshift.platform.store import (
+from anvilshift.objects.store import (
     Body,
     Change,
     Changes,
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import math
+import time
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator
 
@@ -14,10 +16,14 @@
     Fields,
     Headers,
     HttpAnswer,
+    tune_socket,
 )
 
 _READ_AHEAD_BYTES = 256 * 1024
 _IDLE_PER_ADDRESS = 64
+_IDLE_PART = 0.8
+_IDLE_S = 30.0
+"""Where a server names no time: it may close earlier, which shows at once."""
 _HEAD_BYTES = 64 * 1024
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
 
@@ -49,18 +55,17 @@
         self._buffered = 0
         self._arrived = asyncio.Event()
         self._failure: Exception | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
         self.closed = False
         self._idle = False
+        self.idle_until = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        tune_socket(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        self._writable.set()
         if self._failure is None:
             self._failure = exc or ConnectionError("the server closed the connection")
         self._arrived.set()
@@ -69,12 +74,6 @@
         self._feed(b"")
         return False
 
-    def pause_writing(self) -> None:
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        self._writable.set()
-
     def get_buffer(self, sizehint: int) -> memoryview:
         return RECEIVE_BUFFER
 
@@ -111,7 +110,7 @@
             self.transport.pause_reading()
         self._arrived.set()
 
-    async def send(self, method: str, path: str, headers: Fields, body: bytes) -> None:
+    def send(self, method: str, path: str, headers: Fields, body: bytes) -> None:
         assert self.transport is not None
         # Fields that a caller sent pass on as the bytes that they were.
         raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
@@ -121,8 +120,9 @@
         if body:
             parts.append(self._h11.send(h11.Data(data=body)))
         parts.append(self._h11.send(h11.EndOfMessage()))
+        # Not awaited until it is written: a server may answer before it has read
+        # a long body, and its answer would wait behind a body it doesn't read.
         self.transport.write(b"".join(part for part in parts if part))
-        await self._writable.wait()
 
     async def receive(self) -> h11.Event:
         while not self._events:
@@ -162,7 +162,7 @@
     def wake(self) -> bool:
         """Begin another exchange; False when the connection was closed."""
         self._idle = False
-        return not self.closed
+        return not self.closed and time.monotonic() < self.idle_until
 
     def close(self) -> None:
         self.closed = True
@@ -213,6 +213,21 @@
         return bytes(body)
 
 
+def _read_idle_span(headers: Headers) -> float:
+    """Return the seconds for which a server keeps an idle connection.
+
+    A request that crosses the server's close is lost or may have run, so the
+    connection is given up a little earlier than the server says.
+    """
+    for name, value in headers.pairs:
+        if name == "keep-alive":
+            for word in value.split(","):
+                key, _, number = word.strip().partition("=")
+                if key.lower() == "timeout" and number.isdecimal():
+                    return int(number) * _IDLE_PART
+    return _IDLE_S
+
+
 class HttpClient:
     """Exchange requests with servers, keeping idle connections for reuse.
 
@@ -232,6 +247,7 @@
             connection = idle.pop()
             if connection.wake():
                 return connection
+            connection.close()
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(_Connection, address.ip, address.port)
         try:
@@ -240,9 +256,12 @@
             raise ExchangeError(f"can't connect to {address}", False) from error
         return made
 
-    def _release(self, address: Address, connection: _Connection) -> None:
+    def _release(
+        self, address: Address, connection: _Connection, idle_s: float
+    ) -> None:
         idle = self._idle[address]
         if len(idle) < _IDLE_PER_ADDRESS and connection.reset():
+            connection.idle_until = time.monotonic() + idle_s
             idle.append(connection)
         else:
             connection.close()
@@ -256,6 +275,7 @@
         headers: Fields | None = None,
         body: bytes = b"",
         timeout: Millis | None = None,
+        host: str | None = None,
     ) -> AsyncIterator[Response]:
         """Send a request and give its answer once the head has arrived.
 
@@ -266,6 +286,8 @@
         ----------
         timeout
             Milliseconds until the head of the answer must have arrived.
+        host
+            Name to ask for; the address where it is left out.
 
         Raises
         ------
@@ -273,12 +295,12 @@
             With ``sent`` False when the request provably never left.
         """
         connection = await self._connect(address)
-        fields = [("host", str(address)), *(headers or [])]
+        fields = [("host", host or str(address)), *(headers or [])]
         fields.append(("content-length", str(len(body))))
         response: Response | None = None
         try:
             async with asyncio.timeout(timeout / SECOND if timeout else None):
-                await connection.send(method, path, fields, body)
+                connection.send(method, path, fields, body)
                 head = await connection.receive()
                 while isinstance(head, h11.InformationalResponse):
                     head = await connection.receive()
@@ -299,7 +321,8 @@
             yield response
         finally:
             if response.whole:
-                self._release(address, connection)
+                idle_s = _read_idle_span(response.headers)
+                self._release(address, connection, idle_s)
             else:
                 connection.close()
 
@@ -323,6 +346,11 @@
         except TimeoutError as error:
             raise ExchangeError(f"{address} did not answer in time", True) from error
 
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
     def close(self) -> None:
         """Close the idle connections."""
         for idle in self._idle.values():
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -1,5 +1,7 @@
 """Immutable HTTP messages and limits, shared by the server and the client."""
 
+import asyncio
+import socket
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
@@ -15,6 +17,27 @@
 """
 
 
+_PROBE_AFTER_S = 1
+_PROBE_EVERY_S = 1
+_PROBES = 3
+_UNACKNOWLEDGED_MS = 3_000
+"""A host that lost power or was partitioned sends no reset: without probes and a
+bound on unacknowledged bytes a connection to it hangs for minutes.  Three seconds
+outlast a few lost packets and end well before callers give up."""
+
+
+def tune_socket(transport: asyncio.BaseTransport) -> None:
+    """Make a connection notice within seconds that its peer is gone."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+
+
 @dataclass(frozen=True)
 class Address:
     """An IP number and a port.
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -28,6 +28,7 @@
     HttpRequest,
     Limits,
     Reply,
+    tune_socket,
 )
 
 _PIPELINE_BYTES = 64 * 1024
@@ -61,6 +62,8 @@
             Whether the head may go out with the next piece, in one packet.
         """
         self.started = True
+        if self._connection.parting:
+            headers = [*headers, ("connection", "close")]
         head = h11.Response(status_code=status, headers=headers)
         self._connection.send(head, hold=hold)
 
@@ -107,7 +110,6 @@
 
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
-        self._limits = server.limits
         self._h11 = self._make_parser()
         self._transport: asyncio.Transport | None = None
         self._writable = asyncio.Event()
@@ -123,13 +125,23 @@
         head_bytes = self._limits.head_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
 
+    @property
+    def _limits(self) -> Limits:
+        return self._server.limits
+
     @property
     def busy(self) -> bool:
         return self._task is not None
 
+    @property
+    def parting(self) -> bool:
+        """Tell whether this is the connection's last answer."""
+        return self._server.parting
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        tune_socket(transport)
         self._server.connections.add(self)
         self._set_timer(self._limits.head_timeout)
 
@@ -320,6 +332,11 @@
         becomes the answer, as long as none was begun.
     limits
         What a connection may cost.
+
+    Attributes
+    ----------
+    parting
+        Whether each answer asks its caller to connect anew, elsewhere.
     """
 
     def __init__(self, handler: Handler, limits: Limits = DEFAULT_LIMITS) -> None:
@@ -327,6 +344,7 @@
         self.limits = limits
         self.connections: set[_Connection] = set()
         self.stopping = False
+        self.parting = False
         self._server: asyncio.Server | None = None
 
     async def start(self, address: Address) -> Address:
--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -22,9 +22,9 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.escrow import Escrow
 from anvilshift.core.ledger import Bill, Ledger
-from anvilshift.platform import ledgers
-from anvilshift.platform.records import decode
-from anvilshift.platform.store import update
+from anvilshift.objects import ledgers
+from anvilshift.objects.records import decode
+from anvilshift.objects.store import update
 from anvilshift.router.treasury import LEDGER_KIND, LEDGER_NAME, Treasury
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
--- a/bench/inforce.py
+++ b/bench/inforce.py
@@ -11,8 +11,8 @@
 import time
 
 from anvilshift.core.clock import SECOND, MonotonicClock
+from anvilshift.objects.store import HttpObjectStore, update
 from anvilshift.operator.platformside import wait_accepted
-from anvilshift.platform.store import HttpObjectStore, update
 from bench.fleet import LocalFleet
 
 _CHANGES = 40
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -32,9 +32,9 @@
 from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.core.work import DispatchSettings, LoadReport, Target, Work
 from anvilshift.engines.http import HttpConnector
+from anvilshift.objects.records import decode, encode
 from anvilshift.peers.generated.peers_pb2 import Heartbeat
 from anvilshift.peers.link import GrpcPeerLink, PeerServer
-from anvilshift.platform.records import decode, encode
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.wire.client import HttpClient
--- a/bench/soak/books.py
+++ b/bench/soak/books.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from anvilshift.core.account import make_mark
-from anvilshift.platform.ledgers import LEDGER_KIND, read_body
+from anvilshift.objects.ledgers import LEDGER_KIND, read_body
 
 if TYPE_CHECKING:
     from bench.soak.run import Soak
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,8 +7,8 @@
 
 from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.objects.store import HostEntry
 from anvilshift.operator.platformside import wait_accepted
-from anvilshift.platform.store import HostEntry
 
 if TYPE_CHECKING:
     from bench.soak.run import Soak
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -16,9 +16,9 @@
 from anvilshift.core.account import KEY_CHARS, MARK_CHARS, make_mark
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ledger import Ledger
+from anvilshift.objects.ledgers import LEDGER_KIND, read_body
+from anvilshift.objects.store import Body, Stored
 from anvilshift.operator.platformside import top_up
-from anvilshift.platform.ledgers import LEDGER_KIND, read_body
-from anvilshift.platform.store import Body, Stored
 from anvilshift.router.gate import hash_token
 from anvilshift.router.node import Node, World
 from anvilshift.router.requests import digest, digest_call, digest_chat
--- a/tests/integration/fleetcase.py
+++ b/tests/integration/fleetcase.py
@@ -7,6 +7,7 @@
 
 from anvilshift.client.client import CallError, Client, Conversation
 from anvilshift.core.clock import MonotonicClock
+from anvilshift.objects.store import HttpObjectStore
 from anvilshift.operator.platformside import (
     compare,
     read_stored,
@@ -15,7 +16,6 @@
     wait_accepted,
     write_differences,
 )
-from anvilshift.platform.store import HttpObjectStore
 from anvilshift.settings.declarations import read_documents
 from anvilshift.standins.engine import make_answer
 from bench.fleet import LocalFleet, wait_until
--- a/tests/platform/test_cached.py
+++ b/tests/objects/test_cached.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from anvilshift.platform.cached import CachedObject
-from anvilshift.platform.store import update
+from anvilshift.objects.cached import CachedObject
+from anvilshift.objects.store import update
 from anvilshift.standins.memory import MemoryStore
 
 
--- a/tests/platform/test_http_store.py
+++ b/tests/objects/test_http_store.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.platform.store import (
+from anvilshift.objects.store import (
     ConflictError,
     HttpObjectStore,
     UncertainError,
--- a/tests/platform/test_paced.py
+++ b/tests/objects/test_paced.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from anvilshift.platform.paced import PacedStore
+from anvilshift.objects.paced import PacedStore
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock
 from tests.router.nodes import VirtualTestCase
--- a/tests/operator/test_verbs.py
+++ b/tests/operator/test_verbs.py
@@ -7,9 +7,9 @@
 
 import yaml
 
+from anvilshift.objects.store import HttpObjectStore, update
 from anvilshift.operator.checking import cross_check
 from anvilshift.operator.explaining import explain
-from anvilshift.platform.store import HttpObjectStore, update
 from anvilshift.settings.declarations import parse_declaration
 from bench.fleet import OPERATOR_TOKEN, LocalFleet, wait_until
 
--- a/tests/router/fleetlet.py
+++ b/tests/router/fleetlet.py
@@ -10,9 +10,9 @@
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.core.ledger import Ledger
 from anvilshift.engines.http import HttpConnector
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import update
 from anvilshift.peers.link import PeerError
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import update
 from anvilshift.router.gate import hash_token
 from anvilshift.router.node import Node, World
 from anvilshift.router.telemetry import Telemetry
--- a/tests/router/test_acceptance.py
+++ b/tests/router/test_acceptance.py
@@ -4,13 +4,13 @@
 import random
 import unittest
 
+from anvilshift.objects.store import Changes, Listing, Stored
 from anvilshift.operator.platformside import (
     compare,
     read_stored,
     wait_accepted,
     write_differences,
 )
-from anvilshift.platform.store import Changes, Listing, Stored
 from anvilshift.router.following import Follower
 from tests.router.nodes import LEASE, Nodes, VirtualTestCase, wait_until
 
--- a/tests/router/test_claimed.py
+++ b/tests/router/test_claimed.py
@@ -8,7 +8,7 @@
 from anvilshift.client.client import Conversation
 from anvilshift.core.claims import LIFETIME_S, Claim, ClaimState
 from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
-from anvilshift.platform.records import decode, encode
+from anvilshift.objects.records import decode, encode
 from anvilshift.router.claims import CLAIM_KIND
 from anvilshift.router.requests import digest
 from anvilshift.standins.engine import make_answer
--- a/tests/router/test_random_acceptance.py
+++ b/tests/router/test_random_acceptance.py
@@ -5,8 +5,8 @@
 import random
 
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.objects.store import update
 from anvilshift.operator.platformside import wait_accepted
-from anvilshift.platform.store import update
 from tests.router.nodes import Nodes, VirtualTestCase
 
 NAMES = ("r1", "r2", "r3", "r4", "r5")
--- a/tests/router/test_relayed.py
+++ b/tests/router/test_relayed.py
@@ -5,8 +5,8 @@
 
 from anvilshift.core.clock import ManualClock
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.objects.store import ConflictError, UncertainError, update
 from anvilshift.peers.link import PeerError
-from anvilshift.platform.store import ConflictError, UncertainError, update
 from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.standins.memory import MemoryStore
 
--- a/tests/router/test_treasury.py
+++ b/tests/router/test_treasury.py
@@ -12,9 +12,9 @@
     AnvilshiftError,
 )
 from anvilshift.core.ledger import Ledger
-from anvilshift.platform import ledgers
-from anvilshift.platform.records import decode, encode
-from anvilshift.platform.store import update
+from anvilshift.objects import ledgers
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import update
 from anvilshift.router.treasury import LEDGER_KIND, LEDGER_NAME, Treasury
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
--- a/tests/standins/test_memory.py
+++ b/tests/standins/test_memory.py
@@ -4,7 +4,7 @@
 import unittest
 
 from anvilshift.core.errors import PLATFORM_DOWN, AnvilshiftError
-from anvilshift.platform.store import ConflictError, UncertainError, update
+from anvilshift.objects.store import ConflictError, UncertainError, update
 from anvilshift.standins.memory import MemoryStore
 
 
