Let routers give one another tokens while the store is out of reach

Cause: with every router cut from the store for 8 s, requests were refused as soon as one router's share was used up, while others had tokens to spare; asked to give them back, they lowered their shares for a write that could not succeed.

Ruled out: larger cushions alone (each kill strands them); giving back through the store (it is the store that is away).

Change: a router that lacks tokens asks the others by datagram; a gift counts as spent at the giver before it is sent and once at the receiver. Cushions follow a rate that is put right while its mean is young.

--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -19,15 +19,15 @@
 COVER: Millis = 9 * SECOND
 """Use that a full cushion lasts for: the longest cuts from the store that the
 deployments name last 8 s."""
+_FIRST_PART = 0.2
+"""Part of a total that all routers together hold before they have seen its use:
+a fifth lasts nine seconds where a total lasts for forty-five."""
 _REFILL_BELOW = 0.8
 """Part of the cushion below which more is drawn; each draw is a priced write, and
 at 0.8 a router writes about every 2 s of steady use."""
 _GIVE_ABOVE = 2.0
 """Part of the cushion above which tokens go back, far enough from the refill
 that a wave in the traffic doesn't draw and give back in turn."""
-_FIRST_PART = 1 / 16
-"""Part of a total that a router asks for before it has seen any use: with five
-routers a third of the total lies ready and two thirds are free to draw."""
 _RATE_SPAN: Millis = 6 * SECOND
 """Time constant of the measured rate: longer than the pause between two
 large prompts, shorter than an organisation's burst."""
@@ -42,7 +42,8 @@
     ceiling
         Tokens that may be spent in all; only what the store confirmed counts.
     settled
-        Tokens of requests that have ended.
+        Tokens of requests that have ended, and those given to other routers;
+        less those that others gave.
     reserved
         By request, the most that it can cost.
     waiting
@@ -50,13 +51,14 @@
     """
 
     total: int = 0
+    routers: int = 1
     ceiling: int = 0
     settled: int = 0
     reserved: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
-    rate: float | None = None
+    rate: float = 0.0
     rated_at: Millis = 0.0
-    lean_until: Millis = -math.inf
+    rated_since: Millis | None = None
     dry_until: Millis = -math.inf
     limited: bool = True
 
@@ -73,24 +75,24 @@
     def count_use(self, tokens: int, now: Millis) -> None:
         """Follow the rate of use, in tokens a millisecond."""
         gone = math.exp(-(now - self.rated_at) / _RATE_SPAN)
-        old = 0.0 if self.rate is None else self.rate
-        self.rate = old * gone + tokens / _RATE_SPAN
+        self.rate = self.rate * gone + tokens / _RATE_SPAN
         self.rated_at = now
+        if self.rated_since is None:
+            self.rated_since = now
 
     def current_rate(self, now: Millis) -> float:
         """Return the rate of use now, in tokens a millisecond."""
-        if self.rate is None:
+        if self.rated_since is None:
             return 0.0
-        return self.rate * math.exp(-(now - self.rated_at) / _RATE_SPAN)
+        # A mean that began a moment ago holds little yet; it is put right by the
+        # part of its weights that it has seen.
+        seen = 1.0 - math.exp(-max(SECOND, now - self.rated_since) / _RATE_SPAN)
+        return self.rate * math.exp(-(now - self.rated_at) / _RATE_SPAN) / seen
 
     def cushion(self, now: Millis) -> int:
         """Return the tokens that should lie ready beyond what is reserved."""
-        if now < self.lean_until:
-            return 0
-        first = int(self.total * _FIRST_PART)
-        if self.rate is None:
-            return first
-        return max(int(self.current_rate(now) * COVER), first // 4)
+        first = int(self.total * _FIRST_PART / self.routers)
+        return max(int(self.current_rate(now) * COVER), first)
 
     def make_wish(self, now: Millis) -> Wish:
         """Return what to ask of the store now."""
@@ -105,19 +107,20 @@
         """Tell whether the share in the store should change."""
         if not self.limited:
             return False
-        if self.waiting:
-            return True
         cushion = self.cushion(now)
         if self.available > max(1, int(cushion * _GIVE_ABOVE)):
             return True
-        return now >= self.dry_until and self.available < cushion * _REFILL_BELOW
+        if now < self.dry_until:
+            return False
+        return bool(self.waiting) or self.available < cushion * _REFILL_BELOW
 
 
 _DRY_SPAN: Millis = 1 * SECOND
 """After a draw that found nothing free: a total grows by seconds, and each look is
 a priced write."""
-LEAN_SPAN: Millis = 2 * SECOND
-"""How long a router keeps no cushion after another has asked for its tokens."""
+_GIFT_PART = 0.5
+"""Most of what is available that goes to one router that asks; the asker has a
+request that waits, the giver has none."""
 
 
 class Wallet:
@@ -202,13 +205,39 @@
         self.seen = allotments
         for name, purse in self.purses.items():
             purse.ceiling = max(allotments.ceiling(name, self.holder), purse.spent)
-            if purse.available < purse.cushion(now) * _REFILL_BELOW:
+            if allotments.of(name).free <= 0:
                 purse.dry_until = now + _DRY_SPAN
 
-    def release_cushion(self, name: str, now: Millis) -> None:
-        """Give back what no request has reserved; another router needs it."""
+    def set_routers(self, routers: int) -> None:
+        """Take in among how many routers the cushions are divided."""
+        for purse in self.purses.values():
+            purse.routers = max(1, routers)
+
+    def give(self, name: str, tokens: int) -> int:
+        """Give tokens to another router; return how many.
+
+        They count as spent here from before they are sent, and this router's
+        share in the store goes on covering them: a gift that is lost on its
+        way is out of reach, never there twice.
+
+        Examples
+        --------
+        >>> wallet = Wallet("r1")
+        >>> wallet.purses["pounds"] = Purse(total=100, ceiling=100)
+        >>> wallet.give("pounds", 80), wallet.purses["pounds"].available
+        (50, 50)
+        """
+        purse = self.purses.get(name)
+        if purse is None or not purse.limited:
+            return 0
+        given = max(0, min(tokens, int(purse.available * _GIFT_PART)))
+        purse.settled += given
+        return given
+
+    def receive(self, name: str, tokens: int) -> None:
+        """Take in tokens that another router gave."""
         if name in self.purses:
-            self.purses[name].lean_until = now + LEAN_SPAN
+            self.purses[name].settled -= tokens
 
     def is_exhausted(self, name: str, tokens: int) -> bool:
         """Tell whether the total certainly can't cover as many tokens.
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -32,9 +32,13 @@
 together, at a delay that is small against a first token's."""
 _PAUSE: Millis = 250.0
 """After a failed write."""
+_ROUND: Millis = 60.0
+"""How long gifts and a write of the store are waited for before others are asked
+again: an answer of another router takes 3 ms, a write 10."""
+_ROUNDS = 4
+"""Each halves what the others have to spare; after four it is nearly all asked."""
 _WAIT: Millis = 700.0
-"""How long a request waits for tokens: two rounds of the store when it is slow
-(240 ms a call), during which the others may give tokens back."""
+"""How long a request waits for tokens at the most."""
 _RETRY: Millis = 1 * SECOND
 _REMEMBER: Millis = 500.0
 """How long a refusal of an organisation's request holds for others as large:
@@ -66,7 +70,7 @@
     holder: str
     clock: Clock
     journal: Journal
-    ask_peers: Callable[[str], None] = lambda organisation: None
+    ask_peers: Callable[[str, int], None] = lambda organisation, tokens: None
     totals: Totals = field(default_factory=lambda: Totals(0))
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _round: asyncio.Event = field(default_factory=asyncio.Event)
@@ -88,10 +92,17 @@
         self._refusals.clear()
         self._wake.set()
 
-    def release_cushion(self, organisation: str) -> None:
-        """Give back what is to spare; another router lacks it."""
-        self.wallet.release_cushion(organisation, self.clock.now())
-        self._wake.set()
+    def give(self, organisation: str, tokens: int) -> int:
+        """Give tokens to another router that lacks them; return how many."""
+        given = self.wallet.give(organisation, tokens)
+        if given:
+            self.journal.write("tokens_given", organisation=organisation, tokens=given)
+        return given
+
+    def receive(self, organisation: str, tokens: int) -> None:
+        """Take in tokens that another router gave."""
+        self.wallet.receive(organisation, tokens)
+        self._end_round()
 
     async def reserve(self, name: str, key: str, tokens: int, until: Millis) -> None:
         """Set tokens aside for a request.
@@ -116,19 +127,20 @@
     async def _wait_for_tokens(
         self, name: str, key: str, tokens: int, until: Millis
     ) -> None:
-        asked = False
-        while (now := self.clock.now()) < until:
+        purse = self.wallet.purses[name]
+        for _ in range(_ROUNDS):
+            now = self.clock.now()
+            if now >= until:
+                break
             self._wake.set()
+            self.ask_peers(name, tokens - purse.available)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout((until - now) / SECOND):
-                    await self._round.wait()
-            if self.wallet.reserve(name, key, tokens, self.clock.now()):
-                return
+                async with asyncio.timeout(min(until - now, _ROUND) / SECOND):
+                    while not self.wallet.reserve(name, key, tokens, now):
+                        await self._round.wait()
+                    return
             if self._is_certain(name, tokens):
                 break
-            if not asked:
-                asked = True
-                self.ask_peers(name)
         certain = self._is_certain(name, tokens)
         until = self.clock.now() + _REMEMBER
         self._refusals[name] = _Refusal(tokens, until, certain)
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -25,8 +25,6 @@
         The configuration that it has in force.
     fresh
         Whether it reached the platform's store within the last seconds.
-    wanted
-        Organisations whose tokens it lacks: who has some to spare gives back.
     known
         Addresses of the routers that it knows.
     """
@@ -40,7 +38,6 @@
     serving: bool
     leaving: bool
     fresh: bool
-    wanted: tuple[str, ...] = ()
     known: tuple[str, ...] = ()
 
 
@@ -79,9 +76,42 @@
     target: str
 
 
-Message = Beat | Sent | Begun | Ended | Leaving
+@dataclass(frozen=True)
+class Ask:
+    """A router lacks tokens of an organisation for a request that waits.
+
+    Parameters
+    ----------
+    holder
+        The incarnation that asks, and that alone may use a gift.
+    """
+
+    holder: str
+    ip: str
+    organisation: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Gift:
+    """Tokens that one router gives to another.
+
+    Parameters
+    ----------
+    number
+        Names the gift among the giver's, so that it is taken once.
+    """
+
+    giver: str
+    number: int
+    holder: str
+    organisation: str
+    tokens: int
+
+
+Message = Beat | Sent | Begun | Ended | Leaving | Ask | Gift
 _KINDS: dict[str, type[Message]] = {
-    kind.__name__: kind for kind in (Beat, Sent, Begun, Ended, Leaving)
+    kind.__name__: kind for kind in (Beat, Sent, Begun, Ended, Leaving, Ask, Gift)
 }
 
 
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -17,7 +17,16 @@
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.following import Follower, Pace, Register
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.messages import Beat, Begun, Ended, Leaving, Message, Sent
+from anvilshift.gateway.messages import (
+    Ask,
+    Beat,
+    Begun,
+    Ended,
+    Gift,
+    Leaving,
+    Message,
+    Sent,
+)
 from anvilshift.gateway.passing import Passage, Shared
 from anvilshift.gateway.peers import Hooks, Peer, Peers
 from anvilshift.gateway.settings import GatewaySettings
@@ -26,8 +35,8 @@
 from anvilshift.wire.messages import Address, HttpRequest, Limits
 from anvilshift.wire.server import CallerGoneError, HttpServer, Responder, render_error
 
-_FOLLOW_CONFIGURATION = Pace(wait=1 * SECOND)
-_FOLLOW_TARGETS = Pace(wait=1 * SECOND, rest=400.0)
+_FOLLOW_CONFIGURATION = Pace(wait=1.5 * SECOND)
+_FOLLOW_TARGETS = Pace(wait=1.5 * SECOND, rest=500.0)
 """Engines renew their entries many times a second; looked at together, a leaving
 one is seen within half a second of the two that it gives."""
 KEEP_ADDRESSES: Millis = 1 * SECOND
@@ -104,7 +113,8 @@
         self.server = HttpServer(self.handle)
         self.in_flight = 0
         self.leaving = False
-        self._wanted: dict[str, Millis] = {}
+        self._gifts = 0
+        self._received: set[tuple[str, int]] = set()
         self._unreadable: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -182,7 +192,6 @@
 
     def _make_beat(self) -> Beat:
         table = self.shared.table
-        now = self.clock.now()
         return Beat(
             self.settings.name,
             self.incarnation,
@@ -193,13 +202,28 @@
             self.is_ready(),
             self.leaving,
             self.configuring.is_fresh(),
-            tuple(name for name, until in self._wanted.items() if until > now),
             tuple(sorted(self.peers.addresses)),
         )
 
-    def _ask_peers(self, organisation: str) -> None:
-        self._wanted[organisation] = self.clock.now() + SECOND
-        self.peers.beat()
+    def _ask_peers(self, organisation: str, tokens: int) -> None:
+        ask = Ask(self.incarnation, self.settings.ip, organisation, tokens)
+        for peer in self.peers.list_present():
+            self.peers.send(ask, peer.beat.ip)
+
+    def _hear_ask(self, ask: Ask) -> None:
+        given = self.allotter.give(ask.organisation, ask.tokens)
+        if given:
+            self._gifts += 1
+            holder, organisation = ask.holder, ask.organisation
+            gift = Gift(self.incarnation, self._gifts, holder, organisation, given)
+            self.peers.send(gift, ask.ip)
+
+    def _hear_gift(self, gift: Gift) -> None:
+        # A datagram may come twice; a gift that counted twice would overspend.
+        key = (gift.giver, gift.number)
+        if gift.holder == self.incarnation and key not in self._received:
+            self._received.add(key)
+            self.allotter.receive(gift.organisation, gift.tokens)
 
     def _hear(self, message: Message) -> None:
         now = self.clock.now()
@@ -215,9 +239,10 @@
             self.loads.end(message.target, message.run)
         elif isinstance(message, Leaving):
             self._hear_leaving(message.target)
-        else:
-            for organisation in message.wanted:
-                self.allotter.release_cushion(organisation)
+        elif isinstance(message, Ask):
+            self._hear_ask(message)
+        elif isinstance(message, Gift):
+            self._hear_gift(message)
 
     def _find_capacity(self, target: str) -> int:
         known, table = self.loads.targets.get(target), self.shared.table
@@ -323,6 +348,7 @@
         if not self.registering.is_fresh():
             self.register.note_outage()
         self.register.sweep()
+        self.allotter.wallet.set_routers(1 + len(self.peers.list_present()))
         self.loads.expire(now)
         for target in self.loads.targets.values():
             health = target.health
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import cast
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.gateway.journal import Journal
@@ -71,8 +72,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take in the socket."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # asyncio's own datagram transport doesn't derive from its abstract class.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over an error of an earlier datagram: its peer is down."""
@@ -102,6 +103,10 @@
         self.addresses.update(beat.known)
         self.addresses.discard(self.ip)
 
+    def send(self, message: Message, ip: str) -> None:
+        """Send a message to one router at once."""
+        self._send(encode(message), ip)
+
     def tell(self, message: Message) -> None:
         """Send a message to every router that is there."""
         self._waiting.append(encode(message))
