--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -16,16 +16,17 @@
 from anvilshift.core.allotments import Allotment, Allotments, Wish
 from anvilshift.core.clock import SECOND, Millis
 
-COVER: Millis = 9 * SECOND
-"""Use that a full cushion lasts for: the longest cuts from the store that the
-deployments name last 8 s."""
-_FIRST_PART = 0.2
+COVER: Millis = 5 * SECOND
+"""Use that a full cushion lasts for.  Cuts from the store last up to 8 s, and when
+all routers are killed at once their cushions are lost: what a longer cushion saves
+in a cut it strands in such a kill, and rationing stretches five seconds to eight."""
+_FIRST_PART = 0.11
 """Part of a total that all routers together hold before they have seen its use:
-a fifth lasts nine seconds where a total lasts for forty-five."""
-_REFILL_BELOW = 0.8
+about five seconds where a total lasts for forty-five."""
+_REFILL_BELOW = 0.9
 """Part of the cushion below which more is drawn; each draw is a priced write, and
-at 0.8 a router writes about every 2 s of steady use."""
-_GIVE_ABOVE = 2.0
+at 0.9 a router writes about every second of steady use."""
+_GIVE_ABOVE = 1.4
 """Part of the cushion above which tokens go back, far enough from the refill
 that a wave in the traffic doesn't draw and give back in turn."""
 _RATE_SPAN: Millis = 6 * SECOND
@@ -115,6 +116,10 @@
         return bool(self.waiting) or self.available < cushion * _REFILL_BELOW
 
 
+_RATION_STEP = 0.25
+"""Part of the cushion that is kept for more urgent work at each rank, while no more
+can be drawn.  Among the users' work the least urgent is a quarter of the tokens
+and a tenth of the worth, so that half of the cushion goes on without it."""
 _DRY_SPAN: Millis = 1 * SECOND
 """After a draw that found nothing free: a total grows by seconds, and each look is
 a priced write."""
@@ -170,6 +175,29 @@
         purse.reserved[key] = tokens
         return True
 
+    def rations(self, name: str, rank: int, now: Millis) -> bool:
+        """Tell whether work of a rank must leave what is there to more urgent work.
+
+        Parameters
+        ----------
+        rank
+            0 is the most urgent.
+
+        Notes
+        -----
+        Asked only while no more can be drawn: the store is out of reach, or
+        nothing is free.  Without it the last tokens go to whoever comes first.
+        """
+        purse = self.purses.get(name)
+        if purse is None or not purse.limited:
+            return False
+        return purse.available < purse.cushion(now) * _RATION_STEP * rank
+
+    def is_dry(self, name: str, now: Millis) -> bool:
+        """Tell whether the last draw found nothing free."""
+        purse = self.purses.get(name)
+        return purse is not None and now < purse.dry_until
+
     def give_up(self, name: str, key: str) -> None:
         """Forget a request that waited for tokens."""
         self.purses[name].waiting.pop(key, None)
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -27,7 +27,7 @@
 NAME = "main"
 _LOOK: Millis = 250.0
 """Between two looks at the cushions: a cushion lasts for seconds."""
-_SPACING: Millis = 40.0
+_SPACING: Millis = 150.0
 """Least time between two writes: requests that wait for tokens are drawn for
 together, at a delay that is small against a first token's."""
 _PAUSE: Millis = 250.0
@@ -39,7 +39,11 @@
 """Each halves what the others have to spare; after four it is nearly all asked."""
 _WAIT: Millis = 700.0
 """How long a request waits for tokens at the most."""
-_RETRY: Millis = 1 * SECOND
+_RECENT: Millis = 1 * SECOND
+"""What the store said of a total holds for so long."""
+_RETRY: Millis = 4 * SECOND
+"""A store that is out of reach comes back, or a total is topped up, after some
+seconds; a caller that comes back sooner is refused again."""
 _REMEMBER: Millis = 500.0
 """How long a refusal of an organisation's request holds for others as large:
 without it each of a burst of them would cost writes and wait in vain."""
@@ -104,9 +108,16 @@
         self.wallet.receive(organisation, tokens)
         self._end_round()
 
-    async def reserve(self, name: str, key: str, tokens: int, until: Millis) -> None:
+    async def reserve(
+        self, name: str, key: str, tokens: int, until: Millis, rank: int = 0
+    ) -> None:
         """Set tokens aside for a request.
 
+        Parameters
+        ----------
+        rank
+            Urgency of the request, 0 first.
+
         Raises
         ------
         AnvilshiftError
@@ -114,6 +125,9 @@
             more may be there but can't be drawn now.
         """
         now = self.clock.now()
+        lean = self._failing or self.wallet.is_dry(name, now)
+        if lean and rank and self.wallet.rations(name, rank, now):
+            raise self._make_refusal(name, tokens, False)
         if self.wallet.reserve(name, key, tokens, now):
             return
         try:
@@ -147,7 +161,7 @@
         raise self._make_refusal(name, tokens, certain)
 
     def _is_certain(self, name: str, tokens: int) -> bool:
-        recent = self.clock.now() - self._written < _RETRY
+        recent = self.clock.now() - self._written < _RECENT
         return recent and self.wallet.is_exhausted(name, tokens)
 
     def _make_refusal(self, name: str, tokens: int, certain: bool) -> AnvilshiftError:
@@ -224,10 +238,25 @@
         self._begun = True
         self._written = self.clock.now()
         self.wallet.take(read_allotments(stored.body), self._written)
+        self._log_shares(stored.version, list(wishes))
         if self._failing:
             self._failing = False
             self.journal.write("shares_regained")
 
+    def _log_shares(self, revision: int, asked: list[str]) -> None:
+        shares = self.wallet.seen.organisations
+        self.journal.write(
+            "shares_written",
+            revision=revision,
+            asked=asked,
+            total=sum(one.total for one in shares.values()),
+            free=sum(one.free for one in shares.values()),
+            closed=sum(one.closed for one in shares.values()),
+            doubt=sum(one.doubt for one in shares.values()),
+            own_spent=sum(purse.spent for purse in self.wallet.purses.values()),
+            own_ready=sum(purse.available for purse in self.wallet.purses.values()),
+        )
+
     def _end_former(self, allotments: Allotments) -> Allotments:
         """End the shares of this host's former incarnations."""
         for holder in allotments.list_holders():
