Keep prompts that make streams beside them late together

Cause: at load a fifth of the chats were late though their first tokens were on time: while a prompt of over 23,000 tokens is read, five steps take over 300 ms, and each stream on that engine pauses for longer than its route allows.

Change: a prompt's longest pause is predicted; disturbing prompts are charged for each stream beside them, streams keep away from engines disturbed lately.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -8,13 +8,18 @@
 The time to a first token is predicted for each engine from what waits there and
 from what of the prompt its memory lacks.  What another engine's memory holds may
 be fetched from there, which takes a few milliseconds.
+
+A prompt of some 23,000 tokens or more slows each step so much that every stream
+beside it pauses for too long.  Such prompts are kept together, on engines where
+few streams run, and streams keep away from these engines for a while.
 """
 
+import math
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import State
 from anvilshift.core.loadmap import (
     FETCH_MS_PER_TOKEN,
@@ -22,6 +27,7 @@
     LoadMap,
     Prompt,
     TargetLoad,
+    longest_pause,
     prefill_time,
 )
 
@@ -36,6 +42,19 @@
 would preempt a running request and read it in again."""
 _FAR_MS = 0.7
 """Charged for a target in another failure domain, about its round trip."""
+_STREAM_MS = 130.0
+"""Charged to a disturbing prompt for each stream that it would make late; at 130 ms
+eight streams weigh as much as the prompt's own objective of a second."""
+_LATE_MS = 1_000.0
+_LATE_PART = 0.05
+"""Weight of more waiting for what is late anyway, so that it disturbs few."""
+_DISTURBED_MS = 80.0
+"""Charged to streams for an engine that was disturbed lately and will be again."""
+_DISTURBED_FOR: Millis = 3 * SECOND
+"""About as long as a stream runs."""
+_FULL_MS = 1_000.0
+"""Charged for an engine all of whose slots are taken: the request would wait there
+for an end, about a second."""
 _PLAIN_WORK: Millis = 40.0
 """Time of a request at a plain service until it is measured."""
 
@@ -58,6 +77,34 @@
     wait: Millis
     cached: int = 0
     fetch_from: TargetLoad | None = None
+    disturbing: bool = False
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a model request needs, and by when.
+
+    Parameters
+    ----------
+    capacity
+        Tokens that an engine's memory holds.
+    domain
+        Failure domain of this router.
+    on_time
+        Milliseconds within which its first token is on time.
+    steps
+        Steps of an engine that make one event.
+    pause
+        Longest pause between two events of the streams beside it.
+    """
+
+    service: str
+    prompt: Prompt
+    capacity: int
+    domain: str
+    on_time: Millis
+    steps: int = 1
+    pause: Millis = math.inf
 
 
 def list_usable(
@@ -78,68 +125,77 @@
 
 def choose_engine(
     loads: LoadMap,
-    service: str,
-    prompt: Prompt,
-    capacity: int,
-    domain: str,
+    demand: Demand,
     now: Millis,
     rng: random.Random,
     excluded: Collection[str] = (),
 ) -> Choice | None:
-    """Return the engine that is predicted to answer soonest.
+    """Return the engine that costs the request, and those beside it, least.
 
     Parameters
     ----------
-    capacity
-        Tokens that an engine's memory holds.
-    domain
-        Failure domain of this router.
     excluded
         Engines that have refused or failed the request.
     """
-    usable = list_usable(loads.of_service(service), excluded)
+    usable = list_usable(loads.of_service(demand.service), excluded)
     if not usable:
         return None
-    held = [(target.count_cached(prompt), target) for target in usable]
-    most, holder = max(held, key=lambda pair: pair[0])
-    best: tuple[float, Choice] | None = None
+    held = [(target.count_cached(demand.prompt), target) for target in usable]
+    longest = max(held, key=lambda pair: pair[0])
     rng.shuffle(held)
-    for cached, target in held:
-        choice = _predict(target, cached, most, holder, prompt, now)
-        cost = choice.wait + _RUNNING_MS * len(target.runs)
-        cost += _FAR_MS * (target.info.failure_domain != domain)
-        if capacity:
-            need = target.run_tokens + prompt.tokens - cached + prompt.most_answer
-            cost += _MEMORY_MS * max(0.0, need / capacity - 1.0)
-        if len(target.runs) >= target.info.slots:
-            cost += 1_000.0 * (len(target.runs) / max(1, target.info.slots))
-        if best is None or cost < best[0]:
-            best = cost, choice
-    assert best is not None
-    return best[1]
+    choices = [
+        _predict(target, cached, longest, demand, now) for cached, target in held
+    ]
+    return min(choices, key=lambda choice: _weigh(choice, demand, now))
 
 
 def _predict(
     target: TargetLoad,
     cached: int,
-    most: int,
-    holder: TargetLoad,
-    prompt: Prompt,
+    longest: tuple[int, TargetLoad],
+    demand: Demand,
     now: Millis,
 ) -> Choice:
-    """Return the choice of one engine with its predicted wait."""
+    """Return the choice of one engine with its predicted wait.
+
+    Parameters
+    ----------
+    longest
+        Most tokens that any engine holds, and that engine.
+    """
+    tokens, (most, holder) = demand.prompt.tokens, longest
     slow = target.health.slowness(0.0)
     waiting = target.backlog(now)
-    reading = prefill_time(prompt.tokens - cached, cached)
-    choice = Choice(target, (waiting + reading) * slow, cached)
-    more = most - cached
-    if more < _FETCH_LEAST or holder is target:
-        return choice
-    fetching = FETCH_SETUP + more * FETCH_MS_PER_TOKEN
-    rest = fetching + prefill_time(prompt.tokens - most, most)
-    if rest >= reading:
-        return choice
-    return Choice(target, (waiting + rest) * slow, most, holder)
+    reading = prefill_time(tokens - cached, cached)
+    fetched = FETCH_SETUP + (most - cached) * FETCH_MS_PER_TOKEN
+    fetched += prefill_time(tokens - most, most)
+    if most - cached >= _FETCH_LEAST and fetched < reading:
+        reading, cached, source = fetched, most, holder
+    else:
+        source = None
+    pause = longest_pause(tokens - cached, cached, demand.steps)
+    wait = (waiting + reading) * slow
+    return Choice(target, wait, cached, source, pause > demand.pause)
+
+
+def _weigh(choice: Choice, demand: Demand, now: Millis) -> float:
+    """Return the cost of a choice in milliseconds of a first token's wait."""
+    target, prompt = choice.target, demand.prompt
+    running = len(target.runs)
+    cost = _FAR_MS * (target.info.failure_domain != demand.domain)
+    if choice.disturbing:
+        late = choice.wait > demand.on_time
+        cost += _LATE_MS + _LATE_PART * choice.wait if late else choice.wait
+        cost += _STREAM_MS * running
+    else:
+        cost += choice.wait + _RUNNING_MS * running
+        cost += _DISTURBED_MS * (now - target.disturbed < _DISTURBED_FOR)
+    if demand.capacity:
+        need = target.run_tokens + prompt.tokens - choice.cached + prompt.most_answer
+        cost += _MEMORY_MS * max(0.0, need / demand.capacity - 1.0)
+    if running >= target.info.slots:
+        cost += _FULL_MS * running / max(1, target.info.slots)
+    return cost
 
 
 def choose_plain(
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -25,6 +25,10 @@
 _STEP_PART = 1.13
 """A prefill runs in chunks of 2,048 tokens, about 32 ms, and each waits for one
 decoding step of 4.2 ms of the requests that run beside it."""
+_CHUNK = 2048
+"""Prompt tokens that an engine reads in one step, beside the requests that run."""
+_STEP: Millis = 4.3
+"""Time of a step in which no prompt is read."""
 FETCH_SETUP: Millis = 3.0
 """Time until memory that is fetched from another engine begins to arrive."""
 FETCH_MS_PER_TOKEN = 0.0012
@@ -103,6 +107,28 @@
     return _STEP_PART * (new / PREFILL_TOKENS_PER_MS) + pairs * _PAIRS_MS
 
 
+def longest_pause(new: int, cached: int, steps: int) -> Millis:
+    """Return how long streams that run beside wait for an event at the most.
+
+    While a prompt is read each step reads a chunk of it; the last chunks of a
+    long prompt take longest.
+
+    Parameters
+    ----------
+    steps
+        Steps that make one event.
+
+    Examples
+    --------
+    >>> round(longest_pause(12_000, 0, 5)), round(longest_pause(40_000, 0, 5))
+    (227, 412)
+    """
+    last = min(new, steps * _CHUNK)
+    before = cached + new - last
+    reading = last / PREFILL_TOKENS_PER_MS + last * (before + last / 2) * _PAIRS_MS
+    return reading + steps * _STEP
+
+
 @dataclass(eq=False)
 class TargetLoad:
     """A target with what is known of its work and its memory.
@@ -113,6 +139,8 @@
         Prompt parts in its memory, least recently used first.
     progressed
         When a run last began to answer: what waits has been worked on since.
+    disturbed
+        When a prompt was last sent here that makes streams beside it late.
     """
 
     info: TargetInfo
@@ -122,6 +150,7 @@
     pending: Millis = 0.0
     run_tokens: int = 0
     progressed: Millis = -math.inf
+    disturbed: Millis = -math.inf
     health: Health = field(default_factory=Health)
 
     def backlog(self, now: Millis) -> Millis:
@@ -207,8 +236,15 @@
         cached: int,
         now: Millis,
         capacity: int,
+        disturbing: bool = False,
     ) -> None:
-        """Take in that a run was sent to a target."""
+        """Take in that a run was sent to a target.
+
+        Parameters
+        ----------
+        disturbing
+            Whether reading its prompt makes streams beside it late.
+        """
         target = self.targets.get(name)
         if target is None:
             return
@@ -219,6 +255,8 @@
         target.pending += work
         target.run_tokens += tokens
         target.remember(prompt.parts, capacity)
+        if disturbing:
+            target.disturbed = now
 
     def begin(self, name: str, run: str, now: Millis) -> None:
         """Take in that a run began to answer."""
--- a/anvilshift/core/routing.py
+++ b/anvilshift/core/routing.py
@@ -4,6 +4,7 @@
 that it was routed by until it ends.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -158,6 +159,7 @@
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self._by_host = _group_by_host(configuration.rules)
+        self._pauses = _find_pauses(configuration.rules)
         self._by_key = {
             key: organisation
             for organisation in configuration.organisations.values()
@@ -172,11 +174,26 @@
                 return rule
         return None
 
+    def find_pause(self, service: str) -> Millis:
+        """Return the longest pause that no stream of a service may exceed."""
+        return self._pauses.get(service, math.inf)
+
     def find_organisation(self, key: str) -> Tenancy | None:
         """Return the organisation that holds a credential, if any."""
         return self._by_key.get(key)
 
 
+def _find_pauses(rules: Iterable[Rule]) -> dict[str, Millis]:
+    """Return the shortest pause objective of each service's routes."""
+    pauses: dict[str, Millis] = {}
+    for rule in rules:
+        if rule.pause_objective is not None:
+            for service, _ in rule.services:
+                known = pauses.get(service, math.inf)
+                pauses[service] = min(known, rule.pause_objective)
+    return pauses
+
+
 def _group_by_host(rules: Iterable[Rule]) -> dict[str, list[Rule]]:
     """Return the rules by host name, longest prefix first."""
     grouped: dict[str, list[Rule]] = {}
--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -19,7 +19,7 @@
 COVER: Millis = 5 * SECOND
 """Use that a full cushion lasts for.  Cuts from the store last up to 8 s, and when
 all routers are killed at once their cushions are lost: what a longer cushion saves
-in a cut it strands in such a kill, and rationing stretches five seconds to eight."""
+in a cut it strands in such a kill."""
 _FIRST_PART = 0.11
 """Part of a total that all routers together hold before they have seen its use:
 about five seconds where a total lasts for forty-five."""
@@ -116,10 +116,6 @@
         return bool(self.waiting) or self.available < cushion * _REFILL_BELOW
 
 
-_RATION_STEP = 0.25
-"""Part of the cushion that is kept for more urgent work at each rank, while no more
-can be drawn.  Among the users' work the least urgent is a quarter of the tokens
-and a tenth of the worth, so that half of the cushion goes on without it."""
 _DRY_SPAN: Millis = 1 * SECOND
 """After a draw that found nothing free: a total grows by seconds, and each look is
 a priced write."""
@@ -175,29 +171,6 @@
         purse.reserved[key] = tokens
         return True
 
-    def rations(self, name: str, rank: int, now: Millis) -> bool:
-        """Tell whether work of a rank must leave what is there to more urgent work.
-
-        Parameters
-        ----------
-        rank
-            0 is the most urgent.
-
-        Notes
-        -----
-        Asked only while no more can be drawn: the store is out of reach, or
-        nothing is free.  Without it the last tokens go to whoever comes first.
-        """
-        purse = self.purses.get(name)
-        if purse is None or not purse.limited:
-            return False
-        return purse.available < purse.cushion(now) * _RATION_STEP * rank
-
-    def is_dry(self, name: str, now: Millis) -> bool:
-        """Tell whether the last draw found nothing free."""
-        purse = self.purses.get(name)
-        return purse is not None and now < purse.dry_until
-
     def give_up(self, name: str, key: str) -> None:
         """Forget a request that waited for tokens."""
         self.purses[name].waiting.pop(key, None)
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -108,16 +108,9 @@
         self.wallet.receive(organisation, tokens)
         self._end_round()
 
-    async def reserve(
-        self, name: str, key: str, tokens: int, until: Millis, rank: int = 0
-    ) -> None:
+    async def reserve(self, name: str, key: str, tokens: int, until: Millis) -> None:
         """Set tokens aside for a request.
 
-        Parameters
-        ----------
-        rank
-            Urgency of the request, 0 first.
-
         Raises
         ------
         AnvilshiftError
@@ -125,9 +118,6 @@
             more may be there but can't be drawn now.
         """
         now = self.clock.now()
-        lean = self._failing or self.wallet.is_dry(name, now)
-        if lean and rank and self.wallet.rations(name, rank, now):
-            raise self._make_refusal(name, tokens, False)
         if self.wallet.reserve(name, key, tokens, now):
             return
         try:
@@ -166,12 +156,17 @@
 
     def _make_refusal(self, name: str, tokens: int, certain: bool) -> AnvilshiftError:
         purse = self.wallet.purses[name]
+        known = self.wallet.seen.of(name)
         self.journal.write(
             "budget_refused",
             organisation=name,
             tokens=tokens,
             available=purse.available,
             total=purse.total,
+            free=known.free,
+            closed=known.closed,
+            doubt=known.doubt,
+            spent=purse.spent,
             certain=certain,
             share_age=round(self.clock.now() - self._written),
         )
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -123,7 +123,10 @@
     def _note_send(self, outgoing: Outgoing) -> None:
         name, prompt = outgoing.choice.target.info.name, outgoing.prompt
         cached, now = outgoing.choice.cached, self.clock.now()
-        self.loads.send(name, outgoing.run, prompt, cached, now, outgoing.capacity)
+        disturbing = outgoing.choice.disturbing
+        self.loads.send(
+            name, outgoing.run, prompt, cached, now, outgoing.capacity, disturbing
+        )
         self.peers.tell(
             Sent(
                 outgoing.run,
@@ -132,6 +135,7 @@
                 prompt.tokens,
                 prompt.most_answer,
                 cached,
+                disturbing,
             )
         )
 
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -43,7 +43,13 @@
 
 @dataclass(frozen=True)
 class Sent:
-    """A run was sent to a target."""
+    """A run was sent to a target.
+
+    Parameters
+    ----------
+    disturbing
+        Whether reading its prompt makes streams beside it late.
+    """
 
     run: str
     target: str
@@ -51,6 +57,7 @@
     tokens: int
     most_answer: int
     cached: int
+    disturbing: bool
 
 
 @dataclass(frozen=True)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -231,7 +231,13 @@
             prompt = Prompt(message.parts, message.tokens, message.most_answer)
             capacity = self._find_capacity(message.target)
             self.loads.send(
-                message.target, message.run, prompt, message.cached, now, capacity
+                message.target,
+                message.run,
+                prompt,
+                message.cached,
+                now,
+                capacity,
+                message.disturbing,
             )
         elif isinstance(message, Begun):
             self.loads.begin(message.target, message.run, now)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
 
-from anvilshift.core.choosing import Choice, choose_engine, choose_plain
+from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.durations import Mean
 from anvilshift.core.ejection import State
@@ -154,6 +154,7 @@
         self.service = rule.draw_service(self.shared.rng)
         service = table.configuration.services.get(self.service)
         self.model: ModelFigures | None = service.model if service else None
+        self.pause = table.find_pause(self.service)
         if self.model is None:
             await self._within_time(self._attempt_until_answered())
         else:
@@ -177,8 +178,7 @@
             return
         key = f"{self.call.identity}/{self.shared.runs}"
         most = prompt.tokens + prompt.most_answer + model.tokens_an_event
-        rank = self.rule.priority if payer.priority is None else payer.priority
-        await allotter.reserve(payer.name, key, most, self.end, rank)
+        await allotter.reserve(payer.name, key, most, self.end)
         try:
             await self._within_time(self._attempt_until_answered())
         finally:
@@ -227,15 +227,17 @@
     def _choose(self) -> Choice:
         shared, now = self.shared, self.shared.clock.now()
         if self.model is not None:
-            choice = choose_engine(
-                shared.sender.loads,
+            demand = Demand(
                 self.service,
                 self.call.prompt,
                 self.model.cache_tokens,
                 shared.domain,
-                now,
-                shared.rng,
-                self.excluded,
+                self.rule.objective - (now - self.arrived),
+                self.model.tokens_an_event,
+                self.pause,
+            )
+            choice = choose_engine(
+                shared.sender.loads, demand, now, shared.rng, self.excluded
             )
         else:
             choice = choose_plain(
