Learn each engine's speed from its first tokens

Cause: of the answers that were late by a pause alone, nearly all ran on the three slowest engines; there a prompt of 10,000 tokens makes streams pause for 300 ms.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -45,6 +45,8 @@
 _STREAM_MS = 130.0
 """Charged to a disturbing prompt for each stream that it would make late; at 130 ms
 eight streams weigh as much as the prompt's own objective of a second."""
+_JITTER: Millis = 15.0
+"""Time by which two events move apart on their way, beside the engine's pause."""
 _LATE_MS = 1_000.0
 _LATE_PART = 0.05
 """Weight of more waiting for what is late anyway, so that it disturbs few."""
@@ -71,6 +73,10 @@
         Prompt tokens that need not be read.
     fetch_from
         Target whose memory holds more of the prompt, if it is worth fetching.
+    disturbing
+        Whether reading the prompt makes the streams beside it late.
+    unscaled
+        The wait at an engine of the usual speed.
     """
 
     target: TargetLoad
@@ -78,6 +84,7 @@
     cached: int = 0
     fetch_from: TargetLoad | None = None
     disturbing: bool = False
+    unscaled: Millis = 0.0
 
 
 @dataclass(frozen=True)
@@ -173,9 +180,11 @@
         reading, cached, source = fetched, most, holder
     else:
         source = None
-    pause = longest_pause(tokens - cached, cached, demand.steps)
-    wait = (waiting + reading) * slow
-    return Choice(target, wait, cached, source, pause > demand.pause)
+    speed = target.speed.value
+    pause = longest_pause(tokens - cached, cached, demand.steps) * speed + _JITTER
+    wait = (waiting + reading * speed) * slow
+    plain = waiting / speed + reading
+    return Choice(target, wait, cached, source, pause > demand.pause, plain)
 
 
 def _weigh(choice: Choice, demand: Demand, now: Millis) -> float:
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.durations import Mean
 from anvilshift.core.ejection import Health
 
 PREFILL_TOKENS_PER_MS = 64.2
@@ -29,6 +30,11 @@
 """Prompt tokens that an engine reads in one step, beside the requests that run."""
 _STEP: Millis = 4.3
 """Time of a step in which no prompt is read."""
+_TELLING: Millis = 40.0
+_PASSAGE: Millis = 7.0
+"""Of a first token's time, what is not the engine's: both ways and one step."""
+_FASTEST, _SLOWEST = 0.5, 3.0
+"""A single measure beyond these is of something else, such as a preemption."""
 FETCH_SETUP: Millis = 3.0
 """Time until memory that is fetched from another engine begins to arrive."""
 FETCH_MS_PER_TOKEN = 0.0012
@@ -101,7 +107,7 @@
     Examples
     --------
     >>> round(prefill_time(6_420, 0)), round(prefill_time(642, 5_778))
-    (128, 14)
+    (126, 14)
     """
     pairs = new * (cached + new / 2)
     return _STEP_PART * (new / PREFILL_TOKENS_PER_MS) + pairs * _PAIRS_MS
@@ -139,6 +145,8 @@
         Prompt parts in its memory, least recently used first.
     progressed
         When a run last began to answer: what waits has been worked on since.
+    speed
+        Times that it takes over those of the users' usual engine, as measured.
     disturbed
         When a prompt was last sent here that makes streams beside it late.
     """
@@ -152,6 +160,16 @@
     progressed: Millis = -math.inf
     disturbed: Millis = -math.inf
     health: Health = field(default_factory=Health)
+    speed: Mean = field(default_factory=lambda: Mean(1.0))
+
+    def measure(self, span: Millis, predicted: Millis) -> None:
+        """Take in how long a first token took that was predicted at usual speed.
+
+        Engines of one service differ by a third; a short wait says little of it.
+        """
+        if predicted >= _TELLING:
+            ratio = max(span - _PASSAGE, 1.0) / predicted
+            self.speed.add(min(max(ratio, _FASTEST), _SLOWEST))
 
     def backlog(self, now: Millis) -> Millis:
         """Return the time until a new prompt would begin to be read."""
@@ -159,7 +177,7 @@
             return 0.0
         oldest = min(run.since for run in self.runs.values() if not run.begun)
         worked = now - max(oldest, self.progressed)
-        return max(0.0, self.pending - worked)
+        return max(0.0, self.pending * self.speed.value - worked)
 
     def count_cached(self, prompt: Prompt) -> int:
         """Return the prompt tokens that need not be read again."""
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -105,8 +105,12 @@
         self.last_id: str | None = None
         self.outcome = "gone"
         self.target = ""
+        self.sent = self.arrived
+        self.beside = 0
         self.predicted: Millis = 0.0
         self.first: Millis | None = None
+        self.passed: Millis = 0.0
+        self.longest_pause: Millis = 0.0
 
     async def run(self) -> None:
         """Answer the request."""
@@ -135,6 +139,8 @@
             first=None if self.first is None else round(self.first - self.arrived, 1),
             took=round(now - self.arrived, 1),
             events=self.events,
+            pause=round(self.longest_pause, 1),
+            running=self.beside,
             outcome=self.outcome,
         )
 
@@ -310,6 +316,8 @@
         shared = self.shared
         shared.runs += 1
         self.predicted = choice.wait
+        self.sent = shared.clock.now()
+        self.beside = len(choice.target.runs)
         self.target = choice.target.info.name
         left = self.end - shared.clock.now()
         outgoing = Outgoing(
@@ -409,6 +417,7 @@
                 if splitter.last_id is not None:
                     self.last_id = splitter.last_id
                 self.events = received + splitter.count
+                self._note_event()
                 if not self.responder.started:
                     self._note_first(outgoing)
                     await self.responder.start(
@@ -422,12 +431,19 @@
         self.outcome = str(answer.status)
         await self.responder.finish(splitter.rest)
 
+    def _note_event(self) -> None:
+        now = self.shared.clock.now()
+        if self.first is not None:
+            self.longest_pause = max(self.longest_pause, now - self.passed)
+        self.passed = now
+
     def _note_first(self, outgoing: Outgoing) -> None:
         now = self.shared.clock.now()
         self.first = now
         self.shared.sender.note_begin(outgoing)
-        health = outgoing.choice.target.health
-        health.add_answer()
+        target = outgoing.choice.target
+        target.health.add_answer()
+        target.measure(now - self.sent, outgoing.choice.unscaled)
 
 
 def _keep_headers(answer: Answer) -> Fields:
