Hold in cushions at most a quarter of what is left of a total

Cause: after all routers are killed at once, their cushions are lost; late in a total that was a third of what was left, and half of the requests after it were refused. Longer cushions helped in cuts as much as they hurt after kills.

Change: 9 s of use, together at most a quarter of what is left; writes that no request waits for are 800 ms apart.

--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -16,13 +16,16 @@
 from anvilshift.core.allotments import Allotment, Allotments, Wish
 from anvilshift.core.clock import SECOND, Millis
 
-COVER: Millis = 5 * SECOND
-"""Use that a full cushion lasts for.  Cuts from the store last up to 8 s, and when
-all routers are killed at once their cushions are lost: what a longer cushion saves
-in a cut it strands in such a kill."""
-_FIRST_PART = 0.11
+COVER: Millis = 9 * SECOND
+"""Use that a full cushion lasts for, while much is left: cuts from the store last up
+to 8 s."""
+_HELD_PART = 0.25
+"""Most of what is left of a total that all cushions together hold.  When all routers
+are killed at once their cushions are lost for good, which a total near its end
+can't bear; requests that a cut starves can still be served from it later."""
+_FIRST_PART = 0.17
 """Part of a total that all routers together hold before they have seen its use:
-about five seconds where a total lasts for forty-five."""
+about eight seconds where a total lasts for forty-five."""
 _REFILL_BELOW = 0.9
 """Part of the cushion below which more is drawn; each draw is a priced write, and
 at 0.9 a router writes about every second of steady use."""
@@ -42,6 +45,8 @@
     ----------
     ceiling
         Tokens that may be spent in all; only what the store confirmed counts.
+    left
+        What is left of the total in all, as of the last write; None before it.
     settled
         Tokens of requests that have ended, and those given to other routers;
         less those that others gave.
@@ -53,6 +58,7 @@
 
     total: int = 0
     routers: int = 1
+    left: int | None = None
     ceiling: int = 0
     settled: int = 0
     reserved: dict[str, int] = field(default_factory=dict)
@@ -93,7 +99,10 @@
     def cushion(self, now: Millis) -> int:
         """Return the tokens that should lie ready beyond what is reserved."""
         first = int(self.total * _FIRST_PART / self.routers)
-        return max(int(self.current_rate(now) * COVER), first)
+        wanted = max(int(self.current_rate(now) * COVER), first)
+        if self.left is None:
+            return wanted
+        return min(wanted, int(max(0, self.left) * _HELD_PART / self.routers))
 
     def make_wish(self, now: Millis) -> Wish:
         """Return what to ask of the store now."""
@@ -187,6 +196,12 @@
         """Tell whether the shares in the store should change."""
         return any(purse.needs_change(now) for purse in self.purses.values())
 
+    def is_waited_for(self, now: Millis) -> bool:
+        """Tell whether a request waits for tokens that may be drawn now."""
+        return any(
+            purse.waiting and now >= purse.dry_until for purse in self.purses.values()
+        )
+
     def make_wishes(self, now: Millis) -> dict[str, Wish]:
         """Return what to ask now, and stop counting on what is given back.
 
@@ -206,7 +221,13 @@
         self.seen = allotments
         for name, purse in self.purses.items():
             purse.ceiling = max(allotments.ceiling(name, self.holder), purse.spent)
-            if allotments.of(name).free <= 0:
+            known = allotments.of(name)
+            purse.left = (
+                known.total
+                - known.closed
+                - sum(share.recorded for share in known.shares.values())
+            )
+            if known.free <= 0:
                 purse.dry_until = now + _DRY_SPAN
 
     def set_routers(self, routers: int) -> None:
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -27,9 +27,12 @@
 NAME = "main"
 _LOOK: Millis = 250.0
 """Between two looks at the cushions: a cushion lasts for seconds."""
-_SPACING: Millis = 150.0
+_SPACING: Millis = 100.0
 """Least time between two writes: requests that wait for tokens are drawn for
 together, at a delay that is small against a first token's."""
+_LEISURE: Millis = 800.0
+"""Least time between two writes that no request waits for; each is priced, and a
+cushion lasts for many of these."""
 _PAUSE: Millis = 250.0
 """After a failed write."""
 _ROUND: Millis = 60.0
@@ -197,7 +200,11 @@
             await asyncio.sleep(_SPACING / SECOND)
 
     def _needs_write(self) -> bool:
-        return not self._begun or self.wallet.wants_change(self.clock.now())
+        now = self.clock.now()
+        if not self._begun or self.wallet.is_waited_for(now):
+            return True
+        rested = now - self._written >= _LEISURE
+        return rested and self.wallet.wants_change(now)
 
     def _end_round(self) -> None:
         """Wake who waits for a round, each of them once."""
