--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -184,7 +184,8 @@
             return
         key = f"{self.call.identity}/{self.shared.runs}"
         most = prompt.tokens + prompt.most_answer + model.tokens_an_event
-        await allotter.reserve(payer.name, key, most, self.end)
+        rank = self.rule.priority if payer.priority is None else payer.priority
+        await allotter.reserve(payer.name, key, most, self.end, rank)
         try:
             await self._within_time(self._attempt_until_answered())
         finally:
