--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -47,8 +47,6 @@
         Tokens that may be spent in all; only what the store confirmed counts.
     left
         What is left of the total in all, as of the last write; None before it.
-    ready
-        What was available when the store went out of reach.
     settled
         Tokens of requests that have ended, and those given to other routers;
         less those that others gave.
@@ -61,7 +59,6 @@
     total: int = 0
     routers: int = 1
     left: int | None = None
-    ready: int = 0
     ceiling: int = 0
     settled: int = 0
     reserved: dict[str, int] = field(default_factory=dict)
@@ -128,14 +125,6 @@
         return bool(self.waiting) or self.available < cushion * _REFILL_BELOW
 
 
-_OUTAGE: Millis = 6 * SECOND
-"""Time over which what lies ready is spread when the store is out of reach, from
-when that is noticed: cuts last 8 to 9 s, and an even service through a cut is worth more to callers than a
-whole one in its first half and none in its second."""
-_LEEWAY = (1.0, 0.2, 0.1)
-"""By rank, how far behind the even course spending may still be let in, in parts of
-what lay ready; the last is for every rank from there on.  Among the users' work
-the least urgent is a quarter of the tokens and a tenth of the worth."""
 _DRY_SPAN: Millis = 1 * SECOND
 """After a draw that found nothing free: a total grows by seconds, and each look is
 a priced write."""
@@ -166,7 +155,6 @@
     def __init__(self, holder: str) -> None:
         self.holder = holder
         self.purses: dict[str, Purse] = {}
-        self.outage_since: Millis | None = None
         self.seen = Allotments()
 
     def configure(self, totals: Mapping[str, int | None], now: Millis) -> None:
@@ -192,42 +180,6 @@
         purse.reserved[key] = tokens
         return True
 
-    def begin_outage(self, since: Millis) -> None:
-        """Take in that no more can be drawn since an instant."""
-        if self.outage_since is None:
-            self.outage_since = since
-            for purse in self.purses.values():
-                purse.ready = purse.available
-
-    def end_outage(self) -> None:
-        """Take in that the store is back."""
-        self.outage_since = None
-
-    def must_wait(self, name: str, rank: int, now: Millis) -> bool:
-        """Tell whether work of a rank would spend ahead of an even course.
-
-        Load pattern: the store is out of reach for many seconds and requests go
-        on as usual.  First come first served spends all in a few seconds and
-        then refuses everybody.
-
-        Examples
-        --------
-        >>> wallet = Wallet("r1")
-        >>> wallet.purses["pounds"] = Purse(total=100, ceiling=100)
-        >>> wallet.begin_outage(since=0.0)
-        >>> wallet.purses["pounds"].settled = 60
-        >>> [wallet.must_wait("pounds", rank, now=4_500.0) for rank in (0, 1, 2)]
-        [False, True, True]
-        """
-        purse = self.purses.get(name)
-        if self.outage_since is None or purse is None or not purse.limited:
-            return False
-        if now - self.outage_since >= _OUTAGE:
-            return False
-        course = purse.ready * (1.0 - (now - self.outage_since) / _OUTAGE)
-        leeway = _LEEWAY[min(rank, len(_LEEWAY) - 1)]
-        return purse.available < course - leeway * purse.ready
-
     def give_up(self, name: str, key: str) -> None:
         """Forget a request that waited for tokens."""
         self.purses[name].waiting.pop(key, None)
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -42,9 +42,6 @@
 """Each halves what the others have to spare; after four it is nearly all asked."""
 _WAIT: Millis = 700.0
 """How long a request waits for tokens at the most."""
-_OUT_AFTER: Millis = 2 * SECOND
-"""Without an answer for so long the store is out of reach: a watch is answered
-every 1.5 s, and one that is lost is given up soon after."""
 _RECENT: Millis = 1 * SECOND
 """What the store said of a total holds for so long."""
 _RETRY: Millis = 4 * SECOND
@@ -114,16 +111,9 @@
         self.wallet.receive(organisation, tokens)
         self._end_round()
 
-    async def reserve(
-        self, name: str, key: str, tokens: int, until: Millis, rank: int = 0
-    ) -> None:
+    async def reserve(self, name: str, key: str, tokens: int, until: Millis) -> None:
         """Set tokens aside for a request.
 
-        Parameters
-        ----------
-        rank
-            Urgency of the request; 0 is the most urgent.
-
         Raises
         ------
         AnvilshiftError
@@ -131,8 +121,6 @@
             more may be there but can't be drawn now.
         """
         now = self.clock.now()
-        if self.wallet.must_wait(name, rank, now):
-            raise self._make_refusal(name, tokens, False)
         if self.wallet.reserve(name, key, tokens, now):
             return
         try:
@@ -193,13 +181,6 @@
         """Count what a request used; 0 when it did not run."""
         self.wallet.settle(name, key, tokens, self.clock.now())
 
-    def note_store(self, answered: Millis) -> None:
-        """Take in when the store was last heard from."""
-        if self.clock.now() - max(answered, self._written) < _OUT_AFTER:
-            self.wallet.end_outage()
-        else:
-            self.wallet.begin_outage(self.clock.now())
-
     async def run(self) -> None:
         """Draw and give back for ever."""
         while True:
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -354,7 +354,6 @@
         if not self.registering.is_fresh():
             self.register.note_outage()
         self.register.sweep()
-        self.allotter.note_store(max(self.configuring.seen, self.registering.seen))
         self.allotter.wallet.set_routers(1 + len(self.peers.list_present()))
         self.loads.expire(now)
         for target in self.loads.targets.values():
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -184,8 +184,7 @@
             return
         key = f"{self.call.identity}/{self.shared.runs}"
         most = prompt.tokens + prompt.most_answer + model.tokens_an_event
-        rank = self.rule.priority if payer.priority is None else payer.priority
-        await allotter.reserve(payer.name, key, most, self.end, rank)
+        await allotter.reserve(payer.name, key, most, self.end)
         try:
             await self._within_time(self._attempt_until_answered())
         finally:
