Let a router that ends say what it spent

Change: it tells the others, who end its share with what it spent; its successor hears that before its first write.

--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -42,6 +42,9 @@
 """Each halves what the others have to spare; after four it is nearly all asked."""
 _WAIT: Millis = 700.0
 """How long a request waits for tokens at the most."""
+_GREETING: Millis = 300.0
+"""From a start to the first write: other routers answer a first heartbeat within
+milliseconds, and the store is read before traffic comes."""
 _RECENT: Millis = 1 * SECOND
 """What the store said of a total holds for so long."""
 _RETRY: Millis = 4 * SECOND
@@ -83,6 +86,7 @@
     _round: asyncio.Event = field(default_factory=asyncio.Event)
     _refusals: dict[str, _Refusal] = field(default_factory=dict)
     _failing: bool = False
+    ended: dict[str, dict[str, int]] = field(default_factory=dict)
     _writes: int = 0
     _written: Millis = -1e12
 
@@ -90,6 +94,8 @@
         self.wallet = Wallet(self.holder)
         self._object = CachedObject(self.store, KIND, NAME)
         self._begun = False
+        self._closed = False
+        self._made = self.clock.now()
 
     def configure(self, version: int, totals: Mapping[str, int | None]) -> None:
         """Take in the prepaid totals of a configuration."""
@@ -181,6 +187,15 @@
         """Count what a request used; 0 when it did not run."""
         self.wallet.settle(name, key, tokens, self.clock.now())
 
+    def note_ended(self, holder: str, spent: Mapping[str, int]) -> None:
+        """Take in what another router spent, which has ended."""
+        self.ended[holder] = dict(spent)
+        self._wake.set()
+
+    def list_spent(self) -> dict[str, int]:
+        """Return what this router has spent or reserved."""
+        return {name: purse.spent for name, purse in self.wallet.purses.items()}
+
     async def run(self) -> None:
         """Draw and give back for ever."""
         while True:
@@ -201,7 +216,14 @@
 
     def _needs_write(self) -> bool:
         now = self.clock.now()
-        if not self._begun or self.wallet.is_waited_for(now):
+        if self._closed:
+            return False
+        if not self._begun:
+            # Others may know what this host's former incarnation spent.
+            return now - self._made >= _GREETING
+        if self.wallet.is_waited_for(now):
+            return True
+        if self.ended.keys() & self.wallet.seen.list_holders():
             return True
         rested = now - self._written >= _LEISURE
         return rested and self.wallet.wants_change(now)
@@ -260,16 +282,22 @@
         )
 
     def _end_former(self, allotments: Allotments) -> Allotments:
-        """End the shares of this host's former incarnations."""
-        for holder in allotments.list_holders():
-            if holder != self.holder and holder.rpartition(".")[0] == self.node:
-                self.journal.write("share_ended", holder=holder)
-                allotments = allotments.end(holder)
+        """End the shares of routers that have ended.
+
+        Of this host's former incarnations, and of those that said farewell.
+        """
+        for holder in allotments.list_holders() - {self.holder}:
+            spent = self.ended.get(holder)
+            if spent is not None or holder.rpartition(".")[0] == self.node:
+                known = spent is not None
+                self.journal.write("share_ended", holder=holder, known=known)
+                allotments = allotments.end(holder, spent)
         return allotments
 
     async def close(self) -> None:
         """Give everything back that was not spent."""
-        spent = {name: purse.spent for name, purse in self.wallet.purses.items()}
+        self._closed = True
+        spent = self.list_spent()
         for purse in self.wallet.purses.values():
             purse.ceiling = purse.spent
 
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -116,9 +116,22 @@
     tokens: int
 
 
-Message = Beat | Sent | Begun | Ended | Leaving | Ask | Gift
+@dataclass(frozen=True)
+class Farewell:
+    """A router that ends says what it spent in all.
+
+    Whoever reaches the store ends its share with that, so that a planned stop
+    strands nothing even while the router itself is cut from the store.
+    """
+
+    holder: str
+    spent: tuple[tuple[str, int], ...]
+
+
+Message = Beat | Sent | Begun | Ended | Leaving | Ask | Gift | Farewell
 _KINDS: dict[str, type[Message]] = {
-    kind.__name__: kind for kind in (Beat, Sent, Begun, Ended, Leaving, Ask, Gift)
+    kind.__name__: kind
+    for kind in (Beat, Sent, Begun, Ended, Leaving, Ask, Gift, Farewell)
 }
 
 
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -22,6 +22,7 @@
     Beat,
     Begun,
     Ended,
+    Farewell,
     Gift,
     Leaving,
     Message,
@@ -45,6 +46,8 @@
 _TICK: Millis = 100.0
 _LAPSE: Millis = 700.0
 """A loop that was held up for so long was frozen or suspended, not merely busy."""
+_FAREWELLS = 3
+"""Copies of a datagram that is sent once in a router's life and may be lost."""
 _BODY_TIMEOUT: Millis = 10 * SECOND
 
 
@@ -76,7 +79,7 @@
         self.loads = LoadMap()
         self.peers = Peers(settings.ip, settings.peer_port, clock, journal)
         self.peers.addresses = {ip for ip in settings.seeds if ip != settings.ip}
-        self.peers.hooks = Hooks(self._hear, self._lose, self._make_beat)
+        self.peers.hooks = Hooks(self._hear, self._lose, self._make_beat, self._greet)
         self.allotter = Allotter(
             store, settings.name, self.incarnation, clock, journal, self._ask_peers
         )
@@ -249,6 +252,8 @@
             self._hear_ask(message)
         elif isinstance(message, Gift):
             self._hear_gift(message)
+        elif isinstance(message, Farewell):
+            self.allotter.note_ended(message.holder, dict(message.spent))
 
     def _find_capacity(self, target: str) -> int:
         known, table = self.loads.targets.get(target), self.shared.table
@@ -263,6 +268,19 @@
             self.journal.write("target_leaving", target=target, told=True)
             self.loads.declare(replace(known.info, leaving=True))
 
+    def _greet(self, beat: Beat) -> None:
+        """Tell a new router what is known of its host's former incarnations."""
+        for holder, spent in self.allotter.ended.items():
+            if holder.rpartition(".")[0] == beat.router:
+                self.peers.send(Farewell(holder, tuple(spent.items())), beat.ip)
+
+    def _say_farewell(self) -> None:
+        """Tell the others what was spent; from now on nothing is."""
+        farewell = Farewell(self.incarnation, tuple(self.allotter.list_spent().items()))
+        for peer in self.peers.list_present():
+            for _ in range(_FAREWELLS):
+                self.peers.send(farewell, peer.beat.ip)
+
     def _lose(self, peer: Peer) -> None:
         self.loads.forget_runs(f"{peer.beat.incarnation}/")
 
@@ -382,6 +400,7 @@
                 await self.allotter.close()
         except (TimeoutError, AnvilshiftError) as error:
             self.journal.write("shares_not_handed_back", why=repr(error))
+            self._say_farewell()
         self.journal.write("stop_ended", cut_off=self.in_flight)
 
     async def close(self) -> None:
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -39,6 +39,7 @@
     hear: Callable[[Message], None] = lambda message: None
     lose: Callable[[Peer], None] = lambda peer: None
     make_beat: Callable[[], Beat | None] = lambda: None
+    greet: Callable[[Beat], None] = lambda beat: None
 
 
 @dataclass
@@ -98,6 +99,7 @@
             self.journal.write(
                 "peer_found", peer=beat.router, incarnation=beat.incarnation
             )
+            self.hooks.greet(beat)
         self.routers[beat.router] = Peer(beat, self.clock.now())
         self.addresses.add(beat.ip)
         self.addresses.update(beat.known)
