--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -23,9 +23,10 @@
 """Most of what is left of a total that all cushions together hold.  When all routers
 are killed at once their cushions are lost for good, which a total near its end
 can't bear; requests that a cut starves can still be served from it later."""
-_FIRST_PART = 0.17
-"""Part of a total that all routers together hold before they have seen its use:
-about eight seconds where a total lasts for forty-five."""
+_LEAST_PART = 0.17
+"""Part of a total that all cushions together are at least, while that is within
+their part of what is left.  An organisation's use is uneven, and one that calls
+seldom may still send a prompt of 55,000 tokens in the midst of a cut."""
 _REFILL_BELOW = 0.9
 """Part of the cushion below which more is drawn; each draw is a priced write, and
 at 0.9 a router writes about every second of steady use."""
@@ -98,8 +99,8 @@
 
     def cushion(self, now: Millis) -> int:
         """Return the tokens that should lie ready beyond what is reserved."""
-        first = int(self.total * _FIRST_PART / self.routers)
-        wanted = max(int(self.current_rate(now) * COVER), first)
+        least = int(self.total * _LEAST_PART / self.routers)
+        wanted = max(int(self.current_rate(now) * COVER), least)
         if self.left is None:
             return wanted
         return min(wanted, int(max(0, self.left) * _HELD_PART / self.routers))
--- /dev/null
+++ b/tests/core/test_choosing.py
@@ -0,0 +1,199 @@
+import random
+import unittest
+
+from anvilshift.core.choosing import Demand, choose_engine, choose_plain
+from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo, prefill_time
+
+CAPACITY = 400_000
+ENGINES = [f"e{n}" for n in range(9)]
+
+
+def make_map(names=ENGINES, slots=64, service="advice") -> LoadMap:
+    loads = LoadMap()
+    for name in names:
+        loads.declare(TargetInfo(name, service, "10.0.0.1:80", "north", slots))
+    return loads
+
+
+def make_demand(prompt: Prompt, on_time: float = 1_000.0) -> Demand:
+    return Demand("advice", prompt, CAPACITY, "north", on_time, 5, 300.0)
+
+
+class Replay:
+    """Play arrivals against engines that read prompts one after the other."""
+
+    def __init__(self, names=ENGINES, choose=None) -> None:
+        self.loads = make_map(names)
+        self.rng = random.Random(7)
+        self.free = dict.fromkeys(names, 0.0)
+        self.events: list[tuple[float, str, str]] = []
+        self.waits: dict[str, list[float]] = {}
+        self.choose = choose or self._choose_predicted
+        self.count = 0
+
+    def _choose_predicted(self, prompt, now):
+        return choose_engine(self.loads, make_demand(prompt), now, self.rng)
+
+    def arrive(self, kind: str, prompt: Prompt, now: float) -> str:
+        for at, name, run in sorted(e for e in self.events if e[0] <= now):
+            self.loads.begin(name, run, at)
+        self.events = [e for e in self.events if e[0] > now]
+        choice = self.choose(prompt, now)
+        name = choice.target.info.name
+        self.count += 1
+        run = str(self.count)
+        self.loads.send(name, run, prompt, choice.cached, now, CAPACITY)
+        reading = prefill_time(prompt.tokens - choice.cached, choice.cached)
+        self.free[name] = max(self.free[name], now) + reading
+        self.events.append((self.free[name], name, run))
+        self.waits.setdefault(kind, []).append(self.free[name] - now)
+        return name
+
+
+def part_within(waits: list[float], bound: float) -> float:
+    return sum(wait <= bound for wait in waits) / len(waits)
+
+
+class LoadPatternTest(unittest.TestCase):
+    def play_mix(self, replay: Replay, seconds: int, factor: float = 1.0) -> None:
+        rng = random.Random(3)
+        now = 0.0
+        while now < seconds * 1_000.0:
+            now += rng.expovariate(0.056 * factor)
+            if rng.random() < 0.2:
+                own = int(min(50_000, rng.lognormvariate(8.0, 1.2)))
+                shared = f"sheet-{rng.randrange(90)}"
+                parts = ((shared, 5_000), (f"{now}", own))
+                replay.arrive("long", Prompt(parts, 5_000 + own, 400), now)
+            else:
+                prompt = Prompt(((f"{now}", 900),), 900, 300)
+                replay.arrive("short", prompt, now)
+
+    def test_short_prompts_do_not_wait_behind_long_ones(self):
+        """At opening chats arrive among prompts of up to 55,000 tokens.
+
+        Counting requests sends one chat in ten behind a prompt that takes a
+        second to read; a manager waits with a customer on the line.
+        """
+        replay = Replay()
+        self.play_mix(replay, 30)
+        counting = Replay(choose=None)
+
+        def fewest(prompt, now):
+            target = min(counting.loads.of_service("advice"), key=lambda t: len(t.runs))
+            demand = make_demand(prompt)
+            loads = LoadMap()
+            loads.targets = {target.info.name: target}
+            loads._regroup()
+            return choose_engine(loads, demand, now, counting.rng)
+
+        counting.choose = fewest
+        self.play_mix(counting, 30)
+        self.assertGreater(part_within(replay.waits["short"], 300.0), 0.97)
+        self.assertLess(part_within(counting.waits["short"], 300.0), 0.97)
+
+    def test_two_lost_engines_of_nine_do_not_tip_the_rest_over(self):
+        replay = Replay(ENGINES[:7])
+        self.play_mix(replay, 30)
+        self.assertGreater(part_within(replay.waits["short"], 300.0), 0.9)
+
+    def test_a_burst_is_spread_over_all_engines(self):
+        replay = Replay()
+        names = [
+            replay.arrive("burst", Prompt(((f"{n}", 2_000),), 2_000, 50), 0.0)
+            for n in range(90)
+        ]
+        counts = [names.count(name) for name in ENGINES]
+        self.assertEqual((min(counts), max(counts)), (10, 10))
+
+    def test_a_hot_session_goes_where_its_prompt_is_cached_until_that_is_full(self):
+        replay = Replay()
+        prompt = Prompt((("sheet", 9_000), ("q", 100)), 9_100, 50)
+        first = replay.arrive("hot", prompt, 0.0)
+        again = replay.arrive("hot", prompt, 1_000.0)
+        self.assertEqual(first, again)
+        names = {replay.arrive("hot", prompt, 1_100.0) for _ in range(60)}
+        self.assertGreater(len(names), 3)
+
+    def test_what_another_engine_holds_is_fetched_rather_than_read(self):
+        loads = make_map(("e0", "e1"))
+        prompt = Prompt((("sheet", 9_000), ("q", 100)), 9_100, 50)
+        loads.send("e0", "r1", prompt, 0, 0.0, CAPACITY)
+        loads.begin("e0", "r1", 150.0)
+        long = Prompt((("x", 20_000),), 20_000, 50)
+        loads.send("e0", "r2", long, 0, 200.0, CAPACITY)
+        choice = choose_engine(loads, make_demand(prompt), 200.0, random.Random(1))
+        self.assertEqual(choice.target.info.name, "e1")
+        self.assertEqual(choice.fetch_from.info.name, "e0")
+        self.assertEqual(choice.cached, 9_100)
+
+    def test_disturbing_prompts_are_kept_together(self):
+        """A prompt of 40,000 tokens is read while chats stream on the engine.
+
+        Each of its steps takes longer, so that five steps, an event, take
+        over 300 ms: every chat beside it is late.  Spread over all engines a
+        few such prompts a second would make a fifth of all chats late.
+        """
+        loads = make_map()
+        for n, name in enumerate(ENGINES):
+            for run in range(2 + n):
+                loads.send(name, f"{n}-{run}", Prompt((), 100, 50), 0, 0.0, CAPACITY)
+                loads.begin(name, f"{n}-{run}", 10.0)
+        rng, now = random.Random(1), 100.0
+        chosen = []
+        for n in range(3):
+            prompt = Prompt(((f"long-{n}", 40_000),), 40_000, 400)
+            choice = choose_engine(loads, make_demand(prompt), now, rng)
+            self.assertTrue(choice.disturbing)
+            name = choice.target.info.name
+            chosen.append(name)
+            loads.send(name, f"long-{n}", prompt, 0, now, CAPACITY, True)
+        self.assertEqual(chosen[0], "e0")
+        self.assertEqual(len(set(chosen)), 2)
+        chat = Prompt((("c", 800),), 800, 300)
+        choice = choose_engine(loads, make_demand(chat), now, rng)
+        self.assertNotIn(choice.target.info.name, chosen)
+
+    def test_a_slow_engine_is_spared_prompts_that_would_disturb_there(self):
+        loads = make_map(("slow", "fast"))
+        for _ in range(20):
+            loads.targets["slow"].measure(span=157.0, predicted=100.0)
+        for name in ("slow", "fast"):
+            for n in range(4):
+                loads.send(name, f"{name}{n}", Prompt((), 10, 9), 0, 0.0, CAPACITY)
+                loads.begin(name, f"{name}{n}", 1.0)
+        prompt = Prompt((("p", 16_000),), 16_000, 400)
+        choice = choose_engine(loads, make_demand(prompt), 10.0, random.Random(1))
+        self.assertEqual(choice.target.info.name, "fast")
+        self.assertFalse(choice.disturbing)
+
+
+class UsableTest(unittest.TestCase):
+    def test_leaving_and_excluded_engines_get_nothing(self):
+        loads = make_map(("e0", "e1"))
+        loads.declare(TargetInfo("e0", "advice", "a:1", "north", 64, leaving=True))
+        demand = make_demand(Prompt((), 10, 10))
+        rng = random.Random(1)
+        choice = choose_engine(loads, demand, 0.0, rng)
+        self.assertEqual(choice.target.info.name, "e1")
+        self.assertIsNone(choose_engine(loads, demand, 0.0, rng, {"e1"}))
+
+    def test_when_all_are_ejected_all_are_tried(self):
+        loads = make_map(("e0",))
+        loads.targets["e0"].health.eject(0.0, random.Random(1))
+        demand = make_demand(Prompt((), 10, 10))
+        self.assertIsNotNone(choose_engine(loads, demand, 1.0, random.Random(1)))
+
+    def test_a_plain_request_goes_to_the_target_with_the_most_room(self):
+        loads = make_map(("p0", "p1"), slots=2, service="desk")
+        for run in ("a", "b", "c"):
+            loads.send("p0", run, Prompt(), 0, 0.0, 0)
+        choice = choose_plain(loads, "desk", "north", 40.0, random.Random(1))
+        self.assertEqual((choice.target.info.name, choice.wait), ("p1", 0.0))
+
+    def test_the_wait_of_a_plain_request_counts_what_is_ahead(self):
+        loads = make_map(("p0",), slots=2, service="desk")
+        for run in range(5):
+            loads.send("p0", str(run), Prompt(), 0, 0.0, 0)
+        choice = choose_plain(loads, "desk", "north", 40.0, random.Random(1))
+        self.assertEqual(choice.wait, 80.0)
--- /dev/null
+++ b/tests/core/test_loadmap.py
@@ -0,0 +1,109 @@
+import unittest
+
+from anvilshift.core.loadmap import (
+    LONGEST_RUN,
+    LoadMap,
+    Prompt,
+    TargetInfo,
+    longest_pause,
+    prefill_time,
+)
+
+CAPACITY = 100_000
+
+
+def make_map(*names: str) -> LoadMap:
+    loads = LoadMap()
+    for name in names or ("e1",):
+        loads.declare(TargetInfo(name, "advice", "10.0.0.1:80", "north", 8))
+    return loads
+
+
+class LoadMapTest(unittest.TestCase):
+    def send(self, loads, run, tokens, now=0.0, parts=(), cached=0, name="e1"):
+        prompt = Prompt(parts, tokens, 100)
+        loads.send(name, run, prompt, cached, now, CAPACITY)
+
+    def test_backlog_is_what_waits_less_what_was_worked_on(self):
+        loads = make_map()
+        self.send(loads, "a", 6_420)
+        self.send(loads, "b", 6_420)
+        whole = 2 * prefill_time(6_420, 0)
+        self.assertAlmostEqual(loads.targets["e1"].backlog(0.0), whole)
+        self.assertAlmostEqual(loads.targets["e1"].backlog(100.0), whole - 100.0)
+        loads.begin("e1", "a", 130.0)
+        rest = prefill_time(6_420, 0) - 20.0
+        self.assertAlmostEqual(loads.targets["e1"].backlog(150.0), rest)
+
+    def test_an_end_frees_what_never_began(self):
+        loads = make_map()
+        self.send(loads, "a", 6_420)
+        loads.end("e1", "a")
+        loads.end("e1", "a")
+        target = loads.targets["e1"]
+        self.assertEqual((target.backlog(0.0), target.run_tokens), (0.0, 0))
+
+    def test_a_part_counts_only_behind_those_before_it(self):
+        loads = make_map()
+        parts = (("a", 100), ("b", 50))
+        self.send(loads, "r", 150, parts=parts)
+        target = loads.targets["e1"]
+        self.assertEqual(target.count_cached(Prompt(parts, 150)), 150)
+        mixed = Prompt((("x", 100), ("b", 50)), 150)
+        self.assertEqual(target.count_cached(mixed), 0)
+
+    def test_the_least_recently_used_parts_yield(self):
+        loads = make_map()
+        self.send(loads, "r1", 60_000, parts=(("a", 60_000),))
+        loads.end("e1", "r1")
+        self.send(loads, "r2", 60_000, parts=(("b", 60_000),))
+        target = loads.targets["e1"]
+        self.assertEqual(list(target.parts), [])
+        loads.end("e1", "r2")
+        self.send(loads, "r3", 40_000, parts=(("c", 40_000),))
+        self.assertEqual(list(target.parts), ["c"])
+
+    def test_a_target_born_anew_holds_nothing(self):
+        loads = make_map()
+        self.send(loads, "r", 100, parts=(("a", 100),))
+        loads.declare(TargetInfo("e1", "advice", "10.0.0.1:80", "north", 8, born=7))
+        self.assertEqual(loads.targets["e1"].runs, {})
+        self.assertEqual(loads.targets["e1"].part_tokens, 0)
+
+    def test_runs_that_nobody_ends_are_forgotten(self):
+        loads = make_map()
+        self.send(loads, "r", 100)
+        loads.expire(LONGEST_RUN)
+        self.assertEqual(len(loads.targets["e1"].runs), 1)
+        loads.expire(LONGEST_RUN + 1.0)
+        self.assertEqual(loads.targets["e1"].runs, {})
+
+    def test_runs_of_a_lost_router_are_forgotten(self):
+        loads = make_map()
+        self.send(loads, "edge-1.aa/1", 100)
+        self.send(loads, "edge-2.bb/1", 100)
+        loads.forget_runs("edge-1.aa/")
+        self.assertEqual(list(loads.targets["e1"].runs), ["edge-2.bb/1"])
+
+    def test_news_of_unknown_targets_is_passed_over(self):
+        loads = make_map()
+        loads.begin("e9", "a", 0.0)
+        loads.end("e9", "a")
+        self.send(loads, "a", 10, name="e9")
+
+    def test_a_slow_engine_is_learned(self):
+        target = make_map().targets["e1"]
+        for _ in range(20):
+            target.measure(span=137.0, predicted=100.0)
+        self.assertAlmostEqual(target.speed.value, 1.3, places=2)
+
+    def test_short_waits_tell_nothing_of_speed(self):
+        target = make_map().targets["e1"]
+        target.measure(span=500.0, predicted=10.0)
+        self.assertEqual(target.speed.value, 1.0)
+
+    def test_only_long_prompts_make_streams_pause(self):
+        self.assertLess(longest_pause(20_000, 0, 5), 300.0)
+        self.assertGreater(longest_pause(25_000, 0, 5), 300.0)
+        # Of a long prompt whose beginning is cached, little is read.
+        self.assertLess(longest_pause(2_000, 40_000, 5), 120.0)
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -87,9 +87,9 @@
             {"core"},
             {"wire"},
             {"settings", "engines", "peers", "client"},
-            {"platform"},
-            {"router", "standins"},
-            {"operator"},
+            {"objects"},
+            {"router", "standins", "gateway"},
+            {"operator", "platform"},
         ]
         height = {name: n for n, names in enumerate(order) for name in names}
         upward = [e for e in self._find_imports() if height[e[0]] <= height[e[1]]]
