Count an answer that may have been lost on its way as made whole

Change: what broke counts at its most; a caller that leaves, two events more than came; a whole answer by its events.

--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -60,6 +60,10 @@
 silent: 99 in 100 pauses are under two, and callers leave after eight."""
 _SILENCE: Millis = 1_200.0
 """The same where a route has no pause objective."""
+_WHOLE = "whole"
+_EVENTS_ON_THE_WAY = 2
+"""Events that an engine makes at the most while its caller's close reaches it: they
+are at least 20 ms apart, and a close takes 5."""
 _ANSWER_BYTES = 8 * 1024 * 1024
 _FRAMING = frozenset(
     {"content-length", "transfer-encoding", "connection", "keep-alive", "trailer"}
@@ -93,6 +97,8 @@
 
     Attributes
     ----------
+    broken
+        Whether a target may have made more of an answer than came.
     may_have_run
         Whether any target may have run the request, or still may.
     targets
@@ -113,6 +119,7 @@
         self.events = 0
         self.last_id: str | None = None
         self.outcome = "gone"
+        self.broken = False
         self.target = ""
         self.sent = self.arrived
         self.beside = 0
@@ -203,11 +210,17 @@
         """Return the most that the request may have cost."""
         if not self.may_have_run:
             return 0
-        if self.rule.kind is not RequestKind.STREAMING:
-            return prompt.tokens + prompt.most_answer
-        # One event more: the last may have come in part.
-        made = (self.events + 1) * model.tokens_an_event
-        return prompt.tokens + min(made, prompt.most_answer + model.tokens_an_event)
+        most = prompt.tokens + prompt.most_answer + model.tokens_an_event
+        if self.outcome == _WHOLE:
+            made = self.events * model.tokens_an_event
+            return prompt.tokens + min(made, prompt.most_answer)
+        if self.broken or self.rule.kind is not RequestKind.STREAMING:
+            # An engine may have made an answer that was lost on its way; counted
+            # by what came, a total near its end would be overspent.
+            return most
+        # The caller left: an engine makes an event or two until it learns that.
+        made = (self.events + _EVENTS_ON_THE_WAY) * model.tokens_an_event
+        return min(most, prompt.tokens + made)
 
     async def _within_time(self, work: Awaitable[None]) -> None:
         """Give the request its final answer when its time is over."""
@@ -218,6 +231,7 @@
                 await work
         except TimeoutError:
             self.outcome = "time over"
+            self.broken = True
             if self.responder.started:
                 self.responder.abort()
                 return
@@ -349,8 +363,11 @@
         except AttemptError as error:
             if error.never_ran:
                 self.may_have_run, self.targets = before
+            else:
+                self.broken = True
             raise
         except TimeoutError as error:
+            self.broken = True
             raise AttemptError(Failure.BROKE_OFF, "the target is silent") from error
 
     def _bound_try(self, choice: Choice, left: Millis) -> float | None:
@@ -425,7 +442,7 @@
             self.shared.mean_work(self.service).add(took)
         if success:
             self._note_first(outgoing)
-        self.outcome = str(answer.status)
+        self.outcome = f"status {answer.status}"
         headers = _keep_headers(answer)
         headers.append(("content-length", str(len(body))))
         await self.responder.start(answer.status, headers, hold=True)
@@ -461,7 +478,7 @@
             raise AttemptError(Failure.BROKE_OFF, str(error)) from error
         if not self.responder.started:
             await self.responder.start(answer.status, _keep_headers(answer), hold=True)
-        self.outcome = str(answer.status)
+        self.outcome = "whole after a break" if self.broken else _WHOLE
         await self.responder.finish(splitter.rest)
 
     def _note_event(self) -> None:
