--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -353,8 +353,14 @@
         self._server = await loop.create_server(
             lambda: _Connection(self), address.ip, address.port, backlog=1024
         )
-        port = self._server.sockets[0].getsockname()[1]
-        return Address(address.ip, port)
+        return Address(address.ip, self.port)
+
+    @property
+    def port(self) -> int:
+        """Return the port on which this server listens."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
 
     def stop_listening(self) -> None:
         """Accept no new connection; those that are open go on."""
--- /dev/null
+++ b/tests/platform/stand.py
@@ -0,0 +1,167 @@
+"""Small stand-ins of the platform's store and of its targets, on loopback."""
+
+import asyncio
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from anvilshift.wire.messages import Address, HttpRequest, Reply
+from anvilshift.wire.server import CallerGoneError, HttpServer, Responder
+
+LOOPBACK = Address("127.0.0.1", 0)
+
+
+class StoreStand:
+    """Objects with revisions, pages, watches and conditions."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.revision = 1
+        self.page = 500
+        self.status: int | None = None
+        self.forgotten = 0
+        self.calls: list[str] = []
+        self.server = HttpServer(self.handle)
+
+    async def start(self) -> Address:
+        return await self.server.start(LOOPBACK)
+
+    def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision, "created": self.revision}
+        found = {"metadata": metadata, "spec": spec, "status": None}
+        self.objects[kind, name] = found
+        self.events.append((self.revision, kind, found, False))
+        return found
+
+    def remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        found = self.objects.pop((kind, name))
+        self.events.append((self.revision, kind, found, True))
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        self.calls.append(f"{request.method} {request.target}")
+        if self.status is not None:
+            await responder.send(Reply(self.status))
+            return
+        parts = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        words = parts.path.split("/")[3:]
+        if request.method == "GET" and "watch" in query:
+            reply = await self._watch(words[0], query)
+        elif request.method == "GET":
+            reply = self._read(words, query)
+        else:
+            reply = self._write(request, words)
+        await responder.send(reply)
+
+    def _read(self, words: list[str], query: dict[str, str]) -> Reply:
+        if len(words) == 2:
+            found = self.objects.get((words[0], words[1]))
+            return _reply(200, found) if found else _reply(404, {"at": self.revision})
+        names = sorted(name for kind, name in self.objects if kind == words[0])
+        names = [name for name in names if name > query.get("sinceRevision", "")]
+        entries = [self.objects[words[0], name] for name in names[: self.page]]
+        more = len(names) > self.page
+        body = {"entries": entries, "hasMore": more, "at": self.revision}
+        return _reply(200, body)
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> Reply:
+        since, wait = int(query["watch"]), int(query["waitMs"])
+        if since < self.forgotten:
+            return _reply(410, {})
+        for _ in range(max(1, wait // 10)):
+            found = [e for e in self.events if e[0] > since and e[1] == kind]
+            if found:
+                break
+            await asyncio.sleep(0.01)
+        events = [{"deleted": gone, "object": one} for _, _, one, gone in found]
+        return _reply(200, {"events": events, "at": self.revision})
+
+    def _write(self, request: HttpRequest, words: list[str]) -> Reply:
+        body = json.loads(request.body)
+        name = body["metadata"]["name"]
+        found = self.objects.get((words[0], name))
+        if request.method == "POST" and found is not None:
+            return _reply(409, found)
+        if request.method == "PUT":
+            if found is None:
+                return _reply(404, {})
+            if body["metadata"]["revision"] != found["metadata"]["revision"]:
+                return _reply(409, found)
+        return _reply(200, self.put(words[0], name, body["spec"]))
+
+
+def _reply(status: int, body: Any) -> Reply:
+    return Reply(
+        status, [("content-type", "application/json")], json.dumps(body).encode()
+    )
+
+
+class TargetStand:
+    """A target that signs its answers, with faults to switch on.
+
+    Attributes
+    ----------
+    runs
+        Ids of the requests that it began, in order.
+    crash_after
+        Events after which it cuts a stream.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.runs: list[str] = []
+        self.requests: list[HttpRequest] = []
+        self.events = 6
+        self.pace = 0.0
+        self.crash_after: int | None = None
+        self.refuses = False
+        self.status = 200
+        self.hangs = False
+        self.echo: str | None = None
+        self.signs = True
+        self.gone = 0
+        self.server = HttpServer(self.handle)
+
+    async def start(self) -> Address:
+        return await self.server.start(LOOPBACK)
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        identity = request.headers.get("anvilshift-attempt-id") or ""
+        self.requests.append(request)
+        if request.headers.get("anvilshift-expect-instance") != self.name:
+            await responder.send(Reply(421))
+            return
+        if self.refuses:
+            await responder.send(Reply(503, [("Anvilshift-Not-Executed", "1")]))
+            return
+        self.runs.append(identity)
+        headers = [("Anvilshift-Attempt-Id", self.echo or identity)]
+        if self.signs:
+            headers.append(("Anvilshift-Engine-Signature", f"{self.name}.1"))
+        try:
+            if self.hangs:
+                await asyncio.Event().wait()
+            if request.headers.get("anvilshift-token-usage") is None:
+                await responder.send(
+                    Reply(self.status, headers, b"answer of " + request.body)
+                )
+                return
+            await self._stream(request, responder, headers)
+        except (asyncio.CancelledError, ConnectionError):
+            self.gone += 1
+            raise
+
+    async def _stream(self, request, responder, headers) -> None:
+        since = int(request.headers.get("last-event-id") or 0)
+        await responder.start(200, [*headers, ("content-type", "text/event-stream")])
+        for number in range(since + 1, self.events + 1):
+            if self.crash_after is not None and number > self.crash_after:
+                await responder.write(b"id: %d\nda" % number)
+                responder.abort()
+                raise CallerGoneError("crashed")
+            await responder.write(b"id: %d\ndata: t%d\n\n" % (number, number))
+            await asyncio.sleep(self.pace)
+        await responder.finish()
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,187 @@
+import unittest
+
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.routing import RequestKind
+from anvilshift.gateway.border import Delivery
+from anvilshift.platform.dialect import PlatformDialect
+from anvilshift.wire.messages import Headers, HttpRequest
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "zilina",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "hostname": "ficu95.example",
+            "pathPrefix": "/lohu930/",
+            "routeKind": "streaming",
+            "timeoutMs": 15000,
+            "latencyGoalMs": 1000,
+            "priority": 1,
+            "split": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+            "maxAttempts": 1,
+            "anonymous": False,
+            "sticky": True,
+            "resumable": False,
+            "itlTargetMs": 300,
+        },
+        {
+            "hostname": "ficu95.example",
+            "pathPrefix": "/x/",
+            "routeKind": "something new",
+            "timeoutMs": 1000,
+            "service": "wuno96b",
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "maxConns": 370,
+            "engineId": {"slots": 64, "kvCapacity": 428428, "stride": 5, "most": 12},
+        },
+        {"name": "wuno96b", "maxConns": 110},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [
+        {"name": "hule930", "apiKeys": ["k1", "k2"], "priority": 1, "reserved": 2654915}
+    ],
+}
+HEADERS = [
+    ("Host", "ficu95.example"),
+    ("Anvilshift-Attempt-Id", "9c41"),
+    ("Anvilshift-Model", "m"),
+    ("Anvilshift-Token-Usage", "1460,80"),
+    ("Anvilshift-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    ("Anvilshift-Deadline-Ms", "15000"),
+    ("Authorization", "Bearer k1"),
+    ("Connection", "keep-alive, X-Hop"),
+    ("X-Hop", "1"),
+    ("X-Other", "kept"),
+    ("Kv-From", "10.0.0.1:1/7"),
+    ("Anvilshift-Pin-Ms", "5"),
+    ("Anvilshift-Tenant", "somebody-else"),
+]
+
+
+def make_request(headers=HEADERS) -> HttpRequest:
+    return HttpRequest("POST", "/lohu930/2f?a=1", Headers(headers), b"body")
+
+
+class DialectTest(unittest.TestCase):
+    def setUp(self):
+        self.dialect = PlatformDialect()
+
+    def test_a_configuration_is_decoded(self):
+        found = self.dialect.read_configuration(CONFIGURATION)
+        rule = found.rules[0]
+        self.assertEqual((found.version, rule.kind), (7, RequestKind.STREAMING))
+        self.assertEqual(rule.services, (("huvo11a", 90.0), ("wuno96b", 10.0)))
+        self.assertEqual((rule.timeout, rule.objective), (15_000.0, 1_000.0))
+        self.assertEqual((rule.pause_objective, rule.most_targets), (300.0, 1))
+        self.assertEqual(found.services["huvo11a"].model.cache_tokens, 428_428)
+        self.assertEqual(found.services["huvo11a"].model.tokens_an_event, 5)
+        self.assertIsNone(found.services["wuno96b"].model)
+        self.assertEqual(found.organisations["hule930"].reserved, 2_654_915)
+        self.assertEqual(found.limits.idle_timeout, 15_000.0)
+
+    def test_an_unknown_kind_of_route_is_treated_as_non_idempotent(self):
+        found = self.dialect.read_configuration(CONFIGURATION)
+        self.assertEqual(found.rules[1].kind, RequestKind.NON_IDEMPOTENT)
+        self.assertFalse(found.rules[1].repeatable)
+
+    def test_what_is_no_configuration_is_refused_with_the_field(self):
+        with self.assertRaises(AnvilshiftError) as caught:
+            self.dialect.read_configuration({"version": "x"})
+        self.assertIn("version", caught.exception.detail)
+
+    def test_an_entry_names_a_target(self):
+        found = self.dialect.read_target("i-1", ENTRY, 0.0)
+        self.assertEqual(
+            (found.name, found.service, found.slots), ("i-1", "huvo11a", 64)
+        )
+        self.assertEqual((found.leaving, found.born), (False, 1_700_000_000_000))
+        leaving = self.dialect.read_target("i-1", {**ENTRY, "state": "draining"}, 0.0)
+        self.assertTrue(leaving.leaving)
+
+    def test_an_entry_of_another_writer_names_none(self):
+        for change in (
+            {"state": "resting"},
+            {"slots": "many"},
+            {"address": "nowhere"},
+            {"address": None},
+            {"service": 7},
+        ):
+            with self.subTest(change):
+                entry = {**ENTRY, **change}
+                self.assertIsNone(self.dialect.read_target("i-1", entry, 0.0))
+        self.assertIsNone(self.dialect.read_target("i-1", {}, 0.0))
+
+    def test_a_call_is_decoded(self):
+        call = self.dialect.read_call(make_request())
+        self.assertEqual((call.identity, call.host), ("9c41", "ficu95.example"))
+        self.assertEqual((call.credential, call.patience), ("k1", 15_000.0))
+        self.assertEqual((call.prompt.tokens, call.prompt.most_answer), (1460, 80))
+        self.assertEqual(call.prompt.parts[1], ("91bd3f06", 410))
+
+    def test_ill_formed_headers_are_refused_with_a_number(self):
+        for name, value in (
+            ("Anvilshift-Deadline-Ms", "soon"),
+            ("Anvilshift-Deadline-Ms", "-5"),
+            ("Anvilshift-Deadline-Ms", "nan"),
+            ("Anvilshift-Token-Usage", "many"),
+            ("Anvilshift-Token-Usage", "1,2,3"),
+        ):
+            with self.subTest(value):
+                headers = [(n, v) for n, v in HEADERS if n != name] + [(name, value)]
+                with self.assertRaises(AnvilshiftError) as caught:
+                    self.dialect.read_call(make_request(headers))
+                self.assertEqual(caught.exception.code.number, 1009)
+
+    def test_a_target_sees_what_the_caller_sent_but_for_what_is_ours(self):
+        delivery = Delivery("i-1", "hule930", 1234.9, 3, "10.0.0.2:80", "17")
+        fields = self.dialect.write_delivery(make_request(), delivery)
+        found = dict(fields)
+        self.assertEqual(len(found), len(fields))
+        self.assertEqual(found["x-other"], "kept")
+        self.assertEqual(found["anvilshift-attempt-id"], "9c41")
+        self.assertEqual(found["anvilshift-tenant"], "hule930")
+        self.assertEqual(found["anvilshift-deadline-ms"], "1234")
+        self.assertEqual(found["anvilshift-expect-instance"], "i-1")
+        self.assertEqual(found["kv-fetch"], "10.0.0.2:80")
+        self.assertEqual(found["last-event-id"], "17")
+        for name in ("authorization", "kv-from", "anvilshift-pin-ms", "x-hop", "host"):
+            self.assertNotIn(name, found)
+
+    def test_an_anonymous_request_names_no_organisation(self):
+        fields = self.dialect.write_delivery(make_request(), Delivery("i-1", None, 5.0))
+        self.assertNotIn("anvilshift-tenant", dict(fields))
+
+    def test_the_notes_of_an_answer(self):
+        signed = Headers(
+            [("Anvilshift-Attempt-Id", "9c41"), ("Anvilshift-Engine-Signature", "s")]
+        )
+        notes = self.dialect.read_notes(200, signed)
+        self.assertEqual(
+            (notes.identity, notes.signed, notes.not_run), ("9c41", True, False)
+        )
+        shed = self.dialect.read_notes(503, Headers([("Anvilshift-Not-Executed", "1")]))
+        self.assertTrue(shed.not_run)
+        self.assertTrue(self.dialect.read_notes(421, Headers()).misdirected)
