--- a/anvilshift/core/allotments.py
+++ b/anvilshift/core/allotments.py
@@ -139,7 +139,7 @@
     >>> wish = Wish(ceiling=80, least=10, spent=0)
     >>> grown = Allotments().grant("r1", {"pounds": wish}, totals)
     >>> grown.of("pounds").shares["r1"].ceiling, grown.of("pounds").free
-    (50, 50)
+    (55, 45)
     """
 
     organisations: Mapping[str, Allotment] = field(default_factory=dict)
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -159,7 +159,7 @@
     Examples
     --------
     >>> pack([b"a", b"b"])
-    [b'a\\nb']
+    [b'a\nb']
     """
     datagrams: list[bytes] = []
     for line in lines:
--- a/anvilshift/gateway/splitting.py
+++ b/anvilshift/gateway/splitting.py
@@ -21,10 +21,10 @@
     Examples
     --------
     >>> splitter = EventSplitter()
-    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
     >>> splitter.count, splitter.last_id, splitter.rest
-    (1, '1', b'id: 2\\nda')
+    (1, '1', b'id: 2\nda')
     """
 
     def __init__(self) -> None:
