Refuse content that cost three targets

Cause: a request that crashes its engine comes again under new ids at any router; nothing kept it from costing an engine each time.

Ruled out: the dispatcher's quarantine (it blames every answer that breaks off; on this platform answers are lost without a crash, and proper requests would be refused).

Change: content is blamed when its target is found gone within 4 s of breaking off, news goes to the other routers, three targets without a whole answer between refuse it.

--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -83,6 +83,14 @@
     target: str
 
 
+@dataclass(frozen=True)
+class Blamed:
+    """Content was running at a target that crashed."""
+
+    content: str
+    target: str
+
+
 @dataclass(frozen=True)
 class Ask:
     """A router lacks tokens of an organisation for a request that waits.
@@ -128,10 +136,20 @@
     spent: tuple[tuple[str, int], ...]
 
 
-Message = Beat | Sent | Begun | Ended | Leaving | Ask | Gift | Farewell
+Message = Beat | Sent | Begun | Ended | Leaving | Blamed | Ask | Gift | Farewell
 _KINDS: dict[str, type[Message]] = {
     kind.__name__: kind
-    for kind in (Beat, Sent, Begun, Ended, Leaving, Ask, Gift, Farewell)
+    for kind in (
+        Beat,
+        Sent,
+        Begun,
+        Ended,
+        Leaving,
+        Blamed,
+        Ask,
+        Gift,
+        Farewell,
+    )
 }
 
 
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -21,6 +21,7 @@
     Ask,
     Beat,
     Begun,
+    Blamed,
     Ended,
     Farewell,
     Gift,
@@ -95,6 +96,7 @@
             settings.failure_domain,
             RetryBudget(settings.retry_reserve),
         )
+        self.shared.note_lost = self._note_lost
         self.register = Register(clock, self._remove_target)
         self.configuring = Follower(
             store,
@@ -177,6 +179,8 @@
                 address=info.address,
             )
             self.client.forget(Address.parse(info.address))
+            if known is not None:
+                self._note_lost(info.name)
         elif known.info.leaving and not info.leaving:
             # Another router knows that it leaves; its entry is older than that.
             info = replace(info, leaving=True)
@@ -186,7 +190,14 @@
         if known is None or known.info != info:
             self.loads.declare(info)
 
+    def _note_lost(self, name: str) -> None:
+        """Blame what was running at a target that is found gone."""
+        for content in self.shared.blame.lost(name, self.clock.now()):
+            self.journal.write("content_blamed", content=content, target=name)
+            self.peers.tell(Blamed(content, name))
+
     def _remove_target(self, name: str) -> None:
+        self._note_lost(name)
         self.journal.write("target_gone", target=name)
         self.peers.tell(Leaving(name))
         self.loads.remove(name)
@@ -248,6 +259,8 @@
             self.loads.end(message.target, message.run)
         elif isinstance(message, Leaving):
             self._hear_leaving(message.target)
+        elif isinstance(message, Blamed):
+            self.shared.blame.hear(message.content, message.target, now)
         elif isinstance(message, Ask):
             self._hear_ask(message)
         elif isinstance(message, Gift):
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import hashlib
 import random
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from anvilshift.core.blame import BlameBook
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.durations import Mean
@@ -19,6 +21,7 @@
     NO_ENGINE,
     NOT_READY,
     OVERLOADED,
+    QUARANTINED,
     UNAUTHENTICATED,
     UNKNOWN_ROUTE,
     AnvilshiftError,
@@ -84,6 +87,8 @@
     domain: str
     retries: RetryBudget
     table: RouteTable | None = None
+    blame: BlameBook = field(default_factory=BlameBook)
+    note_lost: Callable[[str], None] = lambda target: None
     work: dict[str, Mean] = field(default_factory=dict)
     runs: int = 0
 
@@ -171,6 +176,9 @@
             raise AnvilshiftError(UNKNOWN_ROUTE)
         self.rule: Rule = rule
         self.payer = self._authenticate(table, call, rule)
+        self.content = self._digest()
+        if self.shared.blame.is_poison(self.content, self.arrived):
+            raise AnvilshiftError(QUARANTINED)
         patience = rule.timeout if call.patience is None else call.patience
         self.end = self.arrived + min(patience, rule.timeout)
         self.service = rule.draw_service(self.shared.rng)
@@ -182,6 +190,13 @@
         else:
             await self._serve_paid(call.prompt, self.model)
 
+    def _digest(self) -> str:
+        """Return what names the request however often it is sent."""
+        hasher = hashlib.sha256(self.request.target.encode("latin-1"))
+        hasher.update((self.payer.name if self.payer else "").encode())
+        hasher.update(self.request.body)
+        return hasher.hexdigest()[:24]
+
     def _authenticate(
         self, table: RouteTable, call: Call, rule: Rule
     ) -> Tenancy | None:
@@ -248,6 +263,7 @@
             try:
                 if await self._attempt(choice):
                     self.shared.retries.earn()
+                    self.shared.blame.clear(self.content)
                     return
             except AttemptError as error:
                 self._note_failure(choice, error)
@@ -305,6 +321,10 @@
         if error.failure is not Failure.REJECTED:
             target.health.add_failure(self.call.identity)
             self._eject_if_bad(choice)
+        if error.failure is Failure.BROKE_OFF:
+            self.shared.blame.broke(self.content, name, self.shared.clock.now())
+        elif error.failure is Failure.NOT_SENT:
+            self.shared.note_lost(name)
         self.shared.journal.write(
             "attempt_failed",
             id=self.call.identity,
