Part the request's way: patience, relay of answers, talk with peers

Cause: passing.py and node.py had grown to 528 and 426 lines, and decisions on how long to wait stood among input and output.

Change: core/patience.py decides bounds, ranks and returns; gateway/relaying.py passes answers on; gateway/conversation.py talks with the other routers; gateway/shared.py holds what requests share.

--- /dev/null
+++ b/anvilshift/gateway/conversation.py
@@ -0,0 +1,156 @@
+"""What this router tells the others, and what it does with what they tell."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from anvilshift.core.clock import Clock
+from anvilshift.core.loadmap import LoadMap, Prompt
+from anvilshift.gateway.allotting import Allotter
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.messages import (
+    Ask,
+    Beat,
+    Begun,
+    Blamed,
+    Ended,
+    Farewell,
+    Gift,
+    Leaving,
+    Message,
+    Sent,
+)
+from anvilshift.gateway.peers import Peer, Peers
+from anvilshift.gateway.settings import GatewaySettings
+from anvilshift.gateway.shared import Shared
+
+_FAREWELLS = 3
+"""Copies of a datagram that is sent once in a router's life and may be lost."""
+
+
+@dataclass
+class Conversation:
+    """The talk of one router with the others.
+
+    Parameters
+    ----------
+    is_ready, is_leaving, is_fresh
+        Whether this router takes new callers, stops as planned, and heard from
+        the store lately.
+    """
+
+    settings: GatewaySettings
+    incarnation: str
+    peers: Peers
+    loads: LoadMap
+    allotter: Allotter
+    shared: Shared
+    clock: Clock
+    journal: Journal
+    is_ready: Callable[[], bool]
+    is_leaving: Callable[[], bool]
+    is_fresh: Callable[[], bool]
+    _gifts: int = 0
+    _received: set[tuple[str, int]] = field(default_factory=set)
+
+    def make_beat(self) -> Beat:
+        """Return this router's heartbeat."""
+        table = self.shared.table
+        return Beat(
+            self.settings.name,
+            self.incarnation,
+            self.settings.ip,
+            str(self.settings.front),
+            self.settings.failure_domain,
+            table.configuration.version if table else 0,
+            self.is_ready(),
+            self.is_leaving(),
+            self.is_fresh(),
+            tuple(sorted(self.peers.addresses)),
+        )
+
+    def ask_for_tokens(self, organisation: str, tokens: int) -> None:
+        """Ask every router that is there for tokens."""
+        ask = Ask(self.incarnation, self.settings.ip, organisation, tokens)
+        for peer in self.peers.list_present():
+            self.peers.send(ask, peer.beat.ip)
+
+    def _hear_ask(self, ask: Ask) -> None:
+        given = self.allotter.give(ask.organisation, ask.tokens)
+        if given:
+            self._gifts += 1
+            holder, organisation = ask.holder, ask.organisation
+            gift = Gift(self.incarnation, self._gifts, holder, organisation, given)
+            self.peers.send(gift, ask.ip)
+
+    def _hear_gift(self, gift: Gift) -> None:
+        # A datagram may come twice; a gift that counted twice would overspend.
+        key = (gift.giver, gift.number)
+        if gift.holder == self.incarnation and key not in self._received:
+            self._received.add(key)
+            self.allotter.receive(gift.organisation, gift.tokens)
+
+    def hear(self, message: Message) -> None:
+        """Take in what another router tells."""
+        now = self.clock.now()
+        if isinstance(message, Sent):
+            prompt = Prompt(message.parts, message.tokens, message.most_answer)
+            capacity = self._find_capacity(message.target)
+            self.loads.send(
+                message.target,
+                message.run,
+                prompt,
+                message.cached,
+                now,
+                capacity,
+                message.disturbing,
+            )
+        elif isinstance(message, Begun):
+            self.loads.begin(message.target, message.run, now)
+        elif isinstance(message, Ended):
+            self.loads.end(message.target, message.run)
+        elif isinstance(message, Leaving):
+            self._hear_leaving(message.target)
+        elif isinstance(message, Blamed):
+            self.shared.blame.hear(message.content, message.target, now)
+        elif isinstance(message, Ask):
+            self._hear_ask(message)
+        elif isinstance(message, Gift):
+            self._hear_gift(message)
+        elif isinstance(message, Farewell):
+            self.allotter.note_ended(message.holder, dict(message.spent))
+
+    def _find_capacity(self, target: str) -> int:
+        known, table = self.loads.targets.get(target), self.shared.table
+        if known is None or table is None:
+            return 0
+        service = table.configuration.services.get(known.info.service)
+        return service.model.cache_tokens if service and service.model else 0
+
+    def _hear_leaving(self, target: str) -> None:
+        known = self.loads.targets.get(target)
+        if known is not None and not known.info.leaving:
+            self.journal.write("target_leaving", target=target, told=True)
+            self.loads.declare(replace(known.info, leaving=True))
+
+    def greet(self, beat: Beat) -> None:
+        """Tell a new router what is known of its host's former incarnations."""
+        for holder, spent in self.allotter.ended.items():
+            if holder.rpartition(".")[0] == beat.router:
+                self.peers.send(Farewell(holder, tuple(spent.items())), beat.ip)
+
+    def say_farewell(self) -> None:
+        """Tell the others what was spent; from now on nothing is."""
+        farewell = Farewell(self.incarnation, tuple(self.allotter.list_spent().items()))
+        for peer in self.peers.list_present():
+            for _ in range(_FAREWELLS):
+                self.peers.send(farewell, peer.beat.ip)
+
+    def lose(self, peer: Peer) -> None:
+        """Take in that a router is gone, and its runs with it."""
+        self.loads.forget_runs(f"{peer.beat.incarnation}/")
+
+    def note_lost(self, name: str) -> None:
+        """Blame what was running at a target that is found gone."""
+        for content in self.shared.blame.lost(name, self.clock.now()):
+            self.journal.write("content_blamed", content=content, target=name)
+            self.peers.tell(Blamed(content, name))
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -9,29 +9,20 @@
 from anvilshift.core.ejection import State
 from anvilshift.core.errors import AnvilshiftError, Fate
 from anvilshift.core.identity import make_identity
-from anvilshift.core.loadmap import LoadMap, Prompt
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
 from anvilshift.gateway.allotting import Allotter
 from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
+from anvilshift.gateway.conversation import Conversation
 from anvilshift.gateway.following import Follower, Pace, Register
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.messages import (
-    Ask,
-    Beat,
-    Begun,
-    Blamed,
-    Ended,
-    Farewell,
-    Gift,
-    Leaving,
-    Message,
-    Sent,
-)
-from anvilshift.gateway.passing import Passage, Shared
-from anvilshift.gateway.peers import Hooks, Peer, Peers
+from anvilshift.gateway.messages import Leaving
+from anvilshift.gateway.passing import Passage
+from anvilshift.gateway.peers import Hooks, Peers
 from anvilshift.gateway.settings import GatewaySettings
+from anvilshift.gateway.shared import Shared
 from anvilshift.objects.store import Change, ObjectStore
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Limits
@@ -47,8 +38,6 @@
 _TICK: Millis = 100.0
 _LAPSE: Millis = 700.0
 """A loop that was held up for so long was frozen or suspended, not merely busy."""
-_FAREWELLS = 3
-"""Copies of a datagram that is sent once in a router's life and may be lost."""
 _BODY_TIMEOUT: Millis = 10 * SECOND
 
 
@@ -80,10 +69,7 @@
         self.loads = LoadMap()
         self.peers = Peers(settings.ip, settings.peer_port, clock, journal)
         self.peers.addresses = {ip for ip in settings.seeds if ip != settings.ip}
-        self.peers.hooks = Hooks(self._hear, self._lose, self._make_beat, self._greet)
-        self.allotter = Allotter(
-            store, settings.name, self.incarnation, clock, journal, self._ask_peers
-        )
+        self.allotter = Allotter(store, settings.name, self.incarnation, clock, journal)
         self.client = HttpClient()
         self.shared = Shared(
             self.incarnation,
@@ -96,7 +82,7 @@
             settings.failure_domain,
             RetryBudget(settings.retry_reserve),
         )
-        self.shared.note_lost = self._note_lost
+        self.talk = self._make_conversation()
         self.register = Register(clock, self._remove_target)
         self.configuring = Follower(
             store,
@@ -118,11 +104,28 @@
         self.server = HttpServer(self.handle)
         self.in_flight = 0
         self.leaving = False
-        self._gifts = 0
-        self._received: set[tuple[str, int]] = set()
         self._unreadable: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_conversation(self) -> Conversation:
+        talk = Conversation(
+            self.settings,
+            self.incarnation,
+            self.peers,
+            self.loads,
+            self.allotter,
+            self.shared,
+            self.clock,
+            self.journal,
+            self.is_ready,
+            lambda: self.leaving,
+            lambda: self.configuring.is_fresh(),
+        )
+        self.peers.hooks = Hooks(talk.hear, talk.lose, talk.make_beat, talk.greet)
+        self.allotter.ask_peers = talk.ask_for_tokens
+        self.shared.note_lost = talk.note_lost
+        return talk
+
     # The configuration and the targets
 
     def _take_configuration(self, change: Change) -> None:
@@ -180,7 +183,7 @@
             )
             self.client.forget(Address.parse(info.address))
             if known is not None:
-                self._note_lost(info.name)
+                self.talk.note_lost(info.name)
         elif known.info.leaving and not info.leaving:
             # Another router knows that it leaves; its entry is older than that.
             info = replace(info, leaving=True)
@@ -190,113 +193,12 @@
         if known is None or known.info != info:
             self.loads.declare(info)
 
-    def _note_lost(self, name: str) -> None:
-        """Blame what was running at a target that is found gone."""
-        for content in self.shared.blame.lost(name, self.clock.now()):
-            self.journal.write("content_blamed", content=content, target=name)
-            self.peers.tell(Blamed(content, name))
-
     def _remove_target(self, name: str) -> None:
-        self._note_lost(name)
+        self.talk.note_lost(name)
         self.journal.write("target_gone", target=name)
         self.peers.tell(Leaving(name))
         self.loads.remove(name)
 
-    # Other routers
-
-    def _make_beat(self) -> Beat:
-        table = self.shared.table
-        return Beat(
-            self.settings.name,
-            self.incarnation,
-            self.settings.ip,
-            str(self.settings.front),
-            self.settings.failure_domain,
-            table.configuration.version if table else 0,
-            self.is_ready(),
-            self.leaving,
-            self.configuring.is_fresh(),
-            tuple(sorted(self.peers.addresses)),
-        )
-
-    def _ask_peers(self, organisation: str, tokens: int) -> None:
-        ask = Ask(self.incarnation, self.settings.ip, organisation, tokens)
-        for peer in self.peers.list_present():
-            self.peers.send(ask, peer.beat.ip)
-
-    def _hear_ask(self, ask: Ask) -> None:
-        given = self.allotter.give(ask.organisation, ask.tokens)
-        if given:
-            self._gifts += 1
-            holder, organisation = ask.holder, ask.organisation
-            gift = Gift(self.incarnation, self._gifts, holder, organisation, given)
-            self.peers.send(gift, ask.ip)
-
-    def _hear_gift(self, gift: Gift) -> None:
-        # A datagram may come twice; a gift that counted twice would overspend.
-        key = (gift.giver, gift.number)
-        if gift.holder == self.incarnation and key not in self._received:
-            self._received.add(key)
-            self.allotter.receive(gift.organisation, gift.tokens)
-
-    def _hear(self, message: Message) -> None:
-        now = self.clock.now()
-        if isinstance(message, Sent):
-            prompt = Prompt(message.parts, message.tokens, message.most_answer)
-            capacity = self._find_capacity(message.target)
-            self.loads.send(
-                message.target,
-                message.run,
-                prompt,
-                message.cached,
-                now,
-                capacity,
-                message.disturbing,
-            )
-        elif isinstance(message, Begun):
-            self.loads.begin(message.target, message.run, now)
-        elif isinstance(message, Ended):
-            self.loads.end(message.target, message.run)
-        elif isinstance(message, Leaving):
-            self._hear_leaving(message.target)
-        elif isinstance(message, Blamed):
-            self.shared.blame.hear(message.content, message.target, now)
-        elif isinstance(message, Ask):
-            self._hear_ask(message)
-        elif isinstance(message, Gift):
-            self._hear_gift(message)
-        elif isinstance(message, Farewell):
-            self.allotter.note_ended(message.holder, dict(message.spent))
-
-    def _find_capacity(self, target: str) -> int:
-        known, table = self.loads.targets.get(target), self.shared.table
-        if known is None or table is None:
-            return 0
-        service = table.configuration.services.get(known.info.service)
-        return service.model.cache_tokens if service and service.model else 0
-
-    def _hear_leaving(self, target: str) -> None:
-        known = self.loads.targets.get(target)
-        if known is not None and not known.info.leaving:
-            self.journal.write("target_leaving", target=target, told=True)
-            self.loads.declare(replace(known.info, leaving=True))
-
-    def _greet(self, beat: Beat) -> None:
-        """Tell a new router what is known of its host's former incarnations."""
-        for holder, spent in self.allotter.ended.items():
-            if holder.rpartition(".")[0] == beat.router:
-                self.peers.send(Farewell(holder, tuple(spent.items())), beat.ip)
-
-    def _say_farewell(self) -> None:
-        """Tell the others what was spent; from now on nothing is."""
-        farewell = Farewell(self.incarnation, tuple(self.allotter.list_spent().items()))
-        for peer in self.peers.list_present():
-            for _ in range(_FAREWELLS):
-                self.peers.send(farewell, peer.beat.ip)
-
-    def _lose(self, peer: Peer) -> None:
-        self.loads.forget_runs(f"{peer.beat.incarnation}/")
-
     # Callers
 
     def is_ready(self) -> bool:
@@ -413,7 +315,7 @@
                 await self.allotter.close()
         except (TimeoutError, AnvilshiftError) as error:
             self.journal.write("shares_not_handed_back", why=repr(error))
-            self._say_farewell()
+            self.talk.say_farewell()
         self.journal.write("stop_ended", cut_off=self.in_flight)
 
     async def close(self) -> None:
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -6,14 +6,11 @@
 
 import asyncio
 import hashlib
-import random
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable
+from functools import partial
 
-from anvilshift.core.blame import BlameBook
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain
-from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.durations import Mean
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import State
 from anvilshift.core.errors import (
     ANSWER_LATE,
@@ -28,82 +25,29 @@
     Code,
 )
 from anvilshift.core.loadmap import Prompt
-from anvilshift.core.retries import RetryBudget
+from anvilshift.core.patience import (
+    NO_ENGINE_RETURN,
+    bound_silence,
+    bound_try,
+    count_left,
+    find_return,
+    rank,
+)
 from anvilshift.core.routing import ModelFigures, RequestKind, RouteTable, Rule, Tenancy
 from anvilshift.core.work import Failure
-from anvilshift.gateway.allotting import Allotter
-from anvilshift.gateway.attempts import Answer, AttemptError, Outgoing, Sender
-from anvilshift.gateway.border import Call, Delivery, Dialect
-from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.splitting import EventSplitter
-from anvilshift.wire.client import ExchangeError
-from anvilshift.wire.messages import Fields, HttpRequest
+from anvilshift.gateway.attempts import Answer, AttemptError, Outgoing
+from anvilshift.gateway.border import Call, Delivery
+from anvilshift.gateway.relaying import WHOLE, AnswerRelay
+from anvilshift.gateway.shared import Shared
+from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.server import CallerGoneError, Responder
 
-_HOPELESS_PRIORITY = 7
-_LONG_PRIORITY = 3
-_SHORT_PRIORITY = 1
-_LONG_READING: Millis = 60.0
-"""A prompt that takes longer to be read is admitted after shorter ones: four short
-ones in front of it delay it less than it would delay each of them."""
-_LEAST_RETRY: Millis = 150.0
-_RETRY_PART = 0.3
-"""Callers obey up to a third of the time that they have left."""
-_NO_ENGINE_RETRY: Millis = 700.0
-_PLAIN_TRY_PART = 0.4
-"""Part of the time left that one try of an idempotent request may take: a target
-that hangs must leave time for another."""
-_LEAST_TRY: Millis = 300.0
-_FIRST_FACTOR = 2.0
-_FIRST_SLACK: Millis = 600.0
-"""A first token that takes over twice the predicted time and this is not coming:
-of those that came, 99 in 100 took at most 480 ms longer than predicted."""
-_SILENCE_FACTOR = 4.0
-"""Pauses of a stream, in its pause objective, after which its engine has gone
-silent: 99 in 100 pauses are under two, and callers leave after eight."""
-_SILENCE: Millis = 1_200.0
-"""The same where a route has no pause objective."""
-_WHOLE = "whole"
-_EVENTS_ON_THE_WAY = 2
-"""Events that an engine makes at the most while its caller's close reaches it: they
-are at least 20 ms apart, and a close takes 5."""
-_ANSWER_BYTES = 8 * 1024 * 1024
-_FRAMING = frozenset(
-    {"content-length", "transfer-encoding", "connection", "keep-alive", "trailer"}
-)
-
-
-@dataclass
-class Shared:
-    """What every request needs of its router."""
-
-    router: str
-    clock: Clock
-    rng: random.Random
-    dialect: Dialect
-    sender: Sender
-    allotter: Allotter
-    journal: Journal
-    domain: str
-    retries: RetryBudget
-    table: RouteTable | None = None
-    blame: BlameBook = field(default_factory=BlameBook)
-    note_lost: Callable[[str], None] = lambda target: None
-    work: dict[str, Mean] = field(default_factory=dict)
-    runs: int = 0
-
-    def mean_work(self, service: str) -> Mean:
-        """Return the measured time of a plain service's requests."""
-        return self.work.setdefault(service, Mean(40.0))
-
 
 class Passage:
     """One caller's request on its way.
 
     Attributes
     ----------
-    broken
-        Whether a target may have made more of an answer than came.
     may_have_run
         Whether any target may have run the request, or still may.
     targets
@@ -115,23 +59,16 @@
     ) -> None:
         self.shared = shared
         self.request = request
-        self.responder = responder
         self.arrived = shared.clock.now()
         self.end = self.arrived
         self.may_have_run = False
         self.targets = 0
         self.excluded: set[str] = set()
-        self.events = 0
-        self.last_id: str | None = None
-        self.outcome = "gone"
-        self.broken = False
+        self.relay = AnswerRelay(responder, shared.clock)
         self.target = ""
         self.sent = self.arrived
         self.beside = 0
         self.predicted: Millis = 0.0
-        self.first: Millis | None = None
-        self.passed: Millis = 0.0
-        self.longest_pause: Millis = 0.0
 
     async def run(self) -> None:
         """Answer the request."""
@@ -140,16 +77,16 @@
         try:
             await self._serve(call)
         except AnvilshiftError as error:
-            self.outcome = error.code.name
+            self.relay.outcome = error.code.name
             raise
         except CallerGoneError:
-            self.outcome = "caller gone"
+            self.relay.outcome = "caller gone"
             raise
         finally:
             self._log()
 
     def _log(self) -> None:
-        now = self.shared.clock.now()
+        now, first = self.shared.clock.now(), self.relay.first
         self.shared.journal.write(
             "request",
             id=self.call.identity,
@@ -157,12 +94,12 @@
             target=self.target,
             tries=len(self.excluded) + 1,
             predicted=round(self.predicted, 1),
-            first=None if self.first is None else round(self.first - self.arrived, 1),
+            first=None if first is None else round(first - self.arrived, 1),
             took=round(now - self.arrived, 1),
-            events=self.events,
-            pause=round(self.longest_pause, 1),
+            events=self.relay.events,
+            pause=round(self.relay.longest_pause, 1),
             running=self.beside,
-            outcome=self.outcome,
+            outcome=self.relay.outcome,
         )
 
     # What the configuration says
@@ -170,7 +107,7 @@
     async def _serve(self, call: Call) -> None:
         table = self.shared.table
         if table is None:
-            raise AnvilshiftError(NOT_READY, retry_after=_NO_ENGINE_RETRY)
+            raise AnvilshiftError(NOT_READY, retry_after=NO_ENGINE_RETURN)
         rule = table.find(call.host, self.request.path)
         if rule is None:
             raise AnvilshiftError(UNKNOWN_ROUTE)
@@ -226,16 +163,14 @@
         if not self.may_have_run:
             return 0
         most = prompt.tokens + prompt.most_answer + model.tokens_an_event
-        if self.outcome == _WHOLE:
-            made = self.events * model.tokens_an_event
+        if self.relay.outcome == WHOLE:
+            made = self.relay.events * model.tokens_an_event
             return prompt.tokens + min(made, prompt.most_answer)
-        if self.broken or self.rule.kind is not RequestKind.STREAMING:
+        if self.relay.broken or self.rule.kind is not RequestKind.STREAMING:
             # An engine may have made an answer that was lost on its way; counted
             # by what came, a total near its end would be overspent.
             return most
-        # The caller left: an engine makes an event or two until it learns that.
-        made = (self.events + _EVENTS_ON_THE_WAY) * model.tokens_an_event
-        return min(most, prompt.tokens + made)
+        return count_left(prompt.tokens, self.relay.events, model.tokens_an_event, most)
 
     async def _within_time(self, work: Awaitable[None]) -> None:
         """Give the request its final answer when its time is over."""
@@ -245,10 +180,10 @@
             async with asyncio.timeout_at(loop.time() + left):
                 await work
         except TimeoutError:
-            self.outcome = "time over"
-            self.broken = True
-            if self.responder.started:
-                self.responder.abort()
+            self.relay.outcome = "time over"
+            self.relay.broken = True
+            if self.relay.started:
+                self.relay.responder.abort()
                 return
             if self.may_have_run:
                 raise AnvilshiftError(ANSWER_LATE) from None
@@ -294,7 +229,7 @@
                 self.excluded,
             )
         if choice is None:
-            raise self._give_up(NO_ENGINE, _NO_ENGINE_RETRY, "no target is left")
+            raise self._give_up(NO_ENGINE, NO_ENGINE_RETURN, "no target is left")
         return choice
 
     def _refuse_hopeless(self, choice: Choice) -> None:
@@ -308,8 +243,7 @@
     def _give_up(self, code: Code, wait: Millis, detail: str) -> AnvilshiftError:
         """Return the error that says truly what became of the request."""
         left = max(0.0, self.end - self.shared.clock.now())
-        spread = self.shared.rng.uniform(0.8, 1.2)
-        after = max(_LEAST_RETRY, min(wait, left * _RETRY_PART) * spread)
+        after = find_return(wait, left, self.shared.rng)
         if self.may_have_run:
             return AnvilshiftError(ENGINE_FAILED, detail, after)
         return AnvilshiftError(code, detail, after)
@@ -331,7 +265,7 @@
             target=name,
             failure=error.failure.value,
             why=error.detail,
-            events=self.events,
+            events=self.relay.events,
         )
 
     def _eject_if_bad(self, choice: Choice) -> None:
@@ -346,9 +280,9 @@
         if not error.never_ran and not self._may_go_on():
             raise self._end_broken(error.detail)
         if not self.shared.retries.take(error.failure):
-            if self.responder.started:
+            if self.relay.started:
                 raise self._end_broken("no retry is left")
-            raise self._give_up(NO_ENGINE, _NO_ENGINE_RETRY, "no retry is left")
+            raise self._give_up(NO_ENGINE, NO_ENGINE_RETURN, "no retry is left")
 
     def _end_broken(self, detail: str) -> AnvilshiftError:
         """Return what ends an answer that can't be made whole."""
@@ -384,39 +318,22 @@
             if error.never_ran:
                 self.may_have_run, self.targets = before
             else:
-                self.broken = True
+                self.relay.broken = True
             raise
         except TimeoutError as error:
-            self.broken = True
+            self.relay.broken = True
             raise AttemptError(Failure.BROKE_OFF, "the target is silent") from error
 
     def _bound_try(self, choice: Choice, left: Millis) -> float | None:
-        """Return the seconds that a target may take to begin its answer.
-
-        A target may run a request and lose its answer, or hang: the caller
-        would wait to its deadline although another target could still serve it.
-        """
+        """Return the seconds that a target may take, where another can follow."""
         if not self._may_go_on():
             return None
-        if self.rule.kind is RequestKind.STREAMING:
-            return (choice.wait * _FIRST_FACTOR + _FIRST_SLACK) / SECOND
-        return max(_LEAST_TRY, left * _PLAIN_TRY_PART) / SECOND
+        return bound_try(self.rule, choice.wait, left) / SECOND
 
     def _may_go_on(self) -> bool:
         """Tell whether the request may yet be sent to another target."""
         return self.rule.repeatable and self.targets < self.rule.most_targets
 
-    def _bound_silence(self) -> float | None:
-        """Return the seconds after which a stream's engine counts as silent.
-
-        Only where the stream can go on elsewhere: silence alone is no reason
-        to end an answer.
-        """
-        if not self._may_go_on():
-            return None
-        pause = self.rule.pause_objective
-        return (pause * _SILENCE_FACTOR if pause else _SILENCE) / SECOND
-
     def _make_delivery(self, choice: Choice, left: Millis) -> Delivery:
         elapsed = self.shared.clock.now() - self.arrived
         fetch = choice.fetch_from
@@ -424,22 +341,11 @@
             expected=choice.target.info.name,
             organisation=self.payer.name if self.payer else None,
             remaining=max(1.0, left),
-            priority=self._rank(choice, elapsed) if self.model is not None else None,
+            priority=rank(self.rule, elapsed, choice.wait) if self.model else None,
             fetch_from=fetch.info.address if fetch else None,
-            resume_after=self.last_id or self.call.resume_after,
+            resume_after=self.relay.last_id or self.call.resume_after,
         )
 
-    def _rank(self, choice: Choice, elapsed: Millis) -> int:
-        """Return how urgent the request is at its engine.
-
-        What can still be on time goes before what can't, and short prompts
-        before long ones.  What is late anyway is served behind, not dropped.
-        """
-        if elapsed + choice.wait > self.rule.objective:
-            return _HOPELESS_PRIORITY
-        long = choice.wait > _LONG_READING
-        return _LONG_PRIORITY if long else _SHORT_PRIORITY
-
     # Answers
 
     async def _pass_on(
@@ -449,80 +355,24 @@
         if success and not answer.notes.signed:
             raise AttemptError(Failure.BROKE_OFF, "an unsigned answer")
         if success and self.rule.kind is RequestKind.STREAMING:
-            await self._pass_stream(outgoing, answer, bound)
+            silence = bound_silence(self.rule) if self._may_go_on() else None
+            begin = partial(self._note_first, outgoing)
+            await self.relay.stream(answer, bound, silence, begin)
             return
-        body = await answer.response.read(_ANSWER_BYTES)
-        self.shared.sender.note_begin(outgoing)
-        if answer.status >= 500 and self._may_repeat_failure():
-            raise AttemptError(Failure.BROKE_OFF, f"status {answer.status}")
-        if self.responder.started:
+        body = await self.relay.read_whole(answer)
+        self._note_first(outgoing)
+        failed = answer.status >= 500 and self._may_go_on()
+        if failed or self.relay.started:
             raise AttemptError(Failure.BROKE_OFF, f"status {answer.status}")
         if self.model is None:
             took = self.shared.clock.now() - self.arrived
             self.shared.mean_work(self.service).add(took)
-        if success:
-            self._note_first(outgoing)
-        self.outcome = f"status {answer.status}"
-        headers = _keep_headers(answer)
-        headers.append(("content-length", str(len(body))))
-        await self.responder.start(answer.status, headers, hold=True)
-        await self.responder.finish(body)
-
-    def _may_repeat_failure(self) -> bool:
-        return self._may_go_on() and not self.responder.started
-
-    async def _pass_stream(
-        self, outgoing: Outgoing, answer: Answer, bound: asyncio.Timeout
-    ) -> None:
-        splitter = EventSplitter()
-        received = self.events
-        silence = self._bound_silence()
-        loop = asyncio.get_running_loop()
-        try:
-            async for chunk in answer.response.chunks():
-                whole = splitter.feed(chunk)
-                if not whole:
-                    continue
-                if splitter.last_id is not None:
-                    self.last_id = splitter.last_id
-                self.events = received + splitter.count
-                bound.reschedule(None if silence is None else loop.time() + silence)
-                self._note_event()
-                if not self.responder.started:
-                    self._note_first(outgoing)
-                    await self.responder.start(
-                        answer.status, _keep_headers(answer), hold=True
-                    )
-                await self.responder.write(whole)
-        except ExchangeError as error:
-            raise AttemptError(Failure.BROKE_OFF, str(error)) from error
-        if not self.responder.started:
-            await self.responder.start(answer.status, _keep_headers(answer), hold=True)
-        self.outcome = "whole after a break" if self.broken else _WHOLE
-        await self.responder.finish(splitter.rest)
-
-    def _note_event(self) -> None:
-        now = self.shared.clock.now()
-        if self.first is not None:
-            self.longest_pause = max(self.longest_pause, now - self.passed)
-        self.passed = now
+        await self.relay.send_whole(answer, body)
 
     def _note_first(self, outgoing: Outgoing) -> None:
-        now = self.shared.clock.now()
-        self.first = now
+        """Take in that a target began to answer."""
         self.shared.sender.note_begin(outgoing)
         target = outgoing.choice.target
         target.health.add_answer()
-        target.measure(now - self.sent, outgoing.choice.unscaled)
-
-
-def _keep_headers(answer: Answer) -> Fields:
-    """Return a target's headers without those of its own connection."""
-    named = {
-        word.strip().lower()
-        for name, value in answer.headers.pairs
-        if name == "connection"
-        for word in value.split(",")
-    }
-    drop = _FRAMING | named
-    return [(n, v) for n, v in answer.headers.pairs if n not in drop]
+        span = self.shared.clock.now() - self.sent
+        target.measure(span, outgoing.choice.unscaled)
--- /dev/null
+++ b/anvilshift/gateway/shared.py
@@ -0,0 +1,42 @@
+"""What every request needs of its router."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from anvilshift.core.blame import BlameBook
+from anvilshift.core.clock import Clock
+from anvilshift.core.durations import Mean
+from anvilshift.core.retries import RetryBudget
+from anvilshift.core.routing import RouteTable
+from anvilshift.gateway.allotting import Allotter
+from anvilshift.gateway.attempts import Sender
+from anvilshift.gateway.border import Dialect
+from anvilshift.gateway.journal import Journal
+
+_PLAIN_WORK = 40.0
+"""Milliseconds of a plain request until some are measured."""
+
+
+@dataclass
+class Shared:
+    """What every request needs of its router."""
+
+    router: str
+    clock: Clock
+    rng: random.Random
+    dialect: Dialect
+    sender: Sender
+    allotter: Allotter
+    journal: Journal
+    domain: str
+    retries: RetryBudget
+    table: RouteTable | None = None
+    blame: BlameBook = field(default_factory=BlameBook)
+    note_lost: Callable[[str], None] = lambda target: None
+    work: dict[str, Mean] = field(default_factory=dict)
+    runs: int = 0
+
+    def mean_work(self, service: str) -> Mean:
+        """Return the measured time of a plain service's requests."""
+        return self.work.setdefault(service, Mean(_PLAIN_WORK))
