Look whether a target is gone when content breaks off at two of them

Cause: found by a test: content that crashes its targets cost five of five, because nothing sent to a crashed target again and so nothing showed that it was gone.

--- a/anvilshift/core/blame.py
+++ b/anvilshift/core/blame.py
@@ -39,7 +39,7 @@
     --------
     >>> book = BlameBook()
     >>> for name in ("e1", "e2", "e3"):
-    ...     book.broke("poison", name, now=0.0)
+    ...     _ = book.broke("poison", name, now=0.0)
     ...     book.lost(name, now=100.0)
     ['poison']
     ['poison']
@@ -51,14 +51,25 @@
     _broken: dict[str, list[tuple[str, Millis]]] = field(default_factory=dict)
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
 
-    def broke(self, content: str, target: str, now: Millis) -> None:
-        """Take in that a target broke an answer off."""
+    def broke(self, content: str, target: str, now: Millis) -> bool:
+        """Take in that a target broke an answer off.
+
+        Returns
+        -------
+        bool
+            Whether the content is suspect, because another target broke it off
+            as well: then it is worth a connection to see if the target is gone.
+        """
         recent = [
             (one, at)
             for one, at in self._broken.get(target, [])
             if now - at <= _FOUND_WITHIN
         ]
         self._broken[target] = [*recent, (content, now)]
+        others = [known for name, known in self._broken.items() if name != target]
+        return content in self._records or any(
+            content == one for broken in others for one, _ in broken
+        )
 
     def lost(self, target: str, now: Millis) -> list[str]:
         """Take in that a target is gone; return what is blamed for it."""
--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -126,7 +126,7 @@
         return bool(self.waiting) or self.available < cushion * _REFILL_BELOW
 
 
-_DRY_SPAN: Millis = 1 * SECOND
+_DRY_SPAN: Millis = 2 * SECOND
 """After a draw that found nothing free: a total grows by seconds, and each look is
 a priced write."""
 _GIFT_PART = 0.5
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -39,9 +39,13 @@
 from anvilshift.gateway.border import Call, Delivery
 from anvilshift.gateway.relaying import WHOLE, AnswerRelay
 from anvilshift.gateway.shared import Shared
-from anvilshift.wire.messages import HttpRequest
+from anvilshift.wire.messages import Address, HttpRequest
 from anvilshift.wire.server import CallerGoneError, Responder
 
+_CHECK: Millis = 300.0
+"""How long a target may take to accept a connection; it takes 4 ms, and one that
+restarts refuses at once."""
+
 
 class Passage:
     """One caller's request on its way.
@@ -202,6 +206,7 @@
                     return
             except AttemptError as error:
                 self._note_failure(choice, error)
+                await self._look_for_crash(choice, error)
                 self._check_repeat(error)
 
     def _choose(self) -> Choice:
@@ -255,10 +260,6 @@
         if error.failure is not Failure.REJECTED:
             target.health.add_failure(self.call.identity)
             self._eject_if_bad(choice)
-        if error.failure is Failure.BROKE_OFF:
-            self.shared.blame.broke(self.content, name, self.shared.clock.now())
-        elif error.failure is Failure.NOT_SENT:
-            self.shared.note_lost(name)
         self.shared.journal.write(
             "attempt_failed",
             id=self.call.identity,
@@ -268,6 +269,19 @@
             events=self.relay.events,
         )
 
+    async def _look_for_crash(self, choice: Choice, error: AttemptError) -> None:
+        """Blame the request's content for a target that is found gone."""
+        shared, info = self.shared, choice.target.info
+        if error.failure is Failure.NOT_SENT:
+            shared.note_lost(info.name)
+        elif error.failure is Failure.BROKE_OFF:
+            suspect = shared.blame.broke(self.content, info.name, shared.clock.now())
+            address = Address.parse(info.address)
+            if suspect and not await shared.sender.client.check(address, _CHECK):
+                shared.note_lost(info.name)
+        if shared.blame.is_poison(self.content, shared.clock.now()):
+            raise AnvilshiftError(QUARANTINED)
+
     def _eject_if_bad(self, choice: Choice) -> None:
         health, now = choice.target.health, self.shared.clock.now()
         if health.state is not State.EJECTED and health.is_bad(0.0):
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -346,6 +346,17 @@
         except TimeoutError as error:
             raise ExchangeError(f"{address} did not answer in time", True) from error
 
+    async def check(self, address: Address, timeout: Millis) -> bool:
+        """Tell whether a server still accepts connections."""
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_connection(_Connection, address.ip, address.port)
+        try:
+            _, made = await asyncio.wait_for(connecting, timeout / SECOND)
+        except (OSError, TimeoutError):
+            return False
+        made.close()
+        return True
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
--- a/tests/platform/stand.py
+++ b/tests/platform/stand.py
@@ -123,6 +123,8 @@
         self.echo: str | None = None
         self.signs = True
         self.gone = 0
+        self.poison: bytes | None = None
+        self.crashed = False
         self.server = HttpServer(self.handle)
 
     async def start(self) -> Address:
@@ -138,6 +140,10 @@
             await responder.send(Reply(503, [("Anvilshift-Not-Executed", "1")]))
             return
         self.runs.append(identity)
+        if self.poison is not None and request.body == self.poison:
+            self.crashed = True
+            await self.server.close()
+            return
         headers = [("Anvilshift-Attempt-Id", self.echo or identity)]
         if self.signs:
             headers.append(("Anvilshift-Engine-Signature", f"{self.name}.1"))
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -379,3 +379,21 @@
         )
         other = await self.client.call(address, "GET", "/v1/other")
         self.assertEqual(other.status, 404)
+
+
+class PoisonTest(GatewayCase):
+    async def test_a_request_that_crashes_its_targets_costs_three_at_the_most(self):
+        """A read crashes each target that runs it, and its caller sends it again.
+
+        Without a limit every target would be lost in turn, with all that runs
+        there.
+        """
+        for name in ("d1", "d2", "d3", "d4", "d5"):
+            target = await self.add_target(name, "desk")
+            target.poison = b"poison"
+        await self.start_node()
+        statuses = [(await self.call("/read/1", b"poison"))[0] for _ in range(6)]
+        lost = [t for t in self.targets.values() if t.crashed]
+        self.assertLessEqual(len(lost), 4)
+        self.assertEqual(statuses[-1], 422)
+        self.assertEqual((await self.call("/read/1", b"fine"))[0], 200)
