Let cushions shrink faster than what is left of a total

Change: all cushions together hold at most a quarter of what is left, and 0.45 times the part that is left where that is less; the hop-by-hop fields of a message are listed in one place.

--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -19,10 +19,13 @@
 COVER: Millis = 9 * SECOND
 """Use that a full cushion lasts for, while much is left: cuts from the store last up
 to 8 s."""
-_HELD_PART = 0.25
-"""Most of what is left of a total that all cushions together hold.  When all routers
-are killed at once their cushions are lost for good, which a total near its end
-can't bear; requests that a cut starves can still be served from it later."""
+_HELD_MOST = 0.25
+_HELD_SLOPE = 0.45
+"""Most of what is left of a total that all cushions together hold: a quarter, and
+0.45 times the part that is left where that is less.  When all routers are killed
+at once their cushions are lost for good.  Early in a total that is made up for by
+what is free; near its end it leaves an organisation refused for the rest of the day
+with tokens that nobody can reach."""
 _LEAST_PART = 0.17
 """Part of a total that all cushions together are at least, while that is within
 their part of what is left.  An organisation's use is uneven, and one that calls
@@ -103,7 +106,9 @@
         wanted = max(int(self.current_rate(now) * COVER), least)
         if self.left is None:
             return wanted
-        return min(wanted, int(max(0, self.left) * _HELD_PART / self.routers))
+        left = max(0, self.left)
+        most = left * min(_HELD_MOST, _HELD_SLOPE * left / max(1, self.total))
+        return min(wanted, int(most / self.routers))
 
     def make_wish(self, now: Millis) -> Wish:
         """Return what to ask of the store now."""
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -9,7 +9,7 @@
 from anvilshift.gateway.attempts import Answer, AttemptError
 from anvilshift.gateway.splitting import EventSplitter
 from anvilshift.wire.client import ExchangeError
-from anvilshift.wire.messages import Fields
+from anvilshift.wire.messages import Fields, list_hop_headers
 from anvilshift.wire.server import Responder
 
 WHOLE = "whole"
@@ -132,11 +132,5 @@
 
 def _keep_headers(answer: Answer) -> Fields:
     """Return a target's headers without those of its own connection."""
-    named = {
-        word.strip().lower()
-        for name, value in answer.headers.pairs
-        if name == "connection"
-        for word in value.split(",")
-    }
-    drop = _FRAMING | named
+    drop = _FRAMING | list_hop_headers(answer.headers)
     return [(n, v) for n, v in answer.headers.pairs if n not in drop]
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -9,7 +9,7 @@
 from anvilshift.gateway.border import Call, Delivery, Notes, Raw
 from anvilshift.platform import names
 from anvilshift.platform.records import ConfigurationRecord, TargetRecord
-from anvilshift.wire.messages import Fields, Headers, HttpRequest
+from anvilshift.wire.messages import Fields, Headers, HttpRequest, list_hop_headers
 
 _HEX_DIGITS = 64
 
@@ -56,13 +56,7 @@
 
     def write_delivery(self, request: HttpRequest, delivery: Delivery) -> Fields:
         """Return the headers with which a request goes to a target."""
-        named = {
-            word.strip().lower()
-            for name, value in request.headers.pairs
-            if name == "connection"
-            for word in value.split(",")
-        }
-        drop = names.ONE_CONNECTION | names.OWN | named
+        drop = names.ONE_CONNECTION | names.OWN | list_hop_headers(request.headers)
         drop |= {names.AUTHORIZATION, names.RESUME}
         fields = [(n, v) for n, v in request.headers.pairs if n not in drop]
         fields.append((names.DEADLINE, str(int(delivery.remaining))))
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -98,6 +98,28 @@
         return found[0] if found else None
 
 
+def list_hop_headers(headers: Headers) -> set[str]:
+    """Return the fields that a message's own connection header names.
+
+    They concern one connection only, and a proxy must not pass them on.
+
+    References
+    ----------
+    RFC 9110, section 7.6.1.
+
+    Examples
+    --------
+    >>> sorted(list_hop_headers(Headers([("Connection", "close, X-Hop")])))
+    ['close', 'x-hop']
+    """
+    return {
+        word.strip().lower()
+        for name, value in headers.pairs
+        if name == "connection"
+        for word in value.split(",")
+    }
+
+
 @dataclass(frozen=True)
 class HttpRequest:
     """One whole request as a server received it."""
