Let a router that has just started draw little before it knows what is left

Ruled out: the shares of planned stops (their farewells were taken in).

Change: the first write asks for 0.2 % of a total and tells what is left; the second follows at once and draws by it, among as many routers as hold shares.

--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -30,6 +30,10 @@
 """Part of a total that all cushions together are at least, while that is within
 their part of what is left.  An organisation's use is uneven, and one that calls
 seldom may still send a prompt of 55,000 tokens in the midst of a cut."""
+_FIRST_PART = 0.002
+"""Part of a total that a router asks for before it knows what is left of it and how
+many routers share it.  One that took its whole cushion then, alone as it believed,
+stranded an eighth of a total when it was killed a second later."""
 _REFILL_BELOW = 0.9
 """Part of the cushion below which more is drawn; each draw is a priced write, and
 at 0.9 a router writes about every second of steady use."""
@@ -105,7 +109,7 @@
         least = int(self.total * _LEAST_PART / self.routers)
         wanted = max(int(self.current_rate(now) * COVER), least)
         if self.left is None:
-            return wanted
+            return int(self.total * _FIRST_PART)
         left = max(0, self.left)
         most = left * min(_HELD_MOST, _HELD_SLOPE * left / max(1, self.total))
         return min(wanted, int(most / self.routers))
@@ -243,8 +247,9 @@
 
     def set_routers(self, routers: int) -> None:
         """Take in among how many routers the cushions are divided."""
+        routers = max(1, routers, len(self.seen.list_holders()))
         for purse in self.purses.values():
-            purse.routers = max(1, routers)
+            purse.routers = routers
 
     def give(self, name: str, tokens: int) -> int:
         """Give tokens to another router; return how many.
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -255,7 +255,8 @@
             return True
         if self.ended.keys() & self.wallet.seen.list_holders():
             return True
-        rested = now - self._written >= _LEISURE
+        # The first write only tells what is left; the second draws by it.
+        rested = self._rounds < _WRITES or now - self._written >= _LEISURE
         return rested and self.wallet.wants_change(now)
 
     def _end_round(self) -> None:
--- a/tests/core/test_wallet.py
+++ b/tests/core/test_wallet.py
@@ -70,6 +70,16 @@
         # 5 tokens a millisecond over the time that a cushion covers.
         self.assertAlmostEqual(cushion, 5 * COVER, delta=0.15 * 5 * COVER)
 
+    def test_a_router_that_has_just_started_asks_for_little(self):
+        """A router starts, hears nobody yet and takes a sixth of each total.
+
+        Killed a second later it strands what all others together would need
+        for seconds.
+        """
+        wallet = Wallet("r1")
+        wallet.configure({POUNDS: 1_000_000}, 0.0)
+        self.assertEqual(wallet.make_wishes(0.0)[POUNDS].ceiling, 2_000)
+
     def test_cushions_shrink_as_the_total_ends(self):
         """All routers are killed near the end of an organisation's total.
 
