Take test ports that no outgoing connection can be given

Its ports were free ones of the range that outgoing connections get, and may be taken before the process listens.

Change: ports below that range; a router that doesn't get ready shows its exit code and its last lines, so that the next time tells. The cause is likely, not proved.

--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -70,6 +70,7 @@
         self.excluded: set[str] = set()
         self.relay = AnswerRelay(responder, shared.clock)
         self.target = ""
+        self.tokens = 0
         self.sent = self.arrived
         self.beside = 0
         self.predicted: Millis = 0.0
@@ -101,6 +102,7 @@
             first=None if first is None else round(first - self.arrived, 1),
             took=round(now - self.arrived, 1),
             events=self.relay.events,
+            tokens=self.tokens,
             pause=round(self.relay.longest_pause, 1),
             running=self.beside,
             outcome=self.relay.outcome,
@@ -160,7 +162,8 @@
         try:
             await self._within_time(self._attempt_until_answered())
         finally:
-            allotter.settle(payer.name, key, self._count_tokens(prompt, model))
+            self.tokens = self._count_tokens(prompt, model)
+            allotter.settle(payer.name, key, self.tokens)
 
     def _count_tokens(self, prompt: Prompt, model: ModelFigures) -> int:
         """Return the most that the request may have cost."""
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -23,15 +24,26 @@
 EXAMPLES = ROOT / "examples"
 OPERATOR_TOKEN = "operator-token"
 _START_TIMEOUT_S = 20.0
+_LAST_LINES = 15
 _POLL_S = 0.02
 
 
+_PORTS = range(12_000, 32_000)
+"""Below the ports that the system gives to outgoing connections: one of those may
+be taken between the look here and the start of the process that shall listen."""
+_RNG = random.SystemRandom()
+
+
 def take_free_port() -> int:
     """Return a port that nobody listens on now."""
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        port: int = taken.getsockname()[1]
-        return port
+    while True:
+        port = _RNG.choice(_PORTS)
+        with socket.socket() as taken:
+            try:
+                taken.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def make_address() -> Address:
@@ -238,8 +250,20 @@
         return listen
 
     async def wait_ready(self, name: str) -> None:
-        """Wait until a router is ready to serve."""
-        await wait_until(lambda: self._is_ready(name), _START_TIMEOUT_S)
+        """Wait until a router is ready to serve.
+
+        Raises
+        ------
+        TimeoutError
+            With the last lines of its log, which say what it waits for.
+        """
+        try:
+            await wait_until(lambda: self._is_ready(name), _START_TIMEOUT_S)
+        except TimeoutError as error:
+            process = self.processes[name]
+            lines = process.log.read_text().splitlines()[-_LAST_LINES:]
+            state = f"{name} isn't ready, exit code {process.exit_code}"
+            raise TimeoutError("\n".join([state, *lines])) from error
 
     async def _is_ready(self, name: str) -> bool:
         try:
