Look for a crash only where a target did not answer

Cause: read-through: a status of 500, one answer in seven of the plain services, made content suspect and cost a connection each time; the choice multiplied by a slowness that nothing measures.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -171,7 +171,6 @@
         Most tokens that any engine holds, and that engine.
     """
     tokens, (most, holder) = demand.prompt.tokens, longest
-    slow = target.health.slowness(0.0)
     waiting = target.backlog(now)
     reading = prefill_time(tokens - cached, cached)
     fetched = FETCH_SETUP + (most - cached) * FETCH_MS_PER_TOKEN
@@ -182,7 +181,7 @@
         source = None
     speed = target.speed.value
     pause = longest_pause(tokens - cached, cached, demand.steps) * speed + _JITTER
-    wait = (waiting + reading * speed) * slow
+    wait = waiting + reading * speed
     plain = waiting / speed + reading
     return Choice(target, wait, cached, source, pause > demand.pause, plain)
 
@@ -229,8 +228,7 @@
     def cost(target: TargetLoad) -> float:
         queue = len(target.runs) / max(1, target.info.slots)
         far = target.info.failure_domain != domain
-        slow = target.health.slowness(0.0)
-        return (queue * work + _FAR_MS * far) * slow + rng.random() * 0.1
+        return queue * work + _FAR_MS * far + rng.random() * 0.1
 
     target = min(usable, key=cost)
     ahead = max(0, len(target.runs) + 1 - target.info.slots)
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -30,13 +30,22 @@
         What happened.
     replaced
         Whether another target was found at the address.
+    answered
+        Whether the target answered, though with nothing that can be used.
     """
 
-    def __init__(self, failure: Failure, detail: str, replaced: bool = False) -> None:
+    def __init__(
+        self,
+        failure: Failure,
+        detail: str,
+        replaced: bool = False,
+        answered: bool = False,
+    ) -> None:
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
         self.detail = detail
         self.replaced = replaced
+        self.answered = answered
 
     @property
     def never_ran(self) -> bool:
@@ -159,7 +168,8 @@
     if notes.identity is not None and notes.identity != outgoing.identity:
         # A second answer to an earlier request came late on a kept connection.
         # Taken for this one's, a caller would get another's answer.
-        raise AttemptError(Failure.BROKE_OFF, "an answer to another request")
+        detail = "an answer to another request"
+        raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
     if notes.misdirected:
         detail = "another target has the address"
         raise AttemptError(Failure.REJECTED, detail, replaced=True)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -279,7 +279,7 @@
             shared.note_replaced(info.name)
         elif error.failure is Failure.NOT_SENT:
             shared.note_lost(info.name)
-        elif error.failure is Failure.BROKE_OFF:
+        elif error.failure is Failure.BROKE_OFF and not error.answered:
             suspect = shared.blame.broke(self.content, info.name, shared.clock.now())
             address = Address.parse(info.address)
             if suspect and not await shared.sender.client.check(address, _CHECK):
@@ -374,7 +374,8 @@
     ) -> None:
         success = 200 <= answer.status < 300
         if success and not answer.notes.signed:
-            raise AttemptError(Failure.BROKE_OFF, "an unsigned answer")
+            detail = "an unsigned answer"
+            raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
         if success and self.rule.kind is RequestKind.STREAMING:
             silence = bound_silence(self.rule) if self._may_go_on() else None
             begin = partial(self._note_first, outgoing)
@@ -384,7 +385,8 @@
         self._note_first(outgoing)
         failed = answer.status >= 500 and self._may_go_on()
         if failed or self.relay.started:
-            raise AttemptError(Failure.BROKE_OFF, f"status {answer.status}")
+            detail = f"status {answer.status}"
+            raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
         if self.model is None:
             took = self.shared.clock.now() - self.arrived
             self.shared.mean_work(self.service).add(took)
