--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -299,16 +299,12 @@
     def _check_repeat(self, error: AttemptError) -> None:
         """Return if the request may be sent again; raise what ends it if not."""
         if not error.never_ran and not self._may_go_on():
-            raise self._end_broken(error.detail)
+            raise AnvilshiftError(ENGINE_FAILED, error.detail)
         if not self.shared.retries.take(error.failure):
             if self.relay.started:
-                raise self._end_broken("no retry is left")
+                raise AnvilshiftError(ENGINE_FAILED, "no retry is left")
             raise self._give_up(NO_ENGINE, NO_ENGINE_RETURN, "no retry is left")
 
-    def _end_broken(self, detail: str) -> AnvilshiftError:
-        """Return what ends an answer that can't be made whole."""
-        return AnvilshiftError(ENGINE_FAILED, detail)
-
     async def _attempt(self, choice: Choice) -> bool:
         shared = self.shared
         shared.runs += 1
