--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -128,6 +128,14 @@
                 self.assertIn(name.lower(), pinned)
                 self.assertIn(name.lower(), page)
 
+    def test_the_platform_builds_with_the_locked_versions(self):
+        locked = set(read("requirements.lock").split())
+        built = read("requirements.txt").split()
+        self.assertEqual([line for line in built if line not in locked], [])
+        names = {line.split("==")[0].lower() for line in built}
+        asked = {name.lower() for name in read("requirements.in").split()}
+        self.assertEqual(asked - names, set())
+
     def test_settings_of_the_quickstart_are_well_formed(self):
         from anvilshift.settings.router import RouterSettings
 
