--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -157,6 +157,10 @@
             purse.waiting.clear()
         return self.give_back(closing=True)
 
+    def list_frozen(self) -> set[str]:
+        """Return the accounts whose budget is frozen."""
+        return {name for name, purse in self.purses.items() if purse.frozen}
+
     def list_released(self) -> Bills:
         """Return the pending bills whose answers may have ended."""
         return tuple(
--- a/anvilshift/router/branch.py
+++ b/anvilshift/router/branch.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import zlib
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import Any
 
@@ -17,22 +17,16 @@
     AnvilshiftError,
 )
 from anvilshift.core.escrow import Escrow
-from anvilshift.core.ledger import BillKey, Commit, Ledger, Outcome
+from anvilshift.core.ledger import Commit, Ledger, Outcome
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.ledgers import LEDGER_KIND, read_body
 from anvilshift.objects.records import encode
 from anvilshift.objects.store import Body, ObjectStore
 from anvilshift.router.hooks import Hooks
+from anvilshift.router.outcomes import BillOutcomes
 from anvilshift.router.refusals import make_refusal, make_unrecorded
-from anvilshift.router.sealing import Sealing
-
-BILL_LIFETIME_S = 150
-"""Seconds for which a request that is sent again is recognised by its bill:
-several times the longest deadline.  Kept longer, the marks of 250 requests a
-second would outgrow the ledger's object."""
-HOLDER_LIFETIME_S = 24 * 3600
-"""Seconds for which a sealed holder is remembered.  No paused process comes
-back later; 100 lost hosts a day are then some 10 kB of the ledger."""
+from anvilshift.router.sealing import BILL_LIFETIME_S, HOLDER_LIFETIME_S, Sealing
+
 RELEASE_AFTER: Millis = 400.0
 """Time that an answer's end waits for its bill before it is released within
 the allowance: twice the spacing of commits, so that it is rare while the
@@ -49,7 +43,6 @@
 _LAST_WORD: Millis = 20.0
 """Time before a deadline at which a caller is told that its bill isn't recorded;
 at the deadline itself it would be told only that the answer is late."""
-
 _RELEASE_TIME: Millis = 100.0
 """Time before the last word at which a bill that isn't recorded is released
 within the allowance instead: one call of the witness."""
@@ -94,7 +87,7 @@
         self._begun = 0
         self._ended = 0
         self._awaited = 0
-        self._states: dict[BillKey, asyncio.Future[BillState]] = {}
+        self._outcomes = BillOutcomes()
         self._asking: dict[str, asyncio.Future[None]] = {}
         self._failures = 0
         self._failing_since: Millis | None = None
@@ -185,7 +178,7 @@
         if bill.key not in self.escrow.purses[account].reserved:
             await self._reserve_late(account, bill)
         self.escrow.bill(account, replace(bill, holder=self.escrow.holder))
-        done = self._await_state(account, bill.key)
+        done = self._outcomes.expect(account, bill.key)
         self._wake.set()
         until = None if until is None else until - _LAST_WORD
         wait = 0.0 if self.platform_out else RELEASE_AFTER
@@ -209,13 +202,6 @@
         except AnvilshiftError as error:
             raise make_unrecorded(str(error)) from error
 
-    def _await_state(self, account: str, key: str) -> "asyncio.Future[BillState]":
-        # Shared, for the same request may be settled twice at a time.
-        if (account, key) not in self._states:
-            loop = asyncio.get_running_loop()
-            self._states[account, key] = loop.create_future()
-        return self._states[account, key]
-
     async def _try_release(self, account: str, key: str, until: Millis | None) -> bool:
         left = None if until is None else (until - self._clock.now()) / SECOND
         with contextlib.suppress(TimeoutError):
@@ -327,7 +313,7 @@
         self._failures, self._failing_since = 0, None
         if outcome.sealed:
             self.escrow.drop_judged(outcome.bills)
-            self._resolve(outcome.bills)
+            self._outcomes.resolve(outcome.bills)
             self._restart()
             return False
         self._finish(commit, outcome)
@@ -341,21 +327,12 @@
         self._wake.set()
 
     def _finish(self, commit: Commit, outcome: Outcome) -> None:
-        before = self._list_frozen()
+        before = self.escrow.list_frozen()
         states = self.escrow.finish_commit(commit, outcome, self._clock.now())
-        for account in self._list_frozen() - before:
+        for account in self.escrow.list_frozen() - before:
             logging.error("budget frozen account=%s", account)
             self._hooks.count_event("budget_frozen")
-        self._resolve(states)
-
-    def _list_frozen(self) -> set[str]:
-        return {name for name, purse in self.escrow.purses.items() if purse.frozen}
-
-    def _resolve(self, states: Mapping[BillKey, BillState]) -> None:
-        for key, state in states.items():
-            done = self._states.pop(key, None)
-            if done is not None and not done.done():
-                done.set_result(state)
+        self._outcomes.resolve(states)
 
     def _restart(self) -> None:
         """Begin a new holder after this one was sealed.
@@ -385,7 +362,7 @@
                 continue
             self.escrow.adopt(states, released)
             self._wake.set()
-            self._resolve(
+            self._outcomes.resolve(
                 {k: s for k, s in states.items() if s is not BillState.REFUSED}
             )
             return
@@ -416,8 +393,7 @@
             return
         generation = self._generation
         await self._commit(self.escrow.close)
-        if self._generation > generation:
-            # It was sealed meanwhile: what was carried over is billed anew.
+        if self._generation > generation:  # sealed meanwhile: bill anew what is left
             await self._commit(self.escrow.close)
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=_CLOSE_WAIT / SECOND)
--- a/anvilshift/router/sealing.py
+++ b/anvilshift/router/sealing.py
@@ -10,6 +10,14 @@
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.ledgers import change_body
 
+BILL_LIFETIME_S = 150
+"""Seconds for which a request that is sent again is recognised by its bill:
+several times the longest deadline.  Kept longer, the marks of 250 requests a
+second would outgrow the ledger's object."""
+HOLDER_LIFETIME_S = 24 * 3600
+"""Seconds for which a sealed holder is remembered.  No paused process comes
+back later; 100 lost hosts a day are then some 10 kB of the ledger."""
+
 
 class Sealing:
     """What is done in a ledger for holders that are lost.
--- a/anvilshift/router/treasury.py
+++ b/anvilshift/router/treasury.py
@@ -20,13 +20,9 @@
     read_shards,
 )
 from anvilshift.objects.store import ObjectStore
-from anvilshift.router.branch import (
-    BILL_LIFETIME_S,
-    HOLDER_LIFETIME_S,
-    Branch,
-)
+from anvilshift.router.branch import Branch
 from anvilshift.router.hooks import AskPeers, Hooks, KeepCopies
-from anvilshift.router.sealing import belongs
+from anvilshift.router.sealing import BILL_LIFETIME_S, HOLDER_LIFETIME_S, belongs
 
 __all__ = ["BILL_LIFETIME_S", "LEDGER_KIND", "LEDGER_NAME", "Treasury"]
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bench import slopes
+from bench import ledgers, slopes
 from bench.fleet import ROOT
 
 OUTPUT = ROOT / "out" / "capacity"
@@ -70,13 +70,15 @@
     Series("heartbeat, both ends", "us", (1,), slopes.exchange_beat, 1),
     Series("heartbeat, both ways", "B", (1,), slopes.weigh_beat, 1),
     Series("roster memory", "B", ROUTERS, slopes.weigh_roster, 2_200),
-    Series("commit by accounts", "us", BUDGETS, slopes.commit_by_accounts, 53_000),
-    Series("commit by bills", "us", BILLS, slopes.commit_by_bills, 36_000),
-    Series("ledger by accounts", "B", BUDGETS, slopes.weigh_ledger_by_accounts, 53_000),
-    Series("account by holders", "B", HOLDERS, slopes.weigh_ledger_by_holders, 2_200),
-    Series("account by bills", "B", BILLS, slopes.weigh_ledger_by_bills, 36_000),
-    Series("gather a commit", "us", BUDGETS, slopes.begin_commit, 53_000),
-    Series("purses memory", "B", BUDGETS, slopes.weigh_escrow, 53_000),
+    Series("commit by accounts", "us", BUDGETS, ledgers.commit_by_accounts, 53_000),
+    Series("commit by bills", "us", BILLS, ledgers.commit_by_bills, 36_000),
+    Series(
+        "ledger by accounts", "B", BUDGETS, ledgers.weigh_ledger_by_accounts, 53_000
+    ),
+    Series("account by holders", "B", HOLDERS, ledgers.weigh_by_holders, 2_200),
+    Series("account by bills", "B", BILLS, ledgers.weigh_by_bills, 36_000),
+    Series("gather a commit", "us", BUDGETS, ledgers.begin_commit, 53_000),
+    Series("purses memory", "B", BUDGETS, ledgers.weigh_escrow, 53_000),
     Series("change in force", "us", BUDGETS, slopes.publish_by_budgets, 53_000),
     Series("declarations memory", "B", BUDGETS, slopes.weigh_catalogue, 53_000),
     Series("targets in force", "us", ENGINES, slopes.configure_targets, 11_000),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,9 +9,6 @@
 import contextlib
 import random
 import time
-import tracemalloc
-from collections.abc import Callable
-from typing import Any
 
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.core.declarations import (
@@ -26,13 +23,10 @@
     TargetKind,
 )
 from anvilshift.core.dispatcher import Dispatcher
-from anvilshift.core.escrow import Escrow
 from anvilshift.core.labels import Selector
-from anvilshift.core.ledger import Bill, Commit, Draw, Grant, Ledger, Outcome
 from anvilshift.core.membership import Member, Roster, Vitals
 from anvilshift.core.work import DispatchSettings, LoadReport, Target, Work
 from anvilshift.engines.http import HttpConnector
-from anvilshift.objects.records import decode, encode
 from anvilshift.peers.generated.peers_pb2 import Heartbeat
 from anvilshift.peers.link import GrpcPeerLink, PeerServer
 from anvilshift.router.targets import Targets
@@ -42,35 +36,12 @@
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
 from anvilshift.wire.server import HttpServer, Responder
 from bench.fleet import take_free_port
+from bench.gauges import MICROS, time_micros, weigh_bytes
 
 MODELS = 24
 DOMAINS = 27
 ORGANISATIONS = 270
-_REPEATS = 3
-_MICROS = 1e6
 _CALLS = 300
-_BILLS_A_COMMIT = 4
-_BILLS_AT_ONCE = 100
-
-
-def time_micros(work: Callable[[], Any]) -> float:
-    """Return the processor time of one call in microseconds."""
-    best = float("inf")
-    for _ in range(_REPEATS):
-        began = time.process_time()
-        work()
-        best = min(best, time.process_time() - began)
-    return best * _MICROS
-
-
-def weigh_bytes(make: Callable[[], Any]) -> float:
-    """Return the memory that a state holds, in bytes."""
-    tracemalloc.start()
-    kept = make()
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del kept
-    return float(size)
 
 
 def make_member(index: int) -> Member:
@@ -169,7 +140,7 @@
     began = time.process_time()
     for _ in range(_CALLS):
         await link.beat(direct, beat)
-    spent = (time.process_time() - began) / _CALLS * _MICROS
+    spent = (time.process_time() - began) / _CALLS * MICROS
     await link.beat(counted, beat)
     before = counter.counted
     for _ in range(_CALLS):
@@ -196,88 +167,6 @@
     return weigh_bytes(lambda: make_roster(size))
 
 
-def make_ledger(accounts: int, holders: int = 1, bills: int = 0) -> Ledger:
-    """Return a ledger whose accounts each have some grants and kept bills."""
-    parts = {}
-    names = {}
-    for index in range(accounts):
-        one = Ledger().top_up("budget", "invoice-2026-12", 10_000_000)
-        for holder in range(holders):
-            draw = Commit(_holder(holder), (), {"budget": Draw(20_000, 2_000)})
-            one = one.apply(draw)[0]
-        for begin in range(0, bills, _BILLS_AT_ONCE):
-            group = range(begin, min(bills, begin + _BILLS_AT_ONCE))
-            made = tuple(("budget", _make_bill(f"{index:016x}{n:016x}")) for n in group)
-            one = one.apply(Commit(_holder(0), made))[0]
-        parts[f"budget-{index:05}"] = one.account("budget")
-        names.update(one.holders)
-    return Ledger(parts, names)
-
-
-def _holder(number: int) -> str:
-    return f"router-{number:04}-0123456789ab"
-
-
-def _make_bill(key: str) -> Bill:
-    return Bill(key, "organisation-001", 1, _holder(0), at=1)
-
-
-def _commit_once(ledger: Ledger) -> None:
-    account = next(iter(ledger.accounts))
-    bills = tuple((account, _make_bill(f"new-{n}")) for n in range(_BILLS_A_COMMIT))
-    read = decode(Ledger, encode(ledger))
-    dump_json(encode(read.apply(Commit(_holder(0), bills))[0]))
-
-
-def commit_by_accounts(size: int) -> float:
-    """Return microseconds of a group commit, by accounts in the one object."""
-    ledger = make_ledger(size)
-    return time_micros(lambda: _commit_once(ledger))
-
-
-def commit_by_bills(size: int) -> float:
-    """Return microseconds of a group commit, by bills kept in one account."""
-    ledger = make_ledger(1, bills=size)
-    return time_micros(lambda: _commit_once(ledger))
-
-
-def weigh_ledger_by_accounts(size: int) -> float:
-    """Return the bytes of the ledger's object, by accounts."""
-    return float(len(dump_json(encode(make_ledger(size)))))
-
-
-def weigh_ledger_by_holders(size: int) -> float:
-    """Return the bytes of one account, by routers that hold a grant of it."""
-    return float(len(dump_json(encode(make_ledger(1, holders=size)))))
-
-
-def weigh_ledger_by_bills(size: int) -> float:
-    """Return the bytes of one account, by bills that it keeps."""
-    return float(len(dump_json(encode(make_ledger(1, bills=size)))))
-
-
-def make_escrow(size: int) -> Escrow:
-    """Return a holder with a purse of each of many budgets."""
-    escrow = Escrow("router-0000-0123456789ab")
-    for index in range(size):
-        escrow.open(f"budget-{index:05}", 2_000, 20_000)
-    commit = escrow.begin_commit()
-    grants = {name: Grant(20_000, 0, 2_000) for name in commit.draws}
-    escrow.finish_commit(commit, Outcome(grants=grants))
-    return escrow
-
-
-def begin_commit(size: int) -> float:
-    """Return microseconds to gather a commit, by purses that a router holds."""
-    escrow = make_escrow(size)
-    return time_micros(lambda: escrow.begin_commit())
-
-
-def weigh_escrow(size: int) -> float:
-    """Return the bytes of memory of a router's purses."""
-    return weigh_bytes(lambda: make_escrow(size))
-
-
 def make_declarations(engines: int, budgets: int = 10) -> list[Declaration]:
     """Return a whole set of declarations, its engines shared among the models."""
     groups: list[Declaration] = []
@@ -414,4 +303,4 @@
     spent = time.process_time() - began
     client.close()
     await server.close()
-    return spent / _CALLS * _MICROS
+    return spent / _CALLS * MICROS
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,7 +7,6 @@
 import itertools
 import random
 import sys
-from dataclasses import dataclass
 from typing import Any
 
 from absl import logging
@@ -16,8 +15,6 @@
 from anvilshift.core.account import KEY_CHARS, MARK_CHARS, make_mark
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ledger import Ledger
-from anvilshift.objects.ledgers import LEDGER_KIND, read_body
-from anvilshift.objects.store import Body, Stored
 from anvilshift.operator.platformside import top_up
 from anvilshift.router.gate import hash_token
 from anvilshift.router.node import Node, World
@@ -25,7 +22,6 @@
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.settings.router import RouterSettings
 from anvilshift.standins.engine import POISON, make_answer
-from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from anvilshift.wire.messages import Address
 from bench.soak.books import check_books, check_fleet
@@ -40,6 +36,7 @@
     SoakLink,
     SoakService,
 )
+from bench.soak.observed import Asked, ObservedStore
 
 ROUTERS = 4
 ENGINES = 4
@@ -58,29 +55,6 @@
 """A frozen router tells nobody anything; its callers give up by themselves."""
 
 
-class ObservedStore(MemoryStore):
-    """A platform that tells the run what every write of a ledger recorded."""
-
-    def __init__(self, soak: "Soak") -> None:
-        super().__init__()
-        self._soak = soak
-
-    def _write(self, kind: str, name: str, body: Body | None, version: int) -> Stored:
-        stored = super()._write(kind, name, body, version)
-        if kind == LEDGER_KIND and body is not None:
-            self._soak.observe_ledger(read_body(body))
-        return stored
-
-
-@dataclass(frozen=True)
-class Asked:
-    """What a caller asked for, by which its bill and its answer are judged."""
-
-    organisation: str
-    request: str
-    cost: int
-
-
 class Soak:
     """One run."""
 
@@ -90,7 +64,7 @@
         self.seconds = seconds
         self.journal = Journal(clock.now)
         self.network = Network(random.Random(seed + 1))
-        self.store = ObservedStore(self)
+        self.store = ObservedStore(self.observe_ledger)
         self.accepted = 0
         self.entries: dict[str, Entry] = {}
         self.topped: dict[str, int] = {}
