Take no write that changed nothing for a later change; test a killed router end to end

Cause: a record of use that is put again unchanged raises no revision. Were it the last one, the mark would say that a change had followed on it, and a restart could take an old record for a new one. Records differ by their anchor, so that was not seen; the guard costs nothing.

Change: a mark is made only where the revision grew. A gateway on loopback is killed and started again on its host; its share ends by its record, below its ceiling. Settings that don't state the store's history switch the proof off.

--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -152,7 +152,8 @@
         if again is not None:
             # It tells of the time before an outage, which nothing bounds any more.
             self.hurry()
-        if self._last is not None:
+        if self._last is not None and stored.version > self._last:
+            # A write that changed nothing is no change that followed on the last.
             self.marks.add(Mark(self._anchor, self._last))
         self._last = stored.version
 
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_messages.py
@@ -8,6 +8,7 @@
     Farewell,
     Gift,
     Leaving,
+    Marked,
     Sent,
     decode,
     encode,
@@ -33,6 +34,7 @@
     Ask("n1.aa", "10.0.0.1", "pounds", 500),
     Gift("n2.bb", 3, "n1.aa", "pounds", 250),
     Farewell("n1.aa", (("pounds", 12),)),
+    Marked(((7, 1250.5), (9, 850.0))),
 ]
 
 
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -62,6 +62,7 @@
         self.targets: dict[str, TargetStand] = {}
         self.client = HttpClient()
         self.count = 0
+        self.starts = 0
         self.node: GatewayNode | None = None
         self.journal = SilentJournal()
 
@@ -85,11 +86,23 @@
         figures = {"slots": 8, "state": "ready", "sequence": 1, "born": 1}
         self.stand.put("servers", name, {**entry, **figures, **rest})
 
-    async def start_node(self, configured: bool = True) -> None:
+    async def start_node(
+        self, configured: bool = True, history: float | None = None
+    ) -> None:
+        self.starts += 1
         if configured:
             self.stand.put("config", "main", make_configuration())
         settings = GatewaySettings(
-            "n1", "127.0.0.1", "north", LOOPBACK, None, None, 0, 0, self.store_address
+            "n1",
+            "127.0.0.1",
+            "north",
+            LOOPBACK,
+            None,
+            None,
+            0,
+            0,
+            self.store_address,
+            history=history,
         )
         store = PlatformStore(HttpClient(), self.store_address)
         self.node = GatewayNode(
@@ -98,7 +111,7 @@
             store,
             MonotonicClock(),
             self.journal,
-            random.Random(1),
+            random.Random(self.starts),
         )
         await self.node.start()
         self.address = Address("127.0.0.1", self.node.server.port)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -23,6 +23,34 @@
         purse = self.node.allotter.wallet.purses["pounds"]
         self.assertEqual(purse.settled, 260)
 
+    async def test_a_killed_router_is_counted_by_its_record_of_use(self):
+        """A router's process is killed and started again on the same host.
+
+        Its cushion lies unspent; counted as spent whole, what is left of the total
+        shrinks with every such kill.
+        """
+        await self.add_target("e1", "llm")
+        await self.start_node(history=20_000.0)
+        self.assertEqual((await self.call("/chat/1"))[0], 200)
+        await self.wait_for(
+            lambda: self.read_spec("anvilshift-uses", "n1").get("uses", {})
+        )
+        held = self.read_share().popitem()[1]["ceiling"]
+        await self.node.close()
+        await self.start_node(history=20_000.0)
+        self.assertEqual((await self.call("/chat/2"))[0], 200)
+        await self.wait_for(lambda: "share_ended" in self.journal.list_events())
+        ended = dict(self.journal.lines)["share_ended"]
+        self.assertTrue(ended["known"])
+        self.assertLess(ended["most"], held)
+
+    def read_spec(self, kind: str, name: str) -> dict:
+        return self.stand.objects.get((kind, name), {}).get("spec", {})
+
+    def read_share(self) -> dict:
+        spec = self.read_spec("anvilshift-allotments", "main")
+        return dict(spec["organisations"]["pounds"]["shares"])
+
     async def test_plain_requests_cost_no_tokens(self):
         await self.add_target("d1", "desk")
         await self.start_node()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,16 @@
         pathlib.Path(self.path).write_text(text)
         return self.path
 
+    def test_a_history_that_is_not_stated_proves_nothing(self):
+        """The settings don't say how long the store keeps its history.
+
+        With a guess that is too short, a router would take an old record of use for
+        a new one, and tokens that are spent would be handed out again.
+        """
+        self.assertIsNone(read_settings(self.write(TEXT)).history)
+        stated = read_settings(self.write(TEXT + "historyS = 20\n"))
+        self.assertEqual(stated.history, 20_000.0)
+
     def test_the_file_is_decoded_and_unknown_fields_are_ignored(self):
         found = read_settings(self.write(TEXT))
         self.assertEqual(
