Let a host that can't name its start prove nothing; log lost records once

Cause: where the boot can't be read both names are empty and equal, so that a steady clock that began anew could pass for the old one if the time of day agreed; found by reading.

Change: an empty name proves nothing (test). One line when records are lost, one when they are written again.

--- a/anvilshift/core/usage.py
+++ b/anvilshift/core/usage.py
@@ -102,7 +102,8 @@
         When the store had last answered a write of such a record, by the writer's
         steady clock and by the time of day.
     boot
-        What names the host's start; the steady clock goes on only within one.
+        What names the host's start, empty where that can't be told; the steady clock
+        goes on only within one.
     spans
         Bounds on the time since `anchor` with the revisions that prove them: less
         than that has gone by while the revision can be followed.  Shortest first.
@@ -127,7 +128,8 @@
         Returns
         -------
         Millis
-            None when the host has been started since, or the clocks disagree.
+            None when the host has been started since or can't tell, or when the
+            clocks disagree.
 
         Examples
         --------
@@ -138,7 +140,8 @@
         True
         """
         elapsed, gone = now - self.anchor, wall - self.wall
-        if boot != self.boot or elapsed < 0 or abs(gone - elapsed) > _CLOCKS_APART:
+        same = boot != "" and boot == self.boot
+        if not same or elapsed < 0 or abs(gone - elapsed) > _CLOCKS_APART:
             return None
         return elapsed
 
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -29,7 +29,7 @@
 """Records in a period at the most, while requests wait to spend: a burst of them is
 recorded together."""
 _A_ROUTER: Millis = 8.0
-"""Added to the period for each router of a large fleet: together they write at most
+"""The period is at least this for each router of the fleet: together they write at most
 125 times a second, a third of the smallest store's 400."""
 _PAUSE: Millis = 250.0
 """After a failed write."""
@@ -56,12 +56,12 @@
     ----------
     node, ip
         Name and address of the host, the same after a restart.
+    holder
+        Name of this incarnation.
     routers
         How many routers write such records.
     boot
-        What names the host's start.
-    holder
-        Name of this incarnation.
+        What names the host's start; empty where that can't be told.
     """
 
     store: ObjectStore
@@ -80,6 +80,7 @@
     _wall: Millis = 0.0
     _last: int | None = None
     _unanswered: UseRecord | None = None
+    _failing: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def hurry(self) -> None:
@@ -111,7 +112,16 @@
                 self.hurry()
 
     def _note_failure(self, error: AnvilshiftError) -> None:
-        self.journal.write("use_unrecorded", code=error.code.number, why=error.detail)
+        if not self._failing:
+            self._failing = True
+            self.journal.write(
+                "use_unrecorded", code=error.code.number, why=error.detail
+            )
+
+    def _note_success(self) -> None:
+        if self._failing:
+            self._failing = False
+            self.journal.write("use_recorded_again")
 
     def _make_record(self) -> UseRecord:
         self.marks.expire(self.clock.now())
@@ -145,6 +155,7 @@
             self._version = found.version if found else 0
             self.hurry()
             return
+        self._note_success()
         self._unanswered = None
         self._version = stored.version
         self._anchor, self._wall = self.clock.now(), self.read_wall()
--- a/tests/core/test_usage.py
+++ b/tests/core/test_usage.py
@@ -47,5 +47,9 @@
         self.assertIsNone(record.read_clock("b1", 49_000.0, 91_500.0))
         self.assertIsNone(record.read_clock("b1", 50_100.0, 99_000.0))
 
+    def test_a_host_that_can_not_name_its_start_proves_nothing(self):
+        record = UseRecord("a.1", "10.0.0.1", 50_000.0, 90_000.0, boot="")
+        self.assertIsNone(record.read_clock("", 51_500.0, 91_500.0))
+
     def test_a_time_of_day_that_was_set_proves_nothing(self):
         self.assertIsNone(make_record().read_clock("b1", 51_500.0, 88_000.0))
