--- a/tests/gateway/test_recording.py
+++ b/tests/gateway/test_recording.py
@@ -27,6 +27,18 @@
         fleet.start(node, total)
 
 
+async def lose_power(fleet, seconds: float) -> int:
+    """Kill all hosts and start them with the store back; return what was spent."""
+    for node in HOSTS:
+        fleet.kill(node)
+    spent = fleet.spent
+    await asyncio.sleep(seconds)
+    fleet.store.faults.outage = False
+    start_all(fleet, SMALL)
+    await asyncio.sleep(1.0)
+    return spent
+
+
 class RecordingTest(unittest.TestCase):
     def test_a_loss_of_all_power_strands_little(self):
         """All hosts lose power for a second while the store is up.
@@ -74,13 +86,7 @@
             await use_evenly(fleet, 25.0)
             fleet.store.faults.outage = True
             await use_evenly(fleet, 5.0)
-            for node in HOSTS:
-                fleet.kill(node)
-            spent = fleet.spent
-            await asyncio.sleep(0.7)
-            fleet.store.faults.outage = False
-            start_all(fleet, SMALL)
-            await asyncio.sleep(1.0)
+            spent = await lose_power(fleet, 0.7)
             settled = dict(fleet.journals["a"].lines)["use_settled"]
             self.assertGreater(settled["elapsed"], 5_000.0)
             self.assertGreaterEqual(fleet.read().closed, spent)
@@ -100,13 +106,7 @@
             fleet.store.faults.outage = True
             await asyncio.sleep(0.5)
             await use_evenly(fleet, 1.0, tokens=3_000)
-            for node in HOSTS:
-                fleet.kill(node)
-            spent = fleet.spent
-            await asyncio.sleep(0.3)
-            fleet.store.faults.outage = False
-            start_all(fleet, SMALL)
-            await asyncio.sleep(1.0)
+            spent = await lose_power(fleet, 0.3)
             settled = dict(fleet.journals["a"].lines)["use_settled"]
             self.assertLess(settled["elapsed"], SPREAD_OVER)
             self.assertGreaterEqual(fleet.read().closed, spent)
