Call looks looks, and say what greeting a router tells

A docstring left out that a greeting brings marks of the history.

Change: text only, behaviour and assertions unchanged.

--- a/anvilshift/core/retention.py
+++ b/anvilshift/core/retention.py
@@ -12,9 +12,9 @@
 
 References
 ----------
-The bound was measured against the users' store: of 211 revisions that could still
-be followed, the change after them was 20.042 s old at the most, at a stated 20 s;
-after 8 s without the store as well.
+The bound was measured against the users' store: in 211 looks that found a revision
+still to be followed, the change after it was 20.042 s old at the most, at a stated
+20 s; after 8 s without the store as well.
 """
 
 from bisect import insort
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -139,7 +139,11 @@
             self.loads.declare(replace(known.info, leaving=True))
 
     def greet(self, beat: Beat) -> None:
-        """Tell a new router what is known of its host's former incarnations."""
+        """Tell a new router what is known of its host's former incarnations.
+
+        And of the store's history: it could prove nothing of its own records before
+        it had followed the store for as long as the history lasts.
+        """
         for holder, spent in self.allotter.ended.items():
             if holder.rpartition(".")[0] == beat.router:
                 most = tuple((name, one.most) for name, one in spent.items())
