Let two routers keep an organisation's tokens, and the others ask them

Cause: every router drew a cushion of each total. With 32 routers the one object of all shares was written by each of them, and gifts were asked of all.

Change: core/keepers.py names two keepers of each organisation among four routers (rendezvous hashing); others ask them by datagram for each request (core/asking.py, gateway/reserving.py, split from allotting.py). A record counts from when it was made, not from the answer before; a restart counts to the start of the process, not to its look. Requests wait for a record, or for time, where that is sooner than a return. Gifts are numbered once for all (core/once.py) instead of a set that grew. In a larger fleet heartbeats are rarer, sends are told near the engine only, watches are longer; each router's part of the retry allowance follows their number (with 32 routers it was eight times what the rule allows). Callers are told of the routers of their own failure domain where these are four or more. Engines in other domains cost by the size of the request.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -42,6 +42,9 @@
 would preempt a running request and read it in again."""
 _FAR_MS = 0.7
 """Charged for a target in another failure domain, about its round trip."""
+_FAR_MS_PER_KB = 0.5
+"""Charged for each kilobyte of a request that goes there: bytes between failure domains
+are paid for, and a prompt of 17 kB may wait 9 ms more rather than cross."""
 _STREAM_MS = 130.0
 """Charged to a disturbing prompt for each stream that it would make late; at 130 ms
 eight streams weigh as much as the prompt's own objective of a second."""
@@ -103,6 +106,8 @@
         Steps of an engine that make one event.
     pause
         Longest pause between two events of the streams beside it.
+    kilobytes
+        Size of the request's body.
     """
 
     service: str
@@ -112,6 +117,7 @@
     on_time: Millis
     steps: int = 1
     pause: Millis = math.inf
+    kilobytes: float = 0.0
 
 
 def list_usable(
@@ -190,7 +196,8 @@
     """Return the cost of a choice in milliseconds of a first token's wait."""
     target, prompt = choice.target, demand.prompt
     running = len(target.runs)
-    cost = _FAR_MS * (target.info.failure_domain != demand.domain)
+    far = _FAR_MS + _FAR_MS_PER_KB * demand.kilobytes
+    cost = far * (target.info.failure_domain != demand.domain)
     if choice.disturbing:
         late = choice.wait > demand.on_time
         cost += _LATE_MS + _LATE_PART * choice.wait if late else choice.wait
--- a/anvilshift/core/clock.py
+++ b/anvilshift/core/clock.py
@@ -11,6 +11,9 @@
 """An instant or a span in milliseconds; instants share an arbitrary origin."""
 
 SECOND: Millis = 1000.0
+STARTED: Millis = time.monotonic() * SECOND
+"""An instant at which this process ran already, by the machine's monotonic clock: as
+early as its first module can tell."""
 
 
 class Clock(Protocol):
--- a/anvilshift/core/retries.py
+++ b/anvilshift/core/retries.py
@@ -38,6 +38,11 @@
         self._reserve = reserve
         self._left = reserve
 
+    def limit(self, reserve: float) -> None:
+        """Take in the reserve anew: it is shared by as many routers as there are."""
+        self._reserve = reserve
+        self._left = min(self._left, reserve)
+
     def earn(self) -> None:
         """Count a whole answer."""
         self._left = min(self._reserve, self._left + _EARNED)
--- a/anvilshift/core/usage.py
+++ b/anvilshift/core/usage.py
@@ -7,7 +7,7 @@
 
 A router writes down what it has spent several times a second, and spends beyond
 that only as fast as it has said: a part at once, and of the rest little in the first
-seconds after the store's last answer, all of it after eight.  So a bound on the time
+seconds after the record was made, all of it after eight.  So a bound on the time
 since then bounds what it spent.
 """
 
@@ -18,8 +18,8 @@
 from anvilshift.core.clock import SECOND, Millis
 
 SPREAD_OVER: Millis = 8 * SECOND
-"""Time since the last answer of the store after which all of a cushion may be spent:
-cuts from the store last up to that."""
+"""Time since a record after which all that it names may be spent: cuts from the store
+last up to that."""
 
 
 _CLOCKS_APART: Millis = 500.0
@@ -46,7 +46,7 @@
     at_once
         Tokens that it may spend beyond that at any time.
     cushion
-        Tokens that it may spend beyond `recorded` in the end.
+        Tokens that it may spend beyond `recorded` in the end, without another record.
     """
 
     recorded: int
@@ -59,7 +59,7 @@
         Parameters
         ----------
         elapsed
-            Time since the store's last answer before this was written.
+            Time since this was made for a record.
 
         Examples
         --------
@@ -99,8 +99,7 @@
     holder, ip
         The incarnation that wrote it, and its host's address.
     anchor, wall
-        When the store had last answered a write of such a record, by the writer's
-        steady clock and by the time of day.
+        When it was made, by the writer's steady clock and by the time of day.
     boot
         What names the host's start, empty where that can't be told; the steady clock
         goes on only within one.
--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -5,213 +5,25 @@
 proper work as soon as the store is gone; with too large a cushion a killed
 router strands tokens that nobody can spend any more.
 
-A request reserves the most that it can cost and settles what it used.  The
-cushion follows the rate of use, so that an idle organisation strands little.
+A request reserves the most that it can cost and settles what it used.  Two routers
+keep an organisation's tokens and hand them to the others, request by request; what
+they may spend beyond their record of use follows the rate of use, so that a kill
+strands little of what they keep.
 """
 
-import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from anvilshift.core.allotments import Allotment, Allotments, Wish
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.cushions import Pace, Purse
+from anvilshift.core.keepers import KeeperMap
 from anvilshift.core.usage import Use, UseRecord
 
-
-@dataclass(frozen=True)
-class CushionLimits:
-    """How large the cushions of an organisation are.
-
-    Parameters
-    ----------
-    cover
-        Use that a full cushion lasts for.
-    most, slope
-        All cushions together hold at most this part of what is left of a total, and
-        at most `slope` times the part that is left.
-    least_part
-        Part of a total that all cushions together are at least, within that.  An
-        organisation's use is uneven, and one that calls seldom may still send a
-        prompt of 55,000 tokens in the midst of a cut.
-    """
-
-    cover: Millis
-    most: float
-    slope: float
-    least_part: float
-
-
-UNPROVED = CushionLimits(10 * SECOND, most=0.35, slope=0.45, least_part=0.17)
-"""While a cushion counts as spent whole when its router is killed.  Near the end of
-a total that leaves an organisation refused for the rest of the day with tokens that
-nobody can reach; cuts of 8 s starve those that send much."""
-PROVED = CushionLimits(10 * SECOND, most=0.6, slope=1.0, least_part=0.17)
-"""While a successor can prove how little was spent."""
-_FIRST_PART = 0.002
-"""Part of a total that a router asks for before it knows what is left of it and how
-many routers share it.  One that took its whole cushion then, alone as it believed,
-stranded an eighth of a total when it was killed a second later."""
-_REFILL_BELOW = 0.9
-"""Part of the cushion below which more is drawn; each draw is a priced write, and
-at 0.9 a router writes about every second of steady use."""
-_AT_ONCE_LEAST, _AT_ONCE_MOST = 0.12, 0.2
-"""Of a cushion this part may be spent at any time: the part of the total that is left,
-within these.  What time does not bound is lost with all routers, which matters near a
-total's end only; a long prompt in a cut needs much at once."""
-_GIVE_ABOVE = 1.4
-"""Part of the cushion above which tokens go back, far enough from the refill
-that a wave in the traffic doesn't draw and give back in turn."""
-_RATE_SPAN: Millis = 6 * SECOND
-"""Time constant of the measured rate: longer than the pause between two
-large prompts, shorter than an organisation's burst."""
-
-
-@dataclass(frozen=True)
-class Pace:
-    """How fast one record of this router's use lets it spend.
-
-    Parameters
-    ----------
-    anchor
-        When the store had last answered before the record was written.
-    """
-
-    anchor: Millis
-    use: Use
-
-
-@dataclass
-class Purse:
-    """One organisation's tokens at this router.
-
-    Parameters
-    ----------
-    ceiling
-        Tokens that may be spent in all; only what the store confirmed counts.
-    left
-        What is left of the total in all, as of the last write; None before it.
-    settled
-        Tokens of requests that have ended, and those given to other routers;
-        less those that others gave.
-    reserved
-        By request, the most that it can cost.
-    waiting
-        By request, what it needs and could not reserve.
-    paces
-        Of every record of use that may stand in the store; were one of them
-        passed, whoever ends this router's share would count too little.
-    """
-
-    total: int = 0
-    routers: int = 1
-    left: int | None = None
-    ceiling: int = 0
-    settled: int = 0
-    reserved: dict[str, int] = field(default_factory=dict)
-    waiting: dict[str, int] = field(default_factory=dict)
-    paces: tuple[Pace, ...] = ()
-    rate: float = 0.0
-    rated_at: Millis = 0.0
-    rated_since: Millis | None = None
-    dry_until: Millis = -math.inf
-    limited: bool = True
-    provable: bool = False
-
-    @property
-    def spent(self) -> int:
-        """Return what is spent or may yet be by requests that run."""
-        return self.settled + sum(self.reserved.values())
-
-    @property
-    def ready(self) -> int:
-        """Return what lies ready, though not all of it may be spent at once."""
-        return self.ceiling - self.spent
-
-    def available(self, now: Millis) -> int:
-        """Return what another request may reserve now."""
-        limits = [pace.use.most_after(now - pace.anchor) for pace in self.paces]
-        return min([self.ceiling, *limits]) - self.spent
-
-    def find_wait(self, tokens: int, now: Millis) -> Millis | None:
-        """Return when so much may be reserved if nothing is drawn; None is never."""
-        if tokens > self.ready:
-            return None
-        spent, longest = self.spent + tokens, 0.0
-        for pace in self.paces:
-            wait = pace.use.find_wait(spent, now - pace.anchor)
-            if wait is None:
-                return None
-            longest = max(longest, wait)
-        return longest
-
-    def make_use(self) -> Use:
-        """Return what to say of this organisation's use now."""
-        needed = self.spent + sum(self.waiting.values())
-        recorded = needed if needed <= self.ceiling else self.spent
-        cushion = max(0, self.ceiling - recorded)
-        part = (self.left or 0) / max(1, self.total)
-        part = min(max(part, _AT_ONCE_LEAST), _AT_ONCE_MOST)
-        return Use(recorded, int(cushion * part), cushion)
-
-    def count_use(self, tokens: int, now: Millis) -> None:
-        """Follow the rate of use, in tokens a millisecond."""
-        gone = math.exp(-(now - self.rated_at) / _RATE_SPAN)
-        self.rate = self.rate * gone + tokens / _RATE_SPAN
-        self.rated_at = now
-        if self.rated_since is None:
-            self.rated_since = now
-
-    def current_rate(self, now: Millis) -> float:
-        """Return the rate of use now, in tokens a millisecond."""
-        if self.rated_since is None:
-            return 0.0
-        # A mean that began a moment ago holds little yet; it is put right by the
-        # part of its weights that it has seen.
-        seen = 1.0 - math.exp(-max(SECOND, now - self.rated_since) / _RATE_SPAN)
-        return self.rate * math.exp(-(now - self.rated_at) / _RATE_SPAN) / seen
-
-    def cushion(self, now: Millis) -> int:
-        """Return the tokens that should lie ready beyond what is reserved."""
-        limits = PROVED if self.provable else UNPROVED
-        least = int(self.total * limits.least_part / self.routers)
-        wanted = max(int(self.current_rate(now) * limits.cover), least)
-        if self.left is None:
-            return int(self.total * _FIRST_PART)
-        left = max(0, self.left)
-        part = min(limits.most, limits.slope * left / max(1, self.total))
-        return min(wanted, int(left * part / self.routers))
-
-    def make_wish(self, now: Millis) -> Wish:
-        """Return what to ask of the store now."""
-        needed = self.spent + sum(self.waiting.values())
-        cushion = self.cushion(now)
-        ceiling = needed + cushion
-        if needed <= self.ceiling <= needed + int(cushion * _GIVE_ABOVE):
-            ceiling = max(ceiling, self.ceiling)
-        return Wish(ceiling, needed, self.spent)
-
-    def needs_change(self, now: Millis) -> bool:
-        """Tell whether the share in the store should change."""
-        if not self.limited:
-            return False
-        cushion = self.cushion(now)
-        if self.ready > max(1, int(cushion * _GIVE_ABOVE)):
-            return True
-        if now < self.dry_until:
-            return False
-        return self.lacks() or self.ready < cushion * _REFILL_BELOW
-
-    def lacks(self) -> bool:
-        """Tell whether requests wait for more than lies ready."""
-        return sum(self.waiting.values()) > self.ready
-
-
 _DRY_SPAN: Millis = 2 * SECOND
 """After a draw that found nothing free: a total grows by seconds, and each look is
 a priced write."""
-_GIFT_PART = 0.5
-"""Most of what is available that goes to one router that asks; the asker has a
-request that waits, the giver has none."""
+_UNKEPT: Millis = 1 * SECOND
+"""After no keeper answered: about as long as one that is lost still counts as there."""
 
 
 class Wallet:
@@ -259,6 +71,7 @@
             return False
         purse.waiting.pop(key, None)
         purse.reserved[key] = tokens
+        purse.busy_at = now
         return True
 
     def is_dry(self, name: str, now: Millis) -> bool:
@@ -285,9 +98,14 @@
     def is_waited_for(self, now: Millis) -> bool:
         """Tell whether a request waits for tokens that may be drawn now."""
         return any(
-            purse.lacks() and now >= purse.dry_until for purse in self.purses.values()
+            purse.lacks() and purse.draws(now) and now >= purse.dry_until
+            for purse in self.purses.values()
         )
 
+    def note_unkept(self, name: str, now: Millis) -> None:
+        """Take in that no keeper of an organisation's tokens answers."""
+        self.purses[name].unkept_until = now + _UNKEPT
+
     def make_wishes(self, now: Millis) -> dict[str, Wish]:
         """Return what to ask now, and stop counting on what is given back.
 
@@ -323,16 +141,23 @@
         for purse in self.purses.values():
             purse.provable = provable
 
-    def set_routers(self, routers: int) -> None:
-        """Take in among how many routers the cushions are divided."""
-        routers = max(1, routers, len(self.seen.list_holders()))
-        for purse in self.purses.values():
-            purse.routers = routers
+    def set_keepers(self, keepers: KeeperMap) -> None:
+        """Take in who keeps which organisation's tokens."""
+        for name, purse in self.purses.items():
+            purse.rank = keepers.find_rank(name)
+            purse.keepers = len(keepers.list_keepers(name))
+
+    def keeps_any(self) -> bool:
+        """Tell whether this router's use has to be recorded."""
+        return any(
+            purse.limited and (purse.keeping or purse.is_paced())
+            for purse in self.purses.values()
+        )
 
-    def make_uses(self) -> dict[str, Use]:
+    def make_uses(self, now: Millis) -> dict[str, Use]:
         """Return what to say of every organisation's use."""
         limited = {name: one for name, one in self.purses.items() if one.limited}
-        return {name: purse.make_use() for name, purse in limited.items()}
+        return {name: purse.make_use(now) for name, purse in limited.items()}
 
     def pace(self, record: UseRecord) -> None:
         """Keep to a record that is about to be written; it may take effect."""
@@ -349,8 +174,8 @@
             use = record.uses.get(name)
             purse.paces = (Pace(record.anchor, use),) if use else ()
 
-    def give(self, name: str, tokens: int, now: Millis) -> int:
-        """Give tokens to another router; return how many.
+    def hand_over(self, name: str, key: str, now: Millis) -> int:
+        """Turn a reservation into tokens for another router; return how many.
 
         They count as spent here from before they are sent, and this router's
         share in the store goes on covering them: a gift that is lost on its
@@ -360,16 +185,39 @@
         --------
         >>> wallet = Wallet("r1")
         >>> wallet.purses["pounds"] = Purse(total=100, ceiling=100)
-        >>> wallet.give("pounds", 80, now=0.0), wallet.purses["pounds"].available(0.0)
-        (50, 50)
+        >>> wallet.reserve("pounds", "r2/7", 80, now=0.0)
+        True
+        >>> wallet.hand_over("pounds", "r2/7", now=0.0)
+        80
+        >>> wallet.purses["pounds"].available(0.0)
+        20
         """
-        purse = self.purses.get(name)
-        if purse is None or not purse.limited:
-            return 0
-        given = max(0, min(tokens, int(purse.available(now) * _GIFT_PART)))
-        purse.settled += given
+        given = self.purses[name].reserved.get(key, 0)
+        self.settle(name, key, given, now)
         return given
 
+    def find_idle(self, now: Millis) -> dict[str, int]:
+        """Return what lies idle at a router that keeps none, by organisation."""
+        idle = {name: one.find_idle(now) for name, one in self.purses.items()}
+        return {name: tokens for name, tokens in idle.items() if tokens > 0}
+
+    def take_out(self, name: str, tokens: int) -> None:
+        """Count tokens as spent that are about to be given away."""
+        self.purses[name].settled += tokens
+
+    def find_wait(self, name: str, key: str, now: Millis) -> Millis | None:
+        """Return when a waiting request may reserve if nothing is drawn.
+
+        Those that waited before it go first.  None is never.
+        """
+        purse = self.purses[name]
+        tokens = 0
+        for waiting, needed in purse.waiting.items():
+            tokens += needed
+            if waiting == key:
+                break
+        return purse.find_wait(tokens, now)
+
     def receive(self, name: str, tokens: int) -> None:
         """Take in tokens that another router gave."""
         if name in self.purses:
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -133,34 +133,47 @@
         )
 
     def _note_send(self, outgoing: Outgoing) -> None:
-        name, prompt = outgoing.choice.target.info.name, outgoing.prompt
+        info, prompt = outgoing.choice.target.info, outgoing.prompt
+        name = info.name
         cached, now = outgoing.choice.cached, self.clock.now()
         disturbing = outgoing.choice.disturbing
         self.loads.send(
             name, outgoing.run, prompt, cached, now, outgoing.capacity, disturbing
         )
-        self.peers.tell(
-            Sent(
-                outgoing.run,
-                name,
-                prompt.parts,
-                prompt.tokens,
-                prompt.most_answer,
-                cached,
-                disturbing,
-            )
+        sent = Sent(
+            outgoing.run,
+            name,
+            prompt.parts,
+            prompt.tokens,
+            prompt.most_answer,
+            cached,
+            disturbing,
         )
+        self._tell(sent, outgoing)
 
     def note_begin(self, outgoing: Outgoing) -> None:
         """Take in that the target began to answer."""
         name = outgoing.choice.target.info.name
         self.loads.begin(name, outgoing.run, self.clock.now())
-        self.peers.tell(Begun(outgoing.run, name))
+        if self.peers.small:
+            self.peers.tell(Begun(outgoing.run, name))
 
     def _note_end(self, outgoing: Outgoing) -> None:
         name = outgoing.choice.target.info.name
         self.loads.end(name, outgoing.run)
-        self.peers.tell(Ended(outgoing.run, name))
+        self._tell(Ended(outgoing.run, name), outgoing)
+
+    def _tell(self, message: Sent | Ended, outgoing: Outgoing) -> None:
+        """Tell the routers that may send work to the same target.
+
+        In a larger fleet only those near it, and only of model engines: a request at
+        a plain service has ended about as soon as it was told of.
+        """
+        if self.peers.small:
+            self.peers.tell(message)
+        elif outgoing.capacity:
+            domain = outgoing.choice.target.info.failure_domain
+            self.peers.tell_near(message, domain, soon=isinstance(message, Sent))
 
 
 def _check(outgoing: Outgoing, notes: Notes) -> None:
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -1,9 +1,11 @@
 """What this router tells the others, and what it does with what they tell."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import Clock
+from anvilshift.core.keepers import KeeperMap
 from anvilshift.core.loadmap import LoadMap, Prompt
 from anvilshift.core.retention import Mark, MarkLog
 from anvilshift.gateway.allotting import Allotter
@@ -16,12 +18,14 @@
     Ended,
     Farewell,
     Gift,
+    Lack,
     Leaving,
     Marked,
     Message,
     Sent,
 )
 from anvilshift.gateway.peers import Peer, Peers
+from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import Shared
 
@@ -45,6 +49,8 @@
     peers: Peers
     loads: LoadMap
     allotter: Allotter
+    reservations: Reservations
+    keepers: KeeperMap
     marks: MarkLog
     shared: Shared
     clock: Clock
@@ -52,8 +58,7 @@
     is_ready: Callable[[], bool]
     is_leaving: Callable[[], bool]
     is_fresh: Callable[[], bool]
-    _gifts: int = 0
-    _received: set[tuple[str, int]] = field(default_factory=set)
+    _lending: set[asyncio.Task[None]] = field(default_factory=set)
 
     def make_beat(self) -> Beat:
         """Return this router's heartbeat."""
@@ -71,26 +76,53 @@
             tuple(sorted(self.peers.addresses)),
         )
 
-    def ask_for_tokens(self, organisation: str, tokens: int) -> None:
-        """Ask every router that is there for tokens."""
-        ask = Ask(self.incarnation, self.settings.ip, organisation, tokens)
-        for peer in self.peers.list_present():
-            self.peers.send(ask, peer.beat.ip)
+    # Tokens
+
+    def note_routers(self) -> None:
+        """Take in which routers are there, and so who keeps tokens."""
+        peers = self.peers.list_present()
+        names = {one.beat.router for one in peers if not one.beat.leaving}
+        if not self.is_leaving():
+            names.add(self.settings.name)
+        self.allotter.alone = not peers
+        if names and self.keepers.set_routers(names):
+            self.allotter.wallet.set_keepers(self.keepers)
+
+    def ask_for_tokens(
+        self, keeper: str, number: int, organisation: str, tokens: int
+    ) -> bool:
+        """Ask a keeper for tokens; tell whether it is there."""
+        peer = self.peers.routers.get(keeper)
+        if peer is None:
+            return False
+        keeping = self.keepers.is_keeper(organisation)
+        ip = self.settings.ip
+        ask = Ask(self.incarnation, number, ip, organisation, tokens, keeping)
+        self.peers.send(ask, peer.beat.ip)
+        return True
+
+    def return_idle(self) -> None:
+        """Hand what lies idle here to the keepers."""
+        for gift, ip in self.reservations.return_idle(self._find_keeper):
+            self.peers.send(gift, ip)
+
+    def _find_keeper(self, organisation: str) -> tuple[str, str] | None:
+        """Return the incarnation and address of a keeper that is there."""
+        for name in self.keepers.list_others(organisation):
+            peer = self.peers.routers.get(name)
+            if peer is not None:
+                return peer.beat.incarnation, peer.beat.ip
+        return None
 
     def _hear_ask(self, ask: Ask) -> None:
-        given = self.allotter.give(ask.organisation, ask.tokens)
-        if given:
-            self._gifts += 1
-            holder, organisation = ask.holder, ask.organisation
-            gift = Gift(self.incarnation, self._gifts, holder, organisation, given)
-            self.peers.send(gift, ask.ip)
-
-    def _hear_gift(self, gift: Gift) -> None:
-        # A datagram may come twice; a gift that counted twice would overspend.
-        key = (gift.giver, gift.number)
-        if gift.holder == self.incarnation and key not in self._received:
-            self._received.add(key)
-            self.allotter.receive(gift.organisation, gift.tokens)
+        task = asyncio.get_running_loop().create_task(self._lend(ask))
+        self._lending.add(task)
+        task.add_done_callback(self._lending.discard)
+
+    async def _lend(self, ask: Ask) -> None:
+        answer = await self.reservations.lend(ask)
+        if answer is not None:
+            self.peers.send(answer, ask.ip)
 
     def hear(self, message: Message) -> None:
         """Take in what another router tells."""
@@ -118,7 +150,9 @@
         elif isinstance(message, Ask):
             self._hear_ask(message)
         elif isinstance(message, Gift):
-            self._hear_gift(message)
+            self.reservations.take_gift(message)
+        elif isinstance(message, Lack):
+            self.reservations.take_lack(message)
         elif isinstance(message, Farewell):
             self.allotter.note_ended(message.holder, dict(message.spent))
         elif isinstance(message, Marked):
@@ -153,6 +187,11 @@
         if marks:
             self.peers.send(Marked(tuple(marks)), beat.ip)
 
+    def tell_mark(self, mark: Mark) -> None:
+        """Tell the others what this router learned of the store's history."""
+        age = self.clock.now() - mark.followed
+        self.peers.tell(Marked(((mark.revision, age),)))
+
     def say_farewell(self) -> None:
         """Tell the others what was spent; from now on nothing is."""
         farewell = Farewell(self.incarnation, tuple(self.allotter.list_spent().items()))
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -18,8 +18,25 @@
 return is seen well within the bounds that begin with it."""
 _RETURN: Millis = 2_200.0
 """Entries of targets that live are back in the store about 2 s after it is."""
-STALE: Millis = 2_500.0
-"""A watch that ends in time twice a second is fresh; this is several of them."""
+_STALE: Millis = 1_000.0
+"""A watch whose end is overdue by so long tells that the store is out of reach."""
+_FEW = 4
+_MOST_STRETCH = 2.7
+
+
+def find_stretch(routers: int) -> float:
+    """Return how many times longer watches and rests are in a larger fleet.
+
+    Each call is priced, and the store's rate grows more slowly than the fleet.  What
+    changes ends a watch at once all the same; a longer one only notices later that
+    its connection has gone silent.
+
+    Examples
+    --------
+    >>> find_stretch(4), find_stretch(6), find_stretch(2_000)
+    (1.0, 1.5, 2.7)
+    """
+    return min(max(1.0, routers / _FEW), _MOST_STRETCH)
 
 
 @dataclass(frozen=True)
@@ -61,12 +78,14 @@
     settle: Callable[[set[str]], None] = lambda names: None
     seen: Millis = -1e12
     revision: int = 0
+    stretch: float = 1.0
     _lost: bool = False
     _restart: bool = False
 
     def is_fresh(self) -> bool:
         """Tell whether the store answered lately."""
-        return self.clock.now() - self.seen < STALE
+        overdue = self.pace.wait * self.stretch + _STALE
+        return not self._lost and self.clock.now() - self.seen < overdue
 
     def restart(self) -> None:
         """Begin anew with a list; what is known may be old."""
@@ -106,7 +125,8 @@
         self.revision = listing.revision
 
     async def _watch(self) -> None:
-        found = await self.store.watch([self.kind], self.revision, self.pace.wait)
+        wait = self.pace.wait * self.stretch
+        found = await self.store.watch([self.kind], self.revision, wait)
         self._note_answer()
         if found.too_old:
             self.journal.write("history_lost", kind=self.kind, since=self.revision)
@@ -116,7 +136,7 @@
             self.change(change)
         self.revision = max(self.revision, found.revision)
         if found.changes and self.pace.rest:
-            await asyncio.sleep(self.pace.rest / SECOND)
+            await asyncio.sleep(self.pace.rest * min(self.stretch, 2.0) / SECOND)
 
 
 @dataclass
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -101,12 +101,19 @@
     ----------
     holder
         The incarnation that asks, and that alone may use a gift.
+    number
+        Names the ask among the asker's: sent again, it is answered once.
+    keeping
+        Whether the asker keeps such tokens itself; then it is given what lies
+        ready, and nothing is drawn or asked of others for it.
     """
 
     holder: str
+    number: int
     ip: str
     organisation: str
     tokens: int
+    keeping: bool
 
 
 @dataclass(frozen=True)
@@ -126,6 +133,27 @@
     tokens: int
 
 
+@dataclass(frozen=True)
+class Lack:
+    """A keeper can't give what was asked for.
+
+    Parameters
+    ----------
+    number
+        The ask that this answers.
+    certain
+        Whether the total certainly can't cover it.
+    wait
+        Time until the keeper may have it, as far as it knows.
+    """
+
+    holder: str
+    number: int
+    organisation: str
+    certain: bool
+    wait: Millis
+
+
 @dataclass(frozen=True)
 class Farewell:
     """A router that ends says what it spent in all.
@@ -154,7 +182,17 @@
 
 
 Message = (
-    Beat | Sent | Begun | Ended | Leaving | Blamed | Ask | Gift | Farewell | Marked
+    Beat
+    | Sent
+    | Begun
+    | Ended
+    | Leaving
+    | Blamed
+    | Ask
+    | Gift
+    | Lack
+    | Farewell
+    | Marked
 )
 _KINDS: dict[str, type[Message]] = {
     kind.__name__: kind
@@ -167,6 +205,7 @@
         Blamed,
         Ask,
         Gift,
+        Lack,
         Farewell,
         Marked,
     )
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -7,8 +7,10 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.ejection import Health, State
+from anvilshift.core.entrances import Entrance, choose_entrances
 from anvilshift.core.errors import AnvilshiftError, Fate
 from anvilshift.core.identity import make_identity
+from anvilshift.core.keepers import KeeperMap
 from anvilshift.core.loadmap import LoadMap, TargetInfo
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
@@ -17,12 +19,13 @@
 from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.conversation import Conversation
-from anvilshift.gateway.following import Follower, Pace, Register
+from anvilshift.gateway.following import Follower, Pace, Register, find_stretch
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Leaving
 from anvilshift.gateway.passing import Passage
 from anvilshift.gateway.peers import Hooks, Peers
 from anvilshift.gateway.recording import Recorder
+from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import Shared
 from anvilshift.objects.store import Change, ObjectStore
@@ -52,7 +55,13 @@
 
 
 class GatewayNode:
-    """One gateway with all its parts."""
+    """One gateway with all its parts.
+
+    Parameters
+    ----------
+    born
+        When its process had begun to run, by the clock, if it is alone in it.
+    """
 
     def __init__(
         self,
@@ -62,6 +71,7 @@
         clock: Clock,
         journal: Journal,
         rng: random.Random,
+        born: Millis | None = None,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
@@ -69,7 +79,13 @@
         self.journal = journal
         self.incarnation = f"{settings.name}.{make_identity(rng)[:12]}"
         self.loads = LoadMap()
-        self.peers = Peers(settings.ip, settings.peer_port, clock, journal)
+        self.peers = Peers(
+            settings.ip,
+            settings.peer_port,
+            settings.failure_domain,
+            clock,
+            journal,
+        )
         self.peers.addresses = {ip for ip in settings.seeds if ip != settings.ip}
         self.allotter = Allotter(store, settings.name, self.incarnation, clock, journal)
         self.marks = MarkLog(settings.history or 0.0)
@@ -83,9 +99,13 @@
             self.allotter.wallet,
             self.marks,
         )
+        self.keepers = KeeperMap(settings.name)
+        self.reservations = Reservations(self.allotter, self.keepers, clock, journal)
         if settings.history is not None:
+            self.recorder.born = born
             self.allotter.settle_former = self.recorder.settle_former
-            self.allotter.hurry_record = self.recorder.hurry
+            self.recorder.end_record = self.allotter.end_round
+            self.reservations.recorder = self.recorder
         self.client = HttpClient()
         self.shared = Shared(
             self.incarnation,
@@ -93,10 +113,10 @@
             rng,
             dialect,
             Sender(self.client, dialect, self.loads, self.peers, clock),
-            self.allotter,
+            self.reservations,
             journal,
             settings.failure_domain,
-            RetryBudget(settings.retry_reserve),
+            RetryBudget(settings.find_retry_reserve(1)),
         )
         self.talk = self._make_conversation()
         self.register = Register(clock, self._remove_target)
@@ -130,6 +150,8 @@
             self.peers,
             self.loads,
             self.allotter,
+            self.reservations,
+            self.keepers,
             self.marks,
             self.shared,
             self.clock,
@@ -139,7 +161,8 @@
             lambda: self.configuring.is_fresh(),
         )
         self.peers.hooks = Hooks(talk.hear, talk.lose, talk.make_beat, talk.greet)
-        self.allotter.ask_peers = talk.ask_for_tokens
+        self.reservations.ask = talk.ask_for_tokens
+        self.recorder.tell_mark = talk.tell_mark
         self.shared.note_lost = talk.note_lost
         self.shared.note_replaced = talk.note_replaced
         return talk
@@ -164,6 +187,8 @@
         organisations = configuration.organisations
         totals = {name: one.reserved for name, one in organisations.items()}
         self.allotter.configure(configuration.version, totals)
+        self.allotter.wallet.set_keepers(self.keepers)
+        self.reservations.forget_refusals()
         limits = configuration.limits
         self.server.limits = Limits(
             head_bytes=limits.head_bytes,
@@ -223,16 +248,17 @@
         """Tell whether this router should get new connections."""
         return self.shared.table is not None and not self.leaving
 
-    def list_entrances(self) -> Entrances:
-        """Return where callers may connect."""
+    def list_entrances(self, domain: str = "") -> Entrances:
+        """Return where callers of a failure domain may connect."""
         found = [
-            peer.beat.entrance
+            Entrance(peer.beat.entrance, peer.beat.failure_domain)
             for peer in self.peers.list_present()
             if peer.beat.serving and not peer.beat.leaving
         ]
         if self.is_ready():
-            found.append(str(self.settings.front))
-        return Entrances(tuple(found), KEEP_ADDRESSES)
+            own = Entrance(str(self.settings.front), self.settings.failure_domain)
+            found.append(own)
+        return Entrances(choose_entrances(found, domain), KEEP_ADDRESSES)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
@@ -315,9 +341,14 @@
         if not self.registering.is_fresh():
             self.register.note_outage()
         self.register.sweep()
-        self.recorder.routers = 1 + len(self.peers.list_present())
-        self.allotter.wallet.set_routers(self.recorder.routers)
+        self.talk.note_routers()
+        routers = 1 + len(self.peers.list_present())
+        self.shared.retries.limit(self.settings.find_retry_reserve(routers))
+        for follower in (self.configuring, self.registering):
+            follower.stretch = find_stretch(routers)
+        self.recorder.routers = self.keepers.count_recording()
         self.allotter.wallet.set_provable(self.recorder.is_provable())
+        self.talk.return_idle()
         self.loads.expire(now)
         for target in self.loads.targets.values():
             health = target.health
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -154,18 +154,18 @@
 
     async def _serve_paid(self, prompt: Prompt, model: ModelFigures) -> None:
         """Answer a model request within what its organisation has prepaid."""
-        allotter, payer = self.shared.allotter, self.payer
+        reservations, payer = self.shared.reservations, self.payer
         if payer is None:
             await self._within_time(self._attempt_until_answered())
             return
         key = f"{self.call.identity}/{self.shared.runs}"
         most = prompt.tokens + prompt.most_answer + model.tokens_an_event
-        await allotter.reserve(payer.name, key, most, self.end)
+        await reservations.reserve(payer.name, key, most, self.end)
         try:
             await self._within_time(self._attempt_until_answered())
         finally:
             self.tokens = self._count_tokens(prompt, model)
-            allotter.settle(payer.name, key, self.tokens)
+            reservations.settle(payer.name, key, self.tokens)
 
     def _count_tokens(self, prompt: Prompt, model: ModelFigures) -> int:
         """Return the most that the request may have cost."""
@@ -225,6 +225,7 @@
                 self.rule.objective - (now - self.arrived),
                 self.model.tokens_an_event,
                 self.pause,
+                len(self.request.body) / 1_000,
             )
             choice = choose_engine(
                 shared.sender.loads, demand, now, shared.rng, self.excluded
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 from typing import cast
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -14,15 +14,40 @@
 from anvilshift.gateway.messages import Beat, Message, decode, encode, pack
 
 BEAT: Millis = 150.0
-"""Between two heartbeats: a lost router is out of the address answers after
-four of them, and at five routers they cost 27 datagrams a second each."""
-SILENT_AFTER: Millis = 650.0
-"""Without a heartbeat for so long a router counts as lost.  A caller gives a new
-connection to a frozen one a second; of three heartbeats in a row one in 40,000 is
+"""Between two heartbeats in a small fleet: a lost router is out of the address answers
+after four of them, and at five routers they cost 27 datagrams a second each."""
+_LONGEST_BEAT: Millis = 600.0
+SMALL_FLEET = 8
+"""Routers that tell one another everything.  In a larger fleet heartbeats are rarer,
+and what happens at targets is told only where it matters; with 32 routers each would
+otherwise read 800 datagrams a second."""
+SILENT_BEATS = 4.3
+"""Heartbeats after which a router that was not heard counts as lost.  A caller gives a
+new connection to a frozen one a second; of three heartbeats in a row one in 40,000 is
 lost where links lose three packets in a hundred."""
+_KNOWN_EVERY = 10
+"""In a larger fleet every tenth heartbeat names the other routers."""
 _FLUSH: Millis = 1.0
 """How long messages are gathered into one datagram; placement elsewhere is that
 much behind, and a burst costs one system call instead of many."""
+_FLUSH_LARGE: Millis = 20.0
+"""The same in a larger fleet, where an engine gets a request from another router every
+200 ms, and a router whose callers send 150 requests a second would fill its link of
+24 Mbit/s with single datagrams to all."""
+_FLUSH_LAZY: Millis = 250.0
+"""How long the end of a run waits in a larger fleet for other messages to go with."""
+_EVERYONE: frozenset[str] = frozenset()
+
+
+def find_beat(routers: int) -> Millis:
+    """Return the time between two heartbeats of one router.
+
+    Examples
+    --------
+    >>> find_beat(4), find_beat(16), find_beat(2_000)
+    (150.0, 300.0, 600.0)
+    """
+    return min(_LONGEST_BEAT, BEAT * max(1.0, routers / SMALL_FLEET))
 
 
 @dataclass
@@ -51,20 +76,25 @@
     ----------
     ip, port
         Where this router listens; all routers listen on the same port.
+    domain
+        This router's failure domain.
     addresses
         Addresses of routers that may be there.
     """
 
     ip: str
     port: int
+    domain: str
     clock: Clock
     journal: Journal
     addresses: set[str] = field(default_factory=set)
     hooks: Hooks = field(default_factory=Hooks)
     routers: dict[str, Peer] = field(default_factory=dict)
     _transport: asyncio.DatagramTransport | None = None
-    _waiting: list[bytes] = field(default_factory=list)
-    _flushing: bool = False
+    _waiting: dict[frozenset[str], list[bytes]] = field(default_factory=dict)
+    _timer: asyncio.TimerHandle | None = None
+    _names: dict[str, str] = field(default_factory=dict)
+    _beats: int = 0
 
     async def start(self) -> None:
         """Open the socket."""
@@ -87,6 +117,9 @@
         except ValueError as error:
             self.journal.write("peer_garbage", sender=addr[0], reason=str(error))
             return
+        known = self.routers.get(self._names.get(addr[0], ""))
+        if known is not None:
+            known.heard = self.clock.now()
         for message in messages:
             if isinstance(message, Beat):
                 self._hear_beat(message)
@@ -101,7 +134,12 @@
                 "peer_found", peer=beat.router, incarnation=beat.incarnation
             )
             self.hooks.greet(beat)
+            if known is None:
+                # One that starts in a large fleet would otherwise learn of most of
+                # the others seconds later.
+                self._send_beat(self.hooks.make_beat(), {beat.ip})
         self.routers[beat.router] = Peer(beat, self.clock.now())
+        self._names[beat.ip] = beat.router
         self.addresses.add(beat.ip)
         self.addresses.update(beat.known)
         self.addresses.discard(self.ip)
@@ -112,19 +150,48 @@
 
     def tell(self, message: Message) -> None:
         """Send a message to every router that is there."""
-        self._waiting.append(encode(message))
-        if not self._flushing:
-            self._flushing = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(_FLUSH / SECOND, self._flush)
+        self._gather(message, _EVERYONE)
+
+    @property
+    def small(self) -> bool:
+        """Tell whether the fleet is small enough to tell everybody everything."""
+        return len(self.routers) < SMALL_FLEET
+
+    def tell_near(self, message: Message, domain: str, soon: bool = True) -> None:
+        """Send a message to the routers that send most work to one failure domain.
+
+        These are those of the domain, and those of this router's.
+
+        Parameters
+        ----------
+        soon
+            Whether it can't wait for the next message to the same routers.
+        """
+        self._gather(message, frozenset({domain, self.domain}), soon)
+
+    def _gather(
+        self, message: Message, domains: frozenset[str], soon: bool = True
+    ) -> None:
+        self._waiting.setdefault(domains, []).append(encode(message))
+        prompt = _FLUSH if self.small else _FLUSH_LARGE
+        span = prompt if soon else _FLUSH_LAZY
+        loop = asyncio.get_running_loop()
+        due = loop.time() + span / SECOND
+        if self._timer is None or due < self._timer.when():
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = loop.call_at(due, self._flush)
 
     def _flush(self) -> None:
-        self._flushing = False
-        waiting, self._waiting = self._waiting, []
-        present = [peer.beat.ip for peer in self.list_present()]
-        for datagram in pack(waiting):
-            for ip in present:
-                self._send(datagram, ip)
+        self._timer = None
+        waiting, self._waiting = self._waiting, {}
+        present = [peer.beat for peer in self.list_present()]
+        for domains, lines in waiting.items():
+            datagrams = pack(lines)
+            for beat in present:
+                if not domains or beat.failure_domain in domains:
+                    for datagram in datagrams:
+                        self._send(datagram, beat.ip)
 
     def _send(self, datagram: bytes, ip: str) -> None:
         if self._transport is None:
@@ -134,30 +201,42 @@
         except OSError as error:
             self.journal.write("peer_unsent", peer=ip, reason=str(error))
 
+    def _find_silence(self) -> Millis:
+        """Return the time after which a router that was not heard is lost."""
+        return find_beat(len(self.addresses) + 1) * SILENT_BEATS
+
     def list_present(self) -> list[Peer]:
         """Return the routers that were heard lately."""
-        since = self.clock.now() - SILENT_AFTER
+        since = self.clock.now() - self._find_silence()
         return [peer for peer in self.routers.values() if peer.heard >= since]
 
     def beat(self) -> None:
         """Send a heartbeat now, and look who has fallen silent."""
         beat = self.hooks.make_beat()
-        if beat is not None:
-            for datagram in pack([encode(beat)]):
-                for ip in self.addresses:
-                    self._send(datagram, ip)
-        now = self.clock.now()
+        self._beats += 1
+        large = len(self.addresses) >= SMALL_FLEET
+        if beat is not None and large and self._beats % _KNOWN_EVERY != 1:
+            beat = replace(beat, known=())
+        self._send_beat(beat, self.addresses)
+        now, silence = self.clock.now(), self._find_silence()
         for name, peer in list(self.routers.items()):
-            if now - peer.heard > SILENT_AFTER:
+            if now - peer.heard > silence:
                 self.journal.write("peer_lost", peer=name, age=now - peer.heard)
                 del self.routers[name]
+                self._names.pop(peer.beat.ip, None)
                 self.hooks.lose(peer)
 
+    def _send_beat(self, beat: Beat | None, addresses: Iterable[str]) -> None:
+        if beat is not None:
+            datagram = encode(beat)
+            for ip in addresses:
+                self._send(datagram, ip)
+
     async def run(self) -> None:
         """Send heartbeats for ever."""
         while True:
             self.beat()
-            await asyncio.sleep(BEAT / SECOND)
+            await asyncio.sleep(find_beat(len(self.routers) + 1) / SECOND)
 
     def close(self) -> None:
         """Close the socket."""
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -33,6 +33,12 @@
 125 times a second, a third of the smallest store's 400."""
 _PAUSE: Millis = 250.0
 """After a failed write."""
+_SLOW: Millis = 150.0
+"""A write that takes longer is not waited for by requests: the store answers within
+some milliseconds, or is out of reach."""
+_PROVABLE = 0.75
+"""Of the time after which all may be spent, what a bound may take to be of use: by then
+somewhat more than half of what a router may spend is out of reach."""
 _STEP: Millis = 200.0
 """Between the bounds that a record offers: finer than its period tells no more."""
 _BOOT = pathlib.Path("/proc/sys/kernel/random/boot_id")
@@ -62,6 +68,13 @@
         How many routers write such records.
     boot
         What names the host's start; empty where that can't be told.
+    tell_mark
+        Tells the other routers a mark, for one that will keep tokens after this.
+    records
+        Writes that have ended, well or not; after each `end_record` is called.
+    born
+        When this process had begun to run, by the clock: the former one had ended
+        by then, however long this one took to look.
     """
 
     store: ObjectStore
@@ -75,26 +88,32 @@
     routers: int = 1
     boot: str = field(default_factory=read_boot)
     read_wall: Callable[[], Millis] = lambda: time.time() * SECOND
+    tell_mark: Callable[[Mark], None] = lambda mark: None
+    born: Millis | None = None
+    records: int = 0
+    end_record: Callable[[], None] = lambda: None
     _version: int = 0
-    _anchor: Millis | None = None
-    _wall: Millis = 0.0
+    _asked: Millis | None = None
     _last: int | None = None
     _unanswered: UseRecord | None = None
-    _failing: bool = False
+    failing: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def hurry(self) -> None:
         """Record soon: a request waits to spend."""
         self._wake.set()
 
+    def is_answered(self) -> bool:
+        """Tell whether the store answers records, as far as is known."""
+        waited = 0.0 if self._asked is None else self.clock.now() - self._asked
+        return not self.failing and waited < _SLOW
+
     def _find_period(self) -> Millis:
         return max(_PERIOD, self.routers * _A_ROUTER)
 
     def is_provable(self) -> bool:
         """Tell whether a successor could prove how old the newest record is."""
-        if self._anchor is None:
-            return False
-        return bool(self.marks.list_spans(self._anchor, SPREAD_OVER / 2))
+        return bool(self.marks.list_spans(self.clock.now(), SPREAD_OVER * _PROVABLE))
 
     async def run(self) -> None:
         """Record for ever."""
@@ -103,39 +122,45 @@
                 async with asyncio.timeout(self._find_period() / SECOND):
                     await self._wake.wait()
             self._wake.clear()
+            if not self.wallet.keeps_any() and self._unanswered is None:
+                continue
+            pause = self._find_period() / _HURRY
+            self._asked = self.clock.now()
             try:
                 await self._write()
-                await asyncio.sleep(self._find_period() / _HURRY / SECOND)
             except AnvilshiftError as error:
                 self._note_failure(error)
-                await asyncio.sleep(_PAUSE / SECOND)
                 self.hurry()
+                pause = _PAUSE
+            self._asked = None
+            self.records += 1
+            self.end_record()
+            await asyncio.sleep(pause / SECOND)
 
     def _note_failure(self, error: AnvilshiftError) -> None:
-        if not self._failing:
-            self._failing = True
+        if not self.failing:
+            self.failing = True
             self.journal.write(
                 "use_unrecorded", code=error.code.number, why=error.detail
             )
 
     def _note_success(self) -> None:
-        if self._failing:
-            self._failing = False
+        if self.failing:
+            self.failing = False
             self.journal.write("use_recorded_again")
 
     def _make_record(self) -> UseRecord:
-        self.marks.expire(self.clock.now())
-        if self._anchor is None:
-            return UseRecord(self.holder, self.ip)
-        spans = thin(self.marks.list_spans(self._anchor, SPREAD_OVER), _STEP)
+        now = self.clock.now()
+        self.marks.expire(now)
+        spans = thin(self.marks.list_spans(now, SPREAD_OVER), _STEP)
         return UseRecord(
             self.holder,
             self.ip,
-            self._anchor,
-            self._wall,
+            now,
+            self.read_wall(),
             self.boot,
             tuple((round(span), mark.revision) for span, mark in spans),
-            self.wallet.make_uses(),
+            self.wallet.make_uses(now),
         )
 
     async def _write(self) -> None:
@@ -158,14 +183,15 @@
         self._note_success()
         self._unanswered = None
         self._version = stored.version
-        self._anchor, self._wall = self.clock.now(), self.read_wall()
         self.wallet.settle_pace(record)
         if again is not None:
             # It tells of the time before an outage, which nothing bounds any more.
             self.hurry()
         if self._last is not None and stored.version > self._last:
             # A write that changed nothing is no change that followed on the last.
-            self.marks.add(Mark(self._anchor, self._last))
+            mark = Mark(self.clock.now(), self._last)
+            self.marks.add(mark)
+            self.tell_mark(mark)
         self._last = stored.version
 
     # The former process of this host
@@ -209,16 +235,24 @@
         return None if elapsed is None else (record.holder, record.bound(elapsed))
 
     async def _bound_elapsed(self, record: UseRecord) -> Millis | None:
-        """Return a bound on the time since a record's anchor; None when none holds."""
-        elapsed = record.read_clock(self.boot, self.clock.now(), self.read_wall())
+        """Return a bound on the time from a record to its process' end.
+
+        None when nothing bounds it.
+        """
+        now = self.clock.now()
+        born = now if self.born is None else self.born
+        elapsed = record.read_clock(self.boot, now, self.read_wall())
         if elapsed is not None:
-            return elapsed
-        low, high = 0, len(record.spans)
+            return max(0.0, elapsed - (now - born))
+        low, high, looked = 0, len(record.spans), now
         while low < high:
             middle = (low + high) // 2
+            asked = self.clock.now()
             found = await self.store.watch([KIND], record.spans[middle][1], _LOOK)
             if found.too_old:
                 low = middle + 1
             else:
-                high = middle
-        return record.spans[low][0] if low < len(record.spans) else None
+                high, looked = middle, asked
+        if low == len(record.spans):
+            return None
+        return max(0.0, record.spans[low][0] - (looked - born))
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -44,7 +44,15 @@
     retry_allowance: float = 40.0
     history: Millis | None = None
 
-    @property
-    def retry_reserve(self) -> float:
-        """Return this router's part of the fleet's retry allowance."""
-        return max(2.0, self.retry_allowance / 2 / _CONTROLLERS)
+    def find_retry_reserve(self, routers: int) -> float:
+        """Return this router's part of the fleet's retry allowance.
+
+        Examples
+        --------
+        >>> where = Address.parse("10.0.0.1:80")
+        >>> settings = GatewaySettings("r1", "10.0.0.1", "a", where, None, None, 1, 2,
+        ...     where, retry_allowance=48.0)
+        >>> settings.find_retry_reserve(1), settings.find_retry_reserve(24)
+        (6.0, 1.0)
+        """
+        return max(1.0, self.retry_allowance / 2 / max(_CONTROLLERS, routers))
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -9,10 +9,10 @@
 from anvilshift.core.durations import Mean
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import RouteTable
-from anvilshift.gateway.allotting import Allotter
 from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.reserving import Reservations
 
 _PLAIN_WORK = 40.0
 """Milliseconds of a plain request until some are measured."""
@@ -27,7 +27,7 @@
     rng: random.Random
     dialect: Dialect
     sender: Sender
-    allotter: Allotter
+    reservations: Reservations
     journal: Journal
     domain: str
     retries: RetryBudget
--- a/anvilshift/platform/entrance.py
+++ b/anvilshift/platform/entrance.py
@@ -18,7 +18,9 @@
     """Answer whether this process is ready, and where to connect."""
 
     def __init__(
-        self, is_ready: Callable[[], bool], list_entrances: Callable[[], Entrances]
+        self,
+        is_ready: Callable[[], bool],
+        list_entrances: Callable[[str], Entrances],
     ) -> None:
         self._is_ready = is_ready
         self._list_entrances = list_entrances
@@ -28,12 +30,13 @@
         if request.path == names.READY_PATH:
             await responder.send(Reply(200 if self._is_ready() else 503))
         elif request.path == names.RESOLVE_PATH:
-            await responder.send(self._resolve())
+            domain = request.query.get(names.ASKED_DOMAIN, "")
+            await responder.send(self._resolve(domain))
         else:
             raise AnvilshiftError(UNKNOWN_ROUTE)
 
-    def _resolve(self) -> Reply:
-        found = self._list_entrances()
+    def _resolve(self, domain: str) -> Reply:
+        found = self._list_entrances(domain)
         if not found.addresses:
             return Reply(503)
         body = {
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 
-from anvilshift.core.clock import MonotonicClock
+from anvilshift.core.clock import STARTED, MonotonicClock
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.node import GatewayNode
@@ -32,7 +32,7 @@
         store = PlatformStore(self._store_client, settings.store)
         rng = random.Random(random.SystemRandom().getrandbits(64))
         self.node = GatewayNode(
-            settings, PlatformDialect(), store, clock, self._journal, rng
+            settings, PlatformDialect(), store, clock, self._journal, rng, STARTED
         )
         port = EntrancePort(self.node.is_ready, self.node.list_entrances)
         self._entrance = port
--- /dev/null
+++ b/tests/core/test_keepers.py
@@ -0,0 +1,49 @@
+import unittest
+
+from anvilshift.core.keepers import KeeperMap, list_keepers
+
+ROUTERS = [f"router-{n}" for n in range(32)]
+ORGANISATIONS = [f"organisation-{n}" for n in range(24)]
+
+
+class KeepersTest(unittest.TestCase):
+    def test_few_routers_keep_the_tokens_of_many_organisations(self):
+        """Thirty-two routers each write a share of every total.
+
+        They share one object, so nearly every write meets another router's.
+        """
+        found = {k for name in ORGANISATIONS for k in list_keepers(name, ROUTERS)}
+        self.assertEqual(len(found), 4)
+
+    def test_every_router_names_the_same_keepers(self):
+        for name in ORGANISATIONS:
+            shuffled = list_keepers(name, list(reversed(ROUTERS)))
+            self.assertEqual(list_keepers(name, ROUTERS), shuffled)
+
+    def test_the_second_keeper_follows_when_the_first_is_gone(self):
+        for name in ORGANISATIONS:
+            first, second = list_keepers(name, ROUTERS[:4])
+            left = [one for one in ROUTERS[:4] if one != first]
+            self.assertEqual(list_keepers(name, left)[0], second)
+
+    def test_a_router_that_keeps_no_tokens_stays_out_of_it_as_others_go(self):
+        kept = {k for name in ORGANISATIONS for k in list_keepers(name, ROUTERS)}
+        gone = next(one for one in ROUTERS if one not in kept)
+        left = [one for one in ROUTERS if one != gone]
+        for name in ORGANISATIONS:
+            self.assertEqual(list_keepers(name, ROUTERS), list_keepers(name, left))
+
+
+class KeeperMapTest(unittest.TestCase):
+    def test_a_router_alone_keeps_everything(self):
+        keepers = KeeperMap("r1")
+        self.assertEqual(keepers.find_rank("pounds"), 0)
+        self.assertEqual(keepers.list_others("pounds"), ())
+
+    def test_ranks_follow_the_routers_that_are_there(self):
+        maps = [KeeperMap(name) for name in ROUTERS[:3]]
+        for one in maps:
+            self.assertTrue(one.set_routers(set(ROUTERS[:3])))
+            self.assertFalse(one.set_routers(set(ROUTERS[:3])))
+        ranks = [one.find_rank("pounds") for one in maps]
+        self.assertCountEqual(ranks, [0, 1, None])
