--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -37,9 +37,12 @@
 _FOLLOW_TARGETS = Pace(wait=1.5 * SECOND, rest=500.0)
 """Engines renew their entries many times a second; looked at together, a leaving
 one is seen within half a second of the two that it gives."""
-KEEP_ADDRESSES: Millis = 1 * SECOND
+_KEEP_ADDRESSES: Millis = 1 * SECOND
 """How long callers keep an address answer, some three times as long: a leaving
 router must serve them for three of these within its grace of 8 s."""
+_KEEP_ADDRESSES_LARGE: Millis = 2 * SECOND
+"""The same in a larger fleet, where a lost router takes few callers with it, and
+hundreds of callers ask."""
 _TICK: Millis = 100.0
 _LAPSE: Millis = 700.0
 """A loop that was held up for so long was frozen or suspended, not merely busy."""
@@ -258,7 +261,10 @@
         if self.is_ready():
             own = Entrance(str(self.settings.front), self.settings.failure_domain)
             found.append(own)
-        return Entrances(choose_entrances(found, domain), KEEP_ADDRESSES)
+        return Entrances(choose_entrances(found, domain), self._find_keep())
+
+    def _find_keep(self) -> Millis:
+        return _KEEP_ADDRESSES if self.peers.small else _KEEP_ADDRESSES_LARGE
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
@@ -365,7 +371,7 @@
         last = began + self.settings.grace - 900.0
         while self.clock.now() < last:
             await asyncio.sleep(0.05)
-            stayed = self.clock.now() - began >= 3 * KEEP_ADDRESSES + 300.0
+            stayed = self.clock.now() - began >= 3 * self._find_keep() + 300.0
             if stayed:
                 self.server.stop_listening()
                 if not self.in_flight:
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -27,10 +27,14 @@
 lost where links lose three packets in a hundred."""
 _KNOWN_EVERY = 10
 """In a larger fleet every tenth heartbeat names the other routers."""
+_FAR_EVERY = 2
+"""In a larger fleet every second heartbeat goes to other failure domains as well."""
+_SILENCE_LARGE = 1.1
+"""Times as long in a larger fleet, where far routers' heartbeats come half as often."""
 _FLUSH: Millis = 1.0
 """How long messages are gathered into one datagram; placement elsewhere is that
 much behind, and a burst costs one system call instead of many."""
-_FLUSH_LARGE: Millis = 20.0
+_FLUSH_LARGE: Millis = 40.0
 """The same in a larger fleet, where an engine gets a request from another router every
 200 ms, and a router whose callers send 150 requests a second would fill its link of
 24 Mbit/s with single datagrams to all."""
@@ -203,7 +207,8 @@
 
     def _find_silence(self) -> Millis:
         """Return the time after which a router that was not heard is lost."""
-        return find_beat(len(self.addresses) + 1) * SILENT_BEATS
+        span = find_beat(len(self.addresses) + 1) * SILENT_BEATS
+        return span if self.small else span * _SILENCE_LARGE
 
     def list_present(self) -> list[Peer]:
         """Return the routers that were heard lately."""
@@ -214,10 +219,13 @@
         """Send a heartbeat now, and look who has fallen silent."""
         beat = self.hooks.make_beat()
         self._beats += 1
-        large = len(self.addresses) >= SMALL_FLEET
-        if beat is not None and large and self._beats % _KNOWN_EVERY != 1:
-            beat = replace(beat, known=())
-        self._send_beat(beat, self.addresses)
+        addresses = self.addresses
+        if beat is not None and len(addresses) >= SMALL_FLEET:
+            if self._beats % _KNOWN_EVERY != 1:
+                beat = replace(beat, known=())
+            if self._beats % _FAR_EVERY != 1:
+                addresses = addresses - self._list_far()
+        self._send_beat(beat, addresses)
         now, silence = self.clock.now(), self._find_silence()
         for name, peer in list(self.routers.items()):
             if now - peer.heard > silence:
@@ -226,6 +234,11 @@
                 self._names.pop(peer.beat.ip, None)
                 self.hooks.lose(peer)
 
+    def _list_far(self) -> set[str]:
+        """Return the addresses of routers in other failure domains."""
+        beats = [peer.beat for peer in self.routers.values()]
+        return {beat.ip for beat in beats if beat.failure_domain != self.domain}
+
     def _send_beat(self, beat: Beat | None, addresses: Iterable[str]) -> None:
         if beat is not None:
             datagram = encode(beat)
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from anvilshift.core.choosing import Demand, choose_engine, choose_plain
 from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo, prefill_time
@@ -54,6 +55,33 @@
     return sum(wait <= bound for wait in waits) / len(waits)
 
 
+class FailureDomainTest(unittest.TestCase):
+    def make_map(self) -> LoadMap:
+        loads = LoadMap()
+        for name, domain in (("near", "north"), ("far", "south")):
+            loads.declare(TargetInfo(name, "advice", "10.0.0.1:80", domain, 64))
+        return loads
+
+    def choose(self, loads: LoadMap, kilobytes: float) -> str:
+        prompt = Prompt((("own", 700),), 700, 50)
+        demand = replace(make_demand(prompt), kilobytes=kilobytes)
+        choice = choose_engine(loads, demand, 0.0, random.Random(1))
+        return choice.target.info.name
+
+    def test_a_large_request_crosses_domains_only_for_more_than_it_costs(self):
+        """Prompts of many kilobytes arrive while the near engine reads a short one.
+
+        Each crosses to another failure domain for a few milliseconds, where bytes
+        are paid for and come later.
+        """
+        loads = self.make_map()
+        waiting = Prompt((("other", 300),), 300, 50)
+        loads.send("near", "run", waiting, 0, 0.0, CAPACITY)
+        # The near engine begins 5.3 ms later; 17 kB cost 9.2 ms, 2 kB cost 1.7 ms.
+        self.assertEqual(self.choose(loads, 17.0), "near")
+        self.assertEqual(self.choose(loads, 2.0), "far")
+
+
 class LoadPatternTest(unittest.TestCase):
     def play_mix(self, replay: Replay, seconds: int, factor: float = 1.0) -> None:
         rng = random.Random(3)
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,111 @@
+import asyncio
+import unittest
+
+from anvilshift.core.clock import ManualClock
+from anvilshift.gateway.messages import Beat, Ended, Sent, decode, encode
+from anvilshift.gateway.peers import Hooks, Peers, find_beat
+from tests.gateway.silent import SilentJournal
+
+DOMAINS = ("north", "south", "west")
+OWN_IP = "10.0.0.200"
+
+
+class RecordingTransport:
+    """Keeps the datagrams that would be sent, by address."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, bytes]] = []
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.sent.append((address[0], data))
+
+    def list_addresses(self, kind: str) -> list[str]:
+        start = f'["{kind}"'.encode()
+        return [ip for ip, data in self.sent if data.startswith(start)]
+
+
+def make_beat(n: int, known: tuple[str, ...] = ()) -> Beat:
+    ip, domain = f"10.0.0.{n}", DOMAINS[n % 3]
+    front = f"{ip}:80"
+    return Beat(f"r{n}", f"r{n}.1", ip, front, domain, 1, True, False, True, known)
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.peers = Peers(OWN_IP, 7000, "north", self.clock, SilentJournal())
+        self.transport = RecordingTransport()
+        self.peers._transport = self.transport
+        own = Beat("own", "own.1", OWN_IP, "x", "north", 1, True, False, True)
+        self.peers.hooks = Hooks(make_beat=lambda: own)
+
+    def hear(self, n: int) -> None:
+        beat = make_beat(n)
+        self.peers.datagram_received(encode(beat), (beat.ip, 7000))
+
+    async def test_a_small_fleet_hears_everything_at_once(self):
+        for n in range(4):
+            self.hear(n)
+        self.assertTrue(self.peers.small)
+        self.peers.tell(Ended("own/1", "e1"))
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(self.transport.list_addresses("Ended")), 4)
+
+    async def test_a_larger_fleet_hears_of_sends_only_near_the_engine(self):
+        """Thirty routers each tell all others of every send and end.
+
+        A router whose callers send much fills its link with that, and its answers
+        come late.
+        """
+        for n in range(30):
+            self.hear(n)
+        sent = Sent("own/1", "e1", (), 10, 5, 0, False)
+        self.peers.tell_near(sent, "south")
+        await asyncio.sleep(0.08)
+        told = self.transport.list_addresses("Sent")
+        near = [f"10.0.0.{n}" for n in range(30) if DOMAINS[n % 3] != "west"]
+        self.assertCountEqual(told, near)
+
+    async def test_the_end_of_a_run_goes_with_the_next_send(self):
+        for n in range(30):
+            self.hear(n)
+        self.peers.tell_near(Ended("own/1", "e1"), "north", soon=False)
+        await asyncio.sleep(0.08)
+        self.assertEqual(self.transport.list_addresses("Ended"), [])
+        self.peers.tell_near(Sent("own/2", "e1", (), 10, 5, 0, False), "north")
+        await asyncio.sleep(0.08)
+        datagrams = [d for _, d in self.transport.sent if d.startswith(b'["Ended"')]
+        kinds = [type(message) for message in decode(datagrams[0])]
+        self.assertEqual(kinds, [Ended, Sent])
+
+    async def test_any_datagram_shows_that_a_router_lives(self):
+        """A router of a larger fleet sends heartbeats seldom, and links lose some.
+
+        What it tells of its work shows as well that it is there.
+        """
+        self.hear(1)
+        silence = find_beat(2) * 4.3
+        self.clock.advance(silence - 1.0)
+        self.peers.datagram_received(encode(Ended("r1/1", "e1")), ("10.0.0.1", 7000))
+        self.clock.advance(silence - 1.0)
+        self.assertEqual(len(self.peers.list_present()), 1)
+        self.clock.advance(2.0)
+        self.assertEqual(self.peers.list_present(), [])
+
+    async def test_a_router_that_is_found_is_told_of_all_others_at_once(self):
+        for n in range(20):
+            self.hear(n)
+        self.transport.sent.clear()
+        self.hear(25)
+        self.assertEqual(self.transport.list_addresses("Beat"), ["10.0.0.25"])
+
+    async def test_far_routers_get_fewer_heartbeats(self):
+        for n in range(30):
+            self.hear(n)
+        self.transport.sent.clear()
+        for _ in range(4):
+            self.peers.beat()
+        counts = [
+            self.transport.list_addresses("Beat").count(f"10.0.0.{n}") for n in (0, 1)
+        ]
+        self.assertEqual(counts, [4, 2])
