--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -57,7 +57,7 @@
     Parameters
     ----------
     anchor
-        When the store had last answered before the record was written.
+        When the record was made.
     """
 
     anchor: Millis
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -5,8 +5,9 @@
 only their own work would all pick the engine that looked idle a moment ago.
 
 Every router tells the others each send, first event and end, so that each
-holds nearly the whole picture within a millisecond or two.  What is told may be
-lost; a run that nobody ends is forgotten after the longest time it can take.
+holds nearly the whole picture within a millisecond or two; in a large fleet it
+tells those that send most work to the same engines.  What is told may be lost;
+a run that nobody ends is forgotten after the longest time it can take.
 """
 
 import math
--- a/anvilshift/core/usage.py
+++ b/anvilshift/core/usage.py
@@ -67,9 +67,8 @@
         >>> use.most_after(0.0), use.most_after(4_000.0), use.most_after(60_000.0)
         (120, 140, 200)
         """
-        # With a tenth of the cushion used a second, a part at once of 0.15 and the
-        # square of the time keep up with the use in a cut, and after the 2.5 s of a
-        # restart leave 0.08 of the cushion where a straight line leaves 0.27.
+        # The square unlocks a sixteenth in the two seconds that a restart takes, where
+        # a straight line unlocks a quarter; in a cut it catches up with the use later.
         part = min(1.0, max(0.0, elapsed) / SPREAD_OVER) ** 2
         return self.recorded + self.at_once + int((self.cushion - self.at_once) * part)
 
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -38,7 +38,7 @@
 some milliseconds, or is out of reach."""
 _PROVABLE = 0.75
 """Of the time after which all may be spent, what a bound may take to be of use: by then
-somewhat more than half of what a router may spend is out of reach."""
+nearly half of what a router may spend beyond its record is still out of reach."""
 _STEP: Millis = 200.0
 """Between the bounds that a record offers: finer than its period tells no more."""
 _BOOT = pathlib.Path("/proc/sys/kernel/random/boot_id")
