Send streams elsewhere that a planned stop would cut off

A caller with an address answer of 3 s before connected 3.246 s after SIGTERM, its stream began 16 ms later and lasted 3.8 s; the router ended at 7.15 s of its grace of 8 s and cut it. Ruled out: the longer waits for tokens (the request waited 99 ms). Change: 2.9 s after the signal a stopping router answers new streams 503, not run, come back in 150 ms; plain requests are served as before. Larger fleets keep addresses for 2 s, where this would show more often.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -84,6 +84,10 @@
     born: int = 0
     cold_until: Millis = -math.inf
 
+    def is_another(self, known: "TargetInfo") -> bool:
+        """Tell whether this is of another start than the one that is known."""
+        return (self.born, self.address) != (known.born, known.address)
+
 
 @dataclass(slots=True)
 class RunLoad:
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -11,7 +11,7 @@
 from anvilshift.core.errors import AnvilshiftError, Fate
 from anvilshift.core.identity import make_identity
 from anvilshift.core.keepers import KeeperMap
-from anvilshift.core.loadmap import LoadMap, TargetInfo
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
@@ -43,6 +43,9 @@
 _KEEP_ADDRESSES_LARGE: Millis = 2 * SECOND
 """The same in a larger fleet, where a lost router takes few callers with it, and
 hundreds of callers ask."""
+_TAKE_STREAMS: Millis = 2_900.0
+"""How long a stopping router takes new streams: one that lasts for four seconds still
+ends within the grace."""
 _TICK: Millis = 100.0
 _LAPSE: Millis = 700.0
 """A loop that was held up for so long was frozen or suspended, not merely busy."""
@@ -220,7 +223,7 @@
             return
         self.register.put(change.name, change.body)
         known = self.loads.targets.get(change.name)
-        if known is None or _is_another(known.info, info):
+        if known is None or info.is_another(known.info):
             self.journal.write(
                 "target_found",
                 target=info.name,
@@ -371,6 +374,7 @@
         last = began + self.settings.grace - 900.0
         while self.clock.now() < last:
             await asyncio.sleep(0.05)
+            self.shared.ending = self.clock.now() - began >= _TAKE_STREAMS
             stayed = self.clock.now() - began >= 3 * self._find_keep() + 300.0
             if stayed:
                 self.server.stop_listening()
@@ -393,8 +397,3 @@
         await self.server.close()
         self.client.close()
         self.peers.close()
-
-
-def _is_another(known: TargetInfo, found: TargetInfo) -> bool:
-    """Tell whether an entry is of another start than the one that is known."""
-    return (known.born, known.address) != (found.born, found.address)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -154,6 +154,7 @@
 
     async def _serve_paid(self, prompt: Prompt, model: ModelFigures) -> None:
         """Answer a model request within what its organisation has prepaid."""
+        self.shared.check_staying()
         reservations, payer = self.shared.reservations, self.payer
         if payer is None:
             await self._within_time(self._attempt_until_answered())
@@ -247,9 +248,8 @@
         """Refuse at once what can't begin before its time is over."""
         left = self.end - self.shared.clock.now()
         if choice.wait > left and not self.may_have_run:
-            late = choice.wait - left
             detail = f"a wait of {choice.wait:.0f} ms is expected"
-            raise self._give_up(OVERLOADED, late, detail)
+            raise self._give_up(OVERLOADED, choice.wait - left, detail)
 
     def _give_up(self, code: Code, wait: Millis, detail: str) -> AnvilshiftError:
         """Return the error that says truly what became of the request."""
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.blame import BlameBook
-from anvilshift.core.clock import Clock
+from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.durations import Mean
+from anvilshift.core.errors import NOT_READY, AnvilshiftError
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import RouteTable
 from anvilshift.gateway.attempts import Sender
@@ -14,6 +15,8 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.reserving import Reservations
 
+_RETURN: Millis = 150.0
+"""When a caller that was refused by a stopping router may come to another one."""
 _PLAIN_WORK = 40.0
 """Milliseconds of a plain request until some are measured."""
 
@@ -37,6 +40,21 @@
     note_replaced: Callable[[str], None] = lambda target: None
     work: dict[str, Mean] = field(default_factory=dict)
     runs: int = 0
+    ending: bool = False
+
+    def check_staying(self) -> None:
+        """Refuse a stream that a planned stop of this router would cut off.
+
+        Callers that hold an old address answer connect up to its end; what shows
+        otherwise is an answer that breaks off in the middle.
+
+        Raises
+        ------
+        AnvilshiftError
+            Code of a router that is not ready: not run, come back elsewhere.
+        """
+        if self.ending:
+            raise AnvilshiftError(NOT_READY, "a planned stop", retry_after=_RETURN)
 
     def mean_work(self, service: str) -> Mean:
         """Return the measured time of a plain service's requests."""
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -101,6 +101,27 @@
         self.assertEqual(spec["organisations"]["pounds"]["shares"], {})
         self.assertEqual(spec["organisations"]["pounds"]["closed"], 260)
 
+    async def test_a_stream_that_a_stop_would_cut_off_is_sent_elsewhere_at_once(self):
+        """A caller with an old address answer connects 3.2 s after the signal to stop.
+
+        Its stream takes four seconds, and would break off when the grace ends; told
+        at once that nothing ran, the caller has its answer from another router.
+        """
+        target = await self.add_target("e1", "llm")
+        await self.add_target("d1", "desk")
+        await self.start_node()
+        self.node.shared.ending = True
+        status, headers, _ = await self.call("/chat/1")
+        self.assertEqual((status, target.runs), (503, []))
+        self.assertEqual(headers.get("retry-after"), "0.150")
+        self.assertEqual((await self.call("/read/1"))[0], 200)
+
+    async def test_a_stop_takes_no_new_streams_after_a_while(self):
+        await self.start_node()
+        stopping = asyncio.create_task(self.node.stop())
+        await self.wait_for(lambda: self.node.shared.ending)
+        await stopping
+
 
 class EntranceTest(GatewayCase):
     async def test_callers_are_told_where_to_connect(self):
