--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -32,17 +32,26 @@
 """Below the ports that the system gives to outgoing connections: one of those may
 be taken between the look here and the start of the process that shall listen."""
 _RNG = random.SystemRandom()
+_TAKEN: set[int] = set()
 
 
 def take_free_port() -> int:
-    """Return a port that nobody listens on now."""
+    """Return a port that nobody listens on now; never the same one twice.
+
+    A port that was returned is free until its process listens on it, half a
+    second later.  Drawn again in that time it would go to two processes of one
+    fleet, the second of which would end at once: address already in use.
+    """
     while True:
         port = _RNG.choice(_PORTS)
+        if port in _TAKEN:
+            continue
         with socket.socket() as taken:
             try:
                 taken.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            _TAKEN.add(port)
             return port
 
 
