Take the time to fetch a prompt's memory from what is declared of the engines

Hypothesis: the time to fetch a token's memory was a constant that fits one customer (0.0012 ms); the new one's engines declare 327,680 bytes over 290,000 Mbit/s, 0.0090 ms, so 13,000 tokens take 120 ms where 19 were predicted. Ruled out: the prefill rate (64.2 tokens a ms stood, 63.9 here). Change: ModelFigures carries the time per token, worked out at the border from size and rate; infinite, so that nothing is fetched, where either is missing or absurd.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -7,7 +7,7 @@
 
 The time to a first token is predicted for each engine from what waits there and
 from what of the prompt its memory lacks.  What another engine's memory holds may
-be fetched from there, which takes a few milliseconds.
+be fetched from there, where that takes less time than reading it again.
 
 A prompt of some 23,000 tokens or more slows each step so much that every stream
 beside it pauses for too long.  Such prompts are kept together, on engines where
@@ -22,7 +22,6 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import State
 from anvilshift.core.loadmap import (
-    FETCH_MS_PER_TOKEN,
     FETCH_SETUP,
     LoadMap,
     Prompt,
@@ -108,6 +107,9 @@
         Longest pause between two events of the streams beside it.
     kilobytes
         Size of the request's body.
+    fetch_per_token
+        Time to fetch a token's memory from another engine; infinite where that
+        can't be done.
     """
 
     service: str
@@ -118,6 +120,7 @@
     steps: int = 1
     pause: Millis = math.inf
     kilobytes: float = 0.0
+    fetch_per_token: Millis = math.inf
 
 
 def list_usable(
@@ -179,12 +182,12 @@
     tokens, (most, holder) = demand.prompt.tokens, longest
     waiting = target.backlog(now)
     reading = prefill_time(tokens - cached, cached)
-    fetched = FETCH_SETUP + (most - cached) * FETCH_MS_PER_TOKEN
-    fetched += prefill_time(tokens - most, most)
-    if most - cached >= _FETCH_LEAST and fetched < reading:
-        reading, cached, source = fetched, most, holder
-    else:
-        source = None
+    source = None
+    if most - cached >= _FETCH_LEAST:
+        fetched = FETCH_SETUP + (most - cached) * demand.fetch_per_token
+        fetched += prefill_time(tokens - most, most)
+        if fetched < reading:
+            reading, cached, source = fetched, most, holder
     speed = target.speed.value
     pause = longest_pause(tokens - cached, cached, demand.steps) * speed + _JITTER
     wait = waiting + reading * speed
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -38,8 +38,6 @@
 """A single measure beyond these is of something else, such as a preemption."""
 FETCH_SETUP: Millis = 3.0
 """Time until memory that is fetched from another engine begins to arrive."""
-FETCH_MS_PER_TOKEN = 0.0012
-"""Time to fetch a token's memory: 164 kB over 1,100 Gbit/s."""
 LONGEST_RUN: Millis = 20 * SECOND
 """A run whose end nobody told is forgotten then; callers wait 15 s at most."""
 
--- a/anvilshift/core/routing.py
+++ b/anvilshift/core/routing.py
@@ -80,11 +80,15 @@
         Tokens that one engine's memory holds, running and cached.
     tokens_an_event
         Most tokens that one event of a stream carries.
+    fetch_per_token
+        Time to fetch a token's memory from another engine; infinite where nothing
+        is declared of it.
     """
 
     slots: int = 0
     cache_tokens: int = 0
     tokens_an_event: int = 1
+    fetch_per_token: Millis = math.inf
 
 
 @dataclass(frozen=True)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -227,6 +227,7 @@
                 self.model.tokens_an_event,
                 self.pause,
                 len(self.request.body) / 1_000,
+                self.model.fetch_per_token,
             )
             choice = choose_engine(
                 shared.sender.loads, demand, now, shared.rng, self.excluded
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -1,5 +1,6 @@
 """Models of what the operators and the engines write into the platform's store."""
 
+import math
 from collections.abc import Mapping
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -17,6 +18,10 @@
     Tenancy,
 )
 
+_BITS = 8
+"""Bits of a byte."""
+_BITS_A_MS_PER_MBPS = 1_000.0
+"""Bits that a rate of one megabit a second carries in a millisecond."""
 _KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
@@ -80,6 +85,16 @@
     kv_capacity: int = 0
     stride: int = 1
     """Most tokens of one event."""
+    kv_token_bytes: float = 0.0
+    """Size of a token's memory, as it is sent to another engine."""
+    link_mbps: float = 0.0
+    """Rate at which engines send memory to one another."""
+
+    def convert(self) -> ModelFigures:
+        """Return the product's figures."""
+        bits, rate = self.kv_token_bytes * _BITS, self.link_mbps * _BITS_A_MS_PER_MBPS
+        per_token = bits / rate if bits > 0.0 and rate > 0.0 else math.inf
+        return ModelFigures(self.slots, self.kv_capacity, self.stride, per_token)
 
 
 class ServiceRecord(_Record):
@@ -95,8 +110,7 @@
         engine = self.engine_id
         if engine is None:
             return Service(self.name, self.max_conns)
-        model = ModelFigures(engine.slots, engine.kv_capacity, engine.stride)
-        return Service(self.name, self.max_conns, model)
+        return Service(self.name, self.max_conns, engine.convert())
 
 
 class _Tenant(_Record):
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -1,3 +1,4 @@
+import math
 import random
 import unittest
 from dataclasses import replace
@@ -6,6 +7,8 @@
 from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo, prefill_time
 
 CAPACITY = 400_000
+FETCH = 0.0012
+"""Milliseconds to fetch a token's memory: 164 kB over 1,100 Gbit/s."""
 ENGINES = [f"e{n}" for n in range(9)]
 
 
@@ -17,7 +20,7 @@
 
 
 def make_demand(prompt: Prompt, on_time: float = 1_000.0) -> Demand:
-    return Demand("advice", prompt, CAPACITY, "north", on_time, 5, 300.0)
+    return Demand("advice", prompt, CAPACITY, "north", on_time, 5, 300.0, 0.0, FETCH)
 
 
 class Replay:
@@ -155,6 +158,27 @@
         self.assertEqual(choice.fetch_from.info.name, "e0")
         self.assertEqual(choice.cached, 9_100)
 
+    def choose_beside_a_holder(self, fetch_per_token: float):
+        """Choose where e0 holds a sheet of 9,000 tokens and reads for 100 ms more."""
+        loads = make_map(("e0", "e1"))
+        prompt = Prompt((("sheet", 9_000), ("q", 100)), 9_100, 50)
+        loads.send("e0", "r1", prompt, 0, 0.0, CAPACITY)
+        loads.begin("e0", "r1", 150.0)
+        loads.send("e0", "r2", Prompt((("x", 5_200),), 5_200, 50), 0, 200.0, CAPACITY)
+        demand = replace(make_demand(prompt), fetch_per_token=fetch_per_token)
+        return choose_engine(loads, demand, 200.0, random.Random(1))
+
+    def test_a_slow_link_makes_a_prompt_wait_for_the_engine_that_holds_it(self):
+        # 3 + 9,100 x 0.0012 = 14 ms are less than the wait of 100 ms at e0; over a
+        # link that takes 0.012 ms a token, 3 + 9,100 x 0.012 = 112 ms are more.
+        fast = self.choose_beside_a_holder(0.0012)
+        self.assertEqual((fast.target.info.name, fast.cached), ("e1", 9_100))
+        slow = self.choose_beside_a_holder(0.012)
+        self.assertEqual((slow.target.info.name, slow.fetch_from), ("e0", None))
+
+    def test_nothing_is_fetched_where_no_rate_is_declared(self):
+        self.assertIsNone(self.choose_beside_a_holder(math.inf).fetch_from)
+
     def test_disturbing_prompts_are_kept_together(self):
         """A prompt of 40,000 tokens is read while chats stream on the engine.
 
