Ask less often about a store that is out of reach

Calls in vain are priced. Change: pauses grow from 0.3 to 0.9 s, and the follower of targets waits for the word of the configuration's while that one finds the store out of reach. The return is seen within a second; the bounds begin when the store has been stable for 3 s.

--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -14,8 +14,13 @@
 from anvilshift.objects.store import Body, Change, ObjectStore
 
 _PAUSE: Millis = 300.0
-"""After a failed call: the store is looked for three times a second, so that its
-return is seen well within the bounds that begin with it."""
+"""After a failed call."""
+_PAUSE_GROWTH, _MOST_PAUSE = 1.5, 900.0
+"""After each further one the pause is longer by the first, up to the second in
+milliseconds: calls in vain are priced too, and the store's return is still seen well
+within the bounds that begin with it."""
+_HEED: Millis = 50.0
+"""Between two looks at what a scout found."""
 _RETURN: Millis = 2_200.0
 """Entries of targets that live are back in the store about 2 s after it is."""
 _STALE: Millis = 1_000.0
@@ -67,6 +72,9 @@
         Called with each object that is there, was written or was removed.
     settle
         Called with the names that are there after a list.
+    scout
+        Another follower of the same store: while that one finds it out of reach,
+        this one waits for its word, so that one call in vain is made and not two.
     """
 
     store: ObjectStore
@@ -79,6 +87,8 @@
     seen: Millis = -1e12
     revision: int = 0
     stretch: float = 1.0
+    scout: "Follower | None" = None
+    _failures: int = 0
     _lost: bool = False
     _restart: bool = False
 
@@ -101,7 +111,17 @@
                 await self._watch()
             except AnvilshiftError as error:
                 self._note_failure(error)
-                await asyncio.sleep(_PAUSE / SECOND)
+                await self._rest()
+
+    async def _rest(self) -> None:
+        """Wait after a failed call."""
+        pause = min(_PAUSE * _PAUSE_GROWTH**self._failures, _MOST_PAUSE)
+        self._failures += 1
+        await asyncio.sleep(pause / SECOND)
+        # The scout may itself hang on a connection that has gone silent.
+        most = self.clock.now() + _MOST_PAUSE
+        while self.scout and self.scout._lost and self.clock.now() < most:
+            await asyncio.sleep(_HEED / SECOND)
 
     def _note_failure(self, error: AnvilshiftError) -> None:
         if not self._lost:
@@ -112,6 +132,7 @@
 
     def _note_answer(self) -> None:
         self.seen = self.clock.now()
+        self._failures = 0
         if self._lost:
             self._lost = False
             self.journal.write("store_regained", kind=self.kind)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -143,6 +143,7 @@
             self._take_target,
             self.register.settle,
         )
+        self.registering.scout = self.configuring
         self.server = HttpServer(self.handle)
         self.in_flight = 0
         self.leaving = False
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -2,12 +2,21 @@
 import unittest
 
 from anvilshift.core.clock import ManualClock
+from anvilshift.core.errors import PLATFORM_DOWN, AnvilshiftError
 from anvilshift.gateway.following import Follower, Pace, Register
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from tests.gateway.silent import SilentJournal
 
 
+async def refuse(caller: str, verb: str) -> None:
+    raise AnvilshiftError(PLATFORM_DOWN)
+
+
+async def accept(caller: str, verb: str) -> None:
+    return None
+
+
 class FollowerTest(unittest.TestCase):
     def follow(self, course):
         """Run a course of a test beside a follower, in virtual time."""
@@ -55,6 +64,38 @@
 
         self.follow(course)
 
+    def test_a_long_outage_is_asked_about_ever_less_often(self):
+        """Dozens of routers lose the store for 8 s, each with two followers.
+
+        Each asked three times a second, and every call is paid for.
+        """
+
+        async def course(store, follower, seen):
+            scout = Follower(
+                store,
+                "targets",
+                Pace(wait=1_000.0),
+                VirtualClock(),
+                SilentJournal(),
+                lambda change: None,
+            )
+            follower.scout = scout
+            task = asyncio.create_task(scout.run())
+            await asyncio.sleep(2.0)
+            store.calls.clear()
+            store.faults.before = refuse
+            await asyncio.sleep(8.0)
+            # The scout's are 0.3, 0.45 and 0.675 s apart and then 0.9, twelve at the
+            # most; its follower's are 1.2 s apart or more, eight at the most.
+            self.assertLessEqual(store.calls.total(), 20)
+            store.faults.before = accept
+            await store.put("config", "main", {"version": 3}, 0)
+            await asyncio.sleep(1.0)
+            self.assertEqual(seen[-1:], [("main", {"version": 3})])
+            task.cancel()
+
+        self.follow(course)
+
     def test_lost_history_begins_anew_with_a_list(self):
         async def course(store, follower, seen):
             await store.put("config", "main", {"version": 1}, 0)
