Let a router that has just started wait for the others' former shares

Who came first found little free, took that for two seconds' truth and refused callers for 4 s; non-keepers that had not heard of the keepers drew for themselves. Change: the first write waits until no router has been found for 120 ms; for 1.5 s what is free counts as known for 200 ms only, keepers go on drawing and refused callers come back after 300 ms. What a write found free is known for every organisation, so that a request of another one costs no look of its own.

--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -84,6 +84,8 @@
     rank
         Place of this router among the `keepers` of the organisation's tokens; None
         if it is none of them.
+    free, free_until
+        Tokens that no router had as of the last write, and until when that holds.
     busy_at
         When a request last reserved tokens.
     unkept_until
@@ -105,7 +107,8 @@
     rate: float = 0.0
     rated_at: Millis = 0.0
     rated_since: Millis | None = None
-    dry_until: Millis = -math.inf
+    free: int = 0
+    free_until: Millis = -math.inf
     limited: bool = True
     provable: bool = False
     busy_at: Millis = -math.inf
@@ -214,10 +217,20 @@
         cushion = self.cushion(now)
         if self.ready > max(1, int(cushion * _GIVE_ABOVE)):
             return True
-        if now < self.dry_until:
+        if self.is_dry(now):
             return False
         return self.lacks() or self.ready < cushion * _REFILL_BELOW
 
+    def is_dry(self, now: Millis) -> bool:
+        """Tell whether a draw would find too little free for any request that waits.
+
+        Crumbs that none of them fits into are as good as nothing.  What one write
+        tells holds for all organisations: looked at for each alone, a burst near the
+        end of many totals costs several priced writes a second.
+        """
+        least = min(self.waiting.values(), default=1) - max(0, self.ready)
+        return now < self.free_until and self.free < max(1, least)
+
     def draws(self, now: Millis) -> bool:
         """Tell whether this router draws from the store, as no keeper does it."""
         return self.keeping or now < self.unkept_until
--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -19,8 +19,8 @@
 from anvilshift.core.keepers import KeeperMap
 from anvilshift.core.usage import Use, UseRecord
 
-_DRY_SPAN: Millis = 2 * SECOND
-"""After a draw that found nothing free: a total grows by seconds, and each look is
+DRY_SPAN: Millis = 2 * SECOND
+"""How long what a write found free holds: a total grows by seconds, and each look is
 a priced write."""
 _UNKEPT: Millis = 1 * SECOND
 """After no keeper answered: about as long as one that is lost still counts as there."""
@@ -60,7 +60,7 @@
                 # than is left, so it goes back before anything else is drawn.
                 purse.ceiling = min(purse.ceiling, purse.spent)
             if total is not None and total > purse.total:
-                purse.dry_until = now
+                purse.free_until = now
             purse.total = total or 0
 
     def reserve(self, name: str, key: str, tokens: int, now: Millis) -> bool:
@@ -75,9 +75,9 @@
         return True
 
     def is_dry(self, name: str, now: Millis) -> bool:
-        """Tell whether the last draw found nothing free."""
+        """Tell whether the last write found too little free."""
         purse = self.purses.get(name)
-        return purse is not None and now < purse.dry_until
+        return purse is not None and purse.is_dry(now)
 
     def give_up(self, name: str, key: str) -> None:
         """Forget a request that waited for tokens."""
@@ -98,7 +98,7 @@
     def is_waited_for(self, now: Millis) -> bool:
         """Tell whether a request waits for tokens that may be drawn now."""
         return any(
-            purse.lacks() and purse.draws(now) and now >= purse.dry_until
+            purse.lacks() and purse.draws(now) and not purse.is_dry(now)
             for purse in self.purses.values()
         )
 
@@ -120,8 +120,16 @@
                 purse.ceiling = min(purse.ceiling, wishes[name].ceiling)
         return wishes
 
-    def take(self, allotments: Allotments, now: Millis) -> None:
-        """Take in the object after a write of this router took effect."""
+    def take(
+        self, allotments: Allotments, now: Millis, dry_span: Millis = DRY_SPAN
+    ) -> None:
+        """Take in the object after a write of this router took effect.
+
+        Parameters
+        ----------
+        dry_span
+            How long what is free counts as known.
+        """
         self.seen = allotments
         for name, purse in self.purses.items():
             purse.ceiling = max(allotments.ceiling(name, self.holder), purse.spent)
@@ -131,10 +139,7 @@
                 - known.closed
                 - sum(share.recorded for share in known.shares.values())
             )
-            # Crumbs that no waiting request fits into are as good as nothing: looked
-            # at again and again they cost a write every 150 ms for each of a burst.
-            if known.free < min(purse.waiting.values(), default=1):
-                purse.dry_until = now + _DRY_SPAN
+            purse.free, purse.free_until = known.free, now + dry_span
 
     def set_provable(self, provable: bool) -> None:
         """Take in whether a successor could prove how much was spent here."""
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -16,7 +16,7 @@
     AnvilshiftError,
 )
 from anvilshift.core.usage import Spent
-from anvilshift.core.wallet import Wallet
+from anvilshift.core.wallet import DRY_SPAN, Wallet
 from anvilshift.gateway.journal import Journal
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.records import decode, encode
@@ -37,11 +37,17 @@
 _DRAWN_AFTER = 2
 """The first write only tells what is left; the second draws by it."""
 _GREETING: Millis = 120.0
-"""From a start to the first write: other routers answer a first heartbeat within
-milliseconds, and the store is read before traffic comes."""
+"""From a start, and from when the last other router was found, to the first write.
+A fleet that starts at once finds its routers one by one: each that wrote before it
+knew them would take itself for a keeper of tokens, and meet the writes of all."""
 _ALONE: Millis = 600.0
-"""The same while no other router is heard: who writes first alone takes what the
-routers that keep an organisation's tokens would have to get back."""
+"""From a start to the first write at the most, and while no other router is heard:
+who writes first alone takes what the keepers would have to get back."""
+_YOUNG: Millis = 1.5 * SECOND
+"""After a start others may have started too, and end their former shares: what is
+free grows by tenths of a second."""
+_DRY_YOUNG: Millis = 200.0
+"""After a draw of a router so young that found nothing free."""
 _RECENT: Millis = 2.5 * SECOND
 """What the store said of a total holds for so long: a draw that found nothing is
 made again after two seconds."""
@@ -62,6 +68,8 @@
         have ended.
     holder
         Name of this incarnation.
+    alone, found_at
+        Whether no other router is heard, and when one was found last.
     """
 
     store: ObjectStore
@@ -79,6 +87,7 @@
     ended: dict[str, dict[str, Spent]] = field(default_factory=dict)
     rounds: int = 0
     alone: bool = True
+    found_at: Millis = -1e12
     _writes: int = 0
     _written: Millis = -1e12
 
@@ -109,6 +118,10 @@
         """Return the time since the store last told of the shares."""
         return self.clock.now() - self._written
 
+    def is_young(self) -> bool:
+        """Tell whether the shares of routers that started with this one may be open."""
+        return self.clock.now() - self._made < _YOUNG
+
     def is_exhausted(self, name: str, tokens: int) -> bool:
         """Tell whether a total certainly can't cover as many tokens now."""
         recent = self.find_age() < _RECENT
@@ -168,7 +181,8 @@
             return False
         if not self._begun:
             # Others may know what this host's former incarnation spent.
-            return now - self._made >= (_ALONE if self.alone else _GREETING)
+            settled = now - max(self._made, self.found_at) >= _GREETING
+            return now - self._made >= _ALONE or (settled and not self.alone)
         if self.wallet.is_waited_for(now):
             return True
         if self.ended.keys() & self.wallet.seen.list_holders():
@@ -213,7 +227,8 @@
         stored = await self._object.update(change)
         self._begun = True
         self._written = self.clock.now()
-        self.wallet.take(read_allotments(stored.body), self._written)
+        dry_span = _DRY_YOUNG if self.is_young() else DRY_SPAN
+        self.wallet.take(read_allotments(stored.body), self._written, dry_span)
         self._log_shares(stored.version, list(wishes))
         if self.failing:
             self.failing = False
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -86,8 +86,11 @@
         if not self.is_leaving():
             names.add(self.settings.name)
         self.allotter.alone = not peers
+        known = self.keepers.routers
         if names and self.keepers.set_routers(names):
             self.allotter.wallet.set_keepers(self.keepers)
+            if names - known:
+                self.allotter.found_at = self.clock.now()
 
     def ask_for_tokens(
         self, keeper: str, number: int, organisation: str, tokens: int
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -31,6 +31,9 @@
 _RETRY: Millis = 4 * SECOND
 """A store that is out of reach comes back, or a total is topped up, after some
 seconds; a caller that comes back sooner is refused again."""
+_RETRY_YOUNG: Millis = 300.0
+"""The same just after a start: the shares of routers that were killed together are
+ended one by one, within a second."""
 _REMEMBER: Millis = 500.0
 """How long a refusal of an organisation's request holds for others as large:
 without it each of a burst of them would cost writes and wait in vain."""
@@ -162,6 +165,9 @@
     async def _wait_for_keeper(self, until: Millis, hunt: TokenHunt) -> bool:
         """Wait until a keeper may have the tokens; False when that is too late."""
         wait = hunt.find_wait()
+        if wait is None and self.allotter.is_young():
+            # The keepers may have started with this router, and wait themselves.
+            wait = _RETRY_YOUNG
         if wait is None or self.clock.now() + wait >= until:
             return False
         await asyncio.sleep(max(_LEAST_ROUND, wait) / SECOND)
@@ -185,6 +191,8 @@
         now, purse = self.clock.now(), self.wallet.purses[name]
         if not hunt.is_over(now):
             return False
+        if self.allotter.is_young() and purse.draws(now):
+            return False
         if self._may_record(hunt) and tokens <= purse.ready:
             return False
         if not purse.draws(now):
@@ -224,6 +232,8 @@
         now = self.clock.now()
         certain = self._is_certain(name, tokens, hunt)
         waits = [self.wallet.find_wait(name, key, now), hunt.find_wait()]
+        if self.allotter.is_young():
+            waits.append(_RETRY_YOUNG)
         known = [wait for wait in waits if wait is not None and wait > 0.0]
         wait = min(known, default=None)
         self._refusals[name] = _Refusal(tokens, now + _REMEMBER, certain, wait)
--- a/tests/core/test_wallet.py
+++ b/tests/core/test_wallet.py
@@ -214,3 +214,38 @@
         wallet.take(Allotments({POUNDS: known}), 0.0)
         self.assertFalse(wallet.wants_change(1_500.0))
         self.assertTrue(wallet.wants_change(2_500.0))
+
+    def test_one_write_tells_what_is_free_for_every_organisation(self):
+        """Requests of many organisations come, each near the end of its total.
+
+        The write that was made for the first told what is free for all of them.
+        """
+        wallet = Wallet("r1")
+        names = ("inns", POUNDS)
+        wallet.configure(dict.fromkeys(names, 1_000), 0.0)
+        nearly_all = Allotment(1_000, 1, closed=950)
+        wallet.take(Allotments(dict.fromkeys(names, nearly_all)), 0.0)
+        self.assertFalse(wallet.reserve(POUNDS, "a", 60, 500.0))
+        self.assertFalse(wallet.is_waited_for(500.0))
+        self.assertTrue(wallet.is_dry(POUNDS, 500.0))
+        self.assertTrue(wallet.is_waited_for(2_000.0))
+
+    def test_what_is_free_may_make_up_what_lies_ready(self):
+        wallet = Wallet("r1")
+        wallet.configure({POUNDS: 1_000}, 0.0)
+        shares = {"r1": Share(40, 0)}
+        known = Allotment(1_000, 1, closed=930, shares=shares)
+        wallet.take(Allotments({POUNDS: known}), 0.0)
+        # Forty lie ready and thirty are free: enough for sixty.
+        self.assertFalse(wallet.reserve(POUNDS, "a", 60, 500.0))
+        self.assertTrue(wallet.is_waited_for(500.0))
+
+    def test_a_total_that_grows_is_looked_at_at_once(self):
+        wallet = Wallet("r1")
+        wallet.configure({POUNDS: 1_000}, 0.0)
+        known = Allotment(1_000, 1, closed=1_000)
+        wallet.take(Allotments({POUNDS: known}), 0.0)
+        wallet.reserve(POUNDS, "a", 60, 500.0)
+        self.assertFalse(wallet.is_waited_for(500.0))
+        wallet.configure({POUNDS: 2_000}, 600.0)
+        self.assertTrue(wallet.is_waited_for(600.0))
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -88,7 +88,8 @@
 
     def _note_routers(self) -> None:
         for one in self.reservations.values():
-            one.keepers.set_routers(set(self.reservations))
+            if one.keepers.set_routers(set(self.reservations)):
+                one.allotter.found_at = self.clock.now()
             one.wallet.set_keepers(one.keepers)
 
     async def _run(self, node: str) -> None:
--- a/tests/gateway/test_allotting.py
+++ b/tests/gateway/test_allotting.py
@@ -18,6 +18,24 @@
 
         play(course)
 
+    def test_routers_that_start_together_do_not_all_write_the_shares(self):
+        """A fleet of twelve has lost power; its routers are back 40 ms apart.
+
+        Each that knew few others took itself for a keeper and wrote its share.
+        Their writes met, and callers waited for the two that keep the tokens.
+        """
+
+        async def course(fleet):
+            for n in range(12):
+                fleet.start(f"r{n}", total=100_000)
+                await asyncio.sleep(0.04)
+            await asyncio.sleep(2.0)
+            holders = fleet.read().shares
+            # The organisation's two keepers, and whoever found the others last.
+            self.assertLessEqual(len(holders), 3)
+
+        play(course)
+
     def test_work_goes_on_while_all_are_cut_from_the_store(self):
         """Every router is cut from the store for 8 s.
 
