Recover what is known of the store's history from the former process' record

Cause: for 14 s after a loss of all power no router knew a revision old enough to bound a restart by. So cushions stayed small, each request near the end of a total was drawn for (20 writes a second in a grown fleet), and a second loss would have stranded every cushion whole. Change: records name marks of the whole history; who starts takes those of its host's former process as if they were younger by the time without power, which makes a bound longer and never shorter.

--- a/anvilshift/core/retention.py
+++ b/anvilshift/core/retention.py
@@ -70,6 +70,32 @@
         """Return every mark, oldest first."""
         return tuple(self._marks)
 
+    def recover(self, spans: Iterable[tuple[Millis, int]], instant: Millis) -> None:
+        """Take in marks that a process before this one had listed.
+
+        Without them a fleet that has lost all power could prove nothing of its own
+        records until it had followed the store for most of the history's time.
+
+        Parameters
+        ----------
+        spans
+            Bounds on the time since an instant of the former process, and their
+            revisions, as `list_spans` gives them.
+        instant
+            An instant of this process' clock that was no earlier than that one.
+            The marks look younger by the time between, so that what they prove is
+            a longer bound, never a shorter one.
+
+        Examples
+        --------
+        >>> marks = MarkLog(history=20_000.0)
+        >>> marks.recover([(3_150.0, 7)], instant=500.0)
+        >>> marks.list_marks()
+        (Mark(followed=-16500.0, revision=7),)
+        """
+        for span, revision in spans:
+            self.add(Mark(instant - (self.history + SLACK - span), revision))
+
     def list_spans(self, anchor: Millis, most: Millis) -> list[tuple[Millis, Mark]]:
         """Return marks with the time since an instant that each can bound.
 
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -14,7 +14,7 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.retention import Mark, MarkLog, thin
+from anvilshift.core.retention import SLACK, Mark, MarkLog, thin
 from anvilshift.core.usage import SPREAD_OVER, Spent, UseRecord
 from anvilshift.core.wallet import Wallet
 from anvilshift.gateway.journal import Journal
@@ -152,7 +152,8 @@
     def _make_record(self) -> UseRecord:
         now = self.clock.now()
         self.marks.expire(now)
-        spans = thin(self.marks.list_spans(now, SPREAD_OVER), _STEP, _STEP_PART)
+        listed = self.marks.list_spans(now, self.marks.history + SLACK)
+        spans = thin(listed, _STEP, _STEP_PART)
         return UseRecord(
             self.holder,
             self.ip,
@@ -225,6 +226,7 @@
         if record.ip != self.ip or record.holder == self.holder:
             return None
         elapsed = await self._bound_elapsed(record)
+        self.marks.recover(record.spans, self._find_birth())
         self.journal.write(
             "use_settled",
             holder=record.holder,
@@ -234,13 +236,16 @@
         )
         return None if elapsed is None else (record.holder, record.bound(elapsed))
 
+    def _find_birth(self) -> Millis:
+        """Return an instant by which the former process had ended."""
+        return self.clock.now() if self.born is None else self.born
+
     async def _bound_elapsed(self, record: UseRecord) -> Millis | None:
         """Return a bound on the time from a record to its process' end.
 
         None when nothing bounds it.
         """
-        now = self.clock.now()
-        born = now if self.born is None else self.born
+        now, born = self.clock.now(), self._find_birth()
         elapsed = record.read_clock(self.boot, now, self.read_wall())
         if elapsed is not None:
             return max(0.0, elapsed - (now - born))
--- a/tests/core/test_retention.py
+++ b/tests/core/test_retention.py
@@ -13,6 +13,19 @@
         spans = marks.list_spans(anchor=18_000.0, most=8_000.0)
         self.assertEqual(spans, [(4_000.0 + SLACK, Mark(2_000.0, 5))])
 
+    def test_recovered_marks_prove_no_shorter_time_than_they_did(self):
+        """A process ends 2 s after it has listed its marks; the next one starts.
+
+        By the first one's clock a revision is readable until 4.15 s after the list.
+        The next one can't tell how long ago that was, and counts from its start.
+        """
+        first, second = MarkLog(HISTORY), MarkLog(HISTORY)
+        first.add(Mark(followed=2_000.0, revision=5))
+        listed = first.list_spans(anchor=18_000.0, most=8_000.0)
+        second.recover([(span, mark.revision) for span, mark in listed], 100.0)
+        (span, mark) = second.list_spans(anchor=100.0, most=8_000.0)[0]
+        self.assertEqual((span, mark.revision), (4_000.0 + SLACK, 5))
+
     def test_marks_that_prove_nothing_of_use_are_left_out(self):
         marks = MarkLog(HISTORY)
         for second in range(21):
--- a/tests/gateway/test_recording.py
+++ b/tests/gateway/test_recording.py
@@ -90,6 +90,52 @@
 
         play(course, recording=True)
 
+    def test_requests_just_after_a_loss_of_all_power_wait_for_the_last_host(self):
+        """All hosts lose power and are back 0.3 s apart.
+
+        Each ends its own former share as it starts.  Who is back first finds little
+        free, and refused what the tokens of the last host cover a moment later.
+        """
+
+        async def course(fleet):
+            start_all(fleet, SMALL)
+            await use_evenly(fleet, 25.0)
+            for node in HOSTS:
+                fleet.kill(node)
+            await asyncio.sleep(1.0)
+            works = []
+            for node in (*(node for node in HOSTS if node != KEEPER), KEEPER):
+                fleet.start(node, SMALL)
+                await asyncio.sleep(0.1)
+                works += [fleet.spend(node, f"{node}-{n}", 15_000) for n in range(2)]
+                works[-2:] = [asyncio.create_task(work) for work in works[-2:]]
+                await asyncio.sleep(0.2)
+            self.assertEqual(await asyncio.gather(*works), [True] * 8)
+
+        play(course, recording=True)
+
+    def test_a_fleet_that_has_lost_all_power_can_prove_its_use_at_once(self):
+        """All hosts lose power, and ten seconds after that once more.
+
+        They knew nothing of the store's history from before the first loss.  So
+        they held little without a write, each request cost one, and what they held
+        at the second loss counted as spent whole.
+        """
+
+        async def course(fleet):
+            start_all(fleet, SMALL)
+            await use_evenly(fleet, 25.0)
+            await lose_power(fleet, 1.0)
+            for _ in range(9):
+                self.assertTrue(fleet.recorders[KEEPER].is_provable())
+                await asyncio.sleep(1.0)
+            spent = await lose_power(fleet, 1.0)
+            settled = dict(fleet.journals[KEEPER].lines)["use_settled"]
+            self.assertLess(settled["elapsed"], 4_000.0)
+            self.assertGreaterEqual(fleet.read().closed, spent)
+
+        play(course, recording=True)
+
     def test_a_cut_of_all_is_outlasted(self):
         """All routers are cut from the store for 8 s and go on serving."""
 
