--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -5,12 +5,11 @@
 """
 
 import math
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from anvilshift.core.allotments import Wish
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.usage import Use
-from anvilshift.core.witness import HELD_FOR, Promise
 
 _COVER: Millis = 10 * SECOND
 """Use that a cushion lasts for while nobody could prove how little of it was spent."""
@@ -51,17 +50,6 @@
 next one of the same organisation would use it at once."""
 
 
-_PROMISED_PART = 0.3
-"""Of what may be spent at any time, the part that a promise to a witness allows: it
-is replaced within milliseconds, while a record waits for the store's next one."""
-_RENEWED_PART = 0.4
-"""Part of a promise's time after which it is made anew although nothing was spent."""
-_ANSWERING: Millis = 1 * SECOND
-"""A witness that answered so lately is there."""
-_ANSWER: Millis = 20.0
-"""Time in which it answers again: a round trip between failure domains and a batch."""
-
-
 @dataclass(frozen=True)
 class Pace:
     """How fast one record of this router's use lets it spend.
@@ -105,10 +93,6 @@
     paces
         Of every record of use that may stand in the store; were one of them
         passed, whoever ends this router's share would count too little.
-    promises
-        Every one that the router's witness may hold and no record has replaced.
-    witnessed_at
-        When the witness last answered.
     """
 
     total: int = 0
@@ -120,8 +104,6 @@
     reserved: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
     paces: tuple[Pace, ...] = ()
-    promises: tuple[Promise, ...] = ()
-    witnessed_at: Millis = -math.inf
     rate: float = 0.0
     rated_at: Millis = 0.0
     rated_since: Millis | None = None
@@ -150,7 +132,6 @@
     def available(self, now: Millis) -> int:
         """Return what another request may reserve now."""
         limits = [pace.use.most_after(now - pace.anchor) for pace in self.paces]
-        limits += [promise.most_at(now) for promise in self.promises]
         return min([self.ceiling, *limits]) - self.spent
 
     def find_wait(self, tokens: int, now: Millis) -> Millis | None:
@@ -163,23 +144,12 @@
             if wait is None:
                 return None
             longest = max(longest, wait)
-        for promise in self.promises:
-            wait = promise.find_wait(spent, now)
-            if now - self.witnessed_at < _ANSWERING:
-                # The next one that the witness answers takes its place.
-                wait = _ANSWER if wait is None else min(_ANSWER, wait)
-            if wait is None:
-                return None
-            longest = max(longest, wait)
         return longest
 
     def make_use(self, now: Millis) -> Use:
         """Return what to say of this organisation's use now."""
-        recorded = self.spent
-        for tokens in self.waiting.values():
-            # One that is too large must not keep those behind it from being spent.
-            if recorded + tokens <= self.ceiling:
-                recorded += tokens
+        needed = self.spent + sum(self.waiting.values())
+        recorded = needed if needed <= self.ceiling else self.spent
         beyond = max(0, self.ceiling - recorded)
         if self.rank is None:
             # It spends what keepers gave for one request each.  Paced, it would ask
@@ -191,22 +161,6 @@
         at_once = int(max(0, self.left or 0) * _AT_ONCE_PARTS[self.rank])
         return Use(recorded, min(at_once, reach), reach)
 
-    def make_promise(self, now: Millis) -> Use:
-        """Return what to promise of this organisation's use now."""
-        use = self.make_use(now)
-        return replace(use, at_once=int(use.at_once * _PROMISED_PART))
-
-    def needs_promise(self, witness: str, now: Millis) -> bool:
-        """Tell whether the witness should be told of this organisation's use."""
-        if not self.limited or not (self.keeping or self.promises):
-            return False
-        if not self.promises or self.promises[-1].witness != witness:
-            return True
-        last = self.promises[-1]
-        # Kept fresh, a promise never binds this router to its part at once.
-        old = now - last.made > HELD_FOR * _RENEWED_PART
-        return old or self.make_use(now).recorded != last.use.recorded
-
     def is_paced(self) -> bool:
         """Tell whether a record keeps this router from spending what lies ready."""
         uses = [pace.use for pace in self.paces]
--- a/anvilshift/core/usage.py
+++ b/anvilshift/core/usage.py
@@ -34,17 +34,6 @@
     least: int
     most: int
 
-    def narrow(self, other: "Spent") -> "Spent":
-        """Return what holds where another bound holds as well.
-
-        Examples
-        --------
-        >>> Spent(10, 90).narrow(Spent(20, 40))
-        Spent(least=10, most=40)
-        """
-        # The lower least: what waited for tokens counts in it and may not have run.
-        return Spent(min(self.least, other.least), min(self.most, other.most))
-
 
 @dataclass(frozen=True)
 class Use:
@@ -118,9 +107,6 @@
         than that has gone by while the revision can be followed.  Shortest first.
     uses
         By organisation; one that is missing is not bounded.
-    promised
-        Number of the newest promise to a witness that was made before this: it and
-        those before it are replaced by what stands here.
     """
 
     holder: str
@@ -130,7 +116,6 @@
     boot: str = ""
     spans: tuple[tuple[Millis, int], ...] = ()
     uses: Mapping[str, Use] = field(default_factory=dict)
-    promised: int = 0
 
     def read_clock(self, boot: str, now: Millis, wall: Millis) -> Millis | None:
         """Return the time since the anchor by the host's own steady clock.
--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -11,14 +11,13 @@
 strands little of what they keep.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from anvilshift.core.allotments import Allotment, Allotments, Wish
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.cushions import Pace, Purse
 from anvilshift.core.keepers import KeeperMap
 from anvilshift.core.usage import Use, UseRecord
-from anvilshift.core.witness import Promise
 
 DRY_SPAN: Millis = 2 * SECOND
 """How long what a write found free holds: a total grows by seconds, and each look is
@@ -179,47 +178,6 @@
         for name, purse in self.purses.items():
             use = record.uses.get(name)
             purse.paces = (Pace(record.anchor, use),) if use else ()
-        self.replace_promises(record.promised)
-
-    def make_promises(self, witness: str, now: Millis) -> dict[str, Use]:
-        """Return what to promise a witness now, by organisation."""
-        return {
-            name: purse.make_promise(now)
-            for name, purse in self.purses.items()
-            if purse.needs_promise(witness, now)
-        }
-
-    def promise(
-        self, witness: str, number: int, uses: Mapping[str, Use], now: Millis
-    ) -> None:
-        """Keep to promises that are about to be sent; they may arrive."""
-        for name, use in uses.items():
-            self.purses[name].promises += (Promise(witness, number, now, use),)
-
-    def note_witnessed(
-        self, witness: str, number: int, names: Iterable[str], now: Millis
-    ) -> None:
-        """Take in that a witness holds promises: none before them counts there.
-
-        What another witness was told still counts: it may be out of reach only.
-        """
-        for name in names:
-            purse = self.purses[name]
-            purse.witnessed_at = now
-            purse.promises = tuple(
-                promise
-                for promise in purse.promises
-                if promise.witness != witness or promise.number >= number
-            )
-
-    def replace_promises(self, number: int) -> None:
-        """Take in that a record made after a promise stands in the store.
-
-        Whoever ends this router's share goes by that record, and by promises that
-        were made after it only.
-        """
-        for purse in self.purses.values():
-            purse.promises = tuple(p for p in purse.promises if p.number > number)
 
     def hand_over(self, name: str, key: str, now: Millis) -> int:
         """Turn a reservation into tokens for another router; return how many.
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -68,8 +68,6 @@
         have ended.
     holder
         Name of this incarnation.
-    list_proved
-        Tells what witnesses prove of a former process of this host.
     alone, found_at
         Whether no other router is heard, and when one was found last.
     """
@@ -82,7 +80,6 @@
     settle_former: Callable[[], Awaitable[tuple[str, dict[str, Spent]] | None]] = (
         _settle_nothing
     )
-    list_proved: Callable[[str], dict[str, Spent]] = lambda holder: {}
     totals: Totals = field(default_factory=lambda: Totals(0))
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _round: asyncio.Event = field(default_factory=asyncio.Event)
@@ -278,7 +275,7 @@
         Of this host's former incarnations, and of those that said farewell.
         """
         for holder in allotments.list_holders() - {self.holder}:
-            spent = self._narrow(holder, self.ended.get(holder))
+            spent = self.ended.get(holder)
             if spent is not None or self._is_former(holder):
                 self.journal.write(
                     "share_ended",
@@ -289,18 +286,6 @@
                 allotments = allotments.end(holder, spent)
         return allotments
 
-    def _narrow(
-        self, holder: str, known: dict[str, Spent] | None
-    ) -> dict[str, Spent] | None:
-        """Return what an ended router spent, by what witnesses prove as well."""
-        proved = self.list_proved(holder)
-        if not proved:
-            return known
-        spent = dict(known or {})
-        for name, one in proved.items():
-            spent[name] = spent[name].narrow(one) if name in spent else one
-        return spent
-
     async def close(self) -> None:
         """Give everything back that was not spent."""
         self._closed = True
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -23,16 +23,12 @@
     Leaving,
     Marked,
     Message,
-    Promised,
     Sent,
-    Testified,
-    Witnessed,
 )
 from anvilshift.gateway.peers import Peer, Peers
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import Shared
-from anvilshift.gateway.witnessing import Witnessing
 
 _FAREWELLS = 3
 """Copies of a datagram that is sent once in a router's life and may be lost."""
@@ -57,7 +53,6 @@
     reservations: Reservations
     keepers: KeeperMap
     marks: MarkLog
-    witnessing: Witnessing
     shared: Shared
     clock: Clock
     journal: Journal
@@ -167,12 +162,6 @@
             self.reservations.take_lack(message)
         elif isinstance(message, Farewell):
             self.allotter.note_ended(message.holder, dict(message.spent))
-        elif isinstance(message, Promised):
-            self.witnessing.hear_promised(message)
-        elif isinstance(message, Witnessed):
-            self.witnessing.hear_witnessed(message)
-        elif isinstance(message, Testified):
-            self.witnessing.hear_testified(message)
         elif isinstance(message, Marked):
             for revision, age in message.marks:
                 self.marks.add(Mark(now - age, revision))
@@ -200,7 +189,6 @@
             if holder.rpartition(".")[0] == beat.router:
                 most = tuple((name, one.most) for name, one in spent.items())
                 self.peers.send(Farewell(holder, most), beat.ip)
-        self.witnessing.greet(beat)
         now = self.clock.now()
         marks = [(m.revision, now - m.followed) for m in self.marks.list_marks()]
         if marks:
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -192,60 +192,6 @@
     marks: tuple[tuple[int, Millis], ...]
 
 
-@dataclass(frozen=True)
-class Promised:
-    """What a router has spent of some totals, and promises not to go far beyond.
-
-    Parameters
-    ----------
-    holder, ip
-        The incarnation that promises, and its host's address.
-    witness
-        The incarnation that is to hold it.
-    since
-        The newest instant of the witness' clock that the holder has heard of.
-    uses
-        Organisation, tokens spent, to be spent at once beyond that, and in the end.
-    """
-
-    holder: str
-    ip: str
-    witness: str
-    number: int
-    since: Millis
-    uses: tuple[tuple[str, int, int, int], ...]
-
-
-@dataclass(frozen=True)
-class Witnessed:
-    """A witness holds the promises of one number.
-
-    Parameters
-    ----------
-    at
-        The witness' own instant.
-    """
-
-    witness: str
-    holder: str
-    number: int
-    at: Millis
-
-
-@dataclass(frozen=True)
-class Testified:
-    """What a witness proves of a router that has ended, for the one in its place.
-
-    Parameters
-    ----------
-    spent
-        Organisation, number of the promise, and the least and most tokens spent.
-    """
-
-    holder: str
-    spent: tuple[tuple[str, int, int, int], ...]
-
-
 Message = (
     Beat
     | Sent
@@ -259,9 +205,6 @@
     | Lack
     | Farewell
     | Marked
-    | Promised
-    | Witnessed
-    | Testified
 )
 _KINDS: dict[str, type[Message]] = {
     kind.__name__: kind
@@ -278,9 +221,6 @@
         Lack,
         Farewell,
         Marked,
-        Promised,
-        Witnessed,
-        Testified,
     )
 }
 
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -28,7 +28,6 @@
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import Shared
-from anvilshift.gateway.witnessing import Witnessing
 from anvilshift.objects.store import Change, ObjectStore
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Limits
@@ -108,23 +107,8 @@
         )
         self.keepers = KeeperMap(settings.name)
         self.reservations = Reservations(self.allotter, self.keepers, clock, journal)
-        self.witnessing = Witnessing(
-            settings.name,
-            self.incarnation,
-            settings.ip,
-            settings.failure_domain,
-            self.peers,
-            self.allotter.wallet,
-            clock,
-            journal,
-            self.allotter.end_round,
-            self.recorder.take_testimony,
-        )
         if settings.history is not None:
             self.recorder.born = born
-            self.recorder.tell_use = self.witnessing.hurry
-            self.recorder.count_promises = self.witnessing.count_promises
-            self.allotter.list_proved = self.recorder.list_proved
             self.allotter.settle_former = self.recorder.settle_former
             self.recorder.end_record = self.allotter.end_round
             self.reservations.recorder = self.recorder
@@ -176,7 +160,6 @@
             self.reservations,
             self.keepers,
             self.marks,
-            self.witnessing,
             self.shared,
             self.clock,
             self.journal,
@@ -334,7 +317,7 @@
         """Record this router's use once its former process' share is ended."""
         while self.settings.history is None or not self.allotter.begun:
             await asyncio.sleep(_TICK / SECOND)
-        await asyncio.gather(self.recorder.run(), self.witnessing.run())
+        await self.recorder.run()
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -9,7 +9,7 @@
 import contextlib
 import pathlib
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -17,7 +17,6 @@
 from anvilshift.core.retention import SLACK, Mark, MarkLog, thin
 from anvilshift.core.usage import SPREAD_OVER, Spent, UseRecord
 from anvilshift.core.wallet import Wallet
-from anvilshift.core.witness import Testimony
 from anvilshift.gateway.journal import Journal
 from anvilshift.objects.records import decode, encode
 from anvilshift.objects.store import ConflictError, ObjectStore
@@ -74,8 +73,6 @@
         Tells the other routers a mark, for one that will keep tokens after this.
     records
         Writes that have ended, well or not; after each `end_record` is called.
-    tell_use, count_promises
-        Tells a witness soon what is spent, and returns the newest promise's number.
     born
         When this process had begun to run, by the clock: the former one had ended
         by then, however long this one took to look.
@@ -96,20 +93,15 @@
     born: Millis | None = None
     records: int = 0
     end_record: Callable[[], None] = lambda: None
-    tell_use: Callable[[], None] = lambda: None
-    count_promises: Callable[[], int] = lambda: 0
     _version: int = 0
     _asked: Millis | None = None
     _unanswered: UseRecord | None = None
     failing: bool = False
-    _former: UseRecord | None = None
-    _testimonies: dict[str, list[Testimony]] = field(default_factory=dict)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def hurry(self) -> None:
         """Record soon: a request waits to spend."""
         self._wake.set()
-        self.tell_use()
 
     def is_answered(self) -> bool:
         """Tell whether the store answers records, as far as is known."""
@@ -170,7 +162,6 @@
             self.boot,
             tuple((round(span), mark.revision) for span, mark in spans),
             self.wallet.make_uses(now),
-            self.count_promises(),
         )
 
     async def _write(self) -> None:
@@ -206,26 +197,6 @@
 
     # The former process of this host
 
-    def take_testimony(self, holder: str, found: Iterable[Testimony]) -> None:
-        """Take in what a witness proves of a former process of this host."""
-        self._testimonies.setdefault(holder, []).extend(found)
-
-    def list_proved(self, holder: str) -> dict[str, Spent]:
-        """Return what witnesses prove of the former process that is settled.
-
-        Only of the one whose record was read: that says which promises still count.
-        One that was made before the record, and bounds its process no more, would
-        count too little.
-        """
-        if self._former is None or self._former.holder != holder:
-            return {}
-        proved: dict[str, Spent] = {}
-        for one in self._testimonies.get(holder, ()):
-            if one.number > self._former.promised:
-                known = proved.get(one.organisation, one.spent)
-                proved[one.organisation] = known.narrow(one.spent)
-        return proved
-
     async def settle_former(self) -> tuple[str, dict[str, Spent]] | None:
         """Return what the host's former process spent, as far as it is proved.
 
@@ -254,7 +225,6 @@
             return None
         if record.ip != self.ip or record.holder == self.holder:
             return None
-        self._former = record
         elapsed = await self._bound_elapsed(record)
         self.marks.recover(record.spans, self._find_birth())
         self.journal.write(
