--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -32,8 +32,7 @@
 
 _RUNNING_MS = 2.0
 """Weight of a request that runs beside: it lengthens each step a little and keeps
-memory.  With 2 ms a request callers got 0.79 of what whole and punctual answers are
-worth to them, against 0.67 by two hashed choices on own counts alone."""
+memory."""
 _FETCH_LEAST = 300
 """Tokens below which fetching costs about what reading them again does."""
 _MEMORY_MS = 400.0
--- a/anvilshift/core/retention.py
+++ b/anvilshift/core/retention.py
@@ -9,12 +9,6 @@
 Routers note by when the change after a revision had happened, and write some of
 these marks down; whoever finds the first of them that can still be followed knows
 a bound on the time since.
-
-References
-----------
-The bound was measured against the users' store: in 211 looks that found a revision
-still to be followed, the change after it was 20.042 s old at the most, at a stated
-20 s; after 8 s without the store as well.
 """
 
 from bisect import insort
@@ -24,7 +18,8 @@
 from anvilshift.core.clock import Millis
 
 SLACK: Millis = 150.0
-"""Added to the history that the store states: it discarded up to 42 ms later."""
+"""Added to the history that the store states: it discards a change some time after
+that is over."""
 _SPACING: Millis = 80.0
 """Least time between two marks: a few routers that record several times a second
 make them no closer."""
--- /dev/null
+++ b/anvilshift/gateway/intake.py
@@ -0,0 +1,78 @@
+"""Take in what the store says of targets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from anvilshift.core.clock import Clock
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.gateway.border import Dialect
+from anvilshift.gateway.following import Register
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.messages import Leaving
+from anvilshift.gateway.peers import Peers
+from anvilshift.objects.store import Change
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.messages import Address
+
+
+@dataclass
+class TargetIntake:
+    """Keep the targets as the store has them, and tell the others who leaves.
+
+    Parameters
+    ----------
+    note_lost
+        Called with a target that has ended, or that another start has replaced.
+    """
+
+    dialect: Dialect
+    loads: LoadMap
+    client: HttpClient
+    peers: Peers
+    clock: Clock
+    journal: Journal
+    note_lost: Callable[[str], None]
+    _unreadable: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.register = Register(self.clock, self.remove)
+
+    def take(self, change: Change) -> None:
+        """Take in a target's entry, or that it was removed."""
+        if change.body is None:
+            self.register.drop(change.name)
+            return
+        info = self.dialect.read_target(change.name, change.body, self.clock.now())
+        if info is None:
+            if change.name not in self._unreadable:
+                self._unreadable.add(change.name)
+                self.journal.write("target_unreadable", target=change.name)
+            self.loads.remove(change.name)
+            return
+        self.register.put(change.name, change.body)
+        known = self.loads.targets.get(change.name)
+        if known is None or info.is_another(known.info):
+            self.journal.write(
+                "target_found",
+                target=info.name,
+                service=info.service,
+                address=info.address,
+            )
+            self.client.forget(Address.parse(info.address))
+            if known is not None:
+                self.note_lost(info.name)
+        elif known.info.leaving and not info.leaving:
+            # Another router knows that it leaves; its entry is older than that.
+            info = replace(info, leaving=True)
+        elif info.leaving and not known.info.leaving:
+            self.journal.write("target_leaving", target=info.name)
+            self.peers.tell(Leaving(info.name))
+        if known is None or known.info != info:
+            self.loads.declare(info)
+
+    def remove(self, name: str) -> None:
+        """Take in that a target is gone."""
+        self.note_lost(name)
+        self.journal.write("target_gone", target=name)
+        self.peers.tell(Leaving(name))
+        self.loads.remove(name)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -19,9 +19,9 @@
 from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.conversation import Conversation
-from anvilshift.gateway.following import Follower, Pace, Register, find_stretch
+from anvilshift.gateway.following import Follower, Pace, find_stretch
+from anvilshift.gateway.intake import TargetIntake
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.messages import Leaving
 from anvilshift.gateway.passing import Passage
 from anvilshift.gateway.peers import Hooks, Peers
 from anvilshift.gateway.recording import Recorder
@@ -30,7 +30,7 @@
 from anvilshift.gateway.shared import Shared
 from anvilshift.objects.store import Change, ObjectStore
 from anvilshift.wire.client import HttpClient
-from anvilshift.wire.messages import Address, HttpRequest, Limits
+from anvilshift.wire.messages import HttpRequest, Limits
 from anvilshift.wire.server import CallerGoneError, HttpServer, Responder, render_error
 
 _FOLLOW_CONFIGURATION = Pace(wait=1.5 * SECOND)
@@ -125,7 +125,15 @@
             RetryBudget(settings.find_retry_reserve(1)),
         )
         self.talk = self._make_conversation()
-        self.register = Register(clock, self._remove_target)
+        self.targets = TargetIntake(
+            dialect,
+            self.loads,
+            self.client,
+            self.peers,
+            clock,
+            journal,
+            self.talk.note_lost,
+        )
         self.configuring = Follower(
             store,
             dialect.configuration_kind,
@@ -140,14 +148,13 @@
             _FOLLOW_TARGETS,
             clock,
             journal,
-            self._take_target,
-            self.register.settle,
+            self.targets.take,
+            self.targets.register.settle,
         )
         self.registering.scout = self.configuring
         self.server = HttpServer(self.handle)
         self.in_flight = 0
         self.leaving = False
-        self._unreadable: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_conversation(self) -> Conversation:
@@ -174,7 +181,7 @@
         self.shared.note_replaced = talk.note_replaced
         return talk
 
-    # The configuration and the targets
+    # The configuration
 
     def _take_configuration(self, change: Change) -> None:
         if change.name != self.dialect.configuration_name or change.body is None:
@@ -211,44 +218,6 @@
             organisations=len(organisations),
         )
 
-    def _take_target(self, change: Change) -> None:
-        if change.body is None:
-            self.register.drop(change.name)
-            return
-        info = self.dialect.read_target(change.name, change.body, self.clock.now())
-        if info is None:
-            if change.name not in self._unreadable:
-                self._unreadable.add(change.name)
-                self.journal.write("target_unreadable", target=change.name)
-            self.loads.remove(change.name)
-            return
-        self.register.put(change.name, change.body)
-        known = self.loads.targets.get(change.name)
-        if known is None or info.is_another(known.info):
-            self.journal.write(
-                "target_found",
-                target=info.name,
-                service=info.service,
-                address=info.address,
-            )
-            self.client.forget(Address.parse(info.address))
-            if known is not None:
-                self.talk.note_lost(info.name)
-        elif known.info.leaving and not info.leaving:
-            # Another router knows that it leaves; its entry is older than that.
-            info = replace(info, leaving=True)
-        elif info.leaving and not known.info.leaving:
-            self.journal.write("target_leaving", target=info.name)
-            self.peers.tell(Leaving(info.name))
-        if known is None or known.info != info:
-            self.loads.declare(info)
-
-    def _remove_target(self, name: str) -> None:
-        self.talk.note_lost(name)
-        self.journal.write("target_gone", target=name)
-        self.peers.tell(Leaving(name))
-        self.loads.remove(name)
-
     # Callers
 
     def is_ready(self) -> bool:
@@ -349,8 +318,8 @@
 
     def _sweep(self, now: Millis) -> None:
         if not self.registering.is_fresh():
-            self.register.note_outage()
-        self.register.sweep()
+            self.targets.register.note_outage()
+        self.targets.register.sweep()
         self.talk.note_routers()
         routers = 1 + len(self.peers.list_present())
         self.shared.retries.limit(self.settings.find_retry_reserve(routers))
