--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -43,8 +43,7 @@
 from anvilshift.wire.server import CallerGoneError, Responder
 
 _CHECK: Millis = 300.0
-"""How long a target may take to accept a connection; it takes 4 ms, and one that
-restarts refuses at once."""
+"""How long a target may take to accept a connection, which takes 4 ms."""
 
 
 class Passage:
