Make two tests able to fail, take back unproved claims, plainer names

Cause, found reading the change again: test_routers_that_start_together... passed on the code before too. Names: has_just_started, FREE_KNOWN_FOR, known_for, _SCOUT_POLL in place of is_young, DRY_SPAN, dry_span, _HEED. No behaviour changed.

--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -224,9 +224,8 @@
     def is_dry(self, now: Millis) -> bool:
         """Tell whether a draw would find too little free for any request that waits.
 
-        Crumbs that none of them fits into are as good as nothing.  What one write
-        tells holds for all organisations: looked at for each alone, a burst near the
-        end of many totals costs several priced writes a second.
+        What one write tells holds for all organisations: looked at for each alone,
+        a burst near the end of many totals costs several priced writes a second.
         """
         least = min(self.waiting.values(), default=1) - max(0, self.ready)
         return now < self.free_until and self.free < max(1, least)
--- a/anvilshift/core/wallet.py
+++ b/anvilshift/core/wallet.py
@@ -19,7 +19,7 @@
 from anvilshift.core.keepers import KeeperMap
 from anvilshift.core.usage import Use, UseRecord
 
-DRY_SPAN: Millis = 2 * SECOND
+FREE_KNOWN_FOR: Millis = 2 * SECOND
 """How long what a write found free holds: a total grows by seconds, and each look is
 a priced write."""
 _UNKEPT: Millis = 1 * SECOND
@@ -121,13 +121,13 @@
         return wishes
 
     def take(
-        self, allotments: Allotments, now: Millis, dry_span: Millis = DRY_SPAN
+        self, allotments: Allotments, now: Millis, known_for: Millis = FREE_KNOWN_FOR
     ) -> None:
         """Take in the object after a write of this router took effect.
 
         Parameters
         ----------
-        dry_span
+        known_for
             How long what is free counts as known.
         """
         self.seen = allotments
@@ -139,7 +139,7 @@
                 - known.closed
                 - sum(share.recorded for share in known.shares.values())
             )
-            purse.free, purse.free_until = known.free, now + dry_span
+            purse.free, purse.free_until = known.free, now + known_for
 
     def set_provable(self, provable: bool) -> None:
         """Take in whether a successor could prove how much was spent here."""
--- a/anvilshift/gateway/allotting.py
+++ b/anvilshift/gateway/allotting.py
@@ -16,7 +16,7 @@
     AnvilshiftError,
 )
 from anvilshift.core.usage import Spent
-from anvilshift.core.wallet import DRY_SPAN, Wallet
+from anvilshift.core.wallet import FREE_KNOWN_FOR, Wallet
 from anvilshift.gateway.journal import Journal
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.records import decode, encode
@@ -43,11 +43,11 @@
 _ALONE: Millis = 600.0
 """From a start to the first write at the most, and while no other router is heard:
 who writes first alone takes what the keepers would have to get back."""
-_YOUNG: Millis = 1.5 * SECOND
+_STARTING: Millis = 1.5 * SECOND
 """After a start others may have started too, and end their former shares: what is
 free grows by tenths of a second."""
-_DRY_YOUNG: Millis = 200.0
-"""After a draw of a router so young that found nothing free."""
+_FREE_KNOWN_AT_START: Millis = 200.0
+"""How long what a write found free holds for a router that has just started."""
 _RECENT: Millis = 2.5 * SECOND
 """What the store said of a total holds for so long: a draw that found nothing is
 made again after two seconds."""
@@ -118,9 +118,9 @@
         """Return the time since the store last told of the shares."""
         return self.clock.now() - self._written
 
-    def is_young(self) -> bool:
+    def has_just_started(self) -> bool:
         """Tell whether the shares of routers that started with this one may be open."""
-        return self.clock.now() - self._made < _YOUNG
+        return self.clock.now() - self._made < _STARTING
 
     def is_exhausted(self, name: str, tokens: int) -> bool:
         """Tell whether a total certainly can't cover as many tokens now."""
@@ -227,8 +227,8 @@
         stored = await self._object.update(change)
         self._begun = True
         self._written = self.clock.now()
-        dry_span = _DRY_YOUNG if self.is_young() else DRY_SPAN
-        self.wallet.take(read_allotments(stored.body), self._written, dry_span)
+        known_for = _FREE_KNOWN_AT_START if self.has_just_started() else FREE_KNOWN_FOR
+        self.wallet.take(read_allotments(stored.body), self._written, known_for)
         self._log_shares(stored.version, list(wishes))
         if self.failing:
             self.failing = False
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -19,7 +19,7 @@
 """After each further one the pause is longer by the first, up to the second in
 milliseconds: calls in vain are priced too, and the store's return is still seen well
 within the bounds that begin with it."""
-_HEED: Millis = 50.0
+_SCOUT_POLL: Millis = 50.0
 """Between two looks at what a scout found."""
 _RETURN: Millis = 2_200.0
 """Entries of targets that live are back in the store about 2 s after it is."""
@@ -121,7 +121,7 @@
         # The scout may itself hang on a connection that has gone silent.
         most = self.clock.now() + _MOST_PAUSE
         while self.scout and self.scout._lost and self.clock.now() < most:
-            await asyncio.sleep(_HEED / SECOND)
+            await asyncio.sleep(_SCOUT_POLL / SECOND)
 
     def _note_failure(self, error: AnvilshiftError) -> None:
         if not self._lost:
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -31,7 +31,7 @@
 _RETRY: Millis = 4 * SECOND
 """A store that is out of reach comes back, or a total is topped up, after some
 seconds; a caller that comes back sooner is refused again."""
-_RETRY_YOUNG: Millis = 300.0
+_RETRY_AT_START: Millis = 300.0
 """The same just after a start: the shares of routers that were killed together are
 ended one by one, within a second."""
 _REMEMBER: Millis = 500.0
@@ -165,9 +165,9 @@
     async def _wait_for_keeper(self, until: Millis, hunt: TokenHunt) -> bool:
         """Wait until a keeper may have the tokens; False when that is too late."""
         wait = hunt.find_wait()
-        if wait is None and self.allotter.is_young():
+        if wait is None and self.allotter.has_just_started():
             # The keepers may have started with this router, and wait themselves.
-            wait = _RETRY_YOUNG
+            wait = _RETRY_AT_START
         if wait is None or self.clock.now() + wait >= until:
             return False
         await asyncio.sleep(max(_LEAST_ROUND, wait) / SECOND)
@@ -191,7 +191,7 @@
         now, purse = self.clock.now(), self.wallet.purses[name]
         if not hunt.is_over(now):
             return False
-        if self.allotter.is_young() and purse.draws(now):
+        if self.allotter.has_just_started() and purse.draws(now):
             return False
         if self._may_record(hunt) and tokens <= purse.ready:
             return False
@@ -232,8 +232,8 @@
         now = self.clock.now()
         certain = self._is_certain(name, tokens, hunt)
         waits = [self.wallet.find_wait(name, key, now), hunt.find_wait()]
-        if self.allotter.is_young():
-            waits.append(_RETRY_YOUNG)
+        if self.allotter.has_just_started():
+            waits.append(_RETRY_AT_START)
         known = [wait for wait in waits if wait is not None and wait > 0.0]
         wait = min(known, default=None)
         self._refusals[name] = _Refusal(tokens, now + _REMEMBER, certain, wait)
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -133,7 +133,10 @@
 
 
 def _read_conflict(kind: str, answer: HttpAnswer) -> Stored | None:
-    """Return the object that a refused write's answer holds, if it can be read."""
+    """Return the object that a refused write's answer holds, if it can be read.
+
+    Without it whoever wrote reads the object, and meets what is wrong with it then.
+    """
     try:
         return _read_object(kind, parse_object(answer.body))
     except AnvilshiftError:
--- a/tests/gateway/test_allotting.py
+++ b/tests/gateway/test_allotting.py
@@ -2,6 +2,7 @@
 import unittest
 
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.keepers import list_keepers
 from tests.gateway.fleet import POUNDS, play
 
 
@@ -19,7 +20,7 @@
         play(course)
 
     def test_routers_that_start_together_do_not_all_write_the_shares(self):
-        """A fleet of twelve has lost power; its routers are back 40 ms apart.
+        """A fleet of twelve has lost power; its routers are back 110 ms apart.
 
         Each that knew few others took itself for a keeper and wrote its share.
         Their writes met, and callers waited for the two that keep the tokens.
@@ -28,11 +29,15 @@
         async def course(fleet):
             for n in range(12):
                 fleet.start(f"r{n}", total=100_000)
-                await asyncio.sleep(0.04)
+                await asyncio.sleep(0.11)
             await asyncio.sleep(2.0)
-            holders = fleet.read().shares
-            # The organisation's two keepers, and whoever found the others last.
-            self.assertLessEqual(len(holders), 3)
+            writers = {
+                node
+                for node, journal in fleet.journals.items()
+                if "shares_written" in journal.list_events()
+            }
+            keepers = list_keepers(POUNDS, [f"r{n}" for n in range(12)])
+            self.assertLessEqual(writers, set(keepers))
 
         play(course)
 
--- a/tests/gateway/test_recording.py
+++ b/tests/gateway/test_recording.py
@@ -79,14 +79,12 @@
             start_all(fleet)
             await use_evenly(fleet, 25.0)
             await lose_power(fleet, 1.0)
-            for node in HOSTS:
-                lines = fleet.journals[node].lines
-                settled = dict(lines).get("use_settled")
-                if settled is not None:
-                    # A record's period, the time without power, the slack of the
-                    # history, and the spacing of marks and of bounds.
-                    most = 400.0 + 1_000.0 + SLACK + 80.0 + 0.08 * 1_630.0
-                    self.assertLess(settled["elapsed"], most)
+            # A record's period, the time without power, the slack of the history, and
+            # the spacing of marks and of bounds.
+            most = 400.0 + 1_000.0 + SLACK + 80.0 + 0.08 * 1_630.0
+            for keeper in list_keepers(POUNDS, HOSTS):
+                settled = dict(fleet.journals[keeper].lines)["use_settled"]
+                self.assertLess(settled["elapsed"], most)
 
         play(course, recording=True)
 
