Part the keeping of bills' copies from the fleet

Ruled out: parting the renewal of the record, whose parts share more state. Change: choosing routers that keep copies, and leaving copies with them, moves to router/witnesses.py; it only reads the roster. Behaviour unchanged.

--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -27,23 +26,19 @@
 from anvilshift.peers.link import PeerError, PeerLink
 from anvilshift.router.following import ROUTER_KIND
 from anvilshift.router.messages import (
-    Bills,
     make_heartbeat,
-    make_keep_request,
     read_bills,
     read_member,
     read_vitals,
 )
 from anvilshift.router.relayed import RelayedStore, call_store
 from anvilshift.router.treasury import Treasury
+from anvilshift.router.witnesses import Witnesses
 
 _RENEWALS_PER_LEASE = 4
 _ACKNOWLEDGE_SPACING: Millis = 200.0
 """Least time between two writes of the record: a burst of declarations is
 acknowledged together, at most five writes a second."""
-_SPARE_COPIES = 2
-"""Routers that keep copies besides the witness: with more, each answer in an
-outage would cost a call to every router."""
 
 
 def _ignore_newcomer(incarnation: str) -> None:
@@ -105,10 +100,11 @@
         self._listed = asyncio.Event()
         self._renew_now = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
-        treasury.keep_copies = self.keep_copies
+        witnesses = Witnesses(link, clock, member, lambda: self.roster)
+        treasury.keep_copies = witnesses.keep_copies
         treasury.ask_peers = self.ask_peers
-        treasury.hooks.keep_witnessed = self.keep_witnessed
-        treasury.hooks.choose_witness = self.choose_witness
+        treasury.hooks.keep_witnessed = witnesses.keep_witnessed
+        treasury.hooks.choose_witness = witnesses.choose
 
     def start(self) -> None:
         """Begin to beat and renew."""
@@ -318,56 +314,6 @@
         with contextlib.suppress(PeerError):
             self._hear(await self._link.beat(address, self._make_heartbeat()))
 
-    async def keep_copies(self, holder: str, bills: Bills) -> bool:
-        """Leave copies of bills with a few other routers; True if one took them."""
-        request = make_keep_request(holder, bills)
-        chosen = self._rank_keepers()[:_SPARE_COPIES]
-        work = [self._keep_one(member.peer_address, request) for member in chosen]
-        return any(await asyncio.gather(*work))
-
-    async def keep_witnessed(self, witness: str, holder: str, bills: Bills) -> bool:
-        """Leave copies of bills with the holder's witness; True once it has them."""
-        request = make_keep_request(holder, bills, witness)
-        for sighting in self.roster.sightings.values():
-            if sighting.member.incarnation == witness:
-                return await self._keep_one(sighting.member.peer_address, request)
-        return False
-
-    def choose_witness(self, current: str) -> str:
-        """Return the incarnation of the router that is to keep copies here.
-
-        The present one, while it is heard; else one of another failure domain,
-        so that one lost domain doesn't take both.
-        """
-        ranked = [member.incarnation for member in self._rank_keepers()]
-        if current in ranked or not ranked:
-            return current if current in ranked else ""
-        return ranked[0]
-
-    def _rank_keepers(self) -> list[Member]:
-        now = self._clock.now()
-        heard = [
-            s.member
-            for s in self.roster.sightings.values()
-            if s.heard is not None
-            and now - s.heard <= self.roster.lease
-            and not s.member.leaving
-        ]
-        own = self.member.failure_domain
-        return sorted(
-            heard, key=lambda m: (m.failure_domain == own, self._mix(m.incarnation))
-        )
-
-    def _mix(self, name: str) -> int:
-        # Another order at each router spreads the copies over the fleet.
-        return zlib.crc32(f"{self.member.incarnation}/{name}".encode())
-
-    async def _keep_one(self, address: str, request: KeepRequest) -> bool:
-        try:
-            return bool((await self._link.keep(address, request)).kept)
-        except PeerError:
-            return False
-
     async def ask_peers(self, account: str) -> None:
         """Ask the other routers to give unused tokens of a budget back."""
         request = GiveBackRequest(account=account)
--- /dev/null
+++ b/anvilshift/router/witnesses.py
@@ -0,0 +1,93 @@
+"""Leave copies of unrecorded bills with other routers.
+
+In an outage of the platform a bill is with its holder, with a witness and with a
+few spare keepers, so that it outlasts the loss of any one of them.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+from anvilshift.core.clock import Clock
+from anvilshift.core.membership import Member, Roster
+from anvilshift.peers.generated.peers_pb2 import KeepRequest
+from anvilshift.peers.link import PeerError, PeerLink
+from anvilshift.router.messages import Bills, make_keep_request
+
+_SPARE_COPIES = 2
+"""Routers that keep copies besides the witness: with more, each answer in an
+outage would cost a call to every router."""
+
+
+class Witnesses:
+    """The other routers as keepers of this one's copies.
+
+    Parameters
+    ----------
+    own
+        This router.
+    read_roster
+        Returns the others as this router sees them now.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        clock: Clock,
+        own: Member,
+        read_roster: Callable[[], Roster],
+    ) -> None:
+        self._link = link
+        self._clock = clock
+        self._own = own
+        self._read_roster = read_roster
+
+    async def keep_copies(self, holder: str, bills: Bills) -> bool:
+        """Leave copies of bills with a few other routers; True if one took them."""
+        request = make_keep_request(holder, bills)
+        chosen = self._rank()[:_SPARE_COPIES]
+        work = [self._keep_one(member.peer_address, request) for member in chosen]
+        return any(await asyncio.gather(*work))
+
+    async def keep_witnessed(self, witness: str, holder: str, bills: Bills) -> bool:
+        """Leave copies of bills with the holder's witness; True once it has them."""
+        request = make_keep_request(holder, bills, witness)
+        for sighting in self._read_roster().sightings.values():
+            if sighting.member.incarnation == witness:
+                return await self._keep_one(sighting.member.peer_address, request)
+        return False
+
+    def choose(self, current: str) -> str:
+        """Return the incarnation of the router that is to keep copies here.
+
+        The present one, while it is heard; else one of another failure domain,
+        so that one lost domain doesn't take both.
+        """
+        ranked = [member.incarnation for member in self._rank()]
+        if current in ranked or not ranked:
+            return current if current in ranked else ""
+        return ranked[0]
+
+    def _rank(self) -> list[Member]:
+        roster, now = self._read_roster(), self._clock.now()
+        heard = [
+            s.member
+            for s in roster.sightings.values()
+            if s.heard is not None
+            and now - s.heard <= roster.lease
+            and not s.member.leaving
+        ]
+        own = self._own.failure_domain
+        return sorted(
+            heard, key=lambda m: (m.failure_domain == own, self._mix(m.incarnation))
+        )
+
+    def _mix(self, name: str) -> int:
+        # Another order at each router spreads the copies over the fleet.
+        return zlib.crc32(f"{self._own.incarnation}/{name}".encode())
+
+    async def _keep_one(self, address: str, request: KeepRequest) -> bool:
+        try:
+            return bool((await self._link.keep(address, request)).kept)
+        except PeerError:
+            return False
