Let routers that know nothing of each other meet at the same two engines

What callers saw: a poison took down two engines through one router and a third through another that had not heard of it.

Cause: engines were chosen by lot at each router, news went only from the router that saw the crash, and a second engine was used before anybody was told. Ruled out: blame (each router charged its own two rightly).

Change: content fixes the order in which engines are weighed; a second engine is told before it is sent to, 50 ms after the crash; news is relayed for a minute; a router that can't hear all others sends a content whose first two engines are out to no third.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -33,6 +33,9 @@
     Work,
 )
 
+NEWS_SPAN: Millis = 50.0
+"""Between a crash and the next try of what ran there: other routers that lost a
+target to the same content have told of it by then."""
 _SWEEP: Millis = 250.0
 """How often work that was passed over is looked at again; targets report about
 as often."""
@@ -112,6 +115,10 @@
             view.limit.set_routers(routers)
             self._state.refresh(view, draw=True)
 
+    def set_apart(self, apart: bool) -> None:
+        """Take in whether some other router can't be heard."""
+        self._state.apart = apart
+
     def leaving(self, target: str, now: Millis) -> Actions:
         """Take in that a target is leaving: it gets no new work."""
         view = self._state.views.get(target)
@@ -320,6 +327,8 @@
         if confined or len(entry.tried) >= pool.usable:
             pause = BACKOFF.draw(entry.attempts, self._state.rng)
             return self._back_off(entry, pool, now, pause)
+        if self._routers > 1 and self._state.quarantine.list_reached(work.content):
+            return self._back_off(entry, pool, now, NEWS_SPAN)
         return [
             *self._backlog.wait(entry, pool, now),
             *self._sender.offer(entry, pool, now),
--- a/anvilshift/core/exposure.py
+++ b/anvilshift/core/exposure.py
@@ -33,11 +33,14 @@
         Attempts under way at each target.
     kept
         Targets at which an attempt ended, and it is not known harmless there.
+    elsewhere
+        Whether another router has run it as well.
     """
 
     at: Millis
     running: Counter[str] = field(default_factory=Counter)
     kept: set[str] = field(default_factory=set)
+    elsewhere: bool = False
 
 
 class Exposure:
@@ -90,6 +93,17 @@
             self._harmless.pop(content, None)
             self._record(content, now).kept.add(target)
 
+    def hear(self, content: str, target: str, now: Millis) -> None:
+        """Take in that a target crashed under a content of another router."""
+        self.crashed(content, target, now)
+        if content:
+            self._charges[content].elsewhere = True
+
+    def is_elsewhere(self, content: str) -> bool:
+        """Tell whether another router has run a content and lost a target."""
+        charges = self._charges.get(content)
+        return charges is not None and charges.elsewhere
+
     def clear(self, content: str, now: Millis) -> None:
         """Take in that a content was answered whole: it does no harm."""
         charges = self._charges.get(content)
--- a/anvilshift/core/placement.py
+++ b/anvilshift/core/placement.py
@@ -4,10 +4,11 @@
 this, round robin sends work to full targets while others have room, and the
 same prompt prefix is computed everywhere.
 
-A few targets are drawn by lot among those that have room, with a few that hold
-the prompt's prefix, and the one with the least predicted time is taken.  Few
-draws cost the same with ten targets as with thousands and come close to the
-best of all; lots keep many routers from taking the same best one.
+A few of the targets that have room are weighed, with a few that hold the prompt's
+prefix, and the one with the least predicted time is taken.  Work's content fixes
+which are weighed first; work without one draws them by lot.  Few cost the same
+with ten targets as with thousands and come close to the best of all; that they
+differ from content to content keeps many routers from taking the same best one.
 
 References
 ----------
@@ -21,8 +22,8 @@
 from anvilshift.core.clock import Millis
 
 DRAWN = 4
-"""Targets weighed for one request: two draws bring most of the gain, four make
-it likely that one of them is in the own failure domain."""
+"""Targets weighed for one request without a content: two draws bring most of the
+gain, four make it likely that one of them is in the own failure domain."""
 HOLDERS = 2
 _REMOTE: Millis = 2.0
 """One way between failure domains, both users' figure, there and back."""
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -7,6 +7,7 @@
 durations.
 """
 
+import zlib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
@@ -24,6 +25,9 @@
 """Part of the slots that long work may hold: the rest turns over quickly for
 short work, and long work alone still fills most of the targets."""
 _MOST_REMEMBERED = 1_000
+_TRIED_PLACES = 12
+"""Targets looked at for those that a content prefers: in a fleet that is full to
+four fifths, two of them have room nine times in ten."""
 
 
 @dataclass(eq=False)
@@ -132,6 +136,7 @@
         self.top = max(priorities.values())
         self.kind = kind
         self.open = SampledSet()
+        self._names = sorted(priorities)
         self.usable = 0
         self.slots = 0.0
         self.long_running = 0
@@ -166,6 +171,21 @@
         """
         return self.long_running < max(1.0, _LONG_PART * self.slots)
 
+    def order(self, content: str) -> list[str]:
+        """Return some targets in an order that a content fixes.
+
+        Every router finds the same ones for the same content.  Copies of it that
+        reach several routers at once, before any can tell the others that it
+        crashes targets, meet at the same few and not at as many as there are
+        routers; and equal prompts meet where they are cached.  For other work the
+        order is as good as lots.
+        """
+        first = zlib.crc32(content.encode())
+        count = len(self._names)
+        step = 1 + (first >> 16) % max(1, count - 1)
+        places = ((first + step * n) % count for n in range(min(count, _TRIED_PLACES)))
+        return list(dict.fromkeys(self._names[place] for place in places))
+
     def queues(self) -> Iterator[FairQueue]:
         """Return the queues that may be served now and are not empty."""
         if self.short.count:
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -109,6 +109,14 @@
         """Return the only targets that may run work; empty for any target."""
         return self._exposure.list_confined(content)
 
+    def list_reached(self, content: str) -> list[str]:
+        """Return the targets that work may have cost, or may yet."""
+        return self._exposure.list_reached(content)
+
+    def is_elsewhere(self, content: str) -> bool:
+        """Tell whether another router has lost a target to work."""
+        return self._exposure.is_elsewhere(content)
+
     def may_reach(self, content: str, target: str) -> bool:
         """Tell whether a target is within what work may cost."""
         return self._exposure.may_reach(content, target)
@@ -231,7 +239,7 @@
             Crashes of the target that the content is blamed for, of which this
             router may know some; 0 if it merely ran there.
         """
-        self._exposure.crashed(content, target, now)
+        self._exposure.hear(content, target, now)
         record = self._records.get(content)
         known = record.crashes.count(target) if record is not None else 0
         if known >= times:
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -1,17 +1,18 @@
 """Send waiting work to targets that have room."""
 
+import itertools
 from collections.abc import Callable
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
 from anvilshift.core.ejection import State
 from anvilshift.core.errors import OVERLOADED, QUARANTINED
-from anvilshift.core.exposure import FORGET_AFTER
+from anvilshift.core.exposure import FORGET_AFTER, TARGETS
 from anvilshift.core.placement import DRAWN, HOLDERS, Option, choose
 from anvilshift.core.pools import Pool, TargetView
 from anvilshift.core.queue import Entry, FairQueue
 from anvilshift.core.state import Attempt, DispatchState
-from anvilshift.core.work import Actions, Refuse, Send, Work
+from anvilshift.core.work import Actions, Announce, Refuse, Send, Work
 
 _PASSED_OVER = 4
 """Most requests passed over for one slot, so that an event's cost is bounded."""
@@ -56,9 +57,17 @@
         return self._send(entry, pool, self._state.views[option.name], now)
 
     def _draw(self, entry: Entry, pool: Pool) -> list[str]:
-        """Return some targets to weigh, with some that hold the prompt's prefix."""
-        rng = self._state.rng
-        names = pool.open.draw(rng, DRAWN)
+        """Return targets to weigh: the first that the content prefers, or any.
+
+        Some that hold the prompt's prefix are added.
+        """
+        rng, names = self._state.rng, []
+        if entry.work.content:
+            ordered = pool.order(entry.work.content)
+            fresh = (n for n in ordered if n in pool.open and n not in entry.tried)
+            names = list(itertools.islice(fresh, TARGETS))
+        if not names:
+            names = pool.open.draw(rng, DRAWN)
         return names + self._state.prefixes.holders(entry.work.prefixes, rng, HOLDERS)
 
     def is_stuck(self, work: Work, pool: Pool) -> bool:
@@ -67,8 +76,35 @@
         return bool(names) and not any(self._is_used(name, pool) for name in names)
 
     def _list_bound(self, work: Work, pool: Pool) -> list[str]:
-        """Return the only targets that work may reach; empty for any."""
-        return self._state.quarantine.list_confined(work.content)
+        """Return the only targets that work may reach; empty for any.
+
+        A router that can't hear all others may not know what a content has cost
+        there.  It sends a content that finds its first targets down to no further
+        one: the content may be what took them down, on the other side of the cut.
+        """
+        reached = self._state.quarantine.list_reached(work.content)
+        if len(reached) >= TARGETS:
+            return reached
+        elsewhere = self._state.quarantine.is_elsewhere(work.content)
+        if reached and (elsewhere or self._state.apart):
+            return [*reached, *self._list_next(work, pool, reached)]
+        if not (self._state.apart and work.content):
+            return []
+        homes = pool.order(work.content)[:TARGETS]
+        return [] if any(self._is_used(name, pool) for name in homes) else homes
+
+    def _list_next(self, work: Work, pool: Pool, reached: list[str]) -> list[str]:
+        """Return the one target that work may reach next, the same at each router.
+
+        Were it any that has room, two routers that send copies of a poison at one
+        time would lose a further target each.
+        """
+        ordered = [name for name in pool.order(work.content) if name not in reached]
+        if self._state.apart:
+            # The next one may be out of use because a copy has been there.
+            return ordered[:1]
+        used = (name for name in ordered if self._is_used(name, pool))
+        return list(itertools.islice(used, 1))
 
     def _is_used(self, name: str, pool: Pool) -> bool:
         view = self._state.views.get(name)
@@ -150,6 +186,12 @@
 
     def _send(self, entry: Entry, pool: Pool, view: TargetView, now: Millis) -> Actions:
         work, name = entry.work, view.target.name
+        actions: Actions = []
+        reached = self._state.quarantine.list_reached(work.content)
+        if reached and name not in reached:
+            # Told before it can crash: a router that has a copy must not spend
+            # on another target what is being spent here.
+            actions.append(Announce(work.content, name, times=0))
         pool.queue_of(entry).take(entry)
         del self._backlog.entries[work.identity]
         entry.attempts += 1
@@ -168,7 +210,7 @@
         view.refresh()
         self.on_sent(attempt, now)
         priority = pool.priorities[name]
-        return [Send(work.identity, name, entry.attempts, priority)]
+        return [*actions, Send(work.identity, name, entry.attempts, priority)]
 
     def stop(self, identity: str, now: Millis, ran: bool = True) -> Attempt | None:
         """Take in that a target no longer runs work, if it ever did."""
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -54,6 +54,8 @@
     ----------
     recording
         How long the ends of answers waited for their bills.
+    apart
+        Whether some other router can't be heard.
     """
 
     settings: DispatchSettings
@@ -64,6 +66,7 @@
     quarantine: Quarantine = field(default_factory=Quarantine)
     retries: RetryBudget = field(default_factory=RetryBudget)
     recording: Mean = field(default_factory=lambda: Mean(1.0))
+    apart: bool = False
 
     def __post_init__(self) -> None:
         self.pools = Pools(self.views)
--- a/anvilshift/router/crashes.py
+++ b/anvilshift/router/crashes.py
@@ -18,8 +18,11 @@
 _REMEMBERED_FOR: Millis = 2 * FORGET_AFTER
 """News heard again after the work was cleared must not blame it again, so it is
 remembered for longer than anybody tells it."""
+_RELAYED_FOR: Millis = 60 * SECOND
+"""Two routers may be cut off from each other while a third reaches both."""
 _MOST_TOLD = 50
-"""Crashes seen by this router that a heartbeat carries: some 3 kB."""
+"""Crashes seen by this router, and as many by others, that a heartbeat carries:
+some 6 kB."""
 _GREETED_FOR: Millis = 10 * SECOND
 """A newcomer's record is seen up to some seconds before it is first heard."""
 _MOST_MET = 10_000
@@ -56,6 +59,7 @@
         self._beat = beat
         self._told: dict[Announce, Millis] = {}
         self._heard: dict[Announce, Millis] = {}
+        self._relayed: dict[Announce, Millis] = {}
         self._met: set[str] = set()
         self._greeted: Millis = -_GREETED_FOR
         self.list_standing: Callable[[], Iterable[Announce]] = tuple
@@ -87,7 +91,8 @@
         """Return what the next heartbeat carries."""
         now = self._clock.now()
         self._told = self._keep_recent(self._told, _TOLD_FOR, _MOST_TOLD)
-        ages = {n: now - at for n, at in self._told.items()}
+        self._relayed = self._keep_recent(self._relayed, _RELAYED_FOR, _MOST_TOLD)
+        ages = {n: now - at for n, at in (self._relayed | self._told).items()}
         if now - self._greeted <= _GREETED_FOR:
             ages = dict.fromkeys(self.list_standing(), 0.0) | ages
         return [
@@ -107,6 +112,7 @@
             news = Announce(item.content, item.target, item.times)
             if news not in self._heard:
                 self._heard[news] = self._clock.now()
+                self._relayed[news] = self._clock.now() - item.age_ms
                 if news.times == 1:
                     self._take(news.content, news.target, item.age_ms)
                 else:
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -39,6 +39,8 @@
 _ACKNOWLEDGE_SPACING: Millis = 200.0
 """Least time between two writes of the record: a burst of declarations is
 acknowledged together, at most five writes a second."""
+_HEARD_WITHIN = 2
+"""Heartbeats within which a router that is in touch is heard."""
 
 
 def _ignore_newcomer(incarnation: str) -> None:
@@ -123,6 +125,12 @@
         leased = self.lease.may_serve(self.roster, seen, now)
         return leased and self.read_revision() >= self.must_hold
 
+    def is_apart(self) -> bool:
+        """Tell whether some router of the fleet has not been heard lately."""
+        span, now = _HEARD_WITHIN * self._heartbeat, self._clock.now()
+        sightings = self.roster.sightings.values()
+        return any(s.heard is None or now - s.heard > span for s in sightings)
+
     def acknowledge(self, revision: int) -> None:
         """State that declarations of a revision are in force here."""
         if not self._listed.is_set():
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -335,6 +335,7 @@
 
     def _count_routers(self) -> None:
         """Tell the dispatcher with how many routers it shares the targets."""
+        self.dispatcher.set_apart(self.fleet.is_apart())
         present = self.fleet.roster.present(self.clock.now())
         routers = 1 + sum(s.vitals.serving for s in present)
         if routers != self._routers:
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -51,3 +51,7 @@
     def test_poison_whose_blame_was_withdrawn(self):
         """Guards against a poison that is freed by an engine's own crashes."""
         run_seed(66, 40.0)
+
+    def test_poison_through_a_router_that_is_cut_off(self):
+        """Guards against a third engine lost by routers that were told nothing."""
+        run_seed(1011, 40.0)
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.dispatcher import NEWS_SPAN, Dispatcher
 from anvilshift.core.errors import NO_ENGINE, QUARANTINED
 from anvilshift.core.work import (
     Announce,
@@ -83,13 +83,13 @@
 
     def run_poison(self, names):
         """Let each engine that has the poison crash until none has."""
-        until = self.now + 10.0
+        until = self.now + NEWS_SPAN
         while self.now < until:
             self.now += 10.0
             self.tick()
             found = [name for name in names if name in self.running]
             if found:
-                until = self.now + 20.0
+                until = self.now + NEWS_SPAN + 10.0
                 target = self.running[found[0]][1]
                 self.lost.append(target)
                 self.crash(target)
@@ -137,6 +137,57 @@
             fleet.run_poison(poison)
         self.assertLessEqual(len(set(fleet.lost)), 2)
 
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(0, 1_000_000))
+    def test_poison_sent_through_routers_that_tell_each_other(self, seed):
+        """Guards against a poison that costs each router's engines anew."""
+        fleet = Fleet(seed, routers=4)
+        poison = []
+        for n in range(100):
+            fleet.step()
+            if fleet.rng.random() < 0.15:
+                poison.append(fleet.send(n % 4, POISON))
+            fleet.run_poison(poison)
+        self.assertLessEqual(len(set(fleet.lost)), 2)
+
+    def test_copies_sent_at_one_instant_through_all_routers_meet_at_two_engines(self):
+        """Guards against as many lost engines as there are routers."""
+        for seed in range(50):
+            fleet = Fleet(seed, routers=8)
+            self.send_at_once(fleet)
+            self.assertLessEqual(len(set(fleet.lost)), 2)
+
+    def test_copies_sent_at_one_instant_through_routers_all_cut_off(self):
+        """Guards against as many lost engines as there are parts of a cut."""
+        for seed in range(50):
+            fleet = Fleet(seed, routers=8, told=False)
+            for router in fleet.routers:
+                router.set_apart(True)
+            self.send_at_once(fleet)
+            self.assertLessEqual(len(set(fleet.lost)), 2)
+
+    def send_at_once(self, fleet):
+        """Send the poison through all routers while other work runs."""
+        for _ in range(10):
+            for router in range(len(fleet.routers)):
+                fleet.send(router, f"c{fleet.count}")
+        routers = range(len(fleet.routers))
+        fleet.run_poison([fleet.send(router, POISON) for router in routers])
+
+    def test_both_sides_of_a_cut_lose_the_same_two_engines(self):
+        """Guards against a cut that doubles what a poison costs."""
+        for seed in range(50):
+            fleet = Fleet(seed, routers=2, told=False)
+            fleet.run_poison([fleet.send(0, POISON) for _ in range(3)])
+            for router in fleet.routers:
+                router.set_apart(True)
+            for target in set(fleet.lost):
+                self.take_down(fleet, target)
+            name = fleet.send(1, POISON)
+            fleet.run_poison([name])
+            self.assertEqual(len(set(fleet.lost)), 2)
+            self.assertIs(fleet.refused[name].code, NO_ENGINE)
+
     def take_down(self, fleet, target):
         for router in fleet.routers:
             router.leaving(target, fleet.now)
--- a/tests/router/test_crashes.py
+++ b/tests/router/test_crashes.py
@@ -52,6 +52,24 @@
         await wait_until(lambda: len(self.heard) == 2)
         self.assertEqual(self.heard[1], ("r3", "poison", "e1"))
 
+    async def test_news_goes_round_a_cut_between_two_routers(self):
+        """Guards against a poison that runs on where the news' teller isn't heard."""
+        self.fleet.pair_cuts = {frozenset({"r1", "r3"})}
+        self.fleet.nodes["r1"].dispatch.announce(Announce("poison", "e1"))
+        began = self.fleet.clock.now()
+        await wait_until(lambda: len(self.heard) == 2)
+        self.assertLess(self.fleet.clock.now() - began, 3 * HEARTBEAT)
+        self.assertEqual(self.heard[1], ("r3", "poison", "e1"))
+
+    async def test_router_that_cannot_hear_another_knows_it(self):
+        """Guards against a router that takes what it wasn't told for harmless."""
+        node = self.fleet.nodes["r1"]
+        await wait_until(lambda: not node.dispatcher._state.apart)
+        self.fleet.cut_peers("r3")
+        await wait_until(lambda: node.dispatcher._state.apart)
+        self.fleet.cut_peers()
+        await wait_until(lambda: not node.dispatcher._state.apart)
+
     async def test_router_that_missed_a_beat_hears_with_the_next(self):
         self.fleet.cut_peers("r3")
         self.fleet.nodes["r1"].dispatch.announce(Announce("poison", "e1"))
