Use an engine again that answers on after its host left the platform's list

What callers saw: 3002 (no engine) for 946 of some 1,200 model calls, while all engines worked.

Cause: a host that was on the list and is no more counted as gone for good, so each entry that was taken off cost an engine for ever. Ruled out: poison, ejection, unread lists.

Change: 10 s of answered polls that don't say "leaving" outweigh the absence; a warning is logged. Why it holds: a sign from the engine itself is newer than an entry that is missing, and an engine that shuts down stops answering sooner.

--- a/anvilshift/router/departing.py
+++ b/anvilshift/router/departing.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.departures import HOST_LIST, REFUSED, REPORT, Departures
 from anvilshift.core.errors import AnvilshiftError
@@ -17,6 +17,8 @@
 _REFUSALS = 2
 """One refused connection can be a full accept queue; two polls in a row, a
 quarter of a second apart, mean that nobody listens."""
+_ANSWERS_ON: Millis = 10 * SECOND
+"""Longer than an engine that shuts down goes on answering its polls."""
 
 
 class Departing:
@@ -28,11 +30,13 @@
         Called with a target and whether it is leaving, at each change.
     """
 
-    def __init__(self, tell: Callable[[str, bool], None]) -> None:
+    def __init__(self, tell: Callable[[str, bool], None], clock: Clock) -> None:
         self._tell = tell
+        self._clock = clock
         self._departures = Departures()
         self._hosts: dict[str, set[str]] = {}
         self._listed: set[str] = set()
+        self._vanished: dict[str, Millis] = {}
         self._refusals: Counter[str] = Counter()
 
     @property
@@ -64,6 +68,8 @@
         hosts = {entry.name: entry.leaving for entry in entries}
         gone = self._listed - set(hosts)
         self._listed |= set(hosts)
+        now = self._clock.now()
+        self._vanished = {host: self._vanished.get(host, now) for host in gone}
         leaving = gone | {name for name, leaves in hosts.items() if leaves}
         targets = {t for host in leaving for t in self._hosts.get(host, ())}
         self._change(self._departures.take(HOST_LIST, targets))
@@ -71,9 +77,24 @@
     def take_report(self, report: LoadReport) -> None:
         """Take in a target's own report: it answers, and may say that it leaves."""
         self._refusals.pop(report.target, None)
+        if not report.leaving:
+            self._check_vanished(report.target)
         found = self._departures.mark(REFUSED, report.target, False)
         self._change(found.mark(REPORT, report.target, report.leaving))
 
+    def _check_vanished(self, target: str) -> None:
+        """Take a host for present that is off the list while its target answers on.
+
+        An entry can be lost, or be left out after a departure that was called off.
+        Were it taken for gone for good, each such case would cost a target until
+        none is left, and every call would be refused though all of them work.
+        """
+        now = self._clock.now()
+        for host, since in self._vanished.items():
+            if now - since > _ANSWERS_ON and target in self._hosts.get(host, ()):
+                logging.warning("host off the list, engine=%s answers on", target)
+                self._listed.discard(host)
+
     def take_refusal(self, target: str) -> None:
         """Take in that a target refused a connection."""
         self._refusals[target] += 1
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -83,7 +83,7 @@
         self.dispatcher = Dispatcher(figures, world.rng)
         self.dispatch = DispatchLoop(self.dispatcher, world.clock)
         self.targets = Targets(world.connector, world.clock)
-        self.departing = Departing(self._tell_dispatcher)
+        self.departing = Departing(self._tell_dispatcher, world.clock)
         self.gate = Gate()
         self.callers = self._make_caller_port()
         self.fleet = Fleet(
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -150,6 +150,11 @@
         self._stopped: set[str] = set()
         self.running = 0
 
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether the engine is up and not leaving."""
+        return self.up and self.leaving_since is None
+
     def crash(self) -> None:
         """Go down, and come up again after a while."""
         self.up = False
