Read a crash that is told without a count as one that content is blamed for

What callers would have seen: news from a router of the version before taken for a neighbour's, so that a poison is not known there while a release goes on. Cause: gave the new field of the message a meaning for its default, 0. Evidence: tests.router.test_moving.test_heartbeats_carry_news_of_crashes, unchanged, failed on in a whole run of the tests. Change: the field counts crashes beyond the first, so that its default is what the message said before. After: that test and tests.router.test_crashes green.

--- a/anvilshift/router/crashes.py
+++ b/anvilshift/router/crashes.py
@@ -100,7 +100,7 @@
                 content=news.content,
                 target=news.target,
                 age_ms=age,
-                times=news.times,
+                further=news.times - 1,
             )
             for news, age in ages.items()
         ]
@@ -109,7 +109,7 @@
         """Take in what a heartbeat carries."""
         self._heard = self._keep_recent(self._heard, _REMEMBERED_FOR)
         for item in crashes:
-            news = Announce(item.content, item.target, item.times)
+            news = Announce(item.content, item.target, item.further + 1)
             if news not in self._heard:
                 self._heard[news] = self._clock.now()
                 self._relayed[news] = self._clock.now() - item.age_ms
