Read what arrived before judging engines after the router's own pause

What callers saw: an answer nearly whole was given up and made again elsewhere; with bad luck both tries met one faulty engine, and the call was refused.

Cause: the overdue check of a first token fired late, together with the unread tokens, and ran before they were read: a healthy engine was left and counted as slow. Ruled out: silence.watch, which looks twice already.

Change: DispatchLoop puts a tick that is over 50 ms late off by 50 ms, once, and logs the pause. Why it holds: one pass of the loop reads all that lay in the sockets; a second late tick in a row is acted on.

--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -3,11 +3,16 @@
 import asyncio
 from collections.abc import Callable
 
+from absl import logging
+
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import Actions, Announce, Cancel, Failure, Refuse, Send, Work
 
+_HELD_UP: Millis = 50.0
+"""A timer that fires so late shows that this process stood still."""
+
 
 class DispatchLoop:
     """Hand the dispatcher's actions to the requests that they are for.
@@ -25,6 +30,9 @@
         self._turns: dict[str, asyncio.Future[Send]] = {}
         self._stops: dict[str, Callable[[], None]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._due: Millis = 0.0
+        self._held_until: Millis = 0.0
+        self._held = False
 
     @property
     def waiting(self) -> int:
@@ -136,9 +144,21 @@
         now = self._clock.now()
         due = self.dispatcher.next_tick(now)
         if due is not None:
+            self._due = max(due, self._held_until)
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(max(0.0, due - now) / SECOND, self._tick)
+            delay = max(0.0, self._due - now) / SECOND
+            self._timer = loop.call_later(delay, self._tick)
 
     def _tick(self) -> None:
         self._timer = None
-        self.act(self.dispatcher.tick(self._clock.now()))
+        now = self._clock.now()
+        late = now - self._due
+        if late > _HELD_UP and not self._held:
+            # Answers that came while this process stood still lie unread in its
+            # sockets: judged now, healthy targets would be left and blamed.
+            logging.warning("held up ms=%.0f", late)
+            self._held, self._held_until = True, now + _HELD_UP
+            self._set_timer()
+            return
+        self._held = False
+        self.act(self.dispatcher.tick(now))
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import unittest
 from unittest import mock
 
@@ -195,6 +196,22 @@
         started = sum(len(e.runs) for e in self.fleet.engines)
         self.assertEqual(started, 1)
 
+    async def test_router_that_stood_still_goes_on_where_it_was(self):
+        """Guards against a healthy engine left for the router's own pause."""
+        self.set_faults(slow=5.0)
+        for n in range(12):
+            await self.fleet.chat(f"teach {n}", tokens=2)
+        asking = asyncio.create_task(self.stream(tokens=4))
+        runs = [len(engine.runs) for engine in self.fleet.engines]
+        await wait_until(
+            lambda: [len(engine.runs) for engine in self.fleet.engines] != runs
+        )
+        time.sleep(1.5)  # noqa: ASYNC251
+        text, _, ended = read_events(await asking)
+        self.assertEqual((text, ended), (make_answer("tank", 4), True))
+        events = self.fleet.nodes[0].world.telemetry.events
+        self.assertNotIn("attempt_abandoned", events)
+
     async def test_late_answer_of_another_attempt_is_discarded_and_counted(self):
         """An engine sends the answer of a dropped attempt on a kept connection."""
         stale = mock.patch.object(
