Take a mixed-up answer for no sign of a crash

What callers saw: 422 (quarantined) for ten minutes for proper work, after two tries were answered with another attempt's answer.

Cause: such an answer was reported as BROKE_OFF, which counts as a crash. Ruled out: order of events in EventReader, resume.

The listed test_late_answer_of_another_attempt_is_discarded_and_counted had a second way to fail, 0 counted: it set one of two idle engines to answer wrongly and relied on meeting it in four tries, which nobody promises (1 in 16 doesn't). It is replaced by one as strict that drives the order itself: whichever engine is tried first answers wrongly, every answer is whole, and exactly one is counted (was: at least one).

--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -63,6 +63,7 @@
     NOT_SENT = "not sent"
     REJECTED = "rejected"
     BROKE_OFF = "broke off"
+    MIXED_UP = "another answer"
     CRASHED = "crashed"
     TIMED_OUT = "timed out"
 
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -49,7 +49,7 @@
     """An answer came that belongs to another attempt, and was discarded."""
 
     def __init__(self) -> None:
-        super().__init__(Failure.BROKE_OFF, "the answer is of another attempt")
+        super().__init__(Failure.MIXED_UP, "the answer is of another attempt")
 
 
 def _convert(error: ExchangeError) -> TargetError:
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -1,6 +1,7 @@
 """Whole answers: each character once, in order, and only to who asked."""
 
 import asyncio
+import contextlib
 import json
 import time
 import unittest
@@ -213,16 +214,44 @@
         self.assertNotIn("attempt_abandoned", events)
 
     async def test_late_answer_of_another_attempt_is_discarded_and_counted(self):
-        """An engine sends the answer of a dropped attempt on a kept connection."""
-        stale = mock.patch.object(
-            self.fleet.engines[0], "_generate", self.send_another_attempt
-        )
-        with stale:
+        """Guards against a stranger's answer, wherever the first try is sent."""
+        with self.send_another_first(1):
             answers = [await self.stream(tokens=4) for _ in range(4)]
         for answer in answers:
             self.assertEqual(read_events(answer)[0], make_answer("tank", 4))
         events = self.fleet.nodes[0].world.telemetry.events
-        self.assertGreaterEqual(events.count("late_answer"), 1)
+        self.assertEqual(events.count("late_answer"), 1)
+
+    async def test_engines_that_answer_wrongly_are_not_taken_for_crashed(self):
+        """Guards against proper work refused for engines' mixed-up answers."""
+        with self.send_another_first(2):
+            answers = [await self.stream(tokens=4) for _ in range(2)]
+        for answer in answers:
+            self.assertEqual(read_events(answer)[0], make_answer("tank", 4))
+        events = self.fleet.nodes[0].world.telemetry.events
+        self.assertEqual(events.count("late_answer"), 2)
+
+    @contextlib.contextmanager
+    def send_another_first(self, count):
+        """Let the first tries, at whichever engines, be answered wrongly."""
+        left = [None] * count
+
+        def patch(engine):
+            generate = engine._generate
+
+            async def answer(body, run, responder):
+                if left:
+                    left.pop()
+                    await self.send_another_attempt(body, run, responder)
+                else:
+                    await generate(body, run, responder)
+
+            return mock.patch.object(engine, "_generate", answer)
+
+        with contextlib.ExitStack() as stack:
+            for engine in self.fleet.engines:
+                stack.enter_context(patch(engine))
+            yield
 
     async def send_another_attempt(self, body, run, responder):
         await responder.start(200, [("x-request-id", "another")])
