Hold a killed node of the soak by its incarnation, not by its name

Cause: in the soak, not in the product. A killed node was held at the platform by its name; once its successor of the same name had started, the killed one went on renewing its record. Change: each incarnation has its own view of the platform. No check is changed; a killed process does less than before, a frozen one the same. Why it holds: a killed process doesn't act.

--- a/bench/soak/observed.py
+++ b/bench/soak/observed.py
@@ -6,7 +6,8 @@
 from anvilshift.core.ledger import Ledger
 from anvilshift.objects.ledgers import LEDGER_KIND, read_body
 from anvilshift.objects.store import Body, Stored
-from anvilshift.standins.memory import MemoryStore
+from anvilshift.standins.memory import MemoryStore, MemoryView
+from bench.soak.network import Presence
 
 
 class ObservedStore(MemoryStore):
@@ -23,6 +24,28 @@
         return stored
 
 
+class PresentView(MemoryView):
+    """The platform as one incarnation of a node reaches it.
+
+    Held by name alone, a killed node would go on writing as soon as its successor
+    had started under the same name.
+    """
+
+    def __init__(self, store: MemoryStore, presence: Presence) -> None:
+        super().__init__(store, presence.name)
+        self._presence = presence
+
+    async def _begin(self, verb: str) -> None:
+        await super()._begin(verb)
+        await self._presence.pass_through()
+        self._reach()
+
+    async def _end(self, verb: str) -> None:
+        await super()._end(verb)
+        await self._presence.pass_through()
+        self._reach()
+
+
 @dataclass(frozen=True)
 class Asked:
     """What a caller asked for, by which its bill and its answer are judged."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -36,7 +36,7 @@
     SoakLink,
     SoakService,
 )
-from bench.soak.observed import Asked, ObservedStore
+from bench.soak.observed import Asked, ObservedStore, PresentView
 
 ROUTERS = 4
 ENGINES = 4
@@ -138,7 +138,7 @@
         presence = Presence(settings.name)
         world = World(
             self.clock,
-            self.store.view(settings.name),
+            PresentView(self.store, presence),
             SoakLink(self.network, presence),
             SoakConnector(self.engines, self.services, presence, self.network),
             self.telemetry,
@@ -156,17 +156,14 @@
         """Return the present entry of a node."""
         return self.entries[str(self.settings(index).listen)]
 
-    async def _hold_frozen(self, caller: str, verb: str) -> None:
-        """Delay a call of the platform; hold one of a frozen or dead node."""
+    async def _delay(self, caller: str, verb: str) -> None:
+        """Delay a call of the platform."""
         await self.network.travel()
-        for entry in self.entries.values():
-            if entry.presence.name == caller:
-                await entry.presence.pass_through()
 
     async def prepare(self) -> None:
         """Store declarations, top budgets up and start every node."""
-        self.store.faults.before = self._hold_frozen
-        self.store.faults.after = self._hold_frozen
+        self.store.faults.before = self._delay
+        self.store.faults.after = self._delay
         for name in _ORGANISATIONS:
             budget = {"kind": "Budget", "name": name, "allowance": 1500, "grant": 8000}
             await self.store.put("Budget", name, budget, 0)
