Keep in the platform which contents cost all that they may

What callers saw: a poison refused for 90 s took down a third engine once every router had been replaced within ten seconds.

Cause: what a content cost was known to routers only, and ended with the last that knew. Ruled out: lost news (routers that started beside one that knew were told within 6 ms). Change: one object for a content that used up its two engines, read by each router before it serves, deleted when ten minutes old. Why it holds: the platform is the one place that outlasts all hosts; the write is made again until it takes effect.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -180,6 +180,10 @@
         """Take in another router's news of a crash that is so old."""
         self._state.quarantine.hear(content, target, now, age, times)
 
+    def list_confined(self, content: str) -> list[str]:
+        """Return the targets of a content that used up what it may cost."""
+        return self._state.quarantine.list_confined(content)
+
     def list_crashes(self, now: Millis) -> list[Announce]:
         """Return what a router that has just started must hear."""
         return self._state.quarantine.list_crashes(now)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -32,6 +32,7 @@
 from anvilshift.router.following import Follower
 from anvilshift.router.gate import Gate
 from anvilshift.router.orders import Orders
+from anvilshift.router.quarantined import QuarantineRecords
 from anvilshift.router.relayed import RelayedStore
 from anvilshift.router.runs import Shared
 from anvilshift.router.stopping import PlannedStop, StopSteps
@@ -40,6 +41,8 @@
 from anvilshift.router.treasury import Treasury
 from anvilshift.settings.router import RouterSettings
 
+_RECALL_PAUSE: Millis = 500.0
+
 
 @dataclass(frozen=True)
 class World:
@@ -104,7 +107,8 @@
             self.store, world.clock, self.fleet, lambda name: self.targets.engine(name)
         )
         self.crashes = CrashNews(world.clock, self._take_crash, self.fleet.beat_all)
-        self.dispatch.announce = self.crashes.announce
+        self.quarantined = QuarantineRecords(self.store, world.clock)
+        self.dispatch.announce = self._announce
         self.crashes.take_other = self._take_other_crash
         self.fleet.tell_crashes = self.crashes.list_told
         self.fleet.hear_crashes = self.crashes.hear
@@ -159,15 +163,34 @@
         return self._introduced and self.fleet.may_serve() and not self._broken
 
     async def _introduce(self) -> None:
-        """Hear the other routers once before serving.
+        """Hear the platform and the other routers once before serving.
 
         A router that starts anew doesn't know what crashed targets lately;
         what it served before the others told it could cost two more.
         """
         await self.follower.current.wait()
+        await self._recall()
         await self.fleet.beat_all()
         self._introduced = True
 
+    async def _recall(self) -> None:
+        """Take in what the platform keeps of contents that crashed targets."""
+        while True:
+            try:
+                found = await self.quarantined.read()
+                break
+            except AnvilshiftError as error:
+                logging.warning("no quarantine records code=%d", error.code.number)
+                await asyncio.sleep(_RECALL_PAUSE / SECOND)
+        for news in found:
+            self.dispatcher.crashed(news.content, news.target, self.clock.now())
+
+    def _announce(self, news: Announce) -> None:
+        self.crashes.announce(news)
+        targets = self.dispatcher.list_confined(news.content)
+        if targets and news.times:
+            self.quarantined.add(news.content, targets)
+
     def _list_crashes(self) -> list[Announce]:
         return self.dispatcher.list_crashes(self.clock.now())
 
@@ -303,6 +326,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.claims.close()
+        self.quarantined.close()
         await self.treasury.close()
         await self.fleet.close()
         self.store.close()
--- /dev/null
+++ b/anvilshift/router/quarantined.py
@@ -0,0 +1,112 @@
+"""Keep in the platform which contents cost all the targets that they may.
+
+What routers know of a poison ends with them.  When all of them are replaced within
+seconds, by a loss of power or a hasty release, the same request would cost the fleet
+further targets, so what was lost to it outlasts them where everything lasting does.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from absl import logging
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.exposure import FORGET_AFTER
+from anvilshift.core.work import Announce
+from anvilshift.objects.records import decode, encode
+from anvilshift.objects.store import ObjectStore, Stored, update
+
+QUARANTINE_KIND = "Quarantine"
+_RETRY_PAUSE: Millis = 1 * SECOND
+
+
+@dataclass(frozen=True)
+class QuarantineRecord:
+    """A content and the targets that it crashed.
+
+    Parameters
+    ----------
+    at
+        Wall-clock seconds when the last of them was lost.
+    """
+
+    content: str
+    targets: tuple[str, ...]
+    at: int
+
+    def is_over(self, now: int) -> bool:
+        """Tell whether the record says nothing any more at a wall-clock second."""
+        return now - self.at > FORGET_AFTER / SECOND
+
+
+class QuarantineRecords:
+    """Records of quarantined contents."""
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._written: dict[str, QuarantineRecord] = {}
+
+    def add(self, content: str, targets: Iterable[str]) -> None:
+        """Record in the background that a content cost these targets."""
+        now = self._clock.wall()
+        self._written = {c: r for c, r in self._written.items() if not r.is_over(now)}
+        if content in self._written:
+            return
+        record = QuarantineRecord(content, tuple(targets), now)
+        self._written[content] = record
+        task = asyncio.get_running_loop().create_task(self._write(record))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write(self, record: QuarantineRecord) -> None:
+        name, body = record.content, encode(record)
+        while not record.is_over(self._clock.wall()):
+            try:
+                await update(self._store, QUARANTINE_KIND, name, lambda old: body)
+                return
+            except AnvilshiftError as error:
+                logging.warning("quarantine not recorded code=%d", error.code.number)
+                await asyncio.sleep(_RETRY_PAUSE / SECOND)
+
+    async def read(self) -> list[Announce]:
+        """Return what is recorded; records that are over are deleted.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the platform can't be reached.
+        """
+        listing = await self._store.list([QUARANTINE_KIND])
+        found: list[Announce] = []
+        for item in listing.items:
+            record = self._read_one(item)
+            if record is None:
+                continue
+            if record.is_over(self._clock.wall()):
+                await self._delete(item)
+                continue
+            found += [Announce(record.content, target) for target in record.targets]
+        return found
+
+    def _read_one(self, item: Stored) -> QuarantineRecord | None:
+        try:
+            return decode(QuarantineRecord, item.body)
+        except AnvilshiftError as error:
+            logging.error("quarantine unreadable name=%s %s", item.name, error)
+            return None
+
+    async def _delete(self, item: Stored) -> None:
+        try:
+            await self._store.delete(QUARANTINE_KIND, item.name, item.version)
+        except AnvilshiftError as error:
+            # Another router that starts deletes it as well, or the next one will.
+            logging.info("quarantine not deleted code=%d", error.code.number)
+
+    def close(self) -> None:
+        """Stop every write."""
+        for task in self._tasks:
+            task.cancel()
