Keep copies of a content at its first two engines through each order of losses

Cause: three ways off the content's own two engines. A second engine was any with room and no other suspect; a first send weighed a third one when one of the two was down; and when both were down every router went on to the next. Ruled out: news and records (nobody was left, and r0 reached neither routers nor the platform).

Change: where there are other routers, a second engine is the next of the order in use, room or not; a first send weighs others only when neither of its two has room; and while just these two are down or coming back, it is refused at once, not run. With one router the choice stays free. Why it holds: all that is needed to work the two out is the content and which engines are up.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -63,7 +63,6 @@
 
     def __init__(self, settings: DispatchSettings, rng: random.Random) -> None:
         self._state = DispatchState(settings, rng)
-        self._routers = settings.routers
         self._backlog = Backlog(self._state)
         self._sender = Sender(self._state, self._backlog)
         self._upkeep = Upkeep(self._state, self._backlog, self._sender)
@@ -102,7 +101,7 @@
     def _declare(self, name: str, target: Target) -> None:
         view = self._state.views.get(name)
         if view is None:
-            view = TargetView(target, Limit(target.slots, self._routers))
+            view = TargetView(target, Limit(target.slots, self._state.routers))
             self._state.views[name] = view
         view.target = target
         view.limit.set_slots(target.slots)
@@ -110,7 +109,7 @@
 
     def set_routers(self, routers: int) -> None:
         """Take in how many routers share the targets."""
-        self._routers = routers
+        self._state.routers = routers
         for view in self._state.views.values():
             view.limit.set_routers(routers)
             self._state.refresh(view, draw=True)
@@ -243,7 +242,7 @@
         if attempt.counts:
             view.health.add_answer()
         self._state.retries.earn()
-        self._state.quarantine.clear(work.content, now)
+        self._state.quarantine.clear(work.content)
         self._state.refresh(view)
         return [*self._upkeep.check_health(view, now), *self._sender.fill(view, now)]
 
@@ -331,7 +330,9 @@
         if confined or len(entry.tried) >= pool.usable:
             pause = BACKOFF.draw(entry.attempts, self._state.rng)
             return self._back_off(entry, pool, now, pause)
-        if self._routers > 1 and self._state.quarantine.list_reached(work.content):
+        if not self._state.is_alone and self._state.quarantine.list_reached(
+            work.content
+        ):
             return self._back_off(entry, pool, now, NEWS_SPAN)
         return [
             *self._backlog.wait(entry, pool, now),
--- a/anvilshift/core/exposure.py
+++ b/anvilshift/core/exposure.py
@@ -33,19 +33,21 @@
         Attempts under way at each target.
     kept
         Targets at which an attempt ended, and it is not known harmless there.
-    elsewhere
-        Whether another router has run it as well.
     """
 
     at: Millis
     running: Counter[str] = field(default_factory=Counter)
     kept: set[str] = field(default_factory=set)
-    elsewhere: bool = False
 
 
 class Exposure:
     """Which targets each content has reached without a whole answer.
 
+    Parameters
+    ----------
+    most
+        Targets that one content may cost.
+
     Examples
     --------
     >>> exposure = Exposure()
@@ -54,14 +56,15 @@
     ...     exposure.end("long", name, ran=True)
     >>> exposure.may_reach("long", "e3"), exposure.may_reach("long", "e1")
     (False, True)
-    >>> exposure.clear("long", now=1.0)
+    >>> exposure.clear("long")
     >>> exposure.may_reach("long", "e3")
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = TARGETS) -> None:
+        self._most = most
         self._charges: OrderedDict[str, _Charges] = OrderedDict()
-        self._harmless: OrderedDict[str, Millis] = OrderedDict()
+        self._harmless: OrderedDict[str, None] = OrderedDict()
 
     def charge(self, content: str, target: str, now: Millis) -> None:
         """Charge a target to a content that is about to be sent there."""
@@ -93,24 +96,13 @@
             self._harmless.pop(content, None)
             self._record(content, now).kept.add(target)
 
-    def hear(self, content: str, target: str, now: Millis) -> None:
-        """Take in that a target crashed under a content of another router."""
-        self.crashed(content, target, now)
-        if content:
-            self._charges[content].elsewhere = True
-
-    def is_elsewhere(self, content: str) -> bool:
-        """Tell whether another router has run a content and lost a target."""
-        charges = self._charges.get(content)
-        return charges is not None and charges.elsewhere
-
-    def clear(self, content: str, now: Millis) -> None:
+    def clear(self, content: str) -> None:
         """Take in that a content was answered whole: it does no harm."""
         charges = self._charges.get(content)
         if charges is not None:
             self._drop_kept(content, charges)
         if content:
-            self._harmless[content] = now
+            self._harmless[content] = None
             self._harmless.move_to_end(content)
             if len(self._harmless) > _MOST_RECORDS:
                 self._harmless.popitem(last=False)
@@ -139,7 +131,7 @@
     def list_confined(self, content: str) -> list[str]:
         """Return the only targets that a content may reach; empty for any."""
         reached = self.list_reached(content)
-        return reached if len(reached) >= TARGETS else []
+        return reached if len(reached) >= self._most else []
 
     def may_reach(self, content: str, target: str) -> bool:
         """Tell whether a content may be sent to a target."""
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -113,10 +113,6 @@
         """Return the targets that work may have cost, or may yet."""
         return self._exposure.list_reached(content)
 
-    def is_elsewhere(self, content: str) -> bool:
-        """Tell whether another router has lost a target to work."""
-        return self._exposure.is_elsewhere(content)
-
     def may_reach(self, content: str, target: str) -> bool:
         """Tell whether a target is within what work may cost."""
         return self._exposure.may_reach(content, target)
@@ -147,9 +143,9 @@
         if self._suspects.get(target) == content:
             del self._suspects[target]
 
-    def clear(self, content: str, now: Millis = 0.0) -> None:
+    def clear(self, content: str) -> None:
         """Take in that work was answered whole: it is not poisonous."""
-        self._exposure.clear(content, now)
+        self._exposure.clear(content)
         self._records.pop(content, None)
 
     def failed(
@@ -239,7 +235,7 @@
             Crashes of the target that the content is blamed for, of which this
             router may know some; 0 if it merely ran there.
         """
-        self._exposure.hear(content, target, now)
+        self._exposure.crashed(content, target, now)
         record = self._records.get(content)
         known = record.crashes.count(target) if record is not None else 0
         if known >= times:
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -57,15 +57,19 @@
         return self._send(entry, pool, self._state.views[option.name], now)
 
     def _draw(self, entry: Entry, pool: Pool) -> list[str]:
-        """Return targets to weigh: the first that the content prefers, or any.
+        """Return targets to weigh: the first two of the content's order with room.
 
-        Some that hold the prompt's prefix are added.
+        Without room there the next ones are weighed, and for work without content
+        any.  Some that hold the prompt's prefix are added.
         """
         rng, names = self._state.rng, []
         if entry.work.content:
             ordered = pool.order(entry.work.content)
-            fresh = (n for n in ordered if n in pool.open and n not in entry.tried)
-            names = list(itertools.islice(fresh, TARGETS))
+            fresh = [n for n in ordered if n in pool.open and n not in entry.tried]
+            homes = [name for name in fresh if name in ordered[:TARGETS]]
+            # What crashed a target may wait for no other suspect at its second.
+            reached = self._state.quarantine.list_reached(entry.work.content)
+            names = fresh[:TARGETS] if reached or not homes else homes
         if not names:
             names = pool.open.draw(rng, DRAWN)
         return names + self._state.prefixes.holders(entry.work.prefixes, rng, HOLDERS)
@@ -78,26 +82,29 @@
     def _list_bound(self, work: Work, pool: Pool) -> list[str]:
         """Return the only targets that work may reach; empty for any.
 
-        A router that can't hear all others may not know what a content has cost
-        there.  It sends a content that finds its first targets down to no further
-        one: the content may be what took them down, on the other side of the cut.
+        The content may be what took its first targets down, through a router that
+        is cut off or that ended before it told anybody.  So it goes to no further
+        one while these are the only ones that are down or come back from it, or
+        while this router can't hear all others.
         """
         reached = self._state.quarantine.list_reached(work.content)
         if len(reached) >= TARGETS:
             return reached
-        elsewhere = self._state.quarantine.is_elsewhere(work.content)
-        if reached and (elsewhere or self._state.apart):
+        if reached and not self._state.is_alone:
             return [*reached, *self._list_next(work, pool, reached)]
-        if not (self._state.apart and work.content):
+        if not work.content:
             return []
         homes = pool.order(work.content)[:TARGETS]
-        return [] if any(self._is_used(name, pool) for name in homes) else homes
+        if any(self._is_sound(name, pool) for name in homes):
+            return []
+        unsound = sum(not self._is_sound(name, pool) for name in pool.priorities)
+        return homes if self._state.apart or unsound <= TARGETS else []
 
     def _list_next(self, work: Work, pool: Pool, reached: list[str]) -> list[str]:
         """Return the one target that work may reach next, the same at each router.
 
-        Were it any that has room, two routers that send copies of a poison at one
-        time would lose a further target each.
+        Were it any that has room, two routers with copies of a poison that can't
+        tell each other yet would lose a further target each.
         """
         ordered = [name for name in pool.order(work.content) if name not in reached]
         if self._state.apart:
@@ -112,6 +119,10 @@
             return False
         return view.health.state is not State.EJECTED
 
+    def _is_sound(self, name: str, pool: Pool) -> bool:
+        health = self._state.views[name].health if self._is_used(name, pool) else None
+        return health is not None and health.state is State.HEALTHY
+
     def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
         """Refuse work that was found poisonous while it waited."""
         del self._backlog.entries[entry.work.identity]
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -54,6 +54,8 @@
     ----------
     recording
         How long the ends of answers waited for their bills.
+    routers
+        Routers that share the targets, as far as this one knows.
     apart
         Whether some other router can't be heard.
     """
@@ -69,8 +71,14 @@
     apart: bool = False
 
     def __post_init__(self) -> None:
+        self.routers = self.settings.routers
         self.pools = Pools(self.views)
 
+    @property
+    def is_alone(self) -> bool:
+        """Tell whether no other router shares the targets."""
+        return self.routers == 1 and not self.apart
+
     def refresh(self, view: TargetView, draw: bool = False) -> None:
         """Bring the pools up to date after a change of a target."""
         if draw:
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -188,6 +188,26 @@
             self.assertEqual(len(set(fleet.lost)), 2)
             self.assertIs(fleet.refused[name].code, NO_ENGINE)
 
+    def test_router_that_alone_knew_of_the_crashes_is_killed(self):
+        """Guards against a third engine lost where nobody is left to tell."""
+        for seed in range(50):
+            fleet = Fleet(seed, routers=2, told=False)
+            fleet.run_poison([fleet.send(0, POISON) for _ in range(3)])
+            for target in set(fleet.lost):
+                self.take_down(fleet, target)
+            name = fleet.send(1, POISON)
+            self.assertIs(fleet.refused[name].code, NO_ENGINE)
+            self.assertGreater(fleet.refused[name].retry_after, 0.0)
+
+    def test_work_is_served_elsewhere_when_more_than_its_first_engines_are_down(self):
+        """Guards against innocent work refused while a failure domain is down."""
+        fleet = Fleet(1)
+        for target in ("e1", "e2", "e3"):
+            self.take_down(fleet, target)
+        names = [fleet.send(0, f"c{n}") for n in range(30)]
+        self.assertEqual(fleet.refused, {})
+        self.assertTrue({fleet.running[n][1] for n in names if n in fleet.running})
+
     def take_down(self, fleet, target):
         for router in fleet.routers:
             router.leaving(target, fleet.now)
--- a/tests/core/test_exposure.py
+++ b/tests/core/test_exposure.py
@@ -39,14 +39,14 @@
         for target in ("e1", "e2"):
             self.exposure.charge("work", target, 0.0)
         self.exposure.end("work", "e1", ran=True)
-        self.exposure.clear("work", 1.0)
+        self.exposure.clear("work")
         self.assertTrue(self.exposure.may_reach("work", "e3"))
         self.run_at("e3")
         self.run_at("e4")
         self.assertTrue(self.exposure.may_reach("work", "e5"))
 
     def test_crash_counts_against_content_that_was_answered_before(self):
-        self.exposure.clear("work", 0.0)
+        self.exposure.clear("work")
         for target in ("e1", "e2"):
             self.exposure.crashed("work", target, 1.0)
         self.assertFalse(self.exposure.may_reach("work", "e3"))
