Charge targets of the platform before a request is sent, three at most

What callers would see: a poison took down four targets where three were meant.

Cause: as in the chat interface, the bound rested on blame; after a first broken answer the target isn't looked at, so the first crash counted for nothing. Ruled out: lost news (one router), the 4 s window (all within 50 ms).

Change: Exposure, the rule of the chat interface, serves here as well with three targets; the first target is looked at once the content breaks off at a second. Why it holds: a target is charged before the send, whatever is learned of it later.

--- a/anvilshift/core/blame.py
+++ b/anvilshift/core/blame.py
@@ -4,16 +4,19 @@
 router, under a new id.  Without this, each time costs another engine and all
 that ran there.
 
-Requests are known by their content.  A broken answer alone proves nothing:
-answers are lost and spoiled without a crash.  Content is blamed only when its
-target is found gone soon after, and refused once three targets were lost to it
-without a whole answer between.  Who merely ran beside it falls with one or two.
+Requests are known by their content.  How many targets one may reach without a
+whole answer is bounded whatever is known of crashes (see `exposure`).  Blame only
+decides when it is refused: a broken answer alone proves nothing, since answers are
+lost and spoiled without a crash.  Content is blamed when its target is found gone
+soon after, and refused once three targets were lost to it.  Who merely ran beside
+it falls with one or two.
 """
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.exposure import Exposure
 
 _CRASHES = 3
 """Targets that content may cost.  An innocent request that its caller sends twice
@@ -35,6 +38,11 @@
 class BlameBook:
     """Which content was running where a target crashed.
 
+    Attributes
+    ----------
+    exposure
+        What each content may still cost.
+
     Examples
     --------
     >>> book = BlameBook()
@@ -48,17 +56,19 @@
     True
     """
 
+    exposure: Exposure = field(default_factory=lambda: Exposure(_CRASHES))
     _broken: dict[str, list[tuple[str, Millis]]] = field(default_factory=dict)
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
 
-    def broke(self, content: str, target: str, now: Millis) -> bool:
+    def broke(self, content: str, target: str, now: Millis) -> list[str]:
         """Take in that a target broke an answer off.
 
         Returns
         -------
-        bool
-            Whether the content is suspect, because another target broke it off
-            as well: then it is worth a connection to see if the target is gone.
+        list[str]
+            The targets that are worth a connection to see if they are gone: none
+            at first, and once another target breaks the content off as well both,
+            or the first crash would count for nothing.
         """
         recent = [
             (one, at)
@@ -66,21 +76,30 @@
             if now - at <= _FOUND_WITHIN
         ]
         self._broken[target] = [*recent, (content, now)]
-        others = [known for name, known in self._broken.items() if name != target]
-        return content in self._records or any(
-            content == one for broken in others for one, _ in broken
-        )
+        others = [
+            name
+            for name, broken in self._broken.items()
+            if name != target and self._list_recent(broken, now).count(content)
+        ]
+        if not others and content not in self._records:
+            return []
+        return [*others, target]
+
+    @staticmethod
+    def _list_recent(broken: list[tuple[str, Millis]], now: Millis) -> list[str]:
+        return [one for one, at in broken if now - at <= _FOUND_WITHIN]
 
     def lost(self, target: str, now: Millis) -> list[str]:
         """Take in that a target is gone; return what is blamed for it."""
         broken = self._broken.pop(target, [])
-        blamed = [one for one, at in broken if now - at <= _FOUND_WITHIN]
+        blamed = self._list_recent(broken, now)
         for content in blamed:
             self.hear(content, target, now)
         return blamed
 
     def hear(self, content: str, target: str, now: Millis) -> None:
         """Take in that content is blamed for a target's crash."""
+        self.exposure.crashed(content, target, now)
         record = self._records.setdefault(content, _Record())
         record.targets.add(target)
         record.at = now
@@ -91,9 +110,11 @@
     def clear(self, content: str) -> None:
         """Take in that content was answered whole."""
         self._records.pop(content, None)
+        self.exposure.clear(content)
 
     def is_poison(self, content: str, now: Millis) -> bool:
         """Tell whether content must not run any more."""
+        self.exposure.expire(content, now)
         record = self._records.get(content)
         if record is None:
             return False
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -18,7 +18,6 @@
     NO_ENGINE,
     NOT_READY,
     OVERLOADED,
-    QUARANTINED,
     UNAUTHENTICATED,
     UNKNOWN_ROUTE,
     AnvilshiftError,
@@ -37,14 +36,12 @@
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attempts import Answer, AttemptError, Outgoing
 from anvilshift.gateway.border import Call, Delivery
+from anvilshift.gateway.crashes import CrashWatch
 from anvilshift.gateway.relaying import WHOLE, AnswerRelay
 from anvilshift.gateway.shared import Shared
-from anvilshift.wire.messages import Address, HttpRequest
+from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.server import CallerGoneError, Responder
 
-_CHECK: Millis = 300.0
-"""How long a target may take to accept a connection, which takes 4 ms."""
-
 
 class Passage:
     """One caller's request on its way.
@@ -120,9 +117,8 @@
             raise AnvilshiftError(UNKNOWN_ROUTE)
         self.rule: Rule = rule
         self.payer = self._authenticate(table, call, rule)
-        self.content = self._digest()
-        if self.shared.blame.is_poison(self.content, self.arrived):
-            raise AnvilshiftError(QUARANTINED)
+        self.crashes = CrashWatch(self.shared, self._digest())
+        self.crashes.check()
         patience = rule.timeout if call.patience is None else call.patience
         self.end = self.arrived + min(patience, rule.timeout)
         self.service = rule.draw_service(self.shared.rng)
@@ -207,15 +203,16 @@
             try:
                 if await self._attempt(choice):
                     self.shared.retries.earn()
-                    self.shared.blame.clear(self.content)
+                    self.crashes.clear()
                     return
             except AttemptError as error:
                 self._note_failure(choice, error)
-                await self._look_for_crash(choice, error)
+                await self.crashes.look(choice.target, error)
                 self._check_repeat(error)
 
     def _choose(self) -> Choice:
         shared, now = self.shared, self.shared.clock.now()
+        excluded = self.excluded | self.crashes.list_barred(self.service)
         if self.model is not None:
             demand = Demand(
                 self.service,
@@ -229,7 +226,7 @@
                 self.model.fetch_per_token,
             )
             choice = choose_engine(
-                shared.sender.loads, demand, now, shared.rng, self.excluded
+                shared.sender.loads, demand, now, shared.rng, excluded
             )
         else:
             choice = choose_plain(
@@ -238,7 +235,7 @@
                 shared.domain,
                 shared.mean_work(self.service).value,
                 shared.rng,
-                self.excluded,
+                excluded,
             )
         if choice is None:
             raise self._give_up(NO_ENGINE, NO_ENGINE_RETURN, "no target is left")
@@ -275,21 +272,6 @@
             events=self.relay.events,
         )
 
-    async def _look_for_crash(self, choice: Choice, error: AttemptError) -> None:
-        """Blame the request's content for a target that is found gone."""
-        shared, info = self.shared, choice.target.info
-        if error.replaced:
-            shared.note_replaced(info.name)
-        elif error.failure is Failure.NOT_SENT:
-            shared.note_lost(info.name)
-        elif error.failure is Failure.BROKE_OFF and not error.answered:
-            suspect = shared.blame.broke(self.content, info.name, shared.clock.now())
-            address = Address.parse(info.address)
-            if suspect and not await shared.sender.client.check(address, _CHECK):
-                shared.note_lost(info.name)
-        if shared.blame.is_poison(self.content, shared.clock.now()):
-            raise AnvilshiftError(QUARANTINED)
-
     def _eject_if_bad(self, choice: Choice, failure: Failure) -> None:
         health, now = choice.target.health, self.shared.clock.now()
         # Where nobody accepts connections, the next request would find out again.
@@ -329,6 +311,7 @@
         before = self.may_have_run, self.targets
         self.may_have_run = True
         self.targets += 1
+        self.crashes.begin(self.target)
         try:
             async with asyncio.timeout(self._bound_try(choice, left)) as bound:
                 async with shared.sender.send(outgoing) as answer:
@@ -343,6 +326,8 @@
         except TimeoutError as error:
             self.relay.broken = True
             raise AttemptError(Failure.BROKE_OFF, "the target is silent") from error
+        finally:
+            self.crashes.end(self.target, self.targets > before[1])
 
     def _bound_try(self, choice: Choice, left: Millis) -> float | None:
         """Return the seconds that a target may take, where another can follow."""
--- a/tests/core/test_blame.py
+++ b/tests/core/test_blame.py
@@ -22,6 +22,22 @@
             self.crash("content", "e1", n * 1_000.0)
         self.assertFalse(self.book.is_poison("content", 6_000.0))
 
+    def test_first_crash_is_looked_for_when_the_content_breaks_off_again(self):
+        """Guards against a first lost target that counts for nothing."""
+        self.assertEqual(self.book.broke("poison", "e1", 0.0), [])
+        self.assertEqual(self.book.broke("poison", "e2", 100.0), ["e1", "e2"])
+        self.assertEqual(self.book.broke("poison", "e3", 9_000.0), [])
+
+    def test_content_reaches_three_targets_whatever_is_known_of_crashes(self):
+        """Guards against a further target lost while nobody knows of a crash."""
+        for target in ("e1", "e2", "e3"):
+            self.assertTrue(self.book.exposure.may_reach("content", target))
+            self.book.exposure.charge("content", target, 0.0)
+            self.book.exposure.end("content", target, ran=True)
+        self.assertFalse(self.book.exposure.may_reach("content", "e4"))
+        self.book.clear("content")
+        self.assertTrue(self.book.exposure.may_reach("content", "e4"))
+
     def test_broken_answers_without_a_crash_prove_nothing(self):
         for target in ("e1", "e2", "e3", "e4"):
             self.book.broke("content", target, 0.0)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -157,6 +157,17 @@
         self.assertEqual(statuses[-1], 422)
         self.assertEqual((await self.call("/read/1", b"fine"))[0], 200)
 
+    async def test_the_first_target_that_a_request_crashes_counts(self):
+        """Guards against a fourth target, lost since the first was not looked at."""
+        for name in ("d1", "d2", "d3", "d4", "d5"):
+            target = await self.add_target(name, "desk")
+            target.poison = b"poison"
+        await self.start_node()
+        statuses = [(await self.call("/read/1", b"poison"))[0] for _ in range(6)]
+        lost = [t for t in self.targets.values() if t.crashed]
+        self.assertEqual(len(lost), 3)
+        self.assertEqual(statuses[-1], 422)
+
 
 class ReplacedTest(GatewayCase):
     async def test_a_replaced_target_is_asked_once_and_not_by_every_request(self):
