Read the list of hosts at other instants in each router

Cause: routers that start together read the list in step, within 110 ms of each 500. Ruled out: a read that was not acted on; peers that were not told.

Change: a random first pause.

--- a/anvilshift/router/departing.py
+++ b/anvilshift/router/departing.py
@@ -1,6 +1,7 @@
 """Gather every sign that a target is leaving, and tell the dispatcher."""
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -119,8 +120,19 @@
             logging.info("target back engine=%s", target)
             self._tell(target, False)
 
-    async def follow(self, store: ObjectStore, routers: Callable[[], set[str]]) -> None:
-        """Read the platform's list again and again."""
+    async def follow(
+        self,
+        store: ObjectStore,
+        routers: Callable[[], set[str]],
+        rng: random.Random,
+    ) -> None:
+        """Read the platform's list again and again.
+
+        Routers that started together would all read it at the same instants: an
+        entry that stands between two of these, just before an outage, would be
+        seen by none and the leaving target be sent to for as long as it lasts.
+        """
+        await asyncio.sleep(rng.uniform(0.0, _HOSTS_INTERVAL) / SECOND)
         while True:
             try:
                 self.take_hosts(await store.hosts())
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -262,7 +262,7 @@
             ),
             self.departing.take_refusal,
         )
-        leaving = self.departing.follow(self.store, self._name_routers)
+        leaving = self.departing.follow(self.store, self._name_routers, self.world.rng)
         works = (
             self.follower.run(),
             polling,
--- a/tests/router/test_departing.py
+++ b/tests/router/test_departing.py
@@ -1,5 +1,7 @@
 """Which targets are taken for leaving, from signs that may be late or wrong."""
 
+import asyncio
+import random
 import unittest
 
 from anvilshift.core.clock import SECOND, ManualClock
@@ -7,6 +9,7 @@
 from anvilshift.core.work import LoadReport
 from anvilshift.objects.store import HostEntry
 from anvilshift.router.departing import Departing
+from anvilshift.standins.virtual import run_virtual
 
 
 class DepartingTest(unittest.TestCase):
@@ -58,6 +61,29 @@
         self.list_hosts(HostEntry("e1", True))
         self.assertEqual(self.departing.leaving, {"e1"})
 
+    async def _follow(self, seed):
+        await self.departing.follow(self, set, random.Random(seed))
+
+    async def hosts(self):
+        self.read.append(asyncio.get_running_loop().time())
+        return ()
+
+    def test_routers_that_start_together_read_the_list_at_other_instants(self):
+        """Guards against an entry that stands for a moment and is seen by nobody."""
+        self.read = []
+
+        async def play():
+            tasks = [asyncio.ensure_future(self._follow(seed)) for seed in range(4)]
+            await asyncio.sleep(0.5)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        run_virtual(play())
+        firsts = sorted(self.read)[:4]
+        self.assertGreater(max(firsts) - min(firsts), 0.1)
+        self.assertEqual(len({round(at, 3) for at in firsts}), 4)
+
 
 if __name__ == "__main__":
     unittest.main()
