Log abandoned attempts, lost engines and quarantines with their ids

Cause: an abandoned attempt left no line that names its engine, and the content that was running where an engine broke off stood in no log, so neither the held-up router nor the poisons could be explained from logs alone; both needed instrumented runs. Change: one warning for each of the three, with request, content and engine. A line is written for each attempt that breaks off, as for each failed attempt before.

--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -187,6 +187,12 @@
 
     def _announce(self, news: Announce) -> None:
         self.crashes.announce(news)
+        logging.warning(
+            "engine reached without an answer content=%s engine=%s blamed=%d",
+            news.content,
+            news.target,
+            news.times,
+        )
         targets = self.dispatcher.list_confined(news.content)
         if targets and news.times:
             self.quarantined.add(news.content, targets)
--- a/anvilshift/router/quarantined.py
+++ b/anvilshift/router/quarantined.py
@@ -58,6 +58,7 @@
             return
         record = QuarantineRecord(content, tuple(targets), now)
         self._written[content] = record
+        logging.warning("quarantined content=%s engines=%s", content, record.targets)
         task = asyncio.get_running_loop().create_task(self._write(record))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -250,6 +250,9 @@
                 raise
             self._cancel_attempt()
             self._shared.telemetry.count_event("attempt_abandoned")
+            logging.warning(
+                "attempt abandoned request=%s engine=%s", self.job.identity, send.target
+            )
             return False
         finally:
             self._generating = None
--- a/tests/router/test_dispatching.py
+++ b/tests/router/test_dispatching.py
@@ -25,12 +25,11 @@
 
 
 class HeldUpTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
+    def start(self):
         self.clock = MonotonicClock()
         self.stub = StubDispatcher(self.clock)
         self.stub.begun = self.clock.now()
-        self.dispatch = DispatchLoop(self.stub, self.clock)
-        self.dispatch.act([])
+        DispatchLoop(self.stub, self.clock).act([])
 
     async def wait_ticks(self, count):
         async with asyncio.timeout(10.0):
@@ -39,6 +38,7 @@
 
     async def test_nothing_is_judged_before_what_arrived_meanwhile_is_read(self):
         """Guards against healthy targets left for a pause of the router itself."""
+        self.start()
         time.sleep(0.3)  # noqa: ASYNC251
         woken = self.clock.now()
         await self.wait_ticks(1)
@@ -46,6 +46,7 @@
 
     async def test_loop_that_is_always_late_judges_all_the_same(self):
         """Guards against a busy router that never acts on what is due."""
+        self.start()
         until = self.clock.now() + 2 * SECOND
         while self.clock.now() < until:
             time.sleep(0.1)  # noqa: ASYNC251
