Stop work at a hung engine only for an engine that it may reach

What callers saw: with the bound on what a content costs, work that was long overdue could be taken from its engine while the only other one that it may reach had no room, and then waited for that one though its first engine might yet have answered. Cause: the check before the move asked any two engines with room. Change: the engines that the work may reach are asked.

--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -43,7 +43,7 @@
             return []
         if self._state.quarantine.is_quarantined(entry.work.content, now):
             return [self._quarantine(entry, pool)]
-        names = self._list_bound(entry.work, pool) or self._draw(entry, pool)
+        names = self.list_bound(entry.work, pool) or self._draw(entry, pool)
         names = [name for name in dict.fromkeys(names) if name in pool.open]
         views = [self._state.views[name] for name in names]
         options = [
@@ -76,10 +76,10 @@
 
     def is_stuck(self, work: Work, pool: Pool) -> bool:
         """Tell whether no target that work may reach is in use now."""
-        names = self._list_bound(work, pool)
+        names = self.list_bound(work, pool)
         return bool(names) and not any(self._is_used(name, pool) for name in names)
 
-    def _list_bound(self, work: Work, pool: Pool) -> list[str]:
+    def list_bound(self, work: Work, pool: Pool) -> list[str]:
         """Return the only targets that work may reach; empty for any.
 
         The content may be what took its first targets down, through a router that
@@ -144,7 +144,7 @@
         """Tell whether work may go to a target that has room."""
         work, name = entry.work, view.target.name
         pool = self._backlog.entries[work.identity][1]
-        bound = self._list_bound(work, pool)
+        bound = self.list_bound(work, pool)
         if bound and name not in bound:
             return False
         if name in entry.tried and len(entry.tried) < (len(bound) or pool.usable):
--- a/anvilshift/core/upkeep.py
+++ b/anvilshift/core/upkeep.py
@@ -60,11 +60,10 @@
         # Plain services make no tokens; their calls can't be stopped.
         if pool is None or not (work.idempotent and work.answer_tokens):
             return []
-        others = any(
-            name not in entry.tried
-            and self._state.quarantine.may_reach(work.content, name)
-            for name in pool.open.draw(self._state.rng, 2)
+        names = self._sender.list_bound(work, pool) or pool.open.draw(
+            self._state.rng, 2
         )
+        others = any(name in pool.open and name not in entry.tried for name in names)
         left = entry.attempts < self._state.settings.attempts
         if not (others and left) or self._state.has_no_hope(entry, pool, now):
             return []
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -208,6 +208,20 @@
         self.assertEqual(fleet.refused, {})
         self.assertTrue({fleet.running[n][1] for n in names if n in fleet.running})
 
+    def test_work_at_a_hung_engine_is_not_stopped_for_one_that_it_may_not_reach(self):
+        """Guards against work taken from its engine that then waits for no other."""
+        fleet = Fleet(1, routers=2)
+        name = fleet.send(0, "work")
+        here = fleet.running[name]
+        state = fleet.routers[0]._state
+        for target in state.pools.find(dict.fromkeys(NAMES, 0)).order("work")[:2]:
+            view = state.views[target]
+            view.whole = 0
+            view.refresh()
+        fleet.now = 5_000.0
+        fleet.tick()
+        self.assertEqual(fleet.running.get(name), here)
+
     def take_down(self, fleet, target):
         for router in fleet.routers:
             router.leaving(target, fleet.now)
