Let the test of a router's pause stop it just when a token has left its engine

Change: it stops the loop right after the engine wrote its first token, so that the token lies unread in the router's socket, which is the case it guards against.

--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -14,6 +14,7 @@
 from anvilshift.standins.engine import make_answer
 from anvilshift.wire.events import EventReader
 from anvilshift.wire.messages import HttpAnswer
+from anvilshift.wire.server import Responder
 from bench.fleet import wait_until
 from tests.router.fleetlet import Fleetlet, make_chat, read_code
 
@@ -199,16 +200,19 @@
 
     async def test_router_that_stood_still_goes_on_where_it_was(self):
         """Guards against a healthy engine left for the router's own pause."""
-        self.set_faults(slow=5.0)
         for n in range(12):
             await self.fleet.chat(f"teach {n}", tokens=2)
-        asking = asyncio.create_task(self.stream(tokens=4))
-        runs = [len(engine.runs) for engine in self.fleet.engines]
-        await wait_until(
-            lambda: [len(engine.runs) for engine in self.fleet.engines] != runs
-        )
-        time.sleep(1.5)  # noqa: ASYNC251
-        text, _, ended = read_events(await asking)
+        write = Responder.write
+
+        async def write_and_stand_still(responder, data):
+            patched.stop()
+            await write(responder, data)
+            # The first token has left its engine; this router hasn't read it.
+            time.sleep(1.5)  # noqa: ASYNC251
+
+        patched = mock.patch.object(Responder, "write", write_and_stand_still)
+        patched.start()
+        text, _, ended = read_events(await self.stream(tokens=4))
         self.assertEqual((text, ended), (make_answer("tank", 4), True))
         events = self.fleet.nodes[0].world.telemetry.events
         self.assertNotIn("attempt_abandoned", events)
