Serve work elsewhere when its first two engines stay down

What callers saw: with just two engines down, work that prefers these two was refused for as long as they were: one request in 36 of nine engines, one in three of three. Cause: kept a content from a third engine without an end, although the fault it guards against, a content that took both down, needs them to have gone down just now. Evidence: the new test refuses some of 60 contents 61 s after two of six engines went down, on the code before; none now. Change: the guard holds for a minute after they went down, longer than a crashed engine is away and than a caller tries again.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -123,6 +123,7 @@
         view = self._state.views.get(target)
         if view is None or view.leaving:
             return []
+        view.go_out(now)
         view.leaving = True
         self._state.refresh(view)
         actions: Actions = []
@@ -195,7 +196,7 @@
             return [self._refuse_quarantined(Entry(work, 0.0, 0.0))]
         entry = Entry(work, 0.0, 0.0)
         pool = self._state.pools.find(work.candidates)
-        if pool is not None and self._sender.is_stuck(work, pool):
+        if pool is not None and self._sender.is_stuck(work, pool, now):
             return [self._refuse_stuck(entry)]
         return self._enter(entry, now)
 
@@ -320,7 +321,7 @@
             return [refusal]
         if entry.attempts >= self._state.settings.attempts:
             return [refusal]
-        if pool is None or not pool.usable or self._sender.is_stuck(work, pool):
+        if pool is None or not pool.usable or self._sender.is_stuck(work, pool, now):
             return [refusal]
         if self._state.has_no_hope(entry, pool, now):
             return [refusal]
@@ -357,7 +358,7 @@
             if self._state.quarantine.is_quarantined(entry.work.content, at):
                 del self._backlog.entries[entry.work.identity]
                 return [self._refuse_quarantined(entry)]
-            if self._sender.is_stuck(entry.work, pool):
+            if self._sender.is_stuck(entry.work, pool, at):
                 del self._backlog.entries[entry.work.identity]
                 return [self._refuse_stuck(entry)]
             return [
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -61,6 +61,8 @@
         Requests that this router may have there, its fraction drawn by lot.
     counted
         What the pools' slots hold of this target.
+    out_since
+        When it was last found down after it had been sound.
     """
 
     target: Target
@@ -69,13 +71,29 @@
     leaving: bool = False
     whole: int = 0
     counted: float = 0.0
+    out_since: Millis = float("-inf")
     pools: "list[Pool]" = field(default_factory=list)
     kind: Kind = field(default_factory=Kind)
 
+    @property
+    def is_used(self) -> bool:
+        """Tell whether it may get work at all."""
+        return not self.leaving and self.health.state is not State.EJECTED
+
+    @property
+    def is_sound(self) -> bool:
+        """Tell whether it is in use and not just coming back."""
+        return not self.leaving and self.health.state is State.HEALTHY
+
+    def go_out(self, now: Millis) -> None:
+        """Take in that it is about to go out of use."""
+        if self.is_sound:
+            self.out_since = now
+
     @property
     def part(self) -> float:
         """Return how many requests this router may have here, as a mean."""
-        if self.leaving or self.health.state is State.EJECTED:
+        if not self.is_used:
             return 0.0
         if self.health.state is State.PROBING:
             return min(float(self.health.cap), self.limit.part)
@@ -114,8 +132,7 @@
         most = self.whole
         if self.health.state is State.PROBING:
             most = min(self.health.cap, max(1, self.whole))
-        usable = not self.leaving and self.health.state is not State.EJECTED
-        return usable and self.limit.own < most
+        return self.is_used and self.limit.own < most
 
     def refresh(self) -> None:
         """Bring the pools up to date after a change."""
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from anvilshift.core.backlog import Backlog
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import State
 from anvilshift.core.errors import OVERLOADED, QUARANTINED
 from anvilshift.core.exposure import FORGET_AFTER, TARGETS
@@ -16,6 +16,8 @@
 
 _PASSED_OVER = 4
 """Most requests passed over for one slot, so that an event's cost is bounded."""
+_LATELY: Millis = 60 * SECOND
+"""Longer than a crashed target is away and a caller's retries go on."""
 _PROBE_SLACK = 3.0
 """A request that probes a returning target has time to run elsewhere after."""
 
@@ -43,7 +45,7 @@
             return []
         if self._state.quarantine.is_quarantined(entry.work.content, now):
             return [self._quarantine(entry, pool)]
-        names = self.list_bound(entry.work, pool) or self._draw(entry, pool)
+        names = self.list_bound(entry.work, pool, now) or self._draw(entry, pool)
         names = [name for name in dict.fromkeys(names) if name in pool.open]
         views = [self._state.views[name] for name in names]
         options = [
@@ -74,18 +76,18 @@
             names = pool.open.draw(rng, DRAWN)
         return names + self._state.prefixes.holders(entry.work.prefixes, rng, HOLDERS)
 
-    def is_stuck(self, work: Work, pool: Pool) -> bool:
+    def is_stuck(self, work: Work, pool: Pool, now: Millis) -> bool:
         """Tell whether no target that work may reach is in use now."""
-        names = self.list_bound(work, pool)
+        names = self.list_bound(work, pool, now)
         return bool(names) and not any(self._is_used(name, pool) for name in names)
 
-    def list_bound(self, work: Work, pool: Pool) -> list[str]:
+    def list_bound(self, work: Work, pool: Pool, now: Millis) -> list[str]:
         """Return the only targets that work may reach; empty for any.
 
         The content may be what took its first targets down, through a router that
-        is cut off or that ended before it told anybody.  So it goes to no further
-        one while these are the only ones that are down or come back from it, or
-        while this router can't hear all others.
+        is cut off or that ended before it told anybody.  So for a while it goes to
+        no further one when these are the only ones that went down, or when this
+        router can't hear all others.
         """
         reached = self._state.quarantine.list_reached(work.content)
         if len(reached) >= TARGETS:
@@ -95,10 +97,7 @@
         if not work.content:
             return []
         homes = pool.order(work.content)[:TARGETS]
-        if any(self._is_sound(name, pool) for name in homes):
-            return []
-        unsound = sum(not self._is_sound(name, pool) for name in pool.priorities)
-        return homes if self._state.apart or unsound <= TARGETS else []
+        return homes if self._went_down_lately(homes, pool, now) else []
 
     def _list_next(self, work: Work, pool: Pool, reached: list[str]) -> list[str]:
         """Return the one target that work may reach next, the same at each router.
@@ -115,13 +114,16 @@
 
     def _is_used(self, name: str, pool: Pool) -> bool:
         view = self._state.views.get(name)
-        if view is None or view.leaving or name not in pool.priorities:
-            return False
-        return view.health.state is not State.EJECTED
+        return view is not None and name in pool.priorities and view.is_used
 
-    def _is_sound(self, name: str, pool: Pool) -> bool:
-        health = self._state.views[name].health if self._is_used(name, pool) else None
-        return health is not None and health.state is State.HEALTHY
+    def _went_down_lately(self, names: list[str], pool: Pool, now: Millis) -> bool:
+        """Tell whether targets went down lately, and no others are down."""
+        views = [self._state.views[name] for name in names if name in self._state.views]
+        if any(v.is_sound or now - v.out_since > _LATELY for v in views):
+            return False
+        declared = (self._state.views.get(name) for name in pool.priorities)
+        unsound = sum(view is not None and not view.is_sound for view in declared)
+        return self._state.apart or unsound <= len(names)
 
     def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
         """Refuse work that was found poisonous while it waited."""
@@ -144,7 +146,7 @@
         """Tell whether work may go to a target that has room."""
         work, name = entry.work, view.target.name
         pool = self._backlog.entries[work.identity][1]
-        bound = self.list_bound(work, pool)
+        bound = self.list_bound(work, pool, now)
         if bound and name not in bound:
             return False
         if name in entry.tried and len(entry.tried) < (len(bound) or pool.usable):
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -208,6 +208,19 @@
         self.assertEqual(fleet.refused, {})
         self.assertTrue({fleet.running[n][1] for n in names if n in fleet.running})
 
+    def test_work_is_served_elsewhere_when_its_first_engines_stay_down(self):
+        """Guards against innocent work refused for as long as two engines are away."""
+        fleet = Fleet(1)
+        for target in ("e1", "e2"):
+            self.take_down(fleet, target)
+        fleet.now += 61_000.0
+        for n in range(60):
+            fleet.send(0, f"c{n}")
+            for name in list(fleet.running):
+                fleet.running.pop(name)
+                fleet.take(0, fleet.routers[0].done(name, 5, fleet.now))
+        self.assertEqual(fleet.refused, {})
+
     def test_work_at_a_hung_engine_is_not_stopped_for_one_that_it_may_not_reach(self):
         """Guards against work taken from its engine that then waits for no other."""
         fleet = Fleet(1, routers=2)
