Try another router at once when one can't spend in an outage

What callers saw: 2002 up to their deadline while another router had tokens left.

Cause: a router that drew nothing before the platform went out refuses, rightly, and names 2 s; the client waited 2.0 to 2.4 s, by then had forgotten the refusal (it kept failures for 2 s) and drew any router again: with one of three that can spend, 1 in 11 callers of 15 s misses it each time. Evidence: tokens drawn by r1 only, then an outage: not all of 12 callers are answered within 6 s before, all after. Ruled out: a pause of the platform's stand-in by itself (1.5, 3, 5 s: green).

Change: the client avoids such a router for longer than it says, and tries a known one that it does not avoid at once. Why it holds: each router is asked once before any twice. Before, after: two new tests red, green.

--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -10,6 +10,7 @@
 from typing import Any, TypeVar
 
 from anvilshift.client.failures import (
+    ELSEWHERE_CODES,
     LEAVING_CODES,
     NOT_RUN,
     UNKNOWN,
@@ -30,6 +31,9 @@
 _LOOKUP_TIMEOUT: Millis = 1 * SECOND
 _DEFAULT_DEADLINE: Millis = 30 * SECOND
 _STALL: Millis = 1 * SECOND
+_AVOID: Millis = 2 * SECOND
+"""How long an address that failed is left alone, and beyond the time at which one that
+refused says to come back."""
 """Silence after which a router is asked whether it still answers.  One that is
 paused keeps its connections open, and nothing else would tell."""
 
@@ -104,7 +108,7 @@
         self._backoff = Backoff()
         self._addresses: list[Address] = []
         self._keep_until: Millis = 0.0
-        self._failed: dict[Address, Millis] = {}
+        self._avoided: dict[Address, Millis] = {}
 
     @classmethod
     def from_config(cls, config: dict[str, Any]) -> "Client":
@@ -145,9 +149,12 @@
     async def _choose(self) -> Address:
         """Return an address, one that did not just fail where there is one."""
         addresses = await self.look_up()
+        return self._rng.choice(self._list_others(addresses) or addresses)
+
+    def _list_others(self, addresses: list[Address]) -> list[Address]:
+        """Return the addresses that did not just fail or refuse."""
         now = self._clock.now()
-        recent = {a for a, at in self._failed.items() if now - at < 2 * SECOND}
-        return self._rng.choice([a for a in addresses if a not in recent] or addresses)
+        return [a for a in addresses if self._avoided.get(a, now) <= now]
 
     async def _choose_by(self, until: Millis) -> Address:
         """Return an address without asking for longer than there is time.
@@ -163,12 +170,23 @@
             return self._rng.choice(self._addresses or self._seeds)
 
     def _mark_failed(self, address: Address) -> None:
-        self._failed[address] = self._clock.now()
+        self._avoided[address] = self._clock.now() + _AVOID
         self._keep_until = 0.0
 
+    def _take_refusal(self, address: Address, error: CallError) -> None:
+        """Take in what a router's refusal says of that router."""
+        if error.number in LEAVING_CODES:
+            self._mark_failed(address)
+        elif error.number in ELSEWHERE_CODES:
+            span = _AVOID + (error.retry_after or 0.0)
+            self._avoided[address] = self._clock.now() + span
+
     async def _pause(self, error: CallError, attempt: int, until: Millis) -> None:
         """Wait before the next try, or raise when there is no time for one."""
-        if error.retry_after is not None:
+        elsewhere = error.number in ELSEWHERE_CODES
+        if elsewhere and self._list_others(self._addresses):
+            span = self._backoff.draw(0, self._rng)
+        elif error.retry_after is not None:
             span = error.retry_after * self._rng.uniform(1.0, 1.2)
         else:
             span = self._backoff.draw(attempt, self._rng)
@@ -215,8 +233,7 @@
                 failure = outcome.note(error)
                 if not is_worth_retry(error):
                     raise failure from error
-                if error.number in LEAVING_CODES:
-                    self._mark_failed(address)
+                self._take_refusal(address, error)
             await self._pause(failure, attempt, until)
             attempt += 1
 
@@ -341,8 +358,7 @@
                 failure = outcome.note(error)
                 if not is_worth_retry(error):
                     raise failure
-                if error.number in LEAVING_CODES:
-                    self._mark_failed(address)
+                self._take_refusal(address, error)
             except ExchangeError as broken:
                 self._mark_failed(address)
                 fate = UNKNOWN if broken.sent else NOT_RUN
--- a/anvilshift/client/failures.py
+++ b/anvilshift/client/failures.py
@@ -8,6 +8,9 @@
 UNKNOWN = "unknown"
 LEAVING_CODES = (3004, 3005)
 """Codes of a router that takes no new work; another address serves."""
+ELSEWHERE_CODES = (2002,)
+"""Codes of a router that can't serve the call now, where another may at once: one that
+drew no tokens before the platform went out refuses what others still answer."""
 _FINAL_CODES = range(1000, 2002)
 _FINAL_OTHERS = (3003, 4003)
 """Codes that the same call would get again."""
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -4,7 +4,7 @@
 import unittest
 
 from anvilshift.client.client import CallError, Client, Conversation
-from anvilshift.core.errors import DRAINING, AnvilshiftError
+from anvilshift.core.errors import BUDGET_UNREACHABLE, DRAINING, AnvilshiftError
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
 from anvilshift.wire.server import HttpServer, Responder
@@ -93,6 +93,28 @@
                     texts.append(text)
         self.assertEqual((texts, caught.exception.fate), (["a"], "unknown"))
 
+    async def test_router_that_can_still_spend_is_found_at_once(self):
+        """Guards against callers sent back and forth between routers without tokens."""
+        others = [HttpServer(self.handle_without_tokens) for _ in range(3)]
+        for server in others:
+            self.addAsyncCleanup(server.close)
+            self.given.append({"address": str(await server.start(ANY))})
+        for _ in range(8):
+            self.steps = [self.answer]
+            client = Client([self.address], "token")
+            self.addCleanup(client.close)
+            async with asyncio.timeout(2):
+                self.assertEqual(await client.ask(ASKED), "a")
+
+    async def handle_without_tokens(self, request, responder):
+        raise AnvilshiftError(BUDGET_UNREACHABLE, "", 2_000.0)
+
+    async def answer(self, responder: Responder) -> None:
+        await responder.start(200, [])
+        await responder.write(b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n')
+        await responder.write(b"data: [DONE]\n\n")
+        await responder.finish()
+
     async def test_unreadable_stream_is_tried_again(self):
         self.steps = [self.garble, self.refuse]
         with self.assertRaises(CallError) as caught:
--- a/tests/integration/test_networks.py
+++ b/tests/integration/test_networks.py
@@ -27,6 +27,15 @@
         self.assertEqual(await self.count_orders(), {"after": 1})
         await self.check_spend("kosice", self.justified)
 
+    async def test_callers_find_the_router_that_drew_tokens_before_the_outage(self):
+        """Guards against refusals while another router may still spend."""
+        await self.ask("tank 0", 10, self.client("kosice", "r1"))
+        await self.fleet.set_faults(self.fleet.platform, outage=True)
+        async with asyncio.timeout(6):
+            await asyncio.gather(*self.begin_streams(12, 10))
+        await self.fleet.set_faults(self.fleet.platform, outage=False)
+        await self.check_spend("kosice", self.justified)
+
     async def test_lost_answers_double_neither_orders_nor_bills(self):
         """A third of the platform's answers are lost after the write took effect."""
         await self.fleet.set_faults(self.fleet.platform, lose_answers=0.33)
