Find an engine silent that was paused before it answered a poll

What callers saw: a stream that stopped after two tokens and broke off at its deadline, 15 s later, though two other engines were idle.

Cause: silence was counted from the last answered poll, and an engine that never answered one was never silent. Ruled out: resets and dripping (eight other streams ended in 1.6 s), a wait for an engine without another suspect.

Change: counted from the declaration until a first answer; a poll that is refused is an answer. Failed fleet tests print their logs: asyncTearDown asked outcome.success, which unittest sets to True before it calls it.

--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -14,6 +14,7 @@
 from anvilshift.core.work import CacheEvent, Failure, LoadReport
 from anvilshift.engines.engine import Connector, ModelEngine, PlainService
 from anvilshift.engines.http import TargetError
+from anvilshift.wire.client import ExchangeError
 
 REPORT_INTERVAL: Millis = 250.0
 _EVENTS_EVERY = 4
@@ -51,6 +52,8 @@
                     engines[engine.name] = self._connector.engine(engine)
                 else:
                     services[engine.name] = self._connector.service(engine)
+        now = self._clock.now()
+        self._answered = {name: self._answered.get(name, now) for name in engines}
         self._engines, self._services = engines, services
         self._rounds = Counter({n: self._rounds[n] for n in engines})
         self._declared = declared
@@ -64,7 +67,11 @@
         return self._services.get(name)
 
     def is_silent(self, name: str) -> bool:
-        """Tell whether an engine that used to answer its polls has stopped."""
+        """Tell whether an engine has not answered its polls since some time.
+
+        One that never answered counts from when it was declared: paused before its
+        first answer, it would otherwise keep every request until its deadline.
+        """
         answered = self._answered.get(name)
         return answered is not None and self._clock.now() - answered > _SILENCE
 
@@ -105,6 +112,10 @@
             for task in polls.values():
                 task.cancel()
 
+    def _note_answer(self, name: str) -> None:
+        if name in self._answered:
+            self._answered[name] = self._clock.now()
+
     async def _poll_one(
         self,
         name: str,
@@ -115,7 +126,7 @@
     ) -> None:
         try:
             report = await engine.load()
-            self._answered[name] = self._clock.now()
+            self._note_answer(name)
             take_report(replace(report, as_of=self._clock.now() - report.as_of))
             if self._rounds[name] % _EVENTS_EVERY == 0:
                 for event in await engine.cache_events(self._sequences.get(name, 0)):
@@ -124,6 +135,9 @@
             self._rounds[name] += 1
         except TargetError as error:
             logging.debug("no report engine=%s %s", name, error)
+            if not isinstance(error.__cause__, ExchangeError):
+                # It answered, only not with a report.
+                self._note_answer(name)
             if error.failure is Failure.NOT_SENT:
                 take_refusal(name)
         except AnvilshiftError as error:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -24,7 +24,7 @@
 EXAMPLES = ROOT / "examples"
 OPERATOR_TOKEN = "operator-token"
 _START_TIMEOUT_S = 20.0
-_LAST_LINES = 15
+_LAST_LINES = 60
 _POLL_S = 0.02
 
 
@@ -350,6 +350,6 @@
         """Return the last lines of every log, for a failure's report."""
         parts = []
         for name, process in self.processes.items():
-            lines = process.log.read_text(errors="replace").splitlines()[-15:]
+            lines = process.log.read_text(errors="replace").splitlines()[-_LAST_LINES:]
             parts.append(f"--- {name}\n" + "\n".join(lines))
         return "\n".join(parts)
--- a/tests/integration/fleetcase.py
+++ b/tests/integration/fleetcase.py
@@ -63,7 +63,10 @@
         self.assertTrue(found.accepted)
 
     async def asyncTearDown(self):
-        if self._outcome is not None and not self._outcome.success:
+        # The outcome's own mark is set anew before this is called.
+        result = self._outcome.result
+        failed = [*result.errors, *result.failures]
+        if any(test is self for test, _ in failed):
             print(self.fleet.read_logs())
 
     def client(self, organisation: str, router: str = "") -> Client:
