Tell of blamed content before what merely ran where an engine crashed

What callers would have seen: a poison that runs on at a router which was cut off when it was new, because the news of it had been pushed out of the heartbeats by a busy crash. Cause: since each neighbour of a crash is told of as well, and a heartbeat carries the fifty newest. Evidence: the new test of tests/router/test_crashes, red before. Change: what is blamed is kept first, then the newest.

--- a/anvilshift/router/crashes.py
+++ b/anvilshift/router/crashes.py
@@ -125,4 +125,7 @@
         recent = {item: at for item, at in news.items() if now - at <= span}
         if most is None or len(recent) <= most:
             return recent
-        return dict(list(recent.items())[-most:])
+        # What merely ran at a crash is told of in numbers, and must not push out
+        # the content that is blamed for it.
+        ranked = sorted(recent.items(), key=lambda item: (item[0].times > 0, item[1]))
+        return dict(ranked[-most:])
--- a/tests/router/test_crashes.py
+++ b/tests/router/test_crashes.py
@@ -70,6 +70,16 @@
         self.fleet.cut_peers()
         await wait_until(lambda: not node.dispatcher._state.apart)
 
+    async def test_neighbours_of_a_crash_do_not_push_out_what_is_blamed(self):
+        """Guards against a poison that is no longer told of after a busy crash."""
+        crashes = self.fleet.nodes["r1"].crashes
+        crashes.announce(Announce("poison", "e1"))
+        for n in range(200):
+            crashes.announce(Announce(f"neighbour{n}", "e2", times=0))
+        told = [(crash.content, crash.target) for crash in crashes.list_told()]
+        self.assertIn(("poison", "e1"), told)
+        self.assertEqual(len(told), 50)
+
     async def test_router_that_missed_a_beat_hears_with_the_next(self):
         self.fleet.cut_peers("r3")
         self.fleet.nodes["r1"].dispatch.announce(Announce("poison", "e1"))
