Name partitions, outages and allowed targets by the field's words

Cause: read as a newcomer, "apart", "go_out" and "bound" needed their context. Change: partitioned, note_outage, allowed; one condition parted in two lines. Behaviour and assertions unchanged; two tests follow the names.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -114,16 +114,16 @@
             view.limit.set_routers(routers)
             self._state.refresh(view, draw=True)
 
-    def set_apart(self, apart: bool) -> None:
+    def set_partitioned(self, partitioned: bool) -> None:
         """Take in whether some other router can't be heard."""
-        self._state.apart = apart
+        self._state.partitioned = partitioned
 
     def leaving(self, target: str, now: Millis) -> Actions:
         """Take in that a target is leaving: it gets no new work."""
         view = self._state.views.get(target)
         if view is None or view.leaving:
             return []
-        view.go_out(now)
+        view.note_outage(now)
         view.leaving = True
         self._state.refresh(view)
         actions: Actions = []
@@ -331,9 +331,8 @@
         if confined or len(entry.tried) >= pool.usable:
             pause = BACKOFF.draw(entry.attempts, self._state.rng)
             return self._back_off(entry, pool, now, pause)
-        if not self._state.is_alone and self._state.quarantine.list_reached(
-            work.content
-        ):
+        reached = self._state.quarantine.list_reached(work.content)
+        if reached and not self._state.is_alone:
             return self._back_off(entry, pool, now, NEWS_SPAN)
         return [
             *self._backlog.wait(entry, pool, now),
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -85,7 +85,7 @@
         """Tell whether it is in use and not just coming back."""
         return not self.leaving and self.health.state is State.HEALTHY
 
-    def go_out(self, now: Millis) -> None:
+    def note_outage(self, now: Millis) -> None:
         """Take in that it is about to go out of use."""
         if self.is_sound:
             self.out_since = now
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -16,7 +16,7 @@
 
 _PASSED_OVER = 4
 """Most requests passed over for one slot, so that an event's cost is bounded."""
-_LATELY: Millis = 60 * SECOND
+_RECENT: Millis = 60 * SECOND
 """Longer than a crashed target is away and a caller's retries go on."""
 _PROBE_SLACK = 3.0
 """A request that probes a returning target has time to run elsewhere after."""
@@ -45,7 +45,7 @@
             return []
         if self._state.quarantine.is_quarantined(entry.work.content, now):
             return [self._quarantine(entry, pool)]
-        names = self.list_bound(entry.work, pool, now) or self._draw(entry, pool)
+        names = self.list_allowed(entry.work, pool, now) or self._draw(entry, pool)
         names = [name for name in dict.fromkeys(names) if name in pool.open]
         views = [self._state.views[name] for name in names]
         options = [
@@ -78,10 +78,10 @@
 
     def is_stuck(self, work: Work, pool: Pool, now: Millis) -> bool:
         """Tell whether no target that work may reach is in use now."""
-        names = self.list_bound(work, pool, now)
+        names = self.list_allowed(work, pool, now)
         return bool(names) and not any(self._is_used(name, pool) for name in names)
 
-    def list_bound(self, work: Work, pool: Pool, now: Millis) -> list[str]:
+    def list_allowed(self, work: Work, pool: Pool, now: Millis) -> list[str]:
         """Return the only targets that work may reach; empty for any.
 
         The content may be what took its first targets down, through a router that
@@ -97,7 +97,7 @@
         if not work.content:
             return []
         homes = pool.order(work.content)[:TARGETS]
-        return homes if self._went_down_lately(homes, pool, now) else []
+        return homes if self._went_down_recently(homes, pool, now) else []
 
     def _list_next(self, work: Work, pool: Pool, reached: list[str]) -> list[str]:
         """Return the one target that work may reach next, the same at each router.
@@ -106,7 +106,7 @@
         tell each other yet would lose a further target each.
         """
         ordered = [name for name in pool.order(work.content) if name not in reached]
-        if self._state.apart:
+        if self._state.partitioned:
             # The next one may be out of use because a copy has been there.
             return ordered[:1]
         used = (name for name in ordered if self._is_used(name, pool))
@@ -116,14 +116,14 @@
         view = self._state.views.get(name)
         return view is not None and name in pool.priorities and view.is_used
 
-    def _went_down_lately(self, names: list[str], pool: Pool, now: Millis) -> bool:
+    def _went_down_recently(self, names: list[str], pool: Pool, now: Millis) -> bool:
         """Tell whether targets went down lately, and no others are down."""
         views = [self._state.views[name] for name in names if name in self._state.views]
-        if any(v.is_sound or now - v.out_since > _LATELY for v in views):
+        if any(v.is_sound or now - v.out_since > _RECENT for v in views):
             return False
-        declared = (self._state.views.get(name) for name in pool.priorities)
+        declared = [self._state.views.get(name) for name in pool.priorities]
         unsound = sum(view is not None and not view.is_sound for view in declared)
-        return self._state.apart or unsound <= len(names)
+        return self._state.partitioned or unsound <= len(names)
 
     def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
         """Refuse work that was found poisonous while it waited."""
@@ -146,10 +146,10 @@
         """Tell whether work may go to a target that has room."""
         work, name = entry.work, view.target.name
         pool = self._backlog.entries[work.identity][1]
-        bound = self.list_bound(work, pool, now)
-        if bound and name not in bound:
+        allowed = self.list_allowed(work, pool, now)
+        if allowed and name not in allowed:
             return False
-        if name in entry.tried and len(entry.tried) < (len(bound) or pool.usable):
+        if name in entry.tried and len(entry.tried) < (len(allowed) or pool.usable):
             return False
         if view.health.state is State.PROBING:
             slack = work.deadline - now
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -56,7 +56,7 @@
         How long the ends of answers waited for their bills.
     routers
         Routers that share the targets, as far as this one knows.
-    apart
+    partitioned
         Whether some other router can't be heard.
     """
 
@@ -68,7 +68,7 @@
     quarantine: Quarantine = field(default_factory=Quarantine)
     retries: RetryBudget = field(default_factory=RetryBudget)
     recording: Mean = field(default_factory=lambda: Mean(1.0))
-    apart: bool = False
+    partitioned: bool = False
 
     def __post_init__(self) -> None:
         self.routers = self.settings.routers
@@ -77,7 +77,7 @@
     @property
     def is_alone(self) -> bool:
         """Tell whether no other router shares the targets."""
-        return self.routers == 1 and not self.apart
+        return self.routers == 1 and not self.partitioned
 
     def refresh(self, view: TargetView, draw: bool = False) -> None:
         """Bring the pools up to date after a change of a target."""
--- a/anvilshift/core/upkeep.py
+++ b/anvilshift/core/upkeep.py
@@ -60,7 +60,7 @@
         # Plain services make no tokens; their calls can't be stopped.
         if pool is None or not (work.idempotent and work.answer_tokens):
             return []
-        names = self._sender.list_bound(work, pool, now) or pool.open.draw(
+        names = self._sender.list_allowed(work, pool, now) or pool.open.draw(
             self._state.rng, 2
         )
         others = any(name in pool.open and name not in entry.tried for name in names)
@@ -85,7 +85,7 @@
         returning = health.state is State.PROBING
         if not returning and not may_eject(kind.count_out(), len(kind.views)):
             return []
-        view.go_out(now)
+        view.note_outage(now)
         health.eject(now, self._state.rng)
         self._state.refresh(view)
         self._state.timers.at(health.until, lambda at: self._probe(view, at))
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -125,7 +125,7 @@
         leased = self.lease.may_serve(self.roster, seen, now)
         return leased and self.read_revision() >= self.must_hold
 
-    def is_apart(self) -> bool:
+    def is_partitioned(self) -> bool:
         """Tell whether some router of the fleet has not been heard lately."""
         span, now = _HEARD_WITHIN * self._heartbeat, self._clock.now()
         sightings = self.roster.sightings.values()
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -365,7 +365,7 @@
 
     def _count_routers(self) -> None:
         """Tell the dispatcher with how many routers it shares the targets."""
-        self.dispatcher.set_apart(self.fleet.is_apart())
+        self.dispatcher.set_partitioned(self.fleet.is_partitioned())
         present = self.fleet.roster.present(self.clock.now())
         routers = 1 + sum(s.vitals.serving for s in present)
         if routers != self._routers:
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -162,7 +162,7 @@
         for seed in range(50):
             fleet = Fleet(seed, routers=8, told=False)
             for router in fleet.routers:
-                router.set_apart(True)
+                router.set_partitioned(True)
             self.send_at_once(fleet)
             self.assertLessEqual(len(set(fleet.lost)), 2)
 
@@ -180,7 +180,7 @@
             fleet = Fleet(seed, routers=2, told=False)
             fleet.run_poison([fleet.send(0, POISON) for _ in range(3)])
             for router in fleet.routers:
-                router.set_apart(True)
+                router.set_partitioned(True)
             for target in set(fleet.lost):
                 self.take_down(fleet, target)
             name = fleet.send(1, POISON)
--- a/tests/router/test_crashes.py
+++ b/tests/router/test_crashes.py
@@ -64,11 +64,11 @@
     async def test_router_that_cannot_hear_another_knows_it(self):
         """Guards against a router that takes what it wasn't told for harmless."""
         node = self.fleet.nodes["r1"]
-        await wait_until(lambda: not node.dispatcher._state.apart)
+        await wait_until(lambda: not node.dispatcher._state.partitioned)
         self.fleet.cut_peers("r3")
-        await wait_until(lambda: node.dispatcher._state.apart)
+        await wait_until(lambda: node.dispatcher._state.partitioned)
         self.fleet.cut_peers()
-        await wait_until(lambda: not node.dispatcher._state.apart)
+        await wait_until(lambda: not node.dispatcher._state.partitioned)
 
     async def test_neighbours_of_a_crash_do_not_push_out_what_is_blamed(self):
         """Guards against a poison that is no longer told of after a busy crash."""
