Log each field of targets' answers that none bore before

What callers saw of LIMIT left no trace: an engine named its limit in its answers, and neither a log line nor a metric tells which fields an answer bears. So whether the field is unread, read by one router alone or read late can't be told apart, and its name on the wire could only be guessed. Each name is now logged once a process with its value, the request and the target (answer_field); 64 names at the most. It changes nothing else. Test: test_a_field_that_no_answer_bore_before_is_logged_once.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -6,18 +6,24 @@
 
 import contextlib
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Clock
 from anvilshift.core.loadmap import LoadMap, Prompt
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import Delivery, Dialect, Notes
+from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Begun, Ended, Held, Sent
 from anvilshift.gateway.peers import Peers
 from anvilshift.wire.client import ExchangeError, HttpClient, Response
 from anvilshift.wire.messages import Address, Headers, HttpRequest
 
+_MOST_FIELDS = 64
+"""Names of answers' fields that are logged once each; more would be noise."""
+_MOST_VALUE = 80
+"""Characters of such a field's value in the log."""
+
 
 class AttemptError(Exception):
     """An attempt failed before anything of it could be used.
@@ -94,6 +100,8 @@
     loads: LoadMap
     peers: Peers
     clock: Clock
+    journal: Journal
+    _fields: set[str] = field(default_factory=set)
 
     @contextlib.asynccontextmanager
     async def send(self, outgoing: Outgoing) -> AsyncIterator[Answer]:
@@ -108,6 +116,7 @@
         self._note_send(outgoing)
         try:
             async with self._exchange(outgoing) as response:
+                self._log_fields(outgoing, response.headers)
                 notes = self.dialect.read_notes(response.status, response.headers)
                 _check(outgoing, notes)
                 yield Answer(response.status, response.headers, notes, response)
@@ -117,6 +126,19 @@
         finally:
             self._note_end(outgoing)
 
+    def _log_fields(self, outgoing: Outgoing, headers: Headers) -> None:
+        """Log each field that no answer bore before: what targets say of themselves."""
+        for name, value in headers.pairs:
+            if name not in self._fields and len(self._fields) < _MOST_FIELDS:
+                self._fields.add(name)
+                self.journal.write(
+                    "answer_field",
+                    name=name,
+                    value=value[:_MOST_VALUE],
+                    id=outgoing.identity,
+                    target=outgoing.choice.target.info.name,
+                )
+
     def _exchange(
         self, outgoing: Outgoing
     ) -> contextlib.AbstractAsyncContextManager[Response]:
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -118,7 +118,7 @@
             clock,
             rng,
             dialect,
-            Sender(self.client, dialect, self.loads, self.peers, clock),
+            Sender(self.client, dialect, self.loads, self.peers, clock, journal),
             self.reservations,
             journal,
             settings.failure_domain,
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -6,6 +6,8 @@
 from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo
 from anvilshift.gateway.attempts import Outgoing, Sender
 from anvilshift.gateway.messages import Held
+from anvilshift.wire.messages import Headers
+from tests.gateway.silent import SilentJournal
 
 SHEET = ("sheet", 9_000)
 PROMPT = Prompt((SHEET, ("question", 100)), 9_100, 50)
@@ -34,7 +36,7 @@
         for name, domain in (("e1", "north"), ("e2", "south")):
             loads.declare(TargetInfo(name, "advice", "10.0.0.1:80", domain, 64))
         peers = TellingPeers(small)
-        sender = Sender(None, None, loads, peers, ManualClock())
+        sender = Sender(None, None, loads, peers, ManualClock(), SilentJournal())
         source = loads.targets["e2"] if fetched else None
         choice = Choice(loads.targets["e1"], 100.0, cached, source)
         request = SimpleNamespace()
@@ -58,3 +60,18 @@
 
     def test_a_small_fleet_is_told_of_each_run_anyway(self):
         self.assertEqual(self.send(cached=0, small=True), [])
+
+
+class AnswerFieldsTest(unittest.TestCase):
+    def test_a_field_that_no_answer_bore_before_is_logged_once(self):
+        """What an engine says of its need must not pass by without a trace."""
+        journal = SilentJournal()
+        sender = Sender(None, None, LoadMap(), None, ManualClock(), journal)
+        target = SimpleNamespace(info=SimpleNamespace(name="e1"))
+        outgoing = SimpleNamespace(identity="a", choice=SimpleNamespace(target=target))
+        for value in ("1.2", "1.4"):
+            sender._log_fields(outgoing, Headers([("X-Need", value)]))
+        event, fields = journal.lines[0]
+        self.assertEqual(len(journal.lines), 1)
+        self.assertEqual((event, fields["name"]), ("answer_field", "x-need"))
+        self.assertEqual((fields["value"], fields["target"]), ("1.2", "e1"))
