--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 import unittest
 
 from anvilshift.core.clock import MonotonicClock
@@ -12,7 +13,7 @@
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
 from tests.gateway.silent import SilentJournal
-from tests.platform.stand import LOOPBACK, StoreStand, TargetStand
+from tests.platform.stand import StoreStand, TargetStand
 
 ROUTES = {
     "chat": {
@@ -55,6 +56,13 @@
     }
 
 
+def find_free_port() -> int:
+    """Return a port for datagrams that nobody has on loopback."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        return free.getsockname()[1]
+
+
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.stand = StoreStand()
@@ -64,12 +72,15 @@
         self.count = 0
         self.starts = 0
         self.node: GatewayNode | None = None
+        self.nodes: list[GatewayNode] = []
         self.journal = SilentJournal()
 
     async def asyncTearDown(self):
         self.client.close()
         if self.node is not None:
             await self.node.close()
+        for node in self.nodes:
+            await node.close()
         for target in self.targets.values():
             await target.server.close()
         await self.stand.server.close()
@@ -92,40 +103,74 @@
         self.starts += 1
         if configured:
             self.stand.put("config", "main", make_configuration())
+        self.node = self.make_node("n1", "127.0.0.1", history=history)
+        await self.node.start()
+        self.address = Address("127.0.0.1", self.node.server.port)
+        if configured:
+            await self.wait_for(
+                lambda: len(self.node.loads.targets) >= len(self.targets)
+            )
+            await self.wait_for(self.node.is_ready)
+
+    def make_node(
+        self,
+        name: str,
+        ip: str,
+        peer_port: int = 0,
+        seeds: tuple[str, ...] = (),
+        history: float | None = None,
+    ) -> GatewayNode:
         settings = GatewaySettings(
-            "n1",
-            "127.0.0.1",
+            name,
+            ip,
             "north",
-            LOOPBACK,
+            Address(ip, 0),
             None,
             None,
-            0,
+            peer_port,
             0,
             self.store_address,
+            seeds,
             history=history,
         )
-        store = PlatformStore(HttpClient(), self.store_address)
-        self.node = GatewayNode(
+        return GatewayNode(
             settings,
             PlatformDialect(),
-            store,
+            PlatformStore(HttpClient(), self.store_address),
             MonotonicClock(),
             self.journal,
-            random.Random(self.starts),
+            random.Random(self.starts + len(self.nodes)),
+        )
+
+    async def start_fleet(self, count: int) -> None:
+        """Start routers that find one another, on addresses of their own."""
+        self.stand.put("config", "main", make_configuration())
+        ips = [f"127.0.0.{n}" for n in range(2, 2 + count)]
+        port = find_free_port()
+        for ip in ips:
+            node = self.make_node(f"n-{ip}", ip, peer_port=port, seeds=tuple(ips))
+            self.nodes.append(node)
+            await node.start()
+        await self.wait_for(lambda: all(node.is_ready() for node in self.nodes))
+        others = count - 1
+        await self.wait_for(
+            lambda: all(len(n.peers.list_present()) == others for n in self.nodes)
+        )
+        targets = len(self.targets)
+        await self.wait_for(
+            lambda: all(len(n.loads.targets) == targets for n in self.nodes)
         )
-        await self.node.start()
-        self.address = Address("127.0.0.1", self.node.server.port)
-        if configured:
-            await self.wait_for(
-                lambda: len(self.node.loads.targets) >= len(self.targets)
-            )
-            await self.wait_for(self.node.is_ready)
 
     async def wait_for(self, holds) -> None:
         async with asyncio.timeout(10):
             while not holds():
                 await asyncio.sleep(0.01)
 
+    async def call_at(self, node: GatewayNode, path: str, **rest):
+        """Call one router of a fleet."""
+        self.address = Address(node.settings.ip, node.server.port)
+        return await self.call(path, **rest)
+
     async def call(self, path: str, body: bytes = b"", key: str | None = "k1", **rest):
         self.count += 1
         identity = rest.pop("identity", f"id-{self.count}")
--- a/tests/platform/stand.py
+++ b/tests/platform/stand.py
@@ -108,6 +108,10 @@
         Ids of the requests that it began, in order.
     crash_after
         Events after which it cuts a stream.
+    limit
+        Requests a second that it names in its answers, if any.
+    arrivals
+        When each request reached it, in seconds of the loop.
     """
 
     def __init__(self, name: str) -> None:
@@ -124,6 +128,8 @@
         self.signs = True
         self.gone = 0
         self.on_run = lambda: None
+        self.limit: str | None = None
+        self.arrivals: list[float] = []
         self.poison: bytes | None = None
         self.crashed = False
         self.server = HttpServer(self.handle)
@@ -134,6 +140,7 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         identity = request.headers.get("anvilshift-attempt-id") or ""
         self.requests.append(request)
+        self.arrivals.append(asyncio.get_running_loop().time())
         if request.headers.get("anvilshift-expect-instance") != self.name:
             await responder.send(Reply(421))
             return
@@ -147,6 +154,8 @@
             await self.server.close()
             return
         headers = [("Anvilshift-Attempt-Id", self.echo or identity)]
+        if self.limit is not None:
+            headers.append(("Server-Limit", self.limit))
         if self.signs:
             headers.append(("Anvilshift-Engine-Signature", f"{self.name}.1"))
         try:
@@ -162,6 +171,14 @@
             self.gone += 1
             raise
 
+    def count_most(self, seconds: float, since: float) -> int:
+        """Return the most requests of any such span that ends after an instant."""
+        ends = [end for end in self.arrivals if end >= since]
+        spans = [
+            [a for a in self.arrivals if end - seconds <= a <= end] for end in ends
+        ]
+        return max((len(span) for span in spans), default=0)
+
     async def _stream(self, request, responder, headers) -> None:
         since = int(request.headers.get("last-event-id") or 0)
         await responder.start(200, [*headers, ("content-type", "text/event-stream")])
