Keep to a limit that an engine names, all routers together

Cause: an answer's fields went back to the caller unread.

Choosing counts the wait for a permit, so work goes elsewhere while another engine has room. Retries and resumes take permits like first sends, since each attempt does.

Weighed: a part for each router wastes what callers of one router could use, and is less than a request in 4 s where routers are many; counting told sends without an issuer lets all routers that wait take the next turn at once, and large fleets are told of few sends.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -16,8 +16,8 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import State
@@ -58,6 +58,9 @@
 _FULL_MS = 1_000.0
 """Charged for an engine all of whose slots are taken: the request would wait there
 for an end, about a second."""
+_LIMITED_MS = 40.0
+"""Charged for an engine that has named a limit: its few requests are kept for work
+that gains by them."""
 _PLAIN_WORK: Millis = 40.0
 """Time of a request at a plain service until it is measured."""
 
@@ -69,7 +72,7 @@
     Parameters
     ----------
     wait
-        Predicted time to its first byte.
+        Predicted time to its first byte, once it may be sent.
     cached
         Prompt tokens that need not be read.
     fetch_from
@@ -78,6 +81,8 @@
         Whether reading the prompt makes the streams beside it late.
     unscaled
         The wait at an engine of the usual speed.
+    turn
+        Predicted time until it may be sent, at a target that has named a limit.
     """
 
     target: TargetLoad
@@ -86,6 +91,12 @@
     fetch_from: TargetLoad | None = None
     disturbing: bool = False
     unscaled: Millis = 0.0
+    turn: Millis = 0.0
+
+    @property
+    def whole_wait(self) -> Millis:
+        """Return the predicted time from now to its first byte."""
+        return self.turn + self.wait
 
 
 @dataclass(frozen=True)
@@ -109,6 +120,8 @@
     fetch_per_token
         Time to fetch a token's memory from another engine; infinite where that
         can't be done.
+    turns
+        Time until a target's limit allows this request, where its router was told.
     """
 
     service: str
@@ -120,6 +133,7 @@
     pause: Millis = math.inf
     kilobytes: float = 0.0
     fetch_per_token: Millis = math.inf
+    turns: Mapping[str, Millis] = field(default_factory=dict)
 
 
 def list_usable(
@@ -189,9 +203,19 @@
             reading, cached, source = fetched, most, holder
     speed = target.speed.value
     pause = longest_pause(tokens - cached, cached, demand.steps) * speed + _JITTER
+    turn = _find_turn(target, demand.turns, now)
+    # What runs there goes on while the request waits for its turn.
+    waiting = max(0.0, waiting - turn)
     wait = waiting + reading * speed
     plain = waiting / speed + reading
-    return Choice(target, wait, cached, source, pause > demand.pause, plain)
+    return Choice(target, wait, cached, source, pause > demand.pause, plain, turn)
+
+
+def _find_turn(target: TargetLoad, turns: Mapping[str, Millis], now: Millis) -> Millis:
+    """Return the time until a target's limit allows a request."""
+    if target.limit is None:
+        return 0.0
+    return max(target.wait_for_turn(now), turns.get(target.info.name, 0.0))
 
 
 def _weigh(choice: Choice, demand: Demand, now: Millis) -> float:
@@ -200,8 +224,9 @@
     running = len(target.runs)
     far = _FAR_MS + _FAR_MS_PER_KB * demand.kilobytes
     cost = far * (target.info.failure_domain != demand.domain)
+    cost += choice.turn + _charge_limited(target, now)
     if choice.disturbing:
-        late = choice.wait > demand.on_time
+        late = choice.whole_wait > demand.on_time
         cost += _LATE_MS + _LATE_PART * choice.wait if late else choice.wait
         cost += _STREAM_MS * running
     else:
@@ -215,13 +240,24 @@
     return cost
 
 
+def _charge_limited(target: TargetLoad, now: Millis) -> float:
+    """Return the charge for a limited target; none where nothing was sent lately.
+
+    Only an answer tells that a limit has ended.
+    """
+    limited = target.find_rate(now) is not None and target.meter.count(now)
+    return _LIMITED_MS if limited else 0.0
+
+
 def choose_plain(
     loads: LoadMap,
     service: str,
     domain: str,
     work: Millis,
     rng: random.Random,
+    now: Millis,
     excluded: Collection[str] = (),
+    turns: Mapping[str, Millis] | None = None,
 ) -> Choice | None:
     """Return the plain target with the least running for its slots.
 
@@ -229,6 +265,8 @@
     ----------
     work
         Mean time of a request there.
+    turns
+        Time until a target's limit allows this request, where its router was told.
     """
     usable = list_usable(loads.of_service(service), excluded)
     if not usable:
@@ -237,9 +275,11 @@
     def cost(target: TargetLoad) -> float:
         queue = len(target.runs) / max(1, target.info.slots)
         far = target.info.failure_domain != domain
-        return queue * work + _FAR_MS * far + rng.random() * 0.1
+        turn = _find_turn(target, turns or {}, now)
+        limited = _charge_limited(target, now)
+        return queue * work + _FAR_MS * far + rng.random() * 0.1 + turn + limited
 
     target = min(usable, key=cost)
     ahead = max(0, len(target.runs) + 1 - target.info.slots)
     wait = ahead / max(1, target.info.slots) * (work or _PLAIN_WORK)
-    return Choice(target, wait)
+    return Choice(target, wait, turn=_find_turn(target, turns or {}, now))
--- a/anvilshift/core/keepers.py
+++ b/anvilshift/core/keepers.py
@@ -35,11 +35,12 @@
     >>> after[0] == before[1]
     True
     """
-    candidates = _sort("", routers)[:_CANDIDATES]
-    return tuple(_sort(organisation, candidates)[:KEEPERS])
+    candidates = rank_routers("", routers)[:_CANDIDATES]
+    return tuple(rank_routers(organisation, candidates)[:KEEPERS])
 
 
-def _sort(key: str, routers: Collection[str]) -> list[str]:
+def rank_routers(key: str, routers: Collection[str]) -> list[str]:
+    """Return routers in an order that a key fixes, by rendezvous hashing."""
     return sorted(routers, key=lambda router: (_weigh(key, router), router))
 
 
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -18,6 +18,7 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.durations import Mean
 from anvilshift.core.ejection import Health
+from anvilshift.core.ratelimits import Meter, RateLimit
 
 PREFILL_TOKENS_PER_MS = 64.2
 """Prompt tokens that an engine reads in a millisecond, of the users' engines."""
@@ -152,6 +153,10 @@
         Times that it takes over those of the users' usual engine, as measured.
     disturbed
         When a prompt was last sent here that makes streams beside it late.
+    limit
+        Requests a second that it has named, if any.
+    meter
+        The requests that it got lately.
     """
 
     info: TargetInfo
@@ -164,6 +169,17 @@
     disturbed: Millis = -math.inf
     health: Health = field(default_factory=Health)
     speed: Mean = field(default_factory=lambda: Mean(1.0))
+    limit: RateLimit | None = None
+    meter: Meter = field(default_factory=Meter)
+
+    def find_rate(self, now: Millis) -> float | None:
+        """Return the requests a second that may be sent to it; None for any number."""
+        return self.limit.find_rate(now) if self.limit else None
+
+    def wait_for_turn(self, now: Millis) -> Millis:
+        """Return the time until its limit allows a request, as far as is known."""
+        rate = self.find_rate(now)
+        return 0.0 if rate is None else self.meter.find_next(rate, now) - now
 
     def measure(self, span: Millis, predicted: Millis) -> None:
         """Take in how long a first token took that was predicted at usual speed.
@@ -271,6 +287,7 @@
         if target is None:
             return
         self.end(name, run)
+        target.meter.add(run, now)
         work = prefill_time(prompt.tokens - cached, cached) if prompt.tokens else 0.0
         tokens = prompt.tokens - cached + prompt.most_answer
         target.runs[run] = RunLoad(work, tokens, now)
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.choosing import Choice
-from anvilshift.core.clock import Clock
+from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.loadmap import LoadMap, Prompt
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import Delivery, Dialect, Notes
 from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.limits import LimitBook
 from anvilshift.gateway.messages import Begun, Ended, Held, Sent
 from anvilshift.gateway.peers import Peers
 from anvilshift.wire.client import ExchangeError, HttpClient, Response
@@ -101,6 +102,7 @@
     peers: Peers
     clock: Clock
     journal: Journal
+    limits: LimitBook
     _fields: set[str] = field(default_factory=set)
 
     @contextlib.asynccontextmanager
@@ -114,10 +116,12 @@
             it did not run it.
         """
         self._note_send(outgoing)
+        sent = self.clock.now()
         try:
             async with self._exchange(outgoing) as response:
                 self._log_fields(outgoing, response.headers)
                 notes = self.dialect.read_notes(response.status, response.headers)
+                self._note_limit(outgoing, notes, sent)
                 _check(outgoing, notes)
                 yield Answer(response.status, response.headers, notes, response)
         except ExchangeError as error:
@@ -139,6 +143,13 @@
                     target=outgoing.choice.target.info.name,
                 )
 
+    def _note_limit(self, outgoing: Outgoing, notes: Notes, sent: Millis) -> None:
+        """Take in what a target names, or no longer names, of its own need."""
+        ours = notes.identity in (None, outgoing.identity) and not notes.misdirected
+        if ours and (notes.signed or notes.limit is not None):
+            name = outgoing.choice.target.info.name
+            self.limits.note_answer(name, notes.limit, sent, outgoing.identity)
+
     def _exchange(
         self, outgoing: Outgoing
     ) -> contextlib.AbstractAsyncContextManager[Response]:
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -82,12 +82,16 @@
         Whether the target states that it did not run the request.
     misdirected
         Whether another target than the expected one has the address.
+    limit
+        Requests a second that the target takes from all routers together; None
+        where it names none, NaN where what it names can't be read.
     """
 
     identity: str | None
     signed: bool
     not_run: bool
     misdirected: bool
+    limit: float | None = None
 
 
 class Dialect(Protocol):
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -10,6 +10,7 @@
 from anvilshift.core.retention import Mark, MarkLog
 from anvilshift.gateway.allotting import Allotter
 from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.limits import LimitBook
 from anvilshift.gateway.messages import (
     Ask,
     Beat,
@@ -21,9 +22,14 @@
     Held,
     Lack,
     Leaving,
+    Limited,
     Marked,
     Message,
+    PermitAnswer,
+    PermitAsk,
+    PermitDropped,
     Sent,
+    SentBefore,
 )
 from anvilshift.gateway.peers import Peer, Peers
 from anvilshift.gateway.reserving import Reservations
@@ -54,6 +60,7 @@
     keepers: KeeperMap
     marks: MarkLog
     shared: Shared
+    limits: LimitBook
     clock: Clock
     journal: Journal
     is_ready: Callable[[], bool]
@@ -85,6 +92,8 @@
         names = {one.beat.router for one in peers if not one.beat.leaving}
         if not self.is_leaving():
             names.add(self.settings.name)
+        leaving = {one.beat.router for one in peers if one.beat.leaving}
+        self.limits.note_routers(names, leaving)
         self.allotter.alone = not peers
         known = self.keepers.routers
         if names and self.keepers.set_routers(names):
@@ -162,6 +171,16 @@
             self.reservations.take_lack(message)
         elif isinstance(message, Farewell):
             self.allotter.note_ended(message.holder, dict(message.spent))
+        elif isinstance(message, Limited):
+            self.limits.hear_limit(message)
+        elif isinstance(message, PermitAsk):
+            self.shared.permits.hear_ask(message)
+        elif isinstance(message, PermitAnswer):
+            self.shared.permits.hear_answer(message)
+        elif isinstance(message, PermitDropped):
+            self.shared.permits.hear_dropped(message)
+        elif isinstance(message, SentBefore):
+            self.limits.hear_sends(message)
         elif isinstance(message, Marked):
             for revision, age in message.marks:
                 self.marks.add(Mark(now - age, revision))
@@ -193,6 +212,8 @@
         marks = [(m.revision, now - m.followed) for m in self.marks.list_marks()]
         if marks:
             self.peers.send(Marked(tuple(marks)), beat.ip)
+        for limited in self.limits.list_limits():
+            self.peers.send(limited, beat.ip)
 
     def tell_mark(self, mark: Mark) -> None:
         """Tell the others what this router learned of the store's history."""
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -1,17 +1,27 @@
 """Bound what one request's content costs, and find out which targets it crashed."""
 
+import hashlib
+
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
 from anvilshift.core.loadmap import TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attempts import AttemptError
 from anvilshift.gateway.shared import Shared
-from anvilshift.wire.messages import Address
+from anvilshift.wire.messages import Address, HttpRequest
 
 _CHECK: Millis = 300.0
 """How long a target may take to accept a connection, which takes 4 ms."""
 
 
+def digest_request(request: HttpRequest, organisation: str) -> str:
+    """Return what names a request however often it is sent."""
+    hasher = hashlib.sha256(request.target.encode("latin-1"))
+    hasher.update(organisation.encode())
+    hasher.update(request.body)
+    return hasher.hexdigest()[:24]
+
+
 class CrashWatch:
     """One request's content, and the targets that it may have crashed.
 
--- /dev/null
+++ b/anvilshift/gateway/limits.py
@@ -0,0 +1,199 @@
+"""What targets name of their limits, known to all routers.
+
+What an answer names is told to the others, and every router finds the same one that
+issues the permits for a target.
+"""
+
+import math
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.loadmap import LoadMap, TargetLoad
+from anvilshift.core.permits import Attendance, find_issuer
+from anvilshift.core.ratelimits import SPAN, RateLimit, learn
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.messages import Limited, SentBefore
+from anvilshift.gateway.peers import Peers
+
+_MOST_TOLD = 40
+"""Requests named in one datagram."""
+_NO_END: Millis = -1.0
+
+
+def _ignore(target: str) -> None:
+    return None
+
+
+@dataclass
+class LimitHooks:
+    """What is done when a target's limit, or who issues its permits, has changed."""
+
+    change: Callable[[str], None] = _ignore
+    move: Callable[[str], None] = _ignore
+
+
+@dataclass
+class LimitBook:
+    """What one router knows of limits.
+
+    Parameters
+    ----------
+    own
+        This router's name among the routers.
+    """
+
+    own: str
+    incarnation: str
+    loads: LoadMap
+    peers: Peers
+    clock: Clock
+    journal: Journal
+    attendance: Attendance = field(default_factory=Attendance)
+    hooks: LimitHooks = field(default_factory=LimitHooks)
+
+    def __post_init__(self) -> None:
+        self.attendance.note({self.own}, (), self.clock.now())
+
+    # What targets name
+
+    def note_answer(
+        self, name: str, named: float | None, sent: Millis, identity: str
+    ) -> None:
+        """Take in what a target's answer names.
+
+        Parameters
+        ----------
+        named
+            Requests a second; None for none, NaN for what can't be read.
+        sent
+            When the request was sent.
+        """
+        target = self.loads.targets.get(name)
+        if target is None or (named is None and target.limit is None):
+            return
+        if named is not None and math.isnan(named):
+            self.journal.write("limit_unreadable", target=name, id=identity)
+            return
+        known = target.limit
+        limit = learn(known, named, sent, self.clock.now())
+        if limit is None or limit is known:
+            return
+        if limit.is_news(known):
+            self._take(target, limit, id=identity)
+            self.peers.tell(self.describe(target, limit))
+            return
+        target.limit = limit
+        if known is not None and limit.rate != known.rate:
+            self._tell_issuer(target, limit)
+
+    def _take(self, target: TargetLoad, limit: RateLimit, **source: object) -> None:
+        """Put a limit in force, and log what is new of it."""
+        known, now = target.limit, self.clock.now()
+        target.limit = limit
+        if not limit.is_news(known):
+            return
+        self.journal.write(
+            "limit_named" if limit.ended is None else "limit_ended",
+            target=target.info.name,
+            rate=limit.rate,
+            before=known.rate if known and known.ended is None else None,
+            age=round(now - limit.told, 1),
+            lately=target.meter.count(now),
+            issuer=self.find_issuer(target.info.name),
+            **source,
+        )
+        if known is None or known.find_rate(now) is None:
+            self._report_sends(target)
+        self.hooks.change(target.info.name)
+
+    def hear_limit(self, message: Limited) -> None:
+        """Take in what another router's answer named."""
+        target = self.loads.targets.get(message.target)
+        if target is None or target.info.born != message.born:
+            return
+        now = self.clock.now()
+        ended = None if message.ended_ago < 0 else now - message.ended_ago
+        limit = RateLimit(message.rate, now - message.heard_ago, ended)
+        if target.limit is None or limit.told > target.limit.told:
+            self._take(target, limit, told=True)
+
+    def list_limits(self) -> list[Limited]:
+        """Return what a router that has just started must hear."""
+        now = self.clock.now()
+        return [
+            self.describe(target, target.limit)
+            for target in self.loads.targets.values()
+            if target.limit is not None and target.find_rate(now) is not None
+        ]
+
+    def describe(self, target: TargetLoad, limit: RateLimit) -> Limited:
+        """Return what other routers are told of a limit."""
+        now = self.clock.now()
+        ended = _NO_END if limit.ended is None else now - limit.ended
+        info = target.info
+        return Limited(info.name, info.born, limit.rate, now - limit.heard, ended)
+
+    def _tell_issuer(self, target: TargetLoad, limit: RateLimit) -> None:
+        ip = self.find_ip(self.find_issuer(target.info.name))
+        if ip is not None:
+            self.peers.send(self.describe(target, limit), ip)
+
+    # Who issues
+
+    def find_issuer(self, name: str) -> str:
+        """Return the router that issues the permits for a target."""
+        return find_issuer(name, self.attendance.routers)
+
+    def find_ip(self, router: str) -> str | None:
+        """Return a router's address; None if it isn't there."""
+        peer = self.peers.routers.get(router)
+        return peer.beat.ip if peer else None
+
+    def note_routers(self, names: Collection[str], leaving: Collection[str]) -> None:
+        """Take in which routers are there."""
+        before = {name: self.find_issuer(name) for name in self._list_limited()}
+        if not self.attendance.note(names or {self.own}, leaving, self.clock.now()):
+            return
+        for name, issuer in before.items():
+            if self.find_issuer(name) != issuer:
+                self.hooks.move(name)
+                self._report_sends(self.loads.targets[name])
+
+    def find_rate(self, target: TargetLoad) -> float | None:
+        """Return the requests a second for the routers in touch; None for any."""
+        now = self.clock.now()
+        rate = target.find_rate(now)
+        return None if rate is None else rate * self.attendance.find_part(now)
+
+    def end_over(self, now: Millis) -> None:
+        """Forget limits that are over."""
+        for name, target in self.loads.targets.items():
+            if target.limit is not None and target.find_rate(now) is None:
+                self.journal.write("limit_over", target=name)
+                target.limit = None
+                self.hooks.change(name)
+
+    def _list_limited(self) -> list[str]:
+        now = self.clock.now()
+        targets = self.loads.targets.items()
+        return [name for name, one in targets if one.find_rate(now) is not None]
+
+    def _report_sends(self, target: TargetLoad) -> None:
+        """Tell the issuer what this router sent, where it isn't told of all sends."""
+        ip = self.find_ip(self.find_issuer(target.info.name))
+        if ip is None or self.peers.small:
+            return
+        now, own = self.clock.now(), f"{self.incarnation}/"
+        sends = target.meter.list_since(now - SPAN)
+        runs = [(run, now - at) for run, at in sends if run.startswith(own)]
+        for first in range(0, len(runs), _MOST_TOLD):
+            part = tuple(runs[first : first + _MOST_TOLD])
+            self.peers.send(SentBefore(target.info.name, target.info.born, part), ip)
+
+    def hear_sends(self, message: SentBefore) -> None:
+        """Take in what another router sent before this one issued permits."""
+        target = self.loads.targets.get(message.target)
+        if target is not None and target.info.born == message.born:
+            for run, age in message.runs:
+                target.meter.add(run, self.clock.now() - age)
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -192,6 +192,84 @@
     marks: tuple[tuple[int, Millis], ...]
 
 
+@dataclass(frozen=True)
+class Limited:
+    """A target named how many requests a second it takes, or no longer does.
+
+    Parameters
+    ----------
+    born
+        The start of the target that is meant.
+    heard_ago, ended_ago
+        Time since an answer named it last, and since one came without it; -1 while
+        the limit stands.
+    """
+
+    target: str
+    born: int
+    rate: float
+    heard_ago: Millis
+    ended_ago: Millis
+
+
+@dataclass(frozen=True)
+class PermitAsk:
+    """A request could be sent to a target that has named a limit.
+
+    Parameters
+    ----------
+    run
+        Names the attempt: asked again, it gets the same permit.
+    waited
+        Time since the caller's request came.
+    patience
+        Time within which a permit is of use.
+    """
+
+    run: str
+    target: str
+    ip: str
+    organisation: str
+    rank: int
+    waited: Millis
+    patience: Millis
+
+
+@dataclass(frozen=True)
+class PermitAnswer:
+    """What the issuer says to an ask.
+
+    Parameters
+    ----------
+    wait
+        Time until a permit is expected, where none was granted.
+    """
+
+    run: str
+    state: str
+    wait: Millis
+
+
+@dataclass(frozen=True)
+class PermitDropped:
+    """An ask is given up."""
+
+    run: str
+    target: str
+
+
+@dataclass(frozen=True)
+class SentBefore:
+    """Requests that this router sent to a limited target lately, with their ages.
+
+    Said to the router that issues the permits from now on.
+    """
+
+    target: str
+    born: int
+    runs: tuple[tuple[str, Millis], ...]
+
+
 Message = (
     Beat
     | Sent
@@ -205,6 +283,11 @@
     | Lack
     | Farewell
     | Marked
+    | Limited
+    | PermitAsk
+    | PermitAnswer
+    | PermitDropped
+    | SentBefore
 )
 _KINDS: dict[str, type[Message]] = {
     kind.__name__: kind
@@ -221,6 +304,11 @@
         Lack,
         Farewell,
         Marked,
+        Limited,
+        PermitAsk,
+        PermitAnswer,
+        PermitDropped,
+        SentBefore,
     )
 }
 
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -22,8 +22,10 @@
 from anvilshift.gateway.following import Follower, Pace, find_stretch
 from anvilshift.gateway.intake import TargetIntake
 from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.limits import LimitBook
 from anvilshift.gateway.passing import Passage
 from anvilshift.gateway.peers import Hooks, Peers
+from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
@@ -113,12 +115,22 @@
             self.recorder.end_record = self.allotter.end_round
             self.reservations.recorder = self.recorder
         self.client = HttpClient()
+        self.limits = LimitBook(
+            settings.name, self.incarnation, self.loads, self.peers, clock, journal
+        )
+        self.permits = Permits(
+            self.limits, settings.ip, self.loads, self.peers, clock, journal
+        )
+        sender = Sender(
+            self.client, dialect, self.loads, self.peers, clock, journal, self.limits
+        )
         self.shared = Shared(
             self.incarnation,
             clock,
             rng,
             dialect,
-            Sender(self.client, dialect, self.loads, self.peers, clock, journal),
+            sender,
+            self.permits,
             self.reservations,
             journal,
             settings.failure_domain,
@@ -168,6 +180,7 @@
             self.keepers,
             self.marks,
             self.shared,
+            self.limits,
             self.clock,
             self.journal,
             self.is_ready,
@@ -313,6 +326,7 @@
         for target in self.loads.targets.values():
             # Connections that broke meanwhile say nothing of the targets.
             target.health = Health()
+        self.permits.note_lapse()
         self.configuring.restart()
         self.registering.restart()
 
@@ -329,6 +343,7 @@
         self.allotter.wallet.set_provable(self.recorder.is_provable())
         self.talk.return_idle()
         self.loads.expire(now)
+        self.permits.sweep(now)
         for target in self.loads.targets.values():
             health = target.health
             if health.state is State.EJECTED and now >= health.until:
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import hashlib
 from collections.abc import Awaitable
 from functools import partial
 
@@ -36,9 +35,10 @@
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attempts import Answer, AttemptError, Outgoing
 from anvilshift.gateway.border import Call, Delivery
-from anvilshift.gateway.crashes import CrashWatch
+from anvilshift.gateway.crashes import CrashWatch, digest_request
 from anvilshift.gateway.relaying import WHOLE, AnswerRelay
 from anvilshift.gateway.shared import Shared
+from anvilshift.gateway.turns import Turn
 from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.server import CallerGoneError, Responder
 
@@ -76,6 +76,7 @@
         """Answer the request."""
         call = self.shared.dialect.read_call(self.request)
         self.call = call
+        self.turn = Turn(self.shared, call.identity, self.arrived)
         try:
             await self._serve(call)
         except AnvilshiftError as error:
@@ -85,6 +86,7 @@
             self.relay.outcome = "caller gone"
             raise
         finally:
+            self.turn.close()
             self._log()
 
     def _log(self) -> None:
@@ -117,7 +119,9 @@
             raise AnvilshiftError(UNKNOWN_ROUTE)
         self.rule: Rule = rule
         self.payer = self._authenticate(table, call, rule)
-        self.crashes = CrashWatch(self.shared, self._digest())
+        self.turn.organisation = self.payer.name if self.payer else ""
+        content = digest_request(self.request, self.turn.organisation)
+        self.crashes = CrashWatch(self.shared, content)
         self.crashes.check()
         patience = rule.timeout if call.patience is None else call.patience
         self.end = self.arrived + min(patience, rule.timeout)
@@ -130,13 +134,6 @@
         else:
             await self._serve_paid(call.prompt, self.model)
 
-    def _digest(self) -> str:
-        """Return what names the request however often it is sent."""
-        hasher = hashlib.sha256(self.request.target.encode("latin-1"))
-        hasher.update((self.payer.name if self.payer else "").encode())
-        hasher.update(self.request.body)
-        return hasher.hexdigest()[:24]
-
     def _authenticate(
         self, table: RouteTable, call: Call, rule: Rule
     ) -> Tenancy | None:
@@ -200,8 +197,11 @@
         while True:
             choice = self._choose()
             self._refuse_hopeless(choice)
+            run = await self.turn.take(choice, self._rank(choice), self.end)
+            if run is None:
+                continue
             try:
-                if await self._attempt(choice):
+                if await self._attempt(choice, run):
                     self.shared.retries.earn()
                     self.crashes.clear()
                     return
@@ -212,7 +212,8 @@
 
     def _choose(self) -> Choice:
         shared, now = self.shared, self.shared.clock.now()
-        excluded = self.excluded | self.crashes.list_barred(self.service)
+        excluded = self.excluded | self.turn.refused
+        excluded |= self.crashes.list_barred(self.service)
         if self.model is not None:
             demand = Demand(
                 self.service,
@@ -224,6 +225,7 @@
                 self.pause,
                 len(self.request.body) / 1_000,
                 self.model.fetch_per_token,
+                self.turn.list_turns(),
             )
             choice = choose_engine(
                 shared.sender.loads, demand, now, shared.rng, excluded
@@ -235,18 +237,24 @@
                 shared.domain,
                 shared.mean_work(self.service).value,
                 shared.rng,
+                now,
                 excluded,
+                self.turn.list_turns(),
             )
         if choice is None:
+            turn = self.turn.find_return()
+            if turn is not None:
+                raise self._give_up(OVERLOADED, turn, "no permit comes in time")
             raise self._give_up(NO_ENGINE, NO_ENGINE_RETURN, "no target is left")
         return choice
 
     def _refuse_hopeless(self, choice: Choice) -> None:
         """Refuse at once what can't begin before its time is over."""
         left = self.end - self.shared.clock.now()
-        if choice.wait > left and not self.may_have_run:
-            detail = f"a wait of {choice.wait:.0f} ms is expected"
-            raise self._give_up(OVERLOADED, choice.wait - left, detail)
+        wait = choice.whole_wait
+        if wait > left and not self.may_have_run:
+            detail = f"a wait of {wait:.0f} ms is expected"
+            raise self._give_up(OVERLOADED, wait - left, detail)
 
     def _give_up(self, code: Code, wait: Millis, detail: str) -> AnvilshiftError:
         """Return the error that says truly what became of the request."""
@@ -290,16 +298,20 @@
                 raise AnvilshiftError(ENGINE_FAILED, "no retry is left")
             raise self._give_up(NO_ENGINE, NO_ENGINE_RETURN, "no retry is left")
 
-    async def _attempt(self, choice: Choice) -> bool:
+    def _rank(self, choice: Choice) -> int:
+        """Return how urgent the request is among those that wait for a permit."""
+        elapsed = self.shared.clock.now() - self.arrived
+        return rank(self.rule, elapsed, choice.whole_wait)
+
+    async def _attempt(self, choice: Choice, run: str) -> bool:
         shared = self.shared
-        shared.runs += 1
         self.predicted = choice.wait
         self.sent = shared.clock.now()
         self.beside = len(choice.target.runs)
         self.target = choice.target.info.name
         left = self.end - shared.clock.now()
         outgoing = Outgoing(
-            f"{shared.router}/{shared.runs}",
+            run,
             self.request,
             self.call.identity,
             self.call.host,
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -13,6 +13,7 @@
 from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reserving import Reservations
 
 _RETURN: Millis = 150.0
@@ -30,6 +31,7 @@
     rng: random.Random
     dialect: Dialect
     sender: Sender
+    permits: Permits
     reservations: Reservations
     journal: Journal
     domain: str
@@ -56,6 +58,11 @@
         if self.ending:
             raise AnvilshiftError(NOT_READY, "a planned stop", retry_after=_RETURN)
 
+    def next_run(self) -> str:
+        """Return a name for an attempt, unique among all routers'."""
+        self.runs += 1
+        return f"{self.router}/{self.runs}"
+
     def mean_work(self, service: str) -> Mean:
         """Return the measured time of a plain service's requests."""
         return self.work.setdefault(service, Mean(_PLAIN_WORK))
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -1,5 +1,7 @@
 """The platform's headers and stored objects as the gateway's typed values."""
 
+import math
+
 from pydantic import ValidationError
 
 from anvilshift.core.clock import Millis
@@ -78,6 +80,7 @@
             names.SIGNATURE in found,
             names.NOT_RUN in found,
             status == 421,
+            _read_limit(found.get(names.LIMIT)),
         )
 
 
@@ -99,6 +102,17 @@
     return number
 
 
+def _read_limit(value: str | None) -> float | None:
+    """Return the requests a second that a target names; NaN for what is no rate."""
+    if value is None:
+        return None
+    try:
+        rate = float(value)
+    except ValueError:
+        return math.nan
+    return rate if 0 <= rate < math.inf else math.nan
+
+
 def _read_prompt(headers: Headers) -> Prompt:
     """Return the prompt's sizes and parts; an ill-formed list is no prompt."""
     usage, parts = headers.get(names.TOKENS), headers.get(names.PARTS)
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -16,6 +16,7 @@
 
 SIGNATURE = "anvilshift-engine-signature"
 NOT_RUN = "anvilshift-not-executed"
+LIMIT = "server-limit"
 
 OWN = frozenset(
     {
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -240,12 +240,12 @@
         loads = make_map(("p0", "p1"), slots=2, service="desk")
         for run in ("a", "b", "c"):
             loads.send("p0", run, Prompt(), 0, 0.0, 0)
-        choice = choose_plain(loads, "desk", "north", 40.0, random.Random(1))
+        choice = choose_plain(loads, "desk", "north", 40.0, random.Random(1), now=0.0)
         self.assertEqual((choice.target.info.name, choice.wait), ("p1", 0.0))
 
     def test_the_wait_of_a_plain_request_counts_what_is_ahead(self):
         loads = make_map(("p0",), slots=2, service="desk")
         for run in range(5):
             loads.send("p0", str(run), Prompt(), 0, 0.0, 0)
-        choice = choose_plain(loads, "desk", "north", 40.0, random.Random(1))
+        choice = choose_plain(loads, "desk", "north", 40.0, random.Random(1), now=0.0)
         self.assertEqual(choice.wait, 80.0)
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -36,7 +36,7 @@
         for name, domain in (("e1", "north"), ("e2", "south")):
             loads.declare(TargetInfo(name, "advice", "10.0.0.1:80", domain, 64))
         peers = TellingPeers(small)
-        sender = Sender(None, None, loads, peers, ManualClock(), SilentJournal())
+        sender = Sender(None, None, loads, peers, ManualClock(), SilentJournal(), None)
         source = loads.targets["e2"] if fetched else None
         choice = Choice(loads.targets["e1"], 100.0, cached, source)
         request = SimpleNamespace()
@@ -66,7 +66,7 @@
     def test_a_field_that_no_answer_bore_before_is_logged_once(self):
         """What an engine says of its need must not pass by without a trace."""
         journal = SilentJournal()
-        sender = Sender(None, None, LoadMap(), None, ManualClock(), journal)
+        sender = Sender(None, None, LoadMap(), None, ManualClock(), journal, None)
         target = SimpleNamespace(info=SimpleNamespace(name="e1"))
         outgoing = SimpleNamespace(identity="a", choice=SimpleNamespace(target=target))
         for value in ("1.2", "1.4"):
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -29,6 +29,10 @@
 }
 
 
+_WARM = 20
+"""Requests in a row that a warm router serves."""
+
+
 def make_configuration(version: int = 1, reserved: int = 100_000, timeout: int = 2_000):
     routes = [
         {
@@ -160,6 +164,20 @@
         await self.wait_for(
             lambda: all(len(n.loads.targets) == targets for n in self.nodes)
         )
+        for node in self.nodes:
+            await self.warm_up(node)
+
+    async def warm_up(self, node: GatewayNode) -> None:
+        """Call a router until it has drawn the tokens that its callers need.
+
+        Before that it refuses requests, and says when to come back.
+        """
+        served = 0
+        async with asyncio.timeout(20):
+            while served < _WARM:
+                status, _, _ = await self.call_at(node, "/chat/warm")
+                served = served + 1 if status == 200 else 0
+                await asyncio.sleep(0.02)
 
     async def wait_for(self, holds) -> None:
         async with asyncio.timeout(10):
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from anvilshift.core.errors import AnvilshiftError
@@ -185,3 +186,14 @@
         shed = self.dialect.read_notes(503, Headers([("Anvilshift-Not-Executed", "1")]))
         self.assertTrue(shed.not_run)
         self.assertTrue(self.dialect.read_notes(421, Headers()).misdirected)
+
+    def test_a_limit_is_a_number_of_requests_a_second(self):
+        def read(value: str) -> float | None:
+            return self.dialect.read_notes(
+                200, Headers([("Server-Limit", value)])
+            ).limit
+
+        self.assertIsNone(self.dialect.read_notes(200, Headers()).limit)
+        self.assertEqual((read("1.6"), read(" 20 "), read("0")), (1.6, 20.0, 0.0))
+        for value in ("", "soon", "-1", "inf", "nan", "1,2"):
+            self.assertTrue(math.isnan(read(value)), value)
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -33,7 +33,11 @@
     def setUp(self):
         values = [v for v in vars(names).values() if isinstance(v, str)]
         values += [v for group in (names.OWN,) for v in group]
-        headers = {v for v in values if v.startswith(("anvilshift-", "/v1/re", "kv-"))}
+        headers = {
+            v
+            for v in values
+            if v.startswith(("anvilshift-", "server-", "/v1/re", "kv-"))
+        }
         wire = (headers - GENERAL - OWN_INTERFACE) | set(FIELDS)
         self.pattern = re.compile("|".join(re.escape(n) for n in sorted(wire)), re.I)
 
