Keep to engines' limits at the chat interface too, by the same permits

An engine of the chat interface could not say at all how many requests a second it takes, and each router sent by its own view of load.

A load report may name requests_per_second; every router polls it four times a second, so naming, change and end are heard within a poll. core/rationing.py: work for a target that has named a limit waits in the same fair queues, and is sent when a permit comes; a target without a permit has no room, so work goes elsewhere, and what its limit lets begin counts as its slots, so admission refuses at once what can't be in time. router/permits.py asks the router that issues the permits (core/permits.py, as on the platform) by a new gRPC call, TakePermit, one permit a target at a time; the question carries what the asker knows to have been sent lately, so a new issuer counts it too. A permit that nothing suits is dropped and the next one asked for after a pause; without that pause the first soak spun for ever in one instant of virtual time.

Metrics: anvilshift_target_limit and anvilshift_permits by target and outcome; log lines when a limit is named, changes or ends, and when work is held back.

Soak: engines name limits of 0.2 to 5 a second at random, change them once or twice, half of the time while all others are slow, beside every other fault; check 'limits are kept' counts what each engine got, from STABLE 3 s after the naming, of all routers but those that started or woke within 3 s: cut ones count. The limits' draws come from a generator of their own, after the other faults'.

tests/router/test_permits.py: four routers in virtual time, limit named, cut, ended, work elsewhere.

--- a/anvilshift/core/concurrency.py
+++ b/anvilshift/core/concurrency.py
@@ -70,6 +70,11 @@
         self._as_of: Millis = float("-inf")
         self._set_unreported()
 
+    @property
+    def routers(self) -> int:
+        """Return how many routers share the target."""
+        return self._routers
+
     @property
     def slots(self) -> float:
         """Return how many requests the target is believed to run at once."""
--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -16,6 +16,7 @@
 from anvilshift.core.pools import Kind, Pool, Pools, TargetView
 from anvilshift.core.quarantine import FORGET_AFTER
 from anvilshift.core.queue import Entry
+from anvilshift.core.rationing import Rationing, Want
 from anvilshift.core.retries import BACKOFF
 from anvilshift.core.sending import Sender
 from anvilshift.core.state import NO_TARGET_RETRY, DispatchState
@@ -66,6 +67,7 @@
         self._backlog = Backlog(self._state)
         self._sender = Sender(self._state, self._backlog)
         self._upkeep = Upkeep(self._state, self._backlog, self._sender)
+        self._rationing = Rationing(self._state, self._sender)
         self._swept: Millis = 0.0
 
     @property
@@ -152,8 +154,21 @@
         if not view.limit.reported:
             self._state.timers.at(now + STALE, lambda at: self._check_reports(view, at))
         view.limit.report(report, now)
+        self._rationing.learn(view, report.limit, report.as_of)
         self._state.refresh(view, draw=True)
-        return self._sender.fill(view, now)
+        return [*self._rationing.end_over(now), *self._sender.fill(view, now)]
+
+    def find_view(self, target: str) -> TargetView | None:
+        """Return what this router knows of a target."""
+        return self._state.views.get(target)
+
+    def list_wants(self) -> list[Want]:
+        """Return the targets for which nothing but a permit is missing."""
+        return self._rationing.list_wants()
+
+    def permit(self, target: str, run: str, now: Millis) -> Actions:
+        """Take in a permit to send one request to a target that has named a limit."""
+        return self._rationing.permit(target, run, now)
 
     def _check_reports(self, view: TargetView, now: Millis) -> Actions:
         """Stop trusting the figures of a target whose reports have stopped."""
@@ -292,7 +307,7 @@
 
     def tick(self, now: Millis) -> Actions:
         """Do what is due."""
-        actions = self._state.timers.run(now)
+        actions = [*self._state.timers.run(now), *self._rationing.end_over(now)]
         if now >= self._swept + _SWEEP:
             self._swept = now
             actions += self._sender.sweep(now)
--- a/anvilshift/core/permits.py
+++ b/anvilshift/core/permits.py
@@ -172,9 +172,7 @@
         silence
             Bids that were not renewed for so long are nobody's any more.
         """
-        for bid in self._list():
-            if now - bid.renewed > silence:
-                del self._waiting[bid.run]
+        self.expire(now, silence)
         verdicts = []
         for bid in self._list():
             if bid.latest < now:
@@ -184,6 +182,12 @@
             verdicts.append(self._issue(best, now))
         return verdicts
 
+    def expire(self, now: Millis, silence: Millis) -> None:
+        """Forget bids that were not renewed for some time."""
+        for bid in self._list():
+            if now - bid.renewed > silence:
+                del self._waiting[bid.run]
+
     def withdraw(self, run: str) -> None:
         """Take in that a bid is given up."""
         self._waiting.pop(run, None)
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -12,11 +12,12 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.concurrency import Limit
 from anvilshift.core.durations import Durations, Mean
 from anvilshift.core.ejection import Health, State
 from anvilshift.core.queue import Entry, FairQueue, Shares
+from anvilshift.core.ratelimits import Meter, RateLimit
 from anvilshift.core.sampling import SampledSet
 from anvilshift.core.work import Target
 
@@ -63,6 +64,10 @@
         What the pools' slots hold of this target.
     out_since
         When it was last found down after it had been sound.
+    named
+        Requests a second that the target has named, if any.
+    permits
+        Permits that this router has and has not used.
     """
 
     target: Target
@@ -72,6 +77,9 @@
     whole: int = 0
     counted: float = 0.0
     out_since: Millis = float("-inf")
+    named: RateLimit | None = None
+    meter: Meter = field(default_factory=Meter)
+    permits: int = 0
     pools: "list[Pool]" = field(default_factory=list)
     kind: Kind = field(default_factory=Kind)
 
@@ -95,6 +103,10 @@
         """Return how many requests this router may have here, as a mean."""
         if not self.is_used:
             return 0.0
+        if self.named is not None:
+            # So many run at once where so few may begin a second.
+            begun = self.named.rate * self.kind.typical.value / SECOND
+            return min(begun / self.limit.routers, self.limit.part)
         if self.health.state is State.PROBING:
             return min(float(self.health.cap), self.limit.part)
         return self.limit.part
@@ -129,11 +141,19 @@
 
     def has_room(self) -> bool:
         """Tell whether another request may be sent."""
+        return self.is_permitted() and self.has_slot()
+
+    def has_slot(self) -> bool:
+        """Tell whether another request may be sent, but for the target's limit."""
         most = self.whole
         if self.health.state is State.PROBING:
             most = min(self.health.cap, max(1, self.whole))
         return self.is_used and self.limit.own < most
 
+    def is_permitted(self) -> bool:
+        """Tell whether the target's limit allows another request now."""
+        return self.named is None or self.permits > 0
+
     def refresh(self) -> None:
         """Bring the pools up to date after a change."""
         part, room = self.part, self.has_room()
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -165,7 +165,7 @@
         actions: Actions = []
         aside: list[tuple[Entry, FairQueue]] = []
         while view.has_room() and len(aside) < _PASSED_OVER:
-            found = self._next_for(view)
+            found = self.next_for(view)
             if found is None:
                 break
             queue, pool = found
@@ -184,7 +184,7 @@
             queue.push(entry)
         return actions
 
-    def _next_for(self, view: TargetView) -> tuple[FairQueue, Pool] | None:
+    def next_for(self, view: TargetView) -> tuple[FairQueue, Pool] | None:
         """Return the queue that a target serves next: priority, then tag."""
         name = view.target.name
         found = [
@@ -220,6 +220,9 @@
         self.running[work.identity] = attempt
         pool.long_running += entry.is_long
         view.limit.change(+1, now)
+        if view.named is None:
+            view.meter.add(f"{work.identity}/{entry.attempts}", now)
+        view.permits = max(0, view.permits - 1)
         view.refresh()
         self.on_sent(attempt, now)
         priority = pool.priorities[name]
--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -80,6 +80,8 @@
     ----------
     leaving
         Whether it says that it takes no new work.
+    limit
+        Requests a second that it takes from all routers together; None for any.
     """
 
     target: str
@@ -89,6 +91,7 @@
     cached_tokens: int = 0
     tokens_per_second: float = 0.0
     leaving: bool = False
+    limit: float | None = None
 
 
 @dataclass(frozen=True)
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
@@ -142,6 +143,7 @@
                 int(value.get("cached_tokens", 0)),
                 float(value.get("tokens_per_second", 0.0)),
                 bool(value.get("leaving", False)),
+                _read_limit(value.get("requests_per_second")),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise TargetError(Failure.BROKE_OFF, "the load report is wrong") from error
@@ -174,6 +176,16 @@
         return value if isinstance(value, dict) else {}
 
 
+def _read_limit(value: Any) -> float | None:
+    """Return the requests a second that an engine takes; None for any number."""
+    if value is None:
+        return None
+    rate = float(value)
+    if not 0 <= rate < math.inf:
+        raise ValueError("the limit is no rate")
+    return rate
+
+
 async def _read_pieces(response: Response) -> AsyncGenerator[list[Piece]]:
     reader = EventReader()
     ended = False
--- a/anvilshift/peers/link.py
+++ b/anvilshift/peers/link.py
@@ -15,6 +15,8 @@
     Heartbeat,
     KeepReply,
     KeepRequest,
+    PermitReply,
+    PermitRequest,
     StoreReply,
     StoreRequest,
 )
@@ -54,6 +56,9 @@
     async def call_store(self, address: str, request: StoreRequest) -> StoreReply:
         """Have another router make a call of the platform."""
 
+    async def permit(self, address: str, request: PermitRequest) -> PermitReply:
+        """Ask for a permit."""
+
     def close(self) -> None:
         """Close every connection."""
 
@@ -73,6 +78,9 @@
     async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router."""
 
+    async def take_permit(self, request: PermitRequest) -> PermitReply:
+        """Issue a permit for a target that has named a limit."""
+
 
 class GrpcPeerLink:
     """Calls over grpclib, one channel a router.
@@ -110,6 +118,10 @@
         timeout = _STORE_TIMEOUT + request.wait_ms
         return await self._call(self._stub(address).CallStore, request, timeout)
 
+    async def permit(self, address: str, request: PermitRequest) -> PermitReply:
+        """Ask for a permit."""
+        return await self._call(self._stub(address).TakePermit, request)
+
     async def _call(self, method, message, timeout=None):  # type: ignore[no-untyped-def]
         try:
             async with asyncio.timeout((timeout or self._timeout) / SECOND):
@@ -162,6 +174,13 @@
         if message is not None:
             await stream.send_message(await self._handler.take_call_store(message))
 
+    async def TakePermit(  # noqa: N802
+        self, stream: Stream[PermitRequest, PermitReply]
+    ) -> None:
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._handler.take_permit(message))
+
 
 class PeerServer:
     """Listen to other routers."""
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -21,11 +21,14 @@
     ----------
     announce
         Called with what the other routers must hear at once.
+    at_change
+        Called after every change of what waits or runs.
     """
 
     def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
         self.dispatcher = dispatcher
         self.announce: Callable[[Announce], None] = lambda news: None
+        self.at_change: Callable[[], None] = lambda: None
         self._clock = clock
         self._turns: dict[str, asyncio.Future[Send]] = {}
         self._stops: dict[str, Callable[[], None]] = {}
@@ -135,6 +138,7 @@
                 turn.set_exception(error)
             else:
                 turn.set_result(action)
+        self.at_change()
         self._set_timer()
 
     def _set_timer(self) -> None:
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 
 from absl import logging
@@ -20,6 +20,8 @@
     Heartbeat,
     KeepReply,
     KeepRequest,
+    PermitReply,
+    PermitRequest,
     StoreReply,
     StoreRequest,
 )
@@ -88,6 +90,7 @@
         self.greet: Callable[[str], None] = _ignore_newcomer
         self.hear_crashes: Callable[[Iterable[Crash]], None] = lambda c: None
         self.at_beat: Callable[[], None] = lambda: None
+        self.issue_permit: Callable[[PermitRequest], Awaitable[PermitReply]]
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self.read_seen: Callable[[], int] = lambda: self.member.revision
         self._store = store
@@ -348,6 +351,10 @@
         await self._treasury.give_back(request.account)
         return GiveBackReply()
 
+    async def take_permit(self, request: PermitRequest) -> PermitReply:
+        """Issue a permit for a target that has named a limit."""
+        return await self.issue_permit(request)
+
     async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router, on the own way only."""
         return await call_store(self._direct, request)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -32,6 +32,7 @@
 from anvilshift.router.following import Follower
 from anvilshift.router.gate import Gate
 from anvilshift.router.orders import Orders
+from anvilshift.router.permits import Permits, PermitSources
 from anvilshift.router.quarantined import QuarantineRecords
 from anvilshift.router.relayed import RelayedStore
 from anvilshift.router.runs import Shared
@@ -108,6 +109,17 @@
         )
         self.crashes = CrashNews(world.clock, self._take_crash, self.fleet.beat_all)
         self.quarantined = QuarantineRecords(self.store, world.clock)
+        sources = PermitSources(
+            self.fleet.member,
+            lambda: self.fleet.roster,
+            world.link,
+            self.dispatch,
+            world.telemetry,
+            world.clock,
+            settings.heartbeat,
+        )
+        self.permits = Permits(sources)
+        self.fleet.issue_permit = self.permits.take_permit
         self.dispatch.announce = self._announce
         self.crashes.take_other = self._take_other_crash
         self.fleet.tell_crashes = self.crashes.list_told
@@ -332,12 +344,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.claims.close()
+        self.permits.close()
         self.quarantined.close()
         await self.treasury.close()
         await self.fleet.close()
         self.store.close()
 
     def _take_report(self, report: LoadReport) -> None:
+        self.permits.note_report(report)
         self.departing.take_report(report)
         self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
 
@@ -366,6 +380,7 @@
     def _count_routers(self) -> None:
         """Tell the dispatcher with how many routers it shares the targets."""
         self.dispatcher.set_partitioned(self.fleet.is_partitioned())
+        self.permits.note_routers()
         present = self.fleet.roster.present(self.clock.now())
         routers = 1 + sum(s.vitals.serving for s in present)
         if routers != self._routers:
--- a/anvilshift/router/telemetry.py
+++ b/anvilshift/router/telemetry.py
@@ -49,6 +49,8 @@
         self._gap, self._longest_gap = (make(name, "ms") for name in _GAP_NAMES)
         self._answers = meter.create_counter("anvilshift_answers")
         self._events = meter.create_counter("anvilshift_events")
+        self._permits = meter.create_counter("anvilshift_permits")
+        self._limits = meter.create_gauge("anvilshift_target_limit")
 
     def record_queue(self, organisation: str, kind: str, span: Millis) -> None:
         """Count the time from arrival until the work was sent."""
@@ -85,6 +87,14 @@
         """Count something that operators watch for."""
         self._events.add(1, {"event": event})
 
+    def count_permit(self, target: str, outcome: str) -> None:
+        """Count a permit that was issued, or a question that brought none."""
+        self._permits.add(1, {"target": target, "outcome": outcome})
+
+    def record_limit(self, target: str, rate: float) -> None:
+        """Take in the requests a second that a target names; 0 for no limit."""
+        self._limits.set(rate, {"target": target})
+
     def render(self) -> bytes:
         """Return every metric in Prometheus's text format."""
         return generate_latest(REGISTRY)
--- a/anvilshift/standins/engine.py
+++ b/anvilshift/standins/engine.py
@@ -64,6 +64,8 @@
         Take requests and answer nothing.
     leaving
         Say in load reports that no new work is taken.
+    limit
+        Requests a second that load reports name; 0 names none.
     """
 
     slow: float = 1.0
@@ -71,6 +73,7 @@
     fail: bool = False
     hang: bool = False
     leaving: bool = False
+    limit: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -185,6 +188,7 @@
             **self._report,
             "age_ms": now - self._reported_at,
             "leaving": self.faults.leaving,
+            "requests_per_second": self.faults.limit or None,
         }
 
     def _take_order(self, request: HttpRequest) -> Reply:
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -21,6 +21,7 @@
 from anvilshift.core.account import Account, Grant
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.ledger import Ledger
+from anvilshift.core.pools import TargetView
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.router import claims
 from anvilshift.router.fleet import Fleet
@@ -149,6 +150,11 @@
         ("tokens of lost routers",),
         _forget_lost_routers,
     ),
+    Mutant(
+        "a limit that an engine names is not kept to",
+        ("limits are kept",),
+        _replace(TargetView, "is_permitted", lambda self: True),
+    ),
     Mutant(
         "work runs without a claim",
         ("order runs at most once",),
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -105,6 +105,7 @@
         running = self._soak.entry(index).presence.running
         running.clear()
         await asyncio.sleep(self._span(0.3, 15.0))
+        self._soak.network.note_disturbed(f"r{index}", self._soak.clock.now())
         running.set()
         self._busy.discard(f"r{index}")
 
@@ -133,10 +134,11 @@
         await self._cut(cuts, self._span(1.0, 30.0))
 
     async def _cut(self, cuts: set[tuple[str, str]], span: float) -> None:
-        cuts -= self._soak.network.cuts
-        self._soak.network.cuts |= cuts
+        network = self._soak.network
+        cuts -= network.cuts
+        network.cuts |= cuts
         await asyncio.sleep(span)
-        self._soak.network.cuts -= cuts
+        network.cuts -= cuts
 
     async def cut_platform(self) -> None:
         """Cut one router off from the platform only."""
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -27,6 +27,7 @@
 from anvilshift.standins.engine import POISON, make_token, read_prompt
 from anvilshift.wire.messages import Fields, Headers, HttpAnswer
 from bench.soak.journal import Journal
+from bench.soak.limits import STABLE, LimitWatch
 
 _TIMEOUT: Millis = 1 * SECOND
 _DECODE: Millis = 10.0
@@ -59,8 +60,17 @@
         self.presences: dict[str, Presence] = {}
         self.handlers: dict[str, Any] = {}
         self.cuts: set[tuple[str, str]] = set()
+        self.disturbed: dict[str, Millis] = {}
         self.slow: Millis = 0.0
 
+    def note_disturbed(self, name: str, now: Millis) -> None:
+        """Take in that a router starts, or goes on after a pause."""
+        self.disturbed[name] = now
+
+    def is_calm(self, name: str, now: Millis) -> bool:
+        """Tell whether a router has run for a while."""
+        return now - self.disturbed.get(name, float("-inf")) > STABLE
+
     async def travel(self) -> None:
         """Wait as long as a message takes."""
         await asyncio.sleep((self.rng.uniform(0.5, 3.0) + self.slow) / SECOND)
@@ -144,6 +154,7 @@
         self.slow = 1.0
         self.fail_streams = 0.0
         self.leaving_since: Millis | None = None
+        self.limit = LimitWatch()
         self.crashes = 0
         self._journal = journal
         self._network = network
@@ -169,6 +180,7 @@
         """Yield an answer's pieces as the engine makes them."""
         prompt = read_prompt(call.body)
         self._journal.engine_ran(self.name, prompt, self.leaving_since)
+        self._count(source)
         if POISON in prompt:
             self._journal.poisoned(prompt, self.name)
             self.crash()
@@ -184,6 +196,17 @@
         finally:
             self.running -= 1
 
+    def _count(self, source: str) -> None:
+        """Hold routers in touch to the limit that this engine names."""
+        now = self._journal.now()
+        if not self._network.is_calm(source, now):
+            return
+        count = self.limit.arrive(now)
+        if count is not None:
+            detail = f"{self.name} named {self.limit.rate:.2f} a second, got {count}"
+            kept = count <= self.limit.find_allowed()
+            self._journal.check("limits are kept", kept, detail)
+
     def _check(self, source: str, call: ModelCall) -> None:
         broken = self._network.rng.random() < self.fail_streams
         cut = not self._network.reaches(self.name, source)
@@ -236,7 +259,10 @@
     async def load(self) -> LoadReport:
         """Return a load report."""
         await self._reach()
-        return LoadReport(self._engine.name, self._engine.running, 0, 100.0)
+        engine = self._engine
+        return LoadReport(
+            engine.name, engine.running, 0, 100.0, limit=engine.limit.rate
+        )
 
     async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
         """Return no events."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -28,6 +28,7 @@
 from bench.soak.faults import FaultSchedule
 from bench.soak.http import Entry, SoakHttp
 from bench.soak.journal import BrokenInvariantError, Journal, Receipt
+from bench.soak.limits import LimitFaults
 from bench.soak.network import (
     Network,
     Presence,
@@ -148,6 +149,7 @@
         entry = Entry(node, presence)
         self.entries[str(settings.listen)] = entry
         self.network.presences[str(settings.peer_listen)] = presence
+        self.network.note_disturbed(settings.name, self.clock.now())
         self.network.handlers[str(settings.peer_listen)] = node.fleet
         node.start()
         return entry
@@ -333,9 +335,12 @@
             self._spawn(self._keep_ordering(name))
         schedule = FaultSchedule(self, random.Random(self.rng.getrandbits(64)))
         faults = asyncio.create_task(schedule.run())
+        naming = LimitFaults(self, random.Random(self.rng.getrandbits(64)))
+        limits = asyncio.create_task(naming.run())
         await self._wait(self.seconds)
         self.quiet = True
         faults.cancel()
+        limits.cancel()
         await schedule.heal()
         await self._wait(_SETTLE_S)
         check_books(self)
--- a/tests/router/nodes.py
+++ b/tests/router/nodes.py
@@ -111,6 +111,9 @@
     async def call_store(self, address, request):
         return await self._find(address).take_call_store(request)
 
+    async def permit(self, address, request):
+        return await self._find(address).take_permit(request)
+
     def close(self):
         pass
 
