Leave a target alone for as long as its refusal says, at all routers

What callers saw: an engine that refuses with Retry-After was asked again by each router for each request; the retries of all were used up on it, and callers got 503 (no retry is left) while another engine had room.

Each refusal barred the target for one request only.

Change: a refusal that states it did not run and names a time pauses the target at this router and, by a message, at all others, for 5 s at the most (then it is asked again, as nothing else tells that it is well). Choosing counts the wait like one for a permit; where there is no elsewhere a request waits if it can be in time, spread so that not all return at once, and is refused at once if not.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -82,7 +82,8 @@
     unscaled
         The wait at an engine of the usual speed.
     turn
-        Predicted time until it may be sent, at a target that has named a limit.
+        Predicted time until it may be sent, where the target has named a limit or
+        said that it takes none for a while.
     """
 
     target: TargetLoad
@@ -212,9 +213,7 @@
 
 
 def _find_turn(target: TargetLoad, turns: Mapping[str, Millis], now: Millis) -> Millis:
-    """Return the time until a target's limit allows a request."""
-    if target.limit is None:
-        return 0.0
+    """Return the time until a target takes a request, as it or its issuer said."""
     return max(target.wait_for_turn(now), turns.get(target.info.name, 0.0))
 
 
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -157,6 +157,8 @@
         Requests a second that it has named, if any.
     meter
         The requests that it got lately.
+    paused_until
+        When it takes requests again, as it said when it refused one.
     """
 
     info: TargetInfo
@@ -171,15 +173,17 @@
     speed: Mean = field(default_factory=lambda: Mean(1.0))
     limit: RateLimit | None = None
     meter: Meter = field(default_factory=Meter)
+    paused_until: Millis = -math.inf
 
     def find_rate(self, now: Millis) -> float | None:
         """Return the requests a second that may be sent to it; None for any number."""
         return self.limit.find_rate(now) if self.limit else None
 
     def wait_for_turn(self, now: Millis) -> Millis:
-        """Return the time until its limit allows a request, as far as is known."""
+        """Return the time until it takes a request, as far as it has said."""
         rate = self.find_rate(now)
-        return 0.0 if rate is None else self.meter.find_next(rate, now) - now
+        allowed = now if rate is None else self.meter.find_next(rate, now)
+        return max(allowed, self.paused_until) - now
 
     def measure(self, span: Millis, predicted: Millis) -> None:
         """Take in how long a first token took that was predicted at usual speed.
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -146,9 +146,13 @@
     def _note_limit(self, outgoing: Outgoing, notes: Notes, sent: Millis) -> None:
         """Take in what a target names, or no longer names, of its own need."""
         ours = notes.identity in (None, outgoing.identity) and not notes.misdirected
-        if ours and (notes.signed or notes.limit is not None):
-            name = outgoing.choice.target.info.name
+        if not ours:
+            return
+        name = outgoing.choice.target.info.name
+        if notes.signed or notes.limit is not None:
             self.limits.note_answer(name, notes.limit, sent, outgoing.identity)
+        if notes.not_run and notes.pause:
+            self.limits.note_refusal(name, notes.pause, outgoing.identity)
 
     def _exchange(
         self, outgoing: Outgoing
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -85,6 +85,8 @@
     limit
         Requests a second that the target takes from all routers together; None
         where it names none, NaN where what it names can't be read.
+    pause
+        Time for which a target that refused takes no request, if it says so.
     """
 
     identity: str | None
@@ -92,6 +94,7 @@
     not_run: bool
     misdirected: bool
     limit: float | None = None
+    pause: Millis | None = None
 
 
 class Dialect(Protocol):
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -25,6 +25,7 @@
     Limited,
     Marked,
     Message,
+    Paused,
     PermitAnswer,
     PermitAsk,
     PermitDropped,
@@ -173,6 +174,8 @@
             self.allotter.note_ended(message.holder, dict(message.spent))
         elif isinstance(message, Limited):
             self.limits.hear_limit(message)
+        elif isinstance(message, Paused):
+            self.limits.hear_pause(message)
         elif isinstance(message, PermitAsk):
             self.shared.permits.hear_ask(message)
         elif isinstance(message, PermitAnswer):
--- a/anvilshift/gateway/limits.py
+++ b/anvilshift/gateway/limits.py
@@ -8,16 +8,18 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.loadmap import LoadMap, TargetLoad
 from anvilshift.core.permits import Attendance, find_issuer
 from anvilshift.core.ratelimits import SPAN, RateLimit, learn
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.messages import Limited, SentBefore
+from anvilshift.gateway.messages import Limited, Paused, SentBefore
 from anvilshift.gateway.peers import Peers
 
 _MOST_TOLD = 40
 """Requests named in one datagram."""
+_LONGEST_PAUSE: Millis = 5 * SECOND
+"""A target that names more is asked again: nothing else would tell that it is well."""
 _NO_END: Millis = -1.0
 
 
@@ -107,6 +109,25 @@
             self._report_sends(target)
         self.hooks.change(target.info.name)
 
+    def note_refusal(self, name: str, pause: Millis, identity: str) -> None:
+        """Take in that a target refused a request and for how long it takes none."""
+        target = self.loads.targets.get(name)
+        if target is None:
+            return
+        wait = min(pause, _LONGEST_PAUSE)
+        self.journal.write("target_paused", target=name, wait=wait, id=identity)
+        self._pause(target, wait)
+        self.peers.tell(Paused(name, target.info.born, wait))
+
+    def hear_pause(self, message: Paused) -> None:
+        """Take in what a target told another router."""
+        target = self.loads.targets.get(message.target)
+        if target is not None and target.info.born == message.born:
+            self._pause(target, min(message.wait, _LONGEST_PAUSE))
+
+    def _pause(self, target: TargetLoad, wait: Millis) -> None:
+        target.paused_until = max(target.paused_until, self.clock.now() + wait)
+
     def hear_limit(self, message: Limited) -> None:
         """Take in what another router's answer named."""
         target = self.loads.targets.get(message.target)
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -212,6 +212,21 @@
     ended_ago: Millis
 
 
+@dataclass(frozen=True)
+class Paused:
+    """A target refused a request, and takes none for a while.
+
+    Parameters
+    ----------
+    born
+        The start of the target that is meant.
+    """
+
+    target: str
+    born: int
+    wait: Millis
+
+
 @dataclass(frozen=True)
 class PermitAsk:
     """A request could be sent to a target that has named a limit.
@@ -284,6 +299,7 @@
     | Farewell
     | Marked
     | Limited
+    | Paused
     | PermitAsk
     | PermitAnswer
     | PermitDropped
@@ -305,6 +321,7 @@
         Farewell,
         Marked,
         Limited,
+        Paused,
         PermitAsk,
         PermitAnswer,
         PermitDropped,
--- a/anvilshift/gateway/turns.py
+++ b/anvilshift/gateway/turns.py
@@ -1,11 +1,18 @@
 """One request's wait for its turn at targets that have named limits."""
 
+import asyncio
+
 from anvilshift.core.choosing import Choice
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.permits import State
 from anvilshift.gateway.permits import Request
 from anvilshift.gateway.shared import Shared
 
+_LOOK_AGAIN: Millis = 250.0
+"""How long a request waits for a paused target before others are weighed again."""
+_SPREAD = 1.2
+"""Requests that wait for one pause to end are sent apart by this part of it."""
+
 
 class Turn:
     """One request's permits, and what it was told of them.
@@ -53,6 +60,12 @@
         permits, name = self._shared.permits, choice.target.info.name
         if self._bid is not None and self._bid[1] != name:
             self.close()
+        pause = choice.target.paused_until - self._shared.clock.now()
+        if pause > 0:
+            self.close()
+            spread = self._shared.rng.uniform(1.0, _SPREAD)
+            await asyncio.sleep(min(pause * spread, _LOOK_AGAIN) / SECOND)
+            return None
         if not permits.is_limited(choice.target):
             self.close()
             return self._shared.next_run()
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -4,7 +4,7 @@
 
 from pydantic import ValidationError
 
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_VALUE, PLATFORM_GARBAGE, AnvilshiftError
 from anvilshift.core.loadmap import Prompt, TargetInfo
 from anvilshift.core.routing import Configuration
@@ -80,7 +80,8 @@
             names.SIGNATURE in found,
             names.NOT_RUN in found,
             status == 421,
-            _read_limit(found.get(names.LIMIT)),
+            _read_figure(found.get(names.LIMIT)),
+            _read_pause(found.get(names.RETRY_AFTER)),
         )
 
 
@@ -102,15 +103,21 @@
     return number
 
 
-def _read_limit(value: str | None) -> float | None:
-    """Return the requests a second that a target names; NaN for what is no rate."""
+def _read_figure(value: str | None) -> float | None:
+    """Return a target's figure; None where there is none, NaN for what is none."""
     if value is None:
         return None
     try:
-        rate = float(value)
+        figure = float(value)
     except ValueError:
         return math.nan
-    return rate if 0 <= rate < math.inf else math.nan
+    return figure if 0 <= figure < math.inf else math.nan
+
+
+def _read_pause(value: str | None) -> Millis | None:
+    """Return the time that a refusal names; None for none, or what is no time."""
+    seconds = _read_figure(value)
+    return None if seconds is None or math.isnan(seconds) else seconds * SECOND
 
 
 def _read_prompt(headers: Headers) -> Prompt:
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -17,6 +17,7 @@
 SIGNATURE = "anvilshift-engine-signature"
 NOT_RUN = "anvilshift-not-executed"
 LIMIT = "server-limit"
+RETRY_AFTER = "retry-after"
 
 OWN = frozenset(
     {
--- a/tests/platform/stand.py
+++ b/tests/platform/stand.py
@@ -122,6 +122,7 @@
         self.pace = 0.0
         self.crash_after: int | None = None
         self.refuses = False
+        self.pause: str | None = None
         self.status = 200
         self.hangs = False
         self.echo: str | None = None
@@ -145,7 +146,10 @@
             await responder.send(Reply(421))
             return
         if self.refuses:
-            await responder.send(Reply(503, [("Anvilshift-Not-Executed", "1")]))
+            refusal = [("Anvilshift-Not-Executed", "1")]
+            if self.pause is not None:
+                refusal.append(("Retry-After", self.pause))
+            await responder.send(Reply(503, refusal))
             return
         self.runs.append(identity)
         self.on_run()
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -197,3 +197,11 @@
         self.assertEqual((read("1.6"), read(" 20 "), read("0")), (1.6, 20.0, 0.0))
         for value in ("", "soon", "-1", "inf", "nan", "1,2"):
             self.assertTrue(math.isnan(read(value)), value)
+
+    def test_a_refusal_may_name_how_long_the_target_takes_nothing(self):
+        def read(value: str) -> float | None:
+            return self.dialect.read_notes(503, Headers([("Retry-After", value)])).pause
+
+        self.assertEqual((read("2"), read("0.25")), (2_000.0, 250.0))
+        for value in ("soon", "-1", "Wed, 21 Oct 2015 07:28:00 GMT"):
+            self.assertIsNone(read(value), value)
