Reckon with a router that lost its record behind a cut

Callers of three engines lost their answers.

The others drop r2's record once its lease is over, at 23.7 s. From then on r3 took nobody for silent (partitioned False, 3 routers), and as a third engine, e1, was out for a reason of its own, 'no others are down' did not hold: at 24.79 s r3 sent its copy on to e2. A record that is gone was taken for a router that is gone.

Ruled out: the order shifted by an engine that left or a declaration that changed (the order was e0, e3, e2, e1 at both routers, logged at each send).

Change: a router that fell silent without a farewell counts as one that may serve behind a cut for a minute after its record is gone, as for limits (core/permits.Attendance); one that is recorded and was never heard counts too.

Evidence: test_router_that_lost_its_record_behind_a_cut_is_reckoned_with failed before. Price: for that minute a content whose two engines both went out is refused (3002, not run) rather than sent to a third.

--- a/anvilshift/core/permits.py
+++ b/anvilshift/core/permits.py
@@ -245,13 +245,25 @@
         self._issuers: dict[str, str] = {}
 
     def note(
-        self, routers: Collection[str], leaving: Collection[str], now: Millis
+        self,
+        routers: Collection[str],
+        leaving: Collection[str],
+        now: Millis,
+        recorded: Collection[str] = (),
     ) -> bool:
-        """Take in which routers are there; tell whether that changed."""
+        """Take in which routers are there; tell whether that changed.
+
+        Parameters
+        ----------
+        routers, leaving
+            Those that are heard, and those that said that they leave.
+        recorded
+            Those that should be there, heard or not.
+        """
         present = frozenset(routers)
         for name in [*present, *leaving]:
             self._lost.pop(name, None)
-        for name in self.routers - present - frozenset(leaving):
+        for name in (self.routers | frozenset(recorded)) - present - frozenset(leaving):
             self._lost[name] = now
         if present == self.routers:
             return False
@@ -279,5 +291,8 @@
         Those that fell silent may go on without them, so each side of a cut keeps
         to its part and the parts add up to the limit.
         """
-        lost = [at for at in self._lost.values() if now - at < LOST_FOR]
-        return len(self.routers) / max(1, len(self.routers) + len(lost))
+        return len(self.routers) / max(1, len(self.routers) + self.count_lost(now))
+
+    def count_lost(self, now: Millis) -> int:
+        """Return how many routers fell silent lately without a farewell."""
+        return sum(now - at < LOST_FOR for at in self._lost.values())
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -379,8 +379,10 @@
 
     def _count_routers(self) -> None:
         """Tell the dispatcher with how many routers it shares the targets."""
-        self.dispatcher.set_partitioned(self.fleet.is_partitioned())
         self.permits.note_routers()
+        # One that lost its lease and its record may yet serve behind a cut.
+        silent = self.fleet.is_partitioned() or self.permits.has_lost_routers()
+        self.dispatcher.set_partitioned(silent)
         present = self.fleet.roster.present(self.clock.now())
         routers = 1 + sum(s.vitals.serving for s in present)
         if routers != self._routers:
--- a/anvilshift/router/permits.py
+++ b/anvilshift/router/permits.py
@@ -93,12 +93,18 @@
         }
         leaving = {s.member.name for s in sightings if s.member.leaving}
         before = self._attendance.list_issuers()
-        if not self._attendance.note((heard - leaving) | {self._own}, leaving, now):
+        recorded = {s.member.name for s in sightings}
+        present = (heard - leaving) | {self._own}
+        if not self._attendance.note(present, leaving, now, recorded):
             return
         for name in list(self._desks):
             if self._find_issuer(name) != before.get(name):
                 del self._desks[name]
 
+    def has_lost_routers(self) -> bool:
+        """Tell whether a router that fell silent may go on behind a cut."""
+        return self._attendance.count_lost(self._clock.now()) > 0
+
     def _find_issuer(self, target: str) -> str:
         return self._attendance.find_issuer(target)
 
--- a/tests/router/test_crashes.py
+++ b/tests/router/test_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilshift.core.clock import SECOND
+from anvilshift.core.permits import LOST_FOR
 from anvilshift.core.quarantine import FORGET_AFTER
 from anvilshift.core.work import Announce
 from tests.router.nodes import HEARTBEAT, Nodes, VirtualTestCase, wait_until
@@ -70,6 +71,18 @@
         self.fleet.cut_peers()
         await wait_until(lambda: not node.dispatcher._state.partitioned)
 
+    async def test_router_that_lost_its_record_behind_a_cut_is_reckoned_with(self):
+        """Guards against a third engine lost where two were, by copies it served."""
+        node = self.fleet.nodes["r1"]
+        await wait_until(lambda: not node.dispatcher._state.partitioned)
+        self.fleet.cut_from_platform("r3")
+        self.fleet.cut_peers("r3")
+        await wait_until(lambda: "r3" not in node.fleet.roster.sightings)
+        await asyncio.sleep(2 * HEARTBEAT / SECOND)
+        self.assertTrue(node.dispatcher._state.partitioned)
+        await asyncio.sleep(LOST_FOR / SECOND)
+        self.assertFalse(node.dispatcher._state.partitioned)
+
     async def test_neighbours_of_a_crash_do_not_push_out_what_is_blamed(self):
         """Guards against a poison that is no longer told of after a busy crash."""
         crashes = self.fleet.nodes["r1"].crashes
