Keep a content to its first engines though they are back, behind a cut

Cause, traced: both engines that the poison had cost behind the cut had come back at 35.1 s, so the other side no longer kept the content to them. r1's copy crashed e0 anew; 10 ms later, before r1's news came, r3 found e0 out and e3 without room, and sent its copy to e2.

Change: where not all routers can be heard, a content whose first two engines both went out within a minute goes to no third one, be they back or not; it waits for room there.

Evidence: test_first_engines_that_are_back_behind_a_cut_are_the_only_ones failed before (e1, e2 and e6 lost of 50 seeded courses). Price: such contents wait or are refused (not run) in a cut, for a minute.

--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -117,13 +117,21 @@
         return view is not None and name in pool.priorities and view.is_used
 
     def _went_down_recently(self, names: list[str], pool: Pool, now: Millis) -> bool:
-        """Tell whether targets went down lately, and no others are down."""
+        """Tell whether a content may have taken its first targets down lately.
+
+        Where all routers can be heard it would be known, unless nobody is left who
+        knows: then they are down, and no others.
+        """
         views = [self._state.views[name] for name in names if name in self._state.views]
-        if any(v.is_sound or now - v.out_since > _RECENT for v in views):
+        if any(now - v.out_since > _RECENT for v in views):
+            return False
+        if self._state.partitioned:
+            return True
+        if any(v.is_sound for v in views):
             return False
         declared = [self._state.views.get(name) for name in pool.priorities]
         unsound = sum(view is not None and not view.is_sound for view in declared)
-        return self._state.partitioned or unsound <= len(names)
+        return unsound <= len(names)
 
     def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
         """Refuse work that was found poisonous while it waited."""
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -188,6 +188,27 @@
             self.assertEqual(len(set(fleet.lost)), 2)
             self.assertIs(fleet.refused[name].code, NO_ENGINE)
 
+    def test_first_engines_that_are_back_behind_a_cut_are_the_only_ones(self):
+        """Guards against a third engine lost where one of the two has no room."""
+        for seed in range(50):
+            fleet = Fleet(seed, routers=2, told=False)
+            fleet.run_poison([fleet.send(0, POISON) for _ in range(3)])
+            lost = sorted(set(fleet.lost))
+            other = fleet.routers[1]
+            other.set_partitioned(True)
+            for target in lost:
+                self.take_down(fleet, target)
+            for target in lost:
+                fleet.take(1, other.staying(target, fleet.now))
+            # One is down again, and the other one has no room.
+            down, full = lost[seed % 2], lost[1 - seed % 2]
+            fleet.take(1, other.leaving(down, fleet.now))
+            for n in range(8):
+                work = Work(f"w{n}", "org", "x", {full: 0}, 10, 10, 1e9)
+                fleet.take(1, other.arrive(work, fleet.now))
+            fleet.run_poison([fleet.send(1, POISON)])
+            self.assertEqual(sorted(set(fleet.lost)), lost)
+
     def test_router_that_alone_knew_of_the_crashes_is_killed(self):
         """Guards against a third engine lost where nobody is left to tell."""
         for seed in range(50):
