Forget who asked for permits that nobody waits for

Cause: the issuer kept the address of each router that had asked for a permit until it answered; a question whose caller had left was dropped from the line by its silence and never answered, so its address stayed for good. Seen in reading the diff; what callers would see is an issuer that grows. Change: once a second what waits in no line is forgotten. test_callers_that_leave_are_not_remembered_by_the_issuer failed before (2 left at one router), 17 of 17 of its file green now.

--- a/anvilshift/core/permits.py
+++ b/anvilshift/core/permits.py
@@ -117,6 +117,9 @@
         """Return how many bids wait."""
         return len(self._waiting)
 
+    def __contains__(self, run: str) -> bool:
+        return run in self._waiting
+
     def is_of(self, meter: Meter) -> bool:
         """Tell whether this issues the permits that a meter counts."""
         return self._meter is meter
--- a/anvilshift/gateway/limits.py
+++ b/anvilshift/gateway/limits.py
@@ -1,4 +1,4 @@
-"""What targets name of their limits, known to all routers.
+"""What targets say of how much they take, known to all routers.
 
 What an answer names is told to the others, and every router finds the same one that
 issues the permits for a target.
--- a/anvilshift/gateway/permits.py
+++ b/anvilshift/gateway/permits.py
@@ -263,9 +263,8 @@
         desk, target = self._desks.get(name), self.loads.targets.get(name)
         if desk is None or target is None:
             return
-        for verdict in desk.serve(
-            self.book.find_rate(target), self.clock.now(), _SILENCE
-        ):
+        rate, now = self.book.find_rate(target), self.clock.now()
+        for verdict in desk.serve(rate, now, _SILENCE):
             self._answer(verdict)
         self._set_timer(name)
 
@@ -296,8 +295,15 @@
                 self._close_desk(name)
         if now - self._reported >= _REPORT:
             self._reported = now
+            self._forget_askers()
             self._report(now)
 
+    def _forget_askers(self) -> None:
+        """Forget who asked for what waits no longer."""
+        for run in list(self._askers):
+            if not any(run in desk for desk in self._desks.values()):
+                del self._askers[run]
+
     def _report(self, now: Millis) -> None:
         for name, desk in self._desks.items():
             target = self.loads.targets[name]
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -120,6 +120,19 @@
 
         self.play_faults(course)
 
+    def test_callers_that_leave_are_not_remembered_by_the_issuer(self):
+        async def course(fleet):
+            fleet.engine.rate = 1.0
+            fleet.offer(10.0, patience=3_000.0)
+            await asyncio.sleep(6.0)
+            for node in fleet.nodes.values():
+                for task in node.tasks[1:]:
+                    task.cancel()
+            await asyncio.sleep(3.0)
+            return [len(node.permits._askers) for node in fleet.nodes.values()]
+
+        self.assertEqual(play(course, 4), [0, 0, 0, 0])
+
 
 class CourseTest(unittest.TestCase):
     def test_a_limit_that_falls_is_kept_soon(self):
