--- a/anvilshift/core/backlog.py
+++ b/anvilshift/core/backlog.py
@@ -5,6 +5,7 @@
 from anvilshift.core.errors import NO_ENGINE, OVERLOADED, PAST_DEADLINE, Code
 from anvilshift.core.pools import Pool
 from anvilshift.core.queue import Entry
+from anvilshift.core.reach import Reach
 from anvilshift.core.state import NO_TARGET_RETRY, DispatchState
 from anvilshift.core.work import Actions, Refuse
 
@@ -12,7 +13,8 @@
 class Backlog:
     """Work that waits for a target, by identity."""
 
-    def __init__(self, state: DispatchState) -> None:
+    def __init__(self, state: DispatchState, reach: Reach) -> None:
+        self._reach = reach
         self.entries: dict[str, tuple[Entry, Pool]] = {}
         self._state = state
 
@@ -55,9 +57,9 @@
         return Ahead(
             backlog=sum(p.backlog for p in ahead),
             own=sum(
-                queue.backlog_of(organisation)
+                queues.backlog_of(organisation)
                 for p in ahead
-                for queue in (p.short, p.long)
+                for queues in (p.short, p.long)
             ),
             weight=entry.work.weight,
             weights=sum(p.short.weight + p.long.weight for p in ahead),
@@ -68,6 +70,7 @@
         """Queue work until a target has room or it becomes hopeless."""
         identity = entry.work.identity
         self.entries[identity] = entry, pool
+        entry.allowed = self._reach.list_allowed(entry.work, pool, now)
         pool.queue_of(entry).push(entry)
         safe = pool.kind.durations.safe_service(entry.work)
         latest = self._state.due(entry.work) - safe
@@ -103,6 +106,11 @@
         wait = self._predict_wait(entry, pool)
         return self._state.refuse(entry, code, detail, wait)
 
+    def refuse_stuck(self, entry: Entry) -> Refuse:
+        """Refuse work none of whose targets is in use."""
+        detail = "the targets that it may reach are out of use"
+        return self._state.refuse(entry, NO_ENGINE, detail, NO_TARGET_RETRY)
+
     def give_up_all(self, pool: Pool) -> Actions:
         """Refuse everything that waits for targets that are gone."""
         entries = [*pool.short.drain(), *pool.long.drain()]
--- a/anvilshift/core/declarations.py
+++ b/anvilshift/core/declarations.py
@@ -127,6 +127,11 @@
     models: tuple[str, ...] = ()
     desired: Mapping[str, str] = field(default_factory=dict)
 
+    @property
+    def offers(self) -> frozenset[str]:
+        """Return names of what its targets serve; groups that share none differ."""
+        return frozenset(self.models or [self.kind.value])
+
     def serves(self, route: "Route") -> bool:
         """Tell whether the group's targets can serve a route."""
         if self.kind is not route.kind or not route.engines.matches(self.labels):
--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -7,36 +7,35 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
 from anvilshift.core.concurrency import STALE, Limit
-from anvilshift.core.errors import ENGINE_FAILED, NO_ENGINE, QUARANTINED
-from anvilshift.core.pools import Kind, Pool, Pools, TargetView
-from anvilshift.core.quarantine import FORGET_AFTER
+from anvilshift.core.pools import Kind, Pools, TargetView
 from anvilshift.core.queue import Entry
 from anvilshift.core.rationing import Rationing, Want
-from anvilshift.core.retries import BACKOFF
+from anvilshift.core.reach import Reach
+from anvilshift.core.relocation import Relocation
+from anvilshift.core.resending import NEWS_SPAN, Resending
 from anvilshift.core.sending import Sender
-from anvilshift.core.state import NO_TARGET_RETRY, DispatchState
+from anvilshift.core.state import DispatchState
 from anvilshift.core.upkeep import Upkeep
 from anvilshift.core.work import (
     NEVER_RAN,
     Actions,
     Announce,
+    Ask,
     CacheEvent,
     DispatchSettings,
     Failure,
     LoadReport,
-    Refuse,
     Target,
     Work,
 )
 
-NEWS_SPAN: Millis = 50.0
-"""Between a crash and the next try of what ran there: other routers that lost a
-target to the same content have told of it by then."""
+__all__ = ("NEWS_SPAN", "Dispatcher")
+
 _SWEEP: Millis = 250.0
 """How often work that was passed over is looked at again; targets report about
 as often."""
@@ -64,11 +63,22 @@
 
     def __init__(self, settings: DispatchSettings, rng: random.Random) -> None:
         self._state = DispatchState(settings, rng)
-        self._backlog = Backlog(self._state)
-        self._sender = Sender(self._state, self._backlog)
-        self._upkeep = Upkeep(self._state, self._backlog, self._sender)
+        self._reach = Reach(self._state)
+        self._backlog = Backlog(self._state, self._reach)
+        self._sender = Sender(self._state, self._backlog, self._reach)
+        self._relocation = Relocation(
+            self._state, self._backlog, self._reach, self._enter
+        )
+        self._resending = Resending(
+            self._state, self._backlog, self._sender, self._reach, self._relocation
+        )
+        self._upkeep = Upkeep(
+            self._state, self._backlog, self._sender, self._reach, self._relocation
+        )
         self._rationing = Rationing(self._state, self._sender)
         self._swept: Millis = 0.0
+        self._was_alone = self._state.is_alone
+        self.renew: Callable[[Work], Work] = lambda work: work
 
     @property
     def waiting(self) -> int:
@@ -77,9 +87,20 @@
 
     # Targets
 
-    def configure(self, targets: Iterable[Target], now: Millis) -> Actions:
-        """Take in the targets that are declared now."""
+    def configure(
+        self, targets: Iterable[Target], now: Millis, revision: int = 0
+    ) -> Actions:
+        """Take in the targets that are declared now.
+
+        Parameters
+        ----------
+        revision
+            Revision of the declarations; see `agree`.
+        """
         declared = {target.name: target for target in targets}
+        self._state.began = min(self._state.began, now)
+        old = {name: view.target for name, view in self._state.views.items()}
+        self._state.former.supersede(old, declared, revision)
         for name in set(self._state.views) - set(declared):
             # Work that still runs there must not draw more work when it ends.
             removed = self._state.views.pop(name)
@@ -87,16 +108,37 @@
             self._state.prefixes.forget(name)
         for name, target in declared.items():
             self._declare(name, target)
+        for attempt in self._sender.running.values():
+            attempt.entry.work = self.renew(attempt.entry.work)
+        return self._make_pools(now)
+
+    def agree(self, revision: int, now: Millis) -> Actions:
+        """Take in the revision that every router has in force.
+
+        Until then work goes only to targets that its content has before and after
+        a change.
+        """
+        return self._make_pools(now) if self._state.former.agree(revision) else []
+
+    def _make_pools(self, now: Millis) -> Actions:
+        """Make the pools anew and let all that waits enter them."""
         waiting = [entry for entry, _ in self._backlog.entries.values()]
         self._backlog.entries.clear()
+        self._was_alone = self._state.is_alone
         self._state.pools = Pools(self._state.views)
         for view in self._state.views.values():
             view.pools = []
             view.kind.pools = []
             view.kind.views = {view.target.name: view}
+        for attempt in self._sender.running.values():
+            pool = self._state.pools.find(attempt.entry.work.candidates)
+            if pool is not None:
+                attempt.pool = pool
+                pool.long_running += attempt.entry.is_long
         actions: Actions = []
         for entry in waiting:
             entry.lane = None
+            entry.work = self.renew(entry.work)
             actions += self._enter(entry, now)
         return actions
 
@@ -128,7 +170,7 @@
         view.note_outage(now)
         view.leaving = True
         self._state.refresh(view)
-        actions: Actions = []
+        actions = self._relocation.move_stuck(view, now)
         for pool in view.pools:
             pool.usable -= 1
             if not pool.usable:
@@ -195,6 +237,18 @@
         """Take in another router's news of a crash that is so old."""
         self._state.quarantine.hear(content, target, now, age, times)
 
+    def note_lost_router(self, now: Millis) -> None:
+        """Take in that a router is missed that had not said that it leaves."""
+        self._state.router_lost = now
+
+    def prepare(self, ask: Ask, now: Millis) -> bool:
+        """Hold a content back that another router would send elsewhere."""
+        return self._relocation.prepare(ask, now)
+
+    def settle(self, ask: Ask, agreed: bool, now: Millis) -> Actions:
+        """Take in whether a content goes to the target that was asked for."""
+        return self._relocation.settle(ask, agreed, now)
+
     def list_confined(self, content: str) -> list[str]:
         """Return the targets of a content that used up what it may cost."""
         return self._state.quarantine.list_confined(content)
@@ -208,22 +262,17 @@
     def arrive(self, work: Work, now: Millis) -> Actions:
         """Take in a request."""
         if self._state.quarantine.is_quarantined(work.content, now):
-            return [self._refuse_quarantined(Entry(work, 0.0, 0.0))]
+            return [self._state.refuse_quarantined(work)]
         entry = Entry(work, 0.0, 0.0)
         pool = self._state.pools.find(work.candidates)
-        if pool is not None and self._sender.is_stuck(work, pool, now):
-            return [self._refuse_stuck(entry)]
+        if pool is not None and self._reach.is_stuck(work, pool, now):
+            return self._relocation.begin(entry, pool, now)
         return self._enter(entry, now)
 
-    def _refuse_quarantined(self, entry: Entry) -> Refuse:
-        return Refuse(entry.work.identity, QUARANTINED, "", FORGET_AFTER)
-
-    def _refuse_stuck(self, entry: Entry) -> Refuse:
-        detail = "the targets that it may reach are out of use"
-        return self._state.refuse(entry, NO_ENGINE, detail, NO_TARGET_RETRY)
-
     def _enter(self, entry: Entry, now: Millis) -> Actions:
         """Let work in and place it if there is room."""
+        if entry.attempts:
+            return self._resending.send_again(entry, now)
         actions = self._backlog.admit(entry, now)
         if not entry.waits:
             return actions
@@ -288,7 +337,7 @@
             view.health.add_failure(content or identity)
         self._state.refresh(view)
         actions += self._upkeep.check_health(view, now)
-        actions += self._retry(entry, failure, now)
+        actions += self._resending.retry(entry, failure, now)
         return [*actions, *self._sender.fill(view, now)]
 
     def cancel(self, identity: str, now: Millis) -> Actions:
@@ -308,6 +357,10 @@
     def tick(self, now: Millis) -> Actions:
         """Do what is due."""
         actions = [*self._state.timers.run(now), *self._rationing.end_over(now)]
+        if self._state.is_alone != self._was_alone:
+            # What waits for any target may go to its content's two only, or the
+            # other way round.
+            actions += self._make_pools(now)
         if now >= self._swept + _SWEEP:
             self._swept = now
             actions += self._sender.sweep(now)
@@ -320,65 +373,3 @@
             return due
         sweep = max(now, self._swept + _SWEEP)
         return sweep if due is None else min(due, sweep)
-
-    # Outcomes
-
-    def _retry(self, entry: Entry, failure: Failure, now: Millis) -> Actions:
-        """Send failed work elsewhere, later, or not again."""
-        work = entry.work
-        pool = self._state.pools.find(work.candidates)
-        never_ran = failure in NEVER_RAN
-        code = NO_ENGINE if never_ran else ENGINE_FAILED
-        refusal = self._state.refuse(entry, code, failure.value, NO_TARGET_RETRY)
-        if self._state.quarantine.is_quarantined(work.content, now):
-            return [self._refuse_quarantined(entry)]
-        if not (never_ran or work.idempotent):
-            return [refusal]
-        if entry.attempts >= self._state.settings.attempts:
-            return [refusal]
-        if pool is None or not pool.usable or self._sender.is_stuck(work, pool, now):
-            return [refusal]
-        if self._state.has_no_hope(entry, pool, now):
-            return [refusal]
-        if not self._state.retries.take(failure):
-            return [refusal]
-        confined = self._state.quarantine.list_confined(work.content)
-        if confined or len(entry.tried) >= pool.usable:
-            pause = BACKOFF.draw(entry.attempts, self._state.rng)
-            return self._back_off(entry, pool, now, pause)
-        reached = self._state.quarantine.list_reached(work.content)
-        if reached and not self._state.is_alone:
-            return self._back_off(entry, pool, now, NEWS_SPAN)
-        return [
-            *self._backlog.wait(entry, pool, now),
-            *self._sender.offer(entry, pool, now),
-        ]
-
-    def _back_off(
-        self, entry: Entry, pool: Pool, now: Millis, pause: Millis
-    ) -> Actions:
-        """Send work again after a while."""
-        self._backlog.entries[entry.work.identity] = entry, pool
-        due = now + pause
-
-        def again(at: Millis) -> Actions:
-            found = self._backlog.entries.get(entry.work.identity)
-            if found is None or found[0] is not entry or entry.waits:
-                return []
-            pool = self._state.pools.find(entry.work.candidates)
-            if pool is None or not pool.usable:
-                del self._backlog.entries[entry.work.identity]
-                return [self._state.refuse(entry, NO_ENGINE, "", NO_TARGET_RETRY)]
-            if self._state.quarantine.is_quarantined(entry.work.content, at):
-                del self._backlog.entries[entry.work.identity]
-                return [self._refuse_quarantined(entry)]
-            if self._sender.is_stuck(entry.work, pool, at):
-                del self._backlog.entries[entry.work.identity]
-                return [self._refuse_stuck(entry)]
-            return [
-                *self._backlog.wait(entry, pool, at),
-                *self._sender.offer(entry, pool, at),
-            ]
-
-        self._state.timers.at(due, again)
-        return []
--- a/anvilshift/core/exposure.py
+++ b/anvilshift/core/exposure.py
@@ -120,6 +120,10 @@
             return []
         return sorted(charges.kept | set(charges.running))
 
+    def is_harmless(self, content: str) -> bool:
+        """Tell whether a content was answered whole and has crashed nothing since."""
+        return content in self._harmless
+
     def list_kept(self, most: int) -> list[tuple[str, str]]:
         """Return the newest contents with each target that stays charged."""
         return [
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -7,8 +7,6 @@
 durations.
 """
 
-import math
-import zlib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
@@ -16,7 +14,9 @@
 from anvilshift.core.concurrency import Limit
 from anvilshift.core.durations import Durations, Mean
 from anvilshift.core.ejection import Health, State
+from anvilshift.core.homes import rank_targets
 from anvilshift.core.queue import Entry, FairQueue, Shares
+from anvilshift.core.queueset import QueueSet
 from anvilshift.core.ratelimits import Meter, RateLimit
 from anvilshift.core.sampling import SampledSet
 from anvilshift.core.work import Target
@@ -28,8 +28,8 @@
 short work, and long work alone still fills most of the targets."""
 _MOST_REMEMBERED = 1_000
 _TRIED_PLACES = 12
-"""Targets looked at for those that a content prefers: in a fleet that is full to
-four fifths, two of them have room nine times in ten."""
+"""Targets looked at for those that a content prefers, where it may go to any: in a
+fleet that is full to four fifths, two of them have room nine times in ten."""
 
 
 @dataclass(eq=False)
@@ -178,8 +178,9 @@
         self.usable = 0
         self.slots = 0.0
         self.long_running = 0
-        self.short = FairQueue(kind.shares)
-        self.long = FairQueue(kind.shares)
+        self.short = QueueSet(kind.shares)
+        self.long = QueueSet(kind.shares)
+        self.homes: dict[str, tuple[str, ...]] = {}
 
     @property
     def waiting(self) -> int:
@@ -197,8 +198,8 @@
         entry.is_long = typical.count > 0 and entry.service > _LONG * typical.value
         typical.add(entry.service)
 
-    def queue_of(self, entry: Entry) -> FairQueue:
-        """Return the queue in which work waits."""
+    def queue_of(self, entry: Entry) -> QueueSet:
+        """Return the queues in one of which work waits."""
         return self.long if entry.is_long else self.short
 
     def may_run_long(self) -> bool:
@@ -210,29 +211,20 @@
         return self.long_running < max(1.0, _LONG_PART * self.slots)
 
     def order(self, content: str) -> list[str]:
-        """Return some targets in an order that a content fixes.
+        """Return some targets in an order that a content fixes."""
+        return rank_targets(content, self._names, _TRIED_PLACES)
 
-        Every router finds the same ones for the same content.  Copies of it that
-        reach several routers at once, before any can tell the others that it
-        crashes targets, meet at the same few and not at as many as there are
-        routers; and equal prompts meet where they are cached.  For other work the
-        order is as good as lots.
-        """
-        first = zlib.crc32(content.encode())
-        count = len(self._names)
-        step = 1 + (first >> 16) % count
-        while math.gcd(step, count) > 1:
-            # A step with a common factor would come back before it met them all.
-            step += 1
-        places = min(count, _TRIED_PLACES)
-        return [self._names[(first + step * n) % count] for n in range(places)]
-
-    def queues(self) -> Iterator[FairQueue]:
-        """Return the queues that may be served now and are not empty."""
-        if self.short.count:
-            yield self.short
-        if self.long.count and self.may_run_long():
-            yield self.long
+    def remember_homes(self, content: str, homes: tuple[str, ...]) -> None:
+        """Keep the homes of a content, which are looked up for each attempt."""
+        if len(self.homes) >= _MOST_REMEMBERED:
+            self.homes.clear()
+        self.homes[content] = homes
+
+    def queues_for(self, target: str) -> Iterator[FairQueue]:
+        """Return the queues that a target may serve now; none is empty."""
+        yield from self.short.list_for(target)
+        if self.may_run_long():
+            yield from self.long.list_for(target)
 
 
 class Pools:
@@ -298,7 +290,8 @@
                 kind.views[moved.target.name] = moved
             for pool in other.pools:
                 pool.kind = kind
-                pool.short.shares = pool.long.shares = kind.shares
+                pool.short.set_shares(kind.shares)
+                pool.long.set_shares(kind.shares)
                 kind.pools.append(pool)
             other.pools = []
         kind.sum_levels()
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -113,6 +113,14 @@
         """Return the targets that work may have cost, or may yet."""
         return self._exposure.list_reached(content)
 
+    def keep(self, content: str, target: str, now: Millis) -> None:
+        """Charge a target to work that some router sends there."""
+        self._exposure.crashed(content, target, now)
+
+    def is_harmless(self, content: str) -> bool:
+        """Tell whether work was answered whole and has crashed nothing since."""
+        return self._exposure.is_harmless(content)
+
     def may_reach(self, content: str, target: str) -> bool:
         """Tell whether a target is within what work may cost."""
         return self._exposure.may_reach(content, target)
--- a/anvilshift/core/queue.py
+++ b/anvilshift/core/queue.py
@@ -25,7 +25,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.work import Work
 
-_CLOSE = 5_000.0
+CLOSE = 5_000.0
 """Tokens for each unit of weight by which an organisation may be ahead: about
 eight requests, what one sends a router in the first second of an opening
 burst."""
@@ -44,6 +44,8 @@
         Milliseconds that it is expected to run.
     cost
         Tokens that it is expected to use.
+    allowed
+        The only targets that it may be sent to; None for any candidate.
     """
 
     work: Work
@@ -52,6 +54,7 @@
     is_long: bool = False
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
+    allowed: tuple[str, ...] | None = None
     lane: "_Lane | None" = None
 
     @property
@@ -91,17 +94,12 @@
     def __init__(self, queue: "FairQueue", organisation: str) -> None:
         self.queue = queue
         self.organisation = organisation
-        self.weight = 1.0
         self.count = 0
-        self.backlog: Millis = 0.0
         self._urgent: list[tuple[Millis, int, Entry]] = []
         self._longest: list[tuple[Millis, int, Entry]] = []
 
     def push(self, entry: Entry, number: int) -> None:
-        if not self.count:
-            self.weight = entry.work.weight
         self.count += 1
-        self.backlog += entry.service
         heapq.heappush(self._urgent, (entry.work.deadline, number, entry))
         heapq.heappush(self._longest, (-entry.service, number, entry))
         self._urgent = self._rebuild(self._urgent)
@@ -134,28 +132,34 @@
     Parameters
     ----------
     shares
-        What organisations were given; queues over the same targets share it.
+        What organisations were given; queues over the same targets share it, and
+        who pushes the first work of an organisation enters it there.
 
     Examples
     --------
-    >>> queue = FairQueue(Shares())
+    >>> shares = Shares()
+    >>> queue = FairQueue(shares)
     >>> for name, organisation in (("a", "hot"), ("b", "hot"), ("c", "quiet")):
     ...     work = Work(name, organisation, "advice", {}, 0, 10, deadline=9.0)
+    ...     shares.enter(organisation)
     ...     queue.push(Entry(work, service=1.0, cost=6_000.0))
-    >>> [queue.pop().work.identity for _ in range(3)]
+    >>> order = []
+    >>> while queue.count:
+    ...     entry = queue.peek()
+    ...     shares.charge(entry.work.organisation, entry.cost, weight=1.0)
+    ...     queue.remove(entry)
+    ...     order.append(entry.work.identity)
+    >>> order
     ['a', 'c', 'b']
     """
 
     def __init__(self, shares: Shares) -> None:
         self.shares = shares
         self.count = 0
-        self.backlog: Millis = 0.0
-        self.weight = 0.0
         self._lanes: dict[str, _Lane] = {}
         self._heads: list[tuple[float, str]] = []
         self._ahead: list[tuple[float, str]] = []
         self._ready: list[tuple[Millis, str]] = []
-        self._largest: list[tuple[float, str]] = []
         self._numbers = itertools.count()
 
     def push(self, entry: Entry) -> None:
@@ -168,24 +172,13 @@
         entry.lane = lane
         lane.push(entry, next(self._numbers))
         self.count += 1
-        self.backlog += entry.service
-        heapq.heappush(self._largest, (-lane.backlog / lane.weight, name))
-        if len(self._largest) > 2 * self.count + _SPARE:
-            self._rank_lanes()
         if idle:
-            self.weight += lane.weight
-            self.shares.enter(name)
             heapq.heappush(self._heads, (self.shares.tags[name], name))
             heapq.heappush(self._ahead, (self.shares.tags[name], name))
         elif lane.most_urgent() is entry:
             heapq.heappush(self._ready, (entry.work.deadline, name))
             self._bound_ready()
 
-    def _rank_lanes(self) -> None:
-        busy = [lane for lane in self._lanes.values() if lane.count]
-        self._largest = [(-ln.backlog / ln.weight, ln.organisation) for ln in busy]
-        heapq.heapify(self._largest)
-
     def next_tag(self) -> float:
         """Return the tag of the organisation that is next."""
         return self.shares.tags[self._next_lane().organisation]
@@ -204,7 +197,7 @@
 
     def peek(self) -> Entry:
         """Return the work that is next."""
-        bound = self.next_tag() + _CLOSE
+        bound = self.next_tag() + CLOSE
         while self._ahead and self._ahead[0][0] <= bound:
             _, name = heapq.heappop(self._ahead)
             lane = self._lanes[name]
@@ -232,17 +225,6 @@
             return
         self._ready = sorted(set(self._ready))
 
-    def pop(self) -> Entry:
-        """Remove and return the work that is next, charged to its organisation."""
-        entry = self.peek()
-        self.take(entry)
-        return entry
-
-    def take(self, entry: Entry) -> None:
-        """Remove work that is served now and charge its organisation."""
-        self.remove(entry)
-        self.shares.charge(entry.work.organisation, entry.cost, entry.work.weight)
-
     def remove(self, entry: Entry) -> None:
         """Remove work that waits."""
         lane = entry.lane
@@ -250,47 +232,25 @@
             return
         entry.lane = None
         lane.count -= 1
-        lane.backlog -= entry.service
         self.count -= 1
-        self.backlog -= entry.service
-        if not lane.count:
-            self.weight -= lane.weight
-            lane.backlog = 0.0
-        if not self.count:
-            self.backlog = 0.0
-            self.weight = 0.0
-
-    def backlog_of(self, organisation: str) -> Millis:
-        """Return the expected run time of what an organisation has waiting."""
-        lane = self._lanes.get(organisation)
-        return lane.backlog if lane else 0.0
 
-    def least_valuable(self) -> Entry:
-        """Return what to drop when the queue is full.
+    def holds(self, organisation: str) -> bool:
+        """Tell whether work of an organisation waits."""
+        lane = self._lanes.get(organisation)
+        return lane is not None and lane.count > 0
 
-        That is the longest work of the organisation that has most waiting for
-        its weight: dropping it makes room for most answers of others.
-        """
-        while True:
-            size, name = self._largest[0]
-            lane = self._lanes[name]
-            current = -lane.backlog / lane.weight
-            if not lane.count:
-                heapq.heappop(self._largest)
-            elif current > size:
-                heapq.heapreplace(self._largest, (current, name))
-            else:
-                return lane.longest()
+    def longest_of(self, organisation: str) -> Entry:
+        """Return the longest work that an organisation has waiting."""
+        return self._lanes[organisation].longest()
 
-    def drain(self) -> list[Entry]:
-        """Remove and return everything."""
+    def list_entries(self) -> list[Entry]:
+        """Return everything that waits."""
         # Work that was passed over and put back stands twice in its heap.
-        found = dict.fromkeys(
-            item[2]
-            for lane in self._lanes.values()
-            for item in lane._urgent
-            if item[2].lane is lane
+        return list(
+            dict.fromkeys(
+                entry
+                for lane in self._lanes.values()
+                for _, _, entry in lane._urgent
+                if entry.lane is lane
+            )
         )
-        for entry in found:
-            self.remove(entry)
-        return list(found)
--- /dev/null
+++ b/anvilshift/core/resending.py
@@ -0,0 +1,98 @@
+"""Send failed work elsewhere, later, or not again."""
+
+from anvilshift.core.backlog import Backlog
+from anvilshift.core.clock import Millis
+from anvilshift.core.errors import ENGINE_FAILED, NO_ENGINE
+from anvilshift.core.pools import Pool
+from anvilshift.core.queue import Entry
+from anvilshift.core.reach import Reach
+from anvilshift.core.relocation import Relocation
+from anvilshift.core.retries import BACKOFF
+from anvilshift.core.sending import Sender
+from anvilshift.core.state import NO_TARGET_RETRY, DispatchState
+from anvilshift.core.work import NEVER_RAN, Actions, Failure
+
+NEWS_SPAN: Millis = 50.0
+"""Between a crash and the next try of what ran there: other routers that lost a
+target to the same content have told of it by then."""
+
+
+class Resending:
+    """The work whose attempt failed."""
+
+    def __init__(
+        self,
+        state: DispatchState,
+        backlog: Backlog,
+        sender: Sender,
+        reach: Reach,
+        relocation: Relocation,
+    ) -> None:
+        self._state = state
+        self._backlog = backlog
+        self._sender = sender
+        self._reach = reach
+        self._relocation = relocation
+
+    def retry(self, entry: Entry, failure: Failure, now: Millis) -> Actions:
+        """Return what becomes of work whose attempt has just failed."""
+        work = entry.work
+        pool = self._state.pools.find(work.candidates)
+        never_ran = failure in NEVER_RAN
+        code = NO_ENGINE if never_ran else ENGINE_FAILED
+        refusal = self._state.refuse(entry, code, failure.value, NO_TARGET_RETRY)
+        if self._state.quarantine.is_quarantined(work.content, now):
+            return [self._state.refuse_quarantined(work)]
+        if not (never_ran or work.idempotent):
+            return [refusal]
+        if entry.attempts >= self._state.settings.attempts:
+            return [refusal]
+        if pool is None or not pool.usable:
+            return [refusal]
+        if self._reach.is_stuck(work, pool, now):
+            return self._relocation.begin(entry, pool, now) if never_ran else [refusal]
+        if self._state.has_no_hope(entry, pool, now):
+            return [refusal]
+        if not self._state.retries.take(failure):
+            return [refusal]
+        confined = self._state.quarantine.list_confined(work.content)
+        if confined or not self._sender.has_untried(entry, pool, now):
+            pause = BACKOFF.draw(entry.attempts, self._state.rng)
+            return self._back_off(entry, pool, now, pause)
+        reached = self._state.quarantine.list_reached(work.content)
+        if reached and not self._state.is_alone:
+            return self._back_off(entry, pool, now, NEWS_SPAN)
+        return self.send_again(entry, now)
+
+    def send_again(self, entry: Entry, now: Millis) -> Actions:
+        """Let work wait for a target again, or refuse it if there is none."""
+        pool = self._state.pools.find(entry.work.candidates)
+        if pool is None or not pool.usable:
+            return [self._state.refuse(entry, NO_ENGINE, "", NO_TARGET_RETRY)]
+        return [
+            *self._backlog.wait(entry, pool, now),
+            *self._sender.offer(entry, pool, now),
+        ]
+
+    def _back_off(
+        self, entry: Entry, pool: Pool, now: Millis, pause: Millis
+    ) -> Actions:
+        """Send work again after a while."""
+        self._backlog.entries[entry.work.identity] = entry, pool
+        self._state.timers.at(now + pause, lambda at: self._end_pause(entry, at))
+        return []
+
+    def _end_pause(self, entry: Entry, now: Millis) -> Actions:
+        identity, work = entry.work.identity, entry.work
+        found = self._backlog.entries.get(identity)
+        if found is None or found[0] is not entry or entry.waits:
+            return []
+        del self._backlog.entries[identity]
+        pool = self._state.pools.find(work.candidates)
+        if pool is not None and self._state.quarantine.is_quarantined(
+            work.content, now
+        ):
+            return [self._state.refuse_quarantined(work)]
+        if pool is not None and self._reach.is_stuck(work, pool, now):
+            return [self._backlog.refuse_stuck(entry)]
+        return self.send_again(entry, now)
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -1,23 +1,21 @@
 """Send waiting work to targets that have room."""
 
-import itertools
 from collections.abc import Callable
 
 from anvilshift.core.backlog import Backlog
-from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.clock import Millis
 from anvilshift.core.ejection import State
-from anvilshift.core.errors import OVERLOADED, QUARANTINED
-from anvilshift.core.exposure import FORGET_AFTER, TARGETS
+from anvilshift.core.errors import OVERLOADED
+from anvilshift.core.exposure import TARGETS
 from anvilshift.core.placement import DRAWN, HOLDERS, Option, choose
 from anvilshift.core.pools import Pool, TargetView
-from anvilshift.core.queue import Entry, FairQueue
+from anvilshift.core.queue import CLOSE, Entry, FairQueue
+from anvilshift.core.reach import Reach
 from anvilshift.core.state import Attempt, DispatchState
-from anvilshift.core.work import Actions, Announce, Refuse, Send, Work
+from anvilshift.core.work import Actions, Announce, Refuse, Send
 
 _PASSED_OVER = 4
 """Most requests passed over for one slot, so that an event's cost is bounded."""
-_RECENT: Millis = 60 * SECOND
-"""Longer than a crashed target is away and a caller's retries go on."""
 _PROBE_SLACK = 3.0
 """A request that probes a returning target has time to run elsewhere after."""
 
@@ -31,11 +29,12 @@
         Called with each attempt that begins.
     """
 
-    def __init__(self, state: DispatchState, backlog: Backlog) -> None:
+    def __init__(self, state: DispatchState, backlog: Backlog, reach: Reach) -> None:
         self.running: dict[str, Attempt] = {}
         self.on_sent: Callable[[Attempt, Millis], None] = lambda attempt, now: None
         self._state = state
         self._backlog = backlog
+        self._reach = reach
 
     def offer(self, entry: Entry, pool: Pool, now: Millis) -> Actions:
         """Send work at once when a target has room."""
@@ -45,7 +44,8 @@
             return []
         if self._state.quarantine.is_quarantined(entry.work.content, now):
             return [self._quarantine(entry, pool)]
-        names = self.list_allowed(entry.work, pool, now) or self._draw(entry, pool)
+        allowed = self._reach.list_allowed(entry.work, pool, now)
+        names = self._draw(entry, pool) if allowed is None else allowed
         names = [name for name in dict.fromkeys(names) if name in pool.open]
         views = [self._state.views[name] for name in names]
         options = [
@@ -59,10 +59,11 @@
         return self._send(entry, pool, self._state.views[option.name], now)
 
     def _draw(self, entry: Entry, pool: Pool) -> list[str]:
-        """Return targets to weigh: the first two of the content's order with room.
+        """Return targets to weigh for work that may go to any.
 
-        Without room there the next ones are weighed, and for work without content
-        any.  Some that hold the prompt's prefix are added.
+        They are the first two of the content's order with room, without room there
+        the next ones, and for work without content any.  Some that hold the
+        prompt's prefix are added.
         """
         rng, names = self._state.rng, []
         if entry.work.content:
@@ -76,68 +77,11 @@
             names = pool.open.draw(rng, DRAWN)
         return names + self._state.prefixes.holders(entry.work.prefixes, rng, HOLDERS)
 
-    def is_stuck(self, work: Work, pool: Pool, now: Millis) -> bool:
-        """Tell whether no target that work may reach is in use now."""
-        names = self.list_allowed(work, pool, now)
-        return bool(names) and not any(self._is_used(name, pool) for name in names)
-
-    def list_allowed(self, work: Work, pool: Pool, now: Millis) -> list[str]:
-        """Return the only targets that work may reach; empty for any.
-
-        The content may be what took its first targets down, through a router that
-        is cut off or that ended before it told anybody.  So for a while it goes to
-        no further one when these are the only ones that went down, or when this
-        router can't hear all others.
-        """
-        reached = self._state.quarantine.list_reached(work.content)
-        if len(reached) >= TARGETS:
-            return reached
-        if reached and not self._state.is_alone:
-            return [*reached, *self._list_next(work, pool, reached)]
-        if not work.content:
-            return []
-        homes = pool.order(work.content)[:TARGETS]
-        return homes if self._went_down_recently(homes, pool, now) else []
-
-    def _list_next(self, work: Work, pool: Pool, reached: list[str]) -> list[str]:
-        """Return the one target that work may reach next, the same at each router.
-
-        Were it any that has room, two routers with copies of a poison that can't
-        tell each other yet would lose a further target each.
-        """
-        ordered = [name for name in pool.order(work.content) if name not in reached]
-        if self._state.partitioned:
-            # The next one may be out of use because a copy has been there.
-            return ordered[:1]
-        used = (name for name in ordered if self._is_used(name, pool))
-        return list(itertools.islice(used, 1))
-
-    def _is_used(self, name: str, pool: Pool) -> bool:
-        view = self._state.views.get(name)
-        return view is not None and name in pool.priorities and view.is_used
-
-    def _went_down_recently(self, names: list[str], pool: Pool, now: Millis) -> bool:
-        """Tell whether a content may have taken its first targets down lately.
-
-        Where all routers can be heard it would be known, unless nobody is left who
-        knows: then they are down, and no others.
-        """
-        views = [self._state.views[name] for name in names if name in self._state.views]
-        if any(now - v.out_since > _RECENT for v in views):
-            return False
-        if self._state.partitioned:
-            return True
-        if any(v.is_sound for v in views):
-            return False
-        declared = [self._state.views.get(name) for name in pool.priorities]
-        unsound = sum(view is not None and not view.is_sound for view in declared)
-        return unsound <= len(names)
-
     def _quarantine(self, entry: Entry, pool: Pool) -> Refuse:
         """Refuse work that was found poisonous while it waited."""
         del self._backlog.entries[entry.work.identity]
         pool.queue_of(entry).remove(entry)
-        return Refuse(entry.work.identity, QUARANTINED, "", FORGET_AFTER)
+        return self._state.refuse_quarantined(entry.work)
 
     def _weigh(self, entry: Entry, view: TargetView) -> Option:
         name, prefixes = view.target.name, entry.work.prefixes
@@ -154,10 +98,10 @@
         """Tell whether work may go to a target that has room."""
         work, name = entry.work, view.target.name
         pool = self._backlog.entries[work.identity][1]
-        allowed = self.list_allowed(work, pool, now)
-        if allowed and name not in allowed:
+        allowed = self._reach.list_allowed(work, pool, now)
+        if allowed is not None and name not in allowed:
             return False
-        if name in entry.tried and len(entry.tried) < (len(allowed) or pool.usable):
+        if name in entry.tried and self.has_untried(entry, pool, now):
             return False
         if view.health.state is State.PROBING:
             slack = work.deadline - now
@@ -168,10 +112,17 @@
             return True
         return self._state.quarantine.is_free(name, content)
 
+    def has_untried(self, entry: Entry, pool: Pool, now: Millis) -> bool:
+        """Tell whether some target in use has not had work yet."""
+        usable = self._reach.list_usable(entry.work, pool, now)
+        if usable is None:
+            return len(entry.tried) < pool.usable
+        return any(name not in entry.tried for name in usable)
+
     def fill(self, view: TargetView, now: Millis) -> Actions:
         """Send waiting work to a target while it has room."""
         actions: Actions = []
-        aside: list[tuple[Entry, FairQueue]] = []
+        aside: list[tuple[Entry, Pool]] = []
         while view.has_room() and len(aside) < _PASSED_OVER:
             found = self.next_for(view)
             if found is None:
@@ -186,24 +137,31 @@
             elif self._suits(entry, view, now):
                 actions += self._send(entry, pool, view, now)
             else:
-                queue.remove(entry)
-                aside.append((entry, queue))
-        for entry, queue in aside:
-            queue.push(entry)
+                pool.queue_of(entry).remove(entry)
+                aside.append((entry, pool))
+        for entry, pool in aside:
+            pool.queue_of(entry).push(entry)
         return actions
 
     def next_for(self, view: TargetView) -> tuple[FairQueue, Pool] | None:
-        """Return the queue that a target serves next: priority, then tag."""
+        """Return the queue that a target serves next.
+
+        That is by priority, then by the organisations' tags; among queues whose
+        tags are close the one with the earliest deadline.
+        """
         name = view.target.name
         found = [
-            (-pool.priorities[name], queue.next_tag(), index, queue, pool)
-            for index, pool in enumerate(view.pools)
-            for queue in pool.queues()
+            (pool.priorities[name], queue.next_tag(), queue, pool)
+            for pool in view.pools
+            for queue in pool.queues_for(name)
         ]
         if not found:
             return None
-        best = min(found, key=lambda item: item[:3])
-        return best[3], best[4]
+        top = max(priority for priority, *_ in found)
+        bound = min(tag for priority, tag, *_ in found if priority == top) + CLOSE
+        close = [item for item in found if item[0] == top and item[1] <= bound]
+        _, _, queue, pool = min(close, key=lambda i: (i[2].peek().work.deadline, i[1]))
+        return queue, pool
 
     def _send(self, entry: Entry, pool: Pool, view: TargetView, now: Millis) -> Actions:
         work, name = entry.work, view.target.name
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -6,9 +6,12 @@
 from anvilshift.core.admission import draw_retry, is_hopeless
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.durations import Mean
-from anvilshift.core.errors import Code
+from anvilshift.core.errors import QUARANTINED, Code
+from anvilshift.core.exposure import FORGET_AFTER
+from anvilshift.core.former import FormerTargets
 from anvilshift.core.pools import Pool, Pools, TargetView
 from anvilshift.core.prefixes import PrefixBelief
+from anvilshift.core.preparations import Preparations
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.core.queue import Entry
 from anvilshift.core.retries import RetryBudget
@@ -52,12 +55,18 @@
 
     Parameters
     ----------
+    former
+        Targets of changes that some router may not have in force yet.
     recording
         How long the ends of answers waited for their bills.
     routers
         Routers that share the targets, as far as this one knows.
     partitioned
         Whether some other router can't be heard.
+    began
+        When the first targets were declared here.
+    router_lost
+        When a router was last missed that had not said that it leaves.
     """
 
     settings: DispatchSettings
@@ -66,9 +75,13 @@
     timers: Timers = field(default_factory=Timers)
     prefixes: PrefixBelief = field(default_factory=PrefixBelief)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    former: FormerTargets = field(default_factory=FormerTargets)
     retries: RetryBudget = field(default_factory=RetryBudget)
     recording: Mean = field(default_factory=lambda: Mean(1.0))
+    preparations: Preparations = field(default_factory=Preparations)
     partitioned: bool = False
+    began: Millis = float("inf")
+    router_lost: Millis = float("-inf")
 
     def __post_init__(self) -> None:
         self.routers = self.settings.routers
@@ -101,6 +114,10 @@
         service = durations.safe_service(entry.work)
         return is_hopeless(self.due(entry.work), now, 0.0, service)
 
+    def refuse_quarantined(self, work: Work) -> Refuse:
+        """Return the refusal of work that crashes what runs it."""
+        return Refuse(work.identity, QUARANTINED, "", FORGET_AFTER)
+
     def refuse(self, entry: Entry, code: Code, detail: str, excess: Millis) -> Refuse:
         """Return a refusal that says when to come back."""
         retry = draw_retry(excess, self.rng)
--- a/anvilshift/core/upkeep.py
+++ b/anvilshift/core/upkeep.py
@@ -4,6 +4,8 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.ejection import State, may_eject
 from anvilshift.core.pools import TargetView
+from anvilshift.core.reach import Reach
+from anvilshift.core.relocation import Relocation
 from anvilshift.core.sending import Sender
 from anvilshift.core.state import Attempt, DispatchState
 from anvilshift.core.work import Actions, Cancel, Failure
@@ -17,10 +19,19 @@
 class Upkeep:
     """Keep slow and failing targets out of use."""
 
-    def __init__(self, state: DispatchState, backlog: Backlog, sender: Sender) -> None:
+    def __init__(
+        self,
+        state: DispatchState,
+        backlog: Backlog,
+        sender: Sender,
+        reach: Reach,
+        relocation: Relocation,
+    ) -> None:
         self._state = state
         self._backlog = backlog
         self._sender = sender
+        self._reach = reach
+        self._relocation = relocation
         sender.on_sent = self._watch
 
     def _watch(self, attempt: Attempt, now: Millis) -> None:
@@ -60,9 +71,8 @@
         # Plain services make no tokens; their calls can't be stopped.
         if pool is None or not (work.idempotent and work.answer_tokens):
             return []
-        names = self._sender.list_allowed(work, pool, now) or pool.open.draw(
-            self._state.rng, 2
-        )
+        allowed = self._reach.list_allowed(work, pool, now)
+        names = pool.open.draw(self._state.rng, 2) if allowed is None else allowed
         others = any(name in pool.open and name not in entry.tried for name in names)
         left = entry.attempts < self._state.settings.attempts
         if not (others and left) or self._state.has_no_hope(entry, pool, now):
@@ -89,7 +99,7 @@
         health.eject(now, self._state.rng)
         self._state.refresh(view)
         self._state.timers.at(health.until, lambda at: self._probe(view, at))
-        return []
+        return self._relocation.move_stuck(view, now)
 
     def _probe(self, view: TargetView, now: Millis) -> Actions:
         """Let an ejected target have a request again."""
--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -16,11 +16,15 @@
     ----------
     slots
         Requests that it runs at once, as declared.
+    serves
+        Names of what it serves; targets that have none in common never stand in
+        for one another.  Empty if that is not known.
     """
 
     name: str
     failure_domain: str
     slots: int = 8
+    serves: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -42,6 +46,8 @@
         another id.
     idempotent
         Whether it may be sent again after it may have run.
+    route
+        The route that was called; with the organisation it fixes the candidates.
     """
 
     identity: str
@@ -55,6 +61,7 @@
     prefixes: tuple[str, ...] = ()
     content: str = ""
     idempotent: bool = True
+    route: str = ""
 
 
 class Failure(Enum):
@@ -154,7 +161,22 @@
     times: int = 1
 
 
-Action = Send | Refuse | Cancel | Announce
+@dataclass(frozen=True)
+class Ask:
+    """Ask all other routers whether a content may go to a target that is no home.
+
+    Parameters
+    ----------
+    ticket
+        Names the question among those of this router.
+    """
+
+    content: str
+    target: str
+    ticket: str
+
+
+Action = Send | Refuse | Cancel | Announce | Ask
 Actions = list[Action]
 
 
@@ -172,9 +194,12 @@
         Most times that one request is sent.
     routers
         Routers that share the targets, as far as this one knows.
+    asks
+        Whether the other routers can be asked.
     """
 
     failure_domain: str = ""
     queue_length: int = 1_000
     attempts: int = 3
     routers: int = 1
+    asks: bool = False
--- a/anvilshift/peers/link.py
+++ b/anvilshift/peers/link.py
@@ -17,6 +17,8 @@
     KeepRequest,
     PermitReply,
     PermitRequest,
+    RelocateReply,
+    RelocateRequest,
     StoreReply,
     StoreRequest,
 )
@@ -59,6 +61,9 @@
     async def permit(self, address: str, request: PermitRequest) -> PermitReply:
         """Ask for a permit."""
 
+    async def relocate(self, address: str, request: RelocateRequest) -> RelocateReply:
+        """Take a step to send a content elsewhere than to its homes."""
+
     def close(self) -> None:
         """Close every connection."""
 
@@ -81,6 +86,9 @@
     async def take_permit(self, request: PermitRequest) -> PermitReply:
         """Issue a permit for a target that has named a limit."""
 
+    async def take_relocate(self, request: RelocateRequest) -> RelocateReply:
+        """Take part in sending a content elsewhere than to its homes."""
+
 
 class GrpcPeerLink:
     """Calls over grpclib, one channel a router.
@@ -122,6 +130,10 @@
         """Ask for a permit."""
         return await self._call(self._stub(address).TakePermit, request)
 
+    async def relocate(self, address: str, request: RelocateRequest) -> RelocateReply:
+        """Take a step to send a content elsewhere than to its homes."""
+        return await self._call(self._stub(address).Relocate, request)
+
     async def _call(self, method, message, timeout=None):  # type: ignore[no-untyped-def]
         try:
             async with asyncio.timeout((timeout or self._timeout) / SECOND):
@@ -181,6 +193,13 @@
         if message is not None:
             await stream.send_message(await self._handler.take_permit(message))
 
+    async def Relocate(  # noqa: N802
+        self, stream: Stream[RelocateRequest, RelocateReply]
+    ) -> None:
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._handler.take_relocate(message))
+
 
 class PeerServer:
     """Listen to other routers."""
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -1,19 +1,33 @@
 """Run the dispatcher on a real loop: futures for callers, a timer for ticks."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from absl import logging
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.work import Actions, Announce, Cancel, Failure, Refuse, Send, Work
+from anvilshift.core.work import (
+    Actions,
+    Announce,
+    Ask,
+    Cancel,
+    Failure,
+    Refuse,
+    Send,
+    Work,
+)
 
 _HELD_UP: Millis = 50.0
 """A timer that fires so late shows that this process stood still."""
 
 
+async def _agree_to_nothing(ask: Ask) -> bool:
+    return False
+
+
 class DispatchLoop:
     """Hand the dispatcher's actions to the requests that they are for.
 
@@ -21,6 +35,9 @@
     ----------
     announce
         Called with what the other routers must hear at once.
+    relocate
+        Asks the other routers whether a content may go to a target; what it returns
+        is in force at once.
     at_change
         Called after every change of what waits or runs.
     """
@@ -29,6 +46,8 @@
         self.dispatcher = dispatcher
         self.announce: Callable[[Announce], None] = lambda news: None
         self.at_change: Callable[[], None] = lambda: None
+        self.relocate: Callable[[Ask], Awaitable[bool]] = _agree_to_nothing
+        self._asking: set[asyncio.Task[None]] = set()
         self._clock = clock
         self._turns: dict[str, asyncio.Future[Send]] = {}
         self._stops: dict[str, Callable[[], None]] = {}
@@ -122,6 +141,9 @@
             if isinstance(action, Announce):
                 self.announce(action)
                 continue
+            if isinstance(action, Ask):
+                self._spawn(self._ask(action))
+                continue
             if isinstance(action, Cancel):
                 # The next target may follow in the same list of actions.
                 self._expect(action.identity)
@@ -141,6 +163,25 @@
         self.at_change()
         self._set_timer()
 
+    async def _ask(self, ask: Ask) -> None:
+        agreed = await self.relocate(ask)
+        self.act(self.dispatcher.settle(ask, agreed, self._clock.now()))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._asking.add(task)
+        task.add_done_callback(self._end_ask)
+
+    def _end_ask(self, task: asyncio.Task[None]) -> None:
+        self._asking.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logging.error("a question to the others broke", exc_info=task.exception())
+
+    def close(self) -> None:
+        """Stop asking other routers."""
+        for task in self._asking:
+            task.cancel()
+
     def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -22,6 +22,8 @@
     KeepRequest,
     PermitReply,
     PermitRequest,
+    RelocateReply,
+    RelocateRequest,
     StoreReply,
     StoreRequest,
 )
@@ -90,6 +92,7 @@
         self.greet: Callable[[str], None] = _ignore_newcomer
         self.hear_crashes: Callable[[Iterable[Crash]], None] = lambda c: None
         self.at_beat: Callable[[], None] = lambda: None
+        self.relocate: Callable[[RelocateRequest], RelocateReply]
         self.issue_permit: Callable[[PermitRequest], Awaitable[PermitReply]]
         self.read_revision: Callable[[], int] = lambda: self.member.revision
         self.read_seen: Callable[[], int] = lambda: self.member.revision
@@ -134,6 +137,11 @@
         sightings = self.roster.sightings.values()
         return any(s.heard is None or now - s.heard > span for s in sightings)
 
+    def find_common_revision(self) -> int:
+        """Return the revision that every router known here has in force."""
+        sightings = self.roster.sightings.values()
+        return min([self.member.revision, *(s.member.revision for s in sightings)])
+
     def acknowledge(self, revision: int) -> None:
         """State that declarations of a revision are in force here."""
         if not self._listed.is_set():
@@ -355,6 +363,10 @@
         """Issue a permit for a target that has named a limit."""
         return await self.issue_permit(request)
 
+    async def take_relocate(self, request: RelocateRequest) -> RelocateReply:
+        """Take part in sending a content elsewhere than to its homes."""
+        return self.relocate(request)
+
     async def take_call_store(self, request: StoreRequest) -> StoreReply:
         """Make a call of the platform for another router, on the own way only."""
         return await call_store(self._direct, request)
--- a/anvilshift/router/gate.py
+++ b/anvilshift/router/gate.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from dataclasses import replace
 
 from anvilshift.core.clock import Millis
 from anvilshift.core.declarations import Catalogue, Organisation, Route
@@ -96,8 +97,20 @@
             prefixes=job.prefixes,
             content=job.content,
             idempotent=not job.non_idempotent,
+            route=job.route.name,
         )
 
+    def renew(self, work: Work) -> Work:
+        """Return work with the candidates that are declared for it now.
+
+        Work that waits through a change would else be sent by the old ones.
+        """
+        organisation = self.catalogue.organisations.get(work.organisation)
+        route = self.find_route(work.route)
+        if organisation is None or route is None:
+            return work
+        return replace(work, candidates=self._list_candidates(organisation, route))
+
     def _list_candidates(
         self, organisation: Organisation, route: Route
     ) -> dict[str, int]:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -35,6 +35,7 @@
 from anvilshift.router.permits import Permits, PermitSources
 from anvilshift.router.quarantined import QuarantineRecords
 from anvilshift.router.relayed import RelayedStore
+from anvilshift.router.relocating import Relocating
 from anvilshift.router.runs import Shared
 from anvilshift.router.stopping import PlannedStop, StopSteps
 from anvilshift.router.targets import Targets
@@ -82,7 +83,7 @@
         )
         self.treasury.hooks.count_event = world.telemetry.count_event
         figures = DispatchSettings(
-            settings.failure_domain, settings.queue_length, settings.attempts
+            settings.failure_domain, settings.queue_length, settings.attempts, asks=True
         )
         self.dispatcher = Dispatcher(figures, world.rng)
         self.dispatch = DispatchLoop(self.dispatcher, world.clock)
@@ -120,12 +121,24 @@
         )
         self.permits = Permits(sources)
         self.fleet.issue_permit = self.permits.take_permit
+        self.relocating = Relocating(
+            self.dispatch,
+            self.dispatcher,
+            world.link,
+            world.clock,
+            lambda: self.fleet.roster,
+        )
+        self.fleet.relocate = self.relocating.take
+        self.dispatch.relocate = self.relocating.ask
         self.dispatch.announce = self._announce
+        self.dispatcher.renew = self.gate.renew
         self.crashes.take_other = self._take_other_crash
         self.fleet.tell_crashes = self.crashes.list_told
         self.fleet.hear_crashes = self.crashes.hear
         self.fleet.greet = self.crashes.greet
-        self.crashes.list_standing = self._list_crashes
+        self.crashes.list_standing = lambda: self.dispatcher.list_crashes(
+            self.clock.now()
+        )
         self.fleet.at_beat = self._count_routers
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
@@ -183,6 +196,10 @@
         await self.follower.current.wait()
         await self._recall()
         await self.fleet.beat_all()
+        self._count_routers()
+        # One that is behind may still send a content to targets that are gone.
+        while self.fleet.find_common_revision() < self.fleet.member.since:
+            await asyncio.sleep(self.settings.heartbeat / SECOND)
         self._introduced = True
 
     async def _recall(self) -> None:
@@ -209,19 +226,17 @@
         if targets and news.times:
             self.quarantined.add(news.content, targets)
 
-    def _list_crashes(self) -> list[Announce]:
-        return self.dispatcher.list_crashes(self.clock.now())
-
     def _configure(self, catalogue: Catalogue) -> None:
         self.gate.configure(catalogue)
         self.targets.configure(catalogue)
         self.treasury.configure(dict(catalogue.budgets))
         targets = [
-            Target(engine.name, engine.failure_domain, engine.slots)
+            Target(engine.name, engine.failure_domain, engine.slots, group.offers)
             for group in catalogue.groups.values()
             for engine in group.engines
         ]
-        self.dispatch.act(self.dispatcher.configure(targets, self.clock.now()))
+        now = self.clock.now()
+        self.dispatch.act(self.dispatcher.configure(targets, now, catalogue.revision))
         self.departing.configure(catalogue)
         self.orders.configure(catalogue)
         self.fleet.acknowledge(catalogue.revision)
@@ -287,7 +302,6 @@
             leaving,
             self.orders.run(),
             self.claims.keep_sweeping(),
-            self._share_targets(),
         )
         for work in works:
             task = loop.create_task(work)
@@ -345,6 +359,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.claims.close()
         self.permits.close()
+        self.dispatch.close()
+        self.relocating.close()
         self.quarantined.close()
         await self.treasury.close()
         await self.fleet.close()
@@ -355,17 +371,6 @@
         self.departing.take_report(report)
         self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
 
-    async def _share_targets(self) -> None:
-        """Tell the dispatcher again and again how many routers take work."""
-        routers = 0
-        while True:
-            present = self.fleet.roster.present(self.clock.now())
-            serving = 1 + sum(sighting.vitals.serving for sighting in present)
-            if serving != routers:
-                routers = serving
-                self.dispatcher.set_routers(routers)
-            await asyncio.sleep(self.settings.heartbeat / SECOND)
-
     def _name_routers(self) -> set[str]:
         present = self.fleet.roster.present(self.clock.now())
         return {sighting.member.name for sighting in present}
@@ -380,9 +385,12 @@
     def _count_routers(self) -> None:
         """Tell the dispatcher with how many routers it shares the targets."""
         self.permits.note_routers()
+        self.relocating.note_routers()
         # One that lost its lease and its record may yet serve behind a cut.
         silent = self.fleet.is_partitioned() or self.permits.has_lost_routers()
         self.dispatcher.set_partitioned(silent)
+        common = self.fleet.find_common_revision()
+        self.dispatch.act(self.dispatcher.agree(common, self.clock.now()))
         present = self.fleet.roster.present(self.clock.now())
         routers = 1 + sum(s.vitals.serving for s in present)
         if routers != self._routers:
--- a/bench/load/baselines.py
+++ b/bench/load/baselines.py
@@ -9,6 +9,7 @@
 from anvilshift.core.errors import ENGINE_FAILED
 from anvilshift.core.work import (
     Actions,
+    Ask,
     CacheEvent,
     DispatchSettings,
     Failure,
@@ -51,6 +52,12 @@
     def cache_event(self, event: CacheEvent, now: Millis) -> Actions:
         """Take in a cache event."""
 
+    def prepare(self, ask: Ask, now: Millis) -> bool:
+        """Hold a content back that another router would send elsewhere."""
+
+    def settle(self, ask: Ask, agreed: bool, now: Millis) -> Actions:
+        """Take in whether a content goes to the target that was asked for."""
+
     def tick(self, now: Millis) -> Actions:
         """Do what is due."""
 
@@ -130,6 +137,14 @@
         """Take in a cache event."""
         return []
 
+    def prepare(self, ask: Ask, now: Millis) -> bool:
+        """Hold nothing back."""
+        return False
+
+    def settle(self, ask: Ask, agreed: bool, now: Millis) -> Actions:
+        """Take nothing in: this policy asks nobody."""
+        return []
+
     def tick(self, now: Millis) -> Actions:
         """Do what is due."""
         return []
--- a/bench/load/runs.py
+++ b/bench/load/runs.py
@@ -8,6 +8,7 @@
 from anvilshift.core.work import (
     Actions,
     Announce,
+    Ask,
     CacheEvent,
     Cancel,
     DispatchSettings,
@@ -87,7 +88,7 @@
 
     def _make_router(self, make: Make, number: int) -> Policy:
         domain = _DOMAINS[number % len(_DOMAINS)]
-        settings = DispatchSettings(domain, routers=self.trace.routers)
+        settings = DispatchSettings(domain, routers=self.trace.routers, asks=True)
         router = make(settings, random.Random(self._rng.random()))
         targets = [
             Target(name, _DOMAINS[i % len(_DOMAINS)], self.trace.declared_slots)
@@ -235,6 +236,8 @@
                 self._stop_attempt(action)
             elif isinstance(action, Announce):
                 self._announce(number, action)
+            elif isinstance(action, Ask):
+                self._ask(number, action)
         self._set_tick(number)
 
     def _set_tick(self, number: int) -> None:
@@ -261,6 +264,23 @@
 
         self._timeline.at(self._timeline.now + _NETWORK, tell)
 
+    def _ask(self, number: int, ask: Ask) -> None:
+        """Let the other routers prepare, and settle after a round trip."""
+
+        def prepare() -> None:
+            now, others = self._timeline.now, [n for n in self._alive if n != number]
+            prepared = [self._routers[n].prepare(ask, now) for n in others]
+            agreed = all(prepared)
+            self._timeline.at(now + _NETWORK, lambda: settle(others, agreed))
+
+        def settle(others: list[int], agreed: bool) -> None:
+            for n in [number, *others]:
+                if n in self._alive:
+                    actions = self._routers[n].settle(ask, agreed, self._timeline.now)
+                    self._act(n, actions)
+
+        self._timeline.at(self._timeline.now + _NETWORK, prepare)
+
     def _stop_attempt(self, action: Cancel) -> None:
         flight = self._flights.get(action.identity)
         if flight is None:
--- /dev/null
+++ b/tests/core/test_former.py
@@ -0,0 +1,103 @@
+"""Targets that some router may not have in force yet."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.former import FormerTargets
+from anvilshift.core.homes import choose_homes
+from anvilshift.core.work import DispatchSettings, Send, Target, Work
+
+NAMES = tuple(f"e{n}" for n in range(1, 7))
+OLD, NEW = NAMES[:-1], NAMES
+
+
+def make_targets(names):
+    return [Target(name, "north", 4) for name in names]
+
+
+def make_work(identity, content, names):
+    candidates = dict.fromkeys(names, 0)
+    return Work(identity, "org", "x", candidates, 10, 10, 1e9, content=content)
+
+
+def find_homes(content, names):
+    return set(choose_homes(content, dict.fromkeys(names, "north")))
+
+
+class FormerTargetsTest(unittest.TestCase):
+    def test_removed_target_counts_only_for_what_it_may_have_served(self):
+        former = FormerTargets()
+        old = {
+            "e1": Target("e1", "north", serves=frozenset({"small"})),
+            "e2": Target("e2", "south", serves=frozenset({"large"})),
+            "e3": Target("e3", "east", serves=frozenset({"small"})),
+        }
+        new = {"e1": old["e1"]}
+        former.supersede(old, new, revision=5)
+        self.assertEqual(former.list_domains(new), [{"e1": "north", "e3": "east"}])
+
+    def test_change_is_over_once_all_routers_have_it(self):
+        former = FormerTargets()
+        first, second = {"e1": Target("e1", "north")}, {"e2": Target("e2", "north")}
+        former.supersede(first, second, revision=5)
+        former.supersede(second, first, revision=8)
+        self.assertFalse(former.agree(4))
+        self.assertTrue(former.agree(5))
+        self.assertEqual(len(former.list_domains(first)), 1)
+        self.assertTrue(former.agree(8))
+        self.assertEqual(former.list_domains(first), [])
+
+
+class ChangeTest(unittest.TestCase):
+    def setUp(self):
+        settings = DispatchSettings(routers=2)
+        self.dispatcher = Dispatcher(settings, random.Random(1))
+        self.dispatcher.configure(make_targets(OLD), 0.0, revision=1)
+        changed = next(
+            f"c{n}"
+            for n in range(100)
+            if find_homes(f"c{n}", OLD) != find_homes(f"c{n}", NEW)
+        )
+        self.content = changed
+        self.count = 0
+
+    def send(self, names):
+        self.count += 1
+        work = make_work(f"r{self.count}", self.content, names)
+        return self.dispatcher.arrive(work, 0.0)
+
+    def list_used(self, names):
+        found = [self.send(names) for _ in range(6)]
+        return {a.target for actions in found for a in actions if isinstance(a, Send)}
+
+    def test_content_keeps_to_what_it_had_before_until_all_have_a_new_engine(self):
+        """Guards against a third engine while a declaration is on its way."""
+        common = find_homes(self.content, OLD) & find_homes(self.content, NEW)
+        self.dispatcher.configure(make_targets(NEW), 0.0, revision=2)
+        self.assertEqual(self.list_used(NEW), common)
+        self.dispatcher.agree(1, 0.0)
+        self.assertLessEqual(self.list_used(NEW), common)
+        self.dispatcher.agree(2, 0.0)
+        self.assertLessEqual(self.list_used(NEW), find_homes(self.content, NEW))
+        self.assertIn("e6", self.list_used(NEW) | find_homes(self.content, NEW))
+
+    def test_work_that_waits_through_a_change_goes_by_the_new_engines(self):
+        """Guards against work that is sent by declarations that are over."""
+        for n in range(100):
+            self.dispatcher.arrive(make_work(f"w{n}", f"other{n}", OLD), 0.0)
+        self.assertEqual(self.send(OLD), [])
+        renewed = dict.fromkeys(NEW, 0)
+        self.dispatcher.renew = lambda work: replace(work, candidates=renewed)
+        self.dispatcher.configure(make_targets(NEW), 0.0, revision=2)
+        actions = self.dispatcher.agree(2, 0.0)
+        sent = {a.identity: a.target for a in actions if isinstance(a, Send)}
+        self.assertEqual(set(sent.values()), {"e6"})
+        for identity in sent:
+            content = self.content if identity == "r1" else f"other{identity[1:]}"
+            self.assertIn("e6", find_homes(content, NEW))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/router/nodes.py
+++ b/tests/router/nodes.py
@@ -114,6 +114,9 @@
     async def permit(self, address, request):
         return await self._find(address).take_permit(request)
 
+    async def relocate(self, address, request):
+        return await self._find(address).take_relocate(request)
+
     def close(self):
         pass
 
