Keep a content to three targets that it fixes itself on the platform as well

What callers saw, or would have: a request that crashes its engines cost three for each router that could not be told of the others' losses.

The bound rested on each router's own count and on news of crashes; engines were chosen by load and by what their memory holds.

Evidence: four routers that tell each other nothing, twelve engines, each sends one content four times, 50 contents: 6 to 10 engines lost on.

Change: before a whole answer a content goes to three targets, those of the highest score of its name and theirs (core/homes, the rule of the chat interface); a prompt with shared parts goes by the deepest of them, so that prompts which share their parts meet where these are cached. A target that was lost keeps its place for two minutes: else the content that crashed it would have another in its place. One that leaves as planned gives it up at once, or a release would refuse work.

After: 3 engines in each of the 50 runs (tests/gateway/test_crashes).

Open: the set of targets is not agreed here. They register themselves, and two routers may see an entry come some hundred milliseconds apart; a content for which that target is a home can cost a fourth then.

--- a/anvilshift/core/blame.py
+++ b/anvilshift/core/blame.py
@@ -18,7 +18,7 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.exposure import Exposure
 
-_CRASHES = 3
+CRASHES = 3
 """Targets that content may cost.  An innocent request that its caller sends twice
 falls with two crashes at the most."""
 _FOUND_WITHIN: Millis = 4 * SECOND
@@ -56,7 +56,7 @@
     True
     """
 
-    exposure: Exposure = field(default_factory=lambda: Exposure(_CRASHES))
+    exposure: Exposure = field(default_factory=lambda: Exposure(CRASHES))
     _broken: dict[str, list[tuple[str, Millis]]] = field(default_factory=dict)
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
 
@@ -121,4 +121,4 @@
         if now - record.at > _FORGET_AFTER:
             del self._records[content]
             return False
-        return len(record.targets) >= _CRASHES
+        return len(record.targets) >= CRASHES
--- a/anvilshift/core/homes.py
+++ b/anvilshift/core/homes.py
@@ -1,4 +1,4 @@
-"""Fix the two targets that one content may cost, by the content alone.
+"""Fix the few targets that one content may cost, by the content alone.
 
 Load pattern: copies of a request that crashes its target reach many routers at
 once, before any can tell the others, or while they are cut off from one another.
@@ -6,10 +6,10 @@
 use), each router would lose other ones.
 
 Every target gets a score from the content and its own name, and the content's homes
-are the two highest.  A target that comes or goes changes the homes of a content only
-where it is one of the two.  The second is taken from another failure domain where
-one of the next few has another, so that the loss of a domain leaves most contents one
-of their homes.
+are the two or three highest.  A target that comes or goes changes the homes of a
+content only where it is one of them.  Each further one is taken from another failure
+domain where one of the next few has another, so that the loss of a domain leaves
+most contents one of their homes.
 
 References
 ----------
@@ -25,7 +25,7 @@
 from anvilshift.core.exposure import TARGETS
 
 _NEXT = 3
-"""Targets after the first among which one of another failure domain is looked for:
+"""Targets after a home among which one of another failure domain is looked for:
 with three domains all of these are of the first's once in 27 contents."""
 _MASK = (1 << 64) - 1
 _ODD = 0x9E3779B97F4A7C15
@@ -59,19 +59,28 @@
     return [name for _, name in heapq.nlargest(most, scored)]
 
 
-def choose_homes(content: str, domains: Mapping[str, str]) -> tuple[str, ...]:
-    """Return the two targets of a content.
+def choose_homes(
+    content: str, domains: Mapping[str, str], most: int = TARGETS
+) -> tuple[str, ...]:
+    """Return the targets of a content, the first first.
 
     Parameters
     ----------
     domains
         Each target's failure domain.
+    most
+        Targets that one content may cost.
 
     Examples
     --------
     >>> len(choose_homes("c1", {"e1": "north", "e2": "north", "e3": "south"}))
     2
     """
-    first, *rest = rank_targets(content, domains, 1 + _NEXT)
-    others = [name for name in rest if domains[name] != domains[first]]
-    return (first, *(others or rest)[: TARGETS - 1])
+    ranked = rank_targets(content, domains, most + _NEXT - 1)
+    homes: list[str] = []
+    while ranked and len(homes) < most:
+        met = {domains[name] for name in homes}
+        others = [name for name in ranked[:_NEXT] if domains[name] not in met]
+        homes.append((others or ranked)[0])
+        ranked.remove(homes[-1])
+    return tuple(homes)
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -41,6 +41,8 @@
 """Time until memory that is fetched from another engine begins to arrive."""
 LONGEST_RUN: Millis = 20 * SECOND
 """A run whose end nobody told is forgotten then; callers wait 15 s at most."""
+_MISSED_FOR: Millis = 120 * SECOND
+"""As long as content is remembered that is blamed for a crash."""
 
 
 @dataclass(frozen=True)
@@ -245,10 +247,12 @@
     def __init__(self) -> None:
         self.targets: dict[str, TargetLoad] = {}
         self._by_service: dict[str, list[TargetLoad]] = {}
+        self._lost: dict[str, tuple[TargetInfo, Millis]] = {}
 
     def declare(self, info: TargetInfo) -> None:
         """Take in a target, or what changed of it."""
         known = self.targets.get(info.name)
+        self._lost.pop(info.name, None)
         start = info.born, info.address
         if known is None or (known.info.born, known.info.address) != start:
             self.targets[info.name] = TargetLoad(info)
@@ -256,10 +260,29 @@
             known.info = info
         self._regroup()
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: Millis) -> None:
         """Take in that a target is gone."""
-        if self.targets.pop(name, None) is not None:
-            self._regroup()
+        target = self.targets.pop(name, None)
+        if target is None:
+            return
+        self._lost = {n: (i, at) for n, (i, at) in self._lost.items() if now < at}
+        if not target.info.leaving:
+            self._lost[name] = target.info, now + _MISSED_FOR
+        self._regroup()
+
+    def list_domains(self, service: str, now: Millis) -> dict[str, str]:
+        """Return the failure domain of each target that serves, or was lost lately.
+
+        Were a target that crashed left out, the content that crashed it would have
+        another in its place.
+        """
+        present = [t.info for t in self.of_service(service) if not t.info.leaving]
+        lost = [i for i, until in self._lost.values() if now < until]
+        return {
+            info.name: info.failure_domain
+            for info in [*lost, *present]
+            if info.service == service
+        }
 
     def _regroup(self) -> None:
         self._by_service = {}
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -2,9 +2,11 @@
 
 import hashlib
 
+from anvilshift.core.blame import CRASHES
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
-from anvilshift.core.loadmap import TargetLoad
+from anvilshift.core.homes import choose_homes
+from anvilshift.core.loadmap import Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attempts import AttemptError
 from anvilshift.gateway.shared import Shared
@@ -47,13 +49,29 @@
         if self._book.is_poison(self._content, self._shared.clock.now()):
             raise AnvilshiftError(QUARANTINED)
 
-    def list_barred(self, service: str) -> set[str]:
-        """Return the targets of a service that the content may not reach."""
-        confined = self._book.exposure.list_confined(self._content)
-        if not confined:
+    def list_barred(self, service: str, prompt: Prompt) -> set[str]:
+        """Return the targets of a service that the content may not reach.
+
+        Until it was answered whole it may reach its homes only, whatever this router
+        knows: others that can't be told send copies of it as well.
+        """
+        loads, exposure = self._shared.sender.loads, self._book.exposure
+        if exposure.is_harmless(self._content):
             return set()
-        targets = self._shared.sender.loads.of_service(service)
-        return {target.info.name for target in targets} - set(confined)
+        domains = loads.list_domains(service, self._shared.clock.now())
+        homes = choose_homes(self._find_key(prompt), domains, CRASHES)
+        reached = exposure.list_reached(self._content)
+        allowed = [*reached, *(name for name in homes if name not in reached)]
+        present = {target.info.name for target in loads.of_service(service)}
+        return present - set(allowed[: max(CRASHES, len(reached))])
+
+    def _find_key(self, prompt: Prompt) -> str:
+        """Return what fixes the content's homes.
+
+        Prompts that share all parts but the last meet where these are cached.
+        """
+        shared = prompt.parts[:-1]
+        return shared[-1][0] if shared else self._content
 
     def begin(self, target: str) -> None:
         """Charge a target that the content is about to be sent to."""
--- a/anvilshift/gateway/intake.py
+++ b/anvilshift/gateway/intake.py
@@ -47,7 +47,7 @@
             if change.name not in self._unreadable:
                 self._unreadable.add(change.name)
                 self.journal.write("target_unreadable", target=change.name)
-            self.loads.remove(change.name)
+            self.loads.remove(change.name, self.clock.now())
             return
         self.register.put(change.name, change.body)
         known = self.loads.targets.get(change.name)
@@ -75,4 +75,4 @@
         self.note_lost(name)
         self.journal.write("target_gone", target=name)
         self.peers.tell(Leaving(name))
-        self.loads.remove(name)
+        self.loads.remove(name, self.clock.now())
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -213,7 +213,8 @@
     def _choose(self) -> Choice:
         shared, now = self.shared, self.shared.clock.now()
         excluded = self.excluded | self.turn.refused
-        excluded |= self.crashes.list_barred(self.service)
+        prompt = self.call.prompt if self.model is not None else Prompt()
+        excluded |= self.crashes.list_barred(self.service, prompt)
         if self.model is not None:
             demand = Demand(
                 self.service,
