Play the courses of broken runs again, apart from the product's random numbers

Now a run notes its course: each arrival and fault with its instant and the numbers that it drew. A run that breaks an invariant leaves it in out/soak. play_course plays one over today's code, with delays of links from another seed.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -9,6 +9,7 @@
 import dataclasses
 import itertools
 import multiprocessing
+import pathlib
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
@@ -19,18 +20,25 @@
 from absl import logging
 
 from anvilshift.core.account import Account, Grant
+from anvilshift.core.clock import Millis
 from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.exposure import TARGETS, Exposure
 from anvilshift.core.ledger import Ledger
-from anvilshift.core.pools import TargetView
+from anvilshift.core.pools import Pool, TargetView
 from anvilshift.core.quarantine import Quarantine
+from anvilshift.core.reach import Reach
+from anvilshift.core.work import Work
 from anvilshift.router import claims
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.node import Node
 from anvilshift.router.treasury import Treasury
+from bench.soak.course import Course
 from bench.soak.journal import BrokenInvariantError
-from bench.soak.run import run_seed
+from bench.soak.run import play_course, run_seed
 
 SEEDS = range(1, 7)
+NETWORKS = range(15)
+COURSES = pathlib.Path("tests/bench/courses")
 SECONDS = 90.0
 WORKERS = 4
 
@@ -45,11 +53,14 @@
     ----------
     caught_by
         Beginnings of the checks that may catch it.
+    courses
+        Names of the courses that are played; seeds are run where there are none.
     """
 
     name: str
     caught_by: tuple[str, ...]
     patch: Patch
+    courses: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -114,11 +125,33 @@
 def _forget_crashes() -> Iterator[None]:
     with (
         mock.patch.object(Quarantine, "is_quarantined", lambda *_: False),
-        mock.patch.object(Quarantine, "list_confined", lambda *_: []),
+        mock.patch.object(Reach, "list_allowed", lambda *_: None),
     ):
         yield
 
 
+@contextlib.contextmanager
+def _trust_blame_alone() -> Iterator[None]:
+    with (
+        mock.patch.object(Reach, "list_allowed", lambda *_: None),
+        mock.patch.object(Exposure, "list_reached", lambda *_: []),
+        mock.patch.object(Exposure, "list_confined", lambda *_: []),
+    ):
+        yield
+
+
+def _go_on_to_any(self: Reach, work: Work, pool: Pool, now: Millis) -> Any:
+    """Let a content go to any target first, and then to the next in use."""
+    reached = self._state.quarantine.list_reached(work.content)
+    if len(reached) >= TARGETS:
+        return tuple(reached)
+    if not reached:
+        return None
+    others = (name for name in pool.order(work.content) if name not in reached)
+    used = [name for name in others if self.is_used(name, pool)]
+    return (*reached, *used[:1])
+
+
 MUTANTS = (
     Mutant(
         "sealing frees the allowance too",
@@ -185,16 +218,40 @@
         ("poison",),
         _forget_crashes,
     ),
+    Mutant(
+        "only blame keeps a content from engines",
+        ("poison",),
+        _trust_blame_alone,
+        courses=("41",),
+    ),
+    Mutant(
+        "only blame keeps a content from engines, another suspect",
+        ("poison",),
+        _trust_blame_alone,
+        courses=("48",),
+    ),
+    Mutant(
+        "a content goes on to the next engine in use",
+        ("poison",),
+        _replace(Reach, "list_allowed", _go_on_to_any),
+        courses=("7030",),
+    ),
+    Mutant(
+        "the same in the first second of a cut",
+        ("poison",),
+        _replace(Reach, "list_allowed", _go_on_to_any),
+        courses=("8012",),
+    ),
 )
 
 
 def try_mutant(mutant: Mutant) -> Row:
     """Run seeds until a check catches the mutant."""
     logging.set_verbosity(logging.FATAL)
-    for seed in SEEDS:
+    for seed in NETWORKS if mutant.courses else SEEDS:
         try:
             with mutant.patch():
-                run_seed(seed, SECONDS)
+                _run(mutant, seed)
         except BrokenInvariantError as error:
             caught = str(error)
             return Row(mutant.name, seed, caught, caught.startswith(mutant.caught_by))
@@ -203,6 +260,13 @@
     return Row(mutant.name, 0, "nothing", False)
 
 
+def _run(mutant: Mutant, seed: int) -> None:
+    if not mutant.courses:
+        run_seed(seed, SECONDS)
+    for name in mutant.courses:
+        play_course(Course.load(COURSES / f"{name}.json"), seed)
+
+
 def _try_number(number: int) -> Row:
     return try_mutant(MUTANTS[number])
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,12 +3,13 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.objects.store import HostEntry
 from anvilshift.operator.platformside import wait_accepted
+from bench.soak.course import Event, Tape, TapedRandom
 
 if TYPE_CHECKING:
     from bench.soak.run import Soak
@@ -26,7 +27,7 @@
 
     def __init__(self, soak: "Soak", rng: random.Random) -> None:
         self._soak = soak
-        self._rng = rng
+        self._rng: Any = TapedRandom(rng)
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
         self._kinds: list[Callable[[], Awaitable[None]]] = [
@@ -56,10 +57,15 @@
         while True:
             await asyncio.sleep(self._rng.expovariate(1 / _GAP_S))
             kind = self._rng.choice(self._kinds)
-            self._soak.journal.faults[kind.__name__] += 1
-            task = asyncio.ensure_future(kind())
-            self._tasks.add(task)  # type: ignore[arg-type]
-            task.add_done_callback(self._finish)
+            event = Event(self._soak.clock.now(), kind.__name__)
+            self.start(event, self._soak.course.note(event))
+
+    def start(self, event: Event, tape: Tape) -> None:
+        """Start one fault."""
+        self._soak.journal.faults[event.kind] += 1
+        task = asyncio.ensure_future(tape.run(getattr(self, event.kind)()))
+        self._tasks.add(task)  # type: ignore[arg-type]
+        task.add_done_callback(self._finish)
 
     def _finish(self, task: "asyncio.Future[None]") -> None:
         self._tasks.discard(task)  # type: ignore[arg-type]
--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -4,13 +4,15 @@
 import random
 from collections import deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from anvilshift.core.clock import SECOND, Millis
+from bench.soak.course import Event, TapedRandom
 
 if TYPE_CHECKING:
     from bench.soak.run import Soak
 
+LIMIT_ONE = "limit_one"
 SPAN: Millis = 4 * SECOND
 STABLE: Millis = 3 * SECOND
 """After the naming the bound holds; a router that was cut or paused counts again."""
@@ -59,15 +61,17 @@
 
     def __init__(self, soak: "Soak", rng: random.Random) -> None:
         self._soak = soak
-        self._rng = rng
+        self._rng: Any = TapedRandom(rng)
 
     async def run(self) -> None:
         """Name limits until cancelled."""
         while True:
             await asyncio.sleep(self._rng.expovariate(1 / _GAP_S))
-            await self._limit_one()
+            event = Event(self._soak.clock.now(), LIMIT_ONE)
+            tape = self._soak.course.note(event)
+            await asyncio.ensure_future(tape.run(self.limit_one()))
 
-    async def _limit_one(self) -> None:
+    async def limit_one(self) -> None:
         """Let one engine name a limit, change it and end it."""
         soak, rng = self._soak, self._rng
         engine = soak.engines[rng.choice(sorted(soak.engines))]
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -5,30 +5,31 @@
 
 import asyncio
 import itertools
+import pathlib
 import random
 import sys
+from collections.abc import Callable
 from typing import Any
 
 from absl import logging
 
-from anvilshift.client.client import CallError, Client, Conversation
 from anvilshift.core.account import KEY_CHARS, MARK_CHARS, make_mark
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ledger import Ledger
 from anvilshift.operator.platformside import top_up
 from anvilshift.router.gate import hash_token
 from anvilshift.router.node import Node, World
-from anvilshift.router.requests import digest, digest_call, digest_chat
+from anvilshift.router.requests import digest
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.settings.router import RouterSettings
-from anvilshift.standins.engine import POISON, make_answer
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from anvilshift.wire.messages import Address
 from bench.soak.books import check_books, check_fleet
+from bench.soak.course import Course, Event, Tape, TapedRandom
 from bench.soak.faults import FaultSchedule
-from bench.soak.http import Entry, SoakHttp
-from bench.soak.journal import BrokenInvariantError, Journal, Receipt
-from bench.soak.limits import LimitFaults
+from bench.soak.http import Entry
+from bench.soak.journal import BrokenInvariantError, Journal
+from bench.soak.limits import LIMIT_ONE, LimitFaults
 from bench.soak.network import (
     Network,
     Presence,
@@ -38,29 +39,32 @@
     SoakService,
 )
 from bench.soak.observed import Asked, ObservedStore, PresentView
+from bench.soak.traffic import ASK, ORDER, ORDER_COST, ORGANISATIONS, Traffic
 
+_COURSES = pathlib.Path("out/soak")
 ROUTERS = 4
 ENGINES = 4
 LEASE: Millis = 5 * SECOND
 _SETTLE_S = 60.0
+_AFTER_S = 30.0
+"""How long a run goes on after the last event of its course."""
 _DOMAINS = ("north", "south", "east")
-_ORGANISATIONS = ("kosice", "zilina", "counter")
 _FIRST_TOPUP = 60_000
-_ORDER_COST = 5
-_REQUEST_GAP_S = 0.25
-_ORDER_GAP_S = 1.5
-_POISON_TOKENS = 20
-_POISON_SHARE = 0.03
-_DEADLINE: Millis = 8 * SECOND
-_LATE_LIMIT: Millis = 2 * SECOND
-"""A frozen router tells nobody anything; its callers give up by themselves."""
 
 
 class Soak:
     """One run."""
 
-    def __init__(self, seed: int, clock: VirtualClock, seconds: float) -> None:
-        self.rng = random.Random(seed)
+    def __init__(
+        self,
+        seed: int,
+        clock: VirtualClock,
+        seconds: float,
+        played: Course | None = None,
+    ) -> None:
+        self.rng: Any = TapedRandom(random.Random(seed))
+        self.course = Course(seed, seconds)
+        self._played = played
         self.clock = clock
         self.seconds = seconds
         self.journal = Journal(clock.now)
@@ -82,8 +86,8 @@
         self.services = {"desk": SoakService("desk", self.journal)}
         self.telemetry = Telemetry(exported=False)
         self.quiet = False
-        self._numbers = itertools.count()
-        self._callers: set[asyncio.Task[None]] = set()
+        self.numbers = itertools.count()
+        self.traffic = Traffic(self)
         self._failure: BaseException | None = None
         self._failed = asyncio.Event()
         self.journal.fail = self.fail
@@ -166,7 +170,7 @@
         """Store declarations, top budgets up and start every node."""
         self.store.faults.before = self._delay
         self.store.faults.after = self._delay
-        for name in _ORGANISATIONS:
+        for name in ORGANISATIONS:
             budget = {"kind": "Budget", "name": name, "allowance": 1500, "grant": 8000}
             await self.store.put("Budget", name, budget, 0)
             organisation = {
@@ -209,7 +213,7 @@
                 "kind": "Route",
                 "name": "orders",
                 "target": "service",
-                "cost": _ORDER_COST,
+                "cost": ORDER_COST,
                 "non_idempotent": True,
             },
             {"kind": "Policy", "name": "all", "priority": 1},
@@ -219,134 +223,54 @@
 
     async def add_tokens(self, budget: str, tokens: int) -> None:
         """Top a budget up, as an operator does, until it is stored."""
-        identity = f"topup-{next(self._numbers)}"
+        identity = f"topup-{next(self.numbers)}"
         self.topped[budget] = self.topped.get(budget, 0) + tokens
         await top_up(self.store, budget, tokens, identity)
 
-    def _client(self, organisation: str) -> Client:
-        seeds = [Address.parse(address) for address in self.entries]
-        http: Any = SoakHttp(
-            self.entries, self.network, self.journal, lambda: self.accepted
-        )
-        rng = random.Random(self.rng.getrandbits(64))
-        return Client(seeds, f"{organisation}-token", self.clock, rng, http)
-
-    async def _ask(self, organisation: str, poison: bool) -> None:
-        """Be one caller of a model."""
-        began = self.clock.now()
-        await self._ask_once(organisation, poison)
-        took = self.clock.now() - began
-        detail = f"answered after {took:.0f} ms"
-        in_time = took <= _DEADLINE + _LATE_LIMIT
-        self.journal.check("answered by the deadline", in_time, detail)
-
-    async def _ask_once(self, organisation: str, poison: bool) -> None:
-        number = next(self._numbers)
-        tokens = _POISON_TOKENS if poison else self.rng.randrange(5, 60)
-        content = POISON if poison else f"question {number}"
-        prompt = f"{organisation}|{content}"
-        key = f"key-{number}"
-        cost = len(prompt) // 4 + 1 + tokens
-        messages = [{"role": "user", "content": prompt}]
-        body = {"model": "advice", "messages": messages, "max_tokens": tokens}
-        asked = Asked(organisation, prompt, cost)
-        identity = self.ask(key, digest_chat(body), asked)
-        conversation = Conversation("advice", messages, tokens, _DEADLINE, key)
-        try:
-            text = await self._client(organisation).ask(conversation)
-        except CallError as error:
-            outcome = f"model, code {error.number}, {error.fate}"
-            self.journal.received(Receipt(identity, organisation, outcome))
-            return
-        right = text == make_answer(prompt, tokens)
-        self.journal.check("whole answer to the right caller", right, prompt)
-        receipt = Receipt(identity, organisation, "model, whole")
-        self.journal.received(receipt)
-
-    async def _order(self, organisation: str) -> None:
-        """Be one caller who orders, now and then twice with one key."""
-        number = next(self._numbers)
-        key = f"order-{number}"
-        order = f"{organisation}|order {number}"
-        content = digest_call("orders", "POST", "book", order.encode())
-        asked = Asked(organisation, order, _ORDER_COST)
-        identity = self.ask(key, content, asked)
-        twice = self.rng.random() < 0.3
-        sends = [self._send_order(organisation, key, order) for _ in range(1 + twice)]
-        outcomes = await asyncio.gather(*sends)
-        runs = self.journal.service_runs[order]
-        for outcome in outcomes:
-            if outcome == "answered":
-                self.journal.check("answered order ran", runs == 1, order)
-            if outcome.endswith("not run"):
-                told = f"{order} ran {runs} times, {outcome}"
-                self.journal.check("not run means not run", runs == 0 or twice, told)
-            receipt = Receipt(identity, organisation, f"order, {outcome}")
-            self.journal.received(receipt)
-
-    async def _send_order(self, organisation: str, key: str, order: str) -> str:
-        try:
-            await self._client(organisation).call(
-                "orders",
-                "/book",
-                order.encode(),
-                key=key,
-                non_idempotent=True,
-                deadline=_DEADLINE,
-            )
-        except CallError as error:
-            return f"code {error.number}, {error.fate}"
-        return "answered"
-
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.create_task(work)
-        self._callers.add(task)
-        task.add_done_callback(self._finish_caller)
-
-    def _finish_caller(self, task: "asyncio.Task[None]") -> None:
-        self._callers.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self.fail(task.exception())
-
     def fail(self, error: BaseException | None) -> None:
         """End the run with an error."""
         self._failure = self._failure or error
         self._failed.set()
 
-    async def _keep_asking(self, organisation: str) -> None:
-        while not self.quiet:
-            await asyncio.sleep(self.rng.expovariate(1 / _REQUEST_GAP_S))
-            poisonous = organisation == _ORGANISATIONS[0]
-            poison = poisonous and self.rng.random() < _POISON_SHARE
-            self._spawn(self._ask(organisation, poison))
-
-    async def _keep_ordering(self, organisation: str) -> None:
-        while not self.quiet:
-            await asyncio.sleep(self.rng.expovariate(1 / _ORDER_GAP_S))
-            self._spawn(self._order(organisation))
-
     async def run(self) -> Journal:
         """Run traffic and faults, then check the books."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._take_exception)
         await self.prepare()
-        for name in _ORGANISATIONS:
-            self._spawn(self._keep_asking(name))
-            self._spawn(self._keep_ordering(name))
         schedule = FaultSchedule(self, random.Random(self.rng.getrandbits(64)))
-        faults = asyncio.create_task(schedule.run())
         naming = LimitFaults(self, random.Random(self.rng.getrandbits(64)))
-        limits = asyncio.create_task(naming.run())
+        if self._played is not None:
+            play = self._played.play(self.clock.now, self._make_start(schedule, naming))
+            works = [play]
+        else:
+            self.traffic.begin()
+            works = [schedule.run(), naming.run()]
+        tasks = [asyncio.create_task(work) for work in works]
         await self._wait(self.seconds)
         self.quiet = True
-        faults.cancel()
-        limits.cancel()
+        for task in tasks:
+            task.cancel()
         await schedule.heal()
         await self._wait(_SETTLE_S)
         check_books(self)
         check_fleet(self)
         return self.journal
 
+    def _make_start(
+        self, schedule: FaultSchedule, naming: LimitFaults
+    ) -> Callable[[Event, Tape], None]:
+        """Return what starts an event of a course that is played."""
+
+        def start(event: Event, tape: Tape) -> None:
+            if event.kind in (ASK, ORDER):
+                self.traffic.arrive(event, tape)
+            elif event.kind == LIMIT_ONE:
+                self.traffic.spawn(tape.run(naming.limit_one()))
+            else:
+                schedule.start(event, tape)
+
+        return start
+
     async def _wait(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
@@ -370,11 +294,32 @@
     BrokenInvariantError
         The first invariant that did not hold.
     """
-    soak = Soak(seed, VirtualClock(), seconds)
+    return _run(Soak(seed, VirtualClock(), seconds))
+
+
+def play_course(course: Course, network: int) -> Journal:
+    """Play a course that was recorded, over links with delays of another seed.
+
+    Raises
+    ------
+    BrokenInvariantError
+        The first invariant that did not hold.
+    """
+    last = course.events[-1].at / SECOND
+    soak = Soak(course.seed, VirtualClock(), last + _AFTER_S, course)
+    soak.network.rng.seed(network)
+    return _run(soak)
+
+
+def _run(soak: Soak) -> Journal:
     try:
         return run_virtual(soak.run())
     except Exception as error:
-        error.add_note(f"seed {seed}\n{soak.journal.show()}")
+        error.add_note(f"seed {soak.course.seed}\n{soak.journal.show()}")
+        if soak.course.events:
+            path = _COURSES / f"{soak.course.seed}.json"
+            soak.course.save(path)
+            error.add_note(f"course kept in {path}")
         raise
 
 
--- /dev/null
+++ b/tests/bench/test_courses.py
@@ -0,0 +1,49 @@
+"""Courses of runs that broke an invariant, played again over today's code."""
+
+import pathlib
+import unittest
+
+from absl import logging
+
+from bench.soak.course import Course
+from bench.soak.run import play_course
+
+COURSES = pathlib.Path(__file__).parent / "courses"
+POISON_CHECK = "poison costs at most two engines"
+NETWORKS = range(3)
+"""Seeds of the links' delays; the course itself has its own instants."""
+
+
+class CourseTest(unittest.TestCase):
+    def setUp(self):
+        self.addCleanup(logging.set_verbosity, logging.get_verbosity())
+        logging.set_verbosity(logging.FATAL)
+
+    def play(self, name):
+        course = Course.load(COURSES / f"{name}.json")
+        for network in NETWORKS:
+            with self.subTest(network=network):
+                journal = play_course(course, network)
+                self.assertGreater(
+                    journal.checks["poison costs at most two engines"], 0
+                )
+
+    def test_poison_at_an_engine_that_fails_by_itself(self):
+        """Guards against a crash that is put down to the engine alone."""
+        self.play("41")
+
+    def test_poison_beside_another_suspect(self):
+        """Guards against a second suspect that takes the blame."""
+        self.play("48")
+
+    def test_poison_behind_a_cut_whose_router_lost_its_record(self):
+        """Guards against a router that is taken for gone behind a cut."""
+        self.play("7030")
+
+    def test_poison_in_the_first_second_of_a_cut(self):
+        """Guards against a third engine while nobody knows yet of the cut."""
+        self.play("8012")
+
+
+if __name__ == "__main__":
+    unittest.main()
