Learn an engine's limit before work goes there that waited for its return

Course, traced: e0 is down from 1.07 s, one router after the other finds that it refuses connections. It names its limit while it is down. At 15.82 s it answers its first poll, at three routers within a millisecond. That report says that it is back and names the limit. The router took in the return first, which sends what waits, with no limit known; the limit 0 ms later.

Cause: one message is taken in by several parts, and the part that lets work go ran before the part that holds it back. Looked for elsewhere: Dispatcher.load_report learns before it fills; on the platform an answer's limit is noted before the answer is judged; news of a return from another router carries no limit, and a router that has not polled the engine since can send until its own report, 250 ms at most.

Ruled out: a change of issuers. No permit was asked for before the burst.

Evidence: tests/router/test_returning sends 6 at once without the change, and none over its limit with it.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -188,6 +188,12 @@
         self._state.refresh(view)
         return self._sender.fill(view, now)
 
+    def learn_limit(self, report: LoadReport) -> None:
+        """Take in only what a target names of its limit, and send nothing."""
+        view = self._state.views.get(report.target)
+        if view is not None:
+            self._rationing.learn(view, report.limit, report.as_of)
+
     def load_report(self, report: LoadReport, now: Millis) -> Actions:
         """Take in a target's late report of its load."""
         view = self._state.views.get(report.target)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -368,6 +368,9 @@
 
     def _take_report(self, report: LoadReport) -> None:
         self.permits.note_report(report)
+        # A target that is back may name a limit in the same report: what waits for it
+        # is sent as soon as it counts as back.
+        self.dispatcher.learn_limit(report)
         self.departing.take_report(report)
         self.dispatch.act(self.dispatcher.load_report(report, self.clock.now()))
 
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -130,6 +130,16 @@
         yield
 
 
+@contextlib.contextmanager
+def _send_before_limits() -> Iterator[None]:
+    # Where each content has two engines, too few wait for one to break its limit.
+    with (
+        mock.patch.object(Reach, "list_allowed", lambda *_: None),
+        mock.patch.object(Dispatcher, "learn_limit", lambda *_: None),
+    ):
+        yield
+
+
 @contextlib.contextmanager
 def _trust_blame_alone() -> Iterator[None]:
     with (
@@ -242,6 +252,12 @@
         _replace(Reach, "list_allowed", _go_on_to_any),
         courses=("8012",),
     ),
+    Mutant(
+        "work goes to an engine before its limit is known",
+        ("limits are kept",),
+        _send_before_limits,
+        courses=("9007",),
+    ),
 )
 
 
--- a/tests/bench/test_courses.py
+++ b/tests/bench/test_courses.py
@@ -10,6 +10,7 @@
 
 COURSES = pathlib.Path(__file__).parent / "courses"
 POISON_CHECK = "poison costs at most two engines"
+LIMIT_CHECK = "limits are kept"
 NETWORKS = range(3)
 """Seeds of the links' delays; the course itself has its own instants."""
 
@@ -19,14 +20,12 @@
         self.addCleanup(logging.set_verbosity, logging.get_verbosity())
         logging.set_verbosity(logging.FATAL)
 
-    def play(self, name):
+    def play(self, name, check=POISON_CHECK):
         course = Course.load(COURSES / f"{name}.json")
         for network in NETWORKS:
             with self.subTest(network=network):
                 journal = play_course(course, network)
-                self.assertGreater(
-                    journal.checks["poison costs at most two engines"], 0
-                )
+                self.assertGreater(journal.checks[check], 0)
 
     def test_poison_at_an_engine_that_fails_by_itself(self):
         """Guards against a crash that is put down to the engine alone."""
@@ -44,6 +43,10 @@
         """Guards against a third engine while nobody knows yet of the cut."""
         self.play("8012")
 
+    def test_limit_that_an_engine_names_as_it_comes_back(self):
+        """Guards against a queue that is sent before the engine's limit is known."""
+        self.play("9007", LIMIT_CHECK)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/router/test_returning.py
@@ -0,0 +1,74 @@
+"""An engine that comes back and names its need in the same report."""
+
+import asyncio
+import unittest
+
+from anvilshift.core.work import Failure, LoadReport, Send, Work
+from anvilshift.engines.http import TargetError
+from anvilshift.standins.virtual import run_virtual
+from tests.router.nodes import Nodes, wait_until
+
+ENGINES = [
+    {"name": name, "address": "127.0.0.1:1", "failure_domain": "north", "slots": slots}
+    for name, slots in (("e1", 8), ("e2", 1))
+]
+GROUP = {
+    "kind": "EngineGroup",
+    "name": "models",
+    "target": "model",
+    "models": ["advice"],
+    "engines": ENGINES,
+}
+
+
+class Polled:
+    """An engine that answers its polls, and refuses them while it is down."""
+
+    def __init__(self, name, down):
+        self.name, self._down = name, down
+
+    async def load(self):
+        if self.name in self._down:
+            raise TargetError(Failure.NOT_SENT, "connection refused")
+        limit = 0.5 if self.name == "e1" else None
+        return LoadReport(self.name, 0, 0, 0.0, limit=limit)
+
+    async def cache_events(self, after):
+        return ()
+
+
+class ReturningTest(unittest.TestCase):
+    def test_waiting_work_keeps_to_a_limit_that_an_engine_names_as_it_returns(self):
+        """Guards against a queue sent at once to an engine that returns in need."""
+        run_virtual(self.return_with_a_limit())
+
+    async def return_with_a_limit(self):
+        down = {"e1"}
+        nodes = Nodes(engine=lambda engine, router: Polled(engine.name, down))
+        await nodes.platform.put("EngineGroup", "models", GROUP, 0)
+        await nodes.start("r1")
+        node = nodes.nodes["r1"]
+        await wait_until(lambda: "e1" in node.departing.leaving)
+        sent = []
+        act = node.dispatch.act
+
+        def watch(actions):
+            sent.extend(a.target for a in actions if isinstance(a, Send))
+            act(actions)
+
+        node.dispatch.act = watch
+        now = nodes.clock.now()
+        candidates = {"e1": 0, "e2": 0}
+        for n in range(7):
+            work = Work(f"w{n}", "org", "x", candidates, 10, 10, now + 60_000.0)
+            watch(node.dispatcher.arrive(work, now))
+        self.assertEqual(sent, ["e2"])
+        down.clear()
+        await asyncio.sleep(1)
+        self.assertNotIn("e1", node.departing.leaving)
+        self.assertLessEqual(sent.count("e1"), 1)
+        await nodes.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
