Count in the soak what an engine got since it named a limit, not before

Traced: r1, cut off from all, sends e1 ten requests from 70.78 to 71.31 s. e1 names its limit at 71.35 s. r1's two sends at 71.37 and 71.39 s were under way. r2 gets a permit and sends one at 74.69 s, 3.34 s after the naming. The check then counted the 4 s before, with the ten that came before any limit was named.

The users' rule sums over routers that had passed on an answer with the limit half a second before or earlier; of these twelve one request counts. So the case is allowed. The check is narrowed by just what came before the first limit; what comes after it counts from every router in touch, told or not, and after a lower limit as before.

--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -29,27 +29,36 @@
     ----------
     since
         When it named a limit first, or one that is lower.
+    first
+        When it began to name limits.
     """
 
     rate: float | None = None
     since: Millis = 0.0
+    first: Millis = 0.0
     arrivals: deque[Millis] = field(default_factory=deque)
 
     def name(self, rate: float | None, now: Millis) -> None:
         """Name another limit from now on; None for none."""
         lower = rate is not None and (self.rate is None or rate < self.rate)
+        if rate is not None and self.rate is None:
+            self.first = now
         self.rate = rate
         if lower:
             self.since = now
 
     def arrive(self, now: Millis) -> int | None:
-        """Count a request; return how many the last span holds, where it matters."""
+        """Count a request; return how many the last span holds, where it matters.
+
+        What came before the engine named any limit was sent by routers that it could
+        not have told.
+        """
         self.arrivals.append(now)
         while now - self.arrivals[0] > SPAN:
             self.arrivals.popleft()
         if self.rate is None or now - self.since < STABLE:
             return None
-        return len(self.arrivals)
+        return sum(at >= self.first for at in self.arrivals)
 
     def find_allowed(self) -> float:
         """Return the most requests that the users' rule allows in a span."""
