Hand copies of bills on before a planned stop

Course, traced before: r0 releases the answer's end at 71.0 s with r2 as witness, as the platform is slow. r2 leaves as planned at 72.5 s. The platform is out from 74.7 s, r0 is killed at 91.2 s. The one copy had gone with r2.

Cause: a planned stop settled what the router owed itself, and dropped what it kept for others.

Change: as its last step a router takes no more copies, so that none comes between the handing on and its end, and leaves those it has with two others. If nobody takes them it says so in the log. It doesn't do so when the stop is abandoned.

--- a/anvilshift/core/copies.py
+++ b/anvilshift/core/copies.py
@@ -40,16 +40,27 @@
         self._incarnation = incarnation
         self._bills: dict[str, dict[tuple[str, str], Bill]] = {}
         self._closed: set[str] = set()
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Take no more copies of anybody: this router is about to end."""
+        self._stopped = True
+
+    def list_holders(self) -> list[str]:
+        """Return the holders of whose bills there are copies."""
+        return [holder for holder, kept in self._bills.items() if kept]
 
     def add(
         self, holder: str, bills: tuple[tuple[str, Bill], ...], witness: str = ""
     ) -> bool:
-        """Keep copies; False when this isn't the witness or it has closed.
+        """Keep copies; False when this isn't the witness, has closed or is to end.
 
         A router that was restarted has another incarnation and none of the
         earlier copies; taken for the witness, it would close with too few.
         """
-        if witness not in ("", self._incarnation) or holder in self._closed:
+        if self._stopped or holder in self._closed:
+            return False
+        if witness not in ("", self._incarnation):
             return False
         kept = self._bills.setdefault(holder, {})
         if len(kept) + len(bills) > MAX_COPIES:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -321,6 +321,8 @@
         stop = PlannedStop(steps, keep, grace, abandoned)
         cut_off = await stop.run()
         self.settled = stop.settled
+        if not abandoned.is_set():
+            await self.fleet.witnesses.hand_on(self.treasury.copies)
         return cut_off
 
     async def _leave(self) -> None:
--- a/anvilshift/router/witnesses.py
+++ b/anvilshift/router/witnesses.py
@@ -8,7 +8,10 @@
 import zlib
 from collections.abc import Callable
 
+from absl import logging
+
 from anvilshift.core.clock import Clock
+from anvilshift.core.copies import Copies
 from anvilshift.core.membership import Member, Roster
 from anvilshift.peers.generated.peers_pb2 import KeepRequest
 from anvilshift.peers.link import PeerError, PeerLink
@@ -63,6 +66,16 @@
             kept += sum(await asyncio.gather(*work))
         return kept > 0
 
+    async def hand_on(self, copies: Copies) -> None:
+        """Leave the copies kept here with others, before this router ends."""
+        copies.stop()
+        for holder in copies.list_holders():
+            bills = copies.list(holder)
+            if await self.keep_copies(holder, bills):
+                logging.info("copies handed on holder=%s bills=%d", holder, len(bills))
+            else:
+                logging.error("copies end here holder=%s bills=%d", holder, len(bills))
+
     async def keep_witnessed(self, witness: str, holder: str, bills: Bills) -> bool:
         """Leave copies of bills with the holder's witness; True once it has them."""
         request = make_keep_request(holder, bills, witness)
--- a/tests/bench/test_courses.py
+++ b/tests/bench/test_courses.py
@@ -52,6 +52,10 @@
         """Guards against a bill that only its holder and its witness have."""
         self.play("8001", BILL_CHECK, networks=(0,))
 
+    def test_bill_whose_witness_stopped_as_planned(self):
+        """Guards against copies that end with a planned stop."""
+        self.play("8049", BILL_CHECK, networks=(1,))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/router/test_witnesses.py
+++ b/tests/router/test_witnesses.py
@@ -68,6 +68,19 @@
         keeping = self.routers.make("r1").keep_copies("r1-a", BILLS, "")
         self.assertFalse(await keeping)
 
+    async def test_router_that_stops_hands_its_copies_on(self):
+        """Guards against a bill that goes with its witness's planned stop."""
+        copies = self.routers.copies["r2"]
+        copies.add("r1-a", BILLS, witness="r2-a")
+        await self.routers.make("r2").hand_on(copies)
+        self.assertEqual(len(self.routers.list_keepers() - {"r1", "r2"}), 2)
+
+    async def test_router_that_has_handed_its_copies_on_takes_no_more(self):
+        """Guards against a copy that comes between the handing on and the end."""
+        copies = self.routers.copies["r2"]
+        await self.routers.make("r2").hand_on(copies)
+        self.assertFalse(copies.add("r1-a", BILLS, witness="r2-a"))
+
 
 if __name__ == "__main__":
     unittest.main()
