Forget what was said of engines that are no longer declared

What operators saw: an engine that had gone in a release stood among those that a router takes for leaving, for ever; one that said so itself was told of to all others with each heartbeat. Callers saw nothing: nobody is sent to what is not declared.

Cause: signs of a refused connection and of an engine's own report are taken back by its next report, and what is not declared is not polled. A poll that is under way at the change ends after it.

Change: at a change of declarations these signs are kept for declared engines only, and a poll of any other says nothing.

--- a/anvilshift/core/departures.py
+++ b/anvilshift/core/departures.py
@@ -6,7 +6,7 @@
 away until every source that gave a sign has taken it back.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass, field, replace
 
 HOST_LIST = "host list"
@@ -53,6 +53,11 @@
         new = old | {target} if leaving else old - {target}
         return self if new == old else self.take(source, new)
 
+    def keep_targets(self, sources: Iterable[str], targets: Set[str]) -> "Departures":
+        """Return the signs without what some sources said of other targets."""
+        kept = {s: self.signs[s] & targets for s in sources if s in self.signs}
+        return replace(self, signs={**self.signs, **kept})
+
     def keep(self, sources: Iterable[str]) -> "Departures":
         """Return the signs of some sources only."""
         kept = set(sources)
--- a/anvilshift/router/departing.py
+++ b/anvilshift/router/departing.py
@@ -36,6 +36,7 @@
         self._clock = clock
         self._departures = Departures()
         self._hosts: dict[str, set[str]] = {}
+        self._declared: frozenset[str] = frozenset()
         self._listed: set[str] = set()
         self._vanished: dict[str, Millis] = {}
         self._refusals: Counter[str] = Counter()
@@ -56,6 +57,10 @@
         for group in catalogue.groups.values():
             for engine in group.engines:
                 self._hosts.setdefault(engine.host_name, set()).add(engine.name)
+        # What is not declared is not polled, so nothing would take such a sign back.
+        self._declared = frozenset().union(*self._hosts.values())
+        kept = self._departures.keep_targets((REFUSED, REPORT), self._declared)
+        self._change(kept)
         # A target that was declared anew is unknown to the dispatcher's list.
         for target in self.leaving:
             self._tell(target, True)
@@ -78,6 +83,8 @@
     def take_report(self, report: LoadReport) -> None:
         """Take in a target's own report: it answers, and may say that it leaves."""
         self._refusals.pop(report.target, None)
+        if report.target not in self._declared:
+            return
         if not report.leaving:
             self._check_vanished(report.target)
         found = self._departures.mark(REFUSED, report.target, False)
@@ -97,7 +104,13 @@
                 self._listed.discard(host)
 
     def take_refusal(self, target: str) -> None:
-        """Take in that a target refused a connection."""
+        """Take in that a target refused a connection.
+
+        A poll that was under way when its target went off the declarations says
+        nothing any more.
+        """
+        if target not in self._declared:
+            return
         self._refusals[target] += 1
         if self._refusals[target] >= _REFUSALS:
             self._change(self._departures.mark(REFUSED, target, True))
--- a/tests/router/test_departing.py
+++ b/tests/router/test_departing.py
@@ -28,6 +28,31 @@
             LoadReport(target, 0, 0, self.clock.now(), leaving=leaving)
         )
 
+    def declare(self, *names):
+        engines = tuple(Engine(name, "127.0.0.1:1", "north") for name in names)
+        group = EngineGroup("models", TargetKind.MODEL, engines)
+        self.departing.configure(Catalogue(groups={"models": group}))
+
+    def test_engine_that_is_no_longer_declared_is_not_taken_for_leaving(self):
+        """Guards against an engine told of as leaving for ever after a release."""
+        self.report("e1", leaving=True)
+        for _ in range(2):
+            self.departing.take_refusal("e2")
+        self.assertEqual(self.departing.leaving, {"e1", "e2"})
+        self.declare("e2")
+        self.assertEqual(self.departing.leaving, {"e2"})
+        self.assertEqual(self.departing.told, frozenset())
+        self.declare()
+        self.assertEqual(self.departing.leaving, frozenset())
+
+    def test_poll_that_ends_after_its_engine_is_undeclared_says_nothing(self):
+        """Guards against an engine taken for leaving that nobody asks any more."""
+        self.departing.take_refusal("e1")
+        self.declare("e2")
+        self.departing.take_refusal("e1")
+        self.report("e1", leaving=True)
+        self.assertEqual(self.departing.leaving, frozenset())
+
     def list_hosts(self, *entries):
         self.departing.take_hosts(entries)
 
