Draw courses for the soak in which routers know different things

The soak could not see a bound that rests on routers knowing the same: its engines published no cache events, its work had no prefixes, its declarations never changed.

A quarter of the prompts begin with one of three prefixes, as the poison does; one router at a time hears that an engine holds a prefix; engines are declared and replaced while routers are cut off.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
 from anvilshift.core.clock import SECOND
@@ -14,7 +13,29 @@
 if TYPE_CHECKING:
     from bench.soak.run import Soak
 
-_GAP_S = 2.0
+GAP_S = 2.0
+KINDS = (
+    "kill_router",
+    "freeze_router",
+    "drain_router",
+    "cut_peers",
+    "cut_platform",
+    "isolate_router",
+    "cut_engine",
+    "platform_outage",
+    "slow_platform",
+    "lose_answers",
+    "crash_engine",
+    "break_streams",
+    "slow_engine",
+    "engine_leaves",
+    "service_loses_answers",
+    "top_up",
+    "change_declarations",
+    "race_operators",
+    "forget_history",
+)
+"""Faults that a seeded run draws from."""
 _LIST_LAG_S = 1.0
 _TOPUP = 15_000
 _LIST_READ_S = 0.5
@@ -30,34 +51,12 @@
         self._rng: Any = TapedRandom(rng)
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
-        self._kinds: list[Callable[[], Awaitable[None]]] = [
-            self.kill_router,
-            self.freeze_router,
-            self.drain_router,
-            self.cut_peers,
-            self.cut_platform,
-            self.isolate_router,
-            self.cut_engine,
-            self.platform_outage,
-            self.slow_platform,
-            self.lose_answers,
-            self.crash_engine,
-            self.break_streams,
-            self.slow_engine,
-            self.engine_leaves,
-            self.service_loses_answers,
-            self.top_up,
-            self.change_declarations,
-            self.race_operators,
-            self.forget_history,
-        ]
 
     async def run(self) -> None:
         """Start faults until cancelled."""
         while True:
-            await asyncio.sleep(self._rng.expovariate(1 / _GAP_S))
-            kind = self._rng.choice(self._kinds)
-            event = Event(self._soak.clock.now(), kind.__name__)
+            await asyncio.sleep(self._rng.expovariate(1 / GAP_S))
+            event = Event(self._soak.clock.now(), self._rng.choice(KINDS))
             self.start(event, self._soak.course.note(event))
 
     def start(self, event: Event, tape: Tape) -> None:
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -155,6 +155,7 @@
         self.fail_streams = 0.0
         self.leaving_since: Millis | None = None
         self.limit = LimitWatch()
+        self.cache: dict[str, list[CacheEvent]] = {}
         self.crashes = 0
         self._journal = journal
         self._network = network
@@ -265,8 +266,9 @@
         )
 
     async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
-        """Return no events."""
-        return ()
+        """Return what this router may hear of the engine's cache."""
+        events = self._engine.cache.get(self._own.name, [])
+        return tuple(event for event in events if event.sequence > after)
 
     async def give(self, order: Order) -> bool:
         """Take any order."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -25,6 +25,7 @@
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from anvilshift.wire.messages import Address
 from bench.soak.books import check_books, check_fleet
+from bench.soak.changes import ChangingSchedule
 from bench.soak.course import Course, Event, Tape, TapedRandom
 from bench.soak.faults import FaultSchedule
 from bench.soak.http import Entry
@@ -237,7 +238,7 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._take_exception)
         await self.prepare()
-        schedule = FaultSchedule(self, random.Random(self.rng.getrandbits(64)))
+        schedule = ChangingSchedule(self, random.Random(self.rng.getrandbits(64)))
         naming = LimitFaults(self, random.Random(self.rng.getrandbits(64)))
         if self._played is not None:
             play = self._played.play(self.clock.now, self._make_start(schedule, naming))
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -9,6 +9,7 @@
 from anvilshift.router.requests import digest_call, digest_chat
 from anvilshift.standins.engine import POISON, make_answer
 from anvilshift.wire.messages import Address
+from bench.soak.changes import make_prefix
 from bench.soak.course import Event, Tape
 from bench.soak.http import SoakHttp
 from bench.soak.journal import Receipt
@@ -20,10 +21,10 @@
 ASK, ORDER = "ask", "order"
 ORGANISATIONS = ("kosice", "zilina", "counter")
 ORDER_COST = 5
-_REQUEST_GAP_S = 0.25
-_ORDER_GAP_S = 1.5
+REQUEST_GAP_S = 0.25
+ORDER_GAP_S = 1.5
 _POISON_TOKENS = 20
-_POISON_SHARE = 0.03
+POISON_SHARE = 0.03
 _DEADLINE: Millis = 8 * SECOND
 _LATE_LIMIT: Millis = 2 * SECOND
 """A frozen router tells nobody anything; its callers give up by themselves."""
@@ -53,23 +54,27 @@
         rng = random.Random(self._soak.rng.getrandbits(64))
         return Client(seeds, f"{organisation}-token", self._soak.clock, rng, http)
 
-    async def _ask(self, organisation: str, poison: bool) -> None:
+    async def _ask(self, organisation: str, poison: bool, prefix: int = -1) -> None:
         """Be one caller of a model."""
         began = self._soak.clock.now()
-        await self._ask_once(organisation, poison)
+        await self._ask_once(organisation, poison, prefix)
         took = self._soak.clock.now() - began
         detail = f"answered after {took:.0f} ms"
         in_time = took <= _DEADLINE + _LATE_LIMIT
         self._soak.journal.check("answered by the deadline", in_time, detail)
 
-    async def _ask_once(self, organisation: str, poison: bool) -> None:
+    async def _ask_once(self, organisation: str, poison: bool, prefix: int) -> None:
         number = next(self._soak.numbers)
         tokens = _POISON_TOKENS if poison else self._soak.rng.randrange(5, 60)
         content = POISON if poison else f"question {number}"
         prompt = f"{organisation}|{content}"
         key = f"key-{number}"
-        cost = len(prompt) // 4 + 1 + tokens
         messages = [{"role": "user", "content": prompt}]
+        if prefix >= 0:
+            shared = make_prefix(prefix)
+            messages.insert(0, {"role": "system", "content": shared})
+            prompt = f"{shared}\n{prompt}"
+        cost = len(prompt) // 4 + 1 + tokens
         body = {"model": "advice", "messages": messages, "max_tokens": tokens}
         asked = Asked(organisation, prompt, cost)
         identity = self._soak.ask(key, digest_chat(body), asked)
@@ -135,14 +140,14 @@
 
     async def _keep_asking(self, organisation: str) -> None:
         while not self._soak.quiet:
-            await asyncio.sleep(self._soak.rng.expovariate(1 / _REQUEST_GAP_S))
+            await asyncio.sleep(self._soak.rng.expovariate(1 / REQUEST_GAP_S))
             poisonous = organisation == ORGANISATIONS[0]
-            poison = poisonous and self._soak.rng.random() < _POISON_SHARE
+            poison = poisonous and self._soak.rng.random() < POISON_SHARE
             self._note(ASK, organisation, poison)
 
     async def _keep_ordering(self, organisation: str) -> None:
         while not self._soak.quiet:
-            await asyncio.sleep(self._soak.rng.expovariate(1 / _ORDER_GAP_S))
+            await asyncio.sleep(self._soak.rng.expovariate(1 / ORDER_GAP_S))
             self._note(ORDER, organisation)
 
     def _note(self, kind: str, *arguments: Any) -> None:
--- a/tests/bench/test_courses.py
+++ b/tests/bench/test_courses.py
@@ -1,17 +1,20 @@
 """Courses of runs that broke an invariant, played again over today's code."""
 
 import pathlib
+import tempfile
 import unittest
 
 from absl import logging
 
 from bench.soak.course import Course
+from bench.soak.drawn import draw_course
 from bench.soak.run import play_course
 
 COURSES = pathlib.Path(__file__).parent / "courses"
 POISON_CHECK = "poison costs at most two engines"
 LIMIT_CHECK = "limits are kept"
 BILL_CHECK = "answer is billed"
+DRAWN, DRAWN_SECONDS = (1, 2), 30.0
 NETWORKS = range(3)
 """Seeds of the links' delays; the course itself has its own instants."""
 
@@ -56,6 +59,28 @@
         """Guards against copies that end with a planned stop."""
         self.play("8049", BILL_CHECK, networks=(1,))
 
+    def test_invariants_hold_where_routers_know_different_things(self):
+        """Guards against bounds that rest on routers knowing the same.
+
+        Prompts share prefixes, each router hears of other caches, engines are
+        declared and replaced while some routers are cut off.
+        """
+        for seed in DRAWN:
+            with self.subTest(seed=seed):
+                journal = play_course(draw_course(seed, DRAWN_SECONDS), seed)
+                self.assertGreater(journal.checks[POISON_CHECK], 0)
+                self.assertGreater(journal.faults["store_prefix"], 0)
+
+    def test_drawn_course_is_the_same_each_time(self):
+        self.assertEqual(draw_course(7, 20.0), draw_course(7, 20.0))
+
+    def test_course_is_read_as_it_was_written(self):
+        course = draw_course(7, 20.0)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "course.json"
+            course.save(path)
+            self.assertEqual(Course.load(path), course)
+
 
 if __name__ == "__main__":
     unittest.main()
