Keep statuses, logs and load of a test on real processes that fails

Four integration tests failed once beside load, and what callers had received was lost with the runs. A failure now leaves a file in out/failed with each request's prompt, router, status, time and refusal, the processes' logs and the load. Checks are unchanged.

--- a/tests/integration/fleetcase.py
+++ b/tests/integration/fleetcase.py
@@ -19,6 +19,7 @@
 from anvilshift.settings.declarations import read_documents
 from anvilshift.standins.engine import make_answer
 from bench.fleet import LocalFleet, wait_until
+from tests.integration.evidence import has_failed, keep_evidence
 
 OPTIONS = {
     "lease_ms": 1500.0,
@@ -63,10 +64,8 @@
         self.assertTrue(found.accepted)
 
     async def asyncTearDown(self):
-        # The outcome's own mark is set anew before this is called.
-        result = self._outcome.result
-        failed = [*result.errors, *result.failures]
-        if any(test is self for test, _ in failed):
+        if has_failed(self):
+            keep_evidence(self, self.fleet.read_logs())
             print(self.fleet.read_logs())
 
     def client(self, organisation: str, router: str = "") -> Client:
--- a/tests/integration/test_overload.py
+++ b/tests/integration/test_overload.py
@@ -5,13 +5,14 @@
 import time
 import unittest
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from anvilshift.standins.engine import make_answer
 from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE
 from bench.fleet import LocalFleet, wait_until
+from tests.integration.evidence import has_failed, keep_evidence
 
 ENOUGH = 5_000_000
 DECODE_MS = 4
@@ -27,6 +28,10 @@
     whole: bool
     took: float
     retry_after: str | None = None
+    prompt: str = ""
+    router: str = ""
+    began: float = 0.0
+    detail: str = ""
 
 
 class OverloadTest(unittest.IsolatedAsyncioTestCase):
@@ -36,6 +41,7 @@
         self.http = HttpClient()
         self.addCleanup(self.http.close)
         self.turn = 0
+        self.outcomes: list[Outcome] = []
         await self.fleet.start()
         await self.fleet.apply()
         for budget in ("kosice", "zilina", "order-desk"):
@@ -44,12 +50,33 @@
             *(self.ask(name, "quote", "warm", 1, 5.0) for name in ("counter",) * 12)
         )
 
+    async def asyncTearDown(self):
+        if has_failed(self):
+            keep_evidence(self, self.fleet.read_logs(), self.outcomes)
+
     async def ask(
         self, organisation: str, model: str, prompt: str, tokens: int, deadline: float
     ) -> Outcome:
         self.turn += 1
         names = self.fleet.router_names
-        address = self.fleet.addresses[names[self.turn % len(names)]]
+        router = names[self.turn % len(names)]
+        began = time.monotonic()
+        outcome = await self._ask(router, organisation, model, prompt, tokens, deadline)
+        self.outcomes.append(
+            replace(outcome, prompt=prompt, router=router, began=began)
+        )
+        return outcome
+
+    async def _ask(
+        self,
+        router: str,
+        organisation: str,
+        model: str,
+        prompt: str,
+        tokens: int,
+        deadline: float,
+    ) -> Outcome:
+        address = self.fleet.addresses[router]
         headers = [
             JSON_TYPE,
             ("authorization", f"Bearer {organisation}-token"),
@@ -72,7 +99,8 @@
         took = time.monotonic() - began
         if answer.status != 200:
             retry_after = answer.headers.get("retry-after")
-            return Outcome(answer.status, False, took, retry_after)
+            detail = answer.body.decode(errors="replace")
+            return Outcome(answer.status, False, took, retry_after, detail=detail)
         text = json.loads(answer.body)["choices"][0]["message"]["content"]
         return Outcome(200, text == make_answer(prompt, tokens), took)
 
