Let drawn courses bring many poisons, six copies of each at one instant

With one poison a run only its first second could show routers that know different things. Now a new one comes every 8 s on the average, with a shared prefix, and another for each content as its homes are others.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -33,12 +33,14 @@
 from anvilshift.router.node import Node
 from anvilshift.router.treasury import Treasury
 from bench.soak.course import Course
+from bench.soak.drawn import draw_course
 from bench.soak.journal import BrokenInvariantError
 from bench.soak.run import play_course, run_seed
 
 SEEDS = range(1, 7)
 NETWORKS = range(15)
 COURSES = pathlib.Path("tests/bench/courses")
+DRAWN, DRAWN_SECONDS = "drawn", 30.0
 SECONDS = 90.0
 WORKERS = 4
 
@@ -54,7 +56,8 @@
     caught_by
         Beginnings of the checks that may catch it.
     courses
-        Names of the courses that are played; seeds are run where there are none.
+        Names of the courses that are played, `drawn` for one that is drawn from the
+        seed; seeds are run where there are none.
     """
 
     name: str
@@ -252,6 +255,12 @@
         _replace(Reach, "list_allowed", _go_on_to_any),
         courses=("8012",),
     ),
+    Mutant(
+        "the same where routers know different things",
+        ("poison",),
+        _replace(Reach, "list_allowed", _go_on_to_any),
+        courses=(DRAWN,),
+    ),
     Mutant(
         "work goes to an engine before its limit is known",
         ("limits are kept",),
@@ -280,7 +289,12 @@
     if not mutant.courses:
         run_seed(seed, SECONDS)
     for name in mutant.courses:
-        play_course(Course.load(COURSES / f"{name}.json"), seed)
+        course = (
+            draw_course(seed, DRAWN_SECONDS)
+            if name == DRAWN
+            else Course.load(COURSES / f"{name}.json")
+        )
+        play_course(course, seed)
 
 
 def _try_number(number: int) -> Row:
--- a/bench/soak/drawn.py
+++ b/bench/soak/drawn.py
@@ -23,12 +23,13 @@
     ORDER,
     ORDER_GAP_S,
     ORGANISATIONS,
-    POISON_SHARE,
     REQUEST_GAP_S,
 )
 
 _LIMITS_APART_S = 45.0
 """Longer than the limits of one engine last: two at once would end each other's."""
+_COPIES = 6
+_POISON_GAP_S = 8.0
 _SHARED = 0.25
 """Part of the prompts that begin with a shared prefix."""
 
@@ -57,15 +58,25 @@
     while at < seconds * SECOND:
         events.append(Event(FIRST + at, LIMIT_ONE))
         at += _LIMITS_APART_S * SECOND
+    events += _draw_poisons(seed, seconds)
     events.sort(key=lambda event: event.at)
     return Course(seed, seconds, f"drawn from seed {seed}", events)
 
 
+def _draw_poisons(seed: int, seconds: float) -> list[Event]:
+    """Return copies of one poison after another, each at one instant."""
+    rng, events = random.Random(f"{seed}/poisons"), []
+    at, number = FIRST, 0
+    while at < seconds * SECOND:
+        prefix, name = rng.randrange(PREFIXES), f" {number}"
+        copy = [ORGANISATIONS[0], True, prefix, name]
+        events += [Event(at, ASK, copy) for _ in range(_COPIES)]
+        number += 1
+        at += rng.expovariate(1 / _POISON_GAP_S) * SECOND
+    return events
+
+
 def _make_ask(organisation: str, rng: random.Random) -> Event:
-    poisonous = organisation == ORGANISATIONS[0]
-    if poisonous and rng.random() < POISON_SHARE:
-        # Each copy has the same prompt, or it would be another content.
-        return Event(0.0, ASK, [organisation, True, 0])
     prefix = rng.randrange(PREFIXES) if rng.random() < _SHARED else -1
     return Event(0.0, ASK, [organisation, False, prefix])
 
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -54,19 +54,31 @@
         rng = random.Random(self._soak.rng.getrandbits(64))
         return Client(seeds, f"{organisation}-token", self._soak.clock, rng, http)
 
-    async def _ask(self, organisation: str, poison: bool, prefix: int = -1) -> None:
-        """Be one caller of a model."""
+    async def _ask(
+        self, organisation: str, poison: bool, prefix: int = -1, name: str = ""
+    ) -> None:
+        """Be one caller of a model.
+
+        Parameters
+        ----------
+        prefix
+            Number of the prefix that the prompt begins with; -1 for none.
+        name
+            Tells one poison from another.
+        """
         began = self._soak.clock.now()
-        await self._ask_once(organisation, poison, prefix)
+        await self._ask_once(organisation, poison, prefix, name)
         took = self._soak.clock.now() - began
         detail = f"answered after {took:.0f} ms"
         in_time = took <= _DEADLINE + _LATE_LIMIT
         self._soak.journal.check("answered by the deadline", in_time, detail)
 
-    async def _ask_once(self, organisation: str, poison: bool, prefix: int) -> None:
+    async def _ask_once(
+        self, organisation: str, poison: bool, prefix: int, name: str
+    ) -> None:
         number = next(self._soak.numbers)
         tokens = _POISON_TOKENS if poison else self._soak.rng.randrange(5, 60)
-        content = POISON if poison else f"question {number}"
+        content = f"{POISON}{name}" if poison else f"question {number}"
         prompt = f"{organisation}|{content}"
         key = f"key-{number}"
         messages = [{"role": "user", "content": prompt}]
