Don't take a router for the only one while others are starting

What callers would see: a third engine lost to one content in the first half second of a fleet, or of a router that joins.

Cause: a router counted the others that take work, once a heartbeat. Until these said so it took itself for the only one, which may send a content anywhere.

Change: who knows of any other router, in its record or by a heartbeat, keeps to the homes from that instant; a newcomer asks all before it serves, so they know by then. One that was alone tells it what runs elsewhere than the newcomer would send it, as of what has crashed.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -162,6 +162,16 @@
         """Take in whether some other router can't be heard."""
         self._state.partitioned = partitioned
 
+    def set_others(self, known: bool) -> None:
+        """Take in whether any other router is known.
+
+        An only router may send a content anywhere; one that begins beside it must
+        hear of that before it serves.
+        """
+        if known and self._state.is_alone:
+            self._state.quarantine.keep_running()
+        self._state.has_others = known
+
     def leaving(self, target: str, now: Millis) -> Actions:
         """Take in that a target is leaving: it gets no new work."""
         view = self._state.views.get(target)
--- a/anvilshift/core/exposure.py
+++ b/anvilshift/core/exposure.py
@@ -90,6 +90,11 @@
         if not charges.running and not charges.kept:
             del self._charges[content]
 
+    def keep_running(self) -> None:
+        """Keep each target charged where an attempt is under way now."""
+        for charges in self._charges.values():
+            charges.kept |= set(charges.running)
+
     def crashed(self, content: str, target: str, now: Millis) -> None:
         """Take in that a target crashed while it ran a content."""
         if content:
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -117,6 +117,10 @@
         """Charge a target to work that some router sends there."""
         self._exposure.crashed(content, target, now)
 
+    def keep_running(self) -> None:
+        """Let a newcomer be told of all that runs here, as of what has crashed."""
+        self._exposure.keep_running()
+
     def is_harmless(self, content: str) -> bool:
         """Tell whether work was answered whole and has crashed nothing since."""
         return self._exposure.is_harmless(content)
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -63,6 +63,8 @@
         Routers that share the targets, as far as this one knows.
     partitioned
         Whether some other router can't be heard.
+    has_others
+        Whether any other router is known, be it that it doesn't serve yet.
     began
         When the first targets were declared here.
     router_lost
@@ -80,6 +82,7 @@
     recording: Mean = field(default_factory=lambda: Mean(1.0))
     preparations: Preparations = field(default_factory=Preparations)
     partitioned: bool = False
+    has_others: bool = False
     began: Millis = float("inf")
     router_lost: Millis = float("-inf")
 
@@ -90,7 +93,7 @@
     @property
     def is_alone(self) -> bool:
         """Tell whether no other router shares the targets."""
-        return self.routers == 1 and not self.partitioned
+        return self.routers == 1 and not (self.partitioned or self.has_others)
 
     def refresh(self, view: TargetView, draw: bool = False) -> None:
         """Bring the pools up to date after a change of a target."""
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -91,6 +91,7 @@
         self.tell_crashes: Callable[[], Iterable[Crash]] = tuple
         self.greet: Callable[[str], None] = _ignore_newcomer
         self.hear_crashes: Callable[[Iterable[Crash]], None] = lambda c: None
+        self.at_roster: Callable[[], None] = lambda: None
         self.at_beat: Callable[[], None] = lambda: None
         self.relocate: Callable[[RelocateRequest], RelocateReply]
         self.issue_permit: Callable[[PermitRequest], Awaitable[PermitReply]]
@@ -157,6 +158,7 @@
             return
         if body is None:
             self.roster = self.roster.remove(name)
+            self.at_roster()
             return
         try:
             member = decode(Member, body)
@@ -164,8 +166,9 @@
             # One record that can't be read must not end the watch of all.
             logging.error("router record unreadable name=%s %s", name, error)
             return
-        self.greet(member.incarnation)
         self.roster = self.roster.record(member, self._clock.now())
+        self.at_roster()
+        self.greet(member.incarnation)
 
     async def leave(self) -> None:
         """Tell everyone that this router is leaving."""
@@ -297,6 +300,7 @@
         self.roster = self.roster.hear(
             read_member(beat), read_vitals(beat), self._clock.now()
         )
+        self.at_roster()
         self.hear_targets(beat.router, beat.leaving_targets)
         self.greet(beat.incarnation)
         self.hear_crashes(beat.crashes)
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -119,6 +119,9 @@
             self.clock.now()
         )
         self.fleet.at_beat = self._count_routers
+        self.fleet.at_roster = lambda: self.dispatcher.set_others(
+            bool(self.fleet.roster.sightings)
+        )
         self.fleet.tell_targets = lambda: self.departing.told
         self.fleet.hear_targets = self.departing.hear
         self.fleet.read_revision = lambda: self.follower.acknowledged
--- /dev/null
+++ b/tests/core/test_reach.py
@@ -0,0 +1,58 @@
+"""Which targets a content may be sent to, by who else there is."""
+
+import random
+import unittest
+
+from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.homes import choose_homes
+from anvilshift.core.work import Announce, DispatchSettings, Send, Target, Work
+
+NAMES = tuple(f"e{n}" for n in range(1, 7))
+HOMES = choose_homes("c", dict.fromkeys(NAMES, "north"))
+
+
+class ReachTest(unittest.TestCase):
+    def setUp(self):
+        self.dispatcher = Dispatcher(DispatchSettings(), random.Random(1))
+        self.dispatcher.configure([Target(n, "north", 1) for n in NAMES], 0.0)
+        self.count = 0
+
+    def send(self, content="c"):
+        self.count += 1
+        candidates = dict.fromkeys(NAMES, 0)
+        work = Work(
+            f"r{self.count}", "org", "x", candidates, 10, 10, 1e9, content=content
+        )
+        sent = self.dispatcher.arrive(work, 0.0)
+        return [action.target for action in sent if isinstance(action, Send)]
+
+    def test_only_router_sends_work_anywhere_when_its_homes_are_full(self):
+        used = {target for _ in range(3) for target in self.send(f"c{self.count}")}
+        self.assertEqual(len(used), 3)
+        self.assertEqual(sum(len(self.send(f"d{n}")) for n in range(6)), 3)
+
+    def test_router_beside_one_that_does_not_serve_yet_keeps_to_the_homes(self):
+        """Guards against a third engine while a fleet is starting."""
+        self.dispatcher.set_others(True)
+        used = [target for _ in range(4) for target in self.send()]
+        self.assertEqual(sorted(used), sorted(HOMES))
+
+    def test_newcomer_is_told_what_an_only_router_runs(self):
+        """Guards against a content that runs where a newcomer would not send it."""
+        (target,) = self.send()
+        self.assertEqual(self.dispatcher.list_crashes(0.0), [])
+        self.dispatcher.set_others(True)
+        told = self.dispatcher.list_crashes(0.0)
+        self.assertEqual(told, [Announce("c", target, times=0)])
+
+    def test_content_that_was_answered_whole_goes_anywhere(self):
+        """Guards against calls that all callers make alike and two engines get."""
+        self.dispatcher.set_others(True)
+        self.send()
+        self.dispatcher.done("r1", 5, 1.0)
+        used = {target for _ in range(4) for target in self.send()}
+        self.assertEqual(len(used), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
