Wait a minute at most for a router that never has a change in force

What callers would see: in a rolling update a router that can't read some new declaration acknowledges nothing from it on. A router that starts beside it would never take work, and a release that replaces both homes of a content would leave it none, until the old router is gone.

Change: a change of engines counts after 60 s at the latest, and a router that starts waits as long. A router that is cut off has stopped serving by then, as its lease is over, so only one that can't read a declaration is behind for longer; its engines are as declared all the same.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -100,7 +100,7 @@
         declared = {target.name: target for target in targets}
         self._state.began = min(self._state.began, now)
         old = {name: view.target for name, view in self._state.views.items()}
-        self._state.former.supersede(old, declared, revision)
+        self._state.former.supersede(old, declared, revision, now)
         for name in set(self._state.views) - set(declared):
             # Work that still runs there must not draw more work when it ends.
             removed = self._state.views.pop(name)
@@ -118,7 +118,8 @@
         Until then work goes only to targets that its content has before and after
         a change.
         """
-        return self._make_pools(now) if self._state.former.agree(revision) else []
+        ended = self._state.former.agree(revision, now)
+        return self._make_pools(now) if ended else []
 
     def _make_pools(self, now: Millis) -> Actions:
         """Make the pools anew and let all that waits enter them."""
--- a/anvilshift/core/former.py
+++ b/anvilshift/core/former.py
@@ -13,8 +13,14 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.work import Target
 
+MOST_BEHIND: Millis = 60 * SECOND
+"""A router that is cut off has stopped serving by then, as its lease is over.  One
+that can't read some declaration never acknowledges it: waited for without end, it
+would leave no homes to any content in a release."""
+
 Declared = Mapping[str, Target]
 
 
@@ -23,6 +29,7 @@
     """Targets that were in force before a revision."""
 
     superseded: int
+    at: Millis
     targets: Declared
 
 
@@ -33,10 +40,10 @@
     --------
     >>> former = FormerTargets()
     >>> e1, e2 = Target("e1", "north"), Target("e2", "north")
-    >>> former.supersede({"e1": e1}, {"e1": e1, "e2": e2}, revision=7)
+    >>> former.supersede({"e1": e1}, {"e1": e1, "e2": e2}, revision=7, now=0.0)
     >>> former.list_domains({"e1": e1, "e2": e2})
     [{'e1': 'north'}]
-    >>> former.agree(7)
+    >>> former.agree(7, now=1.0)
     True
     >>> former.list_domains({"e1": e1, "e2": e2})
     []
@@ -45,7 +52,9 @@
     def __init__(self) -> None:
         self._former: list[_Former] = []
 
-    def supersede(self, old: Declared, new: Declared, revision: int) -> None:
+    def supersede(
+        self, old: Declared, new: Declared, revision: int, now: Millis
+    ) -> None:
         """Take in a change of the declared targets.
 
         Parameters
@@ -54,11 +63,15 @@
             Revision of the declarations that brings the new ones.
         """
         if old and _read_domains(old) != _read_domains(new):
-            self._former.append(_Former(revision, dict(old)))
+            self._former.append(_Former(revision, now, dict(old)))
 
-    def agree(self, revision: int) -> bool:
+    def agree(self, revision: int, now: Millis) -> bool:
         """Take in the revision that all routers have; tell if a change is over."""
-        left = [one for one in self._former if one.superseded > revision]
+        left = [
+            one
+            for one in self._former
+            if one.superseded > revision and now - one.at <= MOST_BEHIND
+        ]
         ended = len(left) < len(self._former)
         self._former = left
         return ended
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -13,6 +13,7 @@
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.former import MOST_BEHIND
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
 from anvilshift.core.spreading import Entrance, order_entrances
@@ -180,7 +181,11 @@
         await self.fleet.beat_all()
         self._count_routers()
         # One that is behind may still send a content to targets that are gone.
+        until = self.clock.now() + MOST_BEHIND
         while self.fleet.find_common_revision() < self.fleet.member.since:
+            if self.clock.now() > until:
+                logging.warning("some router stays behind, serving beside it")
+                break
             await asyncio.sleep(self.settings.heartbeat / SECOND)
         self._introduced = True
 
