Split the large modules round bills and lost routers

Grants and commits have modules of their own (core/grant.py, core/commit.py); the decision whether an answer may end before its bill is recorded stands in router/earlyrelease.py, the shared call for unused tokens in router/peerrequests.py, and the sealing and removal of lost routers in router/lostrouters.py.

--- a/anvilshift/core/account.py
+++ b/anvilshift/core/account.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from anvilshift.core.errors import check_invariant
+from anvilshift.core.grant import Grant
 
 KEY_CHARS = 12
 """Characters of the digest that identifies a recorded bill: 72 bits, at which the
@@ -24,47 +25,6 @@
 """Length in seconds of a time slot; the marks of one slot are dropped together."""
 
 
-@dataclass(frozen=True)
-class Grant:
-    """Tokens that one holder may spend from one account.
-
-    Parameters
-    ----------
-    drawn
-        Total tokens given to the holder, minus those it returned.
-    billed
-        Total tokens of the holder's recorded bills.
-    allowance
-        Tokens of bills whose answers the holder may end before the ledger has
-        recorded the bills.
-    doubt
-        Tokens that a sealed holder may have billed without recording them.
-    sealed
-        Whether the grant is closed to commits of its holder.
-    witness
-        Incarnation of the router that must hold a copy of each bill before
-        the holder ends the answer unrecorded; empty when no copy is needed.
-    """
-
-    drawn: int = 0
-    billed: int = 0
-    allowance: int = 0
-    doubt: int = 0
-    sealed: bool = False
-    witness: str = ""
-
-    @property
-    def held(self) -> int:
-        """Return the tokens that the holder may still spend."""
-        return 0 if self.sealed else self.drawn - self.billed
-
-    def seal(self) -> "Grant":
-        """Return the grant closed: its allowance in doubt, the rest freed."""
-        if self.sealed:
-            return self
-        return replace(self, sealed=True, doubt=min(self.allowance, self.held))
-
-
 @dataclass(frozen=True)
 class Bill:
     """The cost of one request of an organisation.
--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -10,9 +10,9 @@
 
 from anvilshift.core.account import Bill, BillState, Draw
 from anvilshift.core.clock import Millis
+from anvilshift.core.commit import BillKey, Commit, Outcome
 from anvilshift.core.errors import InvariantError
 from anvilshift.core.grantstate import GrantState
-from anvilshift.core.ledger import BillKey, Commit, Outcome
 
 Bills = tuple[tuple[str, Bill], ...]
 """Pairs of account name and bill."""
--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from anvilshift.core.account import Bill, Draw, Grant
+from anvilshift.core.account import Bill, Draw
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import (
     BUDGET_EXHAUSTED,
@@ -15,6 +15,7 @@
     Code,
     check_invariant,
 )
+from anvilshift.core.grant import Grant
 
 REFILL_BELOW_FRACTION = 0.5
 """Draw tokens when less than this fraction of the cushion is available: early enough
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -15,19 +15,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from anvilshift.core.account import (
-    Account,
-    Bill,
-    BillState,
-    Draw,
-    Grant,
-    make_mark,
-)
+from anvilshift.core.account import Account, Bill, BillState, Draw, make_mark
+from anvilshift.core.commit import BillKey, Commit, Outcome
 from anvilshift.core.errors import InvariantError
+from anvilshift.core.grant import Grant
 
 __all__ = [
     "Account",
     "Bill",
+    "BillKey",
     "BillState",
     "Commit",
     "Draw",
@@ -43,9 +39,6 @@
 
 _REFUSED = BillState.REFUSED
 
-BillKey = tuple[str, str]
-"""The account and the key of a bill."""
-
 
 @dataclass(frozen=True)
 class Holder:
@@ -83,68 +76,6 @@
         return BillState.REFUSED if bill.key in self.refused else BillState.RECORDED
 
 
-@dataclass(frozen=True)
-class Commit:
-    """A group of bills and draws that one holder submits together.
-
-    Parameters
-    ----------
-    bills
-        Pairs of account name and bill.
-    draws
-        Requested change of the grant, by account.
-    joined
-        Whether the holder knows that one of its earlier commits took effect.
-        If so and the ledger has no entry for it, the holder was sealed and then
-        removed; otherwise it may be new.
-    closing
-        Whether the holder returns all its tokens and ends.
-    number
-        Number of commits that the holder has begun, including this one.
-    """
-
-    holder: str
-    bills: tuple[tuple[str, Bill], ...] = ()
-    draws: Mapping[str, Draw] = field(default_factory=dict)
-    joined: bool = False
-    closing: bool = False
-    number: int = 0
-
-    @property
-    def account_names(self) -> list[str]:
-        """Return the names of the accounts that the commit changes, sorted."""
-        return sorted({name for name, _ in self.bills} | set(self.draws))
-
-
-@dataclass(frozen=True)
-class Outcome:
-    """Result of a commit.
-
-    Parameters
-    ----------
-    sealed
-        Whether the holder was already sealed, so that the commit had no effect.
-    bills
-        State of each bill, by account and key; for a sealed holder, only of the
-        bills that an earlier commit recorded or refused.
-    grants
-        The holder's grant after the commit, by account.
-    free
-        Tokens that can be drawn, by account.
-    elsewhere
-        Tokens in other holders' open grants, by account.
-    frozen
-        Accounts that violate an invariant; the commit did not change them.
-    """
-
-    sealed: bool = False
-    bills: Mapping[BillKey, BillState] = field(default_factory=dict)
-    grants: Mapping[str, Grant] = field(default_factory=dict)
-    free: Mapping[str, int] = field(default_factory=dict)
-    elsewhere: Mapping[str, int] = field(default_factory=dict)
-    frozen: frozenset[str] = frozenset()
-
-
 @dataclass(frozen=True)
 class Ledger:
     """Accounts that are stored in one object of the platform.
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -16,7 +16,7 @@
 from anvilshift.core.lease import Lease
 from anvilshift.core.membership import HeartbeatStatus, Member, Roster
 from anvilshift.objects.records import decode, encode
-from anvilshift.objects.store import Body, ConflictError, ObjectStore, update
+from anvilshift.objects.store import Body, ObjectStore, update
 from anvilshift.peers.generated.peers_pb2 import (
     Crash,
     GiveBackReply,
@@ -35,6 +35,7 @@
 from anvilshift.router.billcopyholders import BillCopyHolders
 from anvilshift.router.budgets import RouterBudgets
 from anvilshift.router.following import ROUTER_KIND
+from anvilshift.router.lostrouters import LostRouters
 from anvilshift.router.messages import (
     make_heartbeat,
     read_bills,
@@ -111,7 +112,15 @@
         self._budgets = budgets
         self._heartbeat = heartbeat
         self._in_flight = in_flight
-        self._sealed: set[str] = set()
+        self._lost_routers = LostRouters(
+            store,
+            budgets,
+            self.lease,
+            clock,
+            lambda: self.members,
+            lambda: self.member,
+            self._remove_member,
+        )
         self._beats: dict[str, asyncio.Task[None]] = {}
         self._declarations_listed = asyncio.Event()
         self._renewal_requested = asyncio.Event()
@@ -173,7 +182,7 @@
         if name == self.member.name:
             return
         if body is None:
-            self.members = self.members.remove(name)
+            self._remove_member(name)
             self.on_members_changed()
             return
         try:
@@ -214,7 +223,7 @@
         while True:
             self._renewal_requested.clear()
             await self._renew()
-            await self._remove_lost()
+            await self._lost_routers.seal_and_remove()
             await asyncio.sleep(min_interval / SECOND)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout((pause - min_interval) / SECOND):
@@ -251,50 +260,8 @@
             self.required_revision = max(self.required_revision, stored.version)
         self.lease.succeed(self._clock.now())
 
-    async def _remove_lost(self) -> None:
-        now = self._clock.now()
-        lost = self.members.lost(now)
-        self._sealed &= {member.incarnation for member in lost}
-        if not self.lease.holds(now):
-            return
-        with contextlib.suppress(AnvilshiftError):
-            await self._budgets.seal_lost(self._list_incarnations())
-        for member in lost:
-            try:
-                await self._seal(member)
-                if self._may_remove(member):
-                    await self._remove(member)
-            except AnvilshiftError as error:
-                logging.warning("removal failed code=%d", error.code.number)
-
-    def _may_remove(self, member: Member) -> bool:
-        now = self._clock.now()
-        renewing_for = self.lease.renewing_for(now)
-        return self.members.may_remove(member, self.member, renewing_for, now)
-
-    async def _seal(self, member: Member) -> None:
-        if member.incarnation in self._sealed:
-            return
-        logging.warning("sealing lost router=%s", member.name)
-        await self._budgets.seal(member.incarnation)
-        await self._budgets.seal_lost(self._list_incarnations())
-        self._sealed.add(member.incarnation)
-
-    async def _remove(self, member: Member) -> None:
-        logging.warning("removing lost router=%s", member.name)
-        found = await self._store.get(ROUTER_KIND, member.name)
-        if found and found.body.get("incarnation") == member.incarnation:
-            if decode(Member, found.body).beat > member.beat:
-                return
-            with contextlib.suppress(ConflictError):
-                await self._store.delete(ROUTER_KIND, found.name, found.version)
-        self.members = self.members.remove(member.name)
-
-    def _list_incarnations(self) -> set[str]:
-        return {
-            status.member.incarnation
-            for status in self.members.member_statuses.values()
-        }
+    def _remove_member(self, name: str) -> None:
+        self.members = self.members.remove(name)
 
     def _make_heartbeat(self) -> Heartbeat:
         heartbeat_status = HeartbeatStatus(
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -22,8 +22,10 @@
 from anvilshift.objects.ledgers import LEDGER_KIND, decode_ledger
 from anvilshift.objects.records import encode
 from anvilshift.objects.store import Body, ObjectStore
+from anvilshift.router.earlyrelease import EarlyRelease
 from anvilshift.router.hooks import Hooks
 from anvilshift.router.outcomes import BillOutcomes
+from anvilshift.router.peerrequests import PeerRequests
 from anvilshift.router.refusals import make_budget_error, make_not_recorded_error
 from anvilshift.router.sealing import BILL_LIFETIME_S, HOLDER_LIFETIME_S, Sealing
 
@@ -82,6 +84,7 @@
             1 + zlib.crc32(incarnation.encode()) % 100 / 500
         )
         self._hooks = hooks
+        self.early_release = EarlyRelease(hooks)
         self._object = CachedObject(store, LEDGER_KIND, name)
         self._lock = asyncio.Lock()
         self.sealing = Sealing(self._object, self._lock, clock)
@@ -91,7 +94,7 @@
         self._commits_ended = 0
         self._awaited_commit = 0
         self._outcomes = BillOutcomes()
-        self._peer_requests: dict[str, asyncio.Future[None]] = {}
+        self._peer_requests = PeerRequests(hooks)
         self._consecutive_failures = 0
         self._failing_since: Millis | None = None
         self._in_flight_since: Millis | None = None
@@ -136,7 +139,7 @@
             if attempt and not self.holder_accounts.grant_states[account].elsewhere:
                 break
             if attempt:
-                await self._ask_peers(account)
+                await self._peer_requests.ask(account)
             await self._wait_next_commit()
         self._refuse(account, key, tokens)
 
@@ -150,15 +153,6 @@
             self._commit_requested.set()
         return True
 
-    async def _ask_peers(self, account: str) -> None:
-        # All waiting requests of an account share one call: each call costs
-        # every peer a commit.
-        if account not in self._peer_requests:
-            request = asyncio.ensure_future(self._hooks.ask_peers(account))
-            request.add_done_callback(lambda _: self._peer_requests.pop(account, None))
-            self._peer_requests[account] = request
-        await asyncio.wait([self._peer_requests[account]])
-
     def _raise_cached_refusal(self, account: str, tokens: int) -> None:
         grant_state = self.holder_accounts.grant_states[account]
         code = grant_state.recall_refusal(tokens, self._clock.now())
@@ -216,33 +210,11 @@
         left = None if until is None else (until - self._clock.now()) / SECOND
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(left):
-                return await self._release_early(account, key)
+                return await self.early_release.release(
+                    self.holder_accounts, account, key
+                )
         return False
 
-    async def _release_early(self, account: str, key: str) -> bool:
-        holder_accounts = self.holder_accounts
-        bill = holder_accounts.grant_states[account].pending.get(key)
-        # A bill that isn't pending here is being submitted for a sealed holder;
-        # the answer can only end when it is recorded.
-        if bill is None or not holder_accounts.release_early(account, key):
-            return False
-        witness = holder_accounts.grant_states[account].grant.witness
-        copies = ((account, bill),)
-        # Copies at other routers can't close the amount in doubt; they serve to
-        # record the bill if holder and witness are lost together.
-        peer_copies = self._hooks.keep_copies(holder_accounts.holder, copies, witness)
-        if not witness:
-            await peer_copies
-            return True
-        # The witness must have its copy before the answer ends: otherwise, when the
-        # witness closes the amount in doubt of a lost holder, tokens that this
-        # answer has spent would return to the budget.
-        witness_copy = self._hooks.store_at_witness(
-            witness, holder_accounts.holder, copies
-        )
-        kept, _ = await asyncio.gather(witness_copy, peer_copies)
-        return kept
-
     async def _wait_next_commit(self) -> None:
         """Wait until a commit that begins after this call has ended.
 
