Resolve a sealed holder whatever the sealer's clock showed

What callers saw: nothing at once; their organisation's tokens stayed in doubt, and a bill whose witness was killed meanwhile was lost.

Cause: RouterBudgets listed only the holders sealed before its own time of day. A holder sealed by a router whose clock is an hour ahead was therefore left alone for an hour: its witness neither billed its copies nor closed it.

A sealer 5 s ahead delays it by 5 s.

Ruled out: that the date matters for safety.

Change: every sealed holder is resolved.

Before: test_seal_dated_an_hour_ahead_is_resolved_by_the_witness red (0, not 60); after: green.

--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -101,9 +101,13 @@
         """Return the holders that may still commit."""
         return [name for name, entry in self.holders.items() if not entry.sealed_at]
 
-    def list_sealed(self, before: int) -> list[str]:
-        """Return the holders that were sealed before a time and are still listed."""
-        return [n for n, one in self.holders.items() if 0 < one.sealed_at < before]
+    def list_sealed(self, before: int | None = None) -> list[str]:
+        """Return the listed holders that were sealed, or sealed before a time."""
+        return [
+            name
+            for name, one in self.holders.items()
+            if one.sealed_at > 0 and (before is None or one.sealed_at < before)
+        ]
 
     def list_witnesses(self, holder: str) -> set[str]:
         """Return the witnesses of a holder's grants that have tokens in doubt."""
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -235,7 +235,7 @@
         self, client: LedgerClient, ledger: Ledger
     ) -> None:
         expired_before = self._clock.wall() - HOLDER_LIFETIME_S
-        for holder in ledger.list_sealed(before=self._clock.wall() + 1):
+        for holder in ledger.list_sealed():
             witnesses = ledger.list_witnesses(holder)
             if self._incarnation in witnesses:
                 bills = self._select_bills(self.copies.close(holder), client)
