Write a sealed holder off only after having seen it sealed for a while

What callers saw: an answer that ended in an outage was never billed though its witness had the bill; the organisation lost the whole allowance instead.

Ruled out: the witness's closing and the late bill themselves (green in any order once nobody writes off).

A witness closes a holder within seconds of reaching the platform.

Before: both tests red (0, not 60); after: green. A router that restarts starts the ten minutes anew, which delays a write-off and changes nothing else.

--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -30,6 +30,10 @@
 """Time for which a holder must belong to no known router before it is sealed.  It
 spans several leases, because a router that has just started writes its grants a
 little before the others read its record."""
+WRITE_OFF_DELAY: Millis = 600 * SECOND
+"""Time for which this router must have known a holder as sealed before it writes the
+holder off.  The date of the seal can't be relied on alone: with a wrong clock, tokens
+would be written off whose bills a witness or a keeper of copies is about to submit."""
 
 
 class RouterBudgets:
@@ -60,6 +64,7 @@
         self._shards = 0
         self._ledger_clients: dict[str, LedgerClient] = {}
         self._unknown_since: dict[str, Millis] = {}
+        self._sealed_since: dict[str, Millis] = {}
 
     @property
     def keep_copies(self) -> KeepCopies:
@@ -229,23 +234,31 @@
                 if not any(belongs(holder, incarnation) for incarnation in known)
             }
         self.copies.keep_only(holders)
+        self._sealed_since = {
+            holder: since
+            for holder, since in self._sealed_since.items()
+            if holder in holders
+        }
         await self._seal_orphans(unknown)
 
     async def _resolve_sealed_holders(
         self, client: LedgerClient, ledger: Ledger
     ) -> None:
-        expired_before = self._clock.wall() - HOLDER_LIFETIME_S
+        now = self._clock.now()
+        expired = ledger.list_sealed(before=self._clock.wall() - HOLDER_LIFETIME_S)
         for holder in ledger.list_sealed():
             witnesses = ledger.list_witnesses(holder)
+            since = self._sealed_since.setdefault(holder, now)
             if self._incarnation in witnesses:
                 bills = self._select_bills(self.copies.close(holder), client)
                 await client.sealing.submit_late_bills(
                     holder, bills, closer=self._incarnation
                 )
-            elif self._select_bills(self.copies.list(holder), client):
+                continue
+            if self._select_bills(self.copies.list(holder), client):
                 bills = self._select_bills(self.copies.list(holder), client)
                 await client.sealing.submit_late_bills(holder, bills)
-            elif holder in ledger.list_sealed(before=expired_before):
+            elif holder in expired and now - since >= WRITE_OFF_DELAY:
                 await client.sealing.write_off(holder)
 
     async def _seal_orphans(self, unknown: set[str]) -> None:
--- a/tests/router/test_wall_clocks.py
+++ b/tests/router/test_wall_clocks.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.router.billorders import TOKENS, OrdersCase, Routers
+from tests.router.billorders import DAY_S, TOKENS, OrdersCase, Routers, WallClock
 
 HOUR_S = 3_600
 
@@ -28,6 +28,20 @@
         await routers.sweep()
         self.assert_billed(routers, completed=True)
 
+    async def test_seal_dated_two_days_ago_leaves_the_witness_its_bill(self):
+        """A seal with an old date must not be written off before the witness bills."""
+        routers = await self.complete_and_seal("request r3", r3=-2 * DAY_S)
+        # The sealer's clock is set right after the seal.
+        routers.third._clock = WallClock(0)
+        await routers.sweep("r3", "r2")
+        self.assert_billed(routers, completed=True)
+
+    async def test_sweep_two_days_ahead_leaves_the_witness_its_bill(self):
+        """A router whose clock is ahead must not write off a holder just sealed."""
+        routers = await self.complete_and_seal("request r3", sealer="r2", r3=2 * DAY_S)
+        await routers.sweep("r3", "r2")
+        self.assert_billed(routers, completed=True)
+
     async def test_bill_of_a_slow_clock_is_recognised_in_a_repeat(self):
         """A repeat within seconds must be recognised, whatever the clocks show."""
         routers = Routers(r1=-300)
