Keep copies of a holder that joined after the ledger was read

What callers saw: an answer that ended in an outage was never billed and its tokens were freed, so the budget could pay them out a second time.

A holder that drew its first tokens after the reading, and left a copy before the response came, was taken for gone: its witness dropped the copy, then closed it with an empty list.

How often a read takes as long as a first commit and an answer was not measured.

Ruled out: the commit, the seal and the closing (each other order is green).

Change: only copies that were kept before the reading began can be dropped by it.

Before: test_copy_kept_while_the_witness_reads_an_older_ledger_is_billed red (0, not 60); after: green.

--- a/anvilshift/core/billcopies.py
+++ b/anvilshift/core/billcopies.py
@@ -80,9 +80,9 @@
         self._closed.add(holder)
         return self.list(holder)
 
-    def keep_only(self, holders: Collection[str]) -> None:
-        """Drop the copies of all holders but the given ones."""
-        self._bills = {h: kept for h, kept in self._bills.items() if h in holders}
+    def drop_holders(self, holders: Collection[str]) -> None:
+        """Drop the copies of some holders."""
+        self._bills = {h: kept for h, kept in self._bills.items() if h not in holders}
 
     def drop_recorded(self, ledger: Ledger) -> None:
         """Drop the copies of bills that a ledger has recorded."""
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -220,6 +220,9 @@
             added.
         """
         known = {*incarnations, self._incarnation}
+        # A holder that has joined since the ledger was read is missing from that
+        # reading; only copies kept before it may be dropped.
+        copied = set(self.copies.list_holders())
         unknown: set[str] = set()
         holders: set[str] = set()
         for client in await self._all_ledger_clients():
@@ -233,7 +236,7 @@
                 for holder in ledger.list_open()
                 if not any(belongs(holder, incarnation) for incarnation in known)
             }
-        self.copies.keep_only(holders)
+        self.copies.drop_holders(copied - holders)
         self._sealed_since = {
             holder: since
             for holder, since in self._sealed_since.items()
--- a/tests/router/test_bill_orders.py
+++ b/tests/router/test_bill_orders.py
@@ -216,6 +216,33 @@
             self.assertEqual(routers.account.spent, TOKENS)
             self.assert_billed(routers, completed)
 
+    async def test_copy_kept_while_the_witness_reads_an_older_ledger_is_billed(self):
+        """A sweep must not drop a copy that is newer than the ledger that it read.
+
+        The witness reads the ledger before the holder's first commit; the response
+        arrives after the witness has accepted a copy from that holder.
+        """
+        routers = Routers()
+        await routers.open()
+        await routers.second.reserve("pounds", "other", 1)
+        response = asyncio.Event()
+
+        async def hold(caller, operation):
+            if (caller, operation) == ("r2", "get"):
+                await response.wait()
+
+        routers.store.faults.after = hold
+        sweeping = asyncio.create_task(routers.sweep("r2", rounds=1))
+        await asyncio.sleep(0.01)
+        await routers.holder.reserve("pounds", "a", TOKENS)
+        routers.cut("r1")
+        routers.lost = {"request r3"}
+        self.assertTrue(await routers.end_answer())
+        response.set()
+        await sweeping
+        await routers.kill_and_seal()
+        self.assert_billed(routers, completed=True)
+
 
 if __name__ == "__main__":
     unittest.main()
