Leave a bill open that a commit skipped with its frozen account

What callers saw: an answer that ended while an account was broken by an operator's script was never billed after the repair, and its tokens were freed.

Cause: a commit that meets an invalid account leaves its bills out but stores its own number. A bill made before the newest commit began, and not among the refused ones, counts as recorded; so the late bill that the witness handed in was taken for a duplicate.

Evidence: a forced order (account broken, commit with the bill, released with copies at two routers, account repaired, kill, seal): spent 0, doubt freed.

Ruled out: the copies (both routers had them) and the freezing at the holder.

Change: the ledger notes the keys that a commit skipped; these bills are neither recorded nor refused. The field is new, with an empty default; an older build that writes the object drops it and is then where it was.

Before: test_commit_meets_a_broken_account_is_billed_after_its_repair red (0, not 60); after: green.

--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -56,6 +56,9 @@
         whose response was lost.
     refused
         Keys of the bills that its newest commit refused.
+    skipped
+        Keys of the bills that a commit listed and left out, because their account was
+        frozen.  They are neither recorded nor refused.
     late
         Marks of the bills submitted after it was sealed.  They are kept as long
         as the entry: a router with copies may submit them again after an outage
@@ -65,13 +68,14 @@
     sealed_at: int = 0
     last: int = 0
     refused: tuple[str, ...] = ()
+    skipped: tuple[str, ...] = ()
     late: tuple[str, ...] = ()
 
     def find_state(self, bill: Bill) -> BillState | None:
         """Return the state of a bill from earlier commits; None if unknown."""
         if make_mark(bill.key) in self.late:
             return BillState.RECORDED
-        if bill.after >= self.last:
+        if bill.after >= self.last or bill.key in self.skipped:
             return None
         return BillState.REFUSED if bill.key in self.refused else BillState.RECORDED
 
@@ -158,7 +162,9 @@
             changed[name] = account
             states.update(found)
         refused = tuple(k for (_, k), s in states.items() if s is BillState.REFUSED)
-        holders = {**self.holders, holder: Holder(0, commit.number, refused)}
+        skipped = self._list_skipped(commit, frozen)
+        entry = Holder(0, commit.number, refused, skipped)
+        holders = {**self.holders, holder: entry}
         ledger = replace(self._with_accounts(changed), holders=holders)
         outcome = Outcome(
             bills=states,
@@ -169,6 +175,13 @@
         )
         return (ledger._remove_holder(holder) if commit.closing else ledger), outcome
 
+    def _list_skipped(self, commit: Commit, frozen: set[str]) -> tuple[str, ...]:
+        # A holder that knows the account to be frozen doesn't list its bills again.
+        before = self.holders.get(commit.holder, Holder()).skipped
+        listed = {bill.key for _, bill in commit.bills}
+        kept = tuple(key for key in before if key not in listed)
+        return kept + tuple(bill.key for name, bill in commit.bills if name in frozen)
+
     def _find_states(
         self, holder: str, bills: tuple[tuple[str, Bill], ...]
     ) -> dict[BillKey, BillState]:
--- a/tests/router/test_bill_orders.py
+++ b/tests/router/test_bill_orders.py
@@ -1,8 +1,12 @@
 """Who can bill an answer, for forced orders of its end, the messages and the kill."""
 
 import asyncio
+import copy
 import unittest
 
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.objects.store import update
+from anvilshift.router.budgets import LEDGER_KIND, LEDGER_NAME
 from tests.router.billorders import DAY_S, TOKENS, OrdersCase, Routers
 
 
@@ -244,5 +248,42 @@
         self.assert_billed(routers, completed=True)
 
 
+class FrozenOrdersTest(OrdersCase):
+    """The account is broken and repaired before or after the end of the answer."""
+
+    async def set_spent(self, routers: Routers, tokens: int) -> None:
+        """Change the account as an operator's script would."""
+
+        def change(body):
+            changed = copy.deepcopy(body)
+            changed["accounts"]["pounds"]["spent"] = tokens
+            return changed
+
+        await update(routers.store, LEDGER_KIND, LEDGER_NAME, change)
+
+    async def test_commit_meets_a_broken_account_is_billed_after_its_repair(self):
+        """A bill that a commit left out must not count as recorded afterwards."""
+        routers = Routers()
+        await routers.reserve()
+        await self.set_spent(routers, 5_000)
+        completed = await routers.end_answer()
+        self.assertEqual(routers.account.usage, {})
+        await self.set_spent(routers, 0)
+        await routers.kill_and_seal()
+        self.assert_billed(routers, completed)
+
+    async def test_answer_that_ends_after_the_repair_is_billed(self):
+        """A bill that no commit can list must be billed from its copy."""
+        routers = Routers()
+        await routers.reserve()
+        await self.set_spent(routers, 5_000)
+        with self.assertRaises(AnvilshiftError):
+            await routers.holder.reserve("pounds", "b", 900)
+        await self.set_spent(routers, 0)
+        completed = await routers.end_answer()
+        await routers.kill_and_seal()
+        self.assert_billed(routers, completed)
+
+
 if __name__ == "__main__":
     unittest.main()
