Hold an answer's end back until another process has its bill

What callers saw: nothing; they had whole answers.

Cause: a router that hears no other router for a lease (5 s) while it still reaches the platform commits its grants with no witness and the full allowance. When the platform goes too, each answer that has waited 400 ms for its bill was let go, because the early release ignored whether any router had kept a copy (`if not witness: await peer_copies; return True`). Killed then, the router took the bills along.

A router that starts inside the cut comes to the same (it has never heard anyone), and so does one that committed once before its first heartbeat and was idle since.

Ruled out: a witness lost or closed over a copy, spare copies that died with their routers, a dropped copy, a lost response of the commit, a race of copy and seal, the successor of a sealed holder (each by a forced order or a traced run).

Change: without a witness an answer ends once another router keeps its bill. One that is the whole fleet has nobody to wait for; it goes on as before, and says so in its log.

--- a/anvilshift/router/earlyrelease.py
+++ b/anvilshift/router/earlyrelease.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+from absl import logging
+
 from anvilshift.core.account import Bill
 from anvilshift.core.escrow import Escrow
 from anvilshift.router.hooks import Hooks
@@ -28,7 +30,18 @@
         copies = self._send_copies(holder_accounts, account, bill)
         if grant_state.grant.witness:
             return await self._store_at_witness(holder_accounts, account, bill, copies)
-        await copies
+        # A router that reaches nobody holds the end back: killed then, it would take
+        # the bill along.  One that is the whole fleet has nobody to wait for.
+        if await copies:
+            return True
+        if self._hooks.has_peers():
+            return False
+        logging.warning(
+            "answer released without a copy holder=%s account=%s tokens=%d",
+            holder_accounts.holder,
+            account,
+            bill.tokens,
+        )
         return True
 
     def _send_copies(
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -130,6 +130,7 @@
         budgets.ask_peers = self.ask_peers
         budgets.hooks.store_at_witness = self.bill_copies.store_at_witness
         budgets.hooks.choose_witness = self.bill_copies.choose
+        budgets.hooks.has_peers = lambda: bool(self.members.member_statuses)
 
     def start(self) -> None:
         """Start to send heartbeats and to renew the record."""
--- a/anvilshift/router/hooks.py
+++ b/anvilshift/router/hooks.py
@@ -39,4 +39,5 @@
     store_at_witness: KeepWitnessed = _decline_witnessed_copies
     choose_witness: Callable[[str], str] = lambda current: ""
     ask_peers: AskPeers = _skip_asking
+    has_peers: Callable[[], bool] = lambda: False
     count_event: Callable[[str], None] = lambda event: None
--- a/tests/bench/test_courses.py
+++ b/tests/bench/test_courses.py
@@ -8,6 +8,7 @@
 
 from bench.soak.course import Course
 from bench.soak.drawn import draw_course
+from bench.soak.isolated import draw_isolated_course
 from bench.soak.run import play_course
 
 COURSES = pathlib.Path(__file__).parent / "courses"
@@ -15,6 +16,7 @@
 LIMIT_CHECK = "limits are kept"
 BILL_CHECK = "answer is billed"
 DRAWN, DRAWN_SECONDS = (1, 2), 30.0
+ISOLATED = range(1, 7)
 NETWORK_SEEDS = range(3)
 """Seeds of the message delays; the times of events are fixed by the course."""
 
@@ -59,6 +61,22 @@
         """Guards against copies of bills that are lost in a planned stop."""
         self.play("8049", BILL_CHECK, networks=(1,))
 
+    def test_bill_of_an_isolated_router_that_is_killed(self):
+        """Guards against an answer that ends while no other process has its bill."""
+        self.play("4001", BILL_CHECK)
+
+    def test_bills_of_isolated_routers_that_are_killed(self):
+        """Guards against losing bills at any moment of an isolated router's end.
+
+        The router has no witness when it loses the platform, and it is killed before
+        that, while it ends answers, or later.
+        """
+        for seed in ISOLATED:
+            with self.subTest(seed=seed):
+                journal = play_course(draw_isolated_course(seed), seed)
+                self.assertGreater(journal.checks[BILL_CHECK], 0)
+                self.assertGreater(journal.faults["kill_router"], 0)
+
     def test_invariants_hold_where_routers_know_different_things(self):
         """Guards against bounds that hold only while routers have the same state.
 
@@ -74,6 +92,9 @@
     def test_drawn_course_is_the_same_each_time(self):
         self.assertEqual(draw_course(7, 20.0), draw_course(7, 20.0))
 
+    def test_isolated_course_is_the_same_each_time(self):
+        self.assertEqual(draw_isolated_course(7), draw_isolated_course(7))
+
     def test_course_is_read_as_it_was_written(self):
         course = draw_course(7, 20.0)
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/router/billorders.py
+++ b/tests/router/billorders.py
@@ -67,6 +67,7 @@
             budgets.hooks.choose_witness = lambda current: self.witness
             budgets.hooks.store_at_witness = self._store_at_witness
             budgets.keep_copies = self._keep_spare_copies
+            budgets.hooks.has_peers = lambda: True
         return budgets
 
     async def _store_at_witness(self, witness, holder, bills):
--- a/tests/router/test_bill_orders.py
+++ b/tests/router/test_bill_orders.py
@@ -59,6 +59,31 @@
 class CommitOrdersTest(OrdersCase):
     """The kill comes before or after the commit request and its response."""
 
+    async def test_cut_before_the_end_without_witness_is_billed(self):
+        """A router that reaches nobody must not complete what nobody can bill."""
+        routers = Routers(witness="")
+        await routers.reserve()
+        routers.cut("r1")
+        routers.lose_all_copies()
+        completed = await routers.end_answer()
+        await routers.kill_and_seal()
+        self.assert_billed(routers, completed)
+
+    async def test_commit_request_lost_without_witness_is_billed(self):
+        """A commit lost on its way must not be all that has the bill."""
+        routers = Routers(witness="")
+        await routers.reserve()
+        routers.lose_all_copies()
+
+        async def cut(caller, operation):
+            if (caller, operation) == ("r1", "put"):
+                routers.cut("r1")
+
+        routers.store.faults.before = cut
+        completed = await routers.end_answer()
+        await routers.kill_and_seal()
+        self.assert_billed(routers, completed)
+
     async def test_commit_response_lost_without_witness_is_billed(self):
         """A commit that took effect must bill even if its response was lost."""
         routers = Routers(witness="")
