Record fixed costs before the bills, and bill those of lost routers

What callers saw: nothing; they had whole answers.

Cause: nothing but the bill itself, made when the work has run, ever left the router. After the kill the ledger knows an allowance, and nobody which requests it went to.

Change: what a call of a plain service costs is known before it runs. Commits that are made anyway list these costs for the open requests, within the allowance, and only if the grant covers all who wait. An answer whose bill equals its entry may end without a copy elsewhere, for any router can make that bill. An entry ends with the request's bill, from whatever router, or with a commit of its own when the request ended without one. Model requests, whose costs are counted when they have run (`metered`), are never listed; their ends are held back.

What the rule costs: a call whose router was killed after the entry was recorded and before its first byte left is billed though it did not run, if no witness is left and nobody sends it again.

Ruled out: billing a reservation at its most (several times the cost of a model request; requests that wait would be billed); asking the engines (no record of a finished attempt is kept); a limit of entries beside the allowance (what is in doubt after the seal could not pay both).

--- a/anvilshift/core/account.py
+++ b/anvilshift/core/account.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 from anvilshift.core.errors import check_invariant
-from anvilshift.core.grant import Grant
+from anvilshift.core.grant import Grant, ReservationList
 
 KEY_CHARS = 12
 """Characters of the digest that identifies a recorded bill: 72 bits, at which the
@@ -231,14 +231,34 @@
         marks = by_holder.get(bill.holder, "") + make_mark(bill.key)
         marks += _encode_tokens(bill.tokens)
         by_holder[bill.holder] = marks
+        grants = {**self.grants, bill.holder: grant}
+        # A request that was sent again to another router is reserved at both.  The
+        # reservation of a lost router goes with the bill: were it billed after the
+        # bill's mark is dropped, the request would be billed twice.
+        grants = {name: g.without_reservation(bill.key) for name, g in grants.items()}
         return replace(
             self,
             spent=self.spent + bill.tokens,
-            grants={**self.grants, bill.holder: grant},
+            grants=grants,
             recent={**self.recent, slot: by_holder},
             usage=usage,
         ).check()
 
+    def list_reservations(self, holder: str, listed: ReservationList) -> "Account":
+        """Return the account with a holder's list of reservations recorded.
+
+        None is added that the allowance doesn't cover, nor while the grant is smaller
+        than what the holder needs: a request that still waits for tokens may be
+        refused, and would be billed without having run if its holder were lost then.
+        """
+        grant, entries = self.grant(holder), listed.entries
+        total = sum(one.tokens for one in entries.values())
+        if grant.held < listed.need or total > grant.allowance:
+            entries = {k: one for k, one in entries.items() if k in grant.reservations}
+        if entries == grant.reservations:
+            return self
+        return self.with_grant(holder, replace(grant, reservations=entries))
+
     def draw(self, holder: str, draw: Draw) -> "Account":
         """Return the account with a holder's grant changed as requested.
 
--- a/anvilshift/core/commit.py
+++ b/anvilshift/core/commit.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.account import Bill, BillState, Draw
-from anvilshift.core.grant import Grant
+from anvilshift.core.grant import Grant, ReservationList
 
 BillKey = tuple[str, str]
 """The account and the key of a bill."""
@@ -20,6 +20,8 @@
         Pairs of account name and bill.
     draws
         Requested change of the grant, by account.
+    reservations
+        Fixed costs of the holder's open requests, by account.
     joined
         Whether the holder knows that one of its earlier commits took effect.
         If so and the ledger has no entry for it, the holder was sealed and then
@@ -36,11 +38,13 @@
     joined: bool = False
     closing: bool = False
     number: int = 0
+    reservations: Mapping[str, ReservationList] = field(default_factory=dict)
 
     @property
     def account_names(self) -> list[str]:
         """Return the names of the accounts that the commit changes, sorted."""
-        return sorted({name for name, _ in self.bills} | set(self.draws))
+        billed = {name for name, _ in self.bills}
+        return sorted(billed | set(self.draws) | set(self.reservations))
 
 
 @dataclass(frozen=True)
--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -12,6 +12,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.commit import BillKey, Commit, Outcome
 from anvilshift.core.errors import InvariantError
+from anvilshift.core.grant import Reservation
 from anvilshift.core.grantstate import GrantState
 
 Bills = tuple[tuple[str, Bill], ...]
@@ -59,16 +60,26 @@
         for state in self.grant_states.values():
             state.witness = witness
 
-    def reserve(self, account: str, key: str, tokens: int, now: Millis = 0.0) -> bool:
-        """Reserve tokens for a request; return False if too few are available."""
-        return self.grant_states[account].reserve(key, tokens, now)
+    def reserve(
+        self,
+        account: str,
+        key: str,
+        tokens: int,
+        now: Millis = 0.0,
+        fixed_cost: Reservation | None = None,
+    ) -> bool:
+        """Reserve tokens for a request; return False if too few are available.
+
+        Parameters
+        ----------
+        fixed_cost
+            What the request costs if that is known before it runs; commits record it.
+        """
+        return self.grant_states[account].reserve(key, tokens, now, fixed_cost)
 
     def release(self, account: str, key: str) -> None:
         """Cancel the reservation of a request that costs nothing."""
-        state = self.grant_states[account]
-        state.reserved.pop(key, None)
-        state.waiting.pop(key, None)
-        state.carried.discard(key)
+        self.grant_states[account].release(key)
 
     def bill(self, account: str, bill: Bill) -> None:
         """Replace a reservation by a bill that is pending until it is recorded."""
@@ -77,16 +88,21 @@
     def release_early(self, account: str, key: str) -> bool:
         """Tell whether an answer may end before its bill is recorded; if so, mark it.
 
-        This is limited to the allowance, which the ledger has recorded in advance:
-        if this holder is lost, sealing it leaves these tokens in doubt, and no
-        other holder can draw them.
+        The ledger must have recorded in advance the cost of the request, or else an
+        allowance that covers it: if this holder is lost, sealing it sets these tokens
+        aside or leaves them in doubt, and no other holder can draw them.
         """
         return self.grant_states[account].mark_released(key)
 
     def wants_commit(self, now: Millis = 0.0) -> bool:
-        """Tell whether there is a bill to record or a grant to change."""
+        """Tell whether there is a bill to record or a grant to change.
+
+        A reservation that was cancelled is taken back by a commit of its own, because
+        it would be billed if this holder were lost.  A new one waits for the next
+        commit that is made anyway.
+        """
         return any(
-            state.needs_draw(now) or (state.pending and not state.frozen)
+            state.needs_draw(now) or state.has_unrecorded_changes
             for state in self.grant_states.values()
         )
 
@@ -101,8 +117,20 @@
 
     def _make_commit(self, draws: Mapping[str, Draw], closing: bool = False) -> Commit:
         self.begun += 1
-        bills = self._list_bills()
-        return Commit(self.holder, bills, draws, self.joined, closing, self.begun)
+        listed = {
+            name: reservations
+            for name, state in self.grant_states.items()
+            if (reservations := state.list_reservations()) is not None
+        }
+        return Commit(
+            self.holder,
+            self._list_bills(),
+            draws,
+            self.joined,
+            closing,
+            self.begun,
+            listed,
+        )
 
     def _list_bills(self) -> Bills:
         return tuple(
@@ -157,6 +185,7 @@
         for state in self.grant_states.values():
             state.reserved.clear()
             state.waiting.clear()
+            state.fixed_costs.clear()
         return self.give_back(closing=True)
 
     def list_frozen(self) -> set[str]:
@@ -209,6 +238,7 @@
             new.frozen = state.frozen
             new.reserved = dict(state.reserved)
             new.waiting = dict(state.waiting)
+            new.fixed_costs = dict(state.fixed_costs)
             for key, bill in state.pending.items():
                 if key not in state.released:
                     new.pending[key] = replace(bill, holder=holder, after=0)
--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -15,7 +15,7 @@
     Code,
     check_invariant,
 )
-from anvilshift.core.grant import Grant
+from anvilshift.core.grant import Grant, Reservation, ReservationList
 
 REFILL_BELOW_FRACTION = 0.5
 """Draw tokens when less than this fraction of the cushion is available: early enough
@@ -64,6 +64,10 @@
         Tokens reserved by each request.
     waiting
         Tokens that each waiting request lacks.
+    fixed_costs
+        Reservations of the requests with a fixed cost that have or wait for tokens.
+    listed
+        Reservations that the ledger may have recorded.
     pending
         Bills that the ledger hasn't recorded yet, by key.
     released
@@ -93,6 +97,8 @@
     grant: Grant = field(default_factory=Grant)
     reserved: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
+    fixed_costs: dict[str, Reservation] = field(default_factory=dict)
+    listed: dict[str, Reservation] = field(default_factory=dict)
     pending: dict[str, Bill] = field(default_factory=dict)
     released: set[str] = field(default_factory=set)
     carried: set[str] = field(default_factory=set)
@@ -117,18 +123,23 @@
         """Return the tokens that a new request can reserve."""
         return self.grant.held - self.unrecorded - sum(self.reserved.values())
 
-    @property
-    def released_tokens(self) -> int:
-        """Return the tokens of pending bills whose answers may have ended."""
-        return sum(self.pending[key].tokens for key in self.released)
-
     @property
     def need(self) -> int:
         """Return the tokens that requests have reserved or wait for."""
         return sum(self.reserved.values()) + sum(self.waiting.values())
 
-    def reserve(self, key: str, tokens: int, now: Millis) -> bool:
+    @property
+    def has_unrecorded_changes(self) -> bool:
+        """Tell whether the ledger lacks bills, or may list cancelled reservations."""
+        cancelled = set(self.listed) - set(self.fixed_costs) - set(self.pending)
+        return not self.frozen and bool(self.pending or cancelled)
+
+    def reserve(
+        self, key: str, tokens: int, now: Millis, fixed_cost: Reservation | None = None
+    ) -> bool:
         """Reserve tokens for a request; return False if too few are available."""
+        if fixed_cost is not None:
+            self.fixed_costs[key] = fixed_cost
         more = tokens - self.reserved.get(key, 0)
         if more > 0 and more > self.available:
             self.waiting[key] = more
@@ -139,6 +150,18 @@
             self._count_use(more, now)
         return True
 
+    def release(self, key: str) -> None:
+        """Cancel the reservation of a request that costs nothing."""
+        self.reserved.pop(key, None)
+        self.carried.discard(key)
+        self.stop_waiting(key)
+
+    def stop_waiting(self, key: str) -> None:
+        """Draw no more tokens for a request; keep those that it has reserved."""
+        self.waiting.pop(key, None)
+        if key not in self.reserved:
+            self.fixed_costs.pop(key, None)
+
     def _count_use(self, tokens: int, now: Millis) -> None:
         self.recent_use = self._decayed_use(now) + tokens
         self.used_at = now
@@ -181,6 +204,40 @@
             and self.available < cushion * REFILL_BELOW_FRACTION
         )
 
+    def list_reservations(self) -> ReservationList | None:
+        """Return the reservations to send with a commit; None if there are none.
+
+        Together with the bills released early they stay within the allowance, because
+        sealing this holder leaves no more than that in doubt.
+        """
+        if self.frozen or not (self.fixed_costs or self.listed):
+            return None
+        entries = {k: one for k, one in self.listed.items() if k in self.fixed_costs}
+        left = self.allowance - self._count_covered_by_allowance()
+        for key, cost in self.fixed_costs.items():
+            if key not in entries and cost.tokens <= left:
+                entries[key] = cost
+                left -= cost.tokens
+        self.listed.update(entries)
+        return ReservationList(entries, self.need)
+
+    def _count_covered_by_allowance(self) -> int:
+        """Return the tokens of listed reservations and of further early releases."""
+        listed = sum(cost.tokens for cost in self.listed.values())
+        unlisted = [key for key in self.released if key not in self.listed]
+        return listed + sum(self.pending[key].tokens for key in unlisted)
+
+    def is_cost_recorded(self, key: str) -> bool:
+        """Tell whether any router can bill a pending request from the ledger alone.
+
+        With a witness none can: a witness that closes the holder frees everything of
+        which it has no copy.
+        """
+        bill, recorded = self.pending.get(key), self.grant.reservations.get(key)
+        if bill is None or recorded is None or self.grant.witness:
+            return False
+        return recorded.tokens == bill.tokens
+
     def give(self, now: Millis) -> None:
         """Return all unreserved tokens to the account with the next commit.
 
@@ -233,7 +290,8 @@
         # The lower of the two allowances applies: a reduced one may be in the
         # ledger already even if the response was lost.
         bound = min(self.allowance, self.grant.allowance, self.grant.held)
-        if self.released_tokens + self.pending[key].tokens > bound:
+        needed = 0 if key in self.listed else self.pending[key].tokens
+        if self._count_covered_by_allowance() + needed > bound:
             return False
         self.released.add(key)
         return True
@@ -241,6 +299,7 @@
     def bill(self, bill: Bill) -> None:
         """Replace a reservation by a bill that is pending until it is recorded."""
         reserved = self.reserved.pop(bill.key, None)
+        self.fixed_costs.pop(bill.key, None)
         check_invariant(reserved is not None, "a bill has no reservation")
         check_invariant(
             bill.tokens <= (reserved or 0), "a bill exceeds its reservation"
@@ -256,6 +315,7 @@
         if free > self.free or elsewhere != self.elsewhere:
             self.refusal = None
         self.grant = grant
+        self.listed = dict(grant.reservations)
         self.free = free
         self.elsewhere = elsewhere
         if not free and self.available < self.cushion(now):
@@ -272,7 +332,7 @@
 
     def refuse(self, key: str, tokens: int, now: Millis) -> Code:
         """Return why a request can't be paid for, and cache an exhausted budget."""
-        self.waiting.pop(key, None)
+        self.stop_waiting(key)
         reachable = self.grant.held - self.unrecorded + self.free + self.elsewhere
         # Requests in flight may return part of their reservations at any time,
         # so only the result that too few unspent tokens exist is cached.
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -18,7 +18,7 @@
 from anvilshift.core.account import Account, Bill, BillState, Draw, make_mark
 from anvilshift.core.commit import BillKey, Commit, Outcome
 from anvilshift.core.errors import InvariantError
-from anvilshift.core.grant import Grant
+from anvilshift.core.grant import Grant, Reservation, ReservationList
 
 __all__ = [
     "Account",
@@ -30,6 +30,8 @@
     "Grant",
     "Ledger",
     "Outcome",
+    "Reservation",
+    "ReservationList",
 ]
 
 MAX_MARKS = 600_000
@@ -118,6 +120,11 @@
         grants = [account.grant(holder) for account in self.accounts.values()]
         return {grant.witness for grant in grants if grant.doubt}
 
+    def has_reservations(self, holder: str) -> bool:
+        """Tell whether fixed costs of a holder's requests are recorded."""
+        accounts = self.accounts.values()
+        return any(account.grant(holder).reservations for account in accounts)
+
     def _with_accounts(self, changed: Mapping[str, Account]) -> "Ledger":
         return replace(self, accounts={**self.accounts, **changed})
 
@@ -201,6 +208,9 @@
         draw = commit.draws.get(name)
         if draw is not None:
             account = account.draw(commit.holder, draw)
+        listed = commit.reservations.get(name)
+        if listed is not None:
+            account = account.list_reservations(commit.holder, listed)
         return account.check(), states
 
     def _remove_holder(self, holder: str) -> "Ledger":
@@ -256,9 +266,49 @@
         for name, account in accounts.items():
             grant = account.grant(holder)
             if grant.doubt and attested_by and attested_by in (holder, grant.witness):
-                accounts[name] = account.with_grant(holder, replace(grant, doubt=0))
+                accounts[name] = account.with_grant(holder, grant.resolve())
         return Ledger(accounts, holders), states
 
+    def bill_reservations(self, holder: str, at: int) -> "Ledger":
+        """Return the ledger with the recorded fixed costs of a sealed holder billed.
+
+        The holder may have completed these requests and can't be asked.  Their bills
+        need nothing that only the holder knew.
+
+        Parameters
+        ----------
+        at
+            Wall-clock time in seconds, set as the time of the bills.
+
+        Examples
+        --------
+        >>> ledger = Ledger().top_up("pounds", "invoice-1", 500)
+        >>> listed = ReservationList({"request-1": Reservation("kosice", 60)}, need=60)
+        >>> draws = {"pounds": Draw(want=300, allowance=100)}
+        >>> commit = Commit("r1", draws=draws, reservations={"pounds": listed})
+        >>> ledger = ledger.apply(commit)[0].seal("r1").bill_reservations("r1", at=1)
+        >>> account = ledger.account("pounds")
+        >>> account.spent, account.doubt, account.free
+        (60, 40, 400)
+        """
+        known = self.holders.get(holder)
+        if known is None or not known.sealed_at:
+            return self
+        bills = tuple(
+            (name, Bill(key, one.organisation, one.tokens, holder, at, known.last))
+            for name, account in self.accounts.items()
+            for key, one in account.grant(holder).reservations.items()
+        )
+        billed = self.submit_late_bills(holder, bills)[0]
+        accounts = {
+            name: account.with_grant(
+                holder, replace(account.grant(holder), reservations={})
+            )
+            for name, account in billed.accounts.items()
+            if account.grant(holder).reservations
+        }
+        return billed._with_accounts(accounts)
+
     def _add_late_marks(
         self, holder: str, states: Mapping[BillKey, BillState]
     ) -> Mapping[str, Holder]:
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -10,6 +10,7 @@
 from anvilshift.core.declarations import Budget
 from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
 from anvilshift.core.escrow import Bills
+from anvilshift.core.grant import Reservation
 from anvilshift.core.ledger import Ledger
 from anvilshift.objects.ledgers import (
     LEDGER_KIND,
@@ -22,6 +23,7 @@
 from anvilshift.objects.store import ObjectStore
 from anvilshift.router.hooks import AskPeers, Hooks, KeepCopies
 from anvilshift.router.ledgerclient import LedgerClient
+from anvilshift.router.lostreservations import BILLING_DELAY, LostReservations
 from anvilshift.router.sealing import BILL_LIFETIME_S, HOLDER_LIFETIME_S, belongs
 
 __all__ = ["BILL_LIFETIME_S", "LEDGER_KIND", "LEDGER_NAME", "RouterBudgets"]
@@ -65,6 +67,7 @@
         self._ledger_clients: dict[str, LedgerClient] = {}
         self._unknown_since: dict[str, Millis] = {}
         self._sealed_since: dict[str, Millis] = {}
+        self._lost_reservations = LostReservations(clock)
 
     @property
     def keep_copies(self) -> KeepCopies:
@@ -133,9 +136,24 @@
             self._ledger_clients[name] = client
         return self._ledger_clients[name]
 
-    async def reserve(self, account: str, key: str, tokens: int) -> None:
+    async def reserve(
+        self,
+        account: str,
+        key: str,
+        tokens: int,
+        organisation: str = "",
+        metered: bool = False,
+    ) -> None:
         """Reserve tokens for a request.
 
+        Parameters
+        ----------
+        organisation
+            Organisation that is billed.
+        metered
+            Whether the cost is counted when the request has run and the tokens are
+            only its upper bound.  Otherwise they are the cost, and commits record it.
+
         Raises
         ------
         AnvilshiftError
@@ -148,7 +166,8 @@
         except AnvilshiftError as error:
             detail = "the layout of the ledger objects can't be read now"
             raise AnvilshiftError(BUDGET_UNREACHABLE, detail, 2 * SECOND) from error
-        await client.reserve(account, key, tokens)
+        fixed_cost = None if metered else Reservation(organisation, tokens)
+        await client.reserve(account, key, tokens, fixed_cost)
 
     def release(self, account: str, key: str) -> None:
         """Cancel the reservation of a request that costs nothing."""
@@ -230,7 +249,7 @@
             ledger = decode_ledger(found.body if found else None)
             self.copies.drop_recorded(ledger)
             holders |= set(ledger.holders)
-            await self._resolve_sealed_holders(client, ledger)
+            await self._resolve_sealed_holders(client, ledger, known)
             unknown |= {
                 holder
                 for holder in ledger.list_open()
@@ -245,7 +264,7 @@
         await self._seal_orphans(unknown)
 
     async def _resolve_sealed_holders(
-        self, client: LedgerClient, ledger: Ledger
+        self, client: LedgerClient, ledger: Ledger, known: set[str]
     ) -> None:
         now = self._clock.now()
         expired = ledger.list_sealed(before=self._clock.wall() - HOLDER_LIFETIME_S)
@@ -258,6 +277,10 @@
                     holder, bills, closer=self._incarnation
                 )
                 continue
+            # A witness that is still there knows more and closes the holder itself.
+            if ledger.has_reservations(holder) and not witnesses & known:
+                due = since + BILLING_DELAY
+                self._lost_reservations.bill_later(client, holder, due)
             if self._select_bills(self.copies.list(holder), client):
                 bills = self._select_bills(self.copies.list(holder), client)
                 await client.sealing.submit_late_bills(holder, bills)
@@ -290,5 +313,6 @@
 
     async def close(self) -> None:
         """Record all bills, return the grants to the ledger and stop."""
+        self._lost_reservations.close()
         for client in self.ledger_clients:
             await client.close()
--- a/anvilshift/router/earlyrelease.py
+++ b/anvilshift/router/earlyrelease.py
@@ -1,6 +1,8 @@
 """Decide whether an answer may end before the platform has recorded its bill.
 
-The bill must survive this router, so the witness and other routers keep copies of it.
+The bill must survive this router.  Before an answer ends, another process has it or
+can make it: the witness and other routers keep copies, and the ledger may have the
+cost.
 """
 
 import asyncio
@@ -28,6 +30,8 @@
         if bill is None or not holder_accounts.release_early(account, key):
             return False
         copies = self._send_copies(holder_accounts, account, bill)
+        if grant_state.is_cost_recorded(key):
+            return True
         if grant_state.grant.witness:
             return await self._store_at_witness(holder_accounts, account, bill, copies)
         # A router that reaches nobody holds the end back: killed then, it would take
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -17,6 +17,7 @@
     AnvilshiftError,
 )
 from anvilshift.core.escrow import Escrow
+from anvilshift.core.grant import Reservation
 from anvilshift.core.ledger import Commit, Ledger, Outcome
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.ledgers import LEDGER_KIND, decode_ledger
@@ -119,18 +120,26 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def reserve(self, account: str, key: str, tokens: int) -> None:
+    async def reserve(
+        self,
+        account: str,
+        key: str,
+        tokens: int,
+        fixed_cost: Reservation | None = None,
+    ) -> None:
         """Reserve tokens for a request; raise the refusal if that is not possible."""
         try:
-            await self._reserve(account, key, tokens)
+            await self._reserve(account, key, tokens, fixed_cost)
         finally:
             # If a refused request stayed in the list, commits would go on drawing
             # tokens for it that requests at other routers need.
-            self.holder_accounts.grant_states[account].waiting.pop(key, None)
+            self.holder_accounts.grant_states[account].stop_waiting(key)
 
-    async def _reserve(self, account: str, key: str, tokens: int) -> None:
+    async def _reserve(
+        self, account: str, key: str, tokens: int, fixed_cost: Reservation | None
+    ) -> None:
         for attempt in range(_MAX_REFILLS + 1):
-            if self._try_reserve(account, key, tokens):
+            if self._try_reserve(account, key, tokens, fixed_cost):
                 return
             self._raise_cached_refusal(account, tokens)
             if self.platform_unavailable or attempt == _MAX_REFILLS:
@@ -143,11 +152,13 @@
             await self._wait_next_commit()
         self._refuse(account, key, tokens)
 
-    def _try_reserve(self, account: str, key: str, tokens: int) -> bool:
+    def _try_reserve(
+        self, account: str, key: str, tokens: int, fixed_cost: Reservation | None
+    ) -> bool:
         now = self._clock.now()
         if self.holder_accounts.grant_states[account].frozen:
             raise AnvilshiftError(BUDGET_FROZEN)
-        if not self.holder_accounts.reserve(account, key, tokens, now):
+        if not self.holder_accounts.reserve(account, key, tokens, now, fixed_cost):
             return False
         if self.holder_accounts.wants_commit(now):
             self._commit_requested.set()
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -159,7 +159,11 @@
             self._started = True
             async with asyncio.timeout((job.deadline - shared.clock.now()) / SECOND):
                 await shared.budgets.reserve(
-                    job.organisation.budget, job.bill_key, job.bound
+                    job.organisation.budget,
+                    job.bill_key,
+                    job.bound,
+                    job.organisation.name,
+                    metered=True,
                 )
                 await self._attempt_until_complete()
                 await self._settle()
--- a/anvilshift/router/sealing.py
+++ b/anvilshift/router/sealing.py
@@ -51,6 +51,15 @@
             await self._object.update(make_body_change(change))
         return states
 
+    async def bill_reservations(self, holder: str) -> None:
+        """Bill the requests of a sealed holder whose costs the ledger has recorded."""
+
+        def change(ledger: Ledger) -> Ledger:
+            return ledger.bill_reservations(holder, self._clock.wall())
+
+        async with self._lock:
+            await self._object.update(make_body_change(change))
+
     async def write_off(self, holder: str) -> None:
         """Remove a sealed holder; its tokens in doubt are counted as spent."""
         async with self._lock:
--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -73,7 +73,9 @@
         timeout = (job.deadline - self._shared.clock.now()) / SECOND
         async with asyncio.timeout(timeout):
             if job.bound:
-                await budgets.reserve(account, job.bill_key, job.bound)
+                await budgets.reserve(
+                    account, job.bill_key, job.bound, job.organisation.name
+                )
             answer = await self._call_with_retries(work)
             if job.bound:
                 await budgets.settle(
--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -139,6 +139,21 @@
         await self._commit()
 
 
+class MeteredBudgets(RouterBudgets):
+    """Budgets of requests whose costs are counted when they have run."""
+
+    async def reserve(
+        self,
+        account: str,
+        key: str,
+        tokens: int,
+        organisation: str = "",
+        metered: bool = True,
+    ) -> None:
+        """Reserve the most that a request can cost."""
+        await super().reserve(account, key, tokens, organisation, metered)
+
+
 class FixedShareClient:
     """Spends from a fixed share of each budget that no other router can use."""
 
@@ -215,7 +230,7 @@
         if self.strategy == "a write a request":
             return LedgerWriteClient(self.store, f"r{number}")
         view = self.store.view(f"r{number}")
-        router_budgets = RouterBudgets(
+        router_budgets = MeteredBudgets(
             view, VirtualClock(), f"r{number}-a", COMMIT_SPACING
         )
         self.all_router_budgets.append(router_budgets)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -97,7 +97,7 @@
     ) -> None:
         attempt = f"{key}-{next(_ATTEMPT_NUMBERS)}"
         self.release(account, key)
-        await self.reserve(account, attempt, rest[1])
+        await self.reserve(account, attempt, rest[1], metered=True)
         await settle(self, account, attempt, *rest, **named)
 
     return settle_attempt
--- /dev/null
+++ b/tests/core/test_reservations.py
@@ -0,0 +1,237 @@
+"""Fixed costs that the ledger records before the bills, and what they are used for."""
+
+import unittest
+
+from anvilshift.core.escrow import Escrow
+from anvilshift.core.ledger import Bill, BillState, Ledger, Reservation
+from anvilshift.objects.records import decode, encode
+
+COST = Reservation("kosice", 60)
+
+
+class Holder:
+    """A holder of the account "pounds" and the ledger that it commits to."""
+
+    def __init__(self, allowance=100, level=500, tokens=1_000, witness=""):
+        self.ledger = Ledger().top_up("pounds", "invoice", tokens)
+        self.escrow = Escrow("r1")
+        self.escrow.open("pounds", allowance, level)
+        self.escrow.choose_witness(witness)
+
+    @property
+    def account(self):
+        return self.ledger.account("pounds")
+
+    @property
+    def recorded(self):
+        return set(self.account.grant("r1").reservations)
+
+    def commit(self, lose_response=False):
+        commit = self.escrow.begin_commit()
+        self.ledger, outcome = self.ledger.apply(commit)
+        if not lose_response:
+            self.escrow.finish_commit(commit, outcome)
+
+    def reserve(self, key, tokens=60):
+        fixed_cost = Reservation("kosice", tokens)
+        return self.escrow.reserve("pounds", key, tokens, fixed_cost=fixed_cost)
+
+    def bill(self, key, tokens=60):
+        self.escrow.bill("pounds", Bill(key, "kosice", tokens, "r1"))
+
+    def release_early(self, key):
+        return self.escrow.release_early("pounds", key)
+
+    def is_cost_recorded(self, key):
+        return self.escrow.grant_states["pounds"].is_cost_recorded(key)
+
+
+class ReservationsTest(unittest.TestCase):
+    def test_request_that_waits_for_tokens_is_recorded_with_their_draw(self):
+        holder = Holder()
+        self.assertFalse(holder.reserve("a"))
+        holder.commit()
+        self.assertEqual(holder.recorded, {"a"})
+        self.assertTrue(holder.reserve("a"))
+        holder.bill("a")
+        self.assertTrue(holder.is_cost_recorded("a"))
+
+    def test_request_that_the_budget_cannot_pay_is_not_recorded(self):
+        """Guards against billing a refused request when its router is lost."""
+        holder = Holder(tokens=50)
+        self.assertFalse(holder.reserve("a"))
+        holder.commit()
+        self.assertEqual(holder.recorded, set())
+
+    def test_metered_request_is_not_recorded(self):
+        holder = Holder()
+        holder.escrow.reserve("pounds", "a", 60)
+        holder.commit()
+        self.assertEqual(holder.recorded, set())
+
+    def test_new_reservation_alone_causes_no_commit(self):
+        holder = Holder(level=150)
+        holder.commit()
+        self.assertTrue(holder.reserve("a", 10))
+        self.assertFalse(holder.escrow.wants_commit())
+
+    def test_cancelled_reservation_is_withdrawn_by_a_commit(self):
+        """Guards against billing a request that provably didn't run."""
+        holder = Holder()
+        holder.reserve("a")
+        holder.commit()
+        holder.escrow.release("pounds", "a")
+        self.assertTrue(holder.escrow.wants_commit())
+        holder.commit()
+        self.assertEqual(holder.recorded, set())
+        self.assertFalse(holder.escrow.wants_commit())
+
+    def test_reservation_of_a_commit_with_a_lost_response_is_withdrawn(self):
+        """Guards against a recorded reservation that its holder doesn't know of."""
+        holder = Holder()
+        holder.reserve("a")
+        holder.commit(lose_response=True)
+        holder.escrow.release("pounds", "a")
+        self.assertTrue(holder.escrow.wants_commit())
+        holder.commit()
+        self.assertEqual(holder.recorded, set())
+
+    def test_recorded_bill_ends_its_reservation(self):
+        holder = Holder()
+        holder.reserve("a")
+        holder.commit()
+        holder.reserve("a")
+        holder.bill("a")
+        holder.commit()
+        self.assertEqual((holder.account.spent, holder.recorded), (60, set()))
+
+    def test_reservations_and_early_releases_share_the_allowance(self):
+        """Guards against early releases that the doubt of a lost router can't pay."""
+        holder = Holder(allowance=100)
+        holder.commit()
+        for key in ("a", "b"):
+            self.assertTrue(holder.reserve(key))
+        holder.commit()
+        self.assertEqual(holder.recorded, {"a"})
+        for key in ("b", "a"):
+            holder.bill(key)
+        self.assertFalse(holder.release_early("b"))
+        self.assertTrue(holder.release_early("a"))
+
+    def test_early_release_leaves_no_allowance_for_reservations(self):
+        holder = Holder(allowance=100)
+        holder.commit()
+        holder.escrow.reserve("pounds", "metered", 80)
+        holder.bill("metered", 80)
+        self.assertTrue(holder.release_early("metered"))
+        self.assertTrue(holder.reserve("a"))
+        commit = holder.escrow.begin_commit()
+        self.assertEqual(commit.reservations["pounds"].entries, {})
+
+    def test_cost_that_differs_from_the_bill_is_no_record_of_it(self):
+        holder = Holder()
+        holder.reserve("a")
+        holder.commit()
+        holder.reserve("a")
+        holder.bill("a", 40)
+        self.assertFalse(holder.is_cost_recorded("a"))
+
+    def test_cost_is_no_record_while_a_witness_closes_the_holder(self):
+        """Guards against a witness that frees the tokens of an ended answer."""
+        holder = Holder(witness="r2")
+        holder.reserve("a")
+        holder.commit()
+        holder.reserve("a")
+        holder.bill("a")
+        self.assertFalse(holder.is_cost_recorded("a"))
+
+
+class LostHolderTest(unittest.TestCase):
+    def setUp(self):
+        self.holder = Holder()
+        self.holder.reserve("a")
+        self.holder.commit()
+
+    @property
+    def sums(self):
+        account = self.holder.account
+        return account.spent, account.doubt, account.free
+
+    def test_recorded_cost_of_a_lost_holder_is_billed_once(self):
+        ledger = self.holder.ledger.seal("r1")
+        self.holder.ledger = ledger.bill_reservations("r1", at=1)
+        self.assertEqual(self.sums, (60, 40, 900))
+        self.assertEqual(self.holder.account.usage, {"kosice": 60})
+        self.holder.ledger = self.holder.ledger.bill_reservations("r1", at=2)
+        self.assertEqual(self.sums, (60, 40, 900))
+
+    def test_holder_that_is_not_sealed_keeps_its_reservations(self):
+        ledger = self.holder.ledger
+        self.assertEqual(ledger.bill_reservations("r1", at=1), ledger)
+
+    def test_late_return_submits_the_bill_before_or_after(self):
+        """Guards against billing a request from the ledger and by its router."""
+        bills = (("pounds", Bill("a", "kosice", 60, "r1", after=1)),)
+        sealed = self.holder.ledger.seal("r1")
+        before = sealed.submit_late_bills("r1", bills, "r1")[0]
+        after = sealed.bill_reservations("r1", at=1)
+        after = after.submit_late_bills("r1", bills, "r1")[0]
+        for ledger in (before.bill_reservations("r1", at=1), after):
+            self.holder.ledger = ledger
+            self.assertEqual(self.sums, (60, 0, 940))
+
+    def test_returning_holder_that_released_nothing_is_not_billed(self):
+        """Guards against billing what a paused router still runs or has refused."""
+        ledger = self.holder.ledger.seal("r1").submit_late_bills("r1", (), "r1")[0]
+        self.holder.ledger = ledger.bill_reservations("r1", at=1)
+        self.assertEqual(self.sums, (0, 0, 1_000))
+
+    def test_witness_that_closes_the_holder_frees_its_reservations(self):
+        self.holder = Holder(witness="r2")
+        self.holder.reserve("a")
+        self.holder.commit()
+        ledger = self.holder.ledger.seal("r1").submit_late_bills("r1", (), "r2")[0]
+        self.holder.ledger = ledger.bill_reservations("r1", at=1)
+        self.assertEqual(self.sums, (0, 0, 1_000))
+
+    def test_request_billed_elsewhere_is_not_billed_after_its_mark_is_dropped(self):
+        """Guards against a second bill for a request that was sent again."""
+        again = Escrow("r2")
+        again.open("pounds", 100, 200)
+        again.reserve("pounds", "a", 60)
+        ledger = self.holder.ledger
+        for _ in range(2):
+            commit = again.begin_commit()
+            ledger, outcome = ledger.apply(commit)
+            again.finish_commit(commit, outcome)
+            if again.reserve("pounds", "a", 60):
+                again.bill("pounds", Bill("a", "kosice", 60, "r2", at=10))
+        self.assertEqual(ledger.account("pounds").spent, 60)
+        ledger = ledger.seal("r1").forget(marks_before=1_000, holders_before=0)
+        self.assertEqual(ledger.account("pounds").marks, 0)
+        ledger = ledger.bill_reservations("r1", at=1_001)
+        self.assertEqual(ledger.account("pounds").spent, 60)
+
+    def test_successor_lists_what_its_sealed_holder_had_reserved(self):
+        holder = self.holder
+        holder.reserve("a")
+        holder.escrow = holder.escrow.succeed("r1.1")
+        for _ in range(2):
+            holder.commit()
+        entries = holder.account.grant("r1.1").reservations
+        self.assertEqual(entries, {"a": COST})
+
+    def test_record_of_an_older_build_is_read(self):
+        body = encode(self.holder.ledger)
+        del body["accounts"]["pounds"]["grants"]["r1"]["reservations"]
+        grant = decode(Ledger, body).account("pounds").grant("r1")
+        self.assertEqual((grant.drawn, dict(grant.reservations)), (530, {}))
+
+    def test_bill_that_the_doubt_does_not_cover_is_refused(self):
+        bills = (("pounds", Bill("b", "kosice", 101, "r1", after=1)),)
+        states = self.holder.ledger.seal("r1").submit_late_bills("r1", bills)[1]
+        self.assertEqual(states["pounds", "b"], BillState.REFUSED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/router/billorders.py
+++ b/tests/router/billorders.py
@@ -87,7 +87,7 @@
 
     async def reserve(self) -> None:
         await self.open()
-        await self.holder.reserve("pounds", "a", TOKENS)
+        await self.holder.reserve("pounds", "a", TOKENS, metered=True)
         await asyncio.sleep(2)
 
     async def end_answer(self) -> bool:
--- a/tests/router/modelfleet.py
+++ b/tests/router/modelfleet.py
@@ -5,7 +5,7 @@
 from anvilshift.core.billcopies import BillCopies
 from anvilshift.core.clock import ManualClock
 from anvilshift.core.escrow import Escrow
-from anvilshift.core.ledger import Bill, BillState, Ledger
+from anvilshift.core.ledger import Bill, BillState, Ledger, Reservation
 from anvilshift.router.hooks import Hooks
 from anvilshift.router.ledgerclient import LedgerClient
 from anvilshift.router.sealing import belongs
@@ -13,6 +13,8 @@
 
 TOTAL, TOKENS, ALLOWANCE, LEVEL = 80, 20, 40, 40
 KEYS = tuple("abcdefghij")
+FIXED = frozenset("fghij")
+"""Requests whose cost is known before they run."""
 
 
 @dataclass
@@ -59,6 +61,9 @@
         self.ended: dict[str, str] = {}
         """Incarnation of the router that ended the answer of each request."""
         self.lost: set[str] = set()
+        self.ran: set[str] = set()
+        self.presumed: set[str] = set()
+        """Requests billed from the reservation of a lost router without a witness."""
         self.early = 0
         self.repeats = 0
         self.uncovered: list[str] = []
@@ -130,9 +135,26 @@
             for _, bill in one.copies.list(holder)
         )
 
+    def has_reservation(self, key, incarnation):
+        """Tell whether the ledger has the fixed cost of a router's request."""
+        grants = self.ledger.account("pounds").grants
+        return any(
+            key in grant.reservations
+            for holder, grant in grants.items()
+            if belongs(holder, incarnation)
+        )
+
+    def is_covered(self, key, incarnation):
+        """Tell whether the bill of a router's request outlives the router."""
+        return (
+            self.is_recorded(key)
+            or self.has_copy(key, incarnation)
+            or self.has_reservation(key, incarnation)
+        )
+
     def end_answer(self, router, key):
         self.ended.setdefault(key, router.incarnation)
-        covered = self.is_recorded(key) or self.has_copy(key, router.incarnation)
+        covered = self.is_covered(key, router.incarnation)
         if not covered and self.size > 1:
             self.uncovered.append(key)
 
@@ -145,13 +167,20 @@
         """Send a request; a caller repeats it only while it has no answer."""
         if key not in self.ended:
             self.repeats += any(key in one.pending for one in self.routers)
-            router.escrow.reserve("pounds", key, TOKENS)
+            cost = Reservation("kosice", TOKENS) if key in FIXED else None
+            router.escrow.reserve("pounds", key, TOKENS, fixed_cost=cost)
 
     def play_settle(self, router):
         """Bill the oldest request that runs at a router."""
         for key in list(router.escrow.grant_states["pounds"].reserved)[:1]:
             bill = Bill(key, "kosice", TOKENS, router.escrow.holder)
             router.escrow.bill("pounds", bill)
+            self.ran.add(key)
+
+    def play_cancel(self, router):
+        """Cancel the newest request that runs at a router: it was never sent."""
+        for key in list(router.escrow.grant_states["pounds"].reserved)[-1:]:
+            router.escrow.release("pounds", key)
 
     def play_record(self, router, fate):
         self.choose_witness(router)
@@ -204,7 +233,7 @@
         for key, incarnation in self.ended.items():
             owners = [r for r in self.routers if r.incarnation == incarnation]
             kept = any(owner.has_released(key) for owner in owners)
-            if not (kept or self.is_recorded(key) or self.has_copy(key, incarnation)):
+            if not (kept or self.is_covered(key, incarnation)):
                 self.lost.add(key)
 
     def play_seal(self, router, slot):
@@ -242,6 +271,18 @@
             self.end_decided(router, states)
         router.sealed = []
 
+    def play_bill_reservations(self, router):
+        """Bill the reservations of sealed holders whose witness is not there."""
+        if "platform" in router.cut:
+            return
+        live = {one.incarnation for one in self.routers}
+        account = self.ledger.account("pounds")
+        for holder in self.ledger.list_sealed():
+            if not self.ledger.list_witnesses(holder) & live:
+                reserved = set(account.grant(holder).reservations)
+                self.presumed |= {k for k in reserved if not self.is_recorded(k)}
+                self.ledger = self.ledger.bill_reservations(holder, 1)
+
     def recover(self):
         """Heal every disconnection, seal lost holders and record what is left."""
         for at in range(len(self.routers)):
@@ -257,3 +298,5 @@
         for _ in range(2):
             for at in range(len(self.routers)):
                 self.play("hand in", at)
+        for at in range(len(self.routers)):
+            self.play("bill reservations", at)
--- a/tests/router/test_bill_orders.py
+++ b/tests/router/test_bill_orders.py
@@ -263,7 +263,7 @@
         routers.store.faults.after = hold
         sweeping = asyncio.create_task(routers.sweep("r2", rounds=1))
         await asyncio.sleep(0.01)
-        await routers.holder.reserve("pounds", "a", TOKENS)
+        await routers.holder.reserve("pounds", "a", TOKENS, metered=True)
         routers.cut("r1")
         routers.lost = {"request r3"}
         self.assertTrue(await routers.end_answer())
--- a/tests/router/test_bill_survival.py
+++ b/tests/router/test_bill_survival.py
@@ -10,6 +10,7 @@
 KINDS = {
     "reserve": 6,
     "settle": 5,
+    "cancel": 1,
     "release": 6,
     "record": 4,
     "cut": 2,
@@ -84,6 +85,20 @@
     return [key for key in unbilled if key not in fleet.lost]
 
 
+def find_billed_without_run(fleet):
+    """Return the billed requests that never ran, but for those billed by rule."""
+    billed = [key for key in KEYS if fleet.is_recorded(key)]
+    return [key for key in billed if key not in fleet.ran | fleet.presumed]
+
+
+def find_open_reservations(fleet):
+    """Return the reservations that are left when every fault is over."""
+    states = [one.escrow.grant_states["pounds"] for one in fleet.routers]
+    running = {key for one in states for key in (*one.reserved, *one.waiting)}
+    grants = fleet.ledger.account("pounds").grants.values()
+    return [key for one in grants for key in one.reservations if key not in running]
+
+
 def find_uncovered(fleet):
     return fleet.uncovered
 
@@ -119,12 +134,21 @@
         """Guards against an answer that ends at a router that reaches nobody."""
         self.check(find_uncovered)
 
+    def test_nothing_is_billed_that_did_not_run(self):
+        """Guards against billing a request that was only reserved, or was cancelled."""
+        self.check(find_billed_without_run)
+
+    def test_no_reservation_outlives_its_request(self):
+        """Guards against a reservation that is billed long after it was cancelled."""
+        self.check(find_open_reservations)
+
     def test_orders_include_early_ends_late_bills_and_repeats(self):
         """Guards against orders in which nothing can break a property."""
         self.assertGreater(sum(fleet.early for fleet in self.fleets), SEEDS / 2)
         holders = [one for f in self.fleets for one in f.ledger.holders.values()]
         self.assertGreater(sum(len(holder.late) for holder in holders), SEEDS / 10)
         self.assertGreater(sum(fleet.repeats for fleet in self.fleets), SEEDS / 10)
+        self.assertGreater(sum(len(f.presumed) for f in self.fleets), SEEDS / 50)
 
 
 if __name__ == "__main__":
--- a/tests/router/test_heartbeat_orders.py
+++ b/tests/router/test_heartbeat_orders.py
@@ -22,7 +22,7 @@
         await ledgers.top_up(self.fleet.platform, "pounds", "invoice", 500_000)
         self.budgets = self.fleet.nodes["r1"].budgets
         self.incarnation = self.fleet.nodes["r1"].fleet.member.incarnation
-        await self.budgets.reserve("pounds", "a", TOKENS)
+        await self.budgets.reserve("pounds", "a", TOKENS, metered=True)
         await asyncio.sleep(3)
         self.assertEqual(self.read_witness(), "")
 
@@ -33,7 +33,7 @@
         self.assertNotEqual(self.read_witness(), "")
 
     async def commit(self, key: str) -> None:
-        await self.budgets.reserve("pounds", key, 1)
+        await self.budgets.reserve("pounds", key, 1, metered=True)
         await self.budgets.settle("pounds", key, "kosice", 1)
         await asyncio.sleep(3)
 
