--- a/anvilshift/router/billcopyholders.py
+++ b/anvilshift/router/billcopyholders.py
@@ -11,7 +11,7 @@
 from absl import logging
 
 from anvilshift.core.billcopies import BillCopies
-from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.clock import Clock
 from anvilshift.core.membership import Member, Roster
 from anvilshift.peers.generated.peers_pb2 import KeepRequest
 from anvilshift.peers.link import PeerError, PeerLink
@@ -32,8 +32,6 @@
         Record of this router.
     read_members
         Returns the current table of the other routers.
-    silence
-        Time without a heartbeat after which a router counts as out of reach.
     """
 
     def __init__(
@@ -42,13 +40,11 @@
         clock: Clock,
         own: Member,
         read_members: Callable[[], Roster],
-        silence: Millis,
     ) -> None:
         self._link = link
         self._clock = clock
         self._own = own
         self._read_members = read_members
-        self._silence = silence
 
     async def keep_copies(self, holder: str, bills: Bills, witness: str = "") -> bool:
         """Store copies of bills at a few other routers; True if one accepted them.
@@ -88,20 +84,6 @@
                 return await self._send_copies(status.member.peer_address, request)
         return False
 
-    def reaches_keeper(self, witness: str) -> bool:
-        """Tell whether a router that would keep copies was heard recently.
-
-        That is the witness if there is one, otherwise any other router.  A router that
-        is the whole fleet needs none.
-        """
-        statuses = self._read_members().member_statuses.values()
-        since = self._clock.now() - self._silence
-        return not statuses or any(
-            status.last_heartbeat is not None and status.last_heartbeat >= since
-            for status in statuses
-            if witness in ("", status.member.incarnation)
-        )
-
     def choose(self, current: str) -> str:
         """Return the incarnation of this router's witness, or an empty string.
 
--- a/anvilshift/router/fleet.py
+++ b/anvilshift/router/fleet.py
@@ -125,14 +125,11 @@
         self._declarations_listed = asyncio.Event()
         self._renewal_requested = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
-        self.bill_copies = BillCopyHolders(
-            link, clock, member, lambda: self.members, _PARTITIONED_AFTER * heartbeat
-        )
+        self.bill_copies = BillCopyHolders(link, clock, member, lambda: self.members)
         budgets.keep_copies = self.bill_copies.keep_copies
         budgets.ask_peers = self.ask_peers
         budgets.hooks.store_at_witness = self.bill_copies.store_at_witness
         budgets.hooks.choose_witness = self.bill_copies.choose
-        budgets.hooks.reaches_keeper = self.bill_copies.reaches_keeper
         budgets.hooks.has_peers = lambda: bool(self.members.member_statuses)
 
     def start(self) -> None:
--- a/anvilshift/router/hooks.py
+++ b/anvilshift/router/hooks.py
@@ -40,5 +40,4 @@
     choose_witness: Callable[[str], str] = lambda current: ""
     ask_peers: AskPeers = _skip_asking
     has_peers: Callable[[], bool] = lambda: False
-    reaches_keeper: Callable[[str], bool] = lambda witness: True
     count_event: Callable[[str], None] = lambda event: None
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -27,11 +27,7 @@
 from anvilshift.router.hooks import Hooks
 from anvilshift.router.outcomes import BillOutcomes
 from anvilshift.router.peerrequests import PeerRequests
-from anvilshift.router.refusals import (
-    make_budget_error,
-    make_isolated_error,
-    make_not_recorded_error,
-)
+from anvilshift.router.refusals import make_budget_error, make_not_recorded_error
 from anvilshift.router.sealing import BILL_LIFETIME_S, HOLDER_LIFETIME_S, Sealing
 
 EARLY_RELEASE_DELAY: Millis = 400.0
@@ -132,9 +128,6 @@
         fixed_cost: Reservation | None = None,
     ) -> None:
         """Reserve tokens for a request; raise the refusal if that is not possible."""
-        grant = self.holder_accounts.grant_states[account].grant
-        if self.platform_unavailable and not self._hooks.reaches_keeper(grant.witness):
-            raise make_isolated_error()
         try:
             await self._reserve(account, key, tokens, fixed_cost)
         finally:
@@ -220,7 +213,7 @@
     async def _reserve_after_run(self, account: str, bill: Bill) -> None:
         # The work has run, so a refusal that says "not run" would be wrong.
         try:
-            await self._reserve(account, bill.key, bill.tokens, None)
+            await self.reserve(account, bill.key, bill.tokens)
         except AnvilshiftError as error:
             raise make_not_recorded_error(str(error)) from error
 
