Check the witness again when a release is tried once more

What callers could see: nothing; a bill could be lost after a release that had been tried before.

Cause: marking a bill as released returned at once for a bill that was marked, before it compared the witness that is wanted with the one on record. A release that found nobody to keep a copy marks the bill and is tried again every 100 ms (since ends are held back, for longer). If a commit that names a new witness was applied and its response is lost in between, the retry went by the old record: it could end the answer with a copy at another router only, and the new witness, closing the holder, would free its tokens.

The test forces the order: mark, change of witness, retry.

Ruled out: the first try (it compares) and a commit that failed (the witness is kept while commits fail).

Change: the comparison comes first. Before: the new test red at the retry; after: green. An answer then waits for its commit, or for the response that names the new witness.

--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -281,12 +281,16 @@
     def mark_released(self, key: str) -> bool:
         """Mark a pending bill as released if the allowance covers it; else False.
 
-        Returns True as well for a bill that is released already or not pending.
+        Returns True as well for a bill that isn't pending, and for one that is marked
+        already, unless the ledger may name another witness by now.
         """
-        if key not in self.pending or key in self.released:
+        if key not in self.pending:
             return True
+        # While a change of the witness is under way, the ledger may name either.
         if self.witness != self.grant.witness:
             return False
+        if key in self.released:
+            return True
         # The lower of the two allowances applies: a reduced one may be in the
         # ledger already even if the response was lost.
         bound = min(self.allowance, self.grant.allowance, self.grant.held)
--- a/tests/core/test_escrow.py
+++ b/tests/core/test_escrow.py
@@ -49,6 +49,21 @@
         self.assertTrue(holder_accounts.release_early("pounds", "a"))
         self.assertFalse(holder_accounts.release_early("pounds", "b"))
 
+    def test_early_release_waits_while_the_witness_changes(self):
+        """Guards against a retried release that the new witness has no copy of.
+
+        The ledger may name the new witness already; closing the holder, it would free
+        the tokens of an answer that ended with a copy elsewhere.
+        """
+        holder_accounts, ledger = make_holder_accounts(allowance=100)
+        holder_accounts.reserve("pounds", "a", 70)
+        holder_accounts.bill("pounds", Bill("a", "kosice", 70, "r1"))
+        self.assertTrue(holder_accounts.release_early("pounds", "a"))
+        holder_accounts.choose_witness("r2")
+        self.assertFalse(holder_accounts.release_early("pounds", "a"))
+        ledger.apply(holder_accounts.begin_commit())
+        self.assertFalse(holder_accounts.release_early("pounds", "a"))
+
     def test_returned_tokens_are_unavailable_before_the_response(self):
         """Guards against spending returned tokens when the response is lost.
 
