Excuse a lost bill only if three different routers were killed

Cause: the soak accepts an unbilled answer if three routers ended within a minute, for then its holder, witness and keepers may all be gone. It counted ends, not routers: one router killed twice, or stopped as planned (it hands its copies on), counted as another copy lost.

Change: only kills count, and each router once. The check is stricter, nothing is excused that was not before.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -94,7 +94,7 @@
         self._affected.add(f"r{index}")
         entry = self._soak.find_entry(index)
         entry.process.dead = True
-        self._soak.journal.router_losses.append(self._soak.clock.now())
+        self._soak.journal.record_router_loss(f"r{index}")
         entry.process.running.set()
         entry.break_connections()
         await asyncio.sleep(self._draw_duration(0.5, 12.0))
@@ -125,7 +125,6 @@
         self._soak.journal.check("planned stop cuts nothing off", aborted == 0)
         await entry.node.close()
         entry.process.dead = True
-        self._soak.journal.router_losses.append(self._soak.clock.now())
         entry.break_connections()
         await asyncio.sleep(self._draw_duration(0.5, 5.0))
         self._soak.start_node(index)
--- a/bench/soak/journal.py
+++ b/bench/soak/journal.py
@@ -9,8 +9,8 @@
 LEAVING_LIMIT: Millis = 3 * SECOND
 """Time after the first notice from which a leaving engine must get no new work."""
 POISON_LIMIT = 2
-MIN_LOSSES = 3
-"""Router losses from which every copy of a bill may be gone; see `may_lose_bill`."""
+MIN_LOST_ROUTERS = 3
+"""Lost routers from which every copy of a bill may be gone; see `may_lose_bill`."""
 LOSS_SPAN: Millis = 60 * SECOND
 """Longer than an outage of the platform in a run, including the recovery."""
 
@@ -29,6 +29,14 @@
     at: Millis = 0.0
 
 
+@dataclass(frozen=True)
+class RouterLoss:
+    """A router that was killed, by its name."""
+
+    router: str
+    at: Millis
+
+
 @dataclass
 class Journal:
     """Counts and records of a run, kept apart from the state of the routers."""
@@ -43,7 +51,7 @@
         default_factory=lambda: defaultdict(list)
     )
     receipts: dict[str, Receipt] = field(default_factory=dict)
-    router_losses: list[Millis] = field(default_factory=list)
+    router_losses: list[RouterLoss] = field(default_factory=list)
     events: int = 0
     fail: Callable[[BaseException], None] = lambda error: None
 
@@ -95,14 +103,20 @@
 
         During an outage, copies of a released bill are at its holder, at a witness
         and at two spare copy holders.  With four routers that is all of them, and each
-        router that ends loses its copy; below three losses a copy is left.
+        router that is killed loses its copy; below three lost routers a copy is left.
+        One that restarts and is killed again has no second copy to lose, and one that
+        stops as planned hands its copies on.
         """
-        losses = [
-            at
-            for at in self.router_losses
-            if receipt.at <= at <= receipt.at + LOSS_SPAN
-        ]
-        return len(losses) >= MIN_LOSSES
+        lost = {
+            loss.router
+            for loss in self.router_losses
+            if receipt.at <= loss.at <= receipt.at + LOSS_SPAN
+        }
+        return len(lost) >= MIN_LOST_ROUTERS
+
+    def record_router_loss(self, router: str) -> None:
+        """Record that a router was killed."""
+        self.router_losses.append(RouterLoss(router, self.now()))
 
     def format_counts(self) -> str:
         """Return the counts as text, one a line."""
