--- a/tests/bench/test_courses.py
+++ b/tests/bench/test_courses.py
@@ -53,6 +53,10 @@
         """Guards against sending queued work before the engine's limit is known."""
         self.play("9007", LIMIT_CHECK)
 
+    def test_limit_that_routers_exceed(self):
+        """Guards against more requests to an engine than the limit that it reports."""
+        self.play("71021", LIMIT_CHECK)
+
     def test_bill_whose_spare_copy_went_to_a_dead_router(self):
         """Guards against a bill with copies at its holder and its witness only."""
         self.play("8001", BILL_CHECK, networks=(0,))
