Record fixed costs only at a router that is the whole fleet

Cause: a record is no copy. The holder trusted an entry that its own commit had taken back (its response was lost) or that an older build had dropped with a write; an entry listed beside its bill was billed again once the bill's mark was forgotten (150 s); a late bill's mark was looked up for its own holder only, so a router that came back billed again; and beside other routers the rule billed calls of which copies tell more.

Change: costs are recorded only while a router knows no other, that is where no copy can exist; no answer ends on an entry, only on a copy or alone. An entry isn't recorded for a request that has a bill, and isn't listed again. Late bills count for every router that bills the request. The delay before billing runs for each ledger object; a stop is settled only when cancelled entries are gone; an invalid account no longer keeps others from being sealed or billed.

--- a/anvilshift/core/account.py
+++ b/anvilshift/core/account.py
@@ -184,6 +184,10 @@
                     return BillState.RECORDED if own else BillState.DUPLICATE
         return None
 
+    def is_billed(self, key: str) -> bool:
+        """Tell whether a request has a bill whose mark isn't forgotten."""
+        return self.find(Bill(key, "", 0, "")) is not None
+
     def record(self, bill: Bill) -> tuple["Account", BillState]:
         """Return the account with a bill of an open grant recorded.
 
@@ -244,14 +248,16 @@
             usage=usage,
         ).check()
 
-    def list_reservations(self, holder: str, listed: ReservationList) -> "Account":
-        """Return the account with a holder's list of reservations recorded.
+    def record_reservations(self, holder: str, listed: ReservationList) -> "Account":
+        """Return the account with the fixed costs that a holder lists recorded.
 
         None is added that the allowance doesn't cover, nor while the grant is smaller
         than what the holder needs: a request that still waits for tokens may be
         refused, and would be billed without having run if its holder were lost then.
+        A request that has a bill is left out.
         """
-        grant, entries = self.grant(holder), listed.entries
+        grant = self.grant(holder)
+        entries = {k: one for k, one in listed.entries.items() if not self.is_billed(k)}
         total = sum(one.tokens for one in entries.values())
         if grant.held < listed.need or total > grant.allowance:
             entries = {k: one for k, one in entries.items() if k in grant.reservations}
--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -43,6 +43,7 @@
         self.joined = False
         self.begun = 0
         self.witness = ""
+        self.alone = False
         self.grant_states: dict[str, GrantState] = {}
 
     def open(self, account: str, allowance: int, level: int) -> None:
@@ -54,6 +55,14 @@
         state.level = level
         state.witness = self.witness
 
+    def set_alone(self, alone: bool) -> None:
+        """Set whether this router is the whole fleet, effective with the next commit.
+
+        Only then may answers end of which no other process has the bill, and their
+        costs are recorded beforehand.
+        """
+        self.alone = alone
+
     def choose_witness(self, witness: str) -> None:
         """Set the router that keeps copies of bills, effective with the next commit."""
         self.witness = witness
@@ -73,7 +82,7 @@
         Parameters
         ----------
         fixed_cost
-            What the request costs if that is known before it runs; commits record it.
+            What the request costs, if that is known before it runs.
         """
         return self.grant_states[account].reserve(key, tokens, now, fixed_cost)
 
@@ -88,9 +97,9 @@
     def release_early(self, account: str, key: str) -> bool:
         """Tell whether an answer may end before its bill is recorded; if so, mark it.
 
-        The ledger must have recorded in advance the cost of the request, or else an
-        allowance that covers it: if this holder is lost, sealing it sets these tokens
-        aside or leaves them in doubt, and no other holder can draw them.
+        This is limited to the allowance, which the ledger has recorded in advance:
+        if this holder is lost, sealing it leaves these tokens in doubt, and no
+        other holder can draw them.
         """
         return self.grant_states[account].mark_released(key)
 
@@ -120,7 +129,7 @@
         listed = {
             name: reservations
             for name, state in self.grant_states.items()
-            if (reservations := state.list_reservations()) is not None
+            if (reservations := state.make_reservation_list(self.alone)) is not None
         }
         return Commit(
             self.holder,
@@ -155,6 +164,8 @@
                 self.grant_states[name].update_grant(grant, free, elsewhere, now)
             except InvariantError:
                 self.grant_states[name].frozen = True
+        for name, listed in commit.reservations.items():
+            self.grant_states[name].drop_unrecorded_costs(listed)
         for name in outcome.frozen:
             self.grant_states[name].frozen = True
         return outcome.bills
@@ -231,6 +242,7 @@
         """
         successor = Escrow(holder)
         successor.witness = self.witness
+        successor.alone = self.alone
         for name, state in self.grant_states.items():
             successor.open(name, state.allowance, state.level)
             new = successor.grant_states[name]
--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -65,9 +65,9 @@
     waiting
         Tokens that each waiting request lacks.
     fixed_costs
-        Reservations of the requests with a fixed cost that have or wait for tokens.
+        Costs of the requests that have or wait for tokens, where they are fixed.
     listed
-        Reservations that the ledger may have recorded.
+        Costs that the ledger may have recorded; a superset of those that it has.
     pending
         Bills that the ledger hasn't recorded yet, by key.
     released
@@ -204,40 +204,42 @@
             and self.available < cushion * REFILL_BELOW_FRACTION
         )
 
-    def list_reservations(self) -> ReservationList | None:
-        """Return the reservations to send with a commit; None if there are none.
+    def make_reservation_list(self, alone: bool) -> ReservationList | None:
+        """Return the fixed costs to send with a commit; None if nothing is recorded.
 
-        Together with the bills released early they stay within the allowance, because
-        sealing this holder leaves no more than that in doubt.
+        They are recorded only while this router is alone.  Together with the bills
+        released early they stay within the allowance, because sealing this holder
+        leaves no more than that in doubt.
         """
-        if self.frozen or not (self.fixed_costs or self.listed):
+        if self.frozen or not (self.listed or (alone and self.fixed_costs)):
             return None
-        entries = {k: one for k, one in self.listed.items() if k in self.fixed_costs}
-        left = self.allowance - self._count_covered_by_allowance()
-        for key, cost in self.fixed_costs.items():
-            if key not in entries and cost.tokens <= left:
-                entries[key] = cost
-                left -= cost.tokens
+        entries: dict[str, Reservation] = {}
+        if alone:
+            entries = {k: c for k, c in self.listed.items() if k in self.fixed_costs}
+            left = self.allowance - self._count_covered_by_allowance()
+            for key, cost in self.fixed_costs.items():
+                if key not in entries and cost.tokens <= left:
+                    entries[key] = cost
+                    left -= cost.tokens
         self.listed.update(entries)
         return ReservationList(entries, self.need)
 
+    def drop_unrecorded_costs(self, listed: ReservationList) -> None:
+        """Stop listing the costs that a commit sent and the ledger didn't record.
+
+        The ledger has a bill of such a request already.  Listed again once the mark
+        of that bill is forgotten, it would be billed a second time.
+        """
+        for key in listed.entries:
+            if key not in self.grant.reservations:
+                self.fixed_costs.pop(key, None)
+
     def _count_covered_by_allowance(self) -> int:
         """Return the tokens of listed reservations and of further early releases."""
         listed = sum(cost.tokens for cost in self.listed.values())
         unlisted = [key for key in self.released if key not in self.listed]
         return listed + sum(self.pending[key].tokens for key in unlisted)
 
-    def is_cost_recorded(self, key: str) -> bool:
-        """Tell whether any router can bill a pending request from the ledger alone.
-
-        With a witness none can: a witness that closes the holder frees everything of
-        which it has no copy.
-        """
-        bill, recorded = self.pending.get(key), self.grant.reservations.get(key)
-        if bill is None or recorded is None or self.grant.witness:
-            return False
-        return recorded.tokens == bill.tokens
-
     def give(self, now: Millis) -> None:
         """Return all unreserved tokens to the account with the next commit.
 
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -12,6 +12,7 @@
 after the write took effect.
 """
 
+import contextlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -192,8 +193,16 @@
     def _find_states(
         self, holder: str, bills: tuple[tuple[str, Bill], ...]
     ) -> dict[BillKey, BillState]:
+        if not bills:
+            return {}
         known = self.holders.get(holder, Holder())
         states = {(name, bill.key): known.find_state(bill) for name, bill in bills}
+        # A late bill of a lost router counts also for a router that runs the request
+        # again, or that took it over, after the mark in the account is forgotten.
+        late = {mark for other in self.holders.values() for mark in other.late}
+        for name, bill in bills:
+            if states[name, bill.key] is None and make_mark(bill.key) in late:
+                states[name, bill.key] = BillState.DUPLICATE
         return {key: state for key, state in states.items() if state}
 
     def _apply_to_account(
@@ -210,7 +219,7 @@
             account = account.draw(commit.holder, draw)
         listed = commit.reservations.get(name)
         if listed is not None:
-            account = account.list_reservations(commit.holder, listed)
+            account = account.record_reservations(commit.holder, listed)
         return account.check(), states
 
     def _remove_holder(self, holder: str) -> "Ledger":
@@ -233,8 +242,13 @@
         known = self.holders.get(holder)
         if known is None or known.sealed_at:
             return self
+        # An account that is invalid is sealed as well: sealing only frees tokens, and
+        # it must not keep the grants in other accounts open.
         accounts = {
-            name: account.with_grant(holder, account.grants[holder].seal())
+            name: replace(
+                account,
+                grants={**account.grants, holder: account.grants[holder].seal()},
+            )
             for name, account in self.accounts.items()
             if holder in account.grants
         }
@@ -294,20 +308,26 @@
         known = self.holders.get(holder)
         if known is None or not known.sealed_at:
             return self
-        bills = tuple(
-            (name, Bill(key, one.organisation, one.tokens, holder, at, known.last))
-            for name, account in self.accounts.items()
-            for key, one in account.grant(holder).reservations.items()
-        )
-        billed = self.submit_late_bills(holder, bills)[0]
-        accounts = {
-            name: account.with_grant(
-                holder, replace(account.grant(holder), reservations={})
+        ledger = self
+        for name, account in self.accounts.items():
+            reservations = account.grant(holder).reservations
+            bills = tuple(
+                (name, Bill(key, one.organisation, one.tokens, holder, at, known.last))
+                for key, one in reservations.items()
             )
-            for name, account in billed.accounts.items()
-            if account.grant(holder).reservations
-        }
-        return billed._with_accounts(accounts)
+            # One account that is invalid must not keep those of others unbilled.
+            with contextlib.suppress(InvariantError):
+                ledger = ledger.submit_late_bills(holder, bills)[0]
+                ledger = ledger._without_reservations(name, holder)
+        return ledger
+
+    def _without_reservations(self, name: str, holder: str) -> "Ledger":
+        account = self.account(name)
+        grant = account.grant(holder)
+        if not grant.reservations:
+            return self
+        grant = replace(grant, reservations={})
+        return self._with_accounts({name: account.with_grant(holder, grant)})
 
     def _add_late_marks(
         self, holder: str, states: Mapping[BillKey, BillState]
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -66,7 +66,7 @@
         self._shards = 0
         self._ledger_clients: dict[str, LedgerClient] = {}
         self._unknown_since: dict[str, Millis] = {}
-        self._sealed_since: dict[str, Millis] = {}
+        self._sealed_since: dict[tuple[str, str], Millis] = {}
         self._lost_reservations = LostReservations(clock)
 
     @property
@@ -249,7 +249,7 @@
             ledger = decode_ledger(found.body if found else None)
             self.copies.drop_recorded(ledger)
             holders |= set(ledger.holders)
-            await self._resolve_sealed_holders(client, ledger, known)
+            await self._resolve_sealed_holders(client, ledger)
             unknown |= {
                 holder
                 for holder in ledger.list_open()
@@ -257,28 +257,25 @@
             }
         self.copies.drop_holders(copied - holders)
         self._sealed_since = {
-            holder: since
-            for holder, since in self._sealed_since.items()
-            if holder in holders
+            key: since for key, since in self._sealed_since.items() if key[1] in holders
         }
         await self._seal_orphans(unknown)
 
     async def _resolve_sealed_holders(
-        self, client: LedgerClient, ledger: Ledger, known: set[str]
+        self, client: LedgerClient, ledger: Ledger
     ) -> None:
         now = self._clock.now()
         expired = ledger.list_sealed(before=self._clock.wall() - HOLDER_LIFETIME_S)
         for holder in ledger.list_sealed():
             witnesses = ledger.list_witnesses(holder)
-            since = self._sealed_since.setdefault(holder, now)
+            since = self._sealed_since.setdefault((client.name, holder), now)
             if self._incarnation in witnesses:
                 bills = self._select_bills(self.copies.close(holder), client)
                 await client.sealing.submit_late_bills(
                     holder, bills, closer=self._incarnation
                 )
                 continue
-            # A witness that is still there knows more and closes the holder itself.
-            if ledger.has_reservations(holder) and not witnesses & known:
+            if ledger.has_reservations(holder):
                 due = since + BILLING_DELAY
                 self._lost_reservations.bill_later(client, holder, due)
             if self._select_bills(self.copies.list(holder), client):
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -269,6 +269,7 @@
     def _choose_witness(self) -> None:
         # The witness is kept while commits fail: the change could not be recorded,
         # and until it is recorded no answer may be released early.
+        self.holder_accounts.set_alone(not self._hooks.has_peers())
         if self._failing_since is None:
             chosen = self._hooks.choose_witness(self.holder_accounts.witness)
             self.holder_accounts.choose_witness(chosen)
@@ -380,7 +381,7 @@
     def has_no_pending_changes(self) -> bool:
         """Tell whether every bill and every return of tokens is recorded."""
         grant_states = self.holder_accounts.grant_states.values()
-        open_states = [s for s in grant_states if s.pending or s.giving]
+        open_states = [s for s in grant_states if s.has_unrecorded_changes or s.giving]
         return self._failing_since is None and not open_states
 
     async def close(self) -> None:
--- a/anvilshift/router/lostreservations.py
+++ b/anvilshift/router/lostreservations.py
@@ -1,4 +1,4 @@
-"""Bill the recorded fixed costs of routers that were lost without a witness.
+"""Bill the recorded fixed costs of lost routers that had nobody to leave copies with.
 
 Nobody can be asked what such a router completed.  Its recorded reservations are billed
 once everyone who knows more has had the time to say so.
@@ -14,8 +14,8 @@
 
 BILLING_DELAY: Millis = 30 * SECOND
 """Time from finding a holder sealed to billing its recorded reservations, longer than
-most deadlines.  By then a router that was paused has submitted its own bills, keepers
-of copies theirs, and a caller that got no answer has sent its request again."""
+most deadlines.  By then a router that was paused has submitted its own bills, and a
+caller that got no answer has sent its request again."""
 
 
 class LostReservations:
--- a/anvilshift/router/sealing.py
+++ b/anvilshift/router/sealing.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Mapping
 
+from absl import logging
+
 from anvilshift.core.account import BillState
 from anvilshift.core.clock import Clock
 from anvilshift.core.escrow import Bills
 from anvilshift.core.ledger import BillKey, Ledger
 from anvilshift.objects.cached import CachedObject
-from anvilshift.objects.ledgers import make_body_change
+from anvilshift.objects.ledgers import decode_ledger, make_body_change
 
 BILL_LIFETIME_S = 150
 """Seconds for which a repeated request is recognised by its recorded bill, several
@@ -58,7 +60,9 @@
             return ledger.bill_reservations(holder, self._clock.wall())
 
         async with self._lock:
-            await self._object.update(make_body_change(change))
+            stored = await self._object.update(make_body_change(change))
+        if decode_ledger(stored.body).has_reservations(holder):
+            logging.error("an invalid account has reservations holder=%s", holder)
 
     async def write_off(self, holder: str) -> None:
         """Remove a sealed holder; its tokens in doubt are counted as spent."""
--- a/tests/router/test_heartbeat_orders.py
+++ b/tests/router/test_heartbeat_orders.py
@@ -4,9 +4,10 @@
 import unittest
 
 from anvilshift.core.clock import SECOND
+from anvilshift.core.declarations import Budget
 from anvilshift.objects import ledgers
 from anvilshift.router.budgets import LEDGER_KIND, LEDGER_NAME
-from tests.router.billorders import TOKENS, end_answer
+from tests.router.billorders import TOKENS, OrdersCase, Routers, end_answer
 from tests.router.nodes import LEASE, InProcessFleet, VirtualTestCase
 
 
@@ -110,5 +111,55 @@
         await self.check()
 
 
+class WitnessAtOutageTest(OrdersCase):
+    async def test_first_failing_commit_does_not_change_the_witness(self):
+        """An outage must not begin with a change of witness that can't be recorded.
+
+        The router was idle while its first peer was heard; the commit that names it
+        is the first one to fail.
+        """
+        routers = Routers(witness="")
+        await routers.open()
+        await routers.holder.reserve("pounds", "a", TOKENS, metered=True)
+        await asyncio.sleep(2)
+        routers.witness = "r2-a"
+        await asyncio.sleep(10)
+        routers.cut("r1")
+        self.assertTrue(await end_answer(routers.holder))
+
+
+class PlannedStopTest(VirtualTestCase):
+    async def test_spare_that_stops_submits_the_only_copy(self):
+        """A planned stop must not take the last copy of an ended answer along.
+
+        In a fleet of two, r1 ends an answer in an outage with a copy at r2 and is
+        killed; the platform is back when r2 stops, before r1 counts as lost.
+        """
+        fleet = InProcessFleet(engine=lambda *_: None)
+        await fleet.start("r1", "r2")
+        await ledgers.top_up(fleet.platform, "pounds", "invoice", 10_000)
+        budgets = fleet.nodes["r1"].budgets
+        budgets.configure({"pounds": Budget("pounds", allowance=100, grant=500)})
+        for key in ("before", "a"):
+            await budgets.reserve("pounds", key, TOKENS, "kosice", metered=True)
+            await asyncio.sleep(3)
+            if key == "before":
+                await budgets.settle("pounds", key, "kosice", TOKENS)
+        fleet.platform.faults.outage = True
+        until = fleet.clock.now() + 3_000
+        await budgets.settle("pounds", "a", "kosice", TOKENS, until=until)
+        fleet.cut_from_platform("r1")
+        fleet.cut_peers("r1")
+        fleet.platform.faults.outage = False
+        self.assertEqual(len(fleet.nodes["r2"].budgets.copies.list_holders()), 1)
+        async with asyncio.timeout(60):
+            await fleet.nodes["r2"].drain(asyncio.Event())
+            await fleet.nodes["r2"].close()
+        fleet.start_one("r3")
+        await asyncio.sleep(120)
+        accounts = await ledgers.read_accounts(fleet.platform)
+        self.assertEqual(accounts["pounds"].spent, 2 * TOKENS)
+
+
 if __name__ == "__main__":
     unittest.main()
