--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -22,6 +22,7 @@
 from anvilshift.core.account import Account, Grant
 from anvilshift.core.clock import Millis
 from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.escrow import Escrow
 from anvilshift.core.exposure import TARGETS, Exposure
 from anvilshift.core.ledger import Ledger
 from anvilshift.core.pools import Pool, TargetView
@@ -30,6 +31,7 @@
 from anvilshift.core.work import Work
 from anvilshift.router import claims
 from anvilshift.router.budgets import RouterBudgets
+from anvilshift.router.earlyrelease import EarlyRelease
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.node import Node
 from bench.soak.course import Course
@@ -115,6 +117,12 @@
     return claim
 
 
+async def _release_within_allowance(
+    self: EarlyRelease, holder_accounts: Escrow, account: str, key: str
+) -> bool:
+    return holder_accounts.release_early(account, key)
+
+
 @contextlib.contextmanager
 def _ignore_lost_routers() -> Iterator[None]:
     with (
@@ -194,6 +202,12 @@
         ("answer is billed",),
         _replace(RouterBudgets, "settle", _do_nothing),
     ),
+    Mutant(
+        "an answer ends with its bill at its router alone",
+        ("answer is billed",),
+        _replace(EarlyRelease, "release", _release_within_allowance),
+        courses=("4001",),
+    ),
     Mutant(
         "lost routers are not sealed",
         ("tokens of lost routers",),
