List a lone router's cost again once there are tokens for all who wait

Cause: an entry that a commit left out was taken for a request that has a bill and never listed again. The ledger leaves entries out as well while the grant is too small for all who wait, so the cost of such a call was not recorded later. Found while reading the change again; no caller's case is known.

Change: only a commit that had room decides.

Before: test_cost_is_recorded_once_there_are_tokens_for_all_who_wait red (nothing recorded after the top-up); after: green.

--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -165,7 +165,7 @@
             except InvariantError:
                 self.grant_states[name].frozen = True
         for name, listed in commit.reservations.items():
-            self.grant_states[name].drop_unrecorded_costs(listed)
+            self.grant_states[name].drop_billed_costs(listed)
         for name in outcome.frozen:
             self.grant_states[name].frozen = True
         return outcome.bills
--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -224,12 +224,14 @@
         self.listed.update(entries)
         return ReservationList(entries, self.need)
 
-    def drop_unrecorded_costs(self, listed: ReservationList) -> None:
-        """Stop listing the costs that a commit sent and the ledger didn't record.
+    def drop_billed_costs(self, listed: ReservationList) -> None:
+        """Stop listing the costs that an answered commit left out though it had room.
 
         The ledger has a bill of such a request already.  Listed again once the mark
         of that bill is forgotten, it would be billed a second time.
         """
+        if self.grant.held < listed.need:
+            return
         for key in listed.entries:
             if key not in self.grant.reservations:
                 self.fixed_costs.pop(key, None)
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -152,7 +152,8 @@
             Organisation that is billed.
         metered
             Whether the cost is counted when the request has run and the tokens are
-            only its upper bound.  Otherwise they are the cost, and commits record it.
+            only its upper bound.  Otherwise they are the cost, which a router that
+            is the whole fleet records beforehand.
 
         Raises
         ------
--- a/tests/core/test_reservations.py
+++ b/tests/core/test_reservations.py
@@ -73,6 +73,16 @@
         holder.commit()
         self.assertEqual(holder.recorded, set())
 
+    def test_cost_is_recorded_once_there_are_tokens_for_all_who_wait(self):
+        holder = Holder(tokens=100)
+        for key in ("a", "b"):
+            holder.reserve(key)
+        holder.commit()
+        self.assertEqual(holder.recorded, set())
+        holder.ledger = holder.ledger.top_up("pounds", "more", 500)
+        holder.commit()
+        self.assertEqual(holder.recorded, {"a"})
+
     def test_router_that_is_not_alone_records_nothing(self):
         """Guards against billing by rule what a witness or a copy tells of."""
         holder = Holder()
