Record the copies that nobody takes from a router that stops as planned

What callers saw: nothing; an answer that ended in an outage was never billed.

Cause: the last step of a planned stop offers the copies kept for others to other routers only. In a fleet of two, with the copy's holder killed and not yet taken for lost, there is none: the copy ended with the stop, though the platform was back.

Ruled out: the copy (r2 had it, and had the witness's part) and the later seal.

Change: copies that no router takes are recorded at the platform. Their holder is sealed for that, which is safe whether it lives or not (a live one goes on with a successor, as after a pause); as its witness the router closes it too. The stop tries for 5 s, since it may learn late that the platform is back, and a second signal ends that.

RouterBudgets.submit_late_bills, which nobody called, goes.

--- a/anvilshift/router/billcopyholders.py
+++ b/anvilshift/router/billcopyholders.py
@@ -66,15 +66,20 @@
             kept += sum(await asyncio.gather(*work))
         return kept > 0
 
-    async def transfer_copies(self, copies: BillCopies) -> None:
-        """Send the copies kept here to other routers before this router stops."""
+    async def transfer_copies(self, copies: BillCopies) -> list[str]:
+        """Send the copies kept here to other routers before this router stops.
+
+        Returns the holders of the copies that no router has taken.
+        """
         copies.stop()
+        left = []
         for holder in copies.list_holders():
             bills = copies.list(holder)
             if await self.keep_copies(holder, bills):
                 logging.info("copies handed on holder=%s bills=%d", holder, len(bills))
             else:
-                logging.error("copies end here holder=%s bills=%d", holder, len(bills))
+                left.append(holder)
+        return left
 
     async def store_at_witness(self, witness: str, holder: str, bills: Bills) -> bool:
         """Store copies of bills at the holder's witness; True once it has them."""
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -1,5 +1,6 @@
 """Token budgets that one router spends from, across all ledger objects."""
 
+import asyncio
 from collections.abc import Collection
 
 from absl import logging
@@ -32,6 +33,10 @@
 """Time for which a holder must belong to no known router before it is sealed.  It
 spans several leases, because a router that has just started writes its grants a
 little before the others read its record."""
+COPY_SUBMIT_TIMEOUT: Millis = 5 * SECOND
+"""Time for which a router that stops tries to record copies that nobody takes: longer
+than it takes to notice that the platform is back."""
+COPY_SUBMIT_PAUSE: Millis = 500.0
 WRITE_OFF_DELAY: Millis = 600 * SECOND
 """Time for which this router must have known a holder as sealed before it writes the
 holder off.  The date of the seal can't be relied on alone: with a wrong clock, tokens
@@ -204,15 +209,37 @@
             self._shards = await read_shard_count(self._store)
         return [self._make_ledger_client(name) for name in list_names(self._shards)]
 
-    async def submit_late_bills(self, holder: str, bills: Bills) -> None:
-        """Record bills whose answers a sealed holder completed within its allowance.
+    async def submit_copies(
+        self, holders: Collection[str], abandoned: asyncio.Event
+    ) -> None:
+        """Record the copies kept for some holders, which are sealed for that.
+
+        For copies that no other router takes from one that stops.  A holder that still
+        runs goes on with a successor, as after a pause.
 
-        Each bill goes to the ledger object that has its account.
+        Parameters
+        ----------
+        abandoned
+            Event that is set when the stop must end at once.
         """
+        until = self._clock.now() + COPY_SUBMIT_TIMEOUT
+        left = list(holders)
+        while left and self._clock.now() < until and not abandoned.is_set():
+            try:
+                await self._submit_copies(left[0])
+                left.pop(0)
+            except AnvilshiftError as error:
+                logging.warning("copies not submitted code=%d", error.code.number)
+                await asyncio.sleep(COPY_SUBMIT_PAUSE / SECOND)
+        for holder in left:
+            bills = self.copies.list(holder)
+            logging.error("copies end here holder=%s bills=%d", holder, len(bills))
+
+    async def _submit_copies(self, holder: str) -> None:
+        await self.seal(holder)
         for client in await self._all_ledger_clients():
-            selected = self._select_bills(bills, client)
-            if selected:
-                await client.sealing.submit_late_bills(holder, selected)
+            bills = self._select_bills(self.copies.close(holder), client)
+            await client.sealing.submit_late_bills(holder, bills, self._incarnation)
 
     def _select_bills(self, bills: Bills, client: LedgerClient) -> Bills:
         return tuple(
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -355,7 +355,9 @@
         cut_off = await stop.run()
         self.settled = stop.settled
         if not abandoned.is_set():
-            await self.fleet.bill_copies.transfer_copies(self.budgets.copies)
+            copies = self.budgets.copies
+            left = await self.fleet.bill_copies.transfer_copies(copies)
+            await self.budgets.submit_copies(left, abandoned)
         return cut_off
 
     async def _leave_fleet(self) -> None:
--- a/tests/router/test_heartbeat_orders.py
+++ b/tests/router/test_heartbeat_orders.py
@@ -159,6 +159,7 @@
         await asyncio.sleep(120)
         accounts = await ledgers.read_accounts(fleet.platform)
         self.assertEqual(accounts["pounds"].spent, 2 * TOKENS)
+        self.assertEqual(accounts["pounds"].doubt, 0)
 
 
 if __name__ == "__main__":
