Record fixed costs wherever there is no witness, and let answers end on them

Change: costs are recorded while the holder has no witness: it is the whole fleet or hears nobody. An answer whose bill equals its record may end. The holder gives a record up before it sends the commit that takes it back, so a lost response can't leave it with one that is gone. With a witness nothing is recorded, for an answer needs the witness's copy anyway.

--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -43,7 +43,6 @@
         self.joined = False
         self.begun = 0
         self.witness = ""
-        self.alone = False
         self.grant_states: dict[str, GrantState] = {}
 
     def open(self, account: str, allowance: int, level: int) -> None:
@@ -55,14 +54,6 @@
         state.level = level
         state.witness = self.witness
 
-    def set_alone(self, alone: bool) -> None:
-        """Set whether this router is the whole fleet, effective with the next commit.
-
-        Only then may answers end of which no other process has the bill, and their
-        costs are recorded beforehand.
-        """
-        self.alone = alone
-
     def choose_witness(self, witness: str) -> None:
         """Set the router that keeps copies of bills, effective with the next commit."""
         self.witness = witness
@@ -129,7 +120,7 @@
         listed = {
             name: reservations
             for name, state in self.grant_states.items()
-            if (reservations := state.make_reservation_list(self.alone)) is not None
+            if (reservations := state.make_reservation_list()) is not None
         }
         return Commit(
             self.holder,
@@ -242,7 +233,6 @@
         """
         successor = Escrow(holder)
         successor.witness = self.witness
-        successor.alone = self.alone
         for name, state in self.grant_states.items():
             successor.open(name, state.allowance, state.level)
             new = successor.grant_states[name]
--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -5,6 +5,7 @@
 routers that don't need it while another router refuses the budget's requests.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.account import Bill, Draw
@@ -204,17 +205,17 @@
             and self.available < cushion * REFILL_BELOW_FRACTION
         )
 
-    def make_reservation_list(self, alone: bool) -> ReservationList | None:
+    def make_reservation_list(self) -> ReservationList | None:
         """Return the fixed costs to send with a commit; None if nothing is recorded.
 
-        They are recorded only while this router is alone.  Together with the bills
-        released early they stay within the allowance, because sealing this holder
-        leaves no more than that in doubt.
+        They are recorded only while there is no witness, which would know more.
+        Together with the bills released early they stay within the allowance, because
+        sealing this holder leaves no more than that in doubt.
         """
-        if self.frozen or not (self.listed or (alone and self.fixed_costs)):
+        if self.frozen or not (self.listed or (self.fixed_costs and not self.witness)):
             return None
         entries: dict[str, Reservation] = {}
-        if alone:
+        if not self.witness:
             entries = {k: c for k, c in self.listed.items() if k in self.fixed_costs}
             left = self.allowance - self._count_covered_by_allowance()
             for key, cost in self.fixed_costs.items():
@@ -222,8 +223,29 @@
                     entries[key] = cost
                     left -= cost.tokens
         self.listed.update(entries)
+        self._give_up_withdrawn_costs(entries)
         return ReservationList(entries, self.need)
 
+    def _give_up_withdrawn_costs(self, entries: Mapping[str, Reservation]) -> None:
+        # Before the commit is sent: if its response is lost, an answer must not end on
+        # a record that it took back.  The commit has the bill of a pending request.
+        kept = {
+            key: cost
+            for key, cost in self.grant.reservations.items()
+            if key in entries or key in self.pending
+        }
+        self.grant = replace(self.grant, reservations=kept)
+
+    def is_cost_recorded(self, key: str) -> bool:
+        """Tell whether any router can bill a pending request from the ledger alone.
+
+        With a witness none can: closing the holder, it frees what it has no copy of.
+        """
+        bill, recorded = self.pending.get(key), self.grant.reservations.get(key)
+        if bill is None or recorded is None or self.grant.witness:
+            return False
+        return recorded.tokens == bill.tokens
+
     def drop_billed_costs(self, listed: ReservationList) -> None:
         """Stop listing the costs that an answered commit left out though it had room.
 
--- a/anvilshift/router/budgets.py
+++ b/anvilshift/router/budgets.py
@@ -157,8 +157,8 @@
             Organisation that is billed.
         metered
             Whether the cost is counted when the request has run and the tokens are
-            only its upper bound.  Otherwise they are the cost, which a router that
-            is the whole fleet records beforehand.
+            only its upper bound.  Otherwise they are the cost, which a router
+            without a witness records beforehand.
 
         Raises
         ------
--- a/anvilshift/router/earlyrelease.py
+++ b/anvilshift/router/earlyrelease.py
@@ -1,7 +1,7 @@
 """Decide whether an answer may end before the platform has recorded its bill.
 
-The bill must survive this router, so a witness or another router keeps a copy of it
-before the answer ends.
+The bill must survive this router.  Before the answer ends, a witness or another router
+keeps a copy of it, or the ledger has the cost, so that any router can make the bill.
 """
 
 import asyncio
@@ -29,6 +29,8 @@
         holder, witness = holder_accounts.holder, grant_state.grant.witness
         if await self._leave_copies(holder, ((account, bill),), witness):
             return True
+        if grant_state.is_cost_recorded(key):
+            return True
         # A router that reaches nobody holds the end back: killed then, it would take
         # the bill along.  One that is the whole fleet has nobody to wait for.
         if self._hooks.has_peers():
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -269,7 +269,6 @@
     def _choose_witness(self) -> None:
         # The witness is kept while commits fail: the change could not be recorded,
         # and until it is recorded no answer may be released early.
-        self.holder_accounts.set_alone(not self._hooks.has_peers())
         if self._failing_since is None:
             chosen = self._hooks.choose_witness(self.holder_accounts.witness)
             self.holder_accounts.choose_witness(chosen)
--- a/anvilshift/router/lostreservations.py
+++ b/anvilshift/router/lostreservations.py
@@ -1,4 +1,4 @@
-"""Bill the recorded fixed costs of lost routers that had nobody to leave copies with.
+"""Bill the recorded fixed costs of lost routers that had no witness.
 
 Nobody can be asked what such a router completed.  Its recorded reservations are billed
 once everyone who knows more has had the time to say so.
