Wait for the witness on record also at a router that knows no other

One whose table of members had emptied, with a witness still named in the ledger, would have ended the answer. That witness, if it is only cut off, closes the holder and frees the tokens: the budget could pay them out twice.

Before: test_lone_router_waits_for_the_witness_that_is_on_record red; after: green.

--- a/anvilshift/router/earlyrelease.py
+++ b/anvilshift/router/earlyrelease.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from anvilshift.core.escrow import Bills, Escrow
+from anvilshift.core.escrow import Escrow
 from anvilshift.router.hooks import Hooks
 
 
@@ -27,9 +27,18 @@
         if bill is None or not holder_accounts.release_early(account, key):
             return False
         holder, witness = holder_accounts.holder, grant_state.grant.witness
-        if await self._leave_copies(holder, ((account, bill),), witness):
-            return True
-        if grant_state.is_cost_recorded(key):
+        bills = ((account, bill),)
+        # Copies at other routers can't close the amount in doubt; they serve to
+        # record the bill if holder and witness are lost together.
+        copies = self._hooks.keep_copies(holder, bills, witness)
+        if witness:
+            # The witness must have its copy before the answer ends: otherwise, when
+            # the witness closes the amount in doubt of a lost holder, tokens that this
+            # answer has spent would return to the budget.
+            stored = self._hooks.store_at_witness(witness, holder, bills)
+            kept, _ = await asyncio.gather(stored, copies)
+            return kept
+        if await copies or grant_state.is_cost_recorded(key):
             return True
         # A router that reaches nobody holds the end back: killed then, it would take
         # the bill along.  One that is the whole fleet has nobody to wait for.
@@ -42,17 +51,3 @@
             bill.tokens,
         )
         return True
-
-    async def _leave_copies(self, holder: str, bills: Bills, witness: str) -> bool:
-        """Store copies at other routers; True if the answer may end with them."""
-        # Copies at other routers can't close the amount in doubt; they serve to
-        # record the bill if holder and witness are lost together.
-        copies = self._hooks.keep_copies(holder, bills, witness)
-        if not witness:
-            return await copies
-        # The witness must have its copy before the answer ends: otherwise, when the
-        # witness closes the amount in doubt of a lost holder, tokens that this
-        # answer has spent would return to the budget.
-        stored = self._hooks.store_at_witness(witness, holder, bills)
-        kept, _ = await asyncio.gather(stored, copies)
-        return kept
--- a/tests/router/test_recorded_costs.py
+++ b/tests/router/test_recorded_costs.py
@@ -39,6 +39,19 @@
         await routers.kill_and_seal()
         self.assertEqual(routers.account.usage, {"kosice": TOKENS})
 
+    async def test_lone_router_waits_for_the_witness_that_is_on_record(self):
+        """Guards against a witness that frees the tokens of an ended answer.
+
+        The other routers have left the table; one that is only cut off may still close
+        this router's holder.
+        """
+        routers = Routers()
+        await routers.reserve()
+        routers.alone = True
+        routers.cut("r1")
+        routers.lose_all_copies()
+        self.assertFalse(await routers.end_answer())
+
     async def test_nothing_is_recorded_once_there_is_a_witness(self):
         """Guards against billing by rule what a witness knows more of."""
         routers = Routers(witness="")
