--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -29,6 +29,7 @@
 from anvilshift.router.budgets import LEDGER_KIND, LEDGER_NAME, RouterBudgets
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
+from bench.metered import MeteredBudgets
 
 ROUTERS = 5
 PLATFORM_CALL_S = 0.004
@@ -139,21 +140,6 @@
         await self._commit()
 
 
-class MeteredBudgets(RouterBudgets):
-    """Budgets of requests whose costs are counted when they have run."""
-
-    async def reserve(
-        self,
-        account: str,
-        key: str,
-        tokens: int,
-        organisation: str = "",
-        metered: bool = True,
-    ) -> None:
-        """Reserve the most that a request can cost."""
-        await super().reserve(account, key, tokens, organisation, metered)
-
-
 class FixedShareClient:
     """Spends from a fixed share of each budget that no other router can use."""
 
