--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -56,3 +56,11 @@
     def test_poison_through_a_router_that_is_cut_off(self):
         """Guards against a third engine crashed by routers not told of the blame."""
         run_seed(1011, 40.0)
+
+    def test_bill_whose_keepers_end_within_seconds(self):
+        """Guards against an answer that ends on a copy whose keeper is dead by then."""
+        run_seed(82044, 100.0)
+
+    def test_bill_whose_keepers_stop_in_an_outage(self):
+        """Guards against a planned stop that can leave its copies with nobody."""
+        run_seed(82049, 100.0)
