--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -254,10 +254,12 @@
             # An unexpected error must not end this task unnoticed: every answer of
             # this router would then wait for its bill for ever.
             try:
-                self._choose_witness()
-                await self._commit(
+                if not self.holder_accounts.joined:
+                    self._choose_witness()
+                if await self._commit(
                     lambda: self.holder_accounts.begin_commit(self._clock.now())
-                )
+                ):
+                    self._choose_witness()
             except Exception:
                 logging.exception("commit broke ledger=%s", self.name)
                 self._hooks.count_event("commit_broke")
@@ -267,11 +269,17 @@
             await asyncio.sleep(max(0.0, pause - spent) / SECOND)
 
     def _choose_witness(self) -> None:
-        # The witness is kept while commits fail: the change could not be recorded,
-        # and until it is recorded no answer may be released early.
-        if self._failing_since is None:
-            chosen = self._hooks.choose_witness(self.holder_accounts.witness)
-            self.holder_accounts.choose_witness(chosen)
+        """Choose the witness that the next commit names.
+
+        Until a change of the witness is recorded, no answer may be released early.  So
+        the witness changes only after a commit that succeeded: after a quiet time, the
+        next one may be the first that the platform doesn't answer.
+        """
+        current = self.holder_accounts.witness
+        chosen = self._hooks.choose_witness(current)
+        self.holder_accounts.choose_witness(chosen)
+        if chosen != current:
+            self._commit_requested.set()
 
     def _has_work(self) -> bool:
         wanted = self.holder_accounts.wants_commit(self._clock.now())
