--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -17,6 +17,7 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.retention import RETENTION_MARGIN, Mark, MarkLog, thin
 from anvilshift.core.usage import RELEASE_TIME, SpendingBounds, UseRecord
+from anvilshift.gateway.history import HistorySearch
 from anvilshift.gateway.journal import Journal
 from anvilshift.objects.records import decode, encode
 from anvilshift.objects.store import ConflictError, ObjectStore
@@ -45,9 +46,6 @@
 """Minimum distance of the bounds in a record: in milliseconds, and as a fraction of the
 shorter bound.  The tokens that may be spent grow with the square of the bound."""
 _BOOT_ID_PATH = pathlib.Path("/proc/sys/kernel/random/boot_id")
-_HISTORY_CHECK_WAIT: Millis = 1.0
-"""Duration of a watch that only checks whether the history reaches back to a revision;
-it needs no changes."""
 
 
 def read_boot() -> str:
@@ -255,24 +253,16 @@
         """Return an upper bound on the time from a record to its process' end.
 
         None when no bound can be proved.  The clock gives one within the same boot;
-        otherwise a binary search finds the shortest bound whose revision is
-        still in the store's history.
+        otherwise it is the shortest bound whose revision is still in the store's
+        history.
         """
         now, born = self.clock.now(), self._find_start()
         elapsed = record.read_clock(self.boot, now, self.read_wall())
         if elapsed is not None:
             return max(0.0, elapsed - (now - born))
-        low, high, checked_at = 0, len(record.spans), now
-        while low < high:
-            middle = (low + high) // 2
-            asked = self.clock.now()
-            found = await self.store.watch(
-                [KIND], record.spans[middle][1], _HISTORY_CHECK_WAIT
-            )
-            if found.too_old:
-                low = middle + 1
-            else:
-                high, checked_at = middle, asked
-        if low == len(record.spans):
+        history = HistorySearch(self.store, KIND, self.clock)
+        oldest = await history.find_oldest([revision for _, revision in record.spans])
+        if oldest is None:
             return None
-        return max(0.0, record.spans[low][0] - (checked_at - born))
+        span, _ = record.spans[oldest.index]
+        return max(0.0, span - (oldest.asked_at - born))
