--- a/anvilshift/core/allocators.py
+++ b/anvilshift/core/allocators.py
@@ -11,6 +11,7 @@
 available.
 """
 
+import functools
 import hashlib
 from collections.abc import Collection
 
@@ -20,6 +21,10 @@
 """Number of routers that keep tokens of any organisation.  Each writes its shares of
 all totals to one object; with more writers, most writes would conflict."""
 
+_MAX_CACHED_HASHES = 8_192
+"""Hashes kept: those of a fleet of a thousand routers, and of the four candidates with
+each of a thousand organisations."""
+
 
 def list_allocators(organisation: str, routers: Collection[str]) -> tuple[str, ...]:
     """Return the routers that keep an organisation's tokens, in order of rank.
@@ -45,6 +50,18 @@
     return sorted(routers, key=lambda router: (_compute_hash(key, router), router))
 
 
+def find_position(router: str) -> float:
+    """Return a number from 0 to 1 that spreads what routers do at the same time.
+
+    Examples
+    --------
+    >>> 0.0 <= find_position("r1") < 1.0, find_position("r1") == find_position("r2")
+    (True, False)
+    """
+    return int.from_bytes(_compute_hash("position", router)) / 2.0**64
+
+
+@functools.lru_cache(maxsize=_MAX_CACHED_HASHES)
 def _compute_hash(key: str, router: str) -> bytes:
     return hashlib.blake2b(f"{key}/{router}".encode(), digest_size=8).digest()
 
--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -159,6 +159,10 @@
             balance.rank = allocators.find_rank(name)
             balance.allocators = len(allocators.list_allocators(name))
 
+    def is_allocator(self) -> bool:
+        """Tell whether this router keeps tokens of any organisation."""
+        return any(one.limited and one.keeping for one in self.by_name.values())
+
     def must_record_use(self) -> bool:
         """Tell whether this router must record its use of any organisation's tokens."""
         return any(
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -38,6 +38,8 @@
 _RETRY_DELAY_AT_START: Millis = 300.0
 """Retry delay just after a start.  The shares of routers that were killed together are
 ended one by one within a second."""
+_UNREADY_WAIT: Millis = 60.0
+"""When to ask an allocator again that has just started and has no share yet."""
 _REMEMBER: Millis = 500.0
 """How long a refusal applies to other requests of the organisation that are as large.
 Otherwise each request of a burst would cost writes and wait without result."""
@@ -119,13 +121,20 @@
     ) -> None:
         try:
             self._check_refusals(name, key, tokens, until)
-            while not self.allotter.is_ready and self.clock.now() < until:
+            while not self._may_search(name) and self.clock.now() < until:
                 await self._wait_round(until)
             while not await self._search(name, key, tokens, until, search):
                 search = self._begin_search(search.allocators)
         finally:
             self.balances.cancel_waiting(name, key)
 
+    def _may_search(self, name: str) -> bool:
+        """Tell whether tokens may be looked for, by asking allocators at least."""
+        if self.allotter.is_ready:
+            return True
+        others_keep = not self.allocators.is_allocator(name)
+        return others_keep and self.allotter.has_discovered_peers()
+
     def _check_refusals(self, name: str, key: str, tokens: int, until: Millis) -> None:
         known, now = self._refusals.get(name), self.clock.now()
         applies = known is not None and now < known.until and tokens >= known.tokens
@@ -185,7 +194,9 @@
         lacking = max(1, tokens - max(0, balance.available(now)))
         if allocator is not None and not self.ask(allocator, number, name, lacking):
             search.skip()
-        if search.is_unanswered(now):
+        # Just after a start the allocators may be starting as well.  If each router
+        # drew for itself, their writes would conflict with those of the allocators.
+        if search.is_unanswered(now) and not self.allotter.has_just_started():
             self.balances.record_missing_allocator(name, now)
         self.allotter.wake()
 
@@ -289,6 +300,9 @@
         name, key = ask.organisation, f"{ask.holder}#{ask.number}"
         if name not in self.balances.by_name:
             return Lack(ask.holder, ask.number, name, False, _RETRY_DELAY)
+        if not self.allotter.is_ready:
+            # A gift that comes later would arrive beside that of the next ask.
+            return Lack(ask.holder, ask.number, name, False, _UNREADY_WAIT)
         now = self.clock.now()
         if not self.balances.reserve(name, key, ask.tokens, now):
             if ask.keeping:
--- a/anvilshift/gateway/shares.py
+++ b/anvilshift/gateway/shares.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
+from anvilshift.core.allocators import find_position
 from anvilshift.core.allotments import Allotments, Totals
 from anvilshift.core.balances import FREE_KNOWN_FOR, Balances
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -46,6 +47,11 @@
 """Maximum delay of the first write after the start, also used while no other router
 is heard.  A router that writes before it knows the others draws tokens that the
 allocators then have to get back."""
+_FORMER_SHARE_DELAY: Millis = 1 * SECOND
+_FORMER_SHARE_SPREAD: Millis = 2 * SECOND
+"""When a router that is no allocator ends its former share: after the delay, and over
+the spread by a hash of its name.  Its share is small, and if each router of a large
+fleet ended its own at the start, the allocators' writes would fail for seconds."""
 _START_PERIOD: Millis = 1.5 * SECOND
 """How long after the start other routers may be starting as well.  They end the
 shares of their former incarnations, so the number of free tokens grows within tenths
@@ -146,6 +152,11 @@
         """Tell whether its share is set up and those of former incarnations ended."""
         return self._begun
 
+    def has_discovered_peers(self) -> bool:
+        """Tell whether this router knows the fleet that it has started in."""
+        latest = max(self._started_at, self.last_discovery)
+        return not self.has_no_peers and self.clock.now() - latest >= _DISCOVERY_DELAY
+
     def list_spent(self) -> dict[str, int]:
         """Return the tokens spent or reserved here, by organisation."""
         return {name: balance.spent for name, balance in self.balances.by_name.items()}
@@ -192,13 +203,7 @@
         if self._closed:
             return False
         if not self._begun:
-            # Other routers may report what the former incarnation here spent.
-            discovery_over = (
-                now - max(self._started_at, self.last_discovery) >= _DISCOVERY_DELAY
-            )
-            return now - self._started_at >= _MAX_FIRST_WRITE_DELAY or (
-                discovery_over and not self.has_no_peers
-            )
+            return self._is_due_to_begin(now)
         if self.balances.has_drawable_waiters(now):
             return True
         if self.ended.keys() & self.balances.seen.list_holders():
@@ -209,6 +214,19 @@
         )
         return interval_over and self.balances.wants_change(now)
 
+    def _is_due_to_begin(self, now: Millis) -> bool:
+        """Tell whether this router's share should be set up.
+
+        Other routers may report what the former incarnation here spent.
+        """
+        age = now - self._started_at
+        if self.has_discovered_peers() and not self.balances.is_allocator():
+            delay = _FORMER_SHARE_DELAY + _FORMER_SHARE_SPREAD * find_position(
+                self.node
+            )
+            return age >= delay or self.balances.has_drawable_waiters(now)
+        return age >= _MAX_FIRST_WRITE_DELAY or self.has_discovered_peers()
+
     def notify_waiters(self) -> None:
         """Wake all callers of `wait_for_update`."""
         done, self._update_event = self._update_event, asyncio.Event()
@@ -319,12 +337,16 @@
         for balance in self.balances.by_name.values():
             balance.ceiling = balance.spent
 
-        def change(body: Body | None) -> Body:
-            allotments = read_allotments(body).end(self.holder, spent)
+        def change(body: Body | None) -> Body | None:
+            known = read_allotments(body)
+            allotments = self._end_former(known).end(self.holder, spent)
+            if allotments == known and not self._writes:
+                return None
             return {**encode(allotments), "mark": f"{self.holder}:end"}
 
-        if self._begun:
-            await self._object.update(change)
+        if not self._former_settled:
+            await self._settle_former()
+        await self._object.update(change)
 
 
 def read_allotments(body: Body | None) -> Allotments:
