--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -63,6 +63,9 @@
 _RATE_LIMITED_MS = 40.0
 """Cost of an engine with a rate limit: its few permitted requests are kept for those
 that gain more than this by it, such as by cached tokens."""
+_AVOIDED_MS = 200.0
+"""Cost of a target that fails more than the others of its service: a request whose
+answer is lost there costs its caller more than this wait elsewhere."""
 _DEFAULT_PLAIN_DURATION: Millis = 40.0
 """Assumed duration of a request at a plain service until it has been measured."""
 
@@ -230,7 +233,7 @@
     running = len(target.runs)
     transfer = _FAR_MS + _FAR_MS_PER_KB * demand.kilobytes
     cost = transfer * (target.info.failure_domain != demand.domain)
-    cost += choice.turn + _limit_cost(target, now)
+    cost += choice.turn + _limit_cost(target, now) + _avoidance_cost(target, now)
     if choice.disturbing:
         late = choice.total_wait > demand.on_time
         cost += _LATE_MS + _LATE_WAIT_WEIGHT * choice.wait if late else choice.wait
@@ -246,6 +249,11 @@
     return cost
 
 
+def _avoidance_cost(target: TargetLoad, now: Millis) -> float:
+    """Return the cost of a target that fails more than the others."""
+    return _AVOIDED_MS if now < target.avoided_until else 0.0
+
+
 def _limit_cost(target: TargetLoad, now: Millis) -> float:
     """Return the cost of a rate-limited target; zero where nothing was sent recently.
 
@@ -286,8 +294,9 @@
         queue = len(target.runs) / max(1, target.info.slots)
         remote = target.info.failure_domain != domain
         turn = _find_delay(target, turns or {}, now)
-        limited = _limit_cost(target, now)
-        return queue * work + _FAR_MS * remote + rng.random() * 0.1 + turn + limited
+        announced = turn + _limit_cost(target, now)
+        distance = _FAR_MS * remote + rng.random() * 0.1
+        return queue * work + distance + announced + _avoidance_cost(target, now)
 
     target = min(usable, key=cost)
     ahead = max(0, len(target.runs) + 1 - target.info.slots)
--- a/anvilshift/core/ejection.py
+++ b/anvilshift/core/ejection.py
@@ -130,10 +130,19 @@
             return 1.0
         return math.exp(max(0.0, self.level - baseline))
 
-    def eject(self, now: Millis, rng: random.Random) -> None:
-        """Eject the target, for twice as long each time up to a limit."""
-        duration = min(_MAX_EJECTION, _BASE_EJECTION * 2.0**self._ejections)
-        self._ejections += 1
+    def eject(self, now: Millis, rng: random.Random, lasting: bool = True) -> None:
+        """Eject the target, for twice as long each time up to a limit.
+
+        Parameters
+        ----------
+        lasting
+            Whether each ejection is longer than the one before.  Where all routers
+            report failures, few requests show that the target still fails.
+        """
+        duration = _BASE_EJECTION
+        if lasting:
+            duration = min(_MAX_EJECTION, _BASE_EJECTION * 2.0**self._ejections)
+            self._ejections += 1
         self.until = now + duration * rng.uniform(1.0, 1.0 + _JITTER)
         self.state = HealthState.EJECTED
 
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -188,6 +188,8 @@
         Counts the requests sent to it recently.
     paused_until
         When it accepts requests again, as it announced when it refused one.
+    avoided_until
+        Until when other targets are preferred, because it fails more than they do.
     """
 
     info: TargetInfo
@@ -203,6 +205,7 @@
     limit: RateLimit | None = None
     meter: RequestLog = field(default_factory=RequestLog)
     paused_until: Millis = -math.inf
+    avoided_until: Millis = -math.inf
 
     def find_rate(self, now: Millis) -> float | None:
         """Return its limit in requests a second; None where it has none."""
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -16,6 +16,7 @@
     Begun,
     Blamed,
     Ended,
+    Failed,
     Farewell,
     Gift,
     Held,
@@ -169,6 +170,8 @@
             self.loads.end(message.target, message.run)
         elif isinstance(message, Leaving):
             self._mark_leaving(message.target)
+        elif isinstance(message, Failed):
+            self.shared.health.apply_report(message)
         elif isinstance(message, Blamed):
             self.shared.blame.record_crash(message.content, message.target, now)
         elif isinstance(message, Ask):
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -104,6 +104,30 @@
     target: str
 
 
+@dataclass(frozen=True)
+class Failed:
+    """An attempt at a target failed.
+
+    Parameters
+    ----------
+    router, domain
+        The router that sent the attempt, and its failure domain.
+    born
+        Identifies the start of the target, so that a restarted one isn't affected.
+    content
+        Identifies the request.
+    answered
+        Whether the target sent an answer, but an error or an unusable one.
+    """
+
+    router: str
+    domain: str
+    target: str
+    born: int
+    content: str
+    answered: bool
+
+
 @dataclass(frozen=True)
 class Blamed:
     """A target crashed while it processed this content."""
@@ -304,6 +328,7 @@
     | Begun
     | Ended
     | Leaving
+    | Failed
     | Blamed
     | Ask
     | Gift
@@ -326,6 +351,7 @@
         Begun,
         Ended,
         Leaving,
+        Failed,
         Blamed,
         Ask,
         Gift,
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -7,7 +7,7 @@
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.ejection import Health, HealthState
+from anvilshift.core.ejection import Health
 from anvilshift.core.endpoints import Endpoint, choose_endpoints
 from anvilshift.core.errors import AnvilshiftError, ExecutionState
 from anvilshift.core.identity import make_identity
@@ -29,6 +29,7 @@
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.shares import ShareManager
+from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient
@@ -146,6 +147,15 @@
             journal,
             settings.failure_domain,
             RetryBudget(settings.find_retry_reserve(1)),
+            TargetHealth(
+                self.incarnation,
+                settings.failure_domain,
+                self.loads,
+                self.peers,
+                clock,
+                journal,
+                rng,
+            ),
         )
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
@@ -363,10 +373,7 @@
         self.messenger.return_unused_tokens()
         self.loads.expire(now)
         self.permits.run_checks(now)
-        for target in self.loads.targets.values():
-            health = target.health
-            if health.state is HealthState.EJECTED and now >= health.until:
-                health.probe(now)
+        self.shared.health.probe_ejected(now)
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -11,7 +11,6 @@
 
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import (
     ANSWER_LATE,
     ENGINE_FAILED,
@@ -314,12 +313,11 @@
         return AnvilshiftError(code, detail, after)
 
     def _record_failure(self, choice: Choice, error: AttemptError) -> None:
-        target = choice.target
-        name = target.info.name
+        name = choice.target.info.name
         self.failed_targets.add(name)
-        if error.failure is not Failure.REJECTED:
-            target.health.add_failure(self.call.identity)
-            self._eject_if_unhealthy(choice, error.failure)
+        self.shared.health.record_failure(
+            choice.target, error.failure, self.call.identity, error.answered
+        )
         self.shared.journal.write(
             "attempt_failed",
             id=self.call.identity,
@@ -329,18 +327,6 @@
             events=self.relay.events,
         )
 
-    def _eject_if_unhealthy(self, choice: Choice, failure: Failure) -> None:
-        health, now = choice.target.health, self.shared.clock.now()
-        # A target that accepts no connection is ejected at once; otherwise the next
-        # request would fail there as well.
-        unreachable = failure is Failure.NOT_SENT
-        if health.state is not HealthState.EJECTED and (
-            unreachable or health.should_eject(0.0)
-        ):
-            health.eject(now, self.shared.rng)
-            name = choice.target.info.name
-            self.shared.journal.write("target_ejected", target=name, until=health.until)
-
     def _check_retry(self, error: AttemptError) -> None:
         """Check that the request may be retried.
 
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -191,8 +191,7 @@
 
     def send_far(self, message: Message, domain: str) -> None:
         """Send a message that isn't urgent to the routers that `send_near` omits."""
-        domains = {peer.beat.failure_domain for peer in self.routers.values()}
-        far = frozenset(domains - {domain, self.domain})
+        far = frozenset(self.list_domains() - {domain, self.domain})
         if far:
             self._enqueue(message, far, soon=False)
 
@@ -238,6 +237,10 @@
         since = self.clock.now() - self._find_timeout()
         return [peer for peer in self.routers.values() if peer.heard >= since]
 
+    def list_domains(self) -> set[str]:
+        """Return the failure domains of the other routers."""
+        return {peer.beat.failure_domain for peer in self.routers.values()}
+
     def beat(self) -> None:
         """Send a heartbeat now, and remove the routers that are lost."""
         beat = self.hooks.make_beat()
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -15,6 +15,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reserving import Reservations
+from anvilshift.gateway.targethealth import TargetHealth
 
 _RETRY_DELAY: Millis = 150.0
 """Retry delay for callers that a stopping router refuses; they reach another router."""
@@ -51,6 +52,7 @@
     journal: Journal
     domain: str
     retries: RetryBudget
+    health: TargetHealth
     table: RouteTable | None = None
     blame: CrashBlame = field(default_factory=CrashBlame)
     on_target_lost: Callable[[str], None] = lambda target: None
--- /dev/null
+++ b/anvilshift/gateway/targethealth.py
@@ -0,0 +1,121 @@
+"""Eject the targets that fail, by the failures at this router and at the others."""
+
+import random
+from dataclasses import dataclass, field
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.ejection import HealthState, may_eject
+from anvilshift.core.failurereports import FailureReport, FailureReports
+from anvilshift.core.loadmap import LoadMap, TargetLoad
+from anvilshift.core.work import Failure
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.messages import Failed
+from anvilshift.gateway.peers import Peers
+
+_AVOIDED_FOR: Millis = 2 * SECOND
+"""How long a suspect target is avoided that may not be ejected, because half of its
+service is out of use already: as long as a first ejection."""
+
+
+@dataclass
+class TargetHealth:
+    """Record failed attempts, tell the other routers of them, and eject targets.
+
+    Parameters
+    ----------
+    router, domain
+        This router and its failure domain.
+    """
+
+    router: str
+    domain: str
+    loads: LoadMap
+    peers: Peers
+    clock: Clock
+    journal: Journal
+    rng: random.Random
+    reports: FailureReports = field(default_factory=FailureReports)
+
+    def record_failure(
+        self, target: TargetLoad, failure: Failure, content: str, answered: bool
+    ) -> None:
+        """Record a failed attempt of this router, unless the target rejected it."""
+        if failure is Failure.REJECTED:
+            return
+        health = target.health
+        health.add_failure(content)
+        # A target that accepts no connection is ejected at once; otherwise the next
+        # request would fail there as well.
+        unreachable = failure is Failure.NOT_SENT
+        if unreachable or health.should_eject(0.0):
+            self._eject(target, lasting=unreachable or not self.peers.list_domains())
+        if unreachable:
+            # The other routers may reach it, and lose nothing by trying.
+            return
+        info = target.info
+        report = FailureReport(self.router, self.domain, content, answered)
+        self._judge(target, report)
+        self.peers.broadcast(
+            Failed(self.router, self.domain, info.name, info.born, content, answered)
+        )
+
+    def apply_report(self, message: Failed) -> None:
+        """Record a failed attempt of another router."""
+        target = self.loads.targets.get(message.target)
+        if target is not None and target.info.born == message.born:
+            report = FailureReport(
+                message.router, message.domain, message.content, message.answered
+            )
+            self._judge(target, report)
+
+    def probe_ejected(self, now: Millis) -> None:
+        """Try each target again whose ejection is over, unless it still fails."""
+        for target in self.loads.targets.values():
+            health = target.health
+            if health.state is not HealthState.EJECTED or now < health.until:
+                continue
+            health.probe(now)
+            if self._is_suspect(target) and self._may_eject(target):
+                self._eject(target, lasting=False)
+
+    def _judge(self, target: TargetLoad, report: FailureReport) -> None:
+        name, now = target.info.name, self.clock.now()
+        self.reports.domains = len(self.peers.list_domains() | {self.domain})
+        self.reports.add(name, report, now)
+        if not self._is_suspect(target):
+            return
+        if self._may_eject(target):
+            self._eject(target, lasting=False)
+        else:
+            target.avoided_until = now + _AVOIDED_FOR
+
+    def _is_suspect(self, target: TargetLoad) -> bool:
+        others = [
+            other.info.name
+            for other in self.loads.list_service_targets(target.info.service)
+            if other is not target
+            and not other.info.leaving
+            and other.health.state is not HealthState.EJECTED
+        ]
+        probed = target.health.state is HealthState.PROBING
+        now = self.clock.now()
+        return self.reports.is_suspect(target.info.name, others, now, probed)
+
+    def _may_eject(self, target: TargetLoad) -> bool:
+        present = [
+            other
+            for other in self.loads.list_service_targets(target.info.service)
+            if not other.info.leaving
+        ]
+        ejected = sum(t.health.state is HealthState.EJECTED for t in present)
+        return may_eject(ejected, len(present))
+
+    def _eject(self, target: TargetLoad, lasting: bool = True) -> None:
+        health, name = target.health, target.info.name
+        if health.state is HealthState.EJECTED:
+            return
+        health.eject(self.clock.now(), self.rng, lasting)
+        self.reports.forget(name)
+        self.journal.write(
+            "target_ejected", target=name, until=health.until, lasting=lasting
+        )
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -250,6 +250,26 @@
         )
         self.assertEqual((choice.target.info.name, choice.wait), ("p1", 0.0))
 
+    def test_target_that_fails_more_is_avoided_until_the_others_are_busy(self):
+        """Guards against sending bookings to an engine that loses their answers."""
+        loads = make_map(("sick", "healthy"), slots=6)
+        loads.targets["sick"].avoided_until = 1_000.0
+
+        def choose(now: float) -> str:
+            rng = random.Random(1)
+            choice = choose_plain_target(loads, "advice", "north", 81.0, rng, now)
+            return choice.target.info.name
+
+        # Fourteen requests at six slots wait 14 / 6 * 81 = 189 ms, fifteen 203 ms: more
+        # than the 200 ms that avoiding the other target is worth.
+        chosen = []
+        for n in range(16):
+            chosen.append(choose(0.0))
+            loads.send(chosen[-1], f"run-{n}", Prompt(), 0, 0.0, 0)
+        self.assertEqual(set(chosen[:15]), {"healthy"})
+        self.assertEqual(chosen[15], "sick")
+        self.assertEqual(choose(1_000.0), "sick")
+
     def test_the_wait_of_a_plain_request_includes_the_queue_ahead(self):
         loads = make_map(("p0",), slots=2, service="desk")
         for run in range(5):
