--- a/anvilshift/gateway/shares.py
+++ b/anvilshift/gateway/shares.py
@@ -38,11 +38,12 @@
 _FIRST_WRITES = 2
 """Writes before the minimum interval applies: the first only reads how many tokens
 are left, the second draws accordingly."""
-_DISCOVERY_DELAY: Millis = 120.0
+_DISCOVERY_DELAY: Millis = 180.0
 """Delay of the first write after the start and after the latest discovery of another
 router.  Routers that start together discover one another one by one: a router that
 wrote earlier would consider itself an allocator of tokens, and its write would conflict
-with those of all others."""
+with those of all others.  It is longer than a heartbeat interval, because heartbeats
+name further routers."""
 _MAX_FIRST_WRITE_DELAY: Millis = 600.0
 """Maximum delay of the first write after the start, also used while no other router
 is heard.  A router that writes before it knows the others draws tokens that the
