--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -124,6 +124,8 @@
             while not self._may_search(name) and self.clock.now() < until:
                 await self._wait_round(until)
             while not await self._search(name, key, tokens, until, search):
+                if self.balances.reserve(name, key, tokens, self.clock.now()):
+                    return
                 search = self._begin_search(search.allocators)
         finally:
             self.balances.cancel_waiting(name, key)
@@ -167,22 +169,30 @@
                     break
                 if not self._has_failed(name, tokens, search):
                     continue
-                if not await self._wait_for_allocator(until, search):
+                if not await self._wait_for_allocator(name, tokens, until, search):
                     break
                 return False
         finally:
             del self._searches[number]
         raise self._refuse(name, key, tokens, search)
 
-    async def _wait_for_allocator(self, until: Millis, search: TokenSearch) -> bool:
-        """Wait until an allocator may have the tokens; False if that is too late."""
+    async def _wait_for_allocator(
+        self, name: str, tokens: int, until: Millis, search: TokenSearch
+    ) -> bool:
+        """Wait until an allocator may have the tokens; False if that is too late.
+
+        A gift that arrives late, behind a burst on a slow link, ends the wait.
+        """
         wait = search.find_wait()
         if wait is None and self.allotter.has_just_started():
             # The allocators may have started with this router and may be waiting too.
             wait = _RETRY_DELAY_AT_START
-        if wait is None or self.clock.now() + wait >= until:
+        due = self.clock.now() + max(_MIN_WAIT, wait or 0.0)
+        if wait is None or due >= until:
             return False
-        await asyncio.sleep(max(_MIN_WAIT, wait) / SECOND)
+        balance = self.balances.by_name[name]
+        while (now := self.clock.now()) < due and balance.available(now) < tokens:
+            await self._wait_round(due)
         return True
 
     def _request_tokens(self, name: str, tokens: int, number: int, now: Millis) -> None:
@@ -242,7 +252,11 @@
     def _refuse(
         self, name: str, key: str, tokens: int, search: TokenSearch
     ) -> AnvilshiftError:
-        """Return the error for a request; remember it for others as large."""
+        """Return the error for a request; remember it for others as large.
+
+        It is not remembered if the request was refused only because its time was over
+        before an allocator answered: there may be plenty of tokens.
+        """
         now = self.clock.now()
         certain = self._is_certain(name, tokens, search)
         waits = [self.balances.find_wait(name, key, now), search.find_wait()]
@@ -250,7 +264,8 @@
             waits.append(_RETRY_DELAY_AT_START)
         known = [wait for wait in waits if wait is not None and wait > 0.0]
         wait = min(known, default=None)
-        self._refusals[name] = _Refusal(tokens, now + _REMEMBER, certain, wait)
+        if search.answers or self.allocators.is_allocator(name):
+            self._refusals[name] = _Refusal(tokens, now + _REMEMBER, certain, wait)
         return self._make_refusal(name, tokens, certain, wait)
 
     def _make_refusal(
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -29,6 +29,13 @@
     recording
         Whether routers record their use.  Each start of a host follows a power
         failure and has a new boot id.
+
+    Attributes
+    ----------
+    copies
+        How often each datagram arrives.
+    silent
+        Allocators that no ask reaches.
     """
 
     def __init__(self, recording: bool = False) -> None:
@@ -42,6 +49,7 @@
         self.tasks: dict[str, list[asyncio.Task]] = {}
         self.asks: list[tuple[str, Ask]] = []
         self.copies = 1
+        self.silent: set[str] = set()
         self.spent = 0
         self.starts = 0
 
@@ -133,7 +141,7 @@
         return True
 
     def _hear_ask(self, allocator: str, ask: Ask) -> None:
-        if allocator in self.tasks:
+        if allocator in self.tasks and allocator not in self.silent:
             task = asyncio.create_task(self._lend(self.reservations[allocator], ask))
             self.tasks[allocator].append(task)
 
--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -2,6 +2,7 @@
 import unittest
 
 from anvilshift.core.allocators import list_allocators
+from anvilshift.core.errors import AnvilshiftError
 from tests.gateway.fleet import POUNDS, run_scenario
 
 HOSTS = ("a", "b", "c", "d", "e", "f")
@@ -106,6 +107,25 @@
 
         run_scenario(scenario)
 
+    def test_refusal_without_an_answer_does_not_refuse_other_requests(self):
+        """Guards against refusing a burst because one request ran out of time.
+
+        No ask reaches the allocators for a moment, and no router reaches the store.
+        """
+
+        async def scenario(fleet):
+            await start_all(fleet, 100_000)
+            fleet.store.faults.cut = set(HOSTS)
+            fleet.silent = set(ALLOCATORS)
+            reservations = fleet.reservations[OTHERS[0]]
+            with self.assertRaises(AnvilshiftError):
+                until = fleet.clock.now() + 300.0
+                await reservations.reserve(POUNDS, "first", 1_000, until)
+            fleet.silent = set()
+            self.assertTrue(await fleet.spend(OTHERS[0], "second", 1_000))
+
+        run_scenario(scenario)
+
     def test_an_exhausted_total_causes_an_immediate_refusal(self):
         """A total is spent, and a request arrives at a router that isn't an allocator.
 
