--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -35,6 +35,9 @@
 _RETRY_DELAY: Millis = 4 * SECOND
 """Default retry delay for callers.  A store becomes reachable again, or a total is
 topped up, within seconds; a caller that retries sooner is refused again."""
+_MAX_RETRY_DELAY: Millis = 30 * SECOND
+"""Longest retry delay.  Where an organisation has had no tokens for some seconds, none
+are expected for as long again; a caller with less time need not come back."""
 _RETRY_DELAY_AT_START: Millis = 300.0
 """Retry delay just after a start.  The shares of routers that were killed together are
 ended one by one within a second."""
@@ -86,6 +89,7 @@
         self._last_ask = 0
         self._searches: dict[int, TokenSearch] = {}
         self._refusals: dict[str, _Refusal] = {}
+        self._dry_since: dict[str, Millis] = {}
         self._answers: dict[tuple[str, int], Gift | Lack | None] = {}
         self._last_gift = 0
         self._received: dict[str, SequenceNumbers] = {}
@@ -93,6 +97,7 @@
     def forget_refusals(self) -> None:
         """Forget remembered refusals, because totals may have grown."""
         self._refusals.clear()
+        self._dry_since.clear()
 
     def settle(self, name: str, key: str, tokens: int) -> None:
         """Replace a request's reservation by what it used; 0 when it did not run."""
@@ -111,6 +116,7 @@
         if not self.balances.reserve(name, key, tokens, now):
             search = self._begin_search(self.allocators.list_others(name))
             await self._wait(name, key, tokens, min(until, now + _MAX_WAIT), search)
+        self._dry_since.pop(name, None)
 
     def _begin_search(self, allocators: Sequence[str]) -> TokenSearch:
         records = self.recorder.records if self.recorder else 0
@@ -264,10 +270,18 @@
             waits.append(_RETRY_DELAY_AT_START)
         known = [wait for wait in waits if wait is not None and wait > 0.0]
         wait = min(known, default=None)
+        if wait is None:
+            wait = self._estimate_return(name)
         if search.answers or self.allocators.is_allocator(name):
             self._refusals[name] = _Refusal(tokens, now + _REMEMBER, certain, wait)
         return self._make_refusal(name, tokens, certain, wait)
 
+    def _estimate_return(self, name: str) -> Millis:
+        """Return a retry delay where nothing tells when there will be tokens."""
+        now = self.clock.now()
+        dry = now - self._dry_since.setdefault(name, now)
+        return min(max(dry, _RETRY_DELAY), _MAX_RETRY_DELAY)
+
     def _make_refusal(
         self, name: str, tokens: int, certain: bool, wait: Millis | None
     ) -> AnvilshiftError:
@@ -333,6 +347,7 @@
                 certain = error.code is BUDGET_EXHAUSTED
                 wait = float(error.retry_after or _RETRY_DELAY)
                 return Lack(ask.holder, ask.number, name, certain, wait)
+        self._dry_since.pop(name, None)
         tokens = self.balances.transfer_reservation(name, key, self.clock.now())
         return self._make_gift(ask.holder, name, tokens)
 
--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -126,6 +126,38 @@
 
         run_scenario(scenario)
 
+    def test_callers_of_a_dry_organisation_are_told_to_return_ever_later(self):
+        """Guards against callers who come back every four seconds in vain.
+
+        A router was killed with most of the total, which isn't known to be spent.
+        """
+
+        async def refuse(fleet, key: str) -> float:
+            until = fleet.clock.now() + 5_000.0
+            with self.assertRaises(AnvilshiftError) as caught:
+                await fleet.reservations[OTHERS[0]].reserve(POUNDS, key, 40_000, until)
+            return caught.exception.retry_after
+
+        async def scenario(fleet):
+            await start_all(fleet, 100_000)
+            until = fleet.clock.now() + 5_000.0
+            await fleet.reservations[ALLOCATORS[0]].reserve(POUNDS, "x", 70_000, until)
+            fleet.kill(ALLOCATORS[0])
+            await asyncio.sleep(3.0)
+            delays = []
+            for n in range(4):
+                delays.append(await refuse(fleet, f"late/{n}"))
+                await asyncio.sleep(4.0)
+            self.assertEqual(delays[0], 4_000.0)
+            self.assertGreater(delays[3], 9_000.0)
+            for node in fleet.allotters:
+                fleet.allotters[node].configure(2, {POUNDS: 200_000})
+                fleet.reservations[node].forget_refusals()
+            await asyncio.sleep(1.0)
+            self.assertTrue(await fleet.spend(OTHERS[0], "after a top-up", 40_000))
+
+        run_scenario(scenario)
+
     def test_an_exhausted_total_causes_an_immediate_refusal(self):
         """A total is spent, and a request arrives at a router that isn't an allocator.
 
