--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -5,7 +5,7 @@
 import pathlib
 import sys
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable, Iterator
 from dataclasses import asdict
 from typing import Any
 
@@ -27,6 +27,14 @@
 )
 from anvilshift.operator.calling import CallCommand
 from anvilshift.operator.explanations import explain
+from anvilshift.operator.logs import (
+    LogLine,
+    count_unserved,
+    format_cause,
+    format_line,
+    read_lines,
+    trace_request,
+)
 from anvilshift.operator.standins import StandinCommands
 from anvilshift.operator.validation import ERROR, cross_check
 from anvilshift.router.daemon import Router
@@ -69,6 +77,15 @@
         raise AnvilshiftError(BAD_SETTINGS, f"{text[1:]}: {error}") from error
 
 
+def _read_log_files(files: Iterable[str]) -> Iterator[LogLine]:
+    for name in files:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as file:
+                yield from read_lines(file)
+        except OSError as error:
+            raise AnvilshiftError(BAD_SETTINGS, f"{name}: {error}") from error
+
+
 def _open_store(platform: str, credential: str = "") -> HttpObjectStore:
     secret = _read_secret(credential)
     return HttpObjectStore(HttpClient(), Address.parse(platform), secret)
@@ -102,6 +119,23 @@
 
         sys.exit(_run_coroutine(serve()))
 
+    def trace(self, identity: str, *files: str) -> None:
+        """Print the log lines about one request from all routers, in order of time.
+
+        Example: anvilshift trace 113a563bb0e7db39 r1.log r2.log
+        """
+        lines = _read_log_files(files)
+        for line in trace_request(lines, str(identity)):
+            print(format_line(line))
+
+    def unserved(self, *files: str) -> None:
+        """Count the requests that weren't answered, by cause, time and organisation.
+
+        Example: anvilshift unserved r1.log r2.log
+        """
+        for cause in count_unserved(_read_log_files(files)):
+            print(format_cause(cause))
+
     def check(self, directory: str, output: str = "text") -> None:
         """Validate declarations and their references, without the platform.
 
