--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -1,19 +1,13 @@
-"""Messages between routers and their encoding in datagrams.
+"""Messages between routers.
 
 The messages are soft state, and any of them may be lost.  A lost message about a run
 is compensated by the next message about it or by the run's maximum duration.
 """
 
-import json
-from collections.abc import Iterable
-from dataclasses import asdict, dataclass, fields
-from typing import Any, get_origin, get_type_hints
+from dataclasses import dataclass
 
 from anvilshift.core.clock import Millis
 
-MAX_DATAGRAM = 1_300
-"""Maximum bytes of a datagram, so that it isn't split into IP fragments."""
-
 
 @dataclass(frozen=True)
 class Beat:
@@ -342,102 +336,3 @@
     | PermitDropped
     | SentBefore
 )
-_KINDS: dict[str, type[Message]] = {
-    kind.__name__: kind
-    for kind in (
-        Beat,
-        Sent,
-        Held,
-        Begun,
-        Ended,
-        Leaving,
-        Failed,
-        Blamed,
-        Ask,
-        Gift,
-        Lack,
-        Farewell,
-        Marked,
-        Limited,
-        Paused,
-        PermitAsk,
-        PermitAnswer,
-        PermitDropped,
-        SentBefore,
-    )
-}
-
-
-_FIELD_TYPES: dict[type[Message], tuple[type, ...]] = {
-    kind: tuple(get_origin(hint) or hint for hint in get_type_hints(kind).values())
-    for kind in _KINDS.values()
-}
-
-
-def encode(message: Message) -> bytes:
-    """Return a message as a line of JSON.
-
-    Examples
-    --------
-    >>> encode(Ended("r1/7", "e1"))
-    b'["Ended","r1/7","e1"]'
-    """
-    values = list(asdict(message).values())
-    return json.dumps([type(message).__name__, *values], separators=(",", ":")).encode()
-
-
-def pack(lines: Iterable[bytes]) -> list[bytes]:
-    r"""Combine encoded messages into datagrams, as many in each as fit.
-
-    Examples
-    --------
-    >>> pack([b"a", b"b"])
-    [b'a\nb']
-    """
-    datagrams: list[bytes] = []
-    for line in lines:
-        if datagrams and len(datagrams[-1]) + len(line) < MAX_DATAGRAM:
-            datagrams[-1] += b"\n" + line
-        else:
-            datagrams.append(line)
-    return datagrams
-
-
-def decode(datagram: bytes) -> list[Message]:
-    """Return the messages of a datagram.
-
-    Raises
-    ------
-    ValueError
-        When the bytes are not messages of this version.
-
-    Examples
-    --------
-    >>> decode(encode(Ended("r1/7", "e1")))
-    [Ended(run='r1/7', target='e1')]
-    """
-    return [_decode_line(json.loads(line)) for line in datagram.split(b"\n")]
-
-
-def _decode_line(values: Any) -> Message:
-    if not isinstance(values, list) or not values:
-        raise ValueError("not a router message: expected a non-empty list")
-    kind = _KINDS.get(str(values[0]))
-    if kind is None or len(values) != len(fields(kind)) + 1:
-        raise ValueError(
-            "not a message of this router version: unknown type or field count"
-        )
-    frozen = [_convert_lists(value) for value in values[1:]]
-    for expected, value in zip(_FIELD_TYPES[kind], frozen, strict=True):
-        if type(value) is not expected:
-            raise ValueError(f"a {values[0]} message has a field of the wrong type")
-    return kind(*frozen)
-
-
-def _convert_lists(value: Any) -> Any:
-    """Return a value with its lists as tuples."""
-    return (
-        tuple(_convert_lists(one) for one in value)
-        if isinstance(value, list)
-        else value
-    )
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -10,8 +10,9 @@
 from typing import cast
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.gateway.datagrams import decode, encode, pack
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.messages import Beat, Message, decode, encode, pack
+from anvilshift.gateway.messages import Beat, Message
 
 MIN_BEAT_INTERVAL: Millis = 150.0
 """Heartbeat interval in a small fleet.  A lost router disappears from the address
--- a/tests/core/test_loadmap.py
+++ b/tests/core/test_loadmap.py
@@ -1,13 +1,7 @@
 import unittest
 
-from anvilshift.core.loadmap import (
-    LONGEST_RUN,
-    LoadMap,
-    Prompt,
-    TargetInfo,
-    longest_pause,
-    prefill_time,
-)
+from anvilshift.core.loadmap import LONGEST_RUN, LoadMap, Prompt, TargetInfo
+from anvilshift.core.prefill import longest_pause, prefill_time
 
 CAPACITY = 100_000
 
--- a/tests/gateway/test_messages.py
+++ b/tests/gateway/test_datagrams.py
@@ -1,7 +1,7 @@
 import unittest
 
+from anvilshift.gateway.datagrams import MAX_DATAGRAM, decode, encode, pack
 from anvilshift.gateway.messages import (
-    MAX_DATAGRAM,
     Ask,
     Beat,
     Begun,
@@ -12,9 +12,6 @@
     Leaving,
     Marked,
     Sent,
-    decode,
-    encode,
-    pack,
 )
 
 MESSAGES = [
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,7 +2,8 @@
 import unittest
 
 from anvilshift.core.clock import ManualClock
-from anvilshift.gateway.messages import Beat, Ended, Held, Sent, decode, encode
+from anvilshift.gateway.datagrams import decode, encode
+from anvilshift.gateway.messages import Beat, Ended, Held, Sent
 from anvilshift.gateway.peers import PeerCallbacks, Peers, find_beat_interval
 from tests.gateway.silent import SilentJournal
 
--- a/tests/gateway/test_targethealth.py
+++ b/tests/gateway/test_targethealth.py
@@ -8,7 +8,7 @@
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.loadmap import LoadMap, TargetInfo
 from anvilshift.core.work import Failure
-from anvilshift.gateway.messages import decode, encode
+from anvilshift.gateway.datagrams import decode, encode
 from anvilshift.gateway.targethealth import TargetHealth
 from tests.gateway.silent import SilentJournal
 
