--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -92,9 +92,14 @@
     ),
     "ejection": (
         Patch(
-            "gateway/passing.py",
-            "if health.state is not HealthState.EJECTED and",
-            "if False and",
+            "gateway/targethealth.py",
+            "if unreachable or health.should_eject(0.0):",
+            "if False:",
+        ),
+    ),
+    "shared-failures": (
+        Patch(
+            "gateway/targethealth.py", "if not self._is_suspect(target):", "if True:"
         ),
     ),
     "bounds-of-a-try": (
