--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -60,6 +60,9 @@
 _SUSPENDED_AFTER: Millis = 700.0
 """An event loop that was delayed for longer was frozen or suspended, not merely
 busy."""
+_SEED_TIMEOUT: Millis = 60.0
+"""Time after the start for a seed to answer.  If all routers lost power, the seeds may
+start some tenths of a second after the others."""
 _BODY_TIMEOUT: Millis = 10 * SECOND
 
 
@@ -315,6 +318,7 @@
             self.target_follower.run(),
             self.allotter.run(),
             self._record(),
+            self._find_peers(),
             self._run_tick_loop(),
         )
         self._tasks = [loop.create_task(coroutine) for coroutine in coroutines]
@@ -327,6 +331,16 @@
             await asyncio.sleep(_TICK_INTERVAL / SECOND)
         await self.recorder.run()
 
+    async def _find_peers(self) -> None:
+        """Find the other routers through recorded hosts if no seed answers."""
+        await asyncio.sleep(_SEED_TIMEOUT / SECOND)
+        if self.settings.history is None or self.peers.routers:
+            return
+        try:
+            self.peers.greet(await self.recorder.list_hosts())
+        except AnvilshiftError as error:
+            self.journal.write("hosts_unknown", code=error.code.number)
+
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             self.journal.write("part_ended", why=repr(task.exception()))
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -238,6 +238,12 @@
         since = self.clock.now() - self._find_timeout()
         return [peer for peer in self.routers.values() if peer.heard >= since]
 
+    def greet(self, addresses: set[str]) -> None:
+        """Send a heartbeat to routers that may exist at some addresses."""
+        unknown = addresses - self.addresses - {self.ip}
+        self.addresses |= unknown
+        self._send_beat(self.hooks.make_beat(), unknown)
+
     def list_domains(self) -> set[str]:
         """Return the failure domains of the other routers."""
         return {peer.beat.failure_domain for peer in self.routers.values()}
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -45,6 +45,9 @@
 _MIN_STEP, _MIN_STEP_FRACTION = 100.0, 0.08
 """Minimum distance of the bounds in a record: in milliseconds, and as a fraction of the
 shorter bound.  The tokens that may be spent grow with the square of the bound."""
+_MAX_HOSTS = 8
+"""Recorded hosts through which a router finds the others: twice as many as keep tokens
+at one time, since some may be gone."""
 _BOOT_ID_PATH = pathlib.Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -204,6 +207,24 @@
         self.marks.add(mark)
         self.on_new_mark(mark)
 
+    async def list_hosts(self) -> set[str]:
+        """Return the addresses of the hosts that recorded their use most recently.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the store is unreachable.
+        """
+        listing = await self.store.list([KIND])
+        records = []
+        for item in listing.items:
+            try:
+                records.append(decode(UseRecord, item.body))
+            except AnvilshiftError as error:
+                self.journal.write("use_unreadable", why=error.detail)
+        records.sort(key=lambda record: record.wall, reverse=True)
+        return {record.ip for record in records[:_MAX_HOSTS]} - {self.ip}
+
     # The former process on this host
 
     async def bound_former_use(self) -> tuple[str, dict[str, SpendingBounds]] | None:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -116,6 +116,14 @@
         self.hear(25)
         self.assertEqual(self.transport.list_addresses("Beat"), ["10.0.0.25"])
 
+    async def test_addresses_from_elsewhere_get_a_heartbeat_at_once(self):
+        """Guards against waiting for seeds that start later than the others."""
+        self.hear(1)
+        self.transport.sent.clear()
+        self.peers.greet({"10.0.0.1", "10.0.0.2", OWN_IP})
+        self.assertEqual(self.transport.list_addresses("Beat"), ["10.0.0.2"])
+        self.assertIn("10.0.0.2", self.peers.addresses)
+
     async def test_far_routers_get_fewer_heartbeats(self):
         for n in range(30):
             self.hear(n)
--- a/tests/gateway/test_recording.py
+++ b/tests/gateway/test_recording.py
@@ -188,6 +188,21 @@
 
         run_scenario(scenario, recording=True)
 
+    def test_the_hosts_that_kept_tokens_are_found_after_a_power_failure(self):
+        """Guards against a fleet that finds itself only once its seeds have started."""
+
+        async def scenario(fleet):
+            start_all(fleet)
+            await use_evenly(fleet, 5.0)
+            keepers = set(list_allocators(POUNDS, HOSTS))
+            for node in HOSTS:
+                fleet.kill(node)
+            fleet.start("a")
+            found = await fleet.recorders["a"].list_hosts()
+            self.assertEqual(found, keepers - {"a"})
+
+        run_scenario(scenario, recording=True)
+
     def test_nothing_is_proved_after_the_history_is_lost(self):
         async def scenario(fleet):
             start_all(fleet)
