--- a/tests/bench/test_courses.py
+++ b/tests/bench/test_courses.py
@@ -65,6 +65,10 @@
         """Guards against copies of bills that are lost in a planned stop."""
         self.play("8049", BILL_CHECK, networks=(1,))
 
+    def test_bill_whose_holder_and_only_witness_end_in_an_outage(self):
+        """Guards against a bill that gets no second keeper once there is one."""
+        self.play("8049-outage", BILL_CHECK)
+
     def test_bill_of_an_isolated_router_that_is_killed(self):
         """Guards against an answer that ends while no other process has its bill."""
         self.play("4001", BILL_CHECK)
