--- a/anvilshift/router/earlyrelease.py
+++ b/anvilshift/router/earlyrelease.py
@@ -5,9 +5,12 @@
 """
 
 import asyncio
+from collections import defaultdict
 
 from absl import logging
 
+from anvilshift.core.account import Bill
+from anvilshift.core.commit import BillKey
 from anvilshift.core.escrow import Escrow
 from anvilshift.router.hooks import Hooks
 
@@ -17,6 +20,7 @@
 
     def __init__(self, hooks: Hooks) -> None:
         self._hooks = hooks
+        self._without_spare: set[BillKey] = set()
 
     async def release(self, holder_accounts: Escrow, account: str, key: str) -> bool:
         """Tell whether an answer may end now; if so, its bill counts as released."""
@@ -36,7 +40,9 @@
             # the witness closes the amount in doubt of a lost holder, tokens that this
             # answer has spent would return to the budget.
             stored = self._hooks.store_at_witness(witness, holder, bills)
-            kept, _ = await asyncio.gather(stored, copies)
+            kept, spared = await asyncio.gather(stored, copies)
+            if kept and not spared:
+                self._without_spare.add((account, key))
             return kept
         if await copies or grant_state.is_cost_recorded(key):
             return True
@@ -51,3 +57,22 @@
             bill.tokens,
         )
         return True
+
+    async def add_spare_copies(self, holder_accounts: Escrow) -> None:
+        """Send copies to another router for bills that only a witness has.
+
+        Others may have been starting or leaving when the answers ended.  If nobody
+        were asked again, holder and witness could take the bills along in an outage
+        that many routers live through.
+        """
+        released = holder_accounts.list_released()
+        self._without_spare &= {(account, bill.key) for account, bill in released}
+        by_witness: dict[str, list[tuple[str, Bill]]] = defaultdict(list)
+        for account, bill in released:
+            if (account, bill.key) in self._without_spare:
+                witness = holder_accounts.grant_states[account].grant.witness
+                by_witness[witness].append((account, bill))
+        for witness, bills in by_witness.items():
+            holder = holder_accounts.holder
+            if await self._hooks.keep_copies(holder, tuple(bills), witness):
+                self._without_spare -= {(account, bill.key) for account, bill in bills}
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -100,6 +100,7 @@
         self._failing_since: Millis | None = None
         self._in_flight_since: Millis | None = None
         self._commit_task: asyncio.Task[None] | None = None
+        self._spreading: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -260,6 +261,8 @@
                     lambda: self.holder_accounts.begin_commit(self._clock.now())
                 ):
                     self._choose_witness()
+                else:
+                    self._spread_copies()
             except Exception:
                 logging.exception("commit broke ledger=%s", self.name)
                 self._hooks.count_event("commit_broke")
@@ -281,6 +284,13 @@
         if chosen != current:
             self._commit_requested.set()
 
+    def _spread_copies(self) -> None:
+        if self._spreading is None or self._spreading.done():
+            spreading = self.early_release.add_spare_copies(self.holder_accounts)
+            self._spreading = asyncio.get_running_loop().create_task(spreading)
+            self._tasks.add(self._spreading)
+            self._spreading.add_done_callback(self._tasks.discard)
+
     def _has_work(self) -> bool:
         wanted = self.holder_accounts.wants_commit(self._clock.now())
         # After a failure, commits are retried until one succeeds: nothing else
--- a/tests/router/test_bill_orders.py
+++ b/tests/router/test_bill_orders.py
@@ -195,6 +195,25 @@
         await routers.kill_and_seal()
         self.assert_billed(routers, completed=True)
 
+    async def test_spare_that_comes_after_the_answer_is_billed(self):
+        """Guards against a bill that gets no second keeper once there is one.
+
+        Only the witness can be reached as the answer ends in an outage; the spare can
+        be later, and the holder and the witness are killed.
+        """
+        routers = Routers()
+        await routers.reserve()
+        routers.cut("r1", "r2")
+        routers.lost = {"request r3"}
+        self.assertTrue(await routers.end_answer())
+        await asyncio.sleep(2)
+        routers.lost = set()
+        await asyncio.sleep(5)
+        routers.kill("r1", "r2")
+        await routers.seal()
+        await routers.sweep("r3")
+        self.assertEqual(routers.account.usage, {"kosice": TOKENS})
+
     async def test_spare_bills_before_the_witness_closes_once(self):
         """Spare and witness with the same copy must bill it once."""
         for names in (("r2", "r3"), ("r3", "r2")):
