--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Mapping
 from functools import partial
 
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
@@ -32,7 +32,6 @@
 )
 from anvilshift.core.timeouts import (
     NO_ENGINE_RETRY,
-    bound_abandoned_tokens,
     find_attempt_timeout,
     find_pause_timeout,
     find_return,
@@ -41,9 +40,10 @@
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attempts import Answer, AttemptError, Outgoing
 from anvilshift.gateway.border import Call, TargetFields
+from anvilshift.gateway.charging import count_used_tokens
 from anvilshift.gateway.crashes import CrashTracker, digest_request
 from anvilshift.gateway.permitsession import PermitSession
-from anvilshift.gateway.relaying import COMPLETE, AnswerRelay
+from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.server import CallerDisconnectedError, Responder
@@ -175,26 +175,10 @@
         try:
             await self._run_until_deadline(self._attempt_until_answered())
         finally:
-            self.tokens = self._count_tokens(prompt, model)
+            if self.may_have_run:
+                self.tokens = count_used_tokens(self.relay, prompt, model, self.rule)
             reservations.settle(payer.name, key, self.tokens)
 
-    def _count_tokens(self, prompt: Prompt, model: ModelLimits) -> int:
-        """Return an upper bound on the tokens that the request used."""
-        if not self.may_have_run:
-            return 0
-        most = prompt.tokens + prompt.most_answer + model.tokens_per_event
-        if self.relay.outcome == COMPLETE:
-            generated = self.relay.events * model.tokens_per_event
-            return prompt.tokens + min(generated, prompt.most_answer)
-        if self.relay.broken or self.rule.kind is not RequestKind.STREAMING:
-            # An engine may have generated an answer that was lost in transit.  If
-            # only the received events were counted, a nearly used up budget would be
-            # overspent.
-            return most
-        return bound_abandoned_tokens(
-            prompt.tokens, self.relay.events, model.tokens_per_event, most
-        )
-
     async def _run_until_deadline(self, work: Awaitable[None]) -> None:
         """Await the work, and end the request when its deadline passes.
 
@@ -247,32 +231,22 @@
         excluded = self.failed_targets | self.turn.refused
         prompt = self.call.prompt if self.model is not None else Prompt()
         excluded |= self.crashes.list_forbidden(self.service, prompt)
+        delays = self.turn.list_permit_delays()
+        loads = shared.sender.loads
         if self.model is not None:
-            demand = Demand(
-                self.service,
-                self.call.prompt,
-                self.model.cache_tokens,
-                shared.domain,
-                self.rule.objective - (now - self.arrived),
-                self.model.tokens_per_event,
-                self.pause,
-                len(self.request.body) / 1_000,
-                self.model.fetch_per_token,
-                self.turn.list_permit_delays(),
-            )
-            choice = choose_engine(
-                shared.sender.loads, demand, now, shared.rng, excluded
-            )
+            demand = self._make_demand(self.model, delays, now)
+            choice = choose_engine(loads, demand, now, shared.rng, excluded)
         else:
+            work = shared.find_service_time(self.service).value
             choice = choose_plain_target(
-                shared.sender.loads,
+                loads,
                 self.service,
                 shared.domain,
-                shared.find_service_time(self.service).value,
+                work,
                 shared.rng,
                 now,
                 excluded,
-                self.turn.list_permit_delays(),
+                delays,
             )
         if choice is None:
             turn = self.turn.find_return()
@@ -285,6 +259,22 @@
             )
         return choice
 
+    def _make_demand(
+        self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
+    ) -> Demand:
+        return Demand(
+            self.service,
+            self.call.prompt,
+            model.cache_tokens,
+            self.shared.domain,
+            self.rule.objective - (now - self.arrived),
+            model.tokens_per_event,
+            self.pause,
+            len(self.request.body) / 1_000,
+            model.fetch_per_token,
+            delays,
+        )
+
     def _check_predicted_wait(self, choice: Choice) -> None:
         """Refuse a request at once if its predicted wait exceeds the time left."""
         left = self.end - self.shared.clock.now()
