--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -42,7 +42,8 @@
 """Retry delay just after a start.  The shares of routers that were killed together are
 ended one by one within a second."""
 _UNREADY_WAIT: Millis = 60.0
-"""When to ask an allocator again that has just started and has no share yet."""
+"""When to ask an allocator again at the earliest that has just started and has no share
+yet, or that may not spend enough of its tokens yet."""
 _REMEMBER: Millis = 500.0
 """How long a refusal applies to other requests of the organisation that are as large.
 Otherwise each request of a burst would cost writes and wait without result."""
@@ -52,10 +53,21 @@
 
 @dataclass(frozen=True)
 class _Refusal:
+    """A remembered refusal.
+
+    Parameters
+    ----------
+    until
+        Until when it is remembered.
+    wait, due
+        Time until there may be tokens, and the instant at which that is over.
+    """
+
     tokens: int
     until: Millis
     certain: bool
-    wait: Millis | None
+    wait: Millis
+    due: Millis
 
 
 class Reservations:
@@ -145,8 +157,10 @@
 
     def _check_refusals(self, name: str, key: str, tokens: int, until: Millis) -> None:
         known, now = self._refusals.get(name), self.clock.now()
-        applies = known is not None and now < known.until and tokens >= known.tokens
-        if known and applies and not self._is_soon(name, key, until):
+        if known is None or now >= known.until or tokens < known.tokens:
+            return
+        # The refused request may have had less time than this one.
+        if until <= known.due and not self._is_soon(name, key, until):
             certain = known.certain or self.allotter.is_exhausted(name, tokens)
             raise self._make_refusal(name, tokens, certain, known.wait)
 
@@ -273,7 +287,8 @@
         if wait is None:
             wait = self._estimate_return(name)
         if search.answers or self.allocators.is_allocator(name):
-            self._refusals[name] = _Refusal(tokens, now + _REMEMBER, certain, wait)
+            until = now + _REMEMBER
+            self._refusals[name] = _Refusal(tokens, until, certain, wait, now + wait)
         return self._make_refusal(name, tokens, certain, wait)
 
     def _estimate_return(self, name: str) -> Millis:
@@ -283,7 +298,7 @@
         return min(max(dry, _RETRY_DELAY), _MAX_RETRY_DELAY)
 
     def _make_refusal(
-        self, name: str, tokens: int, certain: bool, wait: Millis | None
+        self, name: str, tokens: int, certain: bool, wait: Millis
     ) -> AnvilshiftError:
         balance, now = self.balances.by_name[name], self.clock.now()
         known = self.balances.seen.of(name)
@@ -305,7 +320,7 @@
         )
         if certain:
             return AnvilshiftError(BUDGET_EXHAUSTED)
-        return AnvilshiftError(BUDGET_UNREACHABLE, retry_after=wait or _RETRY_DELAY)
+        return AnvilshiftError(BUDGET_UNREACHABLE, retry_after=wait)
 
     # Other routers' requests
 
@@ -336,9 +351,11 @@
         if not self.balances.reserve(name, key, ask.tokens, now):
             if ask.keeping:
                 # Another allocator asks as a last resort and draws for itself
-                # meanwhile.
+                # meanwhile.  It may come back when records allow these tokens.
+                wait = self.balances.find_wait(name, key, now)
                 self.balances.cancel_waiting(name, key)
-                return Lack(ask.holder, ask.number, name, False, _RETRY_DELAY)
+                wait = _RETRY_DELAY if wait is None else max(wait, _UNREADY_WAIT)
+                return Lack(ask.holder, ask.number, name, False, wait)
             # The asking router asks the other allocator itself.
             search = self._begin_search(())
             try:
--- a/tests/gateway/test_recording.py
+++ b/tests/gateway/test_recording.py
@@ -3,6 +3,7 @@
 import unittest
 
 from anvilshift.core.allocators import list_allocators
+from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.retention import RETENTION_MARGIN
 from anvilshift.core.usage import RELEASE_TIME
 from tests.gateway.fleet import POUNDS, run_scenario
@@ -145,6 +146,51 @@
 
         run_scenario(scenario, recording=True)
 
+    async def empty_first_allocator(self, fleet) -> int:
+        """Begin an outage; return tokens that the second allocator may spend soon."""
+        start_all(fleet, SMALL)
+        await use_evenly(fleet, 20.0)
+        fleet.store.faults.cut = set(HOSTS)
+        await asyncio.sleep(2.0)
+        first, second = (
+            fleet.allotters[node].balances.by_name[POUNDS]
+            for node in list_allocators(POUNDS, HOSTS)
+        )
+        first.ceiling = first.spent
+        now = fleet.clock.now()
+        tokens = second.available(now) + 500
+        self.assertGreater(second.find_wait(tokens, now), 60.0)
+        self.assertLess(second.find_wait(tokens, now), 1_000.0)
+        return tokens
+
+    def test_an_empty_allocator_serves_from_the_other_one_in_an_outage(self):
+        """Guards against refusing at one allocator what the other may spend soon.
+
+        The first allocator has spent its share some seconds into an outage; the second
+        has tokens, of which its record allows more and more.
+        """
+
+        async def scenario(fleet):
+            tokens = await self.empty_first_allocator(fleet)
+            self.assertTrue(await fleet.spend(ALLOCATOR, "x", tokens))
+            self.assertLessEqual(fleet.count_spent(), SMALL)
+
+        run_scenario(scenario, recording=True)
+
+    def test_a_patient_request_waits_for_what_an_impatient_one_was_refused(self):
+        """Guards against refusing a burst because one request had less time."""
+
+        async def scenario(fleet):
+            tokens = await self.empty_first_allocator(fleet)
+            until = fleet.clock.now() + 50.0
+            with self.assertRaises(AnvilshiftError):
+                await fleet.reservations[ALLOCATOR].reserve(
+                    POUNDS, "impatient", tokens, until
+                )
+            self.assertTrue(await fleet.spend(ALLOCATOR, "patient", tokens))
+
+        run_scenario(scenario, recording=True)
+
     def test_tokens_spent_in_an_outage_are_counted(self):
         """All hosts lose power seconds after an outage of the store began.
 
