--- a/anvilshift/core/failurereports.py
+++ b/anvilshift/core/failurereports.py
@@ -98,6 +98,15 @@
         """Forget the failures of a target, which has been judged or started anew."""
         self._reports.pop(target, None)
 
+    def list_targets(self) -> list[str]:
+        """Return the targets of which failures are kept."""
+        return list(self._reports)
+
+    def retain(self, targets: Collection[str]) -> None:
+        """Forget the failures of all but some targets."""
+        for name in self._reports.keys() - set(targets):
+            self.forget(name)
+
     def is_suspect(
         self, target: str, others: Collection[str], now: Millis, probed: bool = False
     ) -> bool:
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -70,6 +70,7 @@
 
     def probe_ejected(self, now: Millis) -> None:
         """Try each target again whose ejection is over, unless it still fails."""
+        self.reports.retain(self.loads.targets)
         for target in self.loads.targets.values():
             health = target.health
             if health.state is not HealthState.EJECTED or now < health.until:
--- a/tests/gateway/test_targethealth.py
+++ b/tests/gateway/test_targethealth.py
@@ -224,6 +224,17 @@
             any(len(fleet.list_avoiding(engine, now)) > 50 for engine in sick)
         )
 
+    def test_failures_of_targets_that_are_gone_are_forgotten(self):
+        """Guards against memory that grows with every engine that ever failed."""
+        fleet = Fleet(3, 7)
+        router = fleet.routers[0]
+        target = router.loads.targets[SICK]
+        router.record_failure(target, Failure.BROKE_OFF, "request", False)
+        self.assertIn(SICK, router.reports.list_targets())
+        router.loads.remove(SICK, fleet.clock.now())
+        router.probe_ejected(fleet.clock.now())
+        self.assertNotIn(SICK, router.reports.list_targets())
+
     def test_report_about_an_earlier_start_is_ignored(self):
         fleet = Fleet(10, 7)
         fleet.run(0.9, 90.0, fleet.fail_sick)
