--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -6,7 +6,6 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -15,6 +14,7 @@
     BUDGET_UNREACHABLE,
     AnvilshiftError,
 )
+from anvilshift.core.refusals import RETRY_DELAY, Refusal, RefusalMemory
 from anvilshift.core.sequencenumbers import SequenceNumbers
 from anvilshift.core.tokensearch import ANSWER_TIMEOUT, Answer, TokenSearch
 from anvilshift.gateway.journal import Journal
@@ -32,44 +32,16 @@
 _MAX_LEND_WAIT: Millis = 250.0
 """Maximum time that another router's request waits here.  After that the router may
 ask the other allocator."""
-_RETRY_DELAY: Millis = 4 * SECOND
-"""Default retry delay for callers.  A store becomes reachable again, or a total is
-topped up, within seconds; a caller that retries sooner is refused again."""
-_MAX_RETRY_DELAY: Millis = 30 * SECOND
-"""Longest retry delay.  Where an organisation has had no tokens for some seconds, none
-are expected for as long again; a caller with less time need not come back."""
 _RETRY_DELAY_AT_START: Millis = 300.0
 """Retry delay just after a start.  The shares of routers that were killed together are
 ended one by one within a second."""
 _UNREADY_WAIT: Millis = 60.0
 """When to ask an allocator again at the earliest that has just started and has no share
 yet, or that may not spend enough of its tokens yet."""
-_REMEMBER: Millis = 500.0
-"""How long a refusal applies to other requests of the organisation that are as large.
-Otherwise each request of a burst would cost writes and wait without result."""
 _MAX_KEPT_ANSWERS = 512
 """Number of answers kept for asks that arrive twice."""
 
 
-@dataclass(frozen=True)
-class _Refusal:
-    """A remembered refusal.
-
-    Parameters
-    ----------
-    until
-        Until when it is remembered.
-    wait, due
-        Time until there may be tokens, and the instant at which that is over.
-    """
-
-    tokens: int
-    until: Millis
-    certain: bool
-    wait: Millis
-    due: Millis
-
-
 class Reservations:
     """Reserve tokens for the requests of this router and of other routers.
 
@@ -100,8 +72,7 @@
         self.recorder = recorder
         self._last_ask = 0
         self._searches: dict[int, TokenSearch] = {}
-        self._refusals: dict[str, _Refusal] = {}
-        self._dry_since: dict[str, Millis] = {}
+        self._refusals = RefusalMemory()
         self._answers: dict[tuple[str, int], Gift | Lack | None] = {}
         self._last_gift = 0
         self._received: dict[str, SequenceNumbers] = {}
@@ -109,7 +80,6 @@
     def forget_refusals(self) -> None:
         """Forget remembered refusals, because totals may have grown."""
         self._refusals.clear()
-        self._dry_since.clear()
 
     def settle(self, name: str, key: str, tokens: int) -> None:
         """Replace a request's reservation by what it used; 0 when it did not run."""
@@ -128,7 +98,7 @@
         if not self.balances.reserve(name, key, tokens, now):
             search = self._begin_search(self.allocators.list_others(name))
             await self._wait(name, key, tokens, min(until, now + _MAX_WAIT), search)
-        self._dry_since.pop(name, None)
+        self._refusals.note_served(name)
 
     def _begin_search(self, allocators: Sequence[str]) -> TokenSearch:
         records = self.recorder.records if self.recorder else 0
@@ -156,11 +126,8 @@
         return others_keep and self.allotter.has_discovered_peers()
 
     def _check_refusals(self, name: str, key: str, tokens: int, until: Millis) -> None:
-        known, now = self._refusals.get(name), self.clock.now()
-        if known is None or now >= known.until or tokens < known.tokens:
-            return
-        # The refused request may have had less time than this one.
-        if until <= known.due and not self._is_soon(name, key, until):
+        known = self._refusals.find(name, tokens, until, self.clock.now())
+        if known is not None and not self._is_soon(name, key, until):
             certain = known.certain or self.allotter.is_exhausted(name, tokens)
             raise self._make_refusal(name, tokens, certain, known.wait)
 
@@ -285,18 +252,11 @@
         known = [wait for wait in waits if wait is not None and wait > 0.0]
         wait = min(known, default=None)
         if wait is None:
-            wait = self._estimate_return(name)
+            wait = self._refusals.note_dry_spell(name, now)
         if search.answers or self.allocators.is_allocator(name):
-            until = now + _REMEMBER
-            self._refusals[name] = _Refusal(tokens, until, certain, wait, now + wait)
+            self._refusals.remember(name, Refusal(tokens, certain, wait, now))
         return self._make_refusal(name, tokens, certain, wait)
 
-    def _estimate_return(self, name: str) -> Millis:
-        """Return a retry delay where nothing tells when there will be tokens."""
-        now = self.clock.now()
-        dry = now - self._dry_since.setdefault(name, now)
-        return min(max(dry, _RETRY_DELAY), _MAX_RETRY_DELAY)
-
     def _make_refusal(
         self, name: str, tokens: int, certain: bool, wait: Millis
     ) -> AnvilshiftError:
@@ -343,7 +303,7 @@
     async def _answer(self, ask: Ask) -> Gift | Lack:
         name, key = ask.organisation, f"{ask.holder}#{ask.number}"
         if name not in self.balances.by_name:
-            return Lack(ask.holder, ask.number, name, False, _RETRY_DELAY)
+            return Lack(ask.holder, ask.number, name, False, RETRY_DELAY)
         if not self.allotter.is_ready:
             # A gift that comes later would arrive beside that of the next ask.
             return Lack(ask.holder, ask.number, name, False, _UNREADY_WAIT)
@@ -354,7 +314,7 @@
                 # meanwhile.  It may come back when records allow these tokens.
                 wait = self.balances.find_wait(name, key, now)
                 self.balances.cancel_waiting(name, key)
-                wait = _RETRY_DELAY if wait is None else max(wait, _UNREADY_WAIT)
+                wait = RETRY_DELAY if wait is None else max(wait, _UNREADY_WAIT)
                 return Lack(ask.holder, ask.number, name, False, wait)
             # The asking router asks the other allocator itself.
             search = self._begin_search(())
@@ -362,9 +322,9 @@
                 await self._wait(name, key, ask.tokens, now + _MAX_LEND_WAIT, search)
             except AnvilshiftError as error:
                 certain = error.code is BUDGET_EXHAUSTED
-                wait = float(error.retry_after or _RETRY_DELAY)
+                wait = float(error.retry_after or RETRY_DELAY)
                 return Lack(ask.holder, ask.number, name, certain, wait)
-        self._dry_since.pop(name, None)
+        self._refusals.note_served(name)
         tokens = self.balances.transfer_reservation(name, key, self.clock.now())
         return self._make_gift(ask.holder, name, tokens)
 
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -82,7 +82,7 @@
     ),
     "remembered-refusals": (
         Patch(
-            "gateway/reserving.py",
+            "core/refusals.py",
             "_REMEMBER: Millis = 500.0",
             "_REMEMBER: Millis = 0.0",
         ),
