--- a/anvilshift/core/account.py
+++ b/anvilshift/core/account.py
@@ -7,7 +7,7 @@
 
 import base64
 import hashlib
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -290,11 +290,19 @@
         )
         return self.with_grant(holder, grant)
 
-    def forget(self, before: int) -> "Account":
-        """Return the account without the marks of slots before a time."""
+    def forget(self, before: int, recent: Collection[str] = ()) -> "Account":
+        """Return the account without the marks of slots before a time.
+
+        Parameters
+        ----------
+        recent
+            Slots whose marks are kept all the same.
+        """
         oldest = before // SLOT_S
         kept = {
-            slot: marks for slot, marks in self.recent.items() if int(slot) >= oldest
+            slot: marks
+            for slot, marks in self.recent.items()
+            if int(slot) >= oldest or slot in recent
         }
         return replace(self, recent=kept) if len(kept) < len(self.recent) else self
 
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -13,13 +13,14 @@
 """
 
 import contextlib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.account import Account, Bill, BillState, Draw, make_mark
 from anvilshift.core.commit import BillKey, Commit, Outcome
 from anvilshift.core.errors import InvariantError
 from anvilshift.core.grant import Grant, Reservation, ReservationList
+from anvilshift.core.markages import Slot
 
 __all__ = [
     "Account",
@@ -339,15 +340,31 @@
             return self.holders
         return {**self.holders, holder: replace(known, late=known.late + new)}
 
-    def forget(self, marks_before: int, holders_before: int) -> "Ledger":
+    def forget(
+        self,
+        marks_before: int,
+        holders_before: int,
+        recent: Collection[Slot] = frozenset(),
+    ) -> "Ledger":
         """Return the ledger without old marks and old sealed holders.
 
         Drops the marks of bills made before `marks_before`, and the holders that
         were sealed before `holders_before` and have no tokens in doubt.  A later
         commit of such a holder says that it had joined, so it is not mistaken
         for a new holder.  The tokens of dropped marks and holders stay counted.
+
+        Parameters
+        ----------
+        recent
+            Slots whose marks are kept all the same, see `MarkAges`.
         """
-        accounts = {n: a.forget(marks_before) for n, a in self.accounts.items()}
+        accounts = {
+            name: account.forget(
+                marks_before,
+                {slot for slot in account.recent if (name, slot) in recent},
+            )
+            for name, account in self.accounts.items()
+        }
         removed = set(self.list_sealed(holders_before))
         for account in accounts.values():
             removed -= {name for name, grant in account.grants.items() if grant.doubt}
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -19,6 +19,7 @@
 from anvilshift.core.escrow import Escrow
 from anvilshift.core.grant import Reservation
 from anvilshift.core.ledger import Commit, Ledger, Outcome
+from anvilshift.core.markages import MarkAges
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.ledgers import LEDGER_KIND, decode_ledger
 from anvilshift.objects.records import encode
@@ -94,6 +95,7 @@
         self._commits_begun = 0
         self._commits_ended = 0
         self._awaited_commit = 0
+        self._mark_ages = MarkAges(BILL_LIFETIME_S * SECOND)
         self._outcomes = BillOutcomes()
         self._peer_requests = PeerRequests(hooks)
         self._consecutive_failures = 0
@@ -319,7 +321,10 @@
             nonlocal outcome
             ledger, outcome = decode_ledger(body).apply(commit)
             wall = self._clock.wall()
-            ledger = ledger.forget(wall - BILL_LIFETIME_S, wall - HOLDER_LIFETIME_S)
+            recent = self._mark_ages.find_recent(ledger.accounts, self._clock.now())
+            ledger = ledger.forget(
+                wall - BILL_LIFETIME_S, wall - HOLDER_LIFETIME_S, recent
+            )
             self.last_ledger = ledger
             return encode(ledger)
 
--- a/tests/router/test_wall_clocks.py
+++ b/tests/router/test_wall_clocks.py
@@ -51,6 +51,15 @@
         await routers.spend(routers.third, "a", TOKENS)
         self.assertEqual(routers.account.spent, TOKENS + 1)
 
+    async def test_bill_is_recognised_beside_a_fast_clock(self):
+        """A router whose clock is ahead must not make all forget a bill."""
+        routers = Routers(r3=300)
+        await routers.reserve()
+        self.assertTrue(await routers.end_answer())
+        await routers.spend(routers.third, "b", 1)
+        await routers.spend(routers.second, "a", TOKENS)
+        self.assertEqual(routers.account.spent, TOKENS + 1)
+
     async def test_copy_of_a_slow_witness_is_recognised_in_a_repeat(self):
         """A late bill must be recognised in a repeat, whatever the witness's clock."""
         routers = await self.complete_and_seal("request r3", sealer="r2", r2=-300)
