Log how long a failed attempt took and whether its connection was reused

HttpClient takes the network that opens its connections, so that tests can cut a router off; the port for HTTP between routers, which nothing of the gateway used, is named for what it is for.

No change of logic.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -39,6 +39,8 @@
         Whether another target answered at the address.
     answered
         Whether the target sent an answer, but an unusable one.
+    reused
+        Whether the request was sent on a connection that earlier requests had used.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         detail: str,
         replaced: bool = False,
         answered: bool = False,
+        reused: bool = False,
     ) -> None:
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
         self.detail = detail
         self.replaced = replaced
         self.answered = answered
+        self.reused = reused
 
     @property
     def never_ran(self) -> bool:
@@ -130,7 +134,7 @@
                 yield Answer(response.status, response.headers, notes, response)
         except ExchangeError as error:
             failure = Failure.BROKE_OFF if error.sent else Failure.NOT_SENT
-            raise AttemptError(failure, str(error)) from error
+            raise AttemptError(failure, str(error), reused=error.reused) from error
         finally:
             self._record_end(outgoing)
 
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -32,7 +32,7 @@
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.objects.store import ObjectChange, ObjectStore
-from anvilshift.wire.client import HttpClient
+from anvilshift.wire.client import HttpClient, Network
 from anvilshift.wire.messages import HttpRequest, Limits
 from anvilshift.wire.server import (
     CallerDisconnectedError,
@@ -82,6 +82,8 @@
     born
         Reading of the clock at which its process was already running; None unless the
         process runs this node only.
+    network
+        Opens the connections to targets and routers; TCP if omitted.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         journal: Journal,
         rng: random.Random,
         born: Millis | None = None,
+        network: Network | None = None,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
@@ -129,7 +132,7 @@
             self.allotter.bound_former_use = self.recorder.bound_former_use
             self.recorder.end_record = self.allotter.notify_waiters
             self.reservations.recorder = self.recorder
-        self.client = HttpClient()
+        self.client = HttpClient(network=network)
         self.limits = RateLimits(
             settings.name, self.incarnation, self.loads, self.peers, clock, journal
         )
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -314,6 +314,8 @@
             target=name,
             failure=error.failure.value,
             why=error.detail,
+            took=round(self.shared.clock.now() - self.sent, 1),
+            reused=error.reused,
             events=self.relay.events,
         )
 
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -114,7 +114,9 @@
                 await self._send_headers(answer)
                 await self.responder.write(whole)
         except ExchangeError as error:
-            raise AttemptError(Failure.BROKE_OFF, str(error)) from error
+            raise AttemptError(
+                Failure.BROKE_OFF, str(error), reused=error.reused
+            ) from error
         await self._send_headers(answer)
         self.outcome = "whole after a break" if self.broken else COMPLETE
         await self.responder.finish(splitter.rest)
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -17,7 +17,7 @@
 
     Parameters
     ----------
-    peer_port, operator_port
+    peer_port, forward_port
         Ports for traffic between routers, for datagrams and for HTTP.
     seeds
         IP addresses of routers that may be running.
@@ -37,7 +37,7 @@
     ready: Address | None
     directory: Address | None
     peer_port: int
-    operator_port: int
+    forward_port: int
     store: Address
     seeds: tuple[str, ...] = ()
     grace: Millis = 8 * SECOND
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -55,7 +55,7 @@
             ready=Address.parse(listen.ready) if listen.ready else None,
             directory=Address.parse(listen.directory) if listen.directory else None,
             peer_port=self.ports[0],
-            operator_port=self.ports[0] + 1,
+            forward_port=self.ports[0] + 1,
             store=Address.parse(self.platform.address),
             seeds=tuple(Address.parse(seed).ip for seed in self.seeds),
             grace=self.bounds.grace_s * SECOND,
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -6,6 +6,7 @@
 import time
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator
+from typing import Protocol
 
 import h11
 
@@ -39,11 +40,14 @@
     sent
         Whether any byte of the request may have been sent.  Only if this is
         False is it certain that the server did not process the request.
+    reused
+        Whether the request was sent on a connection that earlier requests had used.
     """
 
-    def __init__(self, detail: str, sent: bool) -> None:
+    def __init__(self, detail: str, sent: bool, reused: bool = False) -> None:
         super().__init__(detail)
         self.sent = sent
+        self.reused = reused
 
 
 class _Connection(asyncio.BufferedProtocol):
@@ -61,6 +65,7 @@
         self.closed = False
         self._idle = False
         self.idle_until = math.inf
+        self.reused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -166,6 +171,7 @@
     def try_reuse(self) -> bool:
         """Leave the idle state; return False if the connection closed or expired."""
         self._idle = False
+        self.reused = True
         return not self.closed and time.monotonic() < self.idle_until
 
     def close(self) -> None:
@@ -196,7 +202,9 @@
                 event = await self._connection.receive()
             except (OSError, h11.ProtocolError, RuntimeError) as error:
                 raise ExchangeError(
-                    f"the connection failed during the answer: {error}", True
+                    f"the connection failed during the answer: {error}",
+                    True,
+                    self._connection.reused,
                 ) from error
             if isinstance(event, h11.EndOfMessage):
                 self.whole = True
@@ -220,7 +228,31 @@
         return bytes(body)
 
 
-async def _open_connection(address: Address, timeout: Millis) -> _Connection:
+class Network(Protocol):
+    """Opens connections to servers."""
+
+    async def open(self, protocol: asyncio.BaseProtocol, address: Address) -> None:
+        """Connect a protocol to an address.
+
+        Raises
+        ------
+        OSError
+            If no connection can be opened.
+        """
+
+
+class TcpNetwork:
+    """Opens TCP connections on the running event loop."""
+
+    async def open(self, protocol: asyncio.BaseProtocol, address: Address) -> None:
+        """Connect a protocol to an address."""
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: protocol, address.ip, address.port)
+
+
+async def _open_connection(
+    network: Network, address: Address, timeout: Millis
+) -> _Connection:
     """Connect to an address within a timeout.
 
     `asyncio.wait_for` is not used: if its task is cancelled just as the connection
@@ -228,9 +260,9 @@
     request whose caller has disconnected would continue, and a task that is being
     stopped would never end.
     """
-    loop = asyncio.get_running_loop()
+    opened = _Connection()
     async with asyncio.timeout(timeout / SECOND):
-        _, opened = await loop.create_connection(_Connection, address.ip, address.port)
+        await network.open(opened, address)
     return opened
 
 
@@ -256,10 +288,15 @@
     ----------
     connect_timeout
         Milliseconds until an attempt to connect fails.
+    network
+        Opens the connections; TCP if omitted.
     """
 
-    def __init__(self, connect_timeout: Millis = SECOND) -> None:
+    def __init__(
+        self, connect_timeout: Millis = SECOND, network: Network | None = None
+    ) -> None:
         self._connect_timeout = connect_timeout
+        self._network = network or TcpNetwork()
         self._idle: dict[Address, list[_Connection]] = defaultdict(list)
 
     async def _connect(self, address: Address) -> _Connection:
@@ -270,7 +307,9 @@
                 return connection
             connection.close()
         try:
-            opened = await _open_connection(address, self._connect_timeout)
+            opened = await _open_connection(
+                self._network, address, self._connect_timeout
+            )
         except (OSError, TimeoutError) as error:
             raise ExchangeError(f"can't connect to {address}", False) from error
         return opened
@@ -330,12 +369,12 @@
             )
         except TimeoutError as error:
             connection.close()
-            raise ExchangeError(f"{address} did not answer in time", True) from error
+            detail = f"{address} did not answer in time"
+            raise ExchangeError(detail, True, connection.reused) from error
         except (OSError, h11.ProtocolError, RuntimeError, AssertionError) as error:
             connection.close()
-            raise ExchangeError(
-                f"{address} failed during the exchange: {error}", True
-            ) from error
+            detail = f"{address} failed during the exchange: {error}"
+            raise ExchangeError(detail, True, connection.reused) from error
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -371,7 +410,7 @@
     async def check(self, address: Address, timeout: Millis) -> bool:
         """Return whether a server accepts connections."""
         try:
-            opened = await _open_connection(address, timeout)
+            opened = await _open_connection(self._network, address, timeout)
         except (OSError, TimeoutError):
             return False
         opened.close()
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -10,7 +10,7 @@
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.platform.dialect import PlatformDialect
 from anvilshift.platform.store import PlatformStore
-from anvilshift.wire.client import HttpClient
+from anvilshift.wire.client import HttpClient, Network
 from anvilshift.wire.messages import Address
 from tests.gateway.silent import SilentJournal
 from tests.platform.stubs import StoreStub, TargetStub
@@ -60,9 +60,9 @@
     }
 
 
-def find_free_port() -> int:
-    """Return a UDP port that is free on loopback."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+def find_free_port(kind: socket.SocketKind = socket.SOCK_DGRAM) -> int:
+    """Return a port that is free on loopback, for datagrams or for streams."""
+    with socket.socket(socket.AF_INET, kind) as free:
         free.bind(("127.0.0.1", 0))
         return free.getsockname()[1]
 
@@ -123,16 +123,19 @@
         peer_port: int = 0,
         seeds: tuple[str, ...] = (),
         history: float | None = None,
+        forward_port: int = 0,
+        network: Network | None = None,
+        domain: str = "north",
     ) -> GatewayNode:
         settings = GatewaySettings(
             name,
             ip,
-            "north",
+            domain,
             Address(ip, 0),
             None,
             None,
             peer_port,
-            0,
+            forward_port,
             self.store_address,
             seeds,
             history=history,
@@ -144,15 +147,23 @@
             MonotonicClock(),
             self.journal,
             random.Random(self.starts + len(self.nodes)),
+            network=network,
         )
 
     async def start_fleet(self, count: int) -> None:
         """Start routers that discover one another, each on its own address."""
         self.store_stub.put("config", "main", make_configuration())
         ips = [f"127.0.0.{n}" for n in range(2, 2 + count)]
-        port = find_free_port()
+        port, forward_port = find_free_port(), find_free_port(socket.SOCK_STREAM)
         for ip in ips:
-            node = self.make_node(f"n-{ip}", ip, peer_port=port, seeds=tuple(ips))
+            node = self.make_node(
+                f"n-{ip}",
+                ip,
+                peer_port=port,
+                seeds=tuple(ips),
+                forward_port=forward_port,
+                network=self.make_network(),
+            )
             self.nodes.append(node)
             await node.start()
         await self.wait_for(lambda: all(node.is_ready() for node in self.nodes))
@@ -167,6 +178,10 @@
         for node in self.nodes:
             await self.warm_up(node)
 
+    def make_network(self) -> Network | None:
+        """Return what opens the connections of a router that is about to start."""
+        return None
+
     async def warm_up(self, node: GatewayNode) -> None:
         """Call a router until it has drawn enough tokens to serve every request.
 
