Send requests through another router where the own path to a target is broken

Cause: a router knew one way to a target, its own connection, and took each failure of it for a failure of the target. All 13 targets were ejected one by one at the cut router alone, 24 contents were blamed for crashes; a connection that hung took a second, as long as an order has, and kept connections swallowed requests.

Ruled out: ejection as the cause of the refusals (all targets are tried when all are ejected); refusing, leaving the address answers (first tries fail all the same); handing over whole requests (two owners of one request).

Change: a connection that can't be opened within 200 ms is opened through another router by CONNECT, before a byte of the request is sent. The path then counts as broken, and all paths as doubted once two broke within 2 s; silent targets are checked, broken paths probed. Failures on broken paths are neither reported nor counted nor blamed on a request. An attempt's timeout starts with its first byte, and what never left is not run.

Promises over the hop: tests/platform/test_forwarding, tests/wire/test_tunnel; 5, 78 and 2,200 routers: tests/core/test_forwarders.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -5,8 +5,8 @@
 """
 
 import contextlib
-from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field, replace
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Clock, Millis
@@ -17,8 +17,9 @@
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import Begun, Ended, Held, Sent
 from anvilshift.gateway.peers import Peers
-from anvilshift.wire.client import ExchangeError, HttpClient, Response
-from anvilshift.wire.messages import Address, Headers, HttpRequest
+from anvilshift.gateway.reach import TargetReach
+from anvilshift.wire.client import ExchangeError, Response
+from anvilshift.wire.messages import Headers, HttpRequest
 
 _MAX_LOGGED_FIELDS = 64
 """Names of answers' header fields that are logged, once each; more would be noise."""
@@ -41,6 +42,8 @@
         Whether the target sent an answer, but an unusable one.
     reused
         Whether the request was sent on a connection that earlier requests had used.
+    hung
+        Whether no connection was opened or refused in time.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         replaced: bool = False,
         answered: bool = False,
         reused: bool = False,
+        hung: bool = False,
     ) -> None:
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
@@ -57,6 +61,7 @@
         self.replaced = replaced
         self.answered = answered
         self.reused = reused
+        self.hung = hung
 
     @property
     def never_ran(self) -> bool:
@@ -76,6 +81,11 @@
         Id of the caller's attempt.
     capacity
         Tokens that fit into the target's prompt cache; 0 for a plain service.
+    repeatable
+        Whether it may be sent again although the target may have run it.
+    on_send
+        Called with the name of the router that forwards the request, empty if none
+        does, just before its first byte is sent.
     """
 
     run: str
@@ -86,6 +96,8 @@
     delivery: TargetFields
     choice: Choice
     capacity: int
+    repeatable: bool = False
+    on_send: Callable[[str], None] = lambda via: None
 
 
 @dataclass
@@ -102,7 +114,7 @@
 class Sender:
     """Send this router's attempts, and report their progress to the other routers."""
 
-    client: HttpClient
+    reach: TargetReach
     dialect: Dialect
     loads: LoadMap
     peers: Peers
@@ -124,7 +136,7 @@
         self._record_send(outgoing)
         sent = self.clock.now()
         try:
-            async with self._exchange(outgoing) as response:
+            async with self._exchange(outgoing, sent) as response:
                 self._log_fields(outgoing, response.headers)
                 notes = self.dialect.read_answer_fields(
                     response.status, response.headers
@@ -134,7 +146,9 @@
                 yield Answer(response.status, response.headers, notes, response)
         except ExchangeError as error:
             failure = Failure.BROKE_OFF if error.sent else Failure.NOT_SENT
-            raise AttemptError(failure, str(error), reused=error.reused) from error
+            raise AttemptError(
+                failure, str(error), reused=error.reused, hung=error.hung
+            ) from error
         finally:
             self._record_end(outgoing)
 
@@ -175,20 +189,29 @@
         if notes.not_run and notes.pause:
             self.limits.record_refusal(name, notes.pause, outgoing.identity)
 
-    def _exchange(
-        self, outgoing: Outgoing
-    ) -> contextlib.AbstractAsyncContextManager[Response]:
-        request = outgoing.request
-        headers = self.dialect.write_target_fields(request, outgoing.delivery)
-        address = Address.parse(outgoing.choice.target.info.address)
-        return self.client.exchange(
-            address,
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            host=outgoing.host,
-        )
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, outgoing: Outgoing, began: Millis
+    ) -> AsyncIterator[Response]:
+        request, info = outgoing.request, outgoing.choice.target.info
+        wait, is_engine = outgoing.choice.wait, outgoing.capacity > 0
+        async with self.reach.open(
+            info, wait, is_engine, outgoing.repeatable
+        ) as connection:
+            outgoing.on_send(connection.via)
+            left = outgoing.delivery.remaining - (self.clock.now() - began)
+            delivery = replace(outgoing.delivery, remaining=max(1.0, left))
+            headers = self.dialect.write_target_fields(request, delivery)
+            async with self.reach.client.exchange(
+                connection.address,
+                request.method,
+                request.target,
+                headers,
+                request.body,
+                host=outgoing.host,
+                connection=connection,
+            ) as response:
+                yield response
 
     def _record_send(self, outgoing: Outgoing) -> None:
         info, prompt = outgoing.choice.target.info, outgoing.prompt
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -7,17 +7,15 @@
 import hashlib
 
 from anvilshift.core.blame import MAX_CRASHES
-from anvilshift.core.clock import Millis
+from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
 from anvilshift.core.homes import choose_homes
 from anvilshift.core.loadmap import Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attempts import AttemptError
+from anvilshift.gateway.reach import Reached
 from anvilshift.gateway.shared import RouterContext
-from anvilshift.wire.messages import Address, HttpRequest
-
-_CONNECT_TIMEOUT: Millis = 300.0
-"""Time within which a target must accept a connection; a healthy one takes 4 ms."""
+from anvilshift.wire.messages import HttpRequest
 
 
 def digest_request(request: HttpRequest, organisation: str) -> str:
@@ -32,6 +30,11 @@
     return hasher.hexdigest()[:24]
 
 
+def is_only_silent(target: TargetLoad, error: AttemptError) -> bool:
+    """Tell whether a target that can't be connected to may be sound all the same."""
+    return error.hung and target.health.state is not HealthState.EJECTED
+
+
 class CrashTracker:
     """Track the targets that one request's content may have crashed.
 
@@ -110,7 +113,7 @@
         shared, info = self._shared, target.info
         if error.replaced:
             shared.on_target_replaced(info.name)
-        elif error.failure is Failure.NOT_SENT:
+        elif error.failure is Failure.NOT_SENT and not is_only_silent(target, error):
             shared.on_target_lost(info.name)
         elif error.failure is Failure.BROKE_OFF and not error.answered:
             now = shared.clock.now()
@@ -125,6 +128,5 @@
         if known is None:
             shared.on_target_lost(name)
             return
-        address = Address.parse(known.info.address)
-        if not await shared.sender.client.check(address, _CONNECT_TIMEOUT):
+        if await shared.sender.reach.check(known.info) is Reached.NOT_AT_ALL:
             shared.on_target_lost(name)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -19,11 +19,13 @@
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.following import Follower, WatchIntervals, find_interval_factor
+from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.passing import RequestHandler
 from anvilshift.gateway.peers import PeerCallbacks, Peers
 from anvilshift.gateway.permits import Permits
+from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
@@ -32,8 +34,8 @@
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.objects.store import ObjectChange, ObjectStore
-from anvilshift.wire.client import HttpClient, Network
-from anvilshift.wire.messages import HttpRequest, Limits
+from anvilshift.wire.client import HttpClient, Network, TcpNetwork
+from anvilshift.wire.messages import Address, HttpRequest, Limits
 from anvilshift.wire.server import (
     CallerDisconnectedError,
     HttpServer,
@@ -139,8 +141,20 @@
         self.permits = Permits(
             self.limits, settings.ip, self.loads, self.peers, clock, journal
         )
+        self.reach = TargetReach(
+            self.client,
+            self.peers,
+            self.loads,
+            clock,
+            journal,
+            rng,
+            settings.failure_domain,
+            settings.forward_port,
+            network or TcpNetwork(),
+        )
+        self.forwarding = Forwarding(self.peers, self.loads, self.reach.paths, network)
         sender = Sender(
-            self.client, dialect, self.loads, self.peers, clock, journal, self.limits
+            self.reach, dialect, self.loads, self.peers, clock, journal, self.limits
         )
         self.shared = RouterContext(
             self.incarnation,
@@ -314,6 +328,9 @@
         """Open the sockets and start every background task."""
         await self.peers.start()
         await self.server.start(self.settings.front)
+        await self.forwarding.server.start(
+            Address(self.settings.ip, self.settings.forward_port)
+        )
         loop = asyncio.get_running_loop()
         coroutines = (
             self.peers.run(),
@@ -391,6 +408,7 @@
         self.loads.expire(now)
         self.permits.run_checks(now)
         self.shared.health.probe_ejected(now)
+        self.reach.watch(now)
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
@@ -404,6 +422,7 @@
         self.journal.write("stop_begun", in_flight=self.in_flight)
         self.peers.beat()
         self.server.is_draining = True
+        self.forwarding.server.stopping = True
         stop_started = self.clock.now()
         last = stop_started + self.settings.grace - 900.0
         while self.clock.now() < last:
@@ -414,7 +433,7 @@
             )
             if addresses_expired:
                 self.server.stop_listening()
-                if not self.in_flight:
+                if not self.in_flight and not self.forwarding.server.entrances:
                     break
         self.server.stop_listening()
         try:
@@ -431,5 +450,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.close()
+        self.reach.close()
+        await self.forwarding.server.close()
         self.client.close()
         self.peers.close()
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Mapping
+from dataclasses import replace
 from functools import partial
 
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
@@ -60,6 +61,8 @@
         Number of targets that may have run it.
     failed_targets
         Names of the targets at which an attempt failed; they get no further attempt.
+    via
+        Router that forwards the last attempt; empty if none does.
     concurrent_runs
         Requests that the target was running when the last attempt was sent.
     """
@@ -77,6 +80,7 @@
         self.failed_targets: set[str] = set()
         self.relay = AnswerRelay(responder, shared.clock)
         self.target = ""
+        self.via = ""
         self.tokens = 0
         self.sent = self.arrived
         self.concurrent_runs = 0
@@ -115,6 +119,7 @@
             path=self.request.path,
             organisation=self.payer.name if self.payer else None,
             target=self.target,
+            via=self.via,
             tries=len(self.failed_targets) + 1,
             predicted=round(self.predicted, 1),
             first=None if first is None else round(first - self.arrived, 1),
@@ -305,9 +310,7 @@
     def _record_failure(self, choice: Choice, error: AttemptError) -> None:
         name = choice.target.info.name
         self.failed_targets.add(name)
-        self.shared.health.record_failure(
-            choice.target, error.failure, self.call.identity, error.answered
-        )
+        self._record_fault(choice, error)
         self.shared.journal.write(
             "attempt_failed",
             id=self.call.identity,
@@ -319,6 +322,27 @@
             events=self.relay.events,
         )
 
+    def _record_fault(self, choice: Choice, error: AttemptError) -> None:
+        """Count a failed attempt against its target, unless the path to it is broken.
+
+        Otherwise a router that loses its links would have the other routers eject
+        targets that they reach.
+        """
+        shared, target = self.shared, choice.target
+        record = partial(
+            shared.health.record_failure,
+            target,
+            error.failure,
+            self.call.identity,
+            error.answered,
+            error.hung,
+        )
+        if error.failure is Failure.BROKE_OFF and not error.answered:
+            reach = shared.sender.reach
+            reach.record_fault(target.info, shared.clock.now(), record)
+        else:
+            record()
+
     def _check_retry(self, error: AttemptError) -> None:
         """Check that the request may be retried.
 
@@ -345,7 +369,7 @@
     async def _attempt(self, choice: Choice, run: str) -> bool:
         shared = self.shared
         self.predicted = choice.wait
-        self.sent = shared.clock.now()
+        self.sent, self.via = shared.clock.now(), ""
         self.concurrent_runs = len(choice.target.runs)
         self.target = choice.target.info.name
         left = self.end - shared.clock.now()
@@ -358,13 +382,14 @@
             self._make_delivery(choice, left),
             choice,
             self.model.cache_tokens if self.model is not None else 0,
+            self._may_go_on(after=self.targets + 1),
         )
         before = self.may_have_run, self.targets
-        self.may_have_run = True
-        self.targets += 1
         self.crashes.charge_target(self.target)
         try:
-            async with asyncio.timeout(self._compute_timeout(choice, left)) as timeout:
+            async with asyncio.timeout(None) as timeout:
+                on_send = partial(self._record_send, timeout, choice)
+                outgoing = replace(outgoing, on_send=on_send)
                 async with shared.sender.send(outgoing) as answer:
                     await self._relay_answer(outgoing, answer, timeout)
                     return True
@@ -382,15 +407,35 @@
         finally:
             self.crashes.end(self.target, self.targets > before[1])
 
+    def _record_send(self, timeout: asyncio.Timeout, choice: Choice, via: str) -> None:
+        """Record that the request is about to be sent, and start its timeout.
+
+        Until now nothing has reached a target, however long the connection took.
+        """
+        self.via = via
+        self.sent = self.shared.clock.now()
+        self.may_have_run = True
+        self.targets += 1
+        limit = self._compute_timeout(choice, self.end - self.sent)
+        if limit is not None:
+            timeout.reschedule(asyncio.get_running_loop().time() + limit)
+
     def _compute_timeout(self, choice: Choice, left: Millis) -> float | None:
         """Return the attempt's timeout in seconds; None if no retry may follow it."""
         if not self._may_go_on():
             return None
         return find_attempt_timeout(self.rule, choice.wait, left) / SECOND
 
-    def _may_go_on(self) -> bool:
-        """Return whether the request may be run at a further target."""
-        return self.rule.repeatable and self.targets < self.rule.max_targets_per_request
+    def _may_go_on(self, after: int | None = None) -> bool:
+        """Return whether the request may be run at a further target.
+
+        Parameters
+        ----------
+        after
+            Number of targets that may have run it by then; as many as now if omitted.
+        """
+        targets = self.targets if after is None else after
+        return self.rule.repeatable and targets < self.rule.max_targets_per_request
 
     def _make_delivery(self, choice: Choice, left: Millis) -> TargetFields:
         elapsed = self.shared.clock.now() - self.arrived
--- /dev/null
+++ b/anvilshift/gateway/reach.py
@@ -0,0 +1,339 @@
+"""Reach targets on connections of this router, or through another router.
+
+Another router is asked once this one can't connect to a target.  Until a connection is
+open no byte of a request is sent, so the change of way never runs a request twice.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Coroutine
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.forwarders import Forwarder, ForwarderChoice
+from anvilshift.core.loadmap import LoadMap, TargetInfo
+from anvilshift.core.paths import TargetPaths
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.peers import Peers
+from anvilshift.wire.client import ExchangeError, HttpClient, Network, TcpNetwork
+from anvilshift.wire.connection import Connection
+from anvilshift.wire.messages import Address
+from anvilshift.wire.tunnel import TunnelNetwork
+
+CONNECT_TIMEOUT: Millis = 200.0
+"""Time in which a connection opens unless its path is broken; usually it takes 4 ms."""
+_CONNECT_TIMEOUT_ALONE: Millis = 1 * SECOND
+"""The same for a router that has no other router to ask."""
+_TUNNEL_TIMEOUT: Millis = CONNECT_TIMEOUT + 50.0
+"""Time in which another router must have connected to the target or given up."""
+_MAX_ASKED, _MAX_ASKED_BROKEN = 2, 3
+"""Routers asked for a connection when the path is not known to be broken, and when it
+is: the target may be down, and each of them would need the time of a connection."""
+_MAX_PROBES = 8
+"""Broken paths that are probed at a time."""
+
+
+class Reached(Enum):
+    """How a target could be connected to."""
+
+    DIRECT = "direct"
+    FORWARDED = "forwarded"
+    NOT_AT_ALL = "not at all"
+
+
+@dataclass(eq=False)
+class _Exchange:
+    """A request that is running on a connection.
+
+    Parameters
+    ----------
+    due
+        When the target is expected to have begun its answer.
+    repeatable
+        Whether it may be sent again although the target may have run it.
+    """
+
+    connection: Connection
+    due: Millis
+    is_engine: bool
+    repeatable: bool
+
+
+@dataclass
+class TargetReach:
+    """Open connections to targets, and watch the paths to them.
+
+    Parameters
+    ----------
+    domain
+        This router's failure domain.
+    forward_port
+        Port on which the other routers accept requests to forward.
+    """
+
+    client: HttpClient
+    peers: Peers
+    loads: LoadMap
+    clock: Clock
+    journal: Journal
+    rng: random.Random
+    domain: str
+    forward_port: int
+    network: Network = field(default_factory=TcpNetwork)
+    paths: TargetPaths = field(default_factory=TargetPaths)
+    choice: ForwarderChoice = field(default_factory=ForwarderChoice)
+    _running: dict[str, set[_Exchange]] = field(default_factory=dict)
+    _checks: dict[str, asyncio.Task[Reached]] = field(default_factory=dict)
+    _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    # Connections for requests
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, info: TargetInfo, wait: Millis, is_engine: bool, repeatable: bool
+    ) -> AsyncIterator[Connection]:
+        """Yield a connection on which one request may be sent to a target.
+
+        Parameters
+        ----------
+        wait
+            Predicted time to the first byte of the answer.
+        repeatable
+            Whether the request may be sent again although the target may have run it;
+            it is then interrupted when the path turns out to be broken.
+
+        Raises
+        ------
+        ExchangeError
+            When neither this router nor another one can connect to the target.
+        """
+        connection = await self._connect(info)
+        due = self.clock.now() + wait
+        exchange = _Exchange(connection, due, is_engine, repeatable)
+        running = self._running.setdefault(info.name, set())
+        running.add(exchange)
+        try:
+            yield connection
+        finally:
+            running.discard(exchange)
+            self._note_heard(info.name, connection)
+            connection.close_unless_idle()
+
+    async def _connect(self, info: TargetInfo) -> Connection:
+        if self.paths.is_direct(info.name):
+            return await self._connect_direct(info)
+        kept = self._take_open(info) or self._take_tunnel(info)
+        forwarded = kept or await self._forward(info, _MAX_ASKED_BROKEN)
+        if forwarded is not None:
+            return forwarded
+        self.paths.forget(info.name)
+        return await self.client.open(Address.parse(info.address), CONNECT_TIMEOUT)
+
+    async def _connect_direct(self, info: TargetInfo) -> Connection:
+        address, began = Address.parse(info.address), self.clock.now()
+        idle = self.client.take_idle(address, lambda one: not one.via)
+        if idle is not None:
+            return idle
+        alone = not self._list_forwarders()
+        timeout = _CONNECT_TIMEOUT_ALONE if alone else CONNECT_TIMEOUT
+        try:
+            opened = await self.client.open(address, timeout)
+        except ExchangeError:
+            forwarded = await self._forward(info, _MAX_ASKED)
+            if forwarded is None:
+                raise
+            self._break_path(info, forwarded.via, began)
+            return forwarded
+        self._restore(info)
+        return opened
+
+    def _take_open(self, info: TargetInfo) -> Connection | None:
+        """Return an idle direct connection that has worked since the path broke."""
+        since = self.paths.find_break(info.name)
+
+        def works(one: Connection) -> bool:
+            return not one.via and since is not None and one.heard > since
+
+        return self.client.take_idle(Address.parse(info.address), works)
+
+    # Other routers
+
+    def _list_forwarders(self) -> dict[str, Forwarder]:
+        beats = [peer.beat for peer in self.peers.list_present()]
+        return {
+            beat.router: Forwarder(beat.router, beat.failure_domain)
+            for beat in beats
+            if beat.serving and not beat.leaving
+        }
+
+    def _take_tunnel(self, info: TargetInfo) -> Connection | None:
+        """Return an idle connection through a router that is present."""
+        address, known = Address.parse(info.address), self._list_forwarders()
+        return self.client.take_idle(address, lambda one: one.via in known)
+
+    async def _forward(self, info: TargetInfo, most: int) -> Connection | None:
+        """Open a connection through another router; return None if none reaches it.
+
+        Parameters
+        ----------
+        most
+            Largest number of routers to ask.
+        """
+        address, left = Address.parse(info.address), self._list_forwarders()
+        load = Counter(one.connection.via for one in self._list_running())
+        for _ in range(most):
+            now, domain = self.clock.now(), info.failure_domain
+            one = self.choice.choose(left.values(), domain, load, now, self.rng)
+            if one is None:
+                return None
+            del left[one.name]
+            opened = await self._open_tunnel(address, one)
+            if opened is not None:
+                return opened
+        return None
+
+    async def _open_tunnel(self, address: Address, one: Forwarder) -> Connection | None:
+        peer = self.peers.routers.get(one.name)
+        if peer is None:
+            return None
+        proxy = Address(peer.beat.ip, self.forward_port)
+        tunnel = TunnelNetwork(self.network, proxy)
+        try:
+            opened = await self.client.open(address, _TUNNEL_TIMEOUT, tunnel, one.name)
+        except ExchangeError as error:
+            self.choice.avoid(one, self.clock.now())
+            self.journal.write(
+                "not_forwarded",
+                peer=one.name,
+                address=str(address),
+                why=repr(error.__cause__),
+            )
+            return None
+        self.choice.accept(one)
+        return opened
+
+    # Paths
+
+    def _break_path(self, info: TargetInfo, via: str, began: Millis) -> None:
+        doubted = self.paths.doubted_at
+        if not self.paths.break_path(info.name, self.clock.now()):
+            return
+        took = round(self.clock.now() - began, 1)
+        self.journal.write("path_broken", target=info.name, via=via, took=took)
+        if doubted is None and self.paths.doubted_at is not None:
+            broken = len(self.paths.list_broken())
+            self.journal.write("all_paths_doubted", broken=broken)
+        for one in self._running.get(info.name, ()):
+            if not one.connection.via and one.repeatable:
+                one.connection.interrupt("the path to the target is broken")
+
+    def _restore(self, info: TargetInfo) -> None:
+        now = self.clock.now()
+        if self.paths.restore(info.name, now):
+            self.journal.write("path_restored", target=info.name)
+            address = Address.parse(info.address)
+            self.client.close_idle(lambda one: one.address == address and bool(one.via))
+
+    def _note_heard(self, name: str, connection: Connection) -> None:
+        if not connection.via:
+            self.paths.hear(name, connection.heard)
+
+    async def check(self, info: TargetInfo) -> Reached:
+        """Find out who reaches a target; concurrent checks of it are one."""
+        task = self._checks.get(info.name)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._check(info))
+            self._checks[info.name] = task
+            task.add_done_callback(lambda done: self._checks.pop(info.name, None))
+        return await asyncio.shield(task)
+
+    async def _check(self, info: TargetInfo) -> Reached:
+        began = self.clock.now()
+        self.paths.note_check(info.name, began)
+        address = Address.parse(info.address)
+        if await self.client.check(address, CONNECT_TIMEOUT):
+            self.paths.hear(info.name, self.clock.now())
+            self._restore(info)
+            return Reached.DIRECT
+        forwarded = await self._forward(info, _MAX_ASKED)
+        if forwarded is None:
+            return Reached.NOT_AT_ALL
+        forwarded.close()
+        self._break_path(info, forwarded.via, began)
+        return Reached.FORWARDED
+
+    def record_fault(
+        self, info: TargetInfo, failed: Millis, record: Callable[[], None]
+    ) -> None:
+        """Call a function unless a failed attempt is the fault of this router's path.
+
+        Parameters
+        ----------
+        failed
+            When the attempt failed.
+        """
+        if not self._list_forwarders() or self.paths.is_verified(info.name, failed):
+            record()
+        elif self.paths.is_direct(info.name):
+            self._spawn(self._check_and_record(info, record))
+
+    async def _check_and_record(
+        self, info: TargetInfo, record: Callable[[], None]
+    ) -> None:
+        if await self.check(info) is not Reached.FORWARDED:
+            record()
+
+    # Periodic work
+
+    def watch(self, now: Millis) -> None:
+        """Check the paths to silent targets, probe broken ones, drop dead tunnels."""
+        self.paths.retain(self.loads.targets)
+        for name, running in list(self._running.items()):
+            if not running:
+                del self._running[name]
+            elif name in self.loads.targets:
+                self._watch_target(self.loads.targets[name].info, running, now)
+        present = self._list_forwarders()
+        self.client.close_idle(lambda one: bool(one.via) and one.via not in present)
+        for one in self._list_running():
+            via = one.connection.via
+            if via and one.repeatable and via not in self.peers.routers:
+                one.connection.interrupt("the router in between is lost")
+        for name in self.paths.list_due(now)[:_MAX_PROBES]:
+            self.paths.note_probe(name, now)
+            self._spawn(self._probe(self.loads.targets[name].info))
+
+    def _watch_target(
+        self, info: TargetInfo, running: set[_Exchange], now: Millis
+    ) -> None:
+        direct = [one for one in running if not one.connection.via]
+        if not direct:
+            return
+        for one in direct:
+            self._note_heard(info.name, one.connection)
+        due = min(one.due for one in direct)
+        is_engine = direct[0].is_engine
+        if self.paths.should_check(info.name, due, is_engine, now):
+            self._spawn(self.check(info))
+
+    async def _probe(self, info: TargetInfo) -> None:
+        address = Address.parse(info.address)
+        if await self.client.check(address, CONNECT_TIMEOUT):
+            self._restore(info)
+
+    def _list_running(self) -> list[_Exchange]:
+        return [one for running in self._running.values() for one in running]
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Cancel the checks that are running."""
+        for task in [*self._tasks, *self._checks.values()]:
+            task.cancel()
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -37,13 +37,28 @@
     reports: FailureReports = field(default_factory=FailureReports)
 
     def record_failure(
-        self, target: TargetLoad, failure: Failure, content: str, answered: bool
+        self,
+        target: TargetLoad,
+        failure: Failure,
+        content: str,
+        answered: bool,
+        hung: bool = False,
     ) -> None:
-        """Record a failed attempt of this router, unless the target rejected it."""
+        """Record a failed attempt of this router, unless the target rejected it.
+
+        Parameters
+        ----------
+        hung
+            Whether a connection was neither opened nor refused: a sound target may be
+            silent for a second.
+        """
         if failure is Failure.REJECTED:
             return
         health = target.health
         health.add_failure(content)
+        if hung and not health.should_eject(0.0):
+            target.avoided_until = self.clock.now() + _AVOIDED_FOR
+            return
         # A target that accepts no connection is ejected at once; otherwise the next
         # request would fail there as well.
         unreachable = failure is Failure.NOT_SENT
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -2,31 +2,22 @@
 
 import asyncio
 import contextlib
-import math
 import time
-from collections import defaultdict, deque
-from collections.abc import AsyncIterator
+from collections import defaultdict
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 import h11
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.messages import (
-    RECEIVE_BUFFER,
-    Address,
-    HeaderFields,
-    Headers,
-    HttpResponse,
-    set_tcp_timeouts,
-)
-
-_READ_AHEAD_BYTES = 256 * 1024
+from anvilshift.wire.connection import Connection
+from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
+
 _MAX_IDLE_PER_ADDRESS = 64
 _IDLE_TIMEOUT_FRACTION = 0.8
 _DEFAULT_IDLE_TIMEOUT_S = 30.0
 """Used if the server sends no keep-alive timeout.  It may close the connection
 earlier; the client is notified of that at once."""
-_MAX_HEAD_BYTES = 64 * 1024
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -42,148 +33,23 @@
         False is it certain that the server did not process the request.
     reused
         Whether the request was sent on a connection that earlier requests had used.
+    hung
+        Whether the connection was neither opened nor refused in time.
     """
 
-    def __init__(self, detail: str, sent: bool, reused: bool = False) -> None:
+    def __init__(
+        self, detail: str, sent: bool, reused: bool = False, hung: bool = False
+    ) -> None:
         super().__init__(detail)
         self.sent = sent
         self.reused = reused
-
-
-class _Connection(asyncio.BufferedProtocol):
-    """One connection to a server, used for one exchange at a time."""
-
-    def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self._h11 = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
-        self._events: deque[h11.Event] = deque()
-        self._buffered = 0
-        self._event_ready = asyncio.Event()
-        self._failure: Exception | None = None
-        self.closed = False
-        self._idle = False
-        self.idle_until = math.inf
-        self.reused = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        set_tcp_timeouts(transport)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.closed = True
-        if self._failure is None:
-            self._failure = exc or ConnectionError("the server closed the connection")
-        self._event_ready.set()
-
-    def eof_received(self) -> bool:
-        self._feed(b"")
-        return False
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return RECEIVE_BUFFER
-
-    def buffer_updated(self, nbytes: int) -> None:
-        if self._idle:
-            # Unsolicited bytes on an idle connection would be read as the answer
-            # to the next request on it, which belongs to another caller.
-            self.close()
-            return
-        self._feed(bytes(RECEIVE_BUFFER[:nbytes]))
-
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._h11.receive_data(data)
-            while True:
-                event = self._h11.next_event()
-                if event in (h11.NEED_DATA, h11.PAUSED):
-                    break
-                if isinstance(event, h11.ConnectionClosed):
-                    break
-                assert not isinstance(event, type)
-                self._events.append(event)
-                if isinstance(event, h11.Data):
-                    self._buffered += len(event.data)
-                if isinstance(event, h11.EndOfMessage):
-                    break
-        except (h11.RemoteProtocolError, RuntimeError) as error:
-            self._failure = error
-            if self.transport is not None:
-                self.transport.abort()
-        # An engine that streams faster than its caller reads would exhaust the
-        # router's memory, so reading is paused until the backlog is consumed.
-        if self._buffered > _READ_AHEAD_BYTES and self.transport is not None:
-            self.transport.pause_reading()
-        self._event_ready.set()
-
-    def send(self, method: str, path: str, headers: HeaderFields, body: bytes) -> None:
-        assert self.transport is not None
-        # Latin-1 round-trips every byte, so the caller's header fields are
-        # forwarded unchanged.
-        raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
-        target = path.encode("latin-1")
-        head = h11.Request(method=method, target=target, headers=raw)
-        parts = [self._h11.send(head)]
-        if body:
-            parts.append(self._h11.send(h11.Data(data=body)))
-        parts.append(self._h11.send(h11.EndOfMessage()))
-        # Does not wait for the write buffer to drain: a server may answer without
-        # reading all of a long body, and the client must then read that answer.
-        self.transport.write(b"".join(part for part in parts if part))
-
-    async def receive(self) -> h11.Event:
-        while not self._events:
-            if self._failure is not None:
-                raise self._failure
-            self._event_ready.clear()
-            await self._event_ready.wait()
-        event = self._events.popleft()
-        if isinstance(event, h11.Data):
-            before = self._buffered
-            self._buffered -= len(event.data)
-            if before > _READ_AHEAD_BYTES >= self._buffered and self.transport:
-                self.transport.resume_reading()
-        return event
-
-    def take_buffered(self) -> bytes:
-        """Return the body bytes that are already buffered, without waiting."""
-        parts = []
-        while self._events and isinstance(self._events[0], h11.Data):
-            event = self._events.popleft()
-            assert isinstance(event, h11.Data)
-            self._buffered -= len(event.data)
-            parts.append(bytes(event.data))
-        return b"".join(parts)
-
-    def reset(self) -> bool:
-        """Prepare for another exchange; return False if that is not possible."""
-        if self.closed or self._events or self._failure is not None:
-            return False
-        try:
-            self._h11.start_next_cycle()
-        except h11.ProtocolError:
-            return False
-        self._idle = not self._h11.trailing_data[0]
-        return self._idle
-
-    def try_reuse(self) -> bool:
-        """Leave the idle state; return False if the connection closed or expired."""
-        self._idle = False
-        self.reused = True
-        return not self.closed and time.monotonic() < self.idle_until
-
-    def close(self) -> None:
-        self.closed = True
-        if self.transport is not None:
-            self.transport.abort()
+        self.hung = hung
 
 
 class Response:
     """An answer whose body is read as it arrives."""
 
-    def __init__(self, status: int, headers: Headers, connection: _Connection) -> None:
+    def __init__(self, status: int, headers: Headers, connection: Connection) -> None:
         self.status = status
         self.headers = headers
         self.whole = False
@@ -250,22 +116,6 @@
         await loop.create_connection(lambda: protocol, address.ip, address.port)
 
 
-async def _open_connection(
-    network: Network, address: Address, timeout: Millis
-) -> _Connection:
-    """Connect to an address within a timeout.
-
-    `asyncio.wait_for` is not used: if its task is cancelled just as the connection
-    is opened, Python 3.11 returns the connection and drops the cancellation.  A
-    request whose caller has disconnected would continue, and a task that is being
-    stopped would never end.
-    """
-    opened = _Connection()
-    async with asyncio.timeout(timeout / SECOND):
-        await network.open(opened, address)
-    return opened
-
-
 def _read_idle_timeout(headers: Headers) -> float:
     """Return the seconds for which an idle connection may be reused.
 
@@ -297,27 +147,73 @@
     ) -> None:
         self._connect_timeout = connect_timeout
         self._network = network or TcpNetwork()
-        self._idle: dict[Address, list[_Connection]] = defaultdict(list)
-
-    async def _connect(self, address: Address) -> _Connection:
-        idle = self._idle[address]
-        while idle:
-            connection = idle.pop()
-            if connection.try_reuse():
-                return connection
-            connection.close()
+        self._idle: dict[Address, list[Connection]] = defaultdict(list)
+
+    def take_idle(
+        self, address: Address, is_usable: Callable[[Connection], bool] | None = None
+    ) -> Connection | None:
+        """Return an idle connection to an address, the last used one first.
+
+        Parameters
+        ----------
+        is_usable
+            Selects among the idle connections, all if omitted; the others stay.
+        """
+        kept = self._idle[address]
+        for connection in reversed(list(kept)):
+            if connection.closed:
+                kept.remove(connection)
+            elif is_usable is None or is_usable(connection):
+                kept.remove(connection)
+                if connection.try_reuse():
+                    return connection
+                connection.close()
+        return None
+
+    async def open(
+        self,
+        address: Address,
+        timeout: Millis | None = None,
+        network: Network | None = None,
+        via: str = "",
+    ) -> Connection:
+        """Open a new connection.
+
+        `asyncio.wait_for` is not used: if its task is cancelled just as the connection
+        is opened, Python 3.11 returns the connection and drops the cancellation.  A
+        request whose caller has disconnected would continue, and a task that is being
+        stopped would never end.
+
+        Parameters
+        ----------
+        network, via
+            Opens the connection, through the process of that name.
+
+        Raises
+        ------
+        ExchangeError
+            If it can't be opened.
+        """
+        opened = Connection(address, via)
         try:
-            opened = await _open_connection(
-                self._network, address, self._connect_timeout
-            )
+            async with asyncio.timeout((timeout or self._connect_timeout) / SECOND):
+                await (network or self._network).open(opened, address)
         except (OSError, TimeoutError) as error:
-            raise ExchangeError(f"can't connect to {address}", False) from error
+            raise ExchangeError(
+                f"can't connect to {address}",
+                False,
+                hung=isinstance(error, TimeoutError),
+            ) from error
         return opened
 
-    def _release(
-        self, address: Address, connection: _Connection, idle_timeout_s: float
+    async def _connect(self, address: Address) -> Connection:
+        return self.take_idle(address) or await self.open(address)
+
+    def release(
+        self, connection: Connection, idle_timeout_s: float = _DEFAULT_IDLE_TIMEOUT_S
     ) -> None:
-        idle = self._idle[address]
+        """Keep a connection for reuse, or close it if that is not possible."""
+        idle = self._idle[connection.address]
         if len(idle) < _MAX_IDLE_PER_ADDRESS and connection.reset():
             connection.idle_until = time.monotonic() + idle_timeout_s
             idle.append(connection)
@@ -334,6 +230,7 @@
         body: bytes = b"",
         timeout: Millis | None = None,
         host: str | None = None,
+        connection: Connection | None = None,
     ) -> AsyncIterator[Response]:
         """Send a request and yield its answer once the head has arrived.
 
@@ -346,6 +243,8 @@
             Milliseconds within which the head of the answer must arrive.
         host
             Value of the Host header; the address if omitted.
+        connection
+            The connection to use; an idle or a new one if omitted.
 
         Raises
         ------
@@ -353,7 +252,7 @@
             If the exchange fails; ``sent`` is False if no byte of the request
             was sent.
         """
-        connection = await self._connect(address)
+        connection = connection or await self._connect(address)
         fields = [("host", host or str(address)), *(headers or [])]
         fields.append(("content-length", str(len(body))))
         response: Response | None = None
@@ -383,7 +282,7 @@
         finally:
             if response.whole:
                 idle_timeout_s = _read_idle_timeout(response.headers)
-                self._release(address, connection, idle_timeout_s)
+                self.release(connection, idle_timeout_s)
             else:
                 connection.close()
 
@@ -410,12 +309,19 @@
     async def check(self, address: Address, timeout: Millis) -> bool:
         """Return whether a server accepts connections."""
         try:
-            opened = await _open_connection(self._network, address, timeout)
-        except (OSError, TimeoutError):
+            opened = await self.open(address, timeout)
+        except ExchangeError:
             return False
         opened.close()
         return True
 
+    def close_idle(self, is_unusable: Callable[[Connection], bool]) -> None:
+        """Close the idle connections that a function selects."""
+        for idle in self._idle.values():
+            for connection in [one for one in idle if is_unusable(one)]:
+                idle.remove(connection)
+                connection.close()
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
--- /dev/null
+++ b/anvilshift/wire/connection.py
@@ -0,0 +1,195 @@
+"""One connection of the HTTP/1.1 client, on top of h11."""
+
+import asyncio
+import math
+import time
+from collections import deque
+
+import h11
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.wire.messages import (
+    RECEIVE_BUFFER,
+    Address,
+    HeaderFields,
+    set_tcp_timeouts,
+)
+
+_READ_AHEAD_BYTES = 256 * 1024
+_MAX_HEAD_BYTES = 64 * 1024
+
+
+class Connection(asyncio.BufferedProtocol):
+    """One connection to a server, used for one exchange at a time.
+
+    Parameters
+    ----------
+    address
+        Address of the server.
+    via
+        Name of the process through which the server is reached; empty for a direct
+        connection.
+
+    Attributes
+    ----------
+    reused
+        Whether earlier exchanges have used it.
+    heard
+        When it was opened or last received bytes.
+    """
+
+    def __init__(self, address: Address, via: str = "") -> None:
+        self.address = address
+        self.via = via
+        self.transport: asyncio.Transport | None = None
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._events: deque[h11.Event] = deque()
+        self._buffered = 0
+        self._event_ready = asyncio.Event()
+        self._failure: Exception | None = None
+        self.closed = False
+        self._idle = False
+        self.idle_until = math.inf
+        self.reused = False
+        self.heard: Millis = -math.inf
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and set its timeouts."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.heard = time.monotonic() * SECOND
+        set_tcp_timeouts(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange that waits for an answer."""
+        self.closed = True
+        if self._failure is None:
+            self._failure = exc or ConnectionError("the server closed the connection")
+        self._event_ready.set()
+
+    def eof_received(self) -> bool:
+        """Read the end of an answer that its connection's end delimits."""
+        if self.via and not self._events:
+            # The process in between closes for any reason, so that the end of the
+            # connection doesn't show that an answer without a length is complete.
+            self.interrupt("the connection through another router closed")
+        else:
+            self._feed(b"")
+        return False
+
+    def interrupt(self, detail: str) -> None:
+        """Fail the exchange that is using the connection, and close it."""
+        if self._failure is None:
+            self._failure = ConnectionError(detail)
+        self.close()
+        self._event_ready.set()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections share."""
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse received bytes; close an idle connection that received any."""
+        self.heard = time.monotonic() * SECOND
+        if self._idle:
+            # Unsolicited bytes on an idle connection would be read as the answer
+            # to the next request on it, which belongs to another caller.
+            self.close()
+            return
+        self._feed(bytes(RECEIVE_BUFFER[:nbytes]))
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            while True:
+                event = self._h11.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    break
+                if isinstance(event, h11.ConnectionClosed):
+                    break
+                assert not isinstance(event, type)
+                self._events.append(event)
+                if isinstance(event, h11.Data):
+                    self._buffered += len(event.data)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            self._failure = error
+            if self.transport is not None:
+                self.transport.abort()
+        # An engine that streams faster than its caller reads would exhaust the
+        # router's memory, so reading is paused until the backlog is consumed.
+        if self._buffered > _READ_AHEAD_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+        self._event_ready.set()
+
+    def send(self, method: str, path: str, headers: HeaderFields, body: bytes) -> None:
+        """Write a request."""
+        assert self.transport is not None
+        # Latin-1 round-trips every byte, so the caller's header fields are
+        # forwarded unchanged.
+        raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        target = path.encode("latin-1")
+        head = h11.Request(method=method, target=target, headers=raw)
+        parts = [self._h11.send(head)]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        # Does not wait for the write buffer to drain: a server may answer without
+        # reading all of a long body, and the client must then read that answer.
+        self.transport.write(b"".join(part for part in parts if part))
+
+    async def receive(self) -> h11.Event:
+        """Return the next part of the answer."""
+        while not self._events:
+            if self._failure is not None:
+                raise self._failure
+            self._event_ready.clear()
+            await self._event_ready.wait()
+        event = self._events.popleft()
+        if isinstance(event, h11.Data):
+            before = self._buffered
+            self._buffered -= len(event.data)
+            if before > _READ_AHEAD_BYTES >= self._buffered and self.transport:
+                self.transport.resume_reading()
+        return event
+
+    def take_buffered(self) -> bytes:
+        """Return the body bytes that are already buffered, without waiting."""
+        parts = []
+        while self._events and isinstance(self._events[0], h11.Data):
+            event = self._events.popleft()
+            assert isinstance(event, h11.Data)
+            self._buffered -= len(event.data)
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    def reset(self) -> bool:
+        """Prepare for another exchange; return False if that is not possible."""
+        if self.closed or self._events or self._failure is not None:
+            return False
+        try:
+            self._h11.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        self._idle = not self._h11.trailing_data[0]
+        return self._idle
+
+    def try_reuse(self) -> bool:
+        """Leave the idle state; return False if the connection closed or expired."""
+        self._idle = False
+        self.reused = True
+        return not self.closed and time.monotonic() < self.idle_until
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close_unless_idle(self) -> None:
+        """Close the connection unless it was kept for another exchange."""
+        if not self._idle and not self.closed:
+            self.close()
--- /dev/null
+++ b/tests/wire/test_tunnel.py
@@ -0,0 +1,119 @@
+"""Tunnels between a client and a server, on loopback."""
+
+import asyncio
+import unittest
+
+from anvilshift.wire.client import ExchangeError, HttpClient, TcpNetwork
+from anvilshift.wire.messages import Address, Reply
+from anvilshift.wire.server import HttpServer
+from anvilshift.wire.tunnel import TunnelNetwork, TunnelServer
+
+LOOPBACK = Address("127.0.0.1", 0)
+LARGE = b"x" * 3_000_000
+
+
+class TunnelTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.bodies: list[bytes] = []
+        self.server = HttpServer(self.handle)
+        self.address = await self.server.start(LOOPBACK)
+        self.known = {self.address}
+        self.allowed = True
+        self.tunnels = TunnelServer(
+            lambda ip: self.allowed, self.known.__contains__, most=2, timeout=200.0
+        )
+        await self.tunnels.start(LOOPBACK)
+        self.proxy = Address("127.0.0.1", self.tunnels.port)
+        self.client = HttpClient()
+        self.addAsyncCleanup(self.server.close)
+        self.addAsyncCleanup(self.tunnels.close)
+
+    async def handle(self, request, responder):
+        self.bodies.append(request.body)
+        await responder.send(Reply(200, [("x-sign", "s1")], request.body))
+
+    async def open(self):
+        network = TunnelNetwork(TcpNetwork(), self.proxy)
+        return await self.client.open(self.address, 500.0, network, "r2")
+
+    async def call(self, connection, body=b"hello"):
+        async with self.client.exchange(
+            self.address, "POST", "/a", [], body, connection=connection
+        ) as response:
+            return response.headers.get("x-sign"), await response.read()
+
+    async def test_bytes_pass_unchanged_in_both_directions(self):
+        connection = await self.open()
+        self.assertEqual(await self.call(connection, LARGE), ("s1", LARGE))
+        self.assertEqual(self.bodies, [LARGE])
+
+    async def test_an_idle_tunnel_is_used_again(self):
+        first = await self.open()
+        await self.call(first)
+        again = self.client.take_idle(self.address, lambda one: one.via == "r2")
+        self.assertIs(again, first)
+        self.assertEqual((await self.call(again))[1], b"hello")
+        self.assertEqual(self.tunnels.opened, 1)
+
+    async def refuse(self, status: int):
+        with self.assertRaises(ExchangeError) as raised:
+            await self.open()
+        self.assertFalse(raised.exception.sent)
+        self.assertEqual(raised.exception.__cause__.status, status)
+
+    async def test_only_known_processes_may_ask(self):
+        self.allowed = False
+        await self.refuse(403)
+
+    async def test_only_known_servers_are_reached(self):
+        """Guards against a router that forwards anything anywhere."""
+        self.known.clear()
+        await self.refuse(502)
+
+    async def test_a_server_that_is_down_is_reported_before_anything_is_sent(self):
+        await self.server.close()
+        await self.refuse(502)
+
+    async def test_no_tunnel_opens_beyond_the_limit(self):
+        """Guards against a cut failure domain that uses up another's memory."""
+        kept = [await self.open(), await self.open()]
+        await self.refuse(503)
+        kept[0].close()
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.call(await self.open()))[1], b"hello")
+
+    async def test_the_server_sees_that_the_client_has_left(self):
+        connection = await self.open()
+        await asyncio.sleep(0.02)
+        self.assertEqual(len(self.server.connections), 1)
+        connection.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.server.connections), 0)
+
+    async def test_an_answer_without_a_length_is_never_complete(self):
+        """Guards against an answer cut short by the process in between.
+
+        A direct connection shows by a reset that its answer broke off; a process in
+        between may close for any reason.
+        """
+
+        async def send_half(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf an answer")
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(send_half, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        self.known.add(self.address)
+        connection = await self.open()
+        with self.assertRaises(ExchangeError) as raised:
+            await self.call(connection)
+        self.assertTrue(raised.exception.sent)
+
+    async def test_a_silent_client_is_dropped(self):
+        reader, writer = await asyncio.open_connection(self.proxy.ip, self.proxy.port)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(5):
+            self.assertEqual(await reader.read(), b"")
