Keep attempts, the address lists and the planned stop in modules of their own

What sends one attempt is gateway/sending.py now, the attempts of one request are gateway/attempts.py.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -1,298 +1,395 @@
-"""Send a request to one target, and report the outcome of the attempt.
+"""Send one request to targets until one has answered it.
 
-The start, first byte and end of every attempt are recorded in this router's load map
-and sent to the other routers, whatever the attempt's outcome.
+A failed attempt is repeated at another target where that is allowed.  An error says
+"not run" only if no target may have run the request.
 """
 
-import contextlib
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field, replace
-
-from anvilshift.core.choosing import Choice
-from anvilshift.core.clock import Clock, Millis
-from anvilshift.core.loadmap import LoadMap, Prompt
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from functools import partial
+
+from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.errors import (
+    ENGINE_FAILED,
+    NO_ENGINE,
+    OVERLOADED,
+    AnvilshiftError,
+    Code,
+)
+from anvilshift.core.loadmap import Prompt
+from anvilshift.core.routing import (
+    ModelLimits,
+    OrganisationBudget,
+    RequestKind,
+    Rule,
+)
+from anvilshift.core.timeouts import (
+    NO_ENGINE_RETRY,
+    find_attempt_timeout,
+    find_pause_timeout,
+    find_return,
+    rank,
+)
 from anvilshift.core.work import Failure
-from anvilshift.gateway.border import AnswerFields, Dialect, TargetFields
-from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.limits import RateLimits
-from anvilshift.gateway.messages import Begun, Ended, Held, Sent
-from anvilshift.gateway.peers import Peers
-from anvilshift.gateway.reach import TargetReach
-from anvilshift.wire.client import ExchangeError, Response
-from anvilshift.wire.messages import Headers, HttpRequest
-
-_MAX_LOGGED_FIELDS = 64
-"""Names of answers' header fields that are logged, once each; more would be noise."""
-_MAX_LOGGED_VALUE = 80
-"""Characters of a header field's value that are logged."""
+from anvilshift.gateway.border import Call, TargetFields
+from anvilshift.gateway.crashes import CrashTracker
+from anvilshift.gateway.permitsession import PermitSession
+from anvilshift.gateway.relaying import AnswerRelay
+from anvilshift.gateway.sending import Answer, AttemptError, Outgoing
+from anvilshift.gateway.shared import RouterContext
+from anvilshift.wire.messages import HttpRequest
 
 
-class AttemptError(Exception):
-    """An attempt failed: it gave no answer, or none that is complete and valid.
+@dataclass(frozen=True)
+class RoutedRequest:
+    """A caller's request with its route and the service that is to run it.
 
     Parameters
     ----------
-    failure
-        Whether the target may have run the request.
-    detail
-        Description of the failure, for the log and the caller.
-    replaced
-        Whether another target answered at the address.
-    answered
-        Whether the target sent an answer, but an unusable one.
-    reused
-        Whether the request was sent on a connection that earlier requests had used.
-    hung
-        Whether no connection was opened or refused in time.
+    arrived, end
+        When it arrived, and its deadline.
+    payer
+        The organisation that pays; None for an anonymous request.
+    model
+        Limits of the service's model; None for a plain service.
+    pause
+        Longest allowed pause between two events of the service's streams.
     """
 
-    def __init__(
-        self,
-        failure: Failure,
-        detail: str,
-        replaced: bool = False,
-        answered: bool = False,
-        reused: bool = False,
-        hung: bool = False,
-    ) -> None:
-        super().__init__(f"{failure.value}: {detail}")
-        self.failure = failure
-        self.detail = detail
-        self.replaced = replaced
-        self.answered = answered
-        self.reused = reused
-        self.hung = hung
-
-    @property
-    def never_ran(self) -> bool:
-        """Return whether the target certainly did not run the request."""
-        return self.failure in (Failure.NOT_SENT, Failure.REJECTED)
+    request: HttpRequest
+    call: Call
+    arrived: Millis
+    end: Millis
+    rule: Rule
+    payer: OrganisationBudget | None
+    service: str
+    model: ModelLimits | None
+    pause: Millis
 
 
-@dataclass(frozen=True)
-class Outgoing:
-    """One request as it is sent to one target.
+class Attempts:
+    """The attempts of one request at targets.
 
-    Parameters
+    Attributes
     ----------
-    run
-        Id of the attempt, unique among all routers.
-    identity
-        Id of the caller's attempt.
-    capacity
-        Tokens that fit into the target's prompt cache; 0 for a plain service.
-    repeatable
-        Whether it may be sent again although the target may have run it.
-    on_send
-        Called with the name of the router that forwards the request, empty if none
-        does, just before its first byte is sent.
+    may_have_run
+        Whether any target may have run the request, or may still run it.
+    targets
+        Number of targets that may have run it.
+    failed_targets
+        Names of the targets at which an attempt failed; they get no further attempt.
+    via
+        Router that forwards the last attempt; empty if none does.
+    concurrent_runs
+        Requests that the target was running when the last attempt was sent.
     """
 
-    run: str
-    request: HttpRequest
-    identity: str
-    host: str
-    prompt: Prompt
-    delivery: TargetFields
-    choice: Choice
-    capacity: int
-    repeatable: bool = False
-    on_send: Callable[[str], None] = lambda via: None
-
-
-@dataclass
-class Answer:
-    """A target's answer whose body is still arriving."""
-
-    status: int
-    headers: Headers
-    notes: AnswerFields
-    response: Response
-
-
-@dataclass
-class Sender:
-    """Send this router's attempts, and report their progress to the other routers."""
-
-    reach: TargetReach
-    dialect: Dialect
-    loads: LoadMap
-    peers: Peers
-    clock: Clock
-    journal: Journal
-    limits: RateLimits
-    _logged_fields: set[str] = field(default_factory=set)
-
-    @contextlib.asynccontextmanager
-    async def send(self, outgoing: Outgoing) -> AsyncIterator[Answer]:
-        """Send a request and yield its answer once the headers have arrived.
+    def __init__(
+        self,
+        shared: RouterContext,
+        routed: RoutedRequest,
+        relay: AnswerRelay,
+        turn: PermitSession,
+        crashes: CrashTracker,
+    ) -> None:
+        self._shared = shared
+        self._routed = routed
+        self._relay = relay
+        self._turn = turn
+        self._crashes = crashes
+        self.may_have_run = False
+        self.targets = 0
+        self.failed_targets: set[str] = set()
+        self.target = ""
+        self.via = ""
+        self.sent = routed.arrived
+        self.concurrent_runs = 0
+        self.predicted: Millis = 0.0
+
+    async def run(self) -> None:
+        """Send the request to targets until one of them has answered it.
 
         Raises
         ------
-        AttemptError
-            When no answer to this request arrives, or the target states that it did
-            not run the request.
+        AnvilshiftError
+            When no further attempt is made.
         """
-        self._record_send(outgoing)
-        sent = self.clock.now()
-        try:
-            async with self._exchange(outgoing, sent) as response:
-                self._log_fields(outgoing, response.headers)
-                notes = self.dialect.read_answer_fields(
-                    response.status, response.headers
+        while True:
+            choice = self._choose()
+            self._check_predicted_wait(choice)
+            run = await self._turn.request_permit(
+                choice, self._compute_rank(choice), self._routed.end
+            )
+            if run is None:
+                continue
+            try:
+                if await self._attempt(choice, run):
+                    self._shared.retries.add_answer()
+                    self._crashes.clear()
+                    return
+            except AttemptError as error:
+                self._record_failure(choice, error)
+                await self._crashes.check_failure(choice.target, error)
+                self._check_retry(error)
+
+    def _choose(self) -> Choice:
+        shared, now = self._shared, self._shared.clock.now()
+        excluded = self.failed_targets | self._turn.refused
+        prompt = (
+            self._routed.call.prompt if self._routed.model is not None else Prompt()
+        )
+        excluded |= self._crashes.list_forbidden(self._routed.service, prompt)
+        delays = self._turn.list_permit_delays()
+        loads = shared.sender.loads
+        if self._routed.model is not None:
+            demand = self._make_demand(self._routed.model, delays, now)
+            choice = choose_engine(loads, demand, now, shared.rng, excluded)
+        else:
+            work = shared.find_service_time(self._routed.service).value
+            choice = choose_plain_target(
+                loads,
+                self._routed.service,
+                shared.domain,
+                work,
+                shared.rng,
+                now,
+                excluded,
+                delays,
+            )
+        if choice is None:
+            turn = self._turn.find_return()
+            if turn is not None:
+                raise self._make_final_error(
+                    OVERLOADED, turn, "no permit is expected before the deadline"
                 )
-                self._record_limit(outgoing, notes, sent)
-                _check_answer(outgoing, notes)
-                yield Answer(response.status, response.headers, notes, response)
-        except ExchangeError as error:
-            failure = Failure.BROKE_OFF if error.sent else Failure.NOT_SENT
-            raise AttemptError(
-                failure, str(error), reused=error.reused, hung=error.hung
-            ) from error
-        finally:
-            self._record_end(outgoing)
-
-    def _log_fields(self, outgoing: Outgoing, headers: Headers) -> None:
-        """Log each header field name that no earlier answer had.
+            raise self._make_final_error(
+                NO_ENGINE, NO_ENGINE_RETRY, "no target is available"
+            )
+        return choice
+
+    def _make_demand(
+        self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
+    ) -> Demand:
+        return Demand(
+            self._routed.service,
+            self._routed.call.prompt,
+            model.cache_tokens,
+            self._shared.domain,
+            self._routed.rule.objective - (now - self._routed.arrived),
+            model.tokens_per_event,
+            self._routed.pause,
+            len(self._routed.request.body) / 1_000,
+            model.fetch_per_token,
+            delays,
+        )
 
-        Targets may announce requirements in header fields that are unknown here.
+    def _check_predicted_wait(self, choice: Choice) -> None:
+        """Refuse a request at once if its predicted wait exceeds the time left."""
+        left = self._routed.end - self._shared.clock.now()
+        wait = choice.total_wait
+        if wait > left and not self.may_have_run:
+            detail = f"a wait of {wait:.0f} ms is predicted"
+            raise self._make_final_error(OVERLOADED, wait - left, detail)
+
+    def _make_final_error(
+        self, code: Code, wait: Millis, detail: str
+    ) -> AnvilshiftError:
+        """Return the error for a request that gets no further attempt.
+
+        Parameters
+        ----------
+        code
+            Code for a request that no target has run; one that may have run gets
+            ENGINE_FAILED instead.
+        wait
+            Time after which a new request may succeed.
         """
-        for name, value in headers.pairs:
-            if (
-                name not in self._logged_fields
-                and len(self._logged_fields) < _MAX_LOGGED_FIELDS
-            ):
-                self._logged_fields.add(name)
-                self.journal.write(
-                    "answer_field",
-                    name=name,
-                    value=value[:_MAX_LOGGED_VALUE],
-                    id=outgoing.identity,
-                    target=outgoing.choice.target.info.name,
-                )
+        left = max(0.0, self._routed.end - self._shared.clock.now())
+        after = find_return(wait, left, self._shared.rng)
+        if self.may_have_run:
+            return AnvilshiftError(ENGINE_FAILED, detail, after)
+        return AnvilshiftError(code, detail, after)
+
+    def _record_failure(self, choice: Choice, error: AttemptError) -> None:
+        name = choice.target.info.name
+        self.failed_targets.add(name)
+        self._record_fault(choice, error)
+        self._shared.journal.write(
+            "attempt_failed",
+            id=self._routed.call.identity,
+            target=name,
+            failure=error.failure.value,
+            why=error.detail,
+            took=round(self._shared.clock.now() - self.sent, 1),
+            reused=error.reused,
+            events=self._relay.events,
+        )
 
-    def _record_limit(
-        self, outgoing: Outgoing, notes: AnswerFields, sent: Millis
-    ) -> None:
-        """Record the rate limit or pause that a target announces.
+    def _record_fault(self, choice: Choice, error: AttemptError) -> None:
+        """Count a failed attempt against its target, unless the path to it is broken.
 
-        A signed answer without a limit withdraws the limit that was announced before.
+        Otherwise a router that loses its links would have the other routers eject
+        targets that they reach.
         """
-        is_matching = (
-            notes.identity in (None, outgoing.identity) and not notes.misdirected
-        )
-        if not is_matching:
-            return
-        name = outgoing.choice.target.info.name
-        if notes.signed or notes.limit is not None:
-            self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
-        if notes.not_run and notes.pause:
-            self.limits.record_refusal(name, notes.pause, outgoing.identity)
-
-    @contextlib.asynccontextmanager
-    async def _exchange(
-        self, outgoing: Outgoing, began: Millis
-    ) -> AsyncIterator[Response]:
-        request, info = outgoing.request, outgoing.choice.target.info
-        wait, is_engine = outgoing.choice.wait, outgoing.capacity > 0
-        async with self.reach.open(
-            info, wait, is_engine, outgoing.repeatable
-        ) as connection:
-            outgoing.on_send(connection.via)
-            left = outgoing.delivery.remaining - (self.clock.now() - began)
-            delivery = replace(outgoing.delivery, remaining=max(1.0, left))
-            headers = self.dialect.write_target_fields(request, delivery)
-            async with self.reach.client.exchange(
-                connection.address,
-                request.method,
-                request.target,
-                headers,
-                request.body,
-                host=outgoing.host,
-                connection=connection,
-            ) as response:
-                yield response
-
-    def _record_send(self, outgoing: Outgoing) -> None:
-        info, prompt = outgoing.choice.target.info, outgoing.prompt
-        name = info.name
-        cached, now = outgoing.choice.cached, self.clock.now()
-        disturbing = outgoing.choice.disturbing
-        self.loads.send(
-            name, outgoing.run, prompt, cached, now, outgoing.capacity, disturbing
-        )
-        sent = Sent(
-            outgoing.run,
-            name,
-            prompt.parts,
-            prompt.tokens,
-            prompt.most_answer,
-            cached,
-            disturbing,
+        shared, target = self._shared, choice.target
+        record = partial(
+            shared.health.record_failure,
+            target,
+            error.failure,
+            self._routed.call.identity,
+            error.answered,
+            error.hung,
         )
-        self._tell_routers(sent, outgoing)
-        self._tell_newly_cached(outgoing)
+        if error.failure is Failure.BROKE_OFF and not error.answered:
+            reach = shared.sender.reach
+            reach.record_fault(target.info, shared.clock.now(), record)
+        else:
+            record()
 
-    def _tell_newly_cached(self, outgoing: Outgoing) -> None:
-        """Tell distant routers which shared parts a target has newly cached.
+    def _check_retry(self, error: AttemptError) -> None:
+        """Check that the request may be retried.
 
-        They get no report of the run itself.  Without this message each of them would
-        have the part computed again at a target near it, although the part could be
-        fetched from this target or the prompt be sent to it.
+        Raises
+        ------
+        AnvilshiftError
+            When a target may have run the request and it may not run elsewhere, or
+            when the retry budget is used up.
         """
-        choice, shared_parts = outgoing.choice, outgoing.prompt.parts[:-1]
-        fetched = choice.fetch_from is not None
-        is_newly_cached = fetched or choice.cached < sum(
-            tokens for _, tokens in shared_parts
+        if not error.never_ran and not self._may_go_on():
+            raise AnvilshiftError(ENGINE_FAILED, error.detail)
+        if not self._shared.retries.take(error.failure):
+            if self._relay.started:
+                raise AnvilshiftError(ENGINE_FAILED, "the retry budget is used up")
+            raise self._make_final_error(
+                NO_ENGINE, NO_ENGINE_RETRY, "the retry budget is used up"
+            )
+
+    def _compute_rank(self, choice: Choice) -> int:
+        """Return the request's rank among those that wait for a permit."""
+        elapsed = self._shared.clock.now() - self._routed.arrived
+        return rank(self._routed.rule, elapsed, choice.total_wait)
+
+    async def _attempt(self, choice: Choice, run: str) -> bool:
+        shared = self._shared
+        self.predicted = choice.wait
+        self.sent, self.via = shared.clock.now(), ""
+        self.concurrent_runs = len(choice.target.runs)
+        self.target = choice.target.info.name
+        left = self._routed.end - shared.clock.now()
+        outgoing = Outgoing(
+            run,
+            self._routed.request,
+            self._routed.call.identity,
+            self._routed.call.host,
+            self._routed.call.prompt if self._routed.model is not None else Prompt(),
+            self._make_delivery(choice, left),
+            choice,
+            self._routed.model.cache_tokens if self._routed.model is not None else 0,
+            self._may_go_on(after=self.targets + 1),
         )
-        if shared_parts and is_newly_cached and not self.peers.small:
-            info = choice.target.info
-            self.peers.send_far(Held(info.name, shared_parts), info.failure_domain)
-
-    def record_first_byte(self, outgoing: Outgoing) -> None:
-        """Record that the target began to answer, and tell the other routers."""
-        name = outgoing.choice.target.info.name
-        self.loads.begin(name, outgoing.run, self.clock.now())
-        if self.peers.small:
-            self.peers.broadcast(Begun(outgoing.run, name))
-
-    def _record_end(self, outgoing: Outgoing) -> None:
-        name = outgoing.choice.target.info.name
-        self.loads.end(name, outgoing.run)
-        self._tell_routers(Ended(outgoing.run, name), outgoing)
-
-    def _tell_routers(self, message: Sent | Ended, outgoing: Outgoing) -> None:
-        """Send a message to the routers that may send requests to the same target.
-
-        In a larger fleet these are only the routers near it, and only model engines
-        are reported: a request at a plain service ends about as soon as the message
-        arrives.
-        """
-        if self.peers.small:
-            self.peers.broadcast(message)
-        elif outgoing.capacity:
-            domain = outgoing.choice.target.info.failure_domain
-            self.peers.send_near(message, domain, soon=isinstance(message, Sent))
+        before = self.may_have_run, self.targets
+        self._crashes.charge_target(self.target)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                on_send = partial(self._record_send, timeout, choice)
+                outgoing = replace(outgoing, on_send=on_send)
+                async with shared.sender.send(outgoing) as answer:
+                    await self._relay_answer(outgoing, answer, timeout)
+                    return True
+        except AttemptError as error:
+            if error.never_ran:
+                self.may_have_run, self.targets = before
+            else:
+                self._relay.broken = True
+            raise
+        except TimeoutError as error:
+            self._relay.broken = True
+            raise AttemptError(
+                Failure.BROKE_OFF, "the target sent nothing for too long"
+            ) from error
+        finally:
+            self._crashes.end(self.target, self.targets > before[1])
 
+    def _record_send(self, timeout: asyncio.Timeout, choice: Choice, via: str) -> None:
+        """Record that the request is about to be sent, and start its timeout.
 
-def _check_answer(outgoing: Outgoing, notes: AnswerFields) -> None:
-    """Check that the answer is one to this request.
+        Until now nothing has reached a target, however long the connection took.
+        """
+        self.via = via
+        self.sent = self._shared.clock.now()
+        self.may_have_run = True
+        self.targets += 1
+        limit = self._compute_timeout(choice, self._routed.end - self.sent)
+        if limit is not None:
+            timeout.reschedule(asyncio.get_running_loop().time() + limit)
+
+    def _compute_timeout(self, choice: Choice, left: Millis) -> float | None:
+        """Return the attempt's timeout in seconds; None if no retry may follow it."""
+        if not self._may_go_on():
+            return None
+        return find_attempt_timeout(self._routed.rule, choice.wait, left) / SECOND
+
+    def _may_go_on(self, after: int | None = None) -> bool:
+        """Return whether the request may be run at a further target.
+
+        Parameters
+        ----------
+        after
+            Number of targets that may have run it by then; as many as now if omitted.
+        """
+        targets = self.targets if after is None else after
+        return (
+            self._routed.rule.repeatable
+            and targets < self._routed.rule.max_targets_per_request
+        )
 
-    Raises
-    ------
-    AttemptError
-        When it answers another request, another target has the address, or the target
-        states that it did not run the request.
-    """
-    if notes.identity is not None and notes.identity != outgoing.identity:
-        # A duplicate answer to an earlier request can arrive late on a reused
-        # connection.  Relaying it would give this caller another caller's answer.
-        detail = "the answer belongs to another request"
-        raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
-    if notes.misdirected:
-        detail = "another target answered at the address"
-        raise AttemptError(Failure.REJECTED, detail, replaced=True)
-    if notes.not_run:
-        raise AttemptError(
-            Failure.REJECTED, "the target states that it did not run the request"
+    def _make_delivery(self, choice: Choice, left: Millis) -> TargetFields:
+        elapsed = self._shared.clock.now() - self._routed.arrived
+        fetch = choice.fetch_from
+        return TargetFields(
+            expected=choice.target.info.name,
+            organisation=self._routed.payer.name if self._routed.payer else None,
+            remaining=max(1.0, left),
+            priority=rank(self._routed.rule, elapsed, choice.wait)
+            if self._routed.model
+            else None,
+            fetch_from=fetch.info.address if fetch else None,
+            resume_after=self._relay.last_id or self._routed.call.resume_after,
         )
+
+    # Answers
+
+    async def _relay_answer(
+        self, outgoing: Outgoing, answer: Answer, timeout: asyncio.Timeout
+    ) -> None:
+        success = 200 <= answer.status < 300
+        if success and not answer.notes.signed:
+            detail = "the answer is unsigned"
+            raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
+        if success and self._routed.rule.kind is RequestKind.STREAMING:
+            max_silence = (
+                find_pause_timeout(self._routed.rule) if self._may_go_on() else None
+            )
+            on_first_event = partial(self._record_first_byte, outgoing)
+            await self._relay.stream(answer, timeout, max_silence, on_first_event)
+            return
+        body = await self._relay.read_complete(answer)
+        self._record_first_byte(outgoing)
+        failed = answer.status >= 500 and self._may_go_on()
+        if failed or self._relay.started:
+            detail = f"status {answer.status}"
+            raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
+        if self._routed.model is None:
+            took = self._shared.clock.now() - self._routed.arrived
+            self._shared.find_service_time(self._routed.service).add(took)
+        await self._relay.send_complete(answer, body)
+
+    def _record_first_byte(self, outgoing: Outgoing) -> None:
+        """Record that the target began to answer, and how long that took."""
+        self._shared.sender.record_first_byte(outgoing)
+        target = outgoing.choice.target
+        target.health.add_answer()
+        span = self._shared.clock.now() - self.sent
+        target.measure(span, outgoing.choice.unscaled)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -3,21 +3,20 @@
 import asyncio
 import random
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.ejection import Health
-from anvilshift.core.endpoints import Endpoint, choose_endpoints
 from anvilshift.core.errors import AnvilshiftError, ExecutionState
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
-from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.conversation import PeerMessenger
+from anvilshift.gateway.directory import Endpoints, RouterDirectory
 from anvilshift.gateway.following import Follower, WatchIntervals, find_interval_factor
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
@@ -28,9 +27,11 @@
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
+from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.shares import ShareManager
+from anvilshift.gateway.stopping import PlannedStop
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.objects.store import ObjectChange, ObjectStore
@@ -48,16 +49,6 @@
 """Engines renew their entries many times a second, so changes are read in batches.
 An engine announces its departure two seconds ahead; a rest of 500 ms uses half a
 second of these."""
-_ADDRESS_TTL: Millis = 1 * SECOND
-"""Time for which callers may cache the list of addresses.  Some keep it three times
-as long, so a stopping router must serve for three of these periods within its grace
-period of 8 s."""
-_ADDRESS_TTL_LARGE_FLEET: Millis = 2 * SECOND
-"""The same in a larger fleet, where the loss of a router affects few callers and
-hundreds of callers request the list."""
-_ACCEPT_STREAMS: Millis = 2_900.0
-"""How long a stopping router accepts new streams: a stream of four seconds still ends
-within the grace period."""
 _TICK_INTERVAL: Millis = 100.0
 _SUSPENDED_AFTER: Millis = 700.0
 """An event loop that was delayed for longer was frozen or suspended, not merely
@@ -68,14 +59,6 @@
 _BODY_TIMEOUT: Millis = 10 * SECOND
 
 
-@dataclass(frozen=True)
-class Endpoints:
-    """The addresses that callers may connect to, and how long they may cache them."""
-
-    addresses: tuple[str, ...]
-    keep: Millis
-
-
 class GatewayNode:
     """One gateway with all its parts.
 
@@ -205,6 +188,7 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
+        self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
         self.leaving = False
@@ -285,18 +269,7 @@
 
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
-        found = [
-            Endpoint(peer.beat.entrance, peer.beat.failure_domain)
-            for peer in self.peers.list_present()
-            if peer.beat.serving and not peer.beat.leaving
-        ]
-        if self.is_ready():
-            own = Endpoint(str(self.settings.front), self.settings.failure_domain)
-            found.append(own)
-        return Endpoints(choose_endpoints(found, domain), self._get_address_ttl())
-
-    def _get_address_ttl(self) -> Millis:
-        return _ADDRESS_TTL if self.peers.small else _ADDRESS_TTL_LARGE_FLEET
+        return self.directory.list_endpoints(domain)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
@@ -413,29 +386,22 @@
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
 
-        The router is first left out of the address lists.  It goes on serving until
-        callers have dropped the lists that still name it and no request is running,
-        then returns its shares to the store.  If the store does not answer, it sends
-        its spending to the other routers, which end its shares in its place.
+        Once its requests have ended the router returns its shares to the store.  If
+        the store does not answer, it sends its spending to the other routers, which
+        end its shares in its place.
         """
         self.leaving = True
         self.journal.write("stop_begun", in_flight=self.in_flight)
         self.peers.beat()
-        self.server.is_draining = True
-        self.forwarding.server.stopping = True
-        stop_started = self.clock.now()
-        last = stop_started + self.settings.grace - 900.0
-        while self.clock.now() < last:
-            await asyncio.sleep(0.05)
-            self.shared.ending = self.clock.now() - stop_started >= _ACCEPT_STREAMS
-            addresses_expired = (
-                self.clock.now() - stop_started >= 3 * self._get_address_ttl() + 300.0
-            )
-            if addresses_expired:
-                self.server.stop_listening()
-                if not self.in_flight and not self.forwarding.server.entrances:
-                    break
-        self.server.stop_listening()
+        stop = PlannedStop(
+            self.settings.grace,
+            self.directory,
+            self.server,
+            self.forwarding.server,
+            self.shared,
+            lambda: self.in_flight,
+        )
+        await stop.finish_requests()
         try:
             async with asyncio.timeout(0.4):
                 await self.allotter.close()
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -6,7 +6,7 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.work import Failure
-from anvilshift.gateway.attempts import Answer, AttemptError
+from anvilshift.gateway.sending import Answer, AttemptError
 from anvilshift.gateway.splitting import EventSplitter
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import HeaderFields, list_connection_options
--- /dev/null
+++ b/anvilshift/gateway/sending.py
@@ -0,0 +1,298 @@
+"""Send a request to one target, and report the outcome of the attempt.
+
+The start, first byte and end of every attempt are recorded in this router's load map
+and sent to the other routers, whatever the attempt's outcome.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field, replace
+
+from anvilshift.core.choosing import Choice
+from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.loadmap import LoadMap, Prompt
+from anvilshift.core.work import Failure
+from anvilshift.gateway.border import AnswerFields, Dialect, TargetFields
+from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.messages import Begun, Ended, Held, Sent
+from anvilshift.gateway.peers import Peers
+from anvilshift.gateway.reach import TargetReach
+from anvilshift.wire.client import ExchangeError, Response
+from anvilshift.wire.messages import Headers, HttpRequest
+
+_MAX_LOGGED_FIELDS = 64
+"""Names of answers' header fields that are logged, once each; more would be noise."""
+_MAX_LOGGED_VALUE = 80
+"""Characters of a header field's value that are logged."""
+
+
+class AttemptError(Exception):
+    """An attempt failed: it gave no answer, or none that is complete and valid.
+
+    Parameters
+    ----------
+    failure
+        Whether the target may have run the request.
+    detail
+        Description of the failure, for the log and the caller.
+    replaced
+        Whether another target answered at the address.
+    answered
+        Whether the target sent an answer, but an unusable one.
+    reused
+        Whether the request was sent on a connection that earlier requests had used.
+    hung
+        Whether no connection was opened or refused in time.
+    """
+
+    def __init__(
+        self,
+        failure: Failure,
+        detail: str,
+        replaced: bool = False,
+        answered: bool = False,
+        reused: bool = False,
+        hung: bool = False,
+    ) -> None:
+        super().__init__(f"{failure.value}: {detail}")
+        self.failure = failure
+        self.detail = detail
+        self.replaced = replaced
+        self.answered = answered
+        self.reused = reused
+        self.hung = hung
+
+    @property
+    def never_ran(self) -> bool:
+        """Return whether the target certainly did not run the request."""
+        return self.failure in (Failure.NOT_SENT, Failure.REJECTED)
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """One request as it is sent to one target.
+
+    Parameters
+    ----------
+    run
+        Id of the attempt, unique among all routers.
+    identity
+        Id of the caller's attempt.
+    capacity
+        Tokens that fit into the target's prompt cache; 0 for a plain service.
+    repeatable
+        Whether it may be sent again although the target may have run it.
+    on_send
+        Called with the name of the router that forwards the request, empty if none
+        does, just before its first byte is sent.
+    """
+
+    run: str
+    request: HttpRequest
+    identity: str
+    host: str
+    prompt: Prompt
+    delivery: TargetFields
+    choice: Choice
+    capacity: int
+    repeatable: bool = False
+    on_send: Callable[[str], None] = lambda via: None
+
+
+@dataclass
+class Answer:
+    """A target's answer whose body is still arriving."""
+
+    status: int
+    headers: Headers
+    notes: AnswerFields
+    response: Response
+
+
+@dataclass
+class Sender:
+    """Send this router's attempts, and report their progress to the other routers."""
+
+    reach: TargetReach
+    dialect: Dialect
+    loads: LoadMap
+    peers: Peers
+    clock: Clock
+    journal: Journal
+    limits: RateLimits
+    _logged_fields: set[str] = field(default_factory=set)
+
+    @contextlib.asynccontextmanager
+    async def send(self, outgoing: Outgoing) -> AsyncIterator[Answer]:
+        """Send a request and yield its answer once the headers have arrived.
+
+        Raises
+        ------
+        AttemptError
+            When no answer to this request arrives, or the target states that it did
+            not run the request.
+        """
+        self._record_send(outgoing)
+        sent = self.clock.now()
+        try:
+            async with self._exchange(outgoing, sent) as response:
+                self._log_fields(outgoing, response.headers)
+                notes = self.dialect.read_answer_fields(
+                    response.status, response.headers
+                )
+                self._record_limit(outgoing, notes, sent)
+                _check_answer(outgoing, notes)
+                yield Answer(response.status, response.headers, notes, response)
+        except ExchangeError as error:
+            failure = Failure.BROKE_OFF if error.sent else Failure.NOT_SENT
+            raise AttemptError(
+                failure, str(error), reused=error.reused, hung=error.hung
+            ) from error
+        finally:
+            self._record_end(outgoing)
+
+    def _log_fields(self, outgoing: Outgoing, headers: Headers) -> None:
+        """Log each header field name that no earlier answer had.
+
+        Targets may announce requirements in header fields that are unknown here.
+        """
+        for name, value in headers.pairs:
+            if (
+                name not in self._logged_fields
+                and len(self._logged_fields) < _MAX_LOGGED_FIELDS
+            ):
+                self._logged_fields.add(name)
+                self.journal.write(
+                    "answer_field",
+                    name=name,
+                    value=value[:_MAX_LOGGED_VALUE],
+                    id=outgoing.identity,
+                    target=outgoing.choice.target.info.name,
+                )
+
+    def _record_limit(
+        self, outgoing: Outgoing, notes: AnswerFields, sent: Millis
+    ) -> None:
+        """Record the rate limit or pause that a target announces.
+
+        A signed answer without a limit withdraws the limit that was announced before.
+        """
+        is_matching = (
+            notes.identity in (None, outgoing.identity) and not notes.misdirected
+        )
+        if not is_matching:
+            return
+        name = outgoing.choice.target.info.name
+        if notes.signed or notes.limit is not None:
+            self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
+        if notes.not_run and notes.pause:
+            self.limits.record_refusal(name, notes.pause, outgoing.identity)
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, outgoing: Outgoing, began: Millis
+    ) -> AsyncIterator[Response]:
+        request, info = outgoing.request, outgoing.choice.target.info
+        wait, is_engine = outgoing.choice.wait, outgoing.capacity > 0
+        async with self.reach.open(
+            info, wait, is_engine, outgoing.repeatable
+        ) as connection:
+            outgoing.on_send(connection.via)
+            left = outgoing.delivery.remaining - (self.clock.now() - began)
+            delivery = replace(outgoing.delivery, remaining=max(1.0, left))
+            headers = self.dialect.write_target_fields(request, delivery)
+            async with self.reach.client.exchange(
+                connection.address,
+                request.method,
+                request.target,
+                headers,
+                request.body,
+                host=outgoing.host,
+                connection=connection,
+            ) as response:
+                yield response
+
+    def _record_send(self, outgoing: Outgoing) -> None:
+        info, prompt = outgoing.choice.target.info, outgoing.prompt
+        name = info.name
+        cached, now = outgoing.choice.cached, self.clock.now()
+        disturbing = outgoing.choice.disturbing
+        self.loads.send(
+            name, outgoing.run, prompt, cached, now, outgoing.capacity, disturbing
+        )
+        sent = Sent(
+            outgoing.run,
+            name,
+            prompt.parts,
+            prompt.tokens,
+            prompt.most_answer,
+            cached,
+            disturbing,
+        )
+        self._tell_routers(sent, outgoing)
+        self._tell_newly_cached(outgoing)
+
+    def _tell_newly_cached(self, outgoing: Outgoing) -> None:
+        """Tell distant routers which shared parts a target has newly cached.
+
+        They get no report of the run itself.  Without this message each of them would
+        have the part computed again at a target near it, although the part could be
+        fetched from this target or the prompt be sent to it.
+        """
+        choice, shared_parts = outgoing.choice, outgoing.prompt.parts[:-1]
+        fetched = choice.fetch_from is not None
+        is_newly_cached = fetched or choice.cached < sum(
+            tokens for _, tokens in shared_parts
+        )
+        if shared_parts and is_newly_cached and not self.peers.small:
+            info = choice.target.info
+            self.peers.send_far(Held(info.name, shared_parts), info.failure_domain)
+
+    def record_first_byte(self, outgoing: Outgoing) -> None:
+        """Record that the target began to answer, and tell the other routers."""
+        name = outgoing.choice.target.info.name
+        self.loads.begin(name, outgoing.run, self.clock.now())
+        if self.peers.small:
+            self.peers.broadcast(Begun(outgoing.run, name))
+
+    def _record_end(self, outgoing: Outgoing) -> None:
+        name = outgoing.choice.target.info.name
+        self.loads.end(name, outgoing.run)
+        self._tell_routers(Ended(outgoing.run, name), outgoing)
+
+    def _tell_routers(self, message: Sent | Ended, outgoing: Outgoing) -> None:
+        """Send a message to the routers that may send requests to the same target.
+
+        In a larger fleet these are only the routers near it, and only model engines
+        are reported: a request at a plain service ends about as soon as the message
+        arrives.
+        """
+        if self.peers.small:
+            self.peers.broadcast(message)
+        elif outgoing.capacity:
+            domain = outgoing.choice.target.info.failure_domain
+            self.peers.send_near(message, domain, soon=isinstance(message, Sent))
+
+
+def _check_answer(outgoing: Outgoing, notes: AnswerFields) -> None:
+    """Check that the answer is one to this request.
+
+    Raises
+    ------
+    AttemptError
+        When it answers another request, another target has the address, or the target
+        states that it did not run the request.
+    """
+    if notes.identity is not None and notes.identity != outgoing.identity:
+        # A duplicate answer to an earlier request can arrive late on a reused
+        # connection.  Relaying it would give this caller another caller's answer.
+        detail = "the answer belongs to another request"
+        raise AttemptError(Failure.BROKE_OFF, detail, answered=True)
+    if notes.misdirected:
+        detail = "another target answered at the address"
+        raise AttemptError(Failure.REJECTED, detail, replaced=True)
+    if notes.not_run:
+        raise AttemptError(
+            Failure.REJECTED, "the target states that it did not run the request"
+        )
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -10,11 +10,11 @@
 from anvilshift.core.errors import NOT_READY, AnvilshiftError
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import RouteTable
-from anvilshift.gateway.attempts import Sender
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reserving import Reservations
+from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.targethealth import TargetHealth
 
 _RETRY_DELAY: Millis = 150.0
--- a/anvilshift/platform/entrance.py
+++ b/anvilshift/platform/entrance.py
@@ -4,7 +4,7 @@
 
 from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import UNKNOWN_ROUTE, AnvilshiftError
-from anvilshift.gateway.node import Endpoints
+from anvilshift.gateway.directory import Endpoints
 from anvilshift.platform import names
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -104,7 +104,7 @@
     ),
     "bounds-of-a-try": (
         Patch(
-            "gateway/passing.py",
+            "gateway/attempts.py",
             "if not self._may_go_on():\n            return None",
             "if True:\n            return None",
         ),
