Keep brittle targets below the refusals they stand

Targets may say that they crash if they refuse more than so many requests in a second, and may hold fewer than before without a word. Nothing read that: in a replay on loopback (two targets of 8 slots that hold 6, three routers, 250 calls a second) 19 refusals came in a second where 4 are stood, with a pause after each refusal alone.

Now they get no more than their slots hold over all routers, a place less after each refusal, nothing for a second after it, and chance decides where there isn't room for a request of each router.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -32,6 +32,11 @@
 preemption."""
 LONGEST_RUN: Millis = 20 * SECOND
 """Age at which a run without a notified end is removed; callers wait at most 15 s."""
+SLOT_WAIT: Millis = 15.0
+"""Assumed time until a slot of a brittle target is free: about what a plain service
+works on a request, and what an engine takes to finish one of dozens."""
+_PLACE_REGAINED: Millis = 4 * SECOND
+"""Time without a refusal after which a brittle target is given one request more."""
 _LOST_RETENTION: Millis = 120 * SECOND
 """Time that a lost target is kept: as long as a content stays blamed for a crash."""
 
@@ -130,6 +135,11 @@
         Counts the requests sent to it recently.
     paused_until
         When it accepts requests again, as it announced when it refused one.
+    brittle
+        Requests that it may refuse in a second before it crashes, as it has announced;
+        None if it hasn't.
+    places, refused_at
+        Requests that it held at the last refusal for want of room, and when that was.
     avoided_until
         Until when other targets are preferred, because it fails more than they do.
     """
@@ -148,15 +158,38 @@
     meter: RequestLog = field(default_factory=RequestLog)
     paused_until: Millis = -math.inf
     avoided_until: Millis = -math.inf
+    brittle: float | None = None
+    places: float = math.inf
+    refused_at: Millis = -math.inf
 
     def find_rate(self, now: Millis) -> float | None:
         """Return its limit in requests a second; None where it has none."""
         return self.limit.find_rate(now) if self.limit else None
 
+    def count_room(self, now: Millis) -> float:
+        """Return how many requests more a brittle target takes; infinite for others.
+
+        It gets only what its slots hold, since its queue may have shrunk, and less
+        after each refusal: it may have lost places without a word.
+        """
+        if self.brittle is None:
+            return math.inf
+        regained = (now - self.refused_at) / _PLACE_REGAINED
+        return min(float(self.info.slots), self.places + regained) - len(self.runs)
+
+    def record_refusal(self, now: Millis) -> None:
+        """Record that it refused a request for want of room."""
+        known = min(self.info.slots, self.places)
+        regained = (now - self.refused_at) / _PLACE_REGAINED
+        self.places = max(1.0, min(self.info.slots, known + regained) - 1.0)
+        self.refused_at = now
+
     def find_admission_delay(self, now: Millis) -> Millis:
-        """Return the time until its rate limit and its pause allow a request."""
+        """Return the time until its limit, its pause and its slots allow a request."""
         rate = self.find_rate(now)
         allowed = now if rate is None else self.meter.find_next(rate, now)
+        if self.count_room(now) <= 0:
+            allowed = max(allowed, now + SLOT_WAIT)
         return max(allowed, self.paused_until) - now
 
     def measure(self, span: Millis, predicted: Millis) -> None:
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -88,6 +88,9 @@
         if it announces no limit, NaN if the announced limit can't be read.
     pause
         Time for which a target that refused accepts no request, if it announces one.
+    brittle
+        Requests that it may refuse in a second before it crashes, if it announces
+        that; NaN if the announcement can't be read.
     """
 
     identity: str | None
@@ -96,6 +99,7 @@
     misdirected: bool
     limit: float | None = None
     pause: Millis | None = None
+    brittle: float | None = None
 
 
 class Dialect(Protocol):
--- a/anvilshift/gateway/limits.py
+++ b/anvilshift/gateway/limits.py
@@ -21,6 +21,9 @@
 _MAX_PAUSE: Millis = 5 * SECOND
 """Maximum pause.  A target that asks for a longer one gets requests again after this
 time, because nothing else shows that it has recovered."""
+_SPARED_FOR: Millis = 1 * SECOND
+"""How long a brittle target gets nothing after a refusal, so that the requests that
+were on their way are all that it refuses in a second."""
 _NOT_ENDED: Millis = -1.0
 
 
@@ -112,6 +115,35 @@
             self._report_sends(target)
         self.hooks.change(target.info.name)
 
+    def apply_brittleness(self, name: str, named: float | None) -> None:
+        """Record how many refusals a second a target says it stands, if any.
+
+        Parameters
+        ----------
+        named
+            Refusals a second; None if an answer names none, NaN if it is unreadable.
+        """
+        target = self.loads.targets.get(name)
+        if target is None or named == target.brittle:
+            return
+        if named is not None and math.isnan(named):
+            # What can't be read is taken for the least that a target can stand.
+            named = 0.0
+            if target.brittle == named:
+                return
+        self.journal.write(
+            "target_brittle", target=name, stands=named, before=target.brittle
+        )
+        target.brittle = named
+
+    def find_refusal_pause(self, name: str) -> Millis | None:
+        """Return for how long a target that refused for want of room gets nothing.
+
+        Only a brittle target is spared; None for others.
+        """
+        target = self.loads.targets.get(name)
+        return None if target is None or target.brittle is None else _SPARED_FOR
+
     def record_refusal(self, name: str, pause: Millis, identity: str) -> None:
         """Record that a target refused a request, and pause it for a time."""
         target = self.loads.targets.get(name)
@@ -119,6 +151,7 @@
             return
         wait = min(pause, _MAX_PAUSE)
         self.journal.write("target_paused", target=name, wait=wait, id=identity)
+        target.record_refusal(self.clock.now())
         self._pause(target, wait)
         self.peers.broadcast(Paused(name, target.info.born, wait))
 
@@ -126,6 +159,7 @@
         """Apply a pause that a target announced to another router."""
         target = self.loads.targets.get(message.target)
         if target is not None and target.info.born == message.born:
+            target.record_refusal(self.clock.now())
             self._pause(target, min(message.wait, _MAX_PAUSE))
 
     def _pause(self, target: TargetLoad, wait: Millis) -> None:
--- a/anvilshift/gateway/permitsession.py
+++ b/anvilshift/gateway/permitsession.py
@@ -1,15 +1,21 @@
 """The wait of one request for permits at targets with rate limits."""
 
 import asyncio
+import math
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.loadmap import SLOT_WAIT, TargetLoad
 from anvilshift.core.permits import BidState
 from anvilshift.gateway.permits import Request
 from anvilshift.gateway.shared import RouterContext
 
 _MAX_PAUSE_WAIT: Millis = 250.0
 """How long a request waits for a paused target before other targets are considered."""
+_UNTOLD: Millis = 10.0
+"""Time after which the other routers have been told of a request."""
+_MAX_SLOT_WAIT: Millis = 300.0
+"""How long a request waits until some brittle target has a free slot."""
 _MAX_PAUSE_FACTOR = 1.2
 """Requests that wait for the end of a pause are spread over up to this multiple of the
 remaining time, so that they aren't all sent at once."""
@@ -33,6 +39,7 @@
         self._permits_expected_at: dict[str, Millis] = {}
         self._retry_at: dict[str, Millis] = {}
         self._pending_ask: tuple[str, str] | None = None
+        self._waited_for_slot: Millis = 0.0
 
     @property
     def refused(self) -> set[str]:
@@ -71,6 +78,10 @@
             factor = self._shared.rng.uniform(1.0, _MAX_PAUSE_FACTOR)
             await asyncio.sleep(min(pause * factor, _MAX_PAUSE_WAIT) / SECOND)
             return None
+        if not self._may_take_room(choice.target):
+            self.close()
+            await self._wait_for_slot(name)
+            return None
         if not permits.is_limited(choice.target):
             self.close()
             return self._shared.next_run()
@@ -96,6 +107,29 @@
             return None
         return run
 
+    def _may_take_room(self, target: TargetLoad) -> bool:
+        """Tell whether to send to a target that may have little room left.
+
+        The other routers are told of a request some milliseconds later, and may each
+        send as many by then.  Where there isn't room for all of them chance decides.
+        """
+        shared, now = self._shared, self._shared.clock.now()
+        room = target.count_room(now)
+        if room == math.inf:
+            return True
+        others = len(shared.sender.peers.list_present())
+        sends = target.meter.list_since(now - _UNTOLD)
+        own = sum(run.startswith(f"{shared.router}/") for run, _ in sends)
+        return shared.rng.random() < (room - own * others) / (1 + others)
+
+    async def _wait_for_slot(self, name: str) -> None:
+        """Wait a while for a slot of a brittle target, or give the target up."""
+        if self._waited_for_slot >= _MAX_SLOT_WAIT:
+            self._retry_at[name] = self._shared.clock.now() + SLOT_WAIT
+            return
+        self._waited_for_slot += SLOT_WAIT
+        await asyncio.sleep(SLOT_WAIT / SECOND)
+
     def close(self) -> None:
         """Withdraw the pending ask of this request."""
         if self._pending_ask is not None:
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -186,8 +186,12 @@
         name = outgoing.choice.target.info.name
         if notes.signed or notes.limit is not None:
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
-        if notes.not_run and notes.pause:
-            self.limits.record_refusal(name, notes.pause, outgoing.identity)
+        if notes.signed or notes.brittle is not None:
+            self.limits.apply_brittleness(name, notes.brittle)
+        if notes.not_run:
+            pause = notes.pause or self.limits.find_refusal_pause(name)
+            if pause:
+                self.limits.record_refusal(name, pause, outgoing.identity)
 
     @contextlib.asynccontextmanager
     async def _exchange(
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -101,6 +101,7 @@
             status == 421,
             _read_non_negative(pairs.get(names.RATE_LIMIT)),
             _read_retry_after(pairs.get(names.RETRY_AFTER)),
+            _read_non_negative(pairs.get(names.BRITTLE)),
         )
 
 
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -18,6 +18,7 @@
 NOT_EXECUTED = "anvilshift-not-executed"
 RATE_LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
+BRITTLE = "server-brittle"
 
 RESERVED_HEADERS = frozenset(
     {
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -11,6 +11,13 @@
 LOOPBACK = Address("127.0.0.1", 0)
 
 
+def count_most(times: list[float], seconds: float, since: float) -> int:
+    """Return the most of some times in any period that ends at `since` or later."""
+    ends = [end for end in times if end >= since]
+    spans = [[at for at in times if end - seconds <= at <= end] for end in ends]
+    return max((len(span) for span in spans), default=0)
+
+
 class StoreStub:
     """A store with revisions, paged lists, watches and conditional writes.
 
@@ -132,6 +139,14 @@
         Number of requests whose caller disconnected.
     poison
         Body of requests that crash it.
+    room
+        Most requests that it runs at a time; it refuses others.
+    refused
+        When it refused a request for want of room.
+    brittle
+        Refusals in a second that it says it stands, if any.
+    work
+        Seconds that it works on a plain request.
     """
 
     def __init__(self, name: str) -> None:
@@ -153,6 +168,11 @@
         self.arrivals: list[float] = []
         self.poison: bytes | None = None
         self.crashed = False
+        self.room: int | None = None
+        self.refused: list[float] = []
+        self.brittle: str | None = None
+        self.work = 0.0
+        self.running = 0
         self.server = HttpServer(self.handle)
 
     async def start(self) -> Address:
@@ -171,6 +191,20 @@
                 refusal.append(("Retry-After", self.pause))
             await responder.send(Reply(503, refusal))
             return
+        if self.room is not None and self.running >= self.room:
+            self.refused.append(asyncio.get_running_loop().time())
+            refusal = [("Anvilshift-Not-Executed", "1")]
+            if self.brittle is not None:
+                refusal.append(("Server-Brittle", self.brittle))
+            await responder.send(Reply(503, refusal))
+            return
+        self.running += 1
+        try:
+            await self._run(request, responder, identity)
+        finally:
+            self.running -= 1
+
+    async def _run(self, request, responder, identity) -> None:
         self.runs.append(identity)
         self.on_run()
         if self.poison is not None and request.body == self.poison:
@@ -180,12 +214,15 @@
         headers = [("Anvilshift-Attempt-Id", self.echo or identity)]
         if self.limit is not None:
             headers.append(("Server-Limit", self.limit))
+        if self.brittle is not None:
+            headers.append(("Server-Brittle", self.brittle))
         if self.signs:
             headers.append(("Anvilshift-Engine-Signature", f"{self.name}.1"))
         try:
             if self.hangs:
                 await asyncio.Event().wait()
             if request.headers.get("anvilshift-token-usage") is None:
+                await asyncio.sleep(self.work)
                 await responder.send(
                     Reply(self.status, headers, b"answer of " + request.body)
                 )
@@ -197,11 +234,7 @@
 
     def count_most(self, seconds: float, since: float) -> int:
         """Return the most requests in any such period that ends at `since` or later."""
-        ends = [end for end in self.arrivals if end >= since]
-        spans = [
-            [a for a in self.arrivals if end - seconds <= a <= end] for end in ends
-        ]
-        return max((len(span) for span in spans), default=0)
+        return count_most(self.arrivals, seconds, since)
 
     async def _stream(self, request, responder, headers) -> None:
         since = int(request.headers.get("last-event-id") or 0)
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -14,13 +14,16 @@
 
 
 class LoadedCase(GatewayCase):
-    async def keep_calling(self, seconds: float, gap: float) -> list[int]:
+    async def keep_calling(
+        self, seconds: float, gap: float, path: str = "/chat"
+    ) -> list[int]:
         """Send requests to each router in turn; return their statuses."""
         loop, calls = asyncio.get_running_loop(), []
         until = loop.time() + seconds
         while loop.time() < until:
             node = self.nodes[len(calls) % len(self.nodes)]
-            calls.append(asyncio.create_task(self.call_at(node, f"/chat/{len(calls)}")))
+            call = self.call_at(node, f"{path}/{len(calls)}")
+            calls.append(asyncio.create_task(call))
             await asyncio.sleep(gap)
         return [answer[0] for answer in await asyncio.gather(*calls)]
 
