--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -147,6 +147,10 @@
         Refusals in a second that it says it stands, if any.
     work
         Seconds that it works on a plain request.
+    rest
+        `Retry-After` of its plain answers, if any.
+    leaving
+        Whether its answers say that it is leaving.
     """
 
     def __init__(self, name: str) -> None:
@@ -173,6 +177,8 @@
         self.brittle: str | None = None
         self.work = 0.0
         self.running = 0
+        self.rest: str | None = None
+        self.leaving = False
         self.server = HttpServer(self.handle)
 
     async def start(self) -> Address:
@@ -216,6 +222,10 @@
             headers.append(("Server-Limit", self.limit))
         if self.brittle is not None:
             headers.append(("Server-Brittle", self.brittle))
+        if self.rest is not None:
+            headers.append(("Retry-After", self.rest))
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         if self.signs:
             headers.append(("Anvilshift-Engine-Signature", f"{self.name}.1"))
         try:
