Keep the rest that a target asks for to its end, on every path

What the users saw: a target asked two routers for 3 s of rest and got a third and a fourth request from each 2.06 and 2.09 s later (BUDGET). The class, what a target says of its need that is read late, on one path or forgotten, was still here, as five failing tests on show: a rest over 5 s ended after 5 s; it was read only beside *not executed*; it was lost with the target's entry; requests whose connection was still opening went on.

Change: no cap but an hour; any 503 with Retry-After counts; a target's announcements (rest, limit, brittleness, what it got lately) are recalled if its entry comes back with the same start; a request turns back before its first byte if its target asked for rest meanwhile; a router forwards nothing to a target that rests.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -37,6 +37,8 @@
 works on a request, and what an engine takes to finish one of dozens."""
 _PLACE_REGAINED: Millis = 4 * SECOND
 """Time without a refusal after which a brittle target is given one request more."""
+_MAX_REMOVED = 1_000
+"""Removed targets whose announcements are kept in case their entries come back."""
 _LOST_RETENTION: Millis = 120 * SECOND
 """Time that a lost target is kept: as long as a content stays blamed for a crash."""
 
@@ -261,6 +263,7 @@
         self.targets: dict[str, TargetLoad] = {}
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._lost: dict[str, tuple[TargetInfo, Millis]] = {}
+        self._removed: OrderedDict[str, TargetLoad] = OrderedDict()
 
     def declare(self, info: TargetInfo) -> None:
         """Add a target or update its registration.
@@ -271,11 +274,20 @@
         self._lost.pop(info.name, None)
         start = info.born, info.address
         if known is None or (known.info.born, known.info.address) != start:
-            self.targets[info.name] = TargetLoad(info)
+            self.targets[info.name] = self._recall_needs(TargetLoad(info))
         else:
             known.info = info
         self._group_by_service()
 
+    def _recall_needs(self, target: TargetLoad) -> TargetLoad:
+        """Return a target with what it announced before its entry was lost."""
+        known = self._removed.pop(target.info.name, None)
+        if known is not None and not target.info.is_other_start(known.info):
+            target.limit, target.meter = known.limit, known.meter
+            target.paused_until = known.paused_until
+            target.brittle = known.brittle
+        return target
+
     def remove(self, name: str, now: Millis) -> None:
         """Remove a target.
 
@@ -284,6 +296,9 @@
         target = self.targets.pop(name, None)
         if target is None:
             return
+        self._removed[name] = target
+        if len(self._removed) > _MAX_REMOVED:
+            self._removed.popitem(last=False)
         self._lost = {n: (i, at) for n, (i, at) in self._lost.items() if now < at}
         if not target.info.leaving:
             self._lost[name] = target.info, now + _LOST_RETENTION
--- a/anvilshift/gateway/forwarding.py
+++ b/anvilshift/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Forward the requests of routers that have lost their path to a target."""
 
+from anvilshift.core.clock import Clock
 from anvilshift.core.loadmap import LoadMap, TargetLoad
 from anvilshift.core.paths import TargetPaths
 from anvilshift.gateway.peers import Peers
@@ -25,11 +26,13 @@
         peers: Peers,
         loads: LoadMap,
         paths: TargetPaths,
+        clock: Clock,
         network: Network | None = None,
     ) -> None:
         self._peers = peers
         self._loads = loads
         self._paths = paths
+        self._clock = clock
         self.server = TunnelServer(
             self._is_router,
             self._is_reachable,
@@ -48,4 +51,6 @@
 
     def _is_reachable(self, address: Address) -> bool:
         target = self._find_target(address)
-        return target is not None and self._paths.is_direct(target.info.name)
+        if target is None or target.paused_until > self._clock.now():
+            return False
+        return self._paths.is_direct(target.info.name)
--- a/anvilshift/gateway/limits.py
+++ b/anvilshift/gateway/limits.py
@@ -18,9 +18,9 @@
 
 _MAX_LISTED_SENDS = 40
 """Maximum number of requests listed in one datagram."""
-_MAX_PAUSE: Millis = 5 * SECOND
-"""Maximum pause.  A target that asks for a longer one gets requests again after this
-time, because nothing else shows that it has recovered."""
+_MAX_PAUSE: Millis = 3_600 * SECOND
+"""Maximum pause.  A target that asks for more is taken to be mistaken, since it would
+be lost to callers for good."""
 _SPARED_FOR: Millis = 1 * SECOND
 """How long a brittle target gets nothing after a refusal, so that the requests that
 were on their way are all that it refuses in a second."""
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -135,7 +135,9 @@
             settings.forward_port,
             network or TcpNetwork(),
         )
-        self.forwarding = Forwarding(self.peers, self.loads, self.reach.paths, network)
+        self.forwarding = Forwarding(
+            self.peers, self.loads, self.reach.paths, clock, network
+        )
         sender = Sender(
             self.reach, dialect, self.loads, self.peers, clock, journal, self.limits
         )
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -188,10 +188,11 @@
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
         if notes.signed or notes.brittle is not None:
             self.limits.apply_brittleness(name, notes.brittle)
-        if notes.not_run:
-            pause = notes.pause or self.limits.find_refusal_pause(name)
-            if pause:
-                self.limits.record_refusal(name, pause, outgoing.identity)
+        pause = notes.pause
+        if notes.not_run and not pause:
+            pause = self.limits.find_refusal_pause(name)
+        if pause:
+            self.limits.record_refusal(name, pause, outgoing.identity)
 
     @contextlib.asynccontextmanager
     async def _exchange(
@@ -202,6 +203,7 @@
         async with self.reach.open(
             info, wait, is_engine, outgoing.repeatable
         ) as connection:
+            self._check_rest(info.name)
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
             delivery = replace(outgoing.delivery, remaining=max(1.0, left))
@@ -217,6 +219,20 @@
             ) as response:
                 yield response
 
+    def _check_rest(self, name: str) -> None:
+        """Turn a request back whose target asked for rest while a connection opened.
+
+        Raises
+        ------
+        AttemptError
+            When the target now accepts no request.
+        """
+        target = self.loads.targets.get(name)
+        if target is not None and target.paused_until > self.clock.now():
+            raise AttemptError(
+                Failure.REJECTED, "the target has asked for rest meanwhile"
+            )
+
     def _record_send(self, outgoing: Outgoing) -> None:
         info, prompt = outgoing.choice.target.info, outgoing.prompt
         name = info.name
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -94,13 +94,14 @@
     def read_answer_fields(self, status: int, headers: Headers) -> AnswerFields:
         """Return the attempt id, signature, refusal and limits in a target's answer."""
         pairs = dict(headers.pairs)
+        is_refusal = status == 503 or names.NOT_EXECUTED in pairs
         return AnswerFields(
             pairs.get(names.ATTEMPT_ID),
             names.ENGINE_SIGNATURE in pairs,
             names.NOT_EXECUTED in pairs,
             status == 421,
             _read_non_negative(pairs.get(names.RATE_LIMIT)),
-            _read_retry_after(pairs.get(names.RETRY_AFTER)),
+            _read_retry_after(pairs.get(names.RETRY_AFTER)) if is_refusal else None,
             _read_non_negative(pairs.get(names.BRITTLE)),
         )
 
