--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -14,7 +14,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.durations import DecayingMean
@@ -140,6 +140,8 @@
     brittle
         Requests that it may refuse in a second before it crashes, as it has announced;
         None if it hasn't.
+    farewell
+        Whether it has said in an answer that it is leaving.
     places, refused_at
         Requests that it held at the last refusal for want of room, and when that was.
     avoided_until
@@ -161,6 +163,7 @@
     paused_until: Millis = -math.inf
     avoided_until: Millis = -math.inf
     brittle: float | None = None
+    farewell: bool = False
     places: float = math.inf
     refused_at: Millis = -math.inf
 
@@ -194,6 +197,11 @@
             allowed = max(allowed, now + SLOT_WAIT)
         return max(allowed, self.paused_until) - now
 
+    def mark_leaving(self) -> None:
+        """Record that it has said that it is leaving, whatever its entry says."""
+        self.farewell = True
+        self.info = replace(self.info, leaving=True)
+
     def measure(self, span: Millis, predicted: Millis) -> None:
         """Update the engine's speed from a measured time to first token.
 
@@ -277,6 +285,8 @@
             self.targets[info.name] = self._recall_needs(TargetLoad(info))
         else:
             known.info = info
+            if known.farewell:
+                known.mark_leaving()
         self._group_by_service()
 
     def _recall_needs(self, target: TargetLoad) -> TargetLoad:
@@ -286,6 +296,8 @@
             target.limit, target.meter = known.limit, known.meter
             target.paused_until = known.paused_until
             target.brittle = known.brittle
+            if known.farewell:
+                target.mark_leaving()
         return target
 
     def remove(self, name: str, now: Millis) -> None:
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -91,6 +91,8 @@
     brittle
         Requests that it may refuse in a second before it crashes, if it announces
         that; NaN if the announcement can't be read.
+    leaving
+        Whether it announces that it is leaving.
     """
 
     identity: str | None
@@ -100,6 +102,7 @@
     limit: float | None = None
     pause: Millis | None = None
     brittle: float | None = None
+    leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -15,7 +15,7 @@
 from anvilshift.gateway.border import AnswerFields, Dialect, TargetFields
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
-from anvilshift.gateway.messages import Begun, Ended, Held, Sent
+from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.wire.client import ExchangeError, Response
@@ -188,6 +188,8 @@
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
         if notes.signed or notes.brittle is not None:
             self.limits.apply_brittleness(name, notes.brittle)
+        if notes.leaving:
+            self._record_farewell(outgoing)
         pause = notes.pause
         if notes.not_run and not pause:
             pause = self.limits.find_refusal_pause(name)
@@ -219,6 +221,20 @@
             ) as response:
                 yield response
 
+    def _record_farewell(self, outgoing: Outgoing) -> None:
+        """Send nothing more to a target that says it is leaving; tell the others."""
+        name = outgoing.choice.target.info.name
+        target = self.loads.targets.get(name)
+        if target is None or target.farewell:
+            return
+        known = target.info.leaving
+        target.mark_leaving()
+        self.journal.write(
+            "target_leaving", target=name, id=outgoing.identity, known=known
+        )
+        if not known:
+            self.peers.broadcast(Leaving(name))
+
     def _check_rest(self, name: str) -> None:
         """Turn a request back whose target asked for rest while a connection opened.
 
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -103,6 +103,7 @@
             _read_non_negative(pairs.get(names.RATE_LIMIT)),
             _read_retry_after(pairs.get(names.RETRY_AFTER)) if is_refusal else None,
             _read_non_negative(pairs.get(names.BRITTLE)),
+            pairs.get(names.LEAVING, "0").strip() != "0",
         )
 
 
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -19,6 +19,7 @@
 RATE_LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 BRITTLE = "server-brittle"
+LEAVING = "server-leaving"
 
 RESERVED_HEADERS = frozenset(
     {
