Let the test of a told pause wait until the other router has been told

A request that is in flight by then is allowed, as the test beside it says. Now the test waits until the other router knows of the pause, so it also fails if it never does; its bound stays.

--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -62,6 +62,11 @@
         target.refuses, target.pause = True, "0.6"
         first = await self.call_at(self.nodes[0], "/chat/1")
         target.refuses = False
+        other = self.nodes[1]
+        paused = other.loads.targets["e1"]
+        await self.wait_for(
+            lambda: paused.find_admission_delay(other.clock.now()) > 0.0
+        )
         second = await self.call_at(self.nodes[1], "/chat/2")
         self.assertEqual((first[0], second[0]), (503, 200))
         self.assertGreater(target.arrivals[-1] - target.arrivals[-2], 0.5)
