--- a/anvilshift/core/paths.py
+++ b/anvilshift/core/paths.py
@@ -86,6 +86,7 @@
 
     doubted_at: Millis | None = None
     _paths: dict[str, TargetPath] = field(default_factory=dict)
+    _broken: set[str] = field(default_factory=set)
 
     def _find(self, name: str) -> TargetPath:
         return self._paths.setdefault(name, TargetPath())
@@ -117,6 +118,7 @@
         if path.broken_at is not None:
             return False
         path.broken_at = now
+        self._broken.add(name)
         path.interval = _FIRST_PROBE
         path.next_probe = now + path.interval
         self._doubt_others(now)
@@ -128,11 +130,8 @@
             self.doubted_at = min(recent)
 
     def _list_recent_breaks(self, now: Millis) -> list[Millis]:
-        return [
-            path.broken_at
-            for path in self._paths.values()
-            if path.broken_at is not None and now - path.broken_at <= _CUT_WINDOW
-        ]
+        breaks = [self._paths[name].broken_at for name in self._broken]
+        return [at for at in breaks if at is not None and now - at <= _CUT_WINDOW]
 
     def restore(self, name: str, now: Millis) -> bool:
         """Record that a connection to a target opened; return whether that is new.
@@ -142,6 +141,7 @@
         path = self._find(name)
         was_broken = path.broken_at is not None
         path.broken_at = None
+        self._broken.discard(name)
         path.heard = max(path.heard, now)
         if was_broken:
             self.doubted_at = None
@@ -150,7 +150,8 @@
     def forget(self, name: str) -> None:
         """Forget the path to a target that nobody reaches: the target is at fault."""
         self._paths.pop(name, None)
-        if not any(path.broken_at is not None for path in self._paths.values()):
+        self._broken.discard(name)
+        if not self._broken:
             self.doubted_at = None
 
     def retain(self, names: Collection[str]) -> None:
@@ -188,7 +189,7 @@
 
     def list_broken(self) -> list[str]:
         """Return the targets whose paths are broken."""
-        return [n for n, path in self._paths.items() if path.broken_at is not None]
+        return sorted(self._broken)
 
     def list_due(self, now: Millis) -> list[str]:
         """Return the targets whose broken paths are to be probed now."""
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -89,6 +89,7 @@
     _running: dict[str, set[_Exchange]] = field(default_factory=dict)
     _checks: dict[str, asyncio.Task[Reached]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    _used_forwarders: set[str] = field(default_factory=set)
 
     # Connections for requests
 
@@ -214,6 +215,7 @@
             )
             return None
         self.choice.accept(one)
+        self._used_forwarders.add(one.name)
         return opened
 
     # Paths
@@ -297,16 +299,25 @@
                 del self._running[name]
             elif name in self.loads.targets:
                 self._watch_target(self.loads.targets[name].info, running, now)
-        present = self._list_forwarders()
-        self.client.close_idle(lambda one: bool(one.via) and one.via not in present)
-        for one in self._list_running():
-            via = one.connection.via
-            if via and one.repeatable and via not in self.peers.routers:
-                one.connection.interrupt("the router in between is lost")
+        if self._used_forwarders:
+            self._drop_dead_tunnels()
         for name in self.paths.list_due(now)[:_MAX_PROBES]:
             self.paths.note_probe(name, now)
             self._spawn(self._probe(self.loads.targets[name].info))
 
+    def _drop_dead_tunnels(self) -> None:
+        """Close tunnels through routers that are lost or stopping."""
+        present = self._list_forwarders()
+        gone = self._used_forwarders - set(present)
+        if not gone:
+            return
+        self.client.close_idle(lambda one: one.via in gone)
+        lost = gone - set(self.peers.routers)
+        for one in self._list_running():
+            if one.connection.via in lost and one.repeatable:
+                one.connection.interrupt("the router in between is lost")
+        self._used_forwarders -= lost
+
     def _watch_target(
         self, info: TargetInfo, running: set[_Exchange], now: Millis
     ) -> None:
