Keep the places of brittle targets in a module, and name and test forwarding plainly

Read as a newcomer: the estimate of a brittle target's places stood twice in core/loadmap.py; a callable named find told whether a tunnel may open; three tests of forwarding made all their calls through the first tunnel, so that chance decided whether the router that they are about was asked at all. Each of their orders now opens a connection of its own.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -19,6 +19,7 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.ejection import Health
+from anvilshift.core.places import Places
 from anvilshift.core.prefill import prefill_time
 from anvilshift.core.ratelimits import RateLimit, RequestLog
 
@@ -35,8 +36,6 @@
 SLOT_WAIT: Millis = 15.0
 """Assumed time until a slot of a brittle target is free: about what a plain service
 works on a request, and what an engine takes to finish one of dozens."""
-_PLACE_REGAINED: Millis = 4 * SECOND
-"""Time without a refusal after which a brittle target is given one request more."""
 _MAX_REMOVED = 1_000
 """Removed targets whose announcements are kept in case their entries come back."""
 _LOST_RETENTION: Millis = 120 * SECOND
@@ -142,8 +141,8 @@
         None if it hasn't.
     farewell
         Whether it has said in an answer that it is leaving.
-    places, refused_at
-        Requests that it held at the last refusal for want of room, and when that was.
+    places
+        Estimate of how many requests it holds, used while it is brittle.
     avoided_until
         Until when other targets are preferred, because it fails more than they do.
     """
@@ -164,8 +163,7 @@
     avoided_until: Millis = -math.inf
     brittle: float | None = None
     farewell: bool = False
-    places: float = math.inf
-    refused_at: Millis = -math.inf
+    places: Places = field(default_factory=Places)
 
     def find_rate(self, now: Millis) -> float | None:
         """Return its limit in requests a second; None where it has none."""
@@ -179,15 +177,11 @@
         """
         if self.brittle is None:
             return math.inf
-        regained = (now - self.refused_at) / _PLACE_REGAINED
-        return min(float(self.info.slots), self.places + regained) - len(self.runs)
+        return self.places.estimate(self.info.slots, now) - len(self.runs)
 
     def record_refusal(self, now: Millis) -> None:
         """Record that it refused a request for want of room."""
-        known = min(self.info.slots, self.places)
-        regained = (now - self.refused_at) / _PLACE_REGAINED
-        self.places = max(1.0, min(self.info.slots, known + regained) - 1.0)
-        self.refused_at = now
+        self.places.record_refusal(self.info.slots, now)
 
     def find_admission_delay(self, now: Millis) -> Millis:
         """Return the time until its limit, its pause and its slots allow a request."""
--- a/anvilshift/wire/tunnel.py
+++ b/anvilshift/wire/tunnel.py
@@ -220,8 +220,8 @@
     ----------
     may_ask
         Tells by the IP address whether a process may ask for tunnels.
-    find
-        Returns whether a tunnel to an address may be opened now.
+    may_reach
+        Tells whether a tunnel to an address may be opened now.
     most
         Largest number of tunnels at a time.
     timeout
@@ -240,13 +240,13 @@
     def __init__(
         self,
         may_ask: Callable[[str], bool],
-        find: Callable[[Address], bool],
+        may_reach: Callable[[Address], bool],
         most: int,
         timeout: Millis,
         network: Network | None = None,
     ) -> None:
         self._may_ask = may_ask
-        self._find = find
+        self._may_reach = may_reach
         self._most = most
         self._timeout = timeout
         self._network = network or TcpNetwork()
@@ -278,7 +278,7 @@
         if self.stopping or len(self.entrances) > self._most:
             return _REFUSED
         address = _read_address(request)
-        if address is None or not self._find(address):
+        if address is None or not self._may_reach(address):
             return _UNREACHABLE
         end = _End()
         try:
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -31,6 +31,14 @@
     async def call_cut(self, path: str, **rest):
         return await self.call_at(self.cut_node, path, **rest)
 
+    async def place_orders(self, count: int) -> list[int]:
+        """Place orders at the cut router, each on a connection of its own."""
+        statuses = []
+        for number in range(count):
+            self.cut_node.client.close()
+            statuses.append((await self.call_cut(f"/order/{number}"))[0])
+        return statuses
+
     async def test_an_answer_is_the_targets_own(self):
         await self.start_cut()
         status, headers, body = await self.call_cut(
@@ -151,8 +159,7 @@
         """Guards against requests that go round among cut routers."""
         await self.start_cut()
         self.networks[1].cut(self.list_addresses(("e1", "d1")), Cut.RESET)
-        for number in range(4):
-            self.assertEqual((await self.call_cut(f"/order/{number}"))[0], 200)
+        self.assertEqual(await self.place_orders(8), [200] * 8)
         self.assertEqual(self.nodes[1].forwarding.server.opened, 0)
         self.assertGreater(self.nodes[2].forwarding.server.opened, 0)
 
@@ -160,16 +167,14 @@
         """Guards against routers of an older build that don't listen for others."""
         await self.start_cut()
         await self.nodes[1].forwarding.server.close()
-        statuses = [(await self.call_cut(f"/order/{n}"))[0] for n in range(6)]
-        self.assertEqual(statuses, [200] * 6)
+        self.assertEqual(await self.place_orders(6), [200] * 6)
 
     async def test_a_router_that_is_stopping_is_not_asked(self):
         await self.start_cut()
         stopping = asyncio.create_task(self.nodes[1].stop())
         beats = self.cut_node.peers.routers
         await self.wait_for(lambda: beats["n-127.0.0.3"].beat.leaving)
-        statuses = [(await self.call_cut(f"/order/{n}"))[0] for n in range(4)]
-        self.assertEqual(statuses, [200] * 4)
+        self.assertEqual(await self.place_orders(8), [200] * 8)
         self.assertEqual(self.nodes[1].forwarding.server.opened, 0)
         stopping.cancel()
 
