Log how an answer was framed, how it ended, and what was left behind its events

The lines 'request' and 'attempt_failed' now say in 'framing' what showed where the answer ends, in 'ending' how it ended, and in 'rest' how many bytes followed the last whole event. No decision depends on them yet.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -225,6 +225,7 @@
             took=round(self._shared.clock.now() - self.sent, 1),
             reused=error.reused,
             events=self._relay.events,
+            **self._relay.describe_ending(),
         )
 
     def _record_fault(self, choice: Choice, error: AttemptError) -> None:
@@ -275,6 +276,7 @@
         shared = self._shared
         self.predicted = choice.wait
         self.sent, self.via = shared.clock.now(), ""
+        self._relay.start_attempt()
         self.concurrent_runs = len(choice.target.runs)
         self.target = choice.target.info.name
         left = self._routed.end - shared.clock.now()
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -91,6 +91,7 @@
             pause=round(self.relay.longest_pause, 1),
             running=sent.concurrent_runs if sent else 0,
             outcome=self.relay.outcome,
+            **self.relay.describe_ending(),
         )
 
     # Routing and payment
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -9,6 +9,7 @@
 from anvilshift.gateway.sending import Answer, AttemptError
 from anvilshift.gateway.splitting import EventSplitter
 from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.endings import Ending, Framing
 from anvilshift.wire.messages import HeaderFields, list_connection_options
 from anvilshift.wire.server import Responder
 
@@ -40,6 +41,10 @@
         Whether a target may have generated more of the answer than was received.
     outcome
         How the answer ended, for the log.
+    framing, ending
+        How the last target's answer was framed, and how its body ended.
+    rest
+        Bytes received behind the last complete event of the last target's stream.
     """
 
     responder: Responder
@@ -50,6 +55,9 @@
     longest_pause: Millis = 0.0
     broken: bool = False
     outcome: str = "gone"
+    framing: Framing | None = None
+    ending: Ending | None = None
+    rest: int = 0
     _last_event_at: Millis = 0.0
 
     @property
@@ -57,9 +65,24 @@
         """Return whether the headers of the answer were sent to the caller."""
         return self.responder.started
 
+    def start_attempt(self) -> None:
+        """Forget how the answer of the attempt before was framed and ended."""
+        self.framing, self.ending, self.rest = None, None, 0
+
+    def describe_ending(self) -> dict[str, str | int | None]:
+        """Return how the last target's answer was framed and ended, for the log."""
+        return {
+            "framing": self.framing.value if self.framing else None,
+            "ending": self.ending.value if self.ending else None,
+            "rest": self.rest,
+        }
+
     async def read_complete(self, answer: Answer) -> bytes:
         """Read and return the body of a short answer."""
-        body = await answer.response.read(_MAX_ANSWER_BYTES)
+        try:
+            body = await answer.response.read(_MAX_ANSWER_BYTES)
+        finally:
+            self._record_ending(answer)
         self.first = self.clock.now()
         return body
 
@@ -117,10 +140,17 @@
             raise AttemptError(
                 Failure.BROKE_OFF, str(error), reused=error.reused
             ) from error
+        finally:
+            self.rest = len(splitter.rest)
+            self._record_ending(answer)
         await self._send_headers(answer)
         self.outcome = "whole after a break" if self.broken else COMPLETE
         await self.responder.finish(splitter.rest)
 
+    def _record_ending(self, answer: Answer) -> None:
+        self.framing = answer.response.framing
+        self.ending = answer.response.ending
+
     async def _send_headers(self, answer: Answer) -> None:
         """Send the headers of the first target's answer, unless they were sent."""
         if not self.started:
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -11,6 +11,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.connection import Connection
+from anvilshift.wire.endings import Ending, Framing, find_framing
 from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
 
 _MAX_IDLE_PER_ADDRESS = 64
@@ -47,14 +48,30 @@
 
 
 class Response:
-    """An answer whose body is read as it arrives."""
+    """An answer whose body is read as it arrives.
 
-    def __init__(self, status: int, headers: Headers, connection: Connection) -> None:
+    Attributes
+    ----------
+    framing
+        What shows where its body ends.
+    ending
+        How the body ended; None before that.
+    """
+
+    def __init__(
+        self, method: str, status: int, headers: Headers, connection: Connection
+    ) -> None:
         self.status = status
         self.headers = headers
-        self.whole = False
+        self.framing = find_framing(method, status, headers)
+        self.ending: Ending | None = None
         self._connection = connection
 
+    @property
+    def whole(self) -> bool:
+        """Return whether the body was read to its end."""
+        return self.ending in (Ending.FRAMED, Ending.CLOSED)
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; data that is already buffered forms one chunk.
 
@@ -67,13 +84,15 @@
             try:
                 event = await self._connection.receive()
             except (OSError, h11.ProtocolError, RuntimeError) as error:
+                self.ending = Ending.BROKEN
                 raise ExchangeError(
                     f"the connection failed during the answer: {error}",
                     True,
                     self._connection.reused,
                 ) from error
             if isinstance(event, h11.EndOfMessage):
-                self.whole = True
+                closed = self.framing is Framing.CONNECTION
+                self.ending = Ending.CLOSED if closed else Ending.FRAMED
             elif isinstance(event, h11.Data):
                 yield bytes(event.data) + self._connection.take_buffered()
 
@@ -263,9 +282,8 @@
                 while isinstance(head, h11.InformationalResponse):
                     head = await connection.receive()
             assert isinstance(head, h11.Response)
-            response = Response(
-                head.status_code, Headers.from_raw(head.headers.raw_items()), connection
-            )
+            received = Headers.from_raw(head.headers.raw_items())
+            response = Response(method, head.status_code, received, connection)
         except TimeoutError as error:
             connection.close()
             detail = f"{address} did not answer in time"
