Show that answers are told as complete which their targets broke off

A stream that ends inside an event arrives with the half event and is framed as complete, whether the target framed nothing, chunks or a length; where it may be resumed it isn't. Half a JSON text without framing arrives with a content length of the router's. An answer that only the end of its connection delimits gets chunks or a length on the way; through another router it is broken off even when whole.

--- /dev/null
+++ b/tests/platform/test_endings.py
@@ -0,0 +1,121 @@
+"""Answers that targets frame and end in every way, as their callers receive them."""
+
+import asyncio
+import json
+
+from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.endings import Ending, Framing
+from tests.platform.gatewaycase import GatewayCase
+from tests.platform.rawtarget import End, Frame, RawAnswer, RawTarget, make_events
+
+HALF = b"id: 4\nda"
+"""The beginning of a stream's fourth event."""
+
+
+def make_half(frame: Frame, end: End = End.CLOSE) -> RawAnswer:
+    """Return a stream of three events that ends inside the fourth."""
+    return RawAnswer([make_events(1, 3) + HALF], frame, end)
+
+
+class EndingCase(GatewayCase):
+    async def add_raw(
+        self,
+        name: str,
+        service: str,
+        answer: RawAnswer,
+        resumed: RawAnswer | None = None,
+    ) -> RawTarget:
+        target = RawTarget(name, answer, resumed)
+        self.targets[name] = target
+        self.register(name, service, await target.start())
+        return target
+
+    async def call_to_end(self, path: str, **rest):
+        """Return an answer's status, framing, ending and body, also of a broken one."""
+        headers = [("anvilshift-attempt-id", "a"), ("authorization", "Bearer k1")]
+        headers.append(("anvilshift-deadline-ms", "2000"))
+        if path.startswith(("/chat", "/review")):
+            headers.append(("anvilshift-token-usage", "100,30"))
+            headers.append(("anvilshift-prefix-hash", "a:60,b:40"))
+        body = bytearray()
+        exchange = self.client.exchange(
+            self.address, "POST", path, headers, b"", host="shop.example"
+        )
+        async with asyncio.timeout(10), exchange as response:
+            try:
+                async for chunk in response.chunks():
+                    body += chunk
+            except ExchangeError:
+                self.assertIs(response.ending, Ending.BROKEN)
+            return response.status, response.framing, response.ending, bytes(body)
+
+    def find_line(self, event: str) -> dict:
+        return next(fields for name, fields in self.journal.lines if name == event)
+
+
+class StreamEndTest(EndingCase):
+    async def check_broken(self, answer: RawAnswer) -> None:
+        """Check that the caller sees three whole events and a broken connection."""
+        await self.add_raw("e1", "llm", answer)
+        await self.start_node()
+        _, _, ending, body = await self.call_to_end("/review/1")
+        self.assertEqual((ending, body), (Ending.BROKEN, make_events(1, 3)))
+
+    async def test_stream_without_framing_that_closes_inside_an_event_is_broken(self):
+        """Guards against a stream that broke off and is told as complete."""
+        await self.check_broken(make_half(Frame.NONE))
+
+    async def test_stream_whose_last_chunk_follows_a_half_event_is_broken(self):
+        """Guards against the framing of a stream that hides a half event."""
+        await self.check_broken(make_half(Frame.CHUNKS))
+
+    async def test_stream_whose_length_ends_inside_an_event_is_broken(self):
+        """Guards against the framing of a stream that hides a half event."""
+        await self.check_broken(make_half(Frame.LENGTH))
+
+    async def test_stream_that_ends_inside_an_event_goes_on_elsewhere(self):
+        """Guards against a stream that could be resumed and is told as complete."""
+        rest = RawAnswer([make_events(4, 6)], Frame.CHUNKS, End.KEEP)
+        for name in ("e1", "e2"):
+            await self.add_raw(name, "llm", make_half(Frame.CHUNKS), rest)
+        await self.start_node()
+        status, _, ending, body = await self.call_to_end("/chat/1")
+        self.assertEqual((status, ending), (200, Ending.FRAMED))
+        self.assertEqual(body, make_events(1, 6))
+        self.assertEqual(self.list_resumed(), ["3"])
+
+    def list_resumed(self) -> list[str]:
+        """Return the last event ids of the requests that took a stream up."""
+        requests = [one for t in self.targets.values() for one in t.requests]
+        return [one["last-event-id"] for one in requests if "last-event-id" in one]
+
+    async def test_stream_told_without_framing_is_passed_on_without_framing(self):
+        """Guards against an end that looks surer than the target's own."""
+        await self.add_raw("e1", "llm", RawAnswer([make_events(1, 6)]))
+        await self.start_node()
+        status, framing, ending, body = await self.call_to_end("/review/1")
+        self.assertEqual((status, body), (200, make_events(1, 6)))
+        self.assertEqual((framing, ending), (Framing.CONNECTION, Ending.CLOSED))
+
+
+class PlainEndTest(EndingCase):
+    whole = json.dumps({"lobsters": [1, 2, 3]}).encode()
+
+    def make_json(self, body: bytes, frame: Frame = Frame.NONE) -> RawAnswer:
+        return RawAnswer([body], frame, content_type="application/json")
+
+    async def test_json_without_framing_that_breaks_off_is_an_error(self):
+        """Guards against half a JSON text with a content length of the router's."""
+        await self.add_raw("d1", "desk", self.make_json(self.whole[:-4]))
+        await self.start_node()
+        status, framing, _, body = await self.call_to_end("/order/1")
+        self.assertEqual((status, framing), (502, Framing.LENGTH))
+        self.assertEqual(json.loads(body)["error"]["fate"], "unknown")
+
+    async def test_plain_answer_without_framing_is_passed_on_without_framing(self):
+        """Guards against an end that looks surer than the target's own."""
+        await self.add_raw("d1", "desk", self.make_json(self.whole))
+        await self.start_node()
+        status, framing, ending, body = await self.call_to_end("/order/1")
+        self.assertEqual((status, body), (200, self.whole))
+        self.assertEqual((framing, ending), (Framing.CONNECTION, Ending.CLOSED))
--- a/tests/wire/test_tunnel.py
+++ b/tests/wire/test_tunnel.py
@@ -112,6 +112,22 @@
             await self.call(connection)
         self.assertTrue(raised.exception.sent)
 
+    async def test_an_answer_that_the_server_ends_with_its_connection_is_served(self):
+        """Guards against whole answers that a process in between makes unusable."""
+
+        async def send_whole(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nx-sign: s1\r\n\r\na whole answer")
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(send_whole, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        self.known.add(self.address)
+        answer = await self.call(await self.open())
+        self.assertEqual(answer, ("s1", b"a whole answer"))
+
     async def test_a_silent_client_is_dropped(self):
         reader, writer = await asyncio.open_connection(self.proxy.ip, self.proxy.port)
         self.addCleanup(writer.close)
