Take a stream that ends inside an event as broken off, whatever its framing says

Callers got 200s framed as complete whose last event was cut in the middle, with the half event in them. Cause: AnswerRelay.stream ended with the bytes behind the last complete event, whatever they were, and any end of the body that raised nothing was 'whole'. An engine that closes in order in the midst of an answer without length or chunks, or that frames an end there, raises nothing.

Ruled out: a reset read as an end (asyncio reports it by connection_lost with an error, which fails the exchange; RawTarget's resets show it).

A half event is never passed on; the stream is resumed where its route allows, or the caller's connection is aborted. It counts against the target; a close that framed nothing is checked like a reset, since the target may have crashed.

The line attempt_failed of such a stream says 'inside an event' and 8 bytes of rest.

--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import Failure
 from anvilshift.gateway.sending import Answer, AttemptError
 from anvilshift.gateway.splitting import EventSplitter
 from anvilshift.wire.client import ExchangeError
-from anvilshift.wire.endings import Ending, Framing
+from anvilshift.wire.endings import Ending, Framing, judge_stream
 from anvilshift.wire.messages import HeaderFields, list_connection_options
 from anvilshift.wire.server import Responder
 
@@ -117,12 +118,12 @@
         AttemptError
             When the stream breaks off.  An incomplete event is not sent to the caller.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(resumed=self.started)
         received = self.events
         loop = asyncio.get_running_loop()
         try:
             async for chunk in answer.response.chunks():
-                whole = splitter.feed(chunk)
+                whole = _split(splitter, chunk)
                 if not whole:
                     continue
                 if not self.events - received:
@@ -143,10 +144,27 @@
         finally:
             self.rest = len(splitter.rest)
             self._record_ending(answer)
+        self._check_stream(splitter)
         await self._send_headers(answer)
         self.outcome = "whole after a break" if self.broken else COMPLETE
         await self.responder.finish(splitter.rest)
 
+    def _check_stream(self, splitter: EventSplitter) -> None:
+        """Check that a stream whose body has ended is complete.
+
+        Raises
+        ------
+        AttemptError
+            When the stream ended inside an event.
+        """
+        assert self.ending is not None
+        answered = self.ending is Ending.FRAMED
+        self.ending = judge_stream(self.ending, splitter.is_inside_event)
+        if not self.ending.is_complete:
+            # A target that framed the end is there; one that closed may have crashed.
+            detail = f"the stream ended {self.ending.value}"
+            raise AttemptError(Failure.BROKE_OFF, detail, answered=answered)
+
     def _record_ending(self, answer: Answer) -> None:
         self.framing = answer.response.framing
         self.ending = answer.response.ending
@@ -166,6 +184,20 @@
         self._last_event_at = now
 
 
+def _split(splitter: EventSplitter, chunk: bytes) -> bytes:
+    """Return the events that a part of a stream completes.
+
+    Raises
+    ------
+    AttemptError
+        When an event exceeds the size limit.
+    """
+    try:
+        return splitter.feed(chunk)
+    except AnvilshiftError as error:
+        raise AttemptError(Failure.BROKE_OFF, error.detail, answered=True) from error
+
+
 def _filter_headers(answer: Answer) -> HeaderFields:
     """Return an answer's headers without those that concern the target's connection."""
     removed = _FRAMING_HEADERS | list_connection_options(answer.headers)
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -70,7 +70,7 @@
     @property
     def whole(self) -> bool:
         """Return whether the body was read to its end."""
-        return self.ending in (Ending.FRAMED, Ending.CLOSED)
+        return self.ending is not None and self.ending.is_complete
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; data that is already buffered forms one chunk.
--- a/anvilshift/wire/endings.py
+++ b/anvilshift/wire/endings.py
@@ -2,7 +2,8 @@
 
 Only a length, chunks or a status without a body show that an answer is complete.  One
 that ends with its connection is taken as complete by the protocol, although a server
-that breaks off may close its connection in the same way.
+that breaks off may close its connection in the same way.  Where the content itself
+shows that a part is missing, no framing makes the answer complete.
 
 References
 ----------
@@ -35,6 +36,13 @@
     """With the connection, which the server closed in order."""
     BROKEN = "broken"
     """Before the end that its framing gives, or by a reset."""
+    INSIDE_EVENT = "inside an event"
+    """Inside a server-sent event, whatever its framing says."""
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether nothing shows that a part of the body is missing."""
+        return self in (Ending.FRAMED, Ending.CLOSED)
 
 
 def find_framing(method: str, status: int, headers: Headers) -> Framing:
@@ -55,3 +63,21 @@
     if "content-length" in names:
         return Framing.LENGTH
     return Framing.CONNECTION
+
+
+def judge_stream(ending: Ending, is_inside_event: bool) -> Ending:
+    """Return how a stream of server-sent events ended.
+
+    Parameters
+    ----------
+    ending
+        How its body ended.
+    is_inside_event
+        Whether an event had begun that isn't complete.
+
+    Examples
+    --------
+    >>> judge_stream(Ending.FRAMED, True)
+    <Ending.INSIDE_EVENT: 'inside an event'>
+    """
+    return Ending.INSIDE_EVENT if is_inside_event and ending.is_complete else ending
--- a/anvilshift/wire/events.py
+++ b/anvilshift/wire/events.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from anvilshift.core.errors import ENGINE_FAILED, AnvilshiftError
+from anvilshift.wire.eventlines import LineReader, check_event_size, parse_field
 
 _MAX_EVENT_BYTES = 1024 * 1024
 
@@ -45,7 +46,10 @@
     """
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._lines = LineReader()
+        self._data: list[str] = []
+        self._id: str | None = None
+        self._size = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
@@ -55,26 +59,28 @@
         AnvilshiftError
             Code 4001 if an event exceeds the size limit or isn't valid UTF-8.
         """
-        buffer = (self._incomplete + data).replace(b"\r\n", b"\n")
-        *blocks, self._incomplete = buffer.split(b"\n\n")
-        if len(self._incomplete) > _MAX_EVENT_BYTES:
-            raise AnvilshiftError(ENGINE_FAILED, "an event exceeds the size limit")
-        events = [_parse(block) for block in blocks]
-        return [event for event in events if event is not None]
-
-
-def _parse(block: bytes) -> Event | None:
-    data: list[str] = []
-    event_id: str | None = None
-    try:
-        text = block.decode()
-    except UnicodeDecodeError as error:
-        raise AnvilshiftError(ENGINE_FAILED, "an event is not valid UTF-8") from error
-    for line in text.split("\n"):
-        field, _, value = line.partition(":")
-        value = value.removeprefix(" ")
-        if field == "data":
-            data.append(value)
-        elif field == "id":
-            event_id = value
-    return Event("\n".join(data), event_id) if data else None
+        events = []
+        end = 0
+        for line, position in self._lines.feed(data):
+            if line:
+                self._read_field(line)
+                continue
+            end = position
+            if self._data:
+                events.append(Event("\n".join(self._data), self._id))
+            self._data, self._id = [], None
+        self._size = len(data) - end if end else self._size + len(data)
+        check_event_size(self._size, _MAX_EVENT_BYTES)
+        return events
+
+    def _read_field(self, line: bytes) -> None:
+        name, value = parse_field(line)
+        try:
+            text = value.decode()
+        except UnicodeDecodeError as error:
+            detail = "an event is not valid UTF-8"
+            raise AnvilshiftError(ENGINE_FAILED, detail) from error
+        if name == b"data":
+            self._data.append(text)
+        elif name == b"id":
+            self._id = text
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -84,6 +84,21 @@
         self.assertEqual(body, make_events(1, 6))
         self.assertEqual(self.list_resumed(), ["3"])
 
+    async def test_half_event_counts_against_its_target_and_not_its_content(self):
+        """Guards against content that is quarantined for a target's broken answers."""
+        for name in ("e1", "e2"):
+            await self.add_raw(name, "llm", make_half(Frame.NONE))
+        await self.start_node()
+        for _ in range(4):
+            _, _, ending, _ = await self.call_to_end("/review/1")
+            self.assertIs(ending, Ending.BROKEN)
+        failure = self.find_line("attempt_failed")
+        self.assertEqual(failure["framing"], "connection")
+        self.assertEqual((failure["ending"], failure["rest"]), ("inside an event", 8))
+        self.assertNotIn("content_blamed", self.journal.list_events())
+        reported = self.node.shared.health.reports.list_targets()
+        self.assertIn(failure["target"], reported)
+
     def list_resumed(self) -> list[str]:
         """Return the last event ids of the requests that took a stream up."""
         requests = [one for t in self.targets.values() for one in t.requests]
