Take half a JSON text that nothing delimits as broken off

Callers got a 200 with a content length of the router's and half a JSON text: a plain answer without length or chunks whose target had closed in the middle. Cause: a close in order is an end by the protocol, and the router then wrote a length of its own. The content shows what the framing can't, as with events.

Change: Response.read judges the body by wire/endings.py, so all that read whole answers are covered: the gateway's plain answers, the plain services of the router's own interface (whose answer would have been recorded as the work's outcome), the client library. Only a JSON text that ends with its connection is looked at; a length or chunks are the target's word, and any other type passes. Reads are sent elsewhere, others get 502, fate unknown.

Ruled out: judging other types by how they look.

--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -11,7 +11,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.connection import Connection
-from anvilshift.wire.endings import Ending, Framing, find_framing
+from anvilshift.wire.endings import Ending, Framing, find_framing, judge_body
 from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
 
 _MAX_IDLE_PER_ADDRESS = 64
@@ -102,14 +102,19 @@
         Raises
         ------
         ExchangeError
-            If the connection fails before the end of the body, or the body
-            exceeds the limit.
+            If the connection fails before the end of the body, the body shows
+            that a part of it is missing, or it exceeds the limit.
         """
         body = bytearray()
         async for chunk in self.chunks():
             body += chunk
             if len(body) > limit:
                 raise ExchangeError("the answer exceeds the size limit", True)
+        assert self.ending is not None
+        self.ending = judge_body(self.ending, self.headers, bytes(body))
+        if not self.ending.is_complete:
+            detail = f"the answer ended {self.ending.value}"
+            raise ExchangeError(detail, True, self._connection.reused)
         return bytes(body)
 
 
--- a/anvilshift/wire/endings.py
+++ b/anvilshift/wire/endings.py
@@ -10,6 +10,7 @@
 RFC 9112, sections 6.3 and 8.
 """
 
+import json
 from enum import Enum
 
 from anvilshift.wire.messages import Headers
@@ -38,6 +39,8 @@
     """Before the end that its framing gives, or by a reset."""
     INSIDE_EVENT = "inside an event"
     """Inside a server-sent event, whatever its framing says."""
+    INSIDE_JSON = "inside a JSON text"
+    """Inside a JSON text that nothing else delimits."""
 
     @property
     def is_complete(self) -> bool:
@@ -81,3 +84,36 @@
     <Ending.INSIDE_EVENT: 'inside an event'>
     """
     return Ending.INSIDE_EVENT if is_inside_event and ending.is_complete else ending
+
+
+def judge_body(ending: Ending, headers: Headers, body: bytes) -> Ending:
+    """Return how a body that was read completely ended.
+
+    A JSON text shows its own end, so one that only the end of the connection delimits
+    is checked.  Other content can't be told from its beginning.
+
+    Examples
+    --------
+    >>> headers = Headers([("Content-Type", "application/json")])
+    >>> judge_body(Ending.CLOSED, headers, b"[1,")
+    <Ending.INSIDE_JSON: 'inside a JSON text'>
+    """
+    is_checked = ending is Ending.CLOSED and _is_json(headers)
+    return Ending.INSIDE_JSON if is_checked and not _is_json_text(body) else ending
+
+
+def _is_json(headers: Headers) -> bool:
+    types = [value for name, value in headers.pairs if name == "content-type"]
+    names = [one.partition(";")[0].strip().lower() for one in types]
+    return any(n == "application/json" or n.endswith("+json") for n in names)
+
+
+def _is_json_text(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    except RecursionError:
+        # It is nested too deeply to be read, which doesn't show that it is cut.
+        return True
+    return True
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -127,6 +127,23 @@
         self.assertEqual((status, framing), (502, Framing.LENGTH))
         self.assertEqual(json.loads(body)["error"]["fate"], "unknown")
 
+    async def test_half_json_of_a_read_is_replaced_by_another_targets(self):
+        """Guards against an error for a request that could be served elsewhere."""
+        await self.add_raw("d1", "desk", self.make_json(self.whole[:-4]))
+        await self.add_target("d2", "desk")
+        await self.start_node()
+        answers = [await self.call_to_end("/read/1") for _ in range(4)]
+        self.assertEqual([one[0] for one in answers], [200] * 4)
+        self.assertEqual({one[3] for one in answers}, {b"answer of "})
+
+    async def test_half_json_with_a_length_is_the_targets_own(self):
+        """Guards against a router that judges what the target has framed."""
+        await self.add_raw("d1", "desk", self.make_json(self.whole[:-4], Frame.LENGTH))
+        await self.start_node()
+        status, framing, _, body = await self.call_to_end("/order/1")
+        self.assertEqual((status, framing), (200, Framing.LENGTH))
+        self.assertEqual(body, self.whole[:-4])
+
     async def test_plain_answer_without_framing_is_passed_on_without_framing(self):
         """Guards against an end that looks surer than the target's own."""
         await self.add_raw("d1", "desk", self.make_json(self.whole))
