Pass an answer without framing on as one, and reset it where it is not whole

A caller got chunks and a last chunk, or a content length, for an answer of which the target had shown nothing but a close.

Ways weighed. Framing them all the same: what RFC 9112 allows, and a claim that nobody can back. Passing them on as they are: the caller knows what the router knows, and can look for an end in the content. Its cost is a new connection for each such answer. Its danger was that the system closes in order for a process that is killed or aborts, so every broken answer would look whole.

Change: such an answer is passed on without a length or chunks, with connection: close. While it runs the connection is set to be reset however the process ends (SO_LINGER 0); once all of it has been written that is taken back, and it closes in order. The same guard now holds for callers of HTTP/1.0, whose streams never had chunks. A stream that began in chunks at one target and ends unframed at another is aborted behind its last event ('end not shown'): its caller can take it up. 204, 304 and HEAD keep the target's length instead of one of ours.

--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -60,6 +60,7 @@
     ending: Ending | None = None
     rest: int = 0
     _last_event_at: Millis = 0.0
+    _is_framed: bool = True
 
     @property
     def started(self) -> bool:
@@ -90,9 +91,8 @@
     async def send_complete(self, answer: Answer, body: bytes) -> None:
         """Send a short answer whose body was read completely."""
         self.outcome = f"status {answer.status}"
-        length = ("content-length", str(len(body)))
-        headers = [*_filter_headers(answer), length]
-        await self.responder.start(answer.status, headers, hold=True)
+        headers = [*_filter_headers(answer), *_list_length(answer, body)]
+        await self._start(answer, headers)
         await self.responder.finish(body)
 
     async def stream(
@@ -146,6 +146,12 @@
             self._record_ending(answer)
         self._check_stream(splitter)
         await self._send_headers(answer)
+        if self._is_framed and self.ending is Ending.CLOSED:
+            # The chunks that another target's answer began with would vouch for the
+            # end of this one; the caller can still take up what it has received.
+            self.outcome = "end not shown"
+            self.responder.abort()
+            return
         self.outcome = "whole after a break" if self.broken else COMPLETE
         await self.responder.finish(splitter.rest)
 
@@ -172,8 +178,18 @@
     async def _send_headers(self, answer: Answer) -> None:
         """Send the headers of the first target's answer, unless they were sent."""
         if not self.started:
-            headers = _filter_headers(answer)
-            await self.responder.start(answer.status, headers, hold=True)
+            await self._start(answer, _filter_headers(answer))
+
+    async def _start(self, answer: Answer, headers: HeaderFields) -> None:
+        """Send the head of an answer, which is framed only if the target's own is.
+
+        A length or chunks would vouch for the end of an answer that its target may
+        have broken off.
+        """
+        self._is_framed = answer.response.framing is not Framing.CONNECTION
+        await self.responder.start(
+            answer.status, headers, hold=True, framed=self._is_framed
+        )
 
     def _record_event_time(self) -> None:
         now = self.clock.now()
@@ -202,3 +218,15 @@
     """Return an answer's headers without those that concern the target's connection."""
     removed = _FRAMING_HEADERS | list_connection_options(answer.headers)
     return [(n, v) for n, v in answer.headers.pairs if n not in removed]
+
+
+def _list_length(answer: Answer, body: bytes) -> HeaderFields:
+    """Return the content length of a short answer that was read completely.
+
+    One without a body keeps the length that its target says a body would have.
+    """
+    if answer.response.framing is Framing.NO_BODY:
+        return [(n, v) for n, v in answer.headers.pairs if n == "content-length"]
+    if answer.response.framing is Framing.CONNECTION:
+        return []
+    return [("content-length", str(len(body)))]
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
@@ -40,6 +41,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
+def set_reset_on_close(transport: asyncio.BaseTransport, enabled: bool) -> None:
+    """Set whether the system resets a connection, however its process closes it.
+
+    It then also discards what the peer hasn't been sent yet.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        option = struct.pack("ii", int(enabled), 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
 @dataclass(frozen=True)
 class Address:
     """An IP address and a port.
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -28,6 +28,7 @@
     HttpRequest,
     Limits,
     Reply,
+    set_reset_on_close,
     set_tcp_timeouts,
 )
 
@@ -54,7 +55,11 @@
         await self.finish(reply.body)
 
     async def start(
-        self, status: int, headers: HeaderFields, hold: bool = False
+        self,
+        status: int,
+        headers: HeaderFields,
+        hold: bool = False,
+        framed: bool = True,
     ) -> None:
         """Write the head; the body is chunked if the head has no content length.
 
@@ -63,10 +68,14 @@
         hold
             Whether to send the head together with the next part of the answer,
             in one packet.
+        framed
+            Whether to frame the body; otherwise it ends with the connection.
         """
         self.started = True
         if self._connection.is_draining:
             headers = [*headers, ("connection", "close")]
+        if not framed:
+            self._connection.stop_framing()
         head = h11.Response(status_code=status, headers=headers)
         self._connection.send(head, hold=hold)
 
@@ -83,6 +92,7 @@
             self._connection.send(h11.Data(data=data), hold=True)
         self._connection.send(h11.EndOfMessage())
         await self._connection.drain()
+        await self._connection.end_unframed()
 
     def abort(self) -> None:
         """Abort the connection, so that the peer detects an incomplete answer."""
@@ -123,6 +133,7 @@
         self._body = bytearray()
         self._unsent = b""
         self._closed = False
+        self._resets_on_close = False
 
     def _make_parser(self) -> h11.Connection:
         head_bytes = self._limits.head_bytes
@@ -280,11 +291,38 @@
     def send(self, event: h11.Event, hold: bool = False) -> None:
         if self._closed or self._transport is None:
             raise CallerDisconnectedError("the caller closed the connection")
+        if isinstance(event, h11.Response) and self._is_unframed(event):
+            # The caller takes an orderly close for the end of this answer.  The system
+            # closes so too when the process is killed, or aborts a broken answer.
+            self._set_reset_on_close(True)
         self._unsent += self._h11.send(event) or b""
         if self._unsent and not hold:
             self._transport.write(self._unsent)
             self._unsent = b""
 
+    def stop_framing(self) -> None:
+        """Let the body of the answer end with the connection, as for HTTP/1.0."""
+        self._h11.their_http_version = b"1.0"
+
+    def _is_unframed(self, head: h11.Response) -> bool:
+        version = self._h11.their_http_version
+        names = {name for name, _ in head.headers}
+        is_old = version is not None and version < b"1.1"
+        return is_old and b"content-length" not in names
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        assert self._transport is not None
+        self._resets_on_close = enabled
+        set_reset_on_close(self._transport, enabled)
+
+    async def end_unframed(self) -> None:
+        """Let the connection close in order, now that the whole answer is written."""
+        if not self._resets_on_close or self._transport is None:
+            return
+        self._transport.set_write_buffer_limits(high=0)
+        await self.drain()
+        self._set_reset_on_close(False)
+
     async def drain(self) -> None:
         if self._writable.is_set():
             return
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -112,6 +112,26 @@
         self.assertEqual((status, body), (200, make_events(1, 6)))
         self.assertEqual((framing, ending), (Framing.CONNECTION, Ending.CLOSED))
 
+    async def test_stream_taken_up_without_framing_does_not_end_as_framed(self):
+        """Guards against chunks that vouch for an end that no target has shown."""
+        rest = RawAnswer([make_events(4, 6)], Frame.NONE)
+        for name in ("e1", "e2"):
+            await self.add_raw(name, "llm", make_half(Frame.CHUNKS), rest)
+        await self.start_node()
+        _, framing, ending, body = await self.call_to_end("/chat/1")
+        self.assertEqual(body, make_events(1, 6))
+        self.assertEqual((framing, ending), (Framing.CHUNKS, Ending.BROKEN))
+        self.assertEqual(self.find_line("request")["outcome"], "end not shown")
+
+    async def test_stream_without_framing_that_is_reset_is_reset_for_its_caller(self):
+        """Guards against a reset that its caller sees as an orderly close."""
+        answer = RawAnswer([make_events(1, 3)], Frame.NONE, End.RESET)
+        await self.add_raw("e1", "llm", answer)
+        await self.start_node()
+        _, framing, ending, body = await self.call_to_end("/review/1")
+        self.assertEqual((framing, body), (Framing.CONNECTION, make_events(1, 3)))
+        self.assertIs(ending, Ending.BROKEN)
+
 
 class PlainEndTest(EndingCase):
     whole = json.dumps({"lobsters": [1, 2, 3]}).encode()
