Tell through a tunnel that the target closed, so that whole answers can be told

An answer that only the end of its connection delimits was always broken off when it came through another router, also when whole: the process in between closes for any reason, and the system closes in order for one that is killed.

Ways weighed. Guessing from the close: wrong for a router that is killed. A datagram that says so: it may be lost, or come before the bytes. A reset for every other end: what is killed in between still closes in order, unless its socket lingers, and then an idle tunnel dies by resets too. Frames with a length around the target's bytes, and an empty one for its orderly close: four bytes a part, nothing held back. The asker offers them in CONNECT and the other accepts; a router of an older build does neither, and then every end is a failure, as before.

Also found: a target that closes while the tunnel is being answered left the tunnel open towards nobody; it is now refused (502).

--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -71,12 +71,7 @@
 
     def eof_received(self) -> bool:
         """Read the end of an answer that its connection's end delimits."""
-        if self.via and self._h11.their_state is h11.SEND_BODY:
-            # The process in between closes for any reason, so that the end of the
-            # connection doesn't show that an answer without a length is complete.
-            self.interrupt("the connection through another router closed")
-        else:
-            self._feed(b"")
+        self._feed(b"")
         return False
 
     def interrupt(self, detail: str) -> None:
--- a/anvilshift/wire/tunnel.py
+++ b/anvilshift/wire/tunnel.py
@@ -1,7 +1,8 @@
 """Reach a server through another process, by HTTP CONNECT.
 
 The bytes pass unchanged in both directions, so whoever opens the tunnel speaks with
-the server as if it had connected itself.
+the server as if it had connected itself.  Those of the server come in frames, which
+also tell that it has closed its connection.
 
 References
 ----------
@@ -17,6 +18,13 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import Network, TcpNetwork
 from anvilshift.wire.messages import Address, set_tcp_timeouts
+from anvilshift.wire.tunnelframes import (
+    FRAMES_HEADER,
+    FRAMES_VERSION,
+    SERVER_CLOSED,
+    TunnelEnd,
+    encode_frame,
+)
 
 _MAX_HEAD_BYTES = 4 * 1024
 _HEAD_TIMEOUT: Millis = 1 * SECOND
@@ -38,10 +46,20 @@
 
 
 class _Handshake(asyncio.Protocol):
-    """Asks for a tunnel and waits for the answer."""
+    """Asks for a tunnel and waits for the answer.
+
+    Attributes
+    ----------
+    framed
+        Whether the server's bytes come in frames.
+    early
+        Bytes that came behind the answer.
+    """
 
     def __init__(self, address: Address) -> None:
         self._address = str(address)
+        self.framed = False
+        self.early = b""
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -50,12 +68,14 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        request = h11.Request(
-            method="CONNECT", target=self._address, headers=[("host", self._address)]
-        )
+        headers = [("host", self._address), (FRAMES_HEADER, FRAMES_VERSION)]
+        request = h11.Request(method="CONNECT", target=self._address, headers=headers)
         self.transport.write(self._h11.send(request) or b"")
 
     def data_received(self, data: bytes) -> None:
+        if self.opened.done():
+            self.early += data
+            return
         try:
             self._h11.receive_data(data)
             event = self._h11.next_event()
@@ -65,8 +85,9 @@
         if not isinstance(event, h11.Response):
             return
         if event.status_code == _OPENED:
-            if not self.opened.done():
-                self.opened.set_result(None)
+            self.framed = _wants_frames(event)
+            self.early = self._h11.trailing_data[0]
+            self.opened.set_result(None)
         else:
             self._fail(TunnelRefusedError(event.status_code))
 
@@ -112,16 +133,26 @@
         except BaseException:
             transport.abort()
             raise
-        transport.set_protocol(protocol)
+        end = TunnelEnd(protocol, transport, handshake.framed)
+        transport.set_protocol(end)
         protocol.connection_made(transport)
+        if handshake.early:
+            end.data_received(handshake.early)
 
 
 class _End(asyncio.Protocol):
-    """One end of a tunnel; what it receives is written at the other end."""
+    """One end of a tunnel; what it receives is written at the other end.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    framed
+        Whether to write it in frames.
+    """
+
+    def __init__(self, framed: bool = False) -> None:
         self.transport: asyncio.Transport | None = None
         self.other: _End | None = None
+        self._framed = framed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -129,7 +160,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.other is not None and self.other.transport is not None:
-            self.other.transport.write(data)
+            self.other.transport.write(encode_frame(data) if self._framed else data)
 
     def pause_writing(self) -> None:
         if self.other is not None and self.other.transport is not None:
@@ -140,6 +171,8 @@
             self.other.transport.resume_reading()
 
     def eof_received(self) -> bool:
+        if self._framed and self.other is not None and self.other.transport is not None:
+            self.other.transport.write(SERVER_CLOSED)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -191,7 +224,8 @@
             if self.other is not None and self.other.transport is not None:
                 self.other.transport.abort()
             return
-        response = h11.Response(status_code=status, headers=[])
+        known = [(FRAMES_HEADER, FRAMES_VERSION)] if _wants_frames(request) else []
+        response = h11.Response(status_code=status, headers=known)
         self.transport.write(self._h11.send(response) or b"")
         if status != _OPENED:
             self.transport.close()
@@ -280,12 +314,14 @@
         address = _read_address(request)
         if address is None or not self._may_reach(address):
             return _UNREACHABLE
-        end = _End()
+        end = _End(framed=_wants_frames(request))
         try:
             async with asyncio.timeout(self._timeout / SECOND):
                 await self._network.open(end, address)
         except (OSError, TimeoutError):
             return _UNREACHABLE
+        if end.transport is None or end.transport.is_closing():
+            return _UNREACHABLE
         end.other, entrance.other = entrance, end
         self.opened += 1
         return _OPENED
@@ -300,6 +336,11 @@
         await asyncio.sleep(0)
 
 
+def _wants_frames(message: h11.Request | h11.Response) -> bool:
+    fields = dict(message.headers)
+    return fields.get(FRAMES_HEADER.encode()) == FRAMES_VERSION.encode()
+
+
 def _read_address(request: h11.Request) -> Address | None:
     if request.method != b"CONNECT":
         return None
