--- a/tests/platform/rawtarget.py
+++ b/tests/platform/rawtarget.py
@@ -67,6 +67,8 @@
     ----------
     resumed
         Answer to requests that take a stream up; the same if None.
+    hangs_up
+        Whether it closes the connection instead of answering.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.resumed = resumed
         self.requests: list[dict[str, str]] = []
         self.connections = 0
+        self.hangs_up = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -109,7 +112,7 @@
         try:
             while await self._answer(reader, writer):
                 pass
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.CancelledError, EOFError, ConnectionError):
             writer.transport.abort()
 
     async def _answer(self, reader, writer) -> bool:
@@ -118,6 +121,9 @@
         fields = dict(line.lower().split(": ", 1) for line in head[1:] if line)
         await reader.readexactly(int(fields.get("content-length", 0)))
         self.requests.append(fields)
+        if self.hangs_up:
+            writer.close()
+            return False
         takes_up = self.resumed is not None and "last-event-id" in fields
         answer = self.resumed if takes_up else self.answer
         writer.write(answer.before + self._make_head(answer, fields))
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -178,6 +178,87 @@
         self.assertEqual((framing, ending), (Framing.CONNECTION, Ending.CLOSED))
 
 
+class OddAnswerTest(EndingCase):
+    """Answers that the protocol allows and that few targets send."""
+
+    async def check(self, answer: RawAnswer, framing: Framing, body: bytes) -> None:
+        """Check two calls in a row, which may share a connection to the target."""
+        await self.add_raw("d1", "desk", answer)
+        await self.start_node()
+        for _ in range(2):
+            result = await self.call_to_end("/order/1")
+            self.assertEqual(result[0], answer.status)
+            self.assertEqual(result[1], framing)
+            self.assertEqual(result[3], body)
+
+    async def test_interim_answers_are_passed_over(self):
+        early = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        answer = RawAnswer([b"whole"], Frame.LENGTH, End.KEEP, before=early * 2)
+        await self.check(answer, Framing.LENGTH, b"whole")
+
+    async def test_answer_of_an_old_target_without_length_is_passed_on_as_such(self):
+        answer = RawAnswer([b"whole"], version="1.0", content_type="text/plain")
+        await self.check(answer, Framing.CONNECTION, b"whole")
+
+    async def test_close_beside_a_length_does_not_change_the_framing(self):
+        answer = RawAnswer([b"whole"], Frame.LENGTH, headers=["Connection: close"])
+        await self.check(answer, Framing.LENGTH, b"whole")
+        self.assertEqual(self.targets["d1"].connections, 2)
+
+    async def test_bytes_behind_an_answer_belong_to_no_request(self):
+        """Guards against a second answer that is read as the next caller's."""
+        extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+        answer = RawAnswer([b"whole"], Frame.LENGTH, End.KEEP, after=extra)
+        await self.check(answer, Framing.LENGTH, b"whole")
+        self.assertEqual(self.targets["d1"].connections, 2)
+
+    async def test_connection_that_ended_an_answer_is_not_used_again(self):
+        answer = RawAnswer([b"whole"], content_type="text/plain")
+        await self.check(answer, Framing.CONNECTION, b"whole")
+        self.assertEqual(self.targets["d1"].connections, 2)
+
+    async def test_answer_whose_status_has_no_body_gets_no_length(self):
+        answer = RawAnswer([], Frame.NONE, End.KEEP, status=204, content_type="")
+        await self.check(answer, Framing.NO_BODY, b"")
+        _, headers, _ = await self.call("/order/3")
+        self.assertIsNone(headers.get("content-length"))
+
+    async def test_not_modified_keeps_the_length_that_its_target_gave(self):
+        """Guards against a length of zero for a body that has one."""
+        answer = RawAnswer([], Frame.NONE, End.KEEP, status=304, content_type="")
+        answer.headers.append("Content-Length: 70")
+        await self.check(answer, Framing.NO_BODY, b"")
+        _, headers, _ = await self.call("/order/3")
+        self.assertEqual(headers.get("content-length"), "70")
+
+    async def test_close_before_the_first_byte_is_an_error(self):
+        """Guards against an empty answer that nobody gave."""
+        target = await self.add_raw("d1", "desk", RawAnswer([b"whole"]))
+        await self.start_node()
+        target.hangs_up = True
+        status, _, _, _ = await self.call_to_end("/order/1")
+        self.assertEqual(status, 502)
+
+    async def test_slow_caller_gets_all_of_a_stream_whose_target_has_closed(self):
+        """Guards against what is still to be read when the target closes."""
+        events = make_events(1, 20_000)
+        pieces = [events[at : at + 5_000] for at in range(0, len(events), 5_000)]
+        await self.add_raw("e1", "llm", RawAnswer(pieces))
+        await self.start_node()
+        headers = [("anvilshift-attempt-id", "a"), ("authorization", "Bearer k1")]
+        headers.append(("anvilshift-token-usage", "100,30"))
+        body = bytearray()
+        exchange = self.client.exchange(
+            self.address, "POST", "/review/1", headers, b"", host="shop.example"
+        )
+        async with asyncio.timeout(10), exchange as response:
+            await asyncio.sleep(0.5)
+            async for chunk in response.chunks():
+                body += chunk
+                await asyncio.sleep(0.001)
+        self.assertEqual((bytes(body), response.ending), (events, Ending.CLOSED))
+
+
 class ForwardedEndTest(CutCase, EndingCase):
     async def start_cut(self, answer: RawAnswer) -> None:
         """Start three routers, the first of which reaches its target through others."""
