--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -101,11 +101,11 @@
             await target.server.close()
         await self.store_stub.server.close()
 
-    async def add_target(self, name: str, service: str) -> TargetStub:
+    async def add_target(self, name: str, service: str, **entry) -> TargetStub:
         target = TargetStub(name)
         self.targets[name] = target
         address = await target.start()
-        self.register(name, service, address)
+        self.register(name, service, address, **entry)
         return target
 
     def register(self, name: str, service: str, address: Address, **rest) -> None:
@@ -231,6 +231,7 @@
                 ("anvilshift-prefix-hash", "a:60,b:40"),
             ]
         headers.append(("anvilshift-deadline-ms", str(rest.pop("deadline", 2_000))))
+        headers += rest.pop("headers", [])
         # Longer than any answer may take, so that a failing test does not hang.
         async with (
             asyncio.timeout(20),
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -125,6 +125,10 @@
         Attempt ids of the requests that it started to run, in order.
     crash_after
         Number of events after which it aborts a stream.
+    breaks_new
+        The same for streams that it begins, but not for those that it goes on with.
+    breaks_all
+        Whether it breaks off all streams, before the first event that it would send.
     limit
         Requests per second that its answers allow, if any.
     arrivals
@@ -160,6 +164,8 @@
         self.events = 6
         self.pace = 0.0
         self.crash_after: int | None = None
+        self.breaks_new: int | None = None
+        self.breaks_all = False
         self.refuses = False
         self.pause: str | None = None
         self.status = 200
@@ -249,8 +255,13 @@
     async def _stream(self, request, responder, headers) -> None:
         since = int(request.headers.get("last-event-id") or 0)
         await responder.start(200, [*headers, ("content-type", "text/event-stream")])
+        most = self.crash_after
+        if self.breaks_new is not None and not since:
+            most = self.breaks_new
+        if self.breaks_all and since:
+            most = 0
         for number in range(since + 1, self.events + 1):
-            if self.crash_after is not None and number > self.crash_after:
+            if most is not None and number > most:
                 await responder.write(b"id: %d\nda" % number)
                 responder.abort()
                 raise CallerDisconnectedError("crashed")
