Read the version of a target's software, and log it beside what a caller takes up

No decision depends on them yet.

A version is a non-empty text; any other is unknown and leaves its entry usable.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -72,6 +72,9 @@
         Number that distinguishes successive starts under the same name.
     cold_until
         End of the warm-up after its start, during which it is slower.
+    version
+        Version of its software; None if unknown.  Versions have no order, and what
+        targets of two versions write doesn't fit together.
     """
 
     name: str
@@ -82,6 +85,7 @@
     leaving: bool = False
     born: int = 0
     cold_until: Millis = -math.inf
+    version: str | None = None
 
     def is_other_start(self, known: "TargetInfo") -> bool:
         """Return whether this registration belongs to another start than the known."""
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -80,6 +80,8 @@
         Number of targets that may have run it.
     failed_targets
         Names of the targets at which an attempt failed; they get no further attempt.
+    target, version
+        Target of the last attempt, and the version of its software.
     via
         Router that forwards the last attempt; empty if none does.
     concurrent_runs
@@ -103,6 +105,7 @@
         self.targets = 0
         self.failed_targets: set[str] = set()
         self.target = ""
+        self.version: str | None = None
         self.via = ""
         self.sent = routed.arrived
         self.concurrent_runs = 0
@@ -279,6 +282,7 @@
         self._relay.start_attempt()
         self.concurrent_runs = len(choice.target.runs)
         self.target = choice.target.info.name
+        self.version = choice.target.info.version
         left = self._routed.end - shared.clock.now()
         outgoing = Outgoing(
             run,
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -30,6 +30,8 @@
         Milliseconds that the caller waits for the answer; None if it states no time.
     resume_after
         Id of the last event that the caller received, when it resumes a stream.
+    began_as
+        Id of the caller's attempt that brought the first event of that stream.
     """
 
     identity: str
@@ -38,6 +40,7 @@
     patience: Millis | None = None
     prompt: Prompt = field(default_factory=Prompt)
     resume_after: str | None = None
+    began_as: str | None = None
 
 
 @dataclass(frozen=True)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -32,6 +32,9 @@
 from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.server import CallerDisconnectedError, Responder
 
+_MAX_LOGGED_ID = 64
+"""Characters of an id from a caller that are logged."""
+
 
 class RequestHandler:
     """Handle one caller's request."""
@@ -81,6 +84,8 @@
             path=self.request.path,
             organisation=self.payer.name if self.payer else None,
             target=sent.target if sent else "",
+            version=sent.version if sent else None,
+            began_as=(self.call.began_as or "")[:_MAX_LOGGED_ID] or None,
             via=sent.via if sent else "",
             tries=len(sent.failed_targets) + 1 if sent else 1,
             predicted=round(sent.predicted, 1) if sent else 0.0,
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -57,6 +57,7 @@
                 target=info.name,
                 service=info.service,
                 address=info.address,
+                version=info.version,
             )
             self.client.forget(Address.parse(info.address))
             if known is not None:
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -67,6 +67,7 @@
             _read_deadline(headers.get(names.DEADLINE_MS)),
             _read_prompt(headers),
             headers.get(names.LAST_EVENT_ID),
+            headers.get(names.RESUMES),
         )
 
     def write_target_fields(
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -8,6 +8,7 @@
 TOKEN_USAGE = "anvilshift-token-usage"
 PREFIX_HASH = "anvilshift-prefix-hash"
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
 
 EXPECTED_TARGET = "anvilshift-expect-instance"
 ORGANISATION = "anvilshift-tenant"
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -1,7 +1,9 @@
 """Schemas of the objects that operators and targets write to the platform's store."""
 
+import hashlib
 import math
 from collections.abc import Mapping
+from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field
 from pydantic.alias_generators import to_camel
@@ -22,6 +24,7 @@
 """Bits per byte."""
 _BITS_PER_MS_PER_MBPS = 1_000.0
 """Bits per millisecond at a rate of one megabit per second."""
+_MAX_VERSION_CHARACTERS = 64
 _REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
@@ -178,6 +181,7 @@
     state: str = Field(pattern="^(ready|draining)$")
     cold_left_ms: float = 0.0
     born: int = 0
+    version: Any = None
 
     def convert(self, name: str, now: Millis) -> TargetInfo:
         """Return the gateway's target."""
@@ -189,4 +193,18 @@
             slots=self.slots,
             leaving=self.state == "draining",
             born=self.born,
+            version=_read_version(self.version),
         )
+
+
+def _read_version(value: Any) -> str | None:
+    """Return a version of bounded length; None unless it is a non-empty text.
+
+    A digest stands for a long one, so that two of them are equal only if they are the
+    same text.
+    """
+    if not isinstance(value, str) or not value:
+        return None
+    if len(value) <= _MAX_VERSION_CHARACTERS:
+        return value
+    return hashlib.sha256(value.encode("utf-8", "surrogatepass")).hexdigest()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,7 +1,7 @@
 import math
 import unittest
 
-from anvilshift.platform.records import ServiceRecord
+from anvilshift.platform.records import ServiceRecord, TargetRecord
 
 
 def read_model(**engine):
@@ -25,3 +25,27 @@
         ):
             with self.subTest(engine):
                 self.assertEqual(read_model(**engine).fetch_per_token, math.inf)
+
+
+class VersionTest(unittest.TestCase):
+    def read(self, **rest):
+        entry = {"service": "advice", "address": "10.0.0.1:80", "zone": "north"}
+        figures = {"slots": 8, "state": "ready"}
+        record = TargetRecord.model_validate({**entry, **figures, **rest})
+        return record.convert("e1", 0.0).version
+
+    def test_version_is_a_text_without_order(self):
+        self.assertEqual(self.read(version="v1.10"), "v1.10")
+
+    def test_unreadable_version_is_unknown_and_its_target_usable(self):
+        """Guards against an entry that is lost for a field that only streams need."""
+        for rest in ({}, {"version": ""}, {"version": 1}, {"version": ["v1"]}):
+            with self.subTest(rest):
+                self.assertIsNone(self.read(**rest))
+
+    def test_long_versions_are_bounded_and_equal_only_if_the_same(self):
+        """Guards against versions that are cut to the same beginning."""
+        one, other = self.read(version="v" * 9_000), self.read(version="v" * 9_001)
+        self.assertNotEqual(one, other)
+        self.assertEqual(one, self.read(version="v" * 9_000))
+        self.assertLessEqual(len(one), 64)
