Let a stream go on only at the version that began it, at any router

Cause: no version was known anywhere.

Ways weighed, for what another router must know of a stream whose router is gone: the caller brings only its attempt's id, and our answer's bytes aren't ours to change; the store takes too few writes; telling all routers costs each one every stream of the fleet; so a few keepers, found by hashing, in different failure domains, are told with the first event, before the caller gets it and without waiting; in a fleet of up to 8 all are. A router that wasn't told asks five, and takes what all who were told name.

Change: core/origins.py keeps the service and version that began a stream, for 20 s, by a digest of organisation and attempt id; gateway/origins.py tells and asks. A stream that has brought an event is bound to its version, within the answer and over tries; an unknown version equals none. What isn't known is refused as not run, before tokens or an engine are touched (3006), but for a service that has had one version only for as long as streams last: there nothing can mix, also for callers that don't name the first attempt. Before a resumption an engine that says when it started is asked on the same connection; one that accepted no connection is doubted until it has said so or its entry would show it. The homes of a content have one version where there are enough, or most broken streams would find no engine that they may be sent to. A stream whose events bear no ids isn't resumed.

--- a/anvilshift/core/errors.py
+++ b/anvilshift/core/errors.py
@@ -184,6 +184,14 @@
     "This router has no current configuration or lease.",
     _SHORT_RETRY,
 )
+STREAM_NOT_RESUMABLE = _define(
+    3006,
+    "stream not resumable",
+    503,
+    _NOT_RUN,
+    "No engine is known that the stream may go on at; send the request anew.",
+    _SHORT_RETRY,
+)
 
 ENGINE_FAILED = _define(
     4001,
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -88,8 +88,12 @@
     version: str | None = None
 
     def is_other_start(self, known: "TargetInfo") -> bool:
-        """Return whether this registration belongs to another start than the known."""
-        return (self.born, self.address) != (known.born, known.address)
+        """Return whether this registration belongs to another start than the known.
+
+        The software can't change while it runs, whatever the other fields say.
+        """
+        start, before = ((one.born, one.address, one.version) for one in (self, known))
+        return start != before
 
 
 @dataclass(slots=True)
@@ -149,6 +153,9 @@
         Estimate of how many requests it holds, used while it is brittle.
     avoided_until
         Until when other targets are preferred, because it fails more than they do.
+    is_start_doubted
+        Whether it may have started anew since its entry was written, so that its
+        version isn't known.
     """
 
     info: TargetInfo
@@ -168,6 +175,12 @@
     brittle: float | None = None
     farewell: bool = False
     places: Places = field(default_factory=Places)
+    is_start_doubted: bool = False
+
+    @property
+    def version(self) -> str | None:
+        """Return the version of its software; None while it isn't known for certain."""
+        return None if self.is_start_doubted else self.info.version
 
     def find_rate(self, now: Millis) -> float | None:
         """Return its limit in requests a second; None where it has none."""
@@ -278,8 +291,7 @@
         """
         known = self.targets.get(info.name)
         self._lost.pop(info.name, None)
-        start = info.born, info.address
-        if known is None or (known.info.born, known.info.address) != start:
+        if known is None or info.is_other_start(known.info):
             self.targets[info.name] = self._recall_needs(TargetLoad(info))
         else:
             known.info = info
@@ -294,6 +306,7 @@
             target.limit, target.meter = known.limit, known.meter
             target.paused_until = known.paused_until
             target.brittle = known.brittle
+            target.is_start_doubted = known.is_start_doubted
             if known.farewell:
                 target.mark_leaving()
         return target
@@ -314,8 +327,8 @@
             self._lost[name] = target.info, now + _LOST_RETENTION
         self._group_by_service()
 
-    def list_domains(self, service: str, now: Millis) -> dict[str, str]:
-        """Return the failure domain of each present or recently lost target.
+    def list_recent(self, service: str, now: Millis) -> list[TargetInfo]:
+        """Return the present and the recently lost targets of a service.
 
         If a crashed target were left out, the content that crashed it would be
         assigned another target in its place.
@@ -324,11 +337,8 @@
             t.info for t in self.list_service_targets(service) if not t.info.leaving
         ]
         lost = [i for i, until in self._lost.values() if now < until]
-        return {
-            info.name: info.failure_domain
-            for info in [*lost, *present]
-            if info.service == service
-        }
+        recent = {info.name: info for info in [*lost, *present]}
+        return [info for info in recent.values() if info.service == service]
 
     def _group_by_service(self) -> None:
         self._by_service = {}
--- a/anvilshift/core/routing.py
+++ b/anvilshift/core/routing.py
@@ -63,6 +63,10 @@
         """Return whether the request may run more than once."""
         return self.kind is RequestKind.IDEMPOTENT or self.resumable
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether requests on the route may go to a service."""
+        return any(name == service and weight > 0 for name, weight in self.services)
+
     def draw_service(self, rng: random.Random) -> str:
         """Return one of the services at random, in proportion to the weights."""
         if len(self.services) == 1:
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -19,6 +19,7 @@
     Code,
 )
 from anvilshift.core.loadmap import Prompt
+from anvilshift.core.origins import Origin, make_stream_key
 from anvilshift.core.routing import (
     ModelLimits,
     OrganisationBudget,
@@ -56,6 +57,8 @@
         Limits of the service's model; None for a plain service.
     pause
         Longest allowed pause between two events of the service's streams.
+    origin
+        Where the stream began that it takes up; None for a new request.
     """
 
     request: HttpRequest
@@ -67,6 +70,14 @@
     service: str
     model: ModelLimits | None
     pause: Millis
+    origin: Origin | None = None
+
+    @property
+    def stream_key(self) -> str:
+        """Return the key of its stream, which a caller takes up under another id."""
+        organisation = self.payer.name if self.payer else ""
+        began_as = self.call.began_as if self.origin is not None else None
+        return make_stream_key(organisation, began_as or self.call.identity)
 
 
 class Attempts:
@@ -110,6 +121,8 @@
         self.sent = routed.arrived
         self.concurrent_runs = 0
         self.predicted: Millis = 0.0
+        self._origin = routed.origin
+        self._is_bound = routed.origin is not None
 
     async def run(self) -> None:
         """Send the request to targets until one of them has answered it.
@@ -143,7 +156,9 @@
         prompt = (
             self._routed.call.prompt if self._routed.model is not None else Prompt()
         )
-        excluded |= self._crashes.list_forbidden(self._routed.service, prompt)
+        excluded |= self._list_unfit()
+        version = self._origin.version if self._origin else None
+        excluded |= self._crashes.list_forbidden(self._routed.service, prompt, version)
         delays = self._turn.list_permit_delays()
         loads = shared.sender.loads
         if self._routed.model is not None:
@@ -172,6 +187,18 @@
             )
         return choice
 
+    def _list_unfit(self) -> set[str]:
+        """Return the targets at which a stream that has begun may not go on."""
+        if not self._is_bound:
+            return set()
+        version = self._origin.version if self._origin else None
+        targets = self._shared.sender.loads.list_service_targets(self._routed.service)
+        return {
+            one.info.name
+            for one in targets
+            if version is None or one.version != version
+        }
+
     def _make_demand(
         self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
     ) -> Demand:
@@ -346,6 +373,9 @@
             Number of targets that may have run it by then; as many as now if omitted.
         """
         targets = self.targets if after is None else after
+        if self._relay.events and self._relay.last_id is None:
+            # Nothing says behind which event another target would have to go on.
+            return False
         return (
             self._routed.rule.repeatable
             and targets < self._routed.rule.max_targets_per_request
@@ -378,7 +408,7 @@
             max_silence = (
                 find_pause_timeout(self._routed.rule) if self._may_go_on() else None
             )
-            on_first_event = partial(self._record_first_byte, outgoing)
+            on_first_event = partial(self._record_first_event, outgoing)
             await self._relay.stream(answer, timeout, max_silence, on_first_event)
             return
         body = await self._relay.read_complete(answer)
@@ -392,10 +422,24 @@
             self._shared.find_service_time(self._routed.service).add(took)
         await self._relay.send_complete(answer, body)
 
+    def _record_first_event(self, outgoing: Outgoing) -> None:
+        """Record the first event of an attempt, before the caller gets it.
+
+        From now on the stream goes on at its version only, here and at other routers.
+        """
+        self._record_first_byte(outgoing)
+        target = outgoing.choice.target
+        if not self._is_bound and target.version is not None:
+            self._origin = Origin(target.info.service, target.version)
+        self._is_bound = True
+        if self._origin is not None and self._routed.rule.resumable:
+            self._shared.origins.record(self._routed.stream_key, self._origin)
+
     def _record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and how long that took."""
         self._shared.sender.record_first_byte(outgoing)
         target = outgoing.choice.target
         target.health.add_answer()
+        self._shared.sender.starts.recheck(target)
         span = self._shared.clock.now() - self.sent
         target.measure(span, outgoing.choice.unscaled)
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -117,11 +117,14 @@
         Kind and name of the stored object that holds the configuration.
     targets_kind
         Kind of the stored objects that register targets.
+    report_path
+        Path at which a target reports its state.
     """
 
     configuration_kind: str
     configuration_name: str
     targets_kind: str
+    report_path: str
 
     def read_configuration(self, body: Raw) -> Configuration:
         """Return the configuration that a stored object holds.
@@ -145,3 +148,6 @@
 
     def read_answer_fields(self, status: int, headers: Headers) -> AnswerFields:
         """Return the fields of a target's answer."""
+
+    def read_start(self, status: int, body: bytes) -> int | None:
+        """Return the number of a target's start from its report; None if unknown."""
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -25,12 +25,16 @@
     Limited,
     Marked,
     Message,
+    OriginAnswer,
+    OriginAsk,
     Paused,
     PermitAnswer,
     PermitAsk,
     PermitDropped,
     Sent,
     SentBefore,
+    StreamBegan,
+    VersionsSeen,
 )
 from anvilshift.gateway.peers import Peer, Peers
 from anvilshift.gateway.reserving import Reservations
@@ -97,6 +101,7 @@
             names.add(self.settings.name)
         leaving = {one.beat.router for one in peers if one.beat.leaving}
         self.limits.update_routers(names, leaving)
+        self.shared.origins.update_routers()
         self.allotter.has_no_peers = not peers
         known = self.allocators.routers
         if names and self.allocators.set_routers(names):
@@ -194,6 +199,15 @@
             self.shared.permits.handle_withdrawal(message)
         elif isinstance(message, SentBefore):
             self.limits.add_sends(message)
+        elif isinstance(message, StreamBegan):
+            self.shared.origins.apply_told(message)
+        elif isinstance(message, OriginAsk):
+            self.shared.origins.answer(message)
+        elif isinstance(message, OriginAnswer):
+            self.shared.origins.apply_answer(message)
+        elif isinstance(message, VersionsSeen):
+            history = self.shared.origins.history
+            history.adopt(message.covered, message.gone, now)
         elif isinstance(message, Marked):
             for revision, age in message.marks:
                 self.marks.add(Mark(now - age, revision))
@@ -215,9 +229,9 @@
         """Send a new router what it needs to know of the time before its start.
 
         These are the spending of former incarnations of its host, the marks of the
-        store's history, and the limits of targets.  Without marks from others it could
-        not prove the age of its own records until it had followed the store for as
-        long as the store keeps its history.
+        store's history, the limits of targets and the versions that are gone.  Without
+        marks from others it could not prove the age of its own records until it had
+        followed the store for as long as the store keeps its history.
         """
         for holder, spent in self.allotter.ended.items():
             if holder.rpartition(".")[0] == beat.router:
@@ -229,6 +243,10 @@
             self.peers.send(Marked(tuple(marks)), beat.ip)
         for limited in self.limits.list_limits():
             self.peers.send(limited, beat.ip)
+        history = self.shared.origins.history
+        covered = history.find_covered(now)
+        if covered:
+            self.peers.send(VersionsSeen(covered, history.list_gone(now)), beat.ip)
 
     def send_mark(self, mark: Mark) -> None:
         """Send the other routers a new mark of the store's history."""
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -9,7 +9,7 @@
 from anvilshift.core.blame import MAX_CRASHES
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
-from anvilshift.core.homes import choose_homes
+from anvilshift.core.homes import choose_homes_of_version
 from anvilshift.core.loadmap import Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.reach import Reached
@@ -60,18 +60,29 @@
         if self._blame.is_poison(self._content, self._shared.clock.now()):
             raise AnvilshiftError(QUARANTINED)
 
-    def list_forbidden(self, service: str, prompt: Prompt) -> set[str]:
+    def list_forbidden(
+        self, service: str, prompt: Prompt, version: str | None = None
+    ) -> set[str]:
         """Return the targets of a service to which the content may not be sent.
 
         Until it has been answered completely, the content may be sent only to its
         home targets, which every router computes alike.  Routers that can't exchange
         messages may send copies of it, and would otherwise each choose other targets.
+
+        Parameters
+        ----------
+        version
+            Version at which the content's stream began; None for a new one.
         """
         loads, exposure = self._shared.sender.loads, self._blame.exposure
         if exposure.is_harmless(self._content):
             return set()
-        domains = loads.list_domains(service, self._shared.clock.now())
-        homes = choose_homes(self._get_home_key(prompt), domains, MAX_CRASHES)
+        recent = loads.list_recent(service, self._shared.clock.now())
+        fitting = [i for i in recent if version is None or i.version == version]
+        domains = {info.name: info.failure_domain for info in fitting}
+        versions = {info.name: info.version for info in fitting}
+        key = self._get_home_key(prompt)
+        homes = choose_homes_of_version(key, domains, versions, MAX_CRASHES)
         reached = exposure.list_charged_targets(self._content)
         allowed = [*reached, *(name for name in homes if name not in reached)]
         present = {target.info.name for target in loads.list_service_targets(service)}
@@ -114,7 +125,7 @@
         if error.replaced:
             shared.on_target_replaced(info.name)
         elif error.failure is Failure.NOT_SENT and not is_only_silent(target, error):
-            shared.on_target_lost(info.name)
+            self._report_lost(info.name)
         elif error.failure is Failure.BROKE_OFF and not error.answered:
             now = shared.clock.now()
             for name in self._blame.record_broken_answer(self._content, info.name, now):
@@ -126,7 +137,17 @@
         shared = self._shared
         known = shared.sender.loads.targets.get(name)
         if known is None:
-            shared.on_target_lost(name)
+            self._report_lost(name)
             return
         if await shared.sender.reach.check(known.info) is Reached.NOT_AT_ALL:
-            shared.on_target_lost(name)
+            self._report_lost(name)
+
+    def _report_lost(self, name: str) -> None:
+        """Report a target that accepts no connection.
+
+        Once it does again it may be another start than its entry describes.
+        """
+        self._shared.on_target_lost(name)
+        target = self._shared.sender.loads.targets.get(name)
+        if target is not None:
+            self._shared.sender.starts.doubt(target)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -21,6 +21,7 @@
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.passing import RequestHandler
 from anvilshift.gateway.peers import PeerCallbacks, Peers
 from anvilshift.gateway.permits import Permits
@@ -34,6 +35,7 @@
 from anvilshift.gateway.stopping import PlannedStop
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
+from anvilshift.gateway.targetstarts import TargetStarts
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
 from anvilshift.wire.messages import Address, HttpRequest, Limits
@@ -138,8 +140,16 @@
         self.forwarding = Forwarding(
             self.peers, self.loads, self.reach.paths, clock, network
         )
+        self.starts = TargetStarts(self.client, dialect, clock, journal)
         sender = Sender(
-            self.reach, dialect, self.loads, self.peers, clock, journal, self.limits
+            self.reach,
+            dialect,
+            self.loads,
+            self.peers,
+            clock,
+            journal,
+            self.limits,
+            self.starts,
         )
         self.shared = RouterContext(
             self.incarnation,
@@ -161,6 +171,7 @@
                 journal,
                 rng,
             ),
+            StreamOrigins(settings.name, settings.ip, self.peers, clock),
         )
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
@@ -384,6 +395,10 @@
         self.permits.run_checks(now)
         self.shared.health.probe_ejected(now)
         self.reach.watch(now)
+        self.starts.expire(self.target_follower.is_fresh())
+        if self.target_follower.is_fresh():
+            targets = [one.info for one in self.loads.targets.values()]
+            self.shared.origins.history.observe(targets, now)
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
@@ -419,6 +434,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.close()
         self.reach.close()
+        self.starts.close()
         await self.forwarding.server.close()
         self.client.close()
         self.peers.close()
--- /dev/null
+++ b/anvilshift/gateway/origins.py
@@ -0,0 +1,164 @@
+"""Tell other routers where streams began, and ask them on a resumption."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.origins import (
+    ASKED,
+    KEEPERS,
+    STREAM_LIFETIME,
+    Origin,
+    OriginTable,
+    OriginVotes,
+    choose_keepers,
+)
+from anvilshift.core.versionhistory import VersionHistory
+from anvilshift.gateway.messages import OriginAnswer, OriginAsk, StreamBegan
+from anvilshift.gateway.peers import Peers
+
+_ANSWER_TIMEOUT: Millis = 250.0
+"""Time for the answers of other routers, which may be in another region."""
+
+
+@dataclass(frozen=True)
+class Finding:
+    """What is known of a stream that a caller takes up.
+
+    Parameters
+    ----------
+    origin
+        Where it began; None if that isn't known for certain.
+    is_told
+        Whether any router was told anything of it.
+    is_final
+        Whether all who may know it have answered.
+    """
+
+    origin: Origin | None
+    is_told: bool = False
+    is_final: bool = True
+
+
+@dataclass
+class _Question:
+    """The votes on one stream, for which one or more requests wait."""
+
+    votes: OriginVotes
+    decided: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass
+class StreamOrigins:
+    """Know where streams began, together with the other routers.
+
+    Parameters
+    ----------
+    router, ip
+        Name and address of this router.
+    """
+
+    router: str
+    ip: str
+    peers: Peers
+    clock: Clock
+    table: OriginTable = field(default_factory=OriginTable)
+    history: VersionHistory = field(
+        default_factory=lambda: VersionHistory(STREAM_LIFETIME)
+    )
+    _domains: dict[str, list[str]] = field(default_factory=dict)
+    _questions: dict[str, _Question] = field(default_factory=dict)
+
+    def update_routers(self) -> None:
+        """Update the routers that may keep origins: those present and not leaving."""
+        domains: dict[str, list[str]] = defaultdict(list)
+        for peer in self.peers.list_present():
+            if not peer.beat.leaving:
+                domains[peer.beat.failure_domain].append(peer.beat.router)
+        self._domains = dict(domains)
+
+    # Telling
+
+    def record(self, key: str, origin: Origin) -> None:
+        """Record where a stream began, and tell its keepers without waiting.
+
+        They are told at once, before the caller gets the event: a router that is killed
+        a moment later can't tell them any more.
+        """
+        self.table.add(key, origin, self.clock.now())
+        message = StreamBegan(key, origin.service, origin.version)
+        for ip in self._list_keepers(key, KEEPERS):
+            self.peers.send(message, ip)
+
+    def apply_told(self, message: StreamBegan) -> None:
+        """Record where a stream began that another router has begun."""
+        origin = Origin(message.service, message.version)
+        self.table.add(message.stream, origin, self.clock.now())
+
+    def _list_keepers(self, key: str, most: int) -> list[str]:
+        """Return the addresses of the other routers that may know a stream.
+
+        In a small fleet these are all.
+        """
+        most = len(self.peers.routers) if self.peers.small else most
+        names = choose_keepers(key, self._domains, most)
+        known = [self.peers.routers.get(name) for name in names]
+        return [peer.beat.ip for peer in known if peer is not None]
+
+    # Asking
+
+    def infer(self, service: str) -> Origin | None:
+        """Return where a stream of a service began of which nobody was told.
+
+        None if the service has had more than one version for as long as streams last.
+        """
+        version = self.history.find_only(service, self.clock.now())
+        return None if version is None else Origin(service, version)
+
+    async def find(self, key: str) -> Finding:
+        """Find out where a stream began.
+
+        The other routers are asked if this one hasn't been told.
+        """
+        if self.table.is_known(key, self.clock.now()):
+            return Finding(self.table.find(key, self.clock.now()), is_told=True)
+        question = self._questions.get(key) or self._ask(key)
+        if question is None:
+            return Finding(None)
+        try:
+            async with asyncio.timeout(_ANSWER_TIMEOUT / SECOND):
+                await question.decided.wait()
+        except TimeoutError:
+            # Routers that don't answer are restarting, or cut off.
+            pass
+        self._questions.pop(key, None)
+        votes = question.votes
+        return Finding(votes.agree(), votes.is_told, votes.is_complete)
+
+    def _ask(self, key: str) -> _Question | None:
+        keepers = self._list_keepers(key, ASKED)
+        if not keepers:
+            return None
+        question = self._questions[key] = _Question(OriginVotes(len(keepers)))
+        for ip in keepers:
+            self.peers.send(OriginAsk(key, self.ip), ip)
+        return question
+
+    def answer(self, message: OriginAsk) -> None:
+        """Answer another router that asks for a stream."""
+        now = self.clock.now()
+        origin = self.table.find(message.stream, now)
+        is_known = self.table.is_known(message.stream, now)
+        service, version = (origin.service, origin.version) if origin else ("", "")
+        answer = OriginAnswer(message.stream, self.router, is_known, service, version)
+        self.peers.send(answer, message.ip)
+
+    def apply_answer(self, message: OriginAnswer) -> None:
+        """Count the answer of another router."""
+        question = self._questions.get(message.stream)
+        if question is None:
+            return
+        origin = Origin(message.service, message.version) if message.version else None
+        if question.votes.add(message.router, origin, message.known):
+            question.decided.set()
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -11,13 +11,16 @@
     ANSWER_LATE,
     NOT_READY,
     OVERLOADED,
+    STREAM_NOT_RESUMABLE,
     UNAUTHENTICATED,
     UNKNOWN_ROUTE,
     AnvilshiftError,
 )
+from anvilshift.core.origins import Origin, make_stream_key
 from anvilshift.core.routing import (
     ModelLimits,
     OrganisationBudget,
+    RequestKind,
     RouteTable,
     Rule,
 )
@@ -26,6 +29,7 @@
 from anvilshift.gateway.border import Call
 from anvilshift.gateway.charging import count_used_tokens
 from anvilshift.gateway.crashes import CrashTracker, digest_request
+from anvilshift.gateway.origins import Finding
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.shared import RouterContext
@@ -35,6 +39,10 @@
 _MAX_LOGGED_ID = 64
 """Characters of an id from a caller that are logged."""
 
+_KEEPER_RETRY: Millis = 500.0
+"""Retry delay while routers that may know a stream don't answer: a restart of a router
+takes about that long."""
+
 
 class RequestHandler:
     """Handle one caller's request."""
@@ -113,7 +121,8 @@
         content = digest_request(self.request, self.turn.organisation)
         crashes = CrashTracker(self.shared, content)
         crashes.check()
-        routed = self._route(table, call, rule)
+        origin = await self._find_origin(call, rule)
+        routed = self._route(table, call, rule, origin)
         attempts = Attempts(self.shared, routed, self.relay, self.turn, crashes)
         self.attempts = attempts
         if routed.model is None:
@@ -121,9 +130,49 @@
         else:
             await self._serve_prepaid(attempts, routed, routed.model)
 
-    def _route(self, table: RouteTable, call: Call, rule: Rule) -> RoutedRequest:
+    async def _find_origin(self, call: Call, rule: Rule) -> Origin | None:
+        """Return where the stream began that a call takes up; None for a new request.
+
+        Raises
+        ------
+        AnvilshiftError
+            When that isn't known, or the route doesn't lead there any more.  A caller
+            of another organisation learns nothing else either.
+        """
+        if call.resume_after is None or rule.kind is not RequestKind.STREAMING:
+            return None
+        finding = await self._ask_origin(call)
+        origin = finding.origin
+        if origin is None and finding.is_final and not finding.is_told:
+            origin = self._infer_origin(rule)
+        if origin is None:
+            wait = None if finding.is_final else _KEEPER_RETRY
+            detail = "where the stream began isn't known"
+            raise AnvilshiftError(STREAM_NOT_RESUMABLE, detail, wait)
+        if not rule.leads_to(origin.service):
+            detail = "the route doesn't lead to the stream's service any more"
+            raise AnvilshiftError(STREAM_NOT_RESUMABLE, detail)
+        return origin
+
+    async def _ask_origin(self, call: Call) -> Finding:
+        """Return what the routers were told of the stream that a call takes up."""
+        if call.began_as is None:
+            return Finding(None)
+        organisation = self.payer.name if self.payer else ""
+        key = make_stream_key(organisation, call.began_as)
+        return await self.shared.origins.find(key)
+
+    def _infer_origin(self, rule: Rule) -> Origin | None:
+        """Return where any stream of a route began, if there is just one answer."""
+        if len(rule.services) != 1:
+            return None
+        return self.shared.origins.infer(rule.services[0][0])
+
+    def _route(
+        self, table: RouteTable, call: Call, rule: Rule, origin: Origin | None
+    ) -> RoutedRequest:
         patience = rule.timeout if call.patience is None else call.patience
-        name = rule.draw_service(self.shared.rng)
+        name = origin.service if origin else rule.draw_service(self.shared.rng)
         service = table.configuration.services.get(name)
         return RoutedRequest(
             self.request,
@@ -135,6 +184,7 @@
             name,
             service.model if service else None,
             table.find_pause_objective(name),
+            origin,
         )
 
     def _authenticate(
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -10,7 +10,7 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Clock, Millis
-from anvilshift.core.loadmap import LoadMap, Prompt
+from anvilshift.core.loadmap import LoadMap, Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, Dialect, TargetFields
 from anvilshift.gateway.journal import Journal
@@ -18,7 +18,9 @@
 from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
+from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
 from anvilshift.wire.client import ExchangeError, Response
+from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Headers, HttpRequest
 
 _MAX_LOGGED_FIELDS = 64
@@ -26,6 +28,8 @@
 _MAX_LOGGED_VALUE = 80
 """Characters of a header field's value that are logged."""
 
+_STARTED_ANEW = "the target may have started anew with another version"
+
 
 class AttemptError(Exception):
     """An attempt failed: it gave no answer, or none that is complete and valid.
@@ -121,6 +125,7 @@
     clock: Clock
     journal: Journal
     limits: RateLimits
+    starts: TargetStarts
     _logged_fields: set[str] = field(default_factory=set)
 
     @contextlib.asynccontextmanager
@@ -205,6 +210,8 @@
         async with self.reach.open(
             info, wait, is_engine, outgoing.repeatable
         ) as connection:
+            if outgoing.delivery.resume_after is not None and is_engine:
+                await self._verify_start(outgoing.choice.target, connection)
             self._check_rest(info.name)
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
@@ -221,6 +228,32 @@
             ) as response:
                 yield response
 
+    async def _verify_start(self, target: TargetLoad, connection: Connection) -> None:
+        """Check on a request's connection that its target is the start it is meant for.
+
+        A stream goes on only at the version that began it, and no target checks that.
+
+        Raises
+        ------
+        AttemptError
+            When the target has started anew, or that isn't known; nothing was sent.
+        """
+        if not self.starts.can_ask(target):
+            if target.is_start_doubted:
+                raise AttemptError(Failure.REJECTED, _STARTED_ANEW)
+            return
+        try:
+            result = await self.starts.check(target, connection)
+        except (ExchangeError, TimeoutError) as error:
+            detail = f"the target's start can't be verified: {error!r}"
+            raise AttemptError(Failure.REJECTED, detail) from error
+        if result is StartCheck.OTHER or target.is_start_doubted:
+            raise AttemptError(Failure.REJECTED, _STARTED_ANEW)
+        client, address = self.reach.client, connection.address
+        if client.take_idle(address, lambda one: one is connection) is None:
+            detail = "the target closed the connection after its report"
+            raise AttemptError(Failure.REJECTED, detail)
+
     def _record_farewell(self, outgoing: Outgoing) -> None:
         """Send nothing more to a target that says it is leaving; tell the others."""
         name = outgoing.choice.target.info.name
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -12,6 +12,7 @@
 from anvilshift.core.routing import RouteTable
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
+from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.sending import Sender
@@ -53,6 +54,7 @@
     domain: str
     retries: RetryBudget
     health: TargetHealth
+    origins: StreamOrigins
     table: RouteTable | None = None
     blame: CrashBlame = field(default_factory=CrashBlame)
     on_target_lost: Callable[[str], None] = lambda target: None
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -10,7 +10,7 @@
 from anvilshift.core.routing import Configuration
 from anvilshift.gateway.border import AnswerFields, Call, Raw, TargetFields
 from anvilshift.platform import names
-from anvilshift.platform.records import ConfigurationRecord, TargetRecord
+from anvilshift.platform.records import ConfigurationRecord, ReportRecord, TargetRecord
 from anvilshift.wire.messages import (
     HeaderFields,
     Headers,
@@ -27,6 +27,7 @@
     configuration_kind = names.CONFIGURATION_KIND
     configuration_name = names.CONFIGURATION_NAME
     targets_kind = names.TARGETS_KIND
+    report_path = names.REPORT_PATH
 
     def read_configuration(self, body: Raw) -> Configuration:
         """Return the configuration that a stored object holds.
@@ -107,6 +108,15 @@
             pairs.get(names.LEAVING, "0").strip() != "0",
         )
 
+    def read_start(self, status: int, body: bytes) -> int | None:
+        """Return the number of a target's start from its report; None if unknown."""
+        if status != 200:
+            return None
+        try:
+            return ReportRecord.model_validate_json(body).born
+        except ValidationError:
+            return None
+
 
 def _read_credential(value: str | None) -> str | None:
     if value is None or not value.lower().startswith(names.BEARER_PREFIX):
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -59,6 +59,7 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 TARGETS_KIND = "servers"
+REPORT_PATH = "/v1/report"
 READY_PATH = "/v1/readyz"
 RESOLVE_PATH = "/v1/resolve"
 DOMAIN_PARAMETER = "zone"
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -197,6 +197,13 @@
         )
 
 
+class ReportRecord(_Record):
+    """What a target reports of itself."""
+
+    model_config = ConfigDict(strict=True)
+    born: int | None = None
+
+
 def _read_version(value: Any) -> str | None:
     """Return a version of bounded length; None unless it is a non-empty text.
 
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -155,6 +155,8 @@
         `Retry-After` of its plain answers, if any.
     leaving
         Whether its answers say that it is leaving.
+    report, reports
+        What it reports of itself, and how often it was asked.
     """
 
     def __init__(self, name: str) -> None:
@@ -185,6 +187,8 @@
         self.running = 0
         self.rest: str | None = None
         self.leaving = False
+        self.report: dict[str, Any] = {"phase": "colocated", "born": 1}
+        self.reports = 0
         self.server = HttpServer(self.handle)
 
     async def start(self) -> Address:
@@ -192,6 +196,10 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         identity = request.headers.get("anvilshift-attempt-id") or ""
+        if request.path == "/v1/report":
+            self.reports += 1
+            await responder.send(_reply(200, self.report))
+            return
         self.requests.append(request)
         self.arrivals.append(asyncio.get_running_loop().time())
         if request.headers.get("anvilshift-expect-instance") != self.name:
