Fetch cache entries only from engines of the same version

With two versions side by side an engine was told to fetch a prompt's cache entries from whichever engine had most of them. The source is now the longest prefix at the engine's own known version; an unknown one fits none.

Before: the new test red for another and for an unknown version. Its engines had no version; they have one now, since two unknown versions don't count as the same. Cost: shared parts are computed once for each version.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -172,18 +172,34 @@
     if not usable:
         return None
     matches = [(target.count_cached(demand.prompt), target) for target in usable]
-    longest = max(matches, key=lambda pair: pair[0])
+    sources = _find_sources(matches)
     rng.shuffle(matches)
     choices = [
-        _predict(target, cached, longest, demand, now) for cached, target in matches
+        _predict(target, cached, sources.get(target.version), demand, now)
+        for cached, target in matches
     ]
     return min(choices, key=lambda choice: _compute_cost(choice, demand, now))
 
 
+def _find_sources(
+    matches: Iterable[tuple[int, TargetLoad]],
+) -> dict[str | None, tuple[int, TargetLoad]]:
+    """Return the longest cached prefix at each known version, and the engine's load.
+
+    Cache entries that one version wrote can't be read by another.
+    """
+    sources: dict[str | None, tuple[int, TargetLoad]] = {}
+    for cached, target in matches:
+        known = sources.get(target.version)
+        if target.version is not None and (known is None or cached > known[0]):
+            sources[target.version] = cached, target
+    return sources
+
+
 def _predict(
     target: TargetLoad,
     cached: int,
-    longest: tuple[int, TargetLoad],
+    longest: tuple[int, TargetLoad] | None,
     demand: Demand,
     now: Millis,
 ) -> Choice:
@@ -192,9 +208,10 @@
     Parameters
     ----------
     longest
-        Length of the longest cached prefix in tokens, and the engine that has it.
+        Length of the longest cached prefix in tokens, and the engine that has it; None
+        if there is none that the engine could fetch.
     """
-    tokens, (most, holder) = demand.prompt.tokens, longest
+    tokens, (most, holder) = demand.prompt.tokens, longest or (cached, target)
     waiting = target.backlog(now)
     prefill = prefill_time(tokens - cached, cached)
     source = None
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -16,7 +16,8 @@
 def make_map(names=ENGINES, slots=64, service="advice") -> LoadMap:
     loads = LoadMap()
     for name in names:
-        loads.declare(TargetInfo(name, service, "10.0.0.1:80", "north", slots))
+        info = TargetInfo(name, service, "10.0.0.1:80", "north", slots, version="v1")
+        loads.declare(info)
     return loads
 
 
@@ -182,6 +183,26 @@
         slow = self.choose_with_busy_holder(0.012)
         self.assertEqual((slow.target.info.name, slow.fetch_from), ("e0", None))
 
+    def test_nothing_is_transferred_from_another_version(self):
+        """Guards against an engine that reads cache entries of another version."""
+        for version in ("v2", None):
+            with self.subTest(version):
+                loads = make_map(("e0", "e1"))
+                other = replace(loads.targets["e1"].info, version=version)
+                loads.declare(other)
+                prompt = Prompt((("sheet", 9_000), ("q", 100)), 9_100, 50)
+                loads.send("e0", "r1", prompt, 0, 0.0, CAPACITY)
+                demand = make_demand(prompt)
+                choice = choose_engine(
+                    loads, demand, 0.0, random.Random(1), excluded=("e0",)
+                )
+                self.assertEqual(choice.target.info.name, "e1")
+                busy = Prompt((("x", 40_000),), 40_000, 50)
+                loads.send("e0", "r2", busy, 0, 0.0, CAPACITY)
+                choice = choose_engine(loads, demand, 0.0, random.Random(1))
+                self.assertEqual(choice.target.info.name, "e1")
+                self.assertIsNone(choice.fetch_from)
+
     def test_nothing_is_transferred_where_no_rate_is_declared(self):
         self.assertIsNone(self.choose_with_busy_holder(math.inf).fetch_from)
 
