Forget a target's failures when it starts anew under its name

Failures that all routers report were kept by name, so a target that came back under its id, with another version perhaps, could be ejected for what the start before had done; a report's own start was checked, what had been counted already wasn't.

--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -182,6 +182,7 @@
             clock,
             journal,
             self.messenger.handle_lost_target,
+            self.shared.health.reports.forget,
         )
         self.configuration_follower = Follower(
             store,
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -23,6 +23,8 @@
     ----------
     on_target_lost
         Called with the name of a target that has ended or was restarted.
+    on_new_start
+        Called with the name of a target that was restarted under its name.
     """
 
     dialect: Dialect
@@ -32,6 +34,7 @@
     clock: Clock
     journal: Journal
     on_target_lost: Callable[[str], None]
+    on_new_start: Callable[[str], None] = lambda name: None
     _unreadable: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -62,6 +65,7 @@
             self.client.forget(Address.parse(info.address))
             if known is not None:
                 self.on_target_lost(info.name)
+                self.on_new_start(info.name)
         elif known.info.leaving and not info.leaving:
             # Another router announced that the target leaves; its entry is older.
             info = replace(info, leaving=True)
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -3,6 +3,7 @@
 import json
 
 from anvilshift.core.origins import OriginTable, make_stream_key
+from anvilshift.core.work import Failure
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import Address
 from tests.platform.gatewaycase import GatewayCase, make_configuration
@@ -261,3 +262,18 @@
                 self.check_went_on(*await self.take_up(identity, began, node))
                 (ran,) = self.find_runs(identity)
                 self.assertEqual(ran in ("e1", "e2"), name in ("e1", "e2"))
+
+
+class NewStartTest(VersionCase):
+    async def test_failures_of_the_start_before_do_not_count(self):
+        """Guards against a new version that is ejected for what the old one did."""
+        await self.add_engines(e1="v1", e2="v1")
+        await self.start_node()
+        health = self.node.shared.health
+        failed = self.node.loads.targets["e1"]
+        health.record_failure(failed, Failure.BROKE_OFF, "a", False)
+        self.assertIn("e1", health.reports.list_targets())
+        address = Address.parse(failed.info.address)
+        self.register("e1", "llm", address, version="v2", born=2)
+        await self.wait_for(lambda: self.node.loads.targets["e1"].version == "v2")
+        self.assertNotIn("e1", health.reports.list_targets())
