--- a/anvilshift/core/origins.py
+++ b/anvilshift/core/origins.py
@@ -12,6 +12,7 @@
 
 import hashlib
 import itertools
+import math
 from collections import OrderedDict
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
@@ -79,8 +80,9 @@
     >>> "r3" in keepers, len(choose_keepers("k1", routers, most=5))
     (True, 3)
     """
-    domains = rank_targets(key, routers, len(routers))
-    ranked = [rank_targets(key, routers[one], most) for one in domains[:most]]
+    domains = rank_targets(key, routers, most)
+    in_each = math.ceil(most / max(1, len(domains)))
+    ranked = [rank_targets(key, routers[one], in_each) for one in domains]
     rounds = itertools.chain.from_iterable(itertools.zip_longest(*ranked))
     return [name for name in rounds if name is not None][:most]
 
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
@@ -15,16 +15,14 @@
     ENGINE_FAILED,
     NO_ENGINE,
     OVERLOADED,
+    STREAM_NOT_RESUMABLE,
     AnvilshiftError,
     Code,
 )
 from anvilshift.core.loadmap import Prompt
-from anvilshift.core.origins import Origin, make_stream_key
 from anvilshift.core.routing import (
     ModelLimits,
-    OrganisationBudget,
     RequestKind,
-    Rule,
 )
 from anvilshift.core.timeouts import (
     NO_ENGINE_RETRY,
@@ -34,50 +32,14 @@
     rank,
 )
 from anvilshift.core.work import Failure
-from anvilshift.gateway.border import Call, TargetFields
+from anvilshift.gateway.border import TargetFields
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
+from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.sending import Answer, AttemptError, Outgoing
 from anvilshift.gateway.shared import RouterContext
-from anvilshift.wire.messages import HttpRequest
-
-
-@dataclass(frozen=True)
-class RoutedRequest:
-    """A caller's request with its route and the service that is to run it.
-
-    Parameters
-    ----------
-    arrived, end
-        When it arrived, and its deadline.
-    payer
-        The organisation that pays; None for an anonymous request.
-    model
-        Limits of the service's model; None for a plain service.
-    pause
-        Longest allowed pause between two events of the service's streams.
-    origin
-        Where the stream began that it takes up; None for a new request.
-    """
-
-    request: HttpRequest
-    call: Call
-    arrived: Millis
-    end: Millis
-    rule: Rule
-    payer: OrganisationBudget | None
-    service: str
-    model: ModelLimits | None
-    pause: Millis
-    origin: Origin | None = None
-
-    @property
-    def stream_key(self) -> str:
-        """Return the key of its stream, which a caller takes up under another id."""
-        organisation = self.payer.name if self.payer else ""
-        began_as = self.call.began_as if self.origin is not None else None
-        return make_stream_key(organisation, began_as or self.call.identity)
+from anvilshift.gateway.streambinding import StreamBinding
 
 
 class Attempts:
@@ -121,8 +83,7 @@
         self.sent = routed.arrived
         self.concurrent_runs = 0
         self.predicted: Millis = 0.0
-        self._origin = routed.origin
-        self._is_bound = routed.origin is not None
+        self._stream = StreamBinding(shared, routed)
 
     async def run(self) -> None:
         """Send the request to targets until one of them has answered it.
@@ -156,9 +117,10 @@
         prompt = (
             self._routed.call.prompt if self._routed.model is not None else Prompt()
         )
-        excluded |= self._list_unfit()
-        version = self._origin.version if self._origin else None
-        excluded |= self._crashes.list_forbidden(self._routed.service, prompt, version)
+        excluded |= self._stream.list_unfit()
+        excluded |= self._crashes.list_forbidden(
+            self._routed.service, prompt, self._stream.version
+        )
         delays = self._turn.list_permit_delays()
         loads = shared.sender.loads
         if self._routed.model is not None:
@@ -182,23 +144,14 @@
                 raise self._make_final_error(
                     OVERLOADED, turn, "no permit is expected before the deadline"
                 )
+            if self._stream.is_stranded():
+                detail = "the version that began the stream serves no more"
+                raise self._make_final_error(STREAM_NOT_RESUMABLE, 0.0, detail)
             raise self._make_final_error(
                 NO_ENGINE, NO_ENGINE_RETRY, "no target is available"
             )
         return choice
 
-    def _list_unfit(self) -> set[str]:
-        """Return the targets at which a stream that has begun may not go on."""
-        if not self._is_bound:
-            return set()
-        version = self._origin.version if self._origin else None
-        targets = self._shared.sender.loads.list_service_targets(self._routed.service)
-        return {
-            one.info.name
-            for one in targets
-            if version is None or one.version != version
-        }
-
     def _make_demand(
         self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
     ) -> Demand:
@@ -423,17 +376,9 @@
         await self._relay.send_complete(answer, body)
 
     def _record_first_event(self, outgoing: Outgoing) -> None:
-        """Record the first event of an attempt, before the caller gets it.
-
-        From now on the stream goes on at its version only, here and at other routers.
-        """
+        """Record the first event of an attempt, before the caller gets it."""
         self._record_first_byte(outgoing)
-        target = outgoing.choice.target
-        if not self._is_bound and target.version is not None:
-            self._origin = Origin(target.info.service, target.version)
-        self._is_bound = True
-        if self._origin is not None and self._routed.rule.resumable:
-            self._shared.origins.record(self._routed.stream_key, self._origin)
+        self._stream.record_event(outgoing.choice.target)
 
     def _record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and how long that took."""
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -101,8 +102,9 @@
 
         In a small fleet these are all.
         """
-        most = len(self.peers.routers) if self.peers.small else most
-        names = choose_keepers(key, self._domains, most)
+        names: Iterable[str] = self.peers.routers
+        if not self.peers.small:
+            names = choose_keepers(key, self._domains, most)
         known = [self.peers.routers.get(name) for name in names]
         return [peer.beat.ip for peer in known if peer is not None]
 
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -25,13 +25,14 @@
     Rule,
 )
 from anvilshift.core.timeouts import NO_ENGINE_RETRY
-from anvilshift.gateway.attempts import Attempts, RoutedRequest
+from anvilshift.gateway.attempts import Attempts
 from anvilshift.gateway.border import Call
 from anvilshift.gateway.charging import count_used_tokens
 from anvilshift.gateway.crashes import CrashTracker, digest_request
 from anvilshift.gateway.origins import Finding
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
+from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.server import CallerDisconnectedError, Responder
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -31,6 +31,8 @@
 }
 
 
+ABSENT = object()
+"""Stands for a field that an entry doesn't have."""
 _LISTENING_PORTS = 20_000, 30_000
 _WARM_UP_SUCCESSES = 20
 """Consecutive successes after which a router counts as warmed up."""
@@ -111,7 +113,9 @@
     def register(self, name: str, service: str, address: Address, **rest) -> None:
         entry = {"service": service, "address": str(address), "zone": "north"}
         figures = {"slots": 8, "state": "ready", "sequence": 1, "born": 1}
-        self.store_stub.put("servers", name, {**entry, **figures, **rest})
+        entry = {**entry, **figures, "version": "v1", **rest}
+        present = {key: value for key, value in entry.items() if value is not ABSENT}
+        self.store_stub.put("servers", name, present)
 
     async def start_node(
         self, configured: bool = True, history: float | None = None
--- a/tests/platform/rawtarget.py
+++ b/tests/platform/rawtarget.py
@@ -10,6 +10,8 @@
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+REPORT = b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"born":1}'
+
 
 class Frame(Enum):
     """How an answer says where its body ends."""
@@ -120,6 +122,9 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").splitlines()
         fields = dict(line.lower().split(": ", 1) for line in head[1:] if line)
         await reader.readexactly(int(fields.get("content-length", 0)))
+        if head[0].startswith("GET /v1/report "):
+            writer.write(REPORT)
+            return True
         self.requests.append(fields)
         if self.hangs_up:
             writer.close()
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -155,6 +155,10 @@
         `Retry-After` of its plain answers, if any.
     leaving
         Whether its answers say that it is leaving.
+    mark
+        Text in the data of its events, before their number.
+    half_ends
+        Whether it frames the end of a stream that it breaks off, inside an event.
     report, reports
         What it reports of itself, and how often it was asked.
     """
@@ -187,6 +191,8 @@
         self.running = 0
         self.rest: str | None = None
         self.leaving = False
+        self.mark = b"t"
+        self.half_ends = False
         self.report: dict[str, Any] = {"phase": "colocated", "born": 1}
         self.reports = 0
         self.server = HttpServer(self.handle)
@@ -271,8 +277,12 @@
         for number in range(since + 1, self.events + 1):
             if most is not None and number > most:
                 await responder.write(b"id: %d\nda" % number)
+                if self.half_ends:
+                    await responder.finish()
+                    return
                 responder.abort()
                 raise CallerDisconnectedError("crashed")
-            await responder.write(b"id: %d\ndata: t%d\n\n" % (number, number))
+            event = b"id: %d\ndata: %b%d\n\n" % (number, self.mark, number)
+            await responder.write(event)
             await asyncio.sleep(self.pace)
         await responder.finish()
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -6,7 +6,7 @@
 from anvilshift.core.work import Failure
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import Address
-from tests.platform.gatewaycase import GatewayCase, make_configuration
+from tests.platform.gatewaycase import ABSENT, GatewayCase, make_configuration
 
 BEGUN = 3
 """Events after which an engine breaks its streams off."""
@@ -120,11 +120,10 @@
 
     async def test_stream_of_unknown_version_is_not_taken_up(self):
         """Guards against two unknown versions that count as equal."""
-        for version in ({}, {"version": ""}, {"version": 7}, {"version": None}):
+        for version in (ABSENT, "", 7, None):
             with self.subTest(version):
                 self.store_stub.objects.clear()
-                await self.add_engines()
-                engine = await self.add_target("e1", "llm", **version)
+                engine = await self.add_target("e1", "llm", version=version)
                 engine.breaks_new = BEGUN
                 await self.start_node()
                 await self.begin("a")
