--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -157,6 +157,8 @@
         Whether its answers say that it is leaving.
     mark
         Text in the data of its events, before their number.
+    numbers_events
+        Whether its events have ids.
     half_ends
         Whether it frames the end of a stream that it breaks off, inside an event.
     report, reports
@@ -193,6 +195,7 @@
         self.leaving = False
         self.mark = b"t"
         self.half_ends = False
+        self.numbers_events = True
         self.report: dict[str, Any] = {"phase": "colocated", "born": 1}
         self.reports = 0
         self.server = HttpServer(self.handle)
@@ -282,7 +285,9 @@
                     return
                 responder.abort()
                 raise CallerDisconnectedError("crashed")
-            event = b"id: %d\ndata: %b%d\n\n" % (number, self.mark, number)
+            event = b"data: %b%d\n\n" % (self.mark, number)
+            if self.numbers_events:
+                event = b"id: %d\n" % number + event
             await responder.write(event)
             await asyncio.sleep(self.pace)
         await responder.finish()
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -73,6 +73,15 @@
             names = self.find_runs(identity)
             self.assertIn(names, (["e1", "e2"], ["e3", "e4"]))
 
+    async def test_stream_without_ids_is_not_sent_again(self):
+        """Guards against events that come twice, as nothing says where to go on."""
+        await self.add_engines(e1="v1", e2="v1")
+        for engine in self.targets.values():
+            engine.numbers_events = False
+        await self.start_node()
+        await self.begin("a")
+        self.assertEqual(len(self.find_runs("a")), 1)
+
     async def test_stream_that_has_sent_nothing_may_begin_at_any_version(self):
         """Guards against a bound version of a stream that has no event yet."""
         await self.add_engines(e1="v1", e2="v2")
