Split the load map, the server and the gateway's node, and forget versions after a stop

One change of behaviour: a host that was suspended stops the steady clock, so a router that stood still saw no gap in the versions it had seen. It begins anew now, with its other stale state; the new test is red without the call.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -21,8 +21,9 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import HealthState
-from anvilshift.core.loadmap import LoadMap, Prompt, TargetLoad
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.prefill import FETCH_SETUP, longest_pause, prefill_time
+from anvilshift.core.targetload import Prompt, TargetLoad
 
 _RUNNING_MS = 2.0
 """Cost of each concurrent request: it lengthens every step slightly and occupies
--- a/anvilshift/core/versionhistory.py
+++ b/anvilshift/core/versionhistory.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.loadmap import TargetInfo
+from anvilshift.core.targetload import TargetInfo
 
 _MAX_GAP: Millis = 2 * SECOND
 """Time in which no target can register, begin a stream and be gone from the register:
@@ -80,6 +80,10 @@
             seen = self._seen[service]
             seen[version] = max(seen.get(version, -math.inf), now - ago)
 
+    def restart(self) -> None:
+        """Begin anew: targets may have come and gone unseen."""
+        self._last = -math.inf
+
     def find_only(self, service: str, now: Millis) -> str | None:
         """Return a service's only version; None if there were others, or may have been.
 
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -19,11 +19,11 @@
     AnvilshiftError,
     Code,
 )
-from anvilshift.core.loadmap import Prompt
 from anvilshift.core.routing import (
     ModelLimits,
     RequestKind,
 )
+from anvilshift.core.targetload import Prompt
 from anvilshift.core.timeouts import (
     NO_ENGINE_RETRY,
     find_attempt_timeout,
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -9,8 +9,8 @@
 from typing import Any, Protocol
 
 from anvilshift.core.clock import Millis
-from anvilshift.core.loadmap import Prompt, TargetInfo
 from anvilshift.core.routing import Configuration
+from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.wire.messages import HeaderFields, Headers, HttpRequest
 
 Raw = Mapping[str, Any]
--- a/anvilshift/gateway/charging.py
+++ b/anvilshift/gateway/charging.py
@@ -1,7 +1,7 @@
 """Count the tokens of a request that an organisation pays for."""
 
-from anvilshift.core.loadmap import Prompt
 from anvilshift.core.routing import ModelLimits, RequestKind, Rule
+from anvilshift.core.targetload import Prompt
 from anvilshift.core.timeouts import bound_abandoned_tokens
 from anvilshift.gateway.relaying import COMPLETE, AnswerRelay
 
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -6,8 +6,9 @@
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import Clock
-from anvilshift.core.loadmap import LoadMap, Prompt
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import Mark, MarkLog
+from anvilshift.core.targetload import Prompt
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import (
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -10,7 +10,7 @@
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
 from anvilshift.core.homes import choose_homes_of_version
-from anvilshift.core.loadmap import Prompt, TargetLoad
+from anvilshift.core.targetload import Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.reach import Reached
 from anvilshift.gateway.sending import AttemptError
--- a/anvilshift/gateway/forwarding.py
+++ b/anvilshift/gateway/forwarding.py
@@ -1,8 +1,9 @@
 """Forward the requests of routers that have lost their path to a target."""
 
 from anvilshift.core.clock import Clock
-from anvilshift.core.loadmap import LoadMap, TargetLoad
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.paths import TargetPaths
+from anvilshift.core.targetload import TargetLoad
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import CONNECT_TIMEOUT
 from anvilshift.wire.client import Network
--- a/anvilshift/gateway/limits.py
+++ b/anvilshift/gateway/limits.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.loadmap import LoadMap, TargetLoad
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.permits import RouterPresence
 from anvilshift.core.ratelimits import SPAN, RateLimit, learn
+from anvilshift.core.targetload import TargetLoad
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Limited, Paused, SentBefore
 from anvilshift.gateway.peers import Peers
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import random
-import time
 from dataclasses import replace
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.ejection import Health
 from anvilshift.core.errors import AnvilshiftError, ExecutionState
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
@@ -17,13 +15,14 @@
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
-from anvilshift.gateway.following import Follower, WatchIntervals, find_interval_factor
+from anvilshift.gateway.following import Follower, WatchIntervals
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.passing import RequestHandler
 from anvilshift.gateway.peers import PeerCallbacks, Peers
+from anvilshift.gateway.periodic import TICK_INTERVAL, PeriodicWork
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.recording import Recorder
@@ -38,12 +37,12 @@
 from anvilshift.gateway.targetstarts import TargetStarts
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
+from anvilshift.wire.errorreplies import render_error
 from anvilshift.wire.messages import Address, HttpRequest, Limits
 from anvilshift.wire.server import (
     CallerDisconnectedError,
     HttpServer,
     Responder,
-    render_error,
 )
 
 _CONFIGURATION_INTERVALS = WatchIntervals(wait=1.5 * SECOND)
@@ -51,10 +50,6 @@
 """Engines renew their entries many times a second, so changes are read in batches.
 An engine announces its departure two seconds ahead; a rest of 500 ms uses half a
 second of these."""
-_TICK_INTERVAL: Millis = 100.0
-_SUSPENDED_AFTER: Millis = 700.0
-"""An event loop that was delayed for longer was frozen or suspended, not merely
-busy."""
 _SEED_TIMEOUT: Millis = 60.0
 """Time after the start for a seed to answer.  If all routers lost power, the seeds may
 start some tenths of a second after the others."""
@@ -326,7 +321,7 @@
             self.allotter.run(),
             self._record(),
             self._find_peers(),
-            self._run_tick_loop(),
+            PeriodicWork(self).run(),
         )
         self._tasks = [loop.create_task(coroutine) for coroutine in coroutines]
         for task in self._tasks:
@@ -335,7 +330,7 @@
     async def _record(self) -> None:
         """Record this router's use, once the share of its former process has ended."""
         while self.settings.history is None or not self.allotter.is_ready:
-            await asyncio.sleep(_TICK_INTERVAL / SECOND)
+            await asyncio.sleep(TICK_INTERVAL / SECOND)
         await self.recorder.run()
 
     async def _find_peers(self) -> None:
@@ -353,54 +348,6 @@
             self.journal.write("part_ended", why=repr(task.exception()))
             raise SystemExit(1)
 
-    async def _run_tick_loop(self) -> None:
-        """Run the periodic work, and detect that this process was suspended.
-
-        A suspended host stops the steady clock, but not the boot-time clock.
-        """
-        before = self.clock.now()
-        boot = time.clock_gettime(time.CLOCK_BOOTTIME) * SECOND
-        while True:
-            await asyncio.sleep(_TICK_INTERVAL / SECOND)
-            now = self.clock.now()
-            booted = time.clock_gettime(time.CLOCK_BOOTTIME) * SECOND
-            if max(now - before, booted - boot) > _SUSPENDED_AFTER:
-                self._discard_stale_state(max(now - before, booted - boot))
-            before, boot = now, booted
-            self._run_periodic_work(now)
-
-    def _discard_stale_state(self, span: Millis) -> None:
-        """Discard state that became stale while this process did not run."""
-        self.journal.write("stood_still", span=round(span))
-        self.client.close()
-        for target in self.loads.targets.values():
-            # Connections that broke meanwhile are no evidence of unhealthy targets.
-            target.health = Health()
-        self.permits.handle_suspension()
-        self.configuration_follower.restart()
-        self.target_follower.restart()
-
-    def _run_periodic_work(self, now: Millis) -> None:
-        if not self.target_follower.is_fresh():
-            self.targets.entries.note_outage()
-        self.targets.entries.remove_missing()
-        self.messenger.update_routers()
-        routers = 1 + len(self.peers.list_present())
-        self.shared.retries.limit(self.settings.find_retry_reserve(routers))
-        for follower in (self.configuration_follower, self.target_follower):
-            follower.interval_factor = find_interval_factor(routers)
-        self.recorder.routers = self.allocators.count_allocators()
-        self.allotter.balances.set_provable(self.recorder.can_prove_age())
-        self.messenger.return_unused_tokens()
-        self.loads.expire(now)
-        self.permits.run_checks(now)
-        self.shared.health.probe_ejected(now)
-        self.reach.watch(now)
-        self.starts.expire(self.target_follower.is_fresh())
-        if self.target_follower.is_fresh():
-            targets = [one.info for one in self.loads.targets.values()]
-            self.shared.origins.history.observe(targets, now)
-
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
 
--- /dev/null
+++ b/anvilshift/gateway/periodic.py
@@ -0,0 +1,77 @@
+"""The periodic work of a gateway, and how it notices that it was suspended."""
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.ejection import Health
+from anvilshift.gateway.following import find_interval_factor
+
+if TYPE_CHECKING:
+    from anvilshift.gateway.node import GatewayNode
+
+TICK_INTERVAL: Millis = 100.0
+_SUSPENDED_AFTER: Millis = 700.0
+"""An event loop that was delayed for longer was frozen or suspended, not merely
+busy."""
+
+
+class PeriodicWork:
+    """The work that one gateway does ten times a second."""
+
+    def __init__(self, node: "GatewayNode") -> None:
+        self._node = node
+
+    async def run(self) -> None:
+        """Run the periodic work, and detect that this process was suspended.
+
+        A suspended host stops the steady clock, but not the boot-time clock.
+        """
+        clock = self._node.clock
+        before = clock.now()
+        boot = time.clock_gettime(time.CLOCK_BOOTTIME) * SECOND
+        while True:
+            await asyncio.sleep(TICK_INTERVAL / SECOND)
+            now = clock.now()
+            booted = time.clock_gettime(time.CLOCK_BOOTTIME) * SECOND
+            if max(now - before, booted - boot) > _SUSPENDED_AFTER:
+                self._discard(max(now - before, booted - boot))
+            before, boot = now, booted
+            self._work(now)
+
+    def _discard(self, span: Millis) -> None:
+        """Discard state that became stale while this process did not run."""
+        node = self._node
+        node.journal.write("stood_still", span=round(span))
+        node.client.close()
+        node.shared.origins.history.restart()
+        for target in node.loads.targets.values():
+            # Connections that broke meanwhile are no evidence of unhealthy targets.
+            target.health = Health()
+        node.permits.handle_suspension()
+        node.configuration_follower.restart()
+        node.target_follower.restart()
+
+    def _work(self, now: Millis) -> None:
+        node = self._node
+        is_fresh = node.target_follower.is_fresh()
+        if not is_fresh:
+            node.targets.entries.note_outage()
+        node.targets.entries.remove_missing()
+        node.messenger.update_routers()
+        routers = 1 + len(node.peers.list_present())
+        node.shared.retries.limit(node.settings.find_retry_reserve(routers))
+        for follower in (node.configuration_follower, node.target_follower):
+            follower.interval_factor = find_interval_factor(routers)
+        node.recorder.routers = node.allocators.count_allocators()
+        node.allotter.balances.set_provable(node.recorder.can_prove_age())
+        node.messenger.return_unused_tokens()
+        node.loads.expire(now)
+        node.permits.run_checks(now)
+        node.shared.health.probe_ejected(now)
+        node.reach.watch(now)
+        node.starts.expire(is_fresh)
+        if is_fresh:
+            targets = [one.info for one in node.loads.targets.values()]
+            node.shared.origins.history.observe(targets, now)
--- a/anvilshift/gateway/permits.py
+++ b/anvilshift/gateway/permits.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.loadmap import LoadMap, TargetLoad
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.permits import TAKEOVER_DELAY, Bid, BidState, PermitQueue, Verdict
+from anvilshift.core.targetload import TargetLoad
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import LimitCallbacks, RateLimits
 from anvilshift.gateway.messages import PermitAnswer, PermitAsk, PermitDropped
--- a/anvilshift/gateway/permitsession.py
+++ b/anvilshift/gateway/permitsession.py
@@ -5,8 +5,8 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.loadmap import SLOT_WAIT, TargetLoad
 from anvilshift.core.permits import BidState
+from anvilshift.core.targetload import SLOT_WAIT, TargetLoad
 from anvilshift.gateway.permits import Request
 from anvilshift.gateway.shared import RouterContext
 
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -15,8 +15,9 @@
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.forwarders import Forwarder, ForwarderChoice
-from anvilshift.core.loadmap import LoadMap, TargetInfo
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.paths import TargetPaths
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
 from anvilshift.wire.client import ExchangeError, HttpClient, Network, TcpNetwork
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -10,7 +10,8 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Clock, Millis
-from anvilshift.core.loadmap import LoadMap, Prompt, TargetLoad
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, Dialect, TargetFields
 from anvilshift.gateway.journal import Journal
--- a/anvilshift/gateway/streambinding.py
+++ b/anvilshift/gateway/streambinding.py
@@ -4,8 +4,8 @@
 when its caller takes it up at any router.
 """
 
-from anvilshift.core.loadmap import TargetLoad
 from anvilshift.core.origins import Origin
+from anvilshift.core.targetload import TargetLoad
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 
--- a/anvilshift/gateway/targetstarts.py
+++ b/anvilshift/gateway/targetstarts.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.loadmap import TargetInfo, TargetLoad
+from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
 from anvilshift.wire.client import ExchangeError, HttpClient
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -6,8 +6,8 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_VALUE, PLATFORM_UNREADABLE, AnvilshiftError
-from anvilshift.core.loadmap import Prompt, TargetInfo
 from anvilshift.core.routing import Configuration
+from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.border import AnswerFields, Call, Raw, TargetFields
 from anvilshift.platform import names
 from anvilshift.platform.records import ConfigurationRecord, ReportRecord, TargetRecord
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -9,7 +9,6 @@
 from pydantic.alias_generators import to_camel
 
 from anvilshift.core.clock import Millis
-from anvilshift.core.loadmap import TargetInfo
 from anvilshift.core.routing import (
     ClientLimits,
     Configuration,
@@ -19,6 +18,7 @@
     Rule,
     Service,
 )
+from anvilshift.core.targetload import TargetInfo
 
 _BITS_PER_BYTE = 8
 """Bits per byte."""
--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -9,10 +9,11 @@
 from anvilshift.core.errors import NOT_RECORDED, AnvilshiftError
 from anvilshift.router.requests import Job
 from anvilshift.router.runs import Run
+from anvilshift.wire.errorreplies import render_error
 from anvilshift.wire.events import Event
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import EVENT_STREAM_TYPE, JSON_TYPE, HeaderFields, Reply
-from anvilshift.wire.server import Responder, render_error
+from anvilshift.wire.server import Responder
 
 REQUEST_ID_HEADER = "anvilshift-request"
 
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -4,8 +4,9 @@
 from dataclasses import replace
 
 from anvilshift.core.choosing import Demand, choose_engine, choose_plain_target
-from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.prefill import prefill_time
+from anvilshift.core.targetload import Prompt, TargetInfo
 
 CAPACITY = 400_000
 FETCH = 0.0012
--- a/tests/core/test_loadmap.py
+++ b/tests/core/test_loadmap.py
@@ -1,7 +1,8 @@
 import unittest
 
-from anvilshift.core.loadmap import LONGEST_RUN, LoadMap, Prompt, TargetInfo
+from anvilshift.core.loadmap import LONGEST_RUN, LoadMap
 from anvilshift.core.prefill import longest_pause, prefill_time
+from anvilshift.core.targetload import Prompt, TargetInfo
 
 CAPACITY = 100_000
 
--- a/tests/core/test_origins.py
+++ b/tests/core/test_origins.py
@@ -1,6 +1,5 @@
 import unittest
 
-from anvilshift.core.loadmap import TargetInfo
 from anvilshift.core.origins import (
     ASKED,
     KEEPERS,
@@ -12,6 +11,7 @@
     choose_keepers,
     make_stream_key,
 )
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.core.versionhistory import VersionHistory
 
 V1, V2 = Origin("advice", "v1"), Origin("advice", "v2")
@@ -155,6 +155,13 @@
         self.observe(50_100, 62_000, "v2")
         self.assertEqual(other.find_only("advice", 62_000.0), "v2")
 
+    def test_router_that_stood_still_knows_of_no_only_version(self):
+        """Guards against versions that came while the router's clock stood still."""
+        self.observe(0, 31_000, "v1")
+        self.history.restart()
+        self.observe(31_100, 32_000, "v1")
+        self.assertIsNone(self.history.find_only("advice", 32_000))
+
     def test_unknown_version_may_be_any(self):
         self.observe(0, 31_000, "v1", None)
         self.assertIsNone(self.history.find_only("advice", 31_000))
--- a/tests/gateway/permitfleet.py
+++ b/tests/gateway/permitfleet.py
@@ -5,7 +5,8 @@
 from types import SimpleNamespace
 
 from anvilshift.core.choosing import Choice
-from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import (
     Limited,
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -5,7 +5,8 @@
 from types import SimpleNamespace
 
 from anvilshift.core.blame import CrashBlame
-from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.crashes import CrashTracker
 
 DOMAINS = ("north", "south", "east")
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -3,7 +3,8 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import ManualClock
-from anvilshift.core.loadmap import LoadMap, Prompt, TargetInfo
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.messages import Held
 from anvilshift.gateway.sending import Outgoing, Sender
 from anvilshift.wire.messages import Headers
--- a/tests/gateway/test_targethealth.py
+++ b/tests/gateway/test_targethealth.py
@@ -6,7 +6,8 @@
 
 from anvilshift.core.clock import SECOND
 from anvilshift.core.ejection import HealthState
-from anvilshift.core.loadmap import LoadMap, TargetInfo
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.core.work import Failure
 from anvilshift.gateway.datagrams import decode, encode
 from anvilshift.gateway.targethealth import TargetHealth
--- a/tests/platform/test_rest.py
+++ b/tests/platform/test_rest.py
@@ -5,7 +5,8 @@
 import unittest
 
 from anvilshift.core.clock import ManualClock
-from anvilshift.core.loadmap import LoadMap, TargetInfo
+from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.limits import RateLimits
 from tests.gateway.silent import SilentJournal
 from tests.platform.cutnetwork import CutNetwork
