Let one guard alone tell a tunnel's end from its server's

A mutant that let any loss of a tunnel pass without an error survived: what keeps a tunnel's end from being taken for the server's is that an end of the connection is never passed on; the second condition only chose a text.

--- a/anvilshift/wire/tunnelframes.py
+++ b/anvilshift/wire/tunnelframes.py
@@ -106,11 +106,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the protocol that the connection is lost, with an error if it broke."""
-        is_told = self._frames is not None and self._frames.ended
-        if exc is None and not is_told:
-            exc = ConnectionError("the connection through another router closed")
-        self._inner.connection_lost(exc)
+        """Fail the exchange that is using the tunnel, unless it has ended."""
+        closed = ConnectionError("the connection through another router closed")
+        self._inner.connection_lost(exc or closed)
 
     def pause_writing(self) -> None:
         """Pass the state of the write buffer on."""
