Keep an origin for as long as its caller waits, and test what mutants showed to be open

A fixed life of 20 s forgot a stream that a patient caller takes up later, or that ran for longer: its deadline says how long it can come back (120 s at most).

--- a/anvilshift/core/origins.py
+++ b/anvilshift/core/origins.py
@@ -17,19 +17,18 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.homes import rank_targets
-from anvilshift.core.loadmap import LONGEST_RUN
 
 KEEPERS = 3
 """Routers that are told of a stream in a large fleet, in different failure domains."""
 ASKED = 5
 """Routers that are asked for a stream: the keepers of before one or two changes of the
 fleet as well."""
-STREAM_LIFETIME: Millis = LONGEST_RUN
-"""Time in which callers take a stream up; a resumption tells the origin again."""
+MAX_LIFETIME: Millis = 120 * SECOND
+"""Longest time for which an origin is kept, whatever its caller's deadline."""
 MAX_ORIGINS = 20_000
-"""Origins that a router keeps: 1,000 streams begun in each second of their lifetime."""
+"""Origins that a router keeps: 1,000 streams a second whose callers wait for 20 s."""
 _KEY_BYTES = 12
 _ENOUGH = 2
 """Routers that name the same origin, after which no further answer is awaited."""
@@ -89,10 +88,10 @@
 
 @dataclass(frozen=True)
 class _Record:
-    """An origin and when it was last told; None if two different ones were told."""
+    """An origin and until when it is kept; None if two different ones were told."""
 
     origin: Origin | None
-    told: Millis
+    until: Millis
 
 
 @dataclass
@@ -102,10 +101,10 @@
     Examples
     --------
     >>> table = OriginTable()
-    >>> table.add("k1", Origin("advice", "v1"), now=0.0)
+    >>> table.add("k1", Origin("advice", "v1"), now=0.0, lasts=15_000.0)
     >>> table.find("k1", now=1.0), table.find("k2", now=1.0)
     (Origin(service='advice', version='v1'), None)
-    >>> table.add("k1", Origin("advice", "v2"), now=2.0)
+    >>> table.add("k1", Origin("advice", "v2"), now=2.0, lasts=15_000.0)
     >>> table.find("k1", now=3.0), table.is_known("k1", now=3.0)
     (None, True)
     """
@@ -115,13 +114,20 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def add(self, key: str, origin: Origin, now: Millis) -> None:
-        """Record an origin; a key that was used for two different ones names none."""
+    def add(self, key: str, origin: Origin, now: Millis, lasts: Millis) -> None:
+        """Record an origin; a key that was used for two different ones names none.
+
+        Parameters
+        ----------
+        lasts
+            Time in which the caller can take the stream up.
+        """
         known = self._get(key, now)
-        if known is not None and known.origin != origin:
-            self._records[key] = _Record(None, now)
-        else:
-            self._records[key] = _Record(origin, now)
+        until = now + min(lasts, MAX_LIFETIME)
+        if known is not None:
+            until = max(until, known.until)
+        is_same = known is None or known.origin == origin
+        self._records[key] = _Record(origin if is_same else None, until)
         self._records.move_to_end(key)
         self._expire(now)
 
@@ -136,13 +142,12 @@
 
     def _get(self, key: str, now: Millis) -> _Record | None:
         known = self._records.get(key)
-        return known if known and now - known.told <= STREAM_LIFETIME else None
+        return known if known and now <= known.until else None
 
     def _expire(self, now: Millis) -> None:
         while self._records:
             oldest = next(iter(self._records.values()))
-            is_current = now - oldest.told <= STREAM_LIFETIME
-            if is_current and len(self._records) <= MAX_ORIGINS:
+            if now <= oldest.until and len(self._records) <= MAX_ORIGINS:
                 return
             self._records.popitem(last=False)
 
--- a/anvilshift/core/versionhistory.py
+++ b/anvilshift/core/versionhistory.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.origins import MAX_LIFETIME
 from anvilshift.core.targetload import TargetInfo
 
 _MAX_GAP: Millis = 2 * SECOND
@@ -21,22 +22,16 @@
 class VersionHistory:
     """The versions of each service, and when a target had them last.
 
-    Parameters
-    ----------
-    window
-        Time for which streams last, with the tries of their callers.
-
     Examples
     --------
-    >>> history = VersionHistory(window=20_000.0)
+    >>> history = VersionHistory()
     >>> target = TargetInfo("e1", "advice", "10.0.0.1:80", "north", 8, version="v1")
     >>> for now in range(0, 21_000, 1_000):
     ...     history.observe([target], now)
-    >>> history.find_only("advice", now=20_000.0)
+    >>> history.find_only("advice", window=20_000.0, now=20_000.0)
     'v1'
     """
 
-    window: Millis
     _since: Millis = math.inf
     _last: Millis = -math.inf
     _seen: dict[str, dict[str | None, Millis]] = field(
@@ -58,7 +53,7 @@
             (service, version, now - at)
             for service, versions in self._seen.items()
             for version, at in versions.items()
-            if _MAX_GAP < now - at <= self.window
+            if _MAX_GAP < now - at <= MAX_LIFETIME
         )
 
     def find_covered(self, now: Millis) -> Millis:
@@ -84,14 +79,19 @@
         """Begin anew: targets may have come and gone unseen."""
         self._last = -math.inf
 
-    def find_only(self, service: str, now: Millis) -> str | None:
+    def find_only(self, service: str, window: Millis, now: Millis) -> str | None:
         """Return a service's only version; None if there were others, or may have been.
 
         A target of unknown version may have had any.
+
+        Parameters
+        ----------
+        window
+            Time since which no other version must have been there.
         """
-        is_covered = self._last - self._since >= self.window
+        is_covered = self._last - self._since >= window
         if not is_covered or now - self._last > _MAX_GAP:
             return None
         seen = self._seen.get(service, {})
-        lately = [one for one, at in seen.items() if now - at <= self.window]
+        lately = [one for one, at in seen.items() if now - at <= window]
         return lately[0] if len(lately) == 1 else None
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -325,11 +325,14 @@
         Key of the stream.
     service, version
         The service that began it, and the version of the engine's software.
+    lasts
+        Time in which its caller can take it up.
     """
 
     stream: str
     service: str
     version: str
+    lasts: Millis
 
 
 @dataclass(frozen=True)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -166,7 +166,7 @@
                 journal,
                 rng,
             ),
-            StreamOrigins(settings.name, settings.ip, self.peers, clock),
+            StreamOrigins(settings.name, settings.ip, self.peers, self.loads, clock),
         )
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.loadmap import LONGEST_RUN, LoadMap
 from anvilshift.core.origins import (
     ASKED,
     KEEPERS,
-    STREAM_LIFETIME,
     Origin,
     OriginTable,
     OriginVotes,
@@ -63,11 +63,10 @@
     router: str
     ip: str
     peers: Peers
+    loads: LoadMap
     clock: Clock
     table: OriginTable = field(default_factory=OriginTable)
-    history: VersionHistory = field(
-        default_factory=lambda: VersionHistory(STREAM_LIFETIME)
-    )
+    history: VersionHistory = field(default_factory=VersionHistory)
     _domains: dict[str, list[str]] = field(default_factory=dict)
     _questions: dict[str, _Question] = field(default_factory=dict)
 
@@ -81,21 +80,26 @@
 
     # Telling
 
-    def record(self, key: str, origin: Origin) -> None:
+    def record(self, key: str, origin: Origin, lasts: Millis) -> None:
         """Record where a stream began, and tell its keepers without waiting.
 
         They are told at once, before the caller gets the event: a router that is killed
         a moment later can't tell them any more.
+
+        Parameters
+        ----------
+        lasts
+            Time in which the caller can take the stream up.
         """
-        self.table.add(key, origin, self.clock.now())
-        message = StreamBegan(key, origin.service, origin.version)
+        self.table.add(key, origin, self.clock.now(), lasts)
+        message = StreamBegan(key, origin.service, origin.version, lasts)
         for ip in self._list_keepers(key, KEEPERS):
             self.peers.send(message, ip)
 
     def apply_told(self, message: StreamBegan) -> None:
         """Record where a stream began that another router has begun."""
         origin = Origin(message.service, message.version)
-        self.table.add(message.stream, origin, self.clock.now())
+        self.table.add(message.stream, origin, self.clock.now(), message.lasts)
 
     def _list_keepers(self, key: str, most: int) -> list[str]:
         """Return the addresses of the other routers that may know a stream.
@@ -110,12 +114,21 @@
 
     # Asking
 
-    def infer(self, service: str) -> Origin | None:
+    def infer(self, service: str, longest: Millis) -> Origin | None:
         """Return where a stream of a service began of which nobody was told.
 
         None if the service has had more than one version for as long as streams last.
+
+        Parameters
+        ----------
+        longest
+            Longest time that a caller waits for an answer on the stream's route.
         """
-        version = self.history.find_only(service, self.clock.now())
+        window = max(longest, LONGEST_RUN)
+        version = self.history.find_only(service, window, self.clock.now())
+        present = self.loads.list_service_targets(service)
+        if any(target.info.version != version for target in present):
+            return None
         return None if version is None else Origin(service, version)
 
     async def find(self, key: str) -> Finding:
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -167,7 +167,7 @@
         """Return where any stream of a route began, if there is just one answer."""
         if len(rule.services) != 1:
             return None
-        return self.shared.origins.infer(rule.services[0][0])
+        return self.shared.origins.infer(rule.services[0][0], rule.timeout)
 
     def _route(
         self, table: RouteTable, call: Call, rule: Rule, origin: Origin | None
--- a/anvilshift/gateway/routed.py
+++ b/anvilshift/gateway/routed.py
@@ -38,6 +38,12 @@
     pause: Millis
     origin: Origin | None = None
 
+    @property
+    def caller_end(self) -> Millis:
+        """Return until when the caller can take up its stream."""
+        patience = self.call.patience
+        return self.arrived + (self.rule.timeout if patience is None else patience)
+
     @property
     def stream_key(self) -> str:
         """Return the key of its stream, which a caller takes up under another id."""
--- a/anvilshift/gateway/streambinding.py
+++ b/anvilshift/gateway/streambinding.py
@@ -34,7 +34,9 @@
             self._origin = Origin(target.info.service, target.version)
         self._has_begun = True
         if self._origin is not None and self._routed.rule.resumable:
-            self._shared.origins.record(self._routed.stream_key, self._origin)
+            lasts = self._routed.caller_end - self._shared.clock.now()
+            key = self._routed.stream_key
+            self._shared.origins.record(key, self._origin, max(0.0, lasts))
 
     def list_unfit(self) -> set[str]:
         """Return the targets at which the stream may not go on."""
--- a/tests/core/test_choosing.py
+++ b/tests/core/test_choosing.py
@@ -186,11 +186,12 @@
 
     def test_nothing_is_transferred_from_another_version(self):
         """Guards against an engine that reads cache entries of another version."""
-        for version in ("v2", None):
-            with self.subTest(version):
+        for versions in (("v1", "v2"), ("v1", None), (None, None)):
+            with self.subTest(versions):
                 loads = make_map(("e0", "e1"))
-                other = replace(loads.targets["e1"].info, version=version)
-                loads.declare(other)
+                for name, version in zip(("e0", "e1"), versions, strict=True):
+                    info = loads.targets[name].info
+                    loads.declare(replace(info, version=version))
                 prompt = Prompt((("sheet", 9_000), ("q", 100)), 9_100, 50)
                 loads.send("e0", "r1", prompt, 0, 0.0, CAPACITY)
                 demand = make_demand(prompt)
--- a/tests/core/test_origins.py
+++ b/tests/core/test_origins.py
@@ -3,8 +3,8 @@
 from anvilshift.core.origins import (
     ASKED,
     KEEPERS,
+    MAX_LIFETIME,
     MAX_ORIGINS,
-    STREAM_LIFETIME,
     Origin,
     OriginTable,
     OriginVotes,
@@ -54,24 +54,31 @@
     def test_key_that_is_used_twice_names_no_origin(self):
         """Guards against a stream that goes on at the version of another."""
         table = OriginTable()
-        table.add("k", V1, now=0.0)
-        table.add("k", V2, now=1.0)
-        table.add("k", V1, now=2.0)
+        for now, origin in ((0.0, V1), (1.0, V2), (2.0, V1)):
+            table.add("k", origin, now, lasts=9_000.0)
         self.assertIsNone(table.find("k", now=3.0))
         self.assertTrue(table.is_known("k", now=3.0))
 
     def test_resumption_lengthens_the_life_of_an_origin(self):
         table = OriginTable()
-        table.add("k", V1, now=0.0)
-        table.add("k", V1, now=STREAM_LIFETIME - 1.0)
-        self.assertEqual(table.find("k", now=STREAM_LIFETIME + 1.0), V1)
-        self.assertIsNone(table.find("k", now=2 * STREAM_LIFETIME))
+        table.add("k", V1, now=0.0, lasts=9_000.0)
+        table.add("k", V1, now=8_000.0, lasts=9_000.0)
+        self.assertEqual(table.find("k", now=16_999.0), V1)
+        self.assertIsNone(table.find("k", now=17_001.0))
+
+    def test_origin_is_kept_for_as_long_as_its_caller_waits(self):
+        """Guards against a long stream that is forgotten while it runs."""
+        table = OriginTable()
+        table.add("k", V1, now=0.0, lasts=60_000.0)
+        table.add("k2", V1, now=0.0, lasts=9e9)
+        self.assertEqual(table.find("k", now=59_000.0), V1)
+        self.assertIsNone(table.find("k2", now=MAX_LIFETIME + 1.0))
 
     def test_number_of_origins_is_bounded(self):
         """Guards against a burst that uses up the router's memory."""
         table = OriginTable()
         for number in range(MAX_ORIGINS + 10):
-            table.add(f"k{number}", V1, now=0.0)
+            table.add(f"k{number}", V1, now=0.0, lasts=9_000.0)
         self.assertEqual(len(table), MAX_ORIGINS)
         self.assertIsNone(table.find("k0", now=0.0))
 
@@ -106,7 +113,7 @@
     window = 30_000.0
 
     def setUp(self):
-        self.history = VersionHistory(self.window)
+        self.history = VersionHistory()
 
     def observe(self, begin: float, end: float, *versions: str | None) -> None:
         targets = [
@@ -120,50 +127,50 @@
 
     def test_only_version_of_a_service_is_known(self):
         self.observe(0, 31_000, "v1", "v1")
-        self.assertEqual(self.history.find_only("advice", 31_000), "v1")
-        self.assertIsNone(self.history.find_only("other", 31_000))
+        self.assertEqual(self.history.find_only("advice", self.window, 31_000), "v1")
+        self.assertIsNone(self.history.find_only("other", self.window, 31_000))
 
     def test_version_that_is_gone_counts_until_its_streams_have_ended(self):
         """Guards against a stream of the old version that goes on at the new one."""
         self.observe(0, 40_000, "v1", "v2")
         self.observe(40_100, 69_000, "v2")
-        self.assertIsNone(self.history.find_only("advice", 69_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 69_000))
         self.observe(69_100, 71_000, "v2")
-        self.assertEqual(self.history.find_only("advice", 71_000), "v2")
+        self.assertEqual(self.history.find_only("advice", self.window, 71_000), "v2")
 
     def test_router_that_has_just_started_knows_of_no_only_version(self):
         """Guards against a version that was gone before the router started."""
         self.observe(0, 29_000, "v1")
-        self.assertIsNone(self.history.find_only("advice", 29_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 29_000))
 
     def test_register_that_was_not_read_hides_versions(self):
         """Guards against a version that came while the register was out of reach."""
         self.observe(0, 31_000, "v1")
-        self.assertIsNone(self.history.find_only("advice", 34_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 34_000))
         self.observe(34_000, 35_000, "v1")
-        self.assertIsNone(self.history.find_only("advice", 35_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 35_000))
 
     def test_router_that_has_just_started_takes_over_what_others_have_seen(self):
         """Guards against restarts after which no stream can go on."""
         self.observe(0, 31_000, "v1", "v2")
         self.observe(31_100, 40_000, "v2")
-        other = VersionHistory(self.window)
+        other = VersionHistory()
         other.adopt(40_000.0, self.history.list_gone(40_000.0), now=40_000.0)
         self.history = other
         self.observe(40_100, 50_000, "v2")
-        self.assertIsNone(other.find_only("advice", 50_000.0))
+        self.assertIsNone(other.find_only("advice", self.window, 50_000.0))
         self.observe(50_100, 62_000, "v2")
-        self.assertEqual(other.find_only("advice", 62_000.0), "v2")
+        self.assertEqual(other.find_only("advice", self.window, 62_000.0), "v2")
 
     def test_router_that_stood_still_knows_of_no_only_version(self):
         """Guards against versions that came while the router's clock stood still."""
         self.observe(0, 31_000, "v1")
         self.history.restart()
         self.observe(31_100, 32_000, "v1")
-        self.assertIsNone(self.history.find_only("advice", 32_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 32_000))
 
     def test_unknown_version_may_be_any(self):
         self.observe(0, 31_000, "v1", None)
-        self.assertIsNone(self.history.find_only("advice", 31_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 31_000))
         self.observe(31_100, 70_000, None)
-        self.assertIsNone(self.history.find_only("advice", 70_000))
+        self.assertIsNone(self.history.find_only("advice", self.window, 70_000))
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -61,6 +61,29 @@
         await self.begin("a")
         self.assertEqual(len(self.find_runs("a")), 1)
 
+    async def check_answered_content_stays(self, **versions: object) -> None:
+        """Check that a content known to be harmless doesn't go on elsewhere either.
+
+        It may be sent to every engine, while others keep to few.
+        """
+        await self.add_engines(**versions)
+        for engine in self.targets.values():
+            engine.breaks_new = None
+        await self.start_node()
+        self.assertEqual((await self.call_stream("whole"))[0], 200)
+        for engine in self.targets.values():
+            engine.breaks_new = BEGUN
+        await self.begin("a")
+        self.assertEqual(len(self.find_runs("a")), 1)
+
+    async def test_answered_content_does_not_go_on_at_another_version(self):
+        """Guards against a version that binds suspicious contents only."""
+        await self.check_answered_content_stays(e1="v1", e2="v2")
+
+    async def test_broken_stream_does_not_go_on_where_no_version_is_known(self):
+        """Guards against two unknown versions that count as equal."""
+        await self.check_answered_content_stays(e1=None, e2=None)
+
     async def test_broken_stream_goes_on_at_its_own_version(self):
         """Guards against a stream that is given up though its version serves."""
         await self.add_engines(e1="v1", e2="v1", e3="v2", e4="v2")
@@ -207,13 +230,13 @@
         await self.add_engines(e1="v1", e2="v1")
         await self.start_node()
         history = self.node.shared.origins.history
-        history.window = 300.0
-        await self.wait_for(lambda: history.find_only("llm", self.node.clock.now()))
+        # As after 30 s of following the register.
+        await self.wait_for(lambda: history.find_covered(self.node.clock.now()))
+        history.adopt(30_000.0, (), self.node.clock.now())
         headers = [("last-event-id", str(BEGUN))]
         self.check_went_on(*await self.call_stream("a", headers=headers))
         await self.add_engines(e3="v2")
         await self.wait_for(lambda: len(self.node.loads.targets) == 3)
-        await self.wait_for(lambda: not history.find_only("llm", self.node.clock.now()))
         self.check_refused(*await self.call_stream("b", headers=headers))
 
     async def test_stream_is_not_taken_up_at_another_service(self):
@@ -275,6 +298,13 @@
 class NewStartTest(VersionCase):
     async def test_failures_of_the_start_before_do_not_count(self):
         """Guards against a new version that is ejected for what the old one did."""
+        await self.check_failures_are_forgotten(version="v2", born=2)
+
+    async def test_another_version_is_another_start_whatever_its_number(self):
+        """Guards against an engine that doesn't say that it started anew."""
+        await self.check_failures_are_forgotten(version="v2")
+
+    async def check_failures_are_forgotten(self, **entry: object) -> None:
         await self.add_engines(e1="v1", e2="v1")
         await self.start_node()
         health = self.node.shared.health
@@ -282,6 +312,6 @@
         health.record_failure(failed, Failure.BROKE_OFF, "a", False)
         self.assertIn("e1", health.reports.list_targets())
         address = Address.parse(failed.info.address)
-        self.register("e1", "llm", address, version="v2", born=2)
+        self.register("e1", "llm", address, **entry)
         await self.wait_for(lambda: self.node.loads.targets["e1"].version == "v2")
         self.assertNotIn("e1", health.reports.list_targets())
