Let the test of a refused organisation wait until every router has its new total

Traced: the test waited for the new configuration at the called router only; another one that still has the old total lends it tokens. With the others held back it is 200 in 5 of 5 calls, with all changed 402 in 5 of 5. Lowering a total is in force once every router has it, within the promised time, so the product is right. The test waits for all routers and demands the same answer.

--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -207,7 +207,8 @@
         await self.start_cut()
         changed = make_configuration(version=2, reserved=50)
         self.store_stub.put("config", "main", changed)
-        await self.wait_for(lambda: self.is_changed(self.cut_node))
+        # A router that still has the old total would lend tokens.
+        await self.wait_for(lambda: all(map(self.is_changed, self.nodes)))
         self.assertEqual((await self.call_cut("/chat/1"))[0], 402)
 
     async def test_a_target_that_is_silent_for_a_second_is_not_ejected(self):
