Infer where an unnamed stream began only on a route that has not changed

A stream of which nobody was told goes on where its service has had one version; but the route may have led to another service when it began.

What a router that starts takes over from the others now covers routes as well. Routers that don't answer about a stream are logged.

--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -26,22 +26,24 @@
     Limited,
     Marked,
     Message,
-    OriginAnswer,
-    OriginAsk,
     Paused,
     PermitAnswer,
     PermitAsk,
     PermitDropped,
     Sent,
     SentBefore,
-    StreamBegan,
-    VersionsSeen,
 )
 from anvilshift.gateway.peers import Peer, Peers
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.shares import ShareManager
+from anvilshift.gateway.streammessages import (
+    HistorySeen,
+    OriginAnswer,
+    OriginAsk,
+    StreamBegan,
+)
 
 _FAREWELL_COPIES = 3
 """Copies of the final message: its datagram may be lost, and a router that has stopped
@@ -206,9 +208,8 @@
             self.shared.origins.answer(message)
         elif isinstance(message, OriginAnswer):
             self.shared.origins.apply_answer(message)
-        elif isinstance(message, VersionsSeen):
-            history = self.shared.origins.history
-            history.adopt(message.covered, message.gone, now)
+        elif isinstance(message, HistorySeen):
+            self.shared.origins.adopt_history(message)
         elif isinstance(message, Marked):
             for revision, age in message.marks:
                 self.marks.add(Mark(now - age, revision))
@@ -230,9 +231,9 @@
         """Send a new router what it needs to know of the time before its start.
 
         These are the spending of former incarnations of its host, the marks of the
-        store's history, the limits of targets and the versions that are gone.  Without
-        marks from others it could not prove the age of its own records until it had
-        followed the store for as long as the store keeps its history.
+        store's history, the limits of targets, and what is gone of versions and routes.
+        Without marks from others it could not prove the age of its own records until it
+        had followed the store for as long as the store keeps its history.
         """
         for holder, spent in self.allotter.ended.items():
             if holder.rpartition(".")[0] == beat.router:
@@ -244,10 +245,7 @@
             self.peers.send(Marked(tuple(marks)), beat.ip)
         for limited in self.limits.list_limits():
             self.peers.send(limited, beat.ip)
-        history = self.shared.origins.history
-        covered = history.find_covered(now)
-        if covered:
-            self.peers.send(VersionsSeen(covered, history.list_gone(now)), beat.ip)
+        self.peers.send(self.shared.origins.describe_history(), beat.ip)
 
     def send_mark(self, mark: Mark) -> None:
         """Send the other routers a new mark of the store's history."""
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -7,6 +7,12 @@
 from dataclasses import dataclass
 
 from anvilshift.core.clock import Millis
+from anvilshift.gateway.streammessages import (
+    HistorySeen,
+    OriginAnswer,
+    OriginAsk,
+    StreamBegan,
+)
 
 
 @dataclass(frozen=True)
@@ -315,77 +321,6 @@
     runs: tuple[tuple[str, Millis], ...]
 
 
-@dataclass(frozen=True)
-class StreamBegan:
-    """A stream brought its first event, or was taken up.
-
-    Parameters
-    ----------
-    stream
-        Key of the stream.
-    service, version
-        The service that began it, and the version of the engine's software.
-    lasts
-        Time in which its caller can take it up.
-    """
-
-    stream: str
-    service: str
-    version: str
-    lasts: Millis
-
-
-@dataclass(frozen=True)
-class OriginAsk:
-    """A router asks where a stream began that a caller takes up.
-
-    Parameters
-    ----------
-    ip
-        Address of the router that asks.
-    """
-
-    stream: str
-    ip: str
-
-
-@dataclass(frozen=True)
-class OriginAnswer:
-    """The answer to an `OriginAsk`.
-
-    Parameters
-    ----------
-    router
-        The router that answers.
-    known
-        Whether it was told anything of the stream.
-    service, version
-        Where the stream began; empty if the router doesn't know that for certain.
-    """
-
-    stream: str
-    router: str
-    known: bool
-    service: str
-    version: str
-
-
-@dataclass(frozen=True)
-class VersionsSeen:
-    """What a router has seen of targets' versions, for one that has just started.
-
-    Parameters
-    ----------
-    covered
-        Time for which the sender has followed the register.
-    gone
-        Services and versions that no target has any more, and for how long.
-    """
-
-    covered: Millis
-    gone: tuple[tuple[str, str | None, Millis], ...]
-
-
 Message = (
     Beat
     | Sent
@@ -409,5 +344,5 @@
     | StreamBegan
     | OriginAsk
     | OriginAnswer
-    | VersionsSeen
+    | HistorySeen
 )
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -166,7 +166,9 @@
                 journal,
                 rng,
             ),
-            StreamOrigins(settings.name, settings.ip, self.peers, self.loads, clock),
+            StreamOrigins(
+                settings.name, settings.ip, self.peers, self.loads, clock, journal
+            ),
         )
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
@@ -250,6 +252,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
+        self.shared.origins.routes.update(configuration.rules, self.clock.now())
         organisations = configuration.organisations
         totals = {name: one.reserved for name, one in organisations.items()}
         self.allotter.configure(configuration.version, totals)
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -10,14 +10,23 @@
 from anvilshift.core.origins import (
     ASKED,
     KEEPERS,
+    MAX_LIFETIME,
     Origin,
     OriginTable,
     OriginVotes,
     choose_keepers,
 )
+from anvilshift.core.routechanges import RouteChanges
+from anvilshift.core.routing import Rule
 from anvilshift.core.versionhistory import VersionHistory
-from anvilshift.gateway.messages import OriginAnswer, OriginAsk, StreamBegan
+from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
+from anvilshift.gateway.streammessages import (
+    HistorySeen,
+    OriginAnswer,
+    OriginAsk,
+    StreamBegan,
+)
 
 _ANSWER_TIMEOUT: Millis = 250.0
 """Time for the answers of other routers, which may be in another region."""
@@ -65,8 +74,10 @@
     peers: Peers
     loads: LoadMap
     clock: Clock
+    journal: Journal
     table: OriginTable = field(default_factory=OriginTable)
     history: VersionHistory = field(default_factory=VersionHistory)
+    routes: RouteChanges = field(default_factory=RouteChanges)
     _domains: dict[str, list[str]] = field(default_factory=dict)
     _questions: dict[str, _Question] = field(default_factory=dict)
 
@@ -112,20 +123,34 @@
         known = [self.peers.routers.get(name) for name in names]
         return [peer.beat.ip for peer in known if peer is not None]
 
-    # Asking
+    # What a router that starts takes over
 
-    def infer(self, service: str, longest: Millis) -> Origin | None:
-        """Return where a stream of a service began of which nobody was told.
+    def describe_history(self) -> HistorySeen:
+        """Return what this router has seen, for one that has just started."""
+        now = self.clock.now()
+        covered = min(self.history.find_covered(now), self.routes.find_covered(now))
+        changed = self.routes.list_changed(MAX_LIFETIME, now)
+        return HistorySeen(covered, self.history.list_gone(now), changed)
 
-        None if the service has had more than one version for as long as streams last.
+    def adopt_history(self, seen: HistorySeen) -> None:
+        """Take over what a router has seen that has run for longer than this one."""
+        now = self.clock.now()
+        self.history.adopt(seen.covered, seen.gone, now)
+        self.routes.adopt(seen.covered, seen.changed, now)
 
-        Parameters
-        ----------
-        longest
-            Longest time that a caller waits for an answer on the stream's route.
+    # Asking
+
+    def infer(self, rule: Rule) -> Origin | None:
+        """Return where a stream of a route began of which nobody was told.
+
+        None unless the route has led to one service, and the service has had one
+        version, for as long as streams last.
         """
-        window = max(longest, LONGEST_RUN)
-        version = self.history.find_only(service, window, self.clock.now())
+        now, window = self.clock.now(), max(rule.timeout, LONGEST_RUN)
+        if len(rule.services) != 1 or not self.routes.has_settled(rule, window, now):
+            return None
+        service = rule.services[0][0]
+        version = self.history.find_only(service, window, now)
         present = self.loads.list_service_targets(service)
         if any(target.info.version != version for target in present):
             return None
@@ -145,8 +170,8 @@
             async with asyncio.timeout(_ANSWER_TIMEOUT / SECOND):
                 await question.decided.wait()
         except TimeoutError:
-            # Routers that don't answer are restarting, or cut off.
-            pass
+            asked = question.votes.asked
+            self.journal.write("keepers_silent", stream=key, asked=asked)
         self._questions.pop(key, None)
         votes = question.votes
         return Finding(votes.agree(), votes.is_told, votes.is_complete)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -145,7 +145,7 @@
         finding = await self._ask_origin(call)
         origin = finding.origin
         if origin is None and finding.is_final and not finding.is_told:
-            origin = self._infer_origin(rule)
+            origin = self.shared.origins.infer(rule)
         if origin is None:
             wait = None if finding.is_final else _KEEPER_RETRY
             detail = "where the stream began isn't known"
@@ -163,12 +163,6 @@
         key = make_stream_key(organisation, call.began_as)
         return await self.shared.origins.find(key)
 
-    def _infer_origin(self, rule: Rule) -> Origin | None:
-        """Return where any stream of a route began, if there is just one answer."""
-        if len(rule.services) != 1:
-            return None
-        return self.shared.origins.infer(rule.services[0][0], rule.timeout)
-
     def _route(
         self, table: RouteTable, call: Call, rule: Rule, origin: Origin | None
     ) -> RoutedRequest:
--- /dev/null
+++ b/anvilshift/gateway/streammessages.py
@@ -0,0 +1,82 @@
+"""Messages between routers about where streams began.
+
+They are soft state like the others: where one is lost, a stream isn't known.
+"""
+
+from dataclasses import dataclass
+
+from anvilshift.core.clock import Millis
+
+
+@dataclass(frozen=True)
+class StreamBegan:
+    """A stream brought its first event, or was taken up.
+
+    Parameters
+    ----------
+    stream
+        Key of the stream.
+    service, version
+        The service that began it, and the version of the engine's software.
+    lasts
+        Time in which its caller can take it up.
+    """
+
+    stream: str
+    service: str
+    version: str
+    lasts: Millis
+
+
+@dataclass(frozen=True)
+class OriginAsk:
+    """A router asks where a stream began that a caller takes up.
+
+    Parameters
+    ----------
+    ip
+        Address of the router that asks.
+    """
+
+    stream: str
+    ip: str
+
+
+@dataclass(frozen=True)
+class OriginAnswer:
+    """The answer to an `OriginAsk`.
+
+    Parameters
+    ----------
+    router
+        The router that answers.
+    known
+        Whether it was told anything of the stream.
+    service, version
+        Where the stream began; empty if the router doesn't know that for certain.
+    """
+
+    stream: str
+    router: str
+    known: bool
+    service: str
+    version: str
+
+
+@dataclass(frozen=True)
+class HistorySeen:
+    """What a router has seen of versions and routes, for one that has just started.
+
+    Parameters
+    ----------
+    covered
+        Time for which the sender has followed the register and the configuration.
+    gone
+        Services and versions that no target has any more, and for how long.
+    changed
+        Names of routes, and the time since they began to lead to other services.
+    """
+
+    covered: Millis
+    gone: tuple[tuple[str, str | None, Millis], ...]
+    changed: tuple[tuple[str, Millis], ...]
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -4,6 +4,7 @@
 
 from anvilshift.core.origins import OriginTable, make_stream_key
 from anvilshift.core.work import Failure
+from anvilshift.gateway.streammessages import HistorySeen
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import Address
 from tests.platform.gatewaycase import ABSENT, GatewayCase, make_configuration
@@ -225,14 +226,36 @@
         await self.wait_for(lambda: self.node.loads.targets["e1"].version == "v2")
         self.check_refused(*await self.take_up("b", "a"))
 
+    async def pass_time(self, span: float) -> None:
+        """Let the router look back on some time in which nothing changed."""
+        origins, clock = self.node.shared.origins, self.node.clock
+        await self.wait_for(lambda: origins.history.find_covered(clock.now()))
+        origins.adopt_history(HistorySeen(span, (), ()))
+
+    async def test_unnamed_stream_does_not_go_on_where_its_route_has_changed(self):
+        """Guards against a stream that goes on at another service's only version."""
+        await self.add_engines(e1="v1")
+        await self.start_node()
+        await self.pass_time(30_000.0)
+        other = await self.add_target("x1", "other", version="v1")
+        changed = make_configuration(version=2)
+        changed["services"].append({**changed["services"][0], "name": "other"})
+        changed["routes"][0]["service"] = "other"
+        self.store_stub.put("config", "main", changed)
+        await self.wait_for(lambda: self.node.shared.table.configuration.version == 2)
+        history, clock = self.node.shared.origins.history, self.node.clock
+        await self.wait_for(
+            lambda: history.find_only("other", 20_000.0, clock.now()) == "v1"
+        )
+        headers = [("last-event-id", str(BEGUN))]
+        self.check_refused(*await self.call_stream("a", headers=headers))
+        self.assertEqual(other.runs, [])
+
     async def test_unnamed_stream_goes_on_where_only_one_version_has_served(self):
         """Guards against callers of before who are refused though nothing can mix."""
         await self.add_engines(e1="v1", e2="v1")
         await self.start_node()
-        history = self.node.shared.origins.history
-        # As after 30 s of following the register.
-        await self.wait_for(lambda: history.find_covered(self.node.clock.now()))
-        history.adopt(30_000.0, (), self.node.clock.now())
+        await self.pass_time(30_000.0)
         headers = [("last-event-id", str(BEGUN))]
         self.check_went_on(*await self.call_stream("a", headers=headers))
         await self.add_engines(e3="v2")
