--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -104,8 +104,7 @@
         """
         self.table.add(key, origin, self.clock.now(), lasts)
         message = StreamBegan(key, origin.service, origin.version, lasts)
-        for ip in self._list_keepers(key, KEEPERS):
-            self.peers.send(message, ip)
+        self.peers.send_each(message, self._list_keepers(key, KEEPERS))
 
     def apply_told(self, message: StreamBegan) -> None:
         """Record where a stream began that another router has begun."""
@@ -181,8 +180,7 @@
         if not keepers:
             return None
         question = self._questions[key] = _Question(OriginVotes(len(keepers)))
-        for ip in keepers:
-            self.peers.send(OriginAsk(key, self.ip), ip)
+        self.peers.send_each(OriginAsk(key, self.ip), keepers)
         return question
 
     def answer(self, message: OriginAsk) -> None:
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -168,6 +168,12 @@
         """Send a message to one router immediately."""
         self._send(encode(message), ip)
 
+    def send_each(self, message: Message, ips: Iterable[str]) -> None:
+        """Send a message to some routers immediately."""
+        datagram = encode(message)
+        for ip in ips:
+            self._send(datagram, ip)
+
     def broadcast(self, message: Message) -> None:
         """Send a message to every present router with the next datagram."""
         self._enqueue(message, _ALL_DOMAINS)
