--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -56,7 +56,7 @@
         Patch("core/choosing.py", "pause > demand.pause, plain", "False, plain"),
     ),
     "learned-speeds": (
-        Patch("core/loadmap.py", "if predicted >= _TELLING:", "if False:"),
+        Patch("core/targetload.py", "if predicted >= _TELLING:", "if False:"),
     ),
     "asks": (
         Patch(
