Choose the homes of new requests among all versions again, and of streams among theirs

Homes of one version for all contents were to let broken streams find an engine of theirs. Streams that have begun get homes among the engines of their version anyway, so it isn't needed.

--- a/anvilshift/core/homes.py
+++ b/anvilshift/core/homes.py
@@ -88,37 +88,3 @@
         homes.append((others or ranked)[0])
         ranked.remove(homes[-1])
     return tuple(homes)
-
-
-def choose_homes_of_version(
-    content: str,
-    domains: Mapping[str, str],
-    versions: Mapping[str, str | None],
-    most: int = TARGETS,
-) -> tuple[str, ...]:
-    """Return homes that have one version of their software, as far as there are such.
-
-    A stream that breaks off at one of them can go on at another only if their versions
-    are the same.
-
-    Parameters
-    ----------
-    versions
-        Version of each target, by the target's name; None if it is unknown.
-
-    Examples
-    --------
-    >>> domains = {"e1": "north", "e2": "north", "e3": "south", "e4": "south"}
-    >>> versions = {"e1": "v1", "e2": "v1", "e3": "v2", "e4": "v2"}
-    >>> homes = choose_homes_of_version("c1", domains, versions)
-    >>> homes in (("e1", "e2"), ("e2", "e1"), ("e3", "e4"), ("e4", "e3"))
-    True
-    """
-    first = choose_homes(content, domains, 1)
-    if not first:
-        return ()
-    version = versions[first[0]]
-    same = {n: d for n, d in domains.items() if versions[n] == version}
-    homes = choose_homes(content, same, most)
-    others = {n: d for n, d in domains.items() if n not in same}
-    return homes + choose_homes(content, others, most - len(homes))
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -9,7 +9,7 @@
 from anvilshift.core.blame import MAX_CRASHES
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
-from anvilshift.core.homes import choose_homes_of_version
+from anvilshift.core.homes import choose_homes
 from anvilshift.core.targetload import Prompt, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.reach import Reached
@@ -72,7 +72,8 @@
         Parameters
         ----------
         version
-            Version at which the content's stream began; None for a new one.
+            Version at which the content's stream began; None for a new one.  It goes on
+            at homes among the targets of that version, since few of the others are.
         """
         loads, exposure = self._shared.sender.loads, self._blame.exposure
         if exposure.is_harmless(self._content):
@@ -80,9 +81,7 @@
         recent = loads.list_recent(service, self._shared.clock.now())
         fitting = [i for i in recent if version is None or i.version == version]
         domains = {info.name: info.failure_domain for info in fitting}
-        versions = {info.name: info.version for info in fitting}
-        key = self._get_home_key(prompt)
-        homes = choose_homes_of_version(key, domains, versions, MAX_CRASHES)
+        homes = choose_homes(self._get_home_key(prompt), domains, MAX_CRASHES)
         reached = exposure.list_charged_targets(self._content)
         allowed = [*reached, *(name for name in homes if name not in reached)]
         present = {target.info.name for target in loads.list_service_targets(service)}
