Log by service how often requests were sent again, and where that was refused

Cause: a router had one budget and wrote nothing of it. The record of the incident could show neither the repeats that a service got nor that a budget was used up.

Change: a line a second for each service with repeats (requests, repeats, refused), and one for each refusal. Counted where the request is about to be sent, so that a path which doesn't ask the budget is counted too. No decision changes.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -76,6 +76,7 @@
         self._crashes = crashes
         self.may_have_run = False
         self.targets = 0
+        self._sends = 0
         self.failed_targets: set[str] = set()
         self.target = ""
         self.version: str | None = None
@@ -244,12 +245,24 @@
         if not error.never_ran and not self._may_go_on():
             raise AnvilshiftError(ENGINE_FAILED, error.detail)
         if not self._shared.retries.take(error.failure):
+            self._record_refused_retry()
             if self._relay.started:
                 raise AnvilshiftError(ENGINE_FAILED, "the retry budget is used up")
             raise self._make_final_error(
                 NO_ENGINE, NO_ENGINE_RETRY, "the retry budget is used up"
             )
 
+    def _record_refused_retry(self) -> None:
+        service = self._routed.service
+        self._shared.retry_counts.find(service).refused += 1
+        self._shared.journal.write(
+            "retry_refused",
+            id=self._routed.call.identity,
+            service=service,
+            sends=self._sends,
+            left=round(self._routed.end - self._shared.clock.now()),
+        )
+
     def _compute_rank(self, choice: Choice) -> int:
         """Return the request's rank among those that wait for a permit."""
         elapsed = self._shared.clock.now() - self._routed.arrived
@@ -307,6 +320,9 @@
         self.sent = self._shared.clock.now()
         self.may_have_run = True
         self.targets += 1
+        self._sends += 1
+        if self._sends > 1:
+            self._shared.retry_counts.find(self._routed.service).repeats += 1
         limit = self._compute_timeout(choice, self._routed.end - self.sent)
         if limit is not None:
             timeout.reschedule(asyncio.get_running_loop().time() + limit)
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from anvilshift.core.clock import SECOND, Millis
@@ -15,6 +16,8 @@
 _SUSPENDED_AFTER: Millis = 700.0
 """An event loop that was delayed for longer was frozen or suspended, not merely
 busy."""
+_RETRIES_INTERVAL: Millis = 1 * SECOND
+"""Interval of the lines that say how often services were sent requests again."""
 
 
 class PeriodicWork:
@@ -22,6 +25,7 @@
 
     def __init__(self, node: "GatewayNode") -> None:
         self._node = node
+        self._retries_due: Millis = 0.0
 
     async def run(self) -> None:
         """Run the periodic work, and detect that this process was suspended.
@@ -53,8 +57,18 @@
         node.configuration_follower.restart()
         node.target_follower.restart()
 
+    def _write_retries(self, now: Millis) -> None:
+        """Write what each service was sent that got repeats or was refused some."""
+        if now < self._retries_due:
+            return
+        self._retries_due = now + _RETRIES_INTERVAL
+        for service, counts in self._node.shared.retry_counts.drain().items():
+            if counts.repeats or counts.refused:
+                self._node.journal.write("retries", service=service, **asdict(counts))
+
     def _work(self, now: Millis) -> None:
         node = self._node
+        self._write_retries(now)
         is_fresh = node.target_follower.is_fresh()
         if not is_fresh:
             node.targets.entries.note_outage()
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -9,6 +9,7 @@
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.errors import NOT_READY, AnvilshiftError
 from anvilshift.core.retries import RetryBudget
+from anvilshift.core.retrycounts import ServiceCounts
 from anvilshift.core.routing import RouteTable
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
@@ -60,6 +61,7 @@
     on_target_lost: Callable[[str], None] = lambda target: None
     on_target_replaced: Callable[[str], None] = lambda target: None
     work: dict[str, DecayingMean] = field(default_factory=dict)
+    retry_counts: ServiceCounts = field(default_factory=ServiceCounts)
     runs: int = 0
     ending: bool = False
 
