--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -82,6 +82,9 @@
 
 
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    allowance = 40.0
+    """Repeats that all routers together may send beyond those that requests earn."""
+
     async def asyncSetUp(self):
         self.store_stub = StoreStub()
         self.store_address = await self.store_stub.start()
@@ -154,6 +157,7 @@
             forward_port,
             self.store_address,
             seeds,
+            retry_allowance=self.allowance,
             history=history,
         )
         return GatewayNode(
--- a/tests/platform/test_retries.py
+++ b/tests/platform/test_retries.py
@@ -1,6 +1,10 @@
 """Tests of requests that gateways send again, with services that reject them."""
 
-from tests.platform.gatewaycase import GatewayCase
+import asyncio
+
+from anvilshift.gateway.node import GatewayNode
+from tests.platform.gatewaycase import GatewayCase, make_configuration
+from tests.repeats import RepeatRecord
 
 
 class RetryLogTest(GatewayCase):
@@ -32,3 +36,66 @@
         self.assertTrue(refused)
         self.assertEqual(refused[0]["service"], "desk")
         self.assertGreaterEqual(refused[0]["sends"], 1)
+
+
+class RetryBoundTest(GatewayCase):
+    """Repeats at one service never exceed its bound, over all routers."""
+
+    async def add_desk(self, targets: int = 3) -> None:
+        """Add a plain service whose targets reject all requests."""
+        for number in range(targets):
+            target = await self.add_target(f"d{number}", "desk")
+            target.refuses = True
+        self.record = RepeatRecord()
+
+    async def read_at(self, node: GatewayNode) -> None:
+        """Send a request for the service to a router."""
+        self.record.requests.append(asyncio.get_running_loop().time())
+        await self.call_at(node, "/read/1")
+
+    def find_excess(self) -> float:
+        """Return by how much what the targets got exceeds the bound."""
+        for name in [name for name in self.targets if name.startswith("d")]:
+            target = self.targets[name]
+            ids = [one.headers.get("anvilshift-attempt-id") for one in target.requests]
+            self.record.arrivals += zip(target.arrivals, ids, strict=True)
+        return self.record.find_excess(0.2, 10.0, self.allowance)
+
+    async def test_answers_of_another_service_earn_no_repeats(self):
+        """Guards against one budget for all services, spent where it wasn't earned."""
+        self.allowance = 8.0
+        await self.add_desk()
+        await self.add_target("e1", "llm")
+        await self.start_node()
+        for _ in range(40):
+            for _ in range(5):
+                await self.call_at(self.node, "/chat/1")
+            await self.read_at(self.node)
+        self.assertLessEqual(self.find_excess(), 0.0)
+
+    async def test_a_start_does_not_refill_the_budget(self):
+        """Guards against a router that starts anew with what it had used up."""
+        await self.add_desk()
+        for _ in range(25):
+            await self.start_node()
+            for _ in range(6):
+                await self.read_at(self.node)
+            await self.node.close()
+        self.assertLessEqual(self.find_excess(), 0.0)
+
+    async def test_routers_that_see_no_others_keep_the_bound_of_the_fleet(self):
+        """Guards against shares of a fleet that each router takes to be smaller."""
+        await self.add_desk()
+        self.store_stub.put("config", "main", make_configuration())
+        for number in range(16):
+            node = self.make_node(f"n{number}", "127.0.0.1")
+            self.nodes.append(node)
+            await node.start()
+        await self.wait_for(lambda: all(node.is_ready() for node in self.nodes))
+        await self.wait_for(
+            lambda: all(len(node.loads.targets) == 3 for node in self.nodes)
+        )
+        for node in self.nodes:
+            for _ in range(4):
+                await self.read_at(node)
+        self.assertLessEqual(self.find_excess(), 0.0)
