Give each service a retry budget of its own, earned by its requests

What callers saw: nothing; a service got more repeats than the operators allow. Cause: a router had one budget for all services, and each complete answer of any of them added 0.2 of a retry. The class: a limit kept for all where it is meant for each, and one that counts answers where requests are meant.

Change: a window for each service, in which requests, not answers, earn repeats. A router keeps its bound in every window that begins at any bin, with half of the requests in it and half of those in the window half a length earlier: a fixed mixture is never more than the most of them, and adds up over routers, while the most at each router would not. A repeat counts as arriving now until its target has answered. One object sees all sends of a request and fails where one has no retry; a retry with which nothing was sent is given back, so an attempt that finds no target costs none. The chat interface keeps a window for each kind of target. Ratio, window and allowance are checked where they enter, and applied on SIGHUP.

--- a/anvilshift/core/clock.py
+++ b/anvilshift/core/clock.py
@@ -45,6 +45,21 @@
         return int(time.time())
 
 
+class BootClock(MonotonicClock):
+    """The machine's clock that goes on while the machine is suspended.
+
+    Examples
+    --------
+    >>> clock = BootClock()
+    >>> clock.now() <= clock.now()
+    True
+    """
+
+    def now(self) -> Millis:
+        """Return the present instant in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * SECOND
+
+
 class ManualClock:
     """A clock that is advanced explicitly, for tests and virtual time.
 
--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -320,6 +320,8 @@
             return [self._state.refuse_quarantined(work)]
         entry = Entry(work, 0.0, 0.0)
         pool = self._state.pools.find(work.candidates)
+        if pool is not None:
+            pool.kind.retries.add_request(now)
         if pool is not None and self._restriction.has_no_usable_target(work, pool, now):
             return self._relocation.begin(entry, pool, now)
         return self._enqueue(entry, now)
@@ -364,7 +366,6 @@
             durations.add_answer_time(work, tokens, now - attempt.first, now)
         if attempt.counts:
             view.health.add_answer()
-        self._state.retries.add_answer()
         self._state.quarantine.clear(work.content)
         self._state.refresh(view)
         return [
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -88,7 +88,7 @@
             entry, pool, now
         ):
             return []
-        if not self._state.retries.take(Failure.TIMED_OUT):
+        if not self._state.take_retry(pool, Failure.TIMED_OUT, now):
             return []
         name = attempt.view.target.name
         self._sender.stop(work.identity, now)
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -18,6 +18,7 @@
 from anvilshift.core.queue import Entry, FairQueue, ServiceTags
 from anvilshift.core.queueset import QueueSet
 from anvilshift.core.ratelimits import RateLimit, RequestLog
+from anvilshift.core.retries import RetryWindow
 from anvilshift.core.sampling import SampledSet
 from anvilshift.core.work import Target
 
@@ -43,6 +44,8 @@
         Mean expected run time of work, by which long work is recognised.
     levels
         Sum of the targets' levels, the mean logarithms of their relative times.
+    retries
+        Requests for these targets, and how often they were sent again.
     """
 
     shares: ServiceTags = field(default_factory=ServiceTags)
@@ -51,6 +54,7 @@
     pools: "list[Pool]" = field(default_factory=list)
     views: "dict[str, TargetView]" = field(default_factory=dict)
     levels: float = 0.0
+    retries: RetryWindow = field(default_factory=RetryWindow)
 
     def sum_levels(self) -> None:
         """Compute the sum of the targets' levels from scratch."""
@@ -315,6 +319,7 @@
                 kind.views[view.target.name] = view
                 continue
             kind.shares.merge(other.shares)
+            kind.retries.merge(other.retries)
             for moved in [*other.views.values(), view]:
                 moved.kind = kind
                 kind.views[moved.target.name] = moved
--- a/anvilshift/core/retrier.py
+++ b/anvilshift/core/retrier.py
@@ -53,7 +53,7 @@
             return self._relocation.begin(entry, pool, now) if never_ran else [refusal]
         if self._state.would_miss_deadline(entry, pool, now):
             return [refusal]
-        if not self._state.retries.take(failure):
+        if not self._state.take_retry(pool, failure, now):
             return [refusal]
         confined = self._state.quarantine.list_only_targets(work.content)
         if confined or not self._sender.has_untried_target(entry, pool, now):
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -14,13 +14,16 @@
 from anvilshift.core.preparations import Preparations
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.core.queue import Entry
-from anvilshift.core.retries import RetryBudget
 from anvilshift.core.timers import Timers
-from anvilshift.core.work import DispatchSettings, Refuse, Work
+from anvilshift.core.work import DispatchSettings, Failure, Refuse, Work
 
 NO_TARGET_RETRY: Millis = 1 * SECOND
 """Retry delay for callers while no target is in use.  A target that restarts or is
 replaced needs at least a second."""
+_RETRY_ALLOWANCE = 30.0
+"""Retries in a window beyond those that requests earn, at each router and for each kind
+of target.  When three engines of eight slots that are shared by four routers fail, a
+router has 6 requests in flight there; five times that also covers a fleet of one."""
 _MAX_RECORDING: Millis = 1 * SECOND
 """Most time that is reserved for recording a bill.  Recording takes longer only during
 an outage, in which answers don't wait for their bills."""
@@ -84,7 +87,6 @@
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     quarantine: Quarantine = field(default_factory=Quarantine)
     former: FormerTargets = field(default_factory=FormerTargets)
-    retries: RetryBudget = field(default_factory=RetryBudget)
     recording: DecayingMean = field(default_factory=lambda: DecayingMean(1.0))
     preparations: Preparations = field(default_factory=Preparations)
     partitioned: bool = False
@@ -121,6 +123,18 @@
         """
         return work.deadline - min(_MAX_RECORDING, self.recording.high())
 
+    def take_retry(self, pool: Pool, failure: Failure, now: Millis) -> bool:
+        """Return whether work may be sent again after a failure, and count that.
+
+        What was not sent puts no load on a target and isn't counted.
+        """
+        if failure is Failure.NOT_SENT:
+            return True
+        retry = pool.kind.retries.take(_RETRY_ALLOWANCE, now)
+        if retry is not None:
+            retry.settle(now)
+        return retry is not None
+
     def would_miss_deadline(self, entry: Entry, pool: Pool, now: Millis) -> bool:
         """Tell whether work sent now is expected to miss its deadline."""
         durations = pool.kind.durations
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -5,8 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
-from dataclasses import replace
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
@@ -36,6 +35,7 @@
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
+from anvilshift.gateway.retrying import RequestRetries
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.sending import Answer, AttemptError, Outgoing
 from anvilshift.gateway.shared import RouterContext
@@ -76,7 +76,9 @@
         self._crashes = crashes
         self.may_have_run = False
         self.targets = 0
-        self._sends = 0
+        self._retries = RequestRetries(
+            shared.retries, routed.service, shared.boot_clock
+        )
         self.failed_targets: set[str] = set()
         self.target = ""
         self.version: str | None = None
@@ -94,6 +96,12 @@
         AnvilshiftError
             When no further attempt is made.
         """
+        try:
+            await self._send_until_answered()
+        finally:
+            self._retries.close()
+
+    async def _send_until_answered(self) -> None:
         while True:
             choice = self._choose()
             self._check_predicted_wait(choice)
@@ -104,7 +112,6 @@
                 continue
             try:
                 if await self._attempt(choice, run):
-                    self._shared.retries.add_answer()
                     self._crashes.clear()
                     return
             except AttemptError as error:
@@ -244,7 +251,7 @@
         """
         if not error.never_ran and not self._may_go_on():
             raise AnvilshiftError(ENGINE_FAILED, error.detail)
-        if not self._shared.retries.take(error.failure):
+        if not self._retries.may_send():
             self._record_refused_retry()
             if self._relay.started:
                 raise AnvilshiftError(ENGINE_FAILED, "the retry budget is used up")
@@ -253,13 +260,11 @@
             )
 
     def _record_refused_retry(self) -> None:
-        service = self._routed.service
-        self._shared.retry_counts.find(service).refused += 1
         self._shared.journal.write(
             "retry_refused",
             id=self._routed.call.identity,
-            service=service,
-            sends=self._sends,
+            service=self._routed.service,
+            sends=self._retries.sends,
             left=round(self._routed.end - self._shared.clock.now()),
         )
 
@@ -276,24 +281,12 @@
         self.concurrent_runs = len(choice.target.runs)
         self.target = choice.target.info.name
         self.version = choice.target.info.version
-        left = self._routed.end - shared.clock.now()
-        outgoing = Outgoing(
-            run,
-            self._routed.request,
-            self._routed.call.identity,
-            self._routed.call.host,
-            self._routed.call.prompt if self._routed.model is not None else Prompt(),
-            self._make_delivery(choice, left),
-            choice,
-            self._routed.model.cache_tokens if self._routed.model is not None else 0,
-            self._may_go_on(after=self.targets + 1),
-        )
         before = self.may_have_run, self.targets
         self._crashes.charge_target(self.target)
         try:
             async with asyncio.timeout(None) as timeout:
                 on_send = partial(self._record_send, timeout, choice)
-                outgoing = replace(outgoing, on_send=on_send)
+                outgoing = self._make_outgoing(choice, run, on_send)
                 async with shared.sender.send(outgoing) as answer:
                     await self._relay_answer(outgoing, answer, timeout)
                     return True
@@ -309,20 +302,36 @@
                 Failure.BROKE_OFF, "the target sent nothing for too long"
             ) from error
         finally:
+            self._retries.record_arrival()
             self._crashes.end(self.target, self.targets > before[1])
 
+    def _make_outgoing(
+        self, choice: Choice, run: str, on_send: Callable[[str], None]
+    ) -> Outgoing:
+        routed, model = self._routed, self._routed.model
+        return Outgoing(
+            run,
+            routed.request,
+            routed.call.identity,
+            routed.call.host,
+            routed.call.prompt if model is not None else Prompt(),
+            self._make_delivery(choice, routed.end - self._shared.clock.now()),
+            choice,
+            model.cache_tokens if model is not None else 0,
+            on_send,
+            self._may_go_on(after=self.targets + 1),
+        )
+
     def _record_send(self, timeout: asyncio.Timeout, choice: Choice, via: str) -> None:
         """Record that the request is about to be sent, and start its timeout.
 
         Until now nothing has reached a target, however long the connection took.
         """
+        self._retries.record_send()
         self.via = via
         self.sent = self._shared.clock.now()
         self.may_have_run = True
         self.targets += 1
-        self._sends += 1
-        if self._sends > 1:
-            self._shared.retry_counts.find(self._routed.service).repeats += 1
         limit = self._compute_timeout(choice, self._routed.end - self.sent)
         if limit is not None:
             timeout.reschedule(asyncio.get_running_loop().time() + limit)
@@ -398,6 +407,7 @@
 
     def _record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and how long that took."""
+        self._retries.record_arrival()
         self._shared.sender.record_first_byte(outgoing)
         target = outgoing.choice.target
         target.health.add_answer()
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -66,6 +66,8 @@
         process runs this node only.
     network
         Opens the connections to targets and routers; TCP if omitted.
+    boot_clock
+        A clock that goes on while the host is suspended; the other one if omitted.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         rng: random.Random,
         born: Millis | None = None,
         network: Network | None = None,
+        boot_clock: Clock | None = None,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
@@ -156,7 +159,8 @@
             self.reservations,
             journal,
             settings.failure_domain,
-            RetryBudget(settings.find_retry_reserve(1)),
+            RetryBudget(settings.retries, settings.find_retry_share(1)),
+            boot_clock or clock,
             TargetHealth(
                 self.incarnation,
                 settings.failure_domain,
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -124,7 +124,7 @@
         crashes.check()
         origin = await self._find_origin(call, rule)
         routed = self._route(table, call, rule, origin)
-        self.shared.retry_counts.find(routed.service).requests += 1
+        self.shared.retries.add_request(routed.service, self.shared.boot_clock.now())
         attempts = Attempts(self.shared, routed, self.relay, self.turn, crashes)
         self.attempts = attempts
         if routed.model is None:
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -62,7 +62,7 @@
         if now < self._retries_due:
             return
         self._retries_due = now + _RETRIES_INTERVAL
-        for service, counts in self._node.shared.retry_counts.drain().items():
+        for service, counts in self._node.shared.retries.counts.drain().items():
             if counts.repeats or counts.refused:
                 self._node.journal.write("retries", service=service, **asdict(counts))
 
@@ -75,7 +75,8 @@
         node.targets.entries.remove_missing()
         node.messenger.update_routers()
         routers = 1 + len(node.peers.list_present())
-        node.shared.retries.limit(node.settings.find_retry_reserve(routers))
+        node.shared.retries.share = node.settings.find_retry_share(routers)
+        node.shared.retries.expire(node.shared.boot_clock.now())
         for follower in (node.configuration_follower, node.target_follower):
             follower.interval_factor = find_interval_factor(routers)
         node.recorder.routers = node.allocators.count_allocators()
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -86,11 +86,11 @@
         Id of the caller's attempt.
     capacity
         Tokens that fit into the target's prompt cache; 0 for a plain service.
-    repeatable
-        Whether it may be sent again although the target may have run it.
     on_send
         Called with the name of the router that forwards the request, empty if none
         does, just before its first byte is sent.
+    repeatable
+        Whether it may be sent again although the target may have run it.
     """
 
     run: str
@@ -101,8 +101,8 @@
     delivery: TargetFields
     choice: Choice
     capacity: int
+    on_send: Callable[[str], None]
     repeatable: bool = False
-    on_send: Callable[[str], None] = lambda via: None
 
 
 @dataclass
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -1,8 +1,9 @@
 """The settings with which one gateway process is started."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.retries import RetryLimits
 from anvilshift.wire.messages import Address
 
 _MIN_ROUTERS = 4
@@ -23,9 +24,8 @@
         IP addresses of routers that may be running.
     grace
         Time from the signal to stop until the process is killed.
-    retry_allowance
-        Retries that all routers together may make within a few seconds, in addition
-        to those that successful answers earn.
+    retries
+        How often all routers together may send the requests for a service again.
     history
         Age by which the store has discarded a change; None if it is not known.
     """
@@ -41,18 +41,18 @@
     store: Address
     seeds: tuple[str, ...] = ()
     grace: Millis = 8 * SECOND
-    retry_allowance: float = 40.0
+    retries: RetryLimits = field(default_factory=RetryLimits)
     history: Millis | None = None
 
-    def find_retry_reserve(self, routers: int) -> float:
+    def find_retry_share(self, routers: int) -> float:
         """Return this router's share of the fleet's retry allowance.
 
         Examples
         --------
         >>> address = Address.parse("10.0.0.1:80")
         >>> settings = GatewaySettings("r1", "10.0.0.1", "a", address, None, None, 1, 2,
-        ...     address, retry_allowance=48.0)
-        >>> settings.find_retry_reserve(1), settings.find_retry_reserve(24)
+        ...     address, retries=RetryLimits(allowance=48.0))
+        >>> settings.find_retry_share(1), settings.find_retry_share(24)
         (6.0, 1.0)
         """
-        return max(1.0, self.retry_allowance / 2 / max(_MIN_ROUTERS, routers))
+        return max(1.0, self.retries.allowance / 2 / max(_MIN_ROUTERS, routers))
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -9,7 +9,6 @@
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.errors import NOT_READY, AnvilshiftError
 from anvilshift.core.retries import RetryBudget
-from anvilshift.core.retrycounts import ServiceCounts
 from anvilshift.core.routing import RouteTable
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
@@ -33,6 +32,8 @@
     ----------
     domain
         This router's failure domain.
+    boot_clock
+        A clock that goes on while the host is suspended.
     on_target_lost, on_target_replaced
         Called with the name of a target that is gone, and of one whose address
         another target has taken over.
@@ -54,6 +55,7 @@
     journal: Journal
     domain: str
     retries: RetryBudget
+    boot_clock: Clock
     health: TargetHealth
     origins: StreamOrigins
     table: RouteTable | None = None
@@ -61,7 +63,6 @@
     on_target_lost: Callable[[str], None] = lambda target: None
     on_target_replaced: Callable[[str], None] = lambda target: None
     work: dict[str, DecayingMean] = field(default_factory=dict)
-    retry_counts: ServiceCounts = field(default_factory=ServiceCounts)
     runs: int = 0
     ending: bool = False
 
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -5,8 +5,9 @@
 import random
 import signal
 import sys
+from dataclasses import asdict
 
-from anvilshift.core.clock import PROCESS_START, MonotonicClock
+from anvilshift.core.clock import PROCESS_START, BootClock, MonotonicClock
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.node import GatewayNode
@@ -32,7 +33,14 @@
         store = PlatformStore(self._store_client, settings.store)
         rng = random.Random(random.SystemRandom().getrandbits(64))
         self.node = GatewayNode(
-            settings, PlatformDialect(), store, clock, self._journal, rng, PROCESS_START
+            settings,
+            PlatformDialect(),
+            store,
+            clock,
+            self._journal,
+            rng,
+            PROCESS_START,
+            boot_clock=BootClock(),
         )
         handler = DiscoveryHandler(self.node.is_ready, self.node.list_endpoints)
         self._discovery = handler
@@ -62,13 +70,14 @@
         await self.node.close()
 
     def _reload(self) -> None:
-        """Validate the settings file; new values take effect only at the next start."""
+        """Read the settings file; its retry limits take effect, the rest at a start."""
         try:
-            read_settings(find_settings_path())
+            settings = read_settings(find_settings_path())
         except AnvilshiftError as error:
             self._journal.write("settings_unreadable", why=error.detail)
             return
-        self._journal.write("settings_read")
+        self.node.shared.retries.configure(settings.retries)
+        self._journal.write("settings_read", retries=asdict(settings.retries))
 
 
 def run() -> int:
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -8,10 +8,15 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_SETTINGS, AnvilshiftError
+from anvilshift.core.retries import RetryLimits
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.platform import names
 from anvilshift.wire.messages import Address
 
+_MAX_RETRY_RATIO = 10.0
+_MIN_RETRY_WINDOW_S, _MAX_RETRY_WINDOW_S = 0.1, 3_600.0
+_MAX_RETRY_ALLOWANCE = 1e6
+"""A value beyond these is taken for a mistake: no service stands so many retries."""
 _DEFAULT_PATH = "/etc/anvilshift/local.toml"
 
 
@@ -24,7 +29,26 @@
 
 class _Bounds(BaseModel):
     grace_s: float = Field(default=8.0, alias="graceS")
-    retry_allowance: float = Field(default=40.0, alias="retryAllowance")
+    retry_ratio: float = Field(
+        default=RetryLimits.ratio, alias="retryRatio", ge=0, le=_MAX_RETRY_RATIO
+    )
+    retry_window_s: float = Field(
+        default=RetryLimits.window / SECOND,
+        alias="retryWindowS",
+        ge=_MIN_RETRY_WINDOW_S,
+        le=_MAX_RETRY_WINDOW_S,
+    )
+    retry_allowance: float = Field(
+        default=RetryLimits.allowance,
+        alias="retryAllowance",
+        ge=0,
+        le=_MAX_RETRY_ALLOWANCE,
+    )
+
+    def convert_retries(self) -> RetryLimits:
+        """Return the limits on requests that are sent again."""
+        window = self.retry_window_s * SECOND
+        return RetryLimits(self.retry_ratio, window, self.retry_allowance)
 
 
 class _Store(BaseModel):
@@ -59,7 +83,7 @@
             store=Address.parse(self.platform.address),
             seeds=tuple(Address.parse(seed).ip for seed in self.seeds),
             grace=self.bounds.grace_s * SECOND,
-            retry_allowance=self.bounds.retry_allowance,
+            retries=self.bounds.convert_retries(),
             history=_convert_to_ms(self.platform.history_s),
         )
 
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -109,7 +109,13 @@
             "if True:\n            return None",
         ),
     ),
-    "retries": (Patch("core/retries.py", "if self._available < 1.0:", "if True:"),),
+    "retries": (
+        Patch(
+            "core/retries.py",
+            "if self.count_left(allowance, now) < 1.0 + reserve:",
+            "if False:",
+        ),
+    ),
 }
 
 
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -42,7 +42,9 @@
         source = loads.targets["e2"] if fetched else None
         choice = Choice(loads.targets["e1"], 100.0, cached, source)
         request = SimpleNamespace()
-        outgoing = Outgoing("r1/1", request, "a", "h", PROMPT, None, choice, 400_000)
+        outgoing = Outgoing(
+            "r1/1", request, "a", "h", PROMPT, None, choice, 400_000, lambda via: None
+        )
         sender._record_send(outgoing)
         return peers.to_distant
 
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -7,6 +7,7 @@
 import unittest
 
 from anvilshift.core.clock import MonotonicClock
+from anvilshift.core.retries import RetryLimits
 from anvilshift.gateway.node import GatewayNode
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.platform.dialect import PlatformDialect
@@ -157,7 +158,7 @@
             forward_port,
             self.store_address,
             seeds,
-            retry_allowance=self.allowance,
+            retries=RetryLimits(allowance=self.allowance),
             history=history,
         )
         return GatewayNode(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.retries import RetryLimits
 from anvilshift.platform.main import run
 from anvilshift.platform.settings import read_settings
 
@@ -49,6 +50,35 @@
         stated = read_settings(self.write(TEXT + "historyS = 20\n"))
         self.assertEqual(stated.history, 20_000.0)
 
+    def read_retries(self, **values: str) -> RetryLimits:
+        bounds = "".join(f"{name} = {value}\n" for name, value in values.items())
+        return read_settings(
+            self.write(TEXT.replace("retryAllowance = 58\n", bounds))
+        ).retries
+
+    def test_the_limits_of_retries_are_read_or_have_defaults(self):
+        found = self.read_retries(
+            retryRatio="0.5", retryWindowS="3", retryAllowance="0"
+        )
+        self.assertEqual(found, RetryLimits(0.5, 3_000.0, 0.0))
+        self.assertEqual(self.read_retries(), RetryLimits(0.2, 10_000.0, 40.0))
+
+    def test_limits_of_retries_that_make_no_sense_are_refused(self):
+        """Guards against a bound that a mistaken setting switches off."""
+        cases = {
+            "retryRatio": ("-0.1", "nan", "inf", "1e9", '"x"'),
+            "retryWindowS": ("0", "-1", "nan", "inf", "1e9", '"x"'),
+            "retryAllowance": ("-1", "nan", "inf", "1e9", '"x"'),
+        }
+        for name, values in cases.items():
+            for value in values:
+                with (
+                    self.subTest(name=name, value=value),
+                    self.assertRaises(AnvilshiftError) as caught,
+                ):
+                    self.read_retries(**{name: value})
+                self.assertIn(f"bounds.{name}", str(caught.exception))
+
     def test_the_file_is_decoded_and_unknown_fields_are_ignored(self):
         found = read_settings(self.write(TEXT))
         self.assertEqual(
@@ -57,8 +87,8 @@
         self.assertEqual((found.peer_port, found.grace), (7340, 8_000.0))
         self.assertEqual(found.seeds, ("10.1.0.40", "10.2.0.29"))
         self.assertEqual(str(found.store), "10.200.1.7:8223")
-        self.assertEqual(found.find_retry_reserve(4), 58 / 2 / 4)
-        self.assertEqual(found.find_retry_reserve(10), 58 / 2 / 10)
+        self.assertEqual(found.find_retry_share(4), 58 / 2 / 4)
+        self.assertEqual(found.find_retry_share(10), 58 / 2 / 10)
 
     def test_a_wrong_field_is_named_with_its_file(self):
         for old, new, field in (
