Divide the allowance of retries by records in the store, not by what a router sees

What callers saw: nothing; a service got more repeats than the operators allow. Cause: each router took its share of the allowance by the routers it heard, four at least, and one repeat at least. A router that started had a full share, whatever its former process had used in the same window; routers that don't hear one another each took the whole fleet's; 2,200 routers had 2,200 whatever the allowance was. To make up for it, half of the allowance lay unused. The class: a limit of the fleet that each member divides by what it sees.

Change: each router has a record in the store and follows all of them. A share is the allowance by their number, used only while that knowledge is at most 6 s old, and only 6 s and a window after the router's own record was seen; a removed record counts for as long after. So any two routers that use shares within a window count one another, and K of them have K parts of at most 1/K. A cut from the store, an outage or a start leaves what requests earn. Age is read from a clock that goes on while a host is suspended. Weighed besides: fixed shares by host name (nobody knows the hosts), a lease on each unit (2,200 writers of one object), reports of use in heartbeats (a lost one is use that nobody knows of).

The tests of gateways give their routers a share at once (has_shares); those of the bound don't. find_retry_share and its doctest are gone; the shares of large fleets are checked in tests/core/test_fleetshares.py.

--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -79,6 +79,9 @@
         fail as well.
     seen
         When the store last answered.
+    confirmed
+        Instant until which all changes have been applied: when the last call was made
+        whose answer was applied.
     interval_factor
         Factor on the durations, see `find_interval_factor`.
     """
@@ -91,6 +94,7 @@
     change: Callable[[ObjectChange], None]
     settle: Callable[[set[str]], None] = lambda names: None
     seen: Millis = -1e12
+    confirmed: Millis = -1e12
     revision: int = 0
     interval_factor: float = 1.0
     probe: "Follower | None" = None
@@ -144,15 +148,18 @@
             self.journal.write("store_regained", kind=self.kind)
 
     async def _list(self) -> None:
+        asked = self.clock.now()
         listing = await self.store.list([self.kind])
         self._note_answer()
         for item in listing.items:
             self.change(ObjectChange(item.kind, item.name, item.version, item.body))
         self.settle({item.name for item in listing.items})
         self.revision = listing.revision
+        self.confirmed = asked
 
     async def _watch(self) -> None:
         wait = self.intervals.wait * self.interval_factor
+        asked = self.clock.now()
         found = await self.store.watch([self.kind], self.revision, wait)
         self._note_answer()
         if found.too_old:
@@ -162,6 +169,7 @@
         for change in found.changes:
             self.change(change)
         self.revision = max(self.revision, found.revision)
+        self.confirmed = asked
         if found.changes and self.intervals.rest:
             await asyncio.sleep(
                 self.intervals.rest * min(self.interval_factor, 2.0) / SECOND
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -27,6 +27,7 @@
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
+from anvilshift.gateway.retryshares import RetryShares
 from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
@@ -159,7 +160,7 @@
             self.reservations,
             journal,
             settings.failure_domain,
-            RetryBudget(settings.retries, settings.find_retry_share(1)),
+            RetryBudget(settings.retries),
             boot_clock or clock,
             TargetHealth(
                 self.incarnation,
@@ -174,6 +175,15 @@
                 settings.name, settings.ip, self.peers, self.loads, clock, journal
             ),
         )
+        self.retry_shares = RetryShares(
+            store,
+            settings.name,
+            self.shared.retries,
+            self.shared.boot_clock,
+            journal,
+            rng,
+            lambda: {peer.beat.router for peer in self.peers.list_present()},
+        )
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
             dialect,
@@ -203,6 +213,7 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
+        self.retry_shares.follower.probe = self.configuration_follower
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -325,6 +336,8 @@
             self.peers.run(),
             self.configuration_follower.run(),
             self.target_follower.run(),
+            self.retry_shares.follower.run(),
+            self.retry_shares.run(),
             self.allotter.run(),
             self._record(),
             self._find_peers(),
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -56,6 +56,7 @@
         node.permits.handle_suspension()
         node.configuration_follower.restart()
         node.target_follower.restart()
+        node.retry_shares.follower.restart()
 
     def _write_retries(self, now: Millis) -> None:
         """Write what each service was sent that got repeats or was refused some."""
@@ -75,8 +76,7 @@
         node.targets.entries.remove_missing()
         node.messenger.update_routers()
         routers = 1 + len(node.peers.list_present())
-        node.shared.retries.share = node.settings.find_retry_share(routers)
-        node.shared.retries.expire(node.shared.boot_clock.now())
+        node.retry_shares.update()
         for follower in (node.configuration_follower, node.target_follower):
             follower.interval_factor = find_interval_factor(routers)
         node.recorder.routers = node.allocators.count_allocators()
--- /dev/null
+++ b/anvilshift/gateway/retryshares.py
@@ -0,0 +1,127 @@
+"""Keep this router's record among those that share the fleet's retry allowance."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.fleetshares import FleetShares
+from anvilshift.core.retries import RetryBudget, RetryLimits
+from anvilshift.gateway.following import Follower, WatchIntervals
+from anvilshift.gateway.journal import Journal
+from anvilshift.objects.store import ConflictError, ObjectChange, ObjectStore
+
+KIND = "anvilshift-routers"
+_INTERVALS = WatchIntervals(wait=2 * SECOND, rest=300.0)
+"""Two watches and a rest pass within the age up to which a share may be used."""
+_CHECK_INTERVAL: Millis = 1 * SECOND
+"""Interval between checks of this router's record."""
+_ABSENT_AFTER: Millis = 60 * SECOND
+"""How long a router isn't heard until its record is removed, and its share divided
+among the others: a host that is replaced or restarted is back sooner."""
+
+
+@dataclass(eq=False)
+class RetryShares:
+    """Follow the routers' records, and set this router's part of the allowance.
+
+    Parameters
+    ----------
+    clock
+        A clock that goes on while the host is suspended.
+    list_heard
+        Returns the names of the other routers that are present.
+    """
+
+    store: ObjectStore
+    name: str
+    budget: RetryBudget
+    clock: Clock
+    journal: Journal
+    rng: random.Random
+    list_heard: Callable[[], set[str]]
+    _versions: dict[str, int] = field(default_factory=dict)
+    _absent_since: dict[str, Millis] = field(default_factory=dict)
+    _is_listed: bool = False
+
+    def __post_init__(self) -> None:
+        self.shares = FleetShares(self.name, self.budget.limits.window)
+        self.follower = Follower(
+            self.store,
+            KIND,
+            _INTERVALS,
+            self.clock,
+            self.journal,
+            self._apply_change,
+            self._settle,
+        )
+
+    def configure(self, limits: RetryLimits) -> None:
+        """Put new limits in force."""
+        self.budget.configure(limits)
+        self.shares.window = limits.window
+        self.update()
+
+    def update(self) -> None:
+        """Set this router's part of the allowance by what it knows now."""
+        now = self.clock.now()
+        self.shares.confirm(self.follower.confirmed)
+        routers = self.shares.count(now)
+        share = 0.0 if routers is None else self.budget.limits.allowance / routers
+        if share != self.budget.share:
+            self.budget.share = share
+            self.journal.write("retry_share", share=round(share, 3), routers=routers)
+        self.budget.expire(now)
+
+    async def run(self) -> None:
+        """Keep this router's record, and remove those of routers that are gone."""
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL * self.rng.uniform(0.5, 1.0) / SECOND)
+            if not self._is_listed or not self.follower.is_fresh():
+                continue
+            try:
+                if self.name not in self._versions:
+                    await self.store.put(KIND, self.name, {}, 0)
+                await self._remove_absent()
+            except ConflictError:
+                # Another router was faster, or the watch is about to show the record.
+                continue
+            except AnvilshiftError as error:
+                self.journal.write(
+                    "retry_share_unwritten", code=error.code.number, why=error.detail
+                )
+
+    async def _remove_absent(self) -> None:
+        """Remove the records of routers that have not been heard for long.
+
+        One router does that.  A router that is only cut off from this one records
+        itself again, and has no share until all others count it.
+        """
+        now, heard = self.clock.now(), self.list_heard() | {self.name}
+        absent = set(self._versions) - heard
+        self._absent_since = {
+            name: self._absent_since.get(name, now) for name in absent
+        }
+        if self.name != min(heard & set(self._versions), default=""):
+            return
+        for name, since in self._absent_since.items():
+            if now - since > _ABSENT_AFTER:
+                self.journal.write("router_removed", router=name)
+                await self.store.delete(KIND, name, self._versions[name])
+
+    def _apply_change(self, change: ObjectChange) -> None:
+        now = self.clock.now()
+        if change.body is None:
+            self._versions.pop(change.name, None)
+            self.shares.remove(change.name, now)
+        else:
+            self._versions[change.name] = change.version
+            self.shares.add(change.name, now)
+
+    def _settle(self, names: set[str]) -> None:
+        now, self._is_listed = self.clock.now(), True
+        for name in set(self._versions) - names:
+            del self._versions[name]
+            self.shares.remove(name, now)
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -6,11 +6,6 @@
 from anvilshift.core.retries import RetryLimits
 from anvilshift.wire.messages import Address
 
-_MIN_ROUTERS = 4
-"""Lower bound on the number of routers among which the fleet's retries are divided.
-The smallest fleets have four routers, and a retry budget that is used up too early
-fails requests that a retry would have saved."""
-
 
 @dataclass(frozen=True)
 class GatewaySettings:
@@ -43,16 +38,3 @@
     grace: Millis = 8 * SECOND
     retries: RetryLimits = field(default_factory=RetryLimits)
     history: Millis | None = None
-
-    def find_retry_share(self, routers: int) -> float:
-        """Return this router's share of the fleet's retry allowance.
-
-        Examples
-        --------
-        >>> address = Address.parse("10.0.0.1:80")
-        >>> settings = GatewaySettings("r1", "10.0.0.1", "a", address, None, None, 1, 2,
-        ...     address, retries=RetryLimits(allowance=48.0))
-        >>> settings.find_retry_share(1), settings.find_retry_share(24)
-        (6.0, 1.0)
-        """
-        return max(1.0, self.retries.allowance / 2 / max(_MIN_ROUTERS, routers))
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -76,7 +76,7 @@
         except AnvilshiftError as error:
             self._journal.write("settings_unreadable", why=error.detail)
             return
-        self.node.shared.retries.configure(settings.retries)
+        self.node.retry_shares.configure(settings.retries)
         self._journal.write("settings_read", retries=asdict(settings.retries))
 
 
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -35,6 +35,7 @@
 ABSENT = object()
 """Stands for a field that an entry doesn't have."""
 _LISTENING_PORTS = 20_000, 30_000
+_SHARING_ROUTERS = 4
 _WARM_UP_SUCCESSES = 20
 """Consecutive successes after which a router counts as warmed up."""
 
@@ -85,6 +86,8 @@
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     allowance = 40.0
     """Repeats that all routers together may send beyond those that requests earn."""
+    has_shares = True
+    """Whether routers have their share at once, as if they had run for long."""
 
     async def asyncSetUp(self):
         self.store_stub = StoreStub()
@@ -161,7 +164,7 @@
             retries=RetryLimits(allowance=self.allowance),
             history=history,
         )
-        return GatewayNode(
+        node = GatewayNode(
             settings,
             PlatformDialect(),
             PlatformStore(HttpClient(), self.store_address),
@@ -170,6 +173,10 @@
             random.Random(self.starts + len(self.nodes)),
             network=network,
         )
+        if self.has_shares:
+            node.retry_shares.shares.count = lambda now: _SHARING_ROUTERS
+            node.retry_shares.update()
+        return node
 
     async def start_fleet(self, count: int) -> None:
         """Start routers that discover one another, each on its own address."""
--- a/tests/platform/test_retries.py
+++ b/tests/platform/test_retries.py
@@ -41,6 +41,8 @@
 class RetryBoundTest(GatewayCase):
     """Repeats at one service never exceed its bound, over all routers."""
 
+    has_shares = False
+
     async def add_desk(self, targets: int = 3) -> None:
         """Add a plain service whose targets reject all requests."""
         for number in range(targets):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -87,7 +87,7 @@
         self.assertEqual((found.peer_port, found.grace), (7340, 8_000.0))
         self.assertEqual(found.seeds, ("10.1.0.40", "10.2.0.29"))
         self.assertEqual(str(found.store), "10.200.1.7:8223")
-        self.assertEqual(found.find_retry_share(4), 58 / 2 / 4)
+        self.assertEqual(found.retries, RetryLimits(allowance=58.0))
         self.assertEqual(found.find_retry_share(10), 58 / 2 / 10)
 
     def test_a_wrong_field_is_named_with_its_file(self):
