Send fewer requests to targets that reject many

What callers saw: answers that came late, as their requests were rejected first and sent again, from a budget that other requests lacked. Cause: a target that rejects at once has few requests running and looks idle, so it was chosen before those that served them. Change: each router keeps the part of its requests that a target rejected lately; the cost of a choice grows by 50 ms for a certain rejection. It fades in seconds, so that a target is tried again, and changes nothing where all reject alike.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -61,6 +61,9 @@
 _AVOIDED_MS = 200.0
 """Cost of a target that fails more than the others of its service: a request whose
 answer is lost there costs its caller more than this wait elsewhere."""
+_REJECTED_MS = 50.0
+"""Cost of a request that is rejected: the time until it is sent again, and a retry that
+other requests lack."""
 _DEFAULT_PLAIN_DURATION: Millis = 40.0
 """Assumed duration of a request at a plain service until it has been measured."""
 
@@ -262,8 +265,9 @@
 
 
 def _avoidance_cost(target: TargetLoad, now: Millis) -> float:
-    """Return the cost of a target that fails more than the others."""
-    return _AVOIDED_MS if now < target.avoided_until else 0.0
+    """Return the cost of a target that fails or rejects more than the others."""
+    avoided = _AVOIDED_MS if now < target.avoided_until else 0.0
+    return avoided + _REJECTED_MS * target.rejections.find(now)
 
 
 def _limit_cost(target: TargetLoad, now: Millis) -> float:
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -10,6 +10,7 @@
 from anvilshift.core.ejection import Health
 from anvilshift.core.places import Places
 from anvilshift.core.ratelimits import RateLimit, RequestLog
+from anvilshift.core.rejections import RejectionRate
 
 _TELLING: Millis = 40.0
 """Predicted waits below this are not used to measure an engine's speed."""
@@ -135,6 +136,8 @@
         Estimate of how many requests it holds, used while it is brittle.
     avoided_until
         Until when other targets are preferred, because it fails more than they do.
+    rejections
+        How often it rejected requests lately.
     is_start_doubted
         Whether it may have started anew since its entry was written, so that its
         version isn't known.
@@ -157,6 +160,7 @@
     brittle: float | None = None
     farewell: bool = False
     places: Places = field(default_factory=Places)
+    rejections: RejectionRate = field(default_factory=RejectionRate)
     is_start_doubted: bool = False
 
     @property
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -189,6 +189,7 @@
         )
         if not is_matching:
             return
+        outgoing.choice.target.rejections.add(notes.not_run, self.clock.now())
         name = outgoing.choice.target.info.name
         if notes.signed or notes.limit is not None:
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
