Give a router its share back a window after a restart, and sooner after an outage

Change: a router writes into its record once that it has waited; its next process waits for a window only, for what the former one may have used. While the store doesn't answer, a watch of the records returns at once. A record is named after host and address, as a host may take over the name of one that is cut off and running. Ruled out: that a restarted router knows what its former process used (nobody can tell it), so that the window stays; the age of a record from the store's clock (none is to be had).

--- a/anvilshift/core/fleetshares.py
+++ b/anvilshift/core/fleetshares.py
@@ -9,14 +9,13 @@
   what they used before lies outside of the window.
 - A removed record is counted for as long after its removal was seen: its router learns
   of the removal within `MAX_AGE`, or uses nothing.
-- A router that starts anew waits as well, since its former process may have used its
-  share just before.
+- A router that starts anew waits for a window, since its former process may have used
+  its share just before.  If that one was still waiting, it waits as if it joined.
 - A router that is cut off from the store uses nothing once its knowledge is too old.
 
 Time is that of a clock which goes on while a host is suspended.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
@@ -40,7 +39,8 @@
     Examples
     --------
     >>> shares = FleetShares("r1", window=10_000.0)
-    >>> shares.settle({"r1", "r2"}, asked=0.0, now=5.0)
+    >>> shares.add("r1", now=5.0)
+    >>> shares.add("r2", now=5.0)
     >>> shares.confirm(asked=16_000.0)
     >>> shares.count(now=16_004.0), shares.count(now=16_005.0)
     (None, 2)
@@ -50,15 +50,21 @@
     window: Millis
     _present: set[str] = field(default_factory=set)
     _removed: dict[str, Millis] = field(default_factory=dict)
-    _own_seen: Millis | None = None
+    _begins: Millis | None = None
     _confirmed: Millis = float("-inf")
 
-    def add(self, name: str, now: Millis) -> None:
-        """Record that a router's record exists."""
+    def add(self, name: str, now: Millis, settled: bool = False) -> None:
+        """Record that a router's record exists.
+
+        Parameters
+        ----------
+        settled
+            Whether the record says that its router has waited after it joined.
+        """
         self._present.add(name)
         self._removed.pop(name, None)
-        if name == self.own and self._own_seen is None:
-            self._own_seen = now
+        if name == self.own and self._begins is None:
+            self._begins = now + self.window + (0.0 if settled else MAX_AGE)
 
     def remove(self, name: str, now: Millis) -> None:
         """Record that a router's record is gone."""
@@ -66,15 +72,7 @@
             self._present.discard(name)
             self._removed[name] = now
         if name == self.own:
-            self._own_seen = None
-
-    def settle(self, names: Collection[str], asked: Millis, now: Millis) -> None:
-        """Apply a complete list of the records that was asked for at some instant."""
-        for name in self._present - set(names):
-            self.remove(name, now)
-        for name in names:
-            self.add(name, now)
-        self.confirm(asked)
+            self._begins = None
 
     def confirm(self, asked: Millis) -> None:
         """Record that all changes until some instant have been applied."""
@@ -87,12 +85,11 @@
 
     def count(self, now: Millis) -> int | None:
         """Return the number of shares; None while this router may use none."""
-        wait = MAX_AGE + self.window
-        if self._own_seen is None or now < self._own_seen + wait:
+        if self._begins is None or now < self._begins:
             return None
         if now > self._confirmed + MAX_AGE:
             return None
         for name, removed in list(self._removed.items()):
-            if now > removed + wait:
+            if now > removed + MAX_AGE + self.window:
                 del self._removed[name]
         return len(self._present) + len(self._removed)
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -57,10 +57,14 @@
     rest
         Pause after a watch that returned changes.  Frequent changes are thus read
         together, because each call is priced.
+    wait_when_lost
+        Maximum duration of a watch while the store doesn't answer; `wait` if omitted.
+        A shorter one finds out sooner that the store is back.
     """
 
     wait: Millis
     rest: Millis = 0.0
+    wait_when_lost: Millis | None = None
 
 
 @dataclass
@@ -159,6 +163,8 @@
 
     async def _watch(self) -> None:
         wait = self.intervals.wait * self.interval_factor
+        if self._lost and self.intervals.wait_when_lost is not None:
+            wait = self.intervals.wait_when_lost
         asked = self.clock.now()
         found = await self.store.watch([self.kind], self.revision, wait)
         self._note_answer()
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -27,7 +27,7 @@
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
-from anvilshift.gateway.retryshares import RetryShares
+from anvilshift.gateway.retryshares import RetryShares, name_record
 from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
@@ -177,12 +177,15 @@
         )
         self.retry_shares = RetryShares(
             store,
-            settings.name,
+            name_record(settings.name, settings.ip),
             self.shared.retries,
             self.shared.boot_clock,
             journal,
             rng,
-            lambda: {peer.beat.router for peer in self.peers.list_present()},
+            lambda: {
+                name_record(peer.beat.router, peer.beat.ip)
+                for peer in self.peers.list_present()
+            },
         )
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
--- a/anvilshift/gateway/retryshares.py
+++ b/anvilshift/gateway/retryshares.py
@@ -14,7 +14,9 @@
 from anvilshift.objects.store import ConflictError, ObjectChange, ObjectStore
 
 KIND = "anvilshift-routers"
-_INTERVALS = WatchIntervals(wait=2 * SECOND, rest=300.0)
+_SETTLED = "settled"
+"""Field of a record that says that its router has waited after it joined."""
+_INTERVALS = WatchIntervals(wait=2 * SECOND, rest=300.0, wait_when_lost=1.0)
 """Two watches and a rest pass within the age up to which a share may be used."""
 _CHECK_INTERVAL: Millis = 1 * SECOND
 """Interval between checks of this router's record."""
@@ -23,16 +25,27 @@
 among the others: a host that is replaced or restarted is back sooner."""
 
 
+def name_record(router: str, ip: str) -> str:
+    """Return the name of a router's record, which a restart doesn't change.
+
+    A host that takes over the name of another, which may be cut off and running, gets a
+    record of its own.
+    """
+    return f"{router}@{ip}"
+
+
 @dataclass(eq=False)
 class RetryShares:
     """Follow the routers' records, and set this router's part of the allowance.
 
     Parameters
     ----------
+    name
+        Name of this router's record, see `name_record`.
     clock
         A clock that goes on while the host is suspended.
     list_heard
-        Returns the names of the other routers that are present.
+        Returns the names of the records of the other routers that are present.
     """
 
     store: ObjectStore
@@ -45,6 +58,7 @@
     _versions: dict[str, int] = field(default_factory=dict)
     _absent_since: dict[str, Millis] = field(default_factory=dict)
     _is_listed: bool = False
+    _is_settled: bool = False
 
     def __post_init__(self) -> None:
         self.shares = FleetShares(self.name, self.budget.limits.window)
@@ -82,8 +96,7 @@
             if not self._is_listed or not self.follower.is_fresh():
                 continue
             try:
-                if self.name not in self._versions:
-                    await self.store.put(KIND, self.name, {}, 0)
+                await self._write_record()
                 await self._remove_absent()
             except ConflictError:
                 # Another router was faster, or the watch is about to show the record.
@@ -93,6 +106,13 @@
                     "retry_share_unwritten", code=error.code.number, why=error.detail
                 )
 
+    async def _write_record(self) -> None:
+        """Create this router's record, or write that it has waited long enough."""
+        version = self._versions.get(self.name, 0)
+        is_settled = self.shares.count(self.clock.now()) is not None
+        if not version or (is_settled and not self._is_settled):
+            await self.store.put(KIND, self.name, {_SETTLED: is_settled}, version)
+
     async def _remove_absent(self) -> None:
         """Remove the records of routers that have not been heard for long.
 
@@ -118,7 +138,10 @@
             self.shares.remove(change.name, now)
         else:
             self._versions[change.name] = change.version
-            self.shares.add(change.name, now)
+            settled = change.body.get(_SETTLED) is True
+            self.shares.add(change.name, now, settled)
+            if change.name == self.name:
+                self._is_settled = settled
 
     def _settle(self, names: set[str]) -> None:
         now, self._is_listed = self.clock.now(), True
--- a/tests/core/test_fleetshares.py
+++ b/tests/core/test_fleetshares.py
@@ -26,6 +26,14 @@
         shares.confirm(10 * WAIT)
         self.assertIsNone(shares.count(10 * WAIT))
 
+    def test_a_settled_router_that_starts_anew_waits_for_a_window(self):
+        """Guards against a share that the former process used just before."""
+        shares = FleetShares("r1", WINDOW)
+        shares.add("r1", 0.0, settled=True)
+        shares.confirm(WINDOW)
+        self.assertIsNone(shares.count(WINDOW - 1.0))
+        self.assertEqual(shares.count(WINDOW), 1)
+
     def test_knowledge_that_is_too_old_gives_no_share(self):
         """Guards against a router that is cut off and divides by an old number."""
         shares = make_shares("r1", "r2")
--- a/tests/gateway/test_retryshares.py
+++ b/tests/gateway/test_retryshares.py
@@ -119,6 +119,32 @@
         fleet = self.play(scenario, allowance=40.0)
         self.assertLessEqual(fleet.find_excess(), 1e-9)
 
+    def test_a_router_that_starts_anew_has_its_share_after_a_window(self):
+        async def scenario(fleet):
+            for number in range(2):
+                fleet.start(f"r{number}")
+            await asyncio.sleep(JOIN_S + 2.0)
+            fleet.start("r0")
+            await asyncio.sleep(WINDOW_S + 1.0)
+            self.share = fleet.routers["r0"].budget.share
+
+        self.play(scenario, allowance=40.0)
+        self.assertEqual(self.share, 20.0)
+
+    def test_a_router_that_starts_anew_while_it_joins_waits_again(self):
+        """Guards against a share in use before all others count its router."""
+
+        async def scenario(fleet):
+            for number in range(2):
+                fleet.start(f"r{number}")
+            await asyncio.sleep(3.0)
+            fleet.start("r0")
+            await asyncio.sleep(WINDOW_S + 1.0)
+            self.share = fleet.routers["r0"].budget.share
+
+        self.play(scenario, allowance=40.0)
+        self.assertEqual(self.share, 0.0)
+
     def test_a_fleet_cut_in_two_keeps_one_allowance(self):
         """Guards against two parts that each divide the whole among themselves."""
 
