--- a/anvilshift/core/retries.py
+++ b/anvilshift/core/retries.py
@@ -28,9 +28,6 @@
 
 BACKOFF = Backoff(base=50.0, limit=2_000.0)
 """Delay between attempts at the same target; a restart takes seconds."""
-_RESERVED = 0.25
-"""Part of a router's share of the allowance that is kept for requests whose callers
-would lose by a refusal."""
 _BINS = 40
 """Bins into which a window is divided to count requests; each costs a step when a
 retry is taken, and its width of what was earned may go unused."""
@@ -242,15 +239,8 @@
         self.counts.find(service).requests += 1
         self._find_window(service).add_request(now)
 
-    def take(self, service: str, now: Millis, urgent: bool = True) -> Retry | None:
-        """Return a retry for a service; None if its budget is used up.
-
-        Parameters
-        ----------
-        urgent
-            Whether a refusal would cost the caller something.
-        """
-        reserve = 0.0 if urgent else _RESERVED * self.share
+    def take(self, service: str, now: Millis, reserve: float = 0.0) -> Retry | None:
+        """Return a retry for a service; None if its budget is used up."""
         retry = self._find_window(service).take(self.share, now, reserve)
         if retry is None:
             self.counts.find(service).refused += 1
--- a/anvilshift/core/timeouts.py
+++ b/anvilshift/core/timeouts.py
@@ -100,35 +100,6 @@
     return max(_MIN_RETRY_DELAY, min(wait, left * _RETRY_FRACTION) * jitter)
 
 
-def is_return_as_good(
-    objective: Millis, elapsed: Millis, wait: Millis, left: Millis
-) -> bool:
-    """Return whether a refused caller loses nothing by coming back by itself.
-
-    It can come back, and its answer is then on time, or would have been late anyway.
-
-    Parameters
-    ----------
-    objective, elapsed
-        Time within which an answer is on time, and how much of it has passed.
-    wait
-        Predicted time from a new request to its answer.
-    left
-        Time until the request's deadline.
-
-    Examples
-    --------
-    >>> is_return_as_good(objective=1_000.0, elapsed=20.0, wait=50.0, left=15_000.0)
-    True
-    >>> is_return_as_good(objective=150.0, elapsed=20.0, wait=50.0, left=2_500.0)
-    False
-    """
-    if left * _RETRY_FRACTION < _MIN_RETRY_DELAY:
-        return False
-    is_late = elapsed > objective
-    return is_late or elapsed + _MIN_RETRY_DELAY + wait <= objective
-
-
 _MAX_EVENTS_IN_TRANSIT = 2
 """Upper bound of the events that an engine produces until it learns that the
 connection was closed: events are at least 20 ms apart, and a close takes 5 ms."""
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -28,7 +28,6 @@
     find_attempt_timeout,
     find_pause_timeout,
     find_return,
-    is_return_as_good,
     rank,
 )
 from anvilshift.core.work import Failure
@@ -252,7 +251,7 @@
         """
         if not error.never_ran and not self._may_go_on():
             raise AnvilshiftError(ENGINE_FAILED, error.detail)
-        if not self._retries.may_send(self._is_urgent()):
+        if not self._retries.may_send():
             self._record_refused_retry()
             if self._relay.started:
                 raise AnvilshiftError(ENGINE_FAILED, "the retry budget is used up")
@@ -260,20 +259,6 @@
                 NO_ENGINE, NO_ENGINE_RETRY, "the retry budget is used up"
             )
 
-    def _is_urgent(self) -> bool:
-        """Return whether a refusal would cost the caller something.
-
-        Only a request that certainly didn't run is refused in a way that lets every
-        caller come back.
-        """
-        if self.may_have_run or self._relay.started:
-            return True
-        routed, now = self._routed, self._shared.clock.now()
-        elapsed, left = now - routed.arrived, routed.end - now
-        return not is_return_as_good(
-            routed.rule.objective, elapsed, self.predicted, left
-        )
-
     def _record_refused_retry(self) -> None:
         self._shared.journal.write(
             "retry_refused",
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -120,14 +120,6 @@
         self.assertIsNone(budget.take("desk", 15_000.0))
         self.assertIsNotNone(budget.take("desk", 20_600.0))
 
-    def test_a_part_of_the_share_is_kept_for_urgent_requests(self):
-        """Guards against callers cut off because others used up what they lacked."""
-        budget = RetryBudget(RetryLimits(), share=8.0)
-        taken = [budget.take("desk", 0.0, urgent=False) for _ in range(8)]
-        self.assertEqual(sum(one is not None for one in taken), 6)
-        taken = [budget.take("desk", 0.0) for _ in range(3)]
-        self.assertEqual(sum(one is not None for one in taken), 2)
-
     def test_counts_are_kept_until_they_are_read(self):
         budget = RetryBudget(RetryLimits(), share=0.0)
         budget.add_request("desk", 0.0)
