Choose the targets of a request in a module of its own

What is excluded and how a demand is made moved unchanged to gateway/targetchoice.py; sending, errors and retries stayed. No behaviour changes: tests of gateways, answers, versions and rests are green, none was edited.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial
 
-from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
+from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import (
     ENGINE_FAILED,
@@ -18,10 +18,7 @@
     AnvilshiftError,
     Code,
 )
-from anvilshift.core.routing import (
-    ModelLimits,
-    RequestKind,
-)
+from anvilshift.core.routing import RequestKind
 from anvilshift.core.targetload import Prompt
 from anvilshift.core.timeouts import (
     NO_ENGINE_RETRY,
@@ -40,6 +37,7 @@
 from anvilshift.gateway.sending import Answer, AttemptError, Outgoing
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.streambinding import StreamBinding
+from anvilshift.gateway.targetchoice import TargetChooser
 
 
 class Attempts:
@@ -87,6 +85,7 @@
         self.concurrent_runs = 0
         self.predicted: Millis = 0.0
         self._stream = StreamBinding(shared, routed)
+        self._chooser = TargetChooser(shared, routed, turn, crashes, self._stream)
 
     async def run(self) -> None:
         """Send the request to targets until one of them has answered it.
@@ -120,32 +119,7 @@
                 self._check_retry(error)
 
     def _choose(self) -> Choice:
-        shared, now = self._shared, self._shared.clock.now()
-        excluded = self.failed_targets | self._turn.refused
-        prompt = (
-            self._routed.call.prompt if self._routed.model is not None else Prompt()
-        )
-        excluded |= self._stream.list_unfit()
-        excluded |= self._crashes.list_forbidden(
-            self._routed.service, prompt, self._stream.version
-        )
-        delays = self._turn.list_permit_delays()
-        loads = shared.sender.loads
-        if self._routed.model is not None:
-            demand = self._make_demand(self._routed.model, delays, now)
-            choice = choose_engine(loads, demand, now, shared.rng, excluded)
-        else:
-            work = shared.find_service_time(self._routed.service).value
-            choice = choose_plain_target(
-                loads,
-                self._routed.service,
-                shared.domain,
-                work,
-                shared.rng,
-                now,
-                excluded,
-                delays,
-            )
+        choice = self._chooser.choose(self.failed_targets)
         if choice is None:
             turn = self._turn.find_return()
             if turn is not None:
@@ -160,22 +134,6 @@
             )
         return choice
 
-    def _make_demand(
-        self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
-    ) -> Demand:
-        return Demand(
-            self._routed.service,
-            self._routed.call.prompt,
-            model.cache_tokens,
-            self._shared.domain,
-            self._routed.rule.objective - (now - self._routed.arrived),
-            model.tokens_per_event,
-            self._routed.pause,
-            len(self._routed.request.body) / 1_000,
-            model.fetch_per_token,
-            delays,
-        )
-
     def _check_predicted_wait(self, choice: Choice) -> None:
         """Refuse a request at once if its predicted wait exceeds the time left."""
         left = self._routed.end - self._shared.clock.now()
--- /dev/null
+++ b/anvilshift/gateway/targetchoice.py
@@ -0,0 +1,80 @@
+"""Choose the target of a request's next attempt."""
+
+from collections.abc import Mapping, Set
+from dataclasses import dataclass
+
+from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
+from anvilshift.core.clock import Millis
+from anvilshift.core.routing import ModelLimits
+from anvilshift.core.targetload import Prompt
+from anvilshift.gateway.crashes import CrashTracker
+from anvilshift.gateway.permitsession import PermitSession
+from anvilshift.gateway.routed import RoutedRequest
+from anvilshift.gateway.shared import RouterContext
+from anvilshift.gateway.streambinding import StreamBinding
+
+
+@dataclass(frozen=True)
+class TargetChooser:
+    """Choose targets for one request among those that it may be sent to."""
+
+    shared: RouterContext
+    routed: RoutedRequest
+    turn: PermitSession
+    crashes: CrashTracker
+    stream: StreamBinding
+
+    def choose(self, failed_targets: Set[str]) -> Choice | None:
+        """Return the best target; None if there is none.
+
+        Parameters
+        ----------
+        failed_targets
+            Targets at which an attempt failed.
+        """
+        shared, routed, now = self.shared, self.routed, self.shared.clock.now()
+        excluded = self._list_excluded(failed_targets)
+        delays = self.turn.list_permit_delays()
+        if routed.model is not None:
+            demand = self._make_demand(routed.model, delays, now)
+            return choose_engine(shared.sender.loads, demand, now, shared.rng, excluded)
+        return choose_plain_target(
+            shared.sender.loads,
+            routed.service,
+            shared.domain,
+            shared.find_service_time(routed.service).value,
+            shared.rng,
+            now,
+            excluded,
+            delays,
+        )
+
+    def _list_excluded(self, failed_targets: Set[str]) -> set[str]:
+        routed = self.routed
+        prompt = routed.call.prompt if routed.model is not None else Prompt()
+        forbidden = self.crashes.list_forbidden(
+            routed.service, prompt, self.stream.version
+        )
+        return {
+            *failed_targets,
+            *self.turn.refused,
+            *self.stream.list_unfit(),
+            *forbidden,
+        }
+
+    def _make_demand(
+        self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
+    ) -> Demand:
+        routed = self.routed
+        return Demand(
+            routed.service,
+            routed.call.prompt,
+            model.cache_tokens,
+            self.shared.domain,
+            routed.rule.objective - (now - routed.arrived),
+            model.tokens_per_event,
+            routed.pause,
+            len(routed.request.body) / 1_000,
+            model.fetch_per_token,
+            delays,
+        )
