Count repeats in the soak while all engines reject most requests

Cause: the soak's engines never rejected a request, so nothing in it could show a repeat past the bound. (It plays the chat interface; gateways are played by tests/gateway/test_retryshares.) Change: a run in which all engines reject 0.9 of what they get at random times, with random numbers of its own so that known seeds play as before, and a count of arrivals at engines beyond the first of each request, held against a fifth of the requests and 30 for each process of a router.

A line of the settings' test that asked for the share of ten routers is gone with the function (tests/core/test_fleetshares.py asks for shares); it had been overlooked and was red since the allowance is divided by records.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load load-quick soak soak-drawn mutants capacity pages inforce budgets quiet
+.PHONY: environment demo test format lint types doctest unit generate bench load load-quick soak soak-drawn soak-rejects mutants capacity pages inforce budgets quiet
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -56,6 +56,10 @@
 soak: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS)
 
+# The same while all engines reject most requests at times.
+soak-rejects: environment
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS) rejects
+
 # A course whose faults and arrivals don't depend on the product.
 soak-drawn: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.drawn $(SEED) $(SECONDS)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -28,6 +28,7 @@
 from anvilshift.core.pools import Pool, TargetView
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.core.restriction import TargetRestriction
+from anvilshift.core.state import DispatchState
 from anvilshift.core.work import Work
 from anvilshift.router import claims
 from anvilshift.router.budgets import RouterBudgets
@@ -60,12 +61,15 @@
     courses
         Names of the recorded courses to play; `drawn` generates one from the seed.
         Without courses, seeded runs are made.
+    rejects
+        Whether engines reject most requests at times in the seeded runs.
     """
 
     name: str
     caught_by: tuple[str, ...]
     patch: Patch
     courses: tuple[str, ...] = ()
+    rejects: bool = False
 
 
 @dataclass(frozen=True)
@@ -284,6 +288,12 @@
         _ignore_limits,
         courses=("9007",),
     ),
+    Mutant(
+        "work is sent again without end",
+        ("repeats are bounded",),
+        _replace(DispatchState, "take_retry", lambda self, pool, failure, now: True),
+        rejects=True,
+    ),
 )
 
 
@@ -304,7 +314,7 @@
 
 def _run(mutant: Mutant, seed: int) -> None:
     if not mutant.courses:
-        run_seed(seed, SECONDS)
+        run_seed(seed, SECONDS, mutant.rejects)
     for name in mutant.courses:
         course = (
             draw_course(seed, DRAWN_SECONDS)
--- a/bench/soak/changes.py
+++ b/bench/soak/changes.py
@@ -52,7 +52,7 @@
     async def _change_engines(self, select: Any) -> None:
         soak = self._soak
         name = f"e{len(soak.engines)}"
-        soak.engines[name] = SoakEngine(name, soak.journal, soak.network)
+        soak.engines[name] = SoakEngine(name, soak.journal, soak.network, soak.repeats)
         domain = self._rng.choice(("north", "south", "east"))
         added = {"name": name, "address": "127.0.0.1:1", "failure_domain": domain}
         try:
--- a/bench/soak/http.py
+++ b/bench/soak/http.py
@@ -122,16 +122,19 @@
         network: Network,
         journal: Journal,
         accepted: Callable[[], int],
+        count_request: Callable[[NodeProcess, HttpRequest], None],
     ) -> None:
         self._entries = entries
         self._network = network
         self._journal = journal
         self._accepted = accepted
+        self._count_request = count_request
 
     async def _serve(
         self, entry: Entry, request: HttpRequest, responder: SoakResponder
     ) -> None:
         await entry.process.wait_running()
+        self._count_request(entry.process, request)
         accepted = self._accepted()
         revision = entry.node.access_control.catalogue.revision
         served = True
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -29,6 +29,7 @@
 from anvilshift.wire.messages import HeaderFields, Headers, HttpResponse
 from bench.soak.journal import Journal
 from bench.soak.limits import STABLE, LimitWatch
+from bench.soak.repeats import RepeatWatch
 
 _TIMEOUT: Millis = 1 * SECOND
 _DECODE_TIME: Millis = 10.0
@@ -149,9 +150,17 @@
 class SoakEngine:
     """A model engine, shared by all nodes, that crashes on a poison prompt."""
 
-    def __init__(self, name: str, journal: Journal, network: Network) -> None:
+    def __init__(
+        self,
+        name: str,
+        journal: Journal,
+        network: Network,
+        repeats: RepeatWatch | None = None,
+    ) -> None:
         self.name = name
         self.up = True
+        self.rejected = 0.0
+        self._repeats = repeats or RepeatWatch(journal)
         self.slow = 1.0
         self.fail_streams = 0.0
         self.leaving_since: Millis | None = None
@@ -179,10 +188,15 @@
         self.up = True
 
     async def run(
-        self, source: str, call: ModelCall
+        self, process: NodeProcess, call: ModelCall
     ) -> AsyncIterator[list[AnswerPart]]:
         """Yield the pieces of an answer as the engine generates them."""
-        prompt = read_prompt(call.body)
+        prompt, source = read_prompt(call.body), process.name
+        if POISON not in prompt:
+            # Poisonous requests share their prompts.
+            self._repeats.count_arrival(process, prompt)
+        if self.rejected and self._network.rng.random() < self.rejected:
+            raise TargetError(Failure.REJECTED, "the engine has no room")
         self._journal.record_engine_run(self.name, prompt, self.leaving_since)
         self._check_limit(source)
         if POISON in prompt:
@@ -247,7 +261,7 @@
     ) -> AsyncIterator[AsyncIterator[list[AnswerPart]]]:
         """Start an answer and yield the iterator of its pieces."""
         await self._reach()
-        pieces = self._engine.run(self._process.name, call)
+        pieces = self._engine.run(self._process, call)
         try:
             yield self._receive(pieces)
         finally:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -40,6 +40,7 @@
     SoakService,
 )
 from bench.soak.observed import CallerRequest, ObservedStore, ProcessView
+from bench.soak.repeats import RejectingFaults, RepeatWatch
 from bench.soak.traffic import ASK, ORDER, ORDER_COST, ORGANISATIONS, Traffic
 
 _COURSES = pathlib.Path("out/soak")
@@ -62,6 +63,7 @@
         clock: VirtualClock,
         seconds: float,
         replayed: Course | None = None,
+        rejects: bool = False,
     ) -> None:
         self.rng: Any = ReplayableRandom(random.Random(seed))
         self.course = Course(seed, seconds)
@@ -80,8 +82,10 @@
         self.read_chars: dict[tuple[str, str], int] = {}
         self.spent: dict[str, int] = {}
         self.doubt: dict[str, int] = {}
+        self.repeats = RepeatWatch(self.journal)
+        self._rejects = rejects
         self.engines = {
-            f"e{i}": SoakEngine(f"e{i}", self.journal, self.network)
+            f"e{i}": SoakEngine(f"e{i}", self.journal, self.network, self.repeats)
             for i in range(ENGINES)
         }
         self.services = {"desk": SoakService("desk", self.journal)}
@@ -157,6 +161,7 @@
         self.entries[str(settings.listen)] = entry
         self.network.processes[str(settings.peer_listen)] = process
         self.network.record_start(settings.name, self.clock.now())
+        self.repeats.count_start(ROUTERS)
         self.network.handlers[str(settings.peer_listen)] = node.fleet
         node.start()
         return entry
@@ -250,6 +255,8 @@
         else:
             self.traffic.start()
             jobs = [schedule.run(), limit_faults.run()]
+        if self._rejects:
+            jobs.append(RejectingFaults(self, self.course.seed).run())
         tasks = [asyncio.create_task(job) for job in jobs]
         await self._wait(self.seconds)
         self.arrivals_ended = True
@@ -291,15 +298,20 @@
             self.fail(error)
 
 
-def run_seed(seed: int, seconds: float) -> Journal:
+def run_seed(seed: int, seconds: float, rejects: bool = False) -> Journal:
     """Run one seed and return its journal.
 
+    Parameters
+    ----------
+    rejects
+        Whether engines reject most requests at times.
+
     Raises
     ------
     BrokenInvariantError
         The first invariant that did not hold.
     """
-    return _run(Soak(seed, VirtualClock(), seconds))
+    return _run(Soak(seed, VirtualClock(), seconds, rejects=rejects))
 
 
 def play_course(course: Course, network: int) -> Journal:
@@ -328,12 +340,12 @@
         raise
 
 
-def main(seed: int, seconds: float) -> int:
+def main(seed: int, seconds: float, rejects: bool = False) -> int:
     """Run one seed and print its counts; return the exit code."""
     logging.set_verbosity(logging.FATAL)
     print(f"seed {seed}, {seconds:.0f} virtual seconds")
     try:
-        journal = run_seed(seed, seconds)
+        journal = run_seed(seed, seconds, rejects)
     except BrokenInvariantError as error:
         print(f"BROKEN {error}")
         for note in error.__notes__:
@@ -344,4 +356,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), float(sys.argv[2])))
+    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), "rejects" in sys.argv[3:]))
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -50,6 +50,7 @@
             self._soak.network,
             self._soak.journal,
             lambda: self._soak.accepted,
+            self._soak.repeats.count_request,
         )
         rng = random.Random(self._soak.rng.getrandbits(64))
         return Client(seeds, f"{organisation}-token", self._soak.clock, rng, http)
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -28,6 +28,13 @@
                 self.assertGreater(journal.events, 500)
                 self.assertGreater(journal.checks["billed exactly once"], 100)
 
+    def test_repeats_are_bounded_while_engines_reject_requests(self):
+        """Guards against work that is sent again more often than requests allow."""
+        for seed in (3001, 3004):
+            with self.subTest(seed=seed):
+                journal = run_seed(seed, 40.0, rejects=True)
+                self.assertGreater(journal.checks["repeats are bounded"], 100)
+
     def test_poison_at_an_engine_that_fails_by_itself(self):
         """An engine crashes three times in a minute, then a poison crashes it too.
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -88,7 +88,6 @@
         self.assertEqual(found.seeds, ("10.1.0.40", "10.2.0.29"))
         self.assertEqual(str(found.store), "10.200.1.7:8223")
         self.assertEqual(found.retries, RetryLimits(allowance=58.0))
-        self.assertEqual(found.find_retry_share(10), 58 / 2 / 10)
 
     def test_a_wrong_field_is_named_with_its_file(self):
         for old, new, field in (
