Ask for a router's share at each repeat, not at its last tick

Cause: the share was set ten times a second. A process that was frozen and runs on handles what arrived meanwhile before its periodic work, with a share that it may no longer use. Evidence: test_a_process_that_was_frozen_uses_no_old_share, red before (a repeat granted 11 s after the last word from the store), green now.

--- a/anvilshift/core/retries.py
+++ b/anvilshift/core/retries.py
@@ -20,6 +20,7 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from anvilshift.core.backoff import Backoff
@@ -213,6 +214,8 @@
     ----------
     share
         Part of the fleet's allowance that this router may use now, for each service.
+    refresh
+        Called before each use of the share, to update it.
 
     Examples
     --------
@@ -226,6 +229,7 @@
     limits: RetryLimits = field(default_factory=RetryLimits)
     share: float = 0.0
     counts: ServiceCounts = field(default_factory=ServiceCounts)
+    refresh: Callable[[], None] = lambda: None
     _windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def configure(self, limits: RetryLimits) -> None:
@@ -241,6 +245,7 @@
 
     def take(self, service: str, now: Millis, reserve: float = 0.0) -> Retry | None:
         """Return a retry for a service; None if its budget is used up."""
+        self.refresh()
         retry = self._find_window(service).take(self.share, now, reserve)
         if retry is None:
             self.counts.find(service).refused += 1
--- a/anvilshift/gateway/retryshares.py
+++ b/anvilshift/gateway/retryshares.py
@@ -64,6 +64,8 @@
     _is_settled: bool = False
 
     def __post_init__(self) -> None:
+        # A process that was frozen may send a request before its periodic work runs.
+        self.budget.refresh = self.update
         self.shares = FleetShares(self.name, self.budget.limits.window)
         self.follower = Follower(
             self.store,
--- a/tests/gateway/test_retryshares.py
+++ b/tests/gateway/test_retryshares.py
@@ -217,6 +217,20 @@
         self.assertEqual((self.early, self.late), (0.0, 15.0))
         self.assertLessEqual(fleet.find_excess(), 1e-9)
 
+    def test_a_process_that_was_frozen_uses_no_old_share(self):
+        """Guards against a share used before the periodic work takes it back."""
+
+        async def scenario(fleet):
+            router = fleet.start("r0")
+            await asyncio.sleep(JOIN_S + 1.0)
+            self.before = router.budget.share
+            fleet.kill("r0")
+            await asyncio.sleep(WINDOW_S + 1.0)
+            self.retry = router.budget.take(SERVICE, fleet.clock.now())
+
+        self.play(scenario, allowance=30.0)
+        self.assertEqual((self.before, self.retry), (30.0, None))
+
     def test_an_outage_of_the_store_leaves_what_requests_earn(self):
         async def scenario(fleet):
             fleet.store.faults.outage = True
