--- a/anvilshift/core/retries.py
+++ b/anvilshift/core/retries.py
@@ -107,18 +107,16 @@
         self._requests.append((current, count + 1))
         self._forget(now)
 
-    def take(self, allowance: float, now: Millis, reserve: float = 0.0) -> Retry | None:
+    def take(self, allowance: float, now: Millis) -> Retry | None:
         """Return a retry, or None if it might exceed the bound of some window.
 
         Parameters
         ----------
         allowance
             Part of the fleet's allowance that this router may use.
-        reserve
-            Retries that have to remain afterwards.
         """
         self.forget_expired(now)
-        if self.count_left(allowance, now) < 1.0 + reserve:
+        if self.count_left(allowance, now) < 1.0:
             return None
         retry = Retry()
         self._retries.append(retry)
@@ -243,10 +241,10 @@
         self.counts.find(service).requests += 1
         self._find_window(service).add_request(now)
 
-    def take(self, service: str, now: Millis, reserve: float = 0.0) -> Retry | None:
+    def take(self, service: str, now: Millis) -> Retry | None:
         """Return a retry for a service; None if its budget is used up."""
         self.refresh()
-        retry = self._find_window(service).take(self.share, now, reserve)
+        retry = self._find_window(service).take(self.share, now)
         if retry is None:
             self.counts.find(service).refused += 1
         return retry
--- a/anvilshift/gateway/retrying.py
+++ b/anvilshift/gateway/retrying.py
@@ -30,17 +30,11 @@
         self._sent: Retry | None = None
         self.sends = 0
 
-    def may_send(self, reserve: float = 0.0) -> bool:
-        """Return whether the request may be sent now; takes a retry where it needs one.
-
-        Parameters
-        ----------
-        reserve
-            Retries that have to remain for other requests.
-        """
+    def may_send(self) -> bool:
+        """Return whether the request may be sent now; take a retry if it needs one."""
         if not self.sends or self._unused is not None:
             return True
-        self._unused = self._budget.take(self._service, self._clock.now(), reserve)
+        self._unused = self._budget.take(self._service, self._clock.now())
         return self._unused is not None
 
     def record_send(self) -> None:
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -112,7 +112,7 @@
     "retries": (
         Patch(
             "core/retries.py",
-            "if self.count_left(allowance, now) < 1.0 + reserve:",
+            "if self.count_left(allowance, now) < 1.0:",
             "if False:",
         ),
     ),
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -68,11 +68,6 @@
         window.give_back(window.take(1.0, 0.0))
         self.assertIsNotNone(window.take(1.0, 0.0))
 
-    def test_a_reserve_is_kept(self):
-        window = RetryWindow(RetryLimits())
-        self.assertIsNone(window.take(2.0, 0.0, reserve=1.5))
-        self.assertIsNotNone(window.take(2.0, 0.0, reserve=1.0))
-
     @settings(max_examples=300, deadline=None)
     @given(
         st.lists(EVENT, max_size=120),
