Read the routers' records only while a share of the allowance is needed

Change: records are read at the start, every 30 s, and about every 2 s while what requests earn is nearly used up. A request that finds nothing left asks at once and waits up to 60 ms for the answer, so that a router that was quiet doesn't refuse it. A share is still used only on knowledge of at most 6 s. Requests are counted in bins of a hundredth of the window, not a fortieth; half a bin's part of what they earn was lost. What is lost: a share in an outage of the store that begins while none was needed. retry_share is logged when the number of routers changes; retry_refused names the share.

--- a/anvilshift/core/fleetshares.py
+++ b/anvilshift/core/fleetshares.py
@@ -79,9 +79,9 @@
         self._confirmed = max(self._confirmed, asked)
 
     @property
-    def present(self) -> frozenset[str]:
-        """Return the names of the routers that have a record."""
-        return frozenset(self._present)
+    def begins(self) -> Millis | None:
+        """Return when this router may begin to use its share; None without a record."""
+        return self._begins
 
     def count(self, now: Millis) -> int | None:
         """Return the number of shares; None while this router may use none."""
--- a/anvilshift/core/retries.py
+++ b/anvilshift/core/retries.py
@@ -29,7 +29,9 @@
 
 BACKOFF = Backoff(base=50.0, limit=2_000.0)
 """Delay between attempts at the same target; a restart takes seconds."""
-_BINS = 40
+_SCARCE = 3.0
+"""Retries left of what requests earned, below which a router's share may be needed."""
+_BINS = 100
 """Bins into which a window is divided to count requests; each costs a step when a
 retry is taken, and its width of what was earned may go unused."""
 _HALF = _BINS // 2
@@ -213,7 +215,8 @@
     share
         Part of the fleet's allowance that this router may use now, for each service.
     refresh
-        Called before each use of the share, to update it.
+        Called before each use of the share, to update it, with whether requests have
+        earned so little that it may soon be needed.
 
     Examples
     --------
@@ -227,7 +230,7 @@
     limits: RetryLimits = field(default_factory=RetryLimits)
     share: float = 0.0
     counts: ServiceCounts = field(default_factory=ServiceCounts)
-    refresh: Callable[[], None] = lambda: None
+    refresh: Callable[[bool], None] = lambda scarce: None
     _windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def configure(self, limits: RetryLimits) -> None:
@@ -243,11 +246,9 @@
 
     def take(self, service: str, now: Millis) -> Retry | None:
         """Return a retry for a service; None if its budget is used up."""
-        self.refresh()
-        retry = self._find_window(service).take(self.share, now)
-        if retry is None:
-            self.counts.find(service).refused += 1
-        return retry
+        window = self._find_window(service)
+        self.refresh(window.count_left(0.0, now) < _SCARCE)
+        return window.take(self.share, now)
 
     def give_back(self, service: str, retry: Retry) -> None:
         """Take back a retry with which nothing was sent."""
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -116,7 +116,7 @@
             except AttemptError as error:
                 self._record_failure(choice, error)
                 await self._crashes.check_failure(choice.target, error)
-                self._check_retry(error)
+                await self._check_retry(error)
 
     def _choose(self) -> Choice:
         choice = self._chooser.choose(self.failed_targets)
@@ -198,7 +198,7 @@
         else:
             record()
 
-    def _check_retry(self, error: AttemptError) -> None:
+    async def _check_retry(self, error: AttemptError) -> None:
         """Check that the request may be retried.
 
         Raises
@@ -209,6 +209,8 @@
         """
         if not error.never_ran and not self._may_go_on():
             raise AnvilshiftError(ENGINE_FAILED, error.detail)
+        if not self._retries.may_send():
+            await self._shared.wait_for_share()
         if not self._retries.may_send():
             self._record_refused_retry()
             if self._relay.started:
@@ -218,11 +220,14 @@
             )
 
     def _record_refused_retry(self) -> None:
+        budget, service = self._shared.retries, self._routed.service
+        budget.counts.find(service).refused += 1
         self._shared.journal.write(
             "retry_refused",
             id=self._routed.call.identity,
-            service=self._routed.service,
+            service=service,
             sends=self._retries.sends,
+            share=round(budget.share, 3),
             left=round(self._routed.end - self._shared.clock.now()),
         )
 
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -57,14 +57,10 @@
     rest
         Pause after a watch that returned changes.  Frequent changes are thus read
         together, because each call is priced.
-    wait_when_lost
-        Maximum duration of a watch while the store doesn't answer; `wait` if omitted.
-        A shorter one finds out sooner that the store is back.
     """
 
     wait: Millis
     rest: Millis = 0.0
-    wait_when_lost: Millis | None = None
 
 
 @dataclass
@@ -127,6 +123,28 @@
                 self._note_failure(error)
                 await self._rest()
 
+    async def poll(self) -> bool:
+        """Apply what has changed until now; return whether the store answered.
+
+        It is used in place of `run` where changes matter only at times, with intervals
+        whose watch waits for nothing.
+        """
+        try:
+            if self.revision and not self._restart:
+                await self._watch()
+            if not self.revision or self._restart:
+                self._restart = False
+                await self._list()
+        except AnvilshiftError as error:
+            self._note_failure(error)
+            return False
+        return True
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the last call to the store failed."""
+        return self._lost
+
     async def _rest(self) -> None:
         """Wait after a failed call, and for the probe while it fails."""
         pause = min(_FIRST_PAUSE * _PAUSE_GROWTH**self._failures, _MAX_PAUSE)
@@ -163,8 +181,6 @@
 
     async def _watch(self) -> None:
         wait = self.intervals.wait * self.interval_factor
-        if self._lost and self.intervals.wait_when_lost is not None:
-            wait = self.intervals.wait_when_lost
         asked = self.clock.now()
         found = await self.store.watch([self.kind], self.revision, wait)
         self._note_answer()
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -206,7 +206,6 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
-        self.retry_shares.follower.probe = self.configuration_follower
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -322,7 +321,6 @@
             self.peers.run(),
             self.configuration_follower.run(),
             self.target_follower.run(),
-            self.retry_shares.follower.run(),
             self.retry_shares.run(),
             self.allotter.run(),
             self._record(),
--- a/anvilshift/gateway/retryshares.py
+++ b/anvilshift/gateway/retryshares.py
@@ -1,6 +1,7 @@
 """Keep this router's record among those that share the fleet's retry allowance."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,10 +20,17 @@
 KIND = "anvilshift-routers"
 _SETTLED = "settled"
 """Field of a record that says that its router has waited after it joined."""
-_INTERVALS = WatchIntervals(wait=2 * SECOND, rest=300.0, wait_when_lost=1.0)
-"""Two watches and a rest pass within the age up to which a share may be used."""
-_CHECK_INTERVAL: Millis = 1 * SECOND
-"""Interval between checks of this router's record."""
+_INTERVALS = WatchIntervals(wait=1.0)
+_REFRESH_AGE: Millis = 2 * SECOND
+"""Age of what is known of the records at which it is refreshed while shares are needed:
+three calls may fail until it is too old."""
+_MIN_INTERVAL: Millis = 500.0
+"""Minimum interval between two calls."""
+_CHECK_INTERVAL: Millis = 30 * SECOND
+"""Interval between calls while no share is needed."""
+_MAX_WAIT: Millis = 60.0
+"""How long a request waits for a call that may bring a share; the store answers within
+some milliseconds, or is in trouble."""
 _ABSENT_AFTER: Millis = 60 * SECOND
 """How long a router isn't heard until its record is removed, and its share divided
 among the others: a host that is replaced or restarted is back sooner."""
@@ -39,7 +47,10 @@
 
 @dataclass(eq=False)
 class RetryShares:
-    """Follow the routers' records, and set this router's part of the allowance.
+    """Read the routers' records, and set this router's part of the allowance.
+
+    A share is seldom needed, so the records are read only while what requests earn is
+    nearly used up, and now and then.
 
     Parameters
     ----------
@@ -60,12 +71,14 @@
     list_heard: Callable[[], set[str]]
     _versions: dict[str, int] = field(default_factory=dict)
     _absent_since: dict[str, Millis] = field(default_factory=dict)
-    _is_listed: bool = False
     _is_settled: bool = False
+    _routers: int | None = None
+    _wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    _polled: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         # A process that was frozen may send a request before its periodic work runs.
-        self.budget.refresh = self.update
+        self.budget.refresh = self._refresh
         self.shares = FleetShares(self.name, self.budget.limits.window)
         self.follower = Follower(
             self.store,
@@ -91,7 +104,7 @@
             beats = [peer.beat for peer in peers.list_present()]
             return {name_record(beat.router, beat.ip) for beat in beats}
 
-        return cls(
+        shares = cls(
             store,
             name_record(settings.name, settings.ip),
             shared.retries,
@@ -100,6 +113,8 @@
             shared.rng,
             list_heard,
         )
+        shared.wait_for_share = shares.wait_for_share
+        return shares
 
     def configure(self, limits: RetryLimits) -> None:
         """Put new limits in force."""
@@ -113,27 +128,66 @@
         self.shares.confirm(self.follower.confirmed)
         routers = self.shares.count(now)
         share = 0.0 if routers is None else self.budget.limits.allowance / routers
-        if share != self.budget.share:
-            self.budget.share = share
+        self.budget.share = share
+        if routers is not None and routers != self._routers:
+            self._routers = routers
             self.journal.write("retry_share", share=round(share, 3), routers=routers)
         self.budget.expire(now)
 
+    def _refresh(self, scarce: bool) -> None:
+        if scarce and self._find_age() > _REFRESH_AGE:
+            self._wanted.set()
+        self.update()
+
+    def _find_age(self) -> Millis:
+        return self.clock.now() - self.follower.confirmed
+
+    async def wait_for_share(self) -> None:
+        """Wait a moment for a share if a call to the store may bring one."""
+        begins = self.shares.begins
+        if begins is None or self.clock.now() < begins or self.follower.is_lost:
+            return
+        if self._find_age() > _REFRESH_AGE:
+            self._wanted.set()
+            self._polled.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_MAX_WAIT / SECOND):
+                    await self._polled.wait()
+
     async def run(self) -> None:
-        """Keep this router's record, and remove those of routers that are gone."""
+        """Keep this router's record, and read the others' when a share is needed."""
         while True:
-            await asyncio.sleep(_CHECK_INTERVAL * self.rng.uniform(0.5, 1.0) / SECOND)
-            if not self._is_listed or not self.follower.is_fresh():
-                continue
-            try:
-                await self._write_record()
-                await self._remove_absent()
-            except ConflictError:
-                # Another router was faster, or the watch is about to show the record.
-                continue
-            except AnvilshiftError as error:
-                self.journal.write(
-                    "retry_share_unwritten", code=error.code.number, why=error.detail
-                )
+            if await self.follower.poll():
+                self.update()
+                await self._maintain()
+            self._polled.set()
+            await asyncio.sleep(_MIN_INTERVAL * self.rng.uniform(0.8, 1.2) / SECOND)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._find_pause() / SECOND):
+                    await self._wanted.wait()
+            self._wanted.clear()
+
+    def _find_pause(self) -> Millis:
+        """Return the time until the records are read although no share is needed."""
+        begins = self.shares.begins
+        if self.follower.is_lost or begins is None:
+            return 0.0
+        if self._is_settled:
+            return _CHECK_INTERVAL
+        return max(0.0, begins - self.clock.now())
+
+    async def _maintain(self) -> None:
+        """Write this router's record, and remove those of routers that are gone."""
+        try:
+            await self._write_record()
+            await self._remove_absent()
+        except ConflictError:
+            # Another router was faster, or this one's record is about to be read.
+            return
+        except AnvilshiftError as error:
+            self.journal.write(
+                "retry_share_unwritten", code=error.code.number, why=error.detail
+            )
 
     async def _write_record(self) -> None:
         """Create this router's record, or write that it has waited long enough."""
@@ -173,7 +227,7 @@
                 self._is_settled = settled
 
     def _settle(self, names: set[str]) -> None:
-        now, self._is_listed = self.clock.now(), True
+        now = self.clock.now()
         for name in set(self._versions) - names:
             del self._versions[name]
             self.shares.remove(name, now)
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -1,7 +1,7 @@
 """State and services of a router that all its requests share."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from anvilshift.core.blame import CrashBlame
@@ -24,6 +24,10 @@
 """Assumed milliseconds of a plain service's request until some are measured."""
 
 
+async def _wait_for_nothing() -> None:
+    return None
+
+
 @dataclass
 class RouterContext:
     """State and services of a router that all its requests share.
@@ -39,6 +43,8 @@
         another target has taken over.
     work
         Measured times of plain services' requests, by service.
+    wait_for_share
+        Waits a moment for a share of the fleet's retries if that may bring one.
     runs
         Number of attempts named so far.
     ending
@@ -62,6 +68,7 @@
     blame: CrashBlame = field(default_factory=CrashBlame)
     on_target_lost: Callable[[str], None] = lambda target: None
     on_target_replaced: Callable[[str], None] = lambda target: None
+    wait_for_share: Callable[[], Awaitable[None]] = _wait_for_nothing
     work: dict[str, DecayingMean] = field(default_factory=dict)
     runs: int = 0
     ending: bool = False
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -118,9 +118,19 @@
     def test_counts_are_kept_until_they_are_read(self):
         budget = RetryBudget(RetryLimits(), share=0.0)
         budget.add_request("desk", 0.0)
+        self.assertEqual(budget.counts.drain()["desk"].requests, 1)
+        self.assertFalse(budget.counts.drain())
+
+    def test_a_share_is_refreshed_before_it_is_used(self):
+        """Guards against a share that is used after it was taken away."""
+        budget = RetryBudget(RetryLimits(), share=1.0)
+        scarce = []
+        budget.refresh = lambda is_scarce: (
+            scarce.append(is_scarce),
+            setattr(budget, "share", 0.0),
+        )
         self.assertIsNone(budget.take("desk", 0.0))
-        counts = budget.counts.drain()["desk"]
-        self.assertEqual((counts.requests, counts.refused), (1, 1))
+        self.assertEqual(scarce, [True])
 
     def test_idle_services_are_forgotten(self):
         """Guards against memory that grows with each service that ever was."""
--- a/tests/gateway/test_retryshares.py
+++ b/tests/gateway/test_retryshares.py
@@ -38,8 +38,14 @@
         self.tasks: dict[str, list[asyncio.Task]] = {}
         self.journal = SilentJournal()
 
-    def start(self, name: str) -> RetryShares:
-        """Start a router, in place of its former process if there is one."""
+    def start(self, name: str, greedy: bool = True) -> RetryShares:
+        """Start a router, in place of its former process if there is one.
+
+        Parameters
+        ----------
+        greedy
+            Whether it sends all the repeats that it may.
+        """
         self.kill(name)
         router = RetryShares(
             self.store.view(name),
@@ -51,7 +57,7 @@
             lambda: set(self.routers) - {name},
         )
         self.routers[name] = router
-        coroutines = router.follower.run(), router.run(), self._send(router)
+        coroutines = [router.run(), *([self._send(router)] if greedy else [])]
         self.tasks[name] = [asyncio.create_task(one) for one in coroutines]
         return router
 
@@ -231,6 +237,33 @@
         self.play(scenario, allowance=30.0)
         self.assertEqual((self.before, self.retry), (30.0, None))
 
+    def test_records_are_read_only_now_and_then_while_no_share_is_needed(self):
+        """Guards against calls that each router of a large fleet makes for nothing."""
+
+        async def scenario(fleet):
+            fleet.start("r0", greedy=False)
+            await asyncio.sleep(JOIN_S + 5.0)
+            before = fleet.store.calls.total()
+            await asyncio.sleep(300.0)
+            self.calls = fleet.store.calls.total() - before
+
+        self.play(scenario, allowance=30.0)
+        self.assertLessEqual(self.calls, 11)
+
+    def test_a_request_that_needs_a_share_waits_for_it(self):
+        """Guards against refusals by a router that hadn't read the records for long."""
+
+        async def scenario(fleet):
+            router = fleet.start("r0", greedy=False)
+            await asyncio.sleep(JOIN_S + 25.0)
+            self.first = router.budget.take(SERVICE, fleet.clock.now())
+            await router.wait_for_share()
+            self.second = router.budget.take(SERVICE, fleet.clock.now())
+
+        self.play(scenario, allowance=30.0)
+        self.assertIsNone(self.first)
+        self.assertIsNotNone(self.second)
+
     def test_an_outage_of_the_store_leaves_what_requests_earn(self):
         async def scenario(fleet):
             fleet.store.faults.outage = True
--- a/tests/platform/test_retries.py
+++ b/tests/platform/test_retries.py
@@ -38,6 +38,9 @@
             rest for event, rest in self.journal.lines if event == "retry_refused"
         ]
         self.assertTrue(refused)
+        await asyncio.sleep(1.5)
+        lines = [rest for event, rest in self.journal.lines if event == "retries"]
+        self.assertEqual(sum(line["refused"] for line in lines), len(refused))
         self.assertEqual(refused[0]["service"], "desk")
         self.assertGreaterEqual(refused[0]["sends"], 1)
 
