Count a request in the log with its repeats, also across seconds

Cause: requests of a second without repeats were dropped from the counts. Change: counts of a service go on until it has repeats, for 10 s at most; a line says in span what it covers. The stub of the store in the tests knows DELETE.

--- a/anvilshift/core/retrycounts.py
+++ b/anvilshift/core/retrycounts.py
@@ -2,10 +2,15 @@
 
 from dataclasses import dataclass
 
+from anvilshift.core.clock import SECOND, Millis
+
+_MAX_SPAN: Millis = 10 * SECOND
+"""Counts without repeats are begun again after this time."""
+
 
 @dataclass
 class RetryCounts:
-    """What one service was sent since the counts were last read.
+    """What one service was sent in a span of time.
 
     Parameters
     ----------
@@ -28,21 +33,38 @@
     Examples
     --------
     >>> counts = ServiceCounts()
+    >>> counts.find("desk").requests += 1
+    >>> counts.drain(now=1_000.0)
+    []
     >>> counts.find("desk").repeats += 1
-    >>> counts.drain()
-    {'desk': RetryCounts(requests=0, repeats=1, refused=0)}
-    >>> counts.drain()
-    {}
+    >>> counts.drain(now=2_000.0)
+    [('desk', 2000.0, RetryCounts(requests=1, repeats=1, refused=0))]
     """
 
     def __init__(self) -> None:
         self._counts: dict[str, RetryCounts] = {}
+        self._since: dict[str, Millis] = {}
+        self._drained: Millis = 0.0
 
     def find(self, service: str) -> RetryCounts:
         """Return the counts of a service, to add to them."""
-        return self._counts.setdefault(service, RetryCounts())
+        if service not in self._counts:
+            self._counts[service] = RetryCounts()
+            self._since[service] = self._drained
+        return self._counts[service]
+
+    def drain(self, now: Millis) -> list[tuple[str, Millis, RetryCounts]]:
+        """Return the services with repeats, the spans of their counts, and the counts.
 
-    def drain(self) -> dict[str, RetryCounts]:
-        """Return the counts by service, and begin again."""
-        counts, self._counts = self._counts, {}
-        return counts
+        The counts of the others go on, so that a request is counted with its repeats.
+        """
+        found = []
+        for service, counts in list(self._counts.items()):
+            span = now - self._since[service]
+            if counts.repeats or counts.refused:
+                found.append((service, span, counts))
+            elif span < _MAX_SPAN:
+                continue
+            del self._counts[service]
+        self._drained = now
+        return found
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -63,9 +63,11 @@
         if now < self._retries_due:
             return
         self._retries_due = now + _RETRIES_INTERVAL
-        for service, counts in self._node.shared.retries.counts.drain().items():
-            if counts.repeats or counts.refused:
-                self._node.journal.write("retries", service=service, **asdict(counts))
+        counts = self._node.shared.retries.counts
+        for service, span, numbers in counts.drain(now):
+            self._node.journal.write(
+                "retries", service=service, span=round(span), **asdict(numbers)
+            )
 
     def _work(self, now: Millis) -> None:
         node = self._node
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 from anvilshift.wire.messages import Address, HttpRequest, Reply
 from anvilshift.wire.server import CallerDisconnectedError, HttpServer, Responder
@@ -97,6 +97,8 @@
         return _reply(200, {"events": events, "at": self.revision})
 
     def _write(self, request: HttpRequest, words: list[str]) -> Reply:
+        if request.method == "DELETE":
+            return self._delete(words)
         body = json.loads(request.body)
         name = body["metadata"]["name"]
         found = self.objects.get((words[0], name))
@@ -109,6 +111,14 @@
                 return _reply(409, found)
         return _reply(200, self.put(words[0], name, body["spec"]))
 
+    def _delete(self, words: list[str]) -> Reply:
+        kind, name = words[0], unquote(words[1])
+        found = self.objects.get((kind, name))
+        if found is None:
+            return _reply(404, {})
+        self.remove(kind, name)
+        return _reply(200, found)
+
 
 def _reply(status: int, body: Any) -> Reply:
     return Reply(
