Call a store that doesn't answer every three seconds while no share is needed

Cause: since records are read on demand, an outage made a router call the store again as soon as a call had failed: 68 failed calls in a minute, each priced, for a share that nobody needed. Change: three seconds between them unless a request needs a share. Evidence: test_an_outage_costs_few_calls_while_no_share_is_needed, 68 calls before, at most 20 now.

--- a/anvilshift/gateway/retryshares.py
+++ b/anvilshift/gateway/retryshares.py
@@ -28,6 +28,8 @@
 """Minimum interval between two calls."""
 _CHECK_INTERVAL: Millis = 30 * SECOND
 """Interval between calls while no share is needed."""
+_LOST_INTERVAL: Millis = 3 * SECOND
+"""The same while the store doesn't answer; failed calls are priced too."""
 _MAX_WAIT: Millis = 60.0
 """How long a request waits for a call that may bring a share; the store answers within
 some milliseconds, or is in trouble."""
@@ -170,7 +172,9 @@
     def _find_pause(self) -> Millis:
         """Return the time until the records are read although no share is needed."""
         begins = self.shares.begins
-        if self.follower.is_lost or begins is None:
+        if self.follower.is_lost:
+            return _LOST_INTERVAL
+        if begins is None:
             return 0.0
         if self._is_settled:
             return _CHECK_INTERVAL
--- a/tests/gateway/test_retryshares.py
+++ b/tests/gateway/test_retryshares.py
@@ -250,6 +250,23 @@
         self.play(scenario, allowance=30.0)
         self.assertLessEqual(self.calls, 11)
 
+    def test_an_outage_costs_few_calls_while_no_share_is_needed(self):
+        """Guards against calls that fail one after another for nothing."""
+
+        async def scenario(fleet):
+            fleet.start("r0", greedy=False)
+            await asyncio.sleep(JOIN_S + 5.0)
+            attempts = []
+            view = fleet.routers["r0"].follower.store
+            watch = view.watch
+            view.watch = lambda *rest: attempts.append(1) or watch(*rest)
+            fleet.store.faults.outage = True
+            await asyncio.sleep(60.0)
+            self.calls = len(attempts)
+
+        self.play(scenario, allowance=30.0)
+        self.assertLessEqual(self.calls, 20)
+
     def test_a_request_that_needs_a_share_waits_for_it(self):
         """Guards against refusals by a router that hadn't read the records for long."""
 
