--- a/anvilshift/core/fleetshares.py
+++ b/anvilshift/core/fleetshares.py
@@ -1,8 +1,8 @@
 """Divide what the whole fleet may use in a window among its routers.
 
-Each router has a record in the platform's store and follows all of them.  It may use
-its share, one part of as many as there are records, while what it knows of them is at
-most `MAX_AGE` old.  So no two routers use shares that add up to more than the whole:
+Each router has a record in the platform's store and reads all of them.  It may use its
+share, one part of as many as there are records, while what it knows of them is at most
+`MAX_AGE` old.  So no two routers use shares that add up to more than the whole:
 
 - A router that joins begins when its record has existed for `MAX_AGE` and a window.
   By then every other router divides by a number that counts it, or uses nothing, and
@@ -22,7 +22,7 @@
 
 MAX_AGE: Millis = 6 * SECOND
 """How old a router's knowledge of the records may be.  It is the time for which a
-router keeps its share in an outage of the store, and longer than three of its calls."""
+router keeps its share in an outage of the store; three calls may fail within it."""
 
 
 @dataclass(eq=False)
--- a/anvilshift/gateway/retryshares.py
+++ b/anvilshift/gateway/retryshares.py
@@ -22,8 +22,8 @@
 """Field of a record that says that its router has waited after it joined."""
 _INTERVALS = WatchIntervals(wait=1.0)
 _REFRESH_AGE: Millis = 2 * SECOND
-"""Age of what is known of the records at which it is refreshed while shares are needed:
-three calls may fail until it is too old."""
+"""Age of what is known of the records at which they are read again while shares are
+needed."""
 _MIN_INTERVAL: Millis = 500.0
 """Minimum interval between two calls."""
 _CHECK_INTERVAL: Millis = 30 * SECOND
