Count requests before the first reading of the counts with their repeats

What operators saw: a line of repeats without the request that they repeat. Cause: the counts took the start of the clock for their last reading. A request between a router's start and its first reading, a tenth of a second later, seemed older than 10 s and was dropped; repeats that followed stood alone (0 requests, 2 repeats). Change: the first span begins with the first reading.

--- a/anvilshift/core/retrycounts.py
+++ b/anvilshift/core/retrycounts.py
@@ -38,13 +38,13 @@
     []
     >>> counts.find("desk").repeats += 1
     >>> counts.drain(now=2_000.0)
-    [('desk', 2000.0, RetryCounts(requests=1, repeats=1, refused=0))]
+    [('desk', 1000.0, RetryCounts(requests=1, repeats=1, refused=0))]
     """
 
     def __init__(self) -> None:
         self._counts: dict[str, RetryCounts] = {}
-        self._since: dict[str, Millis] = {}
-        self._drained: Millis = 0.0
+        self._since: dict[str, Millis | None] = {}
+        self._drained: Millis | None = None
 
     def find(self, service: str) -> RetryCounts:
         """Return the counts of a service, to add to them."""
@@ -60,7 +60,11 @@
         """
         found = []
         for service, counts in list(self._counts.items()):
-            span = now - self._since[service]
+            since = self._since[service]
+            if since is None:
+                # Nothing was read before, so that the span begins now.
+                since = self._since[service] = now
+            span = now - since
             if counts.repeats or counts.refused:
                 found.append((service, span, counts))
             elif span < _MAX_SPAN:
