Log which shared parts of its prompt a run had on a target that broke it off

The incident's logs can't tell which part ended engines: attempt_failed named the target and the events, not the prompt. Without it the hypothesis that all ended engines had one part in common among their runs without an event can't be told from the others.

Only runs that broke off without an answer list them, 16 at most. No logic changes.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -39,6 +39,9 @@
 from anvilshift.gateway.streambinding import StreamBinding
 from anvilshift.gateway.targetchoice import TargetChooser
 
+_MAX_LOGGED_PARTS = 16
+"""Shared parts of a prompt that are logged; prompts have a few."""
+
 
 class Attempts:
     """The attempts of one request at targets.
@@ -174,9 +177,17 @@
             took=round(self._shared.clock.now() - self.sent, 1),
             reused=error.reused,
             events=self._relay.events,
+            parts=self._list_logged_parts(error),
             **self._relay.describe_ending(),
         )
 
+    def _list_logged_parts(self, error: AttemptError) -> list[str]:
+        """Return the shared parts of a prompt that a target may have ended on."""
+        if error.failure is not Failure.BROKE_OFF or error.answered:
+            return []
+        parts = self._routed.call.prompt.parts[:-1]
+        return [identity for identity, _ in parts[:_MAX_LOGGED_PARTS]]
+
     def _record_fault(self, choice: Choice, error: AttemptError) -> None:
         """Count a failed attempt against its target, unless the path to it is broken.
 
