Find the part of prompts that ends engines, and refuse it after four

Cause: nothing knew a part. Blame is for a content, the digest of target, organisation and body, and no two of these requests are alike, so each had a clean record.

An engine ends when it begins an answer. So the shared parts of the requests that it held without an event are suspect once it is found to have ended (its host refuses connections, to others as well), and the first event of any answer clears all parts of its prompt, at all routers (core/partblame). A request with a suspect part is sent as a try: one at a time for each part over all routers, granted by one of them, at the engine with the fewest requests (core/tries, gateway/tries, gateway/parttries). A part is refused after four ended engines of which tries ended two, with the code of quarantine, before anything is reserved; after two minutes one more try shows whether it still is bad, then ever later. Parts that always came together are refused only together. Engines that a proven part ended are held against no content and no other part. A router that starts is told by the others before it is ready. An end is taken back if the same start begins an answer later.

Why four: the users' limit is five, and one end may go unseen when its router is killed. Why two tries: engines that end at one instant may all have had a sound part by chance.

--- a/anvilshift/core/blame.py
+++ b/anvilshift/core/blame.py
@@ -29,6 +29,8 @@
 _BLAME_LIFETIME: Millis = 120 * SECOND
 _MAX_RECORDS = 2_000
 """Most contents that are remembered; one crash fails about twenty requests."""
+_MAX_FORGIVEN = 1_000
+"""Most targets remembered whose crashes have a known cause."""
 
 
 @dataclass
@@ -64,6 +66,7 @@
     exposure: Exposure = field(default_factory=lambda: Exposure(MAX_CRASHES))
     _broken_answers: dict[str, list[tuple[str, Millis]]] = field(default_factory=dict)
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
+    _forgiven: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     def record_broken_answer(self, content: str, target: str, now: Millis) -> list[str]:
         """Record that a target broke off an answer.
@@ -105,6 +108,8 @@
 
     def record_crash(self, content: str, target: str, now: Millis) -> None:
         """Record that a content is blamed for a target's crash, here or elsewhere."""
+        if target in self._forgiven:
+            return
         self.exposure.crashed(content, target, now)
         record = self._records.setdefault(content, _Record())
         record.targets.add(target)
@@ -118,6 +123,18 @@
         self._records.pop(content, None)
         self.exposure.clear(content)
 
+    def forgive(self, target: str) -> None:
+        """Hold the crash of a target against no content: its cause is known.
+
+        Contents that only ran there would otherwise be refused after three of these.
+        """
+        self._forgiven[target] = None
+        if len(self._forgiven) > _MAX_FORGIVEN:
+            self._forgiven.popitem(last=False)
+        for record in self._records.values():
+            record.targets.discard(target)
+        self.exposure.forgive(target)
+
     def is_poison(self, content: str, now: Millis) -> bool:
         """Tell whether a content is blamed for enough crashes to be refused."""
         self.exposure.expire(content, now)
--- a/anvilshift/core/exposure.py
+++ b/anvilshift/core/exposure.py
@@ -116,6 +116,13 @@
             if len(self._harmless) > _MAX_RECORDS:
                 self._harmless.popitem(last=False)
 
+    def forgive(self, target: str) -> None:
+        """Charge a target that ended for a known cause to no content any more."""
+        for content, charges in list(self._charges.items()):
+            charges.kept.discard(target)
+            if not charges.running and not charges.kept:
+                del self._charges[content]
+
     def expire(self, content: str, now: Millis) -> None:
         """Drop the charges of a content not charged within `CHARGE_LIFETIME`."""
         charges = self._charges.get(content)
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -38,11 +38,22 @@
         Tokens of the whole prompt.
     most_answer
         Maximum number of answer tokens.
+    model
+        Name of the model that reads it; empty if the request names none.
     """
 
     parts: tuple[tuple[str, int], ...] = ()
     tokens: int = 0
     most_answer: int = 0
+    model: str = ""
+
+    @property
+    def shared_parts(self) -> list[str]:
+        """Return the identifiers of the parts that other prompts may have as well.
+
+        The last part belongs to the request or to its session.
+        """
+        return [identity for identity, _ in self.parts[:-1]]
 
 
 @dataclass(frozen=True)
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -30,6 +30,7 @@
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import TargetFields
 from anvilshift.gateway.crashes import CrashTracker
+from anvilshift.gateway.parttries import PartTry
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.retrying import RequestRetries
@@ -43,6 +44,11 @@
 """Shared parts of a prompt that are logged; prompts have a few."""
 
 
+def _may_have_ended(error: AttemptError) -> bool:
+    """Return whether a target may have ended while it had the request."""
+    return error.failure is Failure.BROKE_OFF and not error.answered
+
+
 class Attempts:
     """The attempts of one request at targets.
 
@@ -89,6 +95,8 @@
         self.predicted: Millis = 0.0
         self._stream = StreamBinding(shared, routed)
         self._chooser = TargetChooser(shared, routed, turn, crashes, self._stream)
+        self._try = PartTry(shared, routed, self._chooser)
+        self._has_begun = False
 
     async def run(self) -> None:
         """Send the request to targets until one of them has answered it.
@@ -101,11 +109,12 @@
         try:
             await self._send_until_answered()
         finally:
+            self._try.end()
             self._retries.close()
 
     async def _send_until_answered(self) -> None:
         while True:
-            choice = self._choose()
+            choice = await self._admit() or self._choose()
             self._check_predicted_wait(choice)
             run = await self._turn.request_permit(
                 choice, self._compute_rank(choice), self._routed.end
@@ -118,9 +127,26 @@
                     return
             except AttemptError as error:
                 self._record_failure(choice, error)
+                if _may_have_ended(error) and not self._has_begun:
+                    await self._try.record_failure(choice.target.info)
                 await self._crashes.check_failure(choice.target, error)
                 await self._check_retry(error)
 
+    async def _admit(self) -> Choice | None:
+        """Wait for the request's try, if a part of its prompt is suspect.
+
+        Returns
+        -------
+        Choice or None
+            The target of the try; None if it may be sent anywhere.
+        """
+        try:
+            return await self._try.admit(self.failed_targets)
+        except AnvilshiftError as error:
+            if self.may_have_run:
+                raise AnvilshiftError(ENGINE_FAILED, error.detail) from error
+            raise
+
     def _choose(self) -> Choice:
         choice = self._chooser.choose(self.failed_targets)
         if choice is None:
@@ -183,10 +209,9 @@
 
     def _list_logged_parts(self, error: AttemptError) -> list[str]:
         """Return the shared parts of a prompt that a target may have ended on."""
-        if error.failure is not Failure.BROKE_OFF or error.answered:
+        if not _may_have_ended(error):
             return []
-        parts = self._routed.call.prompt.parts[:-1]
-        return [identity for identity, _ in parts[:_MAX_LOGGED_PARTS]]
+        return self._routed.call.prompt.shared_parts[:_MAX_LOGGED_PARTS]
 
     def _record_fault(self, choice: Choice, error: AttemptError) -> None:
         """Count a failed attempt against its target, unless the path to it is broken.
@@ -203,7 +228,7 @@
             error.answered,
             error.hung,
         )
-        if error.failure is Failure.BROKE_OFF and not error.answered:
+        if _may_have_ended(error):
             reach = shared.sender.reach
             reach.record_fault(target.info, shared.clock.now(), record)
         else:
@@ -252,6 +277,7 @@
         self.predicted = choice.wait
         self.sent, self.via = shared.clock.now(), ""
         self._relay.start_attempt()
+        self._has_begun = False
         self.concurrent_runs = len(choice.target.runs)
         self.target = choice.target.info.name
         self.version = choice.target.info.version
@@ -364,7 +390,7 @@
             await self._relay.stream(answer, timeout, max_silence, on_first_event)
             return
         body = await self._relay.read_complete(answer)
-        self._record_first_byte(outgoing)
+        self._record_first_byte(outgoing, success)
         failed = answer.status >= 500 and self._may_go_on()
         if failed or self._relay.started:
             detail = f"status {answer.status}"
@@ -376,11 +402,15 @@
 
     def _record_first_event(self, outgoing: Outgoing) -> None:
         """Record the first event of an attempt, before the caller gets it."""
-        self._record_first_byte(outgoing)
+        self._record_first_byte(outgoing, success=True)
         self._stream.record_event(outgoing.choice.target)
 
-    def _record_first_byte(self, outgoing: Outgoing) -> None:
+    def _record_first_byte(self, outgoing: Outgoing, success: bool) -> None:
         """Record that the target began to answer, and how long that took."""
+        if success:
+            self._has_begun = True
+            self._shared.parts.record_answer(self._routed)
+            self._try.end()
         self._retries.record_arrival()
         self._shared.sender.record_first_byte(outgoing)
         target = outgoing.choice.target
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -33,6 +33,15 @@
     Sent,
     SentBefore,
 )
+from anvilshift.gateway.partmessages import (
+    PartRecorded,
+    PartsAnswered,
+    PartsTold,
+    StartAlive,
+    TryAnswer,
+    TryAsk,
+    TryEnded,
+)
 from anvilshift.gateway.peers import Peer, Peers
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.settings import GatewaySettings
@@ -105,6 +114,7 @@
         leaving = {one.beat.router for one in peers if one.beat.leaving}
         self.limits.update_routers(names, leaving)
         self.shared.origins.update_routers()
+        self.shared.tries.update_routers(self.limits.presence.routers)
         self.allotter.has_no_peers = not peers
         known = self.allocators.routers
         if names and self.allocators.set_routers(names):
@@ -210,6 +220,20 @@
             self.shared.origins.apply_answer(message)
         elif isinstance(message, HistorySeen):
             self.shared.origins.adopt_history(message)
+        elif isinstance(message, PartRecorded):
+            self.shared.parts.apply_record(message)
+        elif isinstance(message, PartsAnswered):
+            self.shared.parts.apply_answer(message)
+        elif isinstance(message, PartsTold):
+            self.shared.parts.apply_told()
+        elif isinstance(message, StartAlive):
+            self.shared.parts.apply_alive(message)
+        elif isinstance(message, TryAsk):
+            self.shared.tries.handle_ask(message)
+        elif isinstance(message, TryAnswer):
+            self.shared.tries.handle_answer(message)
+        elif isinstance(message, TryEnded):
+            self.shared.tries.handle_end(message)
         elif isinstance(message, Marked):
             for revision, age in message.marks:
                 self.marks.add(Mark(now - age, revision))
@@ -231,7 +255,8 @@
         """Send a new router what it needs to know of the time before its start.
 
         These are the spending of former incarnations of its host, the marks of the
-        store's history, the limits of targets, and what is gone of versions and routes.
+        store's history, the limits of targets, what is gone of versions and routes, and
+        the parts of prompts that may end engines.
         Without marks from others it could not prove the age of its own records until it
         had followed the store for as long as the store keeps its history.
         """
@@ -246,6 +271,7 @@
         for limited in self.limits.list_limits():
             self.peers.send(limited, beat.ip)
         self.peers.send(self.shared.origins.describe_history(), beat.ip)
+        self.shared.parts.tell_new_router(beat.ip)
 
     def send_mark(self, mark: Mark) -> None:
         """Send the other routers a new mark of the store's history."""
@@ -265,6 +291,7 @@
     def handle_router_loss(self, peer: Peer) -> None:
         """Remove the runs of a router that is lost."""
         self.loads.remove_runs(f"{peer.beat.incarnation}/")
+        self.shared.tries.end_router(peer.beat.incarnation)
 
     def handle_replaced_target(self, name: str) -> None:
         """Stop using a target whose address another target has taken over.
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -87,6 +87,12 @@
         present = {target.info.name for target in loads.list_service_targets(service)}
         return present - set(allowed[: max(MAX_CRASHES, len(reached))])
 
+    def list_beyond_bound(self, service: str) -> set[str]:
+        """Return the targets that the content may not reach, homes or not."""
+        loads, exposure = self._shared.sender.loads, self._blame.exposure
+        present = {target.info.name for target in loads.list_service_targets(service)}
+        return {name for name in present if not exposure.may_reach(self._content, name)}
+
     def _get_home_key(self, prompt: Prompt) -> str:
         """Return the key from which the content's home targets are computed.
 
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -7,6 +7,15 @@
 from dataclasses import dataclass
 
 from anvilshift.core.clock import Millis
+from anvilshift.gateway.partmessages import (
+    PartRecorded,
+    PartsAnswered,
+    PartsTold,
+    StartAlive,
+    TryAnswer,
+    TryAsk,
+    TryEnded,
+)
 from anvilshift.gateway.streammessages import (
     HistorySeen,
     OriginAnswer,
@@ -345,4 +354,11 @@
     | OriginAsk
     | OriginAnswer
     | HistorySeen
+    | PartRecorded
+    | PartsAnswered
+    | PartsTold
+    | StartAlive
+    | TryAsk
+    | TryAnswer
+    | TryEnded
 )
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from anvilshift.core.allocators import AllocatorMap
+from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError, ExecutionState
 from anvilshift.core.identity import make_identity
@@ -20,6 +21,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.origins import StreamOrigins
+from anvilshift.gateway.partwatch import PartWatch
 from anvilshift.gateway.passing import RequestHandler
 from anvilshift.gateway.peers import PeerCallbacks, Peers
 from anvilshift.gateway.periodic import TICK_INTERVAL, PeriodicWork
@@ -36,6 +38,7 @@
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.gateway.targetstarts import TargetStarts
+from anvilshift.gateway.tries import Tries
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
 from anvilshift.wire.errorreplies import render_error
@@ -149,6 +152,17 @@
             self.limits,
             self.starts,
         )
+        blame = CrashBlame()
+        parts = PartWatch(
+            settings.name,
+            self.limits,
+            self.loads,
+            self.peers,
+            self.reach,
+            clock,
+            journal,
+            blame.forgive,
+        )
         self.shared = RouterContext(
             self.incarnation,
             clock,
@@ -173,6 +187,9 @@
             StreamOrigins(
                 settings.name, settings.ip, self.peers, self.loads, clock, journal
             ),
+            parts,
+            Tries(settings.ip, parts, self.peers, clock),
+            blame=blame,
         )
         self.retry_shares = RetryShares.for_router(
             settings, store, self.shared, self.peers
@@ -277,7 +294,8 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should open new connections to this router."""
-        return self.shared.table is not None and not self.leaving
+        is_informed = self.shared.parts.is_informed
+        return self.shared.table is not None and is_informed and not self.leaving
 
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
@@ -387,6 +405,7 @@
         await self.server.close()
         self.reach.close()
         self.starts.close()
+        self.shared.tries.close()
         await self.forwarding.server.close()
         self.client.close()
         self.peers.close()
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -44,6 +44,9 @@
 """Retry delay while routers that may know a stream don't answer: a restart of a router
 takes about that long."""
 
+_INFORM_RETRY: Millis = 150.0
+"""Retry delay while a router that starts asks the others what they know."""
+
 
 class RequestHandler:
     """Handle one caller's request."""
@@ -124,6 +127,7 @@
         crashes.check()
         origin = await self._find_origin(call, rule)
         routed = self._route(table, call, rule, origin)
+        self._check_parts(routed)
         self.shared.retries.add_request(routed.service, self.shared.boot_clock.now())
         attempts = Attempts(self.shared, routed, self.relay, self.turn, crashes)
         self.attempts = attempts
@@ -132,6 +136,20 @@
         else:
             await self._serve_prepaid(attempts, routed, routed.model)
 
+    def _check_parts(self, routed: RoutedRequest) -> None:
+        """Refuse a prompt with a part that ends engines, before it costs anything.
+
+        Raises
+        ------
+        AnvilshiftError
+            Also when this router has just started and doesn't know such parts yet.
+        """
+        parts = self.shared.parts
+        if routed.model is not None and not parts.is_informed:
+            detail = "the other routers haven't told yet what ends engines"
+            raise AnvilshiftError(NOT_READY, detail, retry_after=_INFORM_RETRY)
+        parts.check(routed)
+
     async def _find_origin(self, call: Call, rule: Rule) -> Origin | None:
         """Return where the stream began that a call takes up; None for a new request.
 
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -86,6 +86,7 @@
         node.messenger.return_unused_tokens()
         node.loads.expire(now)
         node.permits.run_checks(now)
+        node.shared.parts.run_checks(now)
         node.shared.health.probe_ejected(now)
         node.reach.watch(now)
         node.starts.expire(is_fresh)
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -269,6 +269,17 @@
         self._break_path(info, forwarded.via, began)
         return Reached.FORWARDED
 
+    async def has_ended(self, info: TargetInfo) -> bool:
+        """Find out whether a target's process has ended.
+
+        Its host is there and refuses connections, and no other router is let in: a
+        silent target may only be cut off, and a refusal may be this router's own cut.
+        """
+        address = Address.parse(info.address)
+        if not await self.client.is_refused(address, CONNECT_TIMEOUT):
+            return False
+        return await self.check(info) is Reached.NOT_AT_ALL
+
     def record_fault(
         self, info: TargetInfo, failed: Millis, record: Callable[[], None]
     ) -> None:
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -13,10 +13,12 @@
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.origins import StreamOrigins
+from anvilshift.gateway.partwatch import PartWatch
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.targethealth import TargetHealth
+from anvilshift.gateway.tries import Tries
 
 _RETRY_DELAY: Millis = 150.0
 """Retry delay for callers that a stopping router refuses; they reach another router."""
@@ -64,6 +66,8 @@
     boot_clock: Clock
     health: TargetHealth
     origins: StreamOrigins
+    parts: PartWatch
+    tries: Tries
     table: RouteTable | None = None
     blame: CrashBlame = field(default_factory=CrashBlame)
     on_target_lost: Callable[[str], None] = lambda target: None
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping, Set
 from dataclasses import dataclass
 
-from anvilshift.core.choosing import Choice, Demand, choose_engine, choose_plain_target
+from anvilshift.core.choosing import (
+    Choice,
+    Demand,
+    choose_engine,
+    choose_plain_target,
+    list_usable,
+)
 from anvilshift.core.clock import Millis
 from anvilshift.core.routing import ModelLimits
 from anvilshift.core.targetload import Prompt
@@ -49,18 +55,37 @@
             delays,
         )
 
+    def choose_spare(self, failed_targets: Set[str]) -> Choice | None:
+        """Return the engine where least is lost if the request ends it.
+
+        It need not be a home of the content: a request with a suspect part is sent to
+        one engine at a time, through all routers.
+        """
+        shared, routed, now = self.shared, self.routed, self.shared.clock.now()
+        if routed.model is None:
+            return None
+        present = shared.sender.loads.list_service_targets(routed.service)
+        excluded = self._list_unusable(failed_targets)
+        excluded |= self.crashes.list_beyond_bound(routed.service)
+        usable = list_usable(present, excluded)
+        if not usable:
+            return None
+        spare = min(usable, key=lambda one: (len(one.runs), shared.rng.random()))
+        others = {one.info.name for one in present if one is not spare}
+        delays = self.turn.list_permit_delays()
+        demand = self._make_demand(routed.model, delays, now)
+        return choose_engine(shared.sender.loads, demand, now, shared.rng, others)
+
+    def _list_unusable(self, failed_targets: Set[str]) -> set[str]:
+        return {*failed_targets, *self.turn.refused, *self.stream.list_unfit()}
+
     def _list_excluded(self, failed_targets: Set[str]) -> set[str]:
         routed = self.routed
         prompt = routed.call.prompt if routed.model is not None else Prompt()
         forbidden = self.crashes.list_forbidden(
             routed.service, prompt, self.stream.version
         )
-        return {
-            *failed_targets,
-            *self.turn.refused,
-            *self.stream.list_unfit(),
-            *forbidden,
-        }
+        return self._list_unusable(failed_targets) | forbidden
 
     def _make_demand(
         self, model: ModelLimits, delays: Mapping[str, Millis], now: Millis
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -19,6 +19,7 @@
 )
 
 _MAX_HASH_DIGITS = 64
+_MAX_MODEL_CHARACTERS = 64
 
 
 class PlatformDialect:
@@ -166,7 +167,8 @@
         return Prompt()
     try:
         tokens, answer = (int(number) for number in usage.split(","))
-        return Prompt(_read_parts(parts or ""), max(0, tokens), max(0, answer))
+        model = (headers.get(names.MODEL) or "")[:_MAX_MODEL_CHARACTERS]
+        return Prompt(_read_parts(parts or ""), max(0, tokens), max(0, answer), model)
     except ValueError as error:
         detail = "the token counts or the prompt's parts are malformed"
         raise AnvilshiftError(BAD_VALUE, detail) from error
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -338,6 +338,16 @@
         opened.close()
         return True
 
+    async def is_refused(self, address: Address, timeout: Millis) -> bool:
+        """Return whether a host is there and refuses connections to an address."""
+        try:
+            opened = await self.open(address, timeout)
+        except ExchangeError as error:
+            refusals = (ConnectionRefusedError, ConnectionResetError)
+            return isinstance(error.__cause__, refusals)
+        opened.close()
+        return False
+
     def close_idle(self, is_unusable: Callable[[Connection], bool]) -> None:
         """Close the idle connections that a function selects."""
         for idle in self._idle.values():
--- /dev/null
+++ b/tests/core/test_partblame.py
@@ -0,0 +1,349 @@
+"""The part that ends engines is found through several routers, and no other one."""
+
+import heapq
+import itertools
+import random
+import unittest
+from collections import Counter
+
+from anvilshift.core.partblame import PartBlame, PartCrash, PartKey, PartReport
+from anvilshift.core.tries import TAKEOVER_DELAY, Try, TryTable
+
+SCOPE = "llm/m"
+MAX_ENDS, MAX_LATE, STABLE = 5, 3, 3_000.0
+_BACK_AFTER = 1_500.0
+_ASK_INTERVAL = 50.0
+_REPEAT_INTERVAL = 1_000.0
+
+
+def crash(number: int, tried: bool = False, at: float | None = None) -> PartCrash:
+    return PartCrash(f"e{number}/1", float(number) if at is None else at, tried)
+
+
+class PartBlameTest(unittest.TestCase):
+    def setUp(self):
+        self.blame = PartBlame()
+
+    def record(self, parts, *crashes):
+        for one in crashes:
+            self.blame.record_crash(SCOPE, parts, one)
+
+    def test_part_is_refused_after_four_engines_of_which_tries_ended_two(self):
+        self.record(["bad"], crash(1), crash(2), crash(3, True))
+        self.assertFalse(self.blame.is_refused(SCOPE, ["bad"], 5.0))
+        self.record(["bad"], crash(4, True))
+        self.assertTrue(self.blame.is_refused(SCOPE, ["bad"], 5.0))
+
+    def test_part_on_engines_that_ended_together_is_not_refused(self):
+        """Guards against a sound part refused because a failure domain was lost."""
+        self.record(["rare"], *(crash(n, at=1.0) for n in range(8)))
+        self.assertFalse(self.blame.is_refused(SCOPE, ["rare"], 5.0))
+        self.record(["rare"], crash(9, True))
+        self.assertFalse(self.blame.is_refused(SCOPE, ["rare"], 10.0))
+
+    def test_part_that_was_answered_before_is_not_suspect_after_one_crash(self):
+        """Guards against the parts that all use being tried one at a time."""
+        self.blame.record_answer(SCOPE, ["hot"], 0.5)
+        self.record(["hot", "new"], crash(1))
+        self.assertEqual(self.blame.list_suspects(SCOPE, ["hot", "new"], 2.0), ["new"])
+        self.record(["hot"], crash(2))
+        self.assertEqual(self.blame.list_suspects(SCOPE, ["hot"], 2.0), ["hot"])
+
+    def test_answer_clears_a_part_of_all_that_came_before(self):
+        self.record(["a"], *(crash(n, n > 2) for n in range(1, 5)))
+        self.assertEqual(self.blame.record_answer(SCOPE, ["a"], 9.0), ["a"])
+        self.assertFalse(self.blame.is_refused(SCOPE, ["a"], 10.0))
+        self.assertFalse(self.blame.merge(self.report("a", crash(4, True))))
+
+    def report(self, part, *crashes, companions=()):
+        return PartReport(PartKey(SCOPE, part), crashes, frozenset(companions))
+
+    def test_parts_that_always_came_together_are_refused_only_together(self):
+        """Guards against a sound part refused because it came with a bad one."""
+        both = ["bad", "beside"]
+        self.record(both, *(crash(n, n > 1) for n in range(1, 5)))
+        self.assertTrue(self.blame.is_refused(SCOPE, both, 5.0))
+        self.assertFalse(self.blame.is_refused(SCOPE, ["beside"], 5.0))
+        self.assertEqual(self.blame.list_suspects(SCOPE, ["beside"], 5.0), ["beside"])
+        self.blame.record_answer(SCOPE, ["beside"], 6.0)
+        self.assertTrue(self.blame.is_refused(SCOPE, ["bad"], 7.0))
+
+    def test_proven_part_takes_its_crashes_off_the_others(self):
+        """Guards against parts that stay suspect for the engines another one ended."""
+        self.record(["stood by"], crash(1), crash(2), crash(3))
+        self.record(["bad"], *(crash(n, n > 1) for n in range(1, 5)))
+        self.assertEqual(self.blame.list_suspects(SCOPE, ["stood by"], 5.0), [])
+        self.blame.merge(self.report("stood by", crash(1)))
+        self.assertEqual(self.blame.list_suspects(SCOPE, ["stood by"], 5.0), [])
+
+    def test_refused_part_is_tried_again_later_and_ever_later(self):
+        """Guards against a part refused for good after chance had it refused once."""
+        self.record(["a"], *(crash(n, n > 2) for n in range(1, 5)))
+        self.assertTrue(self.blame.is_refused(SCOPE, ["a"], 120_000.0))
+        self.assertFalse(self.blame.is_refused(SCOPE, ["a"], 120_005.0))
+        self.assertEqual(self.blame.list_suspects(SCOPE, ["a"], 120_005.0), ["a"])
+        self.record(["a"], crash(6, True, at=120_010.0))
+        self.assertTrue(self.blame.is_refused(SCOPE, ["a"], 120_010.0 + 239_000.0))
+        self.assertFalse(self.blame.is_refused(SCOPE, ["a"], 120_010.0 + 241_000.0))
+
+    def test_end_of_an_engine_that_lives_is_forgotten(self):
+        """Guards against a part refused because a router was cut off from engines."""
+        self.record(["a"], *(crash(n, n > 2) for n in range(1, 5)))
+        self.blame.retract("e4/1")
+        self.assertFalse(self.blame.is_refused(SCOPE, ["a"], 5.0))
+
+    def test_model_of_another_name_reads_another_part(self):
+        self.record(["a"], *(crash(n, n > 2) for n in range(1, 5)))
+        self.assertFalse(self.blame.is_refused("llm/other", ["a"], 5.0))
+
+    def test_reports_in_any_order_lead_to_the_same(self):
+        crashes = [crash(n, n > 2) for n in range(1, 5)]
+        for order in itertools.permutations(crashes):
+            blame = PartBlame()
+            for one in (*order, *order):
+                blame.merge(self.report("a", one, companions={"a"}))
+            self.assertTrue(blame.is_refused(SCOPE, ["a"], 9.0))
+
+    def test_parts_that_callers_invent_take_no_place_of_a_proven_one(self):
+        """Guards against a caller who makes routers forget the bad part."""
+        self.record(["bad"], *(crash(n, n > 2) for n in range(1, 5)))
+        for number in range(3_000):
+            self.record([f"invented {number}"], crash(9, at=10.0 + number))
+        self.assertTrue(self.blame.is_refused(SCOPE, ["bad"], 9_000.0))
+        self.assertLessEqual(len(self.blame.list_keys(9_000.0, 10_000)), 1_000)
+
+
+class Fleet:
+    """Routers and engines in virtual time; it counts what engines and callers saw.
+
+    Parameters
+    ----------
+    bad
+        Parts that end engines.
+    loss
+        Part of the messages that are lost.
+    kills
+        Engines that end for other reasons, a second.
+    restarts
+        Routers that start anew, a second.
+    """
+
+    def __init__(
+        self, seed, bad, loss=0.0, kills=0.0, restarts=0.0, routers=4, engines=10
+    ):
+        self.rng = random.Random(seed)
+        self.bad, self.loss = set(bad), loss
+        self.kills, self.restarts = kills, restarts
+        self.now, self.order, self.queue = 0.0, itertools.count(), []
+        self.blames = [PartBlame() for _ in range(routers)]
+        self.table = TryTable()
+        self.engines = {f"e{n}/0": [] for n in range(engines)}
+        self.ends: Counter[str] = Counter()
+        self.end_times: dict[str, list[float]] = {part: [] for part in bad}
+        self.arrivals: dict[str, list[float]] = {part: [] for part in bad}
+        self.refused_sound = 0
+        self.served_sound = 0
+        self.runs = itertools.count()
+
+    def at(self, delay, action, *values):
+        heapq.heappush(self.queue, (self.now + delay, next(self.order), action, values))
+
+    def play(self, seconds, bad_rate):
+        self.arrive(bad_rate, self.draw_bad)
+        self.arrive(30.0, self.draw_sound)
+        self.every(self.kills, self.kill)
+        self.every(self.restarts, self.restart)
+        self.repeat()
+        while self.queue and self.queue[0][0] < seconds * 1_000.0:
+            self.now, _, action, values = heapq.heappop(self.queue)
+            action(*values)
+
+    def every(self, rate, action):
+        if rate:
+
+            def again():
+                action()
+                self.at(self.rng.expovariate(rate) * 1_000.0, again)
+
+            self.at(self.rng.expovariate(rate) * 1_000.0, again)
+
+    def arrive(self, rate, draw):
+        self.every(rate, lambda: self.handle(self.draw_router(), draw(), 0.0, None))
+
+    def draw_router(self):
+        return self.rng.randrange(len(self.blames))
+
+    def draw_sound(self):
+        family = self.rng.choice("fgh")
+        parts = [family, f"{family}{self.rng.randrange(5)}"]
+        if self.rng.random() < 0.1:
+            parts.append(f"rare {self.rng.randrange(200)}")
+        return parts
+
+    def draw_bad(self):
+        parts = self.draw_sound()
+        bad = self.rng.choice(sorted(self.bad))
+        parts.insert(self.rng.randrange(len(parts) + 1), bad)
+        return parts
+
+    def is_bad(self, parts):
+        return bool(self.bad & set(parts))
+
+    def handle(self, router, parts, waited, run):
+        blame = self.blames[router]
+        suspects = blame.list_suspects(SCOPE, parts, self.now)
+        if suspects and blame.is_refused(SCOPE, parts, self.now):
+            self.refused_sound += not self.is_bad(parts)
+            return
+        target = min(self.engines, key=lambda e: (len(self.engines[e]), e), default="")
+        if not target or waited > 2_000.0:
+            return
+        if not suspects:
+            self.send(router, parts, self.rng.choice(list(self.engines)), None)
+            return
+        run = run or f"r{router}/{next(self.runs)}"
+        wanted = Try(run, SCOPE, frozenset(suspects), target)
+        if self.rng.random() >= self.loss and self.table.ask(wanted, self.now):
+            self.at(self.delay(), self.start_try, router, parts, wanted)
+        else:
+            self.at(_ASK_INTERVAL, self.handle, router, parts, waited + 60.0, run)
+
+    def start_try(self, router, parts, granted):
+        blame = self.blames[router]
+        if blame.is_refused(SCOPE, parts, self.now):
+            self.table.end(granted.run)
+            self.refused_sound += not self.is_bad(parts)
+        elif granted.target in self.engines:
+            self.send(router, parts, granted.target, granted)
+        else:
+            self.table.end(granted.run)
+
+    def delay(self):
+        return self.rng.uniform(1.0, 5.0)
+
+    def send(self, router, parts, target, granted):
+        run = (router, parts, granted)
+        self.engines[target].append(run)
+        for part in self.bad & set(parts):
+            self.arrivals[part].append(self.now)
+        if granted is not None:
+            self.renew(granted, target, run)
+        self.at(self.rng.uniform(30.0, 150.0), self.begin, target, run)
+
+    def renew(self, granted, target, run):
+        if run in self.engines.get(target, []):
+            self.table.renew(granted, self.now)
+            self.at(150.0, self.renew, granted, target, run)
+
+    def begin(self, target, run):
+        if run not in self.engines.get(target, []):
+            return
+        router, parts, granted = run
+        if self.is_bad(parts):
+            for part in self.bad & set(parts):
+                self.end_times[part].append(self.now)
+            self.end(target)
+            return
+        self.engines[target].remove(run)
+        self.served_sound += 1
+        cleared = self.blames[router].record_answer(SCOPE, parts, self.now)
+        if granted is not None:
+            self.table.end(granted.run)
+        if cleared:
+            self.tell(router, lambda one: one.record_answer(SCOPE, cleared, self.now))
+
+    def end(self, target):
+        runs = self.engines.pop(target)
+        slot, start = target.split("/")
+        self.at(_BACK_AFTER, self.engines.setdefault, f"{slot}/{int(start) + 1}", [])
+        for router, parts, granted in runs:
+            self.at(self.delay(), self.note_end, router, parts, granted, target)
+
+    def note_end(self, router, parts, granted, target):
+        found = PartCrash(target, self.now, granted is not None)
+        self.blames[router].record_crash(SCOPE, parts, found)
+        for part in parts:
+            self.send_report(router, part)
+        if granted is not None:
+            if self.rng.random() >= self.loss:
+                self.blames[0].record_crash(SCOPE, granted.suspects, found)
+            self.table.end(granted.run)
+
+    def send_report(self, router, part):
+        report = self.blames[router].describe(PartKey(SCOPE, part))
+        if report is not None:
+            self.tell(router, lambda one: one.merge(report))
+
+    def tell(self, router, change):
+        for number, one in enumerate(self.blames):
+            if number != router and self.rng.random() >= self.loss:
+                self.at(self.delay(), change, one)
+
+    def repeat(self):
+        for key in self.blames[0].list_keys(self.now, 8):
+            self.send_report(0, key.part)
+        self.at(_REPEAT_INTERVAL, self.repeat)
+
+    def kill(self):
+        if len(self.engines) > 2:
+            self.end(self.rng.choice(list(self.engines)))
+
+    def restart(self):
+        """Start a router anew, which another one tells all that it knows."""
+        router, other = self.rng.sample(range(len(self.blames)), 2)
+        self.blames[router] = PartBlame()
+        for key in self.blames[other].list_keys(self.now):
+            report = self.blames[other].describe(key)
+            if report is not None and self.rng.random() >= self.loss:
+                self.blames[router].merge(report)
+        if router == 0:
+            self.table = TryTable(self.now + TAKEOVER_DELAY)
+
+    def count_late(self, part):
+        times = self.end_times[part]
+        if len(times) < MAX_ENDS:
+            return 0
+        since = times[MAX_ENDS - 1] + STABLE
+        return sum(at > since for at in self.arrivals[part])
+
+
+class FleetTest(unittest.TestCase):
+    def play(self, seconds=25, bad_rate=4.0, bad=("bad",), seeds=25, **trouble):
+        for seed in range(seeds):
+            fleet = Fleet(seed, bad, **trouble)
+            fleet.play(seconds, bad_rate)
+            self.assertGreater(fleet.served_sound, 100)
+            self.assertEqual(fleet.refused_sound, 0, f"seed {seed}")
+            yield seed, fleet
+
+    def check_ends(self, most=MAX_ENDS, **trouble):
+        for seed, fleet in self.play(**trouble):
+            for part in fleet.bad:
+                ended = len(fleet.end_times[part])
+                self.assertLessEqual(ended, most, f"seed {seed}, {part}")
+                self.assertLessEqual(fleet.count_late(part), MAX_LATE, f"seed {seed}")
+
+    def test_one_part_ends_five_engines_at_most(self):
+        self.check_ends()
+        self.check_ends(bad_rate=0.5, seconds=40)
+
+    def test_each_of_two_parts_ends_five_engines_at_most(self):
+        self.check_ends(bad=("bad", "worse"))
+
+    def test_lost_messages_let_no_more_engines_end(self):
+        self.check_ends(loss=0.05)
+
+    def test_engines_that_end_for_other_reasons_let_no_more_engines_end(self):
+        self.check_ends(kills=1.0)
+
+    def test_routers_that_start_anew_let_no_more_engines_end(self):
+        self.check_ends(restarts=0.5)
+
+    def test_no_part_is_refused_where_engines_end_for_other_reasons(self):
+        """Guards against sound requests refused while engines are killed in series."""
+        for _, fleet in self.play(bad_rate=0.0, kills=4.0, seeds=60):
+            self.assertEqual(fleet.refused_sound, 0)
+
+    def test_burst_ends_only_what_it_reached_at_once(self):
+        for seed, fleet in self.play(bad_rate=30.0):
+            self.assertLessEqual(fleet.count_late("bad"), MAX_LATE, f"seed {seed}")
