Give a family of prompts other homes once its homes have ended

What callers saw: 503 "no engine" (3002), not run, for sound requests whose shared parts led to engines that had ended, for two minutes, while most engines stood idle.

Cause: a content that hasn't been answered may reach three homes, found from the last shared part, among the targets present and those lost in the last 120 s. An engine that ends comes back under another id, so its place stayed taken by a name that never comes back, for every content of the family.

Homes of a family are chosen without targets known to have ended, 500 ms after the end: by then the routers have told each other which contents ran there, and a content's own charges keep it at three targets. Ends are known from the refused connection at once, not only when the entry expires (3.6 s). While a router can't be heard, or where one was lost at about the time of the end, lost homes keep their places as before, for the router may know alone what ended them (core/silences); 30 s after it fell silent it counts as stopped for good. Homes of a content alone, without shared parts, keep their places for 120 s as before. A router that finds an ended target blames the contents there at once, and tells all targets of a blamed content each time.

--- a/anvilshift/core/blame.py
+++ b/anvilshift/core/blame.py
@@ -18,6 +18,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.exposure import Exposure
+from anvilshift.core.silences import RouterSilences
 
 MAX_CRASHES = 3
 """Crashed targets after which a content is refused.  A harmless request that its
@@ -49,6 +50,8 @@
     ----------
     exposure
         The targets that each content has reached and may still reach.
+    silences
+        When other routers couldn't tell what ran on targets that crashed.
 
     Examples
     --------
@@ -64,6 +67,7 @@
     """
 
     exposure: Exposure = field(default_factory=lambda: Exposure(MAX_CRASHES))
+    silences: RouterSilences = field(default_factory=RouterSilences)
     _broken_answers: dict[str, list[tuple[str, Millis]]] = field(default_factory=dict)
     _records: OrderedDict[str, _Record] = field(default_factory=OrderedDict)
     _forgiven: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -118,6 +122,11 @@
         if len(self._records) > _MAX_RECORDS:
             self._records.popitem(last=False)
 
+    def list_targets(self, content: str) -> list[str]:
+        """Return the targets for whose crashes a content is blamed."""
+        record = self._records.get(content)
+        return sorted(record.targets) if record else []
+
     def clear(self, content: str) -> None:
         """Clear a content of all blame after a complete answer."""
         self._records.pop(content, None)
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -12,7 +12,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.prefill import prefill_time
@@ -22,6 +22,8 @@
 """Age at which a run without a notified end is removed; callers wait at most 15 s."""
 _MAX_REMOVED = 1_000
 """Removed targets whose announcements are kept in case their entries come back."""
+_NEWS_DELAY: Millis = 500.0
+"""Time after a target's end by which routers have told each other what ran there."""
 _LOST_RETENTION: Millis = 120 * SECOND
 """Time that a lost target is kept: as long as a content stays blamed for a crash."""
 
@@ -105,6 +107,42 @@
         recent = {info.name: info for info in [*lost, *present]}
         return [info for info in recent.values() if info.service == service]
 
+    def list_home_candidates(
+        self, service: str, now: Millis, may_hide: Callable[[Millis], bool]
+    ) -> list[TargetInfo]:
+        """Return the targets among which the homes of a family of prompts are chosen.
+
+        A target that has ended is replaced once all routers know which requests were
+        there; otherwise its family would be refused although no request of it did any
+        harm.
+
+        Parameters
+        ----------
+        may_hide
+            Tells whether some router may have seen a target end at a time and told
+            nobody of it.
+        """
+        ended = {
+            name: (target.info, target.ended_at)
+            for name, target in self.targets.items()
+            if target.ended_at is not None
+        }
+        for name, (info, until) in self._lost.items():
+            ended.setdefault(name, (info, until - _LOST_RETENTION))
+        kept = {
+            name
+            for name, (_, at) in ended.items()
+            if now - at < _NEWS_DELAY or may_hide(at)
+        }
+        recent = self.list_recent(service, now)
+        return [i for i in recent if i.name not in ended or i.name in kept]
+
+    def mark_ended(self, name: str, now: Millis) -> None:
+        """Record that a target has ended, whatever its entry says."""
+        target = self.targets.get(name)
+        if target is not None and target.ended_at is None:
+            target.ended_at = now
+
     def _group_by_service(self) -> None:
         self._by_service = {}
         for target in self.targets.values():
@@ -158,6 +196,7 @@
         if target is None or entry is None or entry.begun:
             return
         entry.begun = True
+        target.ended_at = None
         target.pending -= entry.work
         target.last_begun = now
         self._reset_rounding(target)
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -152,6 +152,8 @@
     is_start_doubted
         Whether it may have started anew since its entry was written, so that its
         version isn't known.
+    ended_at
+        When it was found to have ended; None while it runs for all that is known.
     """
 
     info: TargetInfo
@@ -173,6 +175,7 @@
     places: Places = field(default_factory=Places)
     rejections: RejectionRate = field(default_factory=RejectionRate)
     is_start_doubted: bool = False
+    ended_at: Millis | None = None
 
     @property
     def version(self) -> str | None:
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -19,7 +19,7 @@
     Code,
 )
 from anvilshift.core.routing import RequestKind
-from anvilshift.core.targetload import Prompt
+from anvilshift.core.targetload import Prompt, TargetLoad
 from anvilshift.core.timeouts import (
     NO_ENGINE_RETRY,
     find_attempt_timeout,
@@ -127,11 +127,24 @@
                     return
             except AttemptError as error:
                 self._record_failure(choice, error)
-                if _may_have_ended(error) and not self._has_begun:
-                    await self._try.record_failure(choice.target.info)
-                await self._crashes.check_failure(choice.target, error)
+                await self._find_cause(choice.target, error)
                 await self._check_retry(error)
 
+    async def _find_cause(self, target: TargetLoad, error: AttemptError) -> None:
+        """Find out whether the request, or a part of its prompt, ended its target.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the request is now quarantined.
+        """
+        crashed = ""
+        if _may_have_ended(error) and not self._has_begun:
+            crashed = await self._try.record_failure(target.info)
+        await self._crashes.check_failure(target, error)
+        if crashed:
+            self._crashes.record_end(target.info.name)
+
     async def _admit(self) -> Choice | None:
         """Wait for the request's try, if a part of its prompt is suspect.
 
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -260,6 +260,7 @@
         Without marks from others it could not prove the age of its own records until it
         had followed the store for as long as the store keeps its history.
         """
+        self.shared.blame.silences.record_return(beat.router, self.clock.now())
         for holder, spent in self.allotter.ended.items():
             if holder.rpartition(".")[0] == beat.router:
                 most = tuple((name, one.most) for name, one in spent.items())
@@ -289,7 +290,9 @@
                 self.peers.send(farewell, peer.beat.ip)
 
     def handle_router_loss(self, peer: Peer) -> None:
-        """Remove the runs of a router that is lost."""
+        """Remove the runs of a router that is lost, and what it may know alone."""
+        if not peer.beat.leaving:
+            self.shared.blame.silences.record_loss(peer.beat.router, peer.heard)
         self.loads.remove_runs(f"{peer.beat.incarnation}/")
         self.shared.tries.end_router(peer.beat.incarnation)
 
@@ -311,4 +314,6 @@
         """
         for content in self.shared.blame.lost(name, self.clock.now()):
             self.journal.write("content_blamed", content=content, target=name)
-            self.peers.broadcast(Blamed(content, name))
+            # All of its targets are told each time: a message may have been lost.
+            for target in self.shared.blame.list_targets(content):
+                self.peers.broadcast(Blamed(content, target))
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -10,7 +10,7 @@
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
 from anvilshift.core.homes import choose_homes
-from anvilshift.core.targetload import Prompt, TargetLoad
+from anvilshift.core.targetload import Prompt, TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.reach import Reached
 from anvilshift.gateway.sending import AttemptError
@@ -78,7 +78,7 @@
         loads, exposure = self._shared.sender.loads, self._blame.exposure
         if exposure.is_harmless(self._content):
             return set()
-        recent = loads.list_recent(service, self._shared.clock.now())
+        recent = self._list_candidates(service, prompt)
         fitting = [i for i in recent if version is None or i.version == version]
         domains = {info.name: info.failure_domain for info in fitting}
         homes = choose_homes(self._get_home_key(prompt), domains, MAX_CRASHES)
@@ -87,6 +87,17 @@
         present = {target.info.name for target in loads.list_service_targets(service)}
         return present - set(allowed[: max(MAX_CRASHES, len(reached))])
 
+    def _list_candidates(self, service: str, prompt: Prompt) -> list[TargetInfo]:
+        """Return the targets among which the homes are chosen.
+
+        Homes of one content alone keep their places when they are lost: it is likely
+        to be what ended them.  Those of a family are replaced.
+        """
+        loads, now = self._shared.sender.loads, self._shared.clock.now()
+        if not prompt.shared_parts:
+            return loads.list_recent(service, now)
+        return loads.list_home_candidates(service, now, self._blame.silences.may_hide)
+
     def list_beyond_bound(self, service: str) -> set[str]:
         """Return the targets that the content may not reach, homes or not."""
         loads, exposure = self._shared.sender.loads, self._blame.exposure
@@ -99,8 +110,8 @@
         Prompts that share all parts but the last get the same home targets, so the
         shared parts are cached there.
         """
-        shared_parts = prompt.parts[:-1]
-        return shared_parts[-1][0] if shared_parts else self._content
+        shared_parts = prompt.shared_parts
+        return shared_parts[-1] if shared_parts else self._content
 
     def charge_target(self, target: str) -> None:
         """Charge the content with a target to which it is about to be sent."""
@@ -137,6 +148,17 @@
                 await self._probe(name)
         self.check()
 
+    def record_end(self, name: str) -> None:
+        """Record that a target has ended, and blame the contents that broke off there.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the content is now quarantined.
+        """
+        self._report_lost(name)
+        self.check()
+
     async def _probe(self, name: str) -> None:
         """Check whether a target accepts connections, and report it as lost if not."""
         shared = self._shared
--- a/anvilshift/gateway/parttries.py
+++ b/anvilshift/gateway/parttries.py
@@ -89,12 +89,19 @@
             raise AnvilshiftError(OVERLOADED, detail, _RETURN_AFTER)
         await asyncio.sleep(_ASK_INTERVAL / SECOND)
 
-    async def record_failure(self, info: TargetInfo) -> None:
-        """Find out whether a target ended on the request, and end its try."""
+    async def record_failure(self, info: TargetInfo) -> str:
+        """Find out whether a target ended on the request, and end its try.
+
+        Returns
+        -------
+        str
+            The start of the target that has ended, empty if none has.
+        """
         crashed = await self._shared.parts.record_failure(
             self._routed, info, self.is_granted
         )
         self.end(crashed)
+        return crashed
 
     def end(self, crashed: str = "") -> None:
         """End the try, if there is one.
--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -159,6 +159,7 @@
         start = name_start(info)
         if not await self._find_end(info, start):
             return ""
+        self._mark_ended([start])
         crash = PartCrash(start, self.clock.now(), is_try)
         self.blame.record_crash(scope, parts, crash)
         self.journal.write(
@@ -177,6 +178,14 @@
             task.add_done_callback(lambda done: self._ends.pop(start, None))
         return await asyncio.shield(task)
 
+    def _mark_ended(self, starts: Iterable[str]) -> None:
+        """Record that targets have ended, so that families get other homes."""
+        for start in starts:
+            name = find_target_name(start)
+            target = self.loads.targets.get(name)
+            if target is not None and name_start(target.info) == start:
+                self.loads.mark_ended(name, self.clock.now())
+
     def record_tried_end(self, scope: str, suspects: Iterable[str], start: str) -> None:
         """Record that a try of another router ended a target."""
         crash = PartCrash(start, self.clock.now(), tried=True)
@@ -249,6 +258,7 @@
         report = PartReport(key, crashes, frozenset(message.companions))
         if self.blame.merge(report):
             self._note_proven()
+            self._mark_ended(one.start for one in crashes)
 
     def apply_answer(self, message: PartsAnswered) -> None:
         """Clear parts that were answered through another router."""
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -125,6 +125,66 @@
         )
 
 
+class FamilyTest(unittest.TestCase):
+    """Homes of prompts that share all parts but the last, once they are lost."""
+
+    PROMPT = Prompt((("a", 9), ("b", 7), ("c", 5)), 21, 9)
+
+    def setUp(self):
+        self.clock = Clock()
+        self.router = Router(self.clock)
+        self.homes = self.router.list_allowed("c1", self.PROMPT)
+
+    def lose_homes(self):
+        for name in self.homes:
+            self.router.loads.remove(name, self.clock.time)
+
+    def test_family_gets_other_homes_once_all_know_what_ran_at_the_lost_ones(self):
+        """Guards against a family refused for two minutes after its homes ended."""
+        self.lose_homes()
+        self.assertEqual(self.router.list_allowed("c1", self.PROMPT), [])
+        self.clock.time = 600.0
+        others = self.router.list_allowed("c1", self.PROMPT)
+        self.assertEqual((len(others), set(others) & set(self.homes)), (3, set()))
+
+    def test_family_gets_other_homes_before_the_entries_of_ended_ones_expire(self):
+        for name in self.homes:
+            self.router.loads.mark_ended(name, 0.0)
+        self.clock.time = 600.0
+        others = self.router.list_allowed("c1", self.PROMPT)
+        self.assertEqual((len(others), set(others) & set(self.homes)), (3, set()))
+
+    def test_homes_are_kept_while_a_router_may_know_what_ended_them(self):
+        """Guards against a fourth crash through a router that hears nothing."""
+        silences = self.router.shared.blame.silences
+        silences.record_loss("r2", heard=-200.0)
+        self.lose_homes()
+        self.clock.time = 29_000.0
+        self.assertEqual(self.router.list_allowed("c1", self.PROMPT), [])
+        silences.record_return("r2", now=2_000.0)
+        self.assertEqual(self.router.list_allowed("c1", self.PROMPT), [])
+        self.clock.time = 121_000.0
+        self.assertEqual(len(self.router.list_allowed("c1", self.PROMPT)), 3)
+
+    def test_content_ends_three_targets_although_its_family_gets_other_homes(self):
+        """Guards against a fourth crash because homes are replaced."""
+        for seed in range(50):
+            clock, rng = Clock(), random.Random(seed)
+            routers = [Router(clock) for _ in range(4)]
+            crashed = set()
+            for _ in range(8):
+                for router in routers:
+                    name = router.send("poison", self.PROMPT, rng)
+                    if name is None:
+                        continue
+                    crashed.add(name)
+                    for one in routers:
+                        one.shared.blame.record_crash("poison", name, clock.time)
+                        one.loads.remove(name, clock.time)
+                    clock.time += 1_000.0
+            self.assertEqual(len(crashed), MAX_CRASHES)
+
+
 if __name__ == "__main__":
     unittest.main()
 
