Keep the parts that are proven to end engines in the platform's store

What callers saw (in a test of ours, not in the incident): all routers are killed at one moment and again two seconds later, and each time four more engines end until the part is found anew: 12 ended, five are allowed.

Cause: what is known of parts lived in the routers' memory only; after the last of them is gone nobody can tell the next ones.

Change: proven parts are written to one object of the platform's store, by the router that saw the proof. A router reads it at its start, and is ready once it or another router has told what is known; and after each crash that it sees, so that two sides of a cut fleet learn from each other. A part that an answer has cleared is taken out. Suspect parts aren't stored: after a kill of all they cost three more engines at most.

Calls: one read at each start and at each crash seen, a read and a write for each proof.

--- a/anvilshift/core/partblame.py
+++ b/anvilshift/core/partblame.py
@@ -255,6 +255,12 @@
         )
         return ranked[:most]
 
+    def list_proven(self, now: Millis, most: int) -> list[PartReport]:
+        """Return what is known of the parts that are proven to end engines."""
+        keys = [key for key in self.list_keys(now) if self._records[key].is_proven]
+        reports = [self.describe(key) for key in keys[:most]]
+        return [report for report in reports if report is not None]
+
     def list_starts(self) -> dict[str, Millis]:
         """Return the engines' starts that are held to have ended, and when."""
         return {
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -19,7 +19,7 @@
     Code,
 )
 from anvilshift.core.routing import RequestKind
-from anvilshift.core.targetload import Prompt, TargetLoad
+from anvilshift.core.targetload import Prompt
 from anvilshift.core.timeouts import (
     NO_ENGINE_RETRY,
     find_attempt_timeout,
@@ -28,6 +28,7 @@
     rank,
 )
 from anvilshift.core.work import Failure
+from anvilshift.gateway.attemptfailures import AttemptFailures
 from anvilshift.gateway.border import TargetFields
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.parttries import PartTry
@@ -40,14 +41,6 @@
 from anvilshift.gateway.streambinding import StreamBinding
 from anvilshift.gateway.targetchoice import TargetChooser
 
-_MAX_LOGGED_PARTS = 16
-"""Shared parts of a prompt that are logged; prompts have a few."""
-
-
-def _may_have_ended(error: AttemptError) -> bool:
-    """Return whether a target may have ended while it had the request."""
-    return error.failure is Failure.BROKE_OFF and not error.answered
-
 
 class Attempts:
     """The attempts of one request at targets.
@@ -96,6 +89,7 @@
         self._stream = StreamBinding(shared, routed)
         self._chooser = TargetChooser(shared, routed, turn, crashes, self._stream)
         self._try = PartTry(shared, routed, self._chooser)
+        self._failures = AttemptFailures(shared, routed, relay, crashes, self._try)
         self._has_begun = False
 
     async def run(self) -> None:
@@ -126,25 +120,11 @@
                     self._crashes.clear()
                     return
             except AttemptError as error:
-                self._record_failure(choice, error)
-                await self._find_cause(choice.target, error)
+                self.failed_targets.add(choice.target.info.name)
+                self._failures.record(choice, error, self.sent)
+                await self._failures.find_cause(choice.target, error, self._has_begun)
                 await self._check_retry(error)
 
-    async def _find_cause(self, target: TargetLoad, error: AttemptError) -> None:
-        """Find out whether the request, or a part of its prompt, ended its target.
-
-        Raises
-        ------
-        AnvilshiftError
-            When the request is now quarantined.
-        """
-        crashed = ""
-        if _may_have_ended(error) and not self._has_begun:
-            crashed = await self._try.record_failure(target.info)
-        await self._crashes.check_failure(target, error)
-        if crashed:
-            self._crashes.record_end(target.info.name)
-
     async def _admit(self) -> Choice | None:
         """Wait for the request's try, if a part of its prompt is suspect.
 
@@ -203,50 +183,6 @@
             return AnvilshiftError(ENGINE_FAILED, detail, after)
         return AnvilshiftError(code, detail, after)
 
-    def _record_failure(self, choice: Choice, error: AttemptError) -> None:
-        name = choice.target.info.name
-        self.failed_targets.add(name)
-        self._record_fault(choice, error)
-        self._shared.journal.write(
-            "attempt_failed",
-            id=self._routed.call.identity,
-            target=name,
-            failure=error.failure.value,
-            why=error.detail,
-            took=round(self._shared.clock.now() - self.sent, 1),
-            reused=error.reused,
-            events=self._relay.events,
-            parts=self._list_logged_parts(error),
-            **self._relay.describe_ending(),
-        )
-
-    def _list_logged_parts(self, error: AttemptError) -> list[str]:
-        """Return the shared parts of a prompt that a target may have ended on."""
-        if not _may_have_ended(error):
-            return []
-        return self._routed.call.prompt.shared_parts[:_MAX_LOGGED_PARTS]
-
-    def _record_fault(self, choice: Choice, error: AttemptError) -> None:
-        """Count a failed attempt against its target, unless the path to it is broken.
-
-        Otherwise a router that loses its links would have the other routers eject
-        targets that they reach.
-        """
-        shared, target = self._shared, choice.target
-        record = partial(
-            shared.health.record_failure,
-            target,
-            error.failure,
-            self._routed.call.identity,
-            error.answered,
-            error.hung,
-        )
-        if _may_have_ended(error):
-            reach = shared.sender.reach
-            reach.record_fault(target.info, shared.clock.now(), record)
-        else:
-            record()
-
     async def _check_retry(self, error: AttemptError) -> None:
         """Check that the request may be retried.
 
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -225,7 +225,7 @@
         elif isinstance(message, PartsAnswered):
             self.shared.parts.apply_answer(message)
         elif isinstance(message, PartsTold):
-            self.shared.parts.apply_told()
+            self.shared.parts.note_informed()
         elif isinstance(message, StartAlive):
             self.shared.parts.apply_alive(message)
         elif isinstance(message, TryAsk):
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -2,17 +2,17 @@
 
 import asyncio
 import random
-from dataclasses import replace
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.errors import AnvilshiftError, ExecutionState
+from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
+from anvilshift.gateway.answering import send_error
 from anvilshift.gateway.border import Dialect, make_server_limits
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
@@ -21,6 +21,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.origins import StreamOrigins
+from anvilshift.gateway.partstore import PartStore
 from anvilshift.gateway.partwatch import PartWatch
 from anvilshift.gateway.passing import RequestHandler
 from anvilshift.gateway.peers import PeerCallbacks, Peers
@@ -41,10 +42,8 @@
 from anvilshift.gateway.tries import Tries
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
-from anvilshift.wire.errorreplies import render_error
 from anvilshift.wire.messages import Address, HttpRequest
 from anvilshift.wire.server import (
-    CallerDisconnectedError,
     HttpServer,
     Responder,
 )
@@ -194,6 +193,7 @@
         self.retry_shares = RetryShares.for_router(
             settings, store, self.shared, self.peers
         )
+        self.part_store = PartStore(store, parts, clock, journal)
         self.messenger = self._make_messenger()
         self.targets = TargetRegistry(
             dialect,
@@ -307,24 +307,10 @@
         try:
             await RequestHandler(self.shared, request, responder).run()
         except AnvilshiftError as error:
-            await self._answer_error(responder, error)
+            await send_error(responder, error, self.journal)
         finally:
             self.in_flight -= 1
 
-    async def _answer_error(self, responder: Responder, error: AnvilshiftError) -> None:
-        if responder.started:
-            # The caller must see that an answer that ends early is incomplete.
-            responder.abort()
-            return
-        reply = render_error(error)
-        headers = [(n, v) for n, v in reply.headers if n != "retry-after"]
-        if error.retry_after is not None and error.code.fate is ExecutionState.NOT_RUN:
-            headers.append(("retry-after", f"{error.retry_after / SECOND:.3f}"))
-        try:
-            await responder.send(replace(reply, headers=headers))
-        except CallerDisconnectedError:
-            self.journal.write("caller_gone", code=error.code.number)
-
     # Background tasks
 
     async def start(self) -> None:
@@ -340,6 +326,7 @@
             self.configuration_follower.run(),
             self.target_follower.run(),
             self.retry_shares.run(),
+            self.part_store.run(),
             self.allotter.run(),
             self._record(),
             self._find_peers(),
--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -77,6 +77,9 @@
         This router's name.
     forgive
         Called with the name of a target whose end a part explains.
+    on_crash, on_proven_cleared
+        Called after each crash that this router has seen, and with a part that was
+        proven to end engines and has been answered.
 
     Attributes
     ----------
@@ -92,6 +95,8 @@
     clock: Clock
     journal: Journal
     forgive: Callable[[str], None]
+    on_crash: Callable[[], None] = lambda: None
+    on_proven_cleared: Callable[[PartKey], None] = lambda key: None
     blame: PartBlame = field(default_factory=PartBlame)
     is_informed: bool = False
     _ends: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
@@ -167,6 +172,7 @@
         )
         self._tell(PartKey(scope, part) for part in parts)
         self._note_proven()
+        self.on_crash()
         return start
 
     async def _find_end(self, info: TargetInfo, start: str) -> bool:
@@ -202,11 +208,18 @@
         cleared = self.blame.record_answer(scope, parts, self.clock.now())
         if cleared:
             self.journal.write("parts_cleared", scope=scope, parts=cleared)
+            self._note_cleared(scope, cleared)
             # In a large fleet many routers clear a part that all use; one tells all.
             issuer = self.limits.find_ip(self.find_issuer(scope))
             ips = [issuer] if issuer and not self.peers.small else self._list_ips()
             self.peers.send_each(PartsAnswered(scope, tuple(cleared)), ips)
 
+    def _note_cleared(self, scope: str, parts: Iterable[str]) -> None:
+        """Record that parts that may have been proven are no longer."""
+        for key in {PartKey(scope, part) for part in parts} & self._proven:
+            self._proven.discard(key)
+            self.on_proven_cleared(key)
+
     def _note_proven(self) -> None:
         """Log each part that is proven now, and forgive what it explains."""
         for key in self.blame.list_keys(self.clock.now()):
@@ -268,6 +281,7 @@
             )
         now = self.clock.now()
         cleared = self.blame.record_answer(message.scope, message.parts, now)
+        self._note_cleared(message.scope, cleared)
         if cleared and not self.peers.small:
             is_issuer = self.find_issuer(message.scope) == self.router
             if is_issuer:
@@ -281,10 +295,15 @@
             self._send_record(key, [ip])
         self.peers.send(PartsTold(self.router), ip)
 
-    def apply_told(self) -> None:
-        """Record that another router has told all that it knows."""
+    def adopt(self, report: PartReport) -> None:
+        """Add what is stored of a part."""
+        if self.blame.merge(report):
+            self._note_proven()
+
+    def note_informed(self) -> None:
+        """Record that another router, or the store, has told all that it knows."""
         if not self.is_informed:
-            self.journal.write("parts_known", parts=len(self.blame.list_starts()))
+            self.journal.write("parts_known", starts=len(self.blame.list_starts()))
         self.is_informed = True
 
     def apply_alive(self, message: StartAlive) -> None:
--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -116,6 +116,10 @@
         self._server: asyncio.Server | None = None
         self._port = 0
 
+    @property
+    def port(self) -> int:
+        return self._port
+
     async def start(self) -> None:
         self.born = next(self.starts)
         self.name = f"i-{self.slot}-{self.born}"
