Take an unframed stream without an event for broken off

What callers saw (in a test of ours): an engine that ends on a bad part before its first event closes its connection; where its answer has neither a length nor chunks that looked like a whole stream without events.

Cause: an answer that ends with its connection is complete by the protocol. A series of events without an event is none, unless the caller takes a stream up, behind whose last event nothing may be left.

The loopback engines answer two of twelve streams unframed from here on.

Ruled out: the other ways to end, inside an event or by a reset, which wire/endings already takes for broken off (tests/platform/test_endings).

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -336,7 +336,13 @@
                 find_pause_timeout(self._routed.rule) if self._may_go_on() else None
             )
             on_first_event = partial(self._record_first_event, outgoing)
-            await self._relay.stream(answer, timeout, max_silence, on_first_event)
+            await self._relay.stream(
+                answer,
+                timeout,
+                max_silence,
+                on_first_event,
+                self._routed.call.resume_after is not None,
+            )
             return
         body = await self._relay.read_complete(answer)
         self._record_first_byte(outgoing, success)
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -101,6 +101,7 @@
         timeout: asyncio.Timeout,
         max_silence: Millis | None,
         on_first_event: Callable[[], None],
+        is_resumed: bool = False,
     ) -> None:
         """Relay a stream, one or more complete events at a time.
 
@@ -112,6 +113,8 @@
             Time without an event after which the attempt fails; None for no limit.
         on_first_event
             Called at the first event of the attempt.
+        is_resumed
+            Whether the caller takes a stream up, so that no event may be left.
 
         Raises
         ------
@@ -145,6 +148,8 @@
             self.rest = len(splitter.rest)
             self._record_ending(answer)
         self._check_stream(splitter)
+        if not (is_resumed or self.events):
+            self._check_empty()
         await self._send_headers(answer)
         if self._is_framed and self.ending is Ending.CLOSED:
             # The chunks that another target's answer began with would vouch for the
@@ -171,6 +176,20 @@
             detail = f"the stream ended {self.ending.value}"
             raise AttemptError(Failure.BROKE_OFF, detail, answered=answered)
 
+    def _check_empty(self) -> None:
+        """Check that a stream without any event is one, and not the target's end.
+
+        A target that ends before its first event closes its connection as well.
+
+        Raises
+        ------
+        AttemptError
+            When only the end of the connection shows the end of the stream.
+        """
+        if self.ending is Ending.CLOSED:
+            detail = "the stream ended with its connection, without an event"
+            raise AttemptError(Failure.BROKE_OFF, detail)
+
     def _record_ending(self, answer: Answer) -> None:
         self.framing = answer.response.framing
         self.ending = answer.response.ending
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -67,7 +67,8 @@
         present = shared.sender.loads.list_service_targets(routed.service)
         excluded = self._list_unusable(failed_targets)
         excluded |= self.crashes.list_beyond_bound(routed.service)
-        usable = list_usable(present, excluded)
+        running = [one for one in present if one.ended_at is None]
+        usable = list_usable(running, excluded) or list_usable(present, excluded)
         if not usable:
             return None
         spare = min(usable, key=lambda one: (len(one.runs), shared.rng.random()))
--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -191,12 +191,13 @@
         await self._stream(fields, writer, is_bad)
 
     async def _stream(self, fields, writer, is_bad: bool) -> None:
+        is_framed = not self.fleet.has_unframed(self.slot)
         lines = [
             "HTTP/1.1 200 OK",
             f"Anvilshift-Attempt-Id: {fields['anvilshift-attempt-id']}",
             f"Anvilshift-Engine-Signature: {self.name}.1",
             "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
+            "Transfer-Encoding: chunked" if is_framed else "Connection: close",
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode())
         await asyncio.sleep(_PREFILL_S * self.fleet.rng.uniform(0.7, 1.3))
@@ -205,9 +206,14 @@
             await asyncio.sleep(1)
         for number in range(1, _EVENTS + 1):
             event = b"id: %d\ndata: t%d\n\n" % (number, number)
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            chunk = b"%x\r\n%b\r\n" % (len(event), event)
+            writer.write(chunk if is_framed else event)
             await writer.drain()
             await asyncio.sleep(_EVENT_S)
+        if not is_framed:
+            writer.close()
+            await writer.wait_closed()
+            raise EOFError
         writer.write(b"0\r\n\r\n")
 
 
@@ -215,6 +221,8 @@
     """Routers, engines and callers of one play; a play has one seed."""
 
     seed = 1
+    unframed_slots = frozenset({0, 5})
+    """Engines whose streams have neither a length nor chunks."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -236,6 +244,9 @@
             engine.close()
         await super().asyncTearDown()
 
+    def has_unframed(self, slot: int) -> bool:
+        return slot in self.unframed_slots
+
     def spawn(self, work) -> None:
         task = asyncio.create_task(work)
         self.background.add(task)
--- a/tests/platform/test_bad_parts.py
+++ b/tests/platform/test_bad_parts.py
@@ -62,6 +62,16 @@
         await self.play_part(vary_others(self.rng), routers=1, engines=6)
         self.check_part()
 
+    async def test_part_is_found_where_streams_end_with_their_connection(self):
+        """Guards against an engine's end that looks like a stream without events."""
+        self.unframed_slots = frozenset(range(12))
+        await self.play_part(fix_others(1))
+        self.check_part()
+        empty = [
+            one for one in self.outcomes if one.kind == "bad" and one.status == 200
+        ]
+        self.assertEqual(empty, [])
+
     async def test_burst_of_the_part_ends_only_what_it_reached_at_once(self):
         """Guards against a burst in which each request counts for nothing."""
         traffic = vary_others(self.rng)
