--- a/tests/gateway/partrouter.py
+++ b/tests/gateway/partrouter.py
@@ -68,9 +68,9 @@
         self.loads.declare(info)
         return info
 
-    def route(self, *shared):
+    def route(self, *shared, model="m"):
         """Return a request whose prompt has some shared parts."""
         parts = tuple((part, 10) for part in (*shared, "own"))
-        prompt = Prompt(parts, 10 * len(parts), 5, "m")
+        prompt = Prompt(parts, 10 * len(parts), 5, model)
         call = SimpleNamespace(prompt=prompt, identity="id")
         return SimpleNamespace(service="llm", call=call, model=object())
--- a/tests/gateway/test_partwatch.py
+++ b/tests/gateway/test_partwatch.py
@@ -87,6 +87,15 @@
 
         self.run_scenario(scenario)
 
+    def test_part_is_refused_for_the_model_alone_that_ended_on_it(self):
+        """Guards against a part refused to models that read it without harm."""
+
+        async def scenario():
+            await self.prove()
+            self.watch.check(self.router.route("bad", model="other"))
+
+        self.run_scenario(scenario)
+
     def test_answer_clears_a_part_here_and_at_the_others(self):
         async def scenario():
             await self.fail("e1", "a")
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -90,6 +90,18 @@
     def setUp(self):
         self.dialect = PlatformDialect()
 
+    def test_prompt_has_its_model_and_the_parts_that_others_share(self):
+        headers = [
+            ("host", "shop.example"),
+            ("anvilshift-attempt-id", "9c41"),
+            ("anvilshift-model", "m"),
+            ("anvilshift-token-usage", "1460,80"),
+            ("anvilshift-prefix-hash", "5c1e:800,91bd:410,e440:250"),
+        ]
+        prompt = self.dialect.read_call(make_request(headers)).prompt
+        self.assertEqual(prompt.model, "m")
+        self.assertEqual(prompt.shared_parts, ["5c1e", "91bd"])
+
     def test_a_configuration_is_decoded(self):
         found = self.dialect.read_configuration(CONFIGURATION)
         rule = found.rules[0]
