--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -133,7 +133,7 @@
         if refused:
             identity = routed.call.identity
             self.journal.write("part_refused", id=identity, scope=scope, parts=refused)
-            detail = "a part of its prompt ends the engines that answer it"
+            detail = "not run: a part of its prompt ends the engines that answer it"
             raise AnvilshiftError(QUARANTINED, detail)
 
     # Crashes and answers at this router
