Keep what routers tell of parts within a datagram, and drop what nothing uses

A record with 16 crashes and 32 companions of 64 characters would have taken 2.9 kB, over the 1,300 bytes that aren't split on the way; 10 and 8 fit. Asks and answers list 16 parts at most. By reckoning; ids on the wire have 8 digits today.

--- a/anvilshift/core/partblame.py
+++ b/anvilshift/core/partblame.py
@@ -118,8 +118,8 @@
             self._answered.popitem(last=False)
         return cleared
 
-    def retract(self, start: str) -> list[PartKey]:
-        """Forget a crash of an engine that lives; return the parts it was held against.
+    def retract(self, start: str) -> None:
+        """Forget a crash of an engine that lives.
 
         A router that is cut off may take an engine for ended.
         """
@@ -131,7 +131,6 @@
             del record.crashes[start]
             if not record.crashes:
                 del self._records[key]
-        return affected
 
     # What other routers know
 
@@ -184,10 +183,6 @@
             for crash in record.crashes.values()
         }
 
-    def find_answered(self, key: PartKey) -> Millis | None:
-        """Return when an answer to a prompt with a part last began, if it is known."""
-        return self._answered.get(key)
-
     # Decisions
 
     def list_suspects(self, scope: str, parts: Sequence[str], now: Millis) -> list[str]:
--- a/anvilshift/core/partrecord.py
+++ b/anvilshift/core/partrecord.py
@@ -22,9 +22,9 @@
 crash doubles it."""
 _MAX_REFUSAL: Millis = 3_600 * SECOND
 _REFUSAL_LIFETIME: Millis = 24 * 3_600 * SECOND
-_MAX_CRASHES = 16
-"""Newest crashes kept of one part."""
-_MAX_COMPANIONS = 32
+_MAX_CRASHES = 10
+_MAX_COMPANIONS = 8
+"""Newest crashes and companions kept of one part; a record fits into a datagram."""
 
 
 @dataclass(frozen=True)
@@ -72,6 +72,8 @@
     companions
         Parts of all prompts that had the part when an engine ended; None if that isn't
         known.  If these are several, it isn't known which of them is bad.
+    needed
+        Crashes after which it is refused.
     """
 
     crashes: dict[str, PartCrash] = field(default_factory=dict)
--- a/anvilshift/core/tries.py
+++ b/anvilshift/core/tries.py
@@ -8,7 +8,6 @@
 have been killed or cut off.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import Millis
@@ -93,11 +92,6 @@
         for run in [run for run in self._tries if run.startswith(router)]:
             del self._tries[run]
 
-    def list_targets(self, now: Millis) -> Collection[str]:
-        """Return the engines at which tries are in progress."""
-        self._expire(now)
-        return [one.target for one, _ in self._tries.values()]
-
     def _expire(self, now: Millis) -> None:
         for run, (_, renewed) in list(self._tries.items()):
             if now - renewed > TRY_TIMEOUT:
--- a/anvilshift/gateway/parttries.py
+++ b/anvilshift/gateway/parttries.py
@@ -8,7 +8,7 @@
 from anvilshift.core.errors import OVERLOADED, AnvilshiftError
 from anvilshift.core.targetload import TargetInfo
 from anvilshift.core.tries import Try
-from anvilshift.gateway.partwatch import find_scope
+from anvilshift.gateway.partwatch import MAX_LISTED_PARTS, find_scope
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.targetchoice import TargetChooser
@@ -72,7 +72,8 @@
     async def _ask(self, suspects: list[str], choice: Choice) -> bool:
         scope = find_scope(self._routed)
         run = self._try.run if self._try else self._shared.next_run()
-        wanted = Try(run, scope, frozenset(suspects), choice.target.info.name)
+        some = frozenset(suspects[:MAX_LISTED_PARTS])
+        wanted = Try(run, scope, some, choice.target.info.name)
         if not await self._shared.tries.ask(wanted):
             return False
         self._try = wanted
--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -27,6 +27,8 @@
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.routed import RoutedRequest
 
+MAX_LISTED_PARTS = 16
+"""Parts listed in one datagram."""
 _MAX_TOLD = 50
 """Parts that a new router is told of: about 20 kB."""
 _REPEAT_INTERVAL: Millis = 1 * SECOND
@@ -207,7 +209,9 @@
             # In a large fleet many routers clear a part that all use; one tells all.
             issuer = self.limits.find_ip(self.find_issuer(scope))
             ips = [issuer] if issuer and not self.peers.small else self._list_ips()
-            self.peers.send_each(PartsAnswered(scope, tuple(cleared)), ips)
+            for first in range(0, len(cleared), MAX_LISTED_PARTS):
+                some = cleared[first : first + MAX_LISTED_PARTS]
+                self.peers.send_each(PartsAnswered(scope, tuple(some)), ips)
 
     def _note_cleared(self, scope: str, parts: Iterable[str]) -> None:
         """Record that parts that may have been proven are no longer."""
