Test that contents are forgiven for explained ends, and that routers tell one that starts

Three mutants weren't caught: a content that stays blamed for an end that a part explains, a late report of such an end, and routers that tell a new one nothing (the store told it). Each has a test now that fails with it.

--- a/tests/core/test_blame.py
+++ b/tests/core/test_blame.py
@@ -69,3 +69,20 @@
             self.crash("other", target, n * 100.0)
         self.blame.clear("other")
         self.assertFalse(self.blame.is_poison("other", 400.0))
+
+    def test_crashes_whose_cause_is_known_are_held_against_no_content(self):
+        """Guards against a sound request refused since it ran beside a bad part."""
+        for n, target in enumerate(("e1", "e2", "e3")):
+            self.crash("beside", target, n * 100.0)
+        self.assertTrue(self.blame.is_poison("beside", 400.0))
+        self.blame.forgive("e1")
+        self.assertFalse(self.blame.is_poison("beside", 400.0))
+        self.assertEqual(
+            self.blame.exposure.list_charged_targets("beside"), ["e2", "e3"]
+        )
+
+    def test_late_report_of_such_a_crash_is_held_against_no_content_either(self):
+        self.blame.forgive("e1")
+        self.blame.record_crash("beside", "e1", 10.0)
+        self.assertEqual(self.blame.list_targets("beside"), [])
+        self.assertEqual(self.blame.exposure.list_charged_targets("beside"), [])
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -27,6 +27,8 @@
         Most objects on a page of a list.
     status
         Status with which every call is refused, if any.
+    refused_kind
+        Kind of objects for which calls are refused, if any.
     forgotten
         Watches from an earlier revision are refused, as their history is lost.
     """
@@ -37,6 +39,7 @@
         self.revision = 1
         self.page = 500
         self.status: int | None = None
+        self.refused_kind: str | None = None
         self.forgotten = 0
         self.calls: list[str] = []
         self.server = HttpServer(self.handle)
@@ -65,6 +68,9 @@
         parts = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         words = parts.path.split("/")[3:]
+        if words[0] == self.refused_kind:
+            await responder.send(Reply(503))
+            return
         if request.method == "GET" and "watch" in query:
             reply = await self._watch(words[0], query)
         elif request.method == "GET":
--- a/tests/platform/test_bad_parts_trouble.py
+++ b/tests/platform/test_bad_parts_trouble.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilshift.gateway.node import GatewayNode
+from anvilshift.gateway.partstore import KIND
 from anvilshift.wire.messages import Address
 from tests.platform.cutnetwork import Cut, CutNetwork
 from tests.platform.partfleet import (
@@ -66,6 +67,15 @@
         served = self.find_served("sound", self.ends[-1][0] + 6.0)
         self.assertGreaterEqual(served, _LEAST_SERVED, self.describe())
 
+    async def test_rolled_routers_are_told_by_the_others_where_the_store_is_not(self):
+        """Guards against a part that only the platform's store remembers."""
+        self.store_stub.refused_kind = KIND
+        await self.start_play()
+        self.spawn(self.roll_after_proof())
+        await self.play(fix_others(1), 8.0)
+        self.check_bounds()
+        self.assertIn("parts_store_lost", self.journal.list_events())
+
     async def roll_after_proof(self) -> None:
         await self.wait_for_proof()
         for node in list(self.nodes):
