Hold up tries only where another router granted them a moment ago

Found in a play of 12 routers on a busy machine: two tries in 3 s, requests that waited 2 s and were told 503, since each change among the routers held up all tries for 300 ms. In a fleet of thousands some router always starts or is lost, so no try would ever be granted.

Change: a router grants nothing for 300 ms only where, by the routers present before, another one granted the tries of that scope.

test_routers_that_come_and_go_hold_up_no_tries is red before.

--- a/anvilshift/core/permits.py
+++ b/anvilshift/core/permits.py
@@ -254,6 +254,12 @@
         return ahead + own_ahead
 
 
+def choose_issuer(target: str, routers: Collection[str]) -> str:
+    """Return the router that issues the permits for a target; empty without routers."""
+    ranked = rank_routers(f"permits/{target}", routers)
+    return ranked[0] if ranked else ""
+
+
 class RouterPresence:
     """The reachable routers, the issuer of each target, and the unreachable routers.
 
@@ -310,8 +316,7 @@
         All routers that see the same routers get the same result.
         """
         if target not in self._issuers:
-            key = f"permits/{target}"
-            self._issuers[target] = rank_routers(key, self.routers)[0]
+            self._issuers[target] = choose_issuer(target, self.routers)
         return self._issuers[target]
 
     def list_issuers(self) -> dict[str, str]:
--- a/anvilshift/core/tries.py
+++ b/anvilshift/core/tries.py
@@ -17,8 +17,8 @@
 TRY_TIMEOUT: Millis = 4 * RENEWAL_INTERVAL
 """Time without a renewal after which a try has ended."""
 TAKEOVER_DELAY: Millis = 300.0
-"""How long a router grants no tries after the routers that it sees have changed: those
-that another one has granted are renewed here meanwhile."""
+"""How long a router grants no tries after it has taken over from another one, whose
+tries are renewed here meanwhile."""
 
 
 @dataclass(frozen=True)
@@ -50,11 +50,6 @@
 class TryTable:
     """The tries that this router has granted.
 
-    Parameters
-    ----------
-    opens_at
-        Time before which no try is granted.
-
     Examples
     --------
     >>> table = TryTable()
@@ -67,14 +62,13 @@
     True
     """
 
-    opens_at: Millis = 0.0
     _tries: dict[str, tuple[Try, Millis]] = field(default_factory=dict)
 
     def ask(self, wanted: Try, now: Millis) -> bool:
         """Grant or renew a try; return False if another one is in its way."""
         self._expire(now)
         others = [one for run, (one, _) in self._tries.items() if run != wanted.run]
-        if now < self.opens_at or any(map(wanted.conflicts_with, others)):
+        if any(map(wanted.conflicts_with, others)):
             return False
         self._tries[wanted.run] = wanted, now
         return True
--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -59,6 +59,11 @@
     return start.rpartition("/")[0]
 
 
+def find_issuer_key(scope: str) -> str:
+    """Return the key by which the router that grants a scope's tries is chosen."""
+    return f"tries/{scope}"
+
+
 def find_scope(routed: RoutedRequest) -> str:
     """Return the scope of the parts of a request's prompt."""
     return make_scope(routed.service, routed.call.prompt.model)
@@ -236,7 +241,7 @@
 
     def find_issuer(self, scope: str) -> str:
         """Return the router that grants the tries of a scope."""
-        return self.limits.find_issuer(f"tries/{scope}")
+        return self.limits.find_issuer(find_issuer_key(scope))
 
     def _list_ips(self) -> list[str]:
         return [peer.beat.ip for peer in self.peers.list_present()]
--- a/anvilshift/gateway/tries.py
+++ b/anvilshift/gateway/tries.py
@@ -1,12 +1,14 @@
 """Ask for tries of requests with suspect parts, and grant those of other routers."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.permits import choose_issuer
 from anvilshift.core.tries import RENEWAL_INTERVAL, TAKEOVER_DELAY, Try, TryTable
 from anvilshift.gateway.partmessages import TryAnswer, TryAsk, TryEnded
-from anvilshift.gateway.partwatch import PartWatch
+from anvilshift.gateway.partwatch import PartWatch, find_issuer_key
 from anvilshift.gateway.peers import Peers
 
 _ANSWER_TIMEOUT: Millis = 60.0
@@ -31,6 +33,7 @@
     _waiting: dict[str, asyncio.Future[bool]] = field(default_factory=dict)
     _renewals: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _routers: frozenset[str] = frozenset()
+    _former: deque[tuple[Millis, frozenset[str]]] = field(default_factory=deque)
 
     # Tries of this router
 
@@ -104,7 +107,18 @@
     # Tries of all routers, at the one that grants them
 
     def _decide(self, wanted: Try) -> bool:
-        return self.watch.is_informed and self.table.ask(wanted, self.clock.now())
+        may_grant = self.watch.is_informed and not self._has_taken_over(wanted.scope)
+        return may_grant and self.table.ask(wanted, self.clock.now())
+
+    def _has_taken_over(self, scope: str) -> bool:
+        """Return whether another router granted the tries of a scope a moment ago.
+
+        Its tries may run; they are renewed here meanwhile.
+        """
+        now, key, own = self.clock.now(), find_issuer_key(scope), self.watch.router
+        while self._former and now - self._former[0][0] > TAKEOVER_DELAY:
+            self._former.popleft()
+        return any(choose_issuer(key, routers) != own for _, routers in self._former)
 
     def handle_ask(self, ask: TryAsk) -> None:
         """Grant or renew another router's try, or refuse it for now."""
@@ -128,10 +142,10 @@
         self.table.end(ended.run)
 
     def update_routers(self, routers: frozenset[str]) -> None:
-        """Grant no tries for a while after the routers have changed."""
+        """Note which routers are present, and which were before."""
         if routers != self._routers:
+            self._former.append((self.clock.now(), self._routers))
             self._routers = routers
-            self.table.opens_at = self.clock.now() + TAKEOVER_DELAY
 
     def end_router(self, incarnation: str) -> None:
         """End the tries of a router that is lost."""
--- a/tests/gateway/test_tries.py
+++ b/tests/gateway/test_tries.py
@@ -3,8 +3,10 @@
 import asyncio
 import unittest
 
+from anvilshift.core.permits import choose_issuer
 from anvilshift.core.tries import RENEWAL_INTERVAL, TAKEOVER_DELAY, TRY_TIMEOUT, Try
 from anvilshift.gateway.partmessages import TryAnswer, TryAsk, TryEnded
+from anvilshift.gateway.partwatch import find_issuer_key
 from anvilshift.gateway.tries import Tries
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from tests.gateway.partrouter import SCOPE, PartRouter
@@ -93,6 +95,30 @@
 
         self.run_scenario(scenario)
 
+    def test_routers_that_come_and_go_hold_up_no_tries(self):
+        """Guards against a large fleet in which some router always starts or is lost,
+        so that no try is ever granted.
+        """
+
+        async def scenario():
+            key = find_issuer_key(SCOPE)
+            others = {f"x{n}" for n in range(60)}
+            later = {
+                name for name in others if choose_issuer(key, {"r1", name}) == "r1"
+            }
+            routers = {"r1"}
+            self.tries.update_routers(frozenset(routers))
+            await asyncio.sleep((TAKEOVER_DELAY + 10) / 1_000)
+            for number, name in enumerate(later):
+                routers.add(name)
+                self.tries.update_routers(frozenset(routers))
+                wanted = Try(f"r2.x/{number}", SCOPE, frozenset({"bad"}), "e1")
+                self.assertEqual(self.ask(wanted), [True])
+                self.tries.handle_end(TryEnded(wanted.run, SCOPE, ("bad",), ""))
+                await asyncio.sleep(0.05)
+
+        self.run_scenario(scenario)
+
     def test_router_that_does_not_know_the_parts_yet_grants_nothing(self):
         async def scenario():
             self.router.watch.is_informed = False
