--- a/tests/platform/test_bad_parts_trouble.py
+++ b/tests/platform/test_bad_parts_trouble.py
@@ -74,7 +74,9 @@
         self.spawn(self.roll_after_proof())
         await self.play(fix_others(1), 8.0)
         self.check_bounds()
-        self.assertIn("parts_store_lost", self.journal.list_events())
+        events = self.journal.list_events()
+        self.assertIn("parts_store_lost", events)
+        self.assertIn("parts_known", events)
 
     async def roll_after_proof(self) -> None:
         await self.wait_for_proof()
