Let the plays with killed routers kill them, and fail where a part of a play fails

Two of these tests passed without a router replaced: the port of the one that was killed was still bound, the task that replaces it ended with an error, and nobody looked. The mutant in which nobody tells a new router showed it.

--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -236,6 +236,7 @@
         self.outcomes: list[Outcome] = []
         self.background: set[asyncio.Task[None]] = set()
         self.numbers = itertools.count()
+        self.broken: list[BaseException | None] = []
 
     async def asyncTearDown(self):
         for task in list(self.background):
@@ -251,7 +252,12 @@
     def spawn(self, work) -> None:
         task = asyncio.create_task(work)
         self.background.add(task)
-        task.add_done_callback(self.background.discard)
+        task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        self.background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.broken.append(task.exception())
 
     async def start_play(
         self, routers: int = 4, engines: int = 12, moves: bool = False
@@ -291,6 +297,7 @@
         )
         while self.calls:
             await asyncio.sleep(0.05)
+        self.assertEqual(self.broken, [], "a part of the play itself failed")
 
     calls = 0
 
--- a/tests/platform/test_bad_parts_trouble.py
+++ b/tests/platform/test_bad_parts_trouble.py
@@ -15,6 +15,8 @@
 )
 
 _LEAST_SERVED = 0.5
+CLOSING_S = 0.05
+"""Time until the sockets of a router that was closed are free again."""
 
 
 class RouterTroubleCase(PartFleetCase):
@@ -22,6 +24,7 @@
         """Kill a router and start it anew on its host."""
         index, s = self.nodes.index(node), node.settings
         await node.close()
+        await asyncio.sleep(CLOSING_S)
         fresh = self.make_node(
             s.name, s.ip, s.peer_port, s.seeds, forward_port=s.forward_port
         )
