Ask for the same try until it is granted

A request asked for a try under a new name each time. Where a grant came later than 60 ms, the request had given that name up, and the place stayed taken for 600 ms, for itself as well.

It asks under one name now, so that a late grant is granted again; a second attempt is another try. test_request_asks_for_the_same_try_until_it_is_granted is red before (three names).

--- a/anvilshift/gateway/parttries.py
+++ b/anvilshift/gateway/parttries.py
@@ -32,6 +32,7 @@
         self._routed = routed
         self._chooser = chooser
         self._try: Try | None = None
+        self._run = ""
         self._waits_since: Millis | None = None
 
     @property
@@ -70,10 +71,11 @@
             await self._wait()
 
     async def _ask(self, suspects: list[str], choice: Choice) -> bool:
+        # An answer may come too late; asked for again, the same try is granted again.
+        self._run = self._run or self._shared.next_run()
         scope = find_scope(self._routed)
-        run = self._try.run if self._try else self._shared.next_run()
         some = frozenset(suspects[:MAX_LISTED_PARTS])
-        wanted = Try(run, scope, some, choice.target.info.name)
+        wanted = Try(self._run, scope, some, choice.target.info.name)
         if not await self._shared.tries.ask(wanted):
             return False
         self._try = wanted
@@ -114,4 +116,4 @@
         """
         if self._try is not None:
             self._shared.tries.end(self._try, crashed)
-            self._try = None
+            self._try, self._run = None, ""
