--- a/tests/platform/cutnetwork.py
+++ b/tests/platform/cutnetwork.py
@@ -2,12 +2,28 @@
 
 import asyncio
 from enum import Enum
+from typing import Protocol
 
 from anvilshift.wire.messages import Address
 
 _BUFFER_BYTES = 64 * 1024
 
 
+class SourcedNetwork(Protocol):
+    """Opens the connections of one router from an address of its own.
+
+    Attributes
+    ----------
+    source
+        Address of the router.
+    """
+
+    source: str
+
+    async def open(self, protocol: asyncio.BaseProtocol, address: Address) -> None:
+        """Connect a protocol to an address."""
+
+
 class Cut(Enum):
     """What a cut does to connections.
 
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -15,7 +15,7 @@
 from anvilshift.wire.client import HttpClient, Network
 from anvilshift.wire.messages import Address
 from tests.gateway.silent import SilentJournal
-from tests.platform.cutnetwork import CutNetwork
+from tests.platform.cutnetwork import SourcedNetwork
 from tests.platform.stubs import StoreStub, TargetStub
 
 ROUTES = {
@@ -185,7 +185,7 @@
         port, forward_port = find_free_port(), find_free_port(socket.SOCK_STREAM)
         for ip in ips:
             network = self.make_network()
-            if isinstance(network, CutNetwork):
+            if network is not None:
                 network.source = ip
             node = self.make_node(
                 f"n-{ip}",
@@ -209,7 +209,7 @@
         for node in self.nodes:
             await self.warm_up(node)
 
-    def make_network(self) -> Network | None:
+    def make_network(self) -> SourcedNetwork | None:
         """Return what opens the connections of a router that is about to start."""
         return None
 
--- a/tests/platform/silentfleet.py
+++ b/tests/platform/silentfleet.py
@@ -40,6 +40,31 @@
     events: int = 0
 
 
+class PausingNetwork:
+    """Opens TCP connections; to a host that is silent as a whole once it wakes.
+
+    Attributes
+    ----------
+    source
+        Address of the router whose connections it opens.
+    """
+
+    def __init__(self, fleet: "SilentFleetCase") -> None:
+        self._fleet = fleet
+        self.source = "127.0.0.1"
+
+    async def open(self, protocol, address: Address) -> None:
+        """Connect a protocol to an address."""
+        target = self._fleet.find_target(address)
+        if target is not None and self._fleet.hosts_fall_silent:
+            await target.wait_awake()
+        loop = asyncio.get_running_loop()
+        source = (self.source, 0)
+        await loop.create_connection(
+            lambda: protocol, address.ip, address.port, local_addr=source
+        )
+
+
 class PausingTarget:
     """A sound target that at times neither reads nor writes, and then goes on.
 
@@ -51,10 +76,13 @@
         Whether it rejects requests as not run.
     pace
         Seconds between two events of a stream.
+    reports
+        Whether it says when it started.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.reports = True
         self.runs: list[str] = []
         self.rejects = False
         self.pace = 0.0
@@ -90,6 +118,9 @@
     def wake(self) -> None:
         self._awake.set()
 
+    async def wait_awake(self) -> None:
+        await self._awake.wait()
+
     async def _accept(self, reader, writer) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
@@ -106,7 +137,7 @@
         fields = dict(line.lower().split(": ", 1) for line in head[1:] if line)
         await reader.readexactly(int(fields.get("content-length", 0)))
         if head[0].startswith("GET /v1/report "):
-            body = b'{"phase": "colocated", "born": 1}'
+            body = b'{"born": 1}' if self.reports else b"{}"
             await self._write(writer, _make_head(200, [], len(body)) + body)
             return
         if self.rejects:
@@ -156,8 +187,12 @@
     ----------
     deadline_ms, goal_ms, pause_ms
         Deadline of the callers, and the objectives of the routes.
+    hosts_fall_silent
+        Whether the hosts of silent targets open no connections either.
     """
 
+    hosts_fall_silent = False
+
     deadline_ms = DEADLINE_MS
     goal_ms = 500
     pause_ms: int | None = PAUSE_OBJECTIVE_MS
@@ -202,6 +237,14 @@
         self.register(name, service, await target.start())
         return target
 
+    def make_network(self) -> PausingNetwork:
+        return PausingNetwork(self)
+
+    def find_target(self, address: Address) -> PausingTarget | None:
+        """Return the target that listens on an address; None if there is none."""
+        found = (one for one in self.list_pausing() if one.port == address.port)
+        return next(found, None)
+
     def is_up_to_date(self, node) -> bool:
         return node.shared.table.configuration.version == self.version
 
