Log whether an answer was cut, and why

Cause: a request's line names the code of its error only; "engine failed" stood alike for a 502 and for an answer cut in the middle, for want of a target, of a repeat, of a permit or of a version. A caller that left and one that stopped reading looked alike.

Change: the line has `cut` and `why`, the error's own words.

Checked: types and the tests of the gateway.

--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -61,6 +61,7 @@
         self.relay = AnswerRelay(responder, shared.clock)
         self.attempts: Attempts | None = None
         self.tokens = 0
+        self.why = ""
 
     async def run(self) -> None:
         """Answer the request, and write its log line.
@@ -78,10 +79,10 @@
         try:
             await self._serve(call)
         except AnvilshiftError as error:
-            self.relay.outcome = error.code.name
+            self.relay.outcome, self.why = error.code.name, error.detail
             raise
-        except CallerDisconnectedError:
-            self.relay.outcome = "caller gone"
+        except CallerDisconnectedError as error:
+            self.relay.outcome, self.why = "caller gone", str(error)
             raise
         finally:
             self.turn.close()
@@ -108,6 +109,8 @@
             pause=round(self.relay.longest_pause, 1),
             running=sent.concurrent_runs if sent else 0,
             outcome=self.relay.outcome,
+            cut=self.relay.is_cut,
+            why=self.why,
             **self.relay.describe_ending(),
         )
 
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -67,6 +67,11 @@
         """Return whether the headers of the answer were sent to the caller."""
         return self.responder.started
 
+    @property
+    def is_cut(self) -> bool:
+        """Return whether the answer began and did not reach its end."""
+        return self.started and not self.responder.finished
+
     def start_attempt(self) -> None:
         """Forget how the answer of the attempt before was framed and ended."""
         self.framing, self.ending, self.rest = None, None, 0
