Take a host that opens no connection for a second for one that pauses

What callers saw: 503 "no target is available", as sound targets were out of use after a pause that was long over.

Cause: connections that neither opened nor were refused counted as failures; three of different requests ejected the target, within 0.2 s of a silence, for 2 s and more. Such a silence is normal, and as all hosts pause together half of a service was ejected.

Change: core/pauses keeps since when a target has opened no connection. For 2.5 s it is only avoided; then it is ejected as before. An answer, or 2.5 s without another sign, ends the record.

--- a/anvilshift/core/ejection.py
+++ b/anvilshift/core/ejection.py
@@ -23,6 +23,7 @@
 from enum import Enum
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.pauses import SilenceRecord
 
 _SLOW_RATIO = 3.0
 """Ratio to the latency of the other targets above which a target is slow.  A full
@@ -70,6 +71,9 @@
         are ignored: otherwise the last answers from before the ejection would be
         taken for a recovery.
 
+    silence
+        How long it has opened no connection.
+
     Examples
     --------
     >>> health = Health()
@@ -87,6 +91,7 @@
     cap: int = 0
     level: float = 0.0
     since: Millis = float("-inf")
+    silence: SilenceRecord = field(default_factory=SilenceRecord)
     _samples: int = 0
     _failed_contents: set[str] = field(default_factory=set)
     _ejections: int = 0
@@ -101,6 +106,7 @@
     def add_answer(self) -> None:
         """Record a complete answer; double the request limit of a probed target."""
         self._failed_contents.clear()
+        self.silence.end()
         if self.state is HealthState.PROBING:
             self.cap *= 2
             if self.cap >= _HEALTHY_CAP:
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -55,10 +55,15 @@
         """
         if failure is Failure.REJECTED:
             return
-        health = target.health
+        health, now = target.health, self.clock.now()
+        if hung:
+            health.silence.add(now, since=now)
+            if health.silence.is_pause(now):
+                self.avoid(target)
+                return
         health.add_failure(content)
         if hung and not health.should_eject(0.0):
-            target.avoided_until = self.clock.now() + _AVOIDED_FOR
+            self.avoid(target)
             return
         # A target that accepts no connection is ejected at once; otherwise the next
         # request would fail there as well.
@@ -104,7 +109,11 @@
         if self._may_eject(target):
             self._eject(target, lasting=False)
         else:
-            target.avoided_until = now + _AVOIDED_FOR
+            self.avoid(target)
+
+    def avoid(self, target: TargetLoad) -> None:
+        """Prefer other targets for a while, without blame."""
+        target.avoided_until = self.clock.now() + _AVOIDED_FOR
 
     def _is_suspect(self, target: TargetLoad) -> bool:
         others = [
--- a/tests/gateway/test_targethealth.py
+++ b/tests/gateway/test_targethealth.py
@@ -225,6 +225,46 @@
             any(len(fleet.list_avoiding(engine, now)) > 50 for engine in sick)
         )
 
+    def hang_connections(self, seconds: float) -> Fleet:
+        """Let the connections of several requests to one engine hang for a time."""
+        fleet = Fleet(3, 7)
+        target = fleet.routers[0].loads.targets[SICK]
+        end = fleet.clock.time + seconds * SECOND
+        for number in range(1_000):
+            fleet.clock.time += 100.0
+            if fleet.clock.time > end:
+                break
+            fleet.routers[0].record_failure(
+                target, Failure.NOT_SENT, f"request-{number}", False, hung=True
+            )
+        return fleet
+
+    def test_host_that_pauses_is_avoided_and_not_ejected(self):
+        """Guards against a sound host ejected as its connections hung for a second."""
+        fleet = self.hang_connections(2.0)
+        self.assertEqual(fleet.list_ejected(), set())
+        avoiding = fleet.list_avoiding(SICK, fleet.clock.now())
+        self.assertEqual(avoiding, fleet.routers[:1])
+
+    def test_host_that_stays_silent_is_ejected(self):
+        """Guards against patience with a host that is gone."""
+        self.assertEqual(self.hang_connections(4.0).list_ejected(), {SICK})
+
+    def test_silences_far_apart_are_not_one(self):
+        """Guards against two pauses of a host taken for one that lasted."""
+        fleet = self.hang_connections(0.2)
+        router = fleet.routers[0]
+        fleet.clock.time += 60 * SECOND
+        for number in range(5):
+            router.record_failure(
+                router.loads.targets[SICK],
+                Failure.NOT_SENT,
+                f"late-{number}",
+                False,
+                hung=True,
+            )
+        self.assertEqual(fleet.list_ejected(), set())
+
     def test_failures_of_targets_that_are_gone_are_forgotten(self):
         """Guards against memory that grows with every engine that ever failed."""
         fleet = Fleet(3, 7)
