Leave a silent engine at the chat interface only for one that takes the work

What callers saw: an answer that broke off in the middle, though its engine only paused.

Cause: two checks that found an engine silent aborted the attempt, also before it was known where the work would go on; the retry was then refused, or began at an engine that was as silent and ended the same way.

Change: the dispatcher moves the work in one step, or not at all: to a target with a free slot that answers its polls, with a retry, in time for the deadline. The move of work whose first token is overdue asks for the same now: it could wait in the queue for a target that a suspect content may not go to.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
@@ -406,6 +406,21 @@
         actions += self._retrier.retry(entry, failure, now)
         return [*actions, *self._sender.fill(view, now)]
 
+    def leave(self, identity: str, silent: Collection[str], now: Millis) -> Actions:
+        """Move work from a silent target; do nothing if no other takes it at once.
+
+        The target isn't blamed: it may only pause.
+
+        Parameters
+        ----------
+        silent
+            All targets that answer nothing at present.
+        """
+        attempt = self._sender.running.get(identity)
+        if attempt is None:
+            return []
+        return self._health_monitor.move_to_other_target(attempt, now, silent)
+
     def cancel(self, identity: str, now: Millis) -> Actions:
         """Drop a request whose caller disconnected or that was abandoned."""
         found = self._backlog.entries.pop(identity, None)
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -1,5 +1,7 @@
 """Monitor targets by the work that they run: eject, probe, and move work away."""
 
+from collections.abc import Collection
+
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
 from anvilshift.core.ejection import HealthState, may_eject
@@ -60,7 +62,7 @@
             return []
         self.compare(attempt, now - attempt.sent)
         actions = self.check_health(attempt.view, now)
-        moved = self._move_to_other_target(attempt, now)
+        moved = self.move_to_other_target(attempt, now)
         if not moved:
             again = now + _OVERDUE_MARGIN
             self._state.timers.schedule(
@@ -68,12 +70,19 @@
             )
         return [*actions, *moved]
 
-    def _move_to_other_target(self, attempt: Attempt, now: Millis) -> Actions:
-        """Cancel work that its target hasn't begun to answer, and send it elsewhere.
+    def move_to_other_target(
+        self, attempt: Attempt, now: Millis, silent: Collection[str] = frozenset()
+    ) -> Actions:
+        """Cancel work that its target doesn't go on with, and send it elsewhere.
 
         A hung or very slow target would keep the work until its deadline, and the
         caller would wait although other targets have room.  Work that may not run
-        twice stays where it is.
+        twice stays where it is, and so does work that no other target takes.
+
+        Parameters
+        ----------
+        silent
+            Targets that answer nothing at present.
         """
         entry, work = attempt.entry, attempt.entry.work
         pool = self._state.pools.find(work.candidates)
@@ -88,6 +97,10 @@
             entry, pool, now
         ):
             return []
+        unfit = {*silent, attempt.view.target.name}
+        view = self._sender.find_target(entry, pool, now, unfit)
+        if view is None:
+            return []
         if not self._state.take_retry(pool, Failure.TIMED_OUT, now):
             return []
         name = attempt.view.target.name
@@ -95,7 +108,7 @@
         self._state.refresh(attempt.view)
         cancel = Cancel(work.identity, name, entry.attempts)
         waiting = self._backlog.wait(entry, pool, now)
-        return [cancel, *waiting, *self._sender.offer(entry, pool, now)]
+        return [cancel, *waiting, *self._sender.send(entry, pool, view, now)]
 
     def check_health(self, view: TargetView, now: Millis) -> Actions:
         """Eject a slow or failing target if enough others of its kind are in use.
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -1,6 +1,6 @@
 """Dispatch waiting work to targets with free slots."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
@@ -49,21 +49,34 @@
             return []
         if self._state.quarantine.is_quarantined(entry.work.content, now):
             return [self._refuse_quarantined(entry, pool)]
+        view = self.find_target(entry, pool, now)
+        return [] if view is None else self.send(entry, pool, view, now)
+
+    def find_target(
+        self,
+        entry: Entry,
+        pool: Pool,
+        now: Millis,
+        excluded: Collection[str] = frozenset(),
+    ) -> TargetView | None:
+        """Return the best eligible target with a free slot; None if there is none."""
         allowed = self._restriction.list_allowed(entry.work, pool, now)
         names = self._list_candidates(entry, pool) if allowed is None else allowed
-        names = [name for name in dict.fromkeys(names) if name in pool.open]
+        names = [
+            name
+            for name in dict.fromkeys(names)
+            if name in pool.open and name not in excluded
+        ]
         views = [self._state.views[name] for name in names]
         options = [
             self._make_option(entry, view)
             for view in views
-            if self._is_eligible(entry, view, now)
+            if self._is_eligible(entry, pool, view, now)
         ]
         durations = pool.kind.durations
         saving = durations.saving(entry.work.request_class)
         option = choose(options, entry.service, saving, self._state.rng)
-        if option is None:
-            return []
-        return self._send(entry, pool, self._state.views[option.name], now)
+        return None if option is None else self._state.views[option.name]
 
     def _list_candidates(self, entry: Entry, pool: Pool) -> list[str]:
         """Return a sample of candidates for work that may go to any target.
@@ -103,14 +116,15 @@
             view.target.failure_domain != self._state.settings.failure_domain,
         )
 
-    def _is_eligible(self, entry: Entry, view: TargetView, now: Millis) -> bool:
+    def _is_eligible(
+        self, entry: Entry, pool: Pool, view: TargetView, now: Millis
+    ) -> bool:
         """Return whether work may be sent to a target that has room.
 
         The target must be allowed for its content, untried while others are, able
         to be probed by it, and not running another suspect if the content is one.
         """
         work, name = entry.work, view.target.name
-        pool = self._backlog.entries[work.identity][1]
         allowed = self._restriction.list_allowed(work, pool, now)
         if allowed is not None and name not in allowed:
             return False
@@ -150,8 +164,8 @@
             elif self._state.would_miss_deadline(entry, pool, now):
                 detail = "no slot came free in time"
                 actions.append(self._backlog.refuse_waiting(entry, OVERLOADED, detail))
-            elif self._is_eligible(entry, view, now):
-                actions += self._send(entry, pool, view, now)
+            elif self._is_eligible(entry, pool, view, now):
+                actions += self.send(entry, pool, view, now)
             else:
                 pool.find_queues(entry).remove(entry)
                 skipped.append((entry, pool))
@@ -179,7 +193,8 @@
         _, _, queue, pool = min(close, key=lambda i: (i[2].peek().work.deadline, i[1]))
         return queue, pool
 
-    def _send(self, entry: Entry, pool: Pool, view: TargetView, now: Millis) -> Actions:
+    def send(self, entry: Entry, pool: Pool, view: TargetView, now: Millis) -> Actions:
+        """Send waiting work to a target that has room."""
         work, name = entry.work, view.target.name
         actions: Actions = []
         reached = self._state.quarantine.list_charged_targets(work.content)
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -1,7 +1,7 @@
 """Run the dispatcher on an event loop: futures for callers, a timer for its ticks."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Collection, Coroutine
 from typing import Any
 
 from absl import logging
@@ -102,6 +102,10 @@
         """
         return await self._wait(identity, self._waiters[identity])
 
+    def leave(self, identity: str, silent: Collection[str]) -> None:
+        """Move work from a silent target to another one, if one takes it at once."""
+        self.act(self.dispatcher.leave(identity, silent, self._clock.now()))
+
     def first_token(self, identity: str) -> None:
         """Report that an answer's first token has arrived."""
         self.act(self.dispatcher.first_token(identity, self._clock.now()))
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -9,6 +9,7 @@
 import contextlib
 from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
+from functools import partial
 
 from absl import logging
 
@@ -286,14 +287,17 @@
         # work runs, the error must not say "not run".
         self._progress.sent = True
         self._last_received = self._shared.clock.now()
-        with watch(lambda: self._is_silent(send.target)) as silence_timeout:
+        with watch(partial(self._is_silent, send.target), self._leave_silent):
             async with (
-                silence_timeout,
                 engine.generate(call, timeout) as batches,
                 contextlib.aclosing(batches),
             ):
                 await self._process_all(batches)
 
+    def _leave_silent(self) -> None:
+        silent = self._shared.targets.list_silent()
+        self._shared.dispatch.leave(self.job.identity, silent)
+
     def _is_silent(self, target: str) -> bool:
         """Tell whether an engine answers neither this attempt nor its polls."""
         if self._shared.clock.now() - self._last_received < WATCH:
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -79,6 +79,10 @@
             and self._clock.now() - answered_at > _SILENCE_THRESHOLD
         )
 
+    def list_silent(self) -> list[str]:
+        """Return the engines that have left their polls unanswered for too long."""
+        return [name for name in self._answered_at if self.is_silent(name)]
+
     def cancel(self, name: str, attempt: str) -> None:
         """Cancel an attempt at an engine, in the background."""
         engine = self._engines.get(name)
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -19,6 +19,8 @@
 from tests.router.fleetlet import Fleetlet, make_chat, read_code
 
 KEY = ("idempotency-key", "k")
+LONG_PAUSE_S = 4.0
+"""Longer than the time after which a request leaves a silent engine."""
 
 
 def read_events(answer: HttpResponse) -> tuple[str, list[str], bool]:
@@ -82,6 +84,31 @@
         self.assertEqual(text, make_answer("tank", 20))
         self.assertTrue(ended)
 
+    async def test_stream_stays_at_a_silent_engine_while_the_others_are_silent(self):
+        """Guards against an answer that is given up, and begun anew at an engine that
+        is as silent, while its own engine only pauses.
+        """
+        engines, awake = self.fleet.engines, asyncio.Event()
+        self.set_faults(slow=10.0)
+        asking = asyncio.create_task(self.stream(tokens=20))
+        await wait_until(lambda: any(r.tokens for e in engines for r in e.runs))
+
+        async def pause(*arguments):
+            await awake.wait()
+
+        with contextlib.ExitStack() as pauses:
+            for engine in engines:
+                pauses.enter_context(mock.patch.object(engine, "_sleep", pause))
+                pauses.enter_context(
+                    mock.patch.object(engine._server, "handler", pause)
+                )
+            await asyncio.sleep(LONG_PAUSE_S)
+        awake.set()
+        text, _, ended = read_events(await asking)
+        self.assertEqual(text, make_answer("tank", 20))
+        self.assertTrue(ended)
+        self.assertEqual(sum(len(engine.runs) for engine in engines), 1)
+
     async def test_broken_stream_has_no_end_marker(self):
         self.set_faults(break_after=1)
         answer = await self.stream(tokens=20)
