Secure the next attempt before a silent one is left

What callers saw: streams cut in the middle, and requests answered 502, when sound engines fell silent for 1.5 s and more and went on; beside a change of the configuration that is a whole request with neither an answer nor a refusal.

Cause: an attempt whose target sent nothing for some time was ended first, its connection closed, and only then was it looked whether there is a target to go on at (homes, ejections, versions), a permit, a repeat. If not, the answer was cut, though its engine would have finished it. The class: what runs is given up for what may not come. The same in the interruption of all that ran on a path held to be broken, or through a router held to be lost.

Ruled out: a longer timeout alone. It moves the silence that loses answers, and leaves those that hang for good later.

Change: gateway/silencewatch lets the attempt go on while gateway/planning seeks another target, a retry, an open connection on which an engine says that it is the start that is meant, and a permit; with all of them the attempt ends, with one missing it stays, what was taken goes back, and it is looked again after 0.1 s. One that may only pause isn't blamed, ejected, probed as a crash or held to have a broken path; it is avoided, and used again if nothing else is there. Doubt of a path or a forwarder looks for another target at once and interrupts nothing.

All calls by which a gateway reaches targets are listed as before; one has another name.

--- a/anvilshift/gateway/attemptfailures.py
+++ b/anvilshift/gateway/attemptfailures.py
@@ -43,6 +43,7 @@
             target=choice.target.info.name,
             failure=error.failure.value,
             why=error.detail,
+            paused=error.paused,
             took=round(self.shared.clock.now() - sent, 1),
             reused=error.reused,
             events=self.relay.events,
@@ -63,6 +64,10 @@
         targets that they reach.
         """
         shared, target = self.shared, choice.target
+        if error.paused:
+            if shared.sender.reach.paths.is_direct(target.info.name):
+                shared.health.avoid(target)
+            return
         record = partial(
             shared.health.record_failure,
             target,
--- a/anvilshift/gateway/parttries.py
+++ b/anvilshift/gateway/parttries.py
@@ -40,6 +40,10 @@
         """Return whether the request may be sent as a try."""
         return self._try is not None
 
+    def list_suspects(self) -> list[str]:
+        """Return the parts of the request's prompt that are suspect."""
+        return self._shared.parts.list_suspects(self._routed)
+
     async def admit(self, failed_targets: Set[str]) -> Choice | None:
         """Wait until the request may be sent.
 
@@ -55,7 +59,7 @@
             When a part of its prompt is proven to end engines, or it got no try.
         """
         while True:
-            suspects = self._shared.parts.list_suspects(self._routed)
+            suspects = self.list_suspects()
             if not suspects:
                 self.end()
                 return None
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -100,7 +100,7 @@
             version=sent.version if sent else None,
             began_as=(self.call.began_as or "")[:_MAX_LOGGED_ID] or None,
             via=sent.via if sent else "",
-            tries=len(sent.failed_targets) + 1 if sent else 1,
+            tries=sent.tries if sent else 1,
             predicted=round(sent.predicted, 1) if sent else 0.0,
             first=None if first is None else round(first - self.arrived, 1),
             took=round(now - self.arrived, 1),
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -17,6 +17,7 @@
 from anvilshift.core.forwarders import Forwarder, ForwarderChoice
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.paths import TargetPaths
+from anvilshift.core.pauses import TargetActivity
 from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
@@ -29,6 +30,9 @@
 """Time in which a connection opens unless its path is broken; usually it takes 4 ms."""
 _CONFIRM_TIMEOUT: Millis = 100.0
 """The same for a target that another router has just reached."""
+_SILENT_AFTER: Millis = 300.0
+"""Time without a byte from a target whose answer is due, after which other targets are
+preferred."""
 _CONNECT_TIMEOUT_ALONE: Millis = 1 * SECOND
 """The same for a router that has no other router to ask."""
 _TUNNEL_TIMEOUT: Millis = CONNECT_TIMEOUT + 50.0
@@ -56,14 +60,14 @@
     ----------
     due
         When the target is expected to have begun its answer.
-    repeatable
-        Whether it may be sent again although the target may have run it.
+    on_doubt
+        Called when nothing may come on the connection any more.
     """
 
     connection: Connection
     due: Millis
     is_engine: bool
-    repeatable: bool
+    on_doubt: Callable[[], None]
 
 
 @dataclass
@@ -93,12 +97,18 @@
     _checks: dict[str, asyncio.Task[Reached]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _used_forwarders: set[str] = field(default_factory=set)
+    _activities: dict[str, TargetActivity] = field(default_factory=dict)
 
     # Connections for requests
 
     @contextlib.asynccontextmanager
     async def open(
-        self, info: TargetInfo, wait: Millis, is_engine: bool, repeatable: bool
+        self,
+        info: TargetInfo,
+        wait: Millis,
+        is_engine: bool,
+        on_doubt: Callable[[], None],
+        secured: Connection | None = None,
     ) -> AsyncIterator[Connection]:
         """Yield a connection on which one request may be sent to a target.
 
@@ -106,18 +116,21 @@
         ----------
         wait
             Predicted time to the first byte of the answer.
-        repeatable
-            Whether the request may be sent again although the target may have run it;
-            it is then interrupted when the path turns out to be broken.
+        on_doubt
+            Called when the path turns out to be broken.
+        secured
+            A connection that is open already; it is used unless it has closed.
 
         Raises
         ------
         ExchangeError
             When neither this router nor another one can connect to the target.
         """
-        connection = await self._connect(info)
+        connection = secured
+        if connection is None or connection.closed:
+            connection = await self.connect(info)
         due = self.clock.now() + wait
-        exchange = _Exchange(connection, due, is_engine, repeatable)
+        exchange = _Exchange(connection, due, is_engine, on_doubt)
         running = self._running.setdefault(info.name, set())
         running.add(exchange)
         try:
@@ -125,9 +138,17 @@
         finally:
             running.discard(exchange)
             self._note_heard(info.name, connection)
+            self._note_activity(info.name, connection)
             connection.close_unless_idle()
 
-    async def _connect(self, info: TargetInfo) -> Connection:
+    async def connect(self, info: TargetInfo) -> Connection:
+        """Return a connection to a target, directly or through another router.
+
+        Raises
+        ------
+        ExchangeError
+            When neither this router nor another one can connect to it.
+        """
         if self.paths.is_direct(info.name):
             return await self._connect_direct(info)
         kept = self._take_open(info) or self._take_tunnel(info)
@@ -234,9 +255,9 @@
         if doubted is None and self.paths.doubted_at is not None:
             broken = len(self.paths.list_broken())
             self.journal.write("all_paths_doubted", broken=broken)
-        for one in self._running.get(info.name, ()):
-            if not one.connection.via and one.repeatable:
-                one.connection.interrupt("the path to the target is broken")
+        for one in list(self._running.get(info.name, ())):
+            if not one.connection.via:
+                one.on_doubt()
 
     def _restore(self, info: TargetInfo) -> None:
         now = self.clock.now()
@@ -249,6 +270,30 @@
         if not connection.via:
             self.paths.hear(name, connection.heard)
 
+    def _note_activity(self, name: str, connection: Connection) -> None:
+        self.find_activity(name).record(connection.received)
+
+    def find_activity(self, name: str) -> TargetActivity:
+        """Return when a target sent this router anything."""
+        activity = self._activities.setdefault(name, TargetActivity())
+        running = self._running.get(name)
+        if running:
+            activity.record(max(one.connection.received for one in running))
+        return activity
+
+    def list_silent(self, now: Millis) -> list[str]:
+        """Return the targets that owe an answer and send nothing at all."""
+        return [
+            name
+            for name, running in self._running.items()
+            if running and now - self._find_owed(name, running) >= _SILENT_AFTER
+        ]
+
+    def _find_owed(self, name: str, running: set[_Exchange]) -> Millis:
+        """Return since when a target owes the next bytes of some answer."""
+        due = min(one.due for one in running)
+        return max(due, self.find_activity(name).heard)
+
     async def check(self, info: TargetInfo) -> Reached:
         """Find out who reaches a target; concurrent checks of it are one."""
         task = self._checks.get(info.name)
@@ -324,7 +369,10 @@
     def watch(self, now: Millis) -> None:
         """Check the paths to silent targets, probe broken ones, drop dead tunnels."""
         self.paths.retain(self.loads.targets)
+        for name in self._activities.keys() - self.loads.targets.keys():
+            del self._activities[name]
         for name, running in list(self._running.items()):
+            self.find_activity(name)
             if not running:
                 del self._running[name]
             elif name in self.loads.targets:
@@ -344,8 +392,8 @@
         self.client.close_idle(lambda one: one.via in gone)
         lost = gone - set(self.peers.routers)
         for one in self._list_running():
-            if one.connection.via in lost and one.repeatable:
-                one.connection.interrupt("the router in between is lost")
+            if one.connection.via in lost:
+                one.on_doubt()
         self._used_forwarders -= lost
 
     def _watch_target(
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -1,13 +1,13 @@
 """Relay a target's answer to the caller, and count the events that were received."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import Failure
 from anvilshift.gateway.sending import Answer, AttemptError
+from anvilshift.gateway.silencewatch import SilenceWatch
 from anvilshift.gateway.splitting import EventSplitter
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.endings import Ending, Framing, judge_stream
@@ -103,8 +103,8 @@
     async def stream(
         self,
         answer: Answer,
-        timeout: asyncio.Timeout,
-        max_silence: Millis | None,
+        watch: SilenceWatch,
+        find_max_silence: Callable[[], Millis | None],
         on_first_event: Callable[[], None],
         is_resumed: bool = False,
     ) -> None:
@@ -112,10 +112,11 @@
 
         Parameters
         ----------
-        timeout
-            Timeout of the attempt; each event moves its deadline.
-        max_silence
-            Time without an event after which the attempt fails; None for no limit.
+        watch
+            Watches the attempt for silence; it is told of each event.
+        find_max_silence
+            Returns the time without an event after which another target is sought;
+            None if no other may go on.
         on_first_event
             Called at the first event of the attempt.
         is_resumed
@@ -128,7 +129,6 @@
         """
         splitter = EventSplitter(resumed=self.started)
         received = self.events
-        loop = asyncio.get_running_loop()
         try:
             async for chunk in answer.response.chunks():
                 whole = _split(splitter, chunk)
@@ -138,13 +138,12 @@
                     on_first_event()
                 self.last_id = splitter.last_id or self.last_id
                 self.events = received + splitter.count
-                until = (
-                    None if max_silence is None else loop.time() + max_silence / SECOND
-                )
-                timeout.reschedule(until)
                 self._record_event_time()
+                watch.is_held = True
                 await self._send_headers(answer)
                 await self.responder.write(whole)
+                watch.is_held = False
+                watch.record_event(find_max_silence())
         except ExchangeError as error:
             raise AttemptError(
                 Failure.BROKE_OFF, str(error), reused=error.reused
--- a/anvilshift/gateway/retrying.py
+++ b/anvilshift/gateway/retrying.py
@@ -62,6 +62,10 @@
     def close(self) -> None:
         """Give back a retry with which nothing was sent."""
         self.record_arrival()
+        self.give_back()
+
+    def give_back(self) -> None:
+        """Give back a retry that was taken and isn't used after all."""
         if self._unused is not None:
             self._budget.give_back(self._service, self._unused)
             self._unused = None
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -49,6 +49,8 @@
         Whether the request was sent on a connection that earlier requests had used.
     hung
         Whether no connection was opened or refused in time.
+    paused
+        Whether the target may only pause, and isn't to be blamed.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         answered: bool = False,
         reused: bool = False,
         hung: bool = False,
+        paused: bool = False,
     ) -> None:
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
@@ -67,6 +70,7 @@
         self.answered = answered
         self.reused = reused
         self.hung = hung
+        self.paused = paused
 
     @property
     def never_ran(self) -> bool:
@@ -74,6 +78,26 @@
         return self.failure in (Failure.NOT_SENT, Failure.REJECTED)
 
 
+@dataclass(frozen=True)
+class PlannedAttempt:
+    """An attempt that may be sent.
+
+    Parameters
+    ----------
+    run
+        Id of the attempt, unique among all routers.
+    connection
+        An open connection to its target, if it was secured.
+    release
+        Gives back what was taken for it, if it isn't sent.
+    """
+
+    choice: Choice
+    run: str
+    connection: Connection | None = None
+    release: Callable[[], None] = lambda: None
+
+
 @dataclass(frozen=True)
 class Outgoing:
     """One request as it is sent to one target.
@@ -89,8 +113,10 @@
     on_send
         Called with the name of the router that forwards the request, empty if none
         does, just before its first byte is sent.
-    repeatable
-        Whether it may be sent again although the target may have run it.
+    connection
+        An open connection that was secured for it; None if one is to be opened.
+    on_doubt
+        Called when nothing may come on its connection any more.
     """
 
     run: str
@@ -102,7 +128,8 @@
     choice: Choice
     capacity: int
     on_send: Callable[[str], None]
-    repeatable: bool = False
+    connection: Connection | None = None
+    on_doubt: Callable[[], None] = lambda: None
 
 
 @dataclass
@@ -210,9 +237,11 @@
         request, info = outgoing.request, outgoing.choice.target.info
         wait, is_engine = outgoing.choice.wait, outgoing.capacity > 0
         async with self.reach.open(
-            info, wait, is_engine, outgoing.repeatable
+            info, wait, is_engine, outgoing.on_doubt, outgoing.connection
         ) as connection:
-            if outgoing.delivery.resume_after is not None and is_engine:
+            is_verified = connection is outgoing.connection
+            resumes = outgoing.delivery.resume_after is not None
+            if resumes and is_engine and not is_verified:
                 await self._verify_start(outgoing.choice.target, connection)
             self._check_rest(info.name)
             outgoing.on_send(connection.via)
@@ -230,6 +259,27 @@
             ) as response:
                 yield response
 
+    async def connect(self, target: TargetLoad, is_engine: bool) -> Connection:
+        """Open a connection to a target that answers, for a request that may follow.
+
+        An engine says on it that it is the start that its entry describes.
+
+        Raises
+        ------
+        AttemptError
+            When an engine says something else, or nothing.
+        ExchangeError
+            When neither this router nor another one can connect to the target.
+        """
+        connection = await self.reach.connect(target.info)
+        if is_engine:
+            try:
+                await self._verify_start(target, connection)
+            except BaseException:
+                connection.close()
+                raise
+        return connection
+
     async def _verify_start(self, target: TargetLoad, connection: Connection) -> None:
         """Check on a request's connection that its target is the start it is meant for.
 
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -39,7 +39,7 @@
             Targets at which an attempt failed.
         """
         shared, routed, now = self.shared, self.routed, self.shared.clock.now()
-        excluded = self._list_excluded(failed_targets)
+        excluded = self.list_excluded(failed_targets)
         delays = self.turn.list_permit_delays()
         if routed.model is not None:
             demand = self._make_demand(routed.model, delays, now)
@@ -80,7 +80,8 @@
     def _list_unusable(self, failed_targets: Set[str]) -> set[str]:
         return {*failed_targets, *self.turn.refused, *self.stream.list_unfit()}
 
-    def _list_excluded(self, failed_targets: Set[str]) -> set[str]:
+    def list_excluded(self, failed_targets: Set[str]) -> set[str]:
+        """Return the targets to which the request may not be sent now."""
         routed = self.routed
         prompt = routed.call.prompt if routed.model is not None else Prompt()
         forbidden = self.crashes.list_forbidden(
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -244,6 +244,14 @@
         else:
             connection.close()
 
+    def return_unused(self, connection: Connection) -> None:
+        """Keep a connection on which nothing was sent, if that is possible."""
+        idle = self._idle[connection.address]
+        if len(idle) < _MAX_IDLE_PER_ADDRESS and connection.make_idle():
+            idle.append(connection)
+        else:
+            connection.close()
+
     @contextlib.asynccontextmanager
     async def exchange(
         self,
--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -36,6 +36,8 @@
         Whether earlier exchanges have used it.
     heard
         When it was opened or last received bytes.
+    received
+        When it last received bytes.
     """
 
     def __init__(self, address: Address, via: str = "") -> None:
@@ -54,6 +56,7 @@
         self.idle_until = math.inf
         self.reused = False
         self.heard: Millis = -math.inf
+        self.received: Millis = -math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its timeouts."""
@@ -74,20 +77,13 @@
         self._feed(b"")
         return False
 
-    def interrupt(self, detail: str) -> None:
-        """Fail the exchange that is using the connection, and close it."""
-        if self._failure is None:
-            self._failure = ConnectionError(detail)
-        self.close()
-        self._event_ready.set()
-
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that all connections share."""
         return RECEIVE_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; close an idle connection that received any."""
-        self.heard = time.monotonic() * SECOND
+        self.heard = self.received = time.monotonic() * SECOND
         if self._idle:
             # Unsolicited bytes on an idle connection would be read as the answer
             # to the next request on it, which belongs to another caller.
@@ -172,6 +168,12 @@
         self._idle = not self._h11.trailing_data[0]
         return self._idle
 
+    def make_idle(self) -> bool:
+        """Let others use it for an exchange, if none has begun since the last."""
+        is_unused = self._h11.our_state is h11.IDLE and not self._events
+        self._idle = is_unused and not self.closed and self._failure is None
+        return self._idle
+
     def try_reuse(self) -> bool:
         """Leave the idle state; return False if the connection closed or expired."""
         self._idle = False
--- a/tests/gateway/test_retrying.py
+++ b/tests/gateway/test_retrying.py
@@ -12,7 +12,7 @@
     ("attempts.py", "_attempt", "send"): "the only send of a caller's request",
     ("sending.py", "_exchange", "open"): "a connection, before anything is sent",
     ("sending.py", "_exchange", "exchange"): "after on_send, which records the send",
-    ("reach.py", "_connect", "open"): "a connection only, its user sends once",
+    ("reach.py", "connect", "open"): "a connection only, its user sends once",
     ("reach.py", "_connect_direct", "open"): "a connection only",
     ("reach.py", "_open_tunnel", "open"): "a connection through another router",
     ("targetstarts.py", "_check_doubted", "open"): "a connection, for a report",
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -194,7 +194,7 @@
 
     async def open_through(self, reach):
         info = self.cut_node.loads.targets["d1"].info
-        async with reach.open(info, 0.0, False, False) as connection:
+        async with reach.open(info, 0.0, False, lambda: None) as connection:
             return connection
 
     async def test_a_request_that_never_left_may_be_sent_again_by_its_caller(self):
