Split what is sent, and what runs, from the gateway's sending and reach

Change: gateway/outgoing has the attempt's data and its error, gateway/exchanges the running exchanges and when targets sent anything. No behaviour is changed.

Checked: types, tests.gateway.test_silencewatch, test_sending, test_retrying and tests.platform.test_silence.SilentHostsTest, 21 of 21.

--- a/anvilshift/gateway/attemptfailures.py
+++ b/anvilshift/gateway/attemptfailures.py
@@ -8,10 +8,10 @@
 from anvilshift.core.targetload import TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.crashes import CrashTracker
+from anvilshift.gateway.outgoing import AttemptError
 from anvilshift.gateway.parttries import PartTry
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.routed import RoutedRequest
-from anvilshift.gateway.sending import AttemptError
 from anvilshift.gateway.shared import RouterContext
 
 _MAX_LOGGED_PARTS = 16
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -15,13 +15,13 @@
 from anvilshift.gateway.attemptfailures import AttemptFailures
 from anvilshift.gateway.border import TargetFields
 from anvilshift.gateway.crashes import CrashTracker
+from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
 from anvilshift.gateway.parttries import PartTry
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.planning import AttemptPlanner, PlannedAttempt
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.retrying import RequestRetries
 from anvilshift.gateway.routed import RoutedRequest
-from anvilshift.gateway.sending import Answer, AttemptError, Outgoing
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.silencewatch import SilenceWatch
 from anvilshift.gateway.streambinding import StreamBinding
@@ -172,7 +172,7 @@
             self._routed.end,
             self._shared.clock,
             self._shared.journal,
-            partial(self._shared.sender.reach.find_activity, target),
+            partial(self._shared.sender.reach.running.find_activity, target),
             partial(self._planner.secure, target),
         )
 
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -12,8 +12,8 @@
 from anvilshift.core.homes import choose_homes
 from anvilshift.core.targetload import Prompt, TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
+from anvilshift.gateway.outgoing import AttemptError
 from anvilshift.gateway.reach import Reached
-from anvilshift.gateway.sending import AttemptError
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.wire.messages import HttpRequest
 
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -21,12 +21,12 @@
 )
 from anvilshift.core.pauses import LOOK_INTERVAL
 from anvilshift.core.timeouts import NO_ENGINE_RETRY, find_return, rank
+from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
 from anvilshift.gateway.parttries import PartTry
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.retrying import RequestRetries
 from anvilshift.gateway.routed import RoutedRequest
-from anvilshift.gateway.sending import AttemptError, PlannedAttempt
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.streambinding import StreamBinding
 from anvilshift.gateway.targetchoice import TargetChooser
@@ -303,9 +303,9 @@
 
     def _list_unfit(self, current: str) -> set[str]:
         """Return the targets at which a request can't go on from a silent one."""
-        progress, reach = self.progress, self.shared.sender.reach
+        progress, running = self.progress, self.shared.sender.reach.running
         left = progress.failed_targets | progress.paused_targets
-        return {*left, current, *reach.list_silent(self.shared.clock.now())}
+        return {*left, current, *running.list_silent(self.shared.clock.now())}
 
     def _record_not_secured(self, why: str) -> None:
         self.shared.journal.write(
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -17,8 +17,8 @@
 from anvilshift.core.forwarders import Forwarder, ForwarderChoice
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.paths import TargetPaths
-from anvilshift.core.pauses import TargetActivity
 from anvilshift.core.targetload import TargetInfo
+from anvilshift.gateway.exchanges import Exchange, RunningExchanges
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
 from anvilshift.wire.client import ExchangeError, HttpClient, Network, TcpNetwork
@@ -30,9 +30,6 @@
 """Time in which a connection opens unless its path is broken; usually it takes 4 ms."""
 _CONFIRM_TIMEOUT: Millis = 100.0
 """The same for a target that another router has just reached."""
-_SILENT_AFTER: Millis = 300.0
-"""Time without a byte from a target whose answer is due, after which other targets are
-preferred."""
 _CONNECT_TIMEOUT_ALONE: Millis = 1 * SECOND
 """The same for a router that has no other router to ask."""
 _TUNNEL_TIMEOUT: Millis = CONNECT_TIMEOUT + 50.0
@@ -52,24 +49,6 @@
     NOT_AT_ALL = "not at all"
 
 
-@dataclass(eq=False)
-class _Exchange:
-    """A request that is running on a connection.
-
-    Parameters
-    ----------
-    due
-        When the target is expected to have begun its answer.
-    on_doubt
-        Called when nothing may come on the connection any more.
-    """
-
-    connection: Connection
-    due: Millis
-    is_engine: bool
-    on_doubt: Callable[[], None]
-
-
 @dataclass
 class TargetReach:
     """Open connections to targets, and watch the paths to them.
@@ -93,11 +72,10 @@
     network: Network = field(default_factory=TcpNetwork)
     paths: TargetPaths = field(default_factory=TargetPaths)
     choice: ForwarderChoice = field(default_factory=ForwarderChoice)
-    _running: dict[str, set[_Exchange]] = field(default_factory=dict)
+    running: RunningExchanges = field(default_factory=RunningExchanges)
     _checks: dict[str, asyncio.Task[Reached]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _used_forwarders: set[str] = field(default_factory=set)
-    _activities: dict[str, TargetActivity] = field(default_factory=dict)
 
     # Connections for requests
 
@@ -130,15 +108,13 @@
         if connection is None or connection.closed:
             connection = await self.connect(info)
         due = self.clock.now() + wait
-        exchange = _Exchange(connection, due, is_engine, on_doubt)
-        running = self._running.setdefault(info.name, set())
-        running.add(exchange)
+        exchange = Exchange(connection, due, is_engine, on_doubt)
+        self.running.add(info.name, exchange)
         try:
             yield connection
         finally:
-            running.discard(exchange)
+            self.running.remove(info.name, exchange)
             self._note_heard(info.name, connection)
-            self._note_activity(info.name, connection)
             connection.close_unless_idle()
 
     async def connect(self, info: TargetInfo) -> Connection:
@@ -211,7 +187,7 @@
             Largest number of routers to ask.
         """
         address, left = Address.parse(info.address), self._list_forwarders()
-        load = Counter(one.connection.via for one in self._list_running())
+        load = Counter(one.connection.via for one in self.running)
         for _ in range(most):
             now, domain = self.clock.now(), info.failure_domain
             one = self.choice.choose(left.values(), domain, load, now, self.rng)
@@ -255,9 +231,8 @@
         if doubted is None and self.paths.doubted_at is not None:
             broken = len(self.paths.list_broken())
             self.journal.write("all_paths_doubted", broken=broken)
-        for one in list(self._running.get(info.name, ())):
-            if not one.connection.via:
-                one.on_doubt()
+        for one in self.running.list_direct(info.name):
+            one.on_doubt()
 
     def _restore(self, info: TargetInfo) -> None:
         now = self.clock.now()
@@ -270,30 +245,6 @@
         if not connection.via:
             self.paths.hear(name, connection.heard)
 
-    def _note_activity(self, name: str, connection: Connection) -> None:
-        self.find_activity(name).record(connection.received)
-
-    def find_activity(self, name: str) -> TargetActivity:
-        """Return when a target sent this router anything."""
-        activity = self._activities.setdefault(name, TargetActivity())
-        running = self._running.get(name)
-        if running:
-            activity.record(max(one.connection.received for one in running))
-        return activity
-
-    def list_silent(self, now: Millis) -> list[str]:
-        """Return the targets that owe an answer and send nothing at all."""
-        return [
-            name
-            for name, running in self._running.items()
-            if running and now - self._find_owed(name, running) >= _SILENT_AFTER
-        ]
-
-    def _find_owed(self, name: str, running: set[_Exchange]) -> Millis:
-        """Return since when a target owes the next bytes of some answer."""
-        due = min(one.due for one in running)
-        return max(due, self.find_activity(name).heard)
-
     async def check(self, info: TargetInfo) -> Reached:
         """Find out who reaches a target; concurrent checks of it are one."""
         task = self._checks.get(info.name)
@@ -369,14 +320,11 @@
     def watch(self, now: Millis) -> None:
         """Check the paths to silent targets, probe broken ones, drop dead tunnels."""
         self.paths.retain(self.loads.targets)
-        for name in self._activities.keys() - self.loads.targets.keys():
-            del self._activities[name]
-        for name, running in list(self._running.items()):
-            self.find_activity(name)
-            if not running:
-                del self._running[name]
-            elif name in self.loads.targets:
-                self._watch_target(self.loads.targets[name].info, running, now)
+        self.running.retain(self.loads.targets)
+        for name in self.running.list_targets():
+            self.running.find_activity(name)
+            if name in self.loads.targets:
+                self._watch_target(self.loads.targets[name].info, now)
         if self._used_forwarders:
             self._drop_dead_tunnels()
         for name in self.paths.list_due(now)[:_MAX_PROBES]:
@@ -391,15 +339,13 @@
             return
         self.client.close_idle(lambda one: one.via in gone)
         lost = gone - set(self.peers.routers)
-        for one in self._list_running():
+        for one in list(self.running):
             if one.connection.via in lost:
                 one.on_doubt()
         self._used_forwarders -= lost
 
-    def _watch_target(
-        self, info: TargetInfo, running: set[_Exchange], now: Millis
-    ) -> None:
-        direct = [one for one in running if not one.connection.via]
+    def _watch_target(self, info: TargetInfo, now: Millis) -> None:
+        direct = self.running.list_direct(info.name)
         if not direct:
             return
         for one in direct:
@@ -414,9 +360,6 @@
         if await self.client.check(address, CONNECT_TIMEOUT):
             self._restore(info)
 
-    def _list_running(self) -> list[_Exchange]:
-        return [one for running in self._running.values() for one in running]
-
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -5,24 +5,24 @@
 """
 
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
 
-from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.targetload import Prompt, TargetLoad
+from anvilshift.core.targetload import TargetLoad
 from anvilshift.core.work import Failure
-from anvilshift.gateway.border import AnswerFields, Dialect, TargetFields
+from anvilshift.gateway.border import AnswerFields, Dialect
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
+from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
 from anvilshift.wire.client import ExchangeError, Response
 from anvilshift.wire.connection import Connection
-from anvilshift.wire.messages import Headers, HttpRequest
+from anvilshift.wire.messages import Headers
 
 _MAX_LOGGED_FIELDS = 64
 """Names of answers' header fields that are logged, once each; more would be noise."""
@@ -32,116 +32,6 @@
 _STARTED_ANEW = "the target may have started anew with another version"
 
 
-class AttemptError(Exception):
-    """An attempt failed: it gave no answer, or none that is complete and valid.
-
-    Parameters
-    ----------
-    failure
-        Whether the target may have run the request.
-    detail
-        Description of the failure, for the log and the caller.
-    replaced
-        Whether another target answered at the address.
-    answered
-        Whether the target sent an answer, but an unusable one.
-    reused
-        Whether the request was sent on a connection that earlier requests had used.
-    hung
-        Whether no connection was opened or refused in time.
-    paused
-        Whether the target may only pause, and isn't to be blamed.
-    """
-
-    def __init__(
-        self,
-        failure: Failure,
-        detail: str,
-        replaced: bool = False,
-        answered: bool = False,
-        reused: bool = False,
-        hung: bool = False,
-        paused: bool = False,
-    ) -> None:
-        super().__init__(f"{failure.value}: {detail}")
-        self.failure = failure
-        self.detail = detail
-        self.replaced = replaced
-        self.answered = answered
-        self.reused = reused
-        self.hung = hung
-        self.paused = paused
-
-    @property
-    def never_ran(self) -> bool:
-        """Return whether the target certainly did not run the request."""
-        return self.failure in (Failure.NOT_SENT, Failure.REJECTED)
-
-
-@dataclass(frozen=True)
-class PlannedAttempt:
-    """An attempt that may be sent.
-
-    Parameters
-    ----------
-    run
-        Id of the attempt, unique among all routers.
-    connection
-        An open connection to its target, if it was secured.
-    release
-        Gives back what was taken for it, if it isn't sent.
-    """
-
-    choice: Choice
-    run: str
-    connection: Connection | None = None
-    release: Callable[[], None] = lambda: None
-
-
-@dataclass(frozen=True)
-class Outgoing:
-    """One request as it is sent to one target.
-
-    Parameters
-    ----------
-    run
-        Id of the attempt, unique among all routers.
-    identity
-        Id of the caller's attempt.
-    capacity
-        Tokens that fit into the target's prompt cache; 0 for a plain service.
-    on_send
-        Called with the name of the router that forwards the request, empty if none
-        does, just before its first byte is sent.
-    connection
-        An open connection that was secured for it; None if one is to be opened.
-    on_doubt
-        Called when nothing may come on its connection any more.
-    """
-
-    run: str
-    request: HttpRequest
-    identity: str
-    host: str
-    prompt: Prompt
-    delivery: TargetFields
-    choice: Choice
-    capacity: int
-    on_send: Callable[[str], None]
-    connection: Connection | None = None
-    on_doubt: Callable[[], None] = lambda: None
-
-
-@dataclass
-class Answer:
-    """A target's answer whose body is still arriving."""
-
-    status: int
-    headers: Headers
-    notes: AnswerFields
-    response: Response
-
-
 @dataclass
 class Sender:
     """Send this router's attempts, and report their progress to the other routers."""
--- a/anvilshift/gateway/silencewatch.py
+++ b/anvilshift/gateway/silencewatch.py
@@ -14,7 +14,7 @@
 from anvilshift.core.pauses import LOOK_INTERVAL, Silence, TargetActivity
 from anvilshift.core.work import Failure
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.sending import AttemptError, PlannedAttempt
+from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
 
 
 @dataclass(eq=False)
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -6,7 +6,8 @@
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.messages import Held
-from anvilshift.gateway.sending import Outgoing, Sender
+from anvilshift.gateway.outgoing import Outgoing
+from anvilshift.gateway.sending import Sender
 from anvilshift.wire.messages import Headers
 from tests.gateway.silent import SilentJournal
 
--- a/tests/gateway/test_silencewatch.py
+++ b/tests/gateway/test_silencewatch.py
@@ -6,7 +6,7 @@
 
 from anvilshift.core.clock import SECOND
 from anvilshift.core.pauses import LOOK_INTERVAL, TargetActivity
-from anvilshift.gateway.sending import AttemptError, PlannedAttempt
+from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
 from anvilshift.gateway.silencewatch import SilenceWatch
 from tests.gateway.silent import SilentJournal
 from tests.gateway.virtualtime import VirtualLoop, run
