Let the store's stub tell the revision up to which it has looked

Cause: at the end of a watch's wait the stub looked for events, slept 10 ms, and then answered without events but with the revision of that moment; what was written in these 10 ms was told to nobody. The routers are right to watch from the revision they got.

Change: the revision is read where the events are looked for.

--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -96,11 +96,13 @@
             return _reply(410, {})
         for _ in range(max(1, wait // 10)):
             found = [e for e in self.events if e[0] > since and e[1] == kind]
+            at = self.revision
             if found:
                 break
             await asyncio.sleep(0.01)
         events = [{"deleted": gone, "object": one} for _, _, one, gone in found]
-        return _reply(200, {"events": events, "at": self.revision})
+        # Not the revision of now: what was written since was not looked for.
+        return _reply(200, {"events": events, "at": at})
 
     def _write(self, request: HttpRequest, words: list[str]) -> Reply:
         if request.method == "DELETE":
