Refuse quarantined work at its move, and let a begun answer stay

Cause: the test of the quarantine stands in the offer, which the move no longer made.

Change: overdue work of a quarantined content is offered as before, and so refused; an answer at a silent engine isn't moved.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -419,6 +419,9 @@
         attempt = self._sender.running.get(identity)
         if attempt is None:
             return []
+        content = attempt.entry.work.content
+        if self._state.quarantine.is_quarantined(content, now):
+            return []
         return self._health_monitor.move_to_other_target(attempt, now, silent)
 
     def cancel(self, identity: str, now: Millis) -> Actions:
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -98,8 +98,9 @@
         ):
             return []
         unfit = {*silent, attempt.view.target.name}
+        quarantined = self._state.quarantine.is_quarantined(work.content, now)
         view = self._sender.find_target(entry, pool, now, unfit)
-        if view is None:
+        if view is None and not quarantined:
             return []
         if not self._state.take_retry(pool, Failure.TIMED_OUT, now):
             return []
@@ -108,6 +109,9 @@
         self._state.refresh(attempt.view)
         cancel = Cancel(work.identity, name, entry.attempts)
         waiting = self._backlog.wait(entry, pool, now)
+        if quarantined or view is None:
+            # The offer refuses it.
+            return [cancel, *waiting, *self._sender.offer(entry, pool, now)]
         return [cancel, *waiting, *self._sender.send(entry, pool, view, now)]
 
     def check_health(self, view: TargetView, now: Millis) -> Actions:
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -261,6 +261,20 @@
         fleet.tick()
         self.assertEqual(fleet.running.get(name), running_at)
 
+    def test_quarantined_work_is_not_moved_from_a_silent_engine(self):
+        """Guards against one more engine that a content ends as its engine pauses."""
+        fleet = Fleet(1, routers=2)
+        name = fleet.send(0, "work")
+        _, running_at = fleet.running[name]
+        router = fleet.routers[0]
+        for number, other in enumerate(n for n in NAMES if n != running_at):
+            router.crashed("work", other, 100.0 + number)
+        self.assertTrue(router._state.quarantine.is_quarantined("work", 200.0))
+        self.assertEqual(router.leave(name, [running_at], 200.0), [])
+        attempt = router._sender.running[name]
+        actions = router._health_monitor.move_to_other_target(attempt, 200.0)
+        self.assertEqual([type(one) for one in actions], [Cancel, Refuse])
+
     def take_down(self, fleet, target):
         for router in fleet.routers:
             router.leaving(target, fleet.now)
