Close a connection that was secured in vain, unless its server's timeout is known

Change: only connections whose server has told its timeout, or been heard before, are kept; others are closed. The race itself wasn't provoked.

--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable
@@ -247,7 +248,9 @@
     def return_unused(self, connection: Connection) -> None:
         """Keep a connection on which nothing was sent, if that is possible."""
         idle = self._idle[connection.address]
-        if len(idle) < _MAX_IDLE_PER_ADDRESS and connection.make_idle():
+        # How long a server keeps a connection is known from its answers only.
+        is_known = connection.idle_until < math.inf
+        if is_known and len(idle) < _MAX_IDLE_PER_ADDRESS and connection.make_idle():
             idle.append(connection)
         else:
             connection.close()
