Watch only what still waits for its target, and blame a silence that lasts

- a stream that hung after its first event was left when the long wait for a first event ended, 8.0 s instead of 1.4 s;
- an event whose write waited for the caller didn't stop a look;
- a look that ended with an unforeseen error was the last one, and nothing was logged;
- each look withdrew its ask for a permit, and was never granted one at a busy target; waits and refusals of looks used up what the request had for good;
- a paused attempt went on past a quarantine that came meanwhile.

Change: the watch ends with the last byte; a shorter limit brings its timer forward; it is held while a write waits, and events count before it. Unforeseen errors are logged and looked past. Signs of silence are added up by target until it is heard, so that one that lasts 2.5 s counts as failing as before. An ask stays queued between looks; waits and refusals of a look in vain are forgotten. The quarantine is asked before a look and before the send; a content on which a target fell silent is remembered as one that broke off there. A connection through another router is closed if its user leaves.

--- a/anvilshift/core/pauses.py
+++ b/anvilshift/core/pauses.py
@@ -85,12 +85,12 @@
     --------
     >>> busy = TargetActivity(heard=790.0, resumed=0.0)
     >>> hung = Silence(since=0.0, activity=busy, limit=800.0, end=15_000.0)
-    >>> hung.find_look(now=800.0), hung.is_pause(now=800.0)
-    (800.0, False)
+    >>> hung.find_look(now=800.0), hung.find_sign(now=800.0)
+    (800.0, None)
     >>> quiet = TargetActivity(heard=100.0, resumed=0.0)
     >>> whole = Silence(since=0.0, activity=quiet, limit=800.0, end=15_000.0)
-    >>> whole.find_look(now=800.0), whole.is_pause(now=1_300.0)
-    (1300.0, True)
+    >>> whole.find_look(now=800.0), whole.find_sign(now=1_300.0).since
+    (1300.0, 100.0)
     >>> hasty = Silence(since=0.0, activity=quiet, limit=480.0, end=1_200.0)
     >>> hasty.find_look(now=500.0)
     720.0
@@ -109,10 +109,11 @@
         latest = self.since + (self.end - self.since) * _MAX_FRACTION
         return max(due, min(self._quiet_since + _PAUSE, latest))
 
-    def is_pause(self, now: Millis) -> bool:
-        """Return whether the target may only pause, and isn't to be blamed."""
-        is_short = now - self._quiet_since < _LONGEST_PAUSE
-        return is_short and not self.activity.answers(now)
+    def find_sign(self, now: Millis) -> "SilenceSign | None":
+        """Return how long the target is silent as a whole; None if it isn't."""
+        if self.activity.answers(now):
+            return None
+        return SilenceSign(self._quiet_since, self.activity.heard)
 
     @property
     def _quiet_since(self) -> Millis:
@@ -120,17 +121,36 @@
         return max(self.since, min(self.activity.heard, self.since + self.limit))
 
 
+@dataclass(frozen=True)
+class SilenceSign:
+    """What one request has met of a silent target.
+
+    Parameters
+    ----------
+    since
+        Since when it has waited for the target.
+    heard
+        When the target last sent anything to this router.
+    """
+
+    since: Millis
+    heard: Millis = -math.inf
+
+
 @dataclass
 class SilenceRecord:
-    """The silence of one target as one router has met it.
+    """The silence of one target, as the requests of one router have met it.
 
     Examples
     --------
     >>> record = SilenceRecord()
-    >>> record.add(now=200.0, since=0.0), record.is_pause(now=200.0)
+    >>> record.add(SilenceSign(since=0.0), now=200.0), record.is_pause(now=200.0)
     (None, True)
-    >>> record.add(now=2_600.0, since=2_400.0), record.is_pause(now=2_600.0)
+    >>> record.add(SilenceSign(2_400.0), now=2_600.0), record.is_pause(now=2_600.0)
     (None, False)
+    >>> record.add(SilenceSign(2_700.0, heard=2_650.0), now=4_000.0)
+    >>> record.is_pause(now=4_000.0)
+    True
     >>> record.end(), record.is_pause(now=2_600.0)
     (None, True)
     """
@@ -138,11 +158,11 @@
     _since: Millis = math.inf
     _seen: Millis = -math.inf
 
-    def add(self, now: Millis, since: Millis) -> None:
-        """Record that the target has been silent since some instant."""
-        if now - self._seen > _FORGOTTEN_AFTER:
+    def add(self, sign: SilenceSign, now: Millis) -> None:
+        """Record a sign of silence; one met after the target was heard is another."""
+        if sign.heard > self._seen or now - self._seen > _FORGOTTEN_AFTER:
             self._since = math.inf
-        self._since = min(self._since, since)
+        self._since = min(self._since, sign.since)
         self._seen = now
 
     def end(self) -> None:
--- a/anvilshift/gateway/attemptfailures.py
+++ b/anvilshift/gateway/attemptfailures.py
@@ -28,28 +28,34 @@
     crashes: CrashTracker
     part_try: PartTry
 
-    def record(self, choice: Choice, error: AttemptError, sent: Millis) -> None:
-        """Log a failed attempt, and count it against its target.
+    def record(self, choice: Choice, error: AttemptError, sent: Millis) -> bool:
+        """Log a failed attempt, and count it against its target unless it may pause.
 
         Parameters
         ----------
         sent
             When the attempt was sent.
+
+        Returns
+        -------
+        bool
+            Whether the target may only pause.
         """
-        self._record_fault(choice, error)
+        paused = self._record_fault(choice, error)
         self.shared.journal.write(
             "attempt_failed",
             id=self.routed.call.identity,
             target=choice.target.info.name,
             failure=error.failure.value,
             why=error.detail,
-            paused=error.paused,
+            paused=paused,
             took=round(self.shared.clock.now() - sent, 1),
             reused=error.reused,
             events=self.relay.events,
             parts=self._list_logged_parts(error),
             **self.relay.describe_ending(),
         )
+        return paused
 
     def _list_logged_parts(self, error: AttemptError) -> list[str]:
         """Return the shared parts of a prompt that a target may have ended on."""
@@ -57,17 +63,18 @@
             return []
         return self.routed.call.prompt.shared_parts[:_MAX_LOGGED_PARTS]
 
-    def _record_fault(self, choice: Choice, error: AttemptError) -> None:
+    def _record_fault(self, choice: Choice, error: AttemptError) -> bool:
         """Count a failed attempt against its target, unless the path to it is broken.
 
         Otherwise a router that loses its links would have the other routers eject
         targets that they reach.
         """
         shared, target = self.shared, choice.target
-        if error.paused:
-            if shared.sender.reach.paths.is_direct(target.info.name):
-                shared.health.avoid(target)
-            return
+        if error.silence is not None:
+            if not shared.sender.reach.paths.is_direct(target.info.name):
+                return True
+            if shared.health.add_silence(target, error.silence):
+                return True
         record = partial(
             shared.health.record_failure,
             target,
@@ -81,6 +88,7 @@
             reach.record_fault(target.info, shared.clock.now(), record)
         else:
             record()
+        return error.hung and target.health.silence.is_pause(shared.clock.now())
 
     async def find_cause(
         self, target: TargetLoad, error: AttemptError, has_begun: bool
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -74,6 +74,7 @@
             self._stream,
             chooser,
             self._try,
+            crashes,
         )
         self._progress = self._planner.progress
         self._failures = AttemptFailures(shared, routed, relay, crashes, self._try)
@@ -128,9 +129,8 @@
             When the request is now quarantined.
         """
         name = choice.target.info.name
-        self._failures.record(choice, error, self.sent)
-        health, now = choice.target.health, self._shared.clock.now()
-        if error.paused or (error.hung and health.silence.is_pause(now)):
+        if self._failures.record(choice, error, self.sent):
+            self._crashes.record_pause(name)
             self._progress.paused_targets.add(name)
             return
         self._progress.failed_targets.add(name)
@@ -174,6 +174,7 @@
             self._shared.journal,
             partial(self._shared.sender.reach.running.find_activity, target),
             partial(self._planner.secure, target),
+            self._planner.turn.close,
         )
 
     def _make_outgoing(self, planned: PlannedAttempt, watch: SilenceWatch) -> Outgoing:
@@ -250,6 +251,7 @@
             )
             return
         body = await self._relay.read_complete(answer)
+        watch.finish()
         self._record_first_byte(outgoing, success)
         failed = answer.status >= 500 and self._planner.may_go_on()
         if failed or self._relay.started:
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -148,6 +148,24 @@
                 await self._probe(name)
         self.check()
 
+    def record_pause(self, name: str) -> None:
+        """Record that a target fell silent on the content, which may mean nothing.
+
+        If it breaks off again, this target is checked as well.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the content is quarantined by now.
+        """
+        now = self._shared.clock.now()
+        self._blame.record_broken_answer(self._content, name, now)
+        self.check()
+
+    def is_quarantined(self) -> bool:
+        """Return whether the content may not be sent again."""
+        return self._blame.is_poison(self._content, self._shared.clock.now())
+
     def record_end(self, name: str) -> None:
         """Record that a target has ended, and blame the contents that broke off there.
 
--- a/anvilshift/gateway/outgoing.py
+++ b/anvilshift/gateway/outgoing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from anvilshift.core.choosing import Choice
+from anvilshift.core.pauses import SilenceSign
 from anvilshift.core.targetload import Prompt
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, TargetFields
@@ -29,8 +30,8 @@
         Whether the request was sent on a connection that earlier requests had used.
     hung
         Whether no connection was opened or refused in time.
-    paused
-        Whether the target may only pause, and isn't to be blamed.
+    silence
+        How long the target has been silent as a whole; None if that isn't the reason.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         answered: bool = False,
         reused: bool = False,
         hung: bool = False,
-        paused: bool = False,
+        silence: SilenceSign | None = None,
     ) -> None:
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
@@ -50,7 +51,7 @@
         self.answered = answered
         self.reused = reused
         self.hung = hung
-        self.paused = paused
+        self.silence = silence
 
     @property
     def never_ran(self) -> bool:
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -62,6 +62,7 @@
         self.attempts: Attempts | None = None
         self.tokens = 0
         self.why = ""
+        self.is_cut = False
 
     async def run(self) -> None:
         """Answer the request, and write its log line.
@@ -80,9 +81,11 @@
             await self._serve(call)
         except AnvilshiftError as error:
             self.relay.outcome, self.why = error.code.name, error.detail
+            self.is_cut = self.relay.started
             raise
         except CallerDisconnectedError as error:
             self.relay.outcome, self.why = "caller gone", str(error)
+            self.is_cut = self.relay.started
             raise
         finally:
             self.turn.close()
@@ -109,7 +112,7 @@
             pause=round(self.relay.longest_pause, 1),
             running=sent.concurrent_runs if sent else 0,
             outcome=self.relay.outcome,
-            cut=self.relay.is_cut,
+            cut=self.is_cut or self.relay.is_cut,
             why=self.why,
             **self.relay.describe_ending(),
         )
--- a/anvilshift/gateway/permitsession.py
+++ b/anvilshift/gateway/permitsession.py
@@ -130,6 +130,14 @@
         self._waited_for_slot += SLOT_WAIT
         await asyncio.sleep(SLOT_WAIT / SECOND)
 
+    def save(self) -> tuple[Millis, dict[str, Millis]]:
+        """Return the time waited for slots, and the refusals so far."""
+        return self._waited_for_slot, dict(self._retry_at)
+
+    def restore(self, saved: tuple[Millis, dict[str, Millis]]) -> None:
+        """Forget waits and refusals since they were saved; a pending ask stays."""
+        self._waited_for_slot, self._retry_at = saved
+
     def close(self) -> None:
         """Withdraw the pending ask of this request."""
         if self._pending_ask is not None:
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -21,6 +21,7 @@
 )
 from anvilshift.core.pauses import LOOK_INTERVAL
 from anvilshift.core.timeouts import NO_ENGINE_RETRY, find_return, rank
+from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
 from anvilshift.gateway.parttries import PartTry
 from anvilshift.gateway.permitsession import PermitSession
@@ -72,7 +73,9 @@
     stream: StreamBinding
     chooser: TargetChooser
     part_try: PartTry
+    crashes: CrashTracker
     progress: RequestProgress = field(default_factory=RequestProgress)
+    _not_secured: str = ""
 
     def may_go_on(self, after: int | None = None) -> bool:
         """Return whether the request may be run at a further target.
@@ -248,12 +251,13 @@
             None if anything that it needs can't be had now; nothing is kept then.
         """
         is_suspect = self.part_try.is_granted or self.part_try.list_suspects()
-        if is_suspect or not self.may_go_on():
-            self._record_not_secured("suspect parts" if is_suspect else "last target")
+        if is_suspect or self.crashes.is_quarantined() or not self.may_go_on():
+            self._record_not_secured("it may not be sent to another target")
             return None
         with contextlib.ExitStack() as taken:
             taken.callback(self.retries.give_back)
-            taken.callback(self.turn.close)
+            # Waits and refusals of a look in vain don't count for the next one.
+            taken.callback(self.turn.restore, self.turn.save())
             try:
                 planned = await self._secure(current, taken)
             except (AnvilshiftError, AttemptError, ExchangeError) as error:
@@ -280,7 +284,7 @@
             self._record_not_secured("the target fits no more")
             return None
         run = await self._request_permit(choice)
-        if run is None:
+        if run is None or not self._fits(choice, current):
             self._record_not_secured("no permit")
             return None
         return choice, run, connection
@@ -308,6 +312,9 @@
         return {*left, current, *running.list_silent(self.shared.clock.now())}
 
     def _record_not_secured(self, why: str) -> None:
+        if why == self._not_secured:
+            return
+        self._not_secured = why
         self.shared.journal.write(
             "next_not_secured", id=self.routed.call.identity, why=why
         )
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -147,9 +147,13 @@
             forwarded = await self._forward(info, _MAX_ASKED)
             if forwarded is None:
                 raise
-            if await self._is_reached_now(info):
-                return forwarded
-            self._break_path(info, forwarded.via, began)
+            try:
+                is_reached = await self._is_reached_now(info)
+            except BaseException:
+                forwarded.close()
+                raise
+            if not is_reached:
+                self._break_path(info, forwarded.via, began)
             return forwarded
         self._restore(info)
         return opened
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -139,11 +139,9 @@
                 self.last_id = splitter.last_id or self.last_id
                 self.events = received + splitter.count
                 self._record_event_time()
-                watch.is_held = True
-                await self._send_headers(answer)
-                await self.responder.write(whole)
-                watch.is_held = False
-                watch.record_event(find_max_silence())
+                with watch.hold(find_max_silence()):
+                    await self._send_headers(answer)
+                    await self.responder.write(whole)
         except ExchangeError as error:
             raise AttemptError(
                 Failure.BROKE_OFF, str(error), reused=error.reused
@@ -151,6 +149,7 @@
         finally:
             self.rest = len(splitter.rest)
             self._record_ending(answer)
+        watch.finish()
         self._check_stream(splitter)
         if not (is_resumed or self.events):
             self._check_empty()
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -129,10 +129,12 @@
         async with self.reach.open(
             info, wait, is_engine, outgoing.on_doubt, outgoing.connection
         ) as connection:
+            target = outgoing.choice.target
             is_verified = connection is outgoing.connection
+            is_verified = is_verified and self.starts.can_ask(target)
             resumes = outgoing.delivery.resume_after is not None
             if resumes and is_engine and not is_verified:
-                await self._verify_start(outgoing.choice.target, connection)
+                await self._verify_start(target, connection)
             self._check_rest(info.name)
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
--- a/anvilshift/gateway/silencewatch.py
+++ b/anvilshift/gateway/silencewatch.py
@@ -7,11 +7,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.pauses import LOOK_INTERVAL, Silence, TargetActivity
+from anvilshift.core.pauses import LOOK_INTERVAL, Silence, SilenceSign, TargetActivity
 from anvilshift.core.work import Failure
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
@@ -31,6 +31,8 @@
         Returns when the target sent anything.
     secure
         Secures the next attempt; returns None if there is none now.
+    withdraw
+        Gives up what looks in vain still wait for.
 
     Attributes
     ----------
@@ -47,12 +49,14 @@
     journal: Journal
     find_activity: Callable[[], TargetActivity]
     secure: Callable[[], Awaitable[PlannedAttempt | None]]
+    withdraw: Callable[[], None]
     secured: PlannedAttempt | None = None
     is_held: bool = False
     _limit: Millis | None = None
     _since: Millis = 0.0
     _is_doubted: bool = False
-    _is_pause: bool = False
+    _sign: SilenceSign | None = None
+    _due: Millis = 0.0
     _looks: int = 0
     _timeout: asyncio.Timeout | None = None
     _timer: asyncio.TimerHandle | None = None
@@ -76,7 +80,7 @@
             raise AttemptError(
                 Failure.BROKE_OFF,
                 "the target sent nothing for too long",
-                paused=self._is_pause,
+                silence=self._sign,
             ) from error
         except BaseException:
             self._release_secured()
@@ -114,11 +118,36 @@
     def record_event(self, limit: Millis | None) -> None:
         """Record that the answer goes on; the timer that runs finds it out."""
         self._limit, self._since = limit, self.clock.now()
-        self._is_doubted, self._looks = False, 0
+        self._stop_looking()
+        is_late = limit is not None and self._since + limit < self._due
+        if self._timer is None or is_late:
+            self._set_timer(self._since)
+
+    def _stop_looking(self) -> None:
+        self._is_doubted = False
+        if not self._looks:
+            return
+        self._looks = 0
         if self._look is not None:
             self._look.cancel()
-        if self._timer is None:
-            self._set_timer(self._since)
+        self.withdraw()
+
+    @contextlib.contextmanager
+    def hold(self, limit: Millis | None) -> Iterator[None]:
+        """Record that the answer goes on, and wait for its caller, not its target."""
+        self.record_event(limit)
+        self.is_held = True
+        try:
+            yield
+        finally:
+            self.is_held = False
+            self._since = self.clock.now()
+
+    def finish(self) -> None:
+        """Watch no more: the answer has been received whole."""
+        self._limit = None
+        self._clear_timer()
+        self._stop_looking()
 
     def doubt(self) -> None:
         """Look for another target now, as nothing may come on this connection."""
@@ -148,6 +177,7 @@
     def _call_later(self, delay: Millis) -> None:
         self._clear_timer()
         loop = asyncio.get_running_loop()
+        self._due = self.clock.now() + delay
         self._timer = loop.call_later(delay / SECOND, self._check)
 
     def _check(self) -> None:
@@ -170,19 +200,25 @@
     async def _run_look(self) -> None:
         since = self._since
         self._looks += 1
-        secured = await self.secure()
+        try:
+            secured = await self.secure()
+        except Exception as error:
+            # The attempt goes on; without another look it would stay for good.
+            self.journal.write("look_failed", id=self.identity, why=repr(error))
+            self._call_later(LOOK_INTERVAL)
+            return
         if secured is None:
             if self._looks == 1:
                 self.journal.write(
                     "silence_stayed", id=self.identity, target=self.target
                 )
             self._call_later(LOOK_INTERVAL)
-        elif since != self._since:
+        elif since != self._since or self.is_held or self._limit is None:
             secured.release()
             self._set_timer(self.clock.now())
         else:
             assert self._timeout is not None
             self.secured = secured
             silence = self._describe_silence()
-            self._is_pause = silence.is_pause(self.clock.now())
+            self._sign = silence.find_sign(self.clock.now())
             self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -7,6 +7,7 @@
 from anvilshift.core.ejection import HealthState, may_eject
 from anvilshift.core.failurereports import FailureReport, FailureReports
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.pauses import SilenceSign
 from anvilshift.core.targetload import TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.journal import Journal
@@ -59,11 +60,10 @@
             return
         health, now = target.health, self.clock.now()
         health.add_failure(content)
-        if hung:
-            health.silence.add(now, since=now)
-            if health.silence.is_pause(now) or not health.should_eject(0.0):
-                self.avoid(target, _AVOIDED_SILENT)
-                return
+        may_pause = hung and self.add_silence(target, SilenceSign(now))
+        if may_pause or (hung and not health.should_eject(0.0)):
+            self.avoid(target, _AVOIDED_SILENT)
+            return
         # A target that accepts no connection is ejected at once; otherwise the next
         # request would fail there as well.
         unreachable = failure is Failure.NOT_SENT
@@ -112,7 +112,16 @@
 
     def avoid(self, target: TargetLoad, span: Millis = _AVOIDED_FOR) -> None:
         """Prefer other targets for a while, without blame."""
-        target.avoided_until = self.clock.now() + span
+        target.avoided_until = max(target.avoided_until, self.clock.now() + span)
+
+    def add_silence(self, target: TargetLoad, sign: SilenceSign) -> bool:
+        """Record that a target is silent; return whether it may only pause."""
+        now = self.clock.now()
+        target.health.silence.add(sign, now)
+        if not target.health.silence.is_pause(now):
+            return False
+        self.avoid(target, _AVOIDED_SILENT)
+        return True
 
     def _is_suspect(self, target: TargetLoad) -> bool:
         others = [
--- a/tests/gateway/test_silencewatch.py
+++ b/tests/gateway/test_silencewatch.py
@@ -41,8 +41,16 @@
         self.activity = TargetActivity()
         self.taken = self.given_back = self.events = 0
         self.watch = SilenceWatch(
-            "id", "e1", END, self.loop, self.journal, self.find_activity, self.secure
+            "id",
+            "e1",
+            END,
+            self.loop,
+            self.journal,
+            self.find_activity,
+            self.secure,
+            self.withdraw,
         )
+        self.withdrawn = 0
         self.limit = limit
         self.answers_others = False
 
@@ -61,6 +69,9 @@
     def release(self) -> None:
         self.given_back += 1
 
+    def withdraw(self) -> None:
+        self.withdrawn += 1
+
     async def attempt(self, silences: dict[int, float]) -> bool:
         """Relay an answer; return whether it was left for another attempt.
 
@@ -144,6 +155,75 @@
         self.assertTrue(run(play.loop, recover()))
         self.assertLess(play.loop.now(), 8.0 * SECOND + 300.0 + 3 * LOOK_INTERVAL)
 
+    def test_stream_that_hangs_is_left_at_its_shorter_limit(self):
+        """Guards against a pause that is found only by the wait for a first event."""
+        play = Play(1, availability=1.0, limit=8_000.0)
+
+        async def attempt() -> bool:
+            try:
+                async with play.watch.guard():
+                    play.watch.start(8_000.0)
+                    await asyncio.sleep(0.2)
+                    play.activity.record(play.loop.now())
+                    play.watch.record_event(1_200.0)
+                    await asyncio.sleep(60.0)
+            except AttemptError:
+                return True
+            return False
+
+        self.assertTrue(run(play.loop, attempt()))
+        self.assertLess(play.loop.now(), LATEST_LEAVE)
+
+    def test_event_whose_write_waits_for_the_caller_stops_a_look(self):
+        """Guards against a move away from an answer that goes on."""
+        play = Play(1, availability=1.0)
+
+        async def find_slowly() -> PlannedAttempt:
+            await asyncio.sleep(0.5)
+            play.taken += 1
+            return PlannedAttempt(None, "run", release=play.release)
+
+        play.watch.secure = find_slowly
+
+        async def attempt() -> None:
+            async with play.watch.guard():
+                play.watch.start(LIMIT)
+                await asyncio.sleep(1.5)
+                with play.watch.hold(LIMIT):
+                    await asyncio.sleep(3.0)
+
+        run(play.loop, attempt())
+        self.assertEqual(play.taken, play.given_back)
+        self.assertGreater(play.withdrawn, 0)
+
+    def test_look_that_fails_is_logged_and_made_again(self):
+        """Guards against a request that stays for good after an unforeseen error."""
+        play, looks = Play(1, availability=1.0), []
+
+        async def fail_once() -> PlannedAttempt | None:
+            looks.append(play.loop.now())
+            if len(looks) == 1:
+                raise KeyError("unforeseen")
+            return PlannedAttempt(None, "run")
+
+        play.watch.secure = fail_once
+        self.assertTrue(play.run({0: 60.0}))
+        self.assertIn("look_failed", play.journal.list_events())
+
+    def test_answer_that_was_received_whole_is_not_left(self):
+        """Guards against a whole answer cut while its caller reads it slowly."""
+        play = Play(1, availability=1.0)
+
+        async def attempt() -> None:
+            async with play.watch.guard():
+                play.watch.start(LIMIT)
+                await asyncio.sleep(0.1)
+                play.watch.finish()
+                await asyncio.sleep(10.0)
+
+        run(play.loop, attempt())
+        self.assertEqual(play.taken, 0)
+
     def test_answer_that_waits_for_its_caller_is_not_left(self):
         """Guards against an engine left because its caller reads slowly."""
         play = Play(1, availability=1.0)
--- a/tests/platform/silentfleet.py
+++ b/tests/platform/silentfleet.py
@@ -78,11 +78,14 @@
         Seconds between two events of a stream.
     reports
         Whether it says when it started.
+    answer
+        Body of its plain answers.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.reports = True
+        self.answer = b"ok"
         self.runs: list[str] = []
         self.rejects = False
         self.pace = 0.0
@@ -155,7 +158,8 @@
             await self._stream(writer, lines, since)
         else:
             await asyncio.sleep(PLAIN_WORK_S)
-            await self._write(writer, _make_head(200, lines, 2) + b"ok")
+            head = _make_head(200, lines, len(self.answer))
+            await self._write(writer, head + self.answer)
 
     async def _stream(self, writer, lines: list[str], since: int) -> None:
         lines = [*lines, "Content-Type: text/event-stream"]
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -1,11 +1,18 @@
 """Callers get whole answers from sound targets that fall silent for a time."""
 
+import asyncio
+
 from tests.platform.silentfleet import SilentFleetCase
 
 RATE = 60.0
 PLAY_S = 6.0
 FROM_S = 2.0
 """When targets fall silent in a play."""
+HUNG_PLAY_S = 10.0
+LONG_ANSWER = 6_000_000
+SLOW_READ_S = 2.8
+"""A caller's pause while it reads: longer than a request waits for its target, and
+shorter than a connection to a host that is gone."""
 
 
 class SilenceCase(SilentFleetCase):
@@ -98,6 +105,34 @@
         await self.start_play()
         hung = [self.targets["e0"], self.targets["d0"]]
         self.spawn(self.pause(hung, FROM_S, 30.0))
-        await self.play(RATE, PLAY_S, paths=("chat", "read"))
+        await self.play(RATE, HUNG_PLAY_S, paths=("chat", "read"))
         self.assertEqual(set(self.count_kinds()), {"whole"}, self.describe())
         self.assertGreater(self.count_repeats(), 0)
+        # Both are out of use soon: few more requests wait there.
+        ejected = {
+            fields["target"]
+            for event, fields in self.journal.lines
+            if event == "target_ejected"
+        }
+        self.assertEqual(ejected, {"e0", "d0"}, self.describe())
+
+    async def test_slow_caller_gets_its_whole_long_answer(self):
+        """Guards against an answer that its target has given, cut while it is read."""
+        await self.start_play(routers=1)
+        self.targets["d0"].answer = b"x" * LONG_ANSWER
+        for name in ("d1", "d2", "d3", "d4", "d5"):
+            self.targets[name].rejects = True
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.2", self.nodes[0].server.port, limit=4_096
+        )
+        writer.write(
+            b"POST /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Authorization: Bearer k1\r\nAnvilshift-Attempt-Id: slow\r\n"
+            b"Anvilshift-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", head)
+        await asyncio.sleep(SLOW_READ_S)
+        body = await reader.readexactly(LONG_ANSWER)
+        self.assertEqual(body, self.targets["d0"].answer)
+        writer.close()
