Test endings beside reloads, stops and changes while all targets are silent

Cause: no test counted callers' answers beside planned work while sound targets pause, other than changes of the version alone.

Change: four plays on loopback, targets silent for 1.5 s: SIGHUP, a planned stop, changes of weights, timeouts, limits and services' order, and kept connections while the idle timeout falls to 100 ms. A connection that closes without an answer is excused only where no target ran the request, and in a tenth of the calls at most. A play's call may use a client of its own.

--- a/tests/platform/silentfleet.py
+++ b/tests/platform/silentfleet.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.messages import Address
 from tests.platform.gatewaycase import ROUTES, GatewayCase, make_configuration
 
@@ -288,12 +288,17 @@
             calls.append(asyncio.create_task(self.call_once(node, path)))
         await asyncio.gather(*calls)
 
-    async def call_once(self, node, path: str) -> Outcome:
+    async def call_once(
+        self, node, path: str, client: HttpClient | None = None
+    ) -> Outcome:
+        """Send one call, on a connection of a client of its own if there is one."""
         self.count += 1
         identity = f"play-{self.count}"
         address = Address(node.settings.ip, node.server.port)
         at = asyncio.get_running_loop().time()
-        kind, body = await self._exchange(address, path, identity)
+        kind, body = await self._exchange(
+            client or self.client, address, path, identity
+        )
         events = body.count(b"\n\n")
         if kind == "200":
             kind = self._judge(path, body)
@@ -309,7 +314,7 @@
             due = b"ok"
         return "whole" if body == due else "mixed"
 
-    async def _exchange(self, address, path, identity) -> tuple[str, bytes]:
+    async def _exchange(self, client, address, path, identity) -> tuple[str, bytes]:
         headers = [
             ("anvilshift-attempt-id", identity),
             ("authorization", "Bearer k1"),
@@ -324,7 +329,7 @@
         try:
             async with (
                 asyncio.timeout(20),
-                self.client.exchange(
+                client.exchange(
                     address,
                     "POST",
                     f"/{path}/{identity}",
--- /dev/null
+++ b/tests/platform/test_endings_beside_changes.py
@@ -0,0 +1,200 @@
+"""Callers get whole answers beside planned work while all targets are silent."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import tempfile
+from unittest import mock
+
+from anvilshift.platform import names
+from anvilshift.platform.main import GatewayProcess
+from anvilshift.wire.client import HttpClient
+from tests.platform.gatewaycase import make_configuration
+from tests.platform.silentfleet import Outcome, SilentFleetCase
+
+RATE = 60.0
+PLAY_S = 5.0
+FROM_S = 1.5
+"""When all targets fall silent in a play."""
+SILENT_S = 1.5
+STOP_S = 2.0
+"""When a router stops: while the targets are silent."""
+SHORT_IDLE_MS = 100
+CALLERS = 40
+"""Callers of a play that each keep a connection open."""
+RELOADS = 8
+SETTINGS = """
+nodeName = "n1"
+ip = "127.0.0.1"
+zone = "north"
+internalPorts = [20000, 20001]
+[listen]
+front = "127.0.0.1:0"
+[platform]
+address = "127.0.0.1:1"
+[bounds]
+retryRatio = {ratio}
+retryWindowS = {window}
+retryAllowance = {allowance}
+"""
+
+
+class EndingsCase(SilentFleetCase):
+    async def silence_all(self) -> None:
+        await self.pause(self.list_pausing(), FROM_S, SILENT_S)
+
+    def list_runs(self) -> set[str]:
+        return {run for target in self.list_pausing() for run in target.runs}
+
+    def list_failed(self) -> list[Outcome]:
+        return [one for one in self.outcomes if one.kind != "whole"]
+
+    def check_all_whole(self) -> None:
+        self.assertEqual(self.list_failed(), [], self.describe())
+
+    def check_all_whole_but_crossed(self) -> None:
+        """Check all answers, except of requests that crossed a close and never ran."""
+        runs = self.list_runs()
+        lost = [
+            one
+            for one in self.list_failed()
+            if one.kind != "closed" or one.identity in runs
+        ]
+        self.assertEqual(lost, [], self.describe())
+        crossed = len(self.list_failed())
+        self.assertLess(crossed, len(self.outcomes) / 10, self.describe())
+
+
+class ReloadTest(EndingsCase):
+    async def test_answers_are_whole_beside_reloads(self):
+        """Guards against a reload of the settings that ends what is under way."""
+        await self.start_play()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name, "local.toml")
+        self.write_settings(path, 0)
+        variable = {names.SETTINGS_VARIABLE: str(path)}
+        self.enterContext(mock.patch.dict(os.environ, variable))
+        loop = asyncio.get_running_loop()
+        processes = [self.make_process(node) for node in self.nodes]
+
+        def reload() -> None:
+            for process in processes:
+                process._reload()
+
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        self.addCleanup(loop.remove_signal_handler, signal.SIGHUP)
+        self.spawn(self.silence_all())
+        self.spawn(self.send_reloads(path))
+        await self.play(RATE, PLAY_S)
+        self.check_all_whole()
+        budgets = [node.retry_shares.budget for node in self.nodes]
+        for budget in budgets:
+            self.assertEqual(budget.limits.allowance, 40.0 + RELOADS)
+
+    def make_process(self, node) -> GatewayProcess:
+        process = GatewayProcess(node.settings)
+        process.node, process._journal = node, self.journal
+        return process
+
+    def write_settings(self, path: pathlib.Path, number: int) -> None:
+        window, allowance = 5 + number % 3, 40 + number
+        text = SETTINGS.format(ratio=0.2, window=window, allowance=allowance)
+        path.write_text(text)
+
+    async def send_reloads(self, path: pathlib.Path) -> None:
+        await asyncio.sleep(FROM_S)
+        for number in range(1, RELOADS + 1):
+            self.write_settings(path, number)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(SILENT_S / RELOADS)
+
+
+class PlannedStopTest(EndingsCase):
+    async def test_answers_are_whole_beside_a_planned_stop(self):
+        """Guards against a stop that cuts off what waits for a silent target."""
+        await self.start_play()
+        self.spawn(self.silence_all())
+        stop = asyncio.create_task(self.stop_router())
+        await self.play(RATE, PLAY_S)
+        await stop
+        self.check_all_whole()
+        ended = [f for event, f in self.journal.lines if event == "stop_ended"]
+        self.assertEqual([fields["cut_off"] for fields in ended], [0])
+
+    async def stop_router(self) -> None:
+        """Stop a router as its process does; callers turn to the other one."""
+        await asyncio.sleep(STOP_S)
+        stopping = self.nodes.pop(0)
+        self.assertGreater(stopping.in_flight, 0)
+        try:
+            await stopping.stop()
+        finally:
+            await stopping.close()
+
+
+class ConfigurationTest(EndingsCase):
+    async def test_answers_are_whole_beside_changes_of_all_kinds(self):
+        """Guards against a change of a configuration that ends what began before it."""
+        for number in range(3):
+            await self.add_pausing(f"e-annex{number}", "llm-annex")
+            await self.add_pausing(f"d-annex{number}", "desk-annex")
+        await self.start_play()
+        self.spawn(self.silence_all())
+        self.spawn(self.change_all_kinds())
+        await self.play(RATE, PLAY_S)
+        self.check_all_whole_but_crossed()
+
+    async def change_all_kinds(self) -> None:
+        for number in range(20):
+            self.change_kinds(number)
+            await asyncio.sleep(PLAY_S / 20)
+
+    def change_kinds(self, number: int) -> None:
+        """Alter weights, timeouts, limits and the services' order in one version."""
+        made = make_configuration(0, 0, (4_000, 8_000, 6_000)[number % 3])
+        services = made["services"]
+        services += [{**one, "name": f"{one['name']}-annex"} for one in services]
+        self.rng.shuffle(services)
+        for route in made["routes"]:
+            route["latencyGoalMs"] = self.goal_ms
+            route["itlTargetMs"] = self.pause_ms if route["name"] == "chat" else None
+            service, weight = route["service"], self.rng.choice((0.1, 0.5, 0.9))
+            other = {"service": f"{service}-annex", "weight": 1.0 - weight}
+            route["split"] = [{"service": service, "weight": weight}, other]
+        limits = {
+            "idleTimeoutMs": (15_000, SHORT_IDLE_MS, 400)[number % 3],
+            "headerTimeoutMs": (3_000, 500)[number % 2],
+            "maxBodyBytes": (4_194_304, 65_536)[number % 2],
+        }
+        self.change_configuration(
+            routes=made["routes"], services=services, limits=limits
+        )
+
+
+class KeptConnectionTest(EndingsCase):
+    async def test_answers_are_whole_while_the_idle_timeout_falls(self):
+        """Guards against a close of a connection on which a request is under way."""
+        await self.start_play()
+        self.spawn(self.silence_all())
+        self.spawn(self.change_idle_timeout())
+        end = asyncio.get_running_loop().time() + PLAY_S
+        await asyncio.gather(*(self.call_in_turn(end) for _ in range(CALLERS)))
+        self.check_all_whole_but_crossed()
+
+    async def change_idle_timeout(self) -> None:
+        for number in range(10):
+            idle = SHORT_IDLE_MS if number % 2 else 15_000
+            self.change_configuration(limits={"idleTimeoutMs": idle})
+            await asyncio.sleep(PLAY_S / 10)
+
+    async def call_in_turn(self, end: float) -> None:
+        """Send calls on one connection, each at about the end of the idle timeout."""
+        loop, client = asyncio.get_running_loop(), HttpClient()
+        node = self.rng.choice(self.nodes)
+        path = self.rng.choice(("read", "order", "chat"))
+        while loop.time() < end:
+            await self.call_once(node, path, client)
+            await asyncio.sleep(SHORT_IDLE_MS / 1_000 * self.rng.uniform(0.5, 1.1))
+        client.close()
