Test a planned stop that closes its port while all targets are silent

Cause: beside the first test a mutant that closes busy connections passed: the port closes 3.3 s after the stop begins, when nothing waited any more.

Change: a second play, silent from 2.2 s to 3.7 s after the stop begins, with callers that use the router until 2.7 s after it.

--- a/tests/platform/test_endings_beside_changes.py
+++ b/tests/platform/test_endings_beside_changes.py
@@ -20,6 +20,11 @@
 SILENT_S = 1.5
 STOP_S = 2.0
 """When a router stops: while the targets are silent."""
+EARLY_STOP_S = 0.5
+"""When it stops, for the targets to be silent as it closes its port."""
+TURN_S = 2.7
+"""Time after a stop's beginning until callers turn to another router."""
+SILENT_BEFORE_TURN_S = 0.5
 SHORT_IDLE_MS = 100
 CALLERS = 40
 """Callers of a play that each keep a connection open."""
@@ -115,23 +120,39 @@
     async def test_answers_are_whole_beside_a_planned_stop(self):
         """Guards against a stop that cuts off what waits for a silent target."""
         await self.start_play()
-        self.spawn(self.silence_all())
-        stop = asyncio.create_task(self.stop_router())
+        await self.play_stop(STOP_S, turn_s=0.0)
+        self.check_all_whole()
+
+    async def test_answers_are_whole_as_a_stopping_router_closes_its_port(self):
+        """Guards against a close of what callers sent while lists named the router."""
+        await self.start_play()
+        await self.play_stop(EARLY_STOP_S, turn_s=TURN_S)
+        self.check_all_whole()
+
+    async def play_stop(self, stop_s: float, turn_s: float) -> None:
+        """Stop a router beside a silence; its callers turn to another one."""
+        silence = max(FROM_S, stop_s + turn_s - SILENT_BEFORE_TURN_S)
+        self.spawn(self.pause(self.list_pausing(), silence, SILENT_S))
+        stopping = self.nodes[0]
+        stop = asyncio.create_task(self.stop_router(stopping, stop_s))
+        self.spawn(self.turn_callers(stopping, stop_s + turn_s))
         await self.play(RATE, PLAY_S)
         await stop
-        self.check_all_whole()
         ended = [f for event, f in self.journal.lines if event == "stop_ended"]
         self.assertEqual([fields["cut_off"] for fields in ended], [0])
 
-    async def stop_router(self) -> None:
-        """Stop a router as its process does; callers turn to the other one."""
-        await asyncio.sleep(STOP_S)
-        stopping = self.nodes.pop(0)
-        self.assertGreater(stopping.in_flight, 0)
+    async def turn_callers(self, node, at: float) -> None:
+        await asyncio.sleep(at)
+        self.nodes.remove(node)
+
+    async def stop_router(self, node, at: float) -> None:
+        """Stop a router as its process does."""
+        await asyncio.sleep(at)
+        self.assertGreater(node.in_flight, 0)
         try:
-            await stopping.stop()
+            await node.stop()
         finally:
-            await stopping.close()
+            await node.close()
 
 
 class ConfigurationTest(EndingsCase):
