Give a further request's head its own timeout on a kept connection

Cause: the idle timer of a kept connection ran on while a head arrived, so a request whose head came in two packets about the end of a short idle timeout was answered 408, though headerTimeoutMs had just begun.

Change: the first bytes of a further head start the head timeout, once: a head that trickles in doesn't prolong it.

Measured: the new test is red without the change (408) and green with it; with a timer that each packet renews the second test is red (2.4 s, 1.0 allowed). tests.wire green.

--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -115,6 +115,7 @@
         self._body = bytearray()
         self._unsent = b""
         self._closed = False
+        self._is_idle = False
         self._resets_on_close = False
 
     def _make_parser(self) -> h11.Connection:
@@ -188,6 +189,7 @@
                 return
             if isinstance(event, h11.Request):
                 self._head = event
+                self._is_idle = False
                 self._set_timer(self._limits.body_timeout)
                 if self._h11.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -200,8 +202,15 @@
                 self._dispatch()
                 return
             else:
+                self._check_head_begun()
                 return
 
+    def _check_head_begun(self) -> None:
+        """Give the head of a further request its own timeout, once, as it begins."""
+        if self._is_idle and self._h11.trailing_data[0]:
+            self._is_idle = False
+            self._set_timer(self._limits.head_timeout)
+
     def _dispatch(self) -> None:
         assert self._head is not None
         self._clear_timer()
@@ -251,6 +260,7 @@
             self._transport.close()
             return
         self._head = None
+        self._is_idle = True
         self._transport.resume_reading()
         self._set_timer(self._limits.idle_timeout)
         self._read_events()
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from anvilshift.core.errors import OVERLOADED, AnvilshiftError
 from anvilshift.wire.client import ExchangeError, HttpClient
@@ -41,6 +42,43 @@
             self.assertEqual(answer.body, body)
         self.assertEqual(len(self.server.connections), 1)
 
+    async def open_kept(
+        self, head_timeout: float
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return a connection that has had one answer, with a short idle timeout."""
+        self.server.limits = replace(
+            self.server.limits, idle_timeout=500.0, head_timeout=head_timeout
+        )
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none")
+        await reader.readuntil(b"one")
+        return reader, writer
+
+    async def test_head_that_begins_before_the_idle_timeout_has_its_own(self):
+        """Guards against a 408 for a request whose head comes in two packets."""
+        reader, writer = await self.open_kept(head_timeout=5_000.0)
+        await asyncio.sleep(0.25)
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n")
+        await asyncio.sleep(0.4)
+        writer.write(b"Content-Length: 3\r\n\r\ntwo")
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n"))
+        writer.close()
+
+    async def test_head_that_trickles_in_ends_at_the_head_timeout(self):
+        """Guards against a caller that prolongs its head's timeout byte by byte."""
+        reader, writer = await self.open_kept(head_timeout=200.0)
+        began = asyncio.get_running_loop().time()
+        reading = asyncio.create_task(reader.readuntil(b"\r\n"))
+        writer.write(b"POST / HTTP/1.1\r\nA: ")
+        for _ in range(200):
+            writer.write(b"b")
+            await asyncio.sleep(0.01)
+            if reading.done():
+                break
+        self.assertIn(b" 408 ", await reading)
+        self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
+        writer.close()
+
     async def test_refusal_carries_retry_after(self):
         answer = await self.client.call(self.address, "GET", "/refuse")
         self.assertEqual(answer.status, 503)
