Let the soak's engines fall silent, and count answers lost by it

Cause: no fault of the soak was a sound engine that only pauses, and no check asked whether a request lost its answer by that.

Each exchange of the chat interface whose router and engines had no other fault must end whole or refused as not run. A mutant cancels a silent attempt first.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment demo test format lint types doctest unit generate bench load load-quick soak soak-drawn soak-rejects mutants capacity pages inforce budgets quiet
+.PHONY: environment demo test format lint types doctest unit generate bench load load-quick soak soak-drawn soak-rejects soak-silences mutants capacity pages inforce budgets quiet
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -60,6 +60,10 @@
 soak-rejects: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS) rejects
 
+# The same while engines fall silent for a moment and go on, beside fewer other faults.
+soak-silences: environment
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.run $(SEED) $(SECONDS) silences
+
 # A course whose faults and arrivals don't depend on the product.
 soak-drawn: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak.drawn $(SEED) $(SECONDS)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -11,7 +11,7 @@
 import multiprocessing
 import pathlib
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from typing import Any
@@ -29,7 +29,7 @@
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.core.restriction import TargetRestriction
 from anvilshift.core.state import DispatchState
-from anvilshift.core.work import Work
+from anvilshift.core.work import Actions, Cancel, Work
 from anvilshift.router import claims
 from anvilshift.router.budgets import RouterBudgets
 from anvilshift.router.earlyrelease import EarlyRelease
@@ -63,6 +63,8 @@
         Without courses, seeded runs are made.
     rejects
         Whether engines reject most requests at times in the seeded runs.
+    silences
+        Whether engines fall silent at times in the seeded runs.
     """
 
     name: str
@@ -70,6 +72,7 @@
     patch: Patch
     courses: tuple[str, ...] = ()
     rejects: bool = False
+    silences: bool = False
 
 
 @dataclass(frozen=True)
@@ -180,6 +183,24 @@
     return (*reached, *used[:1])
 
 
+def _give_up_first(
+    self: Dispatcher, identity: str, silent: Collection[str], now: Millis
+) -> Actions:
+    """Cancel an attempt before it is known where its work goes on."""
+    attempt = self._sender.running.get(identity)
+    if attempt is None:
+        return []
+    entry = attempt.entry
+    pool = self._state.pools.find(entry.work.candidates)
+    if pool is None:
+        return []
+    self._sender.stop(entry.work.identity, now)
+    self._state.refresh(attempt.view)
+    cancel = Cancel(entry.work.identity, attempt.view.target.name, entry.attempts)
+    waiting = self._backlog.wait(entry, pool, now)
+    return [cancel, *waiting, *self._sender.offer(entry, pool, now)]
+
+
 MUTANTS = (
     Mutant(
         "sealing frees the allowance too",
@@ -294,6 +315,12 @@
         _replace(DispatchState, "take_retry", lambda self, pool, failure, now: True),
         rejects=True,
     ),
+    Mutant(
+        "a silent attempt is given up first",
+        ("a silent engine loses no answer",),
+        _replace(Dispatcher, "leave", _give_up_first),
+        silences=True,
+    ),
 )
 
 
@@ -314,7 +341,7 @@
 
 def _run(mutant: Mutant, seed: int) -> None:
     if not mutant.courses:
-        run_seed(seed, SECONDS, mutant.rejects)
+        run_seed(seed, SECONDS, mutant.rejects, mutant.silences)
     for name in mutant.courses:
         course = (
             draw_course(seed, DRAWN_SECONDS)
--- a/bench/soak/drawn.py
+++ b/bench/soak/drawn.py
@@ -9,15 +9,12 @@
 import sys
 from collections.abc import Callable
 
-from absl import logging
-
 from anvilshift.core.clock import SECOND
 from bench.soak.changes import FIRST_EVENT, GAPS_S, PREFIXES
 from bench.soak.course import Course, Event
 from bench.soak.faults import GAP_S, KINDS
-from bench.soak.journal import BrokenInvariantError
 from bench.soak.limits import LIMIT_ONE
-from bench.soak.run import play_course
+from bench.soak.run import play_course, report
 from bench.soak.traffic import (
     ASK,
     ORDER,
@@ -81,20 +78,11 @@
     return Event(0.0, ASK, [organisation, False, prefix])
 
 
-def main(seed: int, seconds: float) -> int:
+def main(seed: int, seconds: float, silences: bool = False) -> int:
     """Play the course of a seed and print its counts; return the exit code."""
-    logging.set_verbosity(logging.FATAL)
     print(f"drawn course {seed}, {seconds:.0f} virtual seconds")
-    try:
-        journal = play_course(draw_course(seed, seconds), seed)
-    except BrokenInvariantError as error:
-        print(f"BROKEN {error}")
-        for note in error.__notes__:
-            print(note)
-        return 1
-    print(journal.format_counts())
-    return 0
+    return report(lambda: play_course(draw_course(seed, seconds), seed, silences))
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), float(sys.argv[2])))
+    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), "silences" in sys.argv[3:]))
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -50,12 +50,13 @@
         self._soak = soak
         self._rng: Any = ReplayableRandom(rng)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._affected: set[str] = set()
+        self.affected: set[str] = set()
+        self.gap_s = GAP_S
 
     async def run(self) -> None:
         """Start and record random faults until cancelled."""
         while True:
-            await asyncio.sleep(self._rng.expovariate(1 / GAP_S))
+            await asyncio.sleep(self._rng.expovariate(1 / self.gap_s))
             event = Event(self._soak.clock.now(), self._rng.choice(KINDS))
             self.start(event, self._soak.course.record(event))
 
@@ -83,7 +84,7 @@
         """Choose a router without a process fault; None if every router has one."""
         from bench.soak.run import ROUTERS
 
-        free = [i for i in range(ROUTERS) if f"r{i}" not in self._affected]
+        free = [i for i in range(ROUTERS) if f"r{i}" not in self.affected]
         return self._rng.choice(free) if free else None
 
     async def kill_router(self) -> None:
@@ -91,7 +92,7 @@
         index = self._pick_router()
         if index is None:
             return
-        self._affected.add(f"r{index}")
+        self.affected.add(f"r{index}")
         entry = self._soak.find_entry(index)
         entry.process.dead = True
         self._soak.journal.record_router_loss(f"r{index}")
@@ -99,27 +100,27 @@
         entry.break_connections()
         await asyncio.sleep(self._draw_duration(0.5, 12.0))
         self._soak.start_node(index)
-        self._affected.discard(f"r{index}")
+        self.affected.discard(f"r{index}")
 
     async def freeze_router(self) -> None:
         """Pause a router's process, often for longer than its lease."""
         index = self._pick_router()
         if index is None:
             return
-        self._affected.add(f"r{index}")
+        self.affected.add(f"r{index}")
         running = self._soak.find_entry(index).process.running
         running.clear()
         await asyncio.sleep(self._draw_duration(0.3, 15.0))
         self._soak.network.record_start(f"r{index}", self._soak.clock.now())
         running.set()
-        self._affected.discard(f"r{index}")
+        self.affected.discard(f"r{index}")
 
     async def drain_router(self) -> None:
         """Drain and stop a router and start its successor later."""
         index = self._pick_router()
         if index is None:
             return
-        self._affected.add(f"r{index}")
+        self.affected.add(f"r{index}")
         entry = self._soak.find_entry(index)
         aborted = await entry.node.drain(asyncio.Event())
         self._soak.journal.check("planned stop cuts nothing off", aborted == 0)
@@ -128,7 +129,7 @@
         entry.break_connections()
         await asyncio.sleep(self._draw_duration(0.5, 5.0))
         self._soak.start_node(index)
-        self._affected.discard(f"r{index}")
+        self.affected.discard(f"r{index}")
 
     async def cut_peers(self) -> None:
         """Drop messages between two routers, in one direction or both."""
@@ -178,13 +179,13 @@
 
     async def platform_outage(self) -> None:
         """Make the platform unavailable to every router."""
-        if "platform" in self._affected:
+        if "platform" in self.affected:
             return
-        self._affected.add("platform")
+        self.affected.add("platform")
         self._soak.store.faults.outage = True
         await asyncio.sleep(self._draw_duration(0.5, 25.0))
         self._soak.store.faults.outage = False
-        self._affected.discard("platform")
+        self.affected.discard("platform")
 
     async def slow_platform(self) -> None:
         """Add a delay to every message, including platform calls."""
@@ -217,9 +218,9 @@
     async def engine_leaves(self) -> None:
         """Mark an engine's host as leaving on the platform's list, after a lag."""
         name = f"e{self._rng.randrange(4)}"
-        if name in self._affected:
+        if name in self.affected:
             return
-        self._affected.add(name)
+        self.affected.add(name)
         await asyncio.sleep(_LIST_DELAY_S)
         entries = self._soak.store.host_entries
         self._soak.store.host_entries = (*entries, HostEntry(name, True))
@@ -228,7 +229,7 @@
         self._soak.engines[name].leaving_since = None
         remaining = [e for e in self._soak.store.host_entries if e.name != name]
         self._soak.store.host_entries = tuple(remaining)
-        self._affected.discard(name)
+        self.affected.discard(name)
 
     async def _start_leaving_check(self, name: str) -> None:
         """Start the check that the engine gets no new work, once routers can know.
--- a/bench/soak/http.py
+++ b/bench/soak/http.py
@@ -40,6 +40,9 @@
     def __init__(self, process: NodeProcess) -> None:
         self.started = False
         self.finished = False
+        self.is_open = True
+        self.status = 0
+        self.body = b""
         self.queue: asyncio.Queue[_Item] = asyncio.Queue()
         self._process = process
 
@@ -54,23 +57,27 @@
         """Write the status and the headers."""
         self.started = True
         await self._process.wait_running()
+        self.status = status
         self.queue.put_nowait(_Head(status, Headers(headers)))
 
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body."""
         await self._process.wait_running()
         if data:
+            self.body += data
             self.queue.put_nowait(data)
 
     async def finish(self, data: bytes = b"") -> None:
         """End the body, after an optional last chunk."""
         self.finished = True
+        self.is_open = False
         await self.write(data)
         await self._process.wait_running()
         self.queue.put_nowait(_END)
 
     def abort(self) -> None:
         """Break the connection."""
+        self.is_open = False
         self.queue.put_nowait(None)
 
 
@@ -113,6 +120,10 @@
             queue.put_nowait(None)
 
 
+EndExchange = Callable[[str, HttpRequest, SoakResponder, Millis], None]
+"""Called with the name of the router and the time at which the exchange began."""
+
+
 class SoakHttp:
     """An `HttpClient` that calls nodes in the same process."""
 
@@ -123,12 +134,14 @@
         journal: Journal,
         accepted: Callable[[], int],
         count_request: Callable[[NodeProcess, HttpRequest], None],
+        end_exchange: EndExchange,
     ) -> None:
         self._entries = entries
         self._network = network
         self._journal = journal
         self._accepted = accepted
         self._count_request = count_request
+        self._end_exchange = end_exchange
 
     async def _serve(
         self, entry: Entry, request: HttpRequest, responder: SoakResponder
@@ -171,6 +184,7 @@
             raise ExchangeError("connection refused", False)
         request = HttpRequest(method, path, Headers(headers or []), body)
         responder = SoakResponder(entry.process)
+        began = self._journal.now()
         entry.open.append(responder.queue)
         serving = asyncio.create_task(self._serve(entry, request, responder))
         serving.add_done_callback(self._report_error)
@@ -180,6 +194,7 @@
             yield response
         finally:
             entry.open.remove(responder.queue)
+            self._end_exchange(entry.process.name, request, responder, began)
             if not serving.done() and not entry.process.dead:
                 serving.cancel()
 
--- a/bench/soak/journal.py
+++ b/bench/soak/journal.py
@@ -1,7 +1,8 @@
 """Record of a run, independent of the routers: executions, outcomes and checks."""
 
+import contextlib
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
@@ -37,6 +38,14 @@
     at: Millis
 
 
+@dataclass
+class EngineWork:
+    """The attempts of one router at one prompt."""
+
+    engines: set[str] = field(default_factory=set)
+    until: Millis = 0.0
+
+
 @dataclass
 class Journal:
     """Counts and records of a run, kept apart from the state of the routers."""
@@ -50,6 +59,9 @@
     crashed_engines: dict[str, list[str]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    work: dict[tuple[str, str], EngineWork] = field(
+        default_factory=lambda: defaultdict(EngineWork)
+    )
     receipts: dict[str, Receipt] = field(default_factory=dict)
     router_losses: list[RouterLoss] = field(default_factory=list)
     events: int = 0
@@ -76,6 +88,17 @@
             detail = f"{name} got work {delay:.0f} ms after the first sign"
             self.check("leaving engine gets no work", delay <= LEAVING_LIMIT, detail)
 
+    @contextlib.contextmanager
+    def record_attempt(self, router: str, prompt: str, engine: str) -> Iterator[None]:
+        """Record that a router passes a prompt on to an engine, and when that ends."""
+        work = self.work[router, prompt]
+        work.engines.add(engine)
+        work.until = float("inf")
+        try:
+            yield
+        finally:
+            work.until = self.now()
+
     def record_poison_crash(self, prompt: str, engine: str) -> None:
         """Record that a prompt crashed an engine; check how many it has crashed."""
         self.crashed_engines[prompt].append(engine)
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -26,6 +26,7 @@
 )
 from anvilshift.peers.link import PeerError
 from anvilshift.standins.engine import POISON, make_token, read_prompt
+from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import HeaderFields, Headers, HttpResponse
 from bench.soak.journal import Journal
 from bench.soak.limits import STABLE, LimitWatch
@@ -167,9 +168,10 @@
         self.limit = LimitWatch()
         self.cache: dict[str, list[CacheEvent]] = {}
         self.crashes = 0
-        self._journal = journal
+        self.journal = journal
         self._network = network
         self._stopped: set[str] = set()
+        self._silent_until: Millis = 0.0
         self.running = 0
 
     @property
@@ -177,6 +179,19 @@
         """Tell whether the engine is up and not leaving."""
         return self.up and self.leaving_since is None
 
+    def fall_silent(self, span: Millis) -> None:
+        """Neither read nor write for a time, then go on."""
+        self._silent_until = max(self._silent_until, self.journal.now() + span)
+
+    async def wait_awake(self) -> None:
+        """Wait while the engine is silent."""
+        while (left := self.find_silence()) > 0:
+            await asyncio.sleep(left / SECOND)
+
+    def find_silence(self) -> Millis:
+        """Return for how long the engine will be silent."""
+        return self._silent_until - self.journal.now()
+
     def crash(self) -> None:
         """Go down, and restart after `_RESTART_DELAY`."""
         self.up = False
@@ -197,16 +212,17 @@
             self._repeats.count_arrival(process, prompt)
         if self.rejected and self._network.rng.random() < self.rejected:
             raise TargetError(Failure.REJECTED, "the engine has no room")
-        self._journal.record_engine_run(self.name, prompt, self.leaving_since)
+        self.journal.record_engine_run(self.name, prompt, self.leaving_since)
         self._check_limit(source)
         if POISON in prompt:
-            self._journal.record_poison_crash(prompt, self.name)
+            self.journal.record_poison_crash(prompt, self.name)
             self.crash()
         limit = int(call.body["max_tokens"])
         self.running += 1
         try:
             for position in range(len(call.received.split()), limit):
                 await asyncio.sleep(_DECODE_TIME * self.slow / SECOND)
+                await self.wait_awake()
                 self._check_stream(source, call)
                 yield [AnswerPart(make_token(prompt, position))]
             usage = Usage(len(prompt) // 4 + 1, limit)
@@ -219,14 +235,14 @@
 
         Requests of routers that started or resumed lately aren't counted.
         """
-        now = self._journal.now()
+        now = self.journal.now()
         if not self._network.has_no_pending_changes(source, now):
             return
         count = self.limit.count_arrival(now)
         if count is not None:
             detail = f"{self.name} named {self.limit.rate:.2f} a second, got {count}"
             kept = count <= self.limit.find_allowed()
-            self._journal.check("limits are kept", kept, detail)
+            self.journal.check("limits are kept", kept, detail)
 
     def _check_stream(self, source: str, call: ModelCall) -> None:
         broken = self._network.rng.random() < self.fail_streams
@@ -249,23 +265,30 @@
         self._process = process
         self._network = network
 
-    async def _reach(self) -> None:
+    async def _reach(self, timeout: Millis = float("inf")) -> None:
         await self._process.wait_running()
         arrived = await self._network.deliver(self._process.name, self._engine.name)
         if not arrived or not self._engine.up:
             raise TargetError(Failure.NOT_SENT, "connection refused")
+        if self._engine.find_silence() > timeout:
+            await asyncio.sleep(timeout / SECOND)
+            unanswered = ExchangeError("no answer in time", True)
+            raise TargetError(Failure.TIMED_OUT, "no answer") from unanswered
+        await self._engine.wait_awake()
 
     @asynccontextmanager
     async def generate(
         self, call: ModelCall, timeout: Millis
     ) -> AsyncIterator[AsyncIterator[list[AnswerPart]]]:
         """Start an answer and yield the iterator of its pieces."""
-        await self._reach()
-        pieces = self._engine.run(self._process, call)
-        try:
-            yield self._receive(pieces)
-        finally:
-            await pieces.aclose()  # type: ignore[attr-defined]
+        name, prompt = self._process.name, read_prompt(call.body)
+        with self._engine.journal.record_attempt(name, prompt, self._engine.name):
+            await self._reach()
+            pieces = self._engine.run(self._process, call)
+            try:
+                yield self._receive(pieces)
+            finally:
+                await pieces.aclose()  # type: ignore[attr-defined]
 
     async def _receive(
         self, pieces: AsyncIterator[list[AnswerPart]]
@@ -281,7 +304,7 @@
 
     async def load(self) -> LoadReport:
         """Return the engine's load report, with its limit."""
-        await self._reach()
+        await self._reach(_TIMEOUT)
         engine = self._engine
         return LoadReport(
             engine.name, engine.running, 0, 100.0, limit=engine.limit.rate
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -8,7 +8,7 @@
 import pathlib
 import random
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from absl import logging
@@ -28,7 +28,7 @@
 from bench.soak.changes import ChangingSchedule
 from bench.soak.course import Course, DrawRecord, Event, ReplayableRandom
 from bench.soak.faults import FaultSchedule
-from bench.soak.http import Entry
+from bench.soak.http import EndExchange, Entry
 from bench.soak.journal import BrokenInvariantError, Journal
 from bench.soak.limits import LIMIT_ONE, LimitFaults
 from bench.soak.network import (
@@ -41,6 +41,7 @@
 )
 from bench.soak.observed import CallerRequest, ObservedStore, ProcessView
 from bench.soak.repeats import RejectingFaults, RepeatWatch
+from bench.soak.silences import OTHER_FAULTS_GAP_S, AnswerWatch, SilentEngines
 from bench.soak.traffic import ASK, ORDER, ORDER_COST, ORGANISATIONS, Traffic
 
 _COURSES = pathlib.Path("out/soak")
@@ -64,6 +65,7 @@
         seconds: float,
         replayed: Course | None = None,
         rejects: bool = False,
+        silences: bool = False,
     ) -> None:
         self.rng: Any = ReplayableRandom(random.Random(seed))
         self.course = Course(seed, seconds)
@@ -84,6 +86,8 @@
         self.doubt: dict[str, int] = {}
         self.repeats = RepeatWatch(self.journal)
         self._rejects = rejects
+        self._silences = silences
+        self.end_exchange: EndExchange = lambda *_: None
         self.engines = {
             f"e{i}": SoakEngine(f"e{i}", self.journal, self.network, self.repeats)
             for i in range(ENGINES)
@@ -257,6 +261,12 @@
             jobs = [schedule.run(), limit_faults.run()]
         if self._rejects:
             jobs.append(RejectingFaults(self, self.course.seed).run())
+        if self._silences:
+            schedule.gap_s = OTHER_FAULTS_GAP_S
+            watch = AnswerWatch(self, schedule)
+            self.end_exchange = watch.end_exchange
+            jobs.append(watch.run())
+            jobs.append(SilentEngines(self, schedule, self.course.seed).run())
         tasks = [asyncio.create_task(job) for job in jobs]
         await self._wait(self.seconds)
         self.arrivals_ended = True
@@ -298,23 +308,27 @@
             self.fail(error)
 
 
-def run_seed(seed: int, seconds: float, rejects: bool = False) -> Journal:
+def run_seed(
+    seed: int, seconds: float, rejects: bool = False, silences: bool = False
+) -> Journal:
     """Run one seed and return its journal.
 
     Parameters
     ----------
     rejects
         Whether engines reject most requests at times.
+    silences
+        Whether engines fall silent for 0.5 to 2 s at times.
 
     Raises
     ------
     BrokenInvariantError
         The first invariant that did not hold.
     """
-    return _run(Soak(seed, VirtualClock(), seconds, rejects=rejects))
+    return _run(Soak(seed, VirtualClock(), seconds, rejects=rejects, silences=silences))
 
 
-def play_course(course: Course, network: int) -> Journal:
+def play_course(course: Course, network: int, silences: bool = False) -> Journal:
     """Play a course; a seed of its own determines the message delays.
 
     Raises
@@ -323,7 +337,7 @@
         The first invariant that did not hold.
     """
     last = course.events[-1].at / SECOND
-    soak = Soak(course.seed, VirtualClock(), last + _TAIL_S, course)
+    soak = Soak(course.seed, VirtualClock(), last + _TAIL_S, course, silences=silences)
     soak.network.rng.seed(network)
     return _run(soak)
 
@@ -340,12 +354,18 @@
         raise
 
 
-def main(seed: int, seconds: float, rejects: bool = False) -> int:
+def main(seed: int, seconds: float, options: Collection[str] = ()) -> int:
     """Run one seed and print its counts; return the exit code."""
-    logging.set_verbosity(logging.FATAL)
     print(f"seed {seed}, {seconds:.0f} virtual seconds")
+    rejects, silences = "rejects" in options, "silences" in options
+    return report(lambda: run_seed(seed, seconds, rejects, silences))
+
+
+def report(run: Callable[[], Journal]) -> int:
+    """Make a run and print its counts or what it broke; return the exit code."""
+    logging.set_verbosity(logging.FATAL)
     try:
-        journal = run_seed(seed, seconds, rejects)
+        journal = run()
     except BrokenInvariantError as error:
         print(f"BROKEN {error}")
         for note in error.__notes__:
@@ -356,4 +376,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), "rejects" in sys.argv[3:]))
+    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), sys.argv[3:]))
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -51,6 +51,7 @@
             self._soak.journal,
             lambda: self._soak.accepted,
             self._soak.repeats.count_request,
+            self._soak.end_exchange,
         )
         rng = random.Random(self._soak.rng.getrandbits(64))
         return Client(seeds, f"{organisation}-token", self._soak.clock, rng, http)
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -10,6 +10,8 @@
 SEEDS = (1, 2, 3, 5)
 """Each seed once found a fault, which docs/INVARIANTS.md describes."""
 
+SILENCE_SEEDS = (8101, 8102)
+
 
 class SoakTest(unittest.TestCase):
     def setUp(self):
@@ -35,6 +37,16 @@
                 journal = run_seed(seed, 40.0, rejects=True)
                 self.assertGreater(journal.checks["repeats are bounded"], 100)
 
+    def test_silent_engines_lose_no_answer(self):
+        """Guards against a silent attempt that ends before the next one is secured."""
+        for seed in SILENCE_SEEDS:
+            with self.subTest(seed=seed):
+                journal = run_seed(seed, VIRTUAL_SECONDS, silences=True)
+                self.assertGreater(journal.faults["silence"], 10)
+                self.assertGreater(
+                    journal.checks["a silent engine loses no answer"], 100
+                )
+
     def test_poison_at_an_engine_that_fails_by_itself(self):
         """An engine crashes three times in a minute, then a poison crashes it too.
 
