Give each process ports that no other process draws

Cause: every process drew ports to listen on at random from one range, and fleets of gateways shared a datagram port that the system had picked from the range of outgoing connections. Two processes that run such tests at once now and then gave one port to two listeners.

Change: bench/ports.py claims a slice of 100 ports per process by binding a socket on a loopback address that nothing else uses; the system ends the claim with the process. Fleets of gateways, fleets of processes and engines that come back on their port draw from there. A port counts as free only if it is for streams and datagrams on every loopback address.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,9 +4,7 @@
 import hashlib
 import json
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +17,7 @@
 from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address
+from bench.ports import take_free_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
@@ -28,33 +27,6 @@
 _POLL_INTERVAL_S = 0.02
 
 
-_PORTS = range(12_000, 32_000)
-"""Below the ephemeral ports of outgoing connections: the system may assign one of
-those between the check here and the start of the process that will listen."""
-_RNG = random.SystemRandom()
-_ASSIGNED_PORTS: set[int] = set()
-
-
-def take_free_port() -> int:
-    """Return a port without a listener, and never the same one twice.
-
-    A returned port stays unbound for about half a second until its process
-    listens on it.  If the same port were drawn again in that time, two processes
-    of one fleet would get it and the second would exit: address already in use.
-    """
-    while True:
-        port = _RNG.choice(_PORTS)
-        if port in _ASSIGNED_PORTS:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            _ASSIGNED_PORTS.add(port)
-            return port
-
-
 def make_address() -> Address:
     """Return a loopback address with a free port."""
     return Address("127.0.0.1", take_free_port())
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -35,8 +35,8 @@
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
 from anvilshift.wire.server import HttpServer, Responder
-from bench.fleet import take_free_port
 from bench.gauges import MICROS, measure_bytes, time_micros
+from bench.ports import take_free_port
 
 MODELS = 24
 DOMAINS = 27
--- a/tests/docs/test_commands.py
+++ b/tests/docs/test_commands.py
@@ -12,7 +12,7 @@
 import unittest
 
 from anvilshift.operator.main import Commands
-from bench.fleet import take_free_port
+from bench.ports import take_free_port
 from tests.docs.pages import ROOT, list_pages, read_commands
 
 _ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -1,9 +1,7 @@
 """Base class of tests that run whole gateways on loopback, with stubs around them."""
 
 import asyncio
-import contextlib
 import random
-import socket
 import unittest
 
 from anvilshift.core.clock import MonotonicClock
@@ -14,6 +12,7 @@
 from anvilshift.platform.store import PlatformStore
 from anvilshift.wire.client import HttpClient, Network
 from anvilshift.wire.messages import Address
+from bench.ports import take_free_port
 from tests.gateway.silent import SilentJournal
 from tests.platform.cutnetwork import SourcedNetwork
 from tests.platform.stubs import StoreStub, TargetStub
@@ -34,7 +33,6 @@
 
 ABSENT = object()
 """Stands for a field that an entry doesn't have."""
-_LISTENING_PORTS = 20_000, 30_000
 _SHARING_ROUTERS = 4
 _WARM_UP_SUCCESSES = 20
 """Consecutive successes after which a router counts as warmed up."""
@@ -67,22 +65,6 @@
     }
 
 
-def find_free_port(kind: socket.SocketKind = socket.SOCK_DGRAM) -> int:
-    """Return a port that is free on loopback, for datagrams or for streams.
-
-    A port to listen on lies below those that the system gives to connections, which
-    might otherwise take it first.
-    """
-    with socket.socket(socket.AF_INET, kind) as free:
-        if kind is socket.SOCK_DGRAM:
-            free.bind(("127.0.0.1", 0))
-            return free.getsockname()[1]
-        while True:
-            with contextlib.suppress(OSError):
-                free.bind(("127.0.0.1", random.randrange(*_LISTENING_PORTS)))
-                return free.getsockname()[1]
-
-
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     allowance = 40.0
     """Repeats that all routers together may send beyond those that requests earn."""
@@ -182,7 +164,7 @@
         """Start routers that discover one another, each on its own address."""
         self.store_stub.put("config", "main", make_configuration())
         ips = [f"127.0.0.{n}" for n in range(2, 2 + count)]
-        port, forward_port = find_free_port(), find_free_port(socket.SOCK_STREAM)
+        port, forward_port = take_free_port(), take_free_port()
         for ip in ips:
             network = self.make_network()
             if network is not None:
--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -14,6 +14,7 @@
 from anvilshift.gateway.node import GatewayNode
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import Address
+from bench.ports import take_free_port
 from tests.platform.gatewaycase import GatewayCase, make_configuration
 
 BAD = "bad"
@@ -113,7 +114,7 @@
         self.born = 0
         self.runs: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
-        self._port = 0
+        self._port = 0 if moves else take_free_port()
 
     @property
     def port(self) -> int:
