Let an answer stay that comes as the next attempt is secured

Cause (found in reading the change): between the look that secures the next attempt and the end of the silent one lies a turn of the loop. An answer that came whole in it was given up, and if its head had been sent to the caller already, cut.

Change: an event or the end undoes the departure while that is possible, and what was secured goes back.

--- a/anvilshift/gateway/silencewatch.py
+++ b/anvilshift/gateway/silencewatch.py
@@ -125,6 +125,7 @@
 
     def _stop_looking(self) -> None:
         self._is_doubted = False
+        self._stay()
         if not self._looks:
             return
         self._looks = 0
@@ -132,6 +133,13 @@
             self._look.cancel()
         self.withdraw()
 
+    def _stay(self) -> None:
+        """Undo a departure that was decided as the answer came."""
+        if self.secured is None or self._timeout is None or self._timeout.expired():
+            return
+        self._timeout.reschedule(None)
+        self._release_secured()
+
     @contextlib.contextmanager
     def hold(self, limit: Millis | None) -> Iterator[None]:
         """Record that the answer goes on, and wait for its caller, not its target."""
--- a/tests/gateway/test_silencewatch.py
+++ b/tests/gateway/test_silencewatch.py
@@ -210,6 +210,29 @@
         self.assertTrue(play.run({0: 60.0}))
         self.assertIn("look_failed", play.journal.list_events())
 
+    def test_answer_that_comes_as_the_next_attempt_is_secured_stays(self):
+        """Guards against a whole answer given up in the moment in which it came."""
+        play = Play(1, availability=1.0)
+
+        whole = play.loop.create_future()
+
+        async def secure_as_it_comes() -> PlannedAttempt:
+            play.taken += 1
+            whole.set_result(None)
+            return PlannedAttempt(None, "run", release=play.release)
+
+        play.watch.secure = secure_as_it_comes
+
+        async def attempt() -> None:
+            async with play.watch.guard():
+                play.watch.start(LIMIT)
+                await whole
+                play.watch.finish()
+                await asyncio.sleep(1.0)
+
+        run(play.loop, attempt())
+        self.assertEqual((play.taken, play.given_back), (1, 1))
+
     def test_answer_that_was_received_whole_is_not_left(self):
         """Guards against a whole answer cut while its caller reads it slowly."""
         play = Play(1, availability=1.0)
