Let work return from a silent engine to one that was tried before

Cause (traced by its log): a content that isn't known to be harmless has two homes. One had broken it off, the other was paused; since work left a silent engine only for one that it hadn't tried, so nothing could take it. Before, it went back.

Change: from a silent engine a tried one will do.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -414,7 +414,7 @@
         Parameters
         ----------
         silent
-            All targets that answer nothing at present.
+            All targets that answer nothing at present, the work's own among them.
         """
         attempt = self._sender.running.get(identity)
         if attempt is None:
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -82,7 +82,7 @@
         Parameters
         ----------
         silent
-            Targets that answer nothing at present.
+            Targets that answer nothing at present, if the work is at one of them.
         """
         entry, work = attempt.entry, attempt.entry.work
         pool = self._state.pools.find(work.candidates)
@@ -91,7 +91,9 @@
             return []
         allowed = self._restriction.list_allowed(work, pool, now)
         names = pool.open.draw(self._state.rng, 2) if allowed is None else allowed
-        has_other = any(name in pool.open and name not in entry.tried for name in names)
+        # A target that was tried before is better than one that answers nothing.
+        tried = set() if silent else entry.tried
+        has_other = any(name in pool.open and name not in tried for name in names)
         may_retry = entry.attempts < self._state.settings.attempts
         if not (has_other and may_retry) or self._state.would_miss_deadline(
             entry, pool, now
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -105,8 +105,8 @@
     "bounds-of-a-try": (
         Patch(
             "gateway/attempts.py",
-            "if not self._may_go_on():\n            return None",
-            "if True:\n            return None",
+            "watch.start(self._find_timeout(choice, self._routed.end - self.sent))",
+            "watch.start(None)",
         ),
     ),
     "retries": (
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -261,6 +261,22 @@
         fleet.tick()
         self.assertEqual(fleet.running.get(name), running_at)
 
+    def test_work_returns_from_a_silent_engine_to_one_that_was_tried(self):
+        """Guards against a request that stays at a hung engine as its only other home
+        has broken it off before.
+        """
+        fleet = Fleet(1, routers=2)
+        name = fleet.send(0, "work")
+        _, first = fleet.running[name]
+        router = fleet.routers[0]
+        fleet.take(0, router.failed(name, Failure.BROKE_OFF, 10.0))
+        fleet.now = 200.0
+        fleet.tick()
+        _, second = fleet.running[name]
+        self.assertNotEqual(first, second)
+        fleet.take(0, router.leave(name, [second], 300.0))
+        self.assertEqual(fleet.running[name], (0, first))
+
     def test_quarantined_work_is_not_moved_from_a_silent_engine(self):
         """Guards against one more engine that a content ends as its engine pauses."""
         fleet = Fleet(1, routers=2)
