--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -36,6 +36,8 @@
 _SHARING_ROUTERS = 4
 _WARM_UP_SUCCESSES = 20
 """Consecutive successes after which a router counts as warmed up."""
+_PRINTED_LINES = 1_000
+"""Lines of the routers' log that a failed test prints."""
 
 
 def make_configuration(version: int = 1, reserved: int = 100_000, timeout: int = 2_000):
@@ -71,6 +73,15 @@
     has_shares = True
     """Whether routers have their share at once, as if they had run for long."""
 
+    def run(self, result=None):
+        """Run the test; print what the routers logged if it fails."""
+        result = self.defaultTestResult() if result is None else result
+        before = len(result.failures) + len(result.errors)
+        result = super().run(result)
+        if len(result.failures) + len(result.errors) > before:
+            self.journal.print_tail(_PRINTED_LINES)
+        return result
+
     async def asyncSetUp(self):
         self.store_stub = StoreStub()
         self.store_address = await self.store_stub.start()
