--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -76,6 +76,18 @@
 
         run_scenario(scenario)
 
+    def test_a_router_draws_for_itself_while_no_allocator_answers(self):
+        """Guards against refusals for want of an answer while tokens are free."""
+
+        async def scenario(fleet):
+            await start_all(fleet, 100_000)
+            fleet.silent = set(ALLOCATORS)
+            served = [await fleet.spend(OTHERS[n % 3], str(n), 500) for n in range(6)]
+            self.assertEqual(served, [True] * 6)
+            self.assertLessEqual(fleet.count_spent(), 100_000)
+
+        run_scenario(scenario)
+
     def test_duplicate_datagrams_transfer_no_tokens_twice(self):
         """Every datagram between routers is delivered twice.
 
