Let a router draw for itself before it refuses for want of an answer

What callers saw: 503 after 160 ms while most of the total was free in the store, wherever no allocator answers: both are cut off or killed and still listed, or answers come late.

Cause: a router whose asks are unanswered was to draw from the store. That was noted only before the next wait, while the end of the search was judged after each wait: with steps of 40 ms and two asks of 60 ms the search is over at 160 ms in a judgement, never in a note. So the draw was dead code but where a router is known to be unreachable.

Ruled out: load.

--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -154,6 +154,7 @@
                     continue
                 if self._is_certain(name, tokens, search):
                     break
+                self._draw_if_unanswered(name, search)
                 if not self._has_failed(name, tokens, search):
                     continue
                 if not await self._wait_for_allocator(name, tokens, until, search):
@@ -191,11 +192,18 @@
         lacking = max(1, tokens - max(0, balance.available(now)))
         if allocator is not None and not self.ask(allocator, number, name, lacking):
             search.skip()
-        # Just after a start the allocators may be starting as well.  If each router
-        # drew for itself, their writes would conflict with those of the allocators.
+        self._draw_if_unanswered(name, search)
+        self.allotter.wake()
+
+    def _draw_if_unanswered(self, name: str, search: TokenSearch) -> None:
+        """Let this router draw from the store itself if no allocator has answered.
+
+        Just after a start the allocators may be starting as well.  If each router drew
+        for itself, their writes would conflict with those of the allocators.
+        """
+        now = self.clock.now()
         if search.is_unanswered(now) and not self.allotter.has_just_started():
             self.balances.record_missing_allocator(name, now)
-        self.allotter.wake()
 
     def _has_failed(self, name: str, tokens: int, search: TokenSearch) -> bool:
         """Tell whether no allocator, no record and no draw can provide the tokens."""
