Ask again for tokens that another request has taken

Cause: both reckon with the same tokens left over, and ask for the rest; or a request that comes just then takes what came for one that waits. The one that was left without asked again under the number of its first ask after 60 ms, as for a lost datagram, and got the same gift, which counts once. So it was out of luck until an allocator that it hadn't asked.

Change: a gift is matched with a search that asked for as much. If that search can't reserve, it asks anew, under another number, at once.

--- a/anvilshift/core/tokensearch.py
+++ b/anvilshift/core/tokensearch.py
@@ -51,6 +51,13 @@
         completed when the request began to wait.
     answers
         The answers received so far from allocators that lack the tokens.
+    organisation
+        The organisation whose tokens are sought.
+    asked
+        The numbers of tokens that were asked for.
+    is_granted
+        Whether they have come.  If another request has taken them, a further search
+        has to ask anew: this one's ask would get the same answer again.
 
     Examples
     --------
@@ -66,6 +73,9 @@
     draws: int = 0
     records: int = 0
     answers: list[Answer] = field(default_factory=list)
+    organisation: str = ""
+    asked: set[int] = field(default_factory=set)
+    is_granted: bool = False
     _index: int = 0
     _tries: int = 0
     _next_due: Millis = 0.0
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -96,13 +96,15 @@
         """
         now = self.clock.now()
         if not self.balances.reserve(name, key, tokens, now):
-            search = self._begin_search(self.allocators.list_others(name))
+            search = self._begin_search(name, self.allocators.list_others(name))
             await self._wait(name, key, tokens, min(until, now + _MAX_WAIT), search)
         self._refusals.note_served(name)
 
-    def _begin_search(self, allocators: Sequence[str]) -> TokenSearch:
+    def _begin_search(self, name: str, allocators: Sequence[str]) -> TokenSearch:
         records = self.recorder.records if self.recorder else 0
-        return TokenSearch(allocators, self.allotter.writes_ended, records)
+        return TokenSearch(
+            allocators, self.allotter.writes_ended, records, organisation=name
+        )
 
     async def _wait(
         self, name: str, key: str, tokens: int, until: Millis, search: TokenSearch
@@ -114,7 +116,7 @@
             while not await self._search(name, key, tokens, until, search):
                 if self.balances.reserve(name, key, tokens, self.clock.now()):
                     return
-                search = self._begin_search(search.allocators)
+                search = self._begin_search(name, search.allocators)
         finally:
             self.balances.cancel_waiting(name, key)
 
@@ -150,6 +152,8 @@
                 await self._wait_round(until)
                 if self.balances.reserve(name, key, tokens, self.clock.now()):
                     return True
+                if search.is_granted:
+                    return False
                 if self._is_soon(name, key, until):
                     continue
                 if self._is_certain(name, tokens, search):
@@ -190,8 +194,10 @@
             self.recorder.record_soon()
         allocator = search.find_next(now)
         lacking = max(1, tokens - max(0, balance.available(now)))
-        if allocator is not None and not self.ask(allocator, number, name, lacking):
-            search.skip()
+        if allocator is not None:
+            search.asked.add(lacking)
+            if not self.ask(allocator, number, name, lacking):
+                search.skip()
         self._draw_if_unanswered(name, search)
         self.allotter.wake()
 
@@ -325,7 +331,7 @@
                 wait = RETRY_DELAY if wait is None else max(wait, _UNREADY_WAIT)
                 return Lack(ask.holder, ask.number, name, False, wait)
             # The asking router asks the other allocator itself.
-            search = self._begin_search(())
+            search = self._begin_search(name, ())
             try:
                 await self._wait(name, key, ask.tokens, now + _MAX_LEND_WAIT, search)
             except AnvilshiftError as error:
@@ -368,8 +374,20 @@
         # A datagram may arrive twice; a gift counted twice would cause overspending.
         if self._received.setdefault(gift.giver, SequenceNumbers()).accept(gift.number):
             self.balances.credit(gift.organisation, gift.tokens)
+            self._note_granted(gift)
             self.allotter.notify_waiters()
 
+    def _note_granted(self, gift: Gift) -> None:
+        """Note the search that asked for what a gift brings.
+
+        Any of those that asked for as much will do, as any request may take it.
+        """
+        for search in self._searches.values():
+            is_same = search.organisation == gift.organisation
+            if is_same and gift.tokens in search.asked and not search.is_granted:
+                search.is_granted = True
+                return
+
     def apply_lack(self, lack: Lack) -> None:
         """Record that an allocator can't provide what was asked for."""
         search = self._searches.get(lack.number)
--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -2,12 +2,28 @@
 import unittest
 
 from anvilshift.core.allocators import list_allocators
+from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.tokensearch import ANSWER_TIMEOUT
 from tests.gateway.fleet import POUNDS, run_scenario
 
 HOSTS = ("a", "b", "c", "d", "e", "f")
 ALLOCATORS = list_allocators(POUNDS, HOSTS)
 OTHERS = tuple(host for host in HOSTS if host not in ALLOCATORS)
+RUN_S = 0.02
+"""How long a request runs."""
+
+
+async def run_request(fleet, node: str, key: str, tokens: int) -> bool:
+    """Reserve tokens, use a tenth of them in a while, and return whether it could."""
+    reservations, until = fleet.reservations[node], fleet.clock.now() + 5_000.0
+    try:
+        await reservations.reserve(POUNDS, key, tokens, until)
+    except AnvilshiftError:
+        return False
+    await asyncio.sleep(RUN_S)
+    reservations.settle(POUNDS, key, tokens // 10)
+    return True
 
 
 async def start_all(fleet, total: int, seconds: float = 3.0) -> None:
@@ -88,6 +104,25 @@
 
         run_scenario(scenario)
 
+    def test_requests_that_arrive_together_are_served_by_allocators(self):
+        """Guards against a request that asks in vain as another took what came for it.
+
+        Both reckon with the same tokens left over from an earlier request.  One that
+        asks again waits as for a lost datagram, and gets the answer of before.
+        """
+
+        async def scenario(fleet):
+            await start_all(fleet, 100_000)
+            await run_request(fleet, OTHERS[0], "before", 200)
+            together = [run_request(fleet, OTHERS[0], key, 200) for key in ("a", "b")]
+            before = fleet.clock.now()
+            self.assertEqual(await asyncio.gather(*together), [True, True])
+            took = fleet.clock.now() - before - RUN_S * SECOND
+            self.assertLess(took, ANSWER_TIMEOUT / 2)
+            self.assertEqual(len(fleet.read().shares), len(ALLOCATORS))
+
+        run_scenario(scenario)
+
     def test_duplicate_datagrams_transfer_no_tokens_twice(self):
         """Every datagram between routers is delivered twice.
 
