End a broken stream at once where no target can go on with it

What callers saw: a stream whose engine broke off stayed open for a second more, up to its deadline, before its caller could take it up elsewhere; and then, if the deadline had passed, was told that nobody knows where it began.

Cause: since an answer that has begun waits for up to a second for what it needs, also where nothing can come: the only engine, or all of its version, have failed it. Routers keep an origin until the deadline of the caller that began the stream.

Ruled out: the engine's report, and lost datagrams (one router, told by itself: 0.4 ms).

Change: it waits only while a target is present that hasn't failed the request and may go on with its stream.

--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -112,8 +112,8 @@
     async def plan_retry(self, error: AttemptError) -> PlannedAttempt:
         """Plan the attempt that follows a failed one.
 
-        An answer that has begun waits a moment for what it needs: its caller would
-        have to ask for the rest of it, and would need the same.
+        An answer that has begun waits a moment for what it needs if that may come: its
+        caller would have to ask for the rest of it, and would need the same.
 
         Raises
         ------
@@ -131,7 +131,7 @@
                 may_wait = self.relay.started and refusal.code is ENGINE_FAILED
                 if not may_wait or self.shared.clock.now() >= until:
                     raise
-                if self.stream.is_stranded():
+                if not self.chooser.may_come(self.progress.failed_targets):
                     raise
             await asyncio.sleep(LOOK_INTERVAL / SECOND)
 
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -77,6 +77,16 @@
         demand = self._make_demand(routed.model, delays, now)
         return choose_engine(shared.sender.loads, demand, now, shared.rng, others)
 
+    def may_come(self, failed_targets: Set[str]) -> bool:
+        """Return whether a target may take the request later that can't now.
+
+        One that is ejected, rests or holds too much of such work may; one that has
+        failed the request, or may not go on with its stream, won't.
+        """
+        present = self.shared.sender.loads.list_service_targets(self.routed.service)
+        unfit = {*failed_targets, *self.stream.list_unfit()}
+        return any(target.info.name not in unfit for target in present)
+
     def _list_unusable(self, failed_targets: Set[str]) -> set[str]:
         return {*failed_targets, *self.turn.refused, *self.stream.list_unfit()}
 
