Blame no content for a target that it never reached

What callers saw: 422 for a proper request, again and again, once three hosts that opened no connection had been tried for it: quarantined without having run anywhere.

Cause (found by an independent review): since the work on silent engines a target that seems only to pause is noted as one on which the content fell silent, so that it is checked if the content breaks off again.

Change: only what may have reached the target is noted; the quarantine is asked as before.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -130,7 +130,7 @@
         """
         name = choice.target.info.name
         if self._failures.record(choice, error, self.sent):
-            self._crashes.record_pause(name)
+            self._crashes.record_pause(name, may_have_run=not error.never_ran)
             self._progress.paused_targets.add(name)
             return
         self._progress.failed_targets.add(name)
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -148,18 +148,24 @@
                 await self._probe(name)
         self.check()
 
-    def record_pause(self, name: str) -> None:
+    def record_pause(self, name: str, may_have_run: bool) -> None:
         """Record that a target fell silent on the content, which may mean nothing.
 
         If it breaks off again, this target is checked as well.
 
+        Parameters
+        ----------
+        may_have_run
+            Whether the content may have reached the target; else it isn't to blame.
+
         Raises
         ------
         AnvilshiftError
             When the content is quarantined by now.
         """
         now = self._shared.clock.now()
-        self._blame.record_broken_answer(self._content, name, now)
+        if may_have_run:
+            self._blame.record_broken_answer(self._content, name, now)
         self.check()
 
     def is_quarantined(self) -> bool:
