Let two deputies draw while no allocator answers, and the others ask them

What callers saw: nothing worse; the store did. Since each router draws for itself while no allocator answers.

Cause: the writers are limited to four candidates, as more conflict; that limit held for the allocators, not for those who stand in for them. And a request whose draw another one took was refused after two draws, though the next draw would have served it.

Change: after silent allocators the other candidates of the organisation are asked; only who is a candidate, or hears none of them, draws. A request goes on waiting while its router draws and enough tokens are free, and one that is refused then may return in 200 ms.

--- a/anvilshift/core/allocators.py
+++ b/anvilshift/core/allocators.py
@@ -41,8 +41,24 @@
     >>> after[0] == before[1]
     True
     """
+    return list_candidates(organisation, routers)[:ALLOCATORS]
+
+
+def list_candidates(organisation: str, routers: Collection[str]) -> tuple[str, ...]:
+    """Return the routers that may draw an organisation's tokens, in order of rank.
+
+    The first are its allocators, and the others their deputies, who draw while no
+    allocator answers.
+
+    Examples
+    --------
+    >>> routers = [f"r{n}" for n in range(30)]
+    >>> candidates = list_candidates("pounds", routers)
+    >>> len(candidates), candidates[:2] == list_allocators("pounds", routers)
+    (4, True)
+    """
     candidates = rank_routers("", routers)[:_CANDIDATE_COUNT]
-    return tuple(rank_routers(organisation, candidates)[:ALLOCATORS])
+    return tuple(rank_routers(organisation, candidates))
 
 
 def rank_routers(key: str, routers: Collection[str]) -> list[str]:
@@ -88,21 +104,25 @@
     def __init__(self, own: str) -> None:
         self.own = own
         self.routers = frozenset({own})
-        self._cache: dict[str, tuple[str, ...]] = {}
+        self._candidates: dict[str, tuple[str, ...]] = {}
 
     def set_routers(self, routers: Collection[str]) -> bool:
         """Set the live routers; return whether they changed."""
         if self.routers == routers:
             return False
         self.routers = frozenset(routers)
-        self._cache.clear()
+        self._candidates.clear()
         return True
 
     def list_allocators(self, organisation: str) -> tuple[str, ...]:
         """Return the allocators of an organisation's tokens, in order of rank."""
-        if organisation not in self._cache:
-            self._cache[organisation] = list_allocators(organisation, self.routers)
-        return self._cache[organisation]
+        return self._list_candidates(organisation)[:ALLOCATORS]
+
+    def _list_candidates(self, organisation: str) -> tuple[str, ...]:
+        if organisation not in self._candidates:
+            found = list_candidates(organisation, self.routers)
+            self._candidates[organisation] = found
+        return self._candidates[organisation]
 
     def is_allocator(self, organisation: str) -> bool:
         """Tell whether this router is an allocator of an organisation's tokens."""
@@ -118,6 +138,14 @@
         allocators = self.list_allocators(organisation)
         return tuple(one for one in allocators if one != self.own)
 
+    def list_deputies(self, organisation: str) -> tuple[str, ...]:
+        """Return the routers to ask if no allocator answers.
+
+        None if this router is one of the candidates itself: it may draw.
+        """
+        candidates = self._list_candidates(organisation)
+        return () if self.own in candidates else candidates[ALLOCATORS:]
+
     def count_allocators(self) -> int:
         """Return how many routers keep tokens of any organisation."""
         return min(len(self.routers), _CANDIDATE_COUNT)
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -268,6 +268,10 @@
         least = min(self.waiting.values(), default=1) - max(0, self.ready)
         return now < self.free_until and self.free < max(1, least)
 
+    def knows_free(self, tokens: int, now: Millis) -> bool:
+        """Tell whether at least so many tokens were free as of the last write."""
+        return now < self.free_until and self.free >= tokens
+
     def draws(self, now: Millis) -> bool:
         """Tell whether it draws from the store, as an allocator or without one."""
         return self.keeping or now < self.self_draw_until
--- a/anvilshift/core/tokensearch.py
+++ b/anvilshift/core/tokensearch.py
@@ -53,6 +53,8 @@
         The answers received so far from allocators that lack the tokens.
     organisation
         The organisation whose tokens are sought.
+    deputies
+        Routers to ask after the allocators if none of these has answered.
     asked
         The numbers of tokens that were asked for.
     is_granted
@@ -67,6 +69,9 @@
     >>> search.note(Answer(certain=False, wait=400.0))
     >>> search.find_next(65.0)
     'r2'
+    >>> search = TokenSearch(("r1",), deputies=("r2",))
+    >>> [search.find_next(now) for now in (0.0, 60.0, 120.0)]
+    ['r1', 'r1', 'r2']
     """
 
     allocators: Sequence[str]
@@ -74,6 +79,7 @@
     records: int = 0
     answers: list[Answer] = field(default_factory=list)
     organisation: str = ""
+    deputies: Sequence[str] = ()
     asked: set[int] = field(default_factory=set)
     is_granted: bool = False
     _index: int = 0
@@ -82,14 +88,21 @@
 
     def find_next(self, now: Millis) -> str | None:
         """Return the allocator to ask now, if any, and count it as asked."""
-        if now < self._next_due or self._index >= len(self.allocators):
+        routers = self._list_routers()
+        if now < self._next_due or self._index >= len(routers):
             return None
         if self._tries == _MAX_TRIES:
             self._advance()
             return self.find_next(now)
         self._tries += 1
         self._next_due = now + ANSWER_TIMEOUT
-        return self.allocators[self._index]
+        return routers[self._index]
+
+    def _list_routers(self) -> Sequence[str]:
+        """Return the routers to ask: the deputies too while nobody has answered."""
+        if self.answers:
+            return self.allocators
+        return (*self.allocators, *self.deputies)
 
     def note(self, answer: Answer) -> None:
         """Record that the allocator asked last lacks the tokens; go on to the next."""
@@ -106,14 +119,15 @@
         self._tries = 0
 
     def is_over(self, now: Millis) -> bool:
-        """Tell whether every allocator has answered, timed out or been skipped."""
-        if self._index < len(self.allocators) - 1:
+        """Tell whether every router has answered, timed out or been skipped."""
+        last = len(self._list_routers()) - 1
+        if self._index < last:
             return False
-        is_last = self._index == len(self.allocators) - 1
+        is_last = self._index == last
         return not is_last or (self._tries == _MAX_TRIES and now >= self._next_due)
 
     def is_unanswered(self, now: Millis) -> bool:
-        """Tell whether the search is over without an answer from any allocator."""
+        """Tell whether the search is over without an answer from any router."""
         return self.is_over(now) and not self.answers
 
     def has_drawn(self, draws: int) -> bool:
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -35,6 +35,9 @@
 _RETRY_DELAY_AT_START: Millis = 300.0
 """Retry delay just after a start.  The shares of routers that were killed together are
 ended one by one within a second."""
+_DRAW_DELAY: Millis = 200.0
+"""Retry delay where tokens are free and others have taken what was drawn: about two
+draws later."""
 _UNREADY_WAIT: Millis = 60.0
 """When to ask an allocator again at the earliest that has just started and has no share
 yet, or that may not spend enough of its tokens yet."""
@@ -102,8 +105,13 @@
 
     def _begin_search(self, name: str, allocators: Sequence[str]) -> TokenSearch:
         records = self.recorder.records if self.recorder else 0
+        deputies = self.allocators.list_deputies(name) if allocators else ()
         return TokenSearch(
-            allocators, self.allotter.writes_ended, records, organisation=name
+            allocators,
+            self.allotter.writes_ended,
+            records,
+            organisation=name,
+            deputies=deputies,
         )
 
     async def _wait(
@@ -222,8 +230,18 @@
             return False
         if not balance.draws(now):
             return True
-        stale = self.allotter.failing or self.balances.is_depleted(name, now)
-        return stale or search.has_drawn(self.allotter.writes_ended)
+        if self.allotter.failing or self.balances.is_depleted(name, now):
+            return True
+        # Another request may have taken what a draw brought; the next one brings more.
+        has_drawn = search.has_drawn(self.allotter.writes_ended)
+        return has_drawn and not self._draws_free(name, tokens)
+
+    def _draws_free(self, name: str, tokens: int) -> bool:
+        """Tell whether this router's next draw should bring so many tokens."""
+        now, balance = self.clock.now(), self.balances.by_name[name]
+        if self.allotter.failing or not balance.draws(now):
+            return False
+        return balance.knows_free(tokens, now)
 
     def _may_record(self, search: TokenSearch) -> bool:
         """Tell whether a further record may allow the ready tokens to be spent."""
@@ -263,6 +281,8 @@
         waits = [self.balances.find_wait(name, key, now), search.find_wait()]
         if self.allotter.has_just_started():
             waits.append(_RETRY_DELAY_AT_START)
+        if self._draws_free(name, tokens):
+            waits.append(_DRAW_DELAY)
         known = [wait for wait in waits if wait is not None and wait > 0.0]
         wait = min(known, default=None)
         if wait is None:
--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from anvilshift.core.allocators import list_allocators
+from anvilshift.core.allocators import list_allocators, list_candidates
 from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.tokensearch import ANSWER_TIMEOUT
@@ -12,6 +12,7 @@
 OTHERS = tuple(host for host in HOSTS if host not in ALLOCATORS)
 RUN_S = 0.02
 """How long a request runs."""
+SLOW_CALL_S = 0.03
 
 
 async def run_request(fleet, node: str, key: str, tokens: int) -> bool:
@@ -104,6 +105,32 @@
 
         run_scenario(scenario)
 
+    def test_only_deputies_draw_while_no_allocator_of_a_large_fleet_answers(self):
+        """Guards against a fleet whose routers all write the shared object at once."""
+
+        async def delay_call(caller: str, operation: str) -> None:
+            await asyncio.sleep(SLOW_CALL_S)
+
+        async def scenario(fleet):
+            hosts = [f"r{n}" for n in range(30)]
+            for node in hosts:
+                fleet.start(node, 1_000_000)
+            await asyncio.sleep(3.0)
+            fleet.store.faults.before = delay_call
+            allocators = list_allocators(POUNDS, hosts)
+            fleet.silent = set(allocators)
+            spending = []
+            for n in range(120):
+                node = hosts[n % len(hosts)]
+                if node not in allocators:
+                    spending.append(asyncio.create_task(fleet.spend(node, str(n), 500)))
+                await asyncio.sleep(0.01)
+            self.assertEqual(set(await asyncio.gather(*spending)), {True})
+            holders = {holder.split(".")[0] for holder in fleet.read().shares}
+            self.assertLessEqual(holders, set(list_candidates(POUNDS, hosts)))
+
+        run_scenario(scenario)
+
     def test_requests_that_arrive_together_are_served_by_allocators(self):
         """Guards against a request that asks in vain as another took what came for it.
 
