Don't cut a peer that acknowledges and reads nothing for some seconds

What callers saw: a caller that reads nothing for 4.5 s, while an answer of 4 MB or 1 MB fills its window, gets a reset, on a kept connection and on one with Connection: close. A target that reads a body of 4 MB 4.5 s late, and one behind a tunnel, are cut off in the same way.

Cause: TCP_USER_TIMEOUT (3 s) counts the time for which the window is closed as it counts time without an acknowledgement. Measured with plain sockets (Linux 6.18): 3,000 ends a connection whose peer reads nothing after 3.5 s, with and without keepalive, also if it reads 10 KB/s; 10,000 ends it after 10.7 s; without the option it is there after 30 s.

Ruled out: one timeout of 20 s (trial on a copy: a lost host is noticed after 20.3 s with data and 20.4 s idle, since keepalive waits for the user timeout too); a longer one only while asyncio has paused writing (1 MB lies in the system's buffer, and nothing is paused).

Change: the timeout stays 3 s. A second after a write, and each second while bytes are on the way, the connection's TCP_INFO is read: if bytes wait for the window and the peer answers the probes, the timeout is 20 s, as write_timeout; two checks in a row without an answer, or nothing left to send, make it 3 s again. At the end of a connection it is left at 20 s, for what is unread.

tests.wire.test_unread: 5 of 8 failed before (all late readers), 8 of 8 pass. The three about hosts that are gone (a socket filter drops all they receive) passed before too. Noticed, in seconds, before and after: idle 2.98 and 2.94; data unacknowledged 3.23 and 3.23; reads nothing and is gone 0.3, 1.0, 1.5, 2.5 s later: 2.89, 2.19, 1.72, 0.71 and 2.84, 2.17, 5.19, 4.19. One that reads nothing for good is left after 19.98 s by write_timeout (before: 3.23).

Conclusion: a pause in reading costs no answer; a lost host is noticed as before, but for one that had closed its window for over a second.

--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -12,8 +12,8 @@
     RECEIVE_BUFFER,
     Address,
     HeaderFields,
-    set_tcp_timeouts,
 )
+from anvilshift.wire.peertimeouts import PeerTimeouts
 
 _READ_AHEAD_BYTES = 256 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
@@ -44,6 +44,7 @@
         self.address = address
         self.via = via
         self.transport: asyncio.Transport | None = None
+        self._timeouts: PeerTimeouts | None = None
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -59,15 +60,17 @@
         self.received: Millis = -math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and set its timeouts."""
+        """Store the transport and keep its timeouts."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.heard = time.monotonic() * SECOND
-        set_tcp_timeouts(transport)
+        self._timeouts = PeerTimeouts(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that waits for an answer."""
         self.closed = True
+        if self._timeouts is not None:
+            self._timeouts.end()
         if self._failure is None:
             self._failure = exc or ConnectionError("the server closed the connection")
         self._event_ready.set()
@@ -131,6 +134,8 @@
         # Does not wait for the write buffer to drain: a server may answer without
         # reading all of a long body, and the client must then read that answer.
         self.transport.write(b"".join(part for part in parts if part))
+        if self._timeouts is not None:
+            self._timeouts.record_write()
 
     async def receive(self) -> h11.Event:
         """Return the next part of the answer."""
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -9,6 +9,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import MALFORMED, AnvilshiftError
+from anvilshift.wire.peertimeouts import UNREAD_TIMEOUT
 
 RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
 """Receive buffer shared by all connections of the event loop.
@@ -19,28 +20,6 @@
 """
 
 
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 3
-_USER_TIMEOUT_MS = 3_000
-"""A host that lost power or is partitioned sends no TCP reset.  Without keepalive
-probes and a limit on the time that data may stay unacknowledged, a connection to it
-hangs for minutes.  Three seconds tolerate a few lost packets and are well below the
-time after which callers give up."""
-
-
-def set_tcp_timeouts(transport: asyncio.BaseTransport) -> None:
-    """Set TCP timeouts so that an unreachable peer is detected within seconds."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
-
-
 def set_reset_on_close(transport: asyncio.BaseTransport, enabled: bool) -> None:
     """Set whether the system resets a connection, however its process closes it.
 
@@ -186,7 +165,7 @@
     head_timeout: Millis = 10 * SECOND
     body_timeout: Millis = 30 * SECOND
     idle_timeout: Millis = 75 * SECOND
-    write_timeout: Millis = 20 * SECOND
+    write_timeout: Millis = UNREAD_TIMEOUT
 
 
 DEFAULT_LIMITS = Limits()
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -27,8 +27,8 @@
     Limits,
     Reply,
     set_reset_on_close,
-    set_tcp_timeouts,
 )
+from anvilshift.wire.peertimeouts import PeerTimeouts
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HEAD_TOO_LARGE_STATUS = 431
@@ -107,6 +107,7 @@
         self._server = server
         self._h11 = self._make_parser()
         self._transport: asyncio.Transport | None = None
+        self._timeouts: PeerTimeouts | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -138,7 +139,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_tcp_timeouts(transport)
+        self._timeouts = PeerTimeouts(transport)
         self._server.connections.add(self)
         self._set_timer(self._limits.head_timeout)
 
@@ -146,6 +147,8 @@
         self._closed = True
         self._writable.set()
         self._clear_timer()
+        if self._timeouts is not None:
+            self._timeouts.end()
         self._server.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -291,6 +294,8 @@
         if self._unsent and not hold:
             self._transport.write(self._unsent)
             self._unsent = b""
+            if self._timeouts is not None:
+                self._timeouts.record_write()
 
     def stop_framing(self) -> None:
         """Let the body of the answer end with the connection, as for HTTP/1.0."""
--- a/anvilshift/wire/tunnel.py
+++ b/anvilshift/wire/tunnel.py
@@ -17,7 +17,8 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import Network, TcpNetwork
-from anvilshift.wire.messages import Address, set_tcp_timeouts
+from anvilshift.wire.messages import Address
+from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.tunnelframes import (
     FRAMES_HEADER,
     FRAMES_VERSION,
@@ -153,14 +154,22 @@
         self.transport: asyncio.Transport | None = None
         self.other: _End | None = None
         self._framed = framed
+        self._timeouts: PeerTimeouts | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        set_tcp_timeouts(transport)
+        self._timeouts = PeerTimeouts(transport)
 
     def data_received(self, data: bytes) -> None:
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.write(encode_frame(data) if self._framed else data)
+        if self.other is not None:
+            self.other.write(encode_frame(data) if self._framed else data)
+
+    def write(self, data: bytes) -> None:
+        """Write bytes that were received at the other end."""
+        if self.transport is not None:
+            self.transport.write(data)
+        if self._timeouts is not None:
+            self._timeouts.record_write()
 
     def pause_writing(self) -> None:
         if self.other is not None and self.other.transport is not None:
@@ -176,6 +185,8 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._timeouts is not None:
+            self._timeouts.end()
         other, self.other = self.other, None
         if other is None or other.transport is None:
             return
