Tell callers that left, ended processes and faults apart in the log

What operators saw: the request line says outcome=gone, with an empty why, for a caller that closed or reset its connection, for one that the router's own end cut off, and for an unexpected exception that was answered 500.

Cause: "gone" is what the outcome is before anything sets it; neither the cancellation of a handler nor an exception that isn't an AnvilshiftError did.

Change: the server keeps how a connection was lost. outcome is "caller gone" with why (closed, stopped reading, or the connection's error), "process ended" where the router closed the connection, "handler failed" with the exception. A loss while writing that the router itself caused is told as "process ended" too, where it was "caller gone".

Conclusion: each of the three has its own outcome.

--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -35,7 +35,11 @@
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.wire.messages import HttpRequest
-from anvilshift.wire.server import CallerDisconnectedError, Responder
+from anvilshift.wire.server import (
+    SERVER_CLOSED,
+    CallerDisconnectedError,
+    Responder,
+)
 
 _MAX_LOGGED_ID = 64
 """Characters of an id from a caller that are logged."""
@@ -80,17 +84,30 @@
         try:
             await self._serve(call)
         except AnvilshiftError as error:
-            self.relay.outcome, self.why = error.code.name, error.detail
-            self.is_cut = self.relay.started
+            self._record_end(error.code.name, error.detail)
             raise
         except CallerDisconnectedError as error:
-            self.relay.outcome, self.why = "caller gone", str(error)
-            self.is_cut = self.relay.started
+            self._record_loss(str(error))
+            raise
+        except asyncio.CancelledError:
+            self._record_loss(self.relay.responder.loss or SERVER_CLOSED)
+            raise
+        except Exception as error:
+            self._record_end("handler failed", repr(error))
             raise
         finally:
             self.turn.close()
             self._write_log_line()
 
+    def _record_loss(self, why: str) -> None:
+        """Record that nobody waits for the answer any more."""
+        outcome = "process ended" if why == SERVER_CLOSED else "caller gone"
+        self._record_end(outcome, why)
+
+    def _record_end(self, outcome: str, why: str) -> None:
+        self.relay.outcome, self.why = outcome, why
+        self.is_cut = self.relay.started
+
     def _write_log_line(self) -> None:
         now, first = self.shared.clock.now(), self.relay.first
         sent = self.attempts
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -55,7 +55,7 @@
     first: Millis | None = None
     longest_pause: Millis = 0.0
     broken: bool = False
-    outcome: str = "gone"
+    outcome: str = ""
     framing: Framing | None = None
     ending: Ending | None = None
     rest: int = 0
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -32,6 +32,8 @@
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HEAD_TOO_LARGE_STATUS = 431
+CALLER_CLOSED = "the caller closed the connection"
+SERVER_CLOSED = "the router closed the connection"
 
 
 class CallerDisconnectedError(ConnectionError):
@@ -46,6 +48,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def loss(self) -> str:
+        """Return how the connection was lost; empty while it is there."""
+        return self._connection.loss
+
     async def send(self, reply: Reply) -> None:
         """Write a complete answer."""
         length = ("content-length", str(len(reply.body)))
@@ -116,6 +123,7 @@
         self._body = bytearray()
         self._unsent = b""
         self._closed = False
+        self.loss = ""
         self._is_idle = False
         self._resets_on_close = False
 
@@ -145,6 +153,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._closed = True
+        self.loss = self._describe_loss(exc)
         self._writable.set()
         self._clear_timer()
         if self._timeouts is not None:
@@ -153,6 +162,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _describe_loss(self, exc: Exception | None) -> str:
+        if self._server.closed:
+            return SERVER_CLOSED
+        return CALLER_CLOSED if exc is None else f"the connection failed: {exc}"
+
     def eof_received(self) -> bool:
         return False
 
@@ -285,7 +299,7 @@
 
     def send(self, event: h11.Event, hold: bool = False) -> None:
         if self._closed or self._transport is None:
-            raise CallerDisconnectedError("the caller closed the connection")
+            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
         if isinstance(event, h11.Response) and self._is_unframed(event):
             # The caller takes an orderly close for the end of this answer.  The system
             # closes so too when the process is killed, or aborts a broken answer.
@@ -330,7 +344,7 @@
             self.abort()
             raise CallerDisconnectedError("the caller stopped reading") from None
         if self._closed:
-            raise CallerDisconnectedError("the caller closed the connection")
+            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
 
     def abort(self) -> None:
         if self._transport is not None:
@@ -374,6 +388,8 @@
     is_draining
         Whether answers carry ``connection: close``, so that callers connect to
         another router.
+    closed
+        Whether it has ended every connection itself.
     """
 
     def __init__(self, handler: Handler, limits: Limits = DEFAULT_LIMITS) -> None:
@@ -381,6 +397,7 @@
         self.limits = limits
         self.connections: set[_Connection] = set()
         self.stopping = False
+        self.closed = False
         self.is_draining = False
         self._server: asyncio.Server | None = None
 
@@ -410,6 +427,7 @@
     async def close(self) -> None:
         """Stop listening and abort every connection."""
         self.stop_listening()
+        self.closed = True
         for connection in list(self.connections):
             connection.abort()
         await asyncio.sleep(0)
