Count each part of a plain answer as a sign that it goes on

What callers saw: a read whose answer arrives in nine parts in 1.35 s, of the 2 s that it has, is answered 504. The router leaves its target 0.8 s after the send (0.4 of the time left), begins anew at another target and has too little time left there.

Cause: a plain answer is read whole, and the watch for silence learned of it only at its end.

Ruled out: the limit of streams (1,200 ms without an event): a target that hangs inside a short answer would be left later than today.

Change: the head and each part of the body begin the attempt's timeout anew.

tests.platform.test_slow_answers: steady answer 504 before, 200 and one run now; an answer that stops midway is left, before and now. tests.platform.test_silence, test_endings, test_answers, test_retries: 56 pass.

Conclusion: an answer on its way isn't run a second time.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -250,7 +250,8 @@
                 self._routed.call.resume_after is not None,
             )
             return
-        body = await self._relay.read_complete(answer)
+        record_part = partial(self._record_part, watch, outgoing.choice)
+        body = await self._relay.read_complete(answer, record_part)
         watch.finish()
         self._record_first_byte(outgoing, success)
         failed = answer.status >= 500 and self._planner.may_go_on()
@@ -262,6 +263,10 @@
             self._shared.find_service_time(self._routed.service).add(took)
         await self._relay.send_complete(answer, body)
 
+    def _record_part(self, watch: SilenceWatch, choice: Choice) -> None:
+        """Record that a plain answer goes on: the next part is given as much time."""
+        watch.record_event(self._find_timeout(choice, self._routed.end - self.sent))
+
     def _record_first_event(self, outgoing: Outgoing) -> None:
         """Record the first event of an attempt, before the caller gets it."""
         self._record_first_byte(outgoing, success=True)
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -84,10 +84,17 @@
             "rest": self.rest,
         }
 
-    async def read_complete(self, answer: Answer) -> bytes:
-        """Read and return the body of a short answer."""
+    async def read_complete(self, answer: Answer, on_part: Callable[[], None]) -> bytes:
+        """Read and return the body of a short answer.
+
+        Parameters
+        ----------
+        on_part
+            Called as the head and each part of the body has arrived.
+        """
+        on_part()
         try:
-            body = await answer.response.read(_MAX_ANSWER_BYTES)
+            body = await answer.response.read(_MAX_ANSWER_BYTES, on_part)
         finally:
             self._record_ending(answer)
         self.first = self.clock.now()
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -97,9 +97,18 @@
             elif isinstance(event, h11.Data):
                 yield bytes(event.data) + self._connection.take_buffered()
 
-    async def read(self, limit: int = DEFAULT_BODY_BYTES) -> bytes:
+    async def read(
+        self,
+        limit: int = DEFAULT_BODY_BYTES,
+        on_part: Callable[[], None] | None = None,
+    ) -> bytes:
         """Read the body to its end and return it.
 
+        Parameters
+        ----------
+        on_part
+            Called as each part of the body arrives.
+
         Raises
         ------
         ExchangeError
@@ -109,6 +118,8 @@
         body = bytearray()
         async for chunk in self.chunks():
             body += chunk
+            if on_part is not None:
+                on_part()
             if len(body) > limit:
                 raise ExchangeError("the answer exceeds the size limit", True)
         assert self.ending is not None
