Go on at a stream's only target when the router in between stops

What callers saw: a stream that a cut router gets through another one is cut after its fifth event, 4.35 s after it began, as the grace period (5 s) of that router ends: "engine failed", "no target is available". Its engine is sound and a third router reaches it.

Cause: an attempt that ends with its tunnel counts its target as failed for the request, so the only target, or the only one of the version that began the stream, isn't chosen again.

Ruled out: telling senders before the end to look for another way. A look is given up as the answer goes on, which is the rule for silences, and a stream with a second target and a read both went on without a loss before this change.

Change: a target reached through a router that stops as planned is used again if there is no other one. A router that is lost is treated as before: the former run may still be at work behind it.

tests.platform.test_stopping_tunnels: 1 of 3 failed before (the only target), 3 of 3 pass. tests.platform.test_forwarding, test_endings: 41 pass.

Conclusion: what may be repeated outlasts a planned stop in between.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -133,7 +133,11 @@
             self._crashes.record_pause(name)
             self._progress.paused_targets.add(name)
             return
-        self._progress.failed_targets.add(name)
+        if self._shared.sender.reach.is_leaving(self.via):
+            # The router in between has stopped; the target is as sound as before.
+            self._progress.paused_targets.add(name)
+        else:
+            self._progress.failed_targets.add(name)
         await self._failures.find_cause(choice.target, error, self._has_begun)
 
     async def _attempt(self, planned: PlannedAttempt) -> None:
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -177,6 +177,11 @@
             if beat.serving and not beat.leaving
         }
 
+    def is_leaving(self, via: str) -> bool:
+        """Return whether a router through which requests were sent stops as planned."""
+        peer = self.peers.routers.get(via)
+        return peer is not None and peer.beat.leaving
+
     def _take_tunnel(self, info: TargetInfo) -> Connection | None:
         """Return an idle connection through a router that is present."""
         address, known = Address.parse(info.address), self._list_forwarders()
