Answer pipelined requests that were read before a planned stop closes

What callers saw: three whole requests in one packet at a router that drains get one answer, with connection: close, and the connection closes on the other two, which nothing has run.

Cause: while the server drains every answer announces the close, and once it has stopped listening each connection closes behind its answer, whatever was read behind the request.

Ruled out: closing without a word only at the end (callers must learn early that they are to connect elsewhere).

Change: the close is announced, and made, behind the last request that was read. The grace period bounds a caller that goes on.

tests.wire.test_server: the two new tests failed before (end of file after the first answer), tests.wire.test_server and test_unframed pass (17).

Conclusion: whole requests that were read are answered or refused.

--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -77,7 +77,7 @@
             Whether to frame the body; otherwise it ends with the connection.
         """
         self.started = True
-        if self._connection.is_draining:
+        if self._connection.closes_next:
             headers = [*headers, ("connection", "close")]
         if not framed:
             self._connection.stop_framing()
@@ -140,9 +140,12 @@
         return self._task is not None
 
     @property
-    def is_draining(self) -> bool:
-        """Return whether the server closes connections after their next answer."""
-        return self._server.is_draining
+    def closes_next(self) -> bool:
+        """Return whether it closes after its next answer, as the server drains.
+
+        Pipelined requests that were read with this one are answered first.
+        """
+        return self._server.is_draining and not self._h11.trailing_data[0]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -268,7 +271,8 @@
     def _start_next_request(self) -> None:
         if self._closed or self._transport is None:
             return
-        if self._server.stopping or self._h11.our_state is not h11.DONE:
+        is_ending = self._server.stopping and not self._h11.trailing_data[0]
+        if is_ending or self._h11.our_state is not h11.DONE:
             self._transport.close()
             return
         try:
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -16,6 +16,8 @@
     async def asyncSetUp(self):
         self.client = HttpClient()
         self.handler_ended = asyncio.Event()
+        self.gate = asyncio.Event()
+        self.gate.set()
         limits = Limits(head_bytes=2048, body_bytes=1024, head_timeout=200.0)
         self.server = HttpServer(self.handle, limits)
         self.address = await self.server.start(LOOPBACK)
@@ -27,6 +29,7 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         if request.path == "/refuse":
             raise AnvilshiftError(OVERLOADED, retry_after=1_500.0)
+        await self.gate.wait()
         if request.path == "/hang":
             try:
                 await responder.start(200, [])
@@ -79,6 +82,44 @@
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
         writer.close()
 
+    async def read_bodies(self, reader: asyncio.StreamReader, count: int) -> list[str]:
+        """Return what is announced of the connection, for some answers in a row."""
+        announced = []
+        for _ in range(count):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            await reader.readexactly(3)
+            announced.append("close" if "connection: close" in head else "keep")
+        return announced
+
+    async def send_pipelined(self) -> asyncio.StreamReader:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
+        writer.write(head + b"one" + head + b"two" + head + b"ten")
+        return reader
+
+    async def test_pipelined_requests_are_answered_while_the_server_drains(self):
+        """Guards against a close on whole requests that were read with another."""
+        self.server.is_draining = True
+        reader = await self.send_pipelined()
+        async with asyncio.timeout(5):
+            self.assertEqual(
+                await self.read_bodies(reader, 3), ["keep", "keep", "close"]
+            )
+            self.assertEqual(await reader.read(), b"")
+
+    async def test_pipelined_requests_are_answered_as_the_server_stops_listening(self):
+        """Guards against a stop that drops whole requests that were read."""
+        self.gate.clear()
+        reader = await self.send_pipelined()
+        async with asyncio.timeout(5):
+            while not any(one.busy for one in self.server.connections):
+                await asyncio.sleep(0.01)
+            self.server.stop_listening()
+            self.gate.set()
+            self.assertEqual(len(await self.read_bodies(reader, 3)), 3)
+            self.assertEqual(await reader.read(), b"")
+
     async def test_refusal_carries_retry_after(self):
         answer = await self.client.call(self.address, "GET", "/refuse")
         self.assertEqual(answer.status, 503)
