Wait in a planned stop for what is half received or half sent

What callers saw: a request of which the head, or the beginning of the head, had been read is reset as a router that stops closes its port, 3.3 s after the signal and long before the end of its grace period. A stop also ended the process while the end of an answer (up to 64 KB) still lay in its own buffer.

Cause: stop_listening closes every connection without a running handler, and the stop counts handlers only.

Ruled out: a shorter timeout for such requests; header and body timeouts bound them already (408), and the grace period all.

Change: a connection with a part of a request stays open in a stop, and the stop counts such connections and those with unsent bytes beside the handlers. The count also covers the moment between two pipelined requests.

tests.wire.test_server: the two tests of a stop failed before (reset), the third is of the new count; tests.platform.test_request_ends.PlannedStopTest failed before (the stop was over). All of both files pass.

Conclusion: what has begun to arrive before the port closes is answered.

--- a/anvilshift/gateway/stopping.py
+++ b/anvilshift/gateway/stopping.py
@@ -55,6 +55,11 @@
             self.shared.ending = elapsed >= _ACCEPT_STREAMS
             if elapsed >= 3 * self.directory.get_ttl() + _TTL_MARGIN:
                 self.server.stop_listening()
-                if not self.count_running() and not self.tunnels.entrances:
+                if not self._count_unfinished():
                     break
         self.server.stop_listening()
+
+    def _count_unfinished(self) -> int:
+        """Return the number of requests, answers and tunnels that are under way."""
+        unfinished = self.count_running() + self.server.count_unfinished()
+        return unfinished + len(self.tunnels.entrances)
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -354,8 +354,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request was read, and no more."""
+        if self.busy or self._transport is None or self._transport.is_closing():
+            return False
+        return self._head is not None or bool(self._h11.trailing_data[0])
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether its end would lose a request, or a part of an answer."""
+        unsent = self._transport and self._transport.get_write_buffer_size()
+        return self.busy or self.is_receiving or bool(unsent)
+
     def close_idle(self) -> None:
-        if not self.busy and self._transport is not None:
+        if not self.busy and not self.is_receiving and self._transport is not None:
             self._transport.close()
 
     def _set_timer(self, delay: Millis) -> None:
@@ -428,6 +441,10 @@
         for connection in list(self.connections):
             connection.close_idle()
 
+    def count_unfinished(self) -> int:
+        """Return the number of connections with a request or a part of an answer."""
+        return sum(one.is_unfinished for one in self.connections)
+
     async def close(self) -> None:
         """Stop listening and abort every connection."""
         self.stop_listening()
--- a/tests/platform/test_request_ends.py
+++ b/tests/platform/test_request_ends.py
@@ -73,3 +73,21 @@
         self.assertEqual(status, 500)
         why = "RuntimeError('unforeseen')"
         self.assertEqual(await self.find_end(), ("handler failed", why, False))
+
+
+class PlannedStopTest(GatewayCase):
+    async def test_request_of_which_a_part_was_read_is_answered(self):
+        """Guards against a stop that ends between the parts of a request."""
+        await self.add_target("d1", "desk")
+        await self.start_node()
+        stop = asyncio.create_task(self.node.stop())
+        await asyncio.sleep(1.0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST[:40])
+        await self.wait_for(lambda: self.node.server.stopping)
+        await asyncio.sleep(0.2)
+        self.assertFalse(stop.done())
+        writer.write(REQUEST[40:])
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n"))
+        await stop
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -37,6 +37,14 @@
                 await asyncio.Event().wait()
             finally:
                 self.handler_ended.set()
+        if request.path == "/fill":
+            await responder.start(200, [])
+            (connection,) = self.server.connections
+            while not connection._transport.get_write_buffer_size():
+                await responder.write(bytes(4096))
+            await responder.finish()
+            self.handler_ended.set()
+            return
         await responder.send(Reply(200, [], request.body))
 
     async def test_connection_is_reused(self):
@@ -120,6 +128,42 @@
             self.assertEqual(len(await self.read_bodies(reader, 3)), 3)
             self.assertEqual(await reader.read(), b"")
 
+    async def check_rest(self, first: bytes, rest: bytes) -> None:
+        """Check that a request is answered which arrives around the server's stop."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        writer.write(first)
+        async with asyncio.timeout(5):
+            while not self.server.count_unfinished():
+                await asyncio.sleep(0.01)
+            self.server.stop_listening()
+            writer.write(rest)
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n"))
+
+    async def test_request_whose_head_has_begun_is_answered_in_a_stop(self):
+        """Guards against a close on a request of which a part was read."""
+        await self.check_rest(
+            b"POST / HTTP/1.1\r\nHost: a\r\n", b"Content-Length: 3\r\n\r\none"
+        )
+
+    async def test_request_whose_body_is_on_its_way_is_answered_in_a_stop(self):
+        """Guards against a close on a request of which a part was read."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
+        await self.check_rest(head, b"one")
+
+    async def test_answer_that_is_not_handed_to_the_system_is_counted(self):
+        """Guards against a stop that drops the end of an answer that is read late."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.address.port, limit=1024
+        )
+        self.addCleanup(writer.close)
+        writer.write(b"GET /fill HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(10):
+            await self.handler_ended.wait()
+            self.assertEqual(self.server.count_unfinished(), 1)
+            while self.server.count_unfinished():
+                await reader.read(64 * 1024)
+
     async def test_refusal_carries_retry_after(self):
         answer = await self.client.call(self.address, "GET", "/refuse")
         self.assertEqual(answer.status, 503)
