Don't take a caller that reads slowly for one that stopped

Cause: write_timeout is the time for which the buffer may stay over its mark, whether the peer reads or not.

Ruled out: a longer timeout, which keeps callers that read nothing as long.

Change: the wait goes on as long as the buffer has shrunk. A request's deadline still ends it.

tests.wire.test_unread.SlowReaderTest (16 MB, timeout 500 ms) failed before, cut off after 5,374,759 bytes, and passes; tests.wire.test_unread and test_server: 24 pass.

--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -156,8 +156,8 @@
     idle_timeout
         Milliseconds that a connection may be idle between requests.
     write_timeout
-        Milliseconds that the write buffer may stay full because the peer does
-        not read.
+        Milliseconds for which the peer may read nothing while the write buffer is
+        full.
     """
 
     head_bytes: int = 32 * 1024
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -337,18 +337,25 @@
         self._set_reset_on_close(False)
 
     async def drain(self) -> None:
-        if self._writable.is_set():
-            return
+        while not self._writable.is_set():
+            await self._wait_for_reading()
+        if self._closed:
+            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
+
+    async def _wait_for_reading(self) -> None:
+        """Wait until the write buffer has room, or for as long as the caller reads."""
+        assert self._transport is not None
+        unsent = self._transport.get_write_buffer_size()
         timeout = self._limits.write_timeout / SECOND
         try:
             await asyncio.wait_for(self._writable.wait(), timeout)
         except TimeoutError:
+            if self._transport.get_write_buffer_size() < unsent:
+                return
             # A caller that stops reading would occupy its buffer and its engine
             # slot indefinitely.  Aborting the connection frees both.
             self.abort()
             raise CallerDisconnectedError("the caller stopped reading") from None
-        if self._closed:
-            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
 
     def abort(self) -> None:
         if self._transport is not None:
--- a/tests/wire/test_unread.py
+++ b/tests/wire/test_unread.py
@@ -5,7 +5,9 @@
 import socket
 import struct
 import unittest
+from dataclasses import replace
 
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Reply
 from anvilshift.wire.server import HttpServer, Responder
@@ -16,6 +18,8 @@
 SMALL_BUFFER = 64 * 1024
 UNREAD_S = 4.5
 """Longer than a host may leave data without an acknowledgement."""
+WRITE_TIMEOUT: Millis = 500.0
+"""Time in which a caller reads a part of its answer, but never all."""
 NOTICED_S = 6.0
 """Time within which a host that is gone is noticed."""
 LONG = bytes(range(256)) * 16 * 1024
@@ -88,6 +92,23 @@
         self.assertEqual(await self.read_late(b"Connection: close\r\n"), SHORT)
 
 
+class SlowReaderTest(UnreadCase):
+    body = LONG * 4
+
+    async def test_caller_that_reads_slowly_gets_a_long_answer(self):
+        """Guards against a caller that is taken for one that stopped reading."""
+        self.server.limits = replace(self.server.limits, write_timeout=WRITE_TIMEOUT)
+        sock = await self.connect()
+        loop, received = asyncio.get_running_loop(), 0
+        began = loop.time()
+        while received < len(self.body):
+            part = await loop.sock_recv(sock, SMALL_BUFFER)
+            self.assertTrue(part, f"cut off after {received} bytes")
+            received += len(part)
+            await asyncio.sleep(0.01)
+        self.assertGreater(loop.time() - began, 3 * WRITE_TIMEOUT / SECOND)
+
+
 class GoneCallerTest(UnreadCase):
     async def check_noticed(self) -> None:
         began = asyncio.get_running_loop().time()
