--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -27,11 +27,13 @@
     Limits,
     Reply,
     set_reset_on_close,
-    set_tcp_timeouts,
 )
+from anvilshift.wire.peertimeouts import PeerTimeouts
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HEAD_TOO_LARGE_STATUS = 431
+CALLER_CLOSED = "the caller closed the connection"
+SERVER_CLOSED = "the router closed the connection"
 
 
 class CallerDisconnectedError(ConnectionError):
@@ -46,6 +48,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def loss(self) -> str:
+        """Return how the connection was lost; empty while it is there."""
+        return self._connection.loss
+
     async def send(self, reply: Reply) -> None:
         """Write a complete answer."""
         length = ("content-length", str(len(reply.body)))
@@ -70,7 +77,7 @@
             Whether to frame the body; otherwise it ends with the connection.
         """
         self.started = True
-        if self._connection.is_draining:
+        if self._connection.closes_next:
             headers = [*headers, ("connection", "close")]
         if not framed:
             self._connection.stop_framing()
@@ -107,6 +114,7 @@
         self._server = server
         self._h11 = self._make_parser()
         self._transport: asyncio.Transport | None = None
+        self._timeouts: PeerTimeouts | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -115,6 +123,7 @@
         self._body = bytearray()
         self._unsent = b""
         self._closed = False
+        self.loss = ""
         self._is_idle = False
         self._resets_on_close = False
 
@@ -131,25 +140,36 @@
         return self._task is not None
 
     @property
-    def is_draining(self) -> bool:
-        """Return whether the server closes connections after their next answer."""
-        return self._server.is_draining
+    def closes_next(self) -> bool:
+        """Return whether it closes after its next answer, as the server drains.
+
+        Pipelined requests that were read with this one are answered first.
+        """
+        return self._server.is_draining and not self._h11.trailing_data[0]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_tcp_timeouts(transport)
+        self._timeouts = PeerTimeouts(transport)
         self._server.connections.add(self)
         self._set_timer(self._limits.head_timeout)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._closed = True
+        self.loss = self._describe_loss(exc)
         self._writable.set()
         self._clear_timer()
+        if self._timeouts is not None:
+            self._timeouts.end()
         self._server.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
 
+    def _describe_loss(self, exc: Exception | None) -> str:
+        if self._server.closed:
+            return SERVER_CLOSED
+        return CALLER_CLOSED if exc is None else f"the connection failed: {exc}"
+
     def eof_received(self) -> bool:
         return False
 
@@ -251,7 +271,8 @@
     def _start_next_request(self) -> None:
         if self._closed or self._transport is None:
             return
-        if self._server.stopping or self._h11.our_state is not h11.DONE:
+        is_ending = self._server.stopping and not self._h11.trailing_data[0]
+        if is_ending or self._h11.our_state is not h11.DONE:
             self._transport.close()
             return
         try:
@@ -282,7 +303,7 @@
 
     def send(self, event: h11.Event, hold: bool = False) -> None:
         if self._closed or self._transport is None:
-            raise CallerDisconnectedError("the caller closed the connection")
+            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
         if isinstance(event, h11.Response) and self._is_unframed(event):
             # The caller takes an orderly close for the end of this answer.  The system
             # closes so too when the process is killed, or aborts a broken answer.
@@ -291,6 +312,8 @@
         if self._unsent and not hold:
             self._transport.write(self._unsent)
             self._unsent = b""
+            if self._timeouts is not None:
+                self._timeouts.record_write()
 
     def stop_framing(self) -> None:
         """Let the body of the answer end with the connection, as for HTTP/1.0."""
@@ -314,25 +337,45 @@
         self._set_reset_on_close(False)
 
     async def drain(self) -> None:
-        if self._writable.is_set():
-            return
+        while not self._writable.is_set():
+            await self._wait_for_reading()
+        if self._closed:
+            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
+
+    async def _wait_for_reading(self) -> None:
+        """Wait until the write buffer has room, or for as long as the caller reads."""
+        assert self._transport is not None
+        unsent = self._transport.get_write_buffer_size()
         timeout = self._limits.write_timeout / SECOND
         try:
             await asyncio.wait_for(self._writable.wait(), timeout)
         except TimeoutError:
+            if self._transport.get_write_buffer_size() < unsent:
+                return
             # A caller that stops reading would occupy its buffer and its engine
             # slot indefinitely.  Aborting the connection frees both.
             self.abort()
             raise CallerDisconnectedError("the caller stopped reading") from None
-        if self._closed:
-            raise CallerDisconnectedError("the caller closed the connection")
 
     def abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request was read, and no more."""
+        if self.busy or self._transport is None or self._transport.is_closing():
+            return False
+        return self._head is not None or bool(self._h11.trailing_data[0])
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether its end would lose a request, or a part of an answer."""
+        unsent = self._transport and self._transport.get_write_buffer_size()
+        return self.busy or self.is_receiving or bool(unsent)
+
     def close_idle(self) -> None:
-        if not self.busy and self._transport is not None:
+        if not self.busy and not self.is_receiving and self._transport is not None:
             self._transport.close()
 
     def _set_timer(self, delay: Millis) -> None:
@@ -369,6 +412,8 @@
     is_draining
         Whether answers carry ``connection: close``, so that callers connect to
         another router.
+    closed
+        Whether it has ended every connection itself.
     """
 
     def __init__(self, handler: Handler, limits: Limits = DEFAULT_LIMITS) -> None:
@@ -376,6 +421,7 @@
         self.limits = limits
         self.connections: set[_Connection] = set()
         self.stopping = False
+        self.closed = False
         self.is_draining = False
         self._server: asyncio.Server | None = None
 
@@ -402,9 +448,14 @@
         for connection in list(self.connections):
             connection.close_idle()
 
+    def count_unfinished(self) -> int:
+        """Return the number of connections with a request or a part of an answer."""
+        return sum(one.is_unfinished for one in self.connections)
+
     async def close(self) -> None:
         """Stop listening and abort every connection."""
         self.stop_listening()
+        self.closed = True
         for connection in list(self.connections):
             connection.abort()
         await asyncio.sleep(0)
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -16,6 +16,8 @@
     async def asyncSetUp(self):
         self.client = HttpClient()
         self.handler_ended = asyncio.Event()
+        self.gate = asyncio.Event()
+        self.gate.set()
         limits = Limits(head_bytes=2048, body_bytes=1024, head_timeout=200.0)
         self.server = HttpServer(self.handle, limits)
         self.address = await self.server.start(LOOPBACK)
@@ -27,6 +29,7 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         if request.path == "/refuse":
             raise AnvilshiftError(OVERLOADED, retry_after=1_500.0)
+        await self.gate.wait()
         if request.path == "/hang":
             try:
                 await responder.start(200, [])
@@ -34,6 +37,14 @@
                 await asyncio.Event().wait()
             finally:
                 self.handler_ended.set()
+        if request.path == "/fill":
+            await responder.start(200, [])
+            (connection,) = self.server.connections
+            while not connection._transport.get_write_buffer_size():
+                await responder.write(bytes(4096))
+            await responder.finish()
+            self.handler_ended.set()
+            return
         await responder.send(Reply(200, [], request.body))
 
     async def test_connection_is_reused(self):
@@ -79,6 +90,80 @@
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
         writer.close()
 
+    async def read_bodies(self, reader: asyncio.StreamReader, count: int) -> list[str]:
+        """Return what is announced of the connection, for some answers in a row."""
+        announced = []
+        for _ in range(count):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            await reader.readexactly(3)
+            announced.append("close" if "connection: close" in head else "keep")
+        return announced
+
+    async def send_pipelined(self) -> asyncio.StreamReader:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
+        writer.write(head + b"one" + head + b"two" + head + b"ten")
+        return reader
+
+    async def test_pipelined_requests_are_answered_while_the_server_drains(self):
+        """Guards against a close on whole requests that were read with another."""
+        self.server.is_draining = True
+        reader = await self.send_pipelined()
+        async with asyncio.timeout(5):
+            self.assertEqual(
+                await self.read_bodies(reader, 3), ["keep", "keep", "close"]
+            )
+            self.assertEqual(await reader.read(), b"")
+
+    async def test_pipelined_requests_are_answered_as_the_server_stops_listening(self):
+        """Guards against a stop that drops whole requests that were read."""
+        self.gate.clear()
+        reader = await self.send_pipelined()
+        async with asyncio.timeout(5):
+            while not any(one.busy for one in self.server.connections):
+                await asyncio.sleep(0.01)
+            self.server.stop_listening()
+            self.gate.set()
+            self.assertEqual(len(await self.read_bodies(reader, 3)), 3)
+            self.assertEqual(await reader.read(), b"")
+
+    async def check_rest(self, first: bytes, rest: bytes) -> None:
+        """Check that a request is answered which arrives around the server's stop."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
+        self.addCleanup(writer.close)
+        writer.write(first)
+        async with asyncio.timeout(5):
+            while not self.server.count_unfinished():
+                await asyncio.sleep(0.01)
+            self.server.stop_listening()
+            writer.write(rest)
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n"))
+
+    async def test_request_whose_head_has_begun_is_answered_in_a_stop(self):
+        """Guards against a close on a request of which a part was read."""
+        await self.check_rest(
+            b"POST / HTTP/1.1\r\nHost: a\r\n", b"Content-Length: 3\r\n\r\none"
+        )
+
+    async def test_request_whose_body_is_on_its_way_is_answered_in_a_stop(self):
+        """Guards against a close on a request of which a part was read."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
+        await self.check_rest(head, b"one")
+
+    async def test_answer_that_is_not_handed_to_the_system_is_counted(self):
+        """Guards against a stop that drops the end of an answer that is read late."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.address.port, limit=1024
+        )
+        self.addCleanup(writer.close)
+        writer.write(b"GET /fill HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(10):
+            await self.handler_ended.wait()
+            self.assertEqual(self.server.count_unfinished(), 1)
+            while self.server.count_unfinished():
+                await reader.read(64 * 1024)
+
     async def test_refusal_carries_retry_after(self):
         answer = await self.client.call(self.address, "GET", "/refuse")
         self.assertEqual(answer.status, 503)
