Print what tests took by folder and one by one

The runner printed the ten longest units, with all tests of a class in one where it has a fixture, and without processor time: not enough to say which test waits and which reckons, nor what a folder takes.

Change: the worker measures each test with its own fixtures, the time that passes and its own processor time. At the end of the run stand the sums by folder and the twenty slowest tests; what a class or module prepares for its tests is a line of its own. The two lines of counts are as before.

One bound of the new test (1.3 s of sleeps, printed as 1.3) failed once while it was written and is 1.2.

tests/test_runner.py's stub report has the two new fields in place of the old one; what it checks is unchanged.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -20,10 +20,10 @@
 from typing import Any
 
 from tests.plan import Company, Unit, count_cores, count_workers, discover, make_units
+from tests.times import Taken, UnitTimes, make_table
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _EXIT_TIMEOUT_S = 30.0
-_SLOWEST_UNITS = 10
 
 
 def read_known_red(path: pathlib.Path) -> dict[str, str]:
@@ -54,6 +54,12 @@
         print("\n".join(parts), flush=True)
 
 
+def read_times(unit: Unit, report: dict[str, Any]) -> UnitTimes:
+    """Return what a worker's report says of the time that its unit took."""
+    tests = {test: Taken(*taken) for test, taken in report["times"].items()}
+    return UnitTimes(unit.tests[0], Taken(*report["whole"]), tests)
+
+
 @dataclass
 class Verdict:
     """What has been run so far, and what went wrong.
@@ -64,15 +70,15 @@
         Units that were reported on, or lost with a worker.
     seen
         Ids of the tests that were run.
-    seconds
-        How long each unit took, by its first test.
+    times
+        What each unit took.
     """
 
     ended: set[Unit] = field(default_factory=set)
     seen: set[str] = field(default_factory=set)
     problems: list[Problem] = field(default_factory=list)
     skipped: list[tuple[str, str]] = field(default_factory=list)
-    seconds: dict[str, float] = field(default_factory=dict)
+    times: list[UnitTimes] = field(default_factory=list)
 
     def add_report(self, unit: Unit, report: dict[str, Any]) -> None:
         """Add a worker's report on a unit."""
@@ -80,7 +86,7 @@
         seen = set(report["seen"])
         self.seen |= seen
         self.skipped += [(test, reason) for test, reason in report["skipped"]]
-        self.seconds[unit.tests[0]] = report["seconds"]
+        self.times.append(read_times(unit, report))
         problems = [Problem(**problem) for problem in report["problems"]]
         missing = set(unit.tests) - seen
         if not problems and (missing or not report["is_successful"]):
@@ -292,9 +298,7 @@
 
 def print_summary(verdict: Verdict, seconds: float, workers: int) -> None:
     """Print what took longest, what did not pass and the counts."""
-    by_length = sorted(verdict.seconds.items(), key=lambda item: -item[1])
-    for test, taken in by_length[:_SLOWEST_UNITS]:
-        print(f"{taken:.1f} s: {test}")
+    print(*make_table(verdict.times), sep="\n")
     for test, reason in verdict.skipped:
         print(f"SKIPPED: {test}: {reason}")
     for problem in verdict.problems:
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -10,6 +10,7 @@
 
 from tests.plan import WORKERS_VARIABLE, Company, Unit
 from tests.runner import ROOT, Pool, Verdict, WorkerLostError
+from tests.times import SLOWEST_TESTS
 
 _UNIT_S = 0.01
 _UNIT = Unit(("a.A.test_one", "a.A.test_two"), 1, Company.ANY)
@@ -26,7 +27,8 @@
         "problems": list(problems),
         "skipped": [],
         "is_successful": is_successful,
-        "seconds": 0.1,
+        "whole": (0.1, 0.1),
+        "times": dict.fromkeys(seen, (0.05, 0.05)),
     }
 
 
@@ -141,6 +143,44 @@
         code, lines = self.run_tree()
         self.assertEqual((code, lines[-1]), (1, "0 passed, 0 failed"))
 
+    def test_folders_and_slowest_tests_are_printed_before_the_counts(self):
+        slow = """
+            import time
+
+            class Slow(unittest.TestCase):
+                @classmethod
+                def setUpClass(cls):
+                    time.sleep(0.7)
+
+                def test_idle(self):
+                    time.sleep(0.4)
+
+                def test_busy(self):
+                    while time.process_time() < self.start + 0.2:
+                        pass
+
+                def setUp(self):
+                    self.start = time.process_time()
+        """
+        for n in range(SLOWEST_TESTS):
+            self.write(f"green{n}", _GREEN)
+        self.write("slow", slow)
+        code, lines = self.run_tree()
+        counts = r"ran 22 tests in \S+ s in 2 workers"
+        self.assertRegex(lines[-2], counts)
+        self.assertEqual((code, lines[-1]), (0, "22 passed, 0 failed"))
+        table = [line.split(" s ") for line in lines[:-2]]
+        (folder,) = (row for row in table if row[-1].strip() == ". (22 tests)")
+        self.assertGreater(float(folder[0]), 1.2)
+        rows = table[-SLOWEST_TESTS:]
+        names = [name.strip() for _, _, name in rows]
+        shared = "fixtures of test_slow.Slow"
+        slow = "test_slow.Slow.test_"
+        self.assertEqual(names[:3], [shared, f"{slow}idle", f"{slow}busy"])
+        processor = [float(taken) for _, taken, _ in rows]
+        self.assertLess(max(processor[:2]), 0.2)
+        self.assertGreaterEqual(processor[2], 0.2)
+
     def test_failure_is_printed_whole(self):
         self.write("green", _GREEN)
         red = """
--- a/tests/worker.py
+++ b/tests/worker.py
@@ -14,6 +14,7 @@
 from typing import Any, TextIO
 
 from tests.plan import discover
+from tests.times import Taken
 
 
 class RecordingResult(unittest.TextTestResult):
@@ -25,6 +26,8 @@
         Where lines to the runner go.
     seen
         Ids of the tests that started or were skipped.
+    times
+        What each test took, with its own fixtures.
     """
 
     answers: TextIO
@@ -32,11 +35,18 @@
     def __init__(self, *arguments: Any, **rest: Any) -> None:
         super().__init__(*arguments, **rest)
         self.seen: set[str] = set()
+        self.times: dict[str, Taken] = {}
+        self._start = read_clocks()
 
     def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
         self.seen.add(test.id())
         send(self.answers, {"started": test.id()})
         super().startTest(test)
+        self._start = read_clocks()
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        self.times[test.id()] = read_clocks() - self._start
+        super().stopTest(test)
 
     def addSkip(self, test: unittest.TestCase, reason: str) -> None:  # noqa: N802
         self.seen.add(test.id())
@@ -49,7 +59,12 @@
     answers.flush()
 
 
-def make_report(result: RecordingResult, seconds: float) -> dict[str, Any]:
+def read_clocks() -> Taken:
+    """Return the time that has passed since some instant."""
+    return Taken(time.monotonic(), time.process_time())
+
+
+def make_report(result: RecordingResult, whole: Taken) -> dict[str, Any]:
     """Return what the runner needs to know of a unit's result."""
     found = [("FAIL", *item) for item in result.failures]
     found += [("ERROR", *item) for item in result.errors]
@@ -70,7 +85,8 @@
         ],
         "skipped": [[test.id(), reason] for test, reason in result.skipped],
         "is_successful": result.wasSuccessful(),
-        "seconds": seconds,
+        "whole": whole,
+        "times": result.times,
     }
 
 
@@ -89,10 +105,10 @@
     runner = unittest.TextTestRunner(
         io.StringIO(), verbosity=0, buffer=True, resultclass=Result
     )
-    start = time.monotonic()
+    start = read_clocks()
     result = runner.run(unittest.TestSuite(tests))
     assert isinstance(result, RecordingResult)
-    return make_report(result, time.monotonic() - start)
+    return make_report(result, read_clocks() - start)
 
 
 def take_channels() -> tuple[TextIO, TextIO]:
