--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -347,11 +347,8 @@
 
     def _handle_timeout(self) -> None:
         idle = self._head is None and not self._h11.trailing_data[0]
-        if idle:
-            # A late timer runs before what has arrived meanwhile is read; the next
-            # one runs after.  A request that is read cancels it.
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(0.0, self.close_idle)
+        if idle and self._transport is not None:
+            self._transport.close()
         else:
             self._reject(TOO_SLOW, "the request did not arrive in time")
 
