Drop messages that a router sends after it closed its socket

The router kept the closed transport.

Ruled out: a lost answer that matters: the router that asked takes it for a lost datagram.

Change: the transport is forgotten with the close, so that later messages are dropped like those that wait.

--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -291,8 +291,9 @@
             await asyncio.sleep(find_beat_interval(len(self.routers) + 1) / SECOND)
 
     def close(self) -> None:
-        """Close the socket; messages that wait for a datagram are dropped."""
+        """Close the socket; messages that wait or come later are dropped."""
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -134,3 +134,12 @@
             self.transport.list_addresses("Beat").count(f"10.0.0.{n}") for n in (0, 1)
         ]
         self.assertEqual(counts, [4, 2])
+
+    async def test_message_after_the_close_is_dropped(self):
+        """Guards against an exception of a task that answers as its router ends."""
+        peers = Peers("127.0.0.1", 0, "north", self.clock, SilentJournal())
+        await peers.start()
+        peers.close()
+        await asyncio.sleep(0.01)
+        peers.send(Ended("own/1", "e1"), "127.0.0.1")
+        peers.close()
