Time an engine's removal from the moment its declaration is applied

What was seen: tests.integration.test_leaving red in 2 of 3 runs beside other work (load 13 to 17 on 8 cores): no router sends new work 4.05, 4.43 and 2.93 s after the test began to declare it; 3.0 s are allowed.

Cause: the span began before the test read and wrote YAML and started the operator command. Beside that load to import the command alone takes 2.2 to 2.5 s. The first sign, from which the 3 s count, is the declaration that the command stores.

Ruled out: slow routers: the other three signs of the same runs were within bounds.

Change: this test applies the declaration by the command's own function in its own process, and the span begins with that. The bound is as before; a router that is 2 s slower, which an idle machine's run would have passed, is seen now. That the command exits with 0 is checked.

--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -9,6 +9,7 @@
 import yaml
 
 from anvilshift.client.client import CallError, Client, Conversation
+from anvilshift.operator.main import Commands
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE
 from bench.fleet import LocalFleet, wait_until
@@ -79,14 +80,20 @@
 
         await wait_until(works)
 
-    async def remove_engine(self, name):
+    def remove_engine(self, name):
         path = next(self.fleet.declarations.rglob("engines.yaml"))
         documents = list(yaml.safe_load_all(path.read_text()))
         for document in documents:
             engines = document["engines"]
             document["engines"] = [e for e in engines if e["name"] != name]
         path.write_text(yaml.safe_dump_all(documents))
-        self.assertTrue((await self.fleet.apply())["accepted"])
+
+    async def apply_here(self):
+        """Apply the declarations as the operator command does once it has started."""
+        arguments = str(self.fleet.declarations), str(self.fleet.platform)
+        with self.assertRaises(SystemExit) as ended:
+            await asyncio.to_thread(Commands().apply, *arguments)
+        self.assertEqual(ended.exception.code, 0)
 
     async def set_hosts(self, **leaving):
         hosts = [
@@ -128,8 +135,9 @@
         self.fleet.start_target("advisor-3", "engine")
         await self.check_returns("advisor-3")
 
+        self.remove_engine("advisor-1")
         began = time.monotonic()
-        await self.remove_engine("advisor-1")
+        await self.apply_here()
         took["declaration"] = time.monotonic() - began
         self.assertLess(took["declaration"], WITHIN_S)
         await self.check_idle_while_others_work("advisor-1")
