Move no late work to an engine that is silent itself

What callers saw: an answer whose engine paused for a moment, or was merely late with its first token, reached its deadline at an engine that hung or paused, although the first one would have completed it in time.

Cause (traced): `HealthMonitor._check_overdue` moves work without a first token after 4 times the expected time and 250 ms, 0.3 to 0.5 s here. It drew the next engine without a look at who answers polls; only `leave` knew the silent ones, and took an engine for sound until 1.5 s.

Ruled out: the watch itself (`leave`), which stays where there is no other; the time of the answer's record.

Change: both ways skip engines that have answered no poll for 600 ms, two polls and the time of an answer. An engine that is only late with its polls isn't blamed for it.

The new property tests and `test_late_work_is_not_moved_to_a_silent_engine` fail without the change.

Not changed: an engine that only pauses still counts as slow in `_check_overdue`.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -57,6 +57,8 @@
     renew
         Returns the work with its candidates recomputed; called for queued and
         running work when the targets change.
+    list_silent
+        Returns the targets that answer nothing at present.
 
     Examples
     --------
@@ -89,11 +91,13 @@
             self._sender,
             self._restriction,
             self._relocation,
+            lambda: self.list_silent(),
         )
         self._target_limits = TargetLimits(self._state, self._sender)
         self._last_sweep: Millis = 0.0
         self._was_alone = self._state.is_single_router
         self.renew: Callable[[Work], Work] = lambda work: work
+        self.list_silent: Callable[[], Collection[str]] = tuple
 
     @property
     def waiting(self) -> int:
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -1,6 +1,6 @@
 """Monitor targets by the work that they run: eject, probe, and move work away."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
@@ -20,7 +20,13 @@
 
 
 class HealthMonitor:
-    """Eject slow and failing targets, probe them, and move work off hung ones."""
+    """Eject slow and failing targets, probe them, and move work off hung ones.
+
+    Parameters
+    ----------
+    list_silent
+        Returns the targets that answer nothing at present.
+    """
 
     def __init__(
         self,
@@ -29,12 +35,14 @@
         sender: Sender,
         restriction: TargetRestriction,
         relocation: Relocation,
+        list_silent: Callable[[], Collection[str]],
     ) -> None:
         self._state = state
         self._backlog = backlog
         self._sender = sender
         self._restriction = restriction
         self._relocation = relocation
+        self._list_silent = list_silent
         sender.on_sent = self._schedule_overdue_check
 
     def _schedule_overdue_check(self, attempt: Attempt, now: Millis) -> None:
@@ -62,7 +70,7 @@
             return []
         self.compare(attempt, now - attempt.sent)
         actions = self.check_health(attempt.view, now)
-        moved = self.move_to_other_target(attempt, now)
+        moved = self.move_to_other_target(attempt, now, self._list_silent())
         if not moved:
             again = now + _OVERDUE_MARGIN
             self._state.timers.schedule(
@@ -82,7 +90,7 @@
         Parameters
         ----------
         silent
-            Targets that answer nothing at present, if the work is at one of them.
+            Targets that answer nothing at present; none of them is given the work.
         """
         entry, work = attempt.entry, attempt.entry.work
         pool = self._state.pools.find(work.candidates)
@@ -91,15 +99,16 @@
             return []
         allowed = self._restriction.list_allowed(work, pool, now)
         names = pool.open.draw(self._state.rng, 2) if allowed is None else allowed
+        unfit = {*silent, attempt.view.target.name}
         # A target that was tried before is better than one that answers nothing.
-        tried = set() if silent else entry.tried
-        has_other = any(name in pool.open and name not in tried for name in names)
+        if attempt.view.target.name not in silent:
+            unfit |= entry.tried
+        has_other = any(name in pool.open and name not in unfit for name in names)
         may_retry = entry.attempts < self._state.settings.attempts
         if not (has_other and may_retry) or self._state.would_miss_deadline(
             entry, pool, now
         ):
             return []
-        unfit = {*silent, attempt.view.target.name}
         quarantined = self._state.quarantine.is_quarantined(work.content, now)
         view = self._sender.find_target(entry, pool, now, unfit)
         if view is None and not quarantined:
--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -114,6 +114,7 @@
         self.dispatch.relocate = self.relocation_protocol.ask
         self.dispatch.announce = self._announce_crash
         self.dispatcher.renew = self.access_control.renew
+        self.dispatcher.list_silent = self.targets.list_unanswering
         self.crashes.take_other = self._record_further_crash
         self.fleet.list_crash_reports = self.crashes.list_reports_to_send
         self.fleet.receive_crash_reports = self.crashes.receive
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -295,7 +295,7 @@
                 await self._process_all(batches)
 
     def _leave_silent(self) -> None:
-        silent = self._shared.targets.list_silent()
+        silent = self._shared.targets.list_unanswering()
         self._shared.dispatch.leave(self.job.identity, silent)
 
     def _is_silent(self, target: str) -> bool:
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -26,6 +26,11 @@
 every 250 ms with a timeout of one second, so a working engine answers within it."""
 
 
+_UNANSWERED_THRESHOLD: Millis = 600.0
+"""Time without an answer after which no work is moved to an engine: two polls and the
+time of an answer.  An engine that is only late at answering loses nothing by it."""
+
+
 class Targets:
     """The adapters of all declared targets."""
 
@@ -79,9 +84,10 @@
             and self._clock.now() - answered_at > _SILENCE_THRESHOLD
         )
 
-    def list_silent(self) -> list[str]:
-        """Return the engines that have left their polls unanswered for too long."""
-        return [name for name in self._answered_at if self.is_silent(name)]
+    def list_unanswering(self) -> list[str]:
+        """Return the engines that left their latest polls unanswered."""
+        since = self._clock.now() - _UNANSWERED_THRESHOLD
+        return [name for name, at in self._answered_at.items() if at < since]
 
     def cancel(self, name: str, attempt: str) -> None:
         """Cancel an attempt at an engine, in the background."""
--- /dev/null
+++ b/tests/core/test_silent_engines.py
@@ -0,0 +1,92 @@
+"""Tests of work at engines that fall silent for a moment, or for good."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.work import Cancel, DispatchSettings, Send, Target, Work
+from tests.core.silentengines import FOREVER, STEP, SilentFleet
+
+NAMES = ("e1", "e2", "e3", "e4")
+SPAN = 15_000.0
+WARM = 3_000.0
+"""Time in which the dispatcher learns how long work takes."""
+
+silences = st.lists(
+    st.tuples(
+        st.sets(st.sampled_from(NAMES), min_size=1),
+        st.integers(int(WARM / STEP), int(SPAN / STEP)),
+        st.integers(12, 104),
+    ),
+    max_size=8,
+)
+"""Some engines that fall silent, when, and for how long: 0.3 to 2.6 s."""
+
+
+def list_silences(drawn):
+    return {
+        name: [
+            (at * STEP, (at + span) * STEP)
+            for names, at, span in drawn
+            if name in names
+        ]
+        for name in NAMES
+    }
+
+
+class RandomSilencesTest(unittest.TestCase):
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(0, 10_000), silences, st.integers(1, 2))
+    def test_silences_cost_no_answer_that_would_have_been_complete(
+        self, seed, drawn, routers
+    ):
+        """Guards against an answer that is given up for an engine known as silent."""
+        fleet = SilentFleet(seed, list_silences(drawn), routers)
+        fleet.play(SPAN)
+        self.assertEqual(fleet.list_lost(), [])
+
+    @settings(max_examples=15, deadline=None)
+    @given(st.integers(0, 10_000), silences, st.integers(1, 2))
+    def test_silences_beside_an_engine_that_hangs_cost_no_answer(
+        self, seed, drawn, routers
+    ):
+        """Guards against an answer that is given up for an engine that hangs."""
+        times = list_silences(drawn)
+        times["e1"].append((WARM, FOREVER))
+        fleet = SilentFleet(seed, times, routers)
+        fleet.play(SPAN)
+        self.assertEqual(fleet.list_lost(), [])
+
+
+class KnownSilenceTest(unittest.TestCase):
+    def setUp(self):
+        self.dispatcher = Dispatcher(DispatchSettings(), random.Random(0))
+        self.silent: list[str] = []
+        self.dispatcher.list_silent = lambda: self.silent
+
+    def configure(self, *names):
+        targets = [Target(name, "north", 8) for name in names]
+        self.dispatcher.configure(targets, 0.0)
+        candidates = dict.fromkeys(names, 0)
+        work = Work("r1", "pounds", "advice", candidates, 10, 20, deadline=60_000.0)
+        [send] = self.dispatcher.add_request(work, 0.0)
+        return send.target
+
+    def test_late_work_is_not_moved_to_a_silent_engine(self):
+        """Guards against an answer that is given up, before its first token, for an
+        engine that is known to be silent.
+        """
+        first = self.configure("e1", "e2")
+        self.silent = [name for name in ("e1", "e2") if name != first]
+        for now in range(0, 3_000, 50):
+            self.assertEqual(self.dispatcher.tick(float(now)), [])
+        self.silent = []
+        actions = self.dispatcher.tick(3_500.0)
+        self.assertEqual([type(one) for one in actions], [Cancel, Send])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/router/test_targets.py
+++ b/tests/router/test_targets.py
@@ -33,7 +33,9 @@
 
 
 class SilenceTest(unittest.TestCase):
-    def list_silent(self, seconds):
+    def poll(self, seconds, look):
+        """Return what targets say after engines were polled for a time."""
+
         async def poll_engines():
             targets = Targets(StubConnector(), VirtualClock())
             names = ("rejects", "times out", "hangs")
@@ -45,10 +47,16 @@
             await asyncio.sleep(seconds)
             polling.cancel()
             await asyncio.gather(polling, return_exceptions=True)
-            return [name for name in names if targets.is_silent(name)]
+            return look(targets)
 
         return run_virtual(poll_engines())
 
+    def list_silent(self, seconds):
+        names = ("rejects", "times out", "hangs")
+        return self.poll(
+            seconds, lambda targets: [name for name in names if targets.is_silent(name)]
+        )
+
     def test_engine_that_never_answered_a_poll_is_found_silent(self):
         """Guards against requests that wait until their deadline for a paused engine.
 
@@ -57,6 +65,12 @@
         self.assertEqual(self.list_silent(1.0), [])
         self.assertEqual(self.list_silent(5.0), ["times out", "hangs"])
 
+    def test_engine_that_left_two_polls_unanswered_is_given_no_work_of_others(self):
+        """Guards against work that moves to an engine that is silent itself."""
+        look = Targets.list_unanswering
+        self.assertEqual(self.poll(0.5, look), [])
+        self.assertEqual(self.poll(1.0, look), ["times out", "hangs"])
+
 
 if __name__ == "__main__":
     unittest.main()
