Let work leave a hung engine for a tried one while an untried one is silent

What callers saw: nothing until their deadline, at an engine that hangs, while another engine that had broken the answer off before was free.

Cause: an engine that was tried is eligible only once no usable one is untried, and `has_untried_target` counted silent engines, which can't be chosen.

Change: engines that may not be chosen don't count as untried there. The new test is red without it (the move returned nothing).

--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -71,7 +71,7 @@
         options = [
             self._make_option(entry, view)
             for view in views
-            if self._is_eligible(entry, pool, view, now)
+            if self._is_eligible(entry, pool, view, now, excluded)
         ]
         durations = pool.kind.durations
         saving = durations.saving(entry.work.request_class)
@@ -117,7 +117,12 @@
         )
 
     def _is_eligible(
-        self, entry: Entry, pool: Pool, view: TargetView, now: Millis
+        self,
+        entry: Entry,
+        pool: Pool,
+        view: TargetView,
+        now: Millis,
+        excluded: Collection[str] = frozenset(),
     ) -> bool:
         """Return whether work may be sent to a target that has room.
 
@@ -128,7 +133,7 @@
         allowed = self._restriction.list_allowed(work, pool, now)
         if allowed is not None and name not in allowed:
             return False
-        if name in entry.tried and self.has_untried_target(entry, pool, now):
+        if name in entry.tried and self.has_untried_target(entry, pool, now, excluded):
             return False
         if view.health.state is HealthState.PROBING:
             slack = work.deadline - now
@@ -139,12 +144,19 @@
             return True
         return self._state.quarantine.is_free(name, content)
 
-    def has_untried_target(self, entry: Entry, pool: Pool, now: Millis) -> bool:
+    def has_untried_target(
+        self,
+        entry: Entry,
+        pool: Pool,
+        now: Millis,
+        excluded: Collection[str] = frozenset(),
+    ) -> bool:
         """Return whether some usable target hasn't been tried for work yet."""
+        unfit = entry.tried.union(name for name in excluded if name in pool.priorities)
         usable = self._restriction.list_usable(entry.work, pool, now)
         if usable is None:
-            return len(entry.tried) < pool.usable
-        return any(name not in entry.tried for name in usable)
+            return len(unfit) < pool.usable
+        return any(name not in unfit for name in usable)
 
     def fill(self, view: TargetView, now: Millis) -> Actions:
         """Send waiting work to a target while it has room.
--- a/tests/core/test_silent_engines.py
+++ b/tests/core/test_silent_engines.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from anvilshift.core.dispatcher import Dispatcher
-from anvilshift.core.work import Cancel, DispatchSettings, Send, Target, Work
+from anvilshift.core.work import Cancel, DispatchSettings, Failure, Send, Target, Work
 from tests.core.silentengines import FOREVER, STEP, SilentFleet
 
 NAMES = ("e1", "e2", "e3", "e4")
@@ -87,6 +87,15 @@
         actions = self.dispatcher.tick(3_500.0)
         self.assertEqual([type(one) for one in actions], [Cancel, Send])
 
+    def test_work_returns_to_a_tried_engine_while_an_untried_one_is_silent(self):
+        """Guards against a request that stays at a hung engine as another is silent."""
+        first = self.configure("e1", "e2", "e3")
+        [send] = self.dispatcher.failed("r1", Failure.BROKE_OFF, 10.0)
+        silent = [name for name in ("e1", "e2", "e3") if name != first]
+        self.assertIn(send.target, silent)
+        actions = self.dispatcher.leave("r1", silent, 2_000.0)
+        self.assertEqual([one.target for one in actions], [send.target, first])
+
 
 if __name__ == "__main__":
     unittest.main()
