Count what is left of an answer, not the whole, when it goes on elsewhere

What callers saw: a stream at an engine that hung for good stayed there until its deadline, or was refused after a failure, although only a few of its tokens were left.

Ruled out: places, retries and the choice of the engine, which were free.

Change: a router says with `leave` and `failed` how many tokens have arrived, and the estimate takes them off.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -384,11 +384,20 @@
         """
         self._state.recording.add(max(span, 1.0))
 
-    def failed(self, identity: str, failure: Failure, now: Millis) -> Actions:
-        """Record a failed attempt; retry the work or refuse it."""
+    def failed(
+        self, identity: str, failure: Failure, now: Millis, received: int = 0
+    ) -> Actions:
+        """Record a failed attempt; retry the work or refuse it.
+
+        Parameters
+        ----------
+        received
+            Tokens of the answer that have arrived.
+        """
         attempt = self._sender.running.get(identity)
         if attempt is None:
             return []
+        attempt.entry.received = received
         entry, view, content = attempt.entry, attempt.view, attempt.entry.work.content
         name = view.target.name
         actions: Actions = []
@@ -410,7 +419,9 @@
         actions += self._retrier.retry(entry, failure, now)
         return [*actions, *self._sender.fill(view, now)]
 
-    def leave(self, identity: str, silent: Collection[str], now: Millis) -> Actions:
+    def leave(
+        self, identity: str, silent: Collection[str], now: Millis, received: int = 0
+    ) -> Actions:
         """Move work from a silent target; do nothing if no other takes it at once.
 
         The target isn't blamed: it may only pause.
@@ -419,10 +430,13 @@
         ----------
         silent
             All targets that answer nothing at present, the work's own among them.
+        received
+            Tokens of the answer that have arrived.
         """
         attempt = self._sender.running.get(identity)
         if attempt is None:
             return []
+        attempt.entry.received = received
         content = attempt.entry.work.content
         if self._state.quarantine.is_quarantined(content, now):
             return []
--- a/anvilshift/core/durations.py
+++ b/anvilshift/core/durations.py
@@ -125,10 +125,17 @@
         """Return the expected run time of work."""
         return self.first(work.request_class) + self.pace.value * self.tokens(work)
 
-    def service_upper_bound(self, work: Work) -> Millis:
-        """Return an upper bound of the run time that few answers exceed."""
+    def service_upper_bound(self, work: Work, received: int = 0) -> Millis:
+        """Return an upper bound of the run time that few answers exceed.
+
+        Parameters
+        ----------
+        received
+            Tokens of the answer that need not be generated again.
+        """
         factor = min(_MAX_SAFETY_FACTOR, max(_MIN_SAFETY_FACTOR, self._error.high()))
-        return self.service(work) * factor
+        left = max(0.0, self.tokens(work) - received)
+        return (self.first(work.request_class) + self.pace.value * left) * factor
 
     def is_fresh(self, now: Millis) -> bool:
         """Return whether the estimates include a measurement of the last seconds."""
--- a/anvilshift/core/queue.py
+++ b/anvilshift/core/queue.py
@@ -53,6 +53,8 @@
         Number of times that it was sent.
     tried
         Names of the targets that it was sent to.
+    received
+        Tokens of its answer that have arrived; another target goes on after them.
     allowed
         The only targets that it may be sent to; None for any candidate.
     lane
@@ -65,6 +67,7 @@
     is_long: bool = False
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
+    received: int = 0
     allowed: tuple[str, ...] | None = None
     lane: "_Lane | None" = None
 
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -140,7 +140,7 @@
         durations = pool.kind.durations
         if not durations.is_fresh(now):
             return False
-        service = durations.service_upper_bound(entry.work)
+        service = durations.service_upper_bound(entry.work, entry.received)
         return misses_deadline(self.due(entry.work), now, 0.0, service)
 
     def refuse_quarantined(self, work: Work) -> Refuse:
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -80,16 +80,22 @@
         self.act(self.dispatcher.add_request(work, self._clock.now()))
         return await self._wait(work.identity, waiter)
 
-    async def retry(self, identity: str, failure: Failure) -> Send:
+    async def retry(self, identity: str, failure: Failure, received: int = 0) -> Send:
         """Report a failed attempt and wait for the next target.
 
+        Parameters
+        ----------
+        received
+            Tokens of the answer that have arrived.
+
         Raises
         ------
         AnvilshiftError
             When the work is given up.
         """
         waiter = self._add_waiter(identity)
-        self.act(self.dispatcher.failed(identity, failure, self._clock.now()))
+        now = self._clock.now()
+        self.act(self.dispatcher.failed(identity, failure, now, received))
         return await self._wait(identity, waiter)
 
     async def follow(self, identity: str) -> Send:
@@ -102,9 +108,10 @@
         """
         return await self._wait(identity, self._waiters[identity])
 
-    def leave(self, identity: str, silent: Collection[str]) -> None:
+    def leave(self, identity: str, silent: Collection[str], received: int = 0) -> None:
         """Move work from a silent target to another one, if one takes it at once."""
-        self.act(self.dispatcher.leave(identity, silent, self._clock.now()))
+        now = self._clock.now()
+        self.act(self.dispatcher.leave(identity, silent, now, received))
 
     def first_token(self, identity: str) -> None:
         """Report that an answer's first token has arrived."""
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -233,7 +233,7 @@
                 failure = error.failure
             if failure in NOT_EXECUTED:
                 self._progress.sent = sent_before
-            send = await dispatch.retry(self.job.identity, failure)
+            send = await dispatch.retry(self.job.identity, failure, self._tokens)
 
     def _abandon_attempt(self) -> None:
         """Stop the current attempt; the run continues at another target."""
@@ -296,7 +296,7 @@
 
     def _leave_silent(self) -> None:
         silent = self._shared.targets.list_unanswering()
-        self._shared.dispatch.leave(self.job.identity, silent)
+        self._shared.dispatch.leave(self.job.identity, silent, self._tokens)
 
     def _is_silent(self, target: str) -> bool:
         """Tell whether an engine answers neither this attempt nor its polls."""
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -184,7 +184,11 @@
 
 
 def _give_up_first(
-    self: Dispatcher, identity: str, silent: Collection[str], now: Millis
+    self: Dispatcher,
+    identity: str,
+    silent: Collection[str],
+    now: Millis,
+    received: int = 0,
 ) -> Actions:
     """Cancel an attempt before it is known where its work goes on."""
     attempt = self._sender.running.get(identity)
--- a/tests/core/silentengines.py
+++ b/tests/core/silentengines.py
@@ -198,8 +198,8 @@
         is_silent = is_quiet and attempt.engine in self.list_unanswered(SILENT)
         if is_silent and attempt.was_silent:
             silent = self.list_unanswered(UNANSWERED)
-            actions = self.dispatcher.leave(attempt.asked.name, silent, self.now)
-            self.take(actions)
+            name, received = attempt.asked.name, attempt.asked.received
+            self.take(self.dispatcher.leave(name, silent, self.now, received))
         attempt.was_silent = is_silent
 
     def list_lost(self):
--- a/tests/core/test_silent_engines.py
+++ b/tests/core/test_silent_engines.py
@@ -60,6 +60,18 @@
         fleet.play(SPAN)
         self.assertEqual(fleet.list_lost(), [])
 
+    @settings(max_examples=15, deadline=None)
+    @given(st.integers(0, 10_000), st.sampled_from(NAMES), st.integers(1, 2))
+    def test_engine_that_hangs_for_good_is_left(self, seed, hung, routers):
+        """Guards against requests that wait for a hung engine until their deadline."""
+        times = {name: [] for name in NAMES}
+        times[hung] = [(WARM, FOREVER)]
+        fleet = SilentFleet(seed, times, routers)
+        fleet.play(SPAN)
+        patient = [one for one in fleet.asked if one.deadline > one.asked_at + 5_000.0]
+        late = [one for one in patient if one.fate == "late" and len(one.sent) == 1]
+        self.assertEqual(late, [])
+
 
 class KnownSilenceTest(unittest.TestCase):
     def setUp(self):
@@ -96,6 +108,41 @@
         actions = self.dispatcher.leave("r1", silent, 2_000.0)
         self.assertEqual([one.target for one in actions], [send.target, first])
 
+    def learn(self):
+        """Let it know that answers of 60 tokens take 1.2 s."""
+        for number in range(30):
+            now, name = number * 10.0, f"known {number}"
+            work = Work(name, "pounds", "advice", {"e1": 0}, 10, 60, deadline=1e6)
+            self.dispatcher.add_request(work, now)
+            self.dispatcher.first_token(name, now + 20.0)
+            self.dispatcher.done(name, 60, now + 1_200.0)
+
+    def test_answer_that_lacks_a_few_tokens_leaves_a_hung_engine(self):
+        """Guards against a stream that stays at a hung engine as there is no time for
+        the whole answer anew, of which a few tokens are left.
+        """
+        self.configure("e1", "e2")
+        self.learn()
+        candidates = {"e1": 0, "e2": 0}
+        work = Work("r2", "pounds", "advice", candidates, 10, 60, deadline=4_500.0)
+        [send] = self.dispatcher.add_request(work, 1_500.0)
+        first = send.target
+        self.dispatcher.first_token("r2", 1_520.0)
+        self.assertEqual(self.dispatcher.leave("r2", [first], 3_900.0, 0), [])
+        actions = self.dispatcher.leave("r2", [first], 3_900.0, 55)
+        self.assertEqual([type(one) for one in actions], [Cancel, Send])
+
+    def test_answer_that_lacks_a_few_tokens_goes_on_after_a_failure(self):
+        """Guards against a refusal as there is no time for the whole answer anew."""
+        self.configure("e1", "e2")
+        self.learn()
+        candidates = {"e1": 0, "e2": 0}
+        work = Work("r2", "pounds", "advice", candidates, 10, 60, deadline=4_500.0)
+        self.dispatcher.add_request(work, 1_500.0)
+        self.dispatcher.first_token("r2", 1_520.0)
+        [again] = self.dispatcher.failed("r2", Failure.BROKE_OFF, 3_900.0, 55)
+        self.assertIsInstance(again, Send)
+
 
 if __name__ == "__main__":
     unittest.main()
