Leave a hung engine also after it was removed from the declarations

What callers saw: a stream waited until its deadline (8 s) at an engine that hung, once the operator had removed that engine, which is what operators do with one that hangs.

Cause: unanswered polls show that an engine is silent. An engine that is no longer declared was polled no more and its time forgotten, so `is_silent` was never true again.

Ruled out: the dispatcher, whose `leave` moves work from a removed engine.

Change: an engine is polled while an attempt runs there, and an attempt that is abandoned there is cancelled. Its reports have no effect on what is declared.

Evidence: `test_stream_leaves_a_hung_engine_that_is_no_longer_declared` red before, green with it; `test_stream_stays_at_a_removed_engine_that_only_pauses` green on both.

--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -224,8 +224,9 @@
         while True:
             sent_before = self._progress.sent
             try:
-                if await self._generate_unless_abandoned(send):
-                    return
+                with self._shared.targets.hold(send.target):
+                    if await self._generate_unless_abandoned(send):
+                        return
                 send = await dispatch.follow(self.job.identity)
                 continue
             except TargetError as error:
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -1,8 +1,9 @@
 """Keep the adapters of the declared targets and poll the engines for reports."""
 
 import asyncio
+import contextlib
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -38,6 +39,8 @@
         self._connector = connector
         self._clock = clock
         self._engines: dict[str, ModelEngine] = {}
+        self._removed: dict[str, ModelEngine] = {}
+        self._attempts: Counter[str] = Counter()
         self._services: dict[str, PlainService] = {}
         self._declared: dict[str, Engine] = {}
         self._event_sequences: dict[str, int] = {}
@@ -58,11 +61,33 @@
                 else:
                     services[engine.name] = self._connector.service(engine)
         now = self._clock.now()
-        self._answered_at = {name: self._answered_at.get(name, now) for name in engines}
+        known = self._removed | self._engines
+        removed = [n for n in known if n not in engines and self._attempts[n]]
+        self._removed = {name: known[name] for name in removed}
+        self._answered_at = {
+            name: self._answered_at.get(name, now) for name in (*engines, *removed)
+        }
         self._engines, self._services = engines, services
         self._poll_counts = Counter({n: self._poll_counts[n] for n in engines})
         self._declared = declared
 
+    @contextlib.contextmanager
+    def hold(self, name: str) -> Iterator[None]:
+        """Keep polling an engine while an attempt runs there, even if it is removed.
+
+        Guards against work that waits at a hung engine for its deadline as the engine
+        is no longer declared: unanswered polls are what shows that it hangs.
+        """
+        self._attempts[name] += 1
+        try:
+            yield
+        finally:
+            self._attempts[name] -= 1
+            if not self._attempts[name]:
+                del self._attempts[name]
+                if self._removed.pop(name, None) is not None:
+                    del self._answered_at[name]
+
     def engine(self, name: str) -> ModelEngine | None:
         """Return the adapter of a model engine, or None if it isn't declared."""
         return self._engines.get(name)
@@ -91,7 +116,7 @@
 
     def cancel(self, name: str, attempt: str) -> None:
         """Cancel an attempt at an engine, in the background."""
-        engine = self._engines.get(name)
+        engine = self._engines.get(name) or self._removed.get(name)
         if engine is not None:
             self._spawn(engine.cancel(attempt))
 
@@ -115,7 +140,7 @@
         try:
             while True:
                 polls = {n: task for n, task in polls.items() if not task.done()}
-                for name, engine in self._engines.items():
+                for name, engine in (self._engines | self._removed).items():
                     if name not in polls:
                         work = self._poll_one(
                             name, engine, apply_load_report, take_event, count_refusal
