Take the end of an attempt whose work was just moved for no other attempt's

What callers saw: nothing yet. An engine that only took over a request could be blamed for the failure of the one before it, up to its ejection; and a router counted a request as waiting for ever (`waiting` of its status).

Cause: the dispatcher moves work in one step, the run learns of it a turn of the event loop later. If its attempt ended in that turn, the run reported the end as that of the next attempt, which hadn't begun, and the future of the next attempt was never taken away.

Ruled out, by tests that were green before: an answer that ends, and a stream that breaks off, in the moment of a move are whole at their callers.

Change: `DispatchLoop.retry` follows a move that has been made; what is kept for work goes with its end.

Evidence: `test_failure_of_work_that_was_moved_blames_no_other_engine` and `test_work_that_was_moved_as_it_ended_waits_no_longer` red before, green with it.

--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -93,6 +93,11 @@
         AnvilshiftError
             When the work is given up.
         """
+        moved = self._waiters.get(identity)
+        if moved is not None:
+            # The dispatcher has moved the work already: the failure is of an attempt
+            # that it knows no more, and would be taken for one of the next attempt.
+            return await self._wait(identity, moved)
         waiter = self._add_waiter(identity)
         now = self._clock.now()
         self.act(self.dispatcher.failed(identity, failure, now, received))
@@ -119,7 +124,7 @@
 
     def done(self, identity: str, tokens: int) -> None:
         """Report that an answer is complete."""
-        self._stop_callbacks.pop(identity, None)
+        self._forget(identity)
         self.act(self.dispatcher.done(identity, tokens, self._clock.now()))
 
     def recorded(self, span: Millis) -> None:
@@ -128,9 +133,14 @@
 
     def cancel(self, identity: str) -> None:
         """Report that the caller no longer waits for the work."""
-        self._stop_callbacks.pop(identity, None)
+        self._forget(identity)
         self.act(self.dispatcher.cancel(identity, self._clock.now()))
 
+    def _forget(self, identity: str) -> None:
+        """Drop what is kept for work, also for a move that nobody waits for."""
+        self._stop_callbacks.pop(identity, None)
+        self._waiters.pop(identity, None)
+
     def _add_waiter(self, identity: str) -> asyncio.Future[Send]:
         waiter: asyncio.Future[Send] = asyncio.get_running_loop().create_future()
         self._waiters[identity] = waiter
