--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -57,6 +57,8 @@
     renew
         Returns the work with its candidates recomputed; called for queued and
         running work when the targets change.
+    list_silent
+        Returns the targets that answer nothing at present.
 
     Examples
     --------
@@ -89,11 +91,13 @@
             self._sender,
             self._restriction,
             self._relocation,
+            lambda: self.list_silent(),
         )
         self._target_limits = TargetLimits(self._state, self._sender)
         self._last_sweep: Millis = 0.0
         self._was_alone = self._state.is_single_router
         self.renew: Callable[[Work], Work] = lambda work: work
+        self.list_silent: Callable[[], Collection[str]] = tuple
 
     @property
     def waiting(self) -> int:
@@ -380,11 +384,20 @@
         """
         self._state.recording.add(max(span, 1.0))
 
-    def failed(self, identity: str, failure: Failure, now: Millis) -> Actions:
-        """Record a failed attempt; retry the work or refuse it."""
+    def failed(
+        self, identity: str, failure: Failure, now: Millis, received: int = 0
+    ) -> Actions:
+        """Record a failed attempt; retry the work or refuse it.
+
+        Parameters
+        ----------
+        received
+            Tokens of the answer that have arrived.
+        """
         attempt = self._sender.running.get(identity)
         if attempt is None:
             return []
+        attempt.entry.received = received
         entry, view, content = attempt.entry, attempt.view, attempt.entry.work.content
         name = view.target.name
         actions: Actions = []
@@ -406,7 +419,9 @@
         actions += self._retrier.retry(entry, failure, now)
         return [*actions, *self._sender.fill(view, now)]
 
-    def leave(self, identity: str, silent: Collection[str], now: Millis) -> Actions:
+    def leave(
+        self, identity: str, silent: Collection[str], now: Millis, received: int = 0
+    ) -> Actions:
         """Move work from a silent target; do nothing if no other takes it at once.
 
         The target isn't blamed: it may only pause.
@@ -415,10 +430,13 @@
         ----------
         silent
             All targets that answer nothing at present, the work's own among them.
+        received
+            Tokens of the answer that have arrived.
         """
         attempt = self._sender.running.get(identity)
         if attempt is None:
             return []
+        attempt.entry.received = received
         content = attempt.entry.work.content
         if self._state.quarantine.is_quarantined(content, now):
             return []
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -80,16 +80,27 @@
         self.act(self.dispatcher.add_request(work, self._clock.now()))
         return await self._wait(work.identity, waiter)
 
-    async def retry(self, identity: str, failure: Failure) -> Send:
+    async def retry(self, identity: str, failure: Failure, received: int = 0) -> Send:
         """Report a failed attempt and wait for the next target.
 
+        Parameters
+        ----------
+        received
+            Tokens of the answer that have arrived.
+
         Raises
         ------
         AnvilshiftError
             When the work is given up.
         """
+        moved = self._waiters.get(identity)
+        if moved is not None:
+            # The dispatcher has moved the work already: the failure is of an attempt
+            # that it knows no more, and would be taken for one of the next attempt.
+            return await self._wait(identity, moved)
         waiter = self._add_waiter(identity)
-        self.act(self.dispatcher.failed(identity, failure, self._clock.now()))
+        now = self._clock.now()
+        self.act(self.dispatcher.failed(identity, failure, now, received))
         return await self._wait(identity, waiter)
 
     async def follow(self, identity: str) -> Send:
@@ -102,9 +113,10 @@
         """
         return await self._wait(identity, self._waiters[identity])
 
-    def leave(self, identity: str, silent: Collection[str]) -> None:
+    def leave(self, identity: str, silent: Collection[str], received: int = 0) -> None:
         """Move work from a silent target to another one, if one takes it at once."""
-        self.act(self.dispatcher.leave(identity, silent, self._clock.now()))
+        now = self._clock.now()
+        self.act(self.dispatcher.leave(identity, silent, now, received))
 
     def first_token(self, identity: str) -> None:
         """Report that an answer's first token has arrived."""
@@ -112,7 +124,7 @@
 
     def done(self, identity: str, tokens: int) -> None:
         """Report that an answer is complete."""
-        self._stop_callbacks.pop(identity, None)
+        self._forget(identity)
         self.act(self.dispatcher.done(identity, tokens, self._clock.now()))
 
     def recorded(self, span: Millis) -> None:
@@ -121,9 +133,14 @@
 
     def cancel(self, identity: str) -> None:
         """Report that the caller no longer waits for the work."""
-        self._stop_callbacks.pop(identity, None)
+        self._forget(identity)
         self.act(self.dispatcher.cancel(identity, self._clock.now()))
 
+    def _forget(self, identity: str) -> None:
+        """Drop what is kept for work, also for a move that nobody waits for."""
+        self._stop_callbacks.pop(identity, None)
+        self._waiters.pop(identity, None)
+
     def _add_waiter(self, identity: str) -> asyncio.Future[Send]:
         waiter: asyncio.Future[Send] = asyncio.get_running_loop().create_future()
         self._waiters[identity] = waiter
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -224,8 +224,9 @@
         while True:
             sent_before = self._progress.sent
             try:
-                if await self._generate_unless_abandoned(send):
-                    return
+                with self._shared.targets.hold(send.target):
+                    if await self._generate_unless_abandoned(send):
+                        return
                 send = await dispatch.follow(self.job.identity)
                 continue
             except TargetError as error:
@@ -233,7 +234,7 @@
                 failure = error.failure
             if failure in NOT_EXECUTED:
                 self._progress.sent = sent_before
-            send = await dispatch.retry(self.job.identity, failure)
+            send = await dispatch.retry(self.job.identity, failure, self._tokens)
 
     def _abandon_attempt(self) -> None:
         """Stop the current attempt; the run continues at another target."""
@@ -295,8 +296,8 @@
                 await self._process_all(batches)
 
     def _leave_silent(self) -> None:
-        silent = self._shared.targets.list_silent()
-        self._shared.dispatch.leave(self.job.identity, silent)
+        silent = self._shared.targets.list_unanswering()
+        self._shared.dispatch.leave(self.job.identity, silent, self._tokens)
 
     def _is_silent(self, target: str) -> bool:
         """Tell whether an engine answers neither this attempt nor its polls."""
