Write down how a router killed as an outage begins stops the others, with a failing test

What callers saw: 3005, not ready, from both routers that ran on, from 2 s after the platform went out until it was back, where the third router was killed as the outage began.

Cause, from logs and code: a router whose lease ends goes on only if a majority sends heartbeats and none of it says that it renews (Roster.is_platform_down). The killed router's last heartbeat is from before the outage, says that its renewals succeed, and counts for a whole lease. The others' leases run from their last renewals, up to a quarter of a lease earlier, and end while it counts. A router that has stopped stays so until its next renewal, that is, to the outage's end.

The new test starts no new process.

No logic is changed: whether a silent router's word may count for less than a lease is a matter of safety (it may still reach the platform) and not weighed.

--- a/tests/integration/test_acceptance.py
+++ b/tests/integration/test_acceptance.py
@@ -72,6 +72,15 @@
         self.assertLessEqual(codes, {3005, 1004})
         self.assertIn(1004, codes)
 
+    async def test_router_killed_as_an_outage_begins_stops_no_other(self):
+        """Guards against a last heartbeat, sent before the outage, that ends leases."""
+        await self.fleet.set_faults(self.fleet.platform, outage=True)
+        self.fleet.processes["r3"].end()
+        until = time.monotonic() + 3 * LEASE_S
+        while time.monotonic() < until:
+            for router in ("r1", "r2"):
+                self.assertEqual(await self.ask(router), 0)
+
     async def test_outage_longer_than_leases_and_a_router_that_starts_in_it(self):
         """The platform is out for three leases and one host is replaced in it.
 
