Move the writer of an answer out of the server

Change: Responder and what a caller's loss is called are in wire/responder.py, behind a Protocol of the connection; imports only elsewhere. Behaviour and assertions are unchanged.

--- a/anvilshift/gateway/answering.py
+++ b/anvilshift/gateway/answering.py
@@ -6,7 +6,7 @@
 from anvilshift.core.errors import AnvilshiftError, ExecutionState
 from anvilshift.gateway.journal import Journal
 from anvilshift.wire.errorreplies import render_error
-from anvilshift.wire.server import CallerDisconnectedError, Responder
+from anvilshift.wire.responder import CallerDisconnectedError, Responder
 
 
 async def send_error(
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -43,10 +43,8 @@
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
 from anvilshift.wire.messages import Address, HttpRequest
-from anvilshift.wire.server import (
-    HttpServer,
-    Responder,
-)
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 _CONFIGURATION_INTERVALS = WatchIntervals(wait=1.5 * SECOND)
 _TARGETS_INTERVALS = WatchIntervals(wait=1.5 * SECOND, rest=500.0)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -35,11 +35,7 @@
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.wire.messages import HttpRequest
-from anvilshift.wire.server import (
-    SERVER_CLOSED,
-    CallerDisconnectedError,
-    Responder,
-)
+from anvilshift.wire.responder import SERVER_CLOSED, CallerDisconnectedError, Responder
 
 _MAX_LOGGED_ID = 64
 """Characters of an id from a caller that are logged."""
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -12,7 +12,7 @@
 from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.endings import Ending, Framing, judge_stream
 from anvilshift.wire.messages import HeaderFields, list_connection_options
-from anvilshift.wire.server import Responder
+from anvilshift.wire.responder import Responder
 
 COMPLETE = "whole"
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/anvilshift/platform/entrance.py
+++ b/anvilshift/platform/entrance.py
@@ -8,7 +8,7 @@
 from anvilshift.platform import names
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
-from anvilshift.wire.server import Responder
+from anvilshift.wire.responder import Responder
 
 _MAX_ADDRESSES = 64
 """Most addresses that callers read from one answer."""
--- a/anvilshift/router/answers.py
+++ b/anvilshift/router/answers.py
@@ -13,7 +13,7 @@
 from anvilshift.wire.events import Event
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import EVENT_STREAM_TYPE, JSON_TYPE, HeaderFields, Reply
-from anvilshift.wire.server import Responder
+from anvilshift.wire.responder import Responder
 
 REQUEST_ID_HEADER = "anvilshift-request"
 
--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -27,7 +27,7 @@
 from anvilshift.router.services import ServiceCall
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
-from anvilshift.wire.server import Responder
+from anvilshift.wire.responder import Responder
 
 CHAT_PATH = "/v1/chat/completions"
 ADDRESSES_PATH = "/v1/addresses"
--- a/anvilshift/router/operations.py
+++ b/anvilshift/router/operations.py
@@ -8,7 +8,7 @@
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, HttpRequest, Reply
-from anvilshift.wire.server import Responder
+from anvilshift.wire.responder import Responder
 
 _TEXT_TYPE = ("content-type", "text/plain; version=0.0.4")
 
--- a/anvilshift/standins/engine.py
+++ b/anvilshift/standins/engine.py
@@ -24,7 +24,8 @@
     HttpRequest,
     Reply,
 )
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 POISON = "POISON"
 """A prompt that contains this word crashes the engine that runs it."""
--- a/anvilshift/standins/platform.py
+++ b/anvilshift/standins/platform.py
@@ -10,7 +10,8 @@
 from anvilshift.core.clock import SECOND
 from anvilshift.wire.jsons import dump_json, parse_object
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 _MAX_CHANGES = 10_000
 
--- a/anvilshift/standins/relay.py
+++ b/anvilshift/standins/relay.py
@@ -9,7 +9,8 @@
 from anvilshift.core.clock import SECOND
 from anvilshift.wire.jsons import dump_json, parse_object
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 _CHUNK_BYTES = 64 * 1024
 _DRIP_INTERVAL_S = 0.01
--- a/anvilshift/standins/service.py
+++ b/anvilshift/standins/service.py
@@ -7,7 +7,8 @@
 from anvilshift.core.clock import SECOND
 from anvilshift.wire.jsons import dump_json, parse_object
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 
 @dataclass
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -21,88 +21,21 @@
     DEFAULT_LIMITS,
     RECEIVE_BUFFER,
     Address,
-    HeaderFields,
     Headers,
     HttpRequest,
     Limits,
-    Reply,
     set_reset_on_close,
 )
 from anvilshift.wire.peertimeouts import PeerTimeouts
+from anvilshift.wire.responder import (
+    CALLER_CLOSED,
+    SERVER_CLOSED,
+    CallerDisconnectedError,
+    Responder,
+)
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HEAD_TOO_LARGE_STATUS = 431
-CALLER_CLOSED = "the caller closed the connection"
-SERVER_CLOSED = "the router closed the connection"
-
-
-class CallerDisconnectedError(ConnectionError):
-    """The peer closed the connection or stopped reading before the answer ended."""
-
-
-class Responder:
-    """Writer of the answer to one request, in one call or in several."""
-
-    def __init__(self, connection: "_Connection") -> None:
-        self._connection = connection
-        self.started = False
-        self.finished = False
-
-    @property
-    def loss(self) -> str:
-        """Return how the connection was lost; empty while it is there."""
-        return self._connection.loss
-
-    async def send(self, reply: Reply) -> None:
-        """Write a complete answer."""
-        length = ("content-length", str(len(reply.body)))
-        await self.start(reply.status, [*reply.headers, length], hold=True)
-        await self.finish(reply.body)
-
-    async def start(
-        self,
-        status: int,
-        headers: HeaderFields,
-        hold: bool = False,
-        framed: bool = True,
-    ) -> None:
-        """Write the head; the body is chunked if the head has no content length.
-
-        Parameters
-        ----------
-        hold
-            Whether to send the head together with the next part of the answer,
-            in one packet.
-        framed
-            Whether to frame the body; otherwise it ends with the connection.
-        """
-        self.started = True
-        if self._connection.closes_next:
-            headers = [*headers, ("connection", "close")]
-        if not framed:
-            self._connection.stop_framing()
-        head = h11.Response(status_code=status, headers=headers)
-        self._connection.send(head, hold=hold)
-
-    async def write(self, data: bytes) -> None:
-        """Write a part of the body; wait while the write buffer is full."""
-        if data:
-            self._connection.send(h11.Data(data=data))
-        await self._connection.drain()
-
-    async def finish(self, data: bytes = b"") -> None:
-        """End the body, optionally with its last part."""
-        self.finished = True
-        if data:
-            self._connection.send(h11.Data(data=data), hold=True)
-        self._connection.send(h11.EndOfMessage())
-        await self._connection.drain()
-        await self._connection.end_unframed()
-
-    def abort(self) -> None:
-        """Abort the connection, so that the peer detects an incomplete answer."""
-        self._connection.abort()
-
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -34,7 +34,8 @@
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 from bench.gauges import MICROS, measure_bytes, time_micros
 from bench.ports import take_free_port
 
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -7,7 +7,8 @@
 from anvilshift.core.errors import BUDGET_UNREACHABLE, DRAINING, AnvilshiftError
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 ANY_PORT = Address("127.0.0.1", 0)
 CONVERSATION = Conversation(
--- a/tests/platform/stubs.py
+++ b/tests/platform/stubs.py
@@ -6,7 +6,8 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from anvilshift.wire.messages import Address, HttpRequest, Reply
-from anvilshift.wire.server import CallerDisconnectedError, HttpServer, Responder
+from anvilshift.wire.responder import CallerDisconnectedError, Responder
+from anvilshift.wire.server import HttpServer
 
 LOOPBACK = Address("127.0.0.1", 0)
 
--- a/tests/router/test_claims.py
+++ b/tests/router/test_claims.py
@@ -14,7 +14,8 @@
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 
 def make_job(content: str = "digest", span: float = 5_000.0):
--- a/tests/router/test_runs.py
+++ b/tests/router/test_runs.py
@@ -14,7 +14,7 @@
 from anvilshift.standins.engine import make_answer
 from anvilshift.wire.events import EventReader
 from anvilshift.wire.messages import HttpResponse
-from anvilshift.wire.server import Responder
+from anvilshift.wire.responder import Responder
 from bench.fleet import wait_until
 from tests.router.fleetlet import Fleetlet, make_chat, read_code
 
--- a/tests/wire/test_unframed.py
+++ b/tests/wire/test_unframed.py
@@ -9,7 +9,8 @@
 from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.endings import Ending, Framing
 from anvilshift.wire.messages import Address, HttpRequest
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 
 LOOPBACK = Address("127.0.0.1", 0)
 LARGE = b"x" * 3_000_000
--- a/tests/wire/test_unread.py
+++ b/tests/wire/test_unread.py
@@ -10,7 +10,8 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import ExchangeError, HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Reply
-from anvilshift.wire.server import HttpServer, Responder
+from anvilshift.wire.responder import Responder
+from anvilshift.wire.server import HttpServer
 from anvilshift.wire.tunnel import TunnelNetwork, TunnelServer
 
 LOOPBACK = Address("127.0.0.1", 0)
