Keep a router's searches for tokens in a type of their own

Change: TokenSearches in core/tokensearch.py knows the searches by the number of their asks; a balance describes itself for the log. Behaviour and assertions are unchanged.

--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -161,6 +161,16 @@
         ]
         return min([self.ceiling, *limits]) - self.spent
 
+    def describe(self, now: Millis) -> dict[str, int | bool]:
+        """Return its figures for the log."""
+        return {
+            "available": self.available(now),
+            "ready": self.ready,
+            "total": self.total,
+            "spent": self.spent,
+            "keeping": self.keeping,
+        }
+
     def find_wait(self, tokens: int, now: Millis) -> Millis | None:
         """Return the time until so many tokens may be reserved without a draw.
 
--- a/anvilshift/core/tokensearch.py
+++ b/anvilshift/core/tokensearch.py
@@ -51,6 +51,8 @@
         completed when the request began to wait.
     answers
         The answers received so far from allocators that lack the tokens.
+    number
+        Number of its asks, which no other search of this router has.
     organisation
         The organisation whose tokens are sought.
     deputies
@@ -78,6 +80,7 @@
     draws: int = 0
     records: int = 0
     answers: list[Answer] = field(default_factory=list)
+    number: int = 0
     organisation: str = ""
     deputies: Sequence[str] = ()
     asked: set[int] = field(default_factory=set)
@@ -149,3 +152,47 @@
     def find_wait(self) -> Millis | None:
         """Return the shortest wait that an allocator stated; None without an answer."""
         return min((answer.wait for answer in self.answers), default=None)
+
+
+@dataclass
+class TokenSearches:
+    """The searches of one router that are under way, by the number of their ask.
+
+    Examples
+    --------
+    >>> searches = TokenSearches()
+    >>> search = TokenSearch(("r1",), organisation="pounds", asked={60})
+    >>> searches.begin(search)
+    >>> searches.note_gift("pounds", 60), search.is_granted
+    (None, True)
+    >>> searches.end(search), searches.find(search.number)
+    (None, None)
+    """
+
+    _by_number: dict[int, TokenSearch] = field(default_factory=dict)
+    _last: int = 0
+
+    def begin(self, search: TokenSearch) -> None:
+        """Add a search, and give it a number."""
+        self._last += 1
+        search.number = self._last
+        self._by_number[search.number] = search
+
+    def end(self, search: TokenSearch) -> None:
+        """Remove a search."""
+        del self._by_number[search.number]
+
+    def find(self, number: int) -> TokenSearch | None:
+        """Return a search; None if it has ended."""
+        return self._by_number.get(number)
+
+    def note_gift(self, organisation: str, tokens: int) -> None:
+        """Note one search that asked for what has come.
+
+        Any of those that asked for as much will do, as any request may take it.
+        """
+        for search in self._by_number.values():
+            is_sought = search.organisation == organisation and tokens in search.asked
+            if is_sought and not search.is_granted:
+                search.is_granted = True
+                return
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -16,7 +16,12 @@
 )
 from anvilshift.core.refusals import RETRY_DELAY, Refusal, RefusalMemory
 from anvilshift.core.sequencenumbers import SequenceNumbers
-from anvilshift.core.tokensearch import ANSWER_TIMEOUT, Answer, TokenSearch
+from anvilshift.core.tokensearch import (
+    ANSWER_TIMEOUT,
+    Answer,
+    TokenSearch,
+    TokenSearches,
+)
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Ask, Gift, Lack
 from anvilshift.gateway.recording import Recorder
@@ -73,8 +78,7 @@
         self.journal = journal
         self.ask = ask
         self.recorder = recorder
-        self._last_ask = 0
-        self._searches: dict[int, TokenSearch] = {}
+        self._searches = TokenSearches()
         self._refusals = RefusalMemory()
         self._answers: dict[tuple[str, int], Gift | Lack | None] = {}
         self._last_gift = 0
@@ -106,12 +110,9 @@
     def _begin_search(self, name: str, allocators: Sequence[str]) -> TokenSearch:
         records = self.recorder.records if self.recorder else 0
         deputies = self.allocators.list_deputies(name) if allocators else ()
+        draws = self.allotter.writes_ended
         return TokenSearch(
-            allocators,
-            self.allotter.writes_ended,
-            records,
-            organisation=name,
-            deputies=deputies,
+            allocators, draws, records, organisation=name, deputies=deputies
         )
 
     async def _wait(
@@ -151,12 +152,10 @@
         AnvilshiftError
             When the tokens won't be available in time.
         """
-        self._last_ask += 1
-        number = self._last_ask
-        self._searches[number] = search
+        self._searches.begin(search)
         try:
-            while (now := self.clock.now()) < until:
-                self._request_tokens(name, tokens, number, now)
+            while self.clock.now() < until:
+                self._request_tokens(name, tokens, search)
                 await self._wait_round(until)
                 if self.balances.reserve(name, key, tokens, self.clock.now()):
                     return True
@@ -173,7 +172,7 @@
                     break
                 return False
         finally:
-            del self._searches[number]
+            self._searches.end(search)
         raise self._refuse(name, key, tokens, search)
 
     async def _wait_for_allocator(
@@ -195,16 +194,16 @@
             await self._wait_round(due)
         return True
 
-    def _request_tokens(self, name: str, tokens: int, number: int, now: Millis) -> None:
+    def _request_tokens(self, name: str, tokens: int, search: TokenSearch) -> None:
         """Trigger a record, an ask or a draw, whichever may provide the tokens."""
-        search, balance = self._searches[number], self.balances.by_name[name]
+        now, balance = self.clock.now(), self.balances.by_name[name]
         if self.recorder and tokens <= balance.ready:
             self.recorder.record_soon()
         allocator = search.find_next(now)
         lacking = max(1, tokens - max(0, balance.available(now)))
         if allocator is not None:
             search.asked.add(lacking)
-            if not self.ask(allocator, number, name, lacking):
+            if not self.ask(allocator, search.number, name, lacking):
                 search.skip()
         self._draw_if_unanswered(name, search)
         self.allotter.wake()
@@ -300,14 +299,10 @@
             "budget_refused",
             organisation=name,
             tokens=tokens,
-            available=balance.available(now),
-            ready=balance.ready,
-            total=balance.total,
+            **balance.describe(now),
             free=known.free,
             closed=known.closed,
             doubt=known.doubt,
-            spent=balance.spent,
-            keeping=balance.keeping,
             certain=certain,
             wait=wait,
             share_age=round(self.allotter.find_shares_age()),
@@ -394,23 +389,12 @@
         # A datagram may arrive twice; a gift counted twice would cause overspending.
         if self._received.setdefault(gift.giver, SequenceNumbers()).accept(gift.number):
             self.balances.credit(gift.organisation, gift.tokens)
-            self._note_granted(gift)
+            self._searches.note_gift(gift.organisation, gift.tokens)
             self.allotter.notify_waiters()
 
-    def _note_granted(self, gift: Gift) -> None:
-        """Note the search that asked for what a gift brings.
-
-        Any of those that asked for as much will do, as any request may take it.
-        """
-        for search in self._searches.values():
-            is_same = search.organisation == gift.organisation
-            if is_same and gift.tokens in search.asked and not search.is_granted:
-                search.is_granted = True
-                return
-
     def apply_lack(self, lack: Lack) -> None:
         """Record that an allocator can't provide what was asked for."""
-        search = self._searches.get(lack.number)
+        search = self._searches.find(lack.number)
         if search is not None and lack.holder == self.allotter.holder:
             search.note(Answer(lack.certain, lack.wait))
             self.allotter.notify_waiters()
