Give each thread a receive buffer of its own

Seen: one whole check had an error in tests.integration.test_leaving, "illegal status line: 101", from the store's stand-in; the line is half of another answer.

Cause: all connections of the process received into one buffer, whichever event loop they belong to. The test applies its declarations in a second thread, so the system wrote into the buffer for one loop before the other had copied its own data out. A program with two loops in two threads that uses the client library has the same fault, and may get another caller's answer. The routers themselves have one loop and one thread.

Ruled out: a port that two processes draw (the sender was the store's stand-in, and a slice of ports belongs to one process); a connection used twice.

Change: the buffer is thread-local. Four threads with 150 calls each against one server: red 3 of 3 before ("illegal status line: POST / HTTP/1.1"), 3 of 3 green after.

--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -8,12 +8,9 @@
 import h11
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.messages import (
-    RECEIVE_BUFFER,
-    Address,
-    HeaderFields,
-)
+from anvilshift.wire.messages import Address, HeaderFields
 from anvilshift.wire.peertimeouts import PeerTimeouts
+from anvilshift.wire.receivebuffer import RECEIVE_BUFFER
 
 _READ_AHEAD_BYTES = 256 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
@@ -81,8 +78,8 @@
         return False
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer that all connections share."""
-        return RECEIVE_BUFFER
+        """Return the buffer that all connections of the thread share."""
+        return RECEIVE_BUFFER.view
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; close an idle connection that received any."""
@@ -92,7 +89,7 @@
             # to the next request on it, which belongs to another caller.
             self.close()
             return
-        self._feed(bytes(RECEIVE_BUFFER[:nbytes]))
+        self._feed(bytes(RECEIVE_BUFFER.view[:nbytes]))
 
     def _feed(self, data: bytes) -> None:
         try:
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -11,14 +11,6 @@
 from anvilshift.core.errors import MALFORMED, AnvilshiftError
 from anvilshift.wire.peertimeouts import UNREAD_TIMEOUT
 
-RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
-"""Receive buffer shared by all connections of the event loop.
-
-Each connection copies its data out before the loop reads the next socket.  An
-asyncio stream allocates a new 256 KB buffer for each read, which for a token of
-100 bytes costs more than the read itself.
-"""
-
 
 def set_reset_on_close(transport: asyncio.BaseTransport, enabled: bool) -> None:
     """Set whether the system resets a connection, however its process closes it.
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -19,7 +19,6 @@
 from anvilshift.wire.errorreplies import render_error
 from anvilshift.wire.messages import (
     DEFAULT_LIMITS,
-    RECEIVE_BUFFER,
     Address,
     Headers,
     HttpRequest,
@@ -27,6 +26,7 @@
     set_reset_on_close,
 )
 from anvilshift.wire.peertimeouts import PeerTimeouts
+from anvilshift.wire.receivebuffer import RECEIVE_BUFFER
 from anvilshift.wire.responder import (
     CALLER_CLOSED,
     SERVER_CLOSED,
@@ -113,10 +113,10 @@
         self._writable.set()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return RECEIVE_BUFFER
+        return RECEIVE_BUFFER.view
 
     def buffer_updated(self, nbytes: int) -> None:
-        self._h11.receive_data(bytes(RECEIVE_BUFFER[:nbytes]))
+        self._h11.receive_data(bytes(RECEIVE_BUFFER.view[:nbytes]))
         if self.busy:
             self._limit_pipelining()
             return
