Count requests as untold for longer where timers are late

Trace (a trial that noted what each router knew as it sent): at one target of six places three routers sent 13 requests within 90 ms. Each saw 3 to 5 running where 9 to 12 were, all sent within one turn of a busy event loop, in which no router reads what the others tell. After 10 ms a router took its own requests for told, and used the places of the others.

Change: a router measures how late its messages to the others are sent, takes their timers to be as late, and counts its requests as untold for twice that time more; only those that still run count. In a larger fleet, where most routers never hear of a request at a plain service, all that a router runs count.

--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.lateness import Lateness
 from anvilshift.gateway.datagrams import decode, encode, pack
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Beat, Message
@@ -113,6 +114,7 @@
     _transport: asyncio.DatagramTransport | None = None
     _waiting: dict[frozenset[str], list[bytes]] = field(default_factory=dict)
     _timer: asyncio.TimerHandle | None = None
+    _lateness: Lateness = field(default_factory=Lateness)
     _names_by_ip: dict[str, str] = field(default_factory=dict)
     _beats_sent: int = 0
 
@@ -215,7 +217,20 @@
                 self._timer.cancel()
             self._timer = loop.call_at(due, self._flush)
 
+    def find_lateness(self) -> Millis:
+        """Return by how much messages to other routers were sent late lately."""
+        now, late = self.clock.now(), self._find_timer_delay()
+        return max(late, self._lateness.find_most(now))
+
+    def _find_timer_delay(self) -> Millis:
+        """Return how long ago messages that wait should have been sent."""
+        if self._timer is None:
+            return 0.0
+        loop = asyncio.get_running_loop()
+        return max(0.0, loop.time() - self._timer.when()) * SECOND
+
     def _flush(self) -> None:
+        self._lateness.record(self._find_timer_delay(), self.clock.now())
         self._timer = None
         waiting, self._waiting = self._waiting, {}
         present = [peer.beat for peer in self.list_present()]
--- a/anvilshift/gateway/permitsession.py
+++ b/anvilshift/gateway/permitsession.py
@@ -13,7 +13,11 @@
 _MAX_PAUSE_WAIT: Millis = 250.0
 """How long a request waits for a paused target before other targets are considered."""
 _UNTOLD: Millis = 10.0
-"""Time after which the other routers have been told of a request."""
+"""Time after which the other routers have been told of a request, unless timers are
+late."""
+_LATE_TURNS = 2
+"""Turns of event loops on the way of such a message: its sender's, and its reader's,
+which is taken to be as late."""
 _MAX_SLOT_WAIT: Millis = 300.0
 """How long a request waits until some brittle target has a free slot."""
 _MAX_PAUSE_FACTOR = 1.2
@@ -110,18 +114,29 @@
     def _may_take_room(self, target: TargetLoad) -> bool:
         """Tell whether to send to a target that may have little room left.
 
-        The other routers are told of a request some milliseconds later, and may each
-        send as many by then.  Where there isn't room for all of them chance decides.
+        The other routers are told of a request later, and may each send as many by
+        then.  Where there isn't room for all of them chance decides.
         """
         shared, now = self._shared, self._shared.clock.now()
         room = target.count_room(now)
         if room == math.inf:
             return True
         others = len(shared.sender.peers.list_present())
-        sends = target.meter.list_since(now - _UNTOLD)
-        own = sum(run.startswith(f"{shared.router}/") for run, _ in sends)
+        sends = target.meter.list_since(now - self._find_untold())
+        prefix = f"{shared.router}/"
+        own = sum(run in target.runs and run.startswith(prefix) for run, _ in sends)
         return shared.rng.random() < (room - own * others) / (1 + others)
 
+    def _find_untold(self) -> Millis:
+        """Return the age from which on the other routers know of a request.
+
+        In a larger fleet most of them never hear of it.
+        """
+        peers = self._shared.sender.peers
+        if not peers.small:
+            return math.inf
+        return _UNTOLD + _LATE_TURNS * peers.find_lateness()
+
     async def _wait_for_slot(self, name: str) -> None:
         """Wait a while for a slot of a brittle target, or give the target up."""
         if self._waited_for_slot >= _MAX_SLOT_WAIT:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 import unittest
 
 from anvilshift.core.clock import ManualClock
@@ -40,6 +41,10 @@
         own = Beat("own", "own.1", OWN_IP, "x", "north", 1, True, False, True)
         self.peers.hooks = PeerCallbacks(make_beat=lambda: own)
 
+    def hold_up(self) -> None:
+        """Keep the event loop from its timers for a while."""
+        time.sleep(0.03)
+
     def hear(self, n: int) -> None:
         beat = make_beat(n)
         self.peers.datagram_received(encode(beat), (beat.ip, 7000))
@@ -143,3 +148,17 @@
         await asyncio.sleep(0.01)
         peers.send(Ended("own/1", "e1"), "127.0.0.1")
         peers.close()
+
+    async def test_a_message_that_waits_beyond_its_time_tells_of_late_timers(self):
+        """Guards against routers on a busy host that take old news for fresh."""
+        self.assertEqual(self.peers.find_lateness(), 0.0)
+        self.peers.broadcast(Ended("own/1", "e1"))
+        self.hold_up()
+        self.assertGreater(self.peers.find_lateness(), 20.0)
+
+    async def test_late_timers_are_remembered_once_the_message_is_sent(self):
+        self.peers.broadcast(Ended("own/1", "e1"))
+        self.hold_up()
+        await asyncio.sleep(0.005)
+        self.assertIsNone(self.peers._timer)
+        self.assertGreater(self.peers.find_lateness(), 20.0)
