Let a vote on a removal end when its router is no longer heard

Cause: `Roster.may_remove` counted a voter's last heartbeat for ever, provided that it came after the loss. A router that votes, loses the platform and joins the routers to be removed goes on voting for their removal, while its report of failed renewals helps them to a majority that serves on.

Six routers: four lose the platform after an outage of all and serve on (4 of 6); one of the two others falls silent and joins them; one of the four returns to the platform. Its vote, that of the sixth and the old one make half: three routers were removed and a declaration was accepted while they served under the old one.

Ruled out: that the majority of rule 1 is at fault; at no instant did three routers reach the platform, so no removal was due.

Change: a vote counts for half a lease. All votes then lie within half a lease, and there is an instant at which all voters renewed and the lost router, if it serves, checked itself (a check that is late by half a lease stops it).

--- a/anvilshift/core/membership.py
+++ b/anvilshift/core/membership.py
@@ -25,6 +25,10 @@
 """Number of leases for which a router's renewals must have succeeded before the
 router counts towards a removal.  One lease is not enough: until it ends, another
 router may still rely on the information that this router's renewals failed."""
+_VOTE_DIVISOR = 2
+"""A vote on a removal counts for the lease divided by this number.  All votes then fall
+within half a lease, so that a lost router that serves has checked, at an instant at
+which all voters were renewing, whether it may go on (see `core.lease`)."""
 
 
 @dataclass(frozen=True)
@@ -200,13 +204,14 @@
 
         Only routers that the lost one can have known are counted, so that routers
         that joined later can't outvote a majority that was cut off together with
-        it.  A router counts in favour if it reported after the loss that its
-        renewals have succeeded for `_MIN_RENEWING_LEASES` leases.
+        it.  A router counts in favour if it reported recently, and after the loss,
+        that its renewals have succeeded for `_MIN_RENEWING_LEASES` leases.  One that
+        is no longer heard doesn't count: it may serve on with the lost one by now.
         """
         status = self.member_statuses.get(lost.name)
         if status is None or not self._is_lost(status, now):
             return False
-        since = status.seen + self.lease
+        since = max(status.seen + self.lease, now - self.lease / _VOTE_DIVISOR)
         min_renewing = _MIN_RENEWING_LEASES * self.lease
         known = self._list_joined_by(lost.seen)
         voters = [
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -146,6 +146,17 @@
         members = make_members(r2=(SETTLED, 3_900.0), r9=(SETTLED, 0.0))
         self.assertFalse(self.may_remove(members))
 
+    def test_router_that_fell_silent_after_its_vote_does_not_count(self):
+        """Guards against a vote that outlasts the voter's renewals.
+
+        The vote is from 4,100, after the loss at 4,000, and counts for half of the
+        lease, until 6,100.  Later its sender may be cut off from the platform and
+        serving on together with the lost router.
+        """
+        members = make_members(r2=(SETTLED, 4_100.0), r9=(SETTLED, 0.0))
+        self.assertTrue(self.may_remove(members, now=6_100.0))
+        self.assertFalse(self.may_remove(members, now=6_101.0))
+
     def test_routers_that_joined_later_do_not_help_a_cut_off_minority(self):
         """Guards against counting routers that have no vote on the removal.
 
--- a/tests/router/test_acceptance.py
+++ b/tests/router/test_acceptance.py
@@ -1,9 +1,11 @@
 """An accepted declaration is in force at every router that takes new work."""
 
 import asyncio
+import itertools
 import random
 import unittest
 
+from anvilshift.core.clock import SECOND
 from anvilshift.objects.store import ChangeBatch, Listing, StoredObject
 from anvilshift.operator.administration import (
     apply_differences,
@@ -115,6 +117,51 @@
         await wait_until(new_router.is_ready)
         self.assertEqual(self.grant("r4"), 1)
 
+    async def test_router_that_changes_sides_does_not_keep_its_vote(self):
+        """Guards against removing a majority by a vote of one of its own routers.
+
+        Four of six routers lose the platform, after an outage of all, and serve on.
+        One of the two others joins them, having voted for their removal; one of the
+        four then returns to the platform and votes too.  No three routers at once
+        have reached it.
+        """
+        await self.change_sides(outage=True)
+
+    async def change_sides(self, outage):
+        for name in ("r4", "r5", "r6"):
+            self.fleet.start_one(name)
+        await wait_until(lambda: len(self.fleet.ready()) == 6)
+        await asyncio.sleep(4 * LEASE / SECOND)
+        if outage:
+            self.divide(set(self.fleet.nodes), set())
+            await asyncio.sleep(LEASE / 2 / SECOND)
+        cut_off = {"r1", "r2", "r3", "r5"}
+        self.divide(cut_off, {"r4", "r6"})
+        await asyncio.sleep(3 * LEASE / SECOND)
+        self.assertLessEqual(cut_off, self.fleet.ready())
+        self.divide(cut_off, {"r4"}, {"r6"})
+        await asyncio.sleep(LEASE / SECOND)
+        self.divide(cut_off | {"r4"}, {"r6"})
+        await asyncio.sleep(LEASE / SECOND)
+        replaced = {"r1", "r2", "r3", "r4"}
+        self.divide(replaced, {"r5", "r6"})
+        acceptance = await self.apply(make_budget(2), timeout=10 * LEASE)
+        self.assertLessEqual({"r1", "r2", "r3"}, self.fleet.ready())
+        self.assertFalse(acceptance.accepted)
+        self.divide(set(self.fleet.nodes))
+        self.assertTrue((await self.apply(make_budget(3))).accepted)
+
+    def divide(self, *groups):
+        """Cut groups off from each other, and all but the last from the platform."""
+        names = {name for group in groups for name in group}
+        side = {name: group for group in groups for name in group}
+        self.fleet.pair_cuts = {
+            frozenset(pair)
+            for pair in itertools.combinations(names, 2)
+            if side[pair[0]] is not side[pair[1]]
+        }
+        self.fleet.cut_from_platform(*(names - groups[-1]))
+
     async def test_minority_with_the_platform_waits_for_the_majority(self):
         """One of three routers reaches the platform; the others only reach each other.
 
