Let the last word of a silent router end no lease in an outage

Cause: `Roster.is_platform_down` took every heartbeat within a lease for the present. A router that dies as an outage begins has said that it renews; the others' leases, renewed up to a quarter of a lease earlier, lapse first. They take the platform to be there, refuse with 3005 and stay stopped until they renew, at the outage's end.

Trace before (temporary, not committed; lease 2.5 s): at the lapse of r2 (1 ms after it) r3's last heartbeat is 2,056 ms old and says it renews, r1's is 50 ms old and says it doesn't: stopped. The same in test_outage_longer_than_leases (2,185 and 2,211 ms). Ruled out: the router started anew (its answers say 0, and came too late only), and a late report of the live peers (theirs said 0 before the lapse).

Change: a router that is no longer heard shows neither that the platform is there nor that it is out; it counts in the total alone. The majority is made of those that reported within a lease that they don't renew, as a report of renewals never supports it. A router that renews still ends leases while it is heard, a quarter of a lease, the longest gap between heartbeats; safety rests on the majority, not on that.

--- a/anvilshift/core/membership.py
+++ b/anvilshift/core/membership.py
@@ -7,9 +7,9 @@
 
 Its record is removed only if routers that reach the platform make up at least
 half of all routers that the lost one knew.  The lost router counts towards the
-total, but not towards the half.  A majority that is cut off from the platform
-may keep serving (see `core.lease`); any such majority then overlaps with that
-half, and learns from the common router that it must stop.
+total, but not towards the half.  A majority that reports failed renewals may keep
+serving (see `core.lease`); any such majority then overlaps with that half, and the
+common router can't have reported both.
 
 See Also
 --------
@@ -25,6 +25,11 @@
 """Number of leases for which a router's renewals must have succeeded before the
 router counts towards a removal.  One lease is not enough: until it ends, another
 router may still rely on the information that this router's renewals failed."""
+_PRESENT_DIVISOR = 4
+"""A router whose last heartbeat is older than the lease divided by this number is no
+longer heard: heartbeats are at most a quarter of the lease apart.  In an outage the
+last heartbeat that reports renewals is thereby outdated before the first lease
+expires."""
 _VOTE_DIVISOR = 2
 """A vote on a removal counts for the lease divided by this number.  All votes then fall
 within half a lease, so that a lost router that serves has checked, at an instant at
@@ -172,30 +177,46 @@
         return [s for s in self.member_statuses.values() if s.member.since <= seen]
 
     def is_platform_down(self, seen: int, now: Millis) -> bool:
-        """Tell whether a majority sends heartbeats and none of it renews.
+        """Tell whether a majority has reported that it doesn't renew.
 
         In that case no router can be removed and no declaration accepted, because
         a removal needs half of the routers that the removed one knows.
 
+        A router that is no longer heard shows neither that the platform is there nor
+        that it is down, whatever it reported last: it counts only towards the total.
+        A report of failed renewals counts for a lease, because its sender can't take
+        part in a removal until it has renewed for `_MIN_RENEWING_LEASES` leases.
+
         Parameters
         ----------
         seen
             Revision of the platform up to which this router has read the other
             routers' records.
         """
-        heard = [
-            status
-            for status in self.member_statuses.values()
-            if status.last_heartbeat is not None
-            and now - status.last_heartbeat <= self.lease
-        ]
-        if any(status.heartbeat_status.renewing_for > 0 for status in heard):
+        if self._hears_renewals(now):
             return False
         # Routers that joined later are left out: the vote on removing this router
         # leaves them out as well (see `may_remove`).
         known = self._list_joined_by(seen)
-        reachable = sum(status in heard for status in known) + 1
-        return 2 * reachable > len(known) + 1
+        not_renewing = sum(
+            self._is_heard(status, now, self.lease)
+            and status.heartbeat_status.renewing_for == 0
+            for status in known
+        )
+        return 2 * (not_renewing + 1) > len(known) + 1
+
+    def _hears_renewals(self, now: Millis) -> bool:
+        span = self.lease / _PRESENT_DIVISOR
+        return any(
+            self._is_heard(status, now, span)
+            and status.heartbeat_status.renewing_for > 0
+            for status in self.member_statuses.values()
+        )
+
+    @staticmethod
+    def _is_heard(status: MemberStatus, now: Millis, span: Millis) -> bool:
+        heartbeat = status.last_heartbeat
+        return heartbeat is not None and now - heartbeat <= span
 
     def may_remove(
         self, lost: Member, own: Member, renewing_for: Millis, now: Millis
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -67,6 +67,48 @@
 
         self.assertFalse(self.serve_until(one_renews, 4_500))
 
+    def test_last_word_of_a_dead_router_ends_no_lease_in_an_outage(self):
+        """Guards against a heartbeat from before an outage that outlasts leases.
+
+        One of three routers dies as an outage begins.  Its last heartbeat, at 600,
+        says that it renews; this router's lease lapses at 4,000.  The two left are
+        two of three, and neither renews.
+        """
+
+        def one_dies(now):
+            return make_members(r2=(OUT, now), r3=(SETTLED, min(now, 600.0)))
+
+        self.assertTrue(self.serve_until(one_dies, 60_000))
+
+    def test_silent_routers_that_said_they_renew_make_no_majority(self):
+        """Guards against taking silence for a sign that the platform is out.
+
+        A router and one more of five lose the platform and the three others, which
+        go on renewing.  They were heard at 3,000, within the lease that lapses at
+        4,000, but two of five are no majority.
+        """
+
+        def two_of_five(now):
+            silent = (SETTLED, min(now, 3_000.0))
+            return make_members(r2=(OUT, now), r3=silent, r4=silent, r5=silent)
+
+        self.assertTrue(self.serve_until(two_of_five, 4_000))
+        self.assertFalse(self.lease.may_serve(two_of_five(4_500.0), SEEN, 4_500.0))
+
+    def test_router_that_renews_ends_leases_while_it_is_heard(self):
+        """Guards against serving beside a router that shows the platform to be there.
+
+        Heartbeats are a quarter of the lease apart at most, 1,000 of 4,000, so the
+        one from 3,500 speaks for the present until 4,500.
+        """
+
+        def one_renews(now):
+            return make_members(r2=(OUT, now), r3=(SETTLED, min(now, 3_500.0)))
+
+        self.assertTrue(one_renews(4_501.0).is_platform_down(SEEN, 4_501.0))
+        self.assertFalse(self.serve_until(one_renews, 4_500))
+        self.assertFalse(self.lease.may_serve(one_renews(5_000.0), SEEN, 5_000.0))
+
     def test_stopped_router_stays_stopped_when_an_outage_begins(self):
         """Guards against serving again under outdated declarations.
 
--- a/tests/router/test_acceptance.py
+++ b/tests/router/test_acceptance.py
@@ -127,6 +127,10 @@
         """
         await self.change_sides(outage=True)
 
+    async def test_router_that_changes_sides_after_a_sudden_cut(self):
+        """Guards against the same order of events without an outage before it."""
+        await self.change_sides(outage=False)
+
     async def change_sides(self, outage):
         for name in ("r4", "r5", "r6"):
             self.fleet.start_one(name)
