Tell a dark host from a slow answer in the log

Cause: the system's ETIMEDOUT, for a peer that acknowledged nothing for the user timeout, is the same class as the timeout of an answer, so both were logged as "did not answer in time".

Change: the text of an error with a system's number is "acknowledged nothing". No decision depends on it. tests.wire.test_client, first test: red before ("did not answer in time").

--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -313,8 +313,10 @@
             response = Response(method, head.status_code, received, connection)
         except TimeoutError as error:
             connection.close()
-            detail = f"{address} did not answer in time"
-            raise ExchangeError(detail, True, connection.reused) from error
+            # The system reports a peer that acknowledges nothing by the same class.
+            is_dark = error.errno is not None
+            what = "acknowledged nothing" if is_dark else "did not answer in time"
+            raise ExchangeError(f"{address} {what}", True, connection.reused) from error
         except (OSError, h11.ProtocolError, RuntimeError, AssertionError) as error:
             connection.close()
             detail = f"{address} failed during the exchange: {error}"
