--- a/anvilshift/core/allocators.py
+++ b/anvilshift/core/allocators.py
@@ -139,9 +139,9 @@
         return tuple(one for one in allocators if one != self.own)
 
     def list_deputies(self, organisation: str) -> tuple[str, ...]:
-        """Return the routers to ask if no allocator answers.
+        """Return the routers to ask if no allocator answers, in order of rank.
 
-        None if this router is one of the candidates itself: it may draw.
+        The tuple is empty if this router is one of the candidates itself: it may draw.
         """
         candidates = self._list_candidates(organisation)
         return () if self.own in candidates else candidates[ALLOCATORS:]
