Name the attempt that is planned ahead of need

`AttemptPlanner.secure`, `_secure` and what a silence watch called `secured` made a reader look for safety or TLS. What happens is that the next attempt is planned while the present one may still answer: `plan_ahead`, `_take_all` (target, retry, connection, permit: all or nothing) and `planned`; a connection opened before it is `opened`. The event `next_not_secured` stays, since operators look for it.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -79,7 +79,7 @@
         self._progress = self._planner.progress
         self._failures = AttemptFailures(shared, routed, relay, crashes, self._try)
         self._has_begun = False
-        self._secured: PlannedAttempt | None = None
+        self._planned_ahead: PlannedAttempt | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -103,8 +103,8 @@
         try:
             await self._send_until_answered()
         finally:
-            if self._secured is not None:
-                self._secured.release()
+            if self._planned_ahead is not None:
+                self._planned_ahead.release()
             self._try.end()
             self._retries.close()
 
@@ -117,8 +117,8 @@
                 return
             except AttemptError as error:
                 await self._record_failure(planned.choice, error)
-                secured, self._secured = self._secured, None
-                planned = secured or await self._planner.plan_retry(error)
+                ahead, self._planned_ahead = self._planned_ahead, None
+                planned = ahead or await self._planner.plan_retry(error)
 
     async def _record_failure(self, choice: Choice, error: AttemptError) -> None:
         """Record a failed attempt, and find out what it did to its target.
@@ -164,7 +164,7 @@
                 self._relay.broken = True
             raise
         finally:
-            self._secured = watch.secured
+            self._planned_ahead = watch.planned
             self._retries.record_arrival()
             self._crashes.end(self.target, progress.targets > before[1])
 
@@ -177,7 +177,7 @@
             self._shared.clock,
             self._shared.journal,
             partial(self._shared.sender.reach.running.find_activity, target),
-            partial(self._planner.secure, target),
+            partial(self._planner.plan_ahead, target),
             self._planner.turn.close,
         )
 
--- a/anvilshift/gateway/outgoing.py
+++ b/anvilshift/gateway/outgoing.py
@@ -68,7 +68,7 @@
     run
         Id of the attempt, unique among all routers.
     connection
-        An open connection to its target, if it was secured.
+        An open connection to its target, if it was planned ahead.
     release
         Gives back what was taken for it, if it isn't sent.
     """
@@ -95,7 +95,7 @@
         Called with the name of the router that forwards the request, empty if none
         does, just before its first byte is sent.
     connection
-        An open connection that was secured for it; None if one is to be opened.
+        An open connection, if it was planned ahead; None if one is to be opened.
     on_doubt
         Called when nothing may come on its connection any more.
     """
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -2,7 +2,7 @@
 
 A first attempt, and one that follows a failed attempt, may wait for these, and fails
 with an error where one of them can't be had.  The attempt that follows a silent one is
-secured while that one goes on: with all of them at once or not at all.
+planned ahead, while that one goes on: with all of them at once or not at all.
 """
 
 import asyncio
@@ -75,7 +75,7 @@
     part_try: PartTry
     crashes: CrashTracker
     progress: RequestProgress = field(default_factory=RequestProgress)
-    _not_secured: str = ""
+    _missing: str = ""
 
     def may_go_on(self, after: int | None = None) -> bool:
         """Return whether the request may be run at a further target.
@@ -237,8 +237,8 @@
 
     # The attempt that follows a silent one
 
-    async def secure(self, current: str) -> PlannedAttempt | None:
-        """Secure the attempt that is to follow one which is still running.
+    async def plan_ahead(self, current: str) -> PlannedAttempt | None:
+        """Plan the attempt that is to follow one which is still running.
 
         Parameters
         ----------
@@ -252,16 +252,16 @@
         """
         is_suspect = self.part_try.is_granted or self.part_try.list_suspects()
         if is_suspect or self.crashes.is_quarantined() or not self.may_go_on():
-            self._record_not_secured("it may not be sent to another target")
+            self._record_missing("it may not be sent to another target")
             return None
         with contextlib.ExitStack() as taken:
             taken.callback(self.retries.give_back)
             # Waits and refusals of a look in vain don't count for the next one.
             taken.callback(self.turn.restore, self.turn.save())
             try:
-                planned = await self._secure(current, taken)
+                planned = await self._take_all(current, taken)
             except (AnvilshiftError, AttemptError, ExchangeError) as error:
-                self._record_not_secured(repr(error))
+                self._record_missing(repr(error))
                 return None
             if planned is None:
                 return None
@@ -269,23 +269,23 @@
             release = taken.pop_all().close
             return PlannedAttempt(choice, run, connection, release)
 
-    async def _secure(
+    async def _take_all(
         self, current: str, taken: contextlib.ExitStack
     ) -> tuple[Choice, str, Connection] | None:
         choice = self._choose_next(current)
         if choice is None or not await self._may_send():
-            self._record_not_secured("no target" if choice is None else "no retry")
+            self._record_missing("no target" if choice is None else "no retry")
             return None
         sender = self.shared.sender
         connection = await sender.connect(choice.target, self.routed.model is not None)
         taken.callback(sender.reach.client.return_unused, connection)
         # What was known when the target was chosen may have changed meanwhile.
         if not self._fits(choice, current):
-            self._record_not_secured("the target fits no more")
+            self._record_missing("the target fits no more")
             return None
         run = await self._request_permit(choice)
         if run is None or not self._fits(choice, current):
-            self._record_not_secured("no permit")
+            self._record_missing("no permit")
             return None
         return choice, run, connection
 
@@ -311,10 +311,10 @@
         left = progress.failed_targets | progress.paused_targets
         return {*left, current, *running.list_silent(self.shared.clock.now())}
 
-    def _record_not_secured(self, why: str) -> None:
-        if why == self._not_secured:
+    def _record_missing(self, why: str) -> None:
+        if why == self._missing:
             return
-        self._not_secured = why
+        self._missing = why
         self.shared.journal.write(
             "next_not_secured", id=self.routed.call.identity, why=why
         )
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -86,7 +86,7 @@
         wait: Millis,
         is_engine: bool,
         on_doubt: Callable[[], None],
-        secured: Connection | None = None,
+        opened: Connection | None = None,
     ) -> AsyncIterator[Connection]:
         """Yield a connection on which one request may be sent to a target.
 
@@ -96,7 +96,7 @@
             Predicted time to the first byte of the answer.
         on_doubt
             Called when the path turns out to be broken.
-        secured
+        opened
             A connection that is open already; it is used unless it has closed.
 
         Raises
@@ -104,7 +104,7 @@
         ExchangeError
             When neither this router nor another one can connect to the target.
         """
-        connection = secured
+        connection = opened
         if connection is None or connection.closed:
             connection = await self.connect(info)
         due = self.clock.now() + wait
--- a/anvilshift/gateway/silencewatch.py
+++ b/anvilshift/gateway/silencewatch.py
@@ -1,4 +1,4 @@
-"""Watch an attempt whose target is silent, and end it once the next one is secured.
+"""Watch an attempt whose target is silent, and end it once the next one is planned.
 
 Nothing that runs is given up for what may not come: the attempt goes on while another
 target, its permit, a retry and an open connection are sought, and ends only when all
@@ -29,14 +29,14 @@
         Deadline of the request.
     find_activity
         Returns when the target sent anything.
-    secure
-        Secures the next attempt; returns None if there is none now.
+    plan_ahead
+        Plans the next attempt; returns None if there is none now.
     withdraw
         Gives up what looks in vain still wait for.
 
     Attributes
     ----------
-    secured
+    planned
         The attempt for which this one was ended.
     is_held
         Whether the answer waits for its caller, not for its target.
@@ -48,9 +48,9 @@
     clock: Clock
     journal: Journal
     find_activity: Callable[[], TargetActivity]
-    secure: Callable[[], Awaitable[PlannedAttempt | None]]
+    plan_ahead: Callable[[], Awaitable[PlannedAttempt | None]]
     withdraw: Callable[[], None]
-    secured: PlannedAttempt | None = None
+    planned: PlannedAttempt | None = None
     is_held: bool = False
     _limit: Millis | None = None
     _since: Millis = 0.0
@@ -64,18 +64,18 @@
 
     @contextlib.asynccontextmanager
     async def guard(self) -> AsyncIterator[None]:
-        """Run an attempt that ends once it is silent and another one is secured.
+        """Run an attempt that ends once it is silent and another one is planned.
 
         Raises
         ------
         AttemptError
-            When the attempt was ended; `secured` is the next one.
+            When the attempt was ended; `planned` is the next one.
         """
         try:
             async with asyncio.timeout(None) as self._timeout:
                 yield
         except TimeoutError as error:
-            if self.secured is None:
+            if self.planned is None:
                 raise
             raise AttemptError(
                 Failure.BROKE_OFF,
@@ -83,18 +83,18 @@
                 silence=self._sign,
             ) from error
         except BaseException:
-            self._release_secured()
+            self._release_planned()
             raise
         else:
-            self._release_secured()
+            self._release_planned()
         finally:
             await self._stop()
 
-    def _release_secured(self) -> None:
-        """Give back what was secured just as the attempt ended otherwise."""
-        if self.secured is not None:
-            self.secured.release()
-            self.secured = None
+    def _release_planned(self) -> None:
+        """Give back what was planned just as the attempt ended otherwise."""
+        if self.planned is not None:
+            self.planned.release()
+            self.planned = None
 
     async def _stop(self) -> None:
         self._clear_timer()
@@ -135,10 +135,10 @@
 
     def _stay(self) -> None:
         """Undo a departure that was decided as the answer came."""
-        if self.secured is None or self._timeout is None or self._timeout.expired():
+        if self.planned is None or self._timeout is None or self._timeout.expired():
             return
         self._timeout.reschedule(None)
-        self._release_secured()
+        self._release_planned()
 
     @contextlib.contextmanager
     def hold(self, limit: Millis | None) -> Iterator[None]:
@@ -198,7 +198,7 @@
             return
         is_due = self._is_doubted or now >= self._describe_silence().find_look(now)
         is_looking = self._look is not None and not self._look.done()
-        if is_due and not is_looking and self.secured is None:
+        if is_due and not is_looking and self.planned is None:
             self._look = asyncio.get_running_loop().create_task(self._run_look())
         elif is_looking:
             self._call_later(LOOK_INTERVAL)
@@ -209,24 +209,24 @@
         since = self._since
         self._looks += 1
         try:
-            secured = await self.secure()
+            planned = await self.plan_ahead()
         except Exception as error:
             # The attempt goes on; without another look it would stay for good.
             self.journal.write("look_failed", id=self.identity, why=repr(error))
             self._call_later(LOOK_INTERVAL)
             return
-        if secured is None:
+        if planned is None:
             if self._looks == 1:
                 self.journal.write(
                     "silence_stayed", id=self.identity, target=self.target
                 )
             self._call_later(LOOK_INTERVAL)
         elif since != self._since or self.is_held or self._limit is None:
-            secured.release()
+            planned.release()
             self._set_timer(self.clock.now())
         else:
             assert self._timeout is not None
-            self.secured = secured
+            self.planned = planned
             silence = self._describe_silence()
             self._sign = silence.find_sign(self.clock.now())
             self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/tests/gateway/test_silencewatch.py
+++ b/tests/gateway/test_silencewatch.py
@@ -30,7 +30,7 @@
     Attributes
     ----------
     taken, given_back
-        How often another attempt was secured, and given back unused.
+        How often another attempt was planned, and given back unused.
     """
 
     def __init__(self, seed: int, availability: float, limit: float = LIMIT) -> None:
@@ -47,7 +47,7 @@
             self.loop,
             self.journal,
             self.find_activity,
-            self.secure,
+            self.plan_ahead,
             self.withdraw,
         )
         self.withdrawn = 0
@@ -59,7 +59,7 @@
             self.activity.record(self.loop.now())
         return self.activity
 
-    async def secure(self) -> PlannedAttempt | None:
+    async def plan_ahead(self) -> PlannedAttempt | None:
         await asyncio.sleep(self.rng.uniform(0.0, 0.3))
         if self.rng.random() >= self.availability:
             return None
@@ -115,7 +115,7 @@
             left = play.run(self.draw_silences(random.Random(seed)))
             kept = play.taken - play.given_back
             self.assertEqual(kept, int(left), seed)
-            self.assertEqual(play.watch.secured is not None, left, seed)
+            self.assertEqual(play.watch.planned is not None, left, seed)
             if not left:
                 self.assertEqual(play.events, EVENTS, seed)
             left_in += left
@@ -183,7 +183,7 @@
             play.taken += 1
             return PlannedAttempt(None, "run", release=play.release)
 
-        play.watch.secure = find_slowly
+        play.watch.plan_ahead = find_slowly
 
         async def attempt() -> None:
             async with play.watch.guard():
@@ -206,7 +206,7 @@
                 raise KeyError("unforeseen")
             return PlannedAttempt(None, "run")
 
-        play.watch.secure = fail_once
+        play.watch.plan_ahead = fail_once
         self.assertTrue(play.run({0: 60.0}))
         self.assertIn("look_failed", play.journal.list_events())
 
@@ -216,12 +216,12 @@
 
         whole = play.loop.create_future()
 
-        async def secure_as_it_comes() -> PlannedAttempt:
+        async def plan_as_it_comes() -> PlannedAttempt:
             play.taken += 1
             whole.set_result(None)
             return PlannedAttempt(None, "run", release=play.release)
 
-        play.watch.secure = secure_as_it_comes
+        play.watch.plan_ahead = plan_as_it_comes
 
         async def attempt() -> None:
             async with play.watch.guard():
--- a/tests/gateway/test_silencewatch_ends.py
+++ b/tests/gateway/test_silencewatch_ends.py
@@ -17,32 +17,32 @@
     def make_play(self, availability: float = 1.0) -> Play:
         return Play(1, availability=availability)
 
-    async def end_with_secured(self, play: Play, error: Exception | None) -> None:
-        """End an attempt of itself as the next one has just been secured."""
+    async def end_with_planned(self, play: Play, error: Exception | None) -> None:
+        """End an attempt of itself as the next one has just been planned."""
         async with play.watch.guard():
             play.watch.start(LIMIT)
-            play.watch.secured = PlannedAttempt(None, "run", release=play.release)
+            play.watch.planned = PlannedAttempt(None, "run", release=play.release)
             if error is not None:
                 raise error
 
     def test_next_attempt_is_given_back_as_the_answer_ends(self):
         """Guards against permits and retries that are lost beside a whole answer."""
         play = self.make_play()
-        run(play.loop, self.end_with_secured(play, None))
-        self.assertEqual((play.given_back, play.watch.secured), (1, None))
+        run(play.loop, self.end_with_planned(play, None))
+        self.assertEqual((play.given_back, play.watch.planned), (1, None))
 
     def test_next_attempt_is_given_back_as_the_attempt_fails(self):
         """Guards against permits and retries that are lost beside a failure."""
         play = self.make_play()
         with self.assertRaises(ValueError):
-            run(play.loop, self.end_with_secured(play, ValueError()))
-        self.assertEqual((play.given_back, play.watch.secured), (1, None))
+            run(play.loop, self.end_with_planned(play, ValueError()))
+        self.assertEqual((play.given_back, play.watch.planned), (1, None))
 
     def test_look_has_ended_when_its_attempt_has(self):
         """Guards against an attempt planned while a look still holds what it took."""
         play, ended = self.make_play(), []
 
-        async def secure() -> None:
+        async def plan_ahead() -> None:
             try:
                 await asyncio.sleep(SLOW_LOOK_S)
             finally:
@@ -54,7 +54,7 @@
                 await asyncio.sleep(2 * LIMIT / SECOND)
             self.assertEqual(ended, [play.loop.now()])
 
-        play.watch.secure = secure
+        play.watch.plan_ahead = plan_ahead
         run(play.loop, attempt())
         self.assertLess(ended[0], SLOW_LOOK_S * SECOND)
 
