--- a/tests/router/modelfleet.py
+++ b/tests/router/modelfleet.py
@@ -198,7 +198,7 @@
         router.escrow.drop_decided_bills(outcome.bills)
         router.sealed.append(router.escrow)
         name = f"{router.incarnation}.{self.count_start()}"
-        router.client.holder_accounts = router.escrow.succeed(name)
+        router.client.commits.holder_accounts = router.escrow.succeed(name)
 
     def count_start(self):
         """Return a number that makes the name of a new holder unique."""
