--- a/anvilshift/router/node.py
+++ b/anvilshift/router/node.py
@@ -9,17 +9,16 @@
 
 from absl import logging
 
-from anvilshift.core.addressing import Endpoint, order_endpoints
-from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.clock import Millis
 from anvilshift.core.declarations import Catalogue
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.former import MAX_CHANGE_LAG
 from anvilshift.core.identity import make_identity
 from anvilshift.core.membership import Member
 from anvilshift.core.work import CrashAnnouncement, DispatchSettings, LoadReport, Target
 from anvilshift.objects.paced import RateLimitedStore
 from anvilshift.router.accesscontrol import AccessControl
+from anvilshift.router.addresses import describe_addresses
 from anvilshift.router.budgets import RouterBudgets
 from anvilshift.router.callers import CallerApi
 from anvilshift.router.claims import ClaimStore
@@ -27,6 +26,7 @@
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.following import Follower
+from anvilshift.router.initialisation import Initialisation
 from anvilshift.router.leavingtargets import LeavingTargets
 from anvilshift.router.orders import Orders
 from anvilshift.router.permits import Permits, PermitSources
@@ -41,8 +41,6 @@
 
 __all__ = ["Node", "World"]
 
-_QUARANTINE_RETRY_INTERVAL: Millis = 500.0
-
 
 class Node:
     """One router with all its components except the sockets."""
@@ -130,10 +128,18 @@
         self.fleet.receive_leaving_targets = self.leaving_targets.receive_leaving
         self.fleet.read_revision = lambda: self.follower.acknowledged
         self.fleet.read_received_revision = lambda: self.follower.seen
+        self._initialisation = Initialisation(
+            self.follower,
+            self.quarantined,
+            self.dispatcher,
+            self.fleet,
+            world.clock,
+            settings.heartbeat,
+            self._update_fleet_state,
+        )
         self.settled = False
         self._router_count = 1
         self._task_failed = False
-        self._initialised = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_caller_port(self) -> CallerApi:
@@ -175,47 +181,11 @@
         It has completed its initialisation, its lease permits serving, and none of
         its background tasks has ended.
         """
-        return self._initialised and self.fleet.may_serve() and not self._task_failed
-
-    async def _initialise(self) -> None:
-        """Read the platform's records and contact all routers once before serving.
-
-        A router that has just started doesn't know which contents have crashed
-        targets recently. If it served such a content before the other routers
-        report it, the content could crash two more targets.
-        """
-        await self.follower.current.wait()
-        await self._load_quarantine_records()
-        await self.fleet.send_heartbeats()
-        self._update_fleet_state()
-        # A router with an older revision may still send a content to targets that
-        # are no longer declared.
-        wait_until = self.clock.now() + MAX_CHANGE_LAG
-        while self.fleet.find_common_revision() < self.fleet.member.since:
-            if self.clock.now() > wait_until:
-                logging.warning(
-                    "a router still has an older revision, serving nevertheless"
-                )
-                break
-            await asyncio.sleep(self.settings.heartbeat / SECOND)
-        self._initialised = True
-
-    async def _load_quarantine_records(self) -> None:
-        """Load the platform's records of contents that crashed targets.
-
-        Retries until the platform answers.
-        """
-        while True:
-            try:
-                records = await self.quarantined.read()
-                break
-            except AnvilshiftError as error:
-                logging.warning(
-                    "cannot read the quarantine records code=%d", error.code.number
-                )
-                await asyncio.sleep(_QUARANTINE_RETRY_INTERVAL / SECOND)
-        for record in records:
-            self.dispatcher.crashed(record.content, record.target, self.clock.now())
+        return (
+            self._initialisation.done
+            and self.fleet.may_serve()
+            and not self._task_failed
+        )
 
     def _announce_crash(self, crash: CrashAnnouncement) -> None:
         self.crashes.report(crash)
@@ -247,31 +217,13 @@
 
     def list_addresses(self) -> dict[str, object]:
         """Return the routers' addresses for callers, this failure domain first."""
-        endpoints = [
-            Endpoint(
-                s.member.address,
-                s.member.failure_domain,
-                s.heartbeat_status.in_flight,
-                s.member.leaving,
-            )
-            for s in self.fleet.members.list_alive(self.clock.now())
-            if s.heartbeat_status.serving
-        ]
-        own_member = self.fleet.member
-        in_flight = self.callers.in_flight
-        endpoints.append(
-            Endpoint(
-                own_member.address,
-                own_member.failure_domain,
-                in_flight,
-                own_member.leaving,
-            )
+        return describe_addresses(
+            self.fleet.member,
+            self.callers.in_flight,
+            self.fleet.members.list_alive(self.clock.now()),
+            self.settings.keep_addresses,
+            self.world.rng,
         )
-        ordered = order_endpoints(endpoints, own_member.failure_domain, self.world.rng)
-        addresses = [
-            {"address": e.address, "failure_domain": e.failure_domain} for e in ordered
-        ]
-        return {"addresses": addresses, "keep_ms": self.settings.keep_addresses}
 
     def describe(self) -> dict[str, Any]:
         """Return this router's state for operators."""
@@ -317,7 +269,7 @@
             task = loop.create_task(coroutine)
             task.add_done_callback(self._handle_task_end)
             self._tasks.append(task)
-        self._tasks.append(loop.create_task(self._initialise()))
+        self._tasks.append(loop.create_task(self._initialisation.run()))
         for task in self.fleet.tasks:
             task.add_done_callback(self._handle_task_end)
 
