Keep the views of targets in a module of their own

anvilshift/core/dispatcher.py held two concepts in 480 lines: the one interface to the load policies, and how a router's views of targets and their pools follow declarations, load reports, departures and the size of the fleet. The latter is now `core/targetviews.py` (`TargetViews`, 181 lines); `Dispatcher` (394) keeps each public method and passes these on. The order of events, of draws and of timers is the same.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -12,9 +12,8 @@
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
-from anvilshift.core.concurrency import STALE_AFTER, ConcurrencyLimit
 from anvilshift.core.healthmonitor import HealthMonitor
-from anvilshift.core.pools import Kind, Pools, TargetView
+from anvilshift.core.pools import TargetView
 from anvilshift.core.queue import Entry
 from anvilshift.core.relocation import Relocation
 from anvilshift.core.restriction import TargetRestriction
@@ -22,6 +21,7 @@
 from anvilshift.core.sending import Sender
 from anvilshift.core.state import DispatchState
 from anvilshift.core.targetlimits import PermitNeed, TargetLimits
+from anvilshift.core.targetviews import TargetViews
 from anvilshift.core.work import (
     NOT_EXECUTED,
     Actions,
@@ -95,7 +95,15 @@
         )
         self._target_limits = TargetLimits(self._state, self._sender)
         self._last_sweep: Millis = 0.0
-        self._was_alone = self._state.is_single_router
+        self._target_views = TargetViews(
+            self._state,
+            self._backlog,
+            self._sender,
+            self._relocation,
+            self._target_limits,
+            self._enqueue,
+            lambda work: self.renew(work),
+        )
         self.renew: Callable[[Work], Work] = lambda work: work
         self.list_silent: Callable[[], Collection[str]] = tuple
 
@@ -116,21 +124,7 @@
         revision
             Revision of the declarations; see `confirm_revision`.
         """
-        declared = {target.name: target for target in targets}
-        self._state.began = min(self._state.began, now)
-        old_targets = {name: view.target for name, view in self._state.views.items()}
-        self._state.former.record_change(old_targets, declared, revision, now)
-        for name in set(self._state.views) - set(declared):
-            # When an attempt that still runs there ends, the removed target must
-            # not be given more work.
-            removed = self._state.views.pop(name)
-            removed.pools, removed.kind = [], Kind()
-            self._state.prefixes.forget(name)
-        for name, target in declared.items():
-            self._update_target(name, target)
-        for attempt in self._sender.running.values():
-            attempt.entry.work = self.renew(attempt.entry.work)
-        return self._rebuild_pools(now)
+        return self._target_views.configure(targets, now, revision)
 
     def confirm_revision(self, revision: int, now: Millis) -> Actions:
         """Record the revision that every router has in force.
@@ -138,48 +132,11 @@
         Until all routers have a new revision in force, work is sent only to targets
         that its content maps to both before and after the change.
         """
-        ended = self._state.former.confirm_revision(revision, now)
-        return self._rebuild_pools(now) if ended else []
-
-    def _rebuild_pools(self, now: Millis) -> Actions:
-        """Rebuild the pools and enqueue all waiting work again."""
-        waiting = [entry for entry, _ in self._backlog.entries.values()]
-        self._backlog.entries.clear()
-        self._was_alone = self._state.is_single_router
-        self._state.pools = Pools(self._state.views)
-        for view in self._state.views.values():
-            view.pools = []
-            view.kind.pools = []
-            view.kind.views = {view.target.name: view}
-        for attempt in self._sender.running.values():
-            pool = self._state.pools.find(attempt.entry.work.candidates)
-            if pool is not None:
-                attempt.pool = pool
-                pool.long_running += attempt.entry.is_long
-        actions: Actions = []
-        for entry in waiting:
-            entry.lane = None
-            entry.work = self.renew(entry.work)
-            actions += self._enqueue(entry, now)
-        return actions
-
-    def _update_target(self, name: str, target: Target) -> None:
-        view = self._state.views.get(name)
-        if view is None:
-            view = TargetView(
-                target, ConcurrencyLimit(target.slots, self._state.routers)
-            )
-            self._state.views[name] = view
-        view.target = target
-        view.limit.set_slots(target.slots)
-        self._state.refresh(view, draw=True)
+        return self._target_views.confirm_revision(revision, now)
 
     def set_routers(self, routers: int) -> None:
         """Set the number of routers that share the targets."""
-        self._state.routers = routers
-        for view in self._state.views.values():
-            view.limit.set_routers(routers)
-            self._state.refresh(view, draw=True)
+        self._target_views.set_routers(routers)
 
     def set_partitioned(self, partitioned: bool) -> None:
         """Set whether another router is unreachable."""
@@ -198,49 +155,19 @@
 
     def leaving(self, target: str, now: Millis) -> Actions:
         """Stop sending new work to a target that is shutting down."""
-        view = self._state.views.get(target)
-        if view is None or view.leaving:
-            return []
-        view.note_outage(now)
-        view.leaving = True
-        self._state.refresh(view)
-        actions = self._relocation.relocate_waiting(view, now)
-        for pool in view.pools:
-            pool.usable -= 1
-            if not pool.usable:
-                actions += self._backlog.refuse_all(pool)
-        return actions
+        return self._target_views.leave(target, now)
 
     def staying(self, target: str, now: Millis) -> Actions:
         """Send work again to a target that cancelled its shutdown."""
-        view = self._state.views.get(target)
-        if view is None or not view.leaving:
-            return []
-        view.leaving = False
-        for pool in view.pools:
-            pool.usable += 1
-        self._state.refresh(view)
-        return self._sender.fill(view, now)
+        return self._target_views.stay(target, now)
 
     def update_rate_limit(self, report: LoadReport) -> None:
         """Record only the rate limit in a target's load report; send nothing."""
-        view = self._state.views.get(report.target)
-        if view is not None:
-            self._target_limits.learn(view, report.limit, report.as_of)
+        self._target_views.update_rate_limit(report)
 
     def load_report(self, report: LoadReport, now: Millis) -> Actions:
         """Update a target's load from its report, which describes an earlier time."""
-        view = self._state.views.get(report.target)
-        if view is None:
-            return []
-        if not view.limit.reported:
-            self._state.timers.schedule(
-                now + STALE_AFTER, lambda at: self._check_reports(view, at)
-            )
-        view.limit.report(report, now)
-        self._target_limits.learn(view, report.limit, report.as_of)
-        self._state.refresh(view, draw=True)
-        return [*self._target_limits.remove_expired(now), *self._sender.fill(view, now)]
+        return self._target_views.apply_load_report(report, now)
 
     def find_view(self, target: str) -> TargetView | None:
         """Return this router's view of a target, or None if it is not declared."""
@@ -254,16 +181,6 @@
         """Use a permit to send one request to a rate-limited target."""
         return self._target_limits.use_permit(target, run, now)
 
-    def _check_reports(self, view: TargetView, now: Millis) -> Actions:
-        """Stop using a target's reported load once its reports have stopped."""
-        if not view.limit.expire(now):
-            self._state.timers.schedule(
-                now + STALE_AFTER, lambda at: self._check_reports(view, at)
-            )
-            return []
-        self._state.refresh(view, draw=True)
-        return self._sender.fill(view, now)
-
     def cache_event(self, event: CacheEvent, now: Millis) -> Actions:
         """Update the record of a target's prefix cache."""
         if event.target in self._state.views:
@@ -461,11 +378,8 @@
         actions = [
             *self._state.timers.run(now),
             *self._target_limits.remove_expired(now),
+            *self._target_views.follow_fleet(now),
         ]
-        if self._state.is_single_router != self._was_alone:
-            # A router that is alone may send a content to any target; one of
-            # several only to the two home targets of the content.
-            actions += self._rebuild_pools(now)
         if now >= self._last_sweep + _SWEEP_INTERVAL:
             self._last_sweep = now
             actions += self._sender.retry_skipped(now)
