Test the dispatcher's timers on a loop in virtual time

What was seen: test_loop_that_is_always_late_still_ticks (2 ticks of 3) and test_tick_runs_between_steady_events (7 of 10) red in one run of 62 router tests in two workers, load about 32 on 8 cores; 6 of 6 green on right after, alone at load 37 to 39. They block the real loop with time.sleep and count ticks in real time, so they also measure how much of a core the test gets. Neither the tested module nor the stub that they use had changed.

Change: the loop is blocked in virtual time (`VirtualLoop.block`), for the same 0.3, 0.1 s and 2 s; an event of the third test takes 0.1 ms of it. Each assertion is as it was.

As strict: three faults put into router/dispatching.py on purpose (no grace after a pause, a grace without end, the timer set anew at each event) make just one test red each, the same one before and after.

--- a/anvilshift/standins/virtual.py
+++ b/anvilshift/standins/virtual.py
@@ -41,6 +41,10 @@
         """Return the virtual time in seconds."""
         return self._virtual_selector.now
 
+    def block(self, seconds: float) -> None:
+        """Let time pass as if a callback kept the loop busy for so long."""
+        self._virtual_selector.now += seconds
+
     def _run_once(self) -> None:
         if not self._ready:  # type: ignore[attr-defined]
             self._virtual_selector.now += _ITERATION_S
--- a/tests/router/test_dispatching.py
+++ b/tests/router/test_dispatching.py
@@ -1,11 +1,15 @@
 """Tests of the dispatcher's timers when the event loop is blocked or late."""
 
 import asyncio
-import time
 import unittest
 
-from anvilshift.core.clock import SECOND, MonotonicClock
+from anvilshift.core.clock import SECOND
 from anvilshift.router.dispatching import DispatchLoop
+from anvilshift.standins.virtual import VirtualClock
+from tests.router.nodes import VirtualTestCase
+
+EVENT_S = 0.0001
+"""Time that the loop spends on an event."""
 
 
 class StubDispatcher:
@@ -24,9 +28,9 @@
         return []
 
 
-class BlockedLoopTest(unittest.IsolatedAsyncioTestCase):
+class BlockedLoopTest(VirtualTestCase):
     def start(self):
-        self.clock = MonotonicClock()
+        self.clock = VirtualClock()
         self.stub = StubDispatcher(self.clock)
         self.stub.begun = self.clock.now()
         loop = DispatchLoop(self.stub, self.clock)
@@ -44,7 +48,7 @@
         Answers that arrived during the pause must be read before the next tick.
         """
         self.start()
-        time.sleep(0.3)  # noqa: ASYNC251
+        asyncio.get_running_loop().block(0.3)
         resumed = self.clock.now()
         await self.wait_ticks(1)
         self.assertGreaterEqual(self.stub.ticks[0], resumed + 50.0)
@@ -54,7 +58,7 @@
         self.start()
         until = self.clock.now() + 2 * SECOND
         while self.clock.now() < until:
-            time.sleep(0.1)  # noqa: ASYNC251
+            asyncio.get_running_loop().block(0.1)
             await asyncio.sleep(0)
         self.assertGreaterEqual(len(self.stub.ticks), 3)
 
@@ -64,6 +68,7 @@
         until = self.clock.now() + 300.0
         while self.clock.now() < until:
             loop.act([])
+            asyncio.get_running_loop().block(EVENT_S)
             await asyncio.sleep(0)
         self.assertGreaterEqual(len(self.stub.ticks), 10)
 
