Start the routers of an in-process fleet at one moment

What was seen: of the 37 tests of tests/router/test_runs and test_claimed, each spent 1.5 s waiting for its second router to be ready, with 0.07 s of processor time.

Cause: the harness awaited the second router's socket after it had started the first one, whose record then raised the store's revision. The second listed that newer revision and waited until the first had it in force, which it publishes with its next renewal. That is right for a router that joins, and test_router_that_starts_waits_for_one_that_is_behind (tests/router/test_agreement) is red with that wait taken out; no test of these two modules is about it.

Change: all sockets are opened first, then all routers start. Checks and settings are the same.

--- a/tests/router/fleetlet.py
+++ b/tests/router/fleetlet.py
@@ -77,6 +77,9 @@
             self.addresses.append(await server.start(address))
             self._servers.append(server)
             self.nodes.append(node)
+        # Routers that start one after another wait until the others have the revision
+        # in force that they found, which takes these until their next renewal.
+        for node in self.nodes:
             node.start()
         await wait_until(lambda: all(node.is_ready() for node in self.nodes))
 
