--- a/tests/quick.py
+++ b/tests/quick.py
@@ -42,7 +42,6 @@
     "tests.router.test_claims.",
     "tests.router.test_claims_random.",
     "tests.router.test_crashes.",
-    "tests.router.test_dispatching.",
     "tests.router.test_following.",
     "tests.router.test_moving.",
     "tests.router.test_permits.",
