--- a/anvilshift/router/groupcommits.py
+++ b/anvilshift/router/groupcommits.py
@@ -12,7 +12,7 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.escrow import Escrow
-from anvilshift.core.ledger import Commit, Ledger, Outcome
+from anvilshift.core.ledger import Commit, Outcome
 from anvilshift.core.markages import MarkAges
 from anvilshift.objects.cached import CachedObject
 from anvilshift.objects.ledgers import LEDGER_KIND, decode_ledger
@@ -60,7 +60,6 @@
     ) -> None:
         self.name = name
         self.holder_accounts = Escrow(incarnation)
-        self.last_ledger = Ledger()
         self._clock = clock
         self._incarnation = incarnation
         self._generation = 0
@@ -211,7 +210,6 @@
             ledger = ledger.forget(
                 wall - BILL_LIFETIME_S, wall - HOLDER_LIFETIME_S, recent
             )
-            self.last_ledger = ledger
             return encode(ledger)
 
         try:
