Cut the platform once the order runs, as the test says

Cause: the test cut the platform as soon as the claim was stored. The order draws its tokens after that; cut before, it is rightly refused.

Change: the platform is cut once the service has run the order, whose answer it holds back for 100 ms as before, and the claim must still be open then. All checks stay.

--- a/tests/router/test_claimed.py
+++ b/tests/router/test_claimed.py
@@ -54,9 +54,10 @@
         instead of code 5001, and the claim must be finished once the platform is
         back.
         """
-        self.fleet.service.faults.delay_ms = 100.0
+        self.fleet.service.faults.hold_ms = 100.0
         order = asyncio.create_task(self.fleet.book("k"))
-        await wait_until(lambda: self.read_claim("k"))
+        await wait_until(lambda: self.ran)
+        self.assertIs(self.read_claim("k").state, ClaimState.OPEN)
         self.store.faults.cut.add("r1")
         first = await order
         self.assertEqual(first.status, 201)
