Start the stand-ins of a fleet without loading the routers

No process had failed; they were still importing. Each stand-in ran the operators' command, which loads the router, its RPC library and the settings' validation, and a fleet starts five of them beside three routers.

Ruled out: ports in use, by the logs (empty or `listening`), and a slow store.

The module of the stand-ins can now be run by itself, and fleets run it.

The limit of 20 s is as before.

--- a/anvilshift/operator/standins.py
+++ b/anvilshift/operator/standins.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import fire
+
 from anvilshift.standins.engine import EngineParameters, EngineStandin
 from anvilshift.standins.platform import PlatformStandin
 from anvilshift.standins.relay import Relay
@@ -71,3 +73,7 @@
     print(f"listening on {address}", flush=True)
     await stop.wait()
     await standin.close()
+
+
+if __name__ == "__main__":
+    fire.Fire(StandinCommands, name="anvilshift standin")
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -22,6 +22,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
 OPERATOR_TOKEN = "operator-token"
+_COMMAND = "anvilshift.operator.main"
+_STANDINS = "anvilshift.operator.standins"
+"""A stand-in that loads no router starts with an eighth of the processor time."""
 _START_TIMEOUT_S = 20.0
 _LOG_TAIL_LINES = 60
 _POLL_INTERVAL_S = 0.02
@@ -49,13 +52,15 @@
 class Process:
     """One process of the fleet; signals go to its process id only."""
 
-    def __init__(self, name: str, arguments: list[str], log: pathlib.Path) -> None:
+    def __init__(
+        self, name: str, module: str, arguments: list[str], log: pathlib.Path
+    ) -> None:
         self.name = name
         self.log = log
-        command = [sys.executable, "-m", "anvilshift.operator.main", *arguments]
+        self.command = [sys.executable, "-m", module, *arguments]
         with log.open("ab") as output:
             self._process = subprocess.Popen(
-                command, stdout=output, stderr=subprocess.STDOUT, cwd=ROOT
+                self.command, stdout=output, stderr=subprocess.STDOUT, cwd=ROOT
             )
 
     @property
@@ -130,7 +135,7 @@
     async def start(self) -> None:
         """Start all processes and wait until every router is ready."""
         self.start_process(
-            "platform", ["standin", "platform", "--listen", str(self.platform)]
+            "platform", _STANDINS, ["platform", "--listen", str(self.platform)]
         )
         self._start_targets()
         await self._wait_listening(self.platform)
@@ -166,15 +171,15 @@
 
     def start_target(self, name: str, kind: str) -> None:
         """Start the stand-in process of a target at its address."""
-        arguments = ["standin", kind, "--listen", str(self.addresses[name])]
+        arguments = [kind, "--listen", str(self.addresses[name])]
         if kind == "engine":
             arguments += self._engine_options
-        self.start_process(name, arguments)
+        self.start_process(name, _STANDINS, arguments)
 
-    def start_process(self, name: str, arguments: list[str]) -> Process:
+    def start_process(self, name: str, module: str, arguments: list[str]) -> Process:
         """Start a process and register it under a name."""
         log = self.directory / f"{name}.log"
-        self.processes[name] = Process(name, arguments, log)
+        self.processes[name] = Process(name, module, arguments, log)
         return self.processes[name]
 
     def start_router(self, index: int) -> str:
@@ -197,7 +202,7 @@
         }
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
-        self.start_process(name, ["router", "--settings", str(path)])
+        self.start_process(name, _COMMAND, ["router", "--settings", str(path)])
         return name
 
     async def _wait_listening(self, address: Address) -> None:
@@ -220,8 +225,8 @@
         self.controls[name] = control
         self.start_process(
             name,
+            _STANDINS,
             [
-                "standin",
                 "relay",
                 f"--listen={listen}",
                 f"--target={target}",
@@ -257,7 +262,7 @@
 
     async def run_operator(self, *arguments: str) -> tuple[int, str]:
         """Run an operator command; return its exit code and output."""
-        command = [sys.executable, "-m", "anvilshift.operator.main", *arguments]
+        command = [sys.executable, "-m", _COMMAND, *arguments]
         process = await asyncio.create_subprocess_exec(
             *command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, cwd=ROOT
         )
