Play gateways on loopback without asyncio's debug mode

LimitTest (2 of 100 refused, a wait of 1.8 s predicted with 0.9 and 1.3 s left) runs three routers, their targets and all callers on one loop, and unittest runs that loop in debug mode: each task and callback then records its stack. One run of the test took 5.6 s of processor time in debug mode and 1.7 s without, in a span of 10 s. Beside load a process gets less than half a core, and the loop fell behind; the refusals were true for so late a loop.

Ruled out: the limit's permits and the prediction.

Debug mode's own check, calls from other threads, stays on in all tests that play no gateway.

--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -83,6 +83,9 @@
         return result
 
     async def asyncSetUp(self):
+        # unittest runs its loop in debug mode, which takes more processor time than
+        # all routers, targets and callers of a play together.
+        asyncio.get_running_loop().set_debug(False)
         self.store_stub = StoreStub()
         self.store_address = await self.store_stub.start()
         self.targets: dict[str, TargetStub] = {}
--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -228,7 +228,6 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        asyncio.get_running_loop().set_debug(False)
         self.rng = random.Random(self.seed)
         self.engines: list[PartEngine] = []
         self.bad_parts = {BAD}
--- a/tests/platform/silentfleet.py
+++ b/tests/platform/silentfleet.py
@@ -203,8 +203,6 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        # Debug mode costs more processor time than the routers themselves.
-        asyncio.get_running_loop().set_debug(False)
         self.rng = random.Random(9)
         self.outcomes: list[Outcome] = []
         self.version = 1
--- a/tests/platform/test_cut_routers.py
+++ b/tests/platform/test_cut_routers.py
@@ -19,9 +19,6 @@
 class CutCase(GatewayCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        # In debug mode opening a connection costs so much that four routers on one
-        # loop are overloaded.
-        asyncio.get_running_loop().set_debug(False)
         self.networks: list[CutNetwork] = []
 
     def make_network(self) -> CutNetwork:
