Begin streams at every router in the test of a killed one

`test_killed_router_costs_no_answer_and_doubles_no_order` waits until r1 has three requests in flight, of which its order counts as two and a stream as two. The 12 callers each draw one of three routers. That none draws r1 has a chance of (2/3)^12, 0.8 in 100; the streams then run elsewhere, end within a second or two, and the test waits 20 s for a router that nobody calls.

With callers who draw another router than r1 the test fails with the same words at the same line; a router that the others hold for lost for a moment gets as little.

Four streams now begin at each router: their callers find that one alone at first and look up the others once it fails. The bounds are as before, and the router that is killed has four streams where it could have one.

--- a/tests/integration/fleetcase.py
+++ b/tests/integration/fleetcase.py
@@ -92,6 +92,33 @@
             asyncio.create_task(self.ask(f"tank {n}", tokens)) for n in range(count)
         ]
 
+    def begin_streams_at_each(
+        self, count: int, tokens: int
+    ) -> list[asyncio.Task[None]]:
+        """Begin streams at each router; callers that lose theirs look up the others.
+
+        Callers draw a router at random, so that one may get no stream at all.
+        """
+        return [
+            asyncio.create_task(
+                self.ask(f"tank {name} {n}", tokens, self.begin_at(name))
+            )
+            for name in self.fleet.router_names
+            for n in range(count)
+        ]
+
+    def begin_at(self, router: str) -> Client:
+        """Return a client that finds just one router at first, and then all."""
+        client = self.client("kosice")
+        look_up_all = client.look_up
+        first = [[self.fleet.addresses[router]]]
+
+        async def look_up():
+            return first.pop() if first else await look_up_all()
+
+        client.look_up = look_up
+        return client
+
     async def order(self, key: str, router: str = "", deadline: float = 8_000.0):
         """Place an order; return the answer's body, or the error's fate."""
         body = json.dumps({"order": key}).encode()
--- a/tests/integration/test_routers.py
+++ b/tests/integration/test_routers.py
@@ -17,7 +17,7 @@
         await self.fleet.set_faults(self.fleet.addresses["stock-1"], hold_ms=20_000.0)
         order = asyncio.create_task(self.order("drums", "r1", deadline=4_000.0))
         await wait_until(self.count_orders)
-        streams = self.begin_streams(12, 400)
+        streams = self.begin_streams_at_each(4, 400)
         await wait_until(lambda: self.is_busy("r1", 3))
         self.send("r1", signal.SIGKILL)
         await asyncio.gather(*streams)
