Take an engine's end back only for an answer to what was sent since

A router forgot that an engine had ended once an answer of it had begun over 100 ms after the end. A busy router hears of answers late: of those it reads itself, and of those that other routers tell of. The end of an engine that was gone for good was so taken back, the part of a prompt that ended it was proven no longer, and one more engine ended on it.

Trace: KilledRoutersTest, whose engines never live on under the name of a start that ended, so that each `end_retracted` is false.

What counts now is when the answered request was sent, and that this was after the router itself learned of the end: one that stood still handles both at once, and the age it is told of would place the end before.

Both tests fail without the change.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -199,6 +199,7 @@
         target.ended_at = None
         target.pending -= entry.work
         target.last_begun = now
+        target.lived_at = max(target.lived_at, entry.since)
         self._reset_rounding(target)
 
     def end(self, name: str, run: str) -> None:
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -128,6 +128,9 @@
         Cache tokens that its runs need beyond those cached already.
     last_begun
         When a run last began to answer: the pending prefills have run since then.
+    lived_at
+        When the youngest run was sent that has begun to answer.  It proves that the
+        target lived then; an answer that began may have been heard of only later.
     speed
         Measured prefill time relative to the users' reference engine.
     last_disturbed
@@ -163,6 +166,7 @@
     pending: Millis = 0.0
     run_tokens: int = 0
     last_begun: Millis = -math.inf
+    lived_at: Millis = -math.inf
     last_disturbed: Millis = -math.inf
     health: Health = field(default_factory=Health)
     speed: DecayingMean = field(default_factory=lambda: DecayingMean(1.0))
--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -40,7 +40,8 @@
 _INFORM_TIMEOUT: Millis = 500.0
 """How long a router that starts waits for another one that tells it what it knows."""
 _ALIVE_MARGIN: Millis = 100.0
-"""An answer that begins so long after an engine's end is proof that it lives."""
+"""An answer to what was sent so long after an end became known is proof of life.
+When it began proves nothing: a busy router hears late of older answers."""
 
 
 def name_start(info: TargetInfo) -> str:
@@ -105,6 +106,7 @@
     _tasks: set[asyncio.Task[str]] = field(default_factory=set)
     _proven: set[PartKey] = field(default_factory=set)
     _forgiven: set[str] = field(default_factory=set)
+    _known_since: dict[str, Millis] = field(default_factory=dict)
     _repeated_at: Millis = 0.0
 
     def __post_init__(self) -> None:
@@ -226,6 +228,7 @@
 
     def _note_proven(self) -> None:
         """Log each part that is proven now, and forgive what it explains."""
+        self._note_starts()
         for key in self.blame.list_keys(self.clock.now()):
             starts = self.blame.list_proven_starts(key)
             for start in set(starts) - self._forgiven:
@@ -237,6 +240,11 @@
                     "part_proven", scope=key.scope, part=key.part, starts=starts
                 )
 
+    def _note_starts(self) -> None:
+        """Record since when each end has been known here, whenever it was."""
+        starts, now = self.blame.list_starts(), self.clock.now()
+        self._known_since = {s: self._known_since.get(s, now) for s in starts}
+
     # The other routers
 
     def find_issuer(self, scope: str) -> str:
@@ -342,12 +350,13 @@
 
     def _retract_alive(self) -> None:
         """Forget the ends of targets that have begun an answer since."""
-        for start, at in self.blame.list_starts().items():
+        self._note_starts()
+        for start, known_since in self._known_since.items():
             target = self.loads.targets.get(find_target_name(start))
             if target is None or name_start(target.info) != start:
                 continue
             # Without a number of its start it may have started anew under its name.
-            if target.info.born and target.last_begun > at + _ALIVE_MARGIN:
+            if target.info.born and target.lived_at > known_since + _ALIVE_MARGIN:
                 self.journal.write("end_retracted", start=start)
                 self.blame.retract(start)
                 self.peers.send_each(StartAlive(start), self._list_ips())
--- a/tests/gateway/test_partwatch.py
+++ b/tests/gateway/test_partwatch.py
@@ -118,6 +118,37 @@
 
         self.run_scenario(scenario)
 
+    def test_end_stands_where_an_answer_from_before_it_is_heard_of_late(self):
+        """Guards against one engine more that ends as a busy router forgets an end."""
+
+        async def scenario():
+            loads = self.router.loads
+            self.router.declare("e1")
+            loads.send("e1", "run", Prompt(), 0, self.clock.now(), 100)
+            await self.fail("e1", "a")
+            await asyncio.sleep(0.5)
+            loads.begin("e1", "run", self.clock.now())
+            self.watch.run_checks(self.clock.now())
+            self.assertTrue(self.is_suspect("a"))
+
+        self.run_scenario(scenario)
+
+    def test_end_stands_that_is_heard_of_late_together_with_an_older_answer(self):
+        """Guards against an end that a router forgets which stood still meanwhile."""
+
+        async def scenario():
+            loads = self.router.loads
+            self.router.declare("e1")
+            await asyncio.sleep(1.0)
+            loads.send("e1", "run", Prompt(), 0, self.clock.now(), 100)
+            loads.begin("e1", "run", self.clock.now())
+            crashes = (("e1/1", 800.0, False),)
+            self.watch.apply_record(PartRecorded(SCOPE, "a", crashes, ()))
+            self.watch.run_checks(self.clock.now())
+            self.assertTrue(self.is_suspect("a"))
+
+        self.run_scenario(scenario)
+
     def test_end_stands_where_the_engine_may_have_started_anew_under_its_name(self):
         """Guards against a bad part that each new start of its engine clears."""
 
