Tell crashes to all routers that aren't lost yet

A router that stood still for over 645 ms holds no other router for present when it goes on, until it has read a heartbeat. If it read a broken connection first, it told the crash to nobody. It is told again by the router that grants the tries alone.

The test fails without the change.

--- a/anvilshift/gateway/partwatch.py
+++ b/anvilshift/gateway/partwatch.py
@@ -252,7 +252,11 @@
         return self.limits.find_issuer(find_issuer_key(scope))
 
     def _list_ips(self) -> list[str]:
-        return [peer.beat.ip for peer in self.peers.list_present()]
+        """Return the addresses of all routers that aren't lost yet.
+
+        A router that stood still has heard of none lately, and must tell all the same.
+        """
+        return [peer.beat.ip for peer in self.peers.routers.values()]
 
     def _tell(self, keys: Iterable[PartKey]) -> None:
         """Tell the other routers what is held against parts.
--- a/tests/gateway/partrouter.py
+++ b/tests/gateway/partrouter.py
@@ -33,8 +33,9 @@
         self.others = others
         self.issuer = issuer or name
         self.journal = SilentJournal()
+        routers = {ip: SimpleNamespace(beat=SimpleNamespace(ip=ip)) for ip in others}
         peers = SimpleNamespace(
-            addresses=set(others), small=True, routers={}, send=self.send
+            addresses=set(others), small=True, routers=routers, send=self.send
         )
         peers.list_present = self.list_present
         peers.send_each = lambda message, ips: [self.send(message, ip) for ip in ips]
@@ -58,7 +59,7 @@
         self.sent.append((message, ip))
 
     def list_present(self):
-        return [SimpleNamespace(beat=SimpleNamespace(ip=ip)) for ip in self.others]
+        return list(self.peers.routers.values())
 
     async def has_ended(self, info):
         return info.name in self.ended
--- a/tests/gateway/test_partwatch.py
+++ b/tests/gateway/test_partwatch.py
@@ -46,6 +46,16 @@
 
         self.run_scenario(scenario)
 
+    def test_crash_is_told_to_routers_that_were_not_heard_of_lately(self):
+        """Guards against a crash that nobody is told, as its router stood still."""
+
+        async def scenario():
+            self.router.peers.list_present = list
+            await self.fail("e1", "a")
+            self.assertEqual(len(self.list_sent(PartRecorded)), 1)
+
+        self.run_scenario(scenario)
+
     def test_broken_answer_of_an_engine_that_is_there_holds_nothing_against_parts(self):
         """Guards against parts blamed for connections that are reset."""
 
