Name settled, reserved, lent and locked tokens in the log of a refusal

What was seen: a refusal's line says `spent`, which is what ended requests used, plus what running ones have reserved at their largest, plus what was given to other routers less what came from them. Who reads it can't tell whether a total is used up or merely in use.

Change: a balance also counts the tokens of ended requests alone (`delivered`); a gift doesn't enter that count. `budget_refused` names `settled`, `reserved`, `lent` (below 0: borrowed) and `locked` (what a record's age doesn't release yet) beside `doubt`, each by itself; `spent` and the others stay. No decision uses the new figure.

--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -95,6 +95,7 @@
         balance = self.by_name[name]
         used = min(tokens, balance.reserved.pop(key, 0))
         balance.settled += used
+        balance.delivered += used
         if used:
             balance.count_use(used, now)
 
@@ -211,8 +212,11 @@
         >>> balances.by_name["pounds"].available(0.0)
         20
         """
-        given = self.by_name[name].reserved.get(key, 0)
-        self.settle(name, key, given, now)
+        balance = self.by_name[name]
+        given = balance.reserved.pop(key, 0)
+        balance.settled += given
+        if given:
+            balance.count_use(given, now)
         return given
 
     def find_returnable(self, now: Millis) -> dict[str, int]:
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -95,6 +95,8 @@
     settled
         Tokens spent by requests that have ended, plus tokens given to other routers,
         minus tokens received from them.
+    delivered
+        Tokens of requests that have ended, without any given or received.
     reserved
         By request, the most that it can cost.
     waiting
@@ -126,6 +128,7 @@
     left: int | None = None
     ceiling: int = 0
     settled: int = 0
+    delivered: int = 0
     reserved: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
     record_limits: tuple[RecordLimit, ...] = ()
@@ -144,6 +147,11 @@
         """Return the tokens that are spent or reserved by running requests."""
         return self.settled + sum(self.reserved.values())
 
+    @property
+    def lent(self) -> int:
+        """Return the tokens given to other routers; negative if more were received."""
+        return self.settled - self.delivered
+
     @property
     def keeping(self) -> bool:
         """Tell whether this router is an allocator of the organisation's tokens."""
@@ -163,10 +171,15 @@
 
     def describe(self, now: Millis) -> dict[str, int | bool]:
         """Return its figures for the log."""
+        available = self.available(now)
         return {
-            "available": self.available(now),
+            "available": available,
             "ready": self.ready,
             "total": self.total,
+            "settled": self.delivered,
+            "reserved": sum(self.reserved.values()),
+            "lent": self.lent,
+            "locked": self.ready - available,
             "spent": self.spent,
             "keeping": self.keeping,
         }
--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -250,6 +250,29 @@
 
         run_scenario(scenario)
 
+    def test_a_refusal_names_settled_reserved_lent_and_locked_tokens(self):
+        """Guards against a refusal whose log lumps together what stands in its way."""
+
+        async def scenario(fleet):
+            await start_all(fleet, 10_000)
+            allocator = fleet.reservations[ALLOCATORS[0]]
+            until = fleet.clock.now() + 5_000.0
+            self.assertTrue(await fleet.spend(ALLOCATORS[0], "ended", 100))
+            await allocator.reserve(POUNDS, "running", 300, until)
+            await fleet.reservations[OTHERS[0]].reserve(POUNDS, "lent", 200, until)
+            self.assertFalse(await fleet.spend(ALLOCATORS[0], "large", 9_900))
+            refused = dict(fleet.journals[ALLOCATORS[0]].lines)["budget_refused"]
+            named = {
+                key: refused[key] for key in ("settled", "reserved", "lent", "doubt")
+            }
+            self.assertEqual(
+                named, {"settled": 100, "reserved": 300, "lent": 200, "doubt": 0}
+            )
+            self.assertEqual(refused["locked"], refused["ready"] - refused["available"])
+            self.assertEqual(refused["spent"], 600)
+
+        run_scenario(scenario)
+
     def test_a_prompt_waits_for_a_record_and_is_not_refused(self):
         """Each prompt costs more than a router may spend without a further record.
 
