Refuse a request finally only if settled tokens rule it out

Cause: `Balances.is_exhausted` took for spent what running requests had reserved at their largest size, what was lent to other routers, what ended routers had reserved or lent, and the smaller of two totals after a top-up.

Ruled out: to take reserved tokens out of `Share.recorded` (it bounds what is given out again); to count `closed - doubt` of ended routers (a request that the kill broke off delivered nothing; the property test finds it); to hand over what the store may know under a router's name (counted twice; found as well).

Change: only settled tokens count. A balance counts them apart (`delivered`), shares and records of use state them (`settled`, 0 where an older build wrote the entry: never a reason for a 402), and an ended router leaves its last known count. Routers that aren't allocators write nothing, so they report what they settled to one by datagram (`Settled`, a sum for one incarnation: lost, late and repeated reports change nothing). No spending decision uses these counts, and no call to the store is added. Otherwise 503; where running or lent reservations stand in the way it names the time at which they should have given back enough, from the mean time that requests held theirs and the part that they returned (`core/holdtimes.py`), else the delays of before.

The message round trip has `Settled` too, and the fleet of tests/gateway sends reports.

--- a/anvilshift/core/allotments.py
+++ b/anvilshift/core/allotments.py
@@ -10,7 +10,8 @@
 When a holder dies, its whole ceiling counts as spent.  The part of that ceiling
 above its last recorded spending is its doubt: it may or may not have been spent.
 These tokens can't be granted again, and a request that would fit into them isn't
-told that the budget is exhausted.
+told that the budget is exhausted.  Only tokens that are known to be settled, because
+the requests that used them have ended, are reason for that.
 """
 
 from collections.abc import Mapping
@@ -29,10 +30,14 @@
         Tokens that the holder may spend over its lifetime.
     recorded
         Tokens that it had spent or reserved at its last write to the store.
+    settled
+        Tokens that requests which had ended then used, as far as it knew: its own and
+        those of routers that reported to it.  An entry without the field has 0.
     """
 
     ceiling: int = 0
     recorded: int = 0
+    settled: int = 0
 
 
 @dataclass(frozen=True)
@@ -52,6 +57,8 @@
         Part of `closed` that may not have been spent.
     shares
         By holder, its share.
+    settled
+        Tokens that the ended holders are known to have settled.
     """
 
     total: int = 0
@@ -59,6 +66,7 @@
     closed: int = 0
     doubt: int = 0
     shares: Mapping[str, Share] = field(default_factory=dict)
+    settled: int = 0
 
     @property
     def free(self) -> int:
@@ -71,6 +79,11 @@
         recorded = sum(share.recorded for share in self.shares.values())
         return self.closed - self.doubt + recorded
 
+    def count_settled(self, without: str) -> int:
+        """Return the tokens known to be settled, without those of one holder."""
+        shares = [one for name, one in self.shares.items() if name != without]
+        return self.settled + sum(share.settled for share in shares)
+
     def end(self, holder: str, spent: SpendingBounds | None = None) -> "Allotment":
         """Return the allotment without a holder that has ended.
 
@@ -97,6 +110,7 @@
             closed=self.closed + counted,
             doubt=self.doubt + max(0, counted - known.least),
             shares=shares,
+            settled=self.settled + max(share.settled, known.settled),
         )
 
 
@@ -113,11 +127,14 @@
         granted from at most a fraction of the tokens that stay free.
     spent
         Tokens that it has spent or reserved.
+    settled
+        Tokens of ended requests that it counts.
     """
 
     ceiling: int
     least: int
     spent: int
+    settled: int = 0
 
 
 _MAX_CUSHION_FRACTION = 0.5
@@ -229,5 +246,8 @@
         cushion = max(0, request.ceiling - old.ceiling - needed)
         spare = int((free - needed) * _MAX_CUSHION_FRACTION)
         ceiling = old.ceiling + needed + min(cushion, spare)
-    shares = {**allotment.shares, holder: Share(ceiling, request.spent)}
+    shares = {
+        **allotment.shares,
+        holder: Share(ceiling, request.spent, request.settled),
+    }
     return replace(allotment, shares=shares)
--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 
 from anvilshift.core.allocators import AllocatorMap
-from anvilshift.core.allotments import Allotment, Allotments, ShareRequest
+from anvilshift.core.allotments import Allotments, ShareRequest
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.cushions import Balance, RecordLimit
 from anvilshift.core.usage import Use, UseRecord
@@ -78,6 +78,7 @@
             return False
         balance.waiting.pop(key, None)
         balance.reserved[key] = tokens
+        balance.hold_times.begin(key, now)
         balance.last_reserved_at = now
         return True
 
@@ -93,7 +94,9 @@
     def settle(self, name: str, key: str, tokens: int, now: Millis) -> None:
         """Replace a reservation by the tokens used; 0 returns all of it."""
         balance = self.by_name[name]
-        used = min(tokens, balance.reserved.pop(key, 0))
+        reserved = balance.reserved.pop(key, 0)
+        used = min(tokens, reserved)
+        balance.hold_times.end(key, reserved, used, now)
         balance.settled += used
         balance.delivered += used
         if used:
@@ -214,6 +217,7 @@
         """
         balance = self.by_name[name]
         given = balance.reserved.pop(key, 0)
+        balance.hold_times.cancel(key)
         balance.settled += given
         if given:
             balance.count_use(given, now)
@@ -249,16 +253,42 @@
         if name in self.by_name:
             self.by_name[name].settled -= tokens
 
+    def describe(self, name: str, now: Millis) -> dict[str, int | bool]:
+        """Return the figures of an organisation's tokens for the log."""
+        known = self.seen.of(name)
+        stored = {"free": known.free, "closed": known.closed, "doubt": known.doubt}
+        return {**self.by_name[name].describe(now), **stored}
+
+    def hand_over_settled(self, name: str) -> int:
+        """Return the settled tokens that another router counts from now on."""
+        return self.by_name[name].hand_over_settled()
+
+    def take_over_settled(self, name: str, tokens: int) -> None:
+        """Count settled tokens that another router reported."""
+        if name in self.by_name:
+            self.by_name[name].delivered += tokens
+
     def is_exhausted(self, name: str, tokens: int) -> bool:
         """Tell whether the total certainly can't cover this many tokens.
 
-        Tokens that other routers hold and have not recorded as spent, and tokens
-        in doubt of holders that ended, may be unspent; exhaustion is not certain
+        Only settled tokens count.  Those that are reserved, in doubt, lent, on their
+        way or not yet released by a record may be unspent; exhaustion is not certain
         while they would cover the request.
+
+        Examples
+        --------
+        >>> balances = Balances("r1")
+        >>> balances.by_name["pounds"] = Balance(total=100, ceiling=100)
+        >>> balances.reserve("pounds", "a", 80, now=0.0)
+        True
+        >>> balances.is_exhausted("pounds", 30)
+        False
+        >>> balances.settle("pounds", "a", 80, now=1.0)
+        >>> balances.is_exhausted("pounds", 30)
+        True
         """
-        balance = self.by_name[name]
-        known: Allotment = self.seen.of(name)
-        total = min(balance.total, known.total) if known.version else balance.total
-        own = known.shares.get(self.holder)
-        others = known.spent_at_least() - (own.recorded if own else 0)
-        return total - others - balance.spent < tokens
+        balance, known = self.by_name[name], self.seen.of(name)
+        # After a change of the total the store or this router may have the older one.
+        total = max(balance.total, known.total) if known.version else balance.total
+        settled = known.count_settled(without=self.holder) + balance.delivered
+        return total - settled < tokens
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -10,6 +10,7 @@
 
 from anvilshift.core.allotments import ShareRequest
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.holdtimes import HoldTimes
 from anvilshift.core.usage import Use
 
 _UNPROVED_COVERAGE: Millis = 10 * SECOND
@@ -96,7 +97,10 @@
         Tokens spent by requests that have ended, plus tokens given to other routers,
         minus tokens received from them.
     delivered
-        Tokens of requests that have ended, without any given or received.
+        Tokens that requests which have ended used and that this router counts: its own
+        and those of other routers that reported to it, less those that it reported.
+    published
+        Part of `delivered` that the store may know under this router's name.
     reserved
         By request, the most that it can cost.
     waiting
@@ -120,6 +124,8 @@
         When a request last reserved tokens.
     self_draw_until
         Until when this router draws from the store although it is not an allocator.
+    hold_times
+        How long requests hold their reservations.
     """
 
     total: int = 0
@@ -129,6 +135,7 @@
     ceiling: int = 0
     settled: int = 0
     delivered: int = 0
+    published: int = 0
     reserved: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
     record_limits: tuple[RecordLimit, ...] = ()
@@ -141,6 +148,7 @@
     provable: bool = False
     last_reserved_at: Millis = -math.inf
     self_draw_until: Millis = -math.inf
+    hold_times: HoldTimes = field(default_factory=HoldTimes)
 
     @property
     def spent(self) -> int:
@@ -149,7 +157,10 @@
 
     @property
     def lent(self) -> int:
-        """Return the tokens given to other routers; negative if more were received."""
+        """Return the tokens at other routers that aren't known to be settled.
+
+        It is negative at a router that was given them.
+        """
         return self.settled - self.delivered
 
     @property
@@ -199,6 +210,21 @@
             longest = max(longest, wait)
         return longest
 
+    def find_release(self, tokens: int, now: Millis) -> Millis | None:
+        """Return the expected time until running requests have returned enough.
+
+        None if the tokens aren't missing, or nothing tells when they come.
+        """
+        missing, times = tokens - self.ready, self.hold_times
+        if missing <= 0 or times.mean is None:
+            return None
+        wait = times.find_release(self.reserved, missing, now)
+        if wait is not None:
+            return wait
+        running = sum(self.reserved.values()) + max(0, self.lent)
+        comes = self.lent > 0 and running * times.returned >= missing
+        return times.mean + _IDLE_TIME if comes else None
+
     def make_use(self, now: Millis) -> Use:
         """Return the use of this organisation to record now."""
         needed = self.spent + sum(self.waiting.values())
@@ -208,12 +234,27 @@
             # A router that is not an allocator spends what allocators gave it for
             # single requests.  If its spending were limited over time, it would ask for
             # the next request's tokens while those left from the last one are unused.
-            return Use(recorded, beyond, beyond)
+            return Use(recorded, beyond, beyond, self.publish())
         rate = self.compute_rate(now)
         extra = max(int(rate * _OUTAGE_USE), int(self.total * _MIN_OUTAGE_USE))
         extra = min(extra, beyond)
         at_once = int(max(0, self.left or 0) * _AT_ONCE_FRACTIONS[self.rank])
-        return Use(recorded, min(at_once, extra), extra)
+        return Use(recorded, min(at_once, extra), extra, self.publish())
+
+    def publish(self) -> int:
+        """Return the settled tokens to store under this router's name from now on.
+
+        A router that is no allocator reports further ones to an allocator instead.
+        """
+        if self.keeping:
+            self.published = max(self.published, self.delivered)
+        return self.published
+
+    def hand_over_settled(self) -> int:
+        """Return the settled tokens that another router counts from now on."""
+        tokens = 0 if self.keeping else self.delivered - self.published
+        self.delivered -= tokens
+        return tokens
 
     def is_rate_limited(self) -> bool:
         """Tell whether a use record limits spending to less than the ceiling."""
@@ -264,7 +305,7 @@
         ceiling = needed + cushion
         if needed <= self.ceiling <= needed + int(cushion * _RETURN_ABOVE):
             ceiling = max(ceiling, self.ceiling)
-        return ShareRequest(ceiling, needed, self.spent)
+        return ShareRequest(ceiling, needed, self.spent, self.publish())
 
     def needs_change(self, now: Millis) -> bool:
         """Tell whether this router should request another ceiling."""
--- a/anvilshift/core/usage.py
+++ b/anvilshift/core/usage.py
@@ -30,10 +30,17 @@
 
 @dataclass(frozen=True)
 class SpendingBounds:
-    """Lower and upper bound on what an ended router spent of a total."""
+    """Lower and upper bound on what an ended router spent of a total.
+
+    Parameters
+    ----------
+    settled
+        Tokens of its ended requests that are known; reserved ones are in `least` too.
+    """
 
     least: int
     most: int
+    settled: int = 0
 
 
 @dataclass(frozen=True)
@@ -49,11 +56,14 @@
     cushion
         Tokens that it may spend beyond `recorded`, without another record, once
         `RELEASE_TIME` has passed; includes `at_once`.
+    settled
+        Part of `recorded` that requests that have ended used.
     """
 
     recorded: int
     at_once: int
     cushion: int
+    settled: int = 0
 
     def find_limit(self, elapsed: Millis) -> int:
         """Return the upper limit on total spending after a time.
@@ -172,9 +182,9 @@
         --------
         >>> record = UseRecord("r1.a", "10.0.0.1", uses={"pounds": Use(100, 20, 100)})
         >>> record.bound(4_000.0)["pounds"]
-        SpendingBounds(least=100, most=140)
+        SpendingBounds(least=100, most=140, settled=0)
         """
         return {
-            name: SpendingBounds(use.recorded, use.find_limit(elapsed))
+            name: SpendingBounds(use.recorded, use.find_limit(elapsed), use.settled)
             for name, use in self.uses.items()
         }
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -32,6 +32,7 @@
     PermitDropped,
     Sent,
     SentBefore,
+    Settled,
 )
 from anvilshift.gateway.partmessages import (
     PartRecorded,
@@ -145,6 +146,8 @@
         """Return the unused tokens of this router to the allocators."""
         for gift, ip in self.reservations.return_idle(self._find_allocator):
             self.peers.send(gift, ip)
+        for report, ip in self.reservations.settlements.list_due(self._find_allocator):
+            self.peers.send(report, ip)
 
     def _find_allocator(self, organisation: str) -> tuple[str, str] | None:
         """Return the incarnation and address of an allocator that is present."""
@@ -198,6 +201,8 @@
             self.reservations.apply_gift(message)
         elif isinstance(message, Lack):
             self.reservations.apply_lack(message)
+        elif isinstance(message, Settled):
+            self.reservations.settlements.apply(message)
         elif isinstance(message, Farewell):
             self.allotter.record_ended(message.holder, dict(message.spent))
         elif isinstance(message, Limited):
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -209,6 +209,23 @@
     wait: Millis
 
 
+@dataclass(frozen=True)
+class Settled:
+    """How many tokens the sender's ended requests used, for the receiver to count.
+
+    Parameters
+    ----------
+    receiver
+        The incarnation that counts them; any other ignores them.
+    tokens
+        By organisation, the sum of all that the sender has handed to the receiver.
+    """
+
+    holder: str
+    receiver: str
+    tokens: tuple[tuple[str, int], ...]
+
+
 @dataclass(frozen=True)
 class Farewell:
     """A stopping router reports its total spending.
@@ -342,6 +359,7 @@
     | Ask
     | Gift
     | Lack
+    | Settled
     | Farewell
     | Marked
     | Limited
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -25,6 +25,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Ask, Gift, Lack
 from anvilshift.gateway.recording import Recorder
+from anvilshift.gateway.settling import SettlementReports
 from anvilshift.gateway.shares import ShareManager
 
 _MAX_STEP_WAIT: Millis = 40.0
@@ -78,6 +79,7 @@
         self.journal = journal
         self.ask = ask
         self.recorder = recorder
+        self.settlements = SettlementReports(self.balances, clock)
         self._searches = TokenSearches()
         self._refusals = RefusalMemory()
         self._answers: dict[tuple[str, int], Gift | Lack | None] = {}
@@ -278,6 +280,7 @@
         now = self.clock.now()
         certain = self._is_certain(name, tokens, search)
         waits = [self.balances.find_wait(name, key, now), search.find_wait()]
+        waits.append(self.balances.by_name[name].find_release(tokens, now))
         if self.allotter.has_just_started():
             waits.append(_RETRY_DELAY_AT_START)
         if self._draws_free(name, tokens):
@@ -293,16 +296,11 @@
     def _make_refusal(
         self, name: str, tokens: int, certain: bool, wait: Millis
     ) -> AnvilshiftError:
-        balance, now = self.balances.by_name[name], self.clock.now()
-        known = self.balances.seen.of(name)
         self.journal.write(
             "budget_refused",
             organisation=name,
             tokens=tokens,
-            **balance.describe(now),
-            free=known.free,
-            closed=known.closed,
-            doubt=known.doubt,
+            **self.balances.describe(name, self.clock.now()),
             certain=certain,
             wait=wait,
             share_age=round(self.allotter.find_shares_age()),
--- a/anvilshift/gateway/shares.py
+++ b/anvilshift/gateway/shares.py
@@ -333,7 +333,8 @@
         """End this router's share, which returns all unspent tokens to the total."""
         self._closed = True
         spent = {
-            name: SpendingBounds(one, one) for name, one in self.list_spent().items()
+            name: SpendingBounds(one.spent, one.spent, one.delivered)
+            for name, one in self.balances.by_name.items()
         }
         for balance in self.balances.by_name.values():
             balance.ceiling = balance.spent
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -5,7 +5,7 @@
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.retention import MarkLog
-from anvilshift.gateway.messages import Ask, Gift
+from anvilshift.gateway.messages import Ask, Gift, Settled
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.shares import KIND, NAME, ShareManager, read_allotments
@@ -116,6 +116,10 @@
                 one.balances.set_provable(self.recorders[node].can_prove_age())
             for gift, allocator in one.return_idle(self._find_allocator(one)):
                 self._send(allocator, gift)
+            for report, allocator in one.settlements.list_due(
+                self._find_allocator(one)
+            ):
+                self._send(allocator, report)
 
     def _find_allocator(self, one: Reservations):
         def find(name: str) -> tuple[str, str] | None:
@@ -160,6 +164,8 @@
             return
         if isinstance(answer, Gift):
             self.reservations[node].apply_gift(answer)
+        elif isinstance(answer, Settled):
+            self.reservations[node].settlements.apply(answer)
         else:
             self.reservations[node].apply_lack(answer)
 
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -12,6 +12,7 @@
     Leaving,
     Marked,
     Sent,
+    Settled,
 )
 
 MESSAGES = [
@@ -34,6 +35,7 @@
     Ask("n1.aa", 4, "10.0.0.1", "pounds", 500, False),
     Gift("n2.bb", 3, "n1.aa", "pounds", 250),
     Lack("n1.aa", 4, "pounds", False, 812.5),
+    Settled("n1.aa", "n2.bb", (("pounds", 12),)),
     Farewell("n1.aa", (("pounds", 12),)),
     Marked(((7, 1250.5), (9, 850.0))),
 ]
