Don't tell the chat interface's callers that tokens in doubt are gone

What was seen: code 2001 (402, final) for a request that the tokens of a lost router would cover, while its witness had yet to hand in its copies and free the rest.

Cause: `GrantState.refuse` counts what is free, held here and held by others; a sealed holder's doubt is in none of these. Ruled out: reserved tokens, which are in what is held, and so were no reason for 2001 before.

Change: a commit's outcome names the doubt of sealed holders (what was written off is spent), and a request that it would cover is told 2002. No call to the platform is added.

--- a/anvilshift/core/commit.py
+++ b/anvilshift/core/commit.py
@@ -64,6 +64,9 @@
         Tokens that can be drawn, by account.
     elsewhere
         Tokens in other holders' open grants, by account.
+    doubt
+        Tokens that sealed holders may have spent and that may still be freed, by
+        account.
     frozen
         Accounts that violate an invariant; the commit did not change them.
     """
@@ -73,4 +76,5 @@
     grants: Mapping[str, Grant] = field(default_factory=dict)
     free: Mapping[str, int] = field(default_factory=dict)
     elsewhere: Mapping[str, int] = field(default_factory=dict)
+    doubt: Mapping[str, int] = field(default_factory=dict)
     frozen: frozenset[str] = frozenset()
--- a/anvilshift/core/escrow.py
+++ b/anvilshift/core/escrow.py
@@ -151,6 +151,7 @@
         for name, grant in outcome.grants.items():
             free = outcome.free.get(name, 0)
             elsewhere = outcome.elsewhere.get(name, 0)
+            self.grant_states[name].doubt = outcome.doubt.get(name, 0)
             try:
                 self.grant_states[name].update_grant(grant, free, elsewhere, now)
             except InvariantError:
--- a/anvilshift/core/grantstate.py
+++ b/anvilshift/core/grantstate.py
@@ -83,6 +83,8 @@
     free, elsewhere
         Tokens that could be drawn, and tokens in other holders' open grants, as
         of the last commit.
+    doubt
+        Tokens that sealed holders may or may not have spent, as of the last commit.
     recent_use
         Tokens reserved recently, reduced linearly with their age; None before
         the first reservation.
@@ -108,6 +110,7 @@
     witness: str = ""
     free: int = 0
     elsewhere: int = 0
+    doubt: int = 0
     recent_use: float | None = None
     used_at: Millis = 0.0
     no_cushion_until: Millis = -1.0
@@ -363,14 +366,21 @@
     def refuse(self, key: str, tokens: int, now: Millis) -> Code:
         """Return why a request can't be paid for, and cache an exhausted budget."""
         self.stop_waiting(key)
-        reachable = self.grant.held - self.unrecorded + self.free + self.elsewhere
-        # Requests in flight may return part of their reservations at any time,
-        # so only the result that too few unspent tokens exist is cached.
-        if tokens <= reachable:
+        # Requests in flight may return part of their reservations at any time, and
+        # a witness may free tokens in doubt, so only the result that too few tokens
+        # are unspent is cached.
+        if tokens <= self._count_reachable() + self.doubt:
             return BUDGET_UNREACHABLE
         self.refusal = Refusal(BUDGET_EXHAUSTED, tokens, now + REFUSAL_SPAN)
         return BUDGET_EXHAUSTED
 
+    def lacks_doubtful(self, tokens: int) -> bool:
+        """Tell whether only tokens in doubt could cover this many."""
+        return tokens > self._count_reachable()
+
+    def _count_reachable(self) -> int:
+        return self.grant.held - self.unrecorded + self.free + self.elsewhere
+
     def recall_refusal(self, tokens: int, now: Millis) -> Code | None:
         """Return the cached reason for refusing this many tokens, if any."""
         refusal = self.refusal
--- a/anvilshift/core/ledger.py
+++ b/anvilshift/core/ledger.py
@@ -172,14 +172,14 @@
             states.update(found)
         refused = tuple(k for (_, k), s in states.items() if s is BillState.REFUSED)
         skipped = self._list_skipped(commit, frozen)
-        entry = Holder(0, commit.number, refused, skipped)
-        holders = {**self.holders, holder: entry}
+        holders = {**self.holders, holder: Holder(0, commit.number, refused, skipped)}
         ledger = replace(self._with_accounts(changed), holders=holders)
         outcome = Outcome(
             bills=states,
             grants={name: a.grant(holder) for name, a in changed.items()},
             free={name: a.free for name, a in changed.items()},
             elsewhere={n: a.held - a.grant(holder).held for n, a in changed.items()},
+            doubt={name: a.doubt - a.written_off for name, a in changed.items()},
             frozen=frozenset(frozen),
         )
         return (ledger._remove_holder(holder) if commit.closing else ledger), outcome
--- a/anvilshift/router/ledgerclient.py
+++ b/anvilshift/router/ledgerclient.py
@@ -133,7 +133,8 @@
         if self.platform_unavailable or self.commits.is_failing:
             detail = "the platform is unavailable and this router's grant is spent"
             raise AnvilshiftError(BUDGET_UNREACHABLE, detail, 2 * SECOND)
-        raise make_budget_error(grant_state.refuse(key, tokens, self._clock.now()))
+        code = grant_state.refuse(key, tokens, self._clock.now())
+        raise make_budget_error(code, grant_state.lacks_doubtful(tokens))
 
     def release(self, account: str, key: str) -> None:
         """Cancel the reservation of a request that is not billed."""
--- a/tests/core/test_escrow.py
+++ b/tests/core/test_escrow.py
@@ -136,3 +136,19 @@
         self.assertEqual(grant_state.recall_refusal(400, now=500.0), BUDGET_EXHAUSTED)
         self.assertIsNone(grant_state.recall_refusal(300, now=500.0))
         self.assertIsNone(grant_state.recall_refusal(400, now=900.0))
+
+    def test_tokens_in_doubt_are_no_reason_for_a_final_refusal(self):
+        """Guards against 402 for tokens that a lost router's witness frees later."""
+        lost, ledger = make_holder_accounts(allowance=50)
+        ledger = ledger.seal("r1")
+        doubt, free = ledger.account("pounds").doubt, ledger.account("pounds").free
+        self.assertEqual(doubt, 50)
+        holder_accounts = lost.succeed("r1.1")
+        self.assertFalse(holder_accounts.reserve("pounds", "a", doubt + free))
+        commit = holder_accounts.begin_commit()
+        ledger, outcome = ledger.apply(commit)
+        holder_accounts.finish_commit(commit, outcome)
+        state = holder_accounts.grant_states["pounds"]
+        self.assertEqual(state.refuse("a", doubt + free, 0.0), BUDGET_UNREACHABLE)
+        self.assertTrue(state.lacks_doubtful(doubt + free))
+        self.assertEqual(state.refuse("a", doubt + free + 1, 0.0), BUDGET_EXHAUSTED)
