Choose among the addresses that the client's own lookup returns

Cause: since the addresses have a module of their own calls asked that module, not `Client.look_up`. Whoever replaces the lookup, as the tests do that call one certain router, was sent anywhere.

Change: a call passes the client's lookup on.

--- a/anvilshift/client/addresses.py
+++ b/anvilshift/client/addresses.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Awaitable, Callable
 
 from anvilshift.client.failures import (
     DRAINING_CODES,
@@ -20,6 +21,8 @@
 """Time for which an address is not chosen after a failure.  After a refusal it is added
 to the time after which the router asks to be tried again."""
 
+LookUp = Callable[[], Awaitable[list[Address]]]
+
 
 class RouterAddresses:
     """The addresses at which a client reaches routers.
@@ -83,9 +86,9 @@
             timeout=_LOOKUP_TIMEOUT,
         )
 
-    async def _choose(self) -> Address:
+    async def _choose(self, look_up: LookUp) -> Address:
         """Return a random address; prefer those without a recent failure or refusal."""
-        addresses = await self.look_up()
+        addresses = await look_up()
         return self._rng.choice(self._list_unavoided(addresses) or addresses)
 
     def has_unavoided(self) -> bool:
@@ -97,16 +100,21 @@
         now = self._clock.now()
         return [a for a in addresses if self._avoided_until.get(a, now) <= now]
 
-    async def choose_before(self, until: Millis) -> Address:
+    async def choose_before(self, until: Millis, look_up: LookUp) -> Address:
         """Return an address; limit the address lookup to the time until the deadline.
 
         If several routers are paused, each lookup waits for its full timeout, and
         the sum of these would delay the caller far beyond its deadline.
+
+        Parameters
+        ----------
+        look_up
+            Returns the addresses to choose from.
         """
         remaining = max(0.0, until - self._clock.now())
         try:
             async with asyncio.timeout(remaining / SECOND):
-                return await self._choose()
+                return await self._choose(look_up)
         except TimeoutError:
             return self._rng.choice(self._addresses or self._seeds)
 
--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -125,7 +125,7 @@
         attempt = 0
         outcome = Outcome()
         while True:
-            address = await self._addresses.choose_before(until)
+            address = await self._addresses.choose_before(until, self.look_up)
             try:
                 async for text in self._read(address, conversation, received, until):
                     received += text
@@ -245,7 +245,7 @@
         attempt = 0
         outcome = Outcome()
         while True:
-            address = await self._addresses.choose_before(until)
+            address = await self._addresses.choose_before(until, self.look_up)
             headers = self._make_headers(key, until, non_idempotent)
             remaining = max(1.0, until - self._clock.now())
             try:
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -62,6 +62,19 @@
         self.listed_addresses = []
         self.assertEqual(await self.client.look_up(), [self.address])
 
+    async def test_replaced_lookup_decides_where_a_call_goes(self):
+        """Guards against callers with their own discovery that are sent elsewhere."""
+        found = Address.parse("127.0.0.1:1")
+
+        async def look_up():
+            return [found]
+
+        self.client.look_up = look_up
+        self.handlers = [self.abort_connection] * 9
+        with self.assertRaises(CallError):
+            await self.client.call("book", "/runs", deadline=300.0)
+        self.assertEqual(len(self.handlers), 9)
+
     async def test_work_that_may_have_run_is_not_reported_as_not_run(self):
         """The first attempt loses its connection; a draining router refuses the second.
 
