Let an engine of the part plays end only once it is registered

InnocentPartTest: KeyError for the entries of two starts. Cause: a start had its name before its server listened and its entry was written; ended in between, it removed an entry that wasn't there. The harness alone is changed: a start has its name with its entry.

--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -122,12 +122,13 @@
 
     async def start(self) -> None:
         self.born = next(self.starts)
-        self.name = f"i-{self.slot}-{self.born}"
         port = 0 if self.moves else self._port
         self._server = await asyncio.start_server(
             self._accept, "127.0.0.1", port, reuse_address=True
         )
         self._port = self._server.sockets[0].getsockname()[1]
+        # A start that isn't registered yet can't end.
+        self.name = f"i-{self.slot}-{self.born}"
         address = Address("127.0.0.1", self._port)
         zone = ("north", "south", "east")[self.slot % 3]
         self.fleet.register(
