--- a/tests/quick.py
+++ b/tests/quick.py
@@ -33,6 +33,7 @@
     "tests.gateway.test_targethealth.",
     "tests.integration.",
     "tests.objects.test_http_store.",
+    "tests.operator.test_standins.",
     "tests.operator.test_verbs.",
     "tests.platform.",
     "tests.router.test_bad_input.",
