--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -163,7 +163,7 @@
         node = GatewayNode(
             settings,
             PlatformDialect(),
-            PlatformStore(HttpClient(), self.store_address),
+            self.make_store(),
             MonotonicClock(),
             self.journal,
             random.Random(self.starts + len(self.nodes)),
@@ -174,6 +174,10 @@
             node.retry_shares.update()
         return node
 
+    def make_store(self) -> PlatformStore:
+        """Return the store of a router that is about to start."""
+        return PlatformStore(HttpClient(), self.store_address)
+
     async def start_fleet(self, count: int) -> None:
         """Start routers that discover one another, each on its own address."""
         self.store_stub.put("config", "main", make_configuration())
--- /dev/null
+++ b/tests/platform/test_silent_store.py
@@ -0,0 +1,324 @@
+"""Connections to the store fall silent for good while new ones work."""
+
+import asyncio
+import random
+import time
+import unittest
+from unittest import mock
+
+from anvilshift.gateway.following import find_interval_factor
+from anvilshift.gateway.node import GatewayNode
+from anvilshift.gateway.settings import GatewaySettings
+from anvilshift.platform.dialect import PlatformDialect
+from anvilshift.platform.store import PlatformStore
+from anvilshift.standins.virtual import VirtualClock, run_virtual
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.messages import Address
+from tests.gateway.silent import SilentJournal
+from tests.platform.cutnetwork import Cut, CutNetwork
+from tests.platform.gatewaycase import GatewayCase, make_configuration
+from tests.platform.memorynetwork import MemoryNetwork
+from tests.platform.stubs import StoreStub
+
+IN_TOUCH_AFTER = 3.0
+"""Seconds after which a silence excuses nothing any more."""
+_ADDRESS = Address("10.0.0.1", 1)
+_FLEETS = (1, 4, 5, 8, 12, 27)
+_IDLE = (0, 1, 3, 8)
+
+
+class BabblingStore(StoreStub):
+    """A store that answers watches with bytes without end, while it is told to.
+
+    Attributes
+    ----------
+    pause
+        Seconds between two pieces of such an answer; None if it answers properly.
+    piece
+        What it sends each time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pause: float | None = None
+        self.piece = b" " * 1_000
+
+    async def handle(self, request, responder) -> None:
+        if self.pause is None or "watch=" not in request.target:
+            await super().handle(request, responder)
+            return
+        await responder.start(200, [("content-type", "application/json")])
+        for _ in range(10_000):
+            await responder.write(self.piece)
+            await asyncio.sleep(self.pause)
+
+
+class Play:
+    """One router that follows a store in virtual time; its other parts don't run.
+
+    Parameters
+    ----------
+    routers
+        Size of its fleet.
+    """
+
+    def __init__(self, routers: int) -> None:
+        self.store = BabblingStore()
+        self.network = MemoryNetwork(self.store.server)
+        self.client = PlatformStore(HttpClient(network=self.network), _ADDRESS)
+        self.journal = SilentJournal()
+        settings = GatewaySettings(
+            "n1", "10.0.0.2", "north", _ADDRESS, None, None, 1, 2, _ADDRESS
+        )
+        self.node = GatewayNode(
+            settings,
+            PlatformDialect(),
+            self.client,
+            VirtualClock(),
+            self.journal,
+            random.Random(1),
+        )
+        self.factor = find_interval_factor(routers)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, idle: int) -> None:
+        """Follow the store, with as many idle connections to it besides."""
+        self.put(1)
+        for follower in (self.node.configuration_follower, self.node.target_follower):
+            follower.interval_factor = self.factor
+            self.tasks.append(asyncio.create_task(follower.run()))
+        await asyncio.sleep(0.1)
+        # As many calls at a time as need that many connections.
+        calls = (self.client.get("notes", "a") for _ in range(idle))
+        await asyncio.gather(*calls)
+        await asyncio.sleep(self.factor * 4.6)
+
+    def put(self, version: int) -> None:
+        self.store.put("config", "main", make_configuration(version))
+
+    @property
+    def version(self) -> int:
+        table = self.node.shared.table
+        return table.configuration.version if table else 0
+
+    async def measure(self, version: int, since: float) -> float:
+        """Return how long after an instant a version is in force, 30 s at most."""
+        loop = asyncio.get_running_loop()
+        while self.version < version and loop.time() < since + 30.0:
+            await asyncio.sleep(0.01)
+        return loop.time() - since
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class SilentConnectionsTest(unittest.TestCase):
+    """Guards against a router that waits for connections that have fallen silent."""
+
+    def check(self, scenario, routers=_FLEETS, idle=_IDLE) -> None:
+        """Check that a scenario's change is in force in time, over fleets."""
+
+        async def play(count: int, spare: int) -> float:
+            one = Play(count)
+            await one.start(spare)
+            try:
+                return await scenario(one)
+            finally:
+                await one.stop()
+
+        late = {
+            (count, spare): round(took, 2)
+            for count in routers
+            for spare in idle
+            if (took := run_virtual(play(count, spare))) > IN_TOUCH_AFTER
+        }
+        self.assertEqual(late, {}, "seconds by routers and idle connections")
+
+    def test_change_is_in_force_once_a_silence_excuses_nothing(self):
+        async def scenario(play: Play) -> float:
+            began = asyncio.get_running_loop().time()
+            play.network.silence()
+            await asyncio.sleep(0.02)
+            play.put(2)
+            return await play.measure(2, began)
+
+        self.check(scenario)
+
+    def test_silences_in_a_row_count_from_the_last_one(self):
+        for gap in (0.3, 1.2, 1.9, 2.1, 2.4, 2.9):
+            with self.subTest(gap=gap):
+
+                async def scenario(play: Play, gap: float = gap) -> float:
+                    play.network.silence()
+                    await asyncio.sleep(0.02)
+                    play.put(2)
+                    await asyncio.sleep(gap)
+                    play.network.silence()
+                    began = asyncio.get_running_loop().time()
+                    play.put(3)
+                    return await play.measure(3, began)
+
+                self.check(scenario, (4, 12), (0, 3))
+
+    def test_change_just_before_a_silence_is_in_force(self):
+        async def scenario(play: Play) -> float:
+            began = asyncio.get_running_loop().time()
+            play.put(2)
+            play.network.silence()
+            return await play.measure(2, began)
+
+        self.check(scenario, (4, 12, 27), (0, 3))
+
+    def test_target_that_leaves_is_known_beside_a_silence(self):
+        async def scenario(play: Play) -> float:
+            loop = asyncio.get_running_loop()
+            entry = {"service": "llm", "address": "10.0.0.9:1", "zone": "north"}
+            entry |= {"slots": 8, "state": "ready", "sequence": 1, "version": "v1"}
+            play.store.put("servers", "e1", entry)
+            await asyncio.sleep(play.factor * 3.0)
+            began = loop.time()
+            play.network.silence()
+            play.store.put("servers", "e1", {**entry, "state": "draining"})
+            target = play.node.loads.targets["e1"]
+            while not target.info.leaving and loop.time() < began + 30.0:
+                await asyncio.sleep(0.01)
+                target = play.node.loads.targets["e1"]
+            return loop.time() - began
+
+        self.check(scenario)
+
+    def check_babble(self, pause: float, piece: bytes) -> None:
+        async def scenario(play: Play) -> float:
+            play.store.pause, play.store.piece = pause, piece
+            # A change ends the watches, and the next ones are answered without end.
+            play.put(2)
+            play.store.put("servers", "x", {})
+            await asyncio.sleep(0.6)
+            play.store.pause = None
+            began = asyncio.get_running_loop().time()
+            play.put(3)
+            return await play.measure(3, began)
+
+        self.check(scenario)
+
+    def test_answer_without_end_holds_up_no_change(self):
+        self.check_babble(0.05, b" " * 1_000)
+
+    def test_answer_of_a_byte_a_second_holds_up_no_change(self):
+        self.check_babble(1.0, b" ")
+
+
+class SlowStoreTest(unittest.TestCase):
+    """Guards against a store that is asked ever more because it is slow or down."""
+
+    def count(self, fault, seconds: float = 20.0) -> tuple[int, int]:
+        """Return the calls and the connections of a fault's time."""
+
+        async def play() -> tuple[int, int]:
+            one = Play(4)
+            await one.start(3)
+            calls, opened = len(one.store.calls), len(one.network.opened)
+            fault(one)
+            await asyncio.sleep(seconds)
+            await one.stop()
+            return (
+                len(one.store.calls) - calls,
+                len(one.network.opened) - opened,
+            )
+
+        return run_virtual(play())
+
+    def test_slow_store_gets_no_more_calls_and_no_connection(self):
+        def slow(play: Play) -> None:
+            handle = play.store.server.handler
+
+            async def delay(request, responder) -> None:
+                await asyncio.sleep(0.24)
+                await handle(request, responder)
+
+            play.store.server.handler = delay
+
+        calls, opened = self.count(slow)
+        # Two watches of 1.5 s each, which a slow answer makes longer.
+        self.assertLessEqual(calls, 27)
+        self.assertEqual(opened, 0)
+
+    def test_store_that_is_down_is_not_stormed(self):
+        def end(play: Play) -> None:
+            play.network.is_down = True
+            play.network.silence()
+
+        _, opened = self.count(end)
+        # Pauses of 0.9 s between tries that fail after one second, at two followers.
+        self.assertLessEqual(opened, 24)
+
+
+class SilentFleetTest(GatewayCase):
+    """Guards against late changes at whole routers that are busy with callers."""
+
+    def make_store(self) -> PlatformStore:
+        network = CutNetwork()
+        self.networks = [*getattr(self, "networks", []), network]
+        return PlatformStore(HttpClient(network=network), self.store_address)
+
+    def silence(self) -> None:
+        """Let nothing more through on the open connections of all routers."""
+        for network in self.networks:
+            network.cut([self.store_address], Cut.HANG)
+            network.heal()
+
+    async def measure(self, version: int, nodes: list[GatewayNode]) -> list[float]:
+        """Return after how many seconds each router has a version in force."""
+        began, took = time.monotonic(), {}
+        while len(took) < len(nodes) and time.monotonic() < began + 8.0:
+            for node in nodes:
+                if node.shared.table.configuration.version >= version:
+                    took.setdefault(node, time.monotonic() - began)
+            await asyncio.sleep(0.01)
+        return [round(took.get(node, 8.0), 2) for node in nodes]
+
+    async def call_all(self) -> None:
+        """Call the routers in turn, twenty times a second."""
+        while True:
+            for node in self.nodes:
+                await self.call_at(node, "/read/1")
+                await asyncio.sleep(0.05)
+
+    async def start_callers(self) -> None:
+        for number in range(4):
+            await self.add_target(f"e{number}", "llm")
+            await self.add_target(f"d{number}", "desk")
+        await self.start_fleet(4)
+        callers = [asyncio.create_task(self.call_all()) for _ in range(4)]
+        self.addAsyncCleanup(self.end, callers)
+        await asyncio.sleep(2.0)
+
+    async def end(self, tasks: list[asyncio.Task[None]]) -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_change_is_in_force_at_all_routers_beside_a_silence(self):
+        await self.start_callers()
+        self.silence()
+        await asyncio.sleep(0.05)
+        self.store_stub.put("config", "main", make_configuration(2))
+        took = await self.measure(2, self.nodes)
+        self.assertLessEqual(max(took), IN_TOUCH_AFTER - 0.05, took)
+
+    async def test_change_is_in_force_after_a_suspension(self):
+        """A suspended host's connections are dead; its steady clock has stood still."""
+        await self.start_callers()
+        self.silence()
+        self.store_stub.put("config", "main", make_configuration(2))
+        read, late = time.clock_gettime, 5.0
+        with mock.patch("time.clock_gettime", lambda which: read(which) + late):
+            took = await self.measure(2, self.nodes)
+        # Nothing has to be waited for: the routers know that they stood still.
+        self.assertLessEqual(max(took), 1.0, took)
+
+
+if __name__ == "__main__":
+    unittest.main()
