Say in the log by which call a configuration came, and list the tests of late ones

Nothing told a watch that hung from a change that was applied late. Each failed list or watch now has a line with how long it took; configuration_in_force names the call that brought it and how long that had waited.

--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
@@ -63,6 +64,14 @@
     rest: Millis = 0.0
 
 
+class Call(Enum):
+    """By which call a follower learns of changes."""
+
+    NONE = "none"
+    LIST = "list"
+    WATCH = "watch"
+
+
 @dataclass
 class Follower:
     """Follow the objects of one kind.
@@ -84,6 +93,8 @@
         whose answer was applied.
     interval_factor
         Factor on the durations, see `find_interval_factor`.
+    call, asked
+        The last call, and when it was made.
     """
 
     store: ObjectStore
@@ -98,6 +109,8 @@
     revision: int = 0
     interval_factor: float = 1.0
     probe: "Follower | None" = None
+    call: Call = Call.NONE
+    asked: Millis = -1e12
     _failures: int = 0
     _lost: bool = False
     _restart: bool = False
@@ -156,6 +169,13 @@
             await asyncio.sleep(_PROBE_POLL_INTERVAL / SECOND)
 
     def _note_failure(self, error: AnvilshiftError) -> None:
+        self.journal.write(
+            "store_call_failed",
+            kind=self.kind,
+            call=self.call.value,
+            took=round(self.clock.now() - self.asked),
+            why=error.detail,
+        )
         if not self._lost:
             self._lost = True
             self.journal.write(
@@ -169,8 +189,12 @@
             self._lost = False
             self.journal.write("store_regained", kind=self.kind)
 
+    def _begin(self, call: Call) -> Millis:
+        self.call, self.asked = call, self.clock.now()
+        return self.asked
+
     async def _list(self) -> None:
-        asked = self.clock.now()
+        asked = self._begin(Call.LIST)
         listing = await self.store.list([self.kind])
         self._note_answer()
         for item in listing.items:
@@ -181,7 +205,7 @@
 
     async def _watch(self) -> None:
         wait = self.intervals.wait * self.interval_factor
-        asked = self.clock.now()
+        asked = self._begin(Call.WATCH)
         found = await self.store.watch([self.kind], self.revision, wait)
         self._note_answer()
         if found.too_old:
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -271,6 +271,15 @@
         if known and configuration.version <= known.configuration.version:
             return
         self._apply_configuration(configuration)
+        follower = self.configuration_follower
+        self.journal.write(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.rules),
+            organisations=len(configuration.organisations),
+            way=follower.call.value,
+            waited=round(self.clock.now() - follower.asked),
+        )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
@@ -281,12 +290,6 @@
         self.allotter.balances.set_allocators(self.allocators)
         self.reservations.forget_refusals()
         self.server.limits = make_server_limits(configuration.limits)
-        self.journal.write(
-            "configuration_in_force",
-            version=configuration.version,
-            routes=len(configuration.rules),
-            organisations=len(organisations),
-        )
 
     # Callers
 
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -4,6 +4,7 @@
 from anvilshift.core.clock import ManualClock
 from anvilshift.core.errors import PLATFORM_DOWN, AnvilshiftError
 from anvilshift.gateway.following import Follower, TargetEntries, WatchIntervals
+from anvilshift.objects.store import Listing, StoredObject
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from tests.gateway.silent import SilentJournal
@@ -145,6 +146,36 @@
         self.follow(scenario)
 
 
+class ListingTest(unittest.TestCase):
+    def test_listing_older_than_what_is_known_is_refused(self):
+        """Guards against entries that come back because an answer was late."""
+
+        class LateStore:
+            """A store whose second listing is older than the first."""
+
+            listings = [
+                Listing(7, (StoredObject("targets", "e1", 7, {"state": "leaving"}),)),
+                Listing(5, (StoredObject("targets", "e1", 5, {"state": "ready"}),)),
+            ]
+
+            async def list(self, kinds):
+                return self.listings.pop(0)
+
+        seen = []
+        follower = Follower(
+            LateStore(),
+            "targets",
+            WatchIntervals(wait=1_000.0),
+            ManualClock(),
+            SilentJournal(),
+            lambda change: seen.append(change.body["state"]),
+        )
+        self.assertTrue(asyncio.run(follower.poll()))
+        follower.restart()
+        self.assertFalse(asyncio.run(follower.poll()))
+        self.assertEqual(seen, ["leaving"])
+
+
 class RegisterTest(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(start=100_000.0)
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -44,13 +44,14 @@
         self.piece = b" " * 1_000
 
     async def handle(self, request, responder) -> None:
-        if self.pause is None or "watch=" not in request.target:
+        pause = self.pause
+        if pause is None or "watch=" not in request.target:
             await super().handle(request, responder)
             return
         await responder.start(200, [("content-type", "application/json")])
         for _ in range(10_000):
             await responder.write(self.piece)
-            await asyncio.sleep(self.pause)
+            await asyncio.sleep(pause)
 
 
 class Play:
--- /dev/null
+++ b/tests/router/test_silent_platform.py
@@ -0,0 +1,81 @@
+"""A router's open connections to the platform fall silent while new ones work."""
+
+import asyncio
+import random
+import unittest
+
+from anvilshift.core.errors import AnvilshiftError
+from anvilshift.objects.store import HttpObjectStore
+from anvilshift.router.following import Follower
+from anvilshift.router.relayed import RelayedStore
+from anvilshift.standins.platform import PlatformStandin
+from anvilshift.standins.virtual import VirtualClock, run_virtual
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.messages import Address
+from tests.platform.memorynetwork import MemoryNetwork
+
+IN_FORCE_WITHIN = 4.0
+"""Seconds within which a change is in force everywhere."""
+_RENEWAL_S = 1.25
+"""Seconds between two renewals of a lease of the default length."""
+_POLICY = {
+    "kind": "Policy",
+    "name": "p1",
+    "organisations": {"match_labels": {"tier": "gold"}},
+    "engines": {},
+    "priority": 10,
+}
+
+
+class SilentPlatformTest(unittest.TestCase):
+    """Guards against a catalogue that is as old as the watch that hangs."""
+
+    async def play(self, idle: int) -> float:
+        """Return the seconds from a silence until a change beside it is known."""
+        platform, loop = PlatformStandin(), asyncio.get_running_loop()
+        network = MemoryNetwork(platform._server)
+        address = Address("10.0.0.1", 1)
+        direct = HttpObjectStore(HttpClient(network=network), address)
+        store = RelayedStore(direct, None, VirtualClock(), list)
+        follower = Follower(
+            store, lambda catalogue: None, lambda *record: None, random.Random(1)
+        )
+        tasks = [
+            asyncio.create_task(follower.run()),
+            asyncio.create_task(self.renew(store)),
+        ]
+        await follower.current.wait()
+        await asyncio.gather(*(direct.hosts() for _ in range(idle)))
+        await asyncio.sleep(3.1)
+        began = loop.time()
+        network.silence()
+        operator = HttpObjectStore(HttpClient(network=network), address)
+        stored = await operator.put("Policy", "p1", _POLICY, 0)
+        while follower.seen < stored.version and loop.time() < began + 40.0:
+            await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        store.close()
+        return loop.time() - began
+
+    async def renew(self, store: RelayedStore) -> None:
+        while True:
+            try:
+                await store.get("Router", "r1")
+            except AnvilshiftError:
+                await asyncio.sleep(0.1)
+            else:
+                await asyncio.sleep(_RENEWAL_S)
+
+    def test_change_is_known_in_time_beside_a_silence(self):
+        late = {
+            idle: round(took, 2)
+            for idle in (0, 1, 3, 8)
+            if (took := run_virtual(self.play(idle))) > IN_FORCE_WITHIN
+        }
+        self.assertEqual(late, {}, "seconds by idle connections")
+
+
+if __name__ == "__main__":
+    unittest.main()
