Close the idle connections beside one that is silent

Callers saw: changes late by a time limit for each idle connection. Cause: a call without an answer ended its own connection only; the next call took the idle one that was used last, as silent as the one before, and waited for it as long again.

HttpClient.call now closes, at the moment of the failure, the idle connections to that address that were not heard since the call began. A new connection's failure closes none: it shows a slow server, not a silent path. Ruled out: closing all of them, which would drop what has just worked.

--- a/anvilshift/client/addresses.py
+++ b/anvilshift/client/addresses.py
@@ -13,8 +13,9 @@
     read_error,
 )
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpResponse
+from anvilshift.wire.response import ExchangeError
 
 _LOOKUP_TIMEOUT: Millis = 1 * SECOND
 _AVOID_TIME: Millis = 2 * SECOND
--- a/anvilshift/client/client.py
+++ b/anvilshift/client/client.py
@@ -22,9 +22,10 @@
 from anvilshift.core.backoff import Backoff
 from anvilshift.core.clock import SECOND, Clock, Millis, MonotonicClock
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.wire.client import ExchangeError, HttpClient, Response
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.events import Event, EventReader
 from anvilshift.wire.messages import JSON_TYPE, Address, HeaderFields, HttpResponse
+from anvilshift.wire.response import ExchangeError, Response
 
 __all__ = ["CallError", "Client", "Conversation"]
 
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -11,10 +11,11 @@
 from anvilshift.core.errors import ENGINE_FAILED, AnvilshiftError
 from anvilshift.core.work import CacheEvent, Failure, LoadReport
 from anvilshift.engines.engine import AnswerPart, ModelCall, Order, Usage
-from anvilshift.wire.client import ExchangeError, HttpClient, Response
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.events import Event, EventReader
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HeaderFields, HttpResponse
+from anvilshift.wire.response import ExchangeError, Response
 
 _PARSE_ERRORS = (
     ValueError,
--- a/anvilshift/gateway/outgoing.py
+++ b/anvilshift/gateway/outgoing.py
@@ -8,9 +8,9 @@
 from anvilshift.core.targetload import Prompt
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, TargetFields
-from anvilshift.wire.client import Response
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Headers, HttpRequest
+from anvilshift.wire.response import Response
 
 
 class AttemptError(Exception):
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -31,8 +31,8 @@
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.streambinding import StreamBinding
 from anvilshift.gateway.targetchoice import TargetChooser
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.connection import Connection
+from anvilshift.wire.response import ExchangeError
 
 _MAX_SEARCH: Millis = 1 * SECOND
 """How long an answer that has begun waits for a target to go on at: an ejection or a
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -21,9 +21,10 @@
 from anvilshift.gateway.exchanges import Exchange, RunningExchanges
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
-from anvilshift.wire.client import ExchangeError, HttpClient, Network, TcpNetwork
+from anvilshift.wire.client import HttpClient, Network, TcpNetwork
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.tunnel import TunnelNetwork
 
 CONNECT_TIMEOUT: Millis = 200.0
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -9,10 +9,10 @@
 from anvilshift.gateway.outgoing import Answer, AttemptError
 from anvilshift.gateway.silencewatch import SilenceWatch
 from anvilshift.gateway.splitting import EventSplitter
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.endings import Ending, Framing, judge_stream
 from anvilshift.wire.messages import HeaderFields, list_connection_options
 from anvilshift.wire.responder import Responder
+from anvilshift.wire.response import ExchangeError
 
 COMPLETE = "whole"
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -20,9 +20,9 @@
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
-from anvilshift.wire.client import ExchangeError, Response
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Headers
+from anvilshift.wire.response import ExchangeError, Response
 
 _MAX_LOGGED_FIELDS = 64
 """Names of answers' header fields that are logged, once each; more would be noise."""
--- a/anvilshift/gateway/targetstarts.py
+++ b/anvilshift/gateway/targetstarts.py
@@ -13,9 +13,10 @@
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.journal import Journal
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 
 _REPORT_TIMEOUT: Millis = 250.0
 _DOUBT_LIFETIME: Millis = 6 * SECOND
--- a/anvilshift/objects/store.py
+++ b/anvilshift/objects/store.py
@@ -15,9 +15,10 @@
     PLATFORM_UNREADABLE,
     AnvilshiftError,
 )
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HeaderFields, HttpResponse
+from anvilshift.wire.response import ExchangeError
 
 Body = dict[str, Any]
 WRITE_ID = "write-id"
--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -40,8 +40,9 @@
 from anvilshift.router.daemon import Router
 from anvilshift.settings.declarations import parse_declaration, read_documents
 from anvilshift.settings.router import RouterSettings
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -18,9 +18,10 @@
     UncertainWriteError,
 )
 from anvilshift.platform import names
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.jsons import dump_json, parse_object
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpResponse
+from anvilshift.wire.response import ExchangeError
 
 _TIMEOUT: Millis = 1_000.0
 """A call normally takes 4 ms, and 240 ms when the store is 60 times slower."""
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -15,7 +15,7 @@
 from anvilshift.core.work import CacheEvent, Failure, LoadReport
 from anvilshift.engines.engine import Connector, ModelEngine, PlainService
 from anvilshift.engines.http import TargetError
-from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.response import ExchangeError
 
 REPORT_INTERVAL: Millis = 250.0
 _POLLS_PER_EVENT_READ = 4
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -12,122 +12,14 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.connection import Connection
-from anvilshift.wire.endings import Ending, Framing, find_framing, judge_body
 from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
+from anvilshift.wire.response import ExchangeError, Response
 
 _MAX_IDLE_PER_ADDRESS = 64
 _IDLE_TIMEOUT_FRACTION = 0.8
 _DEFAULT_IDLE_TIMEOUT_S = 30.0
 """Used if the server sends no keep-alive timeout.  It may close the connection
 earlier; the client is notified of that at once."""
-DEFAULT_BODY_BYTES = 16 * 1024 * 1024
-
-
-class ExchangeError(ConnectionError):
-    """An exchange with a server failed.
-
-    Parameters
-    ----------
-    detail
-        What failed.
-    sent
-        Whether any byte of the request may have been sent.  Only if this is
-        False is it certain that the server did not process the request.
-    reused
-        Whether the request was sent on a connection that earlier requests had used.
-    hung
-        Whether the connection was neither opened nor refused in time.
-    """
-
-    def __init__(
-        self, detail: str, sent: bool, reused: bool = False, hung: bool = False
-    ) -> None:
-        super().__init__(detail)
-        self.sent = sent
-        self.reused = reused
-        self.hung = hung
-
-
-class Response:
-    """An answer whose body is read as it arrives.
-
-    Attributes
-    ----------
-    framing
-        What shows where its body ends.
-    ending
-        How the body ended; None before that.
-    """
-
-    def __init__(
-        self, method: str, status: int, headers: Headers, connection: Connection
-    ) -> None:
-        self.status = status
-        self.headers = headers
-        self.framing = find_framing(method, status, headers)
-        self.ending: Ending | None = None
-        self._connection = connection
-
-    @property
-    def whole(self) -> bool:
-        """Return whether the body was read to its end."""
-        return self.ending is not None and self.ending.is_complete
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks; data that is already buffered forms one chunk.
-
-        Raises
-        ------
-        ExchangeError
-            If the connection fails before the end of the body.
-        """
-        while not self.whole:
-            try:
-                event = await self._connection.receive()
-            except (OSError, h11.ProtocolError, RuntimeError) as error:
-                self.ending = Ending.BROKEN
-                raise ExchangeError(
-                    f"the connection failed during the answer: {error}",
-                    True,
-                    self._connection.reused,
-                ) from error
-            if isinstance(event, h11.EndOfMessage):
-                closed = self.framing is Framing.CONNECTION
-                self.ending = Ending.CLOSED if closed else Ending.FRAMED
-            elif isinstance(event, h11.Data):
-                yield bytes(event.data) + self._connection.take_buffered()
-
-    async def read(
-        self,
-        limit: int = DEFAULT_BODY_BYTES,
-        on_part: Callable[[], None] | None = None,
-    ) -> bytes:
-        """Read the body to its end and return it.
-
-        Parameters
-        ----------
-        on_part
-            Called as each part of the body arrives.
-
-        Raises
-        ------
-        ExchangeError
-            If the connection fails before the end of the body, the body shows
-            that a part of it is missing, or it exceeds the limit.
-        """
-        body = bytearray()
-        async for chunk in self.chunks():
-            body += chunk
-            if on_part is not None:
-                on_part()
-            if len(body) > limit:
-                raise ExchangeError("the answer exceeds the size limit", True)
-        assert self.ending is not None
-        self.ending = judge_body(self.ending, self.headers, bytes(body))
-        if not self.ending.is_complete:
-            detail = f"the answer ended {self.ending.value}"
-            raise ExchangeError(detail, True, self._connection.reused)
-        return bytes(body)
 
 
 class Network(Protocol):
@@ -167,6 +59,20 @@
     return _DEFAULT_IDLE_TIMEOUT_S
 
 
+def _describe_failure(
+    address: Address,
+    error: TimeoutError | ExchangeError,
+    connection: Connection | None,
+) -> ExchangeError:
+    """Return how a call failed, and whether its connection was silent."""
+    reused = connection is not None and connection.reused
+    if isinstance(error, ExchangeError):
+        error.silent = reused and isinstance(error.__cause__, TimeoutError)
+        return error
+    detail = f"{address} did not answer in time"
+    return ExchangeError(detail, connection is not None, reused, silent=reused)
+
+
 class HttpClient:
     """HTTP client that keeps idle connections for reuse.
 
@@ -342,16 +248,28 @@
         body: bytes = b"",
         timeout: Millis | None = None,
     ) -> HttpResponse:
-        """Send a request and return the complete answer within one timeout."""
+        """Send a request and return the complete answer within one timeout.
+
+        If a connection that had worked before is silent, the idle ones that were heard
+        no later are closed: what silenced it may have silenced them.
+        """
+        began = time.monotonic() * SECOND
+        connection: Connection | None = None
         try:
-            async with (
-                asyncio.timeout(timeout / SECOND if timeout else None),
-                self.exchange(address, method, path, headers, body) as response,
-            ):
-                content = await response.read()
-                return HttpResponse(response.status, response.headers, content)
-        except TimeoutError as error:
-            raise ExchangeError(f"{address} did not answer in time", True) from error
+            async with asyncio.timeout(timeout / SECOND if timeout else None):
+                connection = await self._connect(address)
+                async with self.exchange(
+                    address, method, path, headers, body, connection=connection
+                ) as response:
+                    content = await response.read()
+                    return HttpResponse(response.status, response.headers, content)
+        except (TimeoutError, ExchangeError) as error:
+            failure = _describe_failure(address, error, connection)
+            if failure.silent:
+                self.close_unheard(address, began)
+            if failure is error:
+                raise
+            raise failure from error
 
     async def check(self, address: Address, timeout: Millis) -> bool:
         """Return whether a server accepts connections."""
@@ -379,6 +297,10 @@
                 idle.remove(connection)
                 connection.close()
 
+    def close_unheard(self, address: Address, since: Millis) -> None:
+        """Close the idle connections to an address that were not heard since then."""
+        self.close_idle(lambda one: one.address == address and one.heard < since)
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -13,10 +13,11 @@
 from dataclasses import asdict, dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.events import EventReader
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address
+from anvilshift.wire.response import ExchangeError
 
 
 @dataclass(frozen=True)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,9 +14,10 @@
 
 import yaml
 
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address
+from anvilshift.wire.response import ExchangeError
 from bench.ports import take_free_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/bench/soak/http.py
+++ b/bench/soak/http.py
@@ -9,7 +9,6 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import NOT_READY, AnvilshiftError
 from anvilshift.router.node import Node
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.errorreplies import render_error
 from anvilshift.wire.messages import (
     Address,
@@ -19,6 +18,7 @@
     HttpResponse,
     Reply,
 )
+from anvilshift.wire.response import ExchangeError
 from bench.soak.journal import Journal
 from bench.soak.network import Network, NodeProcess
 
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -26,8 +26,8 @@
 )
 from anvilshift.peers.link import PeerError
 from anvilshift.standins.engine import POISON, make_token, read_prompt
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import HeaderFields, Headers, HttpResponse
+from anvilshift.wire.response import ExchangeError
 from bench.soak.journal import Journal
 from bench.soak.limits import STABLE, LimitWatch
 from bench.soak.pauses import Pauses
--- a/tests/integration/test_acceptance.py
+++ b/tests/integration/test_acceptance.py
@@ -9,7 +9,7 @@
 
 import yaml
 
-from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.response import ExchangeError
 from bench.fleet import LocalFleet, wait_until
 
 LEASE_S = 2.5
--- a/tests/integration/test_overload.py
+++ b/tests/integration/test_overload.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, replace
 
 from anvilshift.standins.engine import make_answer
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE
+from anvilshift.wire.response import ExchangeError
 from bench.fleet import LocalFleet, wait_until
 from tests.integration.evidence import has_failed, keep_evidence
 
--- a/tests/platform/partfleet.py
+++ b/tests/platform/partfleet.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from anvilshift.gateway.node import GatewayNode
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 from bench.ports import take_free_port
 from tests.platform.gatewaycase import GatewayCase, make_configuration
 
--- a/tests/platform/silentfleet.py
+++ b/tests/platform/silentfleet.py
@@ -8,8 +8,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 from tests.platform.gatewaycase import ROUTES, GatewayCase, make_configuration
 
 EVENTS = 20
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.response import ExchangeError
 from tests.platform.gatewaycase import GatewayCase, make_configuration
 
 
--- a/tests/platform/test_begun_answers.py
+++ b/tests/platform/test_begun_answers.py
@@ -1,7 +1,7 @@
 """Streams that break off after their first event, and when they end for the caller."""
 
 from anvilshift.core.clock import Millis
-from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.response import ExchangeError
 from tests.platform.test_versions import VersionCase
 
 AT_ONCE = 500.0
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -3,9 +3,9 @@
 import asyncio
 import json
 
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.endings import Ending, Framing
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 from tests.platform.cutnetwork import Cut
 from tests.platform.gatewaycase import GatewayCase
 from tests.platform.rawtarget import End, Frame, RawAnswer, RawTarget, make_events
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.connection import Connection
+from anvilshift.wire.response import ExchangeError
 from tests.platform.cutnetwork import Cut
 from tests.platform.gatewaycase import make_configuration
 from tests.platform.test_cut_routers import CutCase
--- a/tests/platform/test_version_rolls.py
+++ b/tests/platform/test_version_rolls.py
@@ -9,9 +9,9 @@
 import random
 from dataclasses import dataclass, field
 
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.endings import Ending
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 from tests.platform.cutnetwork import Cut
 from tests.platform.gatewaycase import make_configuration
 from tests.platform.test_cut_routers import CutCase
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -5,8 +5,8 @@
 from anvilshift.core.origins import OriginTable, make_stream_key
 from anvilshift.core.work import Failure
 from anvilshift.gateway.streammessages import HistorySeen
-from anvilshift.wire.client import ExchangeError
 from anvilshift.wire.messages import Address
+from anvilshift.wire.response import ExchangeError
 from tests.platform.gatewaycase import ABSENT, GatewayCase, make_configuration
 
 BEGUN = 3
--- a/tests/router/test_targets.py
+++ b/tests/router/test_targets.py
@@ -8,7 +8,7 @@
 from anvilshift.engines.http import TargetError
 from anvilshift.router.targets import Targets
 from anvilshift.standins.virtual import VirtualClock, run_virtual
-from anvilshift.wire.client import ExchangeError
+from anvilshift.wire.response import ExchangeError
 
 
 class StubEngine:
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -2,9 +2,10 @@
 import errno
 import unittest
 
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Reply
 from anvilshift.wire.responder import Responder
+from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.server import HttpServer
 
 LOOPBACK = Address("127.0.0.1", 0)
@@ -47,3 +48,64 @@
     async def test_slow_answer_is_named_as_one(self):
         text = await self.exchange(timeout=30.0)
         self.assertEqual(text, f"{self.address} did not answer in time")
+
+
+class SilentNeighboursTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls that find one silent connection after the other."""
+
+    async def asyncSetUp(self):
+        self.client = HttpClient()
+        self.server = HttpServer(self.answer)
+        self.address = await self.server.start(LOOPBACK)
+        self.hangs = False
+        self.delay = 0.02
+
+    async def asyncTearDown(self):
+        self.client.close()
+        await self.server.close()
+
+    async def answer(self, request: HttpRequest, responder: Responder) -> None:
+        hangs = self.hangs
+        await asyncio.sleep(1.0 if hangs else self.delay)
+        await responder.send(Reply())
+
+    async def call(self, timeout: float = 500.0) -> None:
+        await self.client.call(self.address, "GET", "/", timeout=timeout)
+
+    async def open_idle(self, count: int) -> None:
+        await asyncio.gather(*(self.call() for _ in range(count)))
+
+    def count_idle(self) -> int:
+        return len(self.client._idle[self.address])
+
+    async def fail(self) -> ExchangeError:
+        self.hangs = True
+        with self.assertRaises(ExchangeError) as caught:
+            await self.call(timeout=100.0)
+        self.hangs = False
+        return caught.exception
+
+    async def test_call_without_an_answer_closes_the_idle_connections(self):
+        await self.open_idle(4)
+        error = await self.fail()
+        self.assertTrue(error.silent)
+        self.assertEqual(self.count_idle(), 0)
+
+    async def test_connection_heard_meanwhile_is_kept(self):
+        await self.open_idle(4)
+        failing = asyncio.create_task(self.fail())
+        await asyncio.sleep(0.02)
+        self.hangs = False
+        await self.call()
+        await failing
+        self.assertEqual(self.count_idle(), 1)
+
+    async def test_new_connection_without_an_answer_says_nothing_of_others(self):
+        """Guards against a slow server that loses its connections at each call."""
+        self.delay = 0.2
+        calls = [asyncio.create_task(self.call()) for _ in range(2)]
+        await asyncio.sleep(0.05)
+        error = await self.fail()
+        await asyncio.gather(*calls)
+        self.assertFalse(error.silent)
+        self.assertEqual(self.count_idle(), 2)
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -5,9 +5,10 @@
 from dataclasses import replace
 
 from anvilshift.core.errors import OVERLOADED, AnvilshiftError
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Limits, Reply
 from anvilshift.wire.responder import Responder
+from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.server import HttpServer
 
 LOOPBACK = Address("127.0.0.1", 0)
--- a/tests/wire/test_tunnel.py
+++ b/tests/wire/test_tunnel.py
@@ -3,8 +3,9 @@
 import asyncio
 import unittest
 
-from anvilshift.wire.client import ExchangeError, HttpClient, TcpNetwork
+from anvilshift.wire.client import HttpClient, TcpNetwork
 from anvilshift.wire.messages import Address, Reply, set_reset_on_close
+from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.server import HttpServer
 from anvilshift.wire.tunnel import TunnelNetwork, TunnelServer
 
--- a/tests/wire/test_unframed.py
+++ b/tests/wire/test_unframed.py
@@ -6,10 +6,11 @@
 import sys
 import unittest
 
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.endings import Ending, Framing
 from anvilshift.wire.messages import Address, HttpRequest
 from anvilshift.wire.responder import Responder
+from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.server import HttpServer
 
 LOOPBACK = Address("127.0.0.1", 0)
--- a/tests/wire/test_unread.py
+++ b/tests/wire/test_unread.py
@@ -8,9 +8,10 @@
 from dataclasses import replace
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.client import ExchangeError, HttpClient
+from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, HttpRequest, Reply
 from anvilshift.wire.responder import Responder
+from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.server import HttpServer
 from anvilshift.wire.tunnel import TunnelNetwork, TunnelServer
 
