Make a watch that is overdue anew on a new connection, beside the one that waits

Cause: a watch that hangs looks like one without changes. It was given up 1 s after its wait, which grows with the fleet (1.5 to 4.05 s), and only then followed by a pause and a new call; each watch had to find that out by itself.

Change: HedgedStore. A watch that is overdue by 300 ms, or by twice what answers have taken lately, or a call without an answer on a connection that had worked, renews all: idle connections are closed, each watch that waits is made anew, the first answer counts. So a slow answer is awaited all the same, and nobody slow is taken for silent. Two renewals without an answer and the store counts as down. The wait of the configuration's watch is bounded by the settings' time of recovery (3 s, grown 4 s); the targets' watch waits longer for that, so that calls don't grow: 2 / 4.05 s = 1 / 2.9 + 1 / 6.7. Its freshness hangs on the other one too, so an outage is known no later.

Ruled out: a shorter watch for all (a third more calls); keepalive alone (connections whose packets are acknowledged stay open); a probe beside the watch (a call more).

--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -29,6 +30,8 @@
 """The store counts as unreachable when a watch is overdue by this much."""
 _UNSTRETCHED_ROUTERS = 4
 _MAX_INTERVAL_FACTOR = 2.7
+_MAX_WAIT_FACTOR = 3.0
+"""Longest watch beside a shorter one, as a multiple of the wait of equal ones."""
 
 
 def find_interval_factor(routers: int) -> float:
@@ -46,6 +49,25 @@
     return min(max(1.0, routers / _UNSTRETCHED_ROUTERS), _MAX_INTERVAL_FACTOR)
 
 
+def find_remaining_wait(wait: Millis, probe_wait: Millis) -> Millis:
+    """Return the wait of a watch beside a shorter one that tells of silent connections.
+
+    Together they make as many calls as two watches of one wait, or a few more.
+
+    Examples
+    --------
+    >>> find_remaining_wait(1_500.0, 1_500.0)
+    1500.0
+    >>> round(find_remaining_wait(4_000.0, 3_000.0))
+    6000
+    >>> find_remaining_wait(4_000.0, 1_000.0)
+    12000.0
+    """
+    longest = wait * _MAX_WAIT_FACTOR
+    calls_left = 2.0 / wait - 1.0 / probe_wait
+    return longest if calls_left * longest <= 1.0 else 1.0 / calls_left
+
+
 @dataclass(frozen=True)
 class WatchIntervals:
     """Durations for following one kind of object.
@@ -93,6 +115,8 @@
         whose answer was applied.
     interval_factor
         Factor on the durations, see `find_interval_factor`.
+    max_wait
+        Longest watch, whatever the factor.
     call, asked
         The last call, and when it was made.
     """
@@ -108,6 +132,7 @@
     confirmed: Millis = -1e12
     revision: int = 0
     interval_factor: float = 1.0
+    max_wait: Millis = math.inf
     probe: "Follower | None" = None
     call: Call = Call.NONE
     asked: Millis = -1e12
@@ -117,9 +142,17 @@
 
     def is_fresh(self) -> bool:
         """Tell whether the store answered recently."""
-        overdue = self.intervals.wait * self.interval_factor + _WATCH_GRACE
+        if self.probe is not None and not self.probe.is_fresh():
+            return False
+        overdue = self._find_wait() + _WATCH_GRACE
         return not self._lost and self.clock.now() - self.seen < overdue
 
+    def _find_wait(self) -> Millis:
+        wait = self.intervals.wait * self.interval_factor
+        if self.probe is None:
+            return min(wait, self.max_wait)
+        return find_remaining_wait(wait, self.probe._find_wait())
+
     def restart(self) -> None:
         """Begin again with a list, because the known state may be outdated."""
         self._restart = True
@@ -204,7 +237,7 @@
         self.confirmed = asked
 
     async def _watch(self) -> None:
-        wait = self.intervals.wait * self.interval_factor
+        wait = self._find_wait()
         asked = self._begin(Call.WATCH)
         found = await self.store.watch([self.kind], self.revision, wait)
         self._note_answer()
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -40,6 +40,7 @@
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.gateway.targetstarts import TargetStarts
 from anvilshift.gateway.tries import Tries
+from anvilshift.objects.hedged import HedgedStore
 from anvilshift.objects.store import ObjectChange, ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
 from anvilshift.wire.messages import Address, HttpRequest
@@ -51,6 +52,9 @@
 """Engines renew their entries many times a second, so changes are read in batches.
 An engine announces its departure two seconds ahead; a rest of 500 ms uses half a
 second of these."""
+_RENEWAL_TIME: Millis = 1.1 * SECOND
+"""Time to notice that a watch is overdue and to follow the store on a new connection,
+with 800 ms left for a router that is busy."""
 _SEED_TIMEOUT: Millis = 60.0
 """Time after the start for a seed to answer.  If all routers lost power, the seeds may
 start some tenths of a second after the others."""
@@ -82,6 +86,10 @@
         network: Network | None = None,
         boot_clock: Clock | None = None,
     ) -> None:
+        store = HedgedStore(
+            store, clock, lambda why: journal.write("store_doubted", why=why)
+        )
+        self.store = store
         self.settings = settings
         self.dialect = dialect
         self.clock = clock
@@ -221,6 +229,7 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
+        self.configuration_follower.max_wait = settings.recovery - _RENEWAL_TIME
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -23,6 +23,9 @@
         How often all routers together may send the requests for a service again.
     history
         Age by which the store has discarded a change; None if it is not known.
+    recovery
+        Time after a disruption of connections at which all that was acknowledged has
+        to be in force again.
     """
 
     name: str
@@ -38,3 +41,4 @@
     grace: Millis = 8 * SECOND
     retries: RetryLimits = field(default_factory=RetryLimits)
     history: Millis | None = None
+    recovery: Millis = 3 * SECOND
--- a/anvilshift/objects/paced.py
+++ b/anvilshift/objects/paced.py
@@ -109,6 +109,10 @@
         await self._wait_for_permit(_WATCH_RANK)
         return await self._store.hosts()
 
+    def renew(self) -> None:
+        """Make further calls on new connections, as open ones may be silent."""
+        self._store.renew()
+
 
 def _rank(kind: str) -> int:
     return _LEDGER_RANK if kind in LEDGER_KINDS else _STATE_RANK
--- a/anvilshift/objects/store.py
+++ b/anvilshift/objects/store.py
@@ -145,6 +145,9 @@
     async def hosts(self) -> tuple[HostEntry, ...]:
         """Return the platform's list of hosts, which may be out of date."""
 
+    def renew(self) -> None:
+        """Make further calls on new connections, as open ones may be silent."""
+
 
 class HttpObjectStore:
     """Client of the object API over HTTP and JSON.
@@ -272,6 +275,10 @@
         except (KeyError, TypeError) as error:
             raise _malformed_answer() from error
 
+    def renew(self) -> None:
+        """Make further calls on new connections, as open ones may be silent."""
+        self._client.forget(self._address)
+
 
 def _path(kind: str, name: str) -> str:
     return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -17,6 +17,9 @@
 _MIN_RETRY_WINDOW_S, _MAX_RETRY_WINDOW_S = 0.1, 3_600.0
 _MAX_RETRY_ALLOWANCE = 1e6
 """A value beyond these is taken for a mistake: no service stands so many retries."""
+_MIN_STABLE: Millis = 1.5 * SECOND
+_MAX_STABLE: Millis = 60 * SECOND
+"""A value below the first leaves no time to notice that a connection is silent."""
 _DEFAULT_PATH = "/etc/anvilshift/local.toml"
 
 
@@ -45,6 +48,13 @@
         le=_MAX_RETRY_ALLOWANCE,
     )
 
+    stable_ms: Millis = Field(
+        default=GatewaySettings.recovery,
+        alias="stableMs",
+        ge=_MIN_STABLE,
+        le=_MAX_STABLE,
+    )
+
     def convert_retries(self) -> RetryLimits:
         """Return the limits on requests that are sent again."""
         window = self.retry_window_s * SECOND
@@ -85,6 +95,7 @@
             grace=self.bounds.grace_s * SECOND,
             retries=self.bounds.convert_retries(),
             history=_convert_to_ms(self.platform.history_s),
+            recovery=self.bounds.stable_ms,
         )
 
 
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -100,6 +100,10 @@
         """Return no hosts: this platform has no list of hosts."""
         return ()
 
+    def renew(self) -> None:
+        """Make further calls on new connections, as open ones may be silent."""
+        self._client.forget(self._address)
+
     async def _call(
         self, method: str, path: str, body: bytes = b"", wait: Millis = 0.0
     ) -> HttpResponse:
--- a/anvilshift/router/relayed.py
+++ b/anvilshift/router/relayed.py
@@ -135,6 +135,10 @@
             return value
         return tuple(decode(HostEntry, item) for item in value["hosts"])
 
+    def renew(self) -> None:
+        """Make further direct calls on new connections, as open ones may be silent."""
+        self._direct.renew()
+
     async def _watch_direct(
         self, kinds: Sequence[str], after: int, wait: Millis
     ) -> ChangeBatch:
--- a/anvilshift/standins/memory.py
+++ b/anvilshift/standins/memory.py
@@ -155,6 +155,9 @@
         """Return the list of hosts."""
         return await self.view("").hosts()
 
+    def renew(self) -> None:
+        """Do nothing, as there are no connections."""
+
     def _read(self, kind: str, name: str) -> StoredObject | None:
         current = self._objects.get((kind, name))
         if current is None:
@@ -304,3 +307,6 @@
         found = self._store.host_entries
         await self._end("hosts")
         return found
+
+    def renew(self) -> None:
+        """Do nothing, as there are no connections."""
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -147,6 +147,20 @@
 
         self.check(scenario)
 
+    def test_silence_at_any_phase_of_a_watch(self):
+        for phase in (0.0, 0.4, 0.8, 1.2, 1.6, 2.0, 2.4, 2.8, 3.2, 3.6, 4.0):
+            with self.subTest(phase=phase):
+
+                async def scenario(play: Play, phase: float = phase) -> float:
+                    await asyncio.sleep(phase)
+                    began = asyncio.get_running_loop().time()
+                    play.network.silence()
+                    await asyncio.sleep(0.9)
+                    play.put(2)
+                    return await play.measure(2, began)
+
+                self.check(scenario, (4, 5, 27), (0, 3))
+
     def test_silences_in_a_row_count_from_the_last_one(self):
         for gap in (0.3, 1.2, 1.9, 2.1, 2.4, 2.9):
             with self.subTest(gap=gap):
