Renew the connections to the store after a suspension

Callers saw: a change in force 3.2 s after a suspension that the router had noticed at once. Cause: what was restarted then waited for the watch that hung, and the store's connections, unlike those to targets, were kept.

--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -49,6 +49,7 @@
         node = self._node
         node.journal.write("stood_still", span=round(span))
         node.client.close()
+        node.store.renew()
         node.shared.origins.history.restart()
         for target in node.loads.targets.values():
             # Connections that broke meanwhile are no evidence of unhealthy targets.
