Take a configuration without routes or services for unreadable

A stored configuration is whole. One of which only the version was left was read as one without any route, put in force, and would have refused every request with 404. The version before it now stays in force, and configuration_unreadable names the missing field. The new test failed before.

--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -153,8 +153,8 @@
     """The operators' complete configuration."""
 
     version: int
-    routes: list[RouteRecord] = Field(default_factory=list)
-    services: list[ServiceRecord] = Field(default_factory=list)
+    routes: list[RouteRecord]
+    services: list[ServiceRecord]
     tenants: list[_Tenant] = Field(default_factory=list)
     limits: _Limits = Field(default_factory=_Limits)
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -125,6 +125,14 @@
     def test_an_invalid_configuration_is_refused_with_the_field(self):
         with self.assertRaises(AnvilshiftError) as caught:
             self.dialect.read_configuration({"version": "x"})
+
+    def test_configuration_without_routes_or_services_is_unreadable(self):
+        """Guards against a part of a configuration that refuses every request."""
+        for missing in ("routes", "services"):
+            part = {k: v for k, v in CONFIGURATION.items() if k != missing}
+            with self.assertRaises(AnvilshiftError) as caught:
+                self.dialect.read_configuration(part)
+            self.assertIn(missing, caught.exception.detail)
         self.assertIn("version", caught.exception.detail)
 
     def test_an_entry_is_decoded(self):
