Let a router that is behind the others ask the store anew, then one of them

Callers saw: a router that the store turned away (503, 429, reset, silence) went on with the old configuration for as long: a route that was gone was served, a key that was taken away worked, the new key got 401. Heartbeats carry the version in force at each router, and nobody acted on it.

Cause: configurations came from the store only, by one connection.

Behind for 250 ms without a version that came meanwhile: the connections to the store are renewed (once). Behind for 600 ms: a router that is ahead is asked for the stored object that it has in force, by one GET between routers; so a key that was taken away is gone with it. What comes passes the same door as what the store answers: unreadable or no newer, and nothing changes. It is told to routers that are known by their heartbeat only, as it holds credentials. A router without any configuration asks nobody: it has no targets either, and would only refuse.

Ruled out: calls of the store through another router, as in the chat interface (each would cost a call more; the configuration alone is bound by a time); datagrams (200 kB for 1,000 routes); gRPC (the gateway loads none).

--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -14,6 +14,7 @@
 from anvilshift.core.routing import Configuration, RouteTable
 from anvilshift.gateway.answering import send_error
 from anvilshift.gateway.border import Dialect, make_server_limits
+from anvilshift.gateway.configurations import Configurations
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
 from anvilshift.gateway.following import Follower, WatchIntervals
@@ -41,20 +42,16 @@
 from anvilshift.gateway.targetstarts import TargetStarts
 from anvilshift.gateway.tries import Tries
 from anvilshift.objects.hedged import HedgedStore
-from anvilshift.objects.store import ObjectChange, ObjectStore
+from anvilshift.objects.store import ObjectStore
 from anvilshift.wire.client import HttpClient, Network, TcpNetwork
 from anvilshift.wire.messages import Address, HttpRequest
 from anvilshift.wire.responder import Responder
 from anvilshift.wire.server import HttpServer
 
-_CONFIGURATION_INTERVALS = WatchIntervals(wait=1.5 * SECOND)
 _TARGETS_INTERVALS = WatchIntervals(wait=1.5 * SECOND, rest=500.0)
 """Engines renew their entries many times a second, so changes are read in batches.
 An engine announces its departure two seconds ahead; a rest of 500 ms uses half a
 second of these."""
-_RENEWAL_TIME: Millis = 1.1 * SECOND
-"""Time to notice that a watch is overdue and to follow the store on a new connection,
-with 800 ms left for a router that is busy."""
 _SEED_TIMEOUT: Millis = 60.0
 """Time after the start for a seed to answer.  If all routers lost power, the seeds may
 start some tenths of a second after the others."""
@@ -211,14 +208,18 @@
             self.messenger.handle_lost_target,
             self.shared.health.reports.forget,
         )
-        self.configuration_follower = Follower(
+        self.configurations = Configurations(
+            settings,
+            dialect,
             store,
-            dialect.configuration_kind,
-            _CONFIGURATION_INTERVALS,
+            self.peers,
             clock,
             journal,
-            self._apply_change,
+            rng,
+            self._apply_configuration,
+            network,
         )
+        self.configuration_follower = self.configurations.follower
         self.target_follower = Follower(
             store,
             dialect.targets_kind,
@@ -229,7 +230,6 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
-        self.configuration_follower.max_wait = settings.recovery - _RENEWAL_TIME
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -266,30 +266,6 @@
         self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
-    # The configuration
-
-    def _apply_change(self, change: ObjectChange) -> None:
-        if change.name != self.dialect.configuration_name or change.body is None:
-            return
-        try:
-            configuration = self.dialect.read_configuration(change.body)
-        except AnvilshiftError as error:
-            self.journal.write("configuration_unreadable", why=error.detail)
-            return
-        known = self.shared.table
-        if known and configuration.version <= known.configuration.version:
-            return
-        self._apply_configuration(configuration)
-        follower = self.configuration_follower
-        self.journal.write(
-            "configuration_in_force",
-            version=configuration.version,
-            routes=len(configuration.rules),
-            organisations=len(configuration.organisations),
-            way=follower.call.value,
-            waited=round(self.clock.now() - follower.asked),
-        )
-
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
@@ -327,6 +303,7 @@
         """Open the sockets and start every background task."""
         await self.peers.start()
         await self.server.start(self.settings.front)
+        await self.configurations.start()
         await self.forwarding.server.start(
             Address(self.settings.ip, self.settings.forward_port)
         )
@@ -404,5 +381,6 @@
         self.starts.close()
         self.shared.tries.close()
         await self.forwarding.server.close()
+        await self.configurations.close()
         self.client.close()
         self.peers.close()
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -78,6 +78,7 @@
             node.targets.entries.note_outage()
         node.targets.entries.remove_missing()
         node.messenger.update_routers()
+        node.configurations.check(now)
         routers = 1 + len(node.peers.list_present())
         node.retry_shares.update()
         for follower in (node.configuration_follower, node.target_follower):
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -13,8 +13,9 @@
 
     Parameters
     ----------
-    peer_port, forward_port
-        Ports for traffic between routers, for datagrams and for HTTP.
+    peer_port, forward_port, configuration_port
+        Ports for traffic between routers: for datagrams, for connections to targets
+        through another router, and for the configuration in force.
     seeds
         IP addresses of routers that may be running.
     grace
@@ -42,3 +43,4 @@
     retries: RetryLimits = field(default_factory=RetryLimits)
     history: Millis | None = None
     recovery: Millis = 3 * SECOND
+    configuration_port: int = 0
--- a/anvilshift/objects/hedged.py
+++ b/anvilshift/objects/hedged.py
@@ -105,12 +105,18 @@
         for attempts in self._waiting:
             attempts.begin()
 
-    def _doubt(self, why: str, began: Millis) -> None:
-        """Renew the connections because a call that began at an instant is silent.
+    def doubt(self, why: str, began: Millis | None = None) -> None:
+        """Renew the connections, as they may be silent.
 
         What began before the last renewal shows nothing new, and a store that answers
         nothing at all gets no more calls than without doubts.
+
+        Parameters
+        ----------
+        began
+            When the call began that shows it; now if omitted.
         """
+        began = self._clock.now() if began is None else began
         if self._unanswered < _MAX_UNANSWERED and began >= self._doubted:
             self._unanswered += 1
             self._on_doubt(why)
@@ -128,7 +134,7 @@
             yield
         except AnvilshiftError as error:
             if _is_silence(error):
-                self._doubt("a call got no answer", began)
+                self.doubt("a call got no answer", began)
             raise
         self._note_answer(self._clock.now() - began)
 
@@ -193,7 +199,7 @@
             timers.append(loop.call_later(_CONFIRM_DELAY / SECOND, doubt))
 
         def doubt() -> None:
-            self._doubt("a watch is overdue", began)
+            self.doubt("a watch is overdue", began)
 
         delay = wait + min(overdue, _MAX_OVERDUE)
         timers.append(loop.call_later(delay / SECOND, confirm))
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -96,6 +96,7 @@
             retries=self.bounds.convert_retries(),
             history=_convert_to_ms(self.platform.history_s),
             recovery=self.bounds.stable_ms,
+            configuration_port=self.ports[0] + 2,
         )
 
 
--- a/anvilshift/wire/responder.py
+++ b/anvilshift/wire/responder.py
@@ -25,6 +25,10 @@
 
     loss: str
 
+    @property
+    def peer_ip(self) -> str:
+        """Return the address of its other end; empty if it isn't known."""
+
     @property
     def closes_next(self) -> bool:
         """Return whether it closes after its next answer."""
@@ -53,6 +57,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def peer_ip(self) -> str:
+        """Return the address of the caller; empty if it isn't known."""
+        return self._connection.peer_ip
+
     @property
     def loss(self) -> str:
         """Return how the connection was lost; empty while it is there."""
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -68,6 +68,11 @@
     def _limits(self) -> Limits:
         return self._server.limits
 
+    @property
+    def peer_ip(self) -> str:
+        peer = self._transport and self._transport.get_extra_info("peername")
+        return str(peer[0]) if peer else ""
+
     @property
     def busy(self) -> bool:
         return self._task is not None
--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -145,6 +145,7 @@
         forward_port: int = 0,
         network: Network | None = None,
         domain: str = "north",
+        configuration_port: int = 0,
     ) -> GatewayNode:
         settings = GatewaySettings(
             name,
@@ -159,6 +160,7 @@
             seeds,
             retries=RetryLimits(allowance=self.allowance),
             history=history,
+            configuration_port=configuration_port,
         )
         node = GatewayNode(
             settings,
@@ -183,6 +185,7 @@
         self.store_stub.put("config", "main", make_configuration())
         ips = [f"127.0.0.{n}" for n in range(2, 2 + count)]
         port, forward_port = take_free_port(), take_free_port()
+        configuration_port = take_free_port()
         for ip in ips:
             network = self.make_network()
             if network is not None:
@@ -194,6 +197,7 @@
                 seeds=tuple(ips),
                 forward_port=forward_port,
                 network=network,
+                configuration_port=configuration_port,
             )
             self.nodes.append(node)
             await node.start()
--- a/tests/platform/test_turned_away.py
+++ b/tests/platform/test_turned_away.py
@@ -8,6 +8,7 @@
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, Reply
 from anvilshift.wire.server import HttpServer
+from tests.platform.cutnetwork import CutNetwork
 from tests.platform.gatewaycase import GatewayCase, make_configuration
 from tests.platform.stubs import LOOPBACK, StoreStub
 
@@ -65,6 +66,10 @@
     def make_store(self) -> PlatformStore:
         return PlatformStore(HttpClient(), self.addresses[len(self.nodes)])
 
+    def make_network(self) -> CutNetwork:
+        """Let each router connect to the others from its own address."""
+        return CutNetwork()
+
     async def start(self) -> None:
         for number in range(2):
             await self.add_target(f"e{number}", "llm")
