Name the question to another router among the calls of a gateway

The list of calls by which requests may reach a target is complete again; this one goes to a router.

--- a/tests/gateway/test_retrying.py
+++ b/tests/gateway/test_retrying.py
@@ -15,6 +15,7 @@
     ("reach.py", "connect", "open"): "a connection only, its user sends once",
     ("reach.py", "_connect_direct", "open"): "a connection only",
     ("reach.py", "_open_tunnel", "open"): "a connection through another router",
+    ("configurations.py", "_ask", "call"): "a question to a router, not to a target",
     ("targetstarts.py", "_check_doubted", "open"): "a connection, for a report",
     ("targetstarts.py", "check", "exchange"): "a report, no request of a caller",
 }
