Test that a suspension that was noticed leaves nothing to wait for

Without the renewal after a suspension the loopback test passed by the phase of the watches, as a mutant showed; this one plays all fleets and idle connections in virtual time and demands 0.1 s.

--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -8,6 +8,7 @@
 
 from anvilshift.gateway.following import find_interval_factor
 from anvilshift.gateway.node import GatewayNode
+from anvilshift.gateway.periodic import PeriodicWork
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.platform.dialect import PlatformDialect
 from anvilshift.platform.store import PlatformStore
@@ -118,7 +119,9 @@
 class SilentConnectionsTest(unittest.TestCase):
     """Guards against a router that waits for connections that have fallen silent."""
 
-    def check(self, scenario, routers=_FLEETS, idle=_IDLE) -> None:
+    def check(
+        self, scenario, routers=_FLEETS, idle=_IDLE, bound: float = IN_TOUCH_AFTER
+    ) -> None:
         """Check that a scenario's change is in force in time, over fleets."""
 
         async def play(count: int, spare: int) -> float:
@@ -133,7 +136,7 @@
             (count, spare): round(took, 2)
             for count in routers
             for spare in idle
-            if (took := run_virtual(play(count, spare))) > IN_TOUCH_AFTER
+            if (took := run_virtual(play(count, spare))) > bound
         }
         self.assertEqual(late, {}, "seconds by routers and idle connections")
 
@@ -186,6 +189,16 @@
 
         self.check(scenario, (4, 12, 27), (0, 3))
 
+    def test_suspension_that_was_noticed_leaves_nothing_to_wait_for(self):
+        async def scenario(play: Play) -> float:
+            play.network.silence()
+            play.put(2)
+            began = asyncio.get_running_loop().time()
+            PeriodicWork(play.node)._discard(5_000.0)
+            return await play.measure(2, began)
+
+        self.check(scenario, bound=0.1)
+
     def test_target_that_leaves_is_known_beside_a_silence(self):
         async def scenario(play: Play) -> float:
             loop = asyncio.get_running_loop()
