--- a/anvilshift/standins/relay.py
+++ b/anvilshift/standins/relay.py
@@ -54,6 +54,11 @@
     control
         Address at which an HTTP server accepts faults as JSON; None for no
         such server.
+
+    Attributes
+    ----------
+    accepted
+        Number of connections accepted so far.
     """
 
     def __init__(self, target: Address, control: Address | None = None) -> None:
@@ -64,6 +69,8 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self.accepted = 0
+        self._silenced = 0
 
     async def start(self, address: Address) -> Address:
         """Start listening and return the bound address."""
@@ -89,9 +96,15 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def silence(self) -> None:
+        """Pass nothing more on the connections that are open, and never close them."""
+        self._silenced = self.accepted
+
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if request.path == "/control/reset":
             self.reset()
+        elif request.path == "/control/silence":
+            self.silence()
         elif request.path == "/control/faults":
             field_names = {item.name for item in fields(RelayFaults)}
             for key, value in parse_object(request.body).items():
@@ -121,6 +134,8 @@
     async def _connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.accepted += 1
+        number = self.accepted
         if self.faults.refuse:
             _reset(writer)
             return
@@ -134,10 +149,18 @@
         self._writers.add(target_writer)
         forwarding = [
             asyncio.ensure_future(
-                self._forward(reader, target_writer, lambda: self.faults.cut_there)
+                self._forward(
+                    reader,
+                    target_writer,
+                    lambda: self.faults.cut_there or number <= self._silenced,
+                )
             ),
             asyncio.ensure_future(
-                self._forward(target_reader, writer, lambda: self.faults.cut_back)
+                self._forward(
+                    target_reader,
+                    writer,
+                    lambda: self.faults.cut_back or number <= self._silenced,
+                )
             ),
         ]
         try:
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -29,6 +29,22 @@
                 writer.write(data)
         writer.close()
 
+    async def test_open_connections_may_fall_silent_while_new_ones_work(self):
+        ip, port = self.address.ip, self.address.port
+        silent_reader, silent = await asyncio.open_connection(ip, port)
+        silent.write(b"a")
+        self.assertEqual(await silent_reader.read(1), b"a")
+        self.relay.silence()
+        silent.write(b"b")
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(silent_reader.read(1), 0.1)
+        reader, writer = await asyncio.open_connection(ip, port)
+        writer.write(b"c")
+        self.assertEqual(await reader.read(1), b"c")
+        self.assertEqual(self.received, b"ac")
+        for one in (silent, writer):
+            one.close()
+
     async def connect(self):
         return await asyncio.open_connection(self.address.ip, self.address.port)
 
