--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from collections import Counter
 from unittest import mock
 
 from anvilshift.gateway.following import find_interval_factor
@@ -286,6 +287,11 @@
 class SilentFleetTest(GatewayCase):
     """Guards against late changes at whole routers that are busy with callers."""
 
+    history: float | None = None
+
+    def make_node(self, *place, **rest) -> GatewayNode:
+        return super().make_node(*place, **{**rest, "history": self.history})
+
     def make_store(self) -> PlatformStore:
         network = CutNetwork()
         self.networks = [*getattr(self, "networks", []), network]
@@ -347,6 +353,26 @@
         # Nothing has to be waited for: the routers know that they stood still.
         self.assertLessEqual(max(took), 1.0, took)
 
+    async def test_callers_are_served_beside_a_silence(self):
+        """Guards against tokens that wait for one silent connection after another."""
+        self.history = 20_000.0
+        await self.start_callers()
+        statuses: list[int] = []
+
+        async def call(node: GatewayNode) -> None:
+            status, _, _ = await self.call_at(node, "/chat/1")
+            statuses.append(status)
+
+        calls = []
+        for number in range(240):
+            if number == 30:
+                self.silence()
+            calls.append(asyncio.create_task(call(self.nodes[number % 4])))
+            await asyncio.sleep(1 / 60)
+        await asyncio.gather(*calls, return_exceptions=True)
+        # A request waits for a record of its tokens for a second at most.
+        self.assertGreaterEqual(statuses.count(200), 228, Counter(statuses))
+
 
 if __name__ == "__main__":
     unittest.main()
