Silence the platform's connections in the soak, and check what is in force

make soak-silences now lets the routers' open connections to the platform fall silent every 12 s on the mean, once or twice, beside a changed policy; a change that no other fault touches has to be in force at all routers 4 s after the silence.

--- a/anvilshift/standins/memory.py
+++ b/anvilshift/standins/memory.py
@@ -28,6 +28,7 @@
 MAX_VALUE_BYTES = 1_000_000
 """Maximum size of a stored object's JSON text."""
 _MAX_CHANGES = 10_000
+_ANSWER_TIMEOUT: Millis = 2 * SECOND
 
 Hook = Callable[[str, str], Awaitable[None]]
 """Awaited around each call with the caller's name and the operation; may wait."""
@@ -108,6 +109,7 @@
         self._change_times: deque[Millis] = deque(maxlen=_MAX_CHANGES)
         self._discarded_revision = 0
         self._watch_events: dict[asyncio.Event, None] = {}
+        self.silences = 0
 
     def view(self, caller: str) -> "MemoryView":
         """Return the view through which one caller accesses the store."""
@@ -210,6 +212,14 @@
                 found.append(change)
         return ChangeBatch(self.revision, tuple(found[::-1])) if found else None
 
+    def silence(self) -> None:
+        """Let the open connections of all callers fall silent; new ones work.
+
+        Watches that wait hear of no change, and each caller's next calls get no answer
+        until it has found that out.
+        """
+        self.silences += 1
+
     def _wake(self) -> None:
         for event in list(self._watch_events):
             event.set()
@@ -221,6 +231,16 @@
     def __init__(self, store: MemoryStore, caller: str) -> None:
         self._store = store
         self._caller = caller
+        self._silences = store.silences
+
+    async def _find_silence(self) -> None:
+        """Wait in vain for an answer if the open connections have fallen silent."""
+        silences = self._store.silences
+        if self._silences == silences:
+            return
+        await asyncio.sleep(_ANSWER_TIMEOUT / SECOND)
+        self._silences = silences
+        raise AnvilshiftError(PLATFORM_DOWN, "the connection is silent")
 
     def _reach(self) -> None:
         faults = self._store.faults
@@ -229,6 +249,7 @@
 
     async def _begin(self, operation: str) -> None:
         self._reach()
+        await self._find_silence()
         self._store.calls[operation] += 1
         await self._store.faults.before(self._caller, operation)
         self._reach()
@@ -287,14 +308,20 @@
         """Wait up to `wait` milliseconds for changes after revision `after`."""
         wanted = frozenset(kinds)
         await self._begin("watch")
-        event = asyncio.Event()
+        event, silences = asyncio.Event(), self._store.silences
         self._store._watch_events[event] = None
+        found = None
         try:
             async with asyncio.timeout(wait / SECOND):
-                while (found := self._store._changes_since(wanted, after)) is None:
-                    event.clear()
-                    await event.wait()
-        except TimeoutError:
+                while found is None:
+                    if silences == self._store.silences:
+                        found = self._store._changes_since(wanted, after)
+                    if found is None:
+                        event.clear()
+                        await event.wait()
+        except TimeoutError as error:
+            if silences != self._store.silences:
+                raise AnvilshiftError(PLATFORM_DOWN, "the watch is silent") from error
             found = ChangeBatch(self._store.revision)
         finally:
             self._store._watch_events.pop(event, None)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -42,6 +42,7 @@
 from bench.soak.observed import CallerRequest, ObservedStore, ProcessView
 from bench.soak.repeats import RejectingFaults, RepeatWatch
 from bench.soak.silences import OTHER_FAULTS_GAP_S, AnswerWatch, SilentEngines
+from bench.soak.silentplatform import SilentPlatform
 from bench.soak.traffic import (
     ASK,
     ORDER,
@@ -275,6 +276,7 @@
             self.end_exchange, self.end_request = watch.end_exchange, watch.end_request
             jobs.append(watch.run())
             jobs.append(SilentEngines(self, schedule, self.course.seed).run())
+            jobs.append(SilentPlatform(self, schedule, self.course.seed).run())
         tasks = [asyncio.create_task(job) for job in jobs]
         await self._wait(self.seconds)
         self.arrivals_ended = True
