Tell the age of the configuration in force as a metric

A router that is behind looked like any other to monitoring: a gateway had no metrics. Three gauges beside the readiness check: the version in force, since when no call of the store has confirmed it, and for how long another router is known to have a newer one. Written without OpenTelemetry, whose memory is priced (CONTRIBUTING.md says so).

--- a/anvilshift/gateway/configurations.py
+++ b/anvilshift/gateway/configurations.py
@@ -106,6 +106,17 @@
         """Return the version in force; 0 before the first one."""
         return self._held.configuration.version if self._held else 0
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return what monitoring reads of the configuration in force, by metric."""
+        if self._held is None:
+            return {}
+        now = self._clock.now()
+        return {
+            "anvilshift_configuration_version": self.version,
+            "anvilshift_configuration_age_milliseconds": now - self.follower.confirmed,
+            "anvilshift_configuration_behind_milliseconds": self._lag.find_lag(now),
+        }
+
     async def start(self) -> None:
         """Accept the questions of other routers."""
         settings = self._settings
--- a/anvilshift/platform/entrance.py
+++ b/anvilshift/platform/entrance.py
@@ -14,8 +14,12 @@
 """Most addresses that callers read from one answer."""
 
 
+_METRICS_PATH = "/metrics"
+_METRICS_TYPE = ("content-type", "text/plain; version=0.0.4")
+
+
 class DiscoveryHandler:
-    """Serve readiness checks and address lookups.
+    """Serve readiness checks, address lookups and metrics.
 
     Parameters
     ----------
@@ -23,15 +27,19 @@
         Whether this process accepts requests.
     list_endpoints
         Addresses that serve a failure domain, and how long callers may cache them.
+    list_gauges
+        Present values by metric, for monitoring.
     """
 
     def __init__(
         self,
         is_ready: Callable[[], bool],
         list_endpoints: Callable[[str], Endpoints],
+        list_gauges: Callable[[], dict[str, float]] = dict,
     ) -> None:
         self._is_ready = is_ready
         self._list_endpoints = list_endpoints
+        self._list_gauges = list_gauges
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a readiness check or an address lookup; refuse any other path."""
@@ -40,9 +48,19 @@
         elif request.path == names.RESOLVE_PATH:
             domain = request.query.get(names.DOMAIN_PARAMETER, "")
             await responder.send(self._resolve(domain))
+        elif request.path == _METRICS_PATH:
+            await responder.send(self._write_metrics())
         else:
             raise AnvilshiftError(UNKNOWN_ROUTE)
 
+    def _write_metrics(self) -> Reply:
+        """Return the gauges in Prometheus's text format."""
+        lines = [
+            f"# TYPE {name} gauge\n{name} {value:.0f}\n"
+            for name, value in self._list_gauges().items()
+        ]
+        return Reply(200, [_METRICS_TYPE], "".join(lines).encode())
+
     def _resolve(self, domain: str) -> Reply:
         endpoints = self._list_endpoints(domain)
         if not endpoints.addresses:
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -42,7 +42,11 @@
             PROCESS_START,
             boot_clock=BootClock(),
         )
-        handler = DiscoveryHandler(self.node.is_ready, self.node.list_endpoints)
+        handler = DiscoveryHandler(
+            self.node.is_ready,
+            self.node.list_endpoints,
+            self.node.configurations.list_gauges,
+        )
         self._discovery = handler
         self._stopping = asyncio.Event()
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -139,6 +139,24 @@
         other = await self.client.call(address, "GET", "/v1/other")
         self.assertEqual(other.status, 404)
 
+    async def test_age_of_the_configuration_is_told(self):
+        """Guards against a router that is behind and looks like any other."""
+        await self.start_node()
+        node = self.node
+        handler = DiscoveryHandler(
+            node.is_ready, node.list_endpoints, node.configurations.list_gauges
+        )
+        server = HttpServer(handler.handle)
+        address = await server.start(LOOPBACK)
+        self.addAsyncCleanup(server.close)
+        answer = await self.client.call(address, "GET", "/metrics")
+        lines = answer.body.decode().splitlines()
+        values = dict(line.split() for line in lines if not line.startswith("#"))
+        self.assertEqual(values["anvilshift_configuration_version"], "1")
+        self.assertEqual(values["anvilshift_configuration_behind_milliseconds"], "0")
+        age = float(values["anvilshift_configuration_age_milliseconds"])
+        self.assertLess(age, 2_500.0)
+
 
 class PoisonTest(GatewayCase):
     async def test_a_request_that_crashes_its_targets_costs_three_at_the_most(self):
