--- a/tests/quick.py
+++ b/tests/quick.py
@@ -35,6 +35,7 @@
     "tests.objects.test_http_store.",
     "tests.operator.test_standins.",
     "tests.operator.test_verbs.",
+    "tests.peers.",
     "tests.platform.",
     "tests.router.test_bad_input.",
     "tests.router.test_bill_orders.",
