Begin no watch for a wait that is being stopped

A renewal in the moment in which a hedged watch ends made one more watch, which nobody waited for or stopped. Found by reading; the new test failed before.

--- a/anvilshift/objects/hedged.py
+++ b/anvilshift/objects/hedged.py
@@ -41,9 +41,12 @@
         self._call = call
         self._tasks: list[asyncio.Task[ChangeBatch]] = []
         self._ended = asyncio.Event()
+        self._is_over = False
 
     def begin(self) -> None:
-        """Make one more watch."""
+        """Make one more watch, unless an answer has come."""
+        if self._is_over:
+            return
         task = asyncio.ensure_future(self._call())
         task.add_done_callback(lambda done: self._ended.set())
         self._tasks.append(task)
@@ -66,6 +69,7 @@
                 if all(task.done() for task in self._tasks):
                     return self._tasks[-1].result()
         finally:
+            self._is_over = True
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/objects/test_hedged.py
+++ b/tests/objects/test_hedged.py
@@ -155,6 +155,22 @@
         self.play(scenario)
         self.assertEqual(len(self.line.watches), 4)
 
+    def test_renewal_as_a_watch_ends_leaves_no_call_behind(self):
+        """Guards against a watch that nobody waits for any more."""
+
+        async def scenario(store):
+            watching = asyncio.create_task(store.watch(["k"], 5, WAIT))
+            await asyncio.sleep(0.1)
+            watching.cancel()
+            # The watch is being stopped, and has not ended yet.
+            await asyncio.sleep(0)
+            store.renew()
+            await asyncio.gather(watching, return_exceptions=True)
+            await asyncio.sleep(0.1)
+
+        self.play(scenario)
+        self.assertEqual((len(self.line.watches), self.line.ended), (1, 1))
+
     def test_watch_that_is_cancelled_leaves_no_call_behind(self):
         async def scenario(store):
             watching = asyncio.create_task(store.watch(["k"], 5, WAIT))
