Don't take one lost answer for silent connections

Now a call without an answer is evidence only if no other call was answered since it began. The new test failed before.

--- a/anvilshift/objects/hedged.py
+++ b/anvilshift/objects/hedged.py
@@ -78,9 +78,9 @@
 class HedgedStore:
     """An object store whose watches survive connections that fall silent.
 
-    All calls share the connections of one client.  When one of them shows that an open
-    connection is silent, every watch that waits is made anew on a new connection, and
-    the idle connections are given up.
+    All calls share the connections of one client.  When a watch is overdue, or a call
+    got no answer and none came for another one, every watch that waits is made anew on
+    a new connection, and the idle connections are given up.
 
     Parameters
     ----------
@@ -99,6 +99,7 @@
         self._on_doubt = on_doubt
         self._waiting: set[_Attempts] = set()
         self._doubted: Millis = -1e12
+        self._answered: Millis = -1e12
         self._unanswered = 0
         self._slowness: Millis = 0.0
 
@@ -127,6 +128,7 @@
             self.renew()
 
     def _note_answer(self, took: Millis) -> None:
+        self._answered = self._clock.now()
         self._unanswered = 0
         self._slowness = max(took, self._slowness * _SLOWNESS_DECAY)
 
@@ -137,7 +139,8 @@
         try:
             yield
         except AnvilshiftError as error:
-            if _is_silence(error):
+            # A store that loses single answers goes on answering other calls.
+            if _is_silence(error) and self._answered < began:
                 self.doubt("a call got no answer", began)
             raise
         self._note_answer(self._clock.now() - began)
--- a/tests/objects/test_hedged.py
+++ b/tests/objects/test_hedged.py
@@ -3,7 +3,7 @@
 
 from anvilshift.core.errors import PLATFORM_DOWN, AnvilshiftError
 from anvilshift.objects.hedged import HedgedStore
-from anvilshift.objects.store import ChangeBatch, UncertainWriteError
+from anvilshift.objects.store import ChangeBatch, Listing, UncertainWriteError
 from anvilshift.standins.virtual import VirtualClock, run_virtual
 from anvilshift.wire.response import ExchangeError
 
@@ -47,6 +47,9 @@
         cause = ExchangeError("no answer in time", True, True, silent=True)
         raise UncertainWriteError("no answer in time") from cause
 
+    async def list(self, kinds):
+        return Listing(7, ())
+
     async def get(self, kind, name):
         raise AnvilshiftError(PLATFORM_DOWN, "refused")
 
@@ -99,6 +102,19 @@
         self.assertEqual(self.play(scenario), 2)
         self.assertEqual(self.doubts, ["a call got no answer"])
 
+    def test_single_answer_that_is_lost_is_no_reason_to_doubt(self):
+        """Guards against watches made anew for each answer that a store loses."""
+
+        async def scenario(store):
+            losing = asyncio.create_task(store.put("k", "a", {}, 1))
+            await asyncio.sleep(0.05)
+            await store.list(["k"])
+            with self.assertRaises(UncertainWriteError):
+                await losing
+
+        self.play(scenario)
+        self.assertEqual(self.doubts, [])
+
     def test_refused_call_is_no_reason_to_doubt(self):
         async def scenario(store):
             with self.assertRaises(AnvilshiftError):
