Doubt silent connections as often as new ones open

Cause: after two renewals without an answer the store counted as down, so that the third silence found a watch that nothing was made beside. It ended by its own timeout, 1 s behind its wait, and a pause of up to 0.9 s followed. The guard against asking a store in an outage ever more took a series of silences for an outage: it looked at answers only.

Change: a renewal whose connections opened shows that the store is there, so the next overdue watch is made anew as well. Only where no connection has opened since the last renewal does the store count as down. Watches that failed beside a newer one are dropped at once, so that a long series keeps no list.

A store that accepts none gets no more than before (test_store_that_is_down_is_not_stormed, unchanged).

--- a/anvilshift/objects/hedged.py
+++ b/anvilshift/objects/hedged.py
@@ -31,7 +31,8 @@
 _CONFIRM_DELAY: Millis = 50.0
 """Time for an answer that was received, but not read yet by a busy event loop."""
 _MAX_UNANSWERED = 2
-"""Renewals in a row without an answer after which the store is taken to be down."""
+"""Renewals in a row without an answer after which the store is taken to be down, unless
+connections to it still open: they may fall silent one after the other."""
 
 
 class _Attempts:
@@ -63,11 +64,10 @@
             while True:
                 await self._ended.wait()
                 self._ended.clear()
-                for task in self._tasks:
-                    if task.done() and task.exception() is None:
+                for task in [one for one in self._tasks if one.done()]:
+                    if task.exception() is None or len(self._tasks) == 1:
                         return task.result()
-                if all(task.done() for task in self._tasks):
-                    return self._tasks[-1].result()
+                    self._tasks.remove(task)
         finally:
             self._is_over = True
             for task in self._tasks:
@@ -101,11 +101,17 @@
         self._doubted: Millis = -1e12
         self._answered: Millis = -1e12
         self._unanswered = 0
+        self._connections = 0
         self._slowness: Millis = 0.0
 
+    def count_connections(self) -> int:
+        """Return how many connections have been opened so far."""
+        return self._store.count_connections()
+
     def renew(self) -> None:
         """Make calls on new connections, and each watch that waits anew."""
         self._doubted = self._clock.now()
+        self._connections = self.count_connections()
         self._store.renew()
         for attempts in self._waiting:
             attempts.begin()
@@ -113,8 +119,8 @@
     def doubt(self, why: str, began: Millis | None = None) -> None:
         """Renew the connections, as they may be silent.
 
-        What began before the last renewal shows nothing new, and a store that answers
-        nothing at all gets no more calls than without doubts.
+        What began before the last renewal shows nothing new, and a store that neither
+        answers nor accepts a connection gets no more calls than without doubts.
 
         Parameters
         ----------
@@ -122,7 +128,11 @@
             When the call began that shows it; now if omitted.
         """
         began = self._clock.now() if began is None else began
-        if self._unanswered < _MAX_UNANSWERED and began >= self._doubted:
+        is_down = (
+            self._unanswered >= _MAX_UNANSWERED
+            and self.count_connections() == self._connections
+        )
+        if began >= self._doubted and not is_down:
             self._unanswered += 1
             self._on_doubt(why)
             self.renew()
--- a/anvilshift/objects/paced.py
+++ b/anvilshift/objects/paced.py
@@ -113,6 +113,10 @@
         """Make further calls on new connections, as open ones may be silent."""
         self._store.renew()
 
+    def count_connections(self) -> int:
+        """Return how many connections have been opened so far."""
+        return self._store.count_connections()
+
 
 def _rank(kind: str) -> int:
     return _LEDGER_RANK if kind in LEDGER_KINDS else _STATE_RANK
--- a/anvilshift/objects/store.py
+++ b/anvilshift/objects/store.py
@@ -148,6 +148,9 @@
     def renew(self) -> None:
         """Make further calls on new connections, as open ones may be silent."""
 
+    def count_connections(self) -> int:
+        """Return how many connections have been opened so far."""
+
 
 class HttpObjectStore:
     """Client of the object API over HTTP and JSON.
@@ -279,6 +282,10 @@
         """Make further calls on new connections, as open ones may be silent."""
         self._client.forget(self._address)
 
+    def count_connections(self) -> int:
+        """Return how many connections have been opened so far."""
+        return self._client.opened
+
 
 def _path(kind: str, name: str) -> str:
     return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -104,6 +104,10 @@
         """Make further calls on new connections, as open ones may be silent."""
         self._client.forget(self._address)
 
+    def count_connections(self) -> int:
+        """Return how many connections have been opened so far."""
+        return self._client.opened
+
     async def _call(
         self, method: str, path: str, body: bytes = b"", wait: Millis = 0.0
     ) -> HttpResponse:
--- a/anvilshift/router/relayed.py
+++ b/anvilshift/router/relayed.py
@@ -139,6 +139,10 @@
         """Make further direct calls on new connections, as open ones may be silent."""
         self._direct.renew()
 
+    def count_connections(self) -> int:
+        """Return how many direct connections have been opened so far."""
+        return self._direct.count_connections()
+
     async def _watch_direct(
         self, kinds: Sequence[str], after: int, wait: Millis
     ) -> ChangeBatch:
--- a/anvilshift/standins/memory.py
+++ b/anvilshift/standins/memory.py
@@ -160,6 +160,10 @@
     def renew(self) -> None:
         """Do nothing, as there are no connections."""
 
+    def count_connections(self) -> int:
+        """Return 0, as there are no connections."""
+        return 0
+
     def _read(self, kind: str, name: str) -> StoredObject | None:
         current = self._objects.get((kind, name))
         if current is None:
@@ -337,3 +341,7 @@
 
     def renew(self) -> None:
         """Do nothing, as there are no connections."""
+
+    def count_connections(self) -> int:
+        """Return 0, as there are no connections."""
+        return 0
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -82,6 +82,11 @@
         Milliseconds until an attempt to connect fails.
     network
         Opens the connections; TCP if omitted.
+
+    Attributes
+    ----------
+    opened
+        How many connections it has opened.
     """
 
     def __init__(
@@ -90,6 +95,7 @@
         self._connect_timeout = connect_timeout
         self._network = network or TcpNetwork()
         self._idle: dict[Address, list[Connection]] = defaultdict(list)
+        self.opened = 0
 
     def take_idle(
         self, address: Address, is_usable: Callable[[Connection], bool] | None = None
@@ -146,6 +152,7 @@
                 False,
                 hung=isinstance(error, TimeoutError),
             ) from error
+        self.opened += 1
         return opened
 
     async def _connect(self, address: Address) -> Connection:
--- a/tests/objects/test_hedged.py
+++ b/tests/objects/test_hedged.py
@@ -19,6 +19,8 @@
         Whether watches that are made now are never answered.
     late
         Milliseconds by which the answers of watches are late.
+    connections
+        How many connections have been opened.
     """
 
     def __init__(self) -> None:
@@ -27,10 +29,14 @@
         self.watches: list[float] = []
         self.ended = 0
         self.renewals = 0
+        self.connections = 0
 
     def renew(self) -> None:
         self.renewals += 1
 
+    def count_connections(self) -> int:
+        return self.connections
+
     async def watch(self, kinds, after, wait):
         self.watches.append(asyncio.get_running_loop().time())
         try:
@@ -149,6 +155,22 @@
         # Two renewals of the first, and none of those that follow.
         self.assertEqual((len(self.line.watches), self.line.renewals), (5, 2))
 
+    def test_store_that_accepts_connections_is_not_given_up(self):
+        """Guards against connections that fall silent one after the other."""
+        self.line.is_silent = True
+
+        async def scenario(store):
+            watching = asyncio.create_task(store.watch(["k"], 5, WAIT))
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                self.line.connections = len(self.line.watches)
+            self.line.is_silent = False
+            return await watching
+
+        self.play(scenario)
+        first, *others = self.line.watches
+        self.assertEqual([round(at - first, 1) for at in others], [1.3, 2.6, 3.9, 5.2])
+
     def test_slow_answers_are_not_overdue(self):
         """Guards against a store that is asked twice because it is slow."""
         self.line.late = 200.0
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -1,6 +1,7 @@
 """Connections to the store fall silent for good while new ones work."""
 
 import asyncio
+import itertools
 import random
 import time
 import unittest
@@ -181,6 +182,24 @@
 
                 self.check(scenario, (4, 12), (0, 3))
 
+    def test_many_silences_in_a_row_count_from_the_last_one(self):
+        """Guards against a store taken to be down although new connections open."""
+        for count, gap in itertools.product((2, 4, 8), (1.0, 1.5, 2.0, 2.3, 2.9)):
+            with self.subTest(count=count, gap=gap):
+
+                async def scenario(
+                    play: Play, count: int = count, gap: float = gap
+                ) -> float:
+                    for _ in range(count):
+                        play.network.silence()
+                        await asyncio.sleep(gap)
+                    play.network.silence()
+                    began = asyncio.get_running_loop().time()
+                    play.put(2)
+                    return await play.measure(2, began)
+
+                self.check(scenario, (4, 8, 27), (3,))
+
     def test_change_just_before_a_silence_is_in_force(self):
         async def scenario(play: Play) -> float:
             began = asyncio.get_running_loop().time()
