Test several silences in a row at the chat interface

A change beside a silence that is not the first one is known after 22 s where 4 s are promised: 22.06 s with one earlier silence 2.7 s before, 22.19 and 22.22 s with five, 3.1 and 3.9 s apart (virtual time).

Cause: a watch of 20 s is ended early when another call fails. After a silence was noticed, the watch is made anew at once, and other calls open connections a moment later. A silence between the two hits the watch's connection alone: every later call is answered, on newer connections, so nothing tells.

--- a/tests/router/test_silent_platform.py
+++ b/tests/router/test_silent_platform.py
@@ -30,8 +30,14 @@
 class SilentPlatformTest(unittest.TestCase):
     """Guards against a catalogue that is as old as the watch that hangs."""
 
-    async def play(self, idle: int) -> float:
-        """Return the seconds from a silence until a change beside it is known."""
+    async def play(self, idle: int, earlier: int = 0, gap: float = 0.0) -> float:
+        """Return the seconds from a silence until a change beside it is known.
+
+        Parameters
+        ----------
+        earlier, gap
+            Silences before it, and the seconds between two of them.
+        """
         platform, loop = PlatformStandin(), asyncio.get_running_loop()
         network = MemoryNetwork(platform._server)
         address = Address("10.0.0.1", 1)
@@ -47,6 +53,9 @@
         await follower.current.wait()
         await asyncio.gather(*(direct.hosts() for _ in range(idle)))
         await asyncio.sleep(3.1)
+        for _ in range(earlier):
+            network.silence()
+            await asyncio.sleep(gap)
         began = loop.time()
         network.silence()
         operator = HttpObjectStore(HttpClient(network=network), address)
@@ -76,6 +85,18 @@
         }
         self.assertEqual(late, {}, "seconds by idle connections")
 
+    def test_change_is_known_in_time_beside_several_silences(self):
+        """Guards against a watch that hangs alone, as all other calls go on newer
+        connections.
+        """
+        late = {
+            (earlier, gap): round(took, 2)
+            for earlier in (1, 2, 5)
+            for gap in (1.1, 2.3, 2.7, 3.1, 3.9)
+            if (took := run_virtual(self.play(3, earlier, gap))) > IN_FORCE_WITHIN
+        }
+        self.assertEqual(late, {}, "seconds by earlier silences and their gap")
+
 
 if __name__ == "__main__":
     unittest.main()
