End a watch that shows no write of its own router

A watch of 20 s hung alone, as all other calls had gone on to newer connections, and only a failed call ended it.

Change: a router renews its lease by a write each 1.25 s, of a kind that it watches. A watch that hasn't shown such a write 1 s after the store's answer is silent: it ends without a change, idle connections are given up, and the next one begins. No call is added. Nothing counts as failed, as the store answers.

Weighed: shorter watches (a read each 2.5 s and router: 880 a second at the size to design for), a second connection kept only for tests (the same), watches made anew for each new connection (a burst of calls opens many).

The test's renewals are writes now, as a router's are; they were reads, which no watch can show.

--- a/anvilshift/router/relayed.py
+++ b/anvilshift/router/relayed.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable, Coroutine, Iterable, Sequence
-from dataclasses import asdict
+from dataclasses import asdict, dataclass, field
 from typing import Any, TypeVar
 
 from absl import logging
@@ -37,10 +37,28 @@
 _WATCH_WAIT: Millis = 2 * SECOND
 """Maximum wait of a watch through a peer.  It is short, so that a peer that loses its
 own connection to the platform is detected soon."""
+_ECHO_TIMEOUT: Millis = 1 * SECOND
+"""Time from the answer to a write until a watch of its kind must have shown it.  It
+takes milliseconds, and 240 ms where the store is 60 times slower."""
 _MAX_PEERS = 2
 _WRITES = ("put", "delete")
 
 
+@dataclass(eq=False)
+class _Watch:
+    """A direct watch that waits for an answer.
+
+    Attributes
+    ----------
+    missed
+        Set once a change is known that it should have shown.
+    """
+
+    kinds: Sequence[str]
+    after: int
+    missed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 class RelayedStore:
     """Call the platform directly, or through a peer that reaches it.
 
@@ -69,6 +87,7 @@
         self._peers = peers
         self._direct_failed = asyncio.Event()
         self._probe: asyncio.Task[None] | None = None
+        self._watches: set[_Watch] = set()
         self.reaches_platform = False
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
@@ -100,7 +119,11 @@
         value = await self._run(
             lambda: self._direct.put(kind, name, body, version), request
         )
-        return value if isinstance(value, StoredObject) else decode(StoredObject, value)
+        stored = (
+            value if isinstance(value, StoredObject) else decode(StoredObject, value)
+        )
+        self._expect_echo(kind, stored.version)
+        return stored
 
     async def delete(self, kind: str, name: str, version: int) -> int:
         """Delete an object if it still has a version; return the revision."""
@@ -149,19 +172,40 @@
         """Watch directly until another call finds that the direct connection fails.
 
         Otherwise a watch on a connection that stopped responding would wait until
-        its timeout, while a change comes into force at all other routers.
+        its timeout, while a change comes into force at all other routers.  If it shows
+        no write of this router, its connection alone is silent, and it ends without a
+        change.
         """
+        watch = _Watch(kinds, after)
         watching = asyncio.ensure_future(self._direct.watch(kinds, after, wait))
         failed = asyncio.ensure_future(self._direct_failed.wait())
+        missed = asyncio.ensure_future(watch.missed.wait())
+        self._watches.add(watch)
         try:
-            await asyncio.wait([watching, failed], return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                [watching, failed, missed], return_when=asyncio.FIRST_COMPLETED
+            )
             if watching.done():
                 return watching.result()
         finally:
-            failed.cancel()
-            watching.cancel()
+            self._watches.discard(watch)
+            for task in (watching, failed, missed):
+                task.cancel()
+        if watch.missed.is_set():
+            logging.warning("the watch is silent after=%d", after)
+            self._direct.renew()
+            return ChangeBatch(after)
         raise AnvilshiftError(PLATFORM_DOWN, "the direct connection failed")
 
+    def _expect_echo(self, kind: str, version: int) -> None:
+        """End the direct watches that don't show a write of this router in time."""
+        waiting = [
+            one for one in self._watches if kind in one.kinds and one.after < version
+        ]
+        loop = asyncio.get_running_loop()
+        for watch in waiting:
+            loop.call_later(_ECHO_TIMEOUT / SECOND, watch.missed.set)
+
     async def _run(
         self,
         call: Callable[[], Coroutine[Any, Any, Result]],
--- a/tests/router/test_silent_platform.py
+++ b/tests/router/test_silent_platform.py
@@ -1,11 +1,12 @@
 """A router's open connections to the platform fall silent while new ones work."""
 
 import asyncio
+import itertools
 import random
 import unittest
 
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.objects.store import HttpObjectStore
+from anvilshift.objects.store import HttpObjectStore, update
 from anvilshift.router.following import Follower
 from anvilshift.router.relayed import RelayedStore
 from anvilshift.standins.platform import PlatformStandin
@@ -69,9 +70,10 @@
         return loop.time() - began
 
     async def renew(self, store: RelayedStore) -> None:
-        while True:
+        """Renew a lease as a router does, by a write that its own watch shows."""
+        for beat in itertools.count():
             try:
-                await store.get("Router", "r1")
+                await update(store, "Router", "r1", lambda _, b=beat: {"beat": b})
             except AnvilshiftError:
                 await asyncio.sleep(0.1)
             else:
