--- a/tests/quick.py
+++ b/tests/quick.py
@@ -50,6 +50,7 @@
     "tests.router.test_quarantined.",
     "tests.router.test_random_acceptance.",
     "tests.router.test_runs.",
+    "tests.router.test_silent_platform.",
     "tests.settings.test_declarations.DeclarationTest.test_any_value_is_read_or_raises_an_error_with_its_code",
     "tests.settings.test_router.",
     "tests.test_runner.",
