Bound what all unfinished answers of a router hold

What callers would see: targets in trouble send bodies without end; with sixty of them at a time the router is ended for its memory, and every other request with it.

Cause: a bound for each answer and none for all; an event that isn't complete is held twice.

Weighed: a smaller bound for each (large answers of healthy targets are lawful), reading only as many at a time (the others would wait), leaving it to backpressure (an answer that is sent when whole has to be held).

Both tests are red with the check taken out.

--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -58,7 +58,7 @@
         self.request = request
         self.arrived = shared.clock.now()
         self.payer: OrganisationBudget | None = None
-        self.relay = AnswerRelay(responder, shared.clock)
+        self.relay = AnswerRelay(responder, shared.clock, shared.buffers)
         self.attempts: Attempts | None = None
         self.tokens = 0
         self.why = ""
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from anvilshift.core.answerbuffers import AnswerBuffer, AnswerBuffers
 from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.work import Failure
@@ -26,6 +27,11 @@
 class AnswerRelay:
     """Relay one answer to the caller, over all attempts that contribute to it.
 
+    Parameters
+    ----------
+    buffers
+        The bytes of unfinished answers that this router holds.
+
     Attributes
     ----------
     events
@@ -50,6 +56,7 @@
 
     responder: Responder
     clock: Clock
+    buffers: AnswerBuffers
     events: int = 0
     last_id: str | None = None
     first: Millis | None = None
@@ -94,7 +101,13 @@
         """
         on_part()
         try:
-            body = await answer.response.read(_MAX_ANSWER_BYTES, on_part)
+            with self.buffers.begin() as held:
+
+                def note_part(size: int) -> None:
+                    on_part()
+                    _hold(held, size)
+
+                body = await answer.response.read(_MAX_ANSWER_BYTES, note_part)
         finally:
             self._record_ending(answer)
         self.first = self.clock.now()
@@ -137,18 +150,20 @@
         splitter = EventSplitter(resumed=self.started)
         received = self.events
         try:
-            async for chunk in answer.response.chunks():
-                whole = _split(splitter, chunk)
-                if not whole:
-                    continue
-                if not self.events - received:
-                    on_first_event()
-                self.last_id = splitter.last_id or self.last_id
-                self.events = received + splitter.count
-                self._record_event_time()
-                with watch.hold(find_max_silence()):
-                    await self._send_headers(answer)
-                    await self.responder.write(whole)
+            with self.buffers.begin() as held:
+                async for chunk in answer.response.chunks():
+                    whole = _split(splitter, chunk)
+                    _hold(held, splitter.held)
+                    if not whole:
+                        continue
+                    if not self.events - received:
+                        on_first_event()
+                    self.last_id = splitter.last_id or self.last_id
+                    self.events = received + splitter.count
+                    self._record_event_time()
+                    with watch.hold(find_max_silence()):
+                        await self._send_headers(answer)
+                        await self.responder.write(whole)
         except ExchangeError as error:
             raise AttemptError(
                 Failure.BROKE_OFF, str(error), reused=error.reused
@@ -243,6 +258,18 @@
         raise AttemptError(Failure.BROKE_OFF, error.detail, answered=True) from error
 
 
+def _hold(held: AnswerBuffer, size: int) -> None:
+    """Hold more bytes of an answer that isn't complete.
+
+    Raises
+    ------
+    ExchangeError
+        When this router holds too many for all answers, and most of them for this one.
+    """
+    if not held.hold(size):
+        raise ExchangeError("too many bytes of unfinished answers", True)
+
+
 def _filter_headers(answer: Answer) -> HeaderFields:
     """Return an answer's headers without those that concern the target's connection."""
     removed = _FRAMING_HEADERS | list_connection_options(answer.headers)
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from anvilshift.core.answerbuffers import AnswerBuffers
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.durations import DecayingMean
@@ -45,6 +46,8 @@
         another target has taken over.
     work
         Measured times of plain services' requests, by service.
+    buffers
+        The bytes of unfinished answers that this router holds.
     wait_for_share
         Waits a moment for a share of the fleet's retries if that may bring one.
     runs
@@ -74,6 +77,7 @@
     on_target_replaced: Callable[[str], None] = lambda target: None
     wait_for_share: Callable[[], Awaitable[None]] = _wait_for_nothing
     work: dict[str, DecayingMean] = field(default_factory=dict)
+    buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     runs: int = 0
     ending: bool = False
 
--- a/anvilshift/gateway/splitting.py
+++ b/anvilshift/gateway/splitting.py
@@ -57,6 +57,11 @@
         self._has_data = False
         self._has_field = False
 
+    @property
+    def held(self) -> int:
+        """Return the number of bytes in memory: those of a partial line twice."""
+        return len(self._pending) + self._lines.held
+
     @property
     def rest(self) -> bytes:
         """Return the bytes behind the last complete event."""
--- a/anvilshift/wire/eventlines.py
+++ b/anvilshift/wire/eventlines.py
@@ -38,6 +38,11 @@
         """Return the beginning of the line that is still incomplete."""
         return self._strip_mark(bytes(self._partial))
 
+    @property
+    def held(self) -> int:
+        """Return the number of bytes of the incomplete line."""
+        return len(self._partial)
+
     def _strip_mark(self, line: bytes) -> bytes:
         return line.removeprefix(BYTE_ORDER_MARK) if self._is_first else line
 
--- a/anvilshift/wire/response.py
+++ b/anvilshift/wire/response.py
@@ -97,14 +97,15 @@
     async def read(
         self,
         limit: int = DEFAULT_BODY_BYTES,
-        on_part: Callable[[], None] | None = None,
+        on_part: Callable[[int], None] | None = None,
     ) -> bytes:
         """Read the body to its end and return it.
 
         Parameters
         ----------
         on_part
-            Called as each part of the body arrives.
+            Called with the bytes read so far as each part of the body arrives; what
+            it raises ends the reading.
 
         Raises
         ------
@@ -116,7 +117,7 @@
         async for chunk in self.chunks():
             body += chunk
             if on_part is not None:
-                on_part()
+                on_part(len(body))
             if len(body) > limit:
                 raise ExchangeError("the answer exceeds the size limit", True)
         assert self.ending is not None
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import os
+import pathlib
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from anvilshift.wire.messages import Address
-from tests.platform.gatewaycase import GatewayCase
+from tests.platform.gatewaycase import GatewayCase, make_configuration
 
 DEADLINE = 1_000
 """Milliseconds for which callers wait."""
@@ -70,6 +72,25 @@
 }
 
 
+ENDLESS_EVENT = Endless(
+    _SIGNED + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+    lambda n: b"8000\r\n%b\r\n" % (b"b" * 32_768),
+    0.0,
+    502,
+)
+_CALLS = 60
+_LONG = 10_000
+"""Milliseconds in which each of so many answers reaches its own size limit."""
+_MAX_GROWTH_MB = 93.0
+"""What a router of 35 MB has left of the 128 MB that a host gives it."""
+
+
+def read_resident_mb() -> float:
+    """Return the memory that this process holds, the targets' part of it included."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 class EndlessAnswersTest(GatewayCase):
     """Guards against a router that reads on for as long as a target sends."""
 
@@ -91,7 +112,8 @@
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.answer, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
-        self.register("bad", "desk", Address("127.0.0.1", port))
+        self.bad = Address("127.0.0.1", port)
+        self.register("bad", "desk", self.bad)
         await self.add_target("e1", "llm")
         self.shape, self.closed = SHAPES["a head"], 0
         await self.start_node()
@@ -126,6 +148,46 @@
                 await self.wait_for(lambda: self.closed)
         self.server.close()
 
+    async def start_patient(self) -> None:
+        """Start a router whose routes leave time to read much."""
+        await self.start()
+        patient = make_configuration(2, reserved=50_000_000, timeout=_LONG)
+        self.store_stub.put("config", "main", patient)
+        shared = self.node.shared
+        await self.wait_for(lambda: shared.table.configuration.version == 2)
+
+    async def measure_growth(self, path: str) -> float:
+        """Return by how many megabytes many endless answers make the process grow."""
+        before = most = read_resident_mb()
+        calls = [
+            asyncio.create_task(self.call(f"{path}{number}", deadline=_LONG))
+            for number in range(_CALLS)
+        ]
+        while not all(call.done() for call in calls):
+            most = max(most, read_resident_mb())
+            await asyncio.sleep(0.02)
+        self.assertNotIn(200, {call.result()[0] for call in calls})
+        self.assertEqual(self.node.shared.buffers.held, 0)
+        return most - before
+
+    async def test_many_answers_without_end_end_no_router(self):
+        """Guards against a bound for each answer that all together exceed."""
+        await self.start_patient()
+        self.shape = SHAPES["a body in chunks"]
+        self.assertLess(await self.measure_growth("/order/"), _MAX_GROWTH_MB)
+        self.server.close()
+
+    async def test_many_streams_without_an_event_end_no_router(self):
+        """Guards against the same for events, which are held until they end."""
+        await self.start_patient()
+        self.shape = ENDLESS_EVENT
+        self.store_stub.remove("servers", "e1")
+        self.register("bad-llm", "llm", self.bad, slots=_CALLS)
+        targets = self.node.loads.targets
+        await self.wait_for(lambda: "bad-llm" in targets and "e1" not in targets)
+        self.assertLess(await self.measure_growth("/review/"), _MAX_GROWTH_MB)
+        self.server.close()
+
 
 if __name__ == "__main__":
     import unittest
