--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -17,8 +17,6 @@
 """A first token is overdue after `_OVERDUE_FACTOR` times its expected latency plus
 `_OVERDUE_MARGIN`.  It then counts as slow before it arrives, because a hung target
 never sends one."""
-_UNKNOWN_OVERDUE: Millis = 920.0
-"""The same while no first token of a class was measured: what users accept."""
 
 
 class HealthMonitor:
@@ -48,12 +46,8 @@
         sender.on_sent = self._schedule_overdue_check
 
     def _schedule_overdue_check(self, attempt: Attempt, now: Millis) -> None:
-        durations = attempt.pool.kind.durations
-        request_class = attempt.entry.work.request_class
-        span = _OVERDUE_FACTOR * durations.first(request_class) + _OVERDUE_MARGIN
-        if not durations.knows(request_class):
-            span = _UNKNOWN_OVERDUE
-        due = now + span
+        expected = attempt.pool.kind.durations.first(attempt.entry.work.request_class)
+        due = now + _OVERDUE_FACTOR * expected + _OVERDUE_MARGIN
         self._state.timers.schedule(due, lambda at: self._check_overdue(attempt, at))
 
     def compare(self, attempt: Attempt, span: Millis) -> None:
