--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -284,7 +284,6 @@
             self._health_monitor.compare(attempt, span)
             durations.add_first_token(work, span, now)
         else:
-            self._health_monitor.compare_answer(attempt, tokens, now - attempt.sent)
             durations.add_answer_time(work, tokens, now - attempt.first, now)
         if attempt.counts:
             view.health.add_answer()
--- a/anvilshift/core/durations.py
+++ b/anvilshift/core/durations.py
@@ -116,14 +116,6 @@
         """Return whether a time to first token of a class has been measured."""
         return request_class in self._first or request_class in self._warm
 
-    def knows_pace(self) -> bool:
-        """Return whether a time between tokens has been measured."""
-        return self.pace.count > 0
-
-    def answer(self, request_class: str, tokens: int) -> Millis:
-        """Return the expected time of an answer of a number of tokens."""
-        return self.first(request_class) + self.pace.value * max(0, tokens - 1)
-
     def tokens(self, work: Work) -> float:
         """Return the expected number of answer tokens."""
         mean = self._used_fractions.get((work.organisation, work.request_class))
--- a/anvilshift/core/ejection.py
+++ b/anvilshift/core/ejection.py
@@ -5,12 +5,12 @@
 holds requests until their deadlines, and the failing one attracts more work than any
 other target.
 
-A target counts as slow if its latencies, those of first tokens and of whole answers,
-each divided by the latency expected for the same work, are several times those of the
-others.  The ratio also works under overload, when all targets are slow alike, and with
-few targets, where the slow target itself shifts the expected latency.  A target counts
-as failing after several failures of different work without an answer in between, so
-that one request that fails everywhere can't eject a target.
+A target counts as slow if its latencies, each divided by the latency expected for the
+same work, are several times those of the other targets.  The ratio also works under
+overload, when all targets are slow alike, and with few targets, where the slow target
+itself shifts the expected latency.  A target counts as failing after several failures
+of different work without an answer in between, so that one request that fails
+everywhere can't eject a target.
 
 An ejected target is probed with one request at a time, then two, four and so on.  At
 most half of the targets of a kind are ejected: if more look bad, the measurement or
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -63,24 +63,6 @@
         if attempt.counts and durations.knows(request_class):
             attempt.view.add_latency(span, durations.first(request_class))
 
-    def compare_answer(self, attempt: Attempt, tokens: int, span: Millis) -> None:
-        """Add the time of a whole answer to the health of its target.
-
-        A target may send its first tokens in time and all others late.
-
-        Parameters
-        ----------
-        tokens
-            Number of answer tokens.
-        span
-            Milliseconds from sending to the last token.
-        """
-        durations = attempt.pool.kind.durations
-        request_class = attempt.entry.work.request_class
-        if attempt.counts and durations.knows_pace():
-            expected = durations.answer(request_class, tokens)
-            attempt.view.add_latency(span, expected)
-
     def _check_overdue(self, attempt: Attempt, now: Millis) -> Actions:
         """Count an overdue first token against its target, and move the work."""
         running = self._sender.running.get(attempt.entry.work.identity)
