Let a watch be ended by later failures only

What callers would see: at the chat interface, beside a dense series of silences, a change is known after more than the 4 s that are promised.

By the log of its follower: from its first failed call on, each of its watches ended as it began ("the direct connection failed"), 12 times in 6 s, as the mark of a failure stands until a probe has an answer; the probe itself hung on a silent connection for 2 s at a time, and pauses grew to over a second.

Change: a watch is ended by failures that come after it began. One that begins while the mark stands is made as the last way left, and its own answer counts.

The new test was red ("the direct connection failed").

--- a/anvilshift/router/relayed.py
+++ b/anvilshift/router/relayed.py
@@ -86,6 +86,7 @@
         self._clock = clock
         self._peers = peers
         self._direct_failed = asyncio.Event()
+        self._next_failure = asyncio.Event()
         self._probe: asyncio.Task[None] | None = None
         self._watches: set[_Watch] = set()
         self.reaches_platform = False
@@ -178,7 +179,8 @@
         """
         watch = _Watch(kinds, after)
         watching = asyncio.ensure_future(self._direct.watch(kinds, after, wait))
-        failed = asyncio.ensure_future(self._direct_failed.wait())
+        # A failure from before this watch says nothing of its connection.
+        failed = asyncio.ensure_future(self._next_failure.wait())
         missed = asyncio.ensure_future(watch.missed.wait())
         self._watches.add(watch)
         try:
@@ -244,6 +246,8 @@
     def _mark_direct_failed(self) -> None:
         self.reaches_platform = False
         self._direct_failed.set()
+        self._next_failure.set()
+        self._next_failure = asyncio.Event()
         if self._probe is None or self._probe.done():
             self._probe = asyncio.get_running_loop().create_task(self._probe_direct())
 
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -220,6 +220,22 @@
         targets = Counter(send.target for send in harness.sent.values())
         self.assertEqual(targets["e1"], 1)
 
+    def test_target_that_is_slow_after_its_first_token_gets_no_more_work(self):
+        """Guards against an engine judged by its first tokens alone, which are late by
+        less than a caller notices: a burst would fill it and wait for its answers.
+        """
+        harness = Harness(engines=3, slots=8)
+        for index in range(40):
+            name = f"r{index}"
+            harness.arrive(name, deadline=harness.now + 10_000)
+            is_slow = harness.sent[name].target == "e1"
+            harness.finish(name, 400.0 if is_slow else 20.0)
+        harness.order.clear()
+        for index in range(48):
+            harness.arrive(f"s{index}", deadline=harness.now + 10_000)
+        self.assertEqual(len(harness.sent), 16)
+        self.assertNotIn("e1", {send.target for send in harness.sent.values()})
+
     def test_work_at_a_hung_target_is_sent_elsewhere(self):
         """Guards against waiting for a hung engine while others are idle.
 
--- a/tests/core/test_silent_engines.py
+++ b/tests/core/test_silent_engines.py
@@ -108,6 +108,23 @@
         actions = self.dispatcher.leave("r1", silent, 2_000.0)
         self.assertEqual([one.target for one in actions], [send.target, first])
 
+    def test_first_answers_are_not_left_before_any_time_is_known(self):
+        """Guards against an answer that is given up for an engine that is no faster,
+        as its prompt takes longer than a router that has just started assumes.
+        """
+        first = self.configure("e1", "e2")
+        for now in range(0, 900, 50):
+            self.assertEqual(self.dispatcher.tick(float(now)), [])
+        cancel, send = self.dispatcher.tick(950.0)
+        self.assertEqual(cancel, Cancel("r1", first, 1))
+        self.assertNotEqual(send.target, first)
+
+    def test_slow_first_prompts_cost_no_answer(self):
+        """Guards against the same at whole engines, of which none is silent."""
+        fleet = SilentFleet(3616, list_silences([]))
+        fleet.play(SPAN)
+        self.assertEqual(fleet.list_lost(), [])
+
     def learn(self):
         """Let it know that answers of 60 tokens take 1.2 s."""
         for number in range(30):
--- a/tests/router/test_relayed.py
+++ b/tests/router/test_relayed.py
@@ -102,6 +102,21 @@
         self.assertEqual(caught.exception.code.number, 5001)
         self.assertEqual(self.link.calls, 1)
 
+    async def test_watch_is_not_ended_by_a_failure_before_it(self):
+        """Guards against a router that learns nothing until its probe is answered."""
+        self.peers.clear()
+        self.cut("own")
+        with self.assertRaises(AnvilshiftError):
+            await self.store.get("Budget", "pounds")
+        # The probe has failed, and pauses.
+        await asyncio.sleep(0.01)
+        self.cut()
+        watching = asyncio.create_task(self.store.watch(["Budget"], 0, 1_000.0))
+        await asyncio.sleep(0.01)
+        await self.platform.view("operator").put("Budget", "pounds", {}, 0)
+        changes = await watching
+        self.assertEqual([c.name for c in changes.changes], ["pounds"])
+
     async def test_dead_peer_is_passed_over(self):
         self.cut("own")
         self.peers = ["gone", "p1"]
