Separate a gateway's parts from its start and stop

Cause: gateway/node.py (386 lines) and conversation.py's chain of isinstance were the two places that each new part of the gateway has to grow, and periodic.py knew node.py, which knew it. Change: gateway/assembly.py makes and connects the parts, node.py starts and stops them, and a messenger looks a message's handler up by its type. No logic changes. Ruled out: a registry of parts, which would hide the order in which they are made.

--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import Clock
@@ -87,6 +88,10 @@
     is_leaving: Callable[[], bool]
     is_fresh: Callable[[], bool]
     _lending_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _handlers: dict[type, Callable[[Any], None]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._handlers = self._make_handlers()
 
     def make_heartbeat(self) -> Beat:
         """Return this router's heartbeat."""
@@ -167,81 +172,82 @@
         if answer is not None:
             self.peers.send(answer, ask.ip)
 
+    def _make_handlers(self) -> dict[type, Callable[[Any], None]]:
+        """Return the handler of each type of message; heartbeats need none."""
+        shared, limits = self.shared, self.limits
+        return {
+            Sent: self._handle_sent,
+            Held: self._handle_held,
+            Begun: self._handle_begun,
+            Ended: lambda one: self.loads.end(one.target, one.run),
+            Leaving: lambda one: self._mark_leaving(one.target),
+            Failed: shared.health.apply_report,
+            Blamed: self._handle_blamed,
+            Ask: self._handle_ask,
+            Gift: self.reservations.apply_gift,
+            Lack: self.reservations.apply_lack,
+            Settled: self.reservations.settlements.apply,
+            Farewell: self._handle_farewell,
+            Limited: limits.apply_limit,
+            Paused: limits.apply_pause,
+            PermitAsk: shared.permits.handle_ask,
+            PermitAnswer: shared.permits.handle_answer,
+            PermitDropped: shared.permits.handle_withdrawal,
+            SentBefore: limits.add_sends,
+            StreamBegan: shared.origins.apply_told,
+            OriginAsk: shared.origins.answer,
+            OriginAnswer: shared.origins.apply_answer,
+            HistorySeen: shared.origins.adopt_history,
+            PartRecorded: shared.parts.apply_record,
+            PartsAnswered: shared.parts.apply_answer,
+            PartsTold: lambda one: shared.parts.note_informed(),
+            StartAlive: shared.parts.apply_alive,
+            TryAsk: shared.tries.handle_ask,
+            TryAnswer: shared.tries.handle_answer,
+            TryEnded: shared.tries.handle_end,
+            Marked: self._handle_marks,
+        }
+
     def handle_message(self, message: Message) -> None:
         """Handle a message of another router."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+    def add_handler(self, kind: type, handler: Callable[[Any], None]) -> None:
+        """Handle a further type of message."""
+        self._handlers[kind] = handler
+
+    def _handle_sent(self, message: Sent) -> None:
+        prompt = Prompt(message.parts, message.tokens, message.most_answer)
+        self.loads.send(
+            message.target,
+            message.run,
+            prompt,
+            message.cached,
+            self.clock.now(),
+            self._find_capacity(message.target),
+            message.disturbing,
+        )
+
+    def _handle_held(self, message: Held) -> None:
+        capacity = self._find_capacity(message.target)
+        self.loads.hold(message.target, message.parts, capacity)
+
+    def _handle_begun(self, message: Begun) -> None:
+        self.loads.begin(message.target, message.run, self.clock.now())
+
+    def _handle_blamed(self, message: Blamed) -> None:
+        now = self.clock.now()
+        self.shared.blame.record_crash(message.content, message.target, now)
+
+    def _handle_farewell(self, message: Farewell) -> None:
+        self.allotter.record_ended(message.holder, dict(message.spent))
+
+    def _handle_marks(self, message: Marked) -> None:
         now = self.clock.now()
-        if isinstance(message, Sent):
-            prompt = Prompt(message.parts, message.tokens, message.most_answer)
-            capacity = self._find_capacity(message.target)
-            self.loads.send(
-                message.target,
-                message.run,
-                prompt,
-                message.cached,
-                now,
-                capacity,
-                message.disturbing,
-            )
-        elif isinstance(message, Held):
-            capacity = self._find_capacity(message.target)
-            self.loads.hold(message.target, message.parts, capacity)
-        elif isinstance(message, Begun):
-            self.loads.begin(message.target, message.run, now)
-        elif isinstance(message, Ended):
-            self.loads.end(message.target, message.run)
-        elif isinstance(message, Leaving):
-            self._mark_leaving(message.target)
-        elif isinstance(message, Failed):
-            self.shared.health.apply_report(message)
-        elif isinstance(message, Blamed):
-            self.shared.blame.record_crash(message.content, message.target, now)
-        elif isinstance(message, Ask):
-            self._handle_ask(message)
-        elif isinstance(message, Gift):
-            self.reservations.apply_gift(message)
-        elif isinstance(message, Lack):
-            self.reservations.apply_lack(message)
-        elif isinstance(message, Settled):
-            self.reservations.settlements.apply(message)
-        elif isinstance(message, Farewell):
-            self.allotter.record_ended(message.holder, dict(message.spent))
-        elif isinstance(message, Limited):
-            self.limits.apply_limit(message)
-        elif isinstance(message, Paused):
-            self.limits.apply_pause(message)
-        elif isinstance(message, PermitAsk):
-            self.shared.permits.handle_ask(message)
-        elif isinstance(message, PermitAnswer):
-            self.shared.permits.handle_answer(message)
-        elif isinstance(message, PermitDropped):
-            self.shared.permits.handle_withdrawal(message)
-        elif isinstance(message, SentBefore):
-            self.limits.add_sends(message)
-        elif isinstance(message, StreamBegan):
-            self.shared.origins.apply_told(message)
-        elif isinstance(message, OriginAsk):
-            self.shared.origins.answer(message)
-        elif isinstance(message, OriginAnswer):
-            self.shared.origins.apply_answer(message)
-        elif isinstance(message, HistorySeen):
-            self.shared.origins.adopt_history(message)
-        elif isinstance(message, PartRecorded):
-            self.shared.parts.apply_record(message)
-        elif isinstance(message, PartsAnswered):
-            self.shared.parts.apply_answer(message)
-        elif isinstance(message, PartsTold):
-            self.shared.parts.note_informed()
-        elif isinstance(message, StartAlive):
-            self.shared.parts.apply_alive(message)
-        elif isinstance(message, TryAsk):
-            self.shared.tries.handle_ask(message)
-        elif isinstance(message, TryAnswer):
-            self.shared.tries.handle_answer(message)
-        elif isinstance(message, TryEnded):
-            self.shared.tries.handle_end(message)
-        elif isinstance(message, Marked):
-            for revision, age in message.marks:
-                self.marks.add(Mark(now - age, revision))
+        for revision, age in message.marks:
+            self.marks.add(Mark(now - age, revision))
 
     def _find_capacity(self, target: str) -> int:
         known, table = self.loads.targets.get(target), self.shared.table
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -1,303 +1,23 @@
-"""Assemble the parts of one gateway, start them and stop them."""
+"""Start a gateway's parts and its background tasks, and stop them."""
 
 import asyncio
-import random
 
-from anvilshift.core.allocators import AllocatorMap
-from anvilshift.core.blame import CrashBlame
-from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.identity import make_identity
-from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.retention import MarkLog
-from anvilshift.core.retries import RetryBudget
-from anvilshift.core.routing import Configuration, RouteTable
-from anvilshift.gateway.answering import send_error
-from anvilshift.gateway.border import Dialect, make_server_limits
-from anvilshift.gateway.configurations import Configurations
-from anvilshift.gateway.conversation import PeerMessenger
-from anvilshift.gateway.directory import Endpoints, RouterDirectory
-from anvilshift.gateway.following import Follower, WatchIntervals
-from anvilshift.gateway.forwarding import Forwarding
-from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.limits import RateLimits
-from anvilshift.gateway.origins import StreamOrigins
-from anvilshift.gateway.partstore import PartStore
-from anvilshift.gateway.partwatch import PartWatch
-from anvilshift.gateway.passing import RequestHandler
-from anvilshift.gateway.peers import PeerCallbacks, Peers
+from anvilshift.gateway.assembly import GatewayParts
 from anvilshift.gateway.periodic import TICK_INTERVAL, PeriodicWork
-from anvilshift.gateway.permits import Permits
-from anvilshift.gateway.reach import TargetReach
-from anvilshift.gateway.recording import Recorder
-from anvilshift.gateway.reserving import Reservations
-from anvilshift.gateway.retryshares import RetryShares
-from anvilshift.gateway.sending import Sender
-from anvilshift.gateway.settings import GatewaySettings
-from anvilshift.gateway.shared import RouterContext
-from anvilshift.gateway.shares import ShareManager
 from anvilshift.gateway.stopping import PlannedStop
-from anvilshift.gateway.targethealth import TargetHealth
-from anvilshift.gateway.targetregistry import TargetRegistry
-from anvilshift.gateway.targetstarts import TargetStarts
-from anvilshift.gateway.tries import Tries
-from anvilshift.objects.hedged import HedgedStore
-from anvilshift.objects.store import ObjectStore
-from anvilshift.wire.client import HttpClient, Network, TcpNetwork
-from anvilshift.wire.messages import Address, HttpRequest
-from anvilshift.wire.responder import Responder
-from anvilshift.wire.server import HttpServer
+from anvilshift.wire.messages import Address
 
-_TARGETS_INTERVALS = WatchIntervals(wait=1.5 * SECOND, rest=500.0)
-"""Engines renew their entries many times a second, so changes are read in batches.
-An engine announces its departure two seconds ahead; a rest of 500 ms uses half a
-second of these."""
 _SEED_TIMEOUT: Millis = 60.0
 """Time after the start for a seed to answer.  If all routers lost power, the seeds may
 start some tenths of a second after the others."""
 
 
-class GatewayNode:
-    """One gateway with all its parts.
+class GatewayNode(GatewayParts):
+    """One gateway that can be started and stopped."""
 
-    Parameters
-    ----------
-    born
-        Reading of the clock at which its process was already running; None unless the
-        process runs this node only.
-    network
-        Opens the connections to targets and routers; TCP if omitted.
-    boot_clock
-        A clock that goes on while the host is suspended; the other one if omitted.
-    """
-
-    def __init__(
-        self,
-        settings: GatewaySettings,
-        dialect: Dialect,
-        store: ObjectStore,
-        clock: Clock,
-        journal: Journal,
-        rng: random.Random,
-        born: Millis | None = None,
-        network: Network | None = None,
-        boot_clock: Clock | None = None,
-    ) -> None:
-        store = HedgedStore(
-            store, clock, lambda why: journal.write("store_doubted", why=why)
-        )
-        self.store = store
-        self.settings = settings
-        self.dialect = dialect
-        self.clock = clock
-        self.journal = journal
-        self.incarnation = f"{settings.name}.{make_identity(rng)[:12]}"
-        self.loads = LoadMap()
-        self.peers = Peers(
-            settings.ip,
-            settings.peer_port,
-            settings.failure_domain,
-            clock,
-            journal,
-        )
-        self.peers.addresses = {ip for ip in settings.seeds if ip != settings.ip}
-        self.allotter = ShareManager(
-            store, settings.name, self.incarnation, clock, journal
-        )
-        self.marks = MarkLog(settings.history or 0.0)
-        self.recorder = Recorder(
-            store,
-            settings.name,
-            settings.ip,
-            self.incarnation,
-            clock,
-            journal,
-            self.allotter.balances,
-            self.marks,
-        )
-        self.allocators = AllocatorMap(settings.name)
-        self.reservations = Reservations(self.allotter, self.allocators, clock, journal)
-        if settings.history is not None:
-            self.recorder.born = born
-            self.allotter.bound_former_use = self.recorder.bound_former_use
-            self.recorder.end_record = self.allotter.notify_waiters
-            self.reservations.recorder = self.recorder
-        self.client = HttpClient(network=network)
-        self.limits = RateLimits(
-            settings.name, self.incarnation, self.loads, self.peers, clock, journal
-        )
-        self.permits = Permits(
-            self.limits, settings.ip, self.loads, self.peers, clock, journal
-        )
-        self.reach = TargetReach(
-            self.client,
-            self.peers,
-            self.loads,
-            clock,
-            journal,
-            rng,
-            settings.failure_domain,
-            settings.forward_port,
-            network or TcpNetwork(),
-        )
-        self.forwarding = Forwarding(
-            self.peers, self.loads, self.reach.paths, clock, network
-        )
-        self.starts = TargetStarts(self.client, dialect, clock, journal)
-        sender = Sender(
-            self.reach,
-            dialect,
-            self.loads,
-            self.peers,
-            clock,
-            journal,
-            self.limits,
-            self.starts,
-        )
-        blame = CrashBlame()
-        parts = PartWatch(
-            settings.name,
-            self.limits,
-            self.loads,
-            self.peers,
-            self.reach,
-            clock,
-            journal,
-            blame.forgive,
-        )
-        self.shared = RouterContext(
-            self.incarnation,
-            clock,
-            rng,
-            dialect,
-            sender,
-            self.permits,
-            self.reservations,
-            journal,
-            settings.failure_domain,
-            RetryBudget(settings.retries),
-            boot_clock or clock,
-            TargetHealth(
-                self.incarnation,
-                settings.failure_domain,
-                self.loads,
-                self.peers,
-                clock,
-                journal,
-                rng,
-            ),
-            StreamOrigins(
-                settings.name, settings.ip, self.peers, self.loads, clock, journal
-            ),
-            parts,
-            Tries(settings.ip, parts, self.peers, clock),
-            blame=blame,
-        )
-        self.retry_shares = RetryShares.for_router(
-            settings, store, self.shared, self.peers
-        )
-        self.part_store = PartStore(store, parts, clock, journal)
-        self.messenger = self._make_messenger()
-        self.targets = TargetRegistry(
-            dialect,
-            self.loads,
-            self.client,
-            self.peers,
-            clock,
-            journal,
-            self.messenger.handle_lost_target,
-            self.shared.health.reports.forget,
-        )
-        self.configurations = Configurations(
-            settings,
-            dialect,
-            store,
-            self.peers,
-            clock,
-            journal,
-            rng,
-            self._apply_configuration,
-            network,
-        )
-        self.configuration_follower = self.configurations.follower
-        self.target_follower = Follower(
-            store,
-            dialect.targets_kind,
-            _TARGETS_INTERVALS,
-            clock,
-            journal,
-            self.targets.apply_change,
-            self.targets.entries.settle,
-        )
-        self.target_follower.probe = self.configuration_follower
-        self.directory = RouterDirectory(settings, self.peers, self.is_ready)
-        self.server = HttpServer(self.handle)
-        self.in_flight = 0
-        self.leaving = False
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def _make_messenger(self) -> PeerMessenger:
-        messenger = PeerMessenger(
-            self.settings,
-            self.incarnation,
-            self.peers,
-            self.loads,
-            self.allotter,
-            self.reservations,
-            self.allocators,
-            self.marks,
-            self.shared,
-            self.limits,
-            self.clock,
-            self.journal,
-            self.is_ready,
-            lambda: self.leaving,
-            lambda: self.configuration_follower.is_fresh(),
-        )
-        self.peers.hooks = PeerCallbacks(
-            messenger.handle_message,
-            messenger.handle_router_loss,
-            messenger.make_heartbeat,
-            messenger.send_known_state,
-        )
-        self.reservations.ask = messenger.ask_for_tokens
-        self.recorder.on_new_mark = messenger.send_mark
-        self.shared.on_target_lost = messenger.handle_lost_target
-        self.shared.on_target_replaced = messenger.handle_replaced_target
-        return messenger
-
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        self.shared.table = RouteTable(configuration)
-        self.shared.origins.routes.update(configuration.rules, self.clock.now())
-        organisations = configuration.organisations
-        totals = {name: one.reserved for name, one in organisations.items()}
-        self.allotter.configure(configuration.version, totals)
-        self.allotter.balances.set_allocators(self.allocators)
-        self.reservations.forget_refusals()
-        self.server.limits = make_server_limits(configuration.limits)
-
-    # Callers
-
-    def is_ready(self) -> bool:
-        """Return whether callers should open new connections to this router."""
-        is_informed = self.shared.parts.is_informed
-        return self.shared.table is not None and is_informed and not self.leaving
-
-    def list_endpoints(self, domain: str = "") -> Endpoints:
-        """Return the addresses to which callers of a failure domain may connect."""
-        return self.directory.list_endpoints(domain)
-
-    async def handle(self, request: HttpRequest, responder: Responder) -> None:
-        """Answer a caller's request."""
-        self.in_flight += 1
-        try:
-            await RequestHandler(self.shared, request, responder).run()
-        except AnvilshiftError as error:
-            await send_error(responder, error, self.journal)
-        finally:
-            self.in_flight -= 1
-
-    # Background tasks
+    _tasks: tuple[asyncio.Task[None], ...] = ()
 
     async def start(self) -> None:
         """Open the sockets and start every background task."""
@@ -319,7 +39,7 @@
             self._find_peers(),
             PeriodicWork(self).run(),
         )
-        self._tasks = [loop.create_task(coroutine) for coroutine in coroutines]
+        self._tasks = tuple(loop.create_task(coroutine) for coroutine in coroutines)
         for task in self._tasks:
             task.add_done_callback(self._handle_task_end)
 
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -3,15 +3,12 @@
 import asyncio
 import time
 from dataclasses import asdict
-from typing import TYPE_CHECKING
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import Health
+from anvilshift.gateway.assembly import GatewayParts
 from anvilshift.gateway.following import find_interval_factor
 
-if TYPE_CHECKING:
-    from anvilshift.gateway.node import GatewayNode
-
 TICK_INTERVAL: Millis = 100.0
 _SUSPENDED_AFTER: Millis = 700.0
 """An event loop that was delayed for longer was frozen or suspended, not merely
@@ -23,7 +20,7 @@
 class PeriodicWork:
     """The work that one gateway does ten times a second."""
 
-    def __init__(self, node: "GatewayNode") -> None:
+    def __init__(self, node: GatewayParts) -> None:
         self._node = node
         self._retries_due: Millis = 0.0
 
