Send nothing to failure domains that operators drain

A drain of a failure domain was followed nowhere. One core view of the drains now decides for every send; a third follower (only where the settings name the bound) and messages between routers keep it current.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.placement.domaindrains import DomainDrains
 from anvilshift.core.prefill import prefill_time
 from anvilshift.core.targetload import Prompt, RunLoad, TargetInfo, TargetLoad
 
@@ -31,6 +32,11 @@
 class LoadMap:
     """The load of every target, by target name and by service.
 
+    Parameters
+    ----------
+    drains
+        The failure domains to whose targets nothing may be sent.
+
     Examples
     --------
     >>> loads = LoadMap()
@@ -45,7 +51,8 @@
     >>> loads.end("e1", "run-1")
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drains: DomainDrains | None = None) -> None:
+        self.drains = drains or DomainDrains()
         self.targets: dict[str, TargetLoad] = {}
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._lost: dict[str, tuple[TargetInfo, Millis]] = {}
@@ -98,14 +105,19 @@
         """Return the present and the recently lost targets of a service.
 
         If a crashed target were left out, the content that crashed it would be
-        assigned another target in its place.
+        assigned another target in its place.  Those of drained failure domains are
+        left out: no content goes there, and it needs other targets.
         """
         present = [
             t.info for t in self.list_service_targets(service) if not t.info.leaving
         ]
         lost = [i for i, until in self._lost.values() if now < until]
         recent = {info.name: info for info in [*lost, *present]}
-        return [info for info in recent.values() if info.service == service]
+        return [
+            info
+            for info in recent.values()
+            if info.service == service and self.drains.may_send(info.failure_domain)
+        ]
 
     def list_home_candidates(
         self, service: str, now: Millis, may_hide: Callable[[Millis], bool]
@@ -152,6 +164,23 @@
         """Return the targets of a service."""
         return self._by_service.get(service, [])
 
+    def list_drained(self, service: str) -> set[str]:
+        """Return the targets of a service whose failure domains are drained."""
+        return {
+            target.info.name
+            for target in self.list_service_targets(service)
+            if not self.drains.may_send(target.info.failure_domain)
+        }
+
+    def is_drained(self, service: str) -> bool:
+        """Return whether a service has targets, all of them in drained domains."""
+        present = {
+            target.info.name
+            for target in self.list_service_targets(service)
+            if not target.info.leaving
+        }
+        return bool(present) and present <= self.list_drained(service)
+
     def send(
         self,
         name: str,
--- /dev/null
+++ b/anvilshift/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where work goes, and where it may not go."""
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -8,6 +8,7 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.placement.domaindrains import DomainDrains
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
@@ -16,6 +17,7 @@
 from anvilshift.gateway.configurations import Configurations
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
+from anvilshift.gateway.domaindrains import DrainWatch
 from anvilshift.gateway.following import Follower, WatchIntervals
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
@@ -86,7 +88,8 @@
         self.clock = clock
         self.journal = journal
         self.incarnation = f"{settings.name}.{make_identity(rng)[:12]}"
-        self.loads = LoadMap()
+        drains = DomainDrains(settings.drain_bound is not None)
+        self.loads = LoadMap(drains)
         self.peers = Peers(
             settings.ip,
             settings.peer_port,
@@ -95,6 +98,10 @@
             journal,
         )
         self.peers.addresses = {ip for ip in settings.seeds if ip != settings.ip}
+        bound = settings.drain_bound
+        self.drains = DrainWatch(
+            settings.ip, bound, drains, self.peers, clock, journal, rng
+        )
         self.allotter = ShareManager(
             store, settings.name, self.incarnation, clock, journal
         )
@@ -224,6 +231,7 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
+        self.drains.follow(store, dialect.drains_kind, self.configuration_follower)
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -241,6 +249,7 @@
             self.marks,
             self.shared,
             self.limits,
+            self.drains,
             self.clock,
             self.journal,
             self.is_ready,
@@ -273,9 +282,13 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should open new connections to this router."""
-        is_informed = self.shared.parts.is_informed
+        is_informed = self.shared.parts.is_informed and self.loads.drains.is_known
         return self.shared.table is not None and is_informed and not self.leaving
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return present values for monitoring, by metric."""
+        return {**self.configurations.list_gauges(), **self.drains.list_gauges()}
+
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
         return self.directory.list_endpoints(domain)
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -129,6 +129,8 @@
         Kind and name of the stored object that holds the configuration.
     targets_kind
         Kind of the stored objects that register targets.
+    drains_kind
+        Kind of the stored objects whose names are those of drained failure domains.
     report_path
         Path at which a target reports its state.
     """
@@ -136,6 +138,7 @@
     configuration_kind: str
     configuration_name: str
     targets_kind: str
+    drains_kind: str
     report_path: str
 
     def read_configuration(self, body: Raw) -> Configuration:
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -10,6 +10,8 @@
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import Mark, MarkLog
 from anvilshift.core.targetload import Prompt
+from anvilshift.gateway.domaindrains import DrainWatch
+from anvilshift.gateway.drainmessages import DrainsTold
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import (
@@ -82,6 +84,7 @@
     marks: MarkLog
     shared: RouterContext
     limits: RateLimits
+    drains: DrainWatch
     clock: Clock
     journal: Journal
     is_ready: Callable[[], bool]
@@ -206,6 +209,7 @@
             TryAnswer: shared.tries.handle_answer,
             TryEnded: shared.tries.handle_end,
             Marked: self._handle_marks,
+            DrainsTold: self.drains.apply_told,
         }
 
     def handle_message(self, message: Message) -> None:
@@ -266,8 +270,8 @@
         """Send a new router what it needs to know of the time before its start.
 
         These are the spending of former incarnations of its host, the marks of the
-        store's history, the limits of targets, what is gone of versions and routes, and
-        the parts of prompts that may end engines.
+        store's history, the limits of targets, what is gone of versions and routes, the
+        parts of prompts that may end engines, and the drained failure domains.
         Without marks from others it could not prove the age of its own records until it
         had followed the store for as long as the store keeps its history.
         """
@@ -284,6 +288,7 @@
             self.peers.send(limited, beat.ip)
         self.peers.send(self.shared.origins.describe_history(), beat.ip)
         self.shared.parts.tell_new_router(beat.ip)
+        self.drains.tell(beat.ip)
 
     def send_mark(self, mark: Mark) -> None:
         """Send the other routers a new mark of the store's history."""
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -104,6 +104,8 @@
         Called with each object that exists, was written or was removed.
     settle
         Called after a list with the names of all existing objects.
+    note_applied
+        Called with the revision up to which all changes have been applied.
     probe
         Another follower of the same store.  While the probe finds the store
         unreachable, this follower waits for it instead of making calls that would
@@ -128,6 +130,7 @@
     journal: Journal
     change: Callable[[ObjectChange], None]
     settle: Callable[[set[str]], None] = lambda names: None
+    note_applied: Callable[[int], None] = lambda revision: None
     seen: Millis = -1e12
     confirmed: Millis = -1e12
     revision: int = 0
@@ -150,9 +153,9 @@
 
     def _find_wait(self) -> Millis:
         wait = self.intervals.wait * self.interval_factor
-        if self.probe is None:
-            return min(wait, self.max_wait)
-        return find_remaining_wait(wait, self.probe._find_wait())
+        if self.probe is not None:
+            wait = find_remaining_wait(wait, self.probe._find_wait())
+        return min(wait, self.max_wait)
 
     def restart(self) -> None:
         """Begin again with a list, because the known state may be outdated."""
@@ -239,6 +242,7 @@
         self.settle({item.name for item in listing.items})
         self.revision = self._newest = listing.revision
         self.confirmed = asked
+        self.note_applied(self.revision)
 
     async def _watch(self) -> None:
         wait = self._find_wait()
@@ -254,6 +258,7 @@
         self.revision = max(self.revision, found.revision)
         self._newest = max(self._newest, self.revision)
         self.confirmed = asked
+        self.note_applied(self.revision)
         if found.changes and self.intervals.rest:
             await asyncio.sleep(
                 self.intervals.rest * min(self.interval_factor, 2.0) / SECOND
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -32,6 +32,7 @@
             self.peers.run(),
             self.configuration_follower.run(),
             self.target_follower.run(),
+            self.drains.run(),
             self.retry_shares.run(),
             self.part_store.run(),
             self.allotter.run(),
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -9,6 +9,7 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import (
     ANSWER_LATE,
+    NO_ENGINE,
     NOT_READY,
     OVERLOADED,
     STREAM_NOT_RESUMABLE,
@@ -24,7 +25,7 @@
     RouteTable,
     Rule,
 )
-from anvilshift.core.timeouts import NO_ENGINE_RETRY
+from anvilshift.core.timeouts import NO_ENGINE_RETRY, find_return
 from anvilshift.gateway.attempts import Attempts
 from anvilshift.gateway.border import Call
 from anvilshift.gateway.charging import count_used_tokens
@@ -47,6 +48,10 @@
 _INFORM_RETRY: Millis = 150.0
 """Retry delay while a router that starts asks the others what they know."""
 
+_DRAIN_RETRY: Millis = 5 * SECOND
+"""Retry delay while all targets of a service are drained, unless its caller waits less:
+operators take a drain back after seconds at the soonest."""
+
 
 class RequestHandler:
     """Handle one caller's request."""
@@ -146,6 +151,7 @@
         crashes.check()
         origin = await self._find_origin(call, rule)
         routed = self._route(table, call, rule, origin)
+        self._check_drains(routed)
         self._check_parts(routed)
         self.shared.retries.add_request(routed.service, self.shared.boot_clock.now())
         attempts = Attempts(self.shared, routed, self.relay, self.turn, crashes)
@@ -155,6 +161,24 @@
         else:
             await self._serve_prepaid(attempts, routed, routed.model)
 
+    def _check_drains(self, routed: RoutedRequest) -> None:
+        """Refuse a request at once whose service is drained, before it costs anything.
+
+        Raises
+        ------
+        AnvilshiftError
+            Also when this router has just started and doesn't know the drains yet.
+        """
+        loads = self.shared.sender.loads
+        if not loads.drains.is_known:
+            detail = "it isn't known yet which failure domains are drained"
+            raise AnvilshiftError(NOT_READY, detail, retry_after=_INFORM_RETRY)
+        if loads.is_drained(routed.service):
+            left = max(0.0, routed.end - self.shared.clock.now())
+            after = find_return(_DRAIN_RETRY, left, self.shared.rng)
+            detail = "the failure domains of all its targets are drained"
+            raise AnvilshiftError(NO_ENGINE, detail, after)
+
     def _check_parts(self, routed: RoutedRequest) -> None:
         """Refuse a prompt with a part that ends engines, before it costs anything.
 
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -54,6 +54,7 @@
         node.permits.handle_suspension()
         node.configuration_follower.restart()
         node.target_follower.restart()
+        node.drains.restart()
         node.retry_shares.follower.restart()
 
     def _write_retries(self, now: Millis) -> None:
@@ -86,6 +87,7 @@
         node.loads.expire(now)
         node.permits.run_checks(now)
         node.shared.parts.run_checks(now)
+        node.drains.run_checks(now)
         node.shared.health.probe_ejected(now)
         node.reach.watch(now)
         node.starts.expire(is_fresh)
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -10,7 +10,7 @@
 
 from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.targetload import TargetLoad
+from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, Dialect
 from anvilshift.gateway.journal import Journal
@@ -136,9 +136,14 @@
             if resumes and is_engine and not is_verified:
                 await self._verify_start(target, connection)
             self._check_rest(info.name)
+            self._check_drain(info)
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
-            delivery = replace(outgoing.delivery, remaining=max(1.0, left))
+            delivery = replace(
+                outgoing.delivery,
+                remaining=max(1.0, left),
+                fetch_from=self._find_source(outgoing),
+            )
             headers = self.dialect.write_target_fields(request, delivery)
             async with self.reach.client.exchange(
                 connection.address,
@@ -226,6 +231,25 @@
                 Failure.REJECTED, "the target has asked for rest meanwhile"
             )
 
+    def _check_drain(self, info: TargetInfo) -> None:
+        """Turn a request back whose target was drained since it was chosen.
+
+        Raises
+        ------
+        AttemptError
+            When nothing may be sent to the target's failure domain.
+        """
+        if not self.loads.drains.may_send(info.failure_domain):
+            detail = "the target's failure domain is drained"
+            raise AttemptError(Failure.REJECTED, detail)
+
+    def _find_source(self, outgoing: Outgoing) -> str | None:
+        """Return the address to fetch cache entries from, unless it was drained."""
+        source = outgoing.choice.fetch_from
+        if source is None or self.loads.drains.may_send(source.info.failure_domain):
+            return outgoing.delivery.fetch_from
+        return None
+
     def _record_send(self, outgoing: Outgoing) -> None:
         info, prompt = outgoing.choice.target.info, outgoing.prompt
         name = info.name
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -27,6 +27,9 @@
     recovery
         Time after a disruption of connections at which all that was acknowledged has
         to be in force again.
+    drain_bound
+        Time from the acknowledgement of a failure domain's drain until nothing is sent
+        there any more; None if operators can't drain failure domains.
     """
 
     name: str
@@ -44,3 +47,4 @@
     history: Millis | None = None
     recovery: Millis = 3 * SECOND
     configuration_port: int = 0
+    drain_bound: Millis | None = None
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -81,14 +81,21 @@
         """Return whether a target may take the request later that can't now.
 
         One that is ejected, rests or holds too much of such work may; one that has
-        failed the request, or may not go on with its stream, won't.
+        failed the request, may not go on with its stream, or is drained, won't.
         """
-        present = self.shared.sender.loads.list_service_targets(self.routed.service)
-        unfit = {*failed_targets, *self.stream.list_unfit()}
+        loads, service = self.shared.sender.loads, self.routed.service
+        present = loads.list_service_targets(service)
+        unfit = {
+            *failed_targets,
+            *self.stream.list_unfit(),
+            *loads.list_drained(service),
+        }
         return any(target.info.name not in unfit for target in present)
 
     def _list_unusable(self, failed_targets: Set[str]) -> set[str]:
-        return {*failed_targets, *self.turn.refused, *self.stream.list_unfit()}
+        drained = self.shared.sender.loads.list_drained(self.routed.service)
+        unfit = self.stream.list_unfit()
+        return {*failed_targets, *self.turn.refused, *unfit, *drained}
 
     def list_excluded(self, failed_targets: Set[str]) -> set[str]:
         """Return the targets to which the request may not be sent now."""
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -28,6 +28,7 @@
     configuration_kind = names.CONFIGURATION_KIND
     configuration_name = names.CONFIGURATION_NAME
     targets_kind = names.TARGETS_KIND
+    drains_kind = names.DRAINS_KIND
     report_path = names.REPORT_PATH
 
     def read_configuration(self, body: Raw) -> Configuration:
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -45,7 +45,7 @@
         handler = DiscoveryHandler(
             self.node.is_ready,
             self.node.list_endpoints,
-            self.node.configurations.list_gauges,
+            self.node.list_gauges,
         )
         self._discovery = handler
         self._stopping = asyncio.Event()
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -59,6 +59,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 TARGETS_KIND = "servers"
+DRAINS_KIND = "evacuations"
+"""Kind of the objects that drain the failure domains whose names they have."""
 REPORT_PATH = "/v1/report"
 READY_PATH = "/v1/readyz"
 RESOLVE_PATH = "/v1/resolve"
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -52,6 +52,10 @@
         allow_inf_nan=False,
     )
 
+    evacuate_ms: Millis | None = Field(
+        default=None, alias="evacuateMs", ge=0, allow_inf_nan=False
+    )
+
     def convert_retries(self) -> RetryLimits:
         """Return the limits on requests that are sent again."""
         window = self.retry_window_s * SECOND
@@ -94,6 +98,7 @@
             history=_convert_to_ms(self.platform.history_s),
             recovery=self.bounds.stable_ms,
             configuration_port=self.ports[0] + 2,
+            drain_bound=self.bounds.evacuate_ms,
         )
 
 
