--- a/tests/platform/gatewaycase.py
+++ b/tests/platform/gatewaycase.py
@@ -72,6 +72,8 @@
     """Repeats that all routers together may send beyond those that requests earn."""
     has_shares = True
     """Whether routers have their share at once, as if they had run for long."""
+    drain_bound: float | None = None
+    """Setting of the same name: None unless failure domains can be drained."""
 
     def run(self, result=None):
         """Run the test; print what the routers logged if it fails."""
@@ -161,6 +163,7 @@
             retries=RetryLimits(allowance=self.allowance),
             history=history,
             configuration_port=configuration_port,
+            drain_bound=self.drain_bound,
         )
         node = GatewayNode(
             settings,
--- a/tests/platform/test_turned_away.py
+++ b/tests/platform/test_turned_away.py
@@ -46,8 +46,8 @@
                 connection.abort()
 
 
-class TurnedAwayTest(GatewayCase):
-    """Guards against a router that learns nothing while others beside it know."""
+class TurnedAwayCase(GatewayCase):
+    """A fleet of which the store turns all routers but the first one away."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -79,6 +79,10 @@
             door.turn_away(way)
         await asyncio.sleep(1.0)
 
+
+class TurnedAwayTest(TurnedAwayCase):
+    """Guards against a router that learns nothing while others beside it know."""
+
     async def measure(self, version: int) -> dict[str, float]:
         """Return after how many seconds each router that is turned away is current."""
         began, took = time.monotonic(), {}
