--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -25,6 +25,8 @@
 
 IN_TOUCH_AFTER = 3.0
 """Seconds after which a silence excuses nothing any more."""
+DRAINED_AFTER = 5.0
+"""Seconds from the acknowledgement of a drain until nothing is sent there any more."""
 _ADDRESS = Address("10.0.0.1", 1)
 _FLEETS = (1, 4, 5, 8, 12, 27)
 _IDLE = (0, 1, 3, 8)
@@ -64,15 +66,26 @@
     ----------
     routers
         Size of its fleet.
+    drain_bound
+        Setting of the same name: None unless failure domains can be drained.
     """
 
-    def __init__(self, routers: int) -> None:
+    def __init__(self, routers: int, drain_bound: float | None = None) -> None:
         self.store = BabblingStore()
         self.network = MemoryNetwork(self.store.server)
         self.client = PlatformStore(HttpClient(network=self.network), _ADDRESS)
         self.journal = SilentJournal()
         settings = GatewaySettings(
-            "n1", "10.0.0.2", "north", _ADDRESS, None, None, 1, 2, _ADDRESS
+            "n1",
+            "10.0.0.2",
+            "north",
+            _ADDRESS,
+            None,
+            None,
+            1,
+            2,
+            _ADDRESS,
+            drain_bound=drain_bound,
         )
         self.node = GatewayNode(
             settings,
@@ -91,6 +104,7 @@
         for follower in (self.node.configuration_follower, self.node.target_follower):
             follower.interval_factor = self.factor
             self.tasks.append(asyncio.create_task(follower.run()))
+        self.tasks.append(asyncio.create_task(self.node.drains.run()))
         await asyncio.sleep(0.1)
         # As many calls at a time as need that many connections.
         calls = (self.client.get("notes", "a") for _ in range(idle))
@@ -258,6 +272,54 @@
         self.check_babble(1.0, b" ")
 
 
+class SilentDrainsTest(unittest.TestCase):
+    """Guards against a drained failure domain that a silent connection hides."""
+
+    def play(self, scenario, routers: int) -> float:
+        async def run() -> float:
+            one = Play(routers, DRAINED_AFTER * 1_000)
+            if routers > 1:
+                # As long a watch of the drains as beside other routers.
+                one.node.drains.follower.max_wait = 20_000.0
+            await one.start(idle=3)
+            try:
+                return await scenario(one)
+            finally:
+                await one.stop()
+
+        return run_virtual(run())
+
+    async def measure(self, play: Play) -> float:
+        """Return how long after now a drain is in force, 30 s at most."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        play.store.put("evacuations", "north", {})
+        drains = play.node.loads.drains
+        while drains.may_send("north") and loop.time() < began + 30.0:
+            await asyncio.sleep(0.01)
+        return loop.time() - began
+
+    def test_drain_is_in_force_beside_a_silence(self):
+        async def scenario(play: Play) -> float:
+            play.network.silence()
+            await asyncio.sleep(0.02)
+            return await self.measure(play)
+
+        for routers in _FLEETS:
+            self.assertLessEqual(self.play(scenario, routers), DRAINED_AFTER)
+
+    def test_drain_is_in_force_at_once_after_a_suspension(self):
+        async def scenario(play: Play) -> float:
+            play.network.silence()
+            measured = asyncio.create_task(self.measure(play))
+            await asyncio.sleep(0.02)
+            PeriodicWork(play.node)._discard(5_000.0)
+            return await measured
+
+        # Nothing has to be waited for: the router knows that it stood still.
+        self.assertLessEqual(self.play(scenario, 1), 0.1)
+
+
 class SlowStoreTest(unittest.TestCase):
     """Guards against a store that is asked ever more because it is slow or down."""
 
