--- a/tests/platform/test_domaindrains.py
+++ b/tests/platform/test_domaindrains.py
@@ -6,7 +6,9 @@
 
 from anvilshift.core.partrecord import PartCrash, make_scope
 from anvilshift.core.placement.domaindrains import DomainDrain
+from anvilshift.core.targetload import Prompt
 from anvilshift.gateway.node import GatewayNode
+from anvilshift.wire.response import ExchangeError
 from tests.platform.gatewaycase import GatewayCase, make_configuration
 from tests.platform.test_turned_away import WAYS, TurnedAwayCase
 
@@ -58,6 +60,8 @@
             status, _, _ = await self.call(path, f"content {self.count}".encode())
             self.assertEqual(status, 200)
         self.assertEqual(self.count_runs("e1", "e2", "e3", "d1"), 0)
+        # None of them was chosen and turned back, which costs time.
+        self.assertNotIn("attempt_failed", self.journal.list_events())
         await self.end("south")
         calls = [self.call("/chat/1", b"%d" % number) for number in range(20)]
         await asyncio.gather(*calls)
@@ -92,6 +96,21 @@
         self.assertEqual((status, body.count(b"id: ")), (200, 6))
         self.assertEqual(self.count_runs("e2"), 0)
 
+    async def test_broken_stream_waits_for_no_drained_target(self):
+        """Guards against a search of a second that can find nothing."""
+        await self.add_engines(e1="north", e2="south")
+        await self.start_node()
+        await self.warm_up(self.node)
+        runs = self.count_runs("e2")
+        self.targets["e1"].crash_after = 3
+        await self.drain("south")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with self.assertRaises(ExchangeError):
+            await self.call("/chat/1")
+        self.assertLess(loop.time() - began, 0.5)
+        self.assertEqual(self.count_runs("e2"), runs)
+
     async def test_stream_that_its_caller_takes_up_goes_to_no_drained_target(self):
         await self.add_engines(e1="north", e2="south")
         await self.start_node()
@@ -107,12 +126,13 @@
         await self.start_node()
         crash = PartCrash("e9/1", self.node.clock.now(), False)
         self.node.shared.parts.blame.record_crash(make_scope("llm", ""), ["a"], crash)
-        self.node.loads.targets["e2"].runs["other"] = None
         await self.drain("south")
+        # The spare engine is the one with fewest runs.
+        loads, now = self.node.loads, self.node.clock.now()
+        loads.send("e2", "other", Prompt(), 0, now, 0)
         tried = []
         start = self.node.shared.tries.start
         self.node.shared.tries.start = lambda one: tried.append(one) or start(one)
-        self.node.loads.targets["e2"].runs.clear()
         status, _, _ = await self.call("/chat/1")
         self.assertEqual((status, self.count_runs("e1")), (200, 0))
         self.assertEqual([one.target for one in tried], ["e2"])
