Count only targets that may be sent to when one is to be ejected

While one of two failure domains was drained both targets of the other one could be ejected: the drained ones counted as in use. The test was red before (2 ejected, 1 allowed).

--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -131,23 +131,30 @@
     def _is_suspect(self, target: TargetLoad) -> bool:
         others = [
             other.info.name
-            for other in self.loads.list_service_targets(target.info.service)
-            if other is not target
-            and not other.info.leaving
-            and other.health.state is not HealthState.EJECTED
+            for other in self._list_in_use(target)
+            if other is not target and other.health.state is not HealthState.EJECTED
         ]
         probed = target.health.state is HealthState.PROBING
         now = self.clock.now()
         return self.reports.is_suspect(target.info.name, others, now, probed)
 
     def _may_eject(self, target: TargetLoad) -> bool:
-        present = [
+        present = self._list_in_use(target)
+        ejected = sum(t.health.state is HealthState.EJECTED for t in present)
+        return may_eject(ejected, len(present))
+
+    def _list_in_use(self, target: TargetLoad) -> list[TargetLoad]:
+        """Return the targets of the same service to which requests are sent.
+
+        Those of drained failure domains have no failures because they have no requests,
+        and can't replace one that is ejected.
+        """
+        drained = self.loads.list_drained(target.info.service)
+        return [
             other
             for other in self.loads.list_service_targets(target.info.service)
-            if not other.info.leaving
+            if not other.info.leaving and other.info.name not in drained
         ]
-        ejected = sum(t.health.state is HealthState.EJECTED for t in present)
-        return may_eject(ejected, len(present))
 
     def _eject(self, target: TargetLoad, lasting: bool = True) -> None:
         health, name = target.health, target.info.name
--- a/tests/platform/test_domaindrains.py
+++ b/tests/platform/test_domaindrains.py
@@ -4,6 +4,7 @@
 import json
 from contextlib import asynccontextmanager
 
+from anvilshift.core.ejection import HealthState
 from anvilshift.core.partrecord import PartCrash, make_scope
 from anvilshift.core.placement.domaindrains import DomainDrain
 from anvilshift.core.targetload import Prompt
@@ -283,6 +284,22 @@
         self.assertEqual(status, 200)
 
 
+class EjectionTest(DrainCase):
+    """Guards against a drain that lets all other targets be ejected."""
+
+    async def test_ejections_leave_half_of_the_targets_in_use(self):
+        await self.add_engines(e1="south", e2="south", e3="north", e4="north")
+        await self.start_node()
+        await self.drain("south")
+        health, loads = self.node.shared.health, self.node.loads
+        for name in ("e3", "e4"):
+            target = loads.targets[name]
+            if health._may_eject(target):
+                health._eject(target)
+        states = [loads.targets[name].health.state for name in ("e3", "e4")]
+        self.assertEqual(states.count(HealthState.EJECTED), 1)
+
+
 class StartTest(DrainCase):
     """Guards against a router that starts in a drain and sends there at first."""
 
