--- a/tests/platform/test_domaindrains.py
+++ b/tests/platform/test_domaindrains.py
@@ -16,8 +16,8 @@
 KIND = "evacuations"
 BOUND_S = 5.0
 """Seconds from the acknowledgement of a drain until nothing is sent there any more."""
-_PAUSE_S = 0.3
-"""A pause of a stream in which a test has time to change something."""
+_PACE_S = 0.1
+"""Seconds between events of a stream, in which a test has time to change something."""
 
 
 class DrainCase(GatewayCase):
@@ -71,9 +71,11 @@
     async def test_streams_that_run_there_end_there(self):
         await self.add_engines(e1="south")
         await self.start_node()
-        self.targets["e1"].pace = _PAUSE_S / 2
+        await self.warm_up(self.node)
+        runs = self.count_runs("e1")
+        self.targets["e1"].pace = _PACE_S
         call = asyncio.create_task(self.call("/chat/1"))
-        await self.wait_for(lambda: self.count_runs("e1") == 1)
+        await self.wait_for(lambda: self.count_runs("e1") > runs)
         await self.drain("south")
         status, _, body = await call
         self.assertEqual((status, body.count(b"id: ")), (200, 6))
