Drop what no case of drains needs: a new list after a suspension, repeats after an end

Mutants by hand showed both to be without effect: renewed watches go on from their revision, and a router that missed an end repeats its drain and is answered. Two further tests: a late drain doesn't replace a newer one, a new router is told at once.

--- a/anvilshift/gateway/domaindrains.py
+++ b/anvilshift/gateway/domaindrains.py
@@ -34,8 +34,6 @@
 _TOLD_AGAIN = 3
 """Routers that one router tells each time while a drain is in force."""
 _REPEAT_INTERVAL: Millis = 500.0
-_REPEATED_FOR: Millis = 30 * SECOND
-"""How long routers repeat what they know after a change."""
 _STORE, _PEER = "store", "peer"
 
 
@@ -65,7 +63,6 @@
     on_return: Callable[[str], None] = lambda domain: None
     follower: Follower | None = None
     _listed: set[str] | None = None
-    _changed_at: Millis = -math.inf
     _repeated_at: Millis = -math.inf
     _is_changed: bool = False
 
@@ -107,11 +104,6 @@
         if self.follower is not None:
             await self.follower.run()
 
-    def restart(self) -> None:
-        """Read all drains anew, because the known ones may be outdated."""
-        if self.follower is not None:
-            self.follower.restart()
-
     def _take_change(self, change: ObjectChange) -> None:
         """Apply a written or removed entry; only its name counts, not its content."""
         if change.body is None:
@@ -181,7 +173,7 @@
     def _apply(self, changes: DrainChanges, way: str) -> None:
         if not changes:
             return
-        self._is_changed, self._changed_at = True, self.clock.now()
+        self._is_changed = True
         for drain in changes.ended:
             # Whoever presumes its targets cold must do so before anything is sent.
             self.on_return(drain.domain)
@@ -198,7 +190,8 @@
     def run_checks(self, now: Millis) -> None:
         """Tell other routers again what they may have missed.
 
-        A router that knows nothing yet says so, and each that it tells answers.
+        A router that knows nothing yet says so, and one that holds a drain says that:
+        whoever knows more answers.
         """
         if self.bound is None:
             return
@@ -206,8 +199,7 @@
         if now - self._repeated_at < _REPEAT_INTERVAL:
             return
         self._repeated_at = now
-        is_recent = now - self._changed_at < _REPEATED_FOR
-        if is_recent or self.drains.list_drains() or not self.drains.is_known:
+        if self.drains.list_drains() or not self.drains.is_known:
             self._tell_some(_TOLD_AGAIN)
 
     def list_gauges(self) -> dict[str, float]:
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -54,7 +54,6 @@
         node.permits.handle_suspension()
         node.configuration_follower.restart()
         node.target_follower.restart()
-        node.drains.restart()
         node.retry_shares.follower.restart()
 
     def _write_retries(self, now: Millis) -> None:
--- a/tests/core/placement/test_domaindrains.py
+++ b/tests/core/placement/test_domaindrains.py
@@ -83,6 +83,13 @@
         self.assertFalse(self.drains.end("north", 11))
         self.assertTrue(self.drains.end("north", 13))
 
+    def test_late_drain_does_not_replace_a_newer_one(self):
+        """Guards against a newer drain that ends with an older one."""
+        self.drains.begin(drain("north", 15))
+        self.assertFalse(self.drains.begin(drain("north", 12)))
+        self.assertFalse(self.drains.end("north", 12))
+        self.assertEqual(self.list_drained(), ["north"])
+
     def test_domain_may_be_drained_again(self):
         for revision in (11, 13, 15):
             self.assertTrue(self.drains.begin(drain("north", revision)))
--- a/tests/platform/test_domaindrains.py
+++ b/tests/platform/test_domaindrains.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.partrecord import PartCrash, make_scope
 from anvilshift.core.placement.domaindrains import DomainDrain
 from anvilshift.core.targetload import Prompt
+from anvilshift.gateway.drainmessages import DrainsTold
 from anvilshift.gateway.node import GatewayNode
 from anvilshift.wire.response import ExchangeError
 from tests.platform.gatewaycase import GatewayCase, make_configuration
@@ -326,6 +328,19 @@
         status, _, _ = await self.call("/chat/1")
         self.assertEqual(status, 200)
 
+    async def test_router_that_is_new_to_another_one_is_told_at_once(self):
+        await self.start_node()
+        await self.drain("south")
+        told = []
+        self.node.peers.send = lambda message, ip: told.append((message, ip))
+        beat = replace(
+            self.node.messenger.make_heartbeat(), router="n2", ip="127.0.0.9"
+        )
+        self.node.messenger.send_known_state(beat)
+        views = [(one, ip) for one, ip in told if isinstance(one, DrainsTold)]
+        self.assertEqual([ip for _, ip in views], ["127.0.0.9"])
+        self.assertEqual([name for name, _, _ in views[0][0].drains], ["south"])
+
     async def test_router_asks_nothing_where_no_domain_can_be_drained(self):
         self.drain_bound = None
         await self.add_engines(e1="south")
