Send to cold targets by permits at a rate that two issuers may grant at once

A target's entry says how long it accepts few requests after its start. It was read and thrown away, so that all routers together sent a cold target what it could stand or not.

A cold target is now limited like one that names a rate: by the permits of its issuer, at an even pace and without the tolerance that a named limit has. A router whose view of the others has just begun or grown by several issues none; one that sees none of those that exist sends nothing, each side of a cut its part.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -219,7 +219,7 @@
     waiting = target.backlog(now)
     prefill = prefill_time(tokens - cached, cached)
     source = None
-    if most - cached >= _FETCH_LEAST:
+    if most - cached >= _FETCH_LEAST and not target.is_cold(now):
         fetched = FETCH_SETUP + (most - cached) * demand.fetch_per_token
         fetched += prefill_time(tokens - most, most)
         if fetched < prefill:
--- /dev/null
+++ b/anvilshift/core/health/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how much a target in need is sent, and when it is left alone."""
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -72,6 +72,7 @@
         if known is not None and not target.info.is_other_start(known.info):
             target.limit, target.meter = known.limit, known.meter
             target.paused_until = known.paused_until
+            target.cold = known.cold
             target.brittle = known.brittle
             target.is_start_doubted = known.is_start_doubted
             if known.farewell:
--- a/anvilshift/core/permits.py
+++ b/anvilshift/core/permits.py
@@ -98,6 +98,9 @@
 
     Attributes
     ----------
+    held_until
+        Time before which no permit is granted as far as is known now; it may change
+        either way.
     issued
         Number of granted permits.
     refused
@@ -114,6 +117,7 @@
 
     def __init__(self, meter: RequestLog, opens: Millis = float("-inf")) -> None:
         self.opens_at = opens
+        self.held_until = float("-inf")
         self.issued = 0
         self.refused = 0
         self._meter = meter
@@ -137,18 +141,21 @@
         """Return when the next permit may be granted."""
         if rate is None:
             return now
-        return max(self.opens_at, self._meter.find_next(rate, now))
+        earliest = max(self.opens_at, self.held_until)
+        return max(earliest, self._meter.find_next(rate, now))
 
     def ask(self, bid: Bid, rate: float | None, now: Millis) -> Verdict:
         """Grant, queue or refuse a bid.
 
-        A bid that is sent again after its permit was granted gets the same permit.
+        A bid that is sent again after its permit was granted gets the same permit,
+        unless that has expired.
 
         Parameters
         ----------
         rate
             Requests per second that the target accepts; None if unlimited.
         """
+        self._meter.drop_unused(bid.run, now)
         if bid.run in self._meter:
             return Verdict(bid.run, BidState.GRANTED)
         earlier_bid = self._waiting.get(bid.run)
--- a/anvilshift/core/ratelimits.py
+++ b/anvilshift/core/ratelimits.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, replace
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.health import coldtargets
 
 SPAN: Millis = 4 * SECOND
 """Length of the sliding window in which the limit is enforced: no window of this
@@ -119,6 +120,11 @@
 class RequestLog:
     """Record of recent requests to one target from all routers that report theirs.
 
+    Attributes
+    ----------
+    cold_until
+        Until when the target is cold: requests are then spaced without a tolerance.
+
     Examples
     --------
     >>> meter = RequestLog()
@@ -129,6 +135,7 @@
     """
 
     def __init__(self) -> None:
+        self.cold_until: Millis = float("-inf")
         self._sends: dict[str, Millis] = {}
 
     def __contains__(self, run: str) -> bool:
@@ -148,6 +155,12 @@
     def _is_old(self, now: Millis) -> bool:
         return now - next(iter(self._sends.values())) > _RETENTION
 
+    def drop_unused(self, run: str, now: Millis) -> None:
+        """Forget a permit that is too old to be used, while the target is cold."""
+        at = self._sends.get(run, now)
+        if now < self.cold_until and now - at > coldtargets.PERMIT_LIFETIME:
+            del self._sends[run]
+
     def list_since(self, instant: Millis) -> list[tuple[str, Millis]]:
         """Return the requests sent at or after an instant, with their send times."""
         return [(run, at) for run, at in self._sends.items() if at >= instant]
@@ -163,6 +176,8 @@
         than the rate allows, including requests that were sent before the limit
         was known.
         """
+        if now < self.cold_until:
+            return coldtargets.find_next(self._sends.values(), rate, now)
         max_requests = max(1, int(rate * SPAN / SECOND))
         sends = sorted(self._sends.values())[-max_requests:]
         due = _find_due(sends, SECOND / rate) - _TOLERANCE
--- a/anvilshift/core/routing.py
+++ b/anvilshift/core/routing.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.health.coldtargets import ColdNeeds
 
 
 class RequestKind(Enum):
@@ -109,11 +110,14 @@
         Connections that one target accepts from all routers together.
     model
         Figures of its engines; None for a plain service.
+    cold
+        What its targets need after a start; None if they need nothing.
     """
 
     name: str
     max_connections: int
     model: ModelLimits | None = None
+    cold: ColdNeeds | None = None
 
 
 @dataclass(frozen=True)
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -8,6 +8,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.ejection import Health
+from anvilshift.core.health.coldtargets import ColdTerm
 from anvilshift.core.places import Places
 from anvilshift.core.ratelimits import RateLimit, RequestLog
 from anvilshift.core.rejections import RejectionRate
@@ -139,6 +140,8 @@
         Rate limit that it has announced, if any.
     meter
         Counts the requests sent to it recently.
+    cold
+        The time for which it accepts few requests after its start, if any.
     paused_until
         When it accepts requests again, as it announced when it refused one.
     brittle
@@ -171,6 +174,7 @@
     health: Health = field(default_factory=Health)
     speed: DecayingMean = field(default_factory=lambda: DecayingMean(1.0))
     limit: RateLimit | None = None
+    cold: ColdTerm | None = None
     meter: RequestLog = field(default_factory=RequestLog)
     paused_until: Millis = -math.inf
     avoided_until: Millis = -math.inf
@@ -188,7 +192,19 @@
 
     def find_rate(self, now: Millis) -> float | None:
         """Return its limit in requests a second; None where it has none."""
-        return self.limit.find_rate(now) if self.limit else None
+        rate = self.limit.find_rate(now) if self.limit else None
+        if self.cold is None or self.cold.is_over(now):
+            return rate
+        return self.cold.rate if rate is None else min(rate, self.cold.rate)
+
+    def is_cold(self, now: Millis) -> bool:
+        """Return whether it accepts few requests, as after its start."""
+        return self.cold is not None and not self.cold.is_over(now)
+
+    def set_cold(self, term: ColdTerm | None) -> None:
+        """Set the time for which it accepts few requests."""
+        self.cold = term
+        self.meter.cold_until = -math.inf if term is None else term.until
 
     def count_room(self, now: Millis) -> float:
         """Return how many requests more a brittle target takes; infinite for others.
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -6,6 +6,7 @@
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.health.coldtargets import ColdNeeds
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import MarkLog
@@ -13,6 +14,8 @@
 from anvilshift.core.routing import Configuration, RouteTable
 from anvilshift.gateway.answering import send_error
 from anvilshift.gateway.border import Dialect, make_server_limits
+from anvilshift.gateway.coldmessages import TargetCold
+from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.configurations import Configurations
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
@@ -120,8 +123,9 @@
         self.limits = RateLimits(
             settings.name, self.incarnation, self.loads, self.peers, clock, journal
         )
+        self.cold = ColdTargets(self.limits, clock, journal, settings.cold)
         self.permits = Permits(
-            self.limits, settings.ip, self.loads, self.peers, clock, journal
+            self.limits, settings.ip, self.loads, self.peers, clock, journal, self.cold
         )
         self.reach = TargetReach(
             self.client,
@@ -147,6 +151,7 @@
             journal,
             self.limits,
             self.starts,
+            self.cold,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -224,6 +229,7 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
+        self._connect_cold()
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -259,6 +265,19 @@
         self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
+    def _connect_cold(self) -> None:
+        cold, messenger = self.cold, self.messenger
+        cold.find_needs = self._find_cold_needs
+        cold.find_confirmed = lambda: self.target_follower.confirmed
+        self.targets.on_entry = cold.apply_entry
+        messenger.add_handler(TargetCold, cold.apply_message)
+        messenger.tell_new_router.append(cold.tell_new_router)
+
+    def _find_cold_needs(self, service: str) -> ColdNeeds | None:
+        table = self.shared.table
+        found = table.configuration.services.get(service) if table else None
+        return found.cold if found else None
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
@@ -268,6 +287,7 @@
         self.allotter.balances.set_allocators(self.allocators)
         self.reservations.forget_refusals()
         self.server.limits = make_server_limits(configuration.limits)
+        self.cold.apply_entries()
 
     # Callers
 
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -70,6 +70,8 @@
     is_ready, is_leaving, is_fresh
         Return whether this router accepts new callers, whether it is stopping as
         planned, and whether the store has answered it recently.
+    tell_new_router
+        Called with the address of each new router.
     """
 
     settings: GatewaySettings
@@ -87,6 +89,7 @@
     is_ready: Callable[[], bool]
     is_leaving: Callable[[], bool]
     is_fresh: Callable[[], bool]
+    tell_new_router: list[Callable[[str], None]] = field(default_factory=list)
     _lending_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _handlers: dict[type, Callable[[Any], None]] = field(init=False)
 
@@ -284,6 +287,8 @@
             self.peers.send(limited, beat.ip)
         self.peers.send(self.shared.origins.describe_history(), beat.ip)
         self.shared.parts.tell_new_router(beat.ip)
+        for tell in self.tell_new_router:
+            tell(beat.ip)
 
     def send_mark(self, mark: Mark) -> None:
         """Send the other routers a new mark of the store's history."""
--- a/anvilshift/gateway/limits.py
+++ b/anvilshift/gateway/limits.py
@@ -113,7 +113,7 @@
             **source,
         )
         if known is None or known.find_rate(now) is None:
-            self._report_sends(target)
+            self.report_sends(target)
         self.hooks.change(target.info.name)
 
     def apply_brittleness(self, name: str, named: float | None) -> None:
@@ -217,7 +217,7 @@
         for name in self._list_limited_targets():
             if self.find_issuer(name) != before.get(name):
                 self.hooks.move(name)
-                self._report_sends(self.loads.targets[name])
+                self.report_sends(self.loads.targets[name])
 
     def find_rate(self, target: TargetLoad) -> float | None:
         """Return the rate for all reachable routers, per second; None for no limit."""
@@ -238,7 +238,7 @@
         targets = self.loads.targets.items()
         return [name for name, one in targets if one.find_rate(now) is not None]
 
-    def _report_sends(self, target: TargetLoad) -> None:
+    def report_sends(self, target: TargetLoad) -> None:
         """Send the issuer this router's recent sends.
 
         Only a larger fleet needs this: in a small one the issuer hears of each send.
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from anvilshift.core.clock import Millis
+from anvilshift.gateway.coldmessages import TargetCold
 from anvilshift.gateway.partmessages import (
     PartRecorded,
     PartsAnswered,
@@ -301,6 +302,8 @@
         Time since the caller's request arrived.
     patience
         Time within which a permit can still be used.
+    cold_left
+        Time for which the target is cold, as far as the router knows.
     """
 
     run: str
@@ -310,6 +313,7 @@
     rank: int
     waited: Millis
     patience: Millis
+    cold_left: Millis = 0.0
 
 
 @dataclass(frozen=True)
@@ -368,6 +372,7 @@
     | PermitAnswer
     | PermitDropped
     | SentBefore
+    | TargetCold
     | StreamBegan
     | OriginAsk
     | OriginAnswer
--- a/anvilshift/gateway/permits.py
+++ b/anvilshift/gateway/permits.py
@@ -11,6 +11,7 @@
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.permits import TAKEOVER_DELAY, Bid, BidState, PermitQueue, Verdict
 from anvilshift.core.targetload import TargetLoad
+from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import LimitCallbacks, RateLimits
 from anvilshift.gateway.messages import PermitAnswer, PermitAsk, PermitDropped
@@ -88,6 +89,8 @@
     ----------
     ip
         Address at which this router receives messages.
+    cold
+        The cold targets; None where there are none.
     """
 
     limits: RateLimits
@@ -96,6 +99,7 @@
     peers: Peers
     clock: Clock
     journal: Journal
+    cold: ColdTargets | None = None
     _permit_queues: dict[str, PermitQueue] = field(default_factory=dict)
     _askers: dict[str, str] = field(default_factory=dict)
     _pending: dict[str, _PendingAsk] = field(default_factory=dict)
@@ -110,6 +114,8 @@
         opens = self.clock.now() + TAKEOVER_DELAY
         for permit_queue in self._permit_queues.values():
             permit_queue.opens_at = opens
+        if self.cold is not None:
+            self.cold.view.restart(self.clock.now())
 
     # Requests of this router
 
@@ -141,6 +147,8 @@
                 wait=round(verdict.wait, 1),
                 issuer=self.limits.find_issuer(pending.target),
             )
+        if verdict.state is BidState.GRANTED and self.cold is not None:
+            self.cold.record_permit(request.run)
         return verdict
 
     async def _wait(self, pending: _PendingAsk) -> Verdict:
@@ -166,6 +174,7 @@
         now, request = self.clock.now(), pending.request
         pending.asked = now
         issuer = self.limits.find_issuer(pending.target)
+        target = self.loads.targets.get(pending.target)
         ask = PermitAsk(
             request.run,
             pending.target,
@@ -174,11 +183,12 @@
             request.rank,
             now - request.arrived,
             max(0.0, request.latest - now),
+            self.cold.find_left(target) if self.cold and target else 0.0,
         )
         if issuer == self.limits.own:
             self._decide(ask)
             return
-        ip, target = self.limits.find_ip(issuer), self.loads.targets.get(pending.target)
+        ip = self.limits.find_ip(issuer)
         if ip is None or target is None:
             return
         if target.limit is not None and pending.verdict is None:
@@ -217,6 +227,8 @@
         if self.limits.find_issuer(ask.target) != self.limits.own:
             return
         self._askers[ask.run] = ask.ip
+        if self.cold is not None:
+            self.cold.apply_ask(ask.target, ask.cold_left)
         self._decide(ask)
 
     def handle_withdrawal(self, message: PermitDropped) -> None:
@@ -240,7 +252,7 @@
             now,
         )
         permit_queue = self._find_permit_queue(target)
-        self._answer(permit_queue.ask(bid, self.limits.find_rate(target), now))
+        self._answer(permit_queue.ask(bid, self._find_rate(target), now))
         self._set_timer(ask.target)
 
     def _find_permit_queue(self, target: TargetLoad) -> PermitQueue:
@@ -249,8 +261,18 @@
         if permit_queue is None or not permit_queue.is_of(target.meter):
             permit_queue = PermitQueue(target.meter, self.clock.now() + TAKEOVER_DELAY)
             self._permit_queues[name] = permit_queue
+        self._hold(permit_queue, target)
         return permit_queue
 
+    def _find_rate(self, target: TargetLoad) -> float | None:
+        rate = self.limits.find_rate(target)
+        return rate if self.cold is None else self.cold.find_rate(target, rate)
+
+    def _hold(self, permit_queue: PermitQueue, target: TargetLoad) -> None:
+        """Set before which time no permit is granted, as far as is known now."""
+        if self.cold is not None:
+            permit_queue.held_until = self.cold.find_opening(target)
+
     def _answer(self, verdict: Verdict) -> None:
         """Send a verdict to its request, at this or another router."""
         queued = verdict.state is BidState.QUEUED
@@ -272,7 +294,8 @@
         )
         if permit_queue is None or target is None:
             return
-        rate, now = self.limits.find_rate(target), self.clock.now()
+        self._hold(permit_queue, target)
+        rate, now = self._find_rate(target), self.clock.now()
         for verdict in permit_queue.grant_due(rate, now, _BID_TIMEOUT):
             self._answer(verdict)
         self._set_timer(name)
@@ -291,7 +314,7 @@
         if permit_queue is None or target is None or not permit_queue.waiting:
             return
         now = self.clock.now()
-        due = permit_queue.find_next(self.limits.find_rate(target), now)
+        due = permit_queue.find_next(self._find_rate(target), now)
         loop = asyncio.get_running_loop()
         delay = (due - now) / SECOND
         self._timers[name] = loop.call_later(delay, self._serve, name)
@@ -300,10 +323,12 @@
 
     def run_checks(self, now: Millis) -> None:
         """Remove expired limits and unused state; log the use of limits each second."""
+        if self.cold is not None:
+            self.cold.run_checks(now)
         self.limits.remove_expired(now)
         for name in list(self._permit_queues):
             target = self.loads.targets.get(name)
-            if target is None or target.limit is None:
+            if target is None or (target.limit is None and target.cold is None):
                 self._close_permit_queue(name)
         if now - self._reported_at >= _REPORT_INTERVAL:
             self._reported_at = now
@@ -321,11 +346,11 @@
     def _report(self, now: Millis) -> None:
         for name, permit_queue in self._permit_queues.items():
             target = self.loads.targets[name]
-            rate = self.limits.find_rate(target)
+            rate = self._find_rate(target)
             if rate is None:
                 continue
             self.journal.write(
-                "limit_use",
+                "cold_use" if target.is_cold(now) else "limit_use",
                 target=name,
                 rate=round(rate, 3),
                 lately=target.meter.count(now),
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -13,6 +13,7 @@
 from anvilshift.core.targetload import TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, Dialect
+from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
@@ -44,6 +45,7 @@
     journal: Journal
     limits: RateLimits
     starts: TargetStarts
+    cold: ColdTargets | None = None
     _logged_fields: set[str] = field(default_factory=set)
 
     @contextlib.asynccontextmanager
@@ -136,6 +138,7 @@
             if resumes and is_engine and not is_verified:
                 await self._verify_start(target, connection)
             self._check_rest(info.name)
+            self._check_permit(outgoing)
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
             delivery = replace(outgoing.delivery, remaining=max(1.0, left))
@@ -226,6 +229,18 @@
                 Failure.REJECTED, "the target has asked for rest meanwhile"
             )
 
+    def _check_permit(self, outgoing: Outgoing) -> None:
+        """Turn a request back whose target became cold while a connection opened.
+
+        Raises
+        ------
+        AttemptError
+            When the target is cold, and the request has no permit to send to it now.
+        """
+        target = self.loads.targets.get(outgoing.choice.target.info.name)
+        if self.cold is not None and target is not None:
+            self.cold.check_permit(target, outgoing.run)
+
     def _record_send(self, outgoing: Outgoing) -> None:
         info, prompt = outgoing.choice.target.info, outgoing.prompt
         name = info.name
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -5,6 +5,7 @@
 
 from anvilshift.core.clock import Clock
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.following import TargetEntries
 from anvilshift.gateway.journal import Journal
@@ -23,6 +24,8 @@
     ----------
     on_target_lost
         Called with the name of a target that has ended or was restarted.
+    on_entry
+        Called with what a target's entry says, once it is in force.
     on_new_start
         Called with the name of a target that was restarted under its name.
     """
@@ -35,6 +38,7 @@
     journal: Journal
     on_target_lost: Callable[[str], None]
     on_new_start: Callable[[str], None] = lambda name: None
+    on_entry: Callable[[TargetInfo], None] = lambda info: None
     _unreadable: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -74,6 +78,7 @@
             self.peers.broadcast(Leaving(info.name))
         if known is None or known.info != info:
             self.loads.declare(info)
+        self.on_entry(info)
 
     def remove(self, name: str) -> None:
         """Remove a target, and announce to the other routers that it is gone."""
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -45,7 +45,10 @@
         handler = DiscoveryHandler(
             self.node.is_ready,
             self.node.list_endpoints,
-            self.node.configurations.list_gauges,
+            lambda: {
+                **self.node.configurations.list_gauges(),
+                **self.node.cold.list_gauges(),
+            },
         )
         self._discovery = handler
         self._stopping = asyncio.Event()
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -8,7 +8,8 @@
 from pydantic import BaseModel, ConfigDict, Field
 from pydantic.alias_generators import to_camel
 
-from anvilshift.core.clock import Millis
+from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.health.coldtargets import ColdNeeds, find_end
 from anvilshift.core.routing import (
     ClientLimits,
     Configuration,
@@ -110,13 +111,21 @@
     max_conns: int = 64
     engine_id: _Engine | None = None
     """Figures of the service's model engines; despite the name it is not an id."""
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    """Requests a second that a target takes for so long after its start."""
 
     def convert(self) -> Service:
         """Return the gateway's service."""
         engine = self.engine_id
-        if engine is None:
-            return Service(self.name, self.max_conns)
-        return Service(self.name, self.max_conns, engine.convert())
+        model = None if engine is None else engine.convert()
+        return Service(self.name, self.max_conns, model, self._convert_cold())
+
+    def _convert_cold(self) -> ColdNeeds | None:
+        if not 0.0 < self.cold_per_s < math.inf:
+            return None
+        lasts = find_end(self.cold_start_s * SECOND, 0.0)
+        return ColdNeeds(self.cold_per_s, lasts)
 
 
 class _Tenant(_Record):
@@ -193,6 +202,7 @@
             slots=self.slots,
             leaving=self.state == "draining",
             born=self.born,
+            cold_until=_find_cold_end(self.cold_left_ms, now),
             version=_read_version(self.version),
         )
 
@@ -204,6 +214,11 @@
     born: int | None = None
 
 
+def _find_cold_end(left: Millis, now: Millis) -> Millis:
+    """Return when a target is cold no more, by what its entry says."""
+    return find_end(left, now) if left > 0.0 else -math.inf
+
+
 def _read_version(value: Any) -> str | None:
     """Return a version of bounded length; None unless it is a non-empty text.
 
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -8,6 +8,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_SETTINGS, AnvilshiftError
+from anvilshift.core.health.coldtargets import ColdBounds
 from anvilshift.core.retries import RetryLimits
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.platform import names
@@ -17,6 +18,7 @@
 _MIN_RETRY_WINDOW_S, _MAX_RETRY_WINDOW_S = 0.1, 3_600.0
 _MAX_RETRY_ALLOWANCE = 1e6
 """A value beyond these is taken for a mistake: no service stands so many retries."""
+_MAX_COLD_OVERAGE, _MAX_COLD_ALLOWANCE = 100.0, 1e6
 _DEFAULT_PATH = "/etc/anvilshift/local.toml"
 
 
@@ -52,6 +54,20 @@
         allow_inf_nan=False,
     )
 
+    cold_overage: float = Field(
+        default=ColdBounds.overage, alias="coldOverage", ge=0, le=_MAX_COLD_OVERAGE
+    )
+    cold_allowance: float = Field(
+        default=ColdBounds.allowance,
+        alias="coldAllowance",
+        ge=0,
+        le=_MAX_COLD_ALLOWANCE,
+    )
+
+    def convert_cold(self) -> ColdBounds:
+        """Return how far the rate of a cold target may be exceeded."""
+        return ColdBounds(self.cold_overage, self.cold_allowance)
+
     def convert_retries(self) -> RetryLimits:
         """Return the limits on requests that are sent again."""
         window = self.retry_window_s * SECOND
@@ -93,6 +109,7 @@
             retries=self.bounds.convert_retries(),
             history=_convert_to_ms(self.platform.history_s),
             recovery=self.bounds.stable_ms,
+            cold=self.bounds.convert_cold(),
             configuration_port=self.ports[0] + 2,
         )
 
--- /dev/null
+++ b/tests/core/health/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what targets in need are sent."""
