--- a/tests/gateway/permitfleet.py
+++ b/tests/gateway/permitfleet.py
@@ -106,7 +106,7 @@
         self.served: list[tuple[str, int]] = []
         self.tasks: list[asyncio.Task] = []
         self.declare()
-        peers = PeerNetwork(fleet, name)
+        peers = self.make_network()
         self.limits = RateLimits(
             name, self.incarnation, self.loads, peers, fleet.clock, self.journal
         )
@@ -118,6 +118,9 @@
         )
         self.peers = peers
 
+    def make_network(self) -> PeerNetwork:
+        return PeerNetwork(self.fleet, self.name)
+
     def declare(self) -> None:
         born = self.fleet.engine.born
         info = TargetInfo(ENGINE, "llm", "10.0.0.1:80", "north", 64, born=born)
@@ -208,6 +211,8 @@
         Number of routers; in a large fleet sends aren't announced to all.
     """
 
+    node_kind = LimitNode
+
     def __init__(self, size: int, seed: int, loss: float = 0.0) -> None:
         self.clock = VirtualClock()
         self.rng = random.Random(seed)
@@ -229,7 +234,7 @@
 
     def start(self, name: str) -> LimitNode:
         self.starts += 1
-        node = self.nodes[name] = LimitNode(self, name)
+        node = self.nodes[name] = self.node_kind(self, name)
         node.start_task(node.sweep())
         if self.rate:
             node.start_task(node.keep_calling(self.rate, self.patience))
