--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -77,14 +77,19 @@
         await self.node.close()
 
     def _reload(self) -> None:
-        """Read the settings file; its retry limits take effect, the rest at a start."""
+        """Put the retry limits and cold bounds of the settings file in force."""
         try:
             settings = read_settings(find_settings_path())
         except AnvilshiftError as error:
             self._journal.write("settings_unreadable", why=error.detail)
             return
         self.node.retry_shares.configure(settings.retries)
-        self._journal.write("settings_read", retries=asdict(settings.retries))
+        self.node.cold.bounds = settings.cold
+        self._journal.write(
+            "settings_read",
+            retries=asdict(settings.retries),
+            cold=asdict(settings.cold),
+        )
 
 
 def run() -> int:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,6 +1,7 @@
 import math
 import unittest
 
+from anvilshift.core.health.coldtargets import ColdNeeds
 from anvilshift.platform.records import ServiceRecord, TargetRecord
 
 
@@ -27,6 +28,33 @@
                 self.assertEqual(read_model(**engine).fetch_per_token, math.inf)
 
 
+class ColdTest(unittest.TestCase):
+    def read_service(self, **rest):
+        return ServiceRecord.model_validate({"name": "advice", **rest}).convert().cold
+
+    def read_end(self, **rest) -> float:
+        entry = {"service": "advice", "address": "10.0.0.1:80", "zone": "north"}
+        figures = {"slots": 8, "state": "ready"}
+        record = TargetRecord.model_validate({**entry, **figures, **rest})
+        return record.convert("e1", 100.0).cold_until
+
+    def test_a_service_says_what_its_cold_targets_take_and_for_how_long(self):
+        found = self.read_service(coldStartS=3, coldPerS=7)
+        self.assertEqual(found, ColdNeeds(7.0, 3_000.0))
+
+    def test_a_service_without_a_rate_needs_nothing(self):
+        """Guards against a limit where a deployment asks for none."""
+        for rest in ({}, {"coldStartS": 3}, {"coldStartS": 3, "coldPerS": 0}):
+            with self.subTest(rest):
+                self.assertIsNone(self.read_service(**rest))
+
+    def test_an_entry_says_how_long_its_target_is_cold(self):
+        self.assertEqual(self.read_end(coldLeftMs=2_000), 2_100.0)
+        self.assertEqual(self.read_end(coldLeftMs=0), -math.inf)
+        self.assertEqual(self.read_end(), -math.inf)
+        self.assertEqual(self.read_end(coldLeftMs=1e18), 60_100.0)
+
+
 class VersionTest(unittest.TestCase):
     def read(self, **rest):
         entry = {"service": "advice", "address": "10.0.0.1:80", "zone": "north"}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.health.coldtargets import ColdBounds
 from anvilshift.core.retries import RetryLimits
 from anvilshift.platform.main import GatewayProcess, run
 from anvilshift.platform.settings import read_settings
@@ -75,6 +76,24 @@
         self.assertEqual(found, RetryLimits(0.5, 3_000.0, 0.0))
         self.assertEqual(self.read_retries(), RetryLimits(0.2, 10_000.0, 40.0))
 
+    def test_the_bounds_of_cold_targets_are_read_or_have_defaults(self):
+        bounds = "coldOverage = 2\ncoldAllowance = 0\n"
+        path = self.write(TEXT.replace("retryAllowance = 58\n", bounds))
+        self.assertEqual(read_settings(path).cold, ColdBounds(2.0, 0.0))
+        self.assertEqual(read_settings(self.write(TEXT)).cold, ColdBounds(1.5, 5.0))
+
+    def test_bounds_of_cold_targets_that_make_no_sense_are_refused(self):
+        """Guards against a bound that a mistaken setting switches off."""
+        for name in ("coldOverage", "coldAllowance"):
+            for value in ("-1", "nan", "inf", "1e9", '"x"'):
+                text = TEXT.replace("retryAllowance = 58\n", f"{name} = {value}\n")
+                with (
+                    self.subTest(name=name, value=value),
+                    self.assertRaises(AnvilshiftError) as caught,
+                ):
+                    read_settings(self.write(text))
+                self.assertIn(f"bounds.{name}", str(caught.exception))
+
     def test_limits_of_retries_that_make_no_sense_are_refused(self):
         """Guards against a bound that a mistaken setting switches off."""
         cases = {
--- a/tests/quick.py
+++ b/tests/quick.py
@@ -23,6 +23,7 @@
     "tests.core.test_retries.RetryWindowTest.",
     "tests.docs.test_commands.",
     "tests.docs.test_pages.",
+    "tests.gateway.test_coldtargets.",
     "tests.gateway.test_fleet_restart.",
     "tests.gateway.test_permits.BoundTest.",
     "tests.gateway.test_permits.FaultTest.",
