Go elsewhere where a cold target's turn comes too late, and hold needs by configuration

Found by the test through the platform's adapter: with all targets busy the cold one cost least (a wait for a permit of 1.6 s against 2.5 s for a full target), its turn came after the deadline, and the request was refused (3001) though the other target took it. A choice whose turn comes too late now gives way to one that is in time, if there is one.

Gateways whose configuration names no cold rate do no periodic work for it.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -6,7 +6,6 @@
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.health.coldtargets import ColdNeeds
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.retention import MarkLog
@@ -267,17 +266,11 @@
 
     def _connect_cold(self) -> None:
         cold, messenger = self.cold, self.messenger
-        cold.find_needs = self._find_cold_needs
         cold.find_confirmed = lambda: self.target_follower.confirmed
         self.targets.on_entry = cold.apply_entry
         messenger.add_handler(TargetCold, cold.apply_message)
         messenger.tell_new_router.append(cold.tell_new_router)
 
-    def _find_cold_needs(self, service: str) -> ColdNeeds | None:
-        table = self.shared.table
-        found = table.configuration.services.get(service) if table else None
-        return found.cold if found else None
-
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
@@ -287,7 +280,7 @@
         self.allotter.balances.set_allocators(self.allocators)
         self.reservations.forget_refusals()
         self.server.limits = make_server_limits(configuration.limits)
-        self.cold.apply_entries()
+        self.cold.configure(configuration.services.values())
 
     # Callers
 
--- a/anvilshift/gateway/coldtargets.py
+++ b/anvilshift/gateway/coldtargets.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -18,6 +18,7 @@
     find_end,
     find_permit_rate,
 )
+from anvilshift.core.routing import Service
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
 from anvilshift.gateway.coldmessages import TargetCold
@@ -34,10 +35,6 @@
 _PERMIT_MEMORY: Millis = 2 * SECOND
 
 
-def _find_no_needs(service: str) -> ColdNeeds | None:
-    return None
-
-
 @dataclass
 class ColdTargets:
     """The cold targets as one router knows them.
@@ -46,18 +43,18 @@
     ----------
     bounds
         How far the rate of a cold target may be exceeded.
-    find_needs
-        Returns what the targets of a service need after a start.
     find_confirmed
         Returns the instant until which all changes of entries have been applied.
+    needs
+        What the targets of each service need after a start that need anything.
     """
 
     limits: RateLimits
     clock: Clock
     journal: Journal
     bounds: ColdBounds = field(default_factory=ColdBounds)
-    find_needs: Callable[[str], ColdNeeds | None] = _find_no_needs
     find_confirmed: Callable[[], Millis] = lambda: -math.inf
+    needs: dict[str, ColdNeeds] = field(default_factory=dict)
     view: SteadyView = field(init=False)
     _told: dict[str, tuple[int, Millis]] = field(default_factory=dict)
     _permitted: dict[str, Millis] = field(default_factory=dict)
@@ -83,8 +80,9 @@
             left = info.cold_until - now
             self.limits.peers.broadcast(TargetCold(info.name, info.born, left))
 
-    def apply_entries(self) -> None:
-        """Apply all known entries again, under a new configuration."""
+    def configure(self, services: Iterable[Service]) -> None:
+        """Put a configuration in force, and apply all known entries under it."""
+        self.needs = {one.name: one.cold for one in services if one.cold is not None}
         for target in list(self.limits.loads.targets.values()):
             self.apply_entry(target.info)
 
@@ -110,7 +108,7 @@
         """
         now = self.clock.now()
         for name, target in list(self.limits.loads.targets.items()):
-            needs = self.find_needs(target.info.service)
+            needs = self.needs.get(target.info.service)
             if target.info.failure_domain == domain and needs is not None:
                 self._learn(name, now + needs.lasts, "presumed", presumed=now)
 
@@ -119,7 +117,7 @@
     ) -> bool:
         """Record that a target is cold; return whether that is new or takes longer."""
         target, now = self.limits.loads.targets.get(name), self.clock.now()
-        needs = self.find_needs(target.info.service) if target else None
+        needs = self.needs.get(target.info.service) if target else None
         if target is None or needs is None or until <= now:
             return False
         known = target.cold
@@ -168,9 +166,9 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return what monitoring reads of cold targets; nothing where none can be."""
-        now, targets = self.clock.now(), self.limits.loads.targets.values()
-        if not any(self.find_needs(one.info.service) for one in targets):
+        if not self.needs:
             return {}
+        now, targets = self.clock.now(), self.limits.loads.targets.values()
         return {"anvilshift_cold_targets": sum(one.is_cold(now) for one in targets)}
 
     def tell_new_router(self, ip: str) -> None:
@@ -233,6 +231,8 @@
 
     def run_checks(self, now: Millis) -> None:
         """Update the view of the routers, and end what is over."""
+        if not self.needs and not self._told:
+            return
         peers = self.limits.peers
         beats = [peer.beat for peer in peers.list_present()]
         self.view.update(
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -167,7 +167,20 @@
             raise self._make_final_error(
                 NO_ENGINE, NO_ENGINE_RETRY, "no target is available"
             )
-        return choice
+        return self._find_sooner(choice, failed | paused)
+
+    def _find_sooner(self, choice: Choice, excluded: set[str]) -> Choice:
+        """Return another choice if this one comes too late, and the other doesn't.
+
+        A full target costs more than a wait for a permit, but may still be in time.
+        """
+        left = self.routed.end - self.shared.clock.now()
+        if choice.turn <= left:
+            return choice
+        sooner = self.chooser.choose(excluded | self.chooser.list_late(left))
+        if sooner is None or sooner.total_wait > left:
+            return choice
+        return sooner
 
     def _check_predicted_wait(self, choice: Choice) -> None:
         """Refuse a request at once if its predicted wait exceeds the time left."""
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -77,6 +77,18 @@
         demand = self._make_demand(routed.model, delays, now)
         return choose_engine(shared.sender.loads, demand, now, shared.rng, others)
 
+    def list_late(self, left: Millis) -> set[str]:
+        """Return the targets where the request's turn comes later than a time."""
+        now, delays = self.shared.clock.now(), self.turn.list_permit_delays()
+        return {
+            target.info.name
+            for target in self.shared.sender.loads.list_service_targets(
+                self.routed.service
+            )
+            if max(target.find_admission_delay(now), delays.get(target.info.name, 0.0))
+            > left
+        }
+
     def may_come(self, failed_targets: Set[str]) -> bool:
         """Return whether a target may take the request later that can't now.
 
--- a/tests/gateway/coldfleet.py
+++ b/tests/gateway/coldfleet.py
@@ -9,6 +9,7 @@
 
 from anvilshift.core.choosing import choose_plain_target
 from anvilshift.core.health.coldtargets import ColdBounds, ColdNeeds
+from anvilshift.core.routing import Service
 from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.coldmessages import TargetCold
 from anvilshift.gateway.coldtargets import ColdTargets
@@ -134,7 +135,8 @@
         self.cold = ColdTargets(
             self.limits, fleet.clock, self.journal, ColdBounds(OVERAGE, ALLOWANCE)
         )
-        self.cold.find_needs = lambda service: ColdNeeds(RATE, fleet.cold_s * 1_000)
+        needs = ColdNeeds(RATE, fleet.cold_s * 1_000)
+        self.cold.configure([Service("llm", 64, cold=needs)])
         self.cold.find_confirmed = lambda: self.confirmed
         self.confirmed = float("-inf")
         self.permits.cold = self.cold
--- a/tests/gateway/test_coldnews.py
+++ b/tests/gateway/test_coldnews.py
@@ -1,9 +1,11 @@
 """How one router learns that targets are cold, and when it believes it no more."""
 
 import unittest
+from dataclasses import replace
 
 from anvilshift.core.health.coldtargets import ColdBounds, ColdNeeds
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.routing import Service
 from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.coldmessages import TargetCold
 from anvilshift.gateway.coldtargets import ColdTargets
@@ -13,7 +15,7 @@
 from anvilshift.standins.virtual import VirtualClock
 from tests.gateway.silent import SilentJournal
 
-NEEDS = ColdNeeds(7.0, 3_000.0)
+SERVICE = Service("llm", 64, cold=ColdNeeds(7.0, 3_000.0))
 
 
 class PeersFake:
@@ -48,7 +50,7 @@
 class NewsTest(unittest.TestCase):
     def setUp(self):
         self.clock, self.peers = HandClock(), PeersFake()
-        self.confirmed, self.needs = -1e12, {"llm": NEEDS}
+        self.confirmed = -1e12
         self.loads = LoadMap()
         limits = RateLimits(
             "r1", "r1.0", self.loads, self.peers, self.clock, SilentJournal()
@@ -56,7 +58,7 @@
         self.cold = ColdTargets(
             limits, self.clock, SilentJournal(), ColdBounds(1.5, 5.0)
         )
-        self.cold.find_needs = lambda service: self.needs.get(service)
+        self.cold.configure([SERVICE])
         self.cold.find_confirmed = lambda: self.confirmed
 
     def read(self, name="e1", left=0.0, **rest) -> None:
@@ -111,11 +113,10 @@
 
     def test_an_entry_may_come_before_the_configuration(self):
         """Guards against a router that starts and sends to targets it read as cold."""
-        self.needs = {}
+        self.cold.configure([replace(SERVICE, cold=None)])
         self.read(left=2_000.0)
         self.assertEqual(self.find_left(), 0.0)
-        self.needs = {"llm": NEEDS}
-        self.cold.apply_entries()
+        self.cold.configure([SERVICE])
         self.assertEqual(self.find_left(), 2_000.0)
 
     def test_an_ask_for_a_permit_tells_its_issuer(self):
@@ -168,7 +169,7 @@
 
     def test_services_without_a_cold_rate_are_never_limited(self):
         """Guards against a change for earlier deployments."""
-        self.needs = {}
+        self.cold.configure([replace(SERVICE, cold=None)])
         self.read(left=2_000.0)
         self.cold.apply_message(TargetCold("e1", 1, 2_000.0))
         self.cold.presume_cold("north")
--- a/tests/platform/test_coldtargets.py
+++ b/tests/platform/test_coldtargets.py
@@ -14,9 +14,10 @@
 
 class ColdTargetTest(LoadedCase):
     async def start_cold_fleet(self) -> None:
-        """Start routers and a warm target, under a configuration with a cold rate."""
-        await self.add_target("e1", "llm")
+        """Start routers and a warm, busy target; the configuration has a cold rate."""
+        busy = await self.add_target("e1", "llm", slots=64)
         await self.start_fleet(3)
+        busy.pace = 0.08
         configuration = make_configuration(version=2)
         configuration["services"][0] |= {"coldStartS": 3.0, "coldPerS": RATE}
         self.store_stub.put("config", "main", configuration)
@@ -47,9 +48,10 @@
         self.register("e2", "llm", address, coldLeftMs=COLD_MS)
         loop = asyncio.get_running_loop()
         began = loop.time()
+        ended = began + COLD_MS / 1_000
         loads = [node.loads.targets["e2"] for node in self.nodes]
         now = self.nodes[0].clock.now
         await self.wait_for(lambda: all(one.is_cold(now()) for one in loads))
-        await self.keep_calling(began + COLD_MS / 1_000 - loop.time(), gap=0.02)
-        times = [at for at in target.arrivals if at >= began]
+        await self.keep_calling(ended - loop.time(), gap=0.02)
+        times = [at for at in target.arrivals if began <= at < ended]
         self.assertLessEqual(count_most(times, 1.0, since=began), BOUND)
