Presume a target to be cold that accepted no connection

A failure domain that goes away and comes back while the store is down has entries that say nothing of it.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -268,6 +268,7 @@
         cold, messenger = self.cold, self.messenger
         cold.find_confirmed = lambda: self.target_follower.confirmed
         self.targets.on_entry = cold.apply_entry
+        self.shared.health.on_unreachable = cold.record_unreachable
         messenger.add_handler(TargetCold, cold.apply_message)
         messenger.tell_new_router.append(cold.tell_new_router)
 
--- a/anvilshift/gateway/coldtargets.py
+++ b/anvilshift/gateway/coldtargets.py
@@ -33,6 +33,9 @@
 _ENTRY_DELAY: Millis = 1 * SECOND
 """Time after which the entry of a target shows that it has become cold."""
 _PERMIT_MEMORY: Millis = 2 * SECOND
+_UNREACHED_FOR: Millis = 10 * SECOND
+"""How long a target that accepted no connection is presumed to be cold before another
+try: an ejected one is tried again within this time."""
 
 
 @dataclass
@@ -57,6 +60,7 @@
     needs: dict[str, ColdNeeds] = field(default_factory=dict)
     view: SteadyView = field(init=False)
     _told: dict[str, tuple[int, Millis]] = field(default_factory=dict)
+    _unreached: dict[str, tuple[int, Millis]] = field(default_factory=dict)
     _permitted: dict[str, Millis] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -106,11 +110,39 @@
         It lasts for the cold time of their service, or until an entry shows otherwise
         that was read late enough after now.
         """
-        now = self.clock.now()
-        for name, target in list(self.limits.loads.targets.items()):
-            needs = self.needs.get(target.info.service)
-            if target.info.failure_domain == domain and needs is not None:
-                self._learn(name, now + needs.lasts, "presumed", presumed=now)
+        for target in list(self.limits.loads.targets.values()):
+            if target.info.failure_domain == domain:
+                self._presume(target)
+
+    def record_unreachable(self, target: TargetLoad) -> None:
+        """Presume a target to be cold that accepted no connection.
+
+        It may have started anew, and its entry can't be read in an outage of the store.
+        """
+        if target.info.service in self.needs:
+            born, now = target.info.born, self.clock.now()
+            self._unreached[target.info.name] = born, now
+            self._presume(target)
+
+    def record_reached(self, target: TargetLoad) -> None:
+        """Record that a target accepted a connection; it may be cold from now on."""
+        if self._unreached.pop(target.info.name, None) is not None:
+            self._presume(target)
+
+    def _presume(self, target: TargetLoad) -> None:
+        needs, now = self.needs.get(target.info.service), self.clock.now()
+        if needs is not None:
+            name = target.info.name
+            self._learn(name, now + needs.lasts, "presumed", presumed=now)
+
+    def _presume_unreached(self, now: Millis) -> None:
+        for name, (born, at) in list(self._unreached.items()):
+            target = self.limits.loads.targets.get(name)
+            is_known = target is not None and target.info.born == born
+            if target is None or not is_known or now - at > _UNREACHED_FOR:
+                del self._unreached[name]
+            else:
+                self._presume(target)
 
     def _learn(
         self, name: str, until: Millis, how: str, presumed: Millis | None = None
@@ -242,6 +274,7 @@
             now,
             find_beat_interval(len(peers.addresses) + 1),
         )
+        self._presume_unreached(now)
         self._end_terms(now)
         self._told = {n: one for n, one in self._told.items() if one[1] > now}
         oldest = now - _PERMIT_MEMORY
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -239,6 +239,7 @@
         """
         target = self.loads.targets.get(outgoing.choice.target.info.name)
         if self.cold is not None and target is not None:
+            self.cold.record_reached(target)
             self.cold.check_permit(target, outgoing.run)
 
     def _record_send(self, outgoing: Outgoing) -> None:
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -30,6 +31,8 @@
     ----------
     router, domain
         This router and its failure domain.
+    on_unreachable
+        Called with a target that accepted no connection.
     """
 
     router: str
@@ -40,6 +43,7 @@
     journal: Journal
     rng: random.Random
     reports: FailureReports = field(default_factory=FailureReports)
+    on_unreachable: Callable[[TargetLoad], None] = lambda target: None
 
     def record_failure(
         self,
@@ -62,6 +66,8 @@
         """
         if failure is Failure.REJECTED:
             return
+        if failure is Failure.NOT_SENT:
+            self.on_unreachable(target)
         health, now = target.health, self.clock.now()
         if hung and self.add_silence(target, SilenceSign(now, heard)):
             return
--- a/tests/gateway/coldfleet.py
+++ b/tests/gateway/coldfleet.py
@@ -115,6 +115,8 @@
         ]
 
     def broadcast(self, message) -> None:
+        if self.fleet.is_mute:
+            return
         present = list(self.routers)
         for name in present:
             delay = 0.0 if self.small else _BROADCAST_DELAY_S
@@ -180,7 +182,11 @@
             await asyncio.sleep(0.1)
             if self.running.is_set():
                 self.limits.update_routers({self.name, *self.peers.routers}, ())
-                self.permits.run_checks(self.fleet.clock.now())
+                now = self.fleet.clock.now()
+                self.permits.run_checks(now)
+                for target in self.loads.targets.values():
+                    if now >= target.health.until:
+                        target.health.probe(now)
 
     async def read_entries(self) -> None:
         rng = self.fleet.rng
@@ -233,9 +239,14 @@
         try:
             await asyncio.sleep(self.connect_s * fleet.rng.uniform(0.5, 1.5))
             await self.running.wait()
-            self.cold.check_permit(self.loads.targets.get(name, chosen), run)
+            engine, target = fleet.engines[name], self.loads.targets.get(name, chosen)
+            if not engine.up:
+                target.health.eject(fleet.clock.now(), fleet.rng)
+                self.cold.record_unreachable(target)
+                return False
+            self.cold.record_reached(target)
+            self.cold.check_permit(target, run)
             await asyncio.sleep(fleet.rng.uniform(0.0005, 0.005))
-            engine = fleet.engines[name]
             if engine.up:
                 engine.arrivals.append(fleet.now())
             await asyncio.sleep(fleet.rng.uniform(0.02, 0.3))
@@ -255,6 +266,11 @@
         Number of engines.
     cold_s
         Time for which an engine is cold after a start.
+
+    Attributes
+    ----------
+    is_mute
+        Whether messages to all routers are lost.
     """
 
     node_kind = ColdNode
@@ -263,6 +279,7 @@
         self, size: int, seed: int, engines: int = 1, loss=0.0, cold_s=3.0
     ) -> None:
         self.cold_s = cold_s
+        self.is_mute = False
         self.seeds = [f"r{index}" for index in range(min(3, size))]
         self.without_store: set[str] = set()
         names = [f"e{index}" for index in range(engines)]
--- a/tests/gateway/test_coldnews.py
+++ b/tests/gateway/test_coldnews.py
@@ -167,6 +167,26 @@
         self.wait(1_200.0)
         self.assertEqual(self.find_left(), 800.0)
 
+    def test_a_target_that_accepts_no_connection_is_presumed_cold_until_it_does(self):
+        """Guards against a return that no entry tells of, as the store is down."""
+        self.read()
+        target = self.loads.targets["e1"]
+        self.cold.record_unreachable(target)
+        self.wait(5_000.0)
+        self.assertEqual(self.find_left(), 3_000.0)
+        self.cold.record_reached(target)
+        self.wait(2_999.0)
+        self.assertEqual(self.find_left(), 1.0)
+        self.cold.record_reached(target)
+        self.wait(1.0)
+        self.assertEqual(self.find_left(), 0.0)
+
+    def test_a_target_that_is_not_tried_again_is_presumed_cold_for_a_while(self):
+        self.read()
+        self.cold.record_unreachable(self.loads.targets["e1"])
+        self.wait(10_001.0)
+        self.assertEqual(self.find_left(), 0.0)
+
     def test_services_without_a_cold_rate_are_never_limited(self):
         """Guards against a change for earlier deployments."""
         self.cold.configure([replace(SERVICE, cold=None)])
--- a/tests/gateway/test_coldtargets.py
+++ b/tests/gateway/test_coldtargets.py
@@ -206,6 +206,43 @@
 
         self.check(scenario)
 
+    def test_an_issuer_learns_from_those_that_ask_it(self):
+        """Guards against an issuer that grants all asks, as it heard of nothing."""
+
+        async def scenario(fleet):
+            fleet.offer(0.25)
+            await asyncio.sleep(6.0)
+            fleet.is_mute = True
+            issuer = fleet.find_issuer()
+            fleet.nodes[issuer].reads_store = False
+            fleet.engines["e0"].become_cold(6.0)
+            await asyncio.sleep(2.0)
+            for name, node in fleet.nodes.items():
+                if name != issuer:
+                    node.start_task(node.keep_calling(40.0, 1_000.0))
+            await asyncio.sleep(4.0)
+
+        self.check(scenario, size=3)
+
+    def test_engines_return_while_no_entry_can_be_read(self):
+        """Guards against an outage of the store beside a failure domain's return."""
+
+        async def scenario(fleet):
+            fleet.offer(0.25)
+            await asyncio.sleep(6.0)
+            for node in fleet.nodes.values():
+                node.reads_store = False
+            fleet.go_dark()
+            fleet.offer(PRESSING)
+            await asyncio.sleep(2.5)
+            for engine in fleet.engines.values():
+                engine.up = True
+                engine.become_cold(3.0)
+            await asyncio.sleep(4.0)
+
+        fleet = self.check(scenario, engines=4)
+        self.assertGreater(sum(len(e.arrivals) for e in fleet.engines.values()), 0)
+
     def test_two_halves_are_cut_for_longer_than_a_minute(self):
         """Guards against halves that forget each other and use the whole rate each."""
 
