--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -14,6 +14,8 @@
 from anvilshift.core.routing import Configuration, RouteTable
 from anvilshift.gateway.answering import send_error
 from anvilshift.gateway.border import Dialect, make_server_limits
+from anvilshift.gateway.coldmessages import TargetCold
+from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.configurations import Configurations
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
@@ -127,8 +129,9 @@
         self.limits = RateLimits(
             settings.name, self.incarnation, self.loads, self.peers, clock, journal
         )
+        self.cold = ColdTargets(self.limits, clock, journal, settings.cold)
         self.permits = Permits(
-            self.limits, settings.ip, self.loads, self.peers, clock, journal
+            self.limits, settings.ip, self.loads, self.peers, clock, journal, self.cold
         )
         self.reach = TargetReach(
             self.client,
@@ -154,6 +157,7 @@
             journal,
             self.limits,
             self.starts,
+            self.cold,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -232,6 +236,7 @@
         )
         self.target_follower.probe = self.configuration_follower
         self.drains.follow(store, dialect.drains_kind, self.configuration_follower)
+        self._connect_cold()
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -268,6 +273,15 @@
         self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
+    def _connect_cold(self) -> None:
+        cold, messenger = self.cold, self.messenger
+        cold.find_confirmed = lambda: self.target_follower.confirmed
+        self.targets.on_entry = cold.apply_entry
+        self.drains.on_return = cold.presume_cold
+        self.shared.health.on_unreachable = cold.record_unreachable
+        messenger.add_handler(TargetCold, cold.apply_message)
+        messenger.tell_new_router.append(cold.tell_new_router)
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
@@ -277,6 +291,7 @@
         self.allotter.balances.set_allocators(self.allocators)
         self.reservations.forget_refusals()
         self.server.limits = make_server_limits(configuration.limits)
+        self.cold.configure(configuration.services.values())
 
     # Callers
 
@@ -287,7 +302,10 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
-        return {**self.configurations.list_gauges(), **self.drains.list_gauges()}
+        parts = (self.configurations, self.drains, self.cold)
+        return {
+            name: value for one in parts for name, value in one.list_gauges().items()
+        }
 
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.health.coldtargets import ColdBounds
 from anvilshift.core.retries import RetryLimits
 from anvilshift.wire.messages import Address
 
@@ -30,6 +31,8 @@
     drain_bound
         Time from the acknowledgement of a failure domain's drain until nothing is sent
         there any more; None if operators can't drain failure domains.
+    cold
+        How far the rate of a cold target may be exceeded in any one second.
     """
 
     name: str
@@ -48,3 +51,4 @@
     recovery: Millis = 3 * SECOND
     configuration_port: int = 0
     drain_bound: Millis | None = None
+    cold: ColdBounds = field(default_factory=ColdBounds)
