--- a/tests/platform/test_coldtargets.py
+++ b/tests/platform/test_coldtargets.py
@@ -55,3 +55,34 @@
         await self.keep_calling(ended - loop.time(), gap=0.02)
         times = [at for at in target.arrivals if began <= at < ended]
         self.assertLessEqual(count_most(times, 1.0, since=began), BOUND)
+
+
+class ReturnedDomainTest(LoadedCase):
+    drain_bound = 5_000.0
+
+    async def test_targets_of_a_domain_that_returns_are_sent_little_at_first(self):
+        """Guards against a domain that is flooded as its drain ends.
+
+        Its targets have become cold, and their entries don't say so yet.
+        """
+        busy = await self.add_target("e1", "llm", slots=64, zone="north")
+        returned = await self.add_target("e2", "llm", zone="south")
+        await self.start_fleet(3)
+        busy.pace = 0.08
+        configuration = make_configuration(version=2)
+        configuration["services"][0] |= {"coldStartS": 3.0, "coldPerS": RATE}
+        self.store_stub.put("config", "main", configuration)
+        self.store_stub.put("evacuations", "south", {})
+        await self.wait_for(
+            lambda: all(
+                node.configurations.version == 2
+                and not node.loads.drains.may_send("south")
+                for node in self.nodes
+            )
+        )
+        self.store_stub.remove("evacuations", "south")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await self.keep_calling(1.0, gap=0.02)
+        times = [at for at in returned.arrivals if at >= began]
+        self.assertLessEqual(count_most(times, 1.0, since=began), BOUND)
