Infer where a stream began only if no caller of before can come back

Cause: a stream of which no router was told, as after a loss of all routers, was taken to have begun at the service's only version of the last 20 s or the route's timeout, whichever is longer. A caller comes back for as long as its own deadline lasts, 120 s at most; the deadline on the take-up says what is left, not what has passed. So 25 s after a kill of all routers beside a change of versions a take-up of a caller with a deadline of 60 s was joined from two versions and answered 200. Two more ways, in what a starting router takes over from one that runs: versions gone for less than 2 s weren't told, and neither were those that the sender still saw, so a router whose first list showed only the new version had "seen" no other for as long as the sender had run.

Change: the window is 120 s and the longest lag of a router's reading (15 s); a route or caller that waits longer is never inferred. A router tells all versions that it has seen, each is taken over whatever is covered, and a message's coverage counts only if this router's own reading began within 2 s of when it made itself known (a late message would hide what came between). A list after a gap begins the history anew. A version is recorded before its target is used, told to the other routers when it is new, and recorded for each told stream. Routers whose configurations differ infer nothing.

Ruled out: a window from the take-up's deadline (it may count down); windows from the deadlines that callers said lately (says nothing of those before the kill).

Red before, green now: tests.core.test_origins test_version_that_has_just_gone_is_told_to_a_router_that_starts, test_version_unseen_by_the_sender_is_told_by_the_receiver, tests.platform.test_versions test_caller_who_waits_long_is_not_taken_for_one_of_now. The tests of unnamed streams now look back 145 s in place of 30 s, because 30 s must be refused.

--- a/anvilshift/core/routechanges.py
+++ b/anvilshift/core/routechanges.py
@@ -41,16 +41,17 @@
     def adopt(
         self, covered: Millis, changed: Iterable[tuple[str, Millis]], now: Millis
     ) -> None:
-        """Take over what a router has seen that has run for longer than this one.
+        """Take over what another router has seen.
 
         Parameters
         ----------
         covered
-            Time for which that router has followed the routes.
+            Time for which that router has followed the routes; 0 if it doesn't say.
         changed
             Names of routes, each with the time since it changed.
         """
-        self._since = min(self._since, now - covered)
+        if covered > 0.0:
+            self._since = min(self._since, now - covered)
         for name, ago in changed:
             known = self._changed.get(name, -math.inf)
             self._changed[name] = max(known, now - ago)
--- a/anvilshift/core/versionhistory.py
+++ b/anvilshift/core/versionhistory.py
@@ -1,7 +1,8 @@
 """Which versions of a service's software have served lately.
 
-A stream of which nothing else is known began at the only version that its service has
-had for as long as streams last.
+Load pattern: callers take up streams of which no router was told, as after a loss of
+all routers.  Such a stream began at the only version that its service has had for as
+long as callers may come back.
 """
 
 import math
@@ -16,6 +17,12 @@
 _MAX_GAP: Millis = 2 * SECOND
 """Time in which no target can register, begin a stream and be gone from the register:
 one that leaves stays for this long, and one that crashes for some heartbeats."""
+_MAX_LAG: Millis = 15 * SECOND
+"""Time by which one router may read the register or the configuration later than
+another: the longest watch on a connection that has fallen silent."""
+SETTLING_TIME: Millis = MAX_LIFETIME + _MAX_LAG
+"""Time since which nothing may have changed where the origin of a stream is inferred:
+the longest wait of a caller, and the lag of the router that began the stream."""
 
 
 @dataclass
@@ -34,6 +41,7 @@
 
     _since: Millis = math.inf
     _last: Millis = -math.inf
+    _is_observed: bool = False
     _seen: dict[str, dict[str | None, Millis]] = field(
         default_factory=lambda: defaultdict(dict)
     )
@@ -42,18 +50,35 @@
         """Record the targets that are registered, while the register is being read."""
         if now - self._last > _MAX_GAP:
             self._since = now
-            self._seen.clear()
         self._last = now
+        self._is_observed = True
         for info in targets:
             self._seen[info.service][info.version] = now
 
-    def list_gone(self, now: Millis) -> tuple[tuple[str, str | None, Millis], ...]:
-        """Return the versions that no target has now, each with the time since then."""
+    def note(self, service: str, version: str | None, now: Millis) -> bool:
+        """Record a version that serves; return whether it wasn't known to serve."""
+        before = self._seen[service].get(version, -math.inf)
+        self._seen[service][version] = max(before, now)
+        return now - before > SETTLING_TIME
+
+    def note_list(self, confirmed: Millis, now: Millis) -> None:
+        """Record that the register is read as a whole, without what came between.
+
+        Parameters
+        ----------
+        confirmed
+            Instant until which every change of the register had been read before.
+        """
+        if self._is_observed and now - confirmed > _MAX_GAP:
+            self.restart()
+
+    def list_seen(self, now: Millis) -> tuple[tuple[str, str | None, Millis], ...]:
+        """Return the versions that served lately, each with the time since then."""
         return tuple(
             (service, version, now - at)
             for service, versions in self._seen.items()
             for version, at in versions.items()
-            if _MAX_GAP < now - at <= MAX_LIFETIME
+            if now - at <= SETTLING_TIME
         )
 
     def find_covered(self, now: Millis) -> Millis:
@@ -63,21 +88,38 @@
     def adopt(
         self,
         covered: Millis,
-        gone: Iterable[tuple[str, str | None, Millis]],
+        seen: Iterable[tuple[str, str | None, Millis]],
+        began: Millis,
         now: Millis,
     ) -> None:
-        """Take over what a router has seen that has run for longer than this one."""
-        if now - covered >= min(self._since, now):
+        """Take over what another router has seen.
+
+        A message may be late.  It was sent after this router had made itself known, so
+        what the other one has seen joins up with what this one sees if that began soon
+        after.
+
+        Parameters
+        ----------
+        covered
+            Time for which the other router had seen all versions, until it sent this.
+        seen
+            Services and versions, each with the time since it was last seen.
+        began
+            When this router made itself known to the others.
+        """
+        for service, version, ago in seen:
+            self.note(service, version, now - ago)
+        is_late = self._is_observed and self._since - began > _MAX_GAP
+        if is_late or now - covered >= min(self._since, now):
             return
         self._since = now - covered
-        self._last = max(self._last, now)
-        for service, version, ago in gone:
-            seen = self._seen[service]
-            seen[version] = max(seen.get(version, -math.inf), now - ago)
+        self._last = max(self._last, began)
 
     def restart(self) -> None:
         """Begin anew: targets may have come and gone unseen."""
+        self._since = math.inf
         self._last = -math.inf
+        self._is_observed = False
 
     def find_only(self, service: str, window: Millis, now: Millis) -> str | None:
         """Return a service's only version; None if there were others, or may have been.
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -201,6 +201,7 @@
             journal,
             self.messenger.handle_lost_target,
             self.shared.health.reports.forget,
+            self.shared.origins.note_target,
         )
         self.configurations = Configurations(
             settings,
@@ -221,7 +222,7 @@
             clock,
             journal,
             self.targets.apply_change,
-            self.targets.entries.settle,
+            self._settle_targets,
         )
         self.target_follower.probe = self.configuration_follower
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
@@ -259,6 +260,10 @@
         self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
+    def _settle_targets(self, names: set[str]) -> None:
+        self.shared.origins.note_list(self.target_follower.confirmed)
+        self.targets.entries.settle(names)
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.loadmap import LONGEST_RUN, LoadMap
+from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.origins import (
     ASKED,
     KEEPERS,
@@ -18,7 +18,8 @@
 )
 from anvilshift.core.routechanges import RouteChanges
 from anvilshift.core.routing import Rule
-from anvilshift.core.versionhistory import VersionHistory
+from anvilshift.core.targetload import TargetInfo
+from anvilshift.core.versionhistory import SETTLING_TIME, VersionHistory
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.streammessages import (
@@ -67,6 +68,11 @@
     ----------
     router, ip
         Name and address of this router.
+
+    Attributes
+    ----------
+    began
+        An instant before this router made itself known to the others.
     """
 
     router: str
@@ -78,9 +84,13 @@
     table: OriginTable = field(default_factory=OriginTable)
     history: VersionHistory = field(default_factory=VersionHistory)
     routes: RouteChanges = field(default_factory=RouteChanges)
+    began: Millis = field(init=False)
     _domains: dict[str, list[str]] = field(default_factory=dict)
     _questions: dict[str, _Question] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.began = self.clock.now()
+
     def update_routers(self) -> None:
         """Update the routers that may keep origins: those present and not leaving."""
         domains: dict[str, list[str]] = defaultdict(list)
@@ -102,14 +112,20 @@
         lasts
             Time in which the caller can take the stream up.
         """
-        self.table.add(key, origin, self.clock.now(), lasts)
+        self._add(key, origin, lasts)
         message = StreamBegan(key, origin.service, origin.version, lasts)
         self.peers.send_each(message, self._list_keepers(key, KEEPERS))
 
     def apply_told(self, message: StreamBegan) -> None:
         """Record where a stream began that another router has begun."""
         origin = Origin(message.service, message.version)
-        self.table.add(message.stream, origin, self.clock.now(), message.lasts)
+        self._add(message.stream, origin, message.lasts)
+
+    def _add(self, key: str, origin: Origin, lasts: Millis) -> None:
+        """Record an origin, whose version serves though its entry may have lapsed."""
+        now = self.clock.now()
+        self.table.add(key, origin, now, lasts)
+        self.history.note(origin.service, origin.version, now)
 
     def _list_keepers(self, key: str, most: int) -> list[str]:
         """Return the addresses of the other routers that may know a stream.
@@ -122,38 +138,73 @@
         known = [self.peers.routers.get(name) for name in names]
         return [peer.beat.ip for peer in known if peer is not None]
 
-    # What a router that starts takes over
+    # Which versions have served
+
+    def note_target(self, info: TargetInfo) -> None:
+        """Record a target before requests are sent to it.
+
+        The other routers are told of a version that is new to this one: one that reads
+        the register later would take the version of before for the only one.
+        """
+        now = self.clock.now()
+        is_running = self.history.find_covered(now) > 0.0
+        if self.history.note(info.service, info.version, now) and is_running:
+            seen = ((info.service, info.version, 0.0),)
+            self.peers.broadcast(HistorySeen(0.0, seen, ()))
+
+    def note_list(self, confirmed: Millis) -> None:
+        """Record that the register is read anew; see `VersionHistory.note_list`."""
+        self.history.note_list(confirmed, self.clock.now())
 
     def describe_history(self) -> HistorySeen:
         """Return what this router has seen, for one that has just started."""
         now = self.clock.now()
         covered = min(self.history.find_covered(now), self.routes.find_covered(now))
-        changed = self.routes.list_changed(MAX_LIFETIME, now)
-        return HistorySeen(covered, self.history.list_gone(now), changed)
+        changed = self.routes.list_changed(SETTLING_TIME, now)
+        return HistorySeen(covered, self.history.list_seen(now), changed)
 
-    def adopt_history(self, seen: HistorySeen) -> None:
-        """Take over what a router has seen that has run for longer than this one."""
+    def adopt_history(self, message: HistorySeen) -> None:
+        """Take over what another router has seen."""
         now = self.clock.now()
-        self.history.adopt(seen.covered, seen.gone, now)
-        self.routes.adopt(seen.covered, seen.changed, now)
-
-    # Asking
+        self.history.adopt(message.covered, message.seen, self.began, now)
+        self.routes.adopt(message.covered, message.changed, now)
 
-    def infer(self, rule: Rule) -> Origin | None:
+    def infer(self, rule: Rule, patience: Millis, version: int) -> Origin | None:
         """Return where a stream of a route began of which nobody was told.
 
         None unless the route has led to one service, and the service has had one
-        version, for as long as streams last.
+        version, for as long as a caller may come back.
+
+        Parameters
+        ----------
+        patience
+            Time that the caller still waits; what it waited before isn't known.
+        version
+            Version of the configuration in force.
         """
-        now, window = self.clock.now(), max(rule.timeout, LONGEST_RUN)
-        if len(rule.services) != 1 or not self.routes.has_settled(rule, window, now):
+        now = self.clock.now()
+        is_bounded = max(rule.timeout, patience) <= MAX_LIFETIME
+        if not is_bounded or not self._is_current(version):
+            return None
+        settled = self.routes.has_settled(rule, SETTLING_TIME, now)
+        if len(rule.services) != 1 or not settled:
             return None
         service = rule.services[0][0]
-        version = self.history.find_only(service, window, now)
+        only = self.history.find_only(service, SETTLING_TIME, now)
         present = self.loads.list_service_targets(service)
-        if any(target.info.version != version for target in present):
+        if any(target.info.version != only for target in present):
             return None
-        return None if version is None else Origin(service, version)
+        return None if only is None else Origin(service, only)
+
+    def _is_current(self, version: int) -> bool:
+        """Return whether the other routers have the same configuration in force.
+
+        Routers that have just started have none yet.
+        """
+        others = {peer.beat.version for peer in self.peers.list_present()}
+        return others <= {0, version}
+
+    # Asking
 
     async def find(self, key: str) -> Finding:
         """Find out where a stream began.
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -183,7 +183,7 @@
         finding = await self._ask_origin(call)
         origin = finding.origin
         if origin is None and finding.is_final and not finding.is_told:
-            origin = self.shared.origins.infer(rule)
+            origin = self._infer_origin(call, rule)
         if origin is None:
             wait = None if finding.is_final else _KEEPER_RETRY
             detail = "where the stream began isn't known"
@@ -193,6 +193,13 @@
             raise AnvilshiftError(STREAM_NOT_RESUMABLE, detail)
         return origin
 
+    def _infer_origin(self, call: Call, rule: Rule) -> Origin | None:
+        """Return where a stream began of which nobody was told, if it can't differ."""
+        table = self.shared.table
+        version = table.configuration.version if table else 0
+        patience = rule.timeout if call.patience is None else call.patience
+        return self.shared.origins.infer(rule, patience, version)
+
     async def _ask_origin(self, call: Call) -> Finding:
         """Return what the routers were told of the stream that a call takes up."""
         if call.began_as is None:
--- a/anvilshift/gateway/streammessages.py
+++ b/anvilshift/gateway/streammessages.py
@@ -65,18 +65,21 @@
 
 @dataclass(frozen=True)
 class HistorySeen:
-    """What a router has seen of versions and routes, for one that has just started.
+    """What a router has seen of versions and routes.
+
+    It is sent to one that has just started, and to all when a version is new.
 
     Parameters
     ----------
     covered
-        Time for which the sender has followed the register and the configuration.
-    gone
-        Services and versions that no target has any more, and for how long.
+        Time for which the sender has followed the register and the configuration; 0
+        if this isn't all that it has seen.
+    seen
+        Services and versions of targets, and the time since they were last there.
     changed
         Names of routes, and the time since they began to lead to other services.
     """
 
     covered: Millis
-    gone: tuple[tuple[str, str | None, Millis], ...]
+    seen: tuple[tuple[str, str | None, Millis], ...]
     changed: tuple[tuple[str, Millis], ...]
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -5,6 +5,7 @@
 
 from anvilshift.core.clock import Clock
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.following import TargetEntries
 from anvilshift.gateway.journal import Journal
@@ -25,6 +26,8 @@
         Called with the name of a target that has ended or was restarted.
     on_new_start
         Called with the name of a target that was restarted under its name.
+    on_entry
+        Called with each target whose entry was read, before it is used.
     """
 
     dialect: Dialect
@@ -35,6 +38,7 @@
     journal: Journal
     on_target_lost: Callable[[str], None]
     on_new_start: Callable[[str], None] = lambda name: None
+    on_entry: Callable[[TargetInfo], None] = lambda info: None
     _unreadable: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -53,6 +57,7 @@
             self.loads.remove(change.name, self.clock.now())
             return
         self.entries.put(change.name, change.body)
+        self.on_entry(info)
         known = self.loads.targets.get(change.name)
         if known is None or info.is_other_start(known.info):
             self.journal.write(
--- a/tests/core/test_origins.py
+++ b/tests/core/test_origins.py
@@ -155,13 +155,32 @@
         self.observe(0, 31_000, "v1", "v2")
         self.observe(31_100, 40_000, "v2")
         other = VersionHistory()
-        other.adopt(40_000.0, self.history.list_gone(40_000.0), now=40_000.0)
+        other.adopt(40_000.0, self.history.list_seen(40_000.0), 39_990.0, 40_000.0)
         self.history = other
         self.observe(40_100, 50_000, "v2")
         self.assertIsNone(other.find_only("advice", self.window, 50_000.0))
         self.observe(50_100, 62_000, "v2")
         self.assertEqual(other.find_only("advice", self.window, 62_000.0), "v2")
 
+    def test_version_that_has_just_gone_is_told_to_a_router_that_starts(self):
+        """Guards against a version whose last engine left as the router started."""
+        self.observe(0, 40_000, "v1", "v2")
+        self.observe(40_100, 41_500, "v2")
+        other = VersionHistory()
+        other.adopt(41_500.0, self.history.list_seen(41_500.0), 41_490.0, 41_500.0)
+        self.history = other
+        self.observe(41_600, 42_000, "v2")
+        self.assertIsNone(other.find_only("advice", self.window, 42_000.0))
+
+    def test_version_unseen_by_the_sender_is_told_by_the_receiver(self):
+        """Guards against an engine replaced between two routers' readings."""
+        self.observe(0, 40_000, "v1")
+        other = VersionHistory()
+        other.adopt(40_000.0, self.history.list_seen(40_000.0), 39_990.0, 40_000.0)
+        self.history = other
+        self.observe(40_500, 41_000, "v2")
+        self.assertIsNone(other.find_only("advice", self.window, 41_000.0))
+
     def test_router_that_stood_still_knows_of_no_only_version(self):
         """Guards against versions that came while the router's clock stood still."""
         self.observe(0, 31_000, "v1")
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -3,6 +3,7 @@
 import json
 
 from anvilshift.core.origins import OriginTable, make_stream_key
+from anvilshift.core.versionhistory import SETTLING_TIME
 from anvilshift.core.work import Failure
 from anvilshift.gateway.streammessages import HistorySeen
 from anvilshift.wire.messages import Address
@@ -15,6 +16,9 @@
 """Time in which a caller takes up its stream: longer than the route's timeout, as its
 first attempt may take all of that."""
 
+LONG_MS = SETTLING_TIME + 10_000.0
+"""Time after which no caller of before can come back."""
+
 
 class VersionCase(GatewayCase):
     async def add_engines(self, **versions: object) -> None:
@@ -230,13 +234,14 @@
         """Let the router look back on some time in which nothing changed."""
         origins, clock = self.node.shared.origins, self.node.clock
         await self.wait_for(lambda: origins.history.find_covered(clock.now()))
+        origins.began = clock.now()
         origins.adopt_history(HistorySeen(span, (), ()))
 
     async def test_unnamed_stream_does_not_go_on_where_its_route_has_changed(self):
         """Guards against a stream that goes on at another service's only version."""
         await self.add_engines(e1="v1")
         await self.start_node()
-        await self.pass_time(30_000.0)
+        await self.pass_time(LONG_MS)
         other = await self.add_target("x1", "other", version="v1")
         changed = make_configuration(version=2)
         changed["services"].append({**changed["services"][0], "name": "other"})
@@ -245,7 +250,7 @@
         await self.wait_for(lambda: self.node.shared.table.configuration.version == 2)
         history, clock = self.node.shared.origins.history, self.node.clock
         await self.wait_for(
-            lambda: history.find_only("other", 20_000.0, clock.now()) == "v1"
+            lambda: history.find_only("other", SETTLING_TIME, clock.now()) == "v1"
         )
         headers = [("last-event-id", str(BEGUN))]
         self.check_refused(*await self.call_stream("a", headers=headers))
@@ -255,13 +260,29 @@
         """Guards against callers of before who are refused though nothing can mix."""
         await self.add_engines(e1="v1", e2="v1")
         await self.start_node()
-        await self.pass_time(30_000.0)
+        await self.pass_time(LONG_MS)
         headers = [("last-event-id", str(BEGUN))]
         self.check_went_on(*await self.call_stream("a", headers=headers))
         await self.add_engines(e3="v2")
         await self.wait_for(lambda: len(self.node.loads.targets) == 3)
         self.check_refused(*await self.call_stream("b", headers=headers))
 
+    async def test_caller_who_waits_long_is_not_taken_for_one_of_now(self):
+        """Guards against a stream of the old version, taken up after a loss of power.
+
+        All routers were killed; only the new version has been seen for 25 s since.
+        """
+        await self.add_engines(e2="v2")
+        await self.start_node()
+        await self.pass_time(25_000.0)
+        headers = [("last-event-id", str(BEGUN)), ("resumes", "a")]
+        for deadline in (35_000, 60_000):
+            told = await self.call_stream(
+                f"b{deadline}", headers=headers, deadline=deadline
+            )
+            self.check_refused(*told)
+            self.assertEqual(self.find_runs(f"b{deadline}"), [])
+
     async def test_stream_is_not_taken_up_at_another_service(self):
         """Guards against a route that leads elsewhere since the stream began."""
         await self.add_engines(e1="v1")
