Play changes of versions beside which all routers are killed

Random courses like those of rolls: the routers are killed at once, all or all but one, before, amid and after the change, and callers come to any of them, half of them without the first attempt's id.

--- /dev/null
+++ b/tests/platform/test_version_losses.py
@@ -0,0 +1,96 @@
+"""Random courses of a change of versions beside which all routers are killed.
+
+In some losses one router survives, and tells the others what it has seen.  Some callers
+don't name the first attempt of their stream.  All checks are on what callers and
+engines have seen.
+"""
+
+import asyncio
+
+from anvilshift.gateway.streammessages import HistorySeen
+from tests.platform.test_version_rolls import PACE_S, RollCase
+from tests.platform.test_versions import LONG_MS
+
+ENGINES = 4
+NAMING = 0.5
+"""Share of resumptions that name the first attempt of their stream."""
+SURVIVING = 0.5
+"""Share of losses that one router survives."""
+
+
+class LossCase(RollCase):
+    async def prepare(self, seed: int) -> None:
+        await super().prepare(seed)
+        for node in self.nodes:
+            origins = node.shared.origins
+            origins.began = node.clock.now()
+            origins.adopt_history(HistorySeen(LONG_MS, (), ()))
+
+    async def choose_router(self):
+        while not self.alive:
+            await asyncio.sleep(PACE_S)
+        return await super().choose_router()
+
+    def names_first(self) -> bool:
+        return self.rng.random() < NAMING
+
+    async def roll(self) -> None:
+        """Replace the engines one by one; lose the routers before, amid and after."""
+        for number in range(ENGINES):
+            await self.add_engine(f"b{number}", "v2")
+            self.targets[f"b{number}"].pace = PACE_S
+            await asyncio.sleep(self.rng.uniform(0.1, 0.3))
+            self.retire(f"a{number}")
+            if self.rng.random() < 0.5:
+                await self.lose_routers()
+        for number in range(ENGINES):
+            self.store_stub.remove("servers", f"a{number}")
+        await self.lose_routers()
+
+    async def lose_routers(self) -> None:
+        """Kill the routers at once, all or all but one, and start them again."""
+        survives = self.rng.random() < SURVIVING
+        lost, self.alive = self.alive[survives:], self.alive[:survives]
+        for node in lost:
+            await node.close()
+        await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+        back = await asyncio.gather(*map(self.start_again, lost))
+        self.alive += back
+
+    async def start_again(self, node):
+        old, network = node.settings, self.make_network()
+        network.source = old.ip
+        new = self.make_node(
+            old.name,
+            old.ip,
+            peer_port=old.peer_port,
+            seeds=old.seeds,
+            forward_port=old.forward_port,
+            network=network,
+            configuration_port=old.configuration_port,
+        )
+        self.nodes.append(new)
+        await new.start()
+        await self.wait_for(new.is_ready)
+        return new
+
+    def check(self) -> None:
+        self.check_streams()
+        ran = {one for target in self.targets.values() for one in target.runs}
+        for identity, status in self.refused:
+            if status == 503:
+                self.assertNotIn(identity, ran)
+
+
+class LossTest(LossCase):
+    async def test_first_course(self):
+        """Guards against joined versions after losses of all routers."""
+        await self.play(1)
+
+    async def test_second_course(self):
+        """Guards against the same in another order of events."""
+        await self.play(2)
+
+    async def test_third_course(self):
+        """Guards against the same in a further order of events."""
+        await self.play(3)
--- a/tests/platform/test_version_rolls.py
+++ b/tests/platform/test_version_rolls.py
@@ -61,6 +61,7 @@
     async def prepare(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.streams: list[Stream] = []
+        self.refused: list[tuple[str, int]] = []
         self.begun = self.asked = self.went_on = self.taken_up = 0
         self.new = 0
         await self.add_target("d1", "desk")
@@ -117,8 +118,16 @@
                 return
             await asyncio.sleep(self.rng.uniform(0.02, 0.2))
 
+    async def choose_router(self):
+        """Return the router that a caller tries next."""
+        return self.rng.choice(self.alive)
+
+    def names_first(self) -> bool:
+        """Return whether a caller names the first attempt of its stream."""
+        return True
+
     async def try_stream(self, stream: Stream, identity: str) -> None:
-        node = self.rng.choice(self.alive)
+        node = await self.choose_router()
         address = Address(node.settings.ip, node.server.port)
         headers = [
             ("anvilshift-attempt-id", identity),
@@ -129,7 +138,8 @@
         is_resumed = bool(stream.ids)
         if is_resumed:
             headers.append(("last-event-id", str(stream.ids[-1])))
-            headers.append(("resumes", stream.name))
+            if self.names_first():
+                headers.append(("resumes", stream.name))
         else:
             stream.name = identity
         served = self.count_engines(stream)
@@ -142,6 +152,7 @@
             async with asyncio.timeout(10), exchange as response:
                 if response.status != 200:
                     stream.refused += 1
+                    self.refused.append((identity, response.status))
                     await response.read()
                 else:
                     most = self.draw_loss()
@@ -194,15 +205,20 @@
         self.check()
 
     def check(self) -> None:
+        """Check all that callers have seen."""
+        self.check_streams()
+        if self.taken_up >= LEAST_RESUMED:
+            began, went_on = self.begun / self.new, self.went_on / self.taken_up
+            self.assertGreaterEqual(went_on, SHARE * began)
+
+    def check_streams(self) -> None:
+        """Check that no stream holds two versions, or events twice or not at all."""
         for stream in self.streams:
             whole = list(range(1, EVENTS + 1))
             self.assertLessEqual(len(stream.versions), 1, stream)
             self.assertEqual(stream.ids, whole[: len(stream.ids)], stream)
             if stream.is_told_whole:
                 self.assertEqual(stream.ids, whole, stream)
-        if self.taken_up >= LEAST_RESUMED:
-            began, went_on = self.begun / self.new, self.went_on / self.taken_up
-            self.assertGreaterEqual(went_on, SHARE * began)
 
 
 class RollTest(RollCase):
