Let a few routers of a large fleet tell a new one what they have seen

A history now names all versions, so 2,200 of them would be 2 MB for a router that starts. Those that inform it are found by hashing its incarnation, like a stream's keepers: five in different failure domains; all of a small fleet.

--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -266,8 +266,8 @@
         """Send a new router what it needs to know of the time before its start.
 
         These are the spending of former incarnations of its host, the marks of the
-        store's history, the limits of targets, what is gone of versions and routes, and
-        the parts of prompts that may end engines.
+        store's history, the limits of targets, what was seen of versions and routes,
+        and the parts of prompts that may end engines.
         Without marks from others it could not prove the age of its own records until it
         had followed the store for as long as the store keeps its history.
         """
@@ -282,7 +282,8 @@
             self.peers.send(Marked(tuple(marks)), beat.ip)
         for limited in self.limits.list_limits():
             self.peers.send(limited, beat.ip)
-        self.peers.send(self.shared.origins.describe_history(), beat.ip)
+        if self.shared.origins.informs(beat.incarnation):
+            self.peers.send(self.shared.origins.describe_history(), beat.ip)
         self.shared.parts.tell_new_router(beat.ip)
 
     def send_mark(self, mark: Mark) -> None:
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -156,6 +156,17 @@
         """Record that the register is read anew; see `VersionHistory.note_list`."""
         self.history.note_list(confirmed, self.clock.now())
 
+    def informs(self, incarnation: str) -> bool:
+        """Return whether this router tells a new one what it has seen.
+
+        In a large fleet a few do: 2,000 messages would tell a new one the same.
+        """
+        if self.peers.small:
+            return True
+        domains = {name: list(routers) for name, routers in self._domains.items()}
+        domains.setdefault(self.peers.domain, []).append(self.router)
+        return self.router in choose_keepers(incarnation, domains, ASKED)
+
     def describe_history(self) -> HistorySeen:
         """Return what this router has seen, for one that has just started."""
         now = self.clock.now()
--- a/tests/platform/test_streams_after_losses.py
+++ b/tests/platform/test_streams_after_losses.py
@@ -111,6 +111,19 @@
         self.check_refused(*await self.take_up("b", "a", alone))
         self.check_went_on(*await self.take_up("c", "a", survivor))
 
+    async def test_router_under_the_same_name_asks_for_the_streams_of_before(self):
+        """Guards against a router that has started anew and knows nothing."""
+        await self.start_seasoned(2)
+        await self.begin("a", self.nodes[1])
+        await self.lose(self.nodes[1])
+        back = await self.start_again(self.nodes[1])
+        await self.wait_for(lambda: back.peers.routers and back.loads.targets)
+        self.check_went_on(*await self.take_up("b", "a", back))
+        await self.replace_engines()
+        await self.wait_for_new(back)
+        self.check_refused(*await self.take_up("c", "a", back))
+        self.assertEqual(self.find_runs("c"), [])
+
     async def test_version_that_has_just_gone_is_told_to_a_router_that_starts(self):
         """Guards against an old version whose engines left as a router started."""
         await self.start_seasoned(2)
