Require that streams are refused as not resumable, not for want of tokens

check_refused took any refusal that hadn't run; a router that has just started refuses for want of tokens too. It now asks for code 3006, and the tests of losses warm each router up first.

--- a/tests/platform/test_lost_fleets.py
+++ b/tests/platform/test_lost_fleets.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 
+from anvilshift.core.errors import STREAM_NOT_RESUMABLE
 from anvilshift.core.loadmap import LONGEST_RUN
 from anvilshift.wire.messages import Address
 from anvilshift.wire.response import ExchangeError
@@ -68,7 +69,9 @@
                 number += 1
                 status, told, body = await self.call_router(ip, f"b{number}", *headers)
                 self.assertEqual(status, 503, body)
-                self.assertEqual(json.loads(body)["error"]["fate"], "not run")
+                error = json.loads(body)["error"]
+                self.assertEqual(error["code"], STREAM_NOT_RESUMABLE.number, error)
+                self.assertEqual(error["fate"], "not run")
                 self.assertIsNotNone(told.get("retry-after"))
             await asyncio.sleep(PAUSE_S)
         self.assertEqual([one for one in new.runs if one.startswith("b")], [])
--- a/tests/platform/test_streams_after_losses.py
+++ b/tests/platform/test_streams_after_losses.py
@@ -15,7 +15,8 @@
     async def start_seasoned(self, count: int) -> None:
         """Start routers that have followed the register for long."""
         await self.add_engines(e1="v1")
-        self.targets["e1"].breaks_new = None
+        for engine in self.targets.values():
+            engine.breaks_new = None
         await self.start_fleet(count)
         self.targets["e1"].breaks_new = BEGUN
         for node in self.nodes:
@@ -52,8 +53,18 @@
         self.nodes.append(new)
         await new.start()
         await self.wait_for(new.is_ready)
+        await self.wait_for(lambda: new.loads.targets)
+        await self.warm_up_whole(new)
         return new
 
+    async def warm_up_whole(self, node) -> None:
+        """Let a router draw tokens, with streams that engines don't break off."""
+        for engine in self.targets.values():
+            engine.breaks_new = engine.crash_after = None
+        await self.warm_up(node)
+        for engine in self.targets.values():
+            engine.breaks_new = BEGUN
+
     async def check_unnamed_refused(self, node, name: str) -> None:
         """Check that a stream whose first attempt isn't named doesn't go on."""
         told = await self.call_stream(name, node, headers=[RESUMED])
@@ -77,8 +88,8 @@
         await self.wait_for_new(*back)
         for number, node in enumerate(back):
             self.check_refused(*await self.take_up(f"b{number}", "a", node))
+            self.assertEqual(self.find_runs(f"b{number}"), [])
             await self.check_unnamed_refused(node, f"c{number}")
-        self.assertEqual(self.targets["e2"].runs, [])
 
     async def test_resumption_that_broke_off_itself_is_not_known_either(self):
         """Guards against a chain of tries with a loss of all in its midst."""
@@ -93,7 +104,7 @@
         await self.wait_for_new(back)
         for number, began in enumerate(("a", "b")):
             self.check_refused(*await self.take_up(f"c{number}", began, back))
-        self.assertEqual(self.targets["e2"].runs, [])
+            self.assertEqual(self.find_runs(f"c{number}"), [])
 
 
 class SurvivorTest(LossCase):
@@ -159,6 +170,7 @@
         self.targets["e1"].report["born"] = 2
         status, _, _ = await self.take_up("b", "a", back)
         self.assertEqual((status, self.find_runs("b")), (503, []))
+        self.assertIn("target_started_anew", self.journal.list_events())
 
 
 class RegisterTest(LossCase):
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -2,6 +2,7 @@
 
 import json
 
+from anvilshift.core.errors import STREAM_NOT_RESUMABLE
 from anvilshift.core.origins import OriginTable, make_stream_key
 from anvilshift.core.versionhistory import SETTLING_TIME
 from anvilshift.core.work import Failure
@@ -50,7 +51,9 @@
 
     def check_refused(self, status: int, headers, body: bytes) -> None:
         self.assertEqual(status, 503)
-        self.assertEqual(json.loads(body)["error"]["fate"], "not run")
+        error = json.loads(body)["error"]
+        self.assertEqual(error["code"], STREAM_NOT_RESUMABLE.number, error)
+        self.assertEqual(error["fate"], "not run")
         self.assertIsNotNone(headers.get("retry-after"))
 
     def check_went_on(self, status: int, headers, body: bytes) -> None:
