--- a/tests/platform/test_version_losses.py
+++ b/tests/platform/test_version_losses.py
@@ -1,4 +1,4 @@
-"""Random courses of a change of versions beside which all routers are killed.
+"""Random courses of changes of versions beside which all routers are killed.
 
 In some losses one router survives, and tells the others what it has seen.  Some callers
 don't name the first attempt of their stream.  All checks are on what callers and
@@ -16,6 +16,8 @@
 """Share of resumptions that name the first attempt of their stream."""
 SURVIVING = 0.5
 """Share of losses that one router survives."""
+AMID = 0.5
+"""Share of changes amid which the routers are lost."""
 
 
 class LossCase(RollCase):
@@ -35,17 +37,24 @@
         return self.rng.random() < NAMING
 
     async def roll(self) -> None:
-        """Replace the engines one by one; lose the routers before, amid and after."""
-        for number in range(ENGINES):
-            await self.add_engine(f"b{number}", "v2")
-            self.targets[f"b{number}"].pace = PACE_S
-            await asyncio.sleep(self.rng.uniform(0.1, 0.3))
-            self.retire(f"a{number}")
-            if self.rng.random() < 0.5:
+        """Change the version thrice, and lose the routers amid and after each change.
+
+        The entries of the old engines go at once, as of engines that don't drain.
+        """
+        old = [name for name in self.targets if name.startswith("a")]
+        for version in ("v2", "v3", "v4"):
+            new = [f"{version}-{number}" for number in range(ENGINES)]
+            for name in new:
+                await self.add_engine(name, version)
+                self.targets[name].pace = PACE_S
+            await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+            if self.rng.random() < AMID:
                 await self.lose_routers()
-        for number in range(ENGINES):
-            self.store_stub.remove("servers", f"a{number}")
-        await self.lose_routers()
+            for name in old:
+                self.store_stub.remove("servers", name)
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+            await self.lose_routers()
+            old = new
 
     async def lose_routers(self) -> None:
         """Kill the routers at once, all or all but one, and start them again."""
