Know all versions of a fleet that has just begun

A router that finds no configuration at its start knows that no stream began before; no further call. A router that has read nothing itself vouches for nothing, so that gaps don't add up; versions of long ago are forgotten.

--- a/anvilshift/core/routechanges.py
+++ b/anvilshift/core/routechanges.py
@@ -56,6 +56,10 @@
             known = self._changed.get(name, -math.inf)
             self._changed[name] = max(known, now - ago)
 
+    def note_beginning(self, window: Millis, now: Millis) -> None:
+        """Record that there was no route for a time, until now."""
+        self._since = min(self._since, now - window)
+
     def list_changed(
         self, within: Millis, now: Millis
     ) -> tuple[tuple[str, Millis], ...]:
--- a/anvilshift/core/versionhistory.py
+++ b/anvilshift/core/versionhistory.py
@@ -57,9 +57,21 @@
 
     def note(self, service: str, version: str | None, now: Millis) -> bool:
         """Record a version that serves; return whether it wasn't known to serve."""
-        before = self._seen[service].get(version, -math.inf)
-        self._seen[service][version] = max(before, now)
-        return now - before > SETTLING_TIME
+        seen = self._seen[service]
+        before = seen.get(version, -math.inf)
+        seen[version] = max(before, now)
+        is_new = now - before > SETTLING_TIME
+        if is_new:
+            lately = (
+                (one, at) for one, at in seen.items() if now - at <= SETTLING_TIME
+            )
+            self._seen[service] = dict(lately)
+        return is_new
+
+    def note_beginning(self, now: Millis) -> None:
+        """Record that no stream has begun anywhere until now."""
+        self._since = min(self._since, now - SETTLING_TIME)
+        self._last = max(self._last, now)
 
     def note_list(self, confirmed: Millis, now: Millis) -> None:
         """Record that the register is read as a whole, without what came between.
@@ -83,7 +95,8 @@
 
     def find_covered(self, now: Millis) -> Millis:
         """Return the time for which all versions have been seen, until now."""
-        return max(0.0, now - self._since) if now - self._last <= _MAX_GAP else 0.0
+        is_current = self._is_observed and now - self._last <= _MAX_GAP
+        return max(0.0, now - self._since) if is_current else 0.0
 
     def adopt(
         self,
@@ -131,8 +144,7 @@
         window
             Time since which no other version must have been there.
         """
-        is_covered = self._last - self._since >= window
-        if not is_covered or now - self._last > _MAX_GAP:
+        if self.find_covered(self._last) < window or now - self._last > _MAX_GAP:
             return None
         seen = self._seen.get(service, {})
         lately = [one for one, at in seen.items() if now - at <= window]
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -215,6 +215,7 @@
             network,
         )
         self.configuration_follower = self.configurations.follower
+        self.configuration_follower.settle = self._settle_configurations
         self.target_follower = Follower(
             store,
             dialect.targets_kind,
@@ -260,6 +261,10 @@
         self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
+    def _settle_configurations(self, names: set[str]) -> None:
+        if self.shared.table is None and self.dialect.configuration_name not in names:
+            self.shared.origins.note_beginning()
+
     def _settle_targets(self, names: set[str]) -> None:
         self.shared.origins.note_list(self.target_follower.confirmed)
         self.targets.entries.settle(names)
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -152,6 +152,12 @@
             seen = ((info.service, info.version, 0.0),)
             self.peers.broadcast(HistorySeen(0.0, seen, ()))
 
+    def note_beginning(self) -> None:
+        """Record that the store holds no configuration: no stream has begun yet."""
+        now = self.clock.now()
+        self.history.note_beginning(now)
+        self.routes.note_beginning(SETTLING_TIME, now)
+
     def note_list(self, confirmed: Millis) -> None:
         """Record that the register is read anew; see `VersionHistory.note_list`."""
         self.history.note_list(confirmed, self.clock.now())
--- a/tests/core/test_versionhistory.py
+++ b/tests/core/test_versionhistory.py
@@ -76,6 +76,24 @@
         self.assertEqual(self.find(201_000.0), "v1")
 
 
+class FirstStartTest(VersionHistoryCase):
+    def test_fleet_that_has_just_begun_has_had_no_other_version(self):
+        """Guards against callers of a new fleet who are refused for two minutes."""
+        self.observe(0.0, 500.0, "v1")
+        self.history.note_beginning(500.0)
+        self.observe(600.0, 1_000.0, "v1")
+        self.assertEqual(self.find(1_000.0), "v1")
+        self.observe(1_100.0, 2_000.0, "v1", "v2")
+        self.observe(2_100.0, 2_000.0 + SETTLING_TIME, "v2")
+        self.assertIsNone(self.find(2_000.0 + SETTLING_TIME))
+
+    def test_register_that_is_read_late_hides_the_first_streams(self):
+        """Guards against versions between the beginning and the first reading."""
+        self.history.note_beginning(500.0)
+        self.observe(3_000.0, 4_000.0, "v2")
+        self.assertIsNone(self.find(4_000.0))
+
+
 class LateMessageTest(VersionHistoryCase):
     def test_message_that_waited_while_the_router_stood_still_proves_nothing(self):
         """Guards against what came and went while a message lay in the socket."""
@@ -101,6 +119,18 @@
         self.observe(3_000.0, 3_400.0, "v2")
         self.assertIsNone(self.find(3_400.0))
 
+    def test_router_that_has_read_nothing_itself_vouches_for_nothing(self):
+        """Guards against gaps that add up from one router that starts to the next."""
+        self.history.adopt(200_000.0, (("advice", "v2", 0.0),), 0.0, 1_500.0)
+        self.assertEqual(self.history.find_covered(1_500.0), 0.0)
+        self.assertIsNone(self.find(1_500.0))
+
+    def test_versions_of_long_ago_are_forgotten(self):
+        """Guards against a memory that grows with each version."""
+        for number in range(10):
+            self.history.note("advice", f"v{number}", number * 100_000.0)
+        self.assertEqual(len(self.history._seen["advice"]), 2)
+
     def test_version_in_any_message_counts(self):
         """Guards against the longest history alone, whose sender lagged."""
         self.history.adopt(300_000.0, (("advice", "v2", 0.0),), 0.0, 10.0)
--- a/tests/platform/test_streams_after_losses.py
+++ b/tests/platform/test_streams_after_losses.py
@@ -4,7 +4,9 @@
 
 from anvilshift.core.origins import MAX_LIFETIME, Origin, make_stream_key
 from anvilshift.gateway.streammessages import HistorySeen, StreamBegan
+from anvilshift.wire.messages import Address
 from anvilshift.wire.response import ExchangeError
+from tests.platform.gatewaycase import make_configuration
 from tests.platform.test_versions import BEGUN, LONG_MS, VersionCase
 
 RESUMED = ("last-event-id", str(BEGUN))
@@ -246,5 +248,27 @@
         self.assertIsNone(origins.infer(rule, MAX_LIFETIME + 1.0, 1))
 
 
+class FirstStartTest(LossCase):
+    async def test_router_that_found_no_configuration_knows_all_versions(self):
+        """Guards against callers of a new fleet who are refused for two minutes."""
+        await self.add_engines(e1="v1")
+        await self.start_node(configured=False)
+        await self.wait_for(lambda: self.node.configuration_follower.revision)
+        self.store_stub.put("config", "main", make_configuration())
+        await self.wait_for(lambda: self.node.is_ready() and self.node.loads.targets)
+        self.address = Address("127.0.0.1", self.node.server.port)
+        await self.warm_up_whole(self.node)
+        await self.check_unnamed_goes_on(None, "a")
+        await self.add_engines(e2="v2")
+        await self.wait_for(lambda: "e2" in self.node.loads.targets)
+        await self.check_unnamed_refused(None, "b")
+
+    async def test_router_that_found_a_configuration_knows_none(self):
+        """Guards against a restart that counts as the beginning."""
+        await self.add_engines(e1="v1")
+        await self.start_node()
+        await self.check_unnamed_refused(None, "a")
+
+
 def list_seen(node):
     return node.shared.origins.history.list_seen(node.clock.now())
