--- a/tests/platform/test_streams_after_losses.py
+++ b/tests/platform/test_streams_after_losses.py
@@ -263,6 +263,17 @@
         await self.wait_for(lambda: "e2" in self.node.loads.targets)
         await self.check_unnamed_refused(None, "b")
 
+    async def test_router_that_could_not_read_the_configuration_knows_none(self):
+        """Guards against a configuration that others could read, as no one."""
+        await self.add_engines(e1="v1")
+        self.store_stub.put("config", "main", {"version": "unreadable"})
+        await self.start_node(configured=False)
+        await self.wait_for(lambda: self.node.configuration_follower.revision)
+        self.store_stub.put("config", "main", make_configuration())
+        await self.wait_for(lambda: self.node.is_ready() and self.node.loads.targets)
+        self.address = Address("127.0.0.1", self.node.server.port)
+        await self.check_unnamed_refused(None, "a")
+
     async def test_router_that_found_a_configuration_knows_none(self):
         """Guards against a restart that counts as the beginning."""
         await self.add_engines(e1="v1")
