--- a/tests/platform/test_streams_after_losses.py
+++ b/tests/platform/test_streams_after_losses.py
@@ -249,6 +249,11 @@
 
 
 class FirstStartTest(LossCase):
+    async def wait_until_read(self) -> None:
+        """Wait until the router vouches for what it has read of the register."""
+        history, clock = self.node.shared.origins.history, self.node.clock
+        await self.wait_for(lambda: history.find_covered(clock.now()) > 0.0)
+
     async def test_router_that_found_no_configuration_knows_all_versions(self):
         """Guards against callers of a new fleet who are refused for two minutes."""
         await self.add_engines(e1="v1")
@@ -272,12 +277,14 @@
         self.store_stub.put("config", "main", make_configuration())
         await self.wait_for(lambda: self.node.is_ready() and self.node.loads.targets)
         self.address = Address("127.0.0.1", self.node.server.port)
+        await self.wait_until_read()
         await self.check_unnamed_refused(None, "a")
 
     async def test_router_that_found_a_configuration_knows_none(self):
         """Guards against a restart that counts as the beginning."""
         await self.add_engines(e1="v1")
         await self.start_node()
+        await self.wait_until_read()
         await self.check_unnamed_refused(None, "a")
 
 
