--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -212,6 +212,7 @@
             journal,
             self.messenger.handle_lost_target,
             self.shared.health.reports.forget,
+            self.shared.origins.note_target,
         )
         self.configurations = Configurations(
             settings,
@@ -225,6 +226,7 @@
             network,
         )
         self.configuration_follower = self.configurations.follower
+        self.configuration_follower.settle = self._settle_configurations
         self.target_follower = Follower(
             store,
             dialect.targets_kind,
@@ -232,7 +234,7 @@
             clock,
             journal,
             self.targets.apply_change,
-            self.targets.entries.settle,
+            self._settle_targets,
         )
         self.target_follower.probe = self.configuration_follower
         self.drains.follow(store, dialect.drains_kind, self.configuration_follower)
@@ -282,6 +284,14 @@
         messenger.add_handler(TargetCold, cold.apply_message)
         messenger.tell_new_router.append(cold.tell_new_router)
 
+    def _settle_configurations(self, names: set[str]) -> None:
+        if self.shared.table is None and self.dialect.configuration_name not in names:
+            self.shared.origins.note_beginning()
+
+    def _settle_targets(self, names: set[str]) -> None:
+        self.shared.origins.note_list(self.target_follower.confirmed)
+        self.targets.entries.settle(names)
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -273,8 +273,8 @@
         """Send a new router what it needs to know of the time before its start.
 
         These are the spending of former incarnations of its host, the marks of the
-        store's history, the limits of targets, what is gone of versions and routes, the
-        parts of prompts that may end engines, and the drained failure domains.
+        store's history, the limits of targets, what was seen of versions and routes,
+        the parts of prompts that may end engines, and the drained failure domains.
         Without marks from others it could not prove the age of its own records until it
         had followed the store for as long as the store keeps its history.
         """
@@ -289,7 +289,8 @@
             self.peers.send(Marked(tuple(marks)), beat.ip)
         for limited in self.limits.list_limits():
             self.peers.send(limited, beat.ip)
-        self.peers.send(self.shared.origins.describe_history(), beat.ip)
+        if self.shared.origins.informs(beat.incarnation):
+            self.peers.send(self.shared.origins.describe_history(), beat.ip)
         self.shared.parts.tell_new_router(beat.ip)
         self.drains.tell(beat.ip)
         for tell in self.tell_new_router:
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -24,10 +24,12 @@
     ----------
     on_target_lost
         Called with the name of a target that has ended or was restarted.
-    on_entry
-        Called with what a target's entry says, once it is in force.
     on_new_start
         Called with the name of a target that was restarted under its name.
+    on_read
+        Called with each target whose entry was read, before it is used.
+    on_entry
+        Called with what a target's entry says, once it is in force.
     """
 
     dialect: Dialect
@@ -38,6 +40,7 @@
     journal: Journal
     on_target_lost: Callable[[str], None]
     on_new_start: Callable[[str], None] = lambda name: None
+    on_read: Callable[[TargetInfo], None] = lambda info: None
     on_entry: Callable[[TargetInfo], None] = lambda info: None
     _unreadable: set[str] = field(default_factory=set)
 
@@ -57,6 +60,7 @@
             self.loads.remove(change.name, self.clock.now())
             return
         self.entries.put(change.name, change.body)
+        self.on_read(info)
         known = self.loads.targets.get(change.name)
         if known is None or info.is_other_start(known.info):
             self.journal.write(
