--- a/tests/core/health/test_coldtargets.py
+++ b/tests/core/health/test_coldtargets.py
@@ -1,8 +1,10 @@
 """What a cold target is sent, by hand-worked figures."""
 
 import math
+import random
 import unittest
 
+from anvilshift.core.choosing import Choice, Demand, choose_engine
 from anvilshift.core.clock import SECOND
 from anvilshift.core.health.coldtargets import (
     PERMIT_LIFETIME,
@@ -16,7 +18,7 @@
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.permits import Bid, BidState, PermitQueue
 from anvilshift.core.ratelimits import RateLimit, RequestLog
-from anvilshift.core.targetload import TargetInfo
+from anvilshift.core.targetload import Prompt, TargetInfo
 
 BOUNDS = ColdBounds(1.5, 5.0)
 MINUTE = 60 * SECOND
@@ -117,6 +119,35 @@
                 self.assertEqual(find_end(left, 0.0), MINUTE)
 
 
+class PlacementTest(unittest.TestCase):
+    """Load: a popular prompt's engine is busy, and an idle one has just returned."""
+
+    def choose(self, is_cold: bool) -> Choice:
+        loads = LoadMap()
+        for name in ("busy", "idle"):
+            info = TargetInfo(name, "llm", "10.0.0.1:80", "north", 8, version="v1")
+            loads.declare(info)
+        prompt = Prompt((("a", 9_000), ("b", 10)), 9_010, 50)
+        loads.hold("busy", prompt.parts[:1], 100_000)
+        other = Prompt((("c", 20_000),), 20_000, 50)
+        loads.send("busy", "r1/1", other, 0, now=0.0, capacity=100_000)
+        if is_cold:
+            loads.targets["idle"].set_cold(ColdTerm(5.0, until=3_000.0))
+        demand = Demand("llm", prompt, 100_000, "north", 500.0, fetch_per_token=0.001)
+        choice = choose_engine(loads, demand, 0.0, random.Random(1))
+        assert choice is not None
+        return choice
+
+    def test_no_prompt_is_fetched_to_a_cold_target(self):
+        """Guards against a heap of transfers to all engines that have just returned."""
+        self.assertEqual(self.choose(is_cold=True).cached, 0)
+        self.assertIsNone(self.choose(is_cold=True).fetch_from)
+
+    def test_a_warm_target_still_fetches(self):
+        fetch_from = self.choose(is_cold=False).fetch_from
+        self.assertEqual(fetch_from.info.name if fetch_from else None, "busy")
+
+
 class ViewTest(unittest.TestCase):
     """Load: callers press a cold target at routers that don't see each other."""
 
--- a/tests/gateway/test_coldnews.py
+++ b/tests/gateway/test_coldnews.py
@@ -2,15 +2,17 @@
 
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 
 from anvilshift.core.health.coldtargets import ColdBounds, ColdNeeds
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.routing import Service
-from anvilshift.core.targetload import TargetInfo
+from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.coldmessages import TargetCold
 from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.datagrams import decode, encode
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.messages import SentBefore
 from anvilshift.gateway.outgoing import AttemptError
 from anvilshift.standins.virtual import VirtualClock
 from tests.gateway.silent import SilentJournal
@@ -133,6 +135,20 @@
         self.cold.tell_new_router("10.0.0.9")
         self.assertEqual(self.peers.messages, [TargetCold("e1", 1, 1_500.0)])
 
+    def test_the_issuer_is_told_what_was_sent_before(self):
+        """Guards against permits beside a second's worth of earlier requests."""
+        self.cold.limits.update_routers({"r1", "r2"}, ())
+        beat = SimpleNamespace(ip="10.0.0.2")
+        self.peers.routers = {"r2": SimpleNamespace(beat=beat)}
+        names = [f"e{n}" for n in range(20)]
+        name = next(n for n in names if self.cold.limits.find_issuer(n) == "r2")
+        self.read(name)
+        self.loads.send(name, "r1.0/1", Prompt(), 0, self.clock.now(), 0)
+        self.clock.time += 300.0
+        self.read(name, left=2_000.0)
+        expected = SentBefore(name, 1, (("r1.0/1", 300.0),))
+        self.assertIn(expected, self.peers.messages)
+
     def test_a_message_survives_its_way(self):
         message = TargetCold("e1", 7, 1_500.0)
         self.assertEqual(decode(encode(message)), [message])
