--- a/tests/gateway/coldfleet.py
+++ b/tests/gateway/coldfleet.py
@@ -237,7 +237,8 @@
         fleet, name = self.fleet, chosen.info.name
         self.loads.send(name, run, Prompt(), 0, fleet.clock.now(), 0)
         try:
-            await asyncio.sleep(self.connect_s * fleet.rng.uniform(0.5, 1.5))
+            opening = self.connect_s * fleet.rng.uniform(0.5, 1.5)
+            await asyncio.sleep(max(opening, fleet.stalled_until - fleet.now()))
             await self.running.wait()
             engine, target = fleet.engines[name], self.loads.targets.get(name, chosen)
             if not engine.up:
@@ -271,6 +272,8 @@
     ----------
     is_mute
         Whether messages to all routers are lost.
+    stalled_until
+        When connections open that are opened before.
     """
 
     node_kind = ColdNode
@@ -280,6 +283,7 @@
     ) -> None:
         self.cold_s = cold_s
         self.is_mute = False
+        self.stalled_until = 0.0
         self.seeds = [f"r{index}" for index in range(min(3, size))]
         self.without_store: set[str] = set()
         names = [f"e{index}" for index in range(engines)]
--- a/tests/gateway/test_coldnews.py
+++ b/tests/gateway/test_coldnews.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
-from anvilshift.core.health.coldtargets import ColdBounds, ColdNeeds
+from anvilshift.core.health.coldtargets import ColdBounds, ColdNeeds, find_permit_rate
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.routing import Service
 from anvilshift.core.targetload import Prompt, TargetInfo
@@ -20,6 +20,9 @@
 SERVICE = Service("llm", 64, cold=ColdNeeds(7.0, 3_000.0))
 
 
+BOUNDS = ColdBounds(1.5, 5.0)
+
+
 class PeersFake:
     """Keeps the messages to other routers."""
 
@@ -229,6 +232,16 @@
         with self.assertRaises(AttemptError):
             self.cold.check_permit(target, "r1/2")
 
+    def test_a_separate_group_issues_its_part_of_the_rate(self):
+        """Guards against four groups that use the whole rate each."""
+        self.read(left=2_000.0)
+        target, known = self.loads.targets["e1"], {f"10.0.0.{n}" for n in range(27)}
+        group = {f"10.0.0.{n}" for n in range(6)}
+        self.cold.view.update(group, known, set(), 0.0, interval=500.0)
+        rate = self.cold.find_rate(target, None)
+        self.assertAlmostEqual(rate or 0.0, find_permit_rate(7.0, BOUNDS) / 4)
+        self.assertEqual(self.cold.find_rate(target, 0.5), 0.5)
+
     def test_the_gauge_counts_cold_targets(self):
         self.read(left=2_000.0)
         self.read("e2")
--- a/tests/gateway/test_coldtargets.py
+++ b/tests/gateway/test_coldtargets.py
@@ -267,12 +267,8 @@
             await _start(fleet)
             fleet.return_cold()
             await asyncio.sleep(3.0)
-            for node in fleet.nodes.values():
-                node.connect_s = 1.5
-            await asyncio.sleep(2.0)
-            for node in fleet.nodes.values():
-                node.connect_s = 0.002
-            await asyncio.sleep(3.0)
+            fleet.stalled_until = fleet.now() + 4.0
+            await asyncio.sleep(5.5)
 
         self.check(scenario, cold_s=9.0)
 
