Log what an ended router's record and share count, by organisation

Cause: after three losses of all power a fifth of all totals was out of reach, and the log told sums only, so that nobody could say which part of it was what. Change: use_settled names the figures of the record, share_ended those of the share, once a start and organisation.

--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -273,6 +273,10 @@
             elapsed=elapsed,
             bounds=len(record.spans),
             organisations=len(record.uses),
+            uses={
+                name: [use.recorded, use.settled, use.at_once, use.cushion]
+                for name, use in record.uses.items()
+            },
         )
         return None if elapsed is None else (record.holder, record.bound(elapsed))
 
--- a/anvilshift/gateway/shares.py
+++ b/anvilshift/gateway/shares.py
@@ -325,6 +325,7 @@
                     holder=holder,
                     known=spent is not None,
                     most=sum(one.most for one in (spent or {}).values()),
+                    shares=_describe_end(allotments, holder, spent or {}),
                 )
                 allotments = allotments.end(holder, spent)
         return allotments
@@ -351,6 +352,25 @@
         await self._object.update(change)
 
 
+def _describe_end(
+    allotments: Allotments, holder: str, spent: Mapping[str, SpendingBounds]
+) -> dict[str, list[int]]:
+    """Return by organisation the ceiling of a share, and what its end counts.
+
+    After the ceiling come the most and the least that it may have spent, and the part
+    that is settled.
+    """
+    described = {}
+    for name, one in allotments.organisations.items():
+        share = one.shares.get(holder)
+        if share is not None:
+            known = spent.get(name) or SpendingBounds(share.recorded, share.ceiling)
+            most = min(known.most, share.ceiling)
+            settled = max(share.settled, known.settled)
+            described[name] = [share.ceiling, most, known.least, settled]
+    return described
+
+
 def read_allotments(body: Body | None) -> Allotments:
     """Return the allotments in a stored body; a missing body has none."""
     if not body:
