Spend less without a record where use is small or tokens are in doubt

Cause: an allocator could spend 6 (1.5) parts in a hundred of what is left at any time, and ten seconds' use within eight seconds. Change: at any time 1.5 s of measured use (what elapsed time releases is behind even use by at most 1.6 s), at least 1 (0.25) and at most 6 (1.5) parts in a hundred of the rest, as before where no use was measured yet. Both amounts shrink with the tokens in doubt, to a tenth when 3 in 100 of the total are; 0.8 s of use always stays.

--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -150,6 +150,7 @@
                 - known.closed
                 - sum(share.recorded for share in known.shares.values())
             )
+            balance.doubt = known.doubt
             balance.free, balance.free_until = known.free, now + known_for
 
     def set_provable(self, provable: bool) -> None:
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -34,16 +34,31 @@
 """Fraction of the cushion below which a router draws more tokens.  It is below 1
 because each draw is a billed write to the store."""
 _AT_ONCE_FRACTIONS = (0.06, 0.015)
-"""Fractions of the remaining tokens that the first and the second allocator may spend
-at any time.  No proof bounds this spending, so the tokens are lost if all routers fail.
-They are needed for the first prompts of a store outage, before elapsed time has
-released any other tokens."""
+_MIN_AT_ONCE_FRACTIONS = (0.01, 0.0025)
+"""Bounds on what the first and the second allocator may spend at any time, as fractions
+of the remaining tokens.  No proof bounds this spending, so the tokens are lost if all
+routers fail.  They are needed for the first prompts of a store outage, before elapsed
+time has released any other tokens."""
+_AT_ONCE_USE: Millis = 1.5 * SECOND
+"""Duration of use that may be spent at any time once the rate is measured, within these
+bounds.  What elapsed time releases of `_OUTAGE_USE` is behind even use by 1.6 s at the
+most."""
 _OUTAGE_USE: Millis = 10 * SECOND
 """Duration of use at the measured rate that may be spent during a store outage of 8 s.
 It is longer than the outage because an organisation may send more than usual."""
 _MIN_OUTAGE_USE = 0.06
 """Lower bound on that amount, as a fraction of the total, for an organisation that
 sends rarely."""
+_MAX_DOUBT = 0.03
+"""Fraction of a total beyond which tokens in doubt make its organisation lose requests
+that it is owed.  The more of it earlier losses have used, the less may be spent without
+a record."""
+_MIN_TRUST = 0.1
+"""Fraction of the cushion that stays without a record when that much is in doubt: a
+store outage may still follow."""
+_RECORDED_USE: Millis = 0.8 * SECOND
+"""Duration of use at the measured rate that may be spent at any time however much is in
+doubt: twice the time between two records, so that few requests wait for one."""
 _RETURN_ABOVE = 1.4
 """Multiple of the cushion above which tokens are returned to the store.  It is far
 enough above the refill threshold that fluctuating traffic doesn't cause alternate draws
@@ -90,6 +105,8 @@
     left
         Remaining tokens of the total across all routers, as of the last write to
         the store; None before the first write.
+    doubt
+        Tokens of ended routers that count as spent and may not have been, likewise.
     ceiling
         Tokens that this router may spend over its lifetime, as confirmed by the
         store.
@@ -132,6 +149,7 @@
     allocators: int = 1
     rank: int | None = 0
     left: int | None = None
+    doubt: int = 0
     ceiling: int = 0
     settled: int = 0
     delivered: int = 0
@@ -235,12 +253,27 @@
             # single requests.  If its spending were limited over time, it would ask for
             # the next request's tokens while those left from the last one are unused.
             return Use(recorded, beyond, beyond, self.publish())
-        rate = self.compute_rate(now)
-        extra = max(int(rate * _OUTAGE_USE), int(self.total * _MIN_OUTAGE_USE))
+        at_once, extra = self._find_unrecorded(self.rank, now)
         extra = min(extra, beyond)
-        at_once = int(max(0, self.left or 0) * _AT_ONCE_FRACTIONS[self.rank])
         return Use(recorded, min(at_once, extra), extra, self.publish())
 
+    def _find_unrecorded(self, rank: int, now: Millis) -> tuple[int, int]:
+        """Return how many tokens to spend beyond a record: at any time, and in all.
+
+        Both shrink with the tokens in doubt: any number of losses of all power leaves
+        little more in doubt than the first.
+        """
+        rate, left = self.compute_rate(now), max(0, self.left or 0)
+        extra = max(rate * _OUTAGE_USE, self.total * _MIN_OUTAGE_USE)
+        at_once = left * _AT_ONCE_FRACTIONS[rank]
+        if self.rate_since is not None:
+            least = left * _MIN_AT_ONCE_FRACTIONS[rank]
+            at_once = min(at_once, max(rate * _AT_ONCE_USE, least))
+        trust = max(_MIN_TRUST, 1.0 - self.doubt / max(1.0, self.total * _MAX_DOUBT))
+        recorded_use = min(at_once, rate * _RECORDED_USE)
+        at_once = max(recorded_use, at_once * trust)
+        return int(at_once), int(max(at_once, extra * trust))
+
     def publish(self) -> int:
         """Return the settled tokens to store under this router's name from now on.
 
