--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -301,8 +301,7 @@
         """Tell whether the store and live routers may hold this many tokens.
 
         What counts as spent for ended routers comes back with a larger total only, but
-        for what they had lent.  A borrower that returned such tokens to the store has a
-        ceiling below zero.
+        for what they had lent.
 
         Examples
         --------
@@ -315,6 +314,4 @@
         >>> balances.is_exhausted("pounds", 21)
         False
         """
-        known = self.seen.of(name)
-        returned = sum(min(0, share.ceiling) for share in known.shares.values())
-        return self._find_total(name) - known.closed - returned >= tokens
+        return self._find_total(name) - self.seen.of(name).closed >= tokens
