--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -288,30 +288,8 @@
         >>> balances.is_exhausted("pounds", 30)
         True
         """
-        settled = self.seen.of(name).count_settled(without=self.holder)
-        settled += self.by_name[name].delivered
-        return self._find_total(name) - settled < tokens
-
-    def _find_total(self, name: str) -> int:
+        balance, known = self.by_name[name], self.seen.of(name)
         # After a change of the total the store or this router may have the older one.
-        total, known = self.by_name[name].total, self.seen.of(name)
-        return max(total, known.total) if known.version else total
-
-    def may_come_free(self, name: str, tokens: int) -> bool:
-        """Tell whether the store and live routers may hold this many tokens.
-
-        What counts as spent for ended routers comes back with a larger total only, but
-        for what they had lent.
-
-        Examples
-        --------
-        >>> balances = Balances("r2")
-        >>> balances.by_name["pounds"] = Balance(total=100)
-        >>> from anvilshift.core.allotments import Allotment
-        >>> balances.seen = Allotments({"pounds": Allotment(100, 1, closed=80)})
-        >>> balances.may_come_free("pounds", 20), balances.may_come_free("pounds", 21)
-        (True, False)
-        >>> balances.is_exhausted("pounds", 21)
-        False
-        """
-        return self._find_total(name) - self.seen.of(name).closed >= tokens
+        total = max(balance.total, known.total) if known.version else balance.total
+        settled = known.count_settled(without=self.holder) + balance.delivered
+        return total - settled < tokens
--- a/anvilshift/core/refusals.py
+++ b/anvilshift/core/refusals.py
@@ -6,7 +6,6 @@
 refused that tokens come for.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from anvilshift.core.clock import SECOND, Millis
@@ -19,11 +18,7 @@
 topped up, within seconds; a caller that retries sooner is refused again."""
 _MAX_RETRY_DELAY: Millis = 30 * SECOND
 """Longest retry delay.  Where an organisation has had no tokens for some seconds, none
-are expected for as long again; a caller with less time need not come back.  It is also
-told where nothing but a larger total can bring tokens."""
-_LOANS_RETURNED: Millis = 2 * SECOND
-"""Time after which routers have returned what ended ones had lent them: they do so when
-it was unused for a second."""
+are expected for as long again; a caller with less time need not come back."""
 
 
 @dataclass(frozen=True)
@@ -84,13 +79,11 @@
     def __init__(self) -> None:
         self._refusals: dict[str, Refusal] = {}
         self._dry_since: dict[str, Millis] = {}
-        self._hopeless_since: dict[str, Millis] = {}
 
     def clear(self) -> None:
         """Forget everything, because totals may have grown."""
         self._refusals.clear()
         self._dry_since.clear()
-        self._hopeless_since.clear()
 
     def remember(self, name: str, refusal: Refusal) -> None:
         """Remember a refusal of an organisation's request."""
@@ -105,34 +98,6 @@
             return None
         return known
 
-    def choose_wait(
-        self, name: str, waits: Iterable[Millis | None], hopeless: bool, now: Millis
-    ) -> Millis:
-        """Return when a refused caller should come back.
-
-        Parameters
-        ----------
-        waits
-            Times after which there may be tokens; None where it isn't known.
-        hopeless
-            Whether live routers and the store hold too few tokens for the request.
-            What ended routers had lent may still come back for a while.
-
-        Examples
-        --------
-        >>> memory = RefusalMemory()
-        >>> memory.choose_wait("pounds", [None, 700.0, 300.0], False, now=0.0)
-        300.0
-        >>> [memory.choose_wait("pounds", [300.0], True, now) for now in (0.0, 2_000.0)]
-        [300.0, 30000.0]
-        """
-        if hopeless:
-            since = self._hopeless_since.setdefault(name, now)
-            if now - since >= _LOANS_RETURNED:
-                return _MAX_RETRY_DELAY
-        known = [wait for wait in waits if wait is not None and wait > 0.0]
-        return min(known) if known else self.note_dry_spell(name, now)
-
     def note_served(self, name: str) -> None:
         """Record that a request of an organisation got its tokens."""
         self._dry_since.pop(name, None)
--- a/anvilshift/gateway/reserving.py
+++ b/anvilshift/gateway/reserving.py
@@ -282,13 +282,14 @@
         certain = self._is_certain(name, tokens, search)
         waits = [self.balances.find_wait(name, key, now), search.find_wait()]
         waits.append(self.balances.by_name[name].find_release(tokens, now))
-        hopeless = not self.balances.may_come_free(name, tokens)
-        knows_best = self.allocators.is_allocator(name) or not search.answers
-        if self.allotter.has_just_started() and knows_best and not hopeless:
+        if self.allotter.has_just_started():
             waits.append(_RETRY_DELAY_AT_START)
         if self._draws_free(name, tokens):
             waits.append(_DRAW_DELAY)
-        wait = self._refusals.choose_wait(name, waits, hopeless, now)
+        known = [wait for wait in waits if wait is not None and wait > 0.0]
+        wait = min(known, default=None)
+        if wait is None:
+            wait = self._refusals.note_dry_spell(name, now)
         if search.answers or self.allocators.is_allocator(name):
             self._refusals.remember(name, Refusal(tokens, certain, wait, now))
         return self._make_refusal(name, tokens, certain, wait)
--- a/tests/gateway/test_reserving.py
+++ b/tests/gateway/test_reserving.py
@@ -3,7 +3,7 @@
 
 from anvilshift.core.allocators import list_allocators, list_candidates
 from anvilshift.core.clock import SECOND
-from anvilshift.core.errors import BUDGET_UNREACHABLE, AnvilshiftError
+from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.tokensearch import ANSWER_TIMEOUT
 from tests.gateway.fleet import POUNDS, run_scenario
 
@@ -258,39 +258,6 @@
 
         run_scenario(scenario)
 
-    def test_callers_are_not_told_to_return_for_tokens_that_nobody_holds(self):
-        """Guards against callers who come back in vain after a loss of all power.
-
-        Of the total only what ended routers may have spent is left.  That is no reason
-        for a final refusal, but only a top-up can bring tokens.
-        """
-
-        async def refuse(fleet, key: str) -> AnvilshiftError:
-            until = fleet.clock.now() + 15_000.0
-            with self.assertRaises(AnvilshiftError) as caught:
-                await fleet.reservations[OTHERS[0]].reserve(POUNDS, key, 40_000, until)
-            self.assertIs(caught.exception.code, BUDGET_UNREACHABLE)
-            return caught.exception
-
-        async def scenario(fleet):
-            await start_all(fleet, 100_000)
-            until = fleet.clock.now() + 5_000.0
-            await fleet.reservations[ALLOCATORS[0]].reserve(POUNDS, "x", 70_000, until)
-            for node in HOSTS:
-                fleet.kill(node)
-            await start_all(fleet, 100_000)
-            await refuse(fleet, "first")
-            await asyncio.sleep(3.0)
-            refused = await refuse(fleet, "second")
-            self.assertGreater(refused.retry_after, 15_000.0)
-            for node in fleet.allotters:
-                fleet.allotters[node].configure(2, {POUNDS: 200_000})
-                fleet.reservations[node].forget_refusals()
-            await asyncio.sleep(1.0)
-            self.assertTrue(await fleet.spend(OTHERS[0], "after a top-up", 40_000))
-
-        run_scenario(scenario)
-
     def test_an_exhausted_total_causes_an_immediate_refusal(self):
         """A total is spent, and a request arrives at a router that isn't an allocator.
 
