--- a/tests/core/test_balances.py
+++ b/tests/core/test_balances.py
@@ -122,6 +122,20 @@
         self.assertEqual(early.make_use(0.0), Use(0, 54_000, 60_000))
         self.assertEqual(late.make_use(0.0), Use(0, 6_000, 55_000))
 
+    def test_tokens_in_doubt_shrink_what_is_spent_without_a_record(self):
+        """Guards against losing as much at a third loss of power as at the first.
+
+        Three parts in a hundred of a total may be lost; here all or half of them are.
+        """
+        none = Balance(total=1_000_000, left=900_000, ceiling=500_000)
+        half = Balance(total=1_000_000, left=900_000, ceiling=500_000, doubt=15_000)
+        all_of_it = Balance(
+            total=1_000_000, left=900_000, ceiling=500_000, doubt=30_000
+        )
+        self.assertEqual(none.make_use(0.0), Use(0, 54_000, 60_000))
+        self.assertEqual(half.make_use(0.0), Use(0, 27_000, 30_000))
+        self.assertEqual(all_of_it.make_use(0.0), Use(0, 16_200, 16_200))
+
     def test_a_router_that_is_no_allocator_returns_idle_tokens(self):
         balances = make_balances(ceiling=0)
         balances.by_name[POUNDS].rank = None
