Send nothing for callers that have left

Cause, read from the code and shown by the tests: a busy event loop handles what was ready first. The end of a wait (tokens, permit, connection) and the caller's close, or the timer of its deadline, are ready in the same turn, and the request was sent before either was handled; a request that was read late together with its caller's close was sent on an idle connection in its first step.

--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -57,6 +57,9 @@
         AttemptError
             When no answer to this request arrives, or the target states that it did
             not run the request.
+        CallerDisconnectedError, TimeoutError
+            When the caller has left, or its deadline has passed, before the first
+            byte was sent.
         """
         self._record_send(outgoing)
         sent = self.clock.now()
@@ -140,6 +143,7 @@
             self._check_rest(info.name)
             self._check_drain(info)
             self._check_permit(outgoing)
+            outgoing.check()
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
             delivery = replace(
