--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -33,6 +33,7 @@
 from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
+from anvilshift.gateway.sharedwatches import SharedWatches
 from anvilshift.gateway.shares import ShareManager
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
@@ -224,6 +225,11 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
+        self.shared_watches = SharedWatches(
+            settings, self.peers, clock, journal, network
+        )
+        for follower in (self.configuration_follower, self.target_follower):
+            self.shared_watches.share(follower, store)
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -13,7 +13,7 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import PLATFORM_UNREADABLE, AnvilshiftError
 from anvilshift.gateway.journal import Journal
-from anvilshift.objects.store import Body, ObjectChange, ObjectStore
+from anvilshift.objects.store import Body, ObjectChange, WatchedStore
 
 _FIRST_PAUSE: Millis = 300.0
 """Pause after the first failed call."""
@@ -119,9 +119,11 @@
         Longest watch, whatever the factor.
     call, asked
         The last call, and when it was made.
+    on_list, on_batch
+        Called with the revision once a list, or the changes of a watch, are applied.
     """
 
-    store: ObjectStore
+    store: WatchedStore
     kind: str
     intervals: WatchIntervals
     clock: Clock
@@ -136,6 +138,10 @@
     probe: "Follower | None" = None
     call: Call = Call.NONE
     asked: Millis = -1e12
+    on_list: Callable[[int], None] = lambda revision: None
+    on_batch: Callable[[int, tuple[ObjectChange, ...]], None] = (
+        lambda revision, changes: None
+    )
     _newest: int = 0
     _failures: int = 0
     _lost: bool = False
@@ -239,6 +245,7 @@
         self.settle({item.name for item in listing.items})
         self.revision = self._newest = listing.revision
         self.confirmed = asked
+        self.on_list(listing.revision)
 
     async def _watch(self) -> None:
         wait = self._find_wait()
@@ -253,6 +260,11 @@
             self.change(change)
         self.revision = max(self.revision, found.revision)
         self._newest = max(self._newest, self.revision)
+        self.on_batch(self.revision, found.changes)
+        if found.confirmed is not None:
+            # The router that told them has rested already.
+            self.confirmed = max(self.confirmed, found.confirmed)
+            return
         self.confirmed = asked
         if found.changes and self.intervals.rest:
             await asyncio.sleep(
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -24,6 +24,7 @@
         await self.peers.start()
         await self.server.start(self.settings.front)
         await self.configurations.start()
+        await self.shared_watches.start()
         await self.forwarding.server.start(
             Address(self.settings.ip, self.settings.forward_port)
         )
@@ -102,5 +103,6 @@
         self.shared.tries.close()
         await self.forwarding.server.close()
         await self.configurations.close()
+        await self.shared_watches.close()
         self.client.close()
         self.peers.close()
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -13,9 +13,13 @@
 
     Parameters
     ----------
-    peer_port, forward_port, configuration_port
+    peer_port, forward_port, configuration_port, watch_port
         Ports for traffic between routers: for datagrams, for connections to targets
-        through another router, and for the configuration in force.
+        through another router, for the configuration in force, and for changes in the
+        platform's store.
+    readers_per_domain
+        Routers of each failure domain that watch the platform's store for the others
+        there, in a larger fleet; 0 if each router watches it.
     seeds
         IP addresses of routers that may be running.
     grace
@@ -44,3 +48,5 @@
     history: Millis | None = None
     recovery: Millis = 3 * SECOND
     configuration_port: int = 0
+    watch_port: int = 0
+    readers_per_domain: int = 1
--- a/anvilshift/objects/store.py
+++ b/anvilshift/objects/store.py
@@ -68,11 +68,15 @@
     ----------
     too_old
         Whether the platform no longer has the history after the requested revision.
+    confirmed
+        Instant until which they are complete, where another router told them; None
+        where the platform answered.
     """
 
     revision: int
     changes: tuple[ObjectChange, ...] = ()
     too_old: bool = False
+    confirmed: Millis | None = None
 
 
 @dataclass(frozen=True)
@@ -114,15 +118,24 @@
         super().__init__(PLATFORM_DOWN, detail, _RETRY_AFTER_RATE_LIMIT)
 
 
-class ObjectStore(Protocol):
+class WatchedStore(Protocol):
+    """Store of versioned objects whose changes can be followed."""
+
+    async def list(self, kinds: Iterable[str]) -> Listing:
+        """Return every object of the given kinds."""
+
+    async def watch(
+        self, kinds: Iterable[str], after: int, wait: Millis
+    ) -> ChangeBatch:
+        """Wait for changes that follow a revision."""
+
+
+class ObjectStore(WatchedStore, Protocol):
     """Store of versioned objects with conditional writes and watches."""
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
 
-    async def list(self, kinds: Iterable[str]) -> Listing:
-        """Return every object of the given kinds."""
-
     async def put(self, kind: str, name: str, body: Body, version: int) -> StoredObject:
         """Write an object if its version is unchanged; version 0 creates it.
 
@@ -137,11 +150,6 @@
     async def delete(self, kind: str, name: str, version: int) -> int:
         """Delete an object if its version is unchanged; return the revision."""
 
-    async def watch(
-        self, kinds: Iterable[str], after: int, wait: Millis
-    ) -> ChangeBatch:
-        """Wait for changes that follow a revision."""
-
     async def hosts(self) -> tuple[HostEntry, ...]:
         """Return the platform's list of hosts, which may be out of date."""
 
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -17,6 +17,7 @@
 _MIN_RETRY_WINDOW_S, _MAX_RETRY_WINDOW_S = 0.1, 3_600.0
 _MAX_RETRY_ALLOWANCE = 1e6
 """A value beyond these is taken for a mistake: no service stands so many retries."""
+_MAX_READERS = 16
 _DEFAULT_PATH = "/etc/anvilshift/local.toml"
 
 
@@ -74,6 +75,12 @@
     listen: _Listen
     bounds: _Bounds = Field(default_factory=_Bounds)
     platform: _Store
+    readers_per_domain: int = Field(
+        default=GatewaySettings.readers_per_domain,
+        alias="storeReadersPerZone",
+        ge=0,
+        le=_MAX_READERS,
+    )
 
     def convert(self) -> GatewaySettings:
         """Return the gateway's settings."""
@@ -94,6 +101,8 @@
             history=_convert_to_ms(self.platform.history_s),
             recovery=self.bounds.stable_ms,
             configuration_port=self.ports[0] + 2,
+            watch_port=self.ports[0] + 3,
+            readers_per_domain=self.readers_per_domain,
         )
 
 
--- a/tests/platform/memorynetwork.py
+++ b/tests/platform/memorynetwork.py
@@ -17,6 +17,7 @@
         self.protocol = protocol
         self.peer: _Pipe | None = None
         self.is_silent = False
+        self.peer_name: tuple[str, int] | None = None
         self._is_closing = False
         self._has_ended = False
 
@@ -59,7 +60,7 @@
         return self._is_closing
 
     def get_extra_info(self, name, default=None):
-        return default
+        return self.peer_name if name == "peername" else default
 
     def get_write_buffer_size(self) -> int:
         return 0
@@ -74,6 +75,11 @@
 class MemoryNetwork:
     """Connects the clients of some processes to one HTTP server.
 
+    Parameters
+    ----------
+    source
+        Address from which the server sees them connect.
+
     Attributes
     ----------
     opened
@@ -82,8 +88,9 @@
         Whether new connections never open.
     """
 
-    def __init__(self, server: HttpServer) -> None:
+    def __init__(self, server: HttpServer, source: str = "") -> None:
         self._server = server
+        self._source = source
         self._ends: list[_Pipe] = []
         self.opened: list[float] = []
         self.is_down = False
@@ -96,6 +103,7 @@
         await asyncio.sleep(2 * _ONE_WAY_S)
         near, far = _Pipe(protocol), _Pipe(_Connection(self._server))
         near.peer, far.peer = far, near
+        far.peer_name = (self._source, 1) if self._source else None
         self._ends += [near, far]
         far.protocol.connection_made(far)
         protocol.connection_made(near)
