--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -44,6 +44,17 @@
 _MIN_OUTAGE_USE = 0.06
 """Lower bound on that amount, as a fraction of the total, for an organisation that
 sends rarely."""
+_MAX_DOUBT = 0.03
+"""Fraction of a total beyond which tokens in doubt make its organisation lose requests
+that it is owed.  The more of it earlier losses have used, the less may be spent without
+a record."""
+_MIN_AT_ONCE_TRUST, _MIN_TRUST = 0.3, 0.1
+"""Fractions of what may be spent at any time, and in all, without a record that stay
+when that much is in doubt.  Large prompts would otherwise wait for a record each, and a
+store outage may still follow."""
+_RECORDED_USE: Millis = 0.8 * SECOND
+"""Duration of use at the measured rate that may be spent at any time however much is in
+doubt: twice the time between two records, so that few requests wait for one."""
 _RETURN_ABOVE = 1.4
 """Multiple of the cushion above which tokens are returned to the store.  It is far
 enough above the refill threshold that fluctuating traffic doesn't cause alternate draws
@@ -90,6 +101,8 @@
     left
         Remaining tokens of the total across all routers, as of the last write to
         the store; None before the first write.
+    doubt
+        Tokens of ended routers that count as spent and may not have been, likewise.
     ceiling
         Tokens that this router may spend over its lifetime, as confirmed by the
         store.
@@ -132,6 +145,7 @@
     allocators: int = 1
     rank: int | None = 0
     left: int | None = None
+    doubt: int = 0
     ceiling: int = 0
     settled: int = 0
     delivered: int = 0
@@ -235,12 +249,24 @@
             # single requests.  If its spending were limited over time, it would ask for
             # the next request's tokens while those left from the last one are unused.
             return Use(recorded, beyond, beyond, self.publish())
-        rate = self.compute_rate(now)
-        extra = max(int(rate * _OUTAGE_USE), int(self.total * _MIN_OUTAGE_USE))
+        at_once, extra = self._find_unrecorded(self.rank, now)
         extra = min(extra, beyond)
-        at_once = int(max(0, self.left or 0) * _AT_ONCE_FRACTIONS[self.rank])
         return Use(recorded, min(at_once, extra), extra, self.publish())
 
+    def _find_unrecorded(self, rank: int, now: Millis) -> tuple[int, int]:
+        """Return how many tokens to spend beyond a record: at any time, and in all.
+
+        Both shrink with the tokens in doubt: any number of losses of all power leaves
+        little more in doubt than the first.
+        """
+        rate, left = self.compute_rate(now), max(0, self.left or 0)
+        extra = max(rate * _OUTAGE_USE, self.total * _MIN_OUTAGE_USE)
+        at_once = left * _AT_ONCE_FRACTIONS[rank]
+        trust = 1.0 - self.doubt / max(1.0, self.total * _MAX_DOUBT)
+        recorded_use = min(at_once, rate * _RECORDED_USE)
+        at_once = max(recorded_use, at_once * max(_MIN_AT_ONCE_TRUST, trust))
+        return int(at_once), int(max(at_once, extra * max(_MIN_TRUST, trust)))
+
     def publish(self) -> int:
         """Return the settled tokens to store under this router's name from now on.
 
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -8,14 +8,18 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.placement.domaindrains import DomainDrains
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
 from anvilshift.gateway.answering import send_error
 from anvilshift.gateway.border import Dialect, make_server_limits
+from anvilshift.gateway.coldmessages import TargetCold
+from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.configurations import Configurations
 from anvilshift.gateway.conversation import PeerMessenger
 from anvilshift.gateway.directory import Endpoints, RouterDirectory
+from anvilshift.gateway.domaindrains import DrainWatch
 from anvilshift.gateway.following import Follower, WatchIntervals
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
@@ -87,7 +91,8 @@
         self.clock = clock
         self.journal = journal
         self.incarnation = f"{settings.name}.{make_identity(rng)[:12]}"
-        self.loads = LoadMap()
+        drains = DomainDrains(settings.drain_bound is not None)
+        self.loads = LoadMap(drains)
         self.peers = Peers(
             settings.ip,
             settings.peer_port,
@@ -96,6 +101,10 @@
             journal,
         )
         self.peers.addresses = {ip for ip in settings.seeds if ip != settings.ip}
+        bound = settings.drain_bound
+        self.drains = DrainWatch(
+            settings.ip, bound, drains, self.peers, clock, journal, rng
+        )
         self.allotter = ShareManager(
             store, settings.name, self.incarnation, clock, journal
         )
@@ -121,8 +130,9 @@
         self.limits = RateLimits(
             settings.name, self.incarnation, self.loads, self.peers, clock, journal
         )
+        self.cold = ColdTargets(self.limits, clock, journal, settings.cold)
         self.permits = Permits(
-            self.limits, settings.ip, self.loads, self.peers, clock, journal
+            self.limits, settings.ip, self.loads, self.peers, clock, journal, self.cold
         )
         self.reach = TargetReach(
             self.client,
@@ -148,6 +158,7 @@
             journal,
             self.limits,
             self.starts,
+            self.cold,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -202,6 +213,7 @@
             journal,
             self.messenger.handle_lost_target,
             self.shared.health.reports.forget,
+            self.shared.origins.note_target,
         )
         self.configurations = Configurations(
             settings,
@@ -215,6 +227,7 @@
             network,
         )
         self.configuration_follower = self.configurations.follower
+        self.configuration_follower.settle = self._settle_configurations
         self.target_follower = Follower(
             store,
             dialect.targets_kind,
@@ -222,7 +235,7 @@
             clock,
             journal,
             self.targets.apply_change,
-            self.targets.entries.settle,
+            self._settle_targets,
         )
         self.target_follower.probe = self.configuration_follower
         self.shared_watches = SharedWatches(
@@ -230,6 +243,8 @@
         )
         for follower in (self.configuration_follower, self.target_follower):
             self.shared_watches.share(follower, store)
+        self.drains.follow(store, dialect.drains_kind, self.configuration_follower)
+        self._connect_cold()
         self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
         self.in_flight = 0
@@ -247,6 +262,7 @@
             self.marks,
             self.shared,
             self.limits,
+            self.drains,
             self.clock,
             self.journal,
             self.is_ready,
@@ -265,6 +281,23 @@
         self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
+    def _connect_cold(self) -> None:
+        cold, messenger = self.cold, self.messenger
+        cold.find_confirmed = lambda: self.target_follower.confirmed
+        self.targets.on_entry = cold.apply_entry
+        self.drains.on_return = cold.presume_cold
+        self.shared.health.on_unreachable = cold.record_unreachable
+        messenger.add_handler(TargetCold, cold.apply_message)
+        messenger.tell_new_router.append(cold.tell_new_router)
+
+    def _settle_configurations(self, names: set[str]) -> None:
+        if self.shared.table is None and self.dialect.configuration_name not in names:
+            self.shared.origins.note_beginning()
+
+    def _settle_targets(self, names: set[str]) -> None:
+        self.shared.origins.note_list(self.target_follower.confirmed)
+        self.targets.entries.settle(names)
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.shared.table = RouteTable(configuration)
         self.shared.origins.routes.update(configuration.rules, self.clock.now())
@@ -274,14 +307,22 @@
         self.allotter.balances.set_allocators(self.allocators)
         self.reservations.forget_refusals()
         self.server.limits = make_server_limits(configuration.limits)
+        self.cold.configure(configuration.services.values())
 
     # Callers
 
     def is_ready(self) -> bool:
         """Return whether callers should open new connections to this router."""
-        is_informed = self.shared.parts.is_informed
+        is_informed = self.shared.parts.is_informed and self.loads.drains.is_known
         return self.shared.table is not None and is_informed and not self.leaving
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return present values for monitoring, by metric."""
+        parts = (self.configurations, self.drains, self.cold)
+        return {
+            name: value for one in parts for name, value in one.list_gauges().items()
+        }
+
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
         return self.directory.list_endpoints(domain)
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.health.coldtargets import ColdBounds
 from anvilshift.core.retries import RetryLimits
 from anvilshift.wire.messages import Address
 
@@ -31,6 +32,11 @@
     recovery
         Time after a disruption of connections at which all that was acknowledged has
         to be in force again.
+    drain_bound
+        Time from the acknowledgement of a failure domain's drain until nothing is sent
+        there any more; None if operators can't drain failure domains.
+    cold
+        How far the rate of a cold target may be exceeded in any one second.
     """
 
     name: str
@@ -50,3 +56,5 @@
     configuration_port: int = 0
     watch_port: int = 0
     readers_per_domain: int = 1
+    drain_bound: Millis | None = None
+    cold: ColdBounds = field(default_factory=ColdBounds)
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -30,6 +31,8 @@
     ----------
     router, domain
         This router and its failure domain.
+    on_unreachable
+        Called with a target that accepted no connection.
     """
 
     router: str
@@ -40,6 +43,7 @@
     journal: Journal
     rng: random.Random
     reports: FailureReports = field(default_factory=FailureReports)
+    on_unreachable: Callable[[TargetLoad], None] = lambda target: None
 
     def record_failure(
         self,
@@ -62,6 +66,8 @@
         """
         if failure is Failure.REJECTED:
             return
+        if failure is Failure.NOT_SENT:
+            self.on_unreachable(target)
         health, now = target.health, self.clock.now()
         if hung and self.add_silence(target, SilenceSign(now, heard)):
             return
@@ -131,23 +137,30 @@
     def _is_suspect(self, target: TargetLoad) -> bool:
         others = [
             other.info.name
-            for other in self.loads.list_service_targets(target.info.service)
-            if other is not target
-            and not other.info.leaving
-            and other.health.state is not HealthState.EJECTED
+            for other in self._list_in_use(target)
+            if other is not target and other.health.state is not HealthState.EJECTED
         ]
         probed = target.health.state is HealthState.PROBING
         now = self.clock.now()
         return self.reports.is_suspect(target.info.name, others, now, probed)
 
     def _may_eject(self, target: TargetLoad) -> bool:
-        present = [
+        present = self._list_in_use(target)
+        ejected = sum(t.health.state is HealthState.EJECTED for t in present)
+        return may_eject(ejected, len(present))
+
+    def _list_in_use(self, target: TargetLoad) -> list[TargetLoad]:
+        """Return the targets of the same service to which requests are sent.
+
+        Those of drained failure domains have no failures because they have no requests,
+        and can't replace one that is ejected.
+        """
+        drained = self.loads.list_drained(target.info.service)
+        return [
             other
             for other in self.loads.list_service_targets(target.info.service)
-            if not other.info.leaving
+            if not other.info.leaving and other.info.name not in drained
         ]
-        ejected = sum(t.health.state is HealthState.EJECTED for t in present)
-        return may_eject(ejected, len(present))
 
     def _eject(self, target: TargetLoad, lasting: bool = True) -> None:
         health, name = target.health, target.info.name
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -5,6 +5,7 @@
 
 from anvilshift.core.clock import Clock
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.following import TargetEntries
 from anvilshift.gateway.journal import Journal
@@ -25,6 +26,10 @@
         Called with the name of a target that has ended or was restarted.
     on_new_start
         Called with the name of a target that was restarted under its name.
+    on_read
+        Called with each target whose entry was read, before it is used.
+    on_entry
+        Called with what a target's entry says, once it is in force.
     """
 
     dialect: Dialect
@@ -35,6 +40,8 @@
     journal: Journal
     on_target_lost: Callable[[str], None]
     on_new_start: Callable[[str], None] = lambda name: None
+    on_read: Callable[[TargetInfo], None] = lambda info: None
+    on_entry: Callable[[TargetInfo], None] = lambda info: None
     _unreadable: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -53,6 +60,7 @@
             self.loads.remove(change.name, self.clock.now())
             return
         self.entries.put(change.name, change.body)
+        self.on_read(info)
         known = self.loads.targets.get(change.name)
         if known is None or info.is_other_start(known.info):
             self.journal.write(
@@ -74,6 +82,7 @@
             self.peers.broadcast(Leaving(info.name))
         if known is None or known.info != info:
             self.loads.declare(info)
+        self.on_entry(info)
 
     def remove(self, name: str) -> None:
         """Remove a target, and announce to the other routers that it is gone."""
