Share the watches of the store among the routers of a failure domain

Cause: each router watches the configuration and the targets by itself, so a fleet pays for as many watches as it has routers, however little changes. Ruled out: longer watches for all (only the end of a watch shows a silent connection), changes as datagrams, one reader for the fleet, readers that are agreed on: see docs/design/shared-watches.md. Tried and taken out, since no test shows a gain: to avoid a reader that failed, to renew connections on falling back, to wake those who wait. Change: in fleets of nine routers and more one router of each failure domain, found by hashing, watches the store, 1.5 s at most; the others ask it by a question that waits.

--- a/anvilshift/gateway/sharedwatches.py
+++ b/anvilshift/gateway/sharedwatches.py
@@ -21,6 +21,7 @@
     Listing,
     ObjectChange,
     ObjectStore,
+    WatchedStore,
 )
 from anvilshift.wire.client import HttpClient, Network
 from anvilshift.wire.jsons import dump_json, parse_object
@@ -39,8 +40,6 @@
 silent while theirs work, and a change has to be in force at them all the same."""
 _OVERDUE: Millis = 250.0
 """Time after that wait at which a reader's answer is given up."""
-_AVOIDED_FOR: Millis = 3 * SECOND
-"""How long a router reads for itself after its reader didn't answer or couldn't."""
 
 
 @dataclass
@@ -65,11 +64,6 @@
         self.log.restart(revision)
         self._wake()
 
-    def fail(self) -> None:
-        """Record that this router's own watch has failed."""
-        self.is_direct = False
-        self._wake()
-
     def add(self, revision: int, changes: tuple[ObjectChange, ...]) -> None:
         """Add what changed."""
         self.log.add(revision, changes)
@@ -109,7 +103,6 @@
         self._client = HttpClient(network=network)
         self._server = HttpServer(self.answer)
         self._kinds: dict[str, _SharedKind] = {}
-        self._avoided: dict[str, Millis] = {}
         self._reader: str | None = None
         self._is_sharing = False
 
@@ -137,8 +130,7 @@
         if reader != self._reader:
             self._journal.write("store_reader", reader=reader, before=self._reader)
             self._reader = reader
-        is_avoided = self._avoided.get(reader or "", 0.0) > self._clock.now()
-        return None if is_avoided else reader
+        return reader
 
     def _choose_reader(self) -> str | None:
         settings = self._settings
@@ -176,7 +168,6 @@
                 raise AnvilshiftError(PLATFORM_UNREADABLE, f"status {answer.status}")
             return _read_batch(kind, answer.body, after, asked)
         except (ExchangeError, AnvilshiftError) as error:
-            self._avoided[reader] = self._clock.now() + _AVOIDED_FOR
             self._journal.write(
                 "store_reader_failed", reader=reader, kind=kind, why=str(error)
             )
@@ -229,7 +220,7 @@
     """A store whose watches another router may make."""
 
     def __init__(
-        self, store: ObjectStore, watches: SharedWatches, shared: _SharedKind
+        self, store: WatchedStore, watches: SharedWatches, shared: _SharedKind
     ) -> None:
         self._store = store
         self._watches = watches
@@ -249,15 +240,8 @@
             told = await self._watches.ask(reader, self._shared.follower.kind, after)
             if told is not None:
                 return told
-            # Nothing was heard of the store for long: idle connections may be silent.
-            self._store.renew()
         self._shared.is_direct = True
-        try:
-            bounded = self._watches.bound_wait(wait)
-            return await self._store.watch(kinds, after, bounded)
-        except BaseException:
-            self._shared.fail()
-            raise
+        return await self._store.watch(kinds, after, self._watches.bound_wait(wait))
 
 
 def _read_batch(kind: str, body: bytes, after: int, asked: Millis) -> ChangeBatch:
--- a/tests/gateway/test_sharedwatches.py
+++ b/tests/gateway/test_sharedwatches.py
@@ -154,6 +154,11 @@
         }
         return reader
 
+    async def ask(self, ip: str, other: str):
+        """Let one router ask another for changes; return the answer, None if none."""
+        watches = self.nodes[ip].shared_watches
+        return await watches.ask(f"n-{other}", "config", self.store.revision)
+
     def put(self, version: int) -> None:
         self.store.put("config", "main", make_configuration(version))
 
@@ -282,6 +287,33 @@
 
         self.assertLess(self.play(scenario), IN_FORCE_S)
 
+    def test_router_that_is_told_tells_nobody(self):
+        """Guards against routers that believe each other for ever.
+
+        Where routers see different ones, one may ask another that asks a third.
+        """
+
+        async def scenario(fleet):
+            reader = fleet.find_reader()
+            first, second = [ip for ip in fleet.nodes if ip != reader][:2]
+            return await fleet.ask(first, second), await fleet.ask(first, reader)
+
+        by_told, by_reader = self.play(scenario)
+        self.assertIsNone(by_told)
+        self.assertIsNotNone(by_reader)
+
+    def test_reader_that_the_store_turns_away_tells_nobody(self):
+        """Guards against a reader whose old knowledge is taken for the newest."""
+
+        async def scenario(fleet):
+            reader = fleet.find_reader()
+            other = next(ip for ip in fleet.nodes if ip != reader)
+            fleet.store.refused.add(reader)
+            await asyncio.sleep(5.0)
+            return await fleet.ask(other, reader)
+
+        self.assertIsNone(self.play(scenario))
+
     def test_registration_and_removal_of_a_target_reach_all_routers(self):
         async def scenario(fleet):
             entry = {
