Send nothing for callers that have left

Cause, read from the code and shown by the tests: a busy event loop handles what was ready first. The end of a wait (tokens, permit, connection) and the caller's close, or the timer of its deadline, are ready in the same turn, and the request was sent before either was handled; a request that was read late together with its caller's close was sent on an idle connection in its first step. Besides, a request that was given up stayed in the system's send buffer, and a narrow link carried it on.

The chat interface makes the same check for requests without a key; those with a key go on, as their callers may come back.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -195,8 +195,24 @@
             partial(self._record_send, watch, choice),
             planned.connection,
             watch.doubt,
+            self._check_caller,
         )
 
+    def _check_caller(self) -> None:
+        """Check by connection and clock that the caller still waits.
+
+        A busy event loop reads a caller's close, and runs the timer of its deadline,
+        after what was ready before them.
+
+        Raises
+        ------
+        CallerDisconnectedError, TimeoutError
+            When it has closed its connection, or its deadline has passed.
+        """
+        self._relay.responder.check_caller()
+        if self._shared.clock.now() >= self._routed.end:
+            raise TimeoutError
+
     def _record_send(self, watch: SilenceWatch, choice: Choice, via: str) -> None:
         """Record that the request is about to be sent, and watch for its answer.
 
--- a/anvilshift/gateway/outgoing.py
+++ b/anvilshift/gateway/outgoing.py
@@ -91,6 +91,9 @@
         Id of the caller's attempt.
     capacity
         Tokens that fit into the target's prompt cache; 0 for a plain service.
+    check
+        Called just before its first byte is sent; raises if nobody waits for the
+        answer any more.
     on_send
         Called with the name of the router that forwards the request, empty if none
         does, just before its first byte is sent.
@@ -111,6 +114,7 @@
     on_send: Callable[[str], None]
     connection: Connection | None = None
     on_doubt: Callable[[], None] = lambda: None
+    check: Callable[[], None] = lambda: None
 
 
 @dataclass
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -56,7 +56,7 @@
     ) -> None:
         self.shared = shared
         self.request = request
-        self.arrived = shared.clock.now()
+        self.arrived = shared.clock.now() - request.unread
         self.payer: OrganisationBudget | None = None
         self.relay = AnswerRelay(responder, shared.clock, shared.buffers)
         self.attempts: Attempts | None = None
@@ -120,6 +120,7 @@
             predicted=round(sent.predicted, 1) if sent else 0.0,
             first=None if first is None else round(first - self.arrived, 1),
             took=round(now - self.arrived, 1),
+            unread=round(self.request.unread, 1),
             events=self.relay.events,
             tokens=self.tokens,
             pause=round(self.relay.longest_pause, 1),
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -55,6 +55,9 @@
         AttemptError
             When no answer to this request arrives, or the target states that it did
             not run the request.
+        CallerDisconnectedError, TimeoutError
+            When the caller has left, or its deadline has passed, before the first
+            byte was sent.
         """
         self._record_send(outgoing)
         sent = self.clock.now()
@@ -136,6 +139,7 @@
             if resumes and is_engine and not is_verified:
                 await self._verify_start(target, connection)
             self._check_rest(info.name)
+            outgoing.check()
             outgoing.on_send(connection.via)
             left = outgoing.delivery.remaining - (self.clock.now() - began)
             delivery = replace(outgoing.delivery, remaining=max(1.0, left))
--- a/anvilshift/router/callers.py
+++ b/anvilshift/router/callers.py
@@ -117,14 +117,15 @@
     async def _handle_chat(
         self, request: HttpRequest, organisation: Organisation, responder: Responder
     ) -> None:
-        now = self._shared.clock.now()
+        now = self._shared.clock.now() - request.unread
         routes = dict(self._access_control.catalogue.routes)
         job = parse_chat_request(request, organisation, routes, now)
         self._admit(job)
         if job.non_idempotent:
             await self._handle_claimed_chat(job, responder)
             return
-        run = self.runs.join(job, self._access_control.make_work(job))
+        work = self._access_control.make_work(job)
+        run = self.runs.join(job, work, responder.is_caller_there)
         if job.stream:
             await send_stream(run, job, responder)
         else:
@@ -165,10 +166,12 @@
         route = self._access_control.find_route(name)
         if route is None or route.kind is not TargetKind.SERVICE:
             raise AnvilshiftError(UNKNOWN_ROUTE, "unknown service")
-        now = self._shared.clock.now()
+        now = self._shared.clock.now() - request.unread
         job = parse_service_call(request, organisation, route, subpath, now)
         self._admit(job)
-        call = ServiceCall(self._shared, job, request, f"/{subpath}")
+        call = ServiceCall(
+            self._shared, job, request, f"/{subpath}", responder.is_caller_there
+        )
         work = self._access_control.make_work(job)
         if job.non_idempotent:
             answer = await self.claimed.run(job, lambda: call.run(work))
--- a/anvilshift/router/registry.py
+++ b/anvilshift/router/registry.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import (
@@ -39,7 +40,12 @@
         self._finished: deque[Run] = deque()
         self._finished_chars = 0
 
-    def join(self, job: Job, work: Work) -> Run:
+    def join(
+        self,
+        job: Job,
+        work: Work,
+        is_caller_there: Callable[[], bool] = lambda: True,
+    ) -> Run:
         """Return the existing run of a job, or start a new one.
 
         A caller that resumes joins a run only if the text it has received is the
@@ -68,7 +74,7 @@
         after = found if found is not None and not found.over else None
         if after is not None:
             after.stop()
-        run = Run(self._shared, job, work, self._note_end, after)
+        run = Run(self._shared, job, work, self._note_end, after, is_caller_there)
         self.in_flight += 1
         self._runs[job.identity] = run
         self._run_started.set()
--- a/anvilshift/router/requests.py
+++ b/anvilshift/router/requests.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,6 +14,7 @@
     BAD_VALUE,
     KEY_REQUIRED,
     MALFORMED,
+    OVERLOADED,
     PAST_DEADLINE,
     UNKNOWN_ROUTE,
     AnvilshiftError,
@@ -194,6 +196,28 @@
     )
 
 
+def find_time_left(
+    job: Job, now: Millis, is_caller_there: Callable[[], bool]
+) -> Millis:
+    """Return the time until a job's deadline, just before its first byte is sent.
+
+    A busy event loop runs the timer of the deadline, and reads a caller's close, after
+    what was ready before them.
+
+    Raises
+    ------
+    TimeoutError
+        When the deadline has passed.
+    AnvilshiftError
+        When the caller has left and sent no key, so that nobody can ask again.
+    """
+    if now >= job.deadline:
+        raise TimeoutError
+    if not job.keyed and not is_caller_there():
+        raise AnvilshiftError(OVERLOADED, "the caller has left")
+    return job.deadline - now
+
+
 def read_model_name(request: HttpRequest) -> str:
     """Return the name of the model in a chat request."""
     return _parse_chat(request).model
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -26,7 +26,7 @@
 from anvilshift.router.budgets import RouterBudgets
 from anvilshift.router.dispatching import DispatchLoop
 from anvilshift.router.progress import Progress
-from anvilshift.router.requests import Job, digest
+from anvilshift.router.requests import Job, digest, find_time_left
 from anvilshift.router.silence import WATCH, watch
 from anvilshift.router.targets import Targets
 from anvilshift.router.telemetry import Telemetry
@@ -60,6 +60,8 @@
         An earlier run of the same request; this run begins when it has ended.
     on_end
         Called when the run has ended.
+    is_caller_there
+        Returns whether the connection of the caller that began it is open.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         work: Work,
         on_end: Callable[["Run"], None] = lambda run: None,
         after: "Run | None" = None,
+        is_caller_there: Callable[[], bool] = lambda: True,
     ) -> None:
         self.job = job
+        self._is_caller_there = is_caller_there
         self.text = Transcript(job.received)
         self.usage: Usage | None = None
         self.finish = "stop"
@@ -97,8 +101,7 @@
         self._longest_gap: Millis = 0.0
         self._attempt: tuple[str, str] | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
-        loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._run())
+        self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def read(self, start: int) -> AsyncGenerator[str]:
         """Yield the answer's text from a character offset on, until it is complete.
@@ -283,7 +286,7 @@
         if engine is None:
             raise TargetError(Failure.NOT_SENT, "the target is gone")
         call = ModelCall(attempt, job.body or {}, send.priority, self.text.whole())
-        timeout = job.deadline - self._shared.clock.now()
+        timeout = find_time_left(job, self._shared.clock.now(), self._is_caller_there)
         # Set before the first byte can be sent: if the deadline passes while the
         # work runs, the error must not say "not run".
         self._progress.sent = True
@@ -378,8 +381,8 @@
         )
         waited = self._shared.clock.now() - began
         self._shared.dispatch.recorded(waited)
-        organisation, kind = job.organisation.name, job.route.request_class
-        self._shared.telemetry.record_bill_wait(organisation, kind, waited)
+        kind = job.route.request_class
+        self._shared.telemetry.record_bill_wait(job.organisation.name, kind, waited)
 
     def _limit_usage(self) -> Usage:
         """Return the usage to bill: the engine's count, limited to the reservation.
@@ -390,10 +393,9 @@
         """
         job = self.job
         counted = self.usage or Usage(job.max_prompt_tokens, self._tokens)
-        usage = Usage(
-            min(max(counted.prompt, 0), job.max_prompt_tokens),
-            min(max(counted.answer, 0), job.max_answer_tokens),
-        )
+        prompt = min(max(counted.prompt, 0), job.max_prompt_tokens)
+        answer = min(max(counted.answer, 0), job.max_answer_tokens)
+        usage = Usage(prompt, answer)
         if usage != counted:
             self._shared.telemetry.count_event("absurd_usage")
         return usage
--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import replace
 
 from absl import logging
@@ -13,7 +14,7 @@
 from anvilshift.core.work import NOT_EXECUTED, Failure, Send, Work
 from anvilshift.engines.http import TargetError
 from anvilshift.router.progress import Progress
-from anvilshift.router.requests import KEY_HEADER, Job, digest
+from anvilshift.router.requests import KEY_HEADER, Job, digest, find_time_left
 from anvilshift.router.runs import RunContext
 from anvilshift.wire.messages import HeaderFields, HttpRequest
 
@@ -34,9 +35,23 @@
 
 
 class ServiceCall:
-    """One call to a plain service, retried on other targets if an attempt fails."""
+    """One call to a plain service, retried on other targets if an attempt fails.
 
-    def __init__(self, shared: RunContext, job: Job, request: HttpRequest, path: str):
+    Parameters
+    ----------
+    is_caller_there
+        Returns whether the caller's connection is open.
+    """
+
+    def __init__(
+        self,
+        shared: RunContext,
+        job: Job,
+        request: HttpRequest,
+        path: str,
+        is_caller_there: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._is_caller_there = is_caller_there
         self._progress = Progress()
         # Two calls with the same key can run concurrently. The dispatcher needs a
         # separate id for each; the budget bills them only once.
@@ -127,7 +142,7 @@
         service = self._shared.targets.service(send.target)
         if service is None:
             raise TargetError(Failure.NOT_SENT, "the target is no longer declared")
-        timeout = job.deadline - self._shared.clock.now()
+        timeout = find_time_left(job, self._shared.clock.now(), self._is_caller_there)
         # Set before the first byte is sent: a call that the deadline interrupts
         # must not be reported as "not run".
         self._progress.sent = True
--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -8,7 +8,7 @@
 import h11
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.messages import Address, HeaderFields
+from anvilshift.wire.messages import Address, HeaderFields, set_reset_on_close
 from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.receivebuffer import RECEIVE_BUFFER
 
@@ -51,6 +51,7 @@
         self._failure: Exception | None = None
         self.closed = False
         self._idle = False
+        self._is_asking = False
         self.idle_until = math.inf
         self.reused = False
         self.heard: Millis = -math.inf
@@ -119,6 +120,7 @@
     def send(self, method: str, path: str, headers: HeaderFields, body: bytes) -> None:
         """Write a request."""
         assert self.transport is not None
+        self._is_asking = True
         # Latin-1 round-trips every byte, so the caller's header fields are
         # forwarded unchanged.
         raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
@@ -168,6 +170,7 @@
         except h11.ProtocolError:
             return False
         self._idle = not self._h11.trailing_data[0]
+        self._is_asking = False
         return self._idle
 
     def make_idle(self) -> bool:
@@ -183,10 +186,16 @@
         return not self.closed and time.monotonic() < self.idle_until
 
     def close(self) -> None:
-        """Close the connection at once."""
-        self.closed = True
+        """Close the connection at once; what waits to be sent is discarded.
+
+        On a narrow link the system would otherwise go on sending a request that nobody
+        waits for, and the server would run it.
+        """
         if self.transport is not None:
+            if self._is_asking and not self.closed:
+                set_reset_on_close(self.transport, True)
             self.transport.abort()
+        self.closed = True
 
     def close_unless_idle(self) -> None:
         """Close the connection unless it was kept for another exchange."""
--- a/anvilshift/wire/errorreplies.py
+++ b/anvilshift/wire/errorreplies.py
@@ -2,6 +2,8 @@
 
 import math
 
+import h11
+
 from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.wire.jsons import dump_json
@@ -22,3 +24,12 @@
         seconds = max(1, math.ceil(error.retry_after / SECOND))
         headers.append(("retry-after", str(seconds)))
     return Reply(error.code.status, headers, dump_json({"error": body}))
+
+
+def list_last_events(error: AnvilshiftError) -> list[h11.Event]:
+    """Return the parts of an answer after which the connection closes."""
+    reply = render_error(error)
+    length = ("content-length", str(len(reply.body)))
+    headers = [*reply.headers, length, ("connection", "close")]
+    head = h11.Response(status_code=reply.status, headers=headers)
+    return [head, h11.Data(data=reply.body), h11.EndOfMessage()]
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -18,7 +18,7 @@
     It then also discards what the peer hasn't been sent yet.
     """
     sock = transport.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         option = struct.pack("ii", int(enabled), 0)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
@@ -107,12 +107,19 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A request that a server has received completely."""
+    """A request that a server has received completely.
+
+    Parameters
+    ----------
+    unread
+        How long its last bytes had waited when they were read.
+    """
 
     method: str
     target: str
     headers: Headers
     body: bytes = b""
+    unread: Millis = 0.0
 
     @property
     def path(self) -> str:
--- a/anvilshift/wire/peertimeouts.py
+++ b/anvilshift/wire/peertimeouts.py
@@ -5,6 +5,7 @@
 import struct
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.wire.tcpstate import find_tcp_socket
 
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
@@ -44,7 +45,7 @@
     """
 
     def __init__(self, transport: asyncio.BaseTransport) -> None:
-        self._sock = _find_tcp_socket(transport)
+        self._sock = find_tcp_socket(transport)
         self._timer: asyncio.TimerHandle | None = None
         self._timeout: Millis = 0.0
         self._unanswered = 0
@@ -92,12 +93,6 @@
         self._sock.setsockopt(socket.IPPROTO_TCP, option, round(timeout))
 
 
-def _find_tcp_socket(transport: asyncio.BaseTransport) -> socket.socket | None:
-    sock: socket.socket | None = transport.get_extra_info("socket")
-    is_tcp = sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6)
-    return sock if is_tcp else None
-
-
 def _set_keepalive(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
--- a/anvilshift/wire/responder.py
+++ b/anvilshift/wire/responder.py
@@ -29,6 +29,10 @@
     def peer_ip(self) -> str:
         """Return the address of its other end; empty if it isn't known."""
 
+    @property
+    def has_peer_left(self) -> bool:
+        """Return whether its other end has closed it."""
+
     @property
     def closes_next(self) -> bool:
         """Return whether it closes after its next answer."""
@@ -67,6 +71,21 @@
         """Return how the connection was lost; empty while it is there."""
         return self._connection.loss
 
+    def check_caller(self) -> None:
+        """Check that the caller still waits, also if its close wasn't read yet.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            When the caller has closed the connection.
+        """
+        if not self.is_caller_there():
+            raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
+
+    def is_caller_there(self) -> bool:
+        """Return whether the caller has not closed the connection."""
+        return not self._connection.has_peer_left
+
     async def send(self, reply: Reply) -> None:
         """Write a complete answer."""
         length = ("content-length", str(len(reply.body)))
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -16,7 +16,7 @@
     AnvilshiftError,
     Code,
 )
-from anvilshift.wire.errorreplies import render_error
+from anvilshift.wire.errorreplies import list_last_events, render_error
 from anvilshift.wire.messages import (
     DEFAULT_LIMITS,
     Address,
@@ -33,6 +33,7 @@
     CallerDisconnectedError,
     Responder,
 )
+from anvilshift.wire.tcpstate import find_unread_time, has_peer_closed
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HEAD_TOO_LARGE_STATUS = 431
@@ -73,6 +74,11 @@
         peer = self._transport and self._transport.get_extra_info("peername")
         return str(peer[0]) if peer else ""
 
+    @property
+    def has_peer_left(self) -> bool:
+        """Return whether the caller has closed it, also if that wasn't read yet."""
+        return self._transport is None or has_peer_closed(self._transport)
+
     @property
     def busy(self) -> bool:
         return self._task is not None
@@ -172,11 +178,13 @@
     def _dispatch(self) -> None:
         assert self._head is not None
         self._clear_timer()
+        assert self._transport is not None
         request = HttpRequest(
             self._head.method.decode("ascii"),
             self._head.target.decode("latin-1"),
             Headers.from_raw(self._head.headers.raw_items()),
             bytes(self._body),
+            find_unread_time(self._transport),
         )
         self._body = bytearray()
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
@@ -227,14 +235,8 @@
     def _reject(self, code: Code, detail: str) -> None:
         """Answer a request that was not received completely, and close."""
         self._clear_timer()
-        reply = render_error(AnvilshiftError(code, detail))
-        length = ("content-length", str(len(reply.body)))
-        head = h11.Response(
-            status_code=reply.status,
-            headers=[*reply.headers, length, ("connection", "close")],
-        )
         with contextlib.suppress(h11.LocalProtocolError, CallerDisconnectedError):
-            for event in (head, h11.Data(data=reply.body), h11.EndOfMessage()):
+            for event in list_last_events(AnvilshiftError(code, detail)):
                 self.send(event)
         if self._transport is not None:
             self._transport.close()
@@ -318,8 +320,8 @@
 
     def _set_timer(self, delay: Millis) -> None:
         self._clear_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay / SECOND, self._handle_timeout)
+        later = asyncio.get_running_loop().call_later
+        self._timer = later(delay / SECOND, self._handle_timeout)
 
     def _clear_timer(self) -> None:
         if self._timer is not None:
@@ -327,8 +329,7 @@
             self._timer = None
 
     def _handle_timeout(self) -> None:
-        idle = self._head is None and not self._h11.trailing_data[0]
-        if idle and self._transport is not None:
+        if self._head is None and not self._h11.trailing_data[0] and self._transport:
             self._transport.close()
         else:
             self._reject(TOO_SLOW, "the request did not arrive in time")
--- a/anvilshift/wire/tunnel.py
+++ b/anvilshift/wire/tunnel.py
@@ -17,7 +17,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import Network, TcpNetwork
-from anvilshift.wire.messages import Address
+from anvilshift.wire.messages import Address, set_reset_on_close
 from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.tunnelframes import (
     FRAMES_HEADER,
@@ -246,6 +246,10 @@
         self._server.entrances.discard(self)
         if self._task is not None:
             self._task.cancel()
+        if self.other is not None and self.other.transport is not None:
+            # What it asked for is wanted no more; a close would first send the rest.
+            set_reset_on_close(self.other.transport, exc is not None)
+            self.other.transport.abort()
         super().connection_lost(exc)
 
     def abort(self) -> None:
