--- a/anvilshift/core/endpoints.py
+++ b/anvilshift/core/endpoints.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-_MIN_LOCAL_ROUTERS = 4
+MIN_LOCAL_ROUTERS = 4
 """Number of routers in a failure domain from which its callers receive only these."""
 
 
@@ -44,6 +44,6 @@
     5
     """
     local = [router.address for router in routers if router.failure_domain == domain]
-    if len(local) >= _MIN_LOCAL_ROUTERS:
+    if len(local) >= MIN_LOCAL_ROUTERS:
         return tuple(local)
     return tuple(router.address for router in routers)
--- /dev/null
+++ b/anvilshift/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where work goes, and which routers callers are told of."""
--- a/anvilshift/core/sending.py
+++ b/anvilshift/core/sending.py
@@ -7,7 +7,7 @@
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import OVERLOADED
 from anvilshift.core.exposure import TARGETS
-from anvilshift.core.placement import DRAWN, HOLDERS, Option, choose
+from anvilshift.core.placement.candidates import DRAWN, HOLDERS, Option, choose
 from anvilshift.core.pools import Pool, TargetView
 from anvilshift.core.queue import CLOSE, Entry, FairQueue
 from anvilshift.core.restriction import TargetRestriction
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -1,6 +1,7 @@
 """Assemble the parts of one gateway and connect them with each other."""
 
 import random
+from collections.abc import Callable
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.blame import CrashBlame
@@ -20,6 +21,7 @@
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.partstore import PartStore
 from anvilshift.gateway.partwatch import PartWatch
@@ -30,6 +32,7 @@
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.retryshares import RetryShares
+from anvilshift.gateway.routerloads import RouterLoads, UseSources
 from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.gateway.shared import RouterContext
@@ -224,8 +227,14 @@
             self.targets.entries.settle,
         )
         self.target_follower.probe = self.configuration_follower
-        self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
+        self.router_loads = RouterLoads(
+            settings, self.peers, clock, journal, self.is_ready
+        )
+        self.messenger.add_handler(RouterLoad, self.router_loads.apply)
+        self.directory = RouterDirectory(
+            settings, self.peers, self.is_ready, self.router_loads
+        )
         self.in_flight = 0
         self.leaving = False
 
@@ -276,9 +285,23 @@
         is_informed = self.shared.parts.is_informed
         return self.shared.table is not None and is_informed and not self.leaving
 
-    def list_endpoints(self, domain: str = "") -> Endpoints:
+    def list_endpoints(self, domain: str = "", asker: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
-        return self.directory.list_endpoints(domain)
+        return self.directory.list_endpoints(domain, asker)
+
+    def measure_use(self, find_idle: Callable[[], Millis]) -> None:
+        """Measure how full this router is, if its settings say what it may use.
+
+        Parameters
+        ----------
+        find_idle
+            Returns how long the event loop has waited so far.
+        """
+        self.router_loads.sources = UseSources(
+            find_idle,
+            lambda: max(self.server.received, self.server.sent),
+            lambda: len(self.server.connections) + self.client.count_open(),
+        )
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from anvilshift.core.clock import Millis
+from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.partmessages import (
     PartRecorded,
     PartsAnswered,
@@ -379,4 +380,5 @@
     | TryAsk
     | TryAnswer
     | TryEnded
+    | RouterLoad
 )
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -89,6 +89,7 @@
         node.shared.health.probe_ejected(now)
         node.reach.watch(now)
         node.starts.expire(is_fresh)
+        node.router_loads.run_checks(now)
         if is_fresh:
             targets = [one.info for one in node.loads.targets.values()]
             node.shared.origins.history.observe(targets, now)
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.placement.routeruse import RouterLimits
 from anvilshift.core.retries import RetryLimits
 from anvilshift.wire.messages import Address
 
@@ -27,6 +28,8 @@
     recovery
         Time after a disruption of connections at which all that was acknowledged has
         to be in force again.
+    limits
+        What this router may use; None if that isn't known.
     """
 
     name: str
@@ -44,3 +47,4 @@
     history: Millis | None = None
     recovery: Millis = 3 * SECOND
     configuration_port: int = 0
+    limits: RouterLimits | None = None
--- a/anvilshift/platform/entrance.py
+++ b/anvilshift/platform/entrance.py
@@ -26,7 +26,8 @@
     is_ready
         Whether this process accepts requests.
     list_endpoints
-        Addresses that serve a failure domain, and how long callers may cache them.
+        Addresses that serve a caller of a failure domain, and how long it may cache
+        them.
     list_gauges
         Present values by metric, for monitoring.
     """
@@ -34,7 +35,7 @@
     def __init__(
         self,
         is_ready: Callable[[], bool],
-        list_endpoints: Callable[[str], Endpoints],
+        list_endpoints: Callable[[str, str], Endpoints],
         list_gauges: Callable[[], dict[str, float]] = dict,
     ) -> None:
         self._is_ready = is_ready
@@ -47,7 +48,7 @@
             await responder.send(Reply(200 if self._is_ready() else 503))
         elif request.path == names.RESOLVE_PATH:
             domain = request.query.get(names.DOMAIN_PARAMETER, "")
-            await responder.send(self._resolve(domain))
+            await responder.send(self._resolve(domain, responder.peer_ip))
         elif request.path == _METRICS_PATH:
             await responder.send(self._write_metrics())
         else:
@@ -61,8 +62,8 @@
         ]
         return Reply(200, [_METRICS_TYPE], "".join(lines).encode())
 
-    def _resolve(self, domain: str) -> Reply:
-        endpoints = self._list_endpoints(domain)
+    def _resolve(self, domain: str, asker: str) -> Reply:
+        endpoints = self._list_endpoints(domain, asker)
         if not endpoints.addresses:
             return Reply(503)
         body = {
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -17,6 +17,7 @@
 from anvilshift.platform.settings import find_settings_path, read_settings
 from anvilshift.platform.store import PlatformStore
 from anvilshift.wire.client import HttpClient
+from anvilshift.wire.meteredselector import MeteredSelector
 from anvilshift.wire.server import HttpServer
 
 _EXIT_BAD_SETTINGS = 2
@@ -25,7 +26,7 @@
 class GatewayProcess:
     """One gateway process: a node with its servers and signal handlers."""
 
-    def __init__(self, settings: GatewaySettings) -> None:
+    def __init__(self, settings: GatewaySettings, selector: MeteredSelector) -> None:
         self._settings = settings
         clock = MonotonicClock()
         self._journal = Journal(settings.name, clock)
@@ -42,14 +43,17 @@
             PROCESS_START,
             boot_clock=BootClock(),
         )
+        self.node.measure_use(lambda: selector.waited)
         handler = DiscoveryHandler(
-            self.node.is_ready,
-            self.node.list_endpoints,
-            self.node.configurations.list_gauges,
+            self.node.is_ready, self.node.list_endpoints, self._list_gauges
         )
         self._discovery = handler
         self._stopping = asyncio.Event()
 
+    def _list_gauges(self) -> dict[str, float]:
+        node = self.node
+        return node.configurations.list_gauges() | node.router_loads.list_gauges()
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         loop = asyncio.get_running_loop()
@@ -92,10 +96,16 @@
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
 
+    selector = MeteredSelector()
+
     async def serve() -> None:
-        await GatewayProcess(settings).run()
+        await GatewayProcess(settings, selector).run()
+
+    def make_loop() -> asyncio.AbstractEventLoop:
+        return asyncio.SelectorEventLoop(selector)
 
-    asyncio.run(serve())
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(serve())
     return 0
 
 
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -8,6 +8,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_SETTINGS, AnvilshiftError
+from anvilshift.core.placement.routeruse import RouterLimits
 from anvilshift.core.retries import RetryLimits
 from anvilshift.gateway.settings import GatewaySettings
 from anvilshift.platform import names
@@ -63,6 +64,19 @@
     history_s: float | None = Field(default=None, alias="historyS")
 
 
+class _Limits(BaseModel):
+    cpu_share: float = Field(alias="cpuShare", gt=0, allow_inf_nan=False)
+    cores: float = Field(default=1.0, gt=0, allow_inf_nan=False)
+    memory_mb: float | None = Field(default=None, alias="memoryMb", gt=0)
+    max_fds: int | None = Field(default=None, alias="maxFds", gt=0)
+    link_mbps: float | None = Field(default=None, alias="linkMbps", gt=0)
+
+    def convert(self) -> RouterLimits:
+        """Return what the router may use."""
+        cores = self.cpu_share * self.cores
+        return RouterLimits(cores, self.memory_mb, self.max_fds, self.link_mbps)
+
+
 class SettingsRecord(BaseModel):
     """Fields of the settings file that are used; unknown fields are ignored."""
 
@@ -74,6 +88,7 @@
     listen: _Listen
     bounds: _Bounds = Field(default_factory=_Bounds)
     platform: _Store
+    limits: _Limits | None = None
 
     def convert(self) -> GatewaySettings:
         """Return the gateway's settings."""
@@ -94,6 +109,7 @@
             history=_convert_to_ms(self.platform.history_s),
             recovery=self.bounds.stable_ms,
             configuration_port=self.ports[0] + 2,
+            limits=self.limits.convert() if self.limits else None,
         )
 
 
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -297,6 +297,10 @@
         opened.close()
         return False
 
+    def count_open(self) -> int:
+        """Return the number of connections that wait for reuse."""
+        return sum(len(idle) for idle in self._idle.values())
+
     def close_idle(self, is_unusable: Callable[[Connection], bool]) -> None:
         """Close the idle connections that a function selects."""
         for idle in self._idle.values():
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -127,16 +127,12 @@
         return RECEIVE_BUFFER.view
 
     def buffer_updated(self, nbytes: int) -> None:
+        self._server.received += nbytes
         self._h11.receive_data(bytes(RECEIVE_BUFFER.view[:nbytes]))
-        if self.busy:
-            self._limit_pipelining()
-            return
-        self._read_events()
-
-    def _limit_pipelining(self) -> None:
-        # Pipelined requests accumulate in h11's buffer while the current request
-        # is handled.  Reading is paused until it ends, to bound that buffer.
-        if len(self._h11.trailing_data[0]) > _MAX_PIPELINED_BYTES and self._transport:
+        if not self.busy:
+            self._read_events()
+        elif len(self._h11.trailing_data[0]) > _MAX_PIPELINED_BYTES and self._transport:
+            # Bounds the buffer of pipelined requests while one of them is handled.
             self._transport.pause_reading()
 
     def _read_events(self) -> None:
@@ -251,6 +247,7 @@
         self._unsent += self._h11.send(event) or b""
         if self._unsent and not hold:
             self._transport.write(self._unsent)
+            self._server.sent += len(self._unsent)
             self._unsent = b""
             if self._timeouts is not None:
                 self._timeouts.record_write()
@@ -353,6 +350,8 @@
         another router.
     closed
         Whether it has ended every connection itself.
+    received, sent
+        Bytes read from callers and written to them.
     """
 
     def __init__(self, handler: Handler, limits: Limits = DEFAULT_LIMITS) -> None:
@@ -362,6 +361,7 @@
         self.stopping = False
         self.closed = False
         self.is_draining = False
+        self.received = self.sent = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, address: Address) -> Address:
