--- a/anvilshift/core/placement/__init__.py
+++ b/anvilshift/core/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Where work goes, and which routers callers are told of."""
+"""What routers carry, where work goes, and which routers callers are told of."""
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -9,6 +9,7 @@
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.identity import make_identity
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.placement.linkqueue import LinkQueue
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
@@ -21,6 +22,7 @@
 from anvilshift.gateway.forwarding import Forwarding
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.linkpace import LinkPace
 from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.partstore import PartStore
@@ -141,6 +143,9 @@
             self.peers, self.loads, self.reach.paths, clock, network
         )
         self.starts = TargetStarts(self.client, dialect, clock, journal)
+        limits = settings.limits
+        link = LinkQueue(limits.link) if limits and limits.link else None
+        self.pace = LinkPace(link, clock, self._count_written)
         sender = Sender(
             self.reach,
             dialect,
@@ -150,6 +155,7 @@
             journal,
             self.limits,
             self.starts,
+            self.pace,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -289,6 +295,10 @@
         """Return the addresses to which callers of a failure domain may connect."""
         return self.directory.list_endpoints(domain, asker)
 
+    def _count_written(self) -> int:
+        """Return the bytes that were written to callers, targets and other routers."""
+        return self.server.sent + self.client.sent + self.peers.sent
+
     def measure_use(self, find_idle: Callable[[], Millis]) -> None:
         """Measure how full this router is, if its settings say what it may use.
 
@@ -299,13 +309,14 @@
         """
         self.router_loads.sources = UseSources(
             find_idle,
-            lambda: max(self.server.received, self.server.sent),
+            self._count_written,
             lambda: len(self.server.connections) + self.client.count_open(),
         )
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
         self.in_flight += 1
+        self.router_loads.callers.add(responder.peer_ip, len(request.body))
         try:
             await RequestHandler(self.shared, request, responder).run()
         except AnvilshiftError as error:
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -107,6 +107,8 @@
         This router's failure domain.
     addresses
         Addresses of routers that may exist.
+    sent
+        Bytes sent so far.
     """
 
     ip: str
@@ -117,6 +119,7 @@
     addresses: set[str] = field(default_factory=set)
     hooks: PeerCallbacks = field(default_factory=PeerCallbacks)
     routers: dict[str, Peer] = field(default_factory=dict)
+    sent: int = 0
     _transport: asyncio.DatagramTransport | None = None
     _waiting: dict[frozenset[str], list[bytes]] = field(default_factory=dict)
     _timer: asyncio.TimerHandle | None = None
@@ -279,6 +282,7 @@
     def _send(self, datagram: bytes, ip: str) -> None:
         if self._transport is None:
             return
+        self.sent += len(datagram)
         try:
             self._transport.sendto(datagram, (ip, self.port))
         except OSError as error:
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -103,6 +103,7 @@
             When no attempt is made.
         """
         while True:
+            await self.shared.sender.pace.wait(len(self.routed.request.body))
             choice = await self._admit() or self._choose()
             self._check_predicted_wait(choice)
             run = await self._request_permit(choice)
--- a/anvilshift/gateway/routerloads.py
+++ b/anvilshift/gateway/routerloads.py
@@ -6,8 +6,17 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.placement.routerbalance import RouterBalance, RouterUse
-from anvilshift.core.placement.routeruse import RouterLimits, UseMeter, UseSample
+from anvilshift.core.placement.routerbalance import (
+    HeavyCaller,
+    RouterBalance,
+    RouterUse,
+)
+from anvilshift.core.placement.routeruse import (
+    CallerParts,
+    RouterLimits,
+    UseMeter,
+    UseSample,
+)
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.peers import Peers
@@ -21,6 +30,9 @@
 """Age from which on what a router told says nothing of it."""
 _UNKNOWN_USE = 0.6
 """Assumed use of a router that tells none: neither nearly full nor idle."""
+_HEAVY_PART, _MAX_HEAVY = 0.2, 4
+"""Part of a router from which on a caller that takes it is told as heavy, and the most
+of them."""
 _LOGGED_CHANGE = 0.1
 """Change of a share from which on it is logged."""
 _STATUS = pathlib.Path("/proc/self/statm")
@@ -65,11 +77,13 @@
     is_ready: Callable[[], bool]
     sources: UseSources = field(default_factory=UseSources)
     balance: RouterBalance = field(default_factory=RouterBalance)
+    callers: CallerParts = field(default_factory=CallerParts)
     _meter: UseMeter | None = field(init=False)
     _heard: dict[str, tuple[RouterLoad, Millis]] = field(default_factory=dict)
     _due: Millis = 0.0
     _told: tuple[float, bool, Millis] = (0.0, False, -1e12)
     _logged: dict[str, float] = field(default_factory=dict)
+    _logged_use: float = 0.0
 
     def __post_init__(self) -> None:
         limits = self.settings.limits
@@ -90,6 +104,7 @@
             return
         self._due = now + _INTERVAL
         self._meter.add(self._take_sample(now))
+        self.callers.end_period()
         self._tell(self._meter, now)
         self.balance.update(self._list_uses(self._meter, now), now)
         self._log_changes()
@@ -111,50 +126,50 @@
         if not is_changed and now - at < _TOLD_INTERVAL:
             return
         self._told = meter.used, meter.is_full, now
-        capacity = float(meter.limits.cores)
-        load = RouterLoad(
-            self.settings.name, capacity, round(meter.used, 3), meter.is_full
-        )
+        load = self._describe(meter)
         present = self.peers.list_present()
         self.peers.send_each(load, [one.beat.ip for one in present])
 
+    def _describe(self, meter: UseMeter) -> RouterLoad:
+        """Return what this router carries."""
+        return RouterLoad(
+            self.settings.name,
+            float(meter.limits.cores),
+            float(meter.limits.link or 0.0),
+            round(meter.used, 3),
+            meter.is_full,
+            tuple(
+                (asker, round(meter.cores * part, 3), round(meter.link * part, 3))
+                for asker, part in self.callers.list_parts()
+                if meter.used * part >= _HEAVY_PART
+            )[:_MAX_HEAVY],
+        )
+
     def _list_uses(self, meter: UseMeter, now: Millis) -> list[RouterUse]:
         """Return the routers that accept callers, and how full they are."""
-        found = []
-        for peer in self.peers.list_present():
-            beat = peer.beat
-            if beat.serving and not beat.leaving:
-                load = self._find_load(beat.router, meter.limits, now)
-                found.append(
-                    RouterUse(
-                        beat.entrance,
-                        beat.failure_domain,
-                        load.capacity,
-                        load.used,
-                        load.is_full,
-                    )
-                )
+        found = [
+            _make_use(
+                peer.beat.entrance,
+                peer.beat.failure_domain,
+                self._find_load(peer.beat.router, meter.limits, now),
+            )
+            for peer in self.peers.list_present()
+            if peer.beat.serving and not peer.beat.leaving
+        ]
         if self.is_ready():
             settings = self.settings
-            found.append(
-                RouterUse(
-                    str(settings.front),
-                    settings.failure_domain,
-                    meter.limits.cores,
-                    meter.used,
-                    meter.is_full,
-                )
-            )
+            own = self._describe(meter)
+            found.append(_make_use(str(settings.front), settings.failure_domain, own))
         return found
 
     def _find_load(self, router: str, own: RouterLimits, now: Millis) -> RouterLoad:
         load, heard = self._heard.get(router, (None, 0.0))
         if load is None or now - heard > _NEWS_LIFE:
-            return RouterLoad(router, own.cores, _UNKNOWN_USE, False)
+            return RouterLoad(router, own.cores, own.link or 0.0, _UNKNOWN_USE, False)
         return load
 
     def _log_changes(self) -> None:
-        """Write the shares of callers sent elsewhere that have changed."""
+        """Write the shares and the use of this router that have changed."""
         for domain in self.peers.list_domains() | {self.settings.failure_domain}:
             share = self.balance.find_far_share(domain)
             if abs(share - self._logged.get(domain, 0.0)) >= _LOGGED_CHANGE:
@@ -163,8 +178,12 @@
                     "callers_moved",
                     domain=domain,
                     far=round(share, 2),
-                    used=round(self._meter.used, 2) if self._meter else None,
                 )
+        used = self._meter.used if self._meter is not None else 0.0
+        if abs(used - self._logged_use) >= _LOGGED_CHANGE:
+            self._logged_use = used
+            kept = self.balance.find_kept_share(str(self.settings.front))
+            self.journal.write("router_use", used=round(used, 2), kept=round(kept, 2))
 
     def list_gauges(self) -> dict[str, float]:
         """Return what monitoring reads of this router's use, by metric."""
@@ -182,6 +201,13 @@
         }
 
 
+def _make_use(entrance: str, domain: str, load: RouterLoad) -> RouterUse:
+    heavy = tuple(HeavyCaller(*one) for one in load.heavy)
+    return RouterUse(
+        entrance, domain, load.cores, load.used, load.is_full, load.link, heavy
+    )
+
+
 def _read_memory() -> float:
     """Return the megabytes that this process holds; 0 if the system doesn't tell."""
     try:
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -15,6 +15,7 @@
 from anvilshift.gateway.border import AnswerFields, Dialect
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.linkpace import LinkPace
 from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
 from anvilshift.gateway.peers import Peers
@@ -44,6 +45,7 @@
     journal: Journal
     limits: RateLimits
     starts: TargetStarts
+    pace: LinkPace
     _logged_fields: set[str] = field(default_factory=set)
 
     @contextlib.asynccontextmanager
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -26,7 +26,9 @@
 class GatewayProcess:
     """One gateway process: a node with its servers and signal handlers."""
 
-    def __init__(self, settings: GatewaySettings, selector: MeteredSelector) -> None:
+    def __init__(
+        self, settings: GatewaySettings, selector: MeteredSelector | None = None
+    ) -> None:
         self._settings = settings
         clock = MonotonicClock()
         self._journal = Journal(settings.name, clock)
@@ -43,7 +45,8 @@
             PROCESS_START,
             boot_clock=BootClock(),
         )
-        self.node.measure_use(lambda: selector.waited)
+        if selector is not None:
+            self.node.measure_use(lambda: selector.waited)
         handler = DiscoveryHandler(
             self.node.is_ready, self.node.list_endpoints, self._list_gauges
         )
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -87,6 +87,8 @@
     ----------
     opened
         How many connections it has opened.
+    sent
+        Bytes of the requests that it has written.
     """
 
     def __init__(
@@ -95,7 +97,7 @@
         self._connect_timeout = connect_timeout
         self._network = network or TcpNetwork()
         self._idle: dict[Address, list[Connection]] = defaultdict(list)
-        self.opened = 0
+        self.opened = self.sent = 0
 
     def take_idle(
         self, address: Address, is_usable: Callable[[Connection], bool] | None = None
@@ -217,7 +219,7 @@
         response: Response | None = None
         try:
             async with asyncio.timeout(timeout / SECOND if timeout else None):
-                connection.send(method, path, fields, body)
+                self.sent += connection.send(method, path, fields, body)
                 head = await connection.receive()
                 while isinstance(head, h11.InformationalResponse):
                     head = await connection.receive()
--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -117,8 +117,8 @@
             self.transport.pause_reading()
         self._event_ready.set()
 
-    def send(self, method: str, path: str, headers: HeaderFields, body: bytes) -> None:
-        """Write a request."""
+    def send(self, method: str, path: str, headers: HeaderFields, body: bytes) -> int:
+        """Write a request; return its bytes."""
         assert self.transport is not None
         self._is_asking = True
         # Latin-1 round-trips every byte, so the caller's header fields are
@@ -132,9 +132,11 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         # Does not wait for the write buffer to drain: a server may answer without
         # reading all of a long body, and the client must then read that answer.
-        self.transport.write(b"".join(part for part in parts if part))
+        written = b"".join(part for part in parts if part)
+        self.transport.write(written)
         if self._timeouts is not None:
             self._timeouts.record_write()
+        return len(written)
 
     async def receive(self) -> h11.Event:
         """Return the next part of the answer."""
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -39,7 +39,7 @@
             loads.declare(TargetInfo(name, "advice", "10.0.0.1:80", domain, 64))
         peers = RecordingPeers(small)
         clock, journal = ManualClock(), SilentJournal()
-        sender = Sender(None, None, loads, peers, clock, journal, None, None)
+        sender = Sender(None, None, loads, peers, clock, journal, None, None, None)
         source = loads.targets["e2"] if fetched else None
         choice = Choice(loads.targets["e1"], 100.0, cached, source)
         request = SimpleNamespace()
@@ -76,7 +76,9 @@
         An engine may announce a requirement in a field that the router does not know.
         """
         journal = SilentJournal()
-        sender = Sender(None, None, LoadMap(), None, ManualClock(), journal, None, None)
+        sender = Sender(
+            None, None, LoadMap(), None, ManualClock(), journal, None, None, None
+        )
         target = SimpleNamespace(info=SimpleNamespace(name="e1"))
         outgoing = SimpleNamespace(identity="a", choice=SimpleNamespace(target=target))
         for value in ("1.2", "1.4"):
