--- a/anvilshift/core/placement/routerbalance.py
+++ b/anvilshift/core/placement/routerbalance.py
@@ -15,6 +15,10 @@
 - the share that a router keeps of its part among the routers of its domain, below 1
   while it is fuller than these.
 
+Where one router is full and its domain is not, callers don't choose evenly: many of
+them may prefer the same address.  Then each is told of few routers, drawn for it alone,
+so that a common preference can't bring them together.
+
 How full a router would be without that is estimated from what callers were told before,
 as they act on it seconds later.  Each caller draws by its own address, so that its list
 changes by few routers at a time.
@@ -22,7 +26,7 @@
 
 import hashlib
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
@@ -31,10 +35,6 @@
 _NEARLY_FULL, _TARGET, _RELAXED = 0.7, 0.6, 0.5
 """How full routers are at which work begins to move, to which it is moved, and at which
 it may come back."""
-_STAY = 0.85
-"""How full a router becomes before a heavy caller that it carries is moved again."""
-_HEAVY_LIFE: Millis = 30 * SECOND
-"""Time for which a caller that no router tells any more is taken to be as heavy."""
 _UNEVEN = 1.15
 """How much fuller than its domain's mean a router is that is listed less."""
 _MOVE_TIME: Millis = 2 * SECOND
@@ -48,27 +48,16 @@
 _MAX_FULL_DIVISOR = 4
 """One in this many routers is left out at most because it can hold no more: the others
 would be flooded."""
+_FEW_LISTED = 2
+"""Addresses that a caller is told of while callers choose unevenly: with more of them
+most would find the address that they prefer."""
+_EVEN_TIME: Millis = 30 * SECOND
+"""Time without a router that is fuller than its domain after which callers are taken to
+choose evenly again."""
 MAX_LISTED = 60
 """Most addresses in an answer; callers read 64."""
 
 
-@dataclass(frozen=True)
-class HeavyCaller:
-    """A caller that alone takes much of a router.
-
-    Parameters
-    ----------
-    asker
-        Identifies it, as when it asks for addresses.
-    cores, link
-        Processor cores and megabits per second that it takes.
-    """
-
-    asker: str
-    cores: float
-    link: float
-
-
 @dataclass(frozen=True)
 class RouterUse:
     """A router that accepts callers, and how full it is.
@@ -76,15 +65,11 @@
     Parameters
     ----------
     capacity
-        Processor cores that it may use.
+        What it carries, in any unit that is the same for all.
     used
         Share of its scarcest resource that is used; over 1 if work waits for it.
     is_full
         Whether it can hold no further caller.
-    link
-        Megabits per second that it carries; 0.0 if unlimited.
-    heavy
-        Its heavy callers.
     """
 
     address: str
@@ -92,16 +77,6 @@
     capacity: float = 1.0
     used: float = 0.0
     is_full: bool = False
-    link: float = 0.0
-    heavy: tuple[HeavyCaller, ...] = ()
-
-
-@dataclass(frozen=True)
-class _Heavy:
-    """A heavy caller, when it was told last, and what it takes of which routers."""
-
-    at: Millis
-    parts: dict[str, HeavyCaller]
 
 
 @dataclass
@@ -142,8 +117,8 @@
 
     _routers: tuple[RouterUse, ...] = ()
     _updated: Millis | None = None
-    _heavy: dict[str, _Heavy] = field(default_factory=dict)
     _far: dict[str, _Share] = field(default_factory=dict)
+    _uneven: dict[str, Millis] = field(default_factory=dict)
     _kept: dict[str, _Share] = field(default_factory=dict)
 
     def update(self, routers: Iterable[RouterUse], now: Millis) -> None:
@@ -151,7 +126,6 @@
         span = 0.0 if self._updated is None else now - self._updated
         self._updated = now
         self._routers = tuple(routers)
-        self._note_heavy(now)
         domains = {one.failure_domain for one in self._routers}
         known = {one.address for one in self._routers}
         self._far = {name: self._far.get(name, _Share(0.0, 0.0)) for name in domains}
@@ -162,6 +136,14 @@
             mean = _find_mean_use(near)
             for one in near:
                 self._move_kept(one, mean, span)
+            if mean < _NEARLY_FULL and any(
+                self._kept[one.address].engaged and one.used > _NEARLY_FULL
+                for one in near
+            ):
+                self._uneven[domain] = now
+        self._uneven = {
+            domain: at for domain, at in self._uneven.items() if now - at < _EVEN_TIME
+        }
 
     def _move_far(self, domain: str, near: Sequence[RouterUse], span: Millis) -> None:
         """Move the share of a domain's callers that are sent to other domains."""
@@ -202,9 +184,8 @@
 
     def is_usual(self, domain: str) -> bool:
         """Return whether a domain's callers are told what they are usually told."""
-        if self._heavy:
-            return False
         is_kept = all(not share.engaged for share in self._kept.values())
+        is_kept = is_kept and domain not in self._uneven
         return is_kept and not self.find_far_share(domain) and not self._list_full()
 
     def list_addresses(self, domain: str, asker: str) -> tuple[str, ...]:
@@ -220,10 +201,9 @@
         usual = choose_endpoints(
             [Endpoint(one.address, one.failure_domain) for one in self._routers], domain
         )
-        fitting = self._list_fitting(asker, usual)
-        if fitting:
-            return fitting
         weights = self._weigh(domain, frozenset(usual))
+        if domain in self._uneven:
+            return self._draw_few(asker, weights)
         if not weights or min(weights.values()) == max(weights.values()):
             return tuple(weights) if weights else usual
         most = max(weights.values())
@@ -237,45 +217,17 @@
         count = sum(draw < 1.0 for draw in draws.values())
         return tuple(listed[: max(count, MIN_LOCAL_ROUTERS)][:MAX_LISTED])
 
-    def _note_heavy(self, now: Millis) -> None:
-        """Take note of callers that alone take much of a router that is nearly full."""
-        for one in self._routers:
-            for heavy in one.heavy:
-                known = self._heavy.get(heavy.asker)
-                if known is None and one.used <= _NEARLY_FULL:
-                    continue
-                here = known.parts if known is not None and known.at == now else {}
-                parts = {**here, one.address: heavy}
-                self._heavy[heavy.asker] = _Heavy(now, parts)
-        self._heavy = {
-            asker: one
-            for asker, one in self._heavy.items()
-            if now - one.at <= _HEAVY_LIFE
+    def _draw_few(self, asker: str, weights: Mapping[str, float]) -> tuple[str, ...]:
+        """Return few routers, each with a probability by its weight and capacity."""
+        capacities = {one.address: one.capacity for one in self._routers}
+        # Of several exponential variates each is the smallest with a probability
+        # proportional to the inverse of its mean.
+        order = {
+            address: -math.log(_draw(asker, address)) / (weight * capacities[address])
+            for address, weight in weights.items()
+            if weight
         }
-
-    def _list_fitting(self, asker: str, usual: Sequence[str]) -> tuple[str, ...]:
-        """Return the routers that can carry a heavy caller; none if it isn't one.
-
-        Such a caller holds its connections to one router, which a share of the listing
-        can't relieve, and would fill each of the small ones in turn.
-        """
-        known = self._heavy.get(asker)
-        if known is None:
-            return ()
-        # A caller that moves is told by both routers for a moment.
-        cores = max(one.cores for one in known.parts.values())
-        link = max(one.link for one in known.parts.values())
-        levels = {}
-        for one in self._routers:
-            here = known.parts.get(one.address)
-            part = 0.0 if here is not None else _find_part_of(one, cores, link)
-            spare = _STAY - _NEARLY_FULL if here is not None else 0.0
-            if not one.is_full:
-                levels[one.address] = one.used + part - spare
-        near = [one for one in usual if levels.get(one, math.inf) <= _NEARLY_FULL]
-        far = [one for one, level in levels.items() if level <= _NEARLY_FULL]
-        best = sorted(levels, key=lambda address: levels[address])
-        return tuple(near or far or best[:MIN_LOCAL_ROUTERS])
+        return tuple(sorted(order, key=lambda one: order[one])[:_FEW_LISTED])
 
     def _weigh(self, domain: str, usual: frozenset[str]) -> dict[str, float]:
         """Return the part of a domain's callers that each router is to get."""
@@ -303,12 +255,6 @@
         return frozenset(full) if is_rare else frozenset()
 
 
-def _find_part_of(router: RouterUse, cores: float, link: float) -> float:
-    """Return the share of a router's scarcest resource that a caller takes."""
-    of_link = link / router.link if router.link else 0.0
-    return max(cores / router.capacity, of_link)
-
-
 def _find_mean_use(routers: Sequence[RouterUse]) -> float:
     """Return how full routers are as a whole."""
     capacity = sum(one.capacity for one in routers)
--- a/anvilshift/core/placement/routeruse.py
+++ b/anvilshift/core/placement/routeruse.py
@@ -5,9 +5,7 @@
 they are scarce.
 """
 
-import heapq
-from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from anvilshift.core.clock import SECOND, Millis
 
@@ -18,9 +16,6 @@
 """Share of the time that an event loop works at which late timers mean waiting work."""
 _SMOOTHING = 0.4
 """Weight of the last sample."""
-_REQUEST_BYTES = 4_000
-"""Bytes that a request counts for besides its own: its answer, and the work on it."""
-_MAX_LISTED = 8
 _BITS_PER_MS = 1_000.0
 """Bits that a link of 1 Mbit/s carries in a millisecond."""
 
@@ -77,15 +72,6 @@
 class UseMeter:
     """How full a router is.
 
-    Attributes
-    ----------
-    used
-        Share of its scarcest resource that is used; over 1 if work waits for it.
-    is_full
-        Whether it can hold no further caller.
-    cores, link
-        Processor cores and megabits per second that it uses.
-
     Examples
     --------
     >>> meter = UseMeter(RouterLimits(cores=1.0, link=8.0))
@@ -100,8 +86,6 @@
     limits: RouterLimits
     used: float = 0.0
     is_full: bool = False
-    cores: float = 0.0
-    link: float = 0.0
     _last: UseSample | None = None
 
     def add(self, sample: UseSample) -> None:
@@ -118,12 +102,12 @@
         """Return the share of processor and link, with the work that waits."""
         span = sample.at - last.at
         busy = min(1.0, max(0.0, 1.0 - (sample.idle - last.idle) / span))
-        link = (sample.moved - last.moved) * 8 / span / _BITS_PER_MS
-        self.cores += (busy * self.limits.cores - self.cores) * _SMOOTHING
-        self.link += (link - self.link) * _SMOOTHING
         if busy >= _BUSY:
             busy += sample.late / SECOND
-        return max(busy, link / self.limits.link if self.limits.link else 0.0)
+        if self.limits.link is None:
+            return busy
+        bits = (sample.moved - last.moved) * 8
+        return max(busy, bits / span / (self.limits.link * _BITS_PER_MS))
 
     def _find_held(self, sample: UseSample) -> float:
         """Return the share of memory or descriptors that is held."""
@@ -131,39 +115,3 @@
         memory = sample.memory / limits.memory if limits.memory else 0.0
         sockets = sample.descriptors / limits.descriptors if limits.descriptors else 0.0
         return max(memory, sockets)
-
-
-@dataclass
-class CallerParts:
-    """Which part of a router's work each of its callers takes.
-
-    Examples
-    --------
-    >>> parts = CallerParts()
-    >>> for asker in ("a", "a", "a", "b"):
-    ...     parts.add(asker, 1_000)
-    >>> parts.end_period()
-    >>> parts.list_parts()
-    [('a', 0.75), ('b', 0.25)]
-    """
-
-    _now: Counter[str] = field(default_factory=Counter)
-    _weights: dict[str, float] = field(default_factory=dict)
-
-    def add(self, asker: str, length: int) -> None:
-        """Take note of a request of some bytes."""
-        self._now[asker] += _REQUEST_BYTES + length
-
-    def end_period(self) -> None:
-        """Let the requests since the last call count, and those before count less."""
-        weights = {one: w * (1.0 - _SMOOTHING) for one, w in self._weights.items()}
-        for asker, weight in self._now.items():
-            weights[asker] = weights.get(asker, 0.0) + weight * _SMOOTHING
-        self._weights = {one: w for one, w in weights.items() if w >= 1.0}
-        self._now.clear()
-
-    def list_parts(self) -> list[tuple[str, float]]:
-        """Return the callers and their parts, the largest ones first."""
-        total = sum(self._weights.values())
-        found = heapq.nlargest(_MAX_LISTED, self._weights.items(), lambda one: one[1])
-        return [(asker, weight / total) for asker, weight in found]
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -316,7 +316,6 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
         self.in_flight += 1
-        self.router_loads.callers.add(responder.peer_ip, len(request.body))
         try:
             await RequestHandler(self.shared, request, responder).run()
         except AnvilshiftError as error:
--- a/anvilshift/gateway/loadmessages.py
+++ b/anvilshift/gateway/loadmessages.py
@@ -11,21 +11,15 @@
 
     Parameters
     ----------
-    cores, link
-        Processor cores and megabits per second that it may use; 0.0 for an unlimited
-        link.
+    capacity
+        Processor cores that it may use.
     used
         Share of its scarcest resource that is used; over 1 if work waits for it.
     is_full
         Whether it can hold no further caller.
-    heavy
-        Addresses of its heavy callers, each with the cores and megabits per second that
-        it takes.
     """
 
     router: str
-    cores: float
-    link: float
+    capacity: float
     used: float
     is_full: bool
-    heavy: tuple[tuple[str, float, float], ...] = ()
--- a/anvilshift/gateway/routerloads.py
+++ b/anvilshift/gateway/routerloads.py
@@ -6,17 +6,8 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.placement.routerbalance import (
-    HeavyCaller,
-    RouterBalance,
-    RouterUse,
-)
-from anvilshift.core.placement.routeruse import (
-    CallerParts,
-    RouterLimits,
-    UseMeter,
-    UseSample,
-)
+from anvilshift.core.placement.routerbalance import RouterBalance, RouterUse
+from anvilshift.core.placement.routeruse import RouterLimits, UseMeter, UseSample
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.peers import Peers
@@ -30,9 +21,6 @@
 """Age from which on what a router told says nothing of it."""
 _UNKNOWN_USE = 0.6
 """Assumed use of a router that tells none: neither nearly full nor idle."""
-_HEAVY_PART, _MAX_HEAVY = 0.2, 4
-"""Part of a router from which on a caller that takes it is told as heavy, and the most
-of them."""
 _LOGGED_CHANGE = 0.1
 """Change of a share from which on it is logged."""
 _STATUS = pathlib.Path("/proc/self/statm")
@@ -77,7 +65,6 @@
     is_ready: Callable[[], bool]
     sources: UseSources = field(default_factory=UseSources)
     balance: RouterBalance = field(default_factory=RouterBalance)
-    callers: CallerParts = field(default_factory=CallerParts)
     _meter: UseMeter | None = field(init=False)
     _heard: dict[str, tuple[RouterLoad, Millis]] = field(default_factory=dict)
     _due: Millis = 0.0
@@ -104,7 +91,6 @@
             return
         self._due = now + _INTERVAL
         self._meter.add(self._take_sample(now))
-        self.callers.end_period()
         self._tell(self._meter, now)
         self.balance.update(self._list_uses(self._meter, now), now)
         self._log_changes()
@@ -126,46 +112,46 @@
         if not is_changed and now - at < _TOLD_INTERVAL:
             return
         self._told = meter.used, meter.is_full, now
-        load = self._describe(meter)
+        capacity = float(meter.limits.cores)
+        load = RouterLoad(
+            self.settings.name, capacity, round(meter.used, 3), meter.is_full
+        )
         present = self.peers.list_present()
         self.peers.send_each(load, [one.beat.ip for one in present])
 
-    def _describe(self, meter: UseMeter) -> RouterLoad:
-        """Return what this router carries."""
-        return RouterLoad(
-            self.settings.name,
-            float(meter.limits.cores),
-            float(meter.limits.link or 0.0),
-            round(meter.used, 3),
-            meter.is_full,
-            tuple(
-                (asker, round(meter.cores * part, 3), round(meter.link * part, 3))
-                for asker, part in self.callers.list_parts()
-                if meter.used * part >= _HEAVY_PART
-            )[:_MAX_HEAVY],
-        )
-
     def _list_uses(self, meter: UseMeter, now: Millis) -> list[RouterUse]:
         """Return the routers that accept callers, and how full they are."""
-        found = [
-            _make_use(
-                peer.beat.entrance,
-                peer.beat.failure_domain,
-                self._find_load(peer.beat.router, meter.limits, now),
-            )
-            for peer in self.peers.list_present()
-            if peer.beat.serving and not peer.beat.leaving
-        ]
+        found = []
+        for peer in self.peers.list_present():
+            beat = peer.beat
+            if beat.serving and not beat.leaving:
+                load = self._find_load(beat.router, meter.limits, now)
+                found.append(
+                    RouterUse(
+                        beat.entrance,
+                        beat.failure_domain,
+                        load.capacity,
+                        load.used,
+                        load.is_full,
+                    )
+                )
         if self.is_ready():
             settings = self.settings
-            own = self._describe(meter)
-            found.append(_make_use(str(settings.front), settings.failure_domain, own))
+            found.append(
+                RouterUse(
+                    str(settings.front),
+                    settings.failure_domain,
+                    meter.limits.cores,
+                    meter.used,
+                    meter.is_full,
+                )
+            )
         return found
 
     def _find_load(self, router: str, own: RouterLimits, now: Millis) -> RouterLoad:
         load, heard = self._heard.get(router, (None, 0.0))
         if load is None or now - heard > _NEWS_LIFE:
-            return RouterLoad(router, own.cores, own.link or 0.0, _UNKNOWN_USE, False)
+            return RouterLoad(router, own.cores, _UNKNOWN_USE, False)
         return load
 
     def _log_changes(self) -> None:
@@ -201,13 +187,6 @@
         }
 
 
-def _make_use(entrance: str, domain: str, load: RouterLoad) -> RouterUse:
-    heavy = tuple(HeavyCaller(*one) for one in load.heavy)
-    return RouterUse(
-        entrance, domain, load.cores, load.used, load.is_full, load.link, heavy
-    )
-
-
 def _read_memory() -> float:
     """Return the megabytes that this process holds; 0 if the system doesn't tell."""
     try:
--- a/tests/quick.py
+++ b/tests/quick.py
@@ -10,6 +10,7 @@
 LONG = (
     "tests.bench.",
     "tests.client.test_client.",
+    "tests.core.placement.test_routerbalance.CrowdedDomainTest.",
     "tests.core.test_allotments.",
     "tests.core.test_budget_machine.",
     "tests.core.test_dispatcher_poison.",
