--- a/anvilshift/core/placement/routerbalance.py
+++ b/anvilshift/core/placement/routerbalance.py
@@ -15,10 +15,6 @@
 - the share that a router keeps of its part among the routers of its domain, below 1
   while it is fuller than these.
 
-Where one router is full and its domain is not, callers don't choose evenly: many of
-them may prefer the same address.  Then each is told of few routers, drawn for it alone,
-so that a common preference can't bring them together.
-
 How full a router would be without that is estimated from what callers were told before,
 as they act on it seconds later.  Each caller draws by its own address, so that its list
 changes by few routers at a time.
@@ -26,7 +22,7 @@
 
 import hashlib
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
@@ -48,12 +44,6 @@
 _MAX_FULL_DIVISOR = 4
 """One in this many routers is left out at most because it can hold no more: the others
 would be flooded."""
-_FEW_LISTED = 2
-"""Addresses that a caller is told of while callers choose unevenly: with more of them
-most would find the address that they prefer."""
-_EVEN_TIME: Millis = 30 * SECOND
-"""Time without a router that is fuller than its domain after which callers are taken to
-choose evenly again."""
 MAX_LISTED = 60
 """Most addresses in an answer; callers read 64."""
 
@@ -118,7 +108,6 @@
     _routers: tuple[RouterUse, ...] = ()
     _updated: Millis | None = None
     _far: dict[str, _Share] = field(default_factory=dict)
-    _uneven: dict[str, Millis] = field(default_factory=dict)
     _kept: dict[str, _Share] = field(default_factory=dict)
 
     def update(self, routers: Iterable[RouterUse], now: Millis) -> None:
@@ -136,14 +125,6 @@
             mean = _find_mean_use(near)
             for one in near:
                 self._move_kept(one, mean, span)
-            if mean < _NEARLY_FULL and any(
-                self._kept[one.address].engaged and one.used > _NEARLY_FULL
-                for one in near
-            ):
-                self._uneven[domain] = now
-        self._uneven = {
-            domain: at for domain, at in self._uneven.items() if now - at < _EVEN_TIME
-        }
 
     def _move_far(self, domain: str, near: Sequence[RouterUse], span: Millis) -> None:
         """Move the share of a domain's callers that are sent to other domains."""
@@ -185,7 +166,6 @@
     def is_usual(self, domain: str) -> bool:
         """Return whether a domain's callers are told what they are usually told."""
         is_kept = all(not share.engaged for share in self._kept.values())
-        is_kept = is_kept and domain not in self._uneven
         return is_kept and not self.find_far_share(domain) and not self._list_full()
 
     def list_addresses(self, domain: str, asker: str) -> tuple[str, ...]:
@@ -202,8 +182,6 @@
             [Endpoint(one.address, one.failure_domain) for one in self._routers], domain
         )
         weights = self._weigh(domain, frozenset(usual))
-        if domain in self._uneven:
-            return self._draw_few(asker, weights)
         if not weights or min(weights.values()) == max(weights.values()):
             return tuple(weights) if weights else usual
         most = max(weights.values())
@@ -217,18 +195,6 @@
         count = sum(draw < 1.0 for draw in draws.values())
         return tuple(listed[: max(count, MIN_LOCAL_ROUTERS)][:MAX_LISTED])
 
-    def _draw_few(self, asker: str, weights: Mapping[str, float]) -> tuple[str, ...]:
-        """Return few routers, each with a probability by its weight and capacity."""
-        capacities = {one.address: one.capacity for one in self._routers}
-        # Of several exponential variates each is the smallest with a probability
-        # proportional to the inverse of its mean.
-        order = {
-            address: -math.log(_draw(asker, address)) / (weight * capacities[address])
-            for address, weight in weights.items()
-            if weight
-        }
-        return tuple(sorted(order, key=lambda one: order[one])[:_FEW_LISTED])
-
     def _weigh(self, domain: str, usual: frozenset[str]) -> dict[str, float]:
         """Return the part of a domain's callers that each router is to get."""
         full = self._list_full()
--- a/tests/core/placement/callers.py
+++ b/tests/core/placement/callers.py
@@ -162,9 +162,9 @@
         count = len(self.callers) / len(self.demand)
         asked = self.demand[caller.domain] * STEP / 1_000 / count
         key = caller.domain, int(self.now // 1_000)
+        part = asked / CONNECTIONS
         for address in caller.connections:
             router = self.routers[address]
-            part = asked / CONNECTIONS
             self.asked[key] += part
             self.earned[key] += router.find_worth() * part
             router.offered += part
