--- a/anvilshift/core/placement/linkqueue.py
+++ b/anvilshift/core/placement/linkqueue.py
@@ -7,6 +7,7 @@
 while much waits for the link.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from anvilshift.core.clock import Millis
@@ -68,6 +69,27 @@
         most = MAX_DELAY if length < _LONG_BYTES else MAX_DELAY_LONG
         return max(0.0, self.find_delay(now) - most)
 
+    def find_expected(self, length: int, held: Iterable[int], now: Millis) -> Millis:
+        """Return how long a request would be kept back behind others.
+
+        Parameters
+        ----------
+        held
+            Bytes of each request that is kept back; a short one passes the long ones.
+
+        Examples
+        --------
+        >>> queue = LinkQueue(rate=8.0 / 0.93)
+        >>> round(queue.find_expected(800, [50_000, 1_000], now=0.0))
+        0
+        >>> round(queue.find_expected(8_000, [500_000, 50_000], now=0.0))
+        500
+        """
+        is_short = length < _LONG_BYTES
+        before = sum(one for one in held if one < _LONG_BYTES or not is_short)
+        most = MAX_DELAY if is_short else MAX_DELAY_LONG
+        return max(0.0, self.find_delay(now) + before / self._find_speed() - most)
+
     def _find_waiting(self, now: Millis) -> float:
         return max(0.0, self._waiting - (now - self._at) * self._find_speed())
 
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -39,6 +39,10 @@
 pause of its targets may end meanwhile."""
 
 
+MAX_LINK_WAIT: Millis = 500.0
+"""Expected wait for this router's own link from which on a request is refused."""
+
+
 @dataclass
 class RequestProgress:
     """How far one request has come.
@@ -102,6 +106,7 @@
         AnvilshiftError
             When no attempt is made.
         """
+        self._check_link()
         while True:
             await self.shared.sender.pace.wait(len(self.routed.request.body))
             choice = await self._admit() or self._choose()
@@ -170,6 +175,17 @@
             )
         return choice
 
+    def _check_link(self) -> None:
+        """Refuse a request at once if it would wait long for this router's own link.
+
+        Another router may serve it meanwhile; this one would get to it too late, and to
+        those behind it later still.
+        """
+        expected = self.shared.sender.pace.find_expected(len(self.routed.request.body))
+        if expected > MAX_LINK_WAIT and not self.progress.may_have_run:
+            detail = f"a wait of {expected:.0f} ms for this router's link is expected"
+            raise self._make_final_error(OVERLOADED, 0.0, detail)
+
     def _check_predicted_wait(self, choice: Choice) -> None:
         """Refuse a request at once if its predicted wait exceeds the time left."""
         left = self.routed.end - self.shared.clock.now()
--- a/tests/platform/test_callers_leave.py
+++ b/tests/platform/test_callers_leave.py
@@ -16,7 +16,7 @@
     b"Anvilshift-Token-Usage: 100,30\r\nAnvilshift-Prefix-Hash: a:60,b:40\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
-WAITS = ("tokens", "permit", "connection")
+WAITS = ("tokens", "link", "permit", "connection")
 
 
 class ShiftedClock(MonotonicClock):
@@ -52,6 +52,7 @@
         node = self.node
         owner, name = {
             "tokens": (node.reservations, "reserve"),
+            "link": (node.shared.sender.pace, "wait"),
             "permit": (PermitSession, "request_permit"),
             "connection": (node.reach, "connect"),
         }[wait]
