--- a/bench/soak/http.py
+++ b/bench/soak/http.py
@@ -46,6 +46,10 @@
         self.queue: asyncio.Queue[_Item] = asyncio.Queue()
         self._process = process
 
+    def is_caller_there(self) -> bool:
+        """Return whether the caller has not closed the connection."""
+        return self.is_open
+
     async def send(self, reply: Reply) -> None:
         """Write a complete answer."""
         await self.start(reply.status, reply.headers)
