--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -394,8 +394,7 @@
         job = self.job
         counted = self.usage or Usage(job.max_prompt_tokens, self._tokens)
         prompt = min(max(counted.prompt, 0), job.max_prompt_tokens)
-        answer = min(max(counted.answer, 0), job.max_answer_tokens)
-        usage = Usage(prompt, answer)
+        usage = Usage(prompt, min(max(counted.answer, 0), job.max_answer_tokens))
         if usage != counted:
             self._shared.telemetry.count_event("absurd_usage")
         return usage
