Name a router's question for changes among the ways that reach no target

The list of calls that may reach a target is written by hand, so that a new one is looked at: the question of gateway/sharedwatches.py goes to another router's own port, and carries no request of a caller. The whole check found it missing.

--- a/tests/gateway/test_retrying.py
+++ b/tests/gateway/test_retrying.py
@@ -16,6 +16,7 @@
     ("reach.py", "_connect_direct", "open"): "a connection only",
     ("reach.py", "_open_tunnel", "open"): "a connection through another router",
     ("configurations.py", "_ask", "call"): "a question to a router, not to a target",
+    ("sharedwatches.py", "ask", "call"): "a question to a router, not to a target",
     ("targetstarts.py", "_check_doubted", "open"): "a connection, for a report",
     ("targetstarts.py", "check", "exchange"): "a report, no request of a caller",
 }
