Draw the four ports that a gateway's process listens on together

A gateway listens on four ports that follow each other, from the first of internalPorts on, but the test drew only the first of them and one at random. Since watches are shared the fourth is used too, and now and then one of them was the port for callers or for readiness, drawn from the same slice.

Ruled out: load, a slow start and a router that isn't told enough to be ready: in each failure all three processes had ended, their logs name the port.

Change: take_adjacent_ports draws ports that follow each other, each once.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -9,6 +9,7 @@
 _SLICE_PORTS = 100
 _CLAIM_IP = "127.255.255.254"
 """A loopback address that nothing listens on."""
+_KINDS = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
 _RNG = random.SystemRandom()
 
 
@@ -50,6 +51,22 @@
             return ports
         raise RuntimeError("every slice of ports is claimed by a process")
 
+    def draw_adjacent(self, count: int) -> range:
+        """Return ports that follow each other, and never one of them twice.
+
+        Raises
+        ------
+        RuntimeError
+            If other processes have claimed all slices.
+        """
+        while True:
+            for first in self._ports:
+                found = range(first, first + count)
+                if set(found) <= set(self._ports):
+                    self._ports = [one for one in self._ports if one not in found]
+                    return found
+            self._ports = self._claim_slice()
+
 
 _SLICES = PortSlices()
 
@@ -64,10 +81,18 @@
     """
     while True:
         port = _SLICES.draw()
-        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+        if all(_is_free(port, kind) for kind in _KINDS):
             return port
 
 
+def take_adjacent_ports(count: int) -> range:
+    """Return ports that follow each other, each as from `take_free_port`."""
+    while True:
+        ports = _SLICES.draw_adjacent(count)
+        if all(_is_free(port, kind) for port in ports for kind in _KINDS):
+            return ports
+
+
 def _is_free(port: int, kind: socket.SocketKind) -> bool:
     with socket.socket(socket.AF_INET, kind) as probe:
         try:
--- a/tests/bench/test_ports.py
+++ b/tests/bench/test_ports.py
@@ -10,6 +10,7 @@
 
 _DRAWN_PORTS = 3_000
 _PROCESSES = 4
+_ADJACENT_PORTS = 4
 _PROCESS_PORTS = 300
 _DRAW = f"""
 import sys
@@ -65,6 +66,22 @@
                 with mock.patch.object(ports._SLICES, "draw", draws):
                     self.assertEqual(take_free_port(), free)
 
+    def test_adjacent_ports_are_given_out_once(self):
+        """Guards against gateways that listen on a port beside the one they drew.
+
+        A gateway listens on four ports that follow each other.  Its test drew the
+        first of them alone, so that now and then another one was the port for its
+        callers: every gateway of the fleet exits, address already in use.
+        """
+        slices = PortSlices()
+        drawn = []
+        for _ in range(3 * _SLICE_PORTS):
+            drawn.append(slices.draw())
+            found = slices.draw_adjacent(_ADJACENT_PORTS)
+            self.assertEqual(len(found), _ADJACENT_PORTS)
+            drawn.extend(found)
+        self.assertEqual(len(set(drawn)), len(drawn))
+
     def test_claim_ends_with_its_process(self):
         """Guards against a machine that runs out of ports after many checks."""
         process = self.start_drawing()
--- a/tests/platform/processfleet.py
+++ b/tests/platform/processfleet.py
@@ -10,14 +10,16 @@
 from anvilshift.wire.messages import Address
 from anvilshift.wire.response import ExchangeError
 from bench.fleet import ROOT, wait_until
-from bench.ports import take_free_port
+from bench.ports import take_adjacent_ports, take_free_port
 from tests.platform.gatewaycase import GatewayCase
 
+INTERNAL_PORTS = 4
+"""Ports between routers that a gateway listens on, from the first one on."""
 _SETTINGS = """
 nodeName = "n-{ip}"
 ip = "{ip}"
 zone = "north"
-internalPorts = [{peer_port}, {other_port}]
+internalPorts = [{peer_port}, {last_port}]
 seeds = [{seeds}]
 [listen]
 front = "{ip}:{front}"
@@ -39,12 +41,12 @@
         self.addCleanup(self.kill_all)
         self.front, self.ready = take_free_port(), take_free_port()
         self.ips = [f"127.0.0.{number}" for number in range(2, 5)]
-        ports = take_free_port(), take_free_port()
+        ports = take_adjacent_ports(INTERNAL_PORTS)
         for ip in self.ips:
             settings = _SETTINGS.format(
                 ip=ip,
                 peer_port=ports[0],
-                other_port=ports[1],
+                last_port=ports[-1],
                 seeds=", ".join(f'"{one}:{ports[0]}"' for one in self.ips),
                 front=self.front,
                 ready=self.ready,
