Wait for the server's reading in the test of slow neighbours

Cause: the test waits 50 ms for "the server has read both calls". A process that stands still for as long breaks that: the third call then gets an idle connection, and the test sees a silent one.

Ruled out: a fault of the client: it judges by the connection that the call had.

Change: the test waits until the server has begun to answer both calls; what it asserts is unchanged.

--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -7,6 +7,7 @@
 from anvilshift.wire.responder import Responder
 from anvilshift.wire.response import ExchangeError
 from anvilshift.wire.server import HttpServer
+from bench.fleet import wait_until
 
 LOOPBACK = Address("127.0.0.1", 0)
 
@@ -59,6 +60,7 @@
         self.address = await self.server.start(LOOPBACK)
         self.hangs = False
         self.delay = 0.02
+        self.read = 0
 
     async def asyncTearDown(self):
         self.client.close()
@@ -66,6 +68,7 @@
 
     async def answer(self, request: HttpRequest, responder: Responder) -> None:
         hangs = self.hangs
+        self.read += 1
         await asyncio.sleep(2.0 if hangs else self.delay)
         await responder.send(Reply())
 
@@ -104,7 +107,7 @@
         """Guards against a slow server that loses its connections at each call."""
         self.delay = 0.6
         calls = [asyncio.create_task(self.call()) for _ in range(2)]
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: self.read == len(calls))
         error = await self.fail()
         await asyncio.gather(*calls)
         self.assertFalse(error.silent)
