Check a configuration before it is sent

Asked for: a verb that finds errors, entries that can never match and limits that contradict each other, and tells what differs from the version in force.

Change: `anvilshift check PATH` reads a gateway's configuration besides our declarations. Each finding has file, line and kind; what a change takes away is told first; credentials are counted, not shown. Exit codes: 0, 1 for warnings, 2 for what the fleet refuses. `check` gave 0 for warnings before. YAML is read by the loader in C.

So `operator` imports `platform` now: the picture of the layers and its test name them one above the other. That test looked only at the top folder of the core and only at `import x`; it looks into its rooms and at `from x` too.

Ruled out: errors of our own beside the fleet's, e.g. for a route whose service isn't declared: gateways take such a configuration.

Not done: the retry limits of the routers' own settings.

--- /dev/null
+++ b/anvilshift/operator/checking.py
@@ -0,0 +1,157 @@
+"""The command that checks what an operator is about to send."""
+
+import asyncio
+import json as jsons
+import sys
+from collections.abc import Mapping
+from typing import Any
+
+from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
+from anvilshift.objects.store import HttpObjectStore, StoredObject
+from anvilshift.operator.administration import read_stored
+from anvilshift.operator.checks.findings import EXIT_ERRORS, find_exit_code
+from anvilshift.operator.checks.reports import (
+    Report,
+    check_configuration,
+    check_declarations,
+    is_configuration,
+    read_configuration,
+    read_sources,
+)
+from anvilshift.operator.checks.sources import Source
+from anvilshift.operator.secrets import read_secret
+from anvilshift.platform.names import CONFIGURATION_KIND, CONFIGURATION_NAME
+from anvilshift.platform.store import PlatformStore
+from anvilshift.wire.client import HttpClient
+from anvilshift.wire.messages import Address
+
+
+class CheckCommand:
+    """The `check` verb of the command line."""
+
+    def check(
+        self,
+        path: str,
+        against: str | int = "",
+        platform: str = "",
+        credential: str = "",
+        json: bool = False,
+        output: str = "text",
+    ) -> None:
+        """Check a configuration or declarations, and say what they would change.
+
+        PATH is a gateway's configuration (JSON, or YAML without kinds), a YAML file of
+        declarations, or a directory of these.  --against FILE compares with a file;
+        --platform IP:PORT compares with what is in force, and --against VERSION says
+        which version that has to be.  Nothing is written.
+
+        The exit code is 0 if nothing was found, 1 for warnings only, 2 if the fleet
+        would refuse it or it can't be read.
+
+        Example: anvilshift check new.json --against old.json
+        """
+        try:
+            report = check_path(str(path), str(against), platform, credential)
+        except AnvilshiftError as error:
+            # Exit code 1 would say that there are warnings only.
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_ERRORS)
+        if json or output == "json":
+            print(jsons.dumps(_describe(report), indent=2))
+        else:
+            _print(report)
+        sys.exit(find_exit_code(report.findings))
+
+
+def check_path(path: str, against: str, platform: str, credential: str) -> Report:
+    """Check what a path leads to, and compare it if another version is named.
+
+    Raises
+    ------
+    AnvilshiftError
+        If one of them can't be read.
+    """
+    sources = read_sources(path)
+    if is_configuration(sources):
+        body = _read_other_configuration(against, platform)
+        return check_configuration(sources[0], body)
+    return check_declarations(sources, _read_others(against, platform, credential))
+
+
+def _read_other_configuration(against: str, platform: str) -> Any:
+    """Return the body of the configuration to compare with; None for none."""
+    if not platform:
+        if not against:
+            return None
+        (source,) = read_sources(against)
+        if not is_configuration([source]):
+            raise AnvilshiftError(BAD_DECLARATION, f"{against}: not a configuration")
+        return read_configuration(source)[0]
+    found = asyncio.run(_read_stored_configuration(Address.parse(platform)))
+    if found is None:
+        raise AnvilshiftError(BAD_DECLARATION, f"{platform}: no configuration yet")
+    if against and str(found.body.get("version")) != against:
+        detail = f"{platform}: version {found.body.get('version')} is in force"
+        raise AnvilshiftError(BAD_DECLARATION, f"{detail}, not {against}")
+    return found.body
+
+
+def _read_others(
+    against: str, platform: str, credential: str
+) -> Mapping[tuple[str, str], StoredObject] | None:
+    """Return the declarations to compare with; None for none."""
+    if platform:
+        secret = read_secret(credential)
+        return asyncio.run(_read_stored(Address.parse(platform), secret))
+    if not against:
+        return None
+    return _index_declarations(read_sources(against))
+
+
+async def _read_stored_configuration(address: Address) -> StoredObject | None:
+    client = HttpClient()
+    try:
+        store = PlatformStore(client, address)
+        return await store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+    finally:
+        client.close()
+
+
+async def _read_stored(
+    address: Address, credential: str
+) -> Mapping[tuple[str, str], StoredObject]:
+    client = HttpClient()
+    try:
+        return await read_stored(HttpObjectStore(client, address, credential))
+    finally:
+        client.close()
+
+
+def _index_declarations(
+    sources: list[Source],
+) -> dict[tuple[str, str], StoredObject]:
+    """Return valid declarations from files as if they were stored."""
+    report = check_declarations(sources)
+    if any(one.kind.value == "invalid" for one in report.findings):
+        raise AnvilshiftError(BAD_DECLARATION, str(report.findings[0]))
+    bodies = [b for one in sources for b in one.documents if b is not None]
+    return {
+        (body["kind"], body["name"]): StoredObject(body["kind"], body["name"], 0, body)
+        for body in bodies
+    }
+
+
+def _describe(report: Report) -> dict[str, Any]:
+    return {
+        "checked": report.checked,
+        "findings": [one.describe() for one in report.findings],
+        "differences": [one.describe() for one in report.differences],
+    }
+
+
+def _print(report: Report) -> None:
+    for finding in report.findings:
+        print(finding)
+    for difference in report.differences:
+        print(difference)
+    print(f"{report.checked} entries, {len(report.findings)} findings")
--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import pathlib
 import sys
 import uuid
 from collections.abc import Coroutine, Iterable, Iterator
@@ -26,6 +25,7 @@
     wait_until_in_force,
 )
 from anvilshift.operator.calling import CallCommand
+from anvilshift.operator.checking import CheckCommand
 from anvilshift.operator.explanations import explain
 from anvilshift.operator.logs import (
     LogLine,
@@ -35,8 +35,8 @@
     read_lines,
     trace_request,
 )
+from anvilshift.operator.secrets import read_secret
 from anvilshift.operator.standins import StandinCommands
-from anvilshift.operator.validation import ERROR, cross_check
 from anvilshift.router.daemon import Router
 from anvilshift.settings.declarations import parse_declaration, read_documents
 from anvilshift.settings.router import RouterSettings
@@ -63,21 +63,6 @@
             print(row)
 
 
-def _read_secret(given: str) -> str:
-    """Return a credential given literally, or read from a file as ``@file``.
-
-    Every user of the machine can read the command line of a process, whereas a file
-    can be protected by its permissions.
-    """
-    text = str(given)
-    if not text.startswith("@"):
-        return text
-    try:
-        return pathlib.Path(text[1:]).read_text(encoding="utf-8").strip()
-    except (OSError, UnicodeDecodeError) as error:
-        raise AnvilshiftError(BAD_SETTINGS, f"{text[1:]}: {error}") from error
-
-
 def _read_log_files(files: Iterable[str]) -> Iterator[LogLine]:
     for name in files:
         try:
@@ -88,7 +73,7 @@
 
 
 def _open_store(platform: str, credential: str = "") -> HttpObjectStore:
-    secret = _read_secret(credential)
+    secret = read_secret(credential)
     return HttpObjectStore(HttpClient(), Address.parse(platform), secret)
 
 
@@ -96,7 +81,7 @@
     return asyncio.run(coroutine)
 
 
-class Commands(CallCommand):
+class Commands(CallCommand, CheckCommand):
     """Operate a fleet of anvilshift routers.
 
     Example: anvilshift apply declarations --platform 127.0.0.1:7000
@@ -137,29 +122,6 @@
         for cause in count_unserved(_read_log_files(files)):
             print(format_cause(cause))
 
-    def check(self, directory: str, output: str = "text") -> None:
-        """Validate declarations and their references, without the platform.
-
-        The exit code is 2 if there is any error; warnings alone leave it at 0.
-
-        Example: anvilshift check declarations
-        """
-        documents = read_documents(directory)
-        declarations = [
-            parse_declaration(body, f"{kind}/{name}")
-            for (kind, name), body in documents.items()
-        ]
-        findings = cross_check(declarations)
-        summary = {
-            "declarations": len(documents),
-            "findings": [vars(item) for item in findings],
-        }
-        _print(summary if output == "json" else summary["findings"], output)
-        if output != "json":
-            print(f"{len(documents)} declarations, {len(findings)} findings")
-        if any(item.severity == ERROR for item in findings):
-            sys.exit(EXIT_USAGE)
-
     def diff(
         self,
         directory: str,
@@ -349,7 +311,7 @@
 
 
 async def _call_router(method: str, address: str, path: str, token: str) -> Any:
-    headers = [("authorization", f"Bearer {_read_secret(token)}")]
+    headers = [("authorization", f"Bearer {read_secret(token)}")]
     answer = await HttpClient().call(
         Address.parse(address), method, path, headers, timeout=5 * SECOND
     )
--- a/anvilshift/settings/declarations.py
+++ b/anvilshift/settings/declarations.py
@@ -3,7 +3,13 @@
 import pathlib
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 
 from anvilshift.core.declarations import (
     Budget,
@@ -17,7 +23,13 @@
 )
 from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
 from anvilshift.core.labels import Operator, Requirement, Selector
-from anvilshift.settings.files import IpPort, check, read_yaml
+from anvilshift.settings.files import (
+    IpPort,
+    Problem,
+    check,
+    list_problems,
+    read_yaml,
+)
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Labels = dict[str, str]
@@ -170,6 +182,18 @@
 }
 
 
+def find_problems(value: Any) -> list[Problem]:
+    """Return what is wrong with a declaration by itself; nothing if it is valid."""
+    kind = value.get("kind") if isinstance(value, dict) else None
+    if not isinstance(kind, str) or kind not in _MODELS:
+        return [Problem(("kind",), f"expected one of {', '.join(_MODELS)}")]
+    try:
+        _MODELS[kind].model_validate(value)
+    except ValidationError as error:
+        return list_problems(error, _MODELS[kind])
+    return []
+
+
 def parse_declaration(value: Any, where: str) -> Declaration:
     """Return the declaration that a mapping describes.
 
--- a/anvilshift/settings/files.py
+++ b/anvilshift/settings/files.py
@@ -3,6 +3,7 @@
 import difflib
 import ipaddress
 import pathlib
+from dataclasses import dataclass
 from typing import Annotated, Any, TypeVar, get_args
 
 import yaml
@@ -12,6 +13,19 @@
 
 Model = TypeVar("Model", bound=BaseModel)
 _MAX_PORT = 65_535
+LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+"""Loader of YAML; the one in C reads a megabyte in a tenth of the time."""
+
+
+@dataclass(frozen=True)
+class Problem:
+    """What is wrong with the value at a path of keys."""
+
+    path: tuple[str | int, ...]
+    message: str
+
+    def __str__(self) -> str:
+        return f"{_format_path(self.path)}: {self.message}"
 
 
 def _check_address(text: str) -> str:
@@ -39,7 +53,7 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        return list(yaml.safe_load_all(text))
+        return list(yaml.load_all(text, Loader=LOADER))
     except (OSError, UnicodeDecodeError) as error:
         raise AnvilshiftError(code, f"{path}: {error}") from error
     except yaml.YAMLError as error:
@@ -64,13 +78,18 @@
     try:
         return model.model_validate(value)
     except ValidationError as error:
-        lines = [
-            f"{where}: {_format_path(entry['loc'])}: {_describe_error(entry, model)}"
-            for entry in error.errors()
-        ]
+        lines = [f"{where}: {problem}" for problem in list_problems(error, model)]
         raise AnvilshiftError(code, "\n".join(lines)) from error
 
 
+def list_problems(error: ValidationError, model: type[BaseModel]) -> list[Problem]:
+    """Return what a validation found, without the values of credentials."""
+    return [
+        Problem(tuple(entry["loc"]), _describe_error(entry, model))
+        for entry in error.errors()
+    ]
+
+
 def _format_path(path: tuple[str | int, ...]) -> str:
     return ".".join(str(part) for part in path) or "(top)"
 
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -89,7 +89,8 @@
             {"settings", "engines", "peers", "client"},
             {"objects"},
             {"router", "standins", "gateway"},
-            {"operator", "platform"},
+            {"platform"},
+            {"operator"},
         ]
         height = {name: n for n, names in enumerate(order) for name in names}
         upward = [e for e in self._find_imports() if height[e[0]] <= height[e[1]]]
@@ -97,12 +98,15 @@
 
     def test_the_core_has_no_input_or_output(self):
         forbidden = {"asyncio", "socket", "os", "pathlib", "threading", "subprocess"}
-        for path in (ROOT / "anvilshift/core").glob("*.py"):
+        for path in (ROOT / "anvilshift/core").rglob("*.py"):
             for node in ast.walk(ast.parse(path.read_text())):
+                names = set()
                 if isinstance(node, ast.Import):
                     names = {alias.name.split(".")[0] for alias in node.names}
-                    with self.subTest(path.name):
-                        self.assertEqual(names & forbidden, set())
+                elif isinstance(node, ast.ImportFrom):
+                    names = {(node.module or "").split(".")[0]}
+                with self.subTest(path.name):
+                    self.assertEqual(names & forbidden, set())
 
 
 class TestPackaging(unittest.TestCase):
