Check retries against the routers' settings and the targets that are there

Cause: two of the contradictions that were asked for depend on more than the configuration: retries with a budget of nothing, and more attempts than targets.

Without them nothing is said of either.

--- a/anvilshift/operator/checking.py
+++ b/anvilshift/operator/checking.py
@@ -3,12 +3,14 @@
 import asyncio
 import json as jsons
 import sys
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
 from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
 from anvilshift.objects.store import HttpObjectStore, StoredObject
 from anvilshift.operator.administration import read_stored
+from anvilshift.operator.checks.configurations import Surroundings
 from anvilshift.operator.checks.findings import EXIT_ERRORS, find_exit_code
 from anvilshift.operator.checks.reports import (
     Report,
@@ -20,7 +22,13 @@
 )
 from anvilshift.operator.checks.sources import Source
 from anvilshift.operator.secrets import read_secret
-from anvilshift.platform.names import CONFIGURATION_KIND, CONFIGURATION_NAME
+from anvilshift.platform.dialect import PlatformDialect
+from anvilshift.platform.names import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    TARGETS_KIND,
+)
+from anvilshift.platform.settings import read_settings
 from anvilshift.platform.store import PlatformStore
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
@@ -35,6 +43,7 @@
         against: str | int = "",
         platform: str = "",
         credential: str = "",
+        settings: str = "",
         json: bool = False,
         output: str = "text",
     ) -> None:
@@ -43,7 +52,8 @@
         PATH is a gateway's configuration (JSON, or YAML without kinds), a YAML file of
         declarations, or a directory of these.  --against FILE compares with a file;
         --platform IP:PORT compares with what is in force, and --against VERSION says
-        which version that has to be.  Nothing is written.
+        which version that has to be.  --settings FILE, a gateway's settings, names the
+        limits on retries.  Nothing is written.
 
         The exit code is 0 if nothing was found, 1 for warnings only, 2 if the fleet
         would refuse it or it can't be read.
@@ -51,7 +61,7 @@
         Example: anvilshift check new.json --against old.json
         """
         try:
-            report = check_path(str(path), str(against), platform, credential)
+            report = check_path(str(path), str(against), platform, credential, settings)
         except AnvilshiftError as error:
             # Exit code 1 would say that there are warnings only.
             print(error, file=sys.stderr)
@@ -63,7 +73,9 @@
         sys.exit(find_exit_code(report.findings))
 
 
-def check_path(path: str, against: str, platform: str, credential: str) -> Report:
+def check_path(
+    path: str, against: str, platform: str, credential: str = "", settings: str = ""
+) -> Report:
     """Check what a path leads to, and compare it if another version is named.
 
     Raises
@@ -73,27 +85,24 @@
     """
     sources = read_sources(path)
     if is_configuration(sources):
-        body = _read_other_configuration(against, platform)
-        return check_configuration(sources[0], body)
+        retries = read_settings(settings).retries if settings else None
+        body, targets = _read_other_configuration(against, platform)
+        return check_configuration(sources[0], body, Surroundings(retries, targets))
     return check_declarations(sources, _read_others(against, platform, credential))
 
 
-def _read_other_configuration(against: str, platform: str) -> Any:
-    """Return the body of the configuration to compare with; None for none."""
-    if not platform:
-        if not against:
-            return None
-        (source,) = read_sources(against)
-        if not is_configuration([source]):
-            raise AnvilshiftError(BAD_DECLARATION, f"{against}: not a configuration")
-        return read_configuration(source)[0]
-    found = asyncio.run(_read_stored_configuration(Address.parse(platform)))
-    if found is None:
-        raise AnvilshiftError(BAD_DECLARATION, f"{platform}: no configuration yet")
-    if against and str(found.body.get("version")) != against:
-        detail = f"{platform}: version {found.body.get('version')} is in force"
-        raise AnvilshiftError(BAD_DECLARATION, f"{detail}, not {against}")
-    return found.body
+def _read_other_configuration(
+    against: str, platform: str
+) -> tuple[Any, Mapping[str, int] | None]:
+    """Return the body to compare with, and the targets of each service, if known."""
+    if platform:
+        return asyncio.run(_read_in_force(against, Address.parse(platform)))
+    if not against:
+        return None, None
+    (source, *_) = read_sources(against)
+    if not is_configuration([source]):
+        raise AnvilshiftError(BAD_DECLARATION, f"{against}: not a configuration")
+    return read_configuration(source)[0], None
 
 
 def _read_others(
@@ -108,13 +117,24 @@
     return _index_declarations(read_sources(against))
 
 
-async def _read_stored_configuration(address: Address) -> StoredObject | None:
+async def _read_in_force(
+    version: str, address: Address
+) -> tuple[Any, Mapping[str, int]]:
     client = HttpClient()
     try:
         store = PlatformStore(client, address)
-        return await store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        found = await store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        entries = await store.list([TARGETS_KIND])
     finally:
         client.close()
+    if found is None:
+        raise AnvilshiftError(BAD_DECLARATION, f"{address}: no configuration yet")
+    if version and str(found.body.get("version")) != version:
+        detail = f"{address}: version {found.body.get('version')} is in force"
+        raise AnvilshiftError(BAD_DECLARATION, f"{detail}, not {version}")
+    dialect = PlatformDialect()
+    targets = [dialect.read_target(one.name, one.body, 0.0) for one in entries.items]
+    return found.body, Counter(one.service for one in targets if one is not None)
 
 
 async def _read_stored(
--- a/anvilshift/operator/checks/configurations.py
+++ b/anvilshift/operator/checks/configurations.py
@@ -4,9 +4,10 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
+from anvilshift.core.retries import RetryLimits
 from anvilshift.core.routing import (
     Configuration,
     OrganisationBudget,
@@ -36,7 +37,28 @@
     message: str
 
 
-def find_warnings(configuration: Configuration) -> list[ConfigurationWarning]:
+@dataclass(frozen=True)
+class Surroundings:
+    """What else is known of the fleet that the configuration is for.
+
+    Parameters
+    ----------
+    retries
+        Limits on retries in the routers' settings; None if unknown.
+    targets
+        Number of targets of each service; None if unknown.
+    """
+
+    retries: RetryLimits | None = None
+    targets: Mapping[str, int] | None = None
+
+
+NOTHING_KNOWN = Surroundings()
+
+
+def find_warnings(
+    configuration: Configuration, surroundings: Surroundings = NOTHING_KNOWN
+) -> list[ConfigurationWarning]:
     """Return what is probably a mistake in a configuration that can be read.
 
     Examples
@@ -52,6 +74,7 @@
         *_check_matches(configuration),
         *_check_services(configuration),
         *_check_rules(configuration),
+        *_check_retries(configuration, surroundings),
         *_check_organisations(configuration),
         *_check_limits(configuration),
     ]
@@ -150,6 +173,25 @@
         yield "pause_objective", "only streams have pauses"
 
 
+def _check_retries(
+    configuration: Configuration, surroundings: Surroundings
+) -> Iterator[ConfigurationWarning]:
+    retries, targets = surroundings.retries, surroundings.targets
+    kind, field = Kind.CONTRADICTION, "max_targets_per_request"
+    for index, rule in enumerate(configuration.rules):
+        most = rule.max_targets_per_request
+        if not rule.repeatable or most < 2:
+            continue
+        if retries is not None and retries.ratio <= 0.0 and retries.allowance < 1.0:
+            message = "requests may be retried, but the routers' settings allow none"
+            yield _warn_of_rule(index, rule, field, kind, message)
+        for name, _ in rule.services if targets is not None else ():
+            found = (targets or {}).get(name, 0)
+            if found < most:
+                message = f"{most} targets for a request, but {name} has {found}"
+                yield _warn_of_rule(index, rule, field, kind, message)
+
+
 def _check_organisations(
     configuration: Configuration,
 ) -> Iterator[ConfigurationWarning]:
--- a/anvilshift/operator/checks/reports.py
+++ b/anvilshift/operator/checks/reports.py
@@ -1,7 +1,7 @@
 """Check declarations or a gateway's configuration, and compare them with others."""
 
 import pathlib
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -11,6 +11,7 @@
 from anvilshift.operator import validation
 from anvilshift.operator.administration import compare
 from anvilshift.operator.checks import configurations, declarations
+from anvilshift.operator.checks.configurations import NOTHING_KNOWN, Surroundings
 from anvilshift.operator.checks.differences import (
     Difference,
     Effect,
@@ -74,7 +75,9 @@
     return (body, (_WRAPPER,)) if isinstance(body, dict) else (document, ())
 
 
-def check_configuration(source: Source, against: Any = None) -> Report:
+def check_configuration(
+    source: Source, against: Any = None, surroundings: Surroundings = NOTHING_KNOWN
+) -> Report:
     """Check a gateway's configuration.
 
     Parameters
@@ -99,19 +102,20 @@
         return report
     configuration = PlatformDialect().read_configuration(body)
     report.checked = len(configuration.rules)
-    report.findings += _list_warnings(source, body, top, configuration)
+    warnings = configurations.find_warnings(configuration, surroundings)
+    report.findings += _place_warnings(warnings, source, body, top)
     if against is not None:
         _compare(report, source, top, configuration, against)
     return report
 
 
-def _list_warnings(
+def _place_warnings(
+    warnings: Iterable[configurations.ConfigurationWarning],
     source: Source,
     body: Mapping[str, Any],
     top: tuple[str, ...],
-    configuration: Configuration,
 ) -> Iterator[Finding]:
-    for one in configurations.find_warnings(configuration):
+    for one in warnings:
         path = find_path(body, one.section, one.name, one.field)
         line = source.find_line((*top, *path))
         yield Finding(
--- a/tests/operator/checks/test_configurations.py
+++ b/tests/operator/checks/test_configurations.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.retries import RetryLimits
 from anvilshift.core.routing import RouteTable
-from anvilshift.operator.checks.configurations import find_warnings
+from anvilshift.operator.checks.configurations import Surroundings, find_warnings
 from anvilshift.operator.checks.findings import Kind, Severity, find_exit_code
 from anvilshift.operator.checks.reports import check_configuration
 from anvilshift.operator.checks.sources import Source
@@ -97,6 +98,19 @@
         found = list_kinds(change(("routes", 0, "split"), split))
         self.assertIn("each request fails", found[0][1])
 
+    def test_retries_that_the_fleet_has_no_room_for(self):
+        configuration = PlatformDialect().read_configuration(BODY)
+        for known, message in (
+            (Surroundings(retries=RetryLimits(ratio=0.0, allowance=0.0)), "allow none"),
+            (Surroundings(targets={"desk": 1}), "2 targets for a request"),
+            (Surroundings(targets={}), "desk has 0"),
+        ):
+            (found,) = find_warnings(configuration, known)
+            self.assertEqual(found.kind, Kind.CONTRADICTION)
+            self.assertIn(message, found.message)
+        enough = Surroundings(RetryLimits(ratio=0.1), {"desk": 2})
+        self.assertEqual(find_warnings(configuration, enough), [])
+
     def test_line_is_that_of_the_field(self):
         source = make_source(change(("routes", 0, "timeoutMs"), 100))
         (finding,) = check_configuration(source).findings
--- a/tests/operator/test_checking.py
+++ b/tests/operator/test_checking.py
@@ -160,7 +160,9 @@
     async def test_version_in_force_is_compared_with(self):
         self.store_stub.put("config", "main", BODY)
         report = await asyncio.to_thread(self.check, "7")
-        self.assertEqual(report.findings[0].kind, Kind.OUTDATED)
+        few, outdated = report.findings
+        self.assertIn("desk has 0", few.message)
+        self.assertEqual(outdated.kind, Kind.OUTDATED)
         self.assertIn("route shop.example/fish/", report.differences[0].subject)
         with self.assertRaises(AnvilshiftError) as caught:
             await asyncio.to_thread(self.check, "8")
