Place work by what targets tell of their load and by their learned paces

Cause: targets of both new deployments tell in each answer what runs and waits there, their slots and how long work takes there now; nothing read it. The learned speed of a target was one figure for all its work, with bounds of 0.5 to 3 that cut off most of these engines' (they read prompts about twice as fast as the reference).

Ruled out: the told number of requests in the place of the known runs, and the best of all targets as with equal ones. In the test with 70 engines and 40 routers one engine that always says that it is idle and fast then held 40 requests at 12 slots; with a fifth drawn 15 at most. Own readings alone: forty routers have almost none that are fresh, so the messages at the begin and end of runs carry them, where targets tell a slowness.

Services without a fourth figure are served as before: messages keep their bytes (test), choices their costs.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -12,6 +12,9 @@
 The prefill of about 23,000 tokens or more slows each step so much that every
 concurrent stream exceeds its longest allowed pause.  Such prompts are concentrated
 on engines that run few streams, and streams avoid these engines for some seconds.
+
+Where targets tell how slow they are at the moment, their learned paces and what they
+tell shift these predictions (`core/placement`).
 """
 
 import math
@@ -22,6 +25,8 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.placement.candidates import draw_candidates
+from anvilshift.core.placement.paces import WorkKind
 from anvilshift.core.prefill import FETCH_SETUP, longest_pause, prefill_time
 from anvilshift.core.targetload import Prompt, TargetLoad
 
@@ -177,6 +182,8 @@
         return None
     matches = [(target.count_cached(demand.prompt), target) for target in usable]
     sources = _find_sources(matches)
+    if loads.uses_paces(demand.service):
+        matches = _draw_matches(matches, demand, rng)
     rng.shuffle(matches)
     choices = [
         _predict(target, cached, sources.get(target.version), demand, now)
@@ -185,6 +192,19 @@
     return min(choices, key=lambda choice: _compute_cost(choice, demand, now))
 
 
+def _draw_matches(
+    matches: list[tuple[int, TargetLoad]], demand: Demand, rng: random.Random
+) -> list[tuple[int, TargetLoad]]:
+    """Return some of the targets, of those with the longest cached prefix as well."""
+    longest = max(cached for cached, _ in matches)
+
+    def group(match: tuple[int, TargetLoad]) -> tuple[bool, bool]:
+        cached, target = match
+        return cached == longest, target.info.failure_domain == demand.domain
+
+    return draw_candidates(matches, group, rng)
+
+
 def _find_sources(
     matches: Iterable[tuple[int, TargetLoad]],
 ) -> dict[str | None, tuple[int, TargetLoad]]:
@@ -224,16 +244,26 @@
         fetched += prefill_time(tokens - most, most)
         if fetched < prefill:
             prefill, cached, source = fetched, most, holder
-    speed = target.speed.value
+    speed = target.find_speed(now)
     pause = longest_pause(tokens - cached, cached, demand.steps) * speed + _JITTER
     turn = _find_delay(target, demand.turns, now)
     # The engine works off its backlog while the request waits for its permit.
     waiting = max(0.0, waiting - turn)
-    wait = waiting + prefill * speed
+    wait = waiting + prefill * speed + _find_slot_wait(target, now)
     plain = waiting / speed + prefill
     return Choice(target, wait, cached, source, pause > demand.pause, plain, turn)
 
 
+def _find_slot_wait(target: TargetLoad, now: Millis) -> Millis:
+    """Return the time until a slot is free, where its streams' pace is known."""
+    ahead = target.count_requests(now) + 1 - target.info.slots
+    if ahead <= 0 or not target.paces.service.are_used:
+        return 0.0
+    between = target.paces.find(WorkKind.DECODE, 0.0, now) * target.find_slowness(now)
+    stream = between * target.paces.service.events.value
+    return ahead / max(1, target.info.slots) * stream
+
+
 def _find_delay(target: TargetLoad, turns: Mapping[str, Millis], now: Millis) -> Millis:
     """Return the time until a target accepts a request.
 
@@ -245,7 +275,7 @@
 def _compute_cost(choice: Choice, demand: Demand, now: Millis) -> float:
     """Return the cost of a choice, in milliseconds of time to first token."""
     target, prompt = choice.target, demand.prompt
-    running = len(target.runs)
+    running = target.count_requests(now)
     transfer = _FAR_MS + _FAR_MS_PER_KB * demand.kilobytes
     cost = transfer * (target.info.failure_domain != demand.domain)
     cost += choice.turn + _limit_cost(target, now) + _avoidance_cost(target, now)
@@ -254,7 +284,9 @@
         cost += _LATE_MS + _LATE_WAIT_WEIGHT * choice.wait if late else choice.wait
         cost += _STREAM_MS * running
     else:
-        cost += choice.wait + _RUNNING_MS * running
+        cost += choice.wait + _RUNNING_MS * running * target.compare_pace(
+            WorkKind.DECODE, now
+        )
         cost += _DISTURBED_MS * (now - target.last_disturbed < _DISTURBED_FOR)
     if demand.capacity:
         need = target.run_tokens + prompt.tokens - choice.cached + prompt.most_answer
@@ -289,10 +321,12 @@
     now: Millis,
     excluded: Collection[str] = (),
     turns: Mapping[str, Millis] | None = None,
+    hears_all: bool = True,
 ) -> Choice | None:
-    """Return the plain target with the lowest occupancy.
+    """Return the plain target with the lowest occupancy, or the soonest end.
 
-    Failure domains, rate limits and announced pauses are counted as well.
+    The end is predicted where targets tell how slow they are.  Failure domains, rate
+    limits and announced pauses are counted as well.
 
     Parameters
     ----------
@@ -301,20 +335,40 @@
     turns
         Time until each target's rate limit allows this request, for targets whose
         permit issuer has told this router.
+    hears_all
+        Whether the other routers tell this one what they send to plain targets.
     """
     usable = list_usable(loads.list_service_targets(service), excluded)
     if not usable:
         return None
+    if not hears_all and loads.uses_paces(service):
+        usable = _draw_plain(usable, now, rng)
 
     def cost(target: TargetLoad) -> float:
-        queue = len(target.runs) / max(1, target.info.slots)
+        queue = target.count_requests(now) / max(1, target.info.slots)
+        ratio = target.compare_pace(WorkKind.PLAIN, now)
         remote = target.info.failure_domain != domain
         turn = _find_delay(target, turns or {}, now)
         announced = turn + _limit_cost(target, now)
         distance = _FAR_MS * remote + rng.random() * 0.1
-        return queue * work + distance + announced + _avoidance_cost(target, now)
+        end = (queue + 1) * ratio * work - work
+        return end + distance + announced + _avoidance_cost(target, now)
 
     target = min(usable, key=cost)
-    ahead = max(0, len(target.runs) + 1 - target.info.slots)
-    wait = ahead / max(1, target.info.slots) * (work or _DEFAULT_PLAIN_DURATION)
+    ahead = max(0.0, target.count_requests(now) + 1 - target.info.slots)
+    duration = (work or _DEFAULT_PLAIN_DURATION) * target.compare_pace(
+        WorkKind.PLAIN, now
+    )
+    wait = ahead / max(1, target.info.slots) * duration
     return Choice(target, wait, turn=_find_delay(target, turns or {}, now))
+
+
+def _draw_plain(
+    usable: list[TargetLoad], now: Millis, rng: random.Random
+) -> list[TargetLoad]:
+    """Return some candidates, of those that accept requests now if there are any.
+
+    Routers that don't hear of each other's requests would all send to the fastest.
+    """
+    free = [target for target in usable if target.find_admission_delay(now) <= 0]
+    return draw_candidates(free or usable, lambda target: None, rng)
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -16,6 +16,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.placement.domaindrains import DomainDrains
+from anvilshift.core.placement.paces import ServicePaces, TargetPaces
 from anvilshift.core.prefill import prefill_time
 from anvilshift.core.targetload import Prompt, RunLoad, TargetInfo, TargetLoad
 
@@ -54,6 +55,7 @@
     def __init__(self, drains: DomainDrains | None = None) -> None:
         self.drains = drains or DomainDrains()
         self.targets: dict[str, TargetLoad] = {}
+        self.paces: dict[str, ServicePaces] = {}
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._lost: dict[str, tuple[TargetInfo, Millis]] = {}
         self._removed: OrderedDict[str, TargetLoad] = OrderedDict()
@@ -66,7 +68,9 @@
         known = self.targets.get(info.name)
         self._lost.pop(info.name, None)
         if known is None or info.is_other_start(known.info):
-            self.targets[info.name] = self._recall_needs(TargetLoad(info))
+            paces = self.paces.setdefault(info.service, ServicePaces())
+            target = TargetLoad(info, paces=TargetPaces(paces))
+            self.targets[info.name] = self._recall_needs(target)
         else:
             known.info = info
             if known.farewell:
@@ -165,6 +169,11 @@
         """Return the targets of a service."""
         return self._by_service.get(service, [])
 
+    def uses_paces(self, service: str) -> bool:
+        """Return whether targets of a service tell how slow they are."""
+        paces = self.paces.get(service)
+        return paces is not None and paces.are_used
+
     def list_drained(self, service: str) -> set[str]:
         """Return the targets of a service whose failure domains are drained."""
         return {
@@ -191,6 +200,7 @@
         now: Millis,
         capacity: int,
         disturbing: bool = False,
+        is_news: bool = False,
     ) -> None:
         """Add a run that was sent to a target.
 
@@ -198,12 +208,16 @@
         ----------
         disturbing
             Whether its prefill makes concurrent streams late.
+        is_news
+            Whether another router sent it, somewhat earlier.
         """
         target = self.targets.get(name)
         if target is None:
             return
         self.end(name, run)
         target.meter.add(run, now)
+        if is_news and target.report is not None:
+            target.report.record_news(now)
         work = prefill_time(prompt.tokens - cached, cached) if prompt.tokens else 0.0
         tokens = prompt.tokens - cached + prompt.most_answer
         target.runs[run] = RunLoad(work, tokens, now)
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -9,6 +9,8 @@
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.ejection import Health
 from anvilshift.core.health.coldtargets import ColdTerm
+from anvilshift.core.placement.paces import TargetPaces, WorkKind
+from anvilshift.core.placement.toldload import LoadReport, ToldLoad
 from anvilshift.core.places import Places
 from anvilshift.core.ratelimits import RateLimit, RequestLog
 from anvilshift.core.rejections import RejectionRate
@@ -160,6 +162,10 @@
         version isn't known.
     ended_at
         When it was found to have ended; None while it runs for all that is known.
+    report
+        The load that it told last; None if it has told none.
+    paces
+        How fast it does each kind of work.
     """
 
     info: TargetInfo
@@ -184,6 +190,8 @@
     rejections: RejectionRate = field(default_factory=RejectionRate)
     is_start_doubted: bool = False
     ended_at: Millis | None = None
+    report: LoadReport | None = None
+    paces: TargetPaces = field(default_factory=TargetPaces)
 
     @property
     def version(self) -> str | None:
@@ -233,6 +241,47 @@
         self.farewell = True
         self.info = replace(self.info, leaving=True)
 
+    def find_speed(self, now: Millis) -> float:
+        """Return the prefill time now, relative to the users' reference engine."""
+        if not self.paces.service.are_used:
+            return self.speed.value
+        usual = self.paces.find(WorkKind.PREFILL, self.speed.value, now)
+        return usual * self.find_slowness(now)
+
+    def find_slowness(self, now: Millis) -> float:
+        """Return how long work takes now, as it has told; 1 at the reference."""
+        usual = self.paces.find(WorkKind.ANY, 1.0, now)
+        return usual if self.report is None else self.report.find_slowness(usual, now)
+
+    def compare_pace(self, kind: WorkKind, now: Millis) -> float:
+        """Return how long work takes now, relative to the usual at its service.
+
+        It is 1 where the targets of the service don't tell how slow they are.
+        """
+        service = self.paces.service
+        if not service.are_used:
+            return 1.0
+        slowness = self.find_slowness(now) / (service.find(WorkKind.ANY) or 1.0)
+        return self.paces.compare(kind, now) * slowness
+
+    def count_requests(self, now: Millis) -> float:
+        """Return its known runs, and those that only it has told of.
+
+        The told ones count where its service tells how slow its targets are.
+        """
+        if self.report is None or not self.paces.service.are_used:
+            return len(self.runs)
+        return len(self.runs) + self.report.count_unknown(now)
+
+    def record_told(self, load: ToldLoad, at: Millis) -> None:
+        """Record the load that it told, unless a later one is known."""
+        if self.report is not None and at < self.report.at:
+            return
+        self.report = LoadReport(load, at, len(self.runs))
+        if load.slowness is not None:
+            self.paces.service.are_used = True
+            self.paces.add(WorkKind.ANY, load.slowness, at)
+
     def measure(self, span: Millis, predicted: Millis) -> None:
         """Update the engine's speed from a measured time to first token.
 
@@ -250,13 +299,32 @@
             ratio = max(span - _FIXED_OVERHEAD, 1.0) / predicted
             self.speed.add(min(max(ratio, _FASTEST), _SLOWEST))
 
+    def normalise(
+        self, kind: WorkKind, span: Millis, predicted: Millis, now: Millis
+    ) -> float | None:
+        """Return the sample of a pace that a time to first byte gives; None for none.
+
+        A slowness that the target has just told is taken out of it.
+
+        Parameters
+        ----------
+        predicted
+            Predicted prefill time at reference speed.
+        """
+        slowness = self.find_slowness(now)
+        if kind is WorkKind.PLAIN:
+            return span / slowness
+        if predicted < _TELLING:
+            return None
+        return max(span - _FIXED_OVERHEAD, 1.0) / predicted / slowness
+
     def backlog(self, now: Millis) -> Millis:
         """Return the time until the prefill of a new prompt would start."""
         if self.pending <= 0.0:
             return 0.0
         oldest = min(run.since for run in self.runs.values() if not run.begun)
         elapsed = now - max(oldest, self.last_begun)
-        return max(0.0, self.pending * self.speed.value - elapsed)
+        return max(0.0, self.pending * self.find_speed(now) - elapsed)
 
     def count_cached(self, prompt: Prompt) -> int:
         """Return the number of leading prompt tokens that are cached."""
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -8,6 +8,8 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
+from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.placement.toldload import LoadReport
 from anvilshift.core.routing import RequestKind
 from anvilshift.core.targetload import Prompt
 from anvilshift.core.timeouts import find_attempt_timeout, find_pause_timeout, rank
@@ -27,6 +29,9 @@
 from anvilshift.gateway.streambinding import StreamBinding
 from anvilshift.gateway.targetchoice import TargetChooser
 
+_LEAST_EVENTS = 5
+"""Events of a stream from which the time between them is measured."""
+
 
 class Attempts:
     """The attempts of one request at targets.
@@ -79,6 +84,9 @@
         self._progress = self._planner.progress
         self._failures = AttemptFailures(shared, routed, relay, crashes, self._try)
         self._has_begun = False
+        self._first_at: Millis = 0.0
+        self._events_before = 0
+        self.told: LoadReport | None = None
         self._planned_ahead: PlannedAttempt | None = None
 
     @property
@@ -149,6 +157,8 @@
         self.concurrent_runs = len(choice.target.runs)
         self.target = choice.target.info.name
         self.version = choice.target.info.version
+        self.told = choice.target.report
+        self._events_before = self._relay.events
         progress, watch = self._progress, self._make_watch()
         before = progress.may_have_run, progress.targets
         self._crashes.charge_target(self.target)
@@ -269,6 +279,7 @@
                 on_first_event,
                 self._routed.call.resume_after is not None,
             )
+            self._record_stream(outgoing)
             return
         record_part = partial(self._record_part, watch, outgoing.choice)
         body = await self._relay.read_complete(answer, record_part)
@@ -305,3 +316,30 @@
         self._shared.sender.starts.recheck(target)
         span = self._shared.clock.now() - self.sent
         target.measure(span, outgoing.choice.unscaled)
+        if success:
+            self._first_at = self._shared.clock.now()
+            self._record_pace(outgoing, span)
+
+    def _record_pace(self, outgoing: Outgoing, span: Millis) -> None:
+        """Record how fast the target worked, unless the request waited for a slot."""
+        choice, now = outgoing.choice, self._shared.clock.now()
+        if self.concurrent_runs >= choice.target.info.slots:
+            return
+        kind = WorkKind.PREFILL if outgoing.capacity else WorkKind.PLAIN
+        sample = choice.target.normalise(kind, span, choice.unscaled, now)
+        if sample is not None:
+            self._shared.sender.told.add_sample(
+                choice.target, outgoing.run, kind, sample, now
+            )
+
+    def _record_stream(self, outgoing: Outgoing) -> None:
+        """Record the time between the events of a stream that has ended."""
+        events, now = self._relay.events - self._events_before, self._shared.clock.now()
+        target = outgoing.choice.target
+        if events > 0:
+            target.paces.service.events.add(float(events))
+        if events >= _LEAST_EVENTS:
+            between = (now - self._first_at) / (events - 1) / target.find_slowness(now)
+            self._shared.sender.told.add_sample(
+                target, outgoing.run, WorkKind.DECODE, between, now
+            )
--- a/anvilshift/gateway/border.py
+++ b/anvilshift/gateway/border.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.routing import ClientLimits, Configuration
 from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.wire.messages import HeaderFields, Headers, HttpRequest, Limits
@@ -108,6 +109,10 @@
         that; NaN if the announcement can't be read.
     leaving
         Whether it announces that it is leaving.
+    load
+        The load that it tells; None if it tells none that can be read.
+    has_bad_load
+        Whether it tells a load that can't be read or can't be true.
     """
 
     identity: str | None
@@ -118,6 +123,8 @@
     pause: Millis | None = None
     brittle: float | None = None
     leaving: bool = False
+    load: ToldLoad | None = None
+    has_bad_load: bool = False
 
 
 class Dialect(Protocol):
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -185,7 +185,7 @@
             Sent: self._handle_sent,
             Held: self._handle_held,
             Begun: self._handle_begun,
-            Ended: lambda one: self.loads.end(one.target, one.run),
+            Ended: self._handle_ended,
             Leaving: lambda one: self._mark_leaving(one.target),
             Failed: shared.health.apply_report,
             Blamed: self._handle_blamed,
@@ -235,6 +235,7 @@
             self.clock.now(),
             self._find_capacity(message.target),
             message.disturbing,
+            is_news=True,
         )
 
     def _handle_held(self, message: Held) -> None:
@@ -242,7 +243,14 @@
         self.loads.hold(message.target, message.parts, capacity)
 
     def _handle_begun(self, message: Begun) -> None:
-        self.loads.begin(message.target, message.run, self.clock.now())
+        now = self.clock.now()
+        self.loads.begin(message.target, message.run, now)
+        self.shared.sender.told.apply(message, now)
+
+    def _handle_ended(self, message: Ended) -> None:
+        # The told figures contain the run.
+        self.shared.sender.told.apply(message, self.clock.now())
+        self.loads.end(message.target, message.run)
 
     def _handle_blamed(self, message: Blamed) -> None:
         now = self.clock.now()
--- a/anvilshift/gateway/datagrams.py
+++ b/anvilshift/gateway/datagrams.py
@@ -15,6 +15,10 @@
     kind: tuple(get_origin(hint) or hint for hint in get_type_hints(kind).values())
     for kind in _KINDS.values()
 }
+_OPTIONAL_DEFAULTS: dict[type[Message], tuple[Any, ...]] = {
+    kind: tuple(one.default for one in fields(kind) if one.metadata.get("optional"))
+    for kind in _KINDS.values()
+}
 
 
 def encode(message: Message) -> bytes:
@@ -27,6 +31,10 @@
     b'["Ended","r1/7","e1"]'
     """
     values = list(asdict(message).values())
+    for default in reversed(_OPTIONAL_DEFAULTS[type(message)]):
+        if values[-1] != default:
+            break
+        values.pop()
     return json.dumps([type(message).__name__, *values], separators=(",", ":")).encode()
 
 
@@ -59,7 +67,7 @@
     --------
     >>> from anvilshift.gateway.messages import Ended
     >>> decode(encode(Ended("r1/7", "e1")))
-    [Ended(run='r1/7', target='e1')]
+    [Ended(run='r1/7', target='e1', told=(), told_age=0.0, paces=())]
     """
     return [_decode_line(json.loads(line)) for line in datagram.split(b"\n")]
 
@@ -68,17 +76,23 @@
     if not isinstance(values, list) or not values:
         raise ValueError("not a router message: expected a non-empty list")
     kind = _KINDS.get(str(values[0]))
-    if kind is None or len(values) != len(fields(kind)) + 1:
+    if kind is None or not _has_all_fields(kind, len(values) - 1):
         raise ValueError(
             "not a message of this router version: unknown type or field count"
         )
     frozen = [_convert_lists(value) for value in values[1:]]
-    for expected, value in zip(_FIELD_TYPES[kind], frozen, strict=True):
+    for expected, value in zip(_FIELD_TYPES[kind], frozen, strict=False):
         if type(value) is not expected:
             raise ValueError(f"a {values[0]} message has a field of the wrong type")
     return kind(*frozen)
 
 
+def _has_all_fields(kind: type[Message], count: int) -> bool:
+    """Return whether a message may have so many fields."""
+    most = len(fields(kind))
+    return most - len(_OPTIONAL_DEFAULTS[kind]) <= count <= most
+
+
 def _convert_lists(value: Any) -> Any:
     """Return a value with its lists as tuples."""
     return (
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -18,6 +18,7 @@
     TryAsk,
     TryEnded,
 )
+from anvilshift.gateway.runmessages import Begun, Ended, Held, Sent
 from anvilshift.gateway.streammessages import (
     HistorySeen,
     OriginAnswer,
@@ -56,58 +57,6 @@
     known: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True)
-class Sent:
-    """A run (one attempt at a request) was sent to a target.
-
-    Parameters
-    ----------
-    disturbing
-        Whether processing the prompt delays other streams at the target.
-    parts
-        Parts of the prompt, each with its number of tokens.
-    tokens, cached
-        Tokens of the prompt, and how many of them are expected to be cached there.
-    most_answer
-        Maximum number of tokens of the answer.
-    """
-
-    run: str
-    target: str
-    parts: tuple[tuple[str, int], ...]
-    tokens: int
-    most_answer: int
-    cached: int
-    disturbing: bool
-
-
-@dataclass(frozen=True)
-class Held:
-    """A target now caches parts of a prompt that other prompts share.
-
-    Sent to the routers that don't get a message about each run there.
-    """
-
-    target: str
-    parts: tuple[tuple[str, int], ...]
-
-
-@dataclass(frozen=True)
-class Begun:
-    """A run began to produce its answer."""
-
-    run: str
-    target: str
-
-
-@dataclass(frozen=True)
-class Ended:
-    """A run ended, with any outcome."""
-
-    run: str
-    target: str
-
-
 @dataclass(frozen=True)
 class Leaving:
     """A target is leaving or gone and gets no new work."""
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -35,6 +35,7 @@
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
+from anvilshift.gateway.toldloads import describe_report
 from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.responder import SERVER_CLOSED, CallerDisconnectedError, Responder
 
@@ -130,6 +131,7 @@
             tokens=self.tokens,
             pause=round(self.relay.longest_pause, 1),
             running=sent.concurrent_runs if sent else 0,
+            **describe_report(sent.told if sent else None, sent.sent if sent else now),
             outcome=self.relay.outcome,
             cut=self.is_cut or self.relay.is_cut,
             why=self.why,
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -16,11 +16,12 @@
 from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
-from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
+from anvilshift.gateway.messages import Ended, Held, Leaving, Sent
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
+from anvilshift.gateway.toldloads import ToldLoads
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Headers
 from anvilshift.wire.response import ExchangeError, Response
@@ -46,8 +47,12 @@
     limits: RateLimits
     starts: TargetStarts
     cold: ColdTargets | None = None
+    told: ToldLoads = field(init=False)
     _logged_fields: set[str] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.told = ToldLoads(self.loads)
+
     @contextlib.asynccontextmanager
     async def send(self, outgoing: Outgoing) -> AsyncIterator[Answer]:
         """Send a request and yield its answer once the headers have arrived.
@@ -102,7 +107,7 @@
     def _record_limit(
         self, outgoing: Outgoing, notes: AnswerFields, sent: Millis
     ) -> None:
-        """Record the rate limit or pause that a target announces.
+        """Record the load, the rate limit and the pause that a target announces.
 
         A signed answer without a limit withdraws the limit that was announced before.
         """
@@ -111,7 +116,9 @@
         )
         if not is_matching:
             return
-        outgoing.choice.target.rejections.add(notes.not_run, self.clock.now())
+        now = self.clock.now()
+        outgoing.choice.target.rejections.add(notes.not_run, now)
+        self.told.record_answer(outgoing.choice.target, notes, now)
         name = outgoing.choice.target.info.name
         if notes.signed or notes.limit is not None:
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
@@ -308,15 +315,16 @@
 
     def record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and tell the other routers."""
-        name = outgoing.choice.target.info.name
-        self.loads.begin(name, outgoing.run, self.clock.now())
+        target, now = outgoing.choice.target, self.clock.now()
+        self.loads.begin(target.info.name, outgoing.run, now)
         if self.peers.small:
-            self.peers.broadcast(Begun(outgoing.run, name))
+            self.peers.broadcast(self.told.make_begun(outgoing.run, target, now))
 
     def _record_end(self, outgoing: Outgoing) -> None:
-        name = outgoing.choice.target.info.name
-        self.loads.end(name, outgoing.run)
-        self._tell_routers(Ended(outgoing.run, name), outgoing)
+        target = outgoing.choice.target
+        self.loads.end(target.info.name, outgoing.run)
+        ended = self.told.make_ended(outgoing.run, target, self.clock.now())
+        self._tell_routers(ended, outgoing)
 
     def _tell_routers(self, message: Sent | Ended, outgoing: Outgoing) -> None:
         """Send a message to the routers that may send requests to the same target.
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -53,6 +53,7 @@
             now,
             excluded,
             delays,
+            shared.sender.peers.small,
         )
 
     def choose_spare(self, failed_targets: Set[str]) -> Choice | None:
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -6,6 +6,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_VALUE, PLATFORM_UNREADABLE, AnvilshiftError
+from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.routing import Configuration
 from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.border import AnswerFields, Call, Raw, TargetFields
@@ -20,6 +21,7 @@
 
 _MAX_HASH_DIGITS = 64
 _MAX_MODEL_CHARACTERS = 64
+_MAX_LOAD_CHARACTERS = 64
 
 
 class PlatformDialect:
@@ -99,6 +101,8 @@
         """Return the attempt id, signature, refusal and limits in a target's answer."""
         pairs = dict(headers.pairs)
         is_refusal = status == 503 or names.NOT_EXECUTED in pairs
+        told = pairs.get(names.TARGET_LOAD)
+        load = None if told is None else _read_load(told)
         return AnswerFields(
             pairs.get(names.ATTEMPT_ID),
             names.ENGINE_SIGNATURE in pairs,
@@ -108,6 +112,8 @@
             _read_retry_after(pairs.get(names.RETRY_AFTER)) if is_refusal else None,
             _read_non_negative(pairs.get(names.BRITTLE)),
             pairs.get(names.LEAVING, "0").strip() != "0",
+            load,
+            told is not None and load is None,
         )
 
     def read_start(self, status: int, body: bytes) -> int | None:
@@ -149,6 +155,16 @@
     return number if 0 <= number < math.inf else math.nan
 
 
+def _read_load(value: str) -> ToldLoad | None:
+    """Return the load that a target tells; None for an invalid value."""
+    if len(value) > _MAX_LOAD_CHARACTERS:
+        return None
+    try:
+        return ToldLoad.from_figures([float(figure) for figure in value.split(",")])
+    except ValueError:
+        return None
+
+
 def _read_retry_after(value: str | None) -> Millis | None:
     """Return the time until a retry; None if it is missing or not in seconds."""
     seconds = _read_non_negative(value)
--- a/anvilshift/platform/names.py
+++ b/anvilshift/platform/names.py
@@ -21,6 +21,7 @@
 RETRY_AFTER = "retry-after"
 BRITTLE = "server-brittle"
 LEAVING = "server-leaving"
+TARGET_LOAD = "anvilshift-engine-load"
 
 RESERVED_HEADERS = frozenset(
     {
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -31,6 +31,7 @@
     Sent("n1.aa/1", "e1", (("p", 3), ("q", 4)), 7, 50, 3, True),
     Held("e1", (("p", 3),)),
     Begun("n1.aa/1", "e1"),
+    Begun("n1.aa/1", "e1", (3, 1, 8, 250.0), 12.5, (0.5, 0.0, 0.0)),
     Leaving("e1"),
     Ask("n1.aa", 4, "10.0.0.1", "pounds", 500, False),
     Gift("n2.bb", 3, "n1.aa", "pounds", 250),
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -2,6 +2,7 @@
 import unittest
 
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.routing import RequestKind
 from anvilshift.gateway.border import TargetFields
 from anvilshift.platform.dialect import PlatformDialect
@@ -224,6 +225,20 @@
         for value in ("", "soon", "-1", "inf", "nan", "1,2"):
             self.assertTrue(math.isnan(read(value)), value)
 
+    def test_the_load_that_a_target_tells_is_read(self):
+        def read(value: str) -> tuple[ToldLoad | None, bool]:
+            headers = Headers([("Anvilshift-Engine-Load", value)])
+            notes = self.dialect.read_answer_fields(200, headers)
+            return notes.load, notes.has_bad_load
+
+        self.assertEqual(read("3,0,8"), (ToldLoad(3, 0, 8), False))
+        self.assertEqual(read(" 3, 1,8,250"), (ToldLoad(3, 1, 8, 2.5), False))
+        none = self.dialect.read_answer_fields(200, Headers())
+        self.assertEqual((none.load, none.has_bad_load), (None, False))
+        for value in ("", "3", "3,0", "a,b,c", "3,0,8,", "-1,0,8", "1,0,8,nan"):
+            self.assertEqual(read(value), (None, True), value)
+        self.assertEqual(read("1," * 99 + "1"), (None, True))
+
     def test_retry_after_is_read_in_seconds(self):
         def read(value: str) -> float | None:
             return self.dialect.read_answer_fields(
