--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -183,7 +183,7 @@
     matches = [(target.count_cached(demand.prompt), target) for target in usable]
     sources = _find_sources(matches)
     if loads.uses_paces(demand.service):
-        matches = _draw_matches(matches, demand, rng)
+        matches = _draw_matches(matches, demand, now, rng)
     rng.shuffle(matches)
     choices = [
         _predict(target, cached, sources.get(target.version), demand, now)
@@ -193,18 +193,32 @@
 
 
 def _draw_matches(
-    matches: list[tuple[int, TargetLoad]], demand: Demand, rng: random.Random
+    matches: list[tuple[int, TargetLoad]],
+    demand: Demand,
+    now: Millis,
+    rng: random.Random,
 ) -> list[tuple[int, TargetLoad]]:
-    """Return some of the targets, of those with the longest cached prefix as well."""
+    """Return some of the targets, of those with the longest cached prefix as well.
+
+    Some of each kind are among them, so that no request is refused for want of room
+    that others have.
+    """
     longest = max(cached for cached, _ in matches)
 
-    def group(match: tuple[int, TargetLoad]) -> tuple[bool, bool]:
+    def group(match: tuple[int, TargetLoad]) -> tuple[bool, bool, bool]:
         cached, target = match
-        return cached == longest, target.info.failure_domain == demand.domain
+        is_near = target.info.failure_domain == demand.domain
+        return cached == longest, is_near, _has_room(target, demand.turns, now)
 
     return draw_candidates(matches, group, rng)
 
 
+def _has_room(target: TargetLoad, turns: Mapping[str, Millis], now: Millis) -> bool:
+    """Return whether a target would begin a request now."""
+    is_free = target.count_requests(now) < target.info.slots
+    return is_free and _find_delay(target, turns, now) <= 0.0
+
+
 def _find_sources(
     matches: Iterable[tuple[int, TargetLoad]],
 ) -> dict[str | None, tuple[int, TargetLoad]]:
@@ -342,7 +356,7 @@
     if not usable:
         return None
     if not hears_all and loads.uses_paces(service):
-        usable = _draw_plain(usable, now, rng)
+        usable = draw_candidates(usable, lambda t: _has_room(t, turns or {}, now), rng)
 
     def cost(target: TargetLoad) -> float:
         queue = target.count_requests(now) / max(1, target.info.slots)
@@ -361,14 +375,3 @@
     )
     wait = ahead / max(1, target.info.slots) * duration
     return Choice(target, wait, turn=_find_delay(target, turns or {}, now))
-
-
-def _draw_plain(
-    usable: list[TargetLoad], now: Millis, rng: random.Random
-) -> list[TargetLoad]:
-    """Return some candidates, of those that accept requests now if there are any.
-
-    Routers that don't hear of each other's requests would all send to the fastest.
-    """
-    free = [target for target in usable if target.find_admission_delay(now) <= 0]
-    return draw_candidates(free or usable, lambda target: None, rng)
