Play losses of all routers beside changes of versions in virtual time

Cause: the courses of versions run on loopback sockets for some seconds, so that an origin inferred after 20 s, or any other fault that shows after minutes, can't show in them.

Change: a fleet of three routers, reduced to what they know of streams and of the register, with five changes of version of minutes each, losses of all routers or all but one amid and after them, outages of the store, and thirty callers who take their streams up to the end; half of the take-ups name no first attempt. It checks that no stream goes on at another version, and that none is refused that a router was told of.

Two guards aren't caught alone, since another one holds as well: the time that the register was read (the time that the routes were followed), and the message of a new version (a told stream names it).

--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -5,10 +5,12 @@
 from anvilshift.core.origins import ASKED
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.peers import Peer, Peers
+from tests.gateway.origincourse import play_course
 from tests.gateway.silent import SilentJournal
 from tests.gateway.test_peers import DOMAINS, make_beat
 
 ROUTERS = 40
+COURSE_SEEDS = 6
 
 
 class InformantTest(unittest.TestCase):
@@ -40,3 +42,14 @@
 
     def test_all_routers_of_a_small_fleet_inform_a_new_one(self):
         self.assertEqual(self.list_informants(3, "new.1"), [0, 1, 2])
+
+
+class CourseTest(unittest.TestCase):
+    """Guards against orders of losses and changes of versions nobody thought of."""
+
+    def test_streams_go_on_at_their_version_after_losses_of_all_routers(self):
+        for seed in range(COURSE_SEEDS):
+            with self.subTest(seed=seed):
+                outcome = play_course(seed)
+                self.assertEqual(outcome.faults, [])
+                self.assertGreater(outcome.taken_up, 0)
--- a/tests/quick.py
+++ b/tests/quick.py
@@ -26,6 +26,7 @@
     "tests.gateway.test_domaindrains.",
     "tests.gateway.test_coldtargets.",
     "tests.gateway.test_fleet_restart.",
+    "tests.gateway.test_origins.CourseTest.",
     "tests.gateway.test_permits.BoundTest.",
     "tests.gateway.test_permits.FaultTest.",
     "tests.gateway.test_permits.LimitChangeTest.",
