Let the mutants know cold targets, drained domains and versions

Cause: the mutants played the soak only, which plays the chat interface, and that has none of the three.

Change: bench/gatewaymutants.py lists ten faults of the gateway, each with its course and the checks that must catch it; bench/mutation.py is the runner that both lists share.

--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,6 @@
 quiet: environment
 	$(BIN)/python -m bench.quiet
 
-# Break the code on purpose, a fault at a time; the soak must catch each.
+# Break the code on purpose, a fault at a time; the soak or a course must catch each.
 mutants: environment
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.mutants
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -1,4 +1,4 @@
-"""Mutation tests of the soak: inject a fault into the code and expect a failed check.
+"""Mutation tests of the soak and of the gateway's courses: expect a failed check.
 
 ``make mutants`` prints one row a mutant: what was broken, whether the expected check
 caught it, the seed, and the failed check.  A mutant that no expected check catches
@@ -8,17 +8,13 @@
 import contextlib
 import dataclasses
 import itertools
-import multiprocessing
 import pathlib
 import sys
-from collections.abc import Callable, Collection, Iterator
-from contextlib import AbstractContextManager
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 from unittest import mock
 
-from absl import logging
-
 from anvilshift.core.account import Account, Grant
 from anvilshift.core.clock import Millis
 from anvilshift.core.dispatcher import Dispatcher
@@ -35,9 +31,10 @@
 from anvilshift.router.earlyrelease import EarlyRelease
 from anvilshift.router.fleet import Fleet
 from anvilshift.router.node import Node
+from bench import gatewaymutants, mutation
+from bench.mutation import Patch, replace, wrap
 from bench.soak.course import Course
 from bench.soak.drawn import draw_course
-from bench.soak.journal import BrokenInvariantError
 from bench.soak.run import play_course, run_seed
 
 SEEDS = range(1, 7)
@@ -45,13 +42,10 @@
 COURSES = pathlib.Path("tests/bench/courses")
 DRAWN, DRAWN_SECONDS = "drawn", 30.0
 SECONDS = 90.0
-WORKERS = 4
-
-Patch = Callable[[], AbstractContextManager[Any]]
 
 
 @dataclass(frozen=True)
-class Mutant:
+class SoakMutant:
     """A fault injected into the code and the checks that must catch it.
 
     Parameters
@@ -74,23 +68,21 @@
     rejects: bool = False
     silences: bool = False
 
+    def list_seeds(self) -> Iterable[int]:
+        """Return the seeds of the network, or of whole runs."""
+        return NETWORK_SEEDS if self.courses else SEEDS
 
-@dataclass(frozen=True)
-class Row:
-    """Result of a mutant: the seed and the check that caught it."""
-
-    name: str
-    seed: int
-    caught: str
-    expected: bool
-
-
-def _replace(owner: Any, name: str, new: Any) -> Patch:
-    return lambda: mock.patch.object(owner, name, new)
-
-
-def _wrap(owner: Any, name: str, make: Callable[[Any], Any]) -> Patch:
-    return lambda: mock.patch.object(owner, name, make(getattr(owner, name)))
+    def play(self, seed: int) -> None:
+        """Play the courses of the soak, or make one run of it."""
+        if not self.courses:
+            run_seed(seed, SECONDS, rejects=self.rejects, silences=self.silences)
+        for name in self.courses:
+            course = (
+                draw_course(seed, DRAWN_SECONDS)
+                if name == DRAWN
+                else Course.load(COURSES / f"{name}.json")
+            )
+            play_course(course, seed)
 
 
 def _seal_without_doubt(grant: Grant) -> Grant:
@@ -206,170 +198,132 @@
 
 
 MUTANTS = (
-    Mutant(
+    SoakMutant(
         "sealing frees the allowance too",
         ("answer is billed", "lost bills stay in doubt", "bills within"),
-        _replace(Grant, "seal", _seal_without_doubt),
+        replace(Grant, "seal", _seal_without_doubt),
     ),
-    Mutant(
+    SoakMutant(
         "a sealed holder may go on",
         ("no budget overspent", "spent is", "answer is billed", "routers are ready"),
-        _replace(Ledger, "is_sealed", lambda self, holder: False),
+        replace(Ledger, "is_sealed", lambda self, holder: False),
     ),
-    Mutant(
+    SoakMutant(
         "a bill that is known is recorded again",
         ("billed exactly once", "spent is"),
-        _replace(Account, "find", lambda self, bill: None),
+        replace(Account, "find", lambda self, bill: None),
     ),
-    Mutant(
+    SoakMutant(
         "a request is billed by attempt",
         ("billed exactly once", "spent is", "bills are of requests"),
-        _wrap(RouterBudgets, "settle", _bill_by_attempt),
+        wrap(RouterBudgets, "settle", _bill_by_attempt),
     ),
-    Mutant(
+    SoakMutant(
         "an answer ends without its bill",
         ("answer is billed",),
-        _replace(RouterBudgets, "settle", _do_nothing),
+        replace(RouterBudgets, "settle", _do_nothing),
     ),
-    Mutant(
+    SoakMutant(
         "an answer ends with its bill at its router alone",
         ("answer is billed",),
-        _replace(EarlyRelease, "release", _release_within_allowance),
+        replace(EarlyRelease, "release", _release_within_allowance),
         courses=("4001",),
     ),
-    Mutant(
+    SoakMutant(
         "lost routers are not sealed",
         ("tokens of lost routers",),
         _ignore_lost_routers,
     ),
-    Mutant(
+    SoakMutant(
         "a limit that an engine names is not kept to",
         ("limits are kept",),
-        _replace(TargetView, "is_permitted", lambda self: True),
+        replace(TargetView, "is_permitted", lambda self: True),
     ),
-    Mutant(
+    SoakMutant(
         "work runs without a claim",
         ("order runs at most once",),
-        _replace(claims.ClaimStore, "_claim", _grant_any_claim),
+        replace(claims.ClaimStore, "_claim", _grant_any_claim),
     ),
-    Mutant(
+    SoakMutant(
         "any claim may be run again",
         ("order runs at most once",),
-        _replace(claims, "decide", lambda found, claim: claims.Decision.RUN),
+        replace(claims, "decide", lambda found, claim: claims.Decision.RUN),
     ),
-    Mutant(
+    SoakMutant(
         "a removed router serves on",
         ("accepted configuration",),
-        _replace(Fleet, "may_serve", lambda self: True),
+        replace(Fleet, "may_serve", lambda self: True),
     ),
-    Mutant(
+    SoakMutant(
         "a leaving engine gets work",
         ("leaving engine",),
-        _replace(Dispatcher, "leaving", lambda self, target, now: []),
+        replace(Dispatcher, "leaving", lambda self, target, now: []),
     ),
-    Mutant(
+    SoakMutant(
         "a planned stop waits for nothing",
         ("planned stop",),
-        _replace(Node, "drain", _drain_immediately),
+        replace(Node, "drain", _drain_immediately),
     ),
-    Mutant(
+    SoakMutant(
         "nothing is quarantined",
         ("poison",),
         _ignore_crashes,
     ),
-    Mutant(
+    SoakMutant(
         "only blame keeps a content from engines",
         ("poison",),
         _quarantine_by_blame_only,
         courses=("41",),
     ),
-    Mutant(
+    SoakMutant(
         "only blame keeps a content from engines, another suspect",
         ("poison",),
         _quarantine_by_blame_only,
         courses=("48",),
     ),
-    Mutant(
+    SoakMutant(
         "a content goes on to the next engine in use",
         ("poison",),
-        _replace(TargetRestriction, "list_allowed", _allow_next_in_use),
+        replace(TargetRestriction, "list_allowed", _allow_next_in_use),
         courses=("7030",),
     ),
-    Mutant(
+    SoakMutant(
         "the same in the first second of a cut",
         ("poison",),
-        _replace(TargetRestriction, "list_allowed", _allow_next_in_use),
+        replace(TargetRestriction, "list_allowed", _allow_next_in_use),
         courses=("8012",),
     ),
-    Mutant(
+    SoakMutant(
         "the same where routers know different things",
         ("poison",),
-        _replace(TargetRestriction, "list_allowed", _allow_next_in_use),
+        replace(TargetRestriction, "list_allowed", _allow_next_in_use),
         courses=(DRAWN,),
     ),
-    Mutant(
+    SoakMutant(
         "work goes to an engine before its limit is known",
         ("limits are kept",),
         _ignore_limits,
         courses=("9007",),
     ),
-    Mutant(
+    SoakMutant(
         "work is sent again without end",
         ("repeats are bounded",),
-        _replace(DispatchState, "take_retry", lambda self, pool, failure, now: True),
+        replace(DispatchState, "take_retry", lambda self, pool, failure, now: True),
         rejects=True,
     ),
-    Mutant(
+    SoakMutant(
         "a silent attempt is given up first",
         ("a silent engine loses no answer",),
-        _replace(Dispatcher, "leave", _give_up_first),
+        replace(Dispatcher, "leave", _give_up_first),
         silences=True,
     ),
 )
 
 
-def try_mutant(mutant: Mutant) -> Row:
-    """Run one seed after another until a check catches the mutant."""
-    logging.set_verbosity(logging.FATAL)
-    for seed in NETWORK_SEEDS if mutant.courses else SEEDS:
-        try:
-            with mutant.patch():
-                _run(mutant, seed)
-        except BrokenInvariantError as error:
-            caught = str(error)
-            return Row(mutant.name, seed, caught, caught.startswith(mutant.caught_by))
-        except Exception as error:
-            return Row(mutant.name, seed, f"{type(error).__name__}: {error}", False)
-    return Row(mutant.name, 0, "nothing", False)
-
-
-def _run(mutant: Mutant, seed: int) -> None:
-    if not mutant.courses:
-        run_seed(seed, SECONDS, mutant.rejects, mutant.silences)
-    for name in mutant.courses:
-        course = (
-            draw_course(seed, DRAWN_SECONDS)
-            if name == DRAWN
-            else Course.load(COURSES / f"{name}.json")
-        )
-        play_course(course, seed)
-
-
-def _try_mutant_number(number: int) -> Row:
-    return try_mutant(MUTANTS[number])
-
-
-def main() -> int:
-    """Run every mutant and print one row each; return the exit code."""
-    with multiprocessing.Pool(WORKERS) as pool:
-        rows = pool.map(_try_mutant_number, range(len(MUTANTS)), chunksize=1)
-    for row in rows:
-        verdict = "caught" if row.expected else "NOT CAUGHT AS EXPECTED"
-        print(f"{row.name:42} {verdict}, seed {row.seed}: {row.caught[:90]}")
-    caught = sum(row.expected for row in rows)
-    print(f"{caught} of {len(rows)} mutants caught")
-    return 0 if caught == len(rows) else 1
+def list_mutants() -> tuple[mutation.Mutant, ...]:
+    """Return the mutants of the chat interface and of the gateway."""
+    return MUTANTS + gatewaymutants.MUTANTS
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(mutation.run(list_mutants))
