Count the calls to the store by kind, operation and status

Cause: what a router calls the store for could only be guessed from its log.

Change: the client of the platform's store counts each call that has ended, pages of lists one by one; the counts are on the metrics address (anvilshift_store_calls, with labels, for which the page now describes a metric once) and in a log line each 10 s (store_calls).

--- a/anvilshift/platform/entrance.py
+++ b/anvilshift/platform/entrance.py
@@ -55,10 +55,13 @@
 
     def _write_metrics(self) -> Reply:
         """Return the gauges in Prometheus's text format."""
-        lines = [
-            f"# TYPE {name} gauge\n{name} {value:.0f}\n"
-            for name, value in self._list_gauges().items()
-        ]
+        lines, described = [], set()
+        for name, value in self._list_gauges().items():
+            metric = name.partition("{")[0]
+            if metric not in described:
+                described.add(metric)
+                lines.append(f"# TYPE {metric} gauge\n")
+            lines.append(f"{name} {value:.0f}\n")
         return Reply(200, [_METRICS_TYPE], "".join(lines).encode())
 
     def _resolve(self, domain: str) -> Reply:
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -7,7 +7,13 @@
 import sys
 from dataclasses import asdict
 
-from anvilshift.core.clock import PROCESS_START, BootClock, MonotonicClock
+from anvilshift.core.clock import (
+    PROCESS_START,
+    SECOND,
+    BootClock,
+    Millis,
+    MonotonicClock,
+)
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.node import GatewayNode
@@ -20,6 +26,8 @@
 from anvilshift.wire.server import HttpServer
 
 _EXIT_BAD_SETTINGS = 2
+_CALLS_INTERVAL: Millis = 10 * SECOND
+"""Interval of the lines that say how often the store was called."""
 
 
 class GatewayProcess:
@@ -30,7 +38,7 @@
         clock = MonotonicClock()
         self._journal = Journal(settings.name, clock)
         self._store_client = HttpClient()
-        store = PlatformStore(self._store_client, settings.store)
+        store = self._store = PlatformStore(self._store_client, settings.store)
         rng = random.Random(random.SystemRandom().getrandbits(64))
         self.node = GatewayNode(
             settings,
@@ -45,7 +53,7 @@
         handler = DiscoveryHandler(
             self.node.is_ready,
             self.node.list_endpoints,
-            self.node.list_gauges,
+            lambda: {**self.node.list_gauges(), **store.counts.list_gauges()},
         )
         self._discovery = handler
         self._stopping = asyncio.Event()
@@ -65,14 +73,22 @@
                 servers.append(server)
         await self.node.start()
         self._journal.write("started", incarnation=self.node.incarnation)
+        counting = asyncio.create_task(self._write_store_calls())
         gc.collect()
         gc.freeze()
         await self._stopping.wait()
+        counting.cancel()
         await self.node.stop()
         for server in servers:
             await server.close()
         await self.node.close()
 
+    async def _write_store_calls(self) -> None:
+        """Log now and then how often the store was called for what."""
+        while True:
+            await asyncio.sleep(_CALLS_INTERVAL / SECOND)
+            self._journal.write("store_calls", calls=self._store.counts.describe())
+
     def _reload(self) -> None:
         """Put the retry limits and cold bounds of the settings file in force."""
         try:
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -6,6 +6,7 @@
 
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import PLATFORM_DOWN, PLATFORM_UNREADABLE, AnvilshiftError
+from anvilshift.objects.callcounts import CallCounts
 from anvilshift.objects.store import (
     Body,
     ChangeBatch,
@@ -29,15 +30,22 @@
 
 
 class PlatformStore:
-    """Object store on the platform's metadata API, one kind per list or watch."""
+    """Object store on the platform's metadata API, one kind per list or watch.
+
+    Attributes
+    ----------
+    counts
+        Calls that have ended; each page of a list is one.
+    """
 
     def __init__(self, client: HttpClient, address: Address) -> None:
         self._client = client
         self._address = address
+        self.counts = CallCounts()
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
-        answer = await self._call("GET", _path(kind, name))
+        answer = await self._call("get", kind, "GET", _path(kind, name))
         return (
             None if answer.status == 404 else _read_object(kind, _parse_answer(answer))
         )
@@ -48,7 +56,9 @@
         items: list[StoredObject] = []
         revision, query = 0, ""
         while True:
-            page = _parse_answer(await self._call("GET", _path(kind) + query))
+            page = _parse_answer(
+                await self._call("list", kind, "GET", _path(kind) + query)
+            )
             revision = revision or _read_revision(page.get("at"))
             entries = _read_entries(kind, page.get("entries"))
             items += entries
@@ -61,7 +71,7 @@
         metadata = {"name": name, **({"revision": version} if version else {})}
         data = dump_json({"metadata": metadata, "spec": body})
         method, path = ("PUT", _path(kind, name)) if version else ("POST", _path(kind))
-        answer = await self._call(method, path, data)
+        answer = await self._call("put", kind, method, path, data)
         if answer.status in (404, 409):
             raise ConflictError(f"{kind}/{name}", _read_conflict(kind, answer))
         try:
@@ -73,7 +83,7 @@
     async def delete(self, kind: str, name: str, version: int) -> int:
         """Delete an object if its version is unchanged; return that version."""
         query = "?" + urlencode({"revision": version})
-        answer = await self._call("DELETE", _path(kind, name) + query)
+        answer = await self._call("delete", kind, "DELETE", _path(kind, name) + query)
         if answer.status in (404, 409):
             raise ConflictError(f"{kind}/{name}")
         _parse_answer(answer)
@@ -85,7 +95,9 @@
         """Wait for changes of one kind that follow a revision."""
         (kind,) = kinds
         query = urlencode({"watch": after, "waitMs": int(wait)})
-        answer = await self._call("GET", f"{_path(kind)}?{query}", wait=wait)
+        answer = await self._call(
+            "watch", kind, "GET", f"{_path(kind)}?{query}", wait=wait
+        )
         if answer.status == 410:
             return ChangeBatch(after, too_old=True)
         page = _parse_answer(answer)
@@ -109,16 +121,26 @@
         return self._client.opened
 
     async def _call(
-        self, method: str, path: str, body: bytes = b"", wait: Millis = 0.0
+        self,
+        operation: str,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        wait: Millis = 0.0,
     ) -> HttpResponse:
+        status = 0
         try:
             answer = await self._client.call(
                 self._address, method, path, [JSON_TYPE], body, _TIMEOUT + wait
             )
+            status = answer.status
         except ExchangeError as error:
             if error.sent and method in _WRITE_METHODS:
                 raise UncertainWriteError(str(error)) from error
             raise AnvilshiftError(PLATFORM_DOWN, str(error)) from error
+        finally:
+            self.counts.add(kind, operation, status)
         if answer.status == 429:
             raise RateLimitedError("the store's rate limit is exceeded")
         if answer.status == 503:
