Try records of use each 1.6 s at the latest, and rarer draws

Cause: of 1,254 calls 338 are records, 178 are for shares of totals, which four routers draw about once a second.

Change: in fleets of nine and more a record is due once half of what may be spent at any time beyond it is used, at the latest after 1.6 s; it releases nothing further for 1.2 s. A draw that no request waits for is due once less than twice an outage's use is held.

--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -12,13 +12,14 @@
 unusable.
 """
 
+import math
 from collections.abc import Mapping
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.allotments import Allotments, ShareRequest
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.cushions import Balance, RecordLimit
-from anvilshift.core.usage import Use, UseRecord
+from anvilshift.core.cushions import Balance
+from anvilshift.core.usage import RecordLimit, Use, UseRecord
 
 FREE_KNOWN_FOR: Millis = 2 * SECOND
 """How long the free tokens that a write returned count as known.  Totals change over
@@ -67,7 +68,7 @@
                 # is left.  They are returned before anything else is drawn.
                 balance.ceiling = min(balance.ceiling, balance.spent)
             if total is not None and total > balance.total:
-                balance.free_until = now
+                balance.free_until = -math.inf
             balance.total = total or 0
 
     def reserve(self, name: str, key: str, tokens: int, now: Millis) -> bool:
@@ -126,7 +127,7 @@
         """
         requests = {}
         for name, balance in self.by_name.items():
-            if balance.needs_change(now):
+            if balance.needs_change(now) or balance.may_join(now):
                 requests[name] = balance.make_share_request(now)
                 balance.ceiling = min(balance.ceiling, requests[name].ceiling)
         return requests
@@ -151,6 +152,8 @@
                 - sum(share.recorded for share in known.shares.values())
             )
             balance.doubt = known.doubt
+            own = known.shares.get(self.holder)
+            balance.spent_at_write = own.recorded if own else balance.spent
             balance.free, balance.free_until = known.free, now + known_for
 
     def set_provable(self, provable: bool) -> None:
@@ -158,6 +161,18 @@
         for balance in self.by_name.values():
             balance.provable = provable
 
+    def set_sparing(self, is_sparing: bool, record_hold: Millis) -> None:
+        """Set whether the store is written as rarely as is safe.
+
+        Parameters
+        ----------
+        record_hold
+            Time after a record in which it releases no further tokens.
+        """
+        for balance in self.by_name.values():
+            balance.is_sparing = is_sparing
+            balance.record_hold = record_hold
+
     def set_allocators(self, allocators: AllocatorMap) -> None:
         """Update which routers are the allocators of each organisation's tokens."""
         for name, balance in self.by_name.items():
@@ -175,6 +190,11 @@
             for balance in self.by_name.values()
         )
 
+    def find_record_use(self) -> float:
+        """Return the largest fraction used of what may be spent beyond a record."""
+        limited = [one for one in self.by_name.values() if one.limited]
+        return max((one.find_record_use() for one in limited), default=0.0)
+
     def make_uses(self, now: Millis) -> dict[str, Use]:
         """Return the use of every limited organisation to write to the record."""
         limited = {name: p for name, p in self.by_name.items() if p.limited}
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -11,7 +11,8 @@
 from anvilshift.core.allotments import ShareRequest
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.holdtimes import HoldTimes
-from anvilshift.core.usage import Use
+from anvilshift.core.money.draws import FREE_RELIED_ON, Cushion
+from anvilshift.core.usage import RecordLimit, Use
 
 _UNPROVED_COVERAGE: Millis = 10 * SECOND
 """Duration of use at the measured rate that a cushion covers while no successor could
@@ -30,9 +31,6 @@
 """Fraction of a total that a router requests before it knows how much remains and how
 many routers share it.  A router that drew its whole cushion at that point, believing
 itself the only one, stranded an eighth of a total when it was killed a second later."""
-_REFILL_BELOW = 0.9
-"""Fraction of the cushion below which a router draws more tokens.  It is below 1
-because each draw is a billed write to the store."""
 _AT_ONCE_FRACTIONS = (0.06, 0.015)
 """Fractions of the remaining tokens that the first and the second allocator may spend
 at any time.  No proof bounds this spending, so the tokens are lost if all routers fail.
@@ -70,22 +68,6 @@
 A request of the same organisation within this time can use them immediately."""
 
 
-@dataclass(frozen=True)
-class RecordLimit:
-    """The spending limit that one use record of this router sets over time.
-
-    Parameters
-    ----------
-    anchor
-        When the record was made, by the steady clock.
-    use
-        What the record states.
-    """
-
-    anchor: Millis
-    use: Use
-
-
 @dataclass
 class Balance:
     """One organisation's tokens at this router.
@@ -139,6 +121,12 @@
         Until when this router draws from the store although it is not an allocator.
     hold_times
         How long requests hold their reservations.
+    is_sparing
+        Whether the store is written as rarely as is safe.
+    record_hold
+        Time after a record in which it releases no further tokens.
+    spent_at_write
+        What this router had spent when `left` was read.
     """
 
     total: int = 0
@@ -163,6 +151,9 @@
     last_reserved_at: Millis = -math.inf
     self_draw_until: Millis = -math.inf
     hold_times: HoldTimes = field(default_factory=HoldTimes)
+    is_sparing: bool = False
+    record_hold: Millis = 0.0
+    spent_at_write: int = 0
 
     @property
     def spent(self) -> int:
@@ -251,7 +242,21 @@
             return Use(recorded, beyond, beyond, self.publish())
         at_once, extra = self._find_unrecorded(self.rank, now)
         extra = min(extra, beyond)
-        return Use(recorded, min(at_once, extra), extra, self.publish())
+        at_once = min(at_once, extra)
+        return Use(recorded, at_once, extra, self.publish(), self.record_hold)
+
+    def find_record_use(self) -> float:
+        """Return how much of what may be spent at any time beyond a record is used.
+
+        It is a fraction, above 1 once time has released further tokens.
+        """
+        uses = [
+            limit.use
+            for limit in self.record_limits
+            if limit.use.recorded + limit.use.at_once < self.ceiling
+        ]
+        fractions = [(self.spent - one.recorded) / max(1, one.at_once) for one in uses]
+        return max(fractions, default=0.0)
 
     def _find_unrecorded(self, rank: int, now: Millis) -> tuple[int, int]:
         """Return how many tokens to spend beyond a record: at any time, and in all.
@@ -259,7 +264,7 @@
         Both shrink with the tokens in doubt: any number of losses of all power leaves
         little more in doubt than the first.
         """
-        rate, left = self.compute_rate(now), max(0, self.left or 0)
+        rate, left = self.compute_rate(now), self._find_left()
         extra = max(rate * _OUTAGE_USE, self.total * _MIN_OUTAGE_USE)
         at_once = left * _AT_ONCE_FRACTIONS[rank]
         trust = 1.0 - self.doubt / max(1.0, self.total * _MAX_DOUBT)
@@ -267,6 +272,12 @@
         at_once = max(recorded_use, at_once * max(_MIN_AT_ONCE_TRUST, trust))
         return int(at_once), int(max(at_once, extra * max(_MIN_TRUST, trust)))
 
+    def _find_left(self) -> int:
+        """Return the tokens that remain of the total, as far as is known."""
+        # Where writes are rare, what was read may be far above what is left by now.
+        since = max(0, self.spent - self.spent_at_write) if self.is_sparing else 0
+        return max(0, (self.left or 0) - since)
+
     def publish(self) -> int:
         """Return the settled tokens to store under this router's name from now on.
 
@@ -346,7 +357,20 @@
             return True
         if self.is_depleted(now):
             return False
-        return self.lacks() or self.ready < cushion * _REFILL_BELOW
+        if self.lacks():
+            return True
+        held = self._describe_cushion(cushion, now)
+        return held.is_due() if self.is_sparing else held.is_low()
+
+    def may_join(self, now: Millis) -> bool:
+        """Tell whether a write for another organisation should draw for this one."""
+        joins = self.is_sparing and self.limited and self.keeping
+        return joins and self._describe_cushion(self.cushion(now), now).is_low()
+
+    def _describe_cushion(self, wanted: int, now: Millis) -> Cushion:
+        _, outage_use = self._find_unrecorded(self.rank or 0, now)
+        is_known = self.left is not None and now < self.free_until + FREE_RELIED_ON
+        return Cushion(self.ready, wanted, outage_use, self.free if is_known else None)
 
     def is_depleted(self, now: Millis) -> bool:
         """Tell whether too few tokens are free for even the smallest waiting request.
--- /dev/null
+++ b/anvilshift/core/money/__init__.py
@@ -0,0 +1,1 @@
+"""When routers write to the store what organisations hold and spend."""
--- a/anvilshift/core/usage.py
+++ b/anvilshift/core/usage.py
@@ -58,12 +58,16 @@
         `RELEASE_TIME` has passed; includes `at_once`.
     settled
         Part of `recorded` that requests that have ended used.
+    hold
+        Time since the record was made in which only `at_once` may be spent.  A router
+        that doesn't know it takes the limit to be higher.
     """
 
     recorded: int
     at_once: int
     cushion: int
     settled: int = 0
+    hold: Millis = 0.0
 
     def find_limit(self, elapsed: Millis) -> int:
         """Return the upper limit on total spending after a time.
@@ -78,11 +82,14 @@
         >>> use = Use(recorded=100, at_once=20, cushion=100)
         >>> use.find_limit(0.0), use.find_limit(4_000.0), use.find_limit(60_000.0)
         (120, 140, 200)
+        >>> Use(100, 20, 100, hold=4_000.0).find_limit(6_000.0)
+        140
         """
         # In the two seconds that a restart takes, quadratic growth releases a sixteenth
         # of the rest, where linear growth releases a quarter.  In a store outage, the
         # released amount therefore reaches the actual use later.
-        fraction = min(1.0, max(0.0, elapsed) / RELEASE_TIME) ** 2
+        released = max(0.0, elapsed - self.hold) / self._find_span()
+        fraction = min(1.0, released) ** 2
         return (
             self.recorded + self.at_once + int((self.cushion - self.at_once) * fraction)
         )
@@ -101,6 +108,8 @@
         --------
         >>> Use(recorded=100, at_once=20, cushion=100).find_wait(140, 1_000.0)
         3000.0
+        >>> Use(100, 20, 100, hold=4_000.0).find_wait(140, 1_000.0)
+        5000.0
         """
         beyond = spent - self.recorded - self.at_once
         delayed = self.cushion - self.at_once
@@ -108,7 +117,28 @@
             return 0.0
         if beyond > delayed:
             return None
-        return max(0.0, math.sqrt(beyond / delayed) * RELEASE_TIME - elapsed)
+        wait = self.hold + math.sqrt(beyond / delayed) * self._find_span()
+        return max(0.0, wait - elapsed)
+
+    def _find_span(self) -> Millis:
+        """Return the time in which tokens are released, once that begins."""
+        return max(1.0, RELEASE_TIME - self.hold)
+
+
+@dataclass(frozen=True)
+class RecordLimit:
+    """The spending limit that one use record of this router sets over time.
+
+    Parameters
+    ----------
+    anchor
+        When the record was made, by the steady clock.
+    use
+        What the record states.
+    """
+
+    anchor: Millis
+    use: Use
 
 
 @dataclass(frozen=True)
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -6,6 +6,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import Health
+from anvilshift.core.money.recordpace import is_large_fleet
 from anvilshift.gateway.assembly import GatewayParts
 from anvilshift.gateway.following import find_interval_factor
 
@@ -81,7 +82,12 @@
         for follower in (node.configuration_follower, node.target_follower):
             follower.interval_factor = find_interval_factor(routers)
         node.recorder.routers = node.allocators.count_allocators()
-        node.allotter.balances.set_provable(node.recorder.can_prove_age())
+        node.recorder.is_sparing = node.settings.spare_writes and is_large_fleet(
+            routers
+        )
+        balances = node.allotter.balances
+        balances.set_provable(node.recorder.can_prove_age())
+        balances.set_sparing(node.recorder.is_sparing, node.recorder.find_pace().hold)
         node.messenger.return_unused_tokens()
         node.loads.expire(now)
         node.permits.run_checks(now)
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -15,6 +15,7 @@
 from anvilshift.core.balances import Balances
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.money.recordpace import RecordPace
 from anvilshift.core.retention import RETENTION_MARGIN, Mark, MarkLog, thin
 from anvilshift.core.usage import RELEASE_TIME, SpendingBounds, UseRecord
 from anvilshift.gateway.history import HistorySearch
@@ -78,6 +79,8 @@
     records
         Number of completed writes, successful or failed; `end_record` is called
         after each.
+    is_sparing
+        Whether records are as rare as is safe.
     born
         Instant at which this process was already running, by the clock.  The
         former process had ended by then, however late its record is read.
@@ -98,7 +101,9 @@
     born: Millis | None = None
     records: int = 0
     end_record: Callable[[], None] = lambda: None
+    is_sparing: bool = False
     _version: int = 0
+    _recorded_at: Millis = -1e12
     _write_begun_at: Millis | None = None
     _unanswered: UseRecord | None = None
     failing: bool = False
@@ -117,8 +122,18 @@
         )
         return not self.failing and waited < _ANSWER_TIMEOUT
 
-    def _find_period(self) -> Millis:
-        return max(_PERIOD, self.routers * _PERIOD_PER_ROUTER)
+    def find_pace(self) -> RecordPace:
+        """Return how often this router records its use."""
+        period = max(_PERIOD, self.routers * _PERIOD_PER_ROUTER)
+        return RecordPace.for_fleet(period, self.is_sparing)
+
+    def _is_due(self) -> bool:
+        """Tell whether to write a record now."""
+        if not self.balances.must_record_use() and self._unanswered is None:
+            return False
+        since = self.clock.now() - self._recorded_at
+        is_due = self.find_pace().is_due(since, self.balances.find_record_use())
+        return is_due or self._wake.is_set()
 
     def can_prove_age(self) -> bool:
         """Tell whether a successor could prove a useful bound on the record's age."""
@@ -130,12 +145,13 @@
         """Write records until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._find_period() / SECOND):
+                async with asyncio.timeout(self.find_pace().shortest / SECOND):
                     await self._wake.wait()
+            is_due = self._is_due()
             self._wake.clear()
-            if not self.balances.must_record_use() and self._unanswered is None:
+            if not is_due:
                 continue
-            pause = self._find_period() / _MAX_RECORDS
+            pause = self.find_pace().shortest / _MAX_RECORDS
             self._write_begun_at = self.clock.now()
             try:
                 if await self._write():
@@ -204,6 +220,7 @@
         self._note_success()
         self._unanswered = None
         self._version = stored.version
+        self._recorded_at = record.anchor
         self.balances.confirm_record(record)
         if resent is not None:
             # The record dates from before an outage; no bound on its age can be
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -21,6 +21,9 @@
     readers_per_domain
         Routers of each failure domain that watch the platform's store for the others
         there, in a larger fleet; 0 if each router watches it.
+    spare_writes
+        Whether the routers of a larger fleet write what organisations hold and spend as
+        rarely as is safe.
     seeds
         IP addresses of routers that may be running.
     grace
@@ -56,5 +59,6 @@
     configuration_port: int = 0
     watch_port: int = 0
     readers_per_domain: int = 1
+    spare_writes: bool = True
     drain_bound: Millis | None = None
     cold: ColdBounds = field(default_factory=ColdBounds)
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -102,6 +102,10 @@
         le=_MAX_READERS,
     )
 
+    spare_writes: bool = Field(
+        default=GatewaySettings.spare_writes, alias="spareStoreWrites"
+    )
+
     def convert(self) -> GatewaySettings:
         """Return the gateway's settings."""
         listen = self.listen
@@ -124,6 +128,7 @@
             configuration_port=self.ports[0] + 2,
             watch_port=self.ports[0] + 3,
             readers_per_domain=self.readers_per_domain,
+            spare_writes=self.spare_writes,
             drain_bound=self.bounds.evacuate_ms,
         )
 
