Write rarely to the store while a larger fleet is calm, and let two routers keep all tokens

Cause: four routers write a record of use 2.5 times a second each, however little is spent, and the one object of all shares, where 47 of 106 writes conflict with each other. Ruled out: writes of other routers (none at these objects).

Change, in fleets of nine routers and more, unless spareStoreWrites is false: - Two routers keep all organisations' tokens, up to a hundred routers; the next two stay deputies. Half of the records, fewer conflicts. - A record is due after 2 s in place of 0.4 s while each organisation is calm: 2 s of its use are at most a quarter of what it may spend at any time, and no more than that is spent. The record of a calm one releases nothing further for 1.6 s, so that a successor that proves so much more time counts no more.

Fleet.meet of the shared watches' tests is a part of what was _beat, unchanged.

--- a/anvilshift/core/allocators.py
+++ b/anvilshift/core/allocators.py
@@ -15,11 +15,19 @@
 import hashlib
 from collections.abc import Collection
 
+from anvilshift.core.money.recordschedule import is_large_fleet
+
 ALLOCATORS = 2
 """Number of routers that keep one organisation's tokens."""
 _CANDIDATE_COUNT = 4
 """Number of routers that keep tokens of any organisation.  Each writes its shares of
 all totals to one object; with more writers, most writes would conflict."""
+_FEW_KEEPERS = ALLOCATORS
+"""The same in a larger fleet whose routers write as rarely as is safe: two write half
+as many records as four, and conflict less."""
+_MOST_ASKING_ROUTERS = 100
+"""Largest fleet in which so few keep tokens: each request of another router may ask
+one of them."""
 
 _MAX_CACHED_HASHES = 8_192
 """Hashes kept: those of a fleet of a thousand routers, and of the four candidates with
@@ -44,12 +52,19 @@
     return list_candidates(organisation, routers)[:ALLOCATORS]
 
 
-def list_candidates(organisation: str, routers: Collection[str]) -> tuple[str, ...]:
+def list_candidates(
+    organisation: str, routers: Collection[str], keepers: int = _CANDIDATE_COUNT
+) -> tuple[str, ...]:
     """Return the routers that may draw an organisation's tokens, in order of rank.
 
     The first are its allocators, and the others their deputies, who draw while no
     allocator answers.
 
+    Parameters
+    ----------
+    keepers
+        Number of routers that keep tokens of any organisation.
+
     Examples
     --------
     >>> routers = [f"r{n}" for n in range(30)]
@@ -58,7 +73,28 @@
     (4, True)
     """
     candidates = rank_routers("", routers)[:_CANDIDATE_COUNT]
-    return tuple(rank_routers(organisation, candidates))
+    first = rank_routers(organisation, candidates[:keepers])
+    return (*first, *rank_routers(organisation, candidates[keepers:]))
+
+
+def count_keepers(routers: int, is_sparing: bool) -> int:
+    """Return how many routers keep tokens of any organisation.
+
+    Parameters
+    ----------
+    is_sparing
+        Whether the routers of a larger fleet write as rarely as is safe.
+
+    Examples
+    --------
+    >>> count_keepers(3, True), count_keepers(5, True), count_keepers(22, True)
+    (3, 4, 2)
+    >>> count_keepers(22, False), count_keepers(300, True)
+    (4, 4)
+    """
+    if is_sparing and is_large_fleet(routers) and routers <= _MOST_ASKING_ROUTERS:
+        return _FEW_KEEPERS
+    return min(routers, _CANDIDATE_COUNT)
 
 
 def rank_routers(key: str, routers: Collection[str]) -> list[str]:
@@ -89,6 +125,8 @@
     ----------
     own
         Name of this router.
+    is_sparing
+        Whether the routers of a larger fleet write as rarely as is safe.
 
     Examples
     --------
@@ -101,8 +139,9 @@
     2
     """
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, is_sparing: bool = False) -> None:
         self.own = own
+        self.is_sparing = is_sparing
         self.routers = frozenset({own})
         self._candidates: dict[str, tuple[str, ...]] = {}
 
@@ -120,7 +159,7 @@
 
     def _list_candidates(self, organisation: str) -> tuple[str, ...]:
         if organisation not in self._candidates:
-            found = list_candidates(organisation, self.routers)
+            found = list_candidates(organisation, self.routers, self.count_allocators())
             self._candidates[organisation] = found
         return self._candidates[organisation]
 
@@ -148,4 +187,4 @@
 
     def count_allocators(self) -> int:
         """Return how many routers keep tokens of any organisation."""
-        return min(len(self.routers), _CANDIDATE_COUNT)
+        return count_keepers(len(self.routers), self.is_sparing)
--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -190,10 +190,10 @@
             for balance in self.by_name.values()
         )
 
-    def find_record_use(self) -> float:
-        """Return the largest fraction used of what may be spent beyond a record."""
+    def are_calmly_recorded(self) -> bool:
+        """Tell whether the records of all organisations may grow old."""
         limited = [one for one in self.by_name.values() if one.limited]
-        return max((one.find_record_use() for one in limited), default=0.0)
+        return all(one.is_calmly_recorded() for one in limited)
 
     def make_uses(self, now: Millis) -> dict[str, Use]:
         """Return the use of every limited organisation to write to the record."""
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -12,6 +12,8 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.holdtimes import HoldTimes
 from anvilshift.core.money.draws import FREE_RELIED_ON, Cushion
+from anvilshift.core.money.recordschedule import find_hold, is_calm_since
+from anvilshift.core.money.unrecorded import find_unrecorded
 from anvilshift.core.usage import RecordLimit, Use
 
 _UNPROVED_COVERAGE: Millis = 10 * SECOND
@@ -31,28 +33,6 @@
 """Fraction of a total that a router requests before it knows how much remains and how
 many routers share it.  A router that drew its whole cushion at that point, believing
 itself the only one, stranded an eighth of a total when it was killed a second later."""
-_AT_ONCE_FRACTIONS = (0.06, 0.015)
-"""Fractions of the remaining tokens that the first and the second allocator may spend
-at any time.  No proof bounds this spending, so the tokens are lost if all routers fail.
-They are needed for the first prompts of a store outage, before elapsed time has
-released any other tokens."""
-_OUTAGE_USE: Millis = 10 * SECOND
-"""Duration of use at the measured rate that may be spent during a store outage of 8 s.
-It is longer than the outage because an organisation may send more than usual."""
-_MIN_OUTAGE_USE = 0.06
-"""Lower bound on that amount, as a fraction of the total, for an organisation that
-sends rarely."""
-_MAX_DOUBT = 0.03
-"""Fraction of a total beyond which tokens in doubt make its organisation lose requests
-that it is owed.  The more of it earlier losses have used, the less may be spent without
-a record."""
-_MIN_AT_ONCE_TRUST, _MIN_TRUST = 0.3, 0.1
-"""Fractions of what may be spent at any time, and in all, without a record that stay
-when that much is in doubt.  Large prompts would otherwise wait for a record each, and a
-store outage may still follow."""
-_RECORDED_USE: Millis = 0.8 * SECOND
-"""Duration of use at the measured rate that may be spent at any time however much is in
-doubt: twice the time between two records, so that few requests wait for one."""
 _RETURN_ABOVE = 1.4
 """Multiple of the cushion above which tokens are returned to the store.  It is far
 enough above the refill threshold that fluctuating traffic doesn't cause alternate draws
@@ -243,34 +223,21 @@
         at_once, extra = self._find_unrecorded(self.rank, now)
         extra = min(extra, beyond)
         at_once = min(at_once, extra)
-        return Use(recorded, at_once, extra, self.publish(), self.record_hold)
-
-    def find_record_use(self) -> float:
-        """Return how much of what may be spent at any time beyond a record is used.
-
-        It is a fraction, above 1 once time has released further tokens.
-        """
-        uses = [
-            limit.use
-            for limit in self.record_limits
-            if limit.use.recorded + limit.use.at_once < self.ceiling
-        ]
-        fractions = [(self.spent - one.recorded) / max(1, one.at_once) for one in uses]
-        return max(fractions, default=0.0)
+        hold = find_hold(self.record_hold, self.compute_rate(now), at_once)
+        return Use(recorded, at_once, extra, self.publish(), hold)
+
+    def is_calmly_recorded(self) -> bool:
+        """Tell whether its records allow for a long time without another one."""
+        return all(
+            use.hold > 0.0 and is_calm_since(self.spent - use.recorded, use.at_once)
+            for use in (limit.use for limit in self.record_limits)
+            if use.recorded + use.at_once < self.ceiling
+        )
 
     def _find_unrecorded(self, rank: int, now: Millis) -> tuple[int, int]:
-        """Return how many tokens to spend beyond a record: at any time, and in all.
-
-        Both shrink with the tokens in doubt: any number of losses of all power leaves
-        little more in doubt than the first.
-        """
+        """Return how many tokens to spend beyond a record: at any time, and in all."""
         rate, left = self.compute_rate(now), self._find_left()
-        extra = max(rate * _OUTAGE_USE, self.total * _MIN_OUTAGE_USE)
-        at_once = left * _AT_ONCE_FRACTIONS[rank]
-        trust = 1.0 - self.doubt / max(1.0, self.total * _MAX_DOUBT)
-        recorded_use = min(at_once, rate * _RECORDED_USE)
-        at_once = max(recorded_use, at_once * max(_MIN_AT_ONCE_TRUST, trust))
-        return int(at_once), int(max(at_once, extra * max(_MIN_TRUST, trust)))
+        return find_unrecorded(rank, rate, left, self.total, self.doubt)
 
     def _find_left(self) -> int:
         """Return the tokens that remain of the total, as far as is known."""
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -119,7 +119,7 @@
             self.allotter.balances,
             self.marks,
         )
-        self.allocators = AllocatorMap(settings.name)
+        self.allocators = AllocatorMap(settings.name, settings.spare_writes)
         self.reservations = Reservations(self.allotter, self.allocators, clock, journal)
         if settings.history is not None:
             self.recorder.born = born
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -6,7 +6,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.ejection import Health
-from anvilshift.core.money.recordpace import is_large_fleet
+from anvilshift.core.money.recordschedule import is_large_fleet
 from anvilshift.gateway.assembly import GatewayParts
 from anvilshift.gateway.following import find_interval_factor
 
@@ -87,7 +87,9 @@
         )
         balances = node.allotter.balances
         balances.set_provable(node.recorder.can_prove_age())
-        balances.set_sparing(node.recorder.is_sparing, node.recorder.find_pace().hold)
+        balances.set_sparing(
+            node.recorder.is_sparing, node.recorder.find_schedule().hold
+        )
         node.messenger.return_unused_tokens()
         node.loads.expire(now)
         node.permits.run_checks(now)
--- a/anvilshift/gateway/recording.py
+++ b/anvilshift/gateway/recording.py
@@ -15,7 +15,7 @@
 from anvilshift.core.balances import Balances
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.money.recordpace import RecordPace
+from anvilshift.core.money.recordschedule import RecordSchedule
 from anvilshift.core.retention import RETENTION_MARGIN, Mark, MarkLog, thin
 from anvilshift.core.usage import RELEASE_TIME, SpendingBounds, UseRecord
 from anvilshift.gateway.history import HistorySearch
@@ -122,18 +122,18 @@
         )
         return not self.failing and waited < _ANSWER_TIMEOUT
 
-    def find_pace(self) -> RecordPace:
+    def find_schedule(self) -> RecordSchedule:
         """Return how often this router records its use."""
         period = max(_PERIOD, self.routers * _PERIOD_PER_ROUTER)
-        return RecordPace.for_fleet(period, self.is_sparing)
+        return RecordSchedule.for_fleet(period, self.is_sparing)
 
     def _is_due(self) -> bool:
         """Tell whether to write a record now."""
         if not self.balances.must_record_use() and self._unanswered is None:
             return False
         since = self.clock.now() - self._recorded_at
-        is_due = self.find_pace().is_due(since, self.balances.find_record_use())
-        return is_due or self._wake.is_set()
+        is_calm = self.is_sparing and self.balances.are_calmly_recorded()
+        return self._wake.is_set() or self.find_schedule().is_due(since, is_calm)
 
     def can_prove_age(self) -> bool:
         """Tell whether a successor could prove a useful bound on the record's age."""
@@ -145,13 +145,13 @@
         """Write records until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self.find_pace().shortest / SECOND):
+                async with asyncio.timeout(self.find_schedule().shortest / SECOND):
                     await self._wake.wait()
             is_due = self._is_due()
             self._wake.clear()
             if not is_due:
                 continue
-            pause = self.find_pace().shortest / _MAX_RECORDS
+            pause = self.find_schedule().shortest / _MAX_RECORDS
             self._write_begun_at = self.clock.now()
             try:
                 if await self._write():
--- a/tests/core/test_allocators.py
+++ b/tests/core/test_allocators.py
@@ -37,6 +37,19 @@
 
 
 class AllocatorMapTest(unittest.TestCase):
+    def test_two_routers_keep_all_tokens_where_writes_are_spared(self):
+        """Guards against writers that conflict; the others stay deputies."""
+        for routers, keepers in ((8, 4), (9, 2), (32, 2)):
+            maps = [AllocatorMap(one, is_sparing=True) for one in ROUTERS[:routers]]
+            for one in maps:
+                one.set_routers(set(ROUTERS[:routers]))
+            kept = {k for name in ORGANISATIONS for k in maps[0].list_allocators(name)}
+            self.assertEqual(len(kept), keepers)
+            agreed = {tuple(map(one.list_allocators, ORGANISATIONS)) for one in maps}
+            self.assertEqual(len(agreed), 1)
+            deputies = [one.list_deputies("pounds") for one in maps]
+            self.assertEqual(max(map(len, deputies)), 2)
+
     def test_a_single_router_is_the_first_allocator_of_everything(self):
         allocators = AllocatorMap("r1")
         self.assertEqual(allocators.find_rank("pounds"), 0)
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -4,7 +4,7 @@
 
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.retention import MarkLog
+from anvilshift.core.retention import Mark, MarkLog
 from anvilshift.gateway.messages import Ask, Gift, Settled
 from anvilshift.gateway.recording import Recorder
 from anvilshift.gateway.reserving import Reservations
@@ -29,6 +29,9 @@
     recording
         Whether routers record their use.  Each start of a host follows a power
         failure and has a new boot id.
+    sparing
+        Whether they write as rarely as is safe, and tell each other marks of the
+        store's history.
 
     Attributes
     ----------
@@ -38,10 +41,10 @@
         Allocators that no ask reaches.
     """
 
-    def __init__(self, recording: bool = False) -> None:
+    def __init__(self, recording: bool = False, sparing: bool = False) -> None:
         self.clock = VirtualClock()
         self.store = MemoryStore(self.clock, HISTORY, returns_conflicting_object=True)
-        self.recording = recording
+        self.recording, self.sparing = recording, sparing
         self.allotters: dict[str, ShareManager] = {}
         self.reservations: dict[str, Reservations] = {}
         self.recorders: dict[str, Recorder] = {}
@@ -64,7 +67,7 @@
         allotter.has_no_peers = False
         reservations = Reservations(
             allotter,
-            AllocatorMap(node),
+            AllocatorMap(node, self.sparing),
             self.clock,
             journal,
             lambda allocator, *ask: self._ask(node, allocator, *ask),
@@ -87,6 +90,8 @@
                 read_wall=self.clock.now,
                 end_record=allotter.notify_waiters,
             )
+            if self.sparing:
+                recorder.on_new_mark = self._tell_mark
             allotter.bound_former_use = recorder.bound_former_use
             reservations.recorder = recorder
             self.tasks[node].append(asyncio.create_task(self._record(node)))
@@ -113,7 +118,10 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             if self.recording:
-                one.balances.set_provable(self.recorders[node].can_prove_age())
+                recorder = self.recorders[node]
+                recorder.is_sparing = self.sparing
+                one.balances.set_provable(recorder.can_prove_age())
+                one.balances.set_sparing(self.sparing, recorder.find_schedule().hold)
             for gift, allocator in one.return_idle(self._find_allocator(one)):
                 self._send(allocator, gift)
             for report, allocator in one.settlements.list_due(
@@ -121,6 +129,10 @@
             ):
                 self._send(allocator, report)
 
+    def _tell_mark(self, mark: Mark) -> None:
+        for node in self.tasks:
+            self.recorders[node].marks.add(mark)
+
     def _find_allocator(self, one: Reservations):
         def find(name: str) -> tuple[str, str] | None:
             present = [
@@ -199,11 +211,11 @@
                 task.cancel()
 
 
-def run_scenario(scenario, recording: bool = False) -> None:
+def run_scenario(scenario, recording: bool = False, sparing: bool = False) -> None:
     """Run a scenario, an async function of a fleet, in virtual time."""
 
     async def run():
-        fleet = Fleet(recording)
+        fleet = Fleet(recording, sparing)
         try:
             await scenario(fleet)
         finally:
--- a/tests/gateway/test_sharedwatches.py
+++ b/tests/gateway/test_sharedwatches.py
@@ -130,17 +130,22 @@
         """Let the routers hear each other's heartbeats, but for dark ones."""
         interval = find_beat_interval(len(self.nodes))
         while True:
-            for ip, node in self.nodes.items():
-                for other, peer in self.nodes.items():
-                    if ip != other and other not in self.dark and ip not in self.dark:
-                        beat = self._make_beat(other, peer)
-                        node.peers.routers[beat.router] = Peer(beat, self.clock.now())
+            self.meet()
+            for node in self.nodes.values():
                 timeout = interval * LOST_AFTER_BEATS * 1.1
                 for name, known in list(node.peers.routers.items()):
                     if self.clock.now() - known.heard > timeout:
                         del node.peers.routers[name]
             await asyncio.sleep(interval / 1_000.0)
 
+    def meet(self) -> None:
+        """Let each router hear a heartbeat of each other one, but for dark ones."""
+        for ip, node in self.nodes.items():
+            for other, peer in self.nodes.items():
+                if ip != other and other not in self.dark and ip not in self.dark:
+                    beat = self._make_beat(other, peer)
+                    node.peers.routers[beat.router] = Peer(beat, self.clock.now())
+
     def _make_beat(self, ip: str, node: GatewayNode) -> Beat:
         fresh = node.configuration_follower.is_fresh()
         return Beat(f"n-{ip}", "x", ip, f"{ip}:1", "north", 1, True, False, fresh)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -157,6 +157,17 @@
         age = float(values["anvilshift_configuration_age_milliseconds"])
         self.assertLess(age, 2_500.0)
 
+    async def test_metrics_with_labels_are_described_once(self):
+        """Guards against a page that monitoring can't read."""
+        gauges = {'calls{kind="a"}': 1.0, 'calls{kind="b"}': 2.0}
+        handler = DiscoveryHandler(bool, list, lambda: gauges)
+        server = HttpServer(handler.handle)
+        address = await server.start(LOOPBACK)
+        self.addAsyncCleanup(server.close)
+        answer = await self.client.call(address, "GET", "/metrics")
+        told = '# TYPE calls gauge\ncalls{kind="a"} 1\ncalls{kind="b"} 2\n'
+        self.assertEqual(answer.body.decode(), told)
+
 
 class PoisonTest(GatewayCase):
     async def test_a_request_that_crashes_its_targets_costs_three_at_the_most(self):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -69,6 +69,12 @@
             self.write(TEXT.replace("retryAllowance = 58\n", bounds))
         ).retries
 
+    def test_rare_writes_are_switched_off_by_a_setting(self):
+        """Guards against a fleet that can't go back to frequent records."""
+        self.assertTrue(read_settings(self.write(TEXT)).spare_writes)
+        path = self.write(f"spareStoreWrites = false\n{TEXT}")
+        self.assertFalse(read_settings(path).spare_writes)
+
     def test_the_limits_of_retries_are_read_or_have_defaults(self):
         found = self.read_retries(
             retryRatio="0.5", retryWindowS="3", retryAllowance="0"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -40,6 +40,23 @@
         self.assertEqual([item.name for item in listing.items], list("abcde"))
         self.assertEqual(listing.revision, self.stub.revision)
 
+    async def test_each_page_and_each_refused_write_counts_as_a_call(self):
+        """Guards against calls that are paid for and that no operator sees."""
+        self.stub.page = 2
+        for name in "abc":
+            self.stub.put("notes", name, {})
+        await self.store.list(["notes"])
+        with self.assertRaises(ConflictError):
+            await self.store.put("notes", "a", {}, 1)
+        await self.stub.server.close()
+        self.client.close()
+        with self.assertRaises(AnvilshiftError):
+            await self.store.get("notes", "a")
+        self.assertEqual(
+            self.store.counts.describe(),
+            {"notes get 0": 1, "notes list 200": 2, "notes put 409": 1},
+        )
+
     async def test_a_watch_reports_writes_and_deletions(self):
         self.stub.put("notes", "a", {"n": 1})
         start = self.stub.revision
