--- a/anvilshift/gateway/retryshares.py
+++ b/anvilshift/gateway/retryshares.py
@@ -62,8 +62,6 @@
         A clock that goes on while the host is suspended.
     list_heard
         Returns the names of the records of the other routers that are present.
-    is_sparing
-        Whether this router doesn't read back what it has written itself.
     """
 
     store: ObjectStore
@@ -73,7 +71,6 @@
     journal: Journal
     rng: random.Random
     list_heard: Callable[[], set[str]]
-    is_sparing: bool = False
     _versions: dict[str, int] = field(default_factory=dict)
     _absent_since: dict[str, Millis] = field(default_factory=dict)
     _is_settled: bool = False
@@ -201,11 +198,7 @@
         version = self._versions.get(self.name, 0)
         is_settled = self.shares.count(self.clock.now()) is not None
         if not version or (is_settled and not self._is_settled):
-            body = {_SETTLED: is_settled}
-            stored = await self.store.put(KIND, self.name, body, version)
-            if self.is_sparing:
-                # The record exists by now, so waits that begin now are long enough.
-                self._apply_change(ObjectChange(KIND, self.name, stored.version, body))
+            await self.store.put(KIND, self.name, {_SETTLED: is_settled}, version)
 
     async def _remove_absent(self) -> None:
         """Remove the records of routers that have not been heard for long.
