--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -11,7 +11,10 @@
 from anvilshift.core.allotments import ShareRequest
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.holdtimes import HoldTimes
-from anvilshift.core.usage import Use
+from anvilshift.core.money.draws import FREE_RELIED_ON, Cushion
+from anvilshift.core.money.recordschedule import find_hold, is_calm_since
+from anvilshift.core.money.unrecorded import find_unrecorded
+from anvilshift.core.usage import RecordLimit, Use
 
 _UNPROVED_COVERAGE: Millis = 10 * SECOND
 """Duration of use at the measured rate that a cushion covers while no successor could
@@ -30,31 +33,6 @@
 """Fraction of a total that a router requests before it knows how much remains and how
 many routers share it.  A router that drew its whole cushion at that point, believing
 itself the only one, stranded an eighth of a total when it was killed a second later."""
-_REFILL_BELOW = 0.9
-"""Fraction of the cushion below which a router draws more tokens.  It is below 1
-because each draw is a billed write to the store."""
-_AT_ONCE_FRACTIONS = (0.06, 0.015)
-"""Fractions of the remaining tokens that the first and the second allocator may spend
-at any time.  No proof bounds this spending, so the tokens are lost if all routers fail.
-They are needed for the first prompts of a store outage, before elapsed time has
-released any other tokens."""
-_OUTAGE_USE: Millis = 10 * SECOND
-"""Duration of use at the measured rate that may be spent during a store outage of 8 s.
-It is longer than the outage because an organisation may send more than usual."""
-_MIN_OUTAGE_USE = 0.06
-"""Lower bound on that amount, as a fraction of the total, for an organisation that
-sends rarely."""
-_MAX_DOUBT = 0.03
-"""Fraction of a total beyond which tokens in doubt make its organisation lose requests
-that it is owed.  The more of it earlier losses have used, the less may be spent without
-a record."""
-_MIN_AT_ONCE_TRUST, _MIN_TRUST = 0.3, 0.1
-"""Fractions of what may be spent at any time, and in all, without a record that stay
-when that much is in doubt.  Large prompts would otherwise wait for a record each, and a
-store outage may still follow."""
-_RECORDED_USE: Millis = 0.8 * SECOND
-"""Duration of use at the measured rate that may be spent at any time however much is in
-doubt: twice the time between two records, so that few requests wait for one."""
 _RETURN_ABOVE = 1.4
 """Multiple of the cushion above which tokens are returned to the store.  It is far
 enough above the refill threshold that fluctuating traffic doesn't cause alternate draws
@@ -70,22 +48,6 @@
 A request of the same organisation within this time can use them immediately."""
 
 
-@dataclass(frozen=True)
-class RecordLimit:
-    """The spending limit that one use record of this router sets over time.
-
-    Parameters
-    ----------
-    anchor
-        When the record was made, by the steady clock.
-    use
-        What the record states.
-    """
-
-    anchor: Millis
-    use: Use
-
-
 @dataclass
 class Balance:
     """One organisation's tokens at this router.
@@ -139,6 +101,12 @@
         Until when this router draws from the store although it is not an allocator.
     hold_times
         How long requests hold their reservations.
+    is_sparing
+        Whether the store is written as rarely as is safe.
+    record_hold
+        Time after a record in which it releases no further tokens.
+    spent_at_write
+        What this router had spent when `left` was read.
     """
 
     total: int = 0
@@ -163,6 +131,9 @@
     last_reserved_at: Millis = -math.inf
     self_draw_until: Millis = -math.inf
     hold_times: HoldTimes = field(default_factory=HoldTimes)
+    is_sparing: bool = False
+    record_hold: Millis = 0.0
+    spent_at_write: int = 0
 
     @property
     def spent(self) -> int:
@@ -251,21 +222,28 @@
             return Use(recorded, beyond, beyond, self.publish())
         at_once, extra = self._find_unrecorded(self.rank, now)
         extra = min(extra, beyond)
-        return Use(recorded, min(at_once, extra), extra, self.publish())
+        at_once = min(at_once, extra)
+        hold = find_hold(self.record_hold, self.compute_rate(now), at_once)
+        return Use(recorded, at_once, extra, self.publish(), hold)
+
+    def is_calmly_recorded(self) -> bool:
+        """Tell whether its records allow for a long time without another one."""
+        return all(
+            use.hold > 0.0 and is_calm_since(self.spent - use.recorded, use.at_once)
+            for use in (limit.use for limit in self.record_limits)
+            if use.recorded + use.at_once < self.ceiling
+        )
 
     def _find_unrecorded(self, rank: int, now: Millis) -> tuple[int, int]:
-        """Return how many tokens to spend beyond a record: at any time, and in all.
+        """Return how many tokens to spend beyond a record: at any time, and in all."""
+        rate, left = self.compute_rate(now), self._find_left()
+        return find_unrecorded(rank, rate, left, self.total, self.doubt)
 
-        Both shrink with the tokens in doubt: any number of losses of all power leaves
-        little more in doubt than the first.
-        """
-        rate, left = self.compute_rate(now), max(0, self.left or 0)
-        extra = max(rate * _OUTAGE_USE, self.total * _MIN_OUTAGE_USE)
-        at_once = left * _AT_ONCE_FRACTIONS[rank]
-        trust = 1.0 - self.doubt / max(1.0, self.total * _MAX_DOUBT)
-        recorded_use = min(at_once, rate * _RECORDED_USE)
-        at_once = max(recorded_use, at_once * max(_MIN_AT_ONCE_TRUST, trust))
-        return int(at_once), int(max(at_once, extra * max(_MIN_TRUST, trust)))
+    def _find_left(self) -> int:
+        """Return the tokens that remain of the total, as far as is known."""
+        # Where writes are rare, what was read may be far above what is left by now.
+        since = max(0, self.spent - self.spent_at_write) if self.is_sparing else 0
+        return max(0, (self.left or 0) - since)
 
     def publish(self) -> int:
         """Return the settled tokens to store under this router's name from now on.
@@ -346,7 +324,20 @@
             return True
         if self.is_depleted(now):
             return False
-        return self.lacks() or self.ready < cushion * _REFILL_BELOW
+        if self.lacks():
+            return True
+        held = self._describe_cushion(cushion, now)
+        return held.is_due() if self.is_sparing else held.is_low()
+
+    def may_join(self, now: Millis) -> bool:
+        """Tell whether a write for another organisation should draw for this one."""
+        joins = self.is_sparing and self.limited and self.keeping
+        return joins and self._describe_cushion(self.cushion(now), now).is_low()
+
+    def _describe_cushion(self, wanted: int, now: Millis) -> Cushion:
+        _, outage_use = self._find_unrecorded(self.rank or 0, now)
+        is_known = self.left is not None and now < self.free_until + FREE_RELIED_ON
+        return Cushion(self.ready, wanted, outage_use, self.free if is_known else None)
 
     def is_depleted(self, now: Millis) -> bool:
         """Tell whether too few tokens are free for even the smallest waiting request.
