Compress news on a link that fills, and tell callers of routers with room

Requests to targets take 150 to 320 kB, events of answers 200 kB with their headers, tunnels next to nothing. TCP yields to what fills the queue, datagrams don't.

Ruled out: unsent bytes of its own sockets (220 kB at most, 150 ms of the link); lateness of its loop (1 ms), memory (0.2 of its limit), descriptors (0.08).

Change: use of the link is measured each way with headers and acknowledgements counted; from 0.3 on news is compressed for builds that said they read it, from 0.6 on collected for 120 ms. A full router says so, and isn't named to callers while others can take them. One that runs out of memory, descriptors or processor time turns a part of the new connections away before anything is read, and takes some each second. All of it only where the settings name limits.

tests/platform/memorynetwork.py follows the name of the moved class.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -2,6 +2,7 @@
 
 import random
 
+from anvilshift.core.admission.linkuse import Traffic
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -22,8 +23,10 @@
 from anvilshift.gateway.domaindrains import DrainWatch
 from anvilshift.gateway.following import Follower, WatchIntervals
 from anvilshift.gateway.forwarding import Forwarding
+from anvilshift.gateway.hostload import HostLoad
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.partstore import PartStore
 from anvilshift.gateway.partwatch import PartWatch
@@ -245,8 +248,22 @@
             self.shared_watches.share(follower, store)
         self.drains.follow(store, dialect.drains_kind, self.configuration_follower)
         self._connect_cold()
-        self.directory = RouterDirectory(settings, self.peers, self.is_ready)
         self.server = HttpServer(self.handle)
+        self.host_load = HostLoad(
+            settings.name,
+            settings.limits,
+            self.peers,
+            clock,
+            journal,
+            self._find_traffic,
+            self._count_sockets,
+        )
+        if self.host_load.is_active:
+            self.server.admission = self.host_load
+        self.messenger.add_handler(RouterLoad, self.host_load.apply)
+        self.directory = RouterDirectory(
+            settings, self.peers, self.is_ready, self.host_load.list_full
+        )
         self.in_flight = 0
         self.leaving = False
 
@@ -318,11 +335,23 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
-        parts = (self.configurations, self.drains, self.cold)
+        parts = (self.configurations, self.drains, self.cold, self.host_load)
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
         }
 
+    def _find_traffic(self) -> tuple[Traffic, Traffic]:
+        """Return what was sent and received for callers and among routers so far."""
+        peers, server, client = self.peers, self.server.traffic, self.client.traffic
+        return (
+            server.sent + client.sent + peers.sent,
+            server.received + client.received + peers.received,
+        )
+
+    def _count_sockets(self) -> int:
+        """Return about how many sockets are open."""
+        return len(self.server.connections) + self.in_flight + self.client.count_idle()
+
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
         return self.directory.list_endpoints(domain)
--- a/anvilshift/gateway/datagrams.py
+++ b/anvilshift/gateway/datagrams.py
@@ -1,6 +1,7 @@
 """Encode the messages between routers in datagrams."""
 
 import json
+import zlib
 from collections.abc import Iterable
 from dataclasses import asdict, fields
 from typing import Any, get_args, get_origin, get_type_hints
@@ -10,6 +11,14 @@
 MAX_DATAGRAM = 1_300
 """Maximum bytes of a datagram, so that it isn't split into IP fragments."""
 
+_COMPRESSED = b"\x01"
+"""First byte of a compressed datagram; no message begins so."""
+_LEVEL = 1
+"""Level of compression: messages share names and keys, which the fastest one finds."""
+_MAX_PACKED = 4_000
+"""Bytes of messages that are compressed together: they mostly fit into a datagram."""
+_MAX_UNPACKED = 65_536
+
 _KINDS: dict[str, type[Message]] = {kind.__name__: kind for kind in get_args(Message)}
 _FIELD_TYPES: dict[type[Message], tuple[type, ...]] = {
     kind: tuple(get_origin(hint) or hint for hint in get_type_hints(kind).values())
@@ -47,6 +56,48 @@
     return datagrams
 
 
+def compress(lines: Iterable[bytes]) -> list[bytes]:
+    r"""Combine encoded messages into compressed datagrams.
+
+    Examples
+    --------
+    >>> [packed] = compress([b'["Ended","r1/7","e1"]'] * 50)
+    >>> len(packed) < 60, len(decode(packed))
+    (True, 50)
+    """
+    groups: list[list[bytes]] = [[]]
+    size = 0
+    for line in lines:
+        if groups[-1] and size + len(line) > _MAX_PACKED:
+            groups.append([])
+            size = 0
+        groups[-1].append(line)
+        size += len(line)
+    return [datagram for group in groups if group for datagram in _compress(group)]
+
+
+def _compress(lines: list[bytes]) -> list[bytes]:
+    content = b"\n".join(lines)
+    packed = _COMPRESSED + zlib.compress(content, _LEVEL)
+    if len(packed) <= MAX_DATAGRAM:
+        return [packed if len(packed) < len(content) else content]
+    if len(lines) == 1:
+        return lines
+    half = len(lines) // 2
+    return _compress(lines[:half]) + _compress(lines[half:])
+
+
+def _decompress(datagram: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    try:
+        content = unpacker.decompress(datagram[len(_COMPRESSED) :], _MAX_UNPACKED)
+    except zlib.error as error:
+        raise ValueError(f"not a compressed datagram: {error}") from error
+    if not unpacker.eof:
+        raise ValueError("a compressed datagram is cut off or too long")
+    return content
+
+
 def decode(datagram: bytes) -> list[Message]:
     """Return the messages of a datagram.
 
@@ -61,6 +112,8 @@
     >>> decode(encode(Ended("r1/7", "e1")))
     [Ended(run='r1/7', target='e1')]
     """
+    if datagram.startswith(_COMPRESSED):
+        datagram = _decompress(datagram)
     return [_decode_line(json.loads(line)) for line in datagram.split(b"\n")]
 
 
--- a/anvilshift/gateway/directory.py
+++ b/anvilshift/gateway/directory.py
@@ -32,24 +32,40 @@
     ----------
     is_ready
         Returns whether this router accepts new callers.
+    list_full
+        Returns the names of the routers that are full.
     """
 
     def __init__(
-        self, settings: GatewaySettings, peers: Peers, is_ready: Callable[[], bool]
+        self,
+        settings: GatewaySettings,
+        peers: Peers,
+        is_ready: Callable[[], bool],
+        list_full: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._settings = settings
         self._peers = peers
         self._is_ready = is_ready
+        self._list_full = list_full
 
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
+        full = self._list_full()
         found = [
-            Endpoint(peer.beat.entrance, peer.beat.failure_domain)
+            Endpoint(
+                peer.beat.entrance,
+                peer.beat.failure_domain,
+                peer.beat.router in full,
+            )
             for peer in self._peers.list_present()
             if peer.beat.serving and not peer.beat.leaving
         ]
         if self._is_ready():
-            own = Endpoint(str(self._settings.front), self._settings.failure_domain)
+            own = Endpoint(
+                str(self._settings.front),
+                self._settings.failure_domain,
+                self._settings.name in full,
+            )
             found.append(own)
         return Endpoints(choose_endpoints(found, domain), self.get_ttl())
 
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -9,6 +9,7 @@
 from anvilshift.core.clock import Millis
 from anvilshift.gateway.coldmessages import TargetCold
 from anvilshift.gateway.drainmessages import DrainsTold
+from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.partmessages import (
     PartRecorded,
     PartsAnswered,
@@ -386,4 +387,5 @@
     | TryAnswer
     | TryEnded
     | DrainsTold
+    | RouterLoad
 )
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -10,9 +10,11 @@
 from dataclasses import dataclass, field, replace
 from typing import cast
 
+from anvilshift.core.admission.linkuse import Traffic
+from anvilshift.core.admission.newspace import NewsPace
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.lateness import Lateness
-from anvilshift.gateway.datagrams import decode, encode, pack
+from anvilshift.gateway.datagrams import compress, decode, encode, pack
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Beat, Message
 
@@ -107,6 +109,15 @@
         This router's failure domain.
     addresses
         Addresses of routers that may exist.
+
+    Attributes
+    ----------
+    pace
+        How messages that aren't sent immediately are collected and written.
+    compact
+        Names of the routers whose build reads compressed datagrams.
+    sent, received
+        What was sent and received so far.
     """
 
     ip: str
@@ -117,6 +128,10 @@
     addresses: set[str] = field(default_factory=set)
     hooks: PeerCallbacks = field(default_factory=PeerCallbacks)
     routers: dict[str, Peer] = field(default_factory=dict)
+    pace: NewsPace = field(default_factory=NewsPace)
+    compact: set[str] = field(default_factory=set)
+    sent: Traffic = field(default_factory=Traffic)
+    received: Traffic = field(default_factory=Traffic)
     _transport: asyncio.DatagramTransport | None = None
     _waiting: dict[frozenset[str], list[bytes]] = field(default_factory=dict)
     _timer: asyncio.TimerHandle | None = None
@@ -169,6 +184,7 @@
 
     def _handle(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a datagram and pass on its messages; malformed data is logged."""
+        self.received += Traffic(datagram_bytes=len(data), datagrams=1)
         try:
             messages = decode(data)
         except ValueError as error:
@@ -187,6 +203,7 @@
         if known is None or known.beat.incarnation != beat.incarnation:
             if known is not None:
                 self.hooks.on_router_lost(known)
+            self.compact.discard(beat.router)
             self.journal.write(
                 "peer_found", peer=beat.router, incarnation=beat.incarnation
             )
@@ -244,7 +261,7 @@
     ) -> None:
         self._waiting.setdefault(domains, []).append(encode(message))
         urgent_delay = _FLUSH_DELAY if self.small else _FLUSH_DELAY_LARGE
-        delay = urgent_delay if soon else _FLUSH_DELAY_IDLE
+        delay = max(self.pace.delay, urgent_delay if soon else _FLUSH_DELAY_IDLE)
         loop = asyncio.get_running_loop()
         due = loop.time() + delay / SECOND
         if self._timer is None or due < self._timer.when():
@@ -270,15 +287,17 @@
         waiting, self._waiting = self._waiting, {}
         present = [peer.beat for peer in self.list_present()]
         for domains, encoded in waiting.items():
-            datagrams = pack(encoded)
+            plain = pack(encoded)
+            short = compress(encoded) if self.pace.is_compact else plain
             for beat in present:
                 if not domains or beat.failure_domain in domains:
-                    for datagram in datagrams:
+                    for datagram in short if beat.router in self.compact else plain:
                         self._send(datagram, beat.ip)
 
     def _send(self, datagram: bytes, ip: str) -> None:
         if self._transport is None:
             return
+        self.sent += Traffic(datagram_bytes=len(datagram), datagrams=1)
         try:
             self._transport.sendto(datagram, (ip, self.port))
         except OSError as error:
--- a/anvilshift/gateway/periodic.py
+++ b/anvilshift/gateway/periodic.py
@@ -70,6 +70,7 @@
     def _work(self, now: Millis) -> None:
         node = self._node
         self._write_retries(now)
+        node.host_load.run_checks(now)
         is_fresh = node.target_follower.is_fresh()
         if not is_fresh:
             node.targets.entries.note_outage()
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from anvilshift.core.admission.callershare import HostLimits
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.health.coldtargets import ColdBounds
 from anvilshift.core.retries import RetryLimits
@@ -37,6 +38,9 @@
         there any more; None if operators can't drain failure domains.
     cold
         How far the rate of a cold target may be exceeded in any one second.
+    limits
+        What the process may use of its host; by default it isn't known, and nothing
+        is decided by it.
     """
 
     name: str
@@ -58,3 +62,4 @@
     readers_per_domain: int = 1
     drain_bound: Millis | None = None
     cold: ColdBounds = field(default_factory=ColdBounds)
+    limits: HostLimits = field(default_factory=HostLimits)
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -6,6 +6,7 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
+from anvilshift.core.admission.callershare import HostLimits
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import BAD_SETTINGS, AnvilshiftError
 from anvilshift.core.health.coldtargets import ColdBounds
@@ -84,6 +85,20 @@
     history_s: float | None = Field(default=None, alias="historyS")
 
 
+class _Limits(BaseModel):
+    link_mbps: float | None = Field(
+        default=None, alias="linkMbps", gt=0, allow_inf_nan=False
+    )
+    memory_mb: float | None = Field(
+        default=None, alias="memoryMb", gt=0, allow_inf_nan=False
+    )
+    max_fds: int | None = Field(default=None, alias="maxFds", gt=0)
+
+    def convert(self) -> HostLimits:
+        """Return what the router may use of its host."""
+        return HostLimits(self.link_mbps, self.memory_mb, self.max_fds)
+
+
 class SettingsRecord(BaseModel):
     """Fields of the settings file that are used; unknown fields are ignored."""
 
@@ -95,6 +110,7 @@
     listen: _Listen
     bounds: _Bounds = Field(default_factory=_Bounds)
     platform: _Store
+    limits: _Limits = Field(default_factory=_Limits)
     readers_per_domain: int = Field(
         default=GatewaySettings.readers_per_domain,
         alias="storeReadersPerZone",
@@ -125,6 +141,7 @@
             watch_port=self.ports[0] + 3,
             readers_per_domain=self.readers_per_domain,
             drain_bound=self.bounds.evacuate_ms,
+            limits=self.limits.convert(),
         )
 
 
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -14,6 +14,7 @@
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
 from anvilshift.wire.response import ExchangeError, Response
+from anvilshift.wire.traffic import TrafficCounter
 
 _MAX_IDLE_PER_ADDRESS = 64
 _IDLE_TIMEOUT_FRACTION = 0.8
@@ -87,6 +88,8 @@
     ----------
     opened
         How many connections it has opened.
+    traffic
+        Counts what its connections send and receive.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self._network = network or TcpNetwork()
         self._idle: dict[Address, list[Connection]] = defaultdict(list)
         self.opened = 0
+        self.traffic = TrafficCounter()
 
     def take_idle(
         self, address: Address, is_usable: Callable[[Connection], bool] | None = None
@@ -142,7 +146,7 @@
         ExchangeError
             If it can't be opened.
         """
-        opened = Connection(address, via)
+        opened = Connection(address, via, self.traffic)
         try:
             async with asyncio.timeout((timeout or self._connect_timeout) / SECOND):
                 await (network or self._network).open(opened, address)
@@ -155,6 +159,10 @@
         self.opened += 1
         return opened
 
+    def count_idle(self) -> int:
+        """Return the number of connections that wait for reuse."""
+        return sum(len(idle) for idle in self._idle.values())
+
     async def _connect(self, address: Address) -> Connection:
         return self.take_idle(address) or await self.open(address)
 
--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -11,6 +11,7 @@
 from anvilshift.wire.messages import Address, HeaderFields, set_reset_on_close
 from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.receivebuffer import RECEIVE_BUFFER
+from anvilshift.wire.traffic import TrafficCounter
 
 _READ_AHEAD_BYTES = 256 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
@@ -26,6 +27,8 @@
     via
         Name of the process through which the server is reached; empty for a direct
         connection.
+    traffic
+        Counts what it sends and receives, with others.
 
     Attributes
     ----------
@@ -37,7 +40,10 @@
         When it last received bytes.
     """
 
-    def __init__(self, address: Address, via: str = "") -> None:
+    def __init__(
+        self, address: Address, via: str = "", traffic: TrafficCounter | None = None
+    ) -> None:
+        self._traffic = traffic or TrafficCounter()
         self.address = address
         self.via = via
         self.transport: asyncio.Transport | None = None
@@ -85,6 +91,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; close an idle connection that received any."""
         self.heard = self.received = time.monotonic() * SECOND
+        self._traffic.add_received(nbytes)
         if self._idle:
             # Unsolicited bytes on an idle connection would be read as the answer
             # to the next request on it, which belongs to another caller.
@@ -132,7 +139,9 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         # Does not wait for the write buffer to drain: a server may answer without
         # reading all of a long body, and the client must then read that answer.
-        self.transport.write(b"".join(part for part in parts if part))
+        written = b"".join(part for part in parts if part)
+        self.transport.write(written)
+        self._traffic.add_sent(len(written))
         if self._timeouts is not None:
             self._timeouts.record_write()
 
--- a/tests/platform/memorynetwork.py
+++ b/tests/platform/memorynetwork.py
@@ -4,7 +4,8 @@
 import itertools
 
 from anvilshift.wire.messages import Address
-from anvilshift.wire.server import HttpServer, _Connection
+from anvilshift.wire.server import HttpServer
+from anvilshift.wire.serverconnection import ServerConnection
 
 _ONE_WAY_S = 0.002
 
@@ -101,7 +102,7 @@
         if self.is_down:
             await asyncio.Event().wait()
         await asyncio.sleep(2 * _ONE_WAY_S)
-        near, far = _Pipe(protocol), _Pipe(_Connection(self._server))
+        near, far = _Pipe(protocol), _Pipe(ServerConnection(self._server))
         near.peer, far.peer = far, near
         far.peer_name = (self._source, 1) if self._source else None
         self._ends += [near, far]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from anvilshift.core.admission.callershare import HostLimits
 from anvilshift.core.errors import AnvilshiftError
 from anvilshift.core.health.coldtargets import ColdBounds
 from anvilshift.core.retries import RetryLimits
@@ -63,6 +64,15 @@
             read_settings(self.write(wrong))
         self.assertIn("stableMs", caught.exception.detail)
 
+    def test_limits_of_the_host_are_read_and_may_be_missing(self):
+        self.assertEqual(read_settings(self.write(TEXT)).limits, HostLimits())
+        limits = "[limits]\nlinkMbps = 12.0\nmemoryMb = 251\nmaxFds = 9840\n"
+        found = read_settings(self.write(TEXT + limits)).limits
+        self.assertEqual(found, HostLimits(12.0, 251.0, 9840))
+        for wrong in ("linkMbps = 0", "memoryMb = -1", "maxFds = 1.5"):
+            with self.assertRaises(AnvilshiftError):
+                read_settings(self.write(TEXT + f"[limits]\n{wrong}\n"))
+
     def read_retries(self, **values: str) -> RetryLimits:
         bounds = "".join(f"{name} = {value}\n" for name, value in values.items())
         return read_settings(
