Keep requests in the router while its link is full, most urgent first

Cause: what is written on a full link waits in buffers where no deadline and no close is heard; requests reached targets over half a second after their callers had left.

Those due first go first. What would still wait at its deadline is refused at once, not run.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -2,6 +2,7 @@
 
 import random
 
+from anvilshift.core.admission.linkqueue import LinkQueue
 from anvilshift.core.admission.linkuse import Traffic
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.blame import CrashBlame
@@ -26,6 +27,7 @@
 from anvilshift.gateway.hostload import HostLoad
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.linkpace import LinkPace
 from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.partstore import PartStore
@@ -152,6 +154,9 @@
             self.peers, self.loads, self.reach.paths, clock, network
         )
         self.starts = TargetStarts(self.client, dialect, clock, journal)
+        link = settings.limits.link
+        self.pace = LinkPace(clock, LinkQueue(link) if link else None)
+        self.pace.count_written = self._count_written
         sender = Sender(
             self.reach,
             dialect,
@@ -162,6 +167,7 @@
             self.limits,
             self.starts,
             self.cold,
+            self.pace,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -348,6 +354,11 @@
             server.received + client.received + peers.received,
         )
 
+    def _count_written(self) -> int:
+        """Return the bytes that were written to the link so far, with headers."""
+        sent, received = self._find_traffic()
+        return sent.count_bytes(received)
+
     def _count_sockets(self) -> int:
         """Return about how many sockets are open."""
         return len(self.server.connections) + self.in_flight + self.client.count_idle()
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -8,9 +8,15 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
+from anvilshift.core.errors import ENGINE_FAILED, OVERLOADED, AnvilshiftError
 from anvilshift.core.routing import RequestKind
 from anvilshift.core.targetload import Prompt
-from anvilshift.core.timeouts import find_attempt_timeout, find_pause_timeout, rank
+from anvilshift.core.timeouts import (
+    find_attempt_timeout,
+    find_pause_timeout,
+    find_return,
+    rank,
+)
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attemptfailures import AttemptFailures
 from anvilshift.gateway.border import TargetFields
@@ -142,6 +148,7 @@
 
     async def _attempt(self, planned: PlannedAttempt) -> None:
         shared, choice = self._shared, planned.choice
+        await self._wait_for_link()
         self.predicted = choice.wait
         self.sent, self.via = shared.clock.now(), ""
         self._relay.start_attempt()
@@ -168,6 +175,31 @@
             self._retries.record_arrival()
             self._crashes.end(self.target, progress.targets > before[1])
 
+    async def _wait_for_link(self) -> None:
+        """Wait while this router's link is full; what can't be sent in time is refused.
+
+        Raises
+        ------
+        AnvilshiftError
+            When the request would still wait at its deadline.
+        """
+        shared, routed = self._shared, self._routed
+        pace, length = shared.sender.pace, len(routed.request.body)
+        if pace is None:
+            return
+        now, due = shared.clock.now(), routed.arrived + routed.rule.objective
+        if now > due:
+            # It is late already, and leaves the link to those that aren't.
+            due = routed.end
+        left = max(0.0, routed.end - now)
+        expected = pace.find_expected(due, length)
+        if not expected or expected < left:
+            await pace.wait(due, length)
+            return
+        detail = f"a wait of {expected:.0f} ms for this router's link is expected"
+        code = ENGINE_FAILED if self._progress.may_have_run else OVERLOADED
+        raise AnvilshiftError(code, detail, find_return(expected, left, shared.rng))
+
     def _make_watch(self) -> SilenceWatch:
         target = self.target
         return SilenceWatch(
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -16,6 +16,7 @@
 from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
+from anvilshift.gateway.linkpace import LinkPace
 from anvilshift.gateway.messages import Begun, Ended, Held, Leaving, Sent
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
 from anvilshift.gateway.peers import Peers
@@ -46,6 +47,7 @@
     limits: RateLimits
     starts: TargetStarts
     cold: ColdTargets | None = None
+    pace: LinkPace | None = None
     _logged_fields: set[str] = field(default_factory=set)
 
     @contextlib.asynccontextmanager
--- a/tests/platform/test_callers_leave.py
+++ b/tests/platform/test_callers_leave.py
@@ -16,7 +16,7 @@
     b"Anvilshift-Token-Usage: 100,30\r\nAnvilshift-Prefix-Hash: a:60,b:40\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
-WAITS = ("tokens", "permit", "connection")
+WAITS = ("tokens", "permit", "link", "connection")
 
 
 class ShiftedClock(MonotonicClock):
@@ -53,6 +53,7 @@
         owner, name = {
             "tokens": (node.reservations, "reserve"),
             "permit": (PermitSession, "request_permit"),
+            "link": (node.pace, "wait"),
             "connection": (node.reach, "connect"),
         }[wait]
         original = getattr(owner, name)
