--- a/tests/gateway/test_sparing.py
+++ b/tests/gateway/test_sparing.py
@@ -165,6 +165,19 @@
         frequent, sparing = self.measure(scenario)
         self.assertLessEqual(sparing, frequent)
 
+    def test_kill_of_both_allocators_is_served_by_deputies(self):
+        """Guards against refusals to all organisations until two hosts are back."""
+
+        async def scenario(fleet):
+            start_all(fleet, TOTAL)
+            await use(fleet, HISTORY / 1_000.0 + 5.0, BUSY_TOKENS)
+            for node in list_candidates(POUNDS, HOSTS, 2)[:2]:
+                fleet.kill(node)
+            self.assertEqual((await use(fleet, 4.0, BUSY_TOKENS)).count(False), 0)
+            self.assertLessEqual(fleet.count_spent(), TOTAL)
+
+        run_scenario(scenario, recording=True, sparing=True)
+
     def test_calm_fleet_makes_a_quarter_of_the_writes(self):
         """Guards against writes that a calm fleet pays for and nobody needs."""
         for routers in (12, 28):
