Send a slowly moving part of a full domain's callers elsewhere

Cause: a domain whose routers are all full named only those of other domains at once; its callers left together and came back together.

--- a/anvilshift/core/endpoints.py
+++ b/anvilshift/core/endpoints.py
@@ -39,7 +39,9 @@
     is_full: bool = False
 
 
-def choose_endpoints(routers: Sequence[Endpoint], domain: str) -> tuple[str, ...]:
+def choose_endpoints(
+    routers: Sequence[Endpoint], domain: str, is_far: bool = False
+) -> tuple[str, ...]:
     """Return the router addresses for callers in a failure domain.
 
     Parameters
@@ -48,6 +50,8 @@
         Routers that are reachable now.
     domain
         Failure domain of the caller; empty if unknown.
+    is_far
+        Whether the caller is told of other domains' routers, if these have room.
 
     Examples
     --------
@@ -63,7 +67,10 @@
     """
     local = [router for router in routers if router.failure_domain == domain]
     usual = local if len(local) >= _MIN_LOCAL_ROUTERS else routers
-    chosen = _leave_out_full(usual) or _leave_out_full(routers) or usual
+    chosen = _leave_out_full(usual) or usual
+    if is_far:
+        others = [router for router in routers if router.failure_domain != domain]
+        chosen = _leave_out_full(others) or chosen
     return tuple(router.address for router in chosen)
 
 
--- a/anvilshift/gateway/directory.py
+++ b/anvilshift/gateway/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from anvilshift.core.admission.farcallers import FarCallers
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.endpoints import Endpoint, choose_endpoints
 from anvilshift.gateway.peers import Peers
@@ -47,6 +48,7 @@
         self._peers = peers
         self._is_ready = is_ready
         self._list_full = list_full
+        self._far = FarCallers()
 
     def list_endpoints(self, domain: str = "") -> Endpoints:
         """Return the addresses to which callers of a failure domain may connect."""
@@ -67,7 +69,12 @@
                 self._settings.name in full,
             )
             found.append(own)
-        return Endpoints(choose_endpoints(found, domain), self.get_ttl())
+        near = [one.is_full for one in found if one.failure_domain == domain]
+        if near:
+            part = sum(near) / len(near)
+            self._far.update(domain, part, self._peers.clock.now())
+        chosen = choose_endpoints(found, domain, self._far.take(domain))
+        return Endpoints(chosen, self.get_ttl())
 
     def get_ttl(self) -> Millis:
         """Return the time for which callers may cache the addresses."""
