Open returning targets at the pace of their answers, where settings ask for it

Cause: the decision of core/health/pace.py was used nowhere. Change: gateway/pacing.py notes starts and ends of ejections, tells outcomes to all routers in optional last fields of Begun and Ended while a target opens, and names the targets of which this router has no share; the choice leaves them out while another target takes the request at once. On by `pacesReturns`, or where the platform's contracts name `health`; off elsewhere, where messages and choices stay as they were (tests).

Ruled out: refusing where this router has no share (with few requests a second most of forty routers would refuse for seconds).

--- a/anvilshift/core/health/pace.py
+++ b/anvilshift/core/health/pace.py
@@ -37,7 +37,7 @@
 """Factor of the pace after a late answer or a rejection."""
 _OPENING: Millis = 3 * SECOND
 """Time after which a target is open that has answered, and never late."""
-_FLAPPING: Millis = 60 * SECOND
+FLAPPING: Millis = 60 * SECOND
 """Time since its last return within which a target comes back with less trust."""
 _WORSE = 1.5
 """How much longer than usual at its service an answer takes that the target is blamed
@@ -149,7 +149,7 @@
         """
         pace = cls(slots, now)
         pace.window = min(_FIRST, pace.find_most())
-        if former is not None and now - former.since < _FLAPPING:
+        if former is not None and now - former.since < FLAPPING:
             pace.window = _LEAST
             pace._threshold = max(_LEAST, former.window * _CLOSING)
         return pace
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -12,6 +12,7 @@
 from anvilshift.core.retention import MarkLog
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import Configuration, RouteTable
+from anvilshift.core.targetload import TargetInfo
 from anvilshift.gateway.answering import send_error
 from anvilshift.gateway.border import Dialect, make_server_limits
 from anvilshift.gateway.coldmessages import TargetCold
@@ -25,6 +26,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.origins import StreamOrigins
+from anvilshift.gateway.pacing import Pacing
 from anvilshift.gateway.partstore import PartStore
 from anvilshift.gateway.partwatch import PartWatch
 from anvilshift.gateway.passing import RequestHandler
@@ -149,6 +151,15 @@
             self.peers, self.loads, self.reach.paths, clock, network
         )
         self.starts = TargetStarts(self.client, dialect, clock, journal)
+        self.pacing = Pacing(
+            self.incarnation,
+            settings.failure_domain,
+            self.loads,
+            self.peers,
+            clock,
+            journal,
+            settings.paces_returns,
+        )
         sender = Sender(
             self.reach,
             dialect,
@@ -159,6 +170,7 @@
             self.limits,
             self.starts,
             self.cold,
+            self.pacing,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -284,12 +296,17 @@
     def _connect_cold(self) -> None:
         cold, messenger = self.cold, self.messenger
         cold.find_confirmed = lambda: self.target_follower.confirmed
-        self.targets.on_entry = cold.apply_entry
+        self.targets.on_entry = self._apply_entry
+        self.shared.health.on_return = self.pacing.record_return
         self.drains.on_return = cold.presume_cold
         self.shared.health.on_unreachable = cold.record_unreachable
         messenger.add_handler(TargetCold, cold.apply_message)
         messenger.tell_new_router.append(cold.tell_new_router)
 
+    def _apply_entry(self, info: TargetInfo) -> None:
+        self.cold.apply_entry(info)
+        self.pacing.apply_entry(info)
+
     def _settle_configurations(self, names: set[str]) -> None:
         if self.shared.table is None and self.dialect.configuration_name not in names:
             self.shared.origins.note_beginning()
@@ -318,7 +335,8 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
-        parts = (self.configurations, self.drains, self.cold, self.shared.sender.told)
+        told = self.shared.sender.told
+        parts = (self.configurations, self.drains, self.cold, self.pacing, told)
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
         }
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
+from anvilshift.core.health.pace import judge_answer
 from anvilshift.core.placement.paces import WorkKind
 from anvilshift.core.placement.toldload import LoadReport
 from anvilshift.core.routing import RequestKind
@@ -318,8 +319,18 @@
         target.measure(span, outgoing.choice.unscaled)
         if success:
             self._first_at = self._shared.clock.now()
+            self._record_outcome(outgoing, span)
             self._record_pace(outgoing, span)
 
+    def _record_outcome(self, outgoing: Outgoing, span: Millis) -> None:
+        """Record whether the target was late by its own fault."""
+        objective = self._routed.rule.objective - (self.sent - self._routed.arrived)
+        usual = outgoing.choice.wait
+        if not outgoing.capacity:
+            usual += self._shared.find_service_time(self._routed.service).value
+        outcome = judge_answer(span, objective, usual)
+        self._shared.sender.record_outcome(outgoing, outcome, self.sent)
+
     def _record_pace(self, outgoing: Outgoing, span: Millis) -> None:
         """Record how fast the target worked, unless the request waited for a slot."""
         choice, now = outgoing.choice, self._shared.clock.now()
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -246,11 +246,17 @@
         now = self.clock.now()
         self.loads.begin(message.target, message.run, now)
         self.shared.sender.told.apply(message, now)
+        self._hear_outcome(message)
 
     def _handle_ended(self, message: Ended) -> None:
         # The told figures contain the run.
         self.shared.sender.told.apply(message, self.clock.now())
         self.loads.end(message.target, message.run)
+        self._hear_outcome(message)
+
+    def _hear_outcome(self, message: Begun | Ended) -> None:
+        if self.shared.sender.pacing is not None:
+            self.shared.sender.pacing.hear(message)
 
     def _handle_blamed(self, message: Blamed) -> None:
         now = self.clock.now()
--- a/anvilshift/gateway/datagrams.py
+++ b/anvilshift/gateway/datagrams.py
@@ -66,8 +66,8 @@
     Examples
     --------
     >>> from anvilshift.gateway.messages import Ended
-    >>> decode(encode(Ended("r1/7", "e1")))
-    [Ended(run='r1/7', target='e1', told=(), told_age=0.0, paces=())]
+    >>> decode(encode(Ended("r1/7", "e1")))  # doctest: +ELLIPSIS
+    [Ended(run='r1/7', target='e1', ..., outcome='', took=0.0)]
     """
     return [_decode_line(json.loads(line)) for line in datagram.split(b"\n")]
 
--- a/anvilshift/gateway/runmessages.py
+++ b/anvilshift/gateway/runmessages.py
@@ -55,6 +55,9 @@
         none lately.
     paces
         How fast the target did each kind of work of the run; zero for no sample.
+    outcome, took
+        What the answer says of a target that has just started or come back, and the
+        time from its sending; empty for others.
     """
 
     run: str
@@ -62,6 +65,8 @@
     told: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
     told_age: Millis = field(default=0.0, metadata=OPTIONAL)
     paces: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
+    outcome: str = field(default="", metadata=OPTIONAL)
+    took: Millis = field(default=0.0, metadata=OPTIONAL)
 
 
 @dataclass(frozen=True)
@@ -73,3 +78,5 @@
     told: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
     told_age: Millis = field(default=0.0, metadata=OPTIONAL)
     paces: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
+    outcome: str = field(default="", metadata=OPTIONAL)
+    took: Millis = field(default=0.0, metadata=OPTIONAL)
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.health.pace import Outcome
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
@@ -18,6 +19,7 @@
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.messages import Ended, Held, Leaving, Sent
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
+from anvilshift.gateway.pacing import Pacing
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
@@ -47,6 +49,7 @@
     limits: RateLimits
     starts: TargetStarts
     cold: ColdTargets | None = None
+    pacing: Pacing | None = None
     told: ToldLoads = field(init=False)
     _logged_fields: set[str] = field(default_factory=set)
 
@@ -119,6 +122,8 @@
         now = self.clock.now()
         outgoing.choice.target.rejections.add(notes.not_run, now)
         self.told.record_answer(outgoing.choice.target, notes, now)
+        if notes.not_run:
+            self.record_outcome(outgoing, Outcome.REJECTED, sent)
         name = outgoing.choice.target.info.name
         if notes.signed or notes.limit is not None:
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
@@ -313,6 +318,15 @@
             info = choice.target.info
             self.peers.send_far(Held(info.name, shared_parts), info.failure_domain)
 
+    def record_outcome(
+        self, outgoing: Outgoing, outcome: Outcome, sent: Millis
+    ) -> None:
+        """Record what an answer says of a target that has just come back."""
+        if self.pacing is not None:
+            name = outgoing.choice.target.info.name
+            has_ended = outcome is Outcome.REJECTED
+            self.pacing.record(name, outgoing.run, outcome, sent, has_ended)
+
     def record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and tell the other routers."""
         target, now = outgoing.choice.target, self.clock.now()
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -37,6 +37,8 @@
         there any more; None if operators can't drain failure domains.
     cold
         How far the rate of a cold target may be exceeded in any one second.
+    paces_returns
+        Whether targets that start or come back are opened at the pace of their answers.
     """
 
     name: str
@@ -58,3 +60,4 @@
     readers_per_domain: int = 1
     drain_bound: Millis | None = None
     cold: ColdBounds = field(default_factory=ColdBounds)
+    paces_returns: bool = False
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -38,8 +38,17 @@
         failed_targets
             Targets at which an attempt failed.
         """
-        shared, routed, now = self.shared, self.routed, self.shared.clock.now()
         excluded = self.list_excluded(failed_targets)
+        pacing = self.shared.sender.pacing
+        closed = pacing.list_closed(self.routed.service) if pacing else set()
+        if closed:
+            choice = self._choose(excluded | closed)
+            if choice is not None and choice.turn <= 0.0:
+                return choice
+        return self._choose(excluded)
+
+    def _choose(self, excluded: Set[str]) -> Choice | None:
+        shared, routed, now = self.shared, self.routed, self.shared.clock.now()
         delays = self.turn.list_permit_delays()
         if routed.model is not None:
             demand = self._make_demand(routed.model, delays, now)
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -33,6 +33,8 @@
         This router and its failure domain.
     on_unreachable
         Called with a target that accepted no connection.
+    on_return
+        Called with a target whose ejection has ended.
     """
 
     router: str
@@ -44,6 +46,7 @@
     rng: random.Random
     reports: FailureReports = field(default_factory=FailureReports)
     on_unreachable: Callable[[TargetLoad], None] = lambda target: None
+    on_return: Callable[[TargetLoad], None] = lambda target: None
 
     def record_failure(
         self,
@@ -109,6 +112,8 @@
             health.probe(now)
             if self._is_suspect(target) and self._may_eject(target):
                 self._eject(target, lasting=False)
+            else:
+                self.on_return(target)
 
     def _judge(self, target: TargetLoad, report: FailureReport) -> None:
         name, now = target.info.name, self.clock.now()
--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -95,6 +95,8 @@
     listen: _Listen
     bounds: _Bounds = Field(default_factory=_Bounds)
     platform: _Store
+    contracts: list[str] = Field(default_factory=list)
+    paces_returns: bool | None = Field(default=None, alias="pacesReturns")
     readers_per_domain: int = Field(
         default=GatewaySettings.readers_per_domain,
         alias="storeReadersPerZone",
@@ -125,8 +127,15 @@
             watch_port=self.ports[0] + 3,
             readers_per_domain=self.readers_per_domain,
             drain_bound=self.bounds.evacuate_ms,
+            paces_returns=self._convert_paces(),
         )
 
+    def _convert_paces(self) -> bool:
+        """Return whether the operators ask for paced returns, or the contracts do."""
+        if self.paces_returns is not None:
+            return self.paces_returns
+        return names.HEALTH_CONTRACT in self.contracts
+
 
 def _convert_to_ms(seconds: float | None) -> Millis | None:
     return None if seconds is None else seconds * SECOND
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,6 +42,18 @@
         pathlib.Path(self.path).write_text(text)
         return self.path
 
+    def test_returns_are_paced_where_settings_or_contracts_ask_for_it(self):
+        """Guards against earlier deployments whose targets' returns change."""
+
+        def read(lines: str) -> bool:
+            return read_settings(self.write(lines + TEXT)).paces_returns
+
+        self.assertFalse(read(""))
+        self.assertFalse(read('contracts = ["base","drain"]'))
+        self.assertTrue(read('contracts = ["base","health"]'))
+        self.assertTrue(read("pacesReturns = true"))
+        self.assertFalse(read('contracts = ["health"]\npacesReturns = false'))
+
     def test_history_is_none_unless_the_settings_state_it(self):
         """Guards against a guessed duration of the store's history.
 
