Tell all routers of plain targets that have become slow or full

Cause: in a larger fleet routers don't tell each other of plain requests, so that a told figure reached only the router that read it, about once in 400 ms a target at forty routers. And full targets were drawn as a group of their own: a single one was compared by each request, and taken if it was the fastest.

Change: the end of a plain request is told to all with the target's figures when it has become slow (1.25 of its usual) or three quarters full; full targets are compared only if all are. Ruled out: telling of every plain request, some hundred datagrams a second at each router.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -200,17 +200,18 @@
 ) -> list[tuple[int, TargetLoad]]:
     """Return some of the targets, of those with the longest cached prefix as well.
 
-    Some of each kind are among them, so that no request is refused for want of room
-    that others have.
+    Full ones are among them only if all are full: a single one would be compared by
+    every request.
     """
-    longest = max(cached for cached, _ in matches)
+    free = [match for match in matches if _has_room(match[1], demand.turns, now)]
+    pool = free or matches
+    longest = max(cached for cached, _ in pool)
 
-    def group(match: tuple[int, TargetLoad]) -> tuple[bool, bool, bool]:
+    def group(match: tuple[int, TargetLoad]) -> tuple[bool, bool]:
         cached, target = match
-        is_near = target.info.failure_domain == demand.domain
-        return cached == longest, is_near, _has_room(target, demand.turns, now)
+        return cached == longest, target.info.failure_domain == demand.domain
 
-    return draw_candidates(matches, group, rng)
+    return draw_candidates(pool, group, rng)
 
 
 def _has_room(target: TargetLoad, turns: Mapping[str, Millis], now: Millis) -> bool:
@@ -356,7 +357,8 @@
     if not usable:
         return None
     if not hears_all and loads.uses_paces(service):
-        usable = draw_candidates(usable, lambda t: _has_room(t, turns or {}, now), rng)
+        free = [one for one in usable if _has_room(one, turns or {}, now)]
+        usable = draw_candidates(free or usable, lambda target: None, rng)
 
     def cost(target: TargetLoad) -> float:
         queue = target.count_requests(now) / max(1, target.info.slots)
--- a/anvilshift/core/placement/toldload.py
+++ b/anvilshift/core/placement/toldload.py
@@ -28,6 +28,10 @@
 _PERCENT = 100.0
 _FASTEST, _SLOWEST = 0.1, 20.0
 """Bounds of a slowness that can be true."""
+_NOTABLY_SLOW = 1.25
+"""Slowness relative to the usual from which other routers are told in any case."""
+_NOTABLY_FULL = 0.75
+"""Requests relative to the slots from which they are: the rest is soon taken."""
 _FIGURES = (3, 4)
 """Numbers of figures that a target may tell."""
 
@@ -135,6 +139,18 @@
         if now - self.at <= _NEWS_DELAY:
             self.known += 1
 
+    def is_notable(self, usual: float) -> bool:
+        """Return whether it tells of a target that others should know to avoid.
+
+        Parameters
+        ----------
+        usual
+            How long work takes there usually.
+        """
+        slowness = self.load.slowness
+        is_slow = slowness is not None and slowness >= _NOTABLY_SLOW * usual
+        return is_slow or self.load.requests >= _NOTABLY_FULL * self.load.slots
+
     def _weigh(self, now: Millis, valid: Millis) -> float:
         """Return the weight of a figure, from 1 when it was told to 0."""
         return min(1.0, max(0.0, 1.0 - (now - self.at) / valid))
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -253,6 +253,12 @@
         usual = self.paces.find(WorkKind.ANY, 1.0, now)
         return usual if self.report is None else self.report.find_slowness(usual, now)
 
+    def is_notable(self, now: Millis) -> bool:
+        """Return whether it has told of itself what all routers should know."""
+        if self.report is None or not self.paces.service.are_used:
+            return False
+        return self.report.is_notable(self.paces.find(WorkKind.ANY, 1.0, now))
+
     def compare_pace(self, kind: WorkKind, now: Millis) -> float:
         """Return how long work takes now, relative to the usual at its service.
 
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -345,13 +345,19 @@
 
         In a larger fleet these are only the routers near it, and only model engines
         are reported: a request at a plain service ends about as soon as the message
-        arrives.
+        arrives.  All are told of the end there if the target has become slow or full.
         """
         if self.peers.small:
             self.peers.broadcast(message)
         elif outgoing.capacity:
             domain = outgoing.choice.target.info.failure_domain
             self.peers.send_near(message, domain, soon=isinstance(message, Sent))
+        elif isinstance(message, Ended) and self._is_notable(message, outgoing):
+            self.peers.broadcast(message)
+
+    def _is_notable(self, message: Ended, outgoing: Outgoing) -> bool:
+        target, now = outgoing.choice.target, self.clock.now()
+        return bool(message.told) and target.is_notable(now)
 
 
 def _check_answer(outgoing: Outgoing, notes: AnswerFields) -> None:
--- a/tests/core/placement/test_uneven.py
+++ b/tests/core/placement/test_uneven.py
@@ -10,6 +10,15 @@
 """A target's slots and a quarter: more must never be there at one time."""
 
 
+def add_slow_moments(fleet: UnevenFleet, count: int) -> None:
+    """Let one target after the other work 2.5 times as long for 400 ms."""
+    names = list(fleet.targets)
+    for n in range(count):
+        slow = fleet.targets[names[fleet.rng.randrange(len(names))]]
+        fleet.at(n * 500.0, lambda t=slow: setattr(t, "slow", 2.5))
+        fleet.at(n * 500.0 + 400.0, lambda t=slow: setattr(t, "slow", 1.0))
+
+
 class HerdTest(unittest.TestCase):
     def test_routers_that_know_the_fastest_engine_do_not_flood_it(self):
         """Guards against forty routers that send to the fastest engine at once."""
@@ -31,6 +40,15 @@
             fleet.run()
             self.assertLessEqual(fleet.find_most(), MOST)
 
+    def test_few_plain_targets_with_slow_moments_are_not_flooded(self):
+        """Guards against requests that pile up at a target in its slow moment."""
+        fleet = UnevenFleet([0.6, 1.0, 1.0, 1.6], 6, engines=False)
+        fleet.learn()
+        add_slow_moments(fleet, 20)
+        fleet.load(100.0, 10.0)
+        fleet.run()
+        self.assertLessEqual(fleet.find_most(), MOST)
+
     def test_targets_that_always_say_that_they_are_idle_are_not_flooded(self):
         """Guards against a told figure in the place of what is known."""
         idle = ToldLoad(0, 0, 12, 0.1)
@@ -58,11 +76,7 @@
         )
         fleet.learn()
         fleet.load(200.0 if engines else 100.0, 10.0)
-        names = list(fleet.targets)
-        for n in range(20):
-            slow = fleet.targets[names[fleet.rng.randrange(len(names))]]
-            fleet.at(n * 500.0, lambda t=slow: setattr(t, "slow", 2.5))
-            fleet.at(n * 500.0 + 400.0, lambda t=slow: setattr(t, "slow", 1.0))
+        add_slow_moments(fleet, 20)
         fleet.run()
         return fleet.spans
 
--- a/tests/core/placement/unevenfleet.py
+++ b/tests/core/placement/unevenfleet.py
@@ -145,7 +145,10 @@
             if told is not None:
                 choice.target.record_told(told, self.now)
             loads.end(name, run)
-            for peer in near:
+            hearing = near
+            if not self.engines and choice.target.is_notable(self.now):
+                hearing = [peer for peer in range(ROUTERS) if peer != router]
+            for peer in hearing:
                 at = self.now + self.rng.uniform(*_DELAY)
                 self.at(
                     at, lambda p=peer, n=self.now: self._hear_end(p, name, run, told, n)
--- a/tests/gateway/test_toldloads.py
+++ b/tests/gateway/test_toldloads.py
@@ -57,6 +57,21 @@
         self.assertEqual(encode(message), b'["Ended","r/1","e1"]')
         self.assertEqual(self.router.list_gauges(), {})
 
+    def test_all_are_told_of_a_target_that_has_become_slow_or_full(self):
+        """Guards against routers that go on sending to a slow plain target."""
+        for figures, expected in (
+            ((1, 0, 8, 1.0), False),
+            ((6, 0, 8, 1.0), True),
+            ((1, 0, 8, 2.5), True),
+            ((6, 0, 8), False),
+        ):
+            router = make_router()
+            target = router.loads.targets["e1"]
+            for n in range(9):
+                target.record_told(ToldLoad(1, 0, 8, *figures[3:] and (1.0,)), n)
+            router.record_answer(target, make_notes(ToldLoad(*figures)), 10.0)
+            self.assertEqual(target.is_notable(10.0), expected, figures)
+
     def test_bad_figures_are_ignored_and_counted(self):
         self.router.record_answer(self.target, make_notes(None, bad=True), 0.0)
         self.router.apply(Ended("r/1", "e1", (1, 2), 0.0), 0.0)
