--- a/anvilshift/gateway/datagrams.py
+++ b/anvilshift/gateway/datagrams.py
@@ -117,8 +117,8 @@
     Examples
     --------
     >>> from anvilshift.gateway.messages import Ended
-    >>> decode(encode(Ended("r1/7", "e1")))
-    [Ended(run='r1/7', target='e1', told=(), told_age=0.0, paces=())]
+    >>> decode(encode(Ended("r1/7", "e1")))  # doctest: +ELLIPSIS
+    [Ended(run='r1/7', target='e1', ..., outcome='', took=0.0)]
     """
     if datagram.startswith(_COMPRESSED):
         datagram = _decompress(datagram)
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.health.pace import Outcome
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
@@ -19,6 +20,7 @@
 from anvilshift.gateway.linkpace import LinkPace
 from anvilshift.gateway.messages import Ended, Held, Leaving, Sent
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
+from anvilshift.gateway.pacing import Pacing
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
@@ -48,6 +50,7 @@
     limits: RateLimits
     starts: TargetStarts
     cold: ColdTargets | None = None
+    pacing: Pacing | None = None
     told: ToldLoads = field(init=False)
     pace: LinkPace | None = None
     _logged_fields: set[str] = field(default_factory=set)
@@ -121,6 +124,8 @@
         now = self.clock.now()
         outgoing.choice.target.rejections.add(notes.not_run, now)
         self.told.record_answer(outgoing.choice.target, notes, now)
+        if notes.not_run:
+            self.record_outcome(outgoing, Outcome.REJECTED, sent)
         name = outgoing.choice.target.info.name
         if notes.signed or notes.limit is not None:
             self.limits.apply_answer(name, notes.limit, sent, outgoing.identity)
@@ -315,6 +320,15 @@
             info = choice.target.info
             self.peers.send_far(Held(info.name, shared_parts), info.failure_domain)
 
+    def record_outcome(
+        self, outgoing: Outgoing, outcome: Outcome, sent: Millis
+    ) -> None:
+        """Record what an answer says of a target that has just come back."""
+        if self.pacing is not None:
+            name = outgoing.choice.target.info.name
+            has_ended = outcome is Outcome.REJECTED
+            self.pacing.record(name, outgoing.run, outcome, sent, has_ended)
+
     def record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and tell the other routers."""
         target, now = outgoing.choice.target, self.clock.now()
@@ -333,13 +347,19 @@
 
         In a larger fleet these are only the routers near it, and only model engines
         are reported: a request at a plain service ends about as soon as the message
-        arrives.
+        arrives.  All are told of the end there if the target has become slow or full.
         """
         if self.peers.small:
             self.peers.broadcast(message)
         elif outgoing.capacity:
             domain = outgoing.choice.target.info.failure_domain
             self.peers.send_near(message, domain, soon=isinstance(message, Sent))
+        elif isinstance(message, Ended) and self._is_notable(message, outgoing):
+            self.peers.broadcast(message)
+
+    def _is_notable(self, message: Ended, outgoing: Outgoing) -> bool:
+        target, now = outgoing.choice.target, self.clock.now()
+        return bool(message.told) and target.is_notable(now)
 
 
 def _check_answer(outgoing: Outgoing, notes: AnswerFields) -> None:
--- a/anvilshift/gateway/settings.py
+++ b/anvilshift/gateway/settings.py
@@ -44,6 +44,8 @@
     limits
         What the process may use of its host; by default it isn't known, and nothing
         is decided by it.
+    paces_returns
+        Whether targets that start or come back are opened at the pace of their answers.
     """
 
     name: str
@@ -67,3 +69,4 @@
     drain_bound: Millis | None = None
     cold: ColdBounds = field(default_factory=ColdBounds)
     limits: HostLimits = field(default_factory=HostLimits)
+    paces_returns: bool = False
