--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -178,8 +178,8 @@
             self.limits,
             self.starts,
             self.cold,
-            self.pace,
             self.pacing,
+            self.pace,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -359,8 +359,14 @@
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
         told = self.shared.sender.told
-        parts = (self.configurations, self.drains, self.cold, told, self.host_load)
-        parts = (self.configurations, self.drains, self.cold, self.pacing, told)
+        parts = (
+            self.configurations,
+            self.drains,
+            self.cold,
+            self.pacing,
+            told,
+            self.host_load,
+        )
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
         }
