--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -358,15 +358,8 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
-        told = self.shared.sender.told
-        parts = (
-            self.configurations,
-            self.drains,
-            self.cold,
-            self.pacing,
-            told,
-            self.host_load,
-        )
+        agreed = (self.configurations, self.drains, self.cold, self.pacing)
+        parts = (*agreed, self.shared.sender.told, self.host_load)
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
         }
