--- a/anvilshift/platform/settings.py
+++ b/anvilshift/platform/settings.py
@@ -111,8 +111,9 @@
     bounds: _Bounds = Field(default_factory=_Bounds)
     platform: _Store
     limits: _Limits = Field(default_factory=_Limits)
-    contracts: list[str] = Field(default_factory=list)
-    paces_returns: bool | None = Field(default=None, alias="pacesReturns")
+    paces_returns: bool = Field(
+        default=GatewaySettings.paces_returns, alias="pacesReturns"
+    )
     readers_per_domain: int = Field(
         default=GatewaySettings.readers_per_domain,
         alias="storeReadersPerZone",
@@ -149,15 +150,9 @@
             spare_writes=self.spare_writes,
             drain_bound=self.bounds.evacuate_ms,
             limits=self.limits.convert(),
-            paces_returns=self._convert_paces(),
+            paces_returns=self.paces_returns,
         )
 
-    def _convert_paces(self) -> bool:
-        """Return whether the operators ask for paced returns, or the contracts do."""
-        if self.paces_returns is not None:
-            return self.paces_returns
-        return names.HEALTH_CONTRACT in self.contracts
-
 
 def _convert_to_ms(seconds: float | None) -> Millis | None:
     return None if seconds is None else seconds * SECOND
