Draw while three times a store outage's use is held, not twice

A draw was due below three quarters of the cushion, and below twice what a record allows.

Change: below nine tenths of the cushion, as in small fleets, and below three times what a record allows.

--- a/anvilshift/core/money/draws.py
+++ b/anvilshift/core/money/draws.py
@@ -18,11 +18,10 @@
 """How much longer what a write told of the free tokens counts for draws that no request
 waits for.  Tokens may be free again after a router has ended."""
 _OFTEN_BELOW = 0.9
-"""Fraction of the cushion below which a router of a small fleet draws more tokens."""
-_DUE_BELOW = 0.75
-"""The same fraction where each draw should be worth its write."""
-_OUTAGES_HELD = 2.0
-"""Multiple of what a record allows that is held at least: the rate may have doubled by
+"""Fraction of the cushion below which a router of a small fleet draws more tokens, and
+one of a larger fleet along with others."""
+_OUTAGES_HELD = 3.0
+"""Multiple of what a record allows that is held at least: the rate may grow as much by
 the next record."""
 _MIN_GAIN = 0.1
 """Smallest draw, as a fraction of the cushion.  Draws from a total that is nearly used
@@ -72,6 +71,6 @@
         >>> Cushion(ready=39, wanted=100, outage_use=20, free=8).is_due()
         False
         """
-        needed = min(self.wanted * _DUE_BELOW, self.outage_use * _OUTAGES_HELD)
+        needed = self.outage_use * _OUTAGES_HELD
         gains = self.free is None or self.free >= self.wanted * _MIN_GAIN
-        return self.ready < needed and gains
+        return self.is_low() and self.ready < needed and gains
