Order requests where room is short, and refuse what can't end in time

Cause: the gateway sends each request at once, whatever happened to those before it.

The change: a router measures whether most of its requests begin later than their routes' objectives. While they do, it bounds how many are under way; the others wait by priority, organisation, return and latest start, or are refused at once with a moment of their own. An answer on its way at a route's timeout is delivered for 200 ms more. Openings of connections that time out everywhere count as this router's own full link, and no longer as failures of its targets.

core/admission.py moves to core/admission/deadlines.py, unchanged.

--- a/anvilshift/core/backlog.py
+++ b/anvilshift/core/backlog.py
@@ -1,6 +1,6 @@
 """The queue of waiting work: admission, expiry and dropping."""
 
-from anvilshift.core.admission import QueueLoad, misses_deadline
+from anvilshift.core.admission.deadlines import QueueLoad, misses_deadline
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import NO_ENGINE, OVERLOADED, PAST_DEADLINE, Code
 from anvilshift.core.pools import Pool
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
-from anvilshift.core.admission import draw_retry_delay, misses_deadline
+from anvilshift.core.admission.deadlines import draw_retry_delay, misses_deadline
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.errors import QUARANTINED, Code
--- a/anvilshift/core/timeouts.py
+++ b/anvilshift/core/timeouts.py
@@ -100,9 +100,32 @@
     return max(_MIN_RETRY_DELAY, min(wait, left * _RETRY_FRACTION) * jitter)
 
 
+def bound_return(place: Millis, left: Millis, rng: random.Random) -> Millis:
+    """Return the retry delay for a refused caller that has a place of its own.
+
+    Parameters
+    ----------
+    place
+        Time after which there is room for it, and not for all others.
+    left
+        Time until the request's deadline.
+
+    Examples
+    --------
+    >>> bound_return(place=400.0, left=2_000.0, rng=random.Random(1))
+    400.0
+    """
+    if _MIN_RETRY_DELAY <= place <= left * _RETRY_FRACTION:
+        return place
+    return find_return(place, left, rng)
+
+
 _MAX_EVENTS_IN_TRANSIT = 2
 """Upper bound of the events that an engine produces until it learns that the
 connection was closed: events are at least 20 ms apart, and a close takes 5 ms."""
+ANSWER_TRANSIT: Millis = 0.2 * SECOND
+"""How long an answer may be on its way at the deadline: targets stop work then, and a
+full link holds what they have sent for about as long."""
 NO_ENGINE_RETRY: Millis = 0.7 * SECOND
 """Retry delay when no engine is available: a restart or a hand-over of an engine takes
 about this long."""
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -21,6 +21,7 @@
 from anvilshift.gateway.planning import AttemptPlanner, PlannedAttempt
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.retrying import RequestRetries
+from anvilshift.gateway.rooms import RequestRoom
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.silencewatch import SilenceWatch
@@ -48,6 +49,7 @@
         relay: AnswerRelay,
         turn: PermitSession,
         crashes: CrashTracker,
+        room: RequestRoom,
     ) -> None:
         self._shared = shared
         self._routed = routed
@@ -75,6 +77,7 @@
             chooser,
             self._try,
             crashes,
+            room,
         )
         self._progress = self._planner.progress
         self._failures = AttemptFailures(shared, routed, relay, crashes, self._try)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -25,14 +25,15 @@
     RouteTable,
     Rule,
 )
-from anvilshift.core.timeouts import NO_ENGINE_RETRY, find_return
+from anvilshift.core.timeouts import ANSWER_TRANSIT, NO_ENGINE_RETRY, find_return
 from anvilshift.gateway.attempts import Attempts
 from anvilshift.gateway.border import Call
 from anvilshift.gateway.charging import count_used_tokens
 from anvilshift.gateway.crashes import CrashTracker, digest_request
 from anvilshift.gateway.origins import Finding
 from anvilshift.gateway.permitsession import PermitSession
-from anvilshift.gateway.relaying import AnswerRelay
+from anvilshift.gateway.relaying import COMPLETE, AnswerRelay
+from anvilshift.gateway.rooms import RequestRoom
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.wire.messages import HttpRequest
@@ -65,6 +66,7 @@
         self.payer: OrganisationBudget | None = None
         self.relay = AnswerRelay(responder, shared.clock, shared.buffers)
         self.attempts: Attempts | None = None
+        self.room: RequestRoom | None = None
         self.tokens = 0
         self.why = ""
         self.is_cut = False
@@ -98,6 +100,8 @@
             raise
         finally:
             self.turn.close()
+            if self.room is not None:
+                self.room.close(is_whole=self.relay.outcome == COMPLETE)
             self._write_log_line()
 
     def _record_loss(self, why: str) -> None:
@@ -155,10 +159,12 @@
         self._check_drains(routed)
         self._check_parts(routed)
         self.shared.retries.add_request(routed.service, self.shared.boot_clock.now())
-        attempts = Attempts(self.shared, routed, self.relay, self.turn, crashes)
+        room = self.shared.rooms.open(routed, content)
+        self.room, self.relay.on_first = room, room.begin
+        attempts = Attempts(self.shared, routed, self.relay, self.turn, crashes, room)
         self.attempts = attempts
         if routed.model is None:
-            await self._run_until_deadline(attempts, routed.end)
+            await self._run_until_deadline(attempts, routed)
         else:
             await self._serve_prepaid(attempts, routed, routed.model)
 
@@ -269,24 +275,27 @@
         self.shared.check_accepting_streams()
         reservations, payer = self.shared.reservations, self.payer
         if payer is None:
-            await self._run_until_deadline(attempts, routed.end)
+            await self._run_until_deadline(attempts, routed)
             return
         prompt = routed.call.prompt
         key = f"{routed.call.identity}/{self.shared.runs}"
         most = prompt.tokens + prompt.most_answer + model.tokens_per_event
         await reservations.reserve(payer.name, key, most, routed.end)
         try:
-            await self._run_until_deadline(attempts, routed.end)
+            await self._run_until_deadline(attempts, routed)
         finally:
             if attempts.may_have_run:
                 self.tokens = count_used_tokens(self.relay, prompt, model, routed.rule)
             reservations.settle(payer.name, key, self.tokens)
 
-    async def _run_until_deadline(self, attempts: Attempts, end: Millis) -> None:
+    async def _run_until_deadline(
+        self, attempts: Attempts, routed: RoutedRequest
+    ) -> None:
         """Make the attempts, and end the request when its deadline passes.
 
         An answer that has begun is cut off.  Otherwise the error says whether a target
-        may have run the request.
+        may have run the request.  One that a target may have sent by the deadline is
+        waited for a moment longer if its caller waits longer too.
 
         Raises
         ------
@@ -294,10 +303,20 @@
             When the deadline passed before the answer began.
         """
         loop = asyncio.get_running_loop()
-        left = (end - self.shared.clock.now()) / SECOND
+        end = loop.time() + (routed.end - self.shared.clock.now()) / SECOND
         try:
-            async with asyncio.timeout_at(loop.time() + left):
-                await attempts.run()
+            async with asyncio.timeout_at(end + ANSWER_TRANSIT / SECOND) as timeout:
+
+                def end_unanswered() -> None:
+                    is_awaited = routed.caller_end > routed.end
+                    if not (attempts.may_have_run and is_awaited):
+                        timeout.reschedule(loop.time())
+
+                timer = loop.call_at(end, end_unanswered)
+                try:
+                    await attempts.run()
+                finally:
+                    timer.cancel()
         except TimeoutError:
             self.relay.outcome = "time over"
             self.relay.broken = True
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -9,6 +9,7 @@
 import contextlib
 from dataclasses import dataclass, field
 
+from anvilshift.core.admission.order import RoomState
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.errors import (
@@ -20,13 +21,19 @@
     Code,
 )
 from anvilshift.core.pauses import LOOK_INTERVAL
-from anvilshift.core.timeouts import NO_ENGINE_RETRY, find_return, rank
+from anvilshift.core.timeouts import (
+    NO_ENGINE_RETRY,
+    bound_return,
+    find_return,
+    rank,
+)
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
 from anvilshift.gateway.parttries import PartTry
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.retrying import RequestRetries
+from anvilshift.gateway.rooms import RequestRoom
 from anvilshift.gateway.routed import RoutedRequest
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.streambinding import StreamBinding
@@ -74,6 +81,7 @@
     chooser: TargetChooser
     part_try: PartTry
     crashes: CrashTracker
+    room: RequestRoom
     progress: RequestProgress = field(default_factory=RequestProgress)
     _missing: str = ""
 
@@ -105,8 +113,11 @@
         while True:
             choice = await self._admit() or self._choose()
             self._check_predicted_wait(choice)
+            if await self._wait_for_room(choice):
+                continue
             run = await self._request_permit(choice)
             if run is not None:
+                self.room.start(choice.total_wait)
                 return PlannedAttempt(choice, run)
 
     async def plan_retry(self, error: AttemptError) -> PlannedAttempt:
@@ -190,6 +201,31 @@
             detail = f"a wait of {wait:.0f} ms is predicted"
             raise self._make_final_error(OVERLOADED, wait - left, detail)
 
+    async def _wait_for_room(self, choice: Choice) -> bool:
+        """Wait until it is the request's turn at its service.
+
+        Returns
+        -------
+        bool
+            Whether it waited; another target may be the better choice then.
+
+        Raises
+        ------
+        AnvilshiftError
+            When it can't end in time at its place in the order.
+        """
+        if self.progress.may_have_run or self.routed.origin is not None:
+            self.room.enter()
+            return False
+        verdict = await self.room.ask(choice.total_wait)
+        if verdict.state is not RoomState.REFUSED:
+            return verdict.waited
+        left = max(0.0, self.routed.end - self.shared.clock.now())
+        after = bound_return(verdict.wait, left, self.shared.rng)
+        self.room.note_return(after)
+        detail = f"room is expected in {verdict.wait:.0f} ms"
+        raise AnvilshiftError(OVERLOADED, detail, after)
+
     async def _request_permit(self, choice: Choice) -> str | None:
         elapsed = self.shared.clock.now() - self.routed.arrived
         place = rank(self.routed.rule, elapsed, choice.total_wait)
--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from typing import Any
 
+from anvilshift.core.admission.openings import ConnectionOpenings
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.forwarders import Forwarder, ForwarderChoice
 from anvilshift.core.loadmap import LoadMap
@@ -74,6 +75,7 @@
     paths: TargetPaths = field(default_factory=TargetPaths)
     choice: ForwarderChoice = field(default_factory=ForwarderChoice)
     running: RunningExchanges = field(default_factory=RunningExchanges)
+    openings: ConnectionOpenings = field(default_factory=ConnectionOpenings)
     _checks: dict[str, asyncio.Task[Reached]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _used_forwarders: set[str] = field(default_factory=set)
@@ -140,11 +142,17 @@
         idle = self.client.take_idle(address, lambda one: not one.via)
         if idle is not None:
             return idle
-        alone = not self._list_forwarders()
+        is_full = self.openings.is_link_full(began)
+        alone = is_full or not self._list_forwarders()
         timeout = _CONNECT_TIMEOUT_ALONE if alone else CONNECT_TIMEOUT
         try:
             opened = await self.client.open(address, timeout)
-        except ExchangeError:
+        except ExchangeError as error:
+            if error.hung:
+                self.openings.record_timeout(info.name, False, self.clock.now())
+            if is_full:
+                self.journal.write("own_link_full", target=info.name)
+                raise
             forwarded = await self._forward(info, _MAX_ASKED)
             if forwarded is None:
                 raise
@@ -156,6 +164,8 @@
             if not is_reached:
                 self._break_path(info, forwarded.via, began)
             return forwarded
+        if self.clock.now() - began <= CONNECT_TIMEOUT:
+            self.openings.record_success()
         self._restore(info)
         return opened
 
@@ -218,6 +228,8 @@
         try:
             opened = await self.client.open(address, _TUNNEL_TIMEOUT, tunnel, one.name)
         except ExchangeError as error:
+            if error.hung:
+                self.openings.record_timeout(one.name, True, self.clock.now())
             self.choice.avoid(one, self.clock.now())
             self.journal.write(
                 "not_forwarded",
@@ -226,6 +238,7 @@
                 why=repr(error.__cause__),
             )
             return None
+        self.openings.record_success()
         self.choice.accept(one)
         self._used_forwarders.add(one.name)
         return opened
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -52,6 +52,8 @@
         How the last target's answer was framed, and how its body ended.
     rest
         Bytes received behind the last complete event of the last target's stream.
+    on_first
+        Called when the first event or a complete short answer has arrived.
     """
 
     responder: Responder
@@ -66,6 +68,7 @@
     framing: Framing | None = None
     ending: Ending | None = None
     rest: int = 0
+    on_first: Callable[[], None] = lambda: None
     _last_event_at: Millis = 0.0
     _is_framed: bool = True
 
@@ -111,6 +114,7 @@
         finally:
             self._record_ending(answer)
         self.first = self.clock.now()
+        self.on_first()
         return body
 
     async def send_complete(self, answer: Answer, body: bytes) -> None:
@@ -239,6 +243,7 @@
         now = self.clock.now()
         if self.first is None:
             self.first = now
+            self.on_first()
         else:
             self.longest_pause = max(self.longest_pause, now - self._last_event_at)
         self._last_event_at = now
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -17,6 +17,7 @@
 from anvilshift.gateway.partwatch import PartWatch
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reserving import Reservations
+from anvilshift.gateway.rooms import ServiceRooms
 from anvilshift.gateway.sending import Sender
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.tries import Tries
@@ -54,6 +55,8 @@
         Number of attempts named so far.
     ending
         Whether a planned stop will soon cut off streams.
+    rooms
+        The requests that are under way to each service or wait for room there.
     """
 
     router: str
@@ -80,6 +83,10 @@
     buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     runs: int = 0
     ending: bool = False
+    rooms: ServiceRooms = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.rooms = ServiceRooms(self.clock, self.journal)
 
     def check_accepting_streams(self) -> None:
         """Refuse a stream that a planned stop of this router would cut off.
