Give up a limit that helps nothing, and let refused callers choose anew

Ruled out: a larger least limit or a faster rise; the delay stays at 1 to 4 s while next to nothing is sent, so the queue isn't of this router's requests.

The change: after two windows in which the lower limit left the delay as it was there is no limit for 5 s, only refusals of what can't end in time; a request holds room for twice its objective; a refusal for want of room closes its connection; a judgement holds for 20 ms.

--- a/anvilshift/core/admission/order.py
+++ b/anvilshift/core/admission/order.py
@@ -102,8 +102,10 @@
     def ask(self, request: RoomRequest, now: Millis) -> RoomVerdict:
         """Admit a request, let it wait or refuse it."""
         self.gauge.update(now)
+        if not (self._waiting or self.gauge.is_short):
+            self.returns.restart()
         is_hopeless = self.gauge.is_short and request.latest < now
-        if not self._waiting and self.gauge.has_room() and not is_hopeless:
+        if not self._waiting and self.gauge.has_room(now) and not is_hopeless:
             return self._admit(request, now)
         organisation = request.organisation
         if all(one.organisation != organisation for one in self._waiting.values()):
@@ -136,7 +138,7 @@
             Verdicts on these, and on those whose turn comes too late.
         """
         verdicts: list[RoomVerdict] = []
-        while self._waiting and self.gauge.has_room():
+        while self._waiting and self.gauge.has_room(now):
             first = min(self._waiting.values(), key=self._order_key)
             is_late = first.latest < now
             settle = self._refuse if is_late else self._admit
--- a/anvilshift/core/admission/returns.py
+++ b/anvilshift/core/admission/returns.py
@@ -61,6 +61,10 @@
             self._due.popitem(last=False)
         return due - now
 
+    def restart(self) -> None:
+        """Give the next moments from now on, as there is room again."""
+        self._last = 0.0
+
     def shift(self, content: str, after: Millis, now: Millis) -> None:
         """Replace a caller's moment by the one that it was told."""
         if content in self._due:
--- a/anvilshift/core/admission/room.py
+++ b/anvilshift/core/admission/room.py
@@ -20,6 +20,8 @@
 """Age up to which a request that began is counted."""
 _RATE_WINDOW: Millis = 2 * SECOND
 """Age up to which it counts in the rate at which requests begin."""
+_JUDGE_INTERVAL: Millis = 20.0
+"""Time for which a judgement holds, so that a burst costs one and not one a request."""
 _LEAST_SAMPLES = 6
 """Requests from which on most of them can tell anything."""
 _SHORT_SHARE = 0.5
@@ -29,8 +31,14 @@
 _HELPFUL = 0.9
 """Part to which the delay falls in a window if the lower limit has helped."""
 _MOST_IN_VAIN = 2
-"""Windows without help after which the limit is lowered no more: what was sent before
-is on its way for one of them."""
+"""Windows without help after which there is no limit: what was sent before is on its
+way for one of them."""
+_LIFTED_FOR: Millis = 5 * SECOND
+"""Time after a limit that helped nothing until there may be one again."""
+_HELD_FACTOR = 2.0
+"""Multiple of its objective for which a request holds room."""
+_GAIN = 0.1
+"""Weight of a request's objective in their mean."""
 _LEAST_LIMIT = 4.0
 """Smallest limit: with fewer a service of several targets would idle."""
 _RELEASE_AFTER: Millis = 2 * SECOND
@@ -71,7 +79,7 @@
     >>> gauge.is_short, gauge.limit
     (False, inf)
     >>> gauge.update(now=300.0)
-    >>> gauge.is_short, round(gauge.limit, 1), gauge.has_room()
+    >>> gauge.is_short, round(gauge.limit, 1), gauge.has_room(now=300.0)
     (True, 5.6, False)
     """
 
@@ -84,15 +92,29 @@
         self._needed = -math.inf
         self._in_vain = 0
         self._last_excess = math.inf
+        self._threshold = 0.0
+        self._lifted = -math.inf
+        self._judged = -math.inf
+        self._objective = 0.0
 
     @property
     def under_way(self) -> int:
         """Return how many requests are admitted and haven't begun to be answered."""
         return len(self._passages)
 
-    def has_room(self) -> bool:
-        """Return whether one more may be under way."""
-        return self.under_way < self.limit
+    def has_room(self, now: Millis) -> bool:
+        """Return whether one more may be under way.
+
+        One that is overdue by far holds no room: if all did, nothing would be sent, and
+        nothing would tell that room is back.
+        """
+        if self.limit == math.inf:
+            return True
+        held = sum(
+            one is None or now - one.sent <= one.objective * _HELD_FACTOR
+            for one in self._passages.values()
+        )
+        return held < self.limit
 
     def enter(self, identity: str) -> None:
         """Add an admitted request."""
@@ -112,6 +134,8 @@
         """
         if self._passages.get(identity, self) is None:
             self._passages[identity] = _Passage(now, predicted, objective)
+            mean = self._objective or objective
+            self._objective = mean + (objective - mean) * _GAIN
 
     def begin(self, identity: str, now: Millis) -> None:
         """Record the first byte of its answer."""
@@ -123,7 +147,7 @@
         excess = span - passage.predicted
         self._begins.append(_Begin(now, excess, is_late))
         if not self.is_short and self.limit < math.inf:
-            self.limit += 1.0 / self.limit
+            self.limit += 1.0 if self.limit < self._threshold else 1.0 / self.limit
 
     def leave(self, identity: str) -> None:
         """Remove a request whose answer doesn't begin."""
@@ -135,23 +159,34 @@
 
     def update(self, now: Millis) -> None:
         """Judge whether room is short, and adapt the limit."""
+        if now - self._judged < _JUDGE_INTERVAL:
+            return
+        self._judged = now
         while self._begins and now - self._begins[0].at > _RATE_WINDOW:
             self._begins.popleft()
         self.is_short = self._judge(now)
-        if self.is_short and now - self._lowered >= _WINDOW:
+        if self.is_short and now - self._lowered >= _WINDOW and now >= self._lifted:
             self._lowered = self._needed = now
-            self._lower(self.find_excess(now))
+            self._lower(now)
         elif not self.is_short and now - self._needed >= _RELEASE_AFTER:
-            self.limit, self._in_vain, self._last_excess = math.inf, 0, math.inf
+            self._lift()
 
-    def _lower(self, excess: Millis) -> None:
-        """Lower the limit, unless that has helped nothing: the queue is of others."""
+    def _lower(self, now: Millis) -> None:
+        """Lower the limit, unless that helps nothing: then the queue is of others."""
+        excess = self.find_excess(now)
         is_helpful = excess < self._last_excess * _HELPFUL
         self._in_vain = 0 if is_helpful else self._in_vain + 1
         self._last_excess = excess
-        if self._in_vain <= _MOST_IN_VAIN:
-            lowered = min(self.limit, float(self.under_way)) * _DECREASE
-            self.limit = max(_LEAST_LIMIT, lowered)
+        if self._in_vain > _MOST_IN_VAIN:
+            self._lift()
+            self._lifted = now + _LIFTED_FOR
+            return
+        current = min(self.limit, float(self.under_way))
+        self._threshold = current / 2.0
+        self.limit = max(_LEAST_LIMIT, current * _DECREASE)
+
+    def _lift(self) -> None:
+        self.limit, self._in_vain, self._last_excess = math.inf, 0, math.inf
 
     def _judge(self, now: Millis) -> bool:
         recent = [one.is_late for one in self._begins if now - one.at <= _WINDOW]
@@ -164,8 +199,14 @@
         return is_enough and sum(recent) > _SHORT_SHARE * len(recent)
 
     def find_rate(self) -> float:
-        """Return how many requests begin in a millisecond, never zero."""
-        return max(1, len(self._begins)) / _RATE_WINDOW
+        """Return how many requests are sent in a millisecond, never zero.
+
+        As many begin, or at least as many are sent as stop to hold room.
+        """
+        begun = max(1, len(self._begins)) / _RATE_WINDOW
+        if self.limit == math.inf or not self._objective:
+            return begun
+        return max(begun, self.limit / (self._objective * _HELD_FACTOR))
 
     def find_excess(self, now: Millis) -> Millis:
         """Return by how much requests typically begin later than predicted."""
--- a/anvilshift/core/errors.py
+++ b/anvilshift/core/errors.py
@@ -306,6 +306,13 @@
         super().__init__(f"{code.number} {code.name}: {self.detail}")
 
 
+class ShortRoomError(AnvilshiftError):
+    """A request is refused for want of room on its way; another router may have some.
+
+    Its connection is closed with the answer, so that its caller can choose anew.
+    """
+
+
 class InvariantError(AnvilshiftError):
     """An internal invariant doesn't hold, which shows a fault of the program."""
 
--- a/anvilshift/gateway/answering.py
+++ b/anvilshift/gateway/answering.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from anvilshift.core.clock import SECOND
-from anvilshift.core.errors import AnvilshiftError, ExecutionState
+from anvilshift.core.errors import AnvilshiftError, ExecutionState, ShortRoomError
 from anvilshift.gateway.journal import Journal
 from anvilshift.wire.errorreplies import render_error
 from anvilshift.wire.responder import CallerDisconnectedError, Responder
@@ -24,6 +24,8 @@
     headers = [(n, v) for n, v in reply.headers if n != "retry-after"]
     if error.retry_after is not None and error.code.fate is ExecutionState.NOT_RUN:
         headers.append(("retry-after", f"{error.retry_after / SECOND:.3f}"))
+    if isinstance(error, ShortRoomError):
+        headers.append(("connection", "close"))
     try:
         await responder.send(replace(reply, headers=headers))
     except CallerDisconnectedError:
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -318,7 +318,7 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
-        parts = (self.configurations, self.drains, self.cold)
+        parts = (self.configurations, self.drains, self.cold, self.shared.rooms)
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
         }
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -19,6 +19,7 @@
     STREAM_NOT_RESUMABLE,
     AnvilshiftError,
     Code,
+    ShortRoomError,
 )
 from anvilshift.core.pauses import LOOK_INTERVAL
 from anvilshift.core.timeouts import (
@@ -217,14 +218,14 @@
         if self.progress.may_have_run or self.routed.origin is not None:
             self.room.enter()
             return False
-        verdict = await self.room.ask(choice.total_wait)
-        if verdict.state is not RoomState.REFUSED:
-            return verdict.waited
+        answer = await self.room.ask(choice.total_wait)
+        if answer.state is not RoomState.REFUSED:
+            return answer.waited
         left = max(0.0, self.routed.end - self.shared.clock.now())
-        after = bound_return(verdict.wait, left, self.shared.rng)
+        after = bound_return(answer.wait, left, self.shared.rng)
         self.room.note_return(after)
-        detail = f"room is expected in {verdict.wait:.0f} ms"
-        raise AnvilshiftError(OVERLOADED, detail, after)
+        detail = f"room is expected in {answer.wait:.0f} ms"
+        raise ShortRoomError(OVERLOADED, detail, after)
 
     async def _request_permit(self, choice: Choice) -> str | None:
         elapsed = self.shared.clock.now() - self.routed.arrived
