Encode messages without copies, and look for drained targets only in a drain

Change: a message's fields are encoded as they are; with no drain in force the answer is known without a look at the targets.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -176,6 +176,8 @@
 
     def list_drained(self, service: str) -> set[str]:
         """Return the targets of a service whose failure domains are drained."""
+        if self.drains.is_clear:
+            return set()
         return {
             target.info.name
             for target in self.list_service_targets(service)
@@ -184,6 +186,8 @@
 
     def is_drained(self, service: str) -> bool:
         """Return whether a service has targets, all of them in drained domains."""
+        if self.drains.is_clear:
+            return False
         present = {
             target.info.name
             for target in self.list_service_targets(service)
--- a/anvilshift/core/placement/domaindrains.py
+++ b/anvilshift/core/placement/domaindrains.py
@@ -91,6 +91,11 @@
         """Return whether this router knows which failure domains are drained."""
         return not self.is_followed or self.revision > 0
 
+    @property
+    def is_clear(self) -> bool:
+        """Return whether work may be sent to the targets of every failure domain."""
+        return self.is_known and not self._drains
+
     def may_send(self, domain: str) -> bool:
         """Return whether work may be sent to the targets of a failure domain."""
         return self.is_known and domain not in self._drains
--- a/anvilshift/gateway/datagrams.py
+++ b/anvilshift/gateway/datagrams.py
@@ -24,10 +24,15 @@
     kind: tuple(get_origin(hint) or hint for hint in get_type_hints(kind).values())
     for kind in _KINDS.values()
 }
+_FIELD_NAMES: dict[type[Message], tuple[str, ...]] = {
+    kind: tuple(one.name for one in fields(kind)) for kind in _KINDS.values()
+}
 _OPTIONAL_DEFAULTS: dict[type[Message], tuple[Any, ...]] = {
     kind: tuple(one.default for one in fields(kind) if one.metadata.get("optional"))
     for kind in _KINDS.values()
 }
+_ENCODER = json.JSONEncoder(separators=(",", ":"), default=asdict)
+"""Encoder of messages; the values inside them may be data classes."""
 
 
 def encode(message: Message) -> bytes:
@@ -39,12 +44,13 @@
     >>> encode(Ended("r1/7", "e1"))
     b'["Ended","r1/7","e1"]'
     """
-    values = list(asdict(message).values())
-    for default in reversed(_OPTIONAL_DEFAULTS[type(message)]):
+    kind = type(message)
+    values = [getattr(message, name) for name in _FIELD_NAMES[kind]]
+    for default in reversed(_OPTIONAL_DEFAULTS[kind]):
         if values[-1] != default:
             break
         values.pop()
-    return json.dumps([type(message).__name__, *values], separators=(",", ":")).encode()
+    return _ENCODER.encode([kind.__name__, *values]).encode()
 
 
 def pack(lines: Iterable[bytes]) -> list[bytes]:
@@ -142,7 +148,7 @@
 
 def _has_all_fields(kind: type[Message], count: int) -> bool:
     """Return whether a message may have so many fields."""
-    most = len(fields(kind))
+    most = len(_FIELD_NAMES[kind])
     return most - len(_OPTIONAL_DEFAULTS[kind]) <= count <= most
 
 
