--- a/bench/mutation.py
+++ b/bench/mutation.py
@@ -66,7 +66,6 @@
 
 def try_mutant(mutant: Mutant) -> Row:
     """Play one seed after another until a check catches the mutant."""
-    logging.set_verbosity(logging.FATAL)
     for seed in mutant.list_seeds():
         try:
             with mutant.patch():
@@ -79,6 +78,11 @@
     return Row(mutant.name, 0, "nothing", False)
 
 
+def silence_logs() -> None:
+    """Log nothing further in this process but what ends it."""
+    logging.set_verbosity(logging.FATAL)
+
+
 def _try_mutant_number(
     list_mutants: Callable[[], Sequence[Mutant]], number: int
 ) -> Row:
@@ -93,7 +97,7 @@
     list_mutants
         A function of a module, which each worker process calls.
     """
-    with multiprocessing.Pool(WORKERS) as pool:
+    with multiprocessing.Pool(WORKERS, silence_logs) as pool:
         count = len(list_mutants())
         attempt = partial(_try_mutant_number, list_mutants)
         rows = pool.map(attempt, range(count), chunksize=1)
