--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -8,11 +8,13 @@
 from anvilshift.wire.messages import Address
 
 ANY_PORT = Address("127.0.0.1", 0)
+_ARRIVAL_TIMEOUT_S = 5.0
 
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.received = b""
+        self.arrived = asyncio.Event()
         self.echo = await asyncio.start_server(self.echo_back, "127.0.0.1", 0)
         port = self.echo.sockets[0].getsockname()[1]
         self.relay = Relay(Address("127.0.0.1", port))
@@ -26,6 +28,7 @@
         with contextlib.suppress(ConnectionResetError):
             while data := await reader.read(100):
                 self.received += data
+                self.arrived.set()
                 writer.write(data)
         writer.close()
 
@@ -65,6 +68,8 @@
         reader, writer = await self.connect()
         self.relay.faults.cut_back = True
         writer.write(b"there")
+        async with asyncio.timeout(_ARRIVAL_TIMEOUT_S):
+            await self.arrived.wait()
         self.assertTrue(await self.receives_nothing(reader))
         self.assertEqual(self.received, b"there")
         self.relay.faults.cut_back, self.relay.faults.cut_there = False, True
--- a/tests/wire/test_tunnel.py
+++ b/tests/wire/test_tunnel.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import HttpClient, TcpNetwork
 from anvilshift.wire.messages import Address, Reply, set_reset_on_close
 from anvilshift.wire.response import ExchangeError
@@ -11,6 +12,8 @@
 
 LOOPBACK = Address("127.0.0.1", 0)
 LARGE = b"x" * 3_000_000
+OPEN_TIMEOUT: Millis = 5 * SECOND
+"""Long enough for a process that stands still while it opens a connection."""
 
 
 class TunnelTest(unittest.IsolatedAsyncioTestCase):
@@ -21,7 +24,10 @@
         self.known = {self.address}
         self.allowed = True
         self.tunnels = TunnelServer(
-            lambda ip: self.allowed, self.known.__contains__, most=2, timeout=200.0
+            lambda ip: self.allowed,
+            self.known.__contains__,
+            most=2,
+            timeout=OPEN_TIMEOUT,
         )
         await self.tunnels.start(LOOPBACK)
         self.proxy = Address("127.0.0.1", self.tunnels.port)
@@ -35,7 +41,7 @@
 
     async def open(self):
         network = TunnelNetwork(TcpNetwork(), self.proxy)
-        return await self.client.open(self.address, 500.0, network, "r2")
+        return await self.client.open(self.address, OPEN_TIMEOUT, network, "r2")
 
     async def call(self, connection, body=b"hello"):
         async with self.client.exchange(
