Let a full router say so often enough near it to be left out of the addresses

Cause: a router's link is full, and it tells that once a second.

Ruled out: that the routers don't see each other (the full one told all fifteen each time), and rounds to some only (a round arrives everywhere or nowhere).

Change: each 200 ms to the routers of its failure domain, who name routers to its callers; to all others each second as before. 48 bytes each.

--- a/anvilshift/gateway/hostload.py
+++ b/anvilshift/gateway/hostload.py
@@ -21,9 +21,11 @@
 _TOLD_INTERVAL: Millis = 1 * SECOND
 _IDLE_INTERVAL: Millis = 5 * SECOND
 """Intervals at which a full router, and any other one, say so again."""
+_NEAR_INTERVAL: Millis = 200.0
+"""The same of a full router to those of its failure domain, who name routers to its
+callers.  A full link may lose every datagram of two seconds."""
 _NEWS_LIFE: Millis = 3 * SECOND
-"""Age from which on what a router told says nothing of it; a full one tells more often,
-so that three messages in a row have to be lost."""
+"""Age from which on what a router told says nothing of it."""
 _MAX_LATE: Millis = 1 * SECOND
 _LATE_WEIGHT = 0.2
 _LOGGED_INTERVAL: Millis = 1 * SECOND
@@ -55,6 +57,7 @@
     link: LinkUse | None = field(init=False)
     _heard: dict[str, tuple[RouterLoad, Millis]] = field(default_factory=dict)
     _told: tuple[RouterLoad | None, Millis] = (None, 0.0)
+    _near_due: Millis = 0.0
     _due: Millis = math.inf
     _log_due: Millis = 0.0
 
@@ -116,10 +119,16 @@
         told, at = self._told
         is_changed = told is None or told.is_full != load.is_full
         interval = _TOLD_INTERVAL if load.is_full else _IDLE_INTERVAL
+        present = [one.beat for one in self.peers.list_present()]
         if is_changed or now - at >= interval:
-            self._told = load, now
-            ips = [one.beat.ip for one in self.peers.list_present()]
-            self.peers.send_each(load, ips)
+            self._told, self._near_due = (load, now), now + _NEAR_INTERVAL
+            self.peers.send_each(load, [beat.ip for beat in present])
+        elif load.is_full and now >= self._near_due:
+            self._near_due = now + _NEAR_INTERVAL
+            near = [
+                beat for beat in present if beat.failure_domain == self.peers.domain
+            ]
+            self.peers.send_each(load, [beat.ip for beat in near])
 
     def apply(self, message: RouterLoad) -> None:
         """Take note of how full another router is."""
--- a/tests/gateway/test_hostload.py
+++ b/tests/gateway/test_hostload.py
@@ -1,6 +1,7 @@
 """What a router measures of its host, tells the others and decides by it."""
 
 import unittest
+from dataclasses import replace
 
 from anvilshift.core.admission.callershare import HostLimits
 from anvilshift.core.admission.linkuse import Traffic
@@ -37,9 +38,9 @@
             lambda: (Traffic(datagram_bytes=self.sent), Traffic()),
         )
 
-    def send(self, megabits: float, seconds: int) -> None:
+    def send(self, megabits: float, seconds: float) -> None:
         """Send at a rate for some seconds."""
-        for _ in range(10 * seconds):
+        for _ in range(round(10 * seconds)):
             self.clock.advance(100.0)
             self.sent += round(megabits * MEGABIT / 10)
             self.load.run_checks(self.clock.now())
@@ -93,6 +94,21 @@
         self.assertEqual(len(self.transport.sent), before)
         self.assertEqual(self.load.list_gauges(), {})
 
+    def test_full_router_is_known_near_it_though_its_link_loses_seconds_of_news(self):
+        """Guards against a full router that is named while its link loses its news."""
+        beat = replace(make_beat(1), failure_domain="north")
+        self.peers.datagram_received(encode(beat), (beat.ip, 7000))
+        near = self.make(HostLimits(link=10.0))
+        self.send(11.0, seconds=3)
+        near.apply(self.list_told()[-1])
+        for _ in range(20):
+            for span, is_lost in ((2.0, True), (0.3, False)):
+                before = len(self.list_told())
+                self.send(11.0, span)
+                for load in [] if is_lost else self.list_told()[before:]:
+                    near.apply(load)
+                self.assertEqual(near.list_full(), {"own"})
+
     def test_old_news_of_a_full_router_ends(self):
         """Guards against a router left out for good after it was killed while full."""
         self.load.apply(RouterLoad("r1", 1.1, True))
