Name the slow start, the link's throttle and learned speeds apart

Cause: three things were called a pace, two of them beside each other at the sender (`pace`, `pacing`), and "newspace" read as a new space.

Change: names only. core/health/pace.py is slowstart.py (SlowStart), gateway/pacing.py slowstarts.py (SlowStarts, Sender.slow_starts), gateway/linkpace.py linkthrottle.py (LinkThrottle, Sender.link_throttle), core/placement/paces.py learnedspeeds.py (LearnedSpeed, ServiceSpeeds, TargetSpeeds, TargetLoad.learned_speeds), core/admission/newspace.py newsbatching.py (NewsBatching, Peers.batching).

--- a/anvilshift/core/admission/newspace.py
+++ b/anvilshift/core/admission/newsbatching.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(frozen=True)
-class NewsPace:
+class NewsBatching:
     """How news is sent.
 
     Parameters
@@ -33,7 +33,7 @@
     is_compact: bool = False
 
 
-def find_news_pace(sent: float) -> NewsPace:
+def find_news_batching(sent: float) -> NewsBatching:
     """Return how news is sent.
 
     Parameters
@@ -43,10 +43,10 @@
 
     Examples
     --------
-    >>> find_news_pace(0.1)
-    NewsPace(delay=0.0, is_compact=False)
-    >>> find_news_pace(0.8)
-    NewsPace(delay=120.0, is_compact=True)
+    >>> find_news_batching(0.1)
+    NewsBatching(delay=0.0, is_compact=False)
+    >>> find_news_batching(0.8)
+    NewsBatching(delay=120.0, is_compact=True)
     """
     delay = _SLOW_DELAY if sent >= _SLOW_FROM else 0.0
-    return NewsPace(delay, sent >= _COMPACT_FROM)
+    return NewsBatching(delay, sent >= _COMPACT_FROM)
--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -13,7 +13,7 @@
 concurrent stream exceeds its longest allowed pause.  Such prompts are concentrated
 on engines that run few streams, and streams avoid these engines for some seconds.
 
-Where targets tell how slow they are at the moment, their learned paces and what they
+Where targets tell how slow they are at the moment, their learned speeds and what they
 tell shift these predictions (`core/placement`).
 """
 
@@ -26,7 +26,7 @@
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.placement.candidates import draw_candidates
-from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.prefill import FETCH_SETUP, longest_pause, prefill_time
 from anvilshift.core.targetload import Prompt, TargetLoad
 
@@ -272,10 +272,12 @@
 def _find_slot_wait(target: TargetLoad, now: Millis) -> Millis:
     """Return the time until a slot is free, where its streams' pace is known."""
     ahead = target.count_requests(now) + 1 - target.info.slots
-    if ahead <= 0 or not target.paces.service.are_used:
+    if ahead <= 0 or not target.learned_speeds.service.are_used:
         return 0.0
-    between = target.paces.find(WorkKind.DECODE, 0.0, now) * target.find_slowness(now)
-    stream = between * target.paces.service.events.value
+    between = target.learned_speeds.find(
+        WorkKind.DECODE, 0.0, now
+    ) * target.find_slowness(now)
+    stream = between * target.learned_speeds.service.events.value
     return ahead / max(1, target.info.slots) * stream
 
 
--- a/anvilshift/core/health/pace.py
+++ b/anvilshift/core/health/slowstart.py
@@ -104,7 +104,7 @@
 
 
 @dataclass
-class TargetPace:
+class SlowStart:
     """The pace of one target since its start or return.
 
     Attributes
@@ -118,7 +118,7 @@
 
     Examples
     --------
-    >>> pace = TargetPace.begin(slots=8, now=0.0)
+    >>> pace = SlowStart.begin(slots=8, now=0.0)
     >>> pace.window, pace.count_share(rank=3, routers=40), pace.count_share(4, 40)
     (4.0, 1, 0)
     >>> for n in range(6):
@@ -136,8 +136,8 @@
 
     @classmethod
     def begin(
-        cls, slots: int, now: Millis, former: "TargetPace | None" = None
-    ) -> "TargetPace":
+        cls, slots: int, now: Millis, former: "SlowStart | None" = None
+    ) -> "SlowStart":
         """Return the pace of a target that has just started or come back.
 
         Parameters
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -16,7 +16,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.placement.domaindrains import DomainDrains
-from anvilshift.core.placement.paces import ServicePaces, TargetPaces
+from anvilshift.core.placement.learnedspeeds import ServiceSpeeds, TargetSpeeds
 from anvilshift.core.prefill import prefill_time
 from anvilshift.core.targetload import Prompt, RunLoad, TargetInfo, TargetLoad
 
@@ -55,7 +55,7 @@
     def __init__(self, drains: DomainDrains | None = None) -> None:
         self.drains = drains or DomainDrains()
         self.targets: dict[str, TargetLoad] = {}
-        self.paces: dict[str, ServicePaces] = {}
+        self.learned_speeds: dict[str, ServiceSpeeds] = {}
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._lost: dict[str, tuple[TargetInfo, Millis]] = {}
         self._removed: OrderedDict[str, TargetLoad] = OrderedDict()
@@ -68,8 +68,8 @@
         known = self.targets.get(info.name)
         self._lost.pop(info.name, None)
         if known is None or info.is_other_start(known.info):
-            paces = self.paces.setdefault(info.service, ServicePaces())
-            target = TargetLoad(info, paces=TargetPaces(paces))
+            speeds = self.learned_speeds.setdefault(info.service, ServiceSpeeds())
+            target = TargetLoad(info, learned_speeds=TargetSpeeds(speeds))
             self.targets[info.name] = self._recall_needs(target)
         else:
             known.info = info
@@ -171,8 +171,8 @@
 
     def uses_paces(self, service: str) -> bool:
         """Return whether targets of a service tell how slow they are."""
-        paces = self.paces.get(service)
-        return paces is not None and paces.are_used
+        speeds = self.learned_speeds.get(service)
+        return speeds is not None and speeds.are_used
 
     def list_drained(self, service: str) -> set[str]:
         """Return the targets of a service whose failure domains are drained."""
--- a/anvilshift/core/placement/paces.py
+++ b/anvilshift/core/placement/learnedspeeds.py
@@ -6,8 +6,8 @@
 requests; with nothing known, one that has just started counts as one of a reference
 speed that none of its service has, and is flooded or left idle.
 
-A target's pace is learned by kind of work, beside the pace usual at its service.  Few
-or old samples of a target count little against the usual pace.
+A target's speed is learned by kind of work, beside the speed usual at its service.  Few
+or old samples of a target count little against the usual speed.
 """
 
 import math
@@ -19,15 +19,15 @@
 from anvilshift.core.durations import DecayingMean
 
 _PRIOR_SAMPLES = 2.0
-"""Samples of a target that count as much as the pace usual at its service."""
+"""Samples of a target that count as much as the speed usual at its service."""
 _HALF_LIFE: Millis = 30 * SECOND
 """Age in which samples lose half of their weight: the machine's other work changes."""
 _LEAST, _MOST = 0.1, 10.0
-"""Bounds of one sample relative to the usual pace; those outside have other causes."""
+"""Bounds of one sample relative to the usual speed; those outside have other causes."""
 
 
 class WorkKind(StrEnum):
-    """A kind of work whose pace is learned."""
+    """A kind of work whose speed is learned."""
 
     PREFILL = "prefill"
     """Reading a prompt: the time relative to the reference engine's."""
@@ -40,8 +40,8 @@
 
 
 @dataclass
-class Pace:
-    """The learned pace of one kind of work at one target.
+class LearnedSpeed:
+    """The learned speed of one kind of work at one target.
 
     Attributes
     ----------
@@ -62,15 +62,15 @@
         self.at = now
 
     def find(self, usual: float, now: Millis) -> float:
-        """Return the pace, between the samples' mean and the usual pace.
+        """Return the speed, between the samples' mean and the usual speed.
 
         Examples
         --------
-        >>> pace = Pace()
-        >>> pace.find(usual=1.0, now=0.0)
+        >>> speed = LearnedSpeed()
+        >>> speed.find(usual=1.0, now=0.0)
         1.0
-        >>> pace.add(4.0, now=0.0); pace.add(4.0, now=0.0)
-        >>> round(pace.find(usual=1.0, now=0.0), 2), round(pace.find(1.0, 3e6), 2)
+        >>> speed.add(4.0, now=0.0); speed.add(4.0, now=0.0)
+        >>> round(speed.find(usual=1.0, now=0.0), 2), round(speed.find(1.0, 3e6), 2)
         (2.0, 1.0)
         """
         if self.mean is None:
@@ -81,14 +81,14 @@
 
 
 @dataclass(eq=False)
-class ServicePaces:
-    """The paces usual at a service.
+class ServiceSpeeds:
+    """The speeds usual at a service.
 
     Attributes
     ----------
     are_used
         Whether its targets tell how slow they are.  Without that a momentary slowness
-        would be learned as the target's own pace, so its paces are only recorded.
+        would be learned as the target's own speed, so its speeds are only recorded.
     events
         Mean number of events of a stream.
     """
@@ -98,7 +98,7 @@
     _usual: dict[WorkKind, DecayingMean] = field(default_factory=dict)
 
     def find(self, kind: WorkKind) -> float | None:
-        """Return the usual pace; None before the first sample."""
+        """Return the usual speed; None before the first sample."""
         usual = self._usual.get(kind)
         return usual.value if usual else None
 
@@ -108,32 +108,32 @@
 
 
 @dataclass(eq=False)
-class TargetPaces:
-    """The paces of one target.
+class TargetSpeeds:
+    """The speeds of one target.
 
     Examples
     --------
-    >>> service = ServicePaces()
-    >>> slow, new = TargetPaces(service), TargetPaces(service)
+    >>> service = ServiceSpeeds()
+    >>> slow, new = TargetSpeeds(service), TargetSpeeds(service)
     >>> for _ in range(20):
     ...     slow.add(WorkKind.PLAIN, 80.0, now=0.0)
     >>> round(new.find(WorkKind.PLAIN, 40.0, now=0.0))
     80
     """
 
-    service: ServicePaces = field(default_factory=ServicePaces)
-    _paces: dict[WorkKind, Pace] = field(default_factory=dict)
+    service: ServiceSpeeds = field(default_factory=ServiceSpeeds)
+    _speeds: dict[WorkKind, LearnedSpeed] = field(default_factory=dict)
 
     def find(self, kind: WorkKind, default: float, now: Millis) -> float:
-        """Return the target's pace; the default before any sample of the service."""
+        """Return the target's speed; the default before any sample of the service."""
         usual = self.service.find(kind)
         if usual is None:
             return default
-        pace = self._paces.get(kind)
-        return usual if pace is None else pace.find(usual, now)
+        speed = self._speeds.get(kind)
+        return usual if speed is None else speed.find(usual, now)
 
     def compare(self, kind: WorkKind, now: Millis) -> float:
-        """Return the target's pace relative to the usual one."""
+        """Return the target's speed relative to the usual one."""
         return self.find(kind, 1.0, now) / (self.service.find(kind) or 1.0)
 
     def add(self, kind: WorkKind, sample: float, now: Millis) -> None:
@@ -144,7 +144,7 @@
         if usual is not None:
             sample = min(max(sample, _LEAST * usual), _MOST * usual)
         self.service.add(kind, sample)
-        self._paces.setdefault(kind, Pace()).add(sample, now)
+        self._speeds.setdefault(kind, LearnedSpeed()).add(sample, now)
 
     def add_all(
         self, kinds: Iterable[WorkKind], samples: Iterable[float], now: Millis
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -9,7 +9,7 @@
 from anvilshift.core.durations import DecayingMean
 from anvilshift.core.ejection import Health
 from anvilshift.core.health.coldtargets import ColdTerm
-from anvilshift.core.placement.paces import TargetPaces, WorkKind
+from anvilshift.core.placement.learnedspeeds import TargetSpeeds, WorkKind
 from anvilshift.core.placement.toldload import LoadReport, ToldLoad
 from anvilshift.core.places import Places
 from anvilshift.core.ratelimits import RateLimit, RequestLog
@@ -164,7 +164,7 @@
         When it was found to have ended; None while it runs for all that is known.
     report
         The load that it told last; None if it has told none.
-    paces
+    learned_speeds
         How fast it does each kind of work.
     """
 
@@ -191,7 +191,7 @@
     is_start_doubted: bool = False
     ended_at: Millis | None = None
     report: LoadReport | None = None
-    paces: TargetPaces = field(default_factory=TargetPaces)
+    learned_speeds: TargetSpeeds = field(default_factory=TargetSpeeds)
 
     @property
     def version(self) -> str | None:
@@ -243,39 +243,39 @@
 
     def find_speed(self, now: Millis) -> float:
         """Return the prefill time now, relative to the users' reference engine."""
-        if not self.paces.service.are_used:
+        if not self.learned_speeds.service.are_used:
             return self.speed.value
-        usual = self.paces.find(WorkKind.PREFILL, self.speed.value, now)
+        usual = self.learned_speeds.find(WorkKind.PREFILL, self.speed.value, now)
         return usual * self.find_slowness(now)
 
     def find_slowness(self, now: Millis) -> float:
         """Return how long work takes now, as it has told; 1 at the reference."""
-        usual = self.paces.find(WorkKind.ANY, 1.0, now)
+        usual = self.learned_speeds.find(WorkKind.ANY, 1.0, now)
         return usual if self.report is None else self.report.find_slowness(usual, now)
 
     def is_notable(self, now: Millis) -> bool:
         """Return whether it has told of itself what all routers should know."""
-        if self.report is None or not self.paces.service.are_used:
+        if self.report is None or not self.learned_speeds.service.are_used:
             return False
-        return self.report.is_notable(self.paces.find(WorkKind.ANY, 1.0, now))
+        return self.report.is_notable(self.learned_speeds.find(WorkKind.ANY, 1.0, now))
 
     def compare_pace(self, kind: WorkKind, now: Millis) -> float:
         """Return how long work takes now, relative to the usual at its service.
 
         It is 1 where the targets of the service don't tell how slow they are.
         """
-        service = self.paces.service
+        service = self.learned_speeds.service
         if not service.are_used:
             return 1.0
         slowness = self.find_slowness(now) / (service.find(WorkKind.ANY) or 1.0)
-        return self.paces.compare(kind, now) * slowness
+        return self.learned_speeds.compare(kind, now) * slowness
 
     def count_requests(self, now: Millis) -> float:
         """Return its known runs, and those that only it has told of.
 
         The told ones count where its service tells how slow its targets are.
         """
-        if self.report is None or not self.paces.service.are_used:
+        if self.report is None or not self.learned_speeds.service.are_used:
             return len(self.runs)
         return len(self.runs) + self.report.count_unknown(now)
 
@@ -285,8 +285,8 @@
             return
         self.report = LoadReport(load, at, len(self.runs))
         if load.slowness is not None:
-            self.paces.service.are_used = True
-            self.paces.add(WorkKind.ANY, load.slowness, at)
+            self.learned_speeds.service.are_used = True
+            self.learned_speeds.add(WorkKind.ANY, load.slowness, at)
 
     def measure(self, span: Millis, predicted: Millis) -> None:
         """Update the engine's speed from a measured time to first token.
@@ -308,7 +308,7 @@
     def normalise(
         self, kind: WorkKind, span: Millis, predicted: Millis, now: Millis
     ) -> float | None:
-        """Return the sample of a pace that a time to first byte gives; None for none.
+        """Return the sample of a speed that a time to first byte gives; None for none.
 
         A slowness that the target has just told is taken out of it.
 
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -28,10 +28,9 @@
 from anvilshift.gateway.hostload import HostLoad
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
-from anvilshift.gateway.linkpace import LinkPace
+from anvilshift.gateway.linkthrottle import LinkThrottle
 from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.origins import StreamOrigins
-from anvilshift.gateway.pacing import Pacing
 from anvilshift.gateway.partstore import PartStore
 from anvilshift.gateway.partwatch import PartWatch
 from anvilshift.gateway.passing import RequestHandler
@@ -46,6 +45,7 @@
 from anvilshift.gateway.shared import RouterContext
 from anvilshift.gateway.sharedwatches import SharedWatches
 from anvilshift.gateway.shares import ShareManager
+from anvilshift.gateway.slowstarts import SlowStarts
 from anvilshift.gateway.targethealth import TargetHealth
 from anvilshift.gateway.targetregistry import TargetRegistry
 from anvilshift.gateway.targetstarts import TargetStarts
@@ -157,9 +157,9 @@
         )
         self.starts = TargetStarts(self.client, dialect, clock, journal)
         link = settings.limits.link
-        self.pace = LinkPace(clock, LinkQueue(link) if link else None)
-        self.pace.count_written = self._count_written
-        self.pacing = Pacing(
+        self.link_throttle = LinkThrottle(clock, LinkQueue(link) if link else None)
+        self.link_throttle.count_written = self._count_written
+        self.slow_starts = SlowStarts(
             self.incarnation,
             settings.failure_domain,
             self.loads,
@@ -178,8 +178,8 @@
             self.limits,
             self.starts,
             self.cold,
-            self.pacing,
-            self.pace,
+            self.slow_starts,
+            self.link_throttle,
         )
         blame = CrashBlame()
         parts = PartWatch(
@@ -320,7 +320,7 @@
         cold, messenger = self.cold, self.messenger
         cold.find_confirmed = lambda: self.target_follower.confirmed
         self.targets.on_entry = self._apply_entry
-        self.shared.health.on_return = self.pacing.record_return
+        self.shared.health.on_return = self.slow_starts.record_return
         self.drains.on_return = cold.presume_cold
         self.shared.health.on_unreachable = cold.record_unreachable
         messenger.add_handler(TargetCold, cold.apply_message)
@@ -328,7 +328,7 @@
 
     def _apply_entry(self, info: TargetInfo) -> None:
         self.cold.apply_entry(info)
-        self.pacing.apply_entry(info)
+        self.slow_starts.apply_entry(info)
 
     def _settle_configurations(self, names: set[str]) -> None:
         if self.shared.table is None and self.dialect.configuration_name not in names:
@@ -358,7 +358,7 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
-        agreed = (self.configurations, self.drains, self.cold, self.pacing)
+        agreed = (self.configurations, self.drains, self.cold, self.slow_starts)
         parts = (*agreed, self.shared.sender.told, self.host_load)
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -9,8 +9,8 @@
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import ENGINE_FAILED, OVERLOADED, AnvilshiftError
-from anvilshift.core.health.pace import judge_answer
-from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.health.slowstart import judge_answer
+from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.placement.toldload import LoadReport
 from anvilshift.core.routing import RequestKind
 from anvilshift.core.targetload import Prompt
@@ -195,17 +195,17 @@
             When the request would still wait at its deadline.
         """
         shared, routed = self._shared, self._routed
-        pace, length = shared.sender.pace, len(routed.request.body)
-        if pace is None:
+        throttle, length = shared.sender.link_throttle, len(routed.request.body)
+        if throttle is None:
             return
         now, due = shared.clock.now(), routed.arrived + routed.rule.objective
         if now > due:
             # It is late already, and leaves the link to those that aren't.
             due = routed.end
         left = max(0.0, routed.end - now)
-        expected = pace.find_expected(due, length)
+        expected = throttle.find_expected(due, length)
         if not expected or expected < left:
-            await pace.wait(due, length)
+            await throttle.wait(due, length)
             return
         detail = f"a wait of {expected:.0f} ms for this router's link is expected"
         code = ENGINE_FAILED if self._progress.may_have_run else OVERLOADED
@@ -352,7 +352,7 @@
         if success:
             self._first_at = self._shared.clock.now()
             self._record_outcome(outgoing, span)
-            self._record_pace(outgoing, span)
+            self._record_speed(outgoing, span)
 
     def _record_outcome(self, outgoing: Outgoing, span: Millis) -> None:
         """Record whether the target was late by its own fault."""
@@ -363,7 +363,7 @@
         outcome = judge_answer(span, objective, usual)
         self._shared.sender.record_outcome(outgoing, outcome, self.sent)
 
-    def _record_pace(self, outgoing: Outgoing, span: Millis) -> None:
+    def _record_speed(self, outgoing: Outgoing, span: Millis) -> None:
         """Record how fast the target worked, unless the request waited for a slot."""
         choice, now = outgoing.choice, self._shared.clock.now()
         if self.concurrent_runs >= choice.target.info.slots:
@@ -380,7 +380,7 @@
         events, now = self._relay.events - self._events_before, self._shared.clock.now()
         target = outgoing.choice.target
         if events > 0:
-            target.paces.service.events.add(float(events))
+            target.learned_speeds.service.events.add(float(events))
         if events >= _LEAST_EVENTS:
             between = (now - self._first_at) / (events - 1) / target.find_slowness(now)
             self._shared.sender.told.add_sample(
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -255,8 +255,8 @@
         self._hear_outcome(message)
 
     def _hear_outcome(self, message: Begun | Ended) -> None:
-        if self.shared.sender.pacing is not None:
-            self.shared.sender.pacing.hear(message)
+        if self.shared.sender.slow_starts is not None:
+            self.shared.sender.slow_starts.hear(message)
 
     def _handle_blamed(self, message: Blamed) -> None:
         now = self.clock.now()
--- a/anvilshift/gateway/hostload.py
+++ b/anvilshift/gateway/hostload.py
@@ -11,7 +11,7 @@
 
 from anvilshift.core.admission.callershare import CallerShare, HostLimits, ResourceUse
 from anvilshift.core.admission.linkuse import LinkUse, Traffic
-from anvilshift.core.admission.newspace import find_news_pace
+from anvilshift.core.admission.newsbatching import find_news_batching
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.loadmessages import RouterLoad
@@ -83,7 +83,7 @@
         was_full = self.callers.is_full
         self.callers.update(self.use, now)
         if self.link is not None:
-            self.peers.pace = find_news_pace(self.link.sent)
+            self.peers.batching = find_news_batching(self.link.sent)
         self._tell(now)
         if self.callers.is_full != was_full or (
             self.callers.is_full and now >= self._log_due
--- a/anvilshift/gateway/linkpace.py
+++ b/anvilshift/gateway/linkthrottle.py
@@ -12,7 +12,7 @@
 
 
 @dataclass
-class LinkPace:
+class LinkThrottle:
     """Keep requests back while this router's own link is full.
 
     Parameters
--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -11,7 +11,7 @@
 from typing import cast
 
 from anvilshift.core.admission.linkuse import Traffic
-from anvilshift.core.admission.newspace import NewsPace
+from anvilshift.core.admission.newsbatching import NewsBatching
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.lateness import Lateness
 from anvilshift.gateway.datagrams import compress, decode, encode, pack
@@ -112,7 +112,7 @@
 
     Attributes
     ----------
-    pace
+    batching
         How messages that aren't sent immediately are collected and written.
     compact
         Names of the routers whose build reads compressed datagrams.
@@ -128,7 +128,7 @@
     addresses: set[str] = field(default_factory=set)
     hooks: PeerCallbacks = field(default_factory=PeerCallbacks)
     routers: dict[str, Peer] = field(default_factory=dict)
-    pace: NewsPace = field(default_factory=NewsPace)
+    batching: NewsBatching = field(default_factory=NewsBatching)
     compact: set[str] = field(default_factory=set)
     sent: Traffic = field(default_factory=Traffic)
     received: Traffic = field(default_factory=Traffic)
@@ -261,7 +261,7 @@
     ) -> None:
         self._waiting.setdefault(domains, []).append(encode(message))
         urgent_delay = _FLUSH_DELAY if self.small else _FLUSH_DELAY_LARGE
-        delay = max(self.pace.delay, urgent_delay if soon else _FLUSH_DELAY_IDLE)
+        delay = max(self.batching.delay, urgent_delay if soon else _FLUSH_DELAY_IDLE)
         loop = asyncio.get_running_loop()
         due = loop.time() + delay / SECOND
         if self._timer is None or due < self._timer.when():
@@ -288,7 +288,7 @@
         present = [peer.beat for peer in self.list_present()]
         for domains, encoded in waiting.items():
             plain = pack(encoded)
-            short = compress(encoded) if self.pace.is_compact else plain
+            short = compress(encoded) if self.batching.is_compact else plain
             for beat in present:
                 if not domains or beat.failure_domain in domains:
                     for datagram in short if beat.router in self.compact else plain:
--- a/anvilshift/gateway/runmessages.py
+++ b/anvilshift/gateway/runmessages.py
@@ -53,7 +53,7 @@
     told, told_age
         Figures of the load that the target told last, and their age; none if it told
         none lately.
-    paces
+    speeds
         How fast the target did each kind of work of the run; zero for no sample.
     outcome, took
         What the answer says of a target that has just started or come back, and the
@@ -64,7 +64,7 @@
     target: str
     told: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
     told_age: Millis = field(default=0.0, metadata=OPTIONAL)
-    paces: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
+    speeds: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
     outcome: str = field(default="", metadata=OPTIONAL)
     took: Millis = field(default=0.0, metadata=OPTIONAL)
 
@@ -77,6 +77,6 @@
     target: str
     told: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
     told_age: Millis = field(default=0.0, metadata=OPTIONAL)
-    paces: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
+    speeds: tuple[float, ...] = field(default=(), metadata=OPTIONAL)
     outcome: str = field(default="", metadata=OPTIONAL)
     took: Millis = field(default=0.0, metadata=OPTIONAL)
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import Clock, Millis
-from anvilshift.core.health.pace import Outcome
+from anvilshift.core.health.slowstart import Outcome
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.core.work import Failure
@@ -17,12 +17,12 @@
 from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
-from anvilshift.gateway.linkpace import LinkPace
+from anvilshift.gateway.linkthrottle import LinkThrottle
 from anvilshift.gateway.messages import Ended, Held, Leaving, Sent
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
-from anvilshift.gateway.pacing import Pacing
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.reach import TargetReach
+from anvilshift.gateway.slowstarts import SlowStarts
 from anvilshift.gateway.targetstarts import StartCheck, TargetStarts
 from anvilshift.gateway.toldloads import ToldLoads
 from anvilshift.wire.connection import Connection
@@ -50,9 +50,9 @@
     limits: RateLimits
     starts: TargetStarts
     cold: ColdTargets | None = None
-    pacing: Pacing | None = None
+    slow_starts: SlowStarts | None = None
     told: ToldLoads = field(init=False)
-    pace: LinkPace | None = None
+    link_throttle: LinkThrottle | None = None
     _logged_fields: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -324,10 +324,10 @@
         self, outgoing: Outgoing, outcome: Outcome, sent: Millis
     ) -> None:
         """Record what an answer says of a target that has just come back."""
-        if self.pacing is not None:
+        if self.slow_starts is not None:
             name = outgoing.choice.target.info.name
             has_ended = outcome is Outcome.REJECTED
-            self.pacing.record(name, outgoing.run, outcome, sent, has_ended)
+            self.slow_starts.record(name, outgoing.run, outcome, sent, has_ended)
 
     def record_first_byte(self, outgoing: Outgoing) -> None:
         """Record that the target began to answer, and tell the other routers."""
--- a/anvilshift/gateway/pacing.py
+++ b/anvilshift/gateway/slowstarts.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.health.pace import FLAPPING, Outcome, TargetPace, find_rank
+from anvilshift.core.health.slowstart import FLAPPING, Outcome, SlowStart, find_rank
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.gateway.journal import Journal
@@ -26,7 +26,7 @@
 
 
 @dataclass
-class Pacing:
+class SlowStarts:
     """The paces of targets as one router knows them.
 
     Parameters
@@ -46,8 +46,8 @@
     is_used: bool = False
     opened: int = 0
     closed: int = 0
-    _paces: dict[str, TargetPace] = field(default_factory=dict)
-    _former: dict[str, TargetPace] = field(default_factory=dict)
+    _paces: dict[str, SlowStart] = field(default_factory=dict)
+    _former: dict[str, SlowStart] = field(default_factory=dict)
     _starts: dict[str, tuple[int, str]] = field(default_factory=dict)
     _places: dict[str, tuple[Millis, int, int]] = field(default_factory=dict)
     _first_entry: Millis = math.inf
@@ -75,7 +75,7 @@
         name, now = info.name, self.clock.now()
         self._forget_old(now)
         former = self._paces.get(name) or self._former.get(name)
-        self._paces[name] = TargetPace.begin(info.slots, now, former)
+        self._paces[name] = SlowStart.begin(info.slots, now, former)
         self._write(name, why, self.router)
 
     # What answers tell
@@ -124,7 +124,7 @@
         pace = round(self._paces[name].window, 2)
         self.journal.write("target_pace", target=name, pace=pace, why=why, by=by)
 
-    def _find(self, name: str) -> TargetPace | None:
+    def _find(self, name: str) -> SlowStart | None:
         """Return the pace of a target; None for one that is open."""
         pace = self._paces.get(name)
         if pace is not None and pace.is_open(self.clock.now()):
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -39,8 +39,8 @@
             Targets at which an attempt failed.
         """
         excluded = self.list_excluded(failed_targets)
-        pacing = self.shared.sender.pacing
-        closed = pacing.list_closed(self.routed.service) if pacing else set()
+        slow_starts = self.shared.sender.slow_starts
+        closed = slow_starts.list_closed(self.routed.service) if slow_starts else set()
         if closed:
             choice = self._choose(excluded | closed)
             if choice is not None and choice.turn <= 0.0:
--- a/anvilshift/gateway/toldloads.py
+++ b/anvilshift/gateway/toldloads.py
@@ -1,10 +1,10 @@
-"""Record the load and the pace of targets, and tell the other routers of them."""
+"""Record the load and the speed of targets, and tell the other routers of them."""
 
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import Millis
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.placement.toldload import SLOWNESS_VALID, LoadReport, ToldLoad
 from anvilshift.core.targetload import TargetLoad
 from anvilshift.gateway.border import AnswerFields
@@ -12,7 +12,7 @@
 
 _MEASURED = (WorkKind.PREFILL, WorkKind.DECODE, WorkKind.PLAIN)
 _DIGITS = 3
-"""Significant digits of a pace that are told: it varies by more than that."""
+"""Significant digits of a speed that are told: it varies by more than that."""
 
 
 @dataclass
@@ -45,8 +45,8 @@
         self, target: TargetLoad, run: str, kind: WorkKind, sample: Millis, now: Millis
     ) -> None:
         """Record how fast a target did a kind of work, and keep it for the others."""
-        target.paces.add(kind, sample, now)
-        if target.paces.service.are_used:
+        target.learned_speeds.add(kind, sample, now)
+        if target.learned_speeds.service.are_used:
             self._samples.setdefault(run, {})[kind] = sample
 
     def make_begun(self, run: str, target: TargetLoad, now: Millis) -> Begun:
@@ -72,14 +72,14 @@
             else:
                 self.heard += 1
                 target.record_told(load, now - message.told_age)
-        target.paces.add_all(_MEASURED, message.paces, now)
+        target.learned_speeds.add_all(_MEASURED, message.speeds, now)
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric.
 
         They are absent where no target tells how slow it is.
         """
-        used = [s for s in self.loads.paces.values() if s.are_used]
+        used = [s for s in self.loads.learned_speeds.values() if s.are_used]
         if not used and not self.bad:
             return {}
         return {
@@ -93,7 +93,7 @@
     ) -> tuple[tuple[float, ...], float]:
         """Return the figures that the target told lately, with their age."""
         report = target.report
-        if report is None or not target.paces.service.are_used:
+        if report is None or not target.learned_speeds.service.are_used:
             return (), 0.0
         age = now - report.at
         if age >= SLOWNESS_VALID:
--- a/tests/core/admission/test_linkuse.py
+++ b/tests/core/admission/test_linkuse.py
@@ -3,7 +3,7 @@
 import unittest
 
 from anvilshift.core.admission.linkuse import LinkUse, Traffic
-from anvilshift.core.admission.newspace import find_news_pace
+from anvilshift.core.admission.newsbatching import find_news_batching
 
 
 class LinkUseTest(unittest.TestCase):
@@ -42,10 +42,10 @@
 
 class NewsPaceTest(unittest.TestCase):
     def test_idle_link_sends_news_as_before(self):
-        pace = find_news_pace(0.2)
-        self.assertEqual((pace.delay, pace.is_compact), (0.0, False))
+        batching = find_news_batching(0.2)
+        self.assertEqual((batching.delay, batching.is_compact), (0.0, False))
 
     def test_news_is_compact_before_it_waits(self):
-        self.assertEqual(find_news_pace(0.5).delay, 0.0)
-        self.assertTrue(find_news_pace(0.5).is_compact)
-        self.assertGreater(find_news_pace(0.9).delay, 0.0)
+        self.assertEqual(find_news_batching(0.5).delay, 0.0)
+        self.assertTrue(find_news_batching(0.5).is_compact)
+        self.assertGreater(find_news_batching(0.9).delay, 0.0)
--- a/tests/core/health/pacefleet.py
+++ b/tests/core/health/slowstartfleet.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from anvilshift.core.health.pace import Outcome, TargetPace, find_rank, judge_answer
+from anvilshift.core.health.slowstart import Outcome, SlowStart, find_rank, judge_answer
 
 OBJECTIVE = 645.0
 DEADLINE = 2_640.0
@@ -18,13 +18,13 @@
     """A router with its own view of the target's pace."""
 
     name: str
-    pace: TargetPace
+    pace: SlowStart
     rank: int
     running: int = 0
     closed: list[float] = field(default_factory=list)
 
 
-class PaceFleet:
+class SlowStartFleet:
     """Routers that always have a request for a target that has just started.
 
     Parameters
@@ -44,7 +44,7 @@
         routers: int = 40,
         rejects: Callable[[float], bool] = lambda now: False,
         hears: float = 1.0,
-        former: TargetPace | None = None,
+        former: SlowStart | None = None,
         start: float = 0.0,
         seed: int = 1,
     ) -> None:
@@ -56,7 +56,7 @@
         self.routers = [
             Router(
                 name,
-                TargetPace.begin(slots, start, former),
+                SlowStart.begin(slots, start, former),
                 find_rank(name, names, "target"),
             )
             for name, _ in names
--- a/tests/core/health/test_pace.py
+++ b/tests/core/health/test_slowstart.py
@@ -1,8 +1,8 @@
 import random
 import unittest
 
-from anvilshift.core.health.pace import Outcome, TargetPace, find_rank, judge_answer
-from tests.core.health.pacefleet import PaceFleet
+from anvilshift.core.health.slowstart import Outcome, SlowStart, find_rank, judge_answer
+from tests.core.health.slowstartfleet import SlowStartFleet
 
 MOST = 1.25
 OPENING = 3_000.0
@@ -13,7 +13,7 @@
         """Guards against a sound target that is left idle after its return."""
         for work in (20.0, 150.0, 600.0):
             for seed in range(5):
-                fleet = PaceFleet(lambda now, w=work: w, seed=seed)
+                fleet = SlowStartFleet(lambda now, w=work: w, seed=seed)
                 fleet.run(until=5_000.0)
                 with self.subTest(work=work, seed=seed):
                     self.assertIsNotNone(fleet.opened)
@@ -24,14 +24,14 @@
     def test_target_is_open_in_time_though_most_messages_are_lost(self):
         """Guards against routers that wait for answers of which nobody tells them."""
         for seed in range(5):
-            fleet = PaceFleet(lambda now: 150.0, hears=0.5, seed=seed)
+            fleet = SlowStartFleet(lambda now: 150.0, hears=0.5, seed=seed)
             fleet.run(until=5_000.0)
             self.assertLessEqual(fleet.opened or 9_999.0, OPENING)
             self.assertLessEqual(fleet.most, 12 * MOST)
 
     def test_target_that_never_becomes_fast_holds_few_requests(self):
         """Guards against deadlines missed at a target that doesn't recover."""
-        fleet = PaceFleet(lambda now: 2_000.0)
+        fleet = SlowStartFleet(lambda now: 2_000.0)
         fleet.run(until=20_000.0)
         self.assertIsNone(fleet.opened)
         self.assertEqual(fleet.missed, 0)
@@ -41,21 +41,21 @@
 
     def test_target_that_rejects_at_first_opens_when_it_takes_requests(self):
         """Guards against a target that is given up for its first moments."""
-        fleet = PaceFleet(lambda now: 100.0, rejects=lambda now: now < 300.0)
+        fleet = SlowStartFleet(lambda now: 100.0, rejects=lambda now: now < 300.0)
         fleet.run(until=10_000.0)
         self.assertIsNotNone(fleet.opened)
         self.assertLessEqual(fleet.most, 12 * MOST)
 
     def test_target_without_any_answer_gets_no_more_than_at_first(self):
         """Guards against a flood for a target that accepts and never answers."""
-        fleet = PaceFleet(lambda now: 1e9)
+        fleet = SlowStartFleet(lambda now: 1e9)
         fleet.run(until=60_000.0)
         self.assertIsNone(fleet.opened)
         self.assertEqual(fleet.most, 4)
 
     def test_target_whose_cache_is_empty_opens_as_its_answers_become_quick(self):
         """Guards against long prompts at once for a target without their prefixes."""
-        fleet = PaceFleet(lambda now: 900.0 if now < 1_500.0 else 150.0)
+        fleet = SlowStartFleet(lambda now: 900.0 if now < 1_500.0 else 150.0)
         fleet.run(until=10_000.0)
         self.assertIsNotNone(fleet.opened)
         self.assertEqual(fleet.missed, 0)
@@ -70,7 +70,7 @@
             names = [(f"r{n}", False) for n in range(routers)]
             total = 0
             for name, _ in names:
-                pace = TargetPace.begin(slots, 0.0)
+                pace = SlowStart.begin(slots, 0.0)
                 for i in range(rng.randrange(0, 90)):
                     outcome = rng.choices(list(Outcome), (8, 1, 1))[0]
                     pace.record(outcome, sent=float(i), now=float(i) + 0.5)
@@ -79,30 +79,30 @@
 
     def test_requests_that_were_sent_before_a_closing_close_no_further(self):
         """Guards against one slow moment that closes a target four times."""
-        pace = TargetPace.begin(12, 0.0)
+        pace = SlowStart.begin(12, 0.0)
         for _ in range(4):
             pace.record(Outcome.LATE, sent=1.0, now=900.0)
         self.assertEqual(pace.window, 2.0)
 
     def test_answers_to_requests_before_the_return_say_nothing(self):
-        pace = TargetPace.begin(12, now=100.0)
+        pace = SlowStart.begin(12, now=100.0)
         for outcome in Outcome:
             pace.record(outcome, sent=50.0, now=120.0)
         self.assertEqual(pace.window, 4.0)
 
     def test_target_that_flaps_begins_with_one_request(self):
         """Guards against four requests lost at each turn of a flapping target."""
-        first = TargetPace.begin(12, 0.0)
+        first = SlowStart.begin(12, 0.0)
         for n in range(11):
             first.record(Outcome.IN_TIME, sent=float(n), now=float(n))
-        again = TargetPace.begin(12, 5_000.0, first)
+        again = SlowStart.begin(12, 5_000.0, first)
         self.assertEqual(again.window, 1.0)
-        later = TargetPace.begin(12, 90_000.0, again)
+        later = SlowStart.begin(12, 90_000.0, again)
         self.assertEqual(later.window, 4.0)
 
     def test_small_target_isnt_open_before_it_has_answered(self):
         for slots in (1, 2, 3):
-            pace = TargetPace.begin(slots, 0.0)
+            pace = SlowStart.begin(slots, 0.0)
             self.assertFalse(pace.is_open(0.0))
             pace.record(Outcome.IN_TIME, sent=1.0, now=2.0)
             self.assertTrue(pace.is_open(2.0))
--- a/tests/core/placement/test_paces.py
+++ b/tests/core/placement/test_learnedspeeds.py
@@ -1,20 +1,24 @@
 import unittest
 
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.placement.paces import ServicePaces, TargetPaces, WorkKind
+from anvilshift.core.placement.learnedspeeds import (
+    ServiceSpeeds,
+    TargetSpeeds,
+    WorkKind,
+)
 from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.targetload import TargetInfo
 
 
-def add_many(paces: TargetPaces, kind: WorkKind, sample: float, now: float = 0.0):
+def add_many(speeds: TargetSpeeds, kind: WorkKind, sample: float, now: float = 0.0):
     for _ in range(20):
-        paces.add(kind, sample, now)
+        speeds.add(kind, sample, now)
 
 
-class PacesTest(unittest.TestCase):
+class LearnedSpeedsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.service = ServicePaces()
-        self.one, self.other = TargetPaces(self.service), TargetPaces(self.service)
+        self.service = ServiceSpeeds()
+        self.one, self.other = TargetSpeeds(self.service), TargetSpeeds(self.service)
 
     def test_kinds_of_work_are_learned_apart(self):
         """Guards against long prompts for a target that only answers quickly."""
@@ -61,7 +65,7 @@
             target.record_told(ToldLoad(0, 0, 8, slowness), at=n * 100.0)
             span = 7.0 + 100.0 * slowness
             sample = target.normalise(WorkKind.PREFILL, span, 100.0, n * 100.0)
-            target.paces.add(WorkKind.PREFILL, sample, n * 100.0)
+            target.learned_speeds.add(WorkKind.PREFILL, sample, n * 100.0)
         self.assertAlmostEqual(target.find_speed(900.0), 2.5, delta=0.1)
         self.assertAlmostEqual(target.find_speed(2_000.0), 1.1, delta=0.1)
 
@@ -71,7 +75,7 @@
         target = loads.targets["e1"]
         for _ in range(20):
             target.measure(span=207.0, predicted=100.0)
-            target.paces.add(WorkKind.PREFILL, 9.0, 0.0)
+            target.learned_speeds.add(WorkKind.PREFILL, 9.0, 0.0)
         self.assertEqual(target.find_speed(0.0), target.speed.value)
         self.assertEqual(target.compare_pace(WorkKind.PREFILL, 0.0), 1.0)
 
--- a/tests/core/placement/unevenfleet.py
+++ b/tests/core/placement/unevenfleet.py
@@ -9,7 +9,7 @@
 
 from anvilshift.core.choosing import Demand, choose_engine, choose_plain_target
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.targetload import Prompt, TargetInfo
 
@@ -97,14 +97,16 @@
         self.now = 0.0
 
     def learn(self) -> None:
-        """Let every router know the targets' paces, and that they tell them."""
+        """Let every router know the targets' speeds, and that they tell them."""
         kind = WorkKind.PREFILL if self.engines else WorkKind.PLAIN
         usual = 1.0 if self.engines else WORK
         for loads in self.maps:
-            loads.paces["llm"].are_used = True
+            loads.learned_speeds["llm"].are_used = True
             for _ in range(20):
                 for name, target in self.targets.items():
-                    loads.targets[name].paces.add(kind, usual * target.pace, 0.0)
+                    loads.targets[name].learned_speeds.add(
+                        kind, usual * target.pace, 0.0
+                    )
 
     def at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), act))
--- a/tests/gateway/test_hostload.py
+++ b/tests/gateway/test_hostload.py
@@ -56,11 +56,11 @@
         self.send(11.0, seconds=3)
         self.assertTrue(self.list_told()[-1].is_full)
         self.assertEqual(self.load.list_full(), {"own"})
-        self.assertTrue(self.peers.pace.is_compact)
+        self.assertTrue(self.peers.batching.is_compact)
         self.send(1.0, seconds=8)
         self.assertFalse(self.list_told()[-1].is_full)
         self.assertEqual(self.load.list_full(), set())
-        self.assertFalse(self.peers.pace.is_compact)
+        self.assertFalse(self.peers.batching.is_compact)
 
     def test_router_that_runs_out_of_descriptors_turns_callers_away(self):
         self.load = self.make(HostLimits(descriptors=1_000))
@@ -114,7 +114,7 @@
         transport.sent.clear()
         ended = [Ended(f"own.1/{n}", "e1") for n in range(40)]
         lines = [encode(one) for one in ended]
-        peers.pace = type(peers.pace)(is_compact=True)
+        peers.batching = type(peers.batching)(is_compact=True)
         peers._waiting = {frozenset(): lines}
         peers._flush()
         lengths = {ip: len(data) for ip, data in transport.sent}
--- a/tests/gateway/test_pacing.py
+++ b/tests/gateway/test_slowstarts.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from types import SimpleNamespace
 
-from anvilshift.core.health.pace import Outcome
+from anvilshift.core.health.slowstart import Outcome
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.datagrams import decode, encode
-from anvilshift.gateway.pacing import Pacing
 from anvilshift.gateway.runmessages import Begun
+from anvilshift.gateway.slowstarts import SlowStarts
 from tests.gateway.silent import SilentJournal
 
 ROUTERS = [f"r{n}" for n in range(40)]
@@ -28,7 +28,7 @@
     """Hands messages to the other routers at once."""
 
     name: str
-    fleet: dict[str, Pacing]
+    fleet: dict[str, SlowStarts]
 
     def broadcast(self, message) -> None:
         [received] = decode(encode(message))
@@ -55,20 +55,20 @@
     return "north" if int(router[1:]) % 4 == 0 else "south"
 
 
-class PacingTest(unittest.TestCase):
+class SlowStartsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = Clock()
-        self.fleet: dict[str, Pacing] = {}
+        self.fleet: dict[str, SlowStarts] = {}
         for name in ROUTERS:
             self.fleet[name] = self.make_router(name)
         self.read("old")
         self.clock.time = 10_000.0
         self.read("new")
 
-    def make_router(self, name: str, is_used: bool = True) -> Pacing:
+    def make_router(self, name: str, is_used: bool = True) -> SlowStarts:
         peers = PeersFake(name, self.fleet)
         domain = find_domain(name)
-        return Pacing(
+        return SlowStarts(
             name, domain, LoadMap(), peers, self.clock, SilentJournal(), is_used
         )
 
--- a/tests/gateway/test_targetchoice.py
+++ b/tests/gateway/test_targetchoice.py
@@ -18,9 +18,9 @@
 
     def choose(self, other: Choice | None) -> str:
         choices = {frozenset(): make_choice("back"), frozenset({"back"}): other}
-        pacing = SimpleNamespace(list_closed=lambda service: {"back"})
+        slow_starts = SimpleNamespace(list_closed=lambda service: {"back"})
         chooser = SimpleNamespace(
-            shared=SimpleNamespace(sender=SimpleNamespace(pacing=pacing)),
+            shared=SimpleNamespace(sender=SimpleNamespace(slow_starts=slow_starts)),
             routed=SimpleNamespace(service="llm"),
             list_excluded=lambda failed: set(failed),
             _choose=lambda excluded: choices[frozenset(excluded)],
--- a/tests/gateway/test_toldloads.py
+++ b/tests/gateway/test_toldloads.py
@@ -1,7 +1,7 @@
 import unittest
 
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.targetload import Prompt, TargetInfo
 from anvilshift.gateway.border import AnswerFields
@@ -38,7 +38,9 @@
         self.tell(now=250.0)
         self.assertEqual(self.heard.report.load, notes.load)
         self.assertEqual(self.heard.report.at, 0.0)
-        self.assertAlmostEqual(self.heard.paces.find(WorkKind.PREFILL, 9.0, 250.0), 0.5)
+        self.assertAlmostEqual(
+            self.heard.learned_speeds.find(WorkKind.PREFILL, 9.0, 250.0), 0.5
+        )
 
     def test_what_is_too_old_is_not_told(self):
         """Guards against a moment's slowness that goes round among routers."""
--- a/tests/platform/test_callers_leave.py
+++ b/tests/platform/test_callers_leave.py
@@ -53,7 +53,7 @@
         owner, name = {
             "tokens": (node.reservations, "reserve"),
             "permit": (PermitSession, "request_permit"),
-            "link": (node.pace, "wait"),
+            "link": (node.link_throttle, "wait"),
             "connection": (node.reach, "connect"),
         }[wait]
         original = getattr(owner, name)
--- a/tests/platform/test_full_links.py
+++ b/tests/platform/test_full_links.py
@@ -14,9 +14,9 @@
         await self.start_node()
         await self.warm_up(self.node)
         self.written = 0
-        self.node.pace.queue = LinkQueue(rate=12.0)
-        self.node.pace.count_written = lambda: self.written
-        self.node.pace.find_expected(0.0, 0)
+        self.node.link_throttle.queue = LinkQueue(rate=12.0)
+        self.node.link_throttle.count_written = lambda: self.written
+        self.node.link_throttle.find_expected(0.0, 0)
 
     async def test_request_waits_for_the_link_and_is_served(self):
         self.written = 600_000
