Read a router's datagram with less work for each message

In a large fleet each router reads every other's messages about runs, so reading them is a cost that an average router has too. A line was decoded from bytes with its encoding guessed, each field was copied by a recursive call, and the types and field counts were looked up in four tables.

A datagram is decoded once, its lines are read by one decoder, only lists are copied, and one form for each type holds its names, types and defaults. What is accepted and refused is the same; the test of malformed messages has three more.

--- a/anvilshift/gateway/datagrams.py
+++ b/anvilshift/gateway/datagrams.py
@@ -3,7 +3,7 @@
 import json
 import zlib
 from collections.abc import Iterable
-from dataclasses import asdict, fields
+from dataclasses import asdict, dataclass, fields
 from typing import Any, get_args, get_origin, get_type_hints
 
 from anvilshift.gateway.messages import Message
@@ -19,20 +19,43 @@
 """Bytes of messages that are compressed together: they mostly fit into a datagram."""
 _MAX_UNPACKED = 65_536
 
-_KINDS: dict[str, type[Message]] = {kind.__name__: kind for kind in get_args(Message)}
-_FIELD_TYPES: dict[type[Message], tuple[type, ...]] = {
-    kind: tuple(get_origin(hint) or hint for hint in get_type_hints(kind).values())
-    for kind in _KINDS.values()
-}
-_FIELD_NAMES: dict[type[Message], tuple[str, ...]] = {
-    kind: tuple(one.name for one in fields(kind)) for kind in _KINDS.values()
-}
-_OPTIONAL_DEFAULTS: dict[type[Message], tuple[Any, ...]] = {
-    kind: tuple(one.default for one in fields(kind) if one.metadata.get("optional"))
-    for kind in _KINDS.values()
+
+@dataclass(frozen=True, slots=True)
+class _Form:
+    """How messages of one type are written.
+
+    Parameters
+    ----------
+    names, types
+        Their fields, in order.
+    defaults
+        Defaults of the last fields, which are left out where they have them.
+    """
+
+    kind: type[Message]
+    names: tuple[str, ...]
+    types: tuple[type, ...]
+    defaults: tuple[Any, ...]
+
+    @classmethod
+    def from_kind(cls, kind: type[Message]) -> "_Form":
+        """Return how messages of a type are written."""
+        hints, known = get_type_hints(kind), fields(kind)
+        return cls(
+            kind,
+            tuple(one.name for one in known),
+            tuple(get_origin(hints[one.name]) or hints[one.name] for one in known),
+            tuple(one.default for one in known if one.metadata.get("optional")),
+        )
+
+
+_FORMS: dict[type[Message], _Form] = {
+    kind: _Form.from_kind(kind) for kind in get_args(Message)
 }
+_FORMS_BY_NAME: dict[str, _Form] = {kind.__name__: one for kind, one in _FORMS.items()}
 _ENCODER = json.JSONEncoder(separators=(",", ":"), default=asdict)
 """Encoder of messages; the values inside them may be data classes."""
+_DECODER = json.JSONDecoder()
 
 
 def encode(message: Message) -> bytes:
@@ -45,8 +68,9 @@
     b'["Ended","r1/7","e1"]'
     """
     kind = type(message)
-    values = [getattr(message, name) for name in _FIELD_NAMES[kind]]
-    for default in reversed(_OPTIONAL_DEFAULTS[kind]):
+    form = _FORMS[kind]
+    values: list[Any] = [getattr(message, name) for name in form.names]
+    for default in reversed(form.defaults):
         if values[-1] != default:
             break
         values.pop()
@@ -128,34 +152,25 @@
     """
     if datagram.startswith(_COMPRESSED):
         datagram = _decompress(datagram)
-    return [_decode_line(json.loads(line)) for line in datagram.split(b"\n")]
+    return [_decode_line(line) for line in datagram.decode().split("\n")]
 
 
-def _decode_line(values: Any) -> Message:
-    if not isinstance(values, list) or not values:
+def _decode_line(line: str) -> Message:
+    values, end = _DECODER.raw_decode(line)
+    if end != len(line) or not isinstance(values, list) or not values:
         raise ValueError("not a router message: expected a non-empty list")
-    kind = _KINDS.get(str(values[0]))
-    if kind is None or not _has_all_fields(kind, len(values) - 1):
+    name, *rest = values
+    form = _FORMS_BY_NAME.get(name) if isinstance(name, str) else None
+    if form is None or not 0 <= len(form.names) - len(rest) <= len(form.defaults):
         raise ValueError(
             "not a message of this router version: unknown type or field count"
         )
-    frozen = [_convert_lists(value) for value in values[1:]]
-    for expected, value in zip(_FIELD_TYPES[kind], frozen, strict=False):
-        if type(value) is not expected:
-            raise ValueError(f"a {values[0]} message has a field of the wrong type")
-    return kind(*frozen)
-
-
-def _has_all_fields(kind: type[Message], count: int) -> bool:
-    """Return whether a message may have so many fields."""
-    most = len(_FIELD_NAMES[kind])
-    return most - len(_OPTIONAL_DEFAULTS[kind]) <= count <= most
-
-
-def _convert_lists(value: Any) -> Any:
-    """Return a value with its lists as tuples."""
-    return (
-        tuple(_convert_lists(one) for one in value)
-        if isinstance(value, list)
-        else value
-    )
+    frozen: list[Any] = [_freeze(one) if type(one) is list else one for one in rest]
+    if tuple(map(type, frozen)) != form.types[: len(frozen)]:
+        raise ValueError(f"a {name} message has a field of the wrong type")
+    return form.kind(*frozen)
+
+
+def _freeze(values: list[Any]) -> tuple[Any, ...]:
+    """Return a list as a tuple, and so the lists in it."""
+    return tuple([_freeze(one) if type(one) is list else one for one in values])
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -54,6 +54,10 @@
         self.assertTrue(all(len(one) <= MAX_DATAGRAM for one in datagrams))
 
     def test_malformed_messages_raise_an_error(self):
-        for data in (b"", b"{}", b"[]", b'["Beat"]', b'["Other",1]', b"\xff", b"[[1]]"):
+        broken = [b'["Leaving","e1"] 1', b'["Leaving",5]', b'["Leaving","e1"]\n']
+        for data in (
+            *(b"", b"{}", b"[]", b'["Beat"]', b'["Other",1]', b"\xff", b"[[1]]"),
+            *broken,
+        ):
             with self.subTest(data), self.assertRaises(ValueError):
                 decode(data)
