Count the datagrams of routers as plain numbers

Each datagram that was sent or received made two frozen records of traffic, although they are read ten times a second and at each request that is sent. They are made when they are read.

--- a/anvilshift/gateway/peers.py
+++ b/anvilshift/gateway/peers.py
@@ -116,8 +116,6 @@
         How messages that aren't sent immediately are collected and written.
     compact
         Names of the routers whose build reads compressed datagrams.
-    sent, received
-        What was sent and received so far.
     """
 
     ip: str
@@ -130,8 +128,6 @@
     routers: dict[str, Peer] = field(default_factory=dict)
     pace: NewsPace = field(default_factory=NewsPace)
     compact: set[str] = field(default_factory=set)
-    sent: Traffic = field(default_factory=Traffic)
-    received: Traffic = field(default_factory=Traffic)
     _transport: asyncio.DatagramTransport | None = None
     _waiting: dict[frozenset[str], list[bytes]] = field(default_factory=dict)
     _timer: asyncio.TimerHandle | None = None
@@ -140,6 +136,22 @@
     _socket: socket.socket | None = None
     _is_taking: bool = False
     _beats_sent: int = 0
+    _sent_bytes: int = 0
+    _sent_datagrams: int = 0
+    _received_bytes: int = 0
+    _received_datagrams: int = 0
+
+    @property
+    def sent(self) -> Traffic:
+        """Return what was sent so far."""
+        return Traffic(datagram_bytes=self._sent_bytes, datagrams=self._sent_datagrams)
+
+    @property
+    def received(self) -> Traffic:
+        """Return what was received so far."""
+        return Traffic(
+            datagram_bytes=self._received_bytes, datagrams=self._received_datagrams
+        )
 
     async def start(self) -> None:
         """Open the socket."""
@@ -184,7 +196,8 @@
 
     def _handle(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a datagram and pass on its messages; malformed data is logged."""
-        self.received += Traffic(datagram_bytes=len(data), datagrams=1)
+        self._received_bytes += len(data)
+        self._received_datagrams += 1
         try:
             messages = decode(data)
         except ValueError as error:
@@ -297,7 +310,8 @@
     def _send(self, datagram: bytes, ip: str) -> None:
         if self._transport is None:
             return
-        self.sent += Traffic(datagram_bytes=len(datagram), datagrams=1)
+        self._sent_bytes += len(datagram)
+        self._sent_datagrams += 1
         try:
             self._transport.sendto(datagram, (ip, self.port))
         except OSError as error:
