Look only at the oldest run of each target, and read the memory's file unbuffered

Ten times a second each router looked at the age of every run of every target, and opened a text file to learn its own memory.

Runs stand in the order in which they were sent: one that is told again is removed and added anew. So the first one of a target is its oldest; a test guards that order.

--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -269,8 +269,11 @@
     def expire(self, now: Millis) -> None:
         """Remove runs that are older than the longest run: their end was lost."""
         for name, target in self.targets.items():
-            old = [r for r, one in target.runs.items() if now - one.since > LONGEST_RUN]
-            for run in old:
+            # The runs are in the order in which they were sent.
+            while target.runs:
+                run, oldest = next(iter(target.runs.items()))
+                if now - oldest.since <= LONGEST_RUN:
+                    break
                 self.end(name, run)
 
     def remove_runs(self, prefix: str) -> None:
--- a/anvilshift/gateway/hostload.py
+++ b/anvilshift/gateway/hostload.py
@@ -168,7 +168,9 @@
 def _read_memory() -> float:
     """Return the megabytes that this process holds; 0 if the system doesn't tell."""
     try:
-        pages = int(_STATUS.read_text().split()[1])
+        # Without the layers of a text file: it is read ten times a second.
+        with open(_STATUS, "rb", buffering=0) as status:
+            pages = int(status.read().split()[1])
     except (OSError, ValueError, IndexError):
         return 0.0
     return pages * resource.getpagesize() / _MB
--- a/tests/core/test_loadmap.py
+++ b/tests/core/test_loadmap.py
@@ -81,6 +81,16 @@
         loads.expire(LONGEST_RUN + 1.0)
         self.assertEqual(loads.targets["e1"].runs, {})
 
+    def test_a_run_that_was_told_again_keeps_no_other_from_expiring(self):
+        """Guards against runs that stay because a younger one stands before them."""
+        loads = make_map()
+        for run, now in (("r", 0.0), ("s", 1.0), ("r", 2.0), ("t", 3.0)):
+            self.send(loads, run, 100, now=now)
+        loads.expire(LONGEST_RUN + 1.5)
+        self.assertEqual(list(loads.targets["e1"].runs), ["r", "t"])
+        loads.expire(LONGEST_RUN + 2.5)
+        self.assertEqual(list(loads.targets["e1"].runs), ["t"])
+
     def test_runs_of_a_lost_router_are_removed(self):
         loads = make_map()
         self.send(loads, "edge-1.aa/1", 100)
