Give a connection turns of a busy loop before it is given up

Each attempt then opened three connections and went to another target, so that a router with too much work made itself three times as much.

Ruled out: a longer timeout, which would find dead hosts later on every router.

Change: once the time has passed, six turns of the loop follow before the connection is given up. On a loop that isn't busy they take no time.

Guarded by tests/wire/test_connecttimeout.py, which fails with asyncio.timeout in its place.

--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -12,6 +12,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.connection import Connection
+from anvilshift.wire.connecttimeout import limit_connecting
 from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
 from anvilshift.wire.response import ExchangeError, Response
 from anvilshift.wire.traffic import TrafficCounter
@@ -148,7 +149,7 @@
         """
         opened = Connection(address, via, self.traffic)
         try:
-            async with asyncio.timeout((timeout or self._connect_timeout) / SECOND):
+            async with limit_connecting(timeout or self._connect_timeout):
                 await (network or self._network).open(opened, address)
         except (OSError, TimeoutError) as error:
             raise ExchangeError(
--- a/anvilshift/wire/tunnel.py
+++ b/anvilshift/wire/tunnel.py
@@ -17,6 +17,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.client import Network, TcpNetwork
+from anvilshift.wire.connecttimeout import limit_connecting
 from anvilshift.wire.messages import Address, set_reset_on_close
 from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.tunnelframes import (
@@ -331,7 +332,7 @@
             return _UNREACHABLE
         end = _End(framed=_wants_frames(request))
         try:
-            async with asyncio.timeout(self._timeout / SECOND):
+            async with limit_connecting(self._timeout):
                 await self._network.open(end, address)
         except (OSError, TimeoutError):
             return _UNREACHABLE
