--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -116,13 +116,15 @@
         present = [
             t.info for t in self.list_service_targets(service) if not t.info.leaving
         ]
-        lost = [i for i, until in self._lost.values() if now < until]
-        recent = {info.name: info for info in [*lost, *present]}
-        return [
+        lost = [
             info
-            for info in recent.values()
-            if info.service == service and self.drains.may_send(info.failure_domain)
+            for info, until in self._lost.values()
+            if now < until and info.service == service
         ]
+        recent = [*lost, *present]
+        if self.drains.is_clear:
+            return recent
+        return [i for i in recent if self.drains.may_send(i.failure_domain)]
 
     def list_home_candidates(
         self, service: str, now: Millis, may_hide: Callable[[Millis], bool]
@@ -140,19 +142,21 @@
             nobody of it.
         """
         ended = {
-            name: (target.info, target.ended_at)
-            for name, target in self.targets.items()
+            target.info.name: target.ended_at
+            for target in self.list_service_targets(service)
             if target.ended_at is not None
         }
-        for name, (info, until) in self._lost.items():
-            ended.setdefault(name, (info, until - _LOST_RETENTION))
-        kept = {
+        for name, (_, until) in self._lost.items():
+            ended.setdefault(name, until - _LOST_RETENTION)
+        replaced = {
             name
-            for name, (_, at) in ended.items()
-            if now - at < _NEWS_DELAY or may_hide(at)
+            for name, at in ended.items()
+            if now - at >= _NEWS_DELAY and not may_hide(at)
         }
         recent = self.list_recent(service, now)
-        return [i for i in recent if i.name not in ended or i.name in kept]
+        if not replaced:
+            return recent
+        return [info for info in recent if info.name not in replaced]
 
     def mark_ended(self, name: str, now: Millis) -> None:
         """Record that a target has ended, whatever its entry says."""
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -79,8 +79,9 @@
         if exposure.is_harmless(self._content):
             return set()
         recent = self._list_candidates(service, prompt)
-        fitting = [i for i in recent if version is None or i.version == version]
-        domains = {info.name: info.failure_domain for info in fitting}
+        if version is not None:
+            recent = [info for info in recent if info.version == version]
+        domains = {info.name: info.failure_domain for info in recent}
         homes = choose_homes(self._get_home_key(prompt), domains, MAX_CRASHES)
         reached = exposure.list_charged_targets(self._content)
         allowed = [*reached, *(name for name in homes if name not in reached)]
