Do less for each request around its connection

Cause: each open listed all other routers only to see whether there are any, each look at a header field lowered its name once a field, the request's path was split anew for each look, and a request that arrived whole had a timer for its body set and cleared.

Change: none of these is done any more. Messages, choices and timeouts stay as they are: the body's timer is set once the rest of a body has to be waited for.

--- a/anvilshift/gateway/reach.py
+++ b/anvilshift/gateway/reach.py
@@ -140,8 +140,7 @@
         idle = self.client.take_idle(address, lambda one: not one.via)
         if idle is not None:
             return idle
-        alone = not self._list_forwarders()
-        timeout = _CONNECT_TIMEOUT_ALONE if alone else CONNECT_TIMEOUT
+        timeout = CONNECT_TIMEOUT if self._has_forwarders() else _CONNECT_TIMEOUT_ALONE
         try:
             opened = await self.client.open(address, timeout)
         except ExchangeError:
@@ -170,6 +169,10 @@
 
     # Other routers
 
+    def _has_forwarders(self) -> bool:
+        beats = (peer.beat for peer in self.peers.list_present())
+        return any(beat.serving and not beat.leaving for beat in beats)
+
     def _list_forwarders(self) -> dict[str, Forwarder]:
         beats = [peer.beat for peer in self.peers.list_present()]
         return {
@@ -314,7 +317,7 @@
         failed
             When the attempt failed.
         """
-        if not self._list_forwarders() or self.paths.is_verified(info.name, failed):
+        if not self._has_forwarders() or self.paths.is_verified(info.name, failed):
             record()
         elif self.paths.is_direct(info.name):
             self._spawn(self._check_and_record(info, record))
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
 from urllib.parse import parse_qsl, urlsplit
 
 from anvilshift.core.clock import SECOND, Millis
@@ -77,7 +78,8 @@
         A repeated field is rejected: two servers could each act on a different
         one of its values, which is a fault or an attack.
         """
-        found = [value for key, value in self.pairs if key == name.lower()]
+        wanted = name.lower()
+        found = [value for key, value in self.pairs if key == wanted]
         if len(found) > 1:
             raise AnvilshiftError(MALFORMED, f"header {name} appears more than once")
         return found[0] if found else None
@@ -121,7 +123,7 @@
     body: bytes = b""
     unread: Millis = 0.0
 
-    @property
+    @cached_property
     def path(self) -> str:
         """Return the path of the request target, without the query."""
         return urlsplit(self.target).path
--- a/anvilshift/wire/serverconnection.py
+++ b/anvilshift/wire/serverconnection.py
@@ -190,6 +190,7 @@
             self._transport.pause_reading()
 
     def _read_events(self) -> None:
+        is_head_new = False
         while True:
             try:
                 event = self._h11.next_event()
@@ -203,8 +204,7 @@
                 return
             if isinstance(event, h11.Request):
                 self._head = event
-                self._is_idle = False
-                self._set_timer(self._limits.body_timeout)
+                self._is_idle, is_head_new = False, True
                 if self._h11.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
             elif isinstance(event, h11.Data):
@@ -216,6 +216,8 @@
                 self._dispatch()
                 return
             else:
+                if is_head_new:
+                    self._set_timer(self._limits.body_timeout)
                 self._check_head_begun()
                 return
 
