Read on after much of an answer was read ahead

Cause: a connection to a target pauses reading once it has read over 256 KB ahead of a slow caller. Reading was resumed only where taking one part of the body crossed the limit; what was buffered is taken in one piece behind that part, without a look at the limit, so the connection never read again: the answer stood still until its deadline and was cut off. Shown by tests.wire.test_readahead, an answer of 6 MB in small chunks whose reader pauses for 0.3 s: not ended after 5 s before, whole after.

Change: a connection knows that it has paused, and looks at both places.

--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -53,6 +53,7 @@
         )
         self._events: deque[h11.Event] = deque()
         self._buffered = 0
+        self._is_paused = False
         self._event_ready = asyncio.Event()
         self._failure: Exception | None = None
         self.closed = False
@@ -121,6 +122,7 @@
         # An engine that streams faster than its caller reads would exhaust the
         # router's memory, so reading is paused until the backlog is consumed.
         if self._buffered > _READ_AHEAD_BYTES and self.transport is not None:
+            self._is_paused = True
             self.transport.pause_reading()
         self._event_ready.set()
 
@@ -154,12 +156,16 @@
             await self._event_ready.wait()
         event = self._events.popleft()
         if isinstance(event, h11.Data):
-            before = self._buffered
             self._buffered -= len(event.data)
-            if before > _READ_AHEAD_BYTES >= self._buffered and self.transport:
-                self.transport.resume_reading()
+            self._read_on()
         return event
 
+    def _read_on(self) -> None:
+        """Go on reading once enough of what was read ahead is used."""
+        if self._is_paused and self._buffered <= _READ_AHEAD_BYTES and self.transport:
+            self._is_paused = False
+            self.transport.resume_reading()
+
     def take_buffered(self) -> bytes:
         """Return the body bytes that are already buffered, without waiting."""
         parts = []
@@ -168,6 +174,7 @@
             assert isinstance(event, h11.Data)
             self._buffered -= len(event.data)
             parts.append(bytes(event.data))
+        self._read_on()
         return b"".join(parts)
 
     def reset(self) -> bool:
