Bound what a gateway holds in memory for slow callers and targets

Cause: callers' bodies are held from their head to the end of their answers, and answers that are whole until their callers have read them; nothing bounds either over all connections. A stream whose caller reads nothing stops being read from its target after 256 kB, and the target cuts it off.

Room is taken in the wire at three places (wire/heldroom.py). Without a memory in the settings nothing changes.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -25,6 +25,7 @@
 from anvilshift.gateway.domaindrains import DrainWatch
 from anvilshift.gateway.following import Follower, WatchIntervals
 from anvilshift.gateway.forwarding import Forwarding
+from anvilshift.gateway.heldmemory import HeldMemory
 from anvilshift.gateway.hostload import HostLoad
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
@@ -276,6 +277,8 @@
             self._find_traffic,
             self._count_sockets,
         )
+        self.held = HeldMemory(settings.limits, self.shared)
+        self.held.attach(self.server, self.client)
         if self.host_load.is_active:
             self.server.admission = self.host_load
         self.messenger.add_handler(RouterLoad, self.host_load.apply)
@@ -359,7 +362,7 @@
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric."""
         agreed = (self.configurations, self.drains, self.cold, self.pacing)
-        parts = (*agreed, self.shared.sender.told, self.host_load)
+        parts = (*agreed, self.shared.sender.told, self.host_load, self.held)
         return {
             name: value for one in parts for name, value in one.list_gauges().items()
         }
--- a/anvilshift/wire/client.py
+++ b/anvilshift/wire/client.py
@@ -12,6 +12,7 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.wire.connection import Connection
+from anvilshift.wire.heldroom import HeldRoom
 from anvilshift.wire.messages import Address, HeaderFields, Headers, HttpResponse
 from anvilshift.wire.response import ExchangeError, Response
 from anvilshift.wire.traffic import TrafficCounter
@@ -90,6 +91,8 @@
         How many connections it has opened.
     traffic
         Counts what its connections send and receive.
+    room
+        Memory for what is read ahead of answers' readers; None if it isn't bounded.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         self._idle: dict[Address, list[Connection]] = defaultdict(list)
         self.opened = 0
         self.traffic = TrafficCounter()
+        self.room: HeldRoom | None = None
 
     def take_idle(
         self, address: Address, is_usable: Callable[[Connection], bool] | None = None
@@ -146,7 +150,7 @@
         ExchangeError
             If it can't be opened.
         """
-        opened = Connection(address, via, self.traffic)
+        opened = Connection(address, via, self.traffic, self.room)
         try:
             async with asyncio.timeout((timeout or self._connect_timeout) / SECOND):
                 await (network or self._network).open(opened, address)
--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.wire.heldroom import READ_STEP, AheadHold, HeldRoom
 from anvilshift.wire.messages import Address, HeaderFields, set_reset_on_close
 from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.receivebuffer import RECEIVE_BUFFER
@@ -15,6 +16,10 @@
 
 _READ_AHEAD_BYTES = 256 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
+_EVENT_BYTES = 200
+"""Memory that a part of a body takes beside its bytes."""
+_LOOK_INTERVAL: Millis = 100.0
+"""Time between two looks for room to read ahead; targets wait for seconds."""
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -29,6 +34,9 @@
         connection.
     traffic
         Counts what it sends and receives, with others.
+    room
+        Memory for what is read ahead of the answer's reader; without it a fixed bound
+        holds for each connection.
 
     Attributes
     ----------
@@ -41,7 +49,11 @@
     """
 
     def __init__(
-        self, address: Address, via: str = "", traffic: TrafficCounter | None = None
+        self,
+        address: Address,
+        via: str = "",
+        traffic: TrafficCounter | None = None,
+        room: HeldRoom | None = None,
     ) -> None:
         self._traffic = traffic or TrafficCounter()
         self.address = address
@@ -54,6 +66,7 @@
         self._events: deque[h11.Event] = deque()
         self._buffered = 0
         self._is_paused = False
+        self._ahead = AheadHold(room) if room is not None else None
         self._event_ready = asyncio.Event()
         self._failure: Exception | None = None
         self.closed = False
@@ -87,6 +100,8 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that all connections of the thread share."""
+        if self._ahead is not None and self._buffered:
+            return RECEIVE_BUFFER.view[:READ_STEP]
         return RECEIVE_BUFFER.view
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -121,11 +136,34 @@
                 self.transport.abort()
         # An engine that streams faster than its caller reads would exhaust the
         # router's memory, so reading is paused until the backlog is consumed.
-        if self._buffered > _READ_AHEAD_BYTES and self.transport is not None:
-            self._is_paused = True
-            self.transport.pause_reading()
+        self._count_ahead()
+        if not self._may_read_on() and self.transport is not None:
+            self._pause(self.transport)
         self._event_ready.set()
 
+    def _may_read_on(self) -> bool:
+        if self._ahead is None:
+            return self._buffered <= _READ_AHEAD_BYTES
+        return not self._buffered or self._ahead.may_grow()
+
+    def _count_ahead(self) -> None:
+        if self._ahead is not None:
+            ahead = self._buffered + len(self._events) * _EVENT_BYTES
+            self._ahead.set(ahead if self._buffered else 0)
+
+    def _pause(self, transport: asyncio.Transport) -> None:
+        self._is_paused = True
+        transport.pause_reading()
+        if self._ahead is not None:
+            # Others may give room up while this answer's reader takes nothing.
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LOOK_INTERVAL / SECOND, self._look_for_room)
+
+    def _look_for_room(self) -> None:
+        self._read_on()
+        if self._is_paused and not self.closed and self.transport is not None:
+            self._pause(self.transport)
+
     def send(self, method: str, path: str, headers: HeaderFields, body: bytes) -> None:
         """Write a request."""
         assert self.transport is not None
@@ -162,7 +200,8 @@
 
     def _read_on(self) -> None:
         """Go on reading once enough of what was read ahead is used."""
-        if self._is_paused and self._buffered <= _READ_AHEAD_BYTES and self.transport:
+        self._count_ahead()
+        if self._is_paused and self.transport is not None and self._may_read_on():
             self._is_paused = False
             self.transport.resume_reading()
 
@@ -212,6 +251,8 @@
                 set_reset_on_close(self.transport, True)
             self.transport.abort()
         self.closed = True
+        if self._ahead is not None:
+            self._ahead.set(0)
 
     def close_unless_idle(self) -> None:
         """Close the connection unless it was kept for another exchange."""
--- a/anvilshift/wire/server.py
+++ b/anvilshift/wire/server.py
@@ -2,12 +2,10 @@
 
 import asyncio
 
+from anvilshift.wire.connectionowner import CallerAdmission, Handler
+from anvilshift.wire.heldroom import HeldRoom
 from anvilshift.wire.messages import DEFAULT_LIMITS, Address, Limits
-from anvilshift.wire.serverconnection import (
-    CallerAdmission,
-    Handler,
-    ServerConnection,
-)
+from anvilshift.wire.serverconnection import ServerConnection
 from anvilshift.wire.traffic import TrafficCounter
 
 
@@ -33,6 +31,8 @@
         Decides which connections are taken and kept; None to take and keep all.
     traffic
         Counts what callers send and are sent.
+    room
+        Memory for what callers send slowly or read slowly; None if it isn't bounded.
     """
 
     def __init__(self, handler: Handler, limits: Limits = DEFAULT_LIMITS) -> None:
@@ -44,6 +44,7 @@
         self.is_draining = False
         self.admission: CallerAdmission | None = None
         self.traffic = TrafficCounter()
+        self.room: HeldRoom | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self, address: Address) -> Address:
--- a/anvilshift/wire/serverconnection.py
+++ b/anvilshift/wire/serverconnection.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 import h11
 from absl import logging
@@ -17,7 +15,9 @@
     AnvilshiftError,
     Code,
 )
+from anvilshift.wire.connectionowner import ConnectionOwner
 from anvilshift.wire.errorreplies import list_last_events, render_error
+from anvilshift.wire.heldroom import BodyHold
 from anvilshift.wire.messages import (
     Headers,
     HttpRequest,
@@ -33,43 +33,12 @@
     Responder,
 )
 from anvilshift.wire.tcpstate import find_unread_time, has_peer_closed
-from anvilshift.wire.traffic import TrafficCounter
 
 _MAX_PIPELINED_BYTES = 64 * 1024
 _HEAD_TOO_LARGE_STATUS = 431
-
-Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
-
-
-class CallerAdmission(Protocol):
-    """Decides which connections a server takes, and which it keeps."""
-
-    def takes_connection(self) -> bool:
-        """Return whether to take a connection that was just opened."""
-
-    def keeps_connection(self) -> bool:
-        """Return whether a connection stays open after the answer that begins now."""
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs of the server that accepted it.
-
-    Attributes
-    ----------
-    admission
-        Decides which connections are taken and kept; None to take and keep all.
-    traffic
-        Counts what callers send and are sent.
-    """
-
-    handler: Handler
-    limits: Limits
-    connections: set["ServerConnection"]
-    stopping: bool
-    closed: bool
-    is_draining: bool
-    admission: CallerAdmission | None
-    traffic: TrafficCounter
+_LINGER: Millis = 2 * SECOND
+"""Time for which a caller whose body is refused may go on sending it.  Closed at once,
+the connection would be reset, and the caller might never see the answer."""
 
 
 class ServerConnection(asyncio.BufferedProtocol):
@@ -86,6 +55,8 @@
         self._task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._hold = BodyHold(server.room)
+        self._lingers = False
         self._unsent = b""
         self._closed = False
         self.loss = ""
@@ -147,6 +118,7 @@
         self.loss = self._describe_loss(exc)
         self._writable.set()
         self._clear_timer()
+        self._hold.release()
         if self._timeouts is not None:
             self._timeouts.end()
         self._server.connections.discard(self)
@@ -177,6 +149,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes."""
         self._server.traffic.add_received(nbytes)
+        if self._lingers:
+            return
         self._h11.receive_data(bytes(RECEIVE_BUFFER.view[:nbytes]))
         if self.busy:
             self._limit_pipelining()
@@ -205,6 +179,8 @@
                 self._head = event
                 self._is_idle = False
                 self._set_timer(self._limits.body_timeout)
+                if not self._take_room(_find_length(event)):
+                    return
                 if self._h11.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
             elif isinstance(event, h11.Data):
@@ -212,6 +188,8 @@
                 if len(self._body) > self._limits.body_bytes:
                     self._reject(TOO_LARGE, "the body exceeds the size limit")
                     return
+                if not self._take_room(len(self._body)):
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
                 return
@@ -219,6 +197,20 @@
                 self._check_head_begun()
                 return
 
+    def _take_room(self, length: int) -> bool:
+        """Take room for a body, or refuse the request without reading it."""
+        try:
+            self._hold.take(min(length, self._limits.body_bytes))
+        except AnvilshiftError as error:
+            self._body.clear()
+            self._hold.release()
+            for last in list_last_events(error):
+                self.send(last)
+            self._lingers = True
+            self._set_timer(_LINGER)
+            return False
+        return True
+
     def _check_head_begun(self) -> None:
         """Give the head of a further request its own timeout, once, as it begins."""
         if self._is_idle and self._h11.trailing_data[0]:
@@ -252,6 +244,7 @@
             await self._answer_error(responder, AnvilshiftError(CODES[9001]))
         finally:
             self._task = None
+            self._hold.release()
         if responder.finished:
             self._start_next_request()
         else:
@@ -330,11 +323,20 @@
 
     async def drain(self) -> None:
         """Wait while the write buffer is full."""
-        while not self._writable.is_set():
-            await self._wait_for_reading()
+        if not self._writable.is_set():
+            await self._wait_until_writable()
         if self._closed:
             raise CallerDisconnectedError(self.loss or CALLER_CLOSED)
 
+    async def _wait_until_writable(self) -> None:
+        room, size = self._server.room, self._count_unread()
+        with room.hold_unread(size, self) if room else contextlib.nullcontext():
+            while not self._writable.is_set():
+                await self._wait_for_reading()
+
+    def _count_unread(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     async def _wait_for_reading(self) -> None:
         """Wait until the write buffer has room, or for as long as the caller reads."""
         assert self._transport is not None
@@ -365,8 +367,7 @@
     @property
     def is_unfinished(self) -> bool:
         """Return whether its end would lose a request, or a part of an answer."""
-        unsent = self._transport and self._transport.get_write_buffer_size()
-        return self.busy or self.is_receiving or bool(unsent)
+        return self.busy or self.is_receiving or bool(self._count_unread())
 
     def close_idle(self) -> None:
         """Close the connection unless a request or a part of one was read."""
@@ -384,7 +385,13 @@
             self._timer = None
 
     def _handle_timeout(self) -> None:
-        if self._head is None and not self._h11.trailing_data[0] and self._transport:
+        is_unused = self._head is None and not self._h11.trailing_data[0]
+        if (is_unused or self._lingers) and self._transport:
             self._transport.close()
         else:
             self._reject(TOO_SLOW, "the request did not arrive in time")
+
+
+def _find_length(head: h11.Request) -> int:
+    """Return the length that a request's head announces for its body; 0 for none."""
+    return int(dict(head.headers).get(b"content-length", 0))
