Give the slow caller's stream the time that its test needs

Cause: the stream of 24 MB has to be read within the deadline of its request, 10 s, of which its caller reads nothing for 4 s. The test is about its end, not about how fast it is read.

Ruled out: a target that cuts it off (that would break it off before the caller reads on, behind about 8,500 events).

--- a/tests/platform/test_held_memory.py
+++ b/tests/platform/test_held_memory.py
@@ -6,6 +6,7 @@
 
 from anvilshift.core.admission.callershare import HostLimits
 from anvilshift.core.admission.heldbytes import Use
+from anvilshift.core.clock import SECOND
 from anvilshift.gateway.heldmemory import HeldMemory
 from tests.platform.gatewaycase import GatewayCase, make_configuration
 from tests.platform.rawtarget import End, Frame, RawAnswer, RawTarget, make_events
@@ -16,6 +17,8 @@
 CALLERS = 60
 SMALL_BUFFER = 64 * 1024
 LONG_MS = 10_000
+STREAM_MS = 60_000
+"""Deadline of the stream: its end is the matter, not how fast the test reads it."""
 CUT_OFF_S = 1.0
 """Time after which a target cuts off an answer that stays unread."""
 EVENTS = 24_000
@@ -48,10 +51,11 @@
 
 class HeldMemoryCase(GatewayCase):
     memory: float | None = MEMORY_MB
+    timeout: int = LONG_MS
 
     async def start(self) -> None:
         await self.start_node()
-        patient = make_configuration(2, reserved=50_000_000, timeout=LONG_MS)
+        patient = make_configuration(2, reserved=50_000_000, timeout=self.timeout)
         self.store_stub.put("config", "main", patient)
         shared = self.node.shared
         await self.wait_for(lambda: shared.table.configuration.version == 2)
@@ -107,6 +111,7 @@
 
 class SlowReaderTest(HeldMemoryCase):
     memory = 552
+    timeout = STREAM_MS
 
     async def read_late(self) -> bytes:
         """Return a stream whose caller reads nothing until a target would cut it."""
@@ -131,12 +136,12 @@
             "Anvilshift-Attempt-Id": "late",
             "Anvilshift-Token-Usage": "100,30",
             "Anvilshift-Prefix-Hash": "a:60,b:40",
-            "Anvilshift-Deadline-Ms": str(LONG_MS),
+            "Anvilshift-Deadline-Ms": str(STREAM_MS),
         }
         head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         writer.write(f"POST /review/1 HTTP/1.1\r\n{head}\r\n".encode())
         await asyncio.sleep(4 * CUT_OFF_S)
-        async with asyncio.timeout(15):
+        async with asyncio.timeout(STREAM_MS / SECOND):
             return await reader.read()
 
     async def test_stream_of_a_slow_caller_stays_whole(self):
