Refuse new connections while the link is full and other routers have room

Change: core/admission/listening decides from the link's use and from how many others are full: the router listens for 0.1 s in each second, until its link has room. It acts only where the settings name the host's link.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -281,6 +281,7 @@
         self.held.attach(self.server, self.client)
         if self.host_load.is_active:
             self.server.admission = self.host_load
+            self.host_load.set_listening = self.server.set_listening
         self.messenger.add_handler(RouterLoad, self.host_load.apply)
         self.directory = RouterDirectory(
             settings, self.peers, self.is_ready, self.host_load.list_full
--- a/anvilshift/gateway/hostload.py
+++ b/anvilshift/gateway/hostload.py
@@ -11,6 +11,7 @@
 
 from anvilshift.core.admission.callershare import CallerShare, HostLimits, ResourceUse
 from anvilshift.core.admission.linkuse import LinkUse, Traffic
+from anvilshift.core.admission.listening import Listening
 from anvilshift.core.admission.newsbatching import find_news_batching
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.gateway.journal import Journal
@@ -43,6 +44,8 @@
         Returns what was sent and what was received so far.
     count_sockets
         Returns how many sockets are open.
+    set_listening
+        Lets callers open connections, or refuses them.
     """
 
     router: str
@@ -52,7 +55,9 @@
     journal: Journal
     find_traffic: Callable[[], tuple[Traffic, Traffic]]
     count_sockets: Callable[[], int] = lambda: 0
+    set_listening: Callable[[bool], None] = lambda wanted: None
     callers: CallerShare = field(default_factory=CallerShare)
+    listening: Listening = field(default_factory=Listening)
     use: ResourceUse = field(default_factory=ResourceUse)
     link: LinkUse | None = field(init=False)
     _heard: dict[str, tuple[RouterLoad, Millis]] = field(default_factory=dict)
@@ -88,11 +93,23 @@
         if self.link is not None:
             self.peers.batching = find_news_batching(self.link.sent)
         self._tell(now)
+        self._listen(now)
         if self.callers.is_full != was_full or (
             self.callers.is_full and now >= self._log_due
         ):
             self._log(now)
 
+    def _listen(self, now: Millis) -> None:
+        """Refuse new connections while the link is full and other routers aren't."""
+        link = 0.0 if self.link is None else self.link.most
+        full = len(self.list_full() - {self.router})
+        others = max(1, len(self.peers.list_present()))
+        was_refusing = self.listening.is_refusing
+        self.set_listening(self.listening.update(link, full / others, now))
+        if self.listening.is_refusing != was_refusing:
+            event = "callers_taken" if was_refusing else "callers_refused"
+            self.journal.write(event, link=round(link, 2), full=full, others=others)
+
     def _measure(self, now: Millis) -> ResourceUse:
         link, limits = 0.0, self.limits
         if self.link is not None:
--- a/tests/gateway/test_hostload.py
+++ b/tests/gateway/test_hostload.py
@@ -109,6 +109,18 @@
                     near.apply(load)
                 self.assertEqual(near.list_full(), {"own"})
 
+    def test_full_link_refuses_callers_while_others_have_room(self):
+        """Guards against callers that wait for seconds behind a full link."""
+        asked: list[bool] = []
+        self.load.set_listening = asked.append
+        self.send(11.0, seconds=3)
+        self.assertLess(sum(asked[-20:]), 5)
+        self.load.apply(RouterLoad("r1", 1.1, True))
+        self.send(11.0, seconds=1)
+        self.assertTrue(all(asked[-10:]))
+        self.send(1.0, seconds=8)
+        self.assertTrue(all(asked[-10:]))
+
     def test_old_news_of_a_full_router_ends(self):
         """Guards against a router left out for good after it was killed while full."""
         self.load.apply(RouterLoad("r1", 1.1, True))
