Find a request's route by its prefix, and read an event's lines in fewer steps

Cause: each request was compared with the prefixes of all routes of its host, 49 here, and each line of a stream was copied through a buffer that is empty but at the edge of a read: in a profile of a busy router 2,358 requests and 79,464 lines took 2% of its time.

Change: rules are kept by prefix, for each length of a prefix; a line is copied only if it began in an earlier read.

--- a/anvilshift/core/routing.py
+++ b/anvilshift/core/routing.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from operator import itemgetter
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.health.coldtargets import ColdNeeds
@@ -185,8 +186,9 @@
     def find(self, host: str, path: str) -> Rule | None:
         """Return the rule of a host with the longest prefix of a path, if any."""
         name = host.rpartition(":")[0] if ":" in host else host
-        for rule in self._by_host.get(name.lower(), ()):
-            if path.startswith(rule.prefix):
+        for length, rules in self._by_host.get(name.lower(), ()):
+            rule = rules.get(path[:length])
+            if rule is not None:
                 return rule
         return None
 
@@ -213,9 +215,20 @@
     return pauses
 
 
-def _group_by_host(rules: Iterable[Rule]) -> dict[str, list[Rule]]:
-    """Return the rules of each host name, longest prefix first."""
-    grouped: dict[str, list[Rule]] = {}
-    for rule in sorted(rules, key=lambda rule: -len(rule.prefix)):
-        grouped.setdefault(rule.host.lower(), []).append(rule)
-    return grouped
+_RulesByLength = list[tuple[int, dict[str, Rule]]]
+
+
+def _group_by_host(rules: Iterable[Rule]) -> dict[str, _RulesByLength]:
+    """Return the rules of each host name by prefix, for each length of a prefix.
+
+    The longest prefixes come first; of rules with one prefix, the first one counts.
+    """
+    grouped: dict[str, dict[int, dict[str, Rule]]] = {}
+    for rule in rules:
+        by_length = grouped.setdefault(rule.host.lower(), {})
+        of_length = by_length.setdefault(len(rule.prefix), {})
+        of_length.setdefault(rule.prefix, rule)
+    return {
+        host: sorted(by_length.items(), key=itemgetter(0), reverse=True)
+        for host, by_length in grouped.items()
+    }
--- a/anvilshift/wire/eventlines.py
+++ b/anvilshift/wire/eventlines.py
@@ -64,9 +64,13 @@
             if piece[-1] not in _LINE_ENDS:
                 self._partial += piece
                 return
-            line = self._strip_mark(bytes(self._partial) + piece.rstrip(_LINE_ENDS))
-            self._partial.clear()
-            self._is_first = False
+            line = piece.rstrip(_LINE_ENDS)
+            if self._partial:
+                line = bytes(self._partial) + line
+                self._partial.clear()
+            if self._is_first:
+                line = self._strip_mark(line)
+                self._is_first = False
             yield line, position
 
 
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -32,6 +32,11 @@
         self.assertIsNone(table.find("shop.example", "/xy"))
         self.assertIsNone(table.find("shop.example", "/x"))
 
+    def test_the_first_rule_of_a_prefix_counts(self):
+        """Guards against a rule that takes over the requests of one declared before."""
+        table = self.make_table(make_rule("a", "/x/"), make_rule("b", "/x/"))
+        self.assertEqual(table.find("shop.example", "/x/1").name, "a")
+
     def test_the_host_is_matched_without_its_port_and_case(self):
         table = self.make_table(make_rule("a", "/x/"))
         self.assertEqual(table.find("SHOP.example:8080", "/x/1").name, "a")
