Collect a gateway's garbage as seldom as a router's

Cause: the gateway's process kept the interpreter's thresholds, and so looked for garbage after each 700 new objects.

Change: both processes are configured by one module, with the thresholds that the router had.

--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -1,12 +1,12 @@
 """Entry point of a gateway process: ``python3 -m anvilshift.platform.main``."""
 
 import asyncio
-import gc
 import random
 import signal
 import sys
 from dataclasses import asdict
 
+from anvilshift.collection import configure_collection
 from anvilshift.core.clock import (
     PROCESS_START,
     SECOND,
@@ -74,8 +74,7 @@
         await self.node.start()
         self._journal.write("started", incarnation=self.node.incarnation)
         counting = asyncio.create_task(self._write_store_calls())
-        gc.collect()
-        gc.freeze()
+        configure_collection()
         await self._stopping.wait()
         counting.cancel()
         await self.node.stop()
--- a/anvilshift/router/daemon.py
+++ b/anvilshift/router/daemon.py
@@ -1,12 +1,12 @@
 """The router process: a node with its sockets and signal handlers."""
 
 import asyncio
-import gc
 import random
 import signal
 
 from absl import logging
 
+from anvilshift.collection import configure_collection
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.engines.http import HttpConnector
 from anvilshift.objects.store import HttpObjectStore
@@ -18,25 +18,6 @@
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.server import HttpServer
 
-_GC_THRESHOLDS = (20_000, 20, 20)
-"""Thresholds of the three generations: new objects before a young collection, and
-collections of one generation before the next older one is collected. A request
-creates about a hundred objects in reference cycles with its task, so that a router at
-100 requests per second runs a full collection every few minutes."""
-
-
-def _configure_garbage_collector() -> None:
-    """Prevent long pauses of the event loop due to garbage collection.
-
-    A full collection traverses every object while all streams wait. With the
-    default settings the tokens of all callers were 30 to 60 ms late several times a
-    minute. Objects that exist at the start (modules, models, instruments) live until
-    the process exits, so they are excluded from collection.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
-
 
 class Router:
     """The router process: a node, its servers and its planned stop."""
@@ -95,7 +76,7 @@
         await self._peer_server.start(settings.peer_listen)
         self.node.start()
         await self._caller_server.start(settings.listen)
-        _configure_garbage_collector()
+        configure_collection()
         logging.info("router is listening address=%s", settings.listen)
 
     async def close(self) -> None:
