Search a router's marks instead of looking at all of them

Ten times a second each router asked which of its hundred marks of the store's history prove a useful bound, and compared each new one with all of them. The marks stand in order, so those in the range, and the neighbours of a new one, are found by search.

--- a/anvilshift/core/retention.py
+++ b/anvilshift/core/retention.py
@@ -11,7 +11,7 @@
 still be followed gives the tightest bound on the time since they were recorded.
 """
 
-from bisect import insort
+from bisect import bisect
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -66,10 +66,10 @@
 
     def add(self, mark: Mark) -> None:
         """Add a mark, unless another is less than the minimum spacing away."""
-        if all(
-            abs(one.followed - mark.followed) >= _MIN_SPACING for one in self._marks
-        ):
-            insort(self._marks, mark)
+        index = bisect(self._marks, mark)
+        neighbours = self._marks[max(0, index - 1) : index + 1]
+        if all(abs(one.followed - mark.followed) >= _MIN_SPACING for one in neighbours):
+            self._marks.insert(index, mark)
 
     def expire(self, now: Millis) -> None:
         """Remove marks that the store's history no longer reaches back to."""
@@ -123,11 +123,14 @@
             Bounds with their marks, shortest first.  As long as a mark's revision can
             be followed, less time than the bound has passed since the instant.
         """
-        spans = (
-            (mark.followed + self.history + RETENTION_MARGIN - anchor, mark)
-            for mark in self._marks
-        )
-        return [(span, mark) for span, mark in spans if 0.0 < span <= most]
+
+        def find_span(mark: Mark) -> Millis:
+            return mark.followed + self.history + RETENTION_MARGIN - anchor
+
+        # The marks stand in order: only those in the range are looked at.
+        first = bisect(self._marks, 0.0, key=find_span)
+        last = bisect(self._marks, most, lo=first, key=find_span)
+        return [(find_span(mark), mark) for mark in self._marks[first:last]]
 
 
 def thin(
--- a/tests/core/test_retention.py
+++ b/tests/core/test_retention.py
@@ -48,6 +48,23 @@
             marks.add(Mark(at, int(at)))
         self.assertEqual([m.revision for m in marks.list_marks()], [0, 80, 400])
 
+    def test_a_mark_between_others_is_compared_with_both(self):
+        """Guards against marks that stand too close because only one side is seen."""
+        marks = MarkLog(HISTORY)
+        for at in (0.0, 800.0, 400.0, 321.0, 479.0, 200.0, 480.0):
+            marks.add(Mark(at, int(at)))
+        self.assertEqual(
+            [m.revision for m in marks.list_marks()], [0, 200, 400, 480, 800]
+        )
+
+    def test_only_bounds_in_the_range_are_listed(self):
+        """Guards against a bound of exactly the most that is left out, or one of 0."""
+        marks = MarkLog(HISTORY)
+        for at in (850.0, 1_850.0, 2_850.0):
+            marks.add(Mark(at, int(at)))
+        spans = marks.list_bounds(anchor=21_000.0, most=2_000.0)
+        self.assertEqual([span for span, _ in spans], [1_000.0, 2_000.0])
+
     def test_marks_of_discarded_history_are_removed(self):
         marks = MarkLog(HISTORY)
         marks.add(Mark(0.0, 1))
