Ask in periodic work and on failures first what is cheapest to know

The same answers are now found with less:

- a target is compared with others only if it has as many failures as a suspect needs;
- whether a balance draws is asked before its waiting requests are summed;
- idle tokens are counted only where some are left;
- the routers that are present are compared with those before first;
- a run that is new isn't ended first.

--- a/anvilshift/core/balances.py
+++ b/anvilshift/core/balances.py
@@ -110,7 +110,7 @@
     def has_drawable_waiters(self, now: Millis) -> bool:
         """Tell whether a request waits for tokens that can be drawn now."""
         return any(
-            balance.lacks() and balance.draws(now) and not balance.is_depleted(now)
+            balance.draws(now) and balance.lacks() and not balance.is_depleted(now)
             for balance in self.by_name.values()
         )
 
--- a/anvilshift/core/cushions.py
+++ b/anvilshift/core/cushions.py
@@ -359,12 +359,10 @@
 
     def find_returnable(self, now: Millis) -> int:
         """Return the unused tokens that a router which is no allocator returns."""
-        idle = (
-            not self.reserved
-            and not self.waiting
-            and now - self.last_reserved_at > _IDLE_TIME
-        )
-        if self.keeping or not self.limited or not idle:
+        if self.keeping or not self.limited or self.reserved or self.waiting:
+            return 0
+        # Nothing is reserved, so what is settled is all that is spent.
+        if self.settled >= self.ceiling or now - self.last_reserved_at <= _IDLE_TIME:
             return 0
         return min(
             max(0, self.available(now)), int(self.total * _MAX_DATAGRAM_FRACTION)
--- a/anvilshift/core/failurereports.py
+++ b/anvilshift/core/failurereports.py
@@ -107,6 +107,15 @@
         for name in self._reports.keys() - set(targets):
             self.forget(name)
 
+    def may_be_suspect(self, target: str, now: Millis, probed: bool = False) -> bool:
+        """Tell whether a target fails often enough to be compared with others."""
+        if target not in self._reports:
+            return False
+        return any(
+            self._count(target, now, answered) >= _find_least(probed)
+            for answered in (False, True)
+        )
+
     def is_suspect(
         self, target: str, others: Collection[str], now: Millis, probed: bool = False
     ) -> bool:
@@ -121,7 +130,7 @@
         """
         if not others or target not in self._reports:
             return False
-        least = _LEAST_PROBED if probed else _LEAST
+        least = _find_least(probed)
         return any(
             self._is_suspect_by(target, others, now, least, answered)
             for answered in (False, True)
@@ -139,15 +148,17 @@
         total = sum(by_domain.values())
         if total < least:
             return False
-        counts = [
-            sum(self._count_by_domain(name, now, answered).values()) for name in others
-        ]
+        counts = [self._count(name, now, answered) for name in others]
         typical = _find_typical(counts)
         needed = typical + _DEVIATIONS * math.sqrt(typical) + least
         if total < needed or self.domains < 2:
             return total >= needed
         return total - max(by_domain.values()) >= needed * _SECOND_OPINION
 
+    def _count(self, target: str, now: Millis, answered: bool) -> int:
+        """Return the failures of a target that count."""
+        return sum(self._count_by_domain(target, now, answered).values())
+
     def _count_by_domain(
         self, target: str, now: Millis, answered: bool
     ) -> dict[str, int]:
@@ -169,6 +180,11 @@
             known.popleft()
 
 
+def _find_least(probed: bool) -> float:
+    """Return the failures below which no target is suspect."""
+    return _LEAST_PROBED if probed else _LEAST
+
+
 def _find_typical(counts: list[int]) -> float:
     """Return the mean count of targets that don't fail more than others.
 
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -218,7 +218,8 @@
         target = self.targets.get(name)
         if target is None:
             return
-        self.end(name, run)
+        if run in target.runs:
+            self.end(name, run)
         target.meter.add(run, now)
         if is_news and target.report is not None:
             target.report.record_news(now)
--- a/anvilshift/core/permits.py
+++ b/anvilshift/core/permits.py
@@ -307,8 +307,11 @@
             Routers that are registered, whether or not they are reachable.
         """
         present = frozenset(routers)
-        for name in [*present, *leaving]:
-            self._lost.pop(name, None)
+        if self._lost:
+            for name in [*present, *leaving]:
+                self._lost.pop(name, None)
+        if present == self.routers and not recorded:
+            return False
         for name in (self.routers | frozenset(recorded)) - present - frozenset(leaving):
             self._lost[name] = now
         if present == self.routers:
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -140,14 +140,16 @@
         return True
 
     def _is_suspect(self, target: TargetLoad) -> bool:
+        probed = target.health.state is HealthState.PROBING
+        name, now = target.info.name, self.clock.now()
+        if not self.reports.may_be_suspect(name, now, probed):
+            return False
         others = [
             other.info.name
             for other in self._list_in_use(target)
             if other is not target and other.health.state is not HealthState.EJECTED
         ]
-        probed = target.health.state is HealthState.PROBING
-        now = self.clock.now()
-        return self.reports.is_suspect(target.info.name, others, now, probed)
+        return self.reports.is_suspect(name, others, now, probed)
 
     def _may_eject(self, target: TargetLoad) -> bool:
         present = self._list_in_use(target)
