Send no target more than its memory holds, by what routers know

Cause: what the requests at a target need beyond its memory cost 400 ms in the comparison of targets, and bounded nothing; a target whose requests exceed its memory ends.

Change: core/placement/targetmemory.py tells whether a target has memory: whole prompts and longest answers of the runs that the router knows, those that the target has told lately, those of routers it doesn't hear, and a margin for what is sent within a message's way. Of the targets drawn for a request those without memory are left out; if none has any, all are looked at. A request that fits nowhere waits 250 ms for news and is refused then, not run. It acts where targets tell how slow they are and the service names their memory.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -69,6 +69,8 @@
 _REJECTED_MS = 50.0
 """Cost of a request that is rejected: the time until it is sent again, and a retry that
 other requests lack."""
+_Match = tuple[int, TargetLoad]
+"""A target, behind the number of prompt tokens that it has cached."""
 _DEFAULT_PLAIN_DURATION: Millis = 40.0
 """Assumed duration of a request at a plain service until it has been measured."""
 
@@ -183,21 +185,40 @@
     matches = [(target.count_cached(demand.prompt), target) for target in usable]
     sources = _find_sources(matches)
     if loads.uses_paces(demand.service):
-        matches = _draw_matches(matches, demand, now, rng)
+        matches = _draw_fitting(matches, loads, demand, now, rng)
     rng.shuffle(matches)
     choices = [
         _predict(target, cached, sources.get(target.version), demand, now)
         for cached, target in matches
     ]
-    return min(choices, key=lambda choice: _compute_cost(choice, demand, now))
+    return min(choices, key=lambda one: _compute_cost(one, demand, now), default=None)
 
 
-def _draw_matches(
-    matches: list[tuple[int, TargetLoad]],
+def _draw_fitting(
+    matches: list[_Match],
+    loads: LoadMap,
     demand: Demand,
     now: Millis,
     rng: random.Random,
-) -> list[tuple[int, TargetLoad]]:
+) -> list[_Match]:
+    """Return some of the targets that have memory for the prompt, if any has.
+
+    All are only looked at if none of those has that are drawn first.
+    """
+    drawn = _draw_matches(matches, demand, now, rng)
+    if not demand.capacity:
+        return drawn
+    need = loads.find_need(demand.service, demand.prompt, demand.capacity, now)
+    fitting = [match for match in drawn if need.fits(match[1], now)]
+    if not fitting:
+        fitting = [match for match in matches if need.fits(match[1], now)]
+        return _draw_matches(fitting, demand, now, rng) if fitting else []
+    return fitting
+
+
+def _draw_matches(
+    matches: list[_Match], demand: Demand, now: Millis, rng: random.Random
+) -> list[_Match]:
     """Return some of the targets, of those with the longest cached prefix as well.
 
     Full ones are among them only if all are full: a single one would be compared by
@@ -207,7 +228,7 @@
     pool = free or matches
     longest = max(cached for cached, _ in pool)
 
-    def group(match: tuple[int, TargetLoad]) -> tuple[bool, bool]:
+    def group(match: _Match) -> tuple[bool, bool]:
         cached, target = match
         return cached == longest, target.info.failure_domain == demand.domain
 
@@ -220,14 +241,12 @@
     return is_free and _find_delay(target, turns, now) <= 0.0
 
 
-def _find_sources(
-    matches: Iterable[tuple[int, TargetLoad]],
-) -> dict[str | None, tuple[int, TargetLoad]]:
+def _find_sources(matches: Iterable[_Match]) -> dict[str | None, _Match]:
     """Return the longest cached prefix at each known version, and the engine's load.
 
     Cache entries that one version wrote can't be read by another.
     """
-    sources: dict[str | None, tuple[int, TargetLoad]] = {}
+    sources: dict[str | None, _Match] = {}
     for cached, target in matches:
         known = sources.get(target.version)
         if target.version is not None and (known is None or cached > known[0]):
@@ -238,7 +257,7 @@
 def _predict(
     target: TargetLoad,
     cached: int,
-    longest: tuple[int, TargetLoad] | None,
+    longest: _Match | None,
     demand: Demand,
     now: Millis,
 ) -> Choice:
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -17,6 +17,12 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.placement.domaindrains import DomainDrains
 from anvilshift.core.placement.paces import ServicePaces, TargetPaces
+from anvilshift.core.placement.targetmemory import (
+    MemoryNeed,
+    RouterCounts,
+    SentLately,
+    count_tokens,
+)
 from anvilshift.core.prefill import prefill_time
 from anvilshift.core.targetload import Prompt, RunLoad, TargetInfo, TargetLoad
 
@@ -38,6 +44,13 @@
     drains
         The failure domains to whose targets nothing may be sent.
 
+    Attributes
+    ----------
+    lately
+        What this router has sent within a message's way.
+    routers
+        The other routers, which send to the same targets.
+
     Examples
     --------
     >>> loads = LoadMap()
@@ -56,6 +69,8 @@
         self.drains = drains or DomainDrains()
         self.targets: dict[str, TargetLoad] = {}
         self.paces: dict[str, ServicePaces] = {}
+        self.lately = SentLately()
+        self.routers = RouterCounts()
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._lost: dict[str, tuple[TargetInfo, Millis]] = {}
         self._removed: OrderedDict[str, TargetLoad] = OrderedDict()
@@ -174,6 +189,14 @@
         paces = self.paces.get(service)
         return paces is not None and paces.are_used
 
+    def find_need(
+        self, service: str, prompt: Prompt, capacity: int, now: Millis
+    ) -> MemoryNeed:
+        """Return what a prompt needs of the memory of a service's targets."""
+        sent = self.lately.count(service, now)
+        targets = len(self.list_service_targets(service))
+        return MemoryNeed.estimate(prompt, capacity, sent, targets, self.routers)
+
     def list_drained(self, service: str) -> set[str]:
         """Return the targets of a service whose failure domains are drained."""
         if self.drains.is_clear:
@@ -224,9 +247,14 @@
             target.report.record_news(now)
         work = prefill_time(prompt.tokens - cached, cached) if prompt.tokens else 0.0
         tokens = prompt.tokens - cached + prompt.most_answer
-        target.runs[run] = RunLoad(work, tokens, now)
+        held = count_tokens(prompt)
+        if held and not is_news:
+            self.lately.add(target.info.service, held, now)
+        target.runs[run] = RunLoad(work, tokens, now, held=held)
         target.pending += work
         target.run_tokens += tokens
+        target.held_tokens += held
+        target.news_tokens += held
         target.remember(prompt.parts, capacity)
         if disturbing:
             target.last_disturbed = now
@@ -257,6 +285,7 @@
         if target is None or entry is None:
             return
         target.run_tokens -= entry.tokens
+        target.held_tokens -= entry.held
         if not entry.begun:
             target.pending -= entry.work
             self._reset_rounding(target)
--- a/anvilshift/core/placement/toldload.py
+++ b/anvilshift/core/placement/toldload.py
@@ -21,6 +21,8 @@
 times a second."""
 REQUESTS_VALID: Millis = 500.0
 """Age from which told requests count for nothing: most of them have ended."""
+UNHEARD_VALID: Millis = 1_000.0
+"""Age up to which told requests count in full where a target's memory is at stake."""
 _NEWS_DELAY: Millis = 20.0
 """Time in which another router's message about a run arrives that is told already."""
 _MAX_REQUESTS = 100_000
@@ -134,6 +136,15 @@
         unknown = max(0, self.load.requests - self.known)
         return unknown * self._weigh(now, REQUESTS_VALID)
 
+    def count_unheard(self, now: Millis) -> int | None:
+        """Return the requests that this router hasn't heard of, however old the figure.
+
+        None if it is too old to say anything.
+        """
+        if now - self.at > UNHEARD_VALID:
+            return None
+        return max(0, self.load.requests - self.known)
+
     def record_news(self, now: Millis) -> None:
         """Record that another router told of a run: the report may contain it."""
         if now - self.at <= _NEWS_DELAY:
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -107,12 +107,15 @@
         When it was sent.
     begun
         Whether its first event has arrived.
+    held
+        Tokens of its whole prompt and its longest answer.
     """
 
     work: Millis
     tokens: int
     since: Millis
     begun: bool = False
+    held: int = 0
 
 
 @dataclass(eq=False)
@@ -129,6 +132,9 @@
         Predicted prefill time of the runs that haven't begun to answer.
     run_tokens
         Cache tokens that its runs need beyond those cached already.
+    held_tokens, news_tokens
+        Tokens of its runs' whole prompts and longest answers, and of those that were
+        sent since it last told its load.
     last_begun
         When a run last began to answer: the pending prefills have run since then.
     lived_at
@@ -174,6 +180,8 @@
     part_tokens: int = 0
     pending: Millis = 0.0
     run_tokens: int = 0
+    held_tokens: int = 0
+    news_tokens: int = 0
     last_begun: Millis = -math.inf
     lived_at: Millis = -math.inf
     last_disturbed: Millis = -math.inf
@@ -284,6 +292,7 @@
         if self.report is not None and at < self.report.at:
             return
         self.report = LoadReport(load, at, len(self.runs))
+        self.news_tokens = 0
         if load.slowness is not None:
             self.paces.service.are_used = True
             self.paces.add(WorkKind.ANY, load.slowness, at)
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -8,6 +8,7 @@
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.clock import Clock
 from anvilshift.core.loadmap import LoadMap
+from anvilshift.core.placement.targetmemory import RouterCounts
 from anvilshift.core.retention import Mark, MarkLog
 from anvilshift.core.targetload import Prompt
 from anvilshift.gateway.domaindrains import DrainWatch
@@ -128,6 +129,10 @@
         self.shared.origins.update_routers()
         self.shared.tries.update_routers(self.limits.presence.routers)
         self.allotter.has_no_peers = not peers
+        domain = self.settings.failure_domain
+        near = sum(one.beat.failure_domain == domain for one in peers)
+        heard = None if self.peers.small else near
+        self.loads.routers = RouterCounts(domain, len(peers), heard)
         known = self.allocators.routers
         if names and self.allocators.set_routers(names):
             self.allotter.balances.set_allocators(self.allocators)
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -20,6 +20,7 @@
     Code,
 )
 from anvilshift.core.pauses import LOOK_INTERVAL
+from anvilshift.core.placement.targetmemory import MESSAGE_WAY
 from anvilshift.core.timeouts import NO_ENGINE_RETRY, find_return, rank
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
@@ -39,6 +40,10 @@
 pause of its targets may end meanwhile."""
 
 
+class _MemoryLackError(AnvilshiftError):
+    """No target has memory for the request now."""
+
+
 @dataclass
 class RequestProgress:
     """How far one request has come.
@@ -103,7 +108,7 @@
             When no attempt is made.
         """
         while True:
-            choice = await self._admit() or self._choose()
+            choice = await self._admit() or await self._choose_with_memory()
             self._check_predicted_wait(choice)
             run = await self._request_permit(choice)
             if run is not None:
@@ -150,6 +155,17 @@
                 raise AnvilshiftError(ENGINE_FAILED, error.detail) from error
             raise
 
+    async def _choose_with_memory(self) -> Choice:
+        """Choose a target; wait a moment for the news of what the others hold."""
+        until = self.shared.clock.now() + MESSAGE_WAY
+        while True:
+            try:
+                return self._choose()
+            except _MemoryLackError:
+                if self.shared.clock.now() >= until:
+                    raise
+            await asyncio.sleep(LOOK_INTERVAL / SECOND)
+
     def _choose(self) -> Choice:
         failed, paused = self.progress.failed_targets, self.progress.paused_targets
         choice = self.chooser.choose(failed | paused)
@@ -164,6 +180,10 @@
             if self.stream.is_stranded():
                 detail = "the version that began the stream serves no more"
                 raise self._make_final_error(STREAM_NOT_RESUMABLE, 0.0, detail)
+            if self.chooser.lacks_memory(failed):
+                detail = "no target has memory for the prompt and its longest answer"
+                error = self._make_final_error(OVERLOADED, NO_ENGINE_RETRY, detail)
+                raise _MemoryLackError(error.code, detail, error.retry_after)
             raise self._make_final_error(
                 NO_ENGINE, NO_ENGINE_RETRY, "no target is available"
             )
--- a/anvilshift/gateway/targetchoice.py
+++ b/anvilshift/gateway/targetchoice.py
@@ -114,6 +114,15 @@
         }
         return any(target.info.name not in unfit for target in present)
 
+    def lacks_memory(self, failed_targets: Set[str]) -> bool:
+        """Return whether there are targets, though none with memory for the prompt."""
+        service = self.routed.service
+        present = self.shared.sender.loads.list_service_targets(service)
+        is_asked = self.routed.model is not None
+        return is_asked and bool(
+            list_usable(present, self.list_excluded(failed_targets))
+        )
+
     def _list_unusable(self, failed_targets: Set[str]) -> set[str]:
         drained = self.shared.sender.loads.list_drained(self.routed.service)
         unfit = self.stream.list_unfit()
--- a/anvilshift/wire/connection.py
+++ b/anvilshift/wire/connection.py
@@ -8,7 +8,7 @@
 import h11
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.wire.heldroom import READ_STEP, AheadHold, HeldRoom
+from anvilshift.wire.heldroom import READ_STEP, UNCOUNTED, AheadHold, HeldRoom
 from anvilshift.wire.messages import Address, HeaderFields, set_reset_on_close
 from anvilshift.wire.peertimeouts import PeerTimeouts
 from anvilshift.wire.receivebuffer import RECEIVE_BUFFER
@@ -144,12 +144,12 @@
     def _may_read_on(self) -> bool:
         if self._ahead is None:
             return self._buffered <= _READ_AHEAD_BYTES
-        return not self._buffered or self._ahead.may_grow()
+        return not self._ahead.size or self._ahead.may_grow()
 
     def _count_ahead(self) -> None:
-        if self._ahead is not None:
-            ahead = self._buffered + len(self._events) * _EVENT_BYTES
-            self._ahead.set(ahead if self._buffered else 0)
+        held, size = self._ahead, self._buffered + len(self._events) * _EVENT_BYTES
+        if held is not None and (held.size or size > UNCOUNTED):
+            held.set(size if self._buffered else 0)
 
     def _pause(self, transport: asyncio.Transport) -> None:
         self._is_paused = True
--- a/anvilshift/wire/heldroom.py
+++ b/anvilshift/wire/heldroom.py
@@ -17,7 +17,7 @@
 
 COPIES = 2
 """Copies of a body or an answer: itself, and what of it is written and not read."""
-_UNCOUNTED = 16 * 1024
+UNCOUNTED = 16 * 1024
 """Bytes that each answer may be read ahead without being counted: most are read by
 their callers as they come."""
 READ_STEP = 16 * 1024
@@ -120,23 +120,29 @@
 
 
 class AheadHold:
-    """The room of what is read ahead of one answer."""
+    """The room of what is read ahead of one answer.
+
+    Attributes
+    ----------
+    size
+        Bytes that are counted; 0 while only a few are read ahead.
+    """
 
     def __init__(self, room: HeldRoom) -> None:
         self._room = room
-        self._size = 0
+        self.size = 0
 
     def set(self, size: int) -> None:
         """Set the bytes that are read ahead and not yet taken."""
-        counted = size if size > _UNCOUNTED else 0
-        if counted == self._size:
+        counted = size if size > UNCOUNTED else 0
+        if counted == self.size:
             return
-        count = bool(counted) - bool(self._size)
-        now, added = self._room.clock.now(), counted - self._size
+        count = bool(counted) - bool(self.size)
+        now, added = self._room.clock.now(), counted - self.size
         self._room.held.change(Use.AHEAD, added, now, count)
-        self._size = counted
+        self.size = counted
 
     def may_grow(self) -> bool:
         """Return whether more of the answer may be read."""
-        more = self._size + READ_STEP
-        return self._room.held.may_take(Use.AHEAD, more, self._size)
+        more = self.size + READ_STEP
+        return self._room.held.may_take(Use.AHEAD, more, self.size)
--- a/anvilshift/wire/serverconnection.py
+++ b/anvilshift/wire/serverconnection.py
@@ -179,7 +179,7 @@
                 self._head = event
                 self._is_idle = False
                 self._set_timer(self._limits.body_timeout)
-                if not self._take_room(_find_length(event)):
+                if self._server.room and not self._take_room(_find_length(event)):
                     return
                 if self._h11.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -188,7 +188,7 @@
                 if len(self._body) > self._limits.body_bytes:
                     self._reject(TOO_LARGE, "the body exceeds the size limit")
                     return
-                if not self._take_room(len(self._body)):
+                if self._server.room and not self._take_room(len(self._body)):
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
@@ -204,8 +204,7 @@
         except AnvilshiftError as error:
             self._body.clear()
             self._hold.release()
-            for last in list_last_events(error):
-                self.send(last)
+            self._send_last(error)
             self._lingers = True
             self._set_timer(_LINGER)
             return False
@@ -278,12 +277,15 @@
     def _reject(self, code: Code, detail: str) -> None:
         """Answer a request that was not received completely, and close."""
         self._clear_timer()
-        with contextlib.suppress(h11.LocalProtocolError, CallerDisconnectedError):
-            for event in list_last_events(AnvilshiftError(code, detail)):
-                self.send(event)
+        self._send_last(AnvilshiftError(code, detail))
         if self._transport is not None:
             self._transport.close()
 
+    def _send_last(self, error: AnvilshiftError) -> None:
+        with contextlib.suppress(h11.LocalProtocolError, CallerDisconnectedError):
+            for event in list_last_events(error):
+                self.send(event)
+
     def send(self, event: h11.Event, hold: bool = False) -> None:
         """Write a part of the answer, or hold it back until the next one."""
         if self._closed or self._transport is None:
--- a/tests/core/placement/unevenfleet.py
+++ b/tests/core/placement/unevenfleet.py
@@ -10,6 +10,7 @@
 from anvilshift.core.choosing import Demand, choose_engine, choose_plain_target
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.placement.paces import WorkKind
+from anvilshift.core.placement.targetmemory import RouterCounts
 from anvilshift.core.placement.toldload import ToldLoad
 from anvilshift.core.targetload import Prompt, TargetInfo
 
@@ -71,6 +72,10 @@
         What a target tells in an answer; None if nothing.
     """
 
+    delay = _DELAY
+    capacity = _CAPACITY
+    work = 126.0
+
     def __init__(
         self,
         paces: list[float],
@@ -84,6 +89,9 @@
         self.tells = tells
         self.targets = {}
         self.maps = [LoadMap() for _ in range(ROUTERS)]
+        for n, loads in enumerate(self.maps):
+            domain, near = _DOMAINS[n % len(_DOMAINS)], ROUTERS // len(_DOMAINS) - 1
+            loads.routers = RouterCounts(domain, ROUTERS - 1, near)
         for n, pace in enumerate(paces):
             domain = _DOMAINS[n % len(_DOMAINS)]
             info = TargetInfo(f"t{n}", "llm", f"10.0.0.{n}:80", domain, slots)
@@ -118,8 +126,8 @@
         """Send a request that a router got to the target that it chooses."""
         loads, run = self.maps[router], f"r{router}/{next(self._order)}"
         domain = _DOMAINS[router % len(_DOMAINS)]
-        prompt = Prompt(((run, 6_400),), 6_400, 50) if self.engines else Prompt()
-        capacity = _CAPACITY if self.engines else 0
+        prompt = self.make_prompt(run) if self.engines else Prompt()
+        capacity = self.capacity if self.engines else 0
         if self.engines:
             demand = Demand("llm", prompt, capacity, domain, 645.0, 3, 400.0, 17.0)
             choice = choose_engine(loads, demand, self.now, self.rng)
@@ -127,19 +135,24 @@
             choice = choose_plain_target(
                 loads, "llm", domain, WORK, self.rng, self.now, hears_all=False
             )
+        if choice is None:
+            self.refuse()
+            return
         name = choice.target.info.name
+        self.note_begin(name)
         target, began = self.targets[name], self.now
         self.sent[name] += 1
         loads.send(name, run, prompt, 0, self.now, capacity)
         near = self._list_near(router, target.info.failure_domain)
         for peer in near:
-            at = self.now + self.rng.uniform(*_DELAY)
+            at = self.now + self.rng.uniform(*self.delay)
             self.at(at, lambda p=peer: self._hear(p, name, run, prompt, capacity))
-        work = WORK if not self.engines else 126.0
+        work = self.work if self.engines else WORK
         end = target.begin(work, self.now)
 
         def finish() -> None:
             target.end()
+            self.note_end(name)
             self.spans.append(self.now - began)
             told = self.tells(target)
             if told is not None:
@@ -149,13 +162,25 @@
             if not self.engines and choice.target.is_notable(self.now):
                 hearing = [peer for peer in range(ROUTERS) if peer != router]
             for peer in hearing:
-                at = self.now + self.rng.uniform(*_DELAY)
+                at = self.now + self.rng.uniform(*self.delay)
                 self.at(
                     at, lambda p=peer, n=self.now: self._hear_end(p, name, run, told, n)
                 )
 
         self.at(end, finish)
 
+    def make_prompt(self, run: str) -> Prompt:
+        return Prompt(((run, 6_400),), 6_400, 50)
+
+    def refuse(self) -> None:
+        """Take note of a request that fits nowhere."""
+
+    def note_begin(self, name: str) -> None:
+        """Take note of a request that is sent to a target."""
+
+    def note_end(self, name: str) -> None:
+        """Take note of a request that has ended."""
+
     def _hear(self, peer: int, name: str, run: str, prompt: Prompt, cap: int) -> None:
         self.maps[peer].send(name, run, prompt, 0, self.now, cap, is_news=True)
 
