--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -6,7 +6,6 @@
 import sys
 from dataclasses import asdict
 
-from anvilshift.collection import configure_collection
 from anvilshift.core.clock import (
     PROCESS_START,
     SECOND,
@@ -23,6 +22,7 @@
 from anvilshift.platform.settings import find_settings_path, read_settings
 from anvilshift.platform.store import PlatformStore
 from anvilshift.wire.client import HttpClient
+from anvilshift.wire.collection import configure_collection
 from anvilshift.wire.server import HttpServer
 
 _EXIT_BAD_SETTINGS = 2
--- a/anvilshift/router/daemon.py
+++ b/anvilshift/router/daemon.py
@@ -6,7 +6,6 @@
 
 from absl import logging
 
-from anvilshift.collection import configure_collection
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.engines.http import HttpConnector
 from anvilshift.objects.store import HttpObjectStore
@@ -16,6 +15,7 @@
 from anvilshift.router.telemetry import Telemetry
 from anvilshift.settings.router import RouterSettings
 from anvilshift.wire.client import HttpClient
+from anvilshift.wire.collection import configure_collection
 from anvilshift.wire.server import HttpServer
 
 
--- a/tests/test_collection.py
+++ b/tests/wire/test_collection.py
@@ -1,7 +1,7 @@
 import gc
 import unittest
 
-from anvilshift.collection import configure_collection
+from anvilshift.wire.collection import configure_collection
 
 _OBJECTS = 5_000
 """More than the interpreter's own threshold, fewer than fifty requests create."""
