Let a starting target of its own service be asked for by shares that routers lend

Cause: where no other target took a request, each of forty routers sent it to one that had just started, so that the single target of a service was flooded. A failed attempt closed a starting target only by its ejection, and ejections ended at each router by itself, so that those that had not ejected it paced nothing, and those that had paced it alone could wait for an answer that only others would get.

Change, all of it only where the settings ask for it (`pacesReturns`): - A router without a share asks one that has (core/health/lentshares.py, gateway/startshares.py), for one run; it is given back as the run ends or isn't sent. While none is free a request waits as long as it can still be answered within its objective, then it is refused (not run) with a time; one that can't be is refused after its first look. After the opening this holds until 3 s after the start, since all that waited would be sent together. A router that three lenders don't answer sends one at a time. - A failed attempt of any router closes it like a rejection, once a moment. - The first end of an ejection begins the pace at all routers and ends their ejections too (TargetReturned); a target that has answered anybody in the last 2 s isn't paced.

Ruled out: requests sent through the routers that have a share (two more sockets a request, at four routers, for all of the fleet's traffic); refusing at once (of one request a second nine in ten, at an idle target); a lot drawn as for brittle targets (the sum exceeds the pace by chance).

Tests changed: random outcomes of test_slowstart.py know the new one (its weight added); the peers of test_slowstarts.py have addresses and pass on returns.

--- a/anvilshift/core/health/slowstart.py
+++ b/anvilshift/core/health/slowstart.py
@@ -6,13 +6,15 @@
 until it does its part, however well it answers.
 
 The routers together keep few requests at it at first.  Each answer in time opens it by
-one request, so that it opens as fast as it answers.  A late one, or a rejection, halves
-that; from there on it opens by one for as many answers as it has requests.  It is open
-when it has carried its slots and a quarter, or after a while without a bad sign.
+one request, so that it opens as fast as it answers.  A late one, a rejection or a
+failed attempt halves that; from there on it opens by one for as many answers as it has
+requests.  It is open when it has carried its slots and a quarter, or after a while
+without a bad sign.
 
 The requests are dealt out among the routers by their ranks at the target, so that none
-has to ask: a router of rank 3 sends the fourth one.  However far the routers' views of
-its answers lie apart, their requests together are never more than the largest pace.
+has to ask while other targets take what it can't send: a router of rank 3 sends the
+fourth one, or lends that share.  However far the routers' views of its answers lie
+apart, their requests together are never more than the largest pace.
 
 References
 ----------
@@ -34,7 +36,11 @@
 """Requests at a target that nothing is known of; a lost one among them shows soon."""
 _LEAST = 1.0
 _CLOSING = 0.5
-"""Factor of the pace after a late answer or a rejection."""
+"""Factor of the pace after a late answer, a rejection or a failed attempt."""
+_MOMENT: Millis = 250.0
+"""Failed attempts within this time are of one moment: nobody tells their sending."""
+_IN_USE: Millis = 2 * SECOND
+"""Age of a last answer up to which a target is in use: no ejection is shorter."""
 _OPENING: Millis = 3 * SECOND
 """Time after which a target is open that has answered, and never late."""
 FLAPPING: Millis = 60 * SECOND
@@ -50,6 +56,7 @@
     IN_TIME = "in time"
     LATE = "late"
     REJECTED = "rejected"
+    FAILED = "failed"
 
 
 def judge_answer(took: Millis, objective: Millis, usual: Millis) -> Outcome:
@@ -75,6 +82,25 @@
     return Outcome.LATE if is_late else Outcome.IN_TIME
 
 
+def is_in_use(answered: Millis | None, now: Millis) -> bool:
+    """Return whether a target whose ejection ends has been in use all the while.
+
+    Some routers may eject a target that others use, by their own path to it: it isn't
+    cold, and to pace it would take it from the others.
+
+    Parameters
+    ----------
+    answered
+        When it last answered any router; None if that isn't known.
+
+    Examples
+    --------
+    >>> is_in_use(9_500.0, 10_000.0), is_in_use(None, 10_000.0)
+    (True, False)
+    """
+    return answered is not None and now - answered <= _IN_USE
+
+
 def find_rank(router: str, others: Iterable[tuple[str, bool]], target: str) -> int:
     """Return a router's rank at a target, 0 for the one that sends first.
 
@@ -95,8 +121,13 @@
     >>> find_rank("b", routers, "t")
     0
     """
+    return list_ranks(others, target).index(router)
+
+
+def list_ranks(others: Iterable[tuple[str, bool]], target: str) -> list[str]:
+    """Return the routers by their rank at a target."""
     order = sorted(others, key=lambda one: (not one[1], _hash(one[0], target)))
-    return [name for name, _ in order].index(router)
+    return [name for name, _ in order]
 
 
 def _hash(router: str, target: str) -> bytes:
@@ -166,6 +197,14 @@
             return True
         return self._threshold == math.inf and now - self.since >= _OPENING
 
+    def is_shared(self, now: Millis) -> bool:
+        """Return whether a request needs a share of it that has no other target.
+
+        While a target opens such requests wait at all routers; sent together as it is
+        open they would flood it.
+        """
+        return not self.is_open(now) or now - self.since < _OPENING
+
     def record(self, outcome: Outcome, sent: Millis, now: Millis) -> None:
         """Open or close it by the outcome of a request of any router.
 
@@ -185,6 +224,10 @@
             self.window = max(_LEAST, self.window * _CLOSING)
             self._threshold, self.closed_at = self.window, now
 
+    def record_failure(self, now: Millis) -> None:
+        """Close it by a failed attempt of any router."""
+        self.record(Outcome.FAILED, max(self.since, now - _MOMENT), now)
+
     def count_share(self, rank: int, routers: int) -> int:
         """Return how many requests the router of a rank may have there at a time."""
         whole, rest = divmod(math.floor(self.window), max(1, routers))
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -320,7 +320,7 @@
         cold, messenger = self.cold, self.messenger
         cold.find_confirmed = lambda: self.target_follower.confirmed
         self.targets.on_entry = self._apply_entry
-        self.shared.health.on_return = self.slow_starts.record_return
+        self.slow_starts.connect(self.shared.health, messenger.add_handler)
         self.drains.on_return = cold.presume_cold
         self.shared.health.on_unreachable = cold.record_unreachable
         messenger.add_handler(TargetCold, cold.apply_message)
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -120,6 +120,7 @@
         finally:
             if self._planned_ahead is not None:
                 self._planned_ahead.release()
+            self._planner.give_back_share()
             self._try.end()
             self._retries.close()
 
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -20,6 +20,12 @@
     TryEnded,
 )
 from anvilshift.gateway.runmessages import Begun, Ended, Held, Sent
+from anvilshift.gateway.startmessages import (
+    StartShareAnswer,
+    StartShareAsk,
+    StartShareEnded,
+    TargetReturned,
+)
 from anvilshift.gateway.streammessages import (
     HistorySeen,
     OriginAnswer,
@@ -337,4 +343,8 @@
     | TryEnded
     | DrainsTold
     | RouterLoad
+    | StartShareAsk
+    | StartShareAnswer
+    | StartShareEnded
+    | TargetReturned
 )
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -75,6 +75,7 @@
     part_try: PartTry
     crashes: CrashTracker
     progress: RequestProgress = field(default_factory=RequestProgress)
+    share: tuple[str, str] | None = None
     _missing: str = ""
 
     def may_go_on(self, after: int | None = None) -> bool:
@@ -193,7 +194,42 @@
     async def _request_permit(self, choice: Choice) -> str | None:
         elapsed = self.shared.clock.now() - self.routed.arrived
         place = rank(self.routed.rule, elapsed, choice.total_wait)
-        return await self.turn.request_permit(choice, place, self.routed.end)
+        run = await self.turn.request_permit(choice, place, self.routed.end)
+        return run if run and await self._take_share(choice, run) else None
+
+    async def _take_share(self, choice: Choice, run: str) -> bool:
+        """Take a share of a target that starts or comes back, or wait a moment for one.
+
+        Raises
+        ------
+        AnvilshiftError
+            When none is expected while the request can be answered in time.
+        """
+        starts, name = self.shared.sender.slow_starts, choice.target.info.name
+        is_limited = self.shared.permits.is_limited(choice.target)
+        if starts is None or is_limited or not starts.is_shared(name):
+            # Permits bound what a limited target gets.
+            return True
+        usual = choice.wait
+        if self.routed.model is None:
+            usual += self.shared.find_service_time(self.routed.service).value
+        due = self.routed.arrived + self.routed.rule.objective - usual
+        wait = starts.shares.predict_wait(name, usual)
+        if not wait or self.shared.clock.now() + wait <= due:
+            self.share = name, run
+            if await starts.shares.take(name, run):
+                return True
+            self.share = None
+        if self.shared.clock.now() + wait <= due:
+            return False
+        detail = "its target has just started, and has no room for it in time"
+        raise self._make_final_error(OVERLOADED, max(wait, usual), detail)
+
+    def give_back_share(self) -> None:
+        """Give back the share of a run that may not have been sent."""
+        starts = self.shared.sender.slow_starts
+        if starts is not None and self.share is not None:
+            starts.shares.end(*self.share)
 
     def _make_final_error(
         self, code: Code, wait: Millis, detail: str
@@ -267,7 +303,10 @@
         if is_suspect or self.crashes.is_quarantined() or not self.may_go_on():
             self._record_missing("it may not be sent to another target")
             return None
+        # That of the attempt before ends with its run.
+        self.share = None
         with contextlib.ExitStack() as taken:
+            taken.callback(self.give_back_share)
             taken.callback(self.retries.give_back)
             # Waits and refusals of a look in vain don't count for the next one.
             taken.callback(self.turn.restore, self.turn.save())
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -333,12 +333,16 @@
         """Record that the target began to answer, and tell the other routers."""
         target, now = outgoing.choice.target, self.clock.now()
         self.loads.begin(target.info.name, outgoing.run, now)
+        if self.slow_starts is not None:
+            self.slow_starts.record_answer(target.info.name)
         if self.peers.small:
             self.peers.broadcast(self.told.make_begun(outgoing.run, target, now))
 
     def _record_end(self, outgoing: Outgoing) -> None:
         target = outgoing.choice.target
         self.loads.end(target.info.name, outgoing.run)
+        if self.slow_starts is not None:
+            self.slow_starts.shares.end(target.info.name, outgoing.run)
         ended = self.told.make_ended(outgoing.run, target, self.clock.now())
         self._tell_routers(ended, outgoing)
 
--- a/anvilshift/gateway/slowstarts.py
+++ b/anvilshift/gateway/slowstarts.py
@@ -1,20 +1,31 @@
 """Keep to the paces of targets that have just started or come back, with the others.
 
 What this router learns of such a target it tells all others, beside the run's begin or
-end.  Others hear so few of these that a larger fleet can do so as well.
+end.  Others hear so few of these that a larger fleet can do so as well.  The first end
+of an ejection is told to all, and begins the pace at each of them.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
-from anvilshift.core.health.slowstart import FLAPPING, Outcome, SlowStart, find_rank
+from anvilshift.core.health.lentshares import list_lenders
+from anvilshift.core.health.slowstart import (
+    FLAPPING,
+    Outcome,
+    SlowStart,
+    is_in_use,
+    list_ranks,
+)
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.peers import Peers
+from anvilshift.gateway.peers import Peer, Peers
 from anvilshift.gateway.runmessages import Begun, Ended
+from anvilshift.gateway.startmessages import TargetReturned
+from anvilshift.gateway.startshares import AddHandler, Lenders, StartShares
+from anvilshift.gateway.targethealth import TargetHealth
 
 _SETTLING: Millis = 3 * SECOND
 """Time after the first entry in which a new one isn't a start: this router has started
@@ -35,6 +46,13 @@
         The prefix of this router's runs, and its failure domain.
     is_used
         Whether the settings ask for it.
+    end_ejection
+        Called with a target whose ejection has ended at another router.
+
+    Attributes
+    ----------
+    shares
+        Which runs of which routers hold this router's shares of the paces.
     """
 
     router: str
@@ -44,14 +62,33 @@
     clock: Clock
     journal: Journal
     is_used: bool = False
+    end_ejection: Callable[[TargetLoad], None] = lambda target: None
+    shares: StartShares = field(init=False)
     opened: int = 0
     closed: int = 0
     _paces: dict[str, SlowStart] = field(default_factory=dict)
     _former: dict[str, SlowStart] = field(default_factory=dict)
     _starts: dict[str, tuple[int, str]] = field(default_factory=dict)
-    _places: dict[str, tuple[Millis, int, int]] = field(default_factory=dict)
+    _ranks: dict[str, tuple[Millis, list[str], dict[str, str]]] = field(
+        default_factory=dict
+    )
+    _answered: dict[str, Millis] = field(default_factory=dict)
     _first_entry: Millis = math.inf
 
+    def __post_init__(self) -> None:
+        self.shares = StartShares(self.peers, self.clock, self._find_lenders)
+
+    def connect(
+        self,
+        health: TargetHealth,
+        add_handler: AddHandler,
+    ) -> None:
+        """Hear of ejections and failures, and of what other routers tell."""
+        health.on_return, health.on_failure = self.record_return, self.record_failure
+        self.end_ejection = health.end_ejection
+        add_handler(TargetReturned, self.hear_return)
+        self.shares.connect(add_handler)
+
     # Starts and returns
 
     def apply_entry(self, info: TargetInfo) -> None:
@@ -66,8 +103,31 @@
             self._begin(info, "started")
 
     def record_return(self, target: TargetLoad) -> None:
-        """Begin the pace of a target whose ejection has ended."""
-        self._begin(target.info, "returned")
+        """Begin the pace of a target whose ejection has ended, and tell the others.
+
+        One that answers all the while, or is paced already, is nothing new.
+        """
+        info = target.info
+        if self.is_used and info.name not in self._paces and not self._is_in_use(info):
+            self._begin(info, "returned")
+            self.peers.broadcast(TargetReturned(info.name, info.born, in_use=False))
+
+    def hear_return(self, message: TargetReturned) -> None:
+        """Begin the pace of a target whose ejection has ended at another router."""
+        target = self.loads.targets.get(message.target)
+        if not self.is_used or target is None or target.info.born != message.born:
+            return
+        info = target.info
+        if message.in_use:
+            self._drop(info.name, "in use")
+        elif self._is_in_use(info) and info.name not in self._paces:
+            self.peers.broadcast(TargetReturned(info.name, info.born, in_use=True))
+        elif info.name not in self._paces:
+            self._begin(info, "returned")
+            self.end_ejection(target)
+
+    def _is_in_use(self, info: TargetInfo) -> bool:
+        return is_in_use(self._answered.get(info.name), self.clock.now())
 
     def _begin(self, info: TargetInfo, why: str) -> None:
         if not self.is_used or info.leaving:
@@ -76,10 +136,24 @@
         self._forget_old(now)
         former = self._paces.get(name) or self._former.get(name)
         self._paces[name] = SlowStart.begin(info.slots, now, former)
+        self.shares.forget(name)
         self._write(name, why, self.router)
 
     # What answers tell
 
+    def record_answer(self, name: str) -> None:
+        """Record that a target has answered this or another router."""
+        if self.is_used:
+            self._answered[name] = self.clock.now()
+
+    def record_failure(self, name: str) -> None:
+        """Record a failed attempt of this or another router."""
+        pace = self._find(name)
+        if pace is not None:
+            before = pace.window
+            pace.record_failure(self.clock.now())
+            self._note_change(name, before, Outcome.FAILED, self.router)
+
     def record(
         self, name: str, run: str, outcome: Outcome, sent: Millis, has_ended: bool
     ) -> None:
@@ -100,6 +174,8 @@
 
     def hear(self, message: Begun | Ended) -> None:
         """Record the outcome of another router's request, if the message tells one."""
+        if isinstance(message, Begun):
+            self.record_answer(message.target)
         if not message.outcome or self._find(message.target) is None:
             return
         try:
@@ -114,11 +190,14 @@
         pace, now = self._paces[name], self.clock.now()
         before = pace.window
         pace.record(outcome, sent, now)
-        if pace.window == before:
-            return
-        self.opened += pace.window > before
-        self.closed += pace.window < before
-        self._write(name, outcome.value, by)
+        self._note_change(name, before, outcome, by)
+
+    def _note_change(self, name: str, before: float, why: Outcome, by: str) -> None:
+        window = self._paces[name].window
+        if window != before:
+            self.opened += window > before
+            self.closed += window < before
+            self._write(name, why.value, by)
 
     def _write(self, name: str, why: str, by: str) -> None:
         pace = round(self._paces[name].window, 2)
@@ -128,14 +207,30 @@
         """Return the pace of a target; None for one that is open."""
         pace = self._paces.get(name)
         if pace is not None and pace.is_open(self.clock.now()):
-            self._write(name, "open", self.router)
-            self._former[name] = self._paces.pop(name)
-            self._places.pop(name, None)
+            self._drop(name, "open")
+            self._former[name] = pace
             return None
         return pace
 
+    def _drop(self, name: str, why: str) -> None:
+        if name in self._paces:
+            self._write(name, why, self.router)
+            del self._paces[name]
+
     # What may be sent
 
+    def is_shared(self, name: str) -> bool:
+        """Return whether a request needs a share of a target that has no other one."""
+        return self._find_shared(name) is not None
+
+    def _find_shared(self, name: str) -> SlowStart | None:
+        if not self._paces and not self._former:
+            return None
+        pace = self._find(name) or self._former.get(name)
+        if pace is None or not pace.is_shared(self.clock.now()):
+            return None
+        return pace
+
     def list_closed(self, service: str) -> set[str]:
         """Return the targets to which this router may send no more for now."""
         if not self._paces:
@@ -144,30 +239,49 @@
         return {one.info.name for one in targets if self._is_closed(one)}
 
     def _is_closed(self, target: TargetLoad) -> bool:
-        pace = self._find(target.info.name)
-        if pace is None:
+        name = target.info.name
+        if self._find(name) is None:
             return False
-        rank, routers = self._find_place(target.info)
+        known = self._find_lenders(name)
+        return known is not None and (
+            self.shares.count_used(name, known.running) >= known.own
+        )
+
+    def _find_lenders(self, name: str) -> Lenders | None:
+        """Return what is known of a target's pace; None if nobody needs a share."""
+        pace, target = self._find_shared(name), self.loads.targets.get(name)
+        if pace is None or target is None:
+            return None
+        ranks, ips = self._list_ranks(target.info)
         prefix = f"{self.router}/"
-        own = sum(run.startswith(prefix) for run in target.runs)
-        return own >= pace.count_share(rank, routers)
+        own = pace.count_share(ranks.index(self.router), len(ranks))
+        running = [run for run in target.runs if run.startswith(prefix)]
+        lenders = list_lenders(ranks, pace.window, self.router)
+        addresses = [ips[one] for one in lenders if one in ips]
+        return Lenders(own, pace.window, running, addresses)
 
-    def _find_place(self, info: TargetInfo) -> tuple[int, int]:
-        """Return this router's rank at a target, and how many routers there are."""
+    def _list_ranks(self, info: TargetInfo) -> tuple[list[str], dict[str, str]]:
+        """Return the routers by rank at a target, and the others' addresses."""
         now = self.clock.now()
-        until, rank, count = self._places.get(info.name, (-math.inf, 0, 0))
+        until, ranks, ips = self._ranks.get(info.name, (-math.inf, [], {}))
         if now >= until:
-            routers = list(self._list_routers(info.failure_domain))
-            rank, count = find_rank(self.router, routers, info.name), len(routers)
-            self._places[info.name] = now + _RANKS_VALID, rank, count
-        return rank, count
-
-    def _list_routers(self, domain: str) -> Iterable[tuple[str, bool]]:
-        yield self.router, self.domain == domain
-        for peer in self.peers.list_present():
-            beat = peer.beat
-            if beat.serving and not beat.leaving and beat.incarnation != self.router:
-                yield beat.incarnation, beat.failure_domain == domain
+            beats = [peer.beat for peer in self._list_peers()]
+            domain = info.failure_domain
+            routers = [(one.incarnation, one.failure_domain == domain) for one in beats]
+            routers.append((self.router, self.domain == domain))
+            ranks = list_ranks(routers, info.name)
+            ips = {one.incarnation: one.ip for one in beats}
+            self._ranks[info.name] = now + _RANKS_VALID, ranks, ips
+        return ranks, ips
+
+    def _list_peers(self) -> list[Peer]:
+        return [
+            peer
+            for peer in self.peers.list_present()
+            if peer.beat.serving
+            and not peer.beat.leaving
+            and peer.beat.incarnation != self.router
+        ]
 
     def _forget_old(self, now: Millis) -> None:
         """Forget what no target needs that may come back again."""
@@ -175,7 +289,10 @@
             for name, pace in list(paces.items()):
                 if name not in self.loads.targets and now - pace.since > FLAPPING:
                     del paces[name]
-                    self._places.pop(name, None)
+                    self._ranks.pop(name, None)
+                    self.shares.forget(name)
+        for name in self._answered.keys() - self.loads.targets.keys():
+            del self._answered[name]
 
     def list_gauges(self) -> dict[str, float]:
         """Return present values for monitoring, by metric; none where it isn't used."""
@@ -187,4 +304,5 @@
             ),
             "anvilshift_paces_opened": self.opened,
             "anvilshift_paces_closed": self.closed,
+            "anvilshift_start_shares_borrowed": self.shares.borrowed,
         }
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -35,6 +35,8 @@
         Called with a target that accepted no connection.
     on_return
         Called with a target whose ejection has ended.
+    on_failure
+        Called with the name of a target at which an attempt of any router failed.
     """
 
     router: str
@@ -47,6 +49,7 @@
     reports: FailureReports = field(default_factory=FailureReports)
     on_unreachable: Callable[[TargetLoad], None] = lambda target: None
     on_return: Callable[[TargetLoad], None] = lambda target: None
+    on_failure: Callable[[str], None] = lambda name: None
 
     def record_failure(
         self,
@@ -74,6 +77,7 @@
         health, now = target.health, self.clock.now()
         if hung and self.add_silence(target, SilenceSign(now, heard)):
             return
+        self.on_failure(target.info.name)
         health.add_failure(content)
         if hung and not health.should_eject(0.0):
             self.avoid(target, _AVOIDED_SILENT)
@@ -97,11 +101,17 @@
         """Record a failed attempt of another router."""
         target = self.loads.targets.get(message.target)
         if target is not None and target.info.born == message.born:
+            self.on_failure(message.target)
             report = FailureReport(
                 message.router, message.domain, message.content, message.answered
             )
             self._judge(target, report)
 
+    def end_ejection(self, target: TargetLoad) -> None:
+        """Try a target again whose ejection has ended at another router."""
+        if target.health.state is HealthState.EJECTED:
+            target.health.probe(self.clock.now())
+
     def probe_ejected(self, now: Millis) -> None:
         """Try each target again whose ejection is over, unless it still fails."""
         self.reports.retain(self.loads.targets)
--- a/tests/core/health/test_slowstart.py
+++ b/tests/core/health/test_slowstart.py
@@ -72,7 +72,7 @@
             for name, _ in names:
                 pace = SlowStart.begin(slots, 0.0)
                 for i in range(rng.randrange(0, 90)):
-                    outcome = rng.choices(list(Outcome), (8, 1, 1))[0]
+                    outcome = rng.choices(list(Outcome), (8, 1, 1, 1))[0]
                     pace.record(outcome, sent=float(i), now=float(i) + 0.5)
                 total += pace.count_share(find_rank(name, names, "t"), routers)
             self.assertLessEqual(total, max(1, slots * MOST), (slots, routers))
--- a/tests/gateway/test_slowstarts.py
+++ b/tests/gateway/test_slowstarts.py
@@ -10,6 +10,7 @@
 from anvilshift.gateway.datagrams import decode, encode
 from anvilshift.gateway.runmessages import Begun
 from anvilshift.gateway.slowstarts import SlowStarts
+from anvilshift.gateway.startmessages import TargetReturned
 from tests.gateway.silent import SilentJournal
 
 ROUTERS = [f"r{n}" for n in range(40)]
@@ -30,17 +31,24 @@
     name: str
     fleet: dict[str, SlowStarts]
 
+    @property
+    def ip(self) -> str:
+        return self.name
+
     def broadcast(self, message) -> None:
         [received] = decode(encode(message))
         for name, router in self.fleet.items():
             if name != self.name:
-                router.hear(received)
+                is_return = isinstance(received, TargetReturned)
+                hear = router.hear_return if is_return else router.hear
+                hear(received)
 
     def list_present(self) -> list[object]:
         return [
             SimpleNamespace(
                 beat=SimpleNamespace(
                     incarnation=name,
+                    ip=name,
                     failure_domain=find_domain(name),
                     serving=True,
                     leaving=False,
