Ask for a share only at a target without others once it is open

Cause: in the 3 s after its start a target that is open already was shared out at services with other targets too, so that requests sent there would have waited for a share. Seen by reading, before a test.

Change: where others are left, an open target takes part like any other. The test plays both. Besides, LoadMap.uses_learned_speeds is named as what it tells of.

--- a/anvilshift/core/choosing.py
+++ b/anvilshift/core/choosing.py
@@ -182,7 +182,7 @@
         return None
     matches = [(target.count_cached(demand.prompt), target) for target in usable]
     sources = _find_sources(matches)
-    if loads.uses_paces(demand.service):
+    if loads.uses_learned_speeds(demand.service):
         matches = _draw_matches(matches, demand, now, rng)
     rng.shuffle(matches)
     choices = [
@@ -358,7 +358,7 @@
     usable = list_usable(loads.list_service_targets(service), excluded)
     if not usable:
         return None
-    if not hears_all and loads.uses_paces(service):
+    if not hears_all and loads.uses_learned_speeds(service):
         free = [one for one in usable if _has_room(one, turns or {}, now)]
         usable = draw_candidates(free or usable, lambda target: None, rng)
 
--- a/anvilshift/core/loadmap.py
+++ b/anvilshift/core/loadmap.py
@@ -169,7 +169,7 @@
         """Return the targets of a service."""
         return self._by_service.get(service, [])
 
-    def uses_paces(self, service: str) -> bool:
+    def uses_learned_speeds(self, service: str) -> bool:
         """Return whether targets of a service tell how slow they are."""
         speeds = self.learned_speeds.get(service)
         return speeds is not None and speeds.are_used
--- a/anvilshift/gateway/planning.py
+++ b/anvilshift/gateway/planning.py
@@ -207,7 +207,7 @@
         """
         starts, name = self.shared.sender.slow_starts, choice.target.info.name
         is_limited = self.shared.permits.is_limited(choice.target)
-        if starts is None or is_limited or not starts.is_shared(name):
+        if starts is None or is_limited or not starts.is_shared(choice.target.info):
             # Permits bound what a limited target gets.
             return True
         usual = choice.wait
--- a/anvilshift/gateway/slowstarts.py
+++ b/anvilshift/gateway/slowstarts.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.ejection import HealthState
 from anvilshift.core.health.lentshares import list_lenders
 from anvilshift.core.health.slowstart import (
     FLAPPING,
@@ -219,9 +220,22 @@
 
     # What may be sent
 
-    def is_shared(self, name: str) -> bool:
-        """Return whether a request needs a share of a target that has no other one."""
-        return self._find_shared(name) is not None
+    def is_shared(self, info: TargetInfo) -> bool:
+        """Return whether a request needs a share of the target chosen for it.
+
+        An open one takes part like any other where there are others.
+        """
+        if self._find_shared(info.name) is None:
+            return False
+        if info.name in self._paces:
+            return True
+        others = self.loads.list_service_targets(info.service)
+        return all(
+            one.info.name == info.name
+            or one.info.leaving
+            or one.health.state is HealthState.EJECTED
+            for one in others
+        )
 
     def _find_shared(self, name: str) -> SlowStart | None:
         if not self._paces and not self._former:
--- a/tests/core/placement/test_toldload.py
+++ b/tests/core/placement/test_toldload.py
@@ -112,7 +112,7 @@
         target = loads.targets["e1"]
         target.record_told(ToldLoad(8, 5, 8), at=0.0)
         self.assertEqual(target.count_requests(0.0), 0)
-        self.assertFalse(loads.uses_paces("advice"))
+        self.assertFalse(loads.uses_learned_speeds("advice"))
 
 
 if __name__ == "__main__":
--- a/tests/gateway/startfleet.py
+++ b/tests/gateway/startfleet.py
@@ -149,11 +149,12 @@
         self.running -= 1
 
     async def start_target(self) -> None:
-        """Let all routers read of a target that has run, and later of the new one."""
+        """Let all routers read of a target that has run, and later of a new one."""
         for router in self.routers.values():
             router.read("old")
         await asyncio.sleep(10.0)
         for router in self.routers.values():
+            router.loads.remove("old", self.loop.now())
             router.read("new")
 
     async def play(self, arrivals: list[tuple[float, str]]) -> None:
--- a/tests/gateway/test_startshares.py
+++ b/tests/gateway/test_startshares.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from anvilshift.core.health.slowstart import Outcome
 from anvilshift.core.work import Failure
 from anvilshift.gateway.startmessages import StartShareAnswer
 from tests.gateway.startfleet import SLOTS, StartFleet
@@ -84,6 +85,7 @@
             await fleet.start_target()
             await asyncio.sleep(5.0)
             for router in fleet.routers.values():
+                router.read("old")
                 router.read("late")
             await scenario(fleet)
 
@@ -91,7 +93,7 @@
         return fleet
 
     def count_paced(self, fleet: StartFleet) -> int:
-        return sum(one.starts.is_shared("old") for one in fleet.routers.values())
+        return sum("old" in one.starts._paces for one in fleet.routers.values())
 
     def test_first_end_of_an_ejection_begins_the_pace_at_all_routers(self):
         """Guards against routers that flood what others have just taken back."""
@@ -121,6 +123,23 @@
 
         self.play(scenario)
 
+    def test_open_target_with_others_needs_no_share(self):
+        """Guards against requests that wait for a target which takes any of them."""
+
+        async def scenario(fleet: StartFleet) -> None:
+            starts = fleet.routers["r0"].starts
+            info = starts.loads.targets["late"].info
+            for _ in range(11):
+                starts.record("late", "r0/1", Outcome.IN_TIME, fleet.loop.now(), False)
+            self.assertFalse(starts.is_shared(info))
+            for name in ("old", "new"):
+                starts.loads.remove(name, fleet.loop.now())
+            self.assertTrue(starts.is_shared(info))
+            await asyncio.sleep(3.1)
+            self.assertFalse(starts.is_shared(info))
+
+        self.play(scenario)
+
     def test_failed_attempts_close_a_target_for_all_routers(self):
         """Guards against a returning target that is ejected before it is spared."""
 
