Let the routers with a share try a target that returns, the others as it answers

Cause: the first end of an ejection ended it at all routers, so that one router's first ejection undid the longer ones of others.

Change: a return told by another router ends the ejection at the routers with a share of its pace; at the others as they hear of an answer in time.

Run: unittest tests.gateway.test_startshares tests.gateway.test_slowstarts: 20 pass.

--- a/anvilshift/gateway/slowstarts.py
+++ b/anvilshift/gateway/slowstarts.py
@@ -125,7 +125,8 @@
             self.peers.broadcast(TargetReturned(info.name, info.born, in_use=True))
         elif info.name not in self._paces:
             self._begin(info, "returned")
-            self.end_ejection(target)
+            if not self._is_closed(target):
+                self.end_ejection(target)
 
     def _is_in_use(self, info: TargetInfo) -> bool:
         return is_in_use(self._answered.get(info.name), self.clock.now())
@@ -192,6 +193,9 @@
         before = pace.window
         pace.record(outcome, sent, now)
         self._note_change(name, before, outcome, by)
+        target = self.loads.targets.get(name)
+        if outcome is Outcome.IN_TIME and target is not None:
+            self.end_ejection(target)
 
     def _note_change(self, name: str, before: float, why: Outcome, by: str) -> None:
         window = self._paces[name].window
--- a/tests/gateway/test_startshares.py
+++ b/tests/gateway/test_startshares.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from anvilshift.core.ejection import HealthState
 from anvilshift.core.health.slowstart import Outcome
 from anvilshift.core.work import Failure
 from anvilshift.gateway.startmessages import StartShareAnswer
@@ -99,17 +100,25 @@
         """Guards against routers that flood what others have just taken back."""
 
         async def scenario(fleet: StartFleet) -> None:
-            ejected = fleet.routers["r1"]
-            ejected.health._eject(ejected.loads.targets["old"])
+            routers = fleet.routers.values()
+            targets = [router.loads.targets["old"] for router in routers]
+            for router, target in zip(routers, targets, strict=True):
+                router.health._eject(target)
             starts = fleet.routers["r0"].starts
-            starts.record_return(fleet.routers["r0"].loads.targets["old"])
+            starts.record_return(targets[0])
             await asyncio.sleep(0.05)
             self.assertEqual(self.count_paced(fleet), 40)
-            state = ejected.loads.targets["old"].health.state
-            self.assertEqual(state.value, "probing")
+            # Those with a share try it, the others once it has answered.
+            self.assertEqual(self.count_ejected(targets[1:]), 39 - 4)
+            starts.record("old", "r0/1", Outcome.IN_TIME, fleet.loop.now(), False)
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.count_ejected(targets[1:]), 0)
 
         self.play(scenario)
 
+    def count_ejected(self, targets) -> int:
+        return sum(one.health.state is HealthState.EJECTED for one in targets)
+
     def test_target_that_others_use_is_not_paced(self):
         """Guards against one router's broken path that takes a target from all."""
 
