Give routers of other regions time to answer an ask for a share

Cause: 60 ms are less than a message there and back between far regions; a router there would always take itself for cut off. 150 ms now.

--- a/anvilshift/gateway/startshares.py
+++ b/anvilshift/gateway/startshares.py
@@ -14,8 +14,9 @@
     StartShareEnded,
 )
 
-_ANSWER_TIMEOUT: Millis = 60.0
-"""Time for the answer of a router that is asked for a share; another is asked then."""
+_ANSWER_TIMEOUT: Millis = 150.0
+"""Time for the answer of a router that is asked for a share, which may be in another
+region; another one is asked then."""
 _LOOK: Millis = 15.0
 """Time between two looks for a share: a datagram's way there and back."""
 _SILENT_MOST = 3
