Let four routers say that a returning target is in use, not all of them

Cause: each router that had heard of an answer told all others so: as many messages as pairs of routers for each ejection that ended at one of them.

Change: only the routers of the first four ranks say so; those of the target's failure domain come first, and hear most of it.

Run: unittest tests.gateway.test_startshares tests.gateway.test_slowstarts: 20 pass.

--- a/anvilshift/gateway/slowstarts.py
+++ b/anvilshift/gateway/slowstarts.py
@@ -33,6 +33,9 @@
 itself, and reads of targets that have run for long."""
 _RANKS_VALID: Millis = 250.0
 """Time for which ranks are kept: heartbeats bring news of routers no sooner."""
+_WITNESSES = 4
+"""Routers of the first ranks, which hear most of a target, that say that it is in use:
+from a whole fleet there would be as many messages as pairs of routers."""
 _MAX_STARTS = 10_000
 """Starts that are remembered, so that an entry which comes back isn't a new one."""
 
@@ -122,7 +125,8 @@
         if message.in_use:
             self._drop(info.name, "in use")
         elif self._is_in_use(info) and info.name not in self._paces:
-            self.peers.broadcast(TargetReturned(info.name, info.born, in_use=True))
+            if self._list_ranks(info)[0].index(self.router) < _WITNESSES:
+                self.peers.broadcast(TargetReturned(info.name, info.born, in_use=True))
         elif info.name not in self._paces:
             self._begin(info, "returned")
             if not self._is_closed(target):
--- a/tests/gateway/startfleet.py
+++ b/tests/gateway/startfleet.py
@@ -36,6 +36,7 @@
 
     def send(self, message, ip: str) -> None:
         fleet = self.fleet
+        fleet.sent += 1
         if fleet.rng.random() < fleet.lost or self.ip in fleet.cut or ip in fleet.cut:
             return
         [received] = decode(encode(message))
@@ -134,7 +135,7 @@
     def __init__(self, took: float = USUAL, lost: float = 0.0, seed: int = 1) -> None:
         self.loop, self.rng = VirtualLoop(), random.Random(seed)
         self.took, self.lost, self.cut = took, lost, set()
-        self.running = self.most = 0
+        self.running = self.most = self.sent = 0
         self.free = [0.0] * SLOTS
         self.served: list[float] = []
         self.refused: list[float] = []
--- a/tests/gateway/test_startshares.py
+++ b/tests/gateway/test_startshares.py
@@ -126,9 +126,12 @@
             for name in NAMES[1:]:
                 fleet.routers[name].starts.record_answer("old")
             starts = fleet.routers["r0"].starts
+            sent = fleet.sent
             starts.record_return(fleet.routers["r0"].loads.targets["old"])
             await asyncio.sleep(0.1)
             self.assertEqual(self.count_paced(fleet), 0)
+            # Four routers say so to all, not all of them.
+            self.assertLessEqual(fleet.sent - sent, 39 + 4 * 39)
 
         self.play(scenario)
 
