Count why a starting target's pace changed, and show the pace itself

Cause: the gauges told how often paces opened and closed, not why, and no target's pace; an operator had to count log lines.

--- a/anvilshift/gateway/slowstarts.py
+++ b/anvilshift/gateway/slowstarts.py
@@ -5,7 +5,9 @@
 of an ejection is told to all, and begins the pace at each of them.
 """
 
+import json
 import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -77,6 +79,7 @@
         default_factory=dict
     )
     _answered: dict[str, Millis] = field(default_factory=dict)
+    _reasons: Counter[str] = field(default_factory=Counter)
     _first_entry: Millis = math.inf
 
     def __post_init__(self) -> None:
@@ -209,6 +212,7 @@
             self._write(name, why.value, by)
 
     def _write(self, name: str, why: str, by: str) -> None:
+        self._reasons[why] += 1
         pace = round(self._paces[name].window, 2)
         self.journal.write("target_pace", target=name, pace=pace, why=why, by=by)
 
@@ -320,11 +324,16 @@
         """Return present values for monitoring, by metric; none where it isn't used."""
         if not self.is_used:
             return {}
+        present = {n: p for n, p in self._paces.items() if n in self.loads.targets}
         return {
-            "anvilshift_paced_targets": sum(
-                n in self.loads.targets for n in self._paces
-            ),
+            "anvilshift_paced_targets": len(present),
             "anvilshift_paces_opened": self.opened,
             "anvilshift_paces_closed": self.closed,
             "anvilshift_start_shares_borrowed": self.shares.borrowed,
+            **{_label("pace", "target", n): p.window for n, p in present.items()},
+            **{_label("pace_changes", "why", w): n for w, n in self._reasons.items()},
         }
+
+
+def _label(metric: str, name: str, value: str) -> str:
+    return f"anvilshift_{metric}{{{name}={json.dumps(value)}}}"
--- a/tests/gateway/test_slowstarts.py
+++ b/tests/gateway/test_slowstarts.py
@@ -165,6 +165,8 @@
         gauges = self.fleet["r3"].list_gauges()
         self.assertEqual(gauges["anvilshift_paced_targets"], 1)
         self.assertEqual(gauges["anvilshift_paces_opened"], 1)
+        self.assertEqual(gauges['anvilshift_pace{target="new"}'], 5.0)
+        self.assertEqual(gauges['anvilshift_pace_changes{why="in time"}'], 1)
 
 
 if __name__ == "__main__":
