Let the routers of a failure domain try a silent store in turn

In fleets that share watches, a router whose call failed now calls again only in its turn (the time of recovery less 1.1 s after its last try, 2.9 s where that is 4 s; first turns are spread over the domain's routers by hashing), or once another router reaches the store again. It asks a router that reaches the store meanwhile, which costs no call. A try waits 1 ms for changes, so that it tells at once. The targets are tried once the configuration is answered. A heartbeat tells whether the router's own last call was answered, so that a router that is told by others is not asked by them.

Ruled out: one router that tries for all (a router that alone is answered would be later than its bound); first turns from the start of the failed call (watches that hang fail together, so all turns fell together: 4.7 s).

--- a/anvilshift/core/duties/storereaders.py
+++ b/anvilshift/core/duties/storereaders.py
@@ -37,6 +37,19 @@
     reaches_store: bool = True
 
 
+def is_sharing_domain(candidates: Collection[ReaderCandidate], domain: str) -> bool:
+    """Tell whether the routers of a failure domain share what they read of the store.
+
+    Examples
+    --------
+    >>> fleet = [ReaderCandidate(f"n{n}", "north") for n in range(9)]
+    >>> is_sharing_domain(fleet, "north"), is_sharing_domain(fleet, "south")
+    (True, False)
+    """
+    near = sum(one.failure_domain == domain for one in candidates)
+    return len(candidates) >= SMALLEST_SHARING_FLEET and near >= _SMALLEST_DOMAIN
+
+
 def choose_readers(
     candidates: Collection[ReaderCandidate], domain: str, most: int
 ) -> tuple[str, ...]:
@@ -61,10 +74,11 @@
     >>> len(readers), choose_readers(fleet[:8], "north", most=1)
     (1, ())
     """
-    if len(candidates) < SMALLEST_SHARING_FLEET:
-        return ()
-    near = [one for one in candidates if one.failure_domain == domain]
-    if len(near) < _SMALLEST_DOMAIN:
+    if not is_sharing_domain(candidates, domain):
         return ()
-    able = [one.router for one in near if one.reaches_store]
+    able = [
+        one.router
+        for one in candidates
+        if one.failure_domain == domain and one.reaches_store
+    ]
     return tuple(rank_targets(f"{_KEY}/{domain}", able, most))
--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -302,7 +302,7 @@
             self.journal,
             self.is_ready,
             lambda: self.leaving,
-            lambda: self.configuration_follower.is_fresh(),
+            lambda: self.shared_watches.reaches_store(),
         )
         self.peers.hooks = PeerCallbacks(
             messenger.handle_message,
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -123,6 +123,8 @@
         The last call, and when it was made.
     on_list, on_batch
         Called with the revision once a list, or the changes of a watch, are applied.
+    may_hurry
+        Tells whether the pause after a failed call ends, as the store is back.
     """
 
     store: WatchedStore
@@ -145,6 +147,7 @@
     on_batch: Callable[[int, tuple[ObjectChange, ...]], None] = (
         lambda revision, changes: None
     )
+    may_hurry: Callable[[], bool] = lambda: False
     _newest: int = 0
     _failures: int = 0
     _lost: bool = False
@@ -203,7 +206,10 @@
         """Wait after a failed call, and for the probe while it fails."""
         pause = min(_FIRST_PAUSE * _PAUSE_GROWTH**self._failures, _MAX_PAUSE)
         self._failures += 1
-        await asyncio.sleep(pause / SECOND)
+        while pause > 0.0 and not self.may_hurry():
+            step = min(pause, _PROBE_POLL_INTERVAL)
+            await asyncio.sleep(step / SECOND)
+            pause -= step
         # The wait is limited, because the probe may itself hang on a connection.
         deadline = self.clock.now() + _MAX_PAUSE
         while self.probe and self.probe._lost and self.clock.now() < deadline:
--- a/anvilshift/gateway/sharedwatches.py
+++ b/anvilshift/gateway/sharedwatches.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+import contextlib
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -15,6 +16,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.peers import Peers
 from anvilshift.gateway.settings import GatewaySettings
+from anvilshift.gateway.storeturns import FailedTries, StoreTurns
 from anvilshift.objects.changelog import ChangeLog
 from anvilshift.objects.store import (
     ChangeBatch,
@@ -103,6 +105,8 @@
         self._client = HttpClient(network=network)
         self._server = HttpServer(self.answer)
         self._kinds: dict[str, _SharedKind] = {}
+        self.turns = StoreTurns(settings, peers, clock)
+        self._tries: FailedTries | None = None
         self._reader: str | None = None
         self._is_sharing = False
 
@@ -119,7 +123,11 @@
     def share(self, follower: Follower, store: ObjectStore) -> None:
         """Let a follower use the watches of another router, and others use its own."""
         kind = self._kinds[follower.kind] = _SharedKind(follower)
-        follower.store = _SharedStore(store, self, kind)
+        tries = FailedTries(follower)
+        # The configuration's follower comes first, and is the probe of the others.
+        self._tries = self._tries or tries
+        follower.store = _SharedStore(store, self, kind, tries, self._clock)
+        follower.may_hurry = lambda: self.turns.has_cause(tries)
         follower.on_list, follower.on_batch = kind.restart, kind.add
 
     # A router that asks
@@ -134,13 +142,9 @@
 
     def _choose_reader(self) -> str | None:
         settings = self._settings
-        own = ReaderCandidate(settings.name, settings.failure_domain)
-        beats = [peer.beat for peer in self._peers.list_present()]
-        others = [
-            ReaderCandidate(one.router, one.failure_domain, one.fresh)
-            for one in beats
-            if not one.leaving
-        ]
+        is_able = self._tries is None or self.turns.is_worth_reading(self._tries)
+        own = ReaderCandidate(settings.name, settings.failure_domain, is_able)
+        others = self.turns.list_others()
         most = settings.readers_per_domain
         readers = choose_readers([own, *others], settings.failure_domain, most)
         self._is_sharing = bool(readers)
@@ -148,6 +152,11 @@
             return None
         return readers[0]
 
+    def reaches_store(self) -> bool:
+        """Tell whether this router's own calls are answered or others tell it."""
+        tries = self._tries
+        return tries is not None and tries.follower.is_fresh() and not tries.is_failing
+
     def bound_wait(self, wait: Millis) -> Millis:
         """Return how long a watch of this router's own may wait."""
         return min(wait, _READER_WAIT) if self._is_sharing else wait
@@ -217,18 +226,30 @@
 
 
 class _SharedStore:
-    """A store whose watches another router may make."""
+    """A store whose watches another router may make.
+
+    While the store answers nobody, its routers try it in turn.
+    """
 
     def __init__(
-        self, store: WatchedStore, watches: SharedWatches, shared: _SharedKind
+        self,
+        store: WatchedStore,
+        watches: SharedWatches,
+        shared: _SharedKind,
+        tries: FailedTries,
+        clock: Clock,
     ) -> None:
         self._store = store
         self._watches = watches
         self._shared = shared
+        self._tries = tries
+        self._clock = clock
 
     async def list(self, kinds: Iterable[str]) -> Listing:
         """Return every object of the given kinds."""
-        return await self._store.list(kinds)
+        self._watches.turns.check(self._tries)
+        with self._observe():
+            return await self._store.list(kinds)
 
     async def watch(
         self, kinds: Iterable[str], after: int, wait: Millis
@@ -240,8 +261,23 @@
             told = await self._watches.ask(reader, self._shared.follower.kind, after)
             if told is not None:
                 return told
+        turns = self._watches.turns
+        turns.check(self._tries)
         self._shared.is_direct = True
-        return await self._store.watch(kinds, after, self._watches.bound_wait(wait))
+        wait = turns.bound_wait(self._tries, self._watches.bound_wait(wait))
+        with self._observe():
+            return await self._store.watch(kinds, after, wait)
+
+    @contextlib.contextmanager
+    def _observe(self) -> Iterator[None]:
+        """Record a call that fails."""
+        began = self._clock.now()
+        try:
+            yield
+        except AnvilshiftError:
+            self._watches.turns.note_failure(self._tries, began)
+            raise
+        self._tries.is_failing = False
 
 
 def _read_batch(kind: str, body: bytes, after: int, asked: Millis) -> ChangeBatch:
--- a/tests/gateway/test_sharedwatches.py
+++ b/tests/gateway/test_sharedwatches.py
@@ -78,7 +78,9 @@
 class Fleet:
     """Routers that follow a store; of their other parts none runs."""
 
-    def __init__(self, routers: int = ROUTERS, readers: int = 1) -> None:
+    def __init__(
+        self, routers: int = ROUTERS, readers: int = 1, sparing: bool = True
+    ) -> None:
         self.store = CountingStub()
         self.nodes: dict[str, GatewayNode] = {}
         self.links: dict[str, Links] = {}
@@ -88,14 +90,18 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.journals: dict[str, SilentJournal] = {}
         for number in range(routers):
-            self._add(f"10.0.0.{number}", readers)
+            self._add(f"10.0.0.{number}", readers, sparing)
 
-    def _add(self, ip: str, readers: int) -> None:
+    def _add(self, ip: str, readers: int, sparing: bool) -> None:
         settings = GatewaySettings(
             f"n-{ip}", ip, "north", Address(ip, 1), None, None, 1, 2, _STORE
         )
         settings = replace(
-            settings, watch_port=4, recovery=4_000.0, readers_per_domain=readers
+            settings,
+            watch_port=4,
+            recovery=4_000.0,
+            readers_per_domain=readers,
+            spare_writes=sparing,
         )
         network = self.store_links[ip] = MemoryNetwork(self.store.server, ip)
         self.links[ip] = Links(ip, self.nodes, self.dark)
@@ -147,7 +153,7 @@
                     node.peers.routers[beat.router] = Peer(beat, self.clock.now())
 
     def _make_beat(self, ip: str, node: GatewayNode) -> Beat:
-        fresh = node.configuration_follower.is_fresh()
+        fresh = node.messenger.is_fresh()
         return Beat(f"n-{ip}", "x", ip, f"{ip}:1", "north", 1, True, False, fresh)
 
     def find_reader(self) -> str:
