Let a router that is cut off from all others try the store rarely too

A try waited 1 ms, so the hedge took it for a watch that is overdue and repeated it.

A router that shared its watches when the store answered last now keeps to its turns whoever it hears, and tries at once when it hears a router again after it heard none. A try waits for nothing and is made once. A reader whose single call failed while others reach the store tries once more at once, as before, since others believe it for a moment.

Open: where no other router of any domain is answered for a whole turn, an entry that is gone may leave one router's targets up to 5.2 s after the store answers it again, 4 s wanted.

--- a/anvilshift/core/duties/storetries.py
+++ b/anvilshift/core/duties/storetries.py
@@ -70,7 +70,10 @@
 
 
 def find_turns(
-    candidates: Collection[ReaderCandidate], own: ReaderCandidate, period: Millis
+    candidates: Collection[ReaderCandidate],
+    own: ReaderCandidate,
+    period: Millis,
+    has_shared: bool = False,
 ) -> TryTurns | None:
     """Return a router's turns; None if it tries as often as it likes.
 
@@ -80,6 +83,10 @@
         All present routers that aren't leaving, with this one.
     period
         Longest time between two tries of one router that its bounds allow.
+    has_shared
+        Whether it shared its watches when the store answered last.  A router that is
+        cut off hears of few others or none: it tries as rarely, since hearing one
+        tells it that its own connection works again.
 
     Examples
     --------
@@ -87,8 +94,10 @@
     >>> turns = sorted(find_turns(fleet, one, 2_800.0).first for one in fleet)
     >>> turns[0], turns[-1], find_turns(fleet[:8], fleet[0], 2_800.0)
     (200.0, 1800.0, None)
+    >>> find_turns(fleet[:1], fleet[0], 2_800.0, has_shared=True).first
+    1800.0
     """
-    if not is_sharing_domain(candidates, own.failure_domain):
+    if not has_shared and not is_sharing_domain(candidates, own.failure_domain):
         return None
     near = {
         one.router for one in candidates if one.failure_domain == own.failure_domain
--- a/anvilshift/gateway/sharedwatches.py
+++ b/anvilshift/gateway/sharedwatches.py
@@ -88,6 +88,11 @@
     ----------
     network
         Opens connections to other routers; TCP if omitted.
+
+    Attributes
+    ----------
+    is_sharing
+        Whether some router of the domain reads for the others, as far as is known.
     """
 
     def __init__(
@@ -108,7 +113,7 @@
         self.turns = StoreTurns(settings, peers, clock)
         self._tries: FailedTries | None = None
         self._reader: str | None = None
-        self._is_sharing = False
+        self.is_sharing = False
 
     async def start(self) -> None:
         """Accept the questions of other routers."""
@@ -147,7 +152,7 @@
         others = self.turns.list_others()
         most = settings.readers_per_domain
         readers = choose_readers([own, *others], settings.failure_domain, most)
-        self._is_sharing = bool(readers)
+        self.is_sharing = bool(readers)
         if not readers or settings.name in readers:
             return None
         return readers[0]
@@ -159,7 +164,7 @@
 
     def bound_wait(self, wait: Millis) -> Millis:
         """Return how long a watch of this router's own may wait."""
-        return min(wait, _READER_WAIT) if self._is_sharing else wait
+        return min(wait, _READER_WAIT) if self.is_sharing else wait
 
     async def ask(self, reader: str, kind: str, after: int) -> ChangeBatch | None:
         """Return a reader's answer; None if it gives none that can be relied on."""
@@ -255,14 +260,16 @@
         self, kinds: Iterable[str], after: int, wait: Millis
     ) -> ChangeBatch:
         """Wait for changes that follow a revision, here or at the reader."""
+        turns = self._watches.turns
+        turns.note_call(self._tries)
         reader = self._watches.find_reader()
         if reader is not None:
             self._shared.is_direct = False
             told = await self._watches.ask(reader, self._shared.follower.kind, after)
             if told is not None:
                 return told
-        turns = self._watches.turns
-        turns.check(self._tries)
+        is_reader = reader is None and self._watches.is_sharing
+        turns.check(self._tries, is_reader)
         self._shared.is_direct = True
         wait = turns.bound_wait(self._tries, self._watches.bound_wait(wait))
         with self._observe():
--- a/anvilshift/gateway/storeturns.py
+++ b/anvilshift/gateway/storeturns.py
@@ -15,7 +15,7 @@
 and for what it is told."""
 _SHORTEST_PERIOD: Millis = 900.0
 """Period of a router that tries for itself, which turns never shorten."""
-_TRY_WAIT: Millis = 1.0
+_TRY_WAIT: Millis = 0.0
 """How long a try waits for changes: it has to tell at once that the store is back."""
 
 
@@ -31,6 +31,10 @@
         The other routers that reached the store then, as far as was known.
     is_probed
         Whether the follower's probe failed too at that time.
+    is_alone
+        Whether no other router was heard since.
+    has_shared
+        Whether this router shared its watches when the store answered last.
     is_failing
         Whether this router's own last call failed, whatever others told since.
     """
@@ -41,6 +45,8 @@
     failed: Millis = -1e12
     reached: set[str] = field(default_factory=set)
     is_probed: bool = False
+    is_alone: bool = False
+    has_shared: bool = False
     is_failing: bool = False
 
     def is_probe_lost(self) -> bool:
@@ -72,17 +78,27 @@
             if not one.leaving
         ]
 
-    def _find_turns(self, others: list[ReaderCandidate]) -> TryTurns | None:
+    def find_turns(
+        self, tries: FailedTries, others: list[ReaderCandidate]
+    ) -> TryTurns | None:
+        """Return this router's turns; None if it tries as often as it likes."""
         if not self._is_on:
             return None
         own = ReaderCandidate(self._settings.name, self._settings.failure_domain, False)
-        return find_turns([own, *others], own, self._period)
+        return find_turns([own, *others], own, self._period, tries.has_shared)
+
+    def note_call(self, tries: FailedTries) -> None:
+        """Record whether this router shares its watches, while the store answers."""
+        if not tries.follower.is_lost:
+            tries.has_shared = False
+            tries.has_shared = self.find_turns(tries, self.list_others()) is not None
 
     def note_failure(self, tries: FailedTries, began: Millis) -> None:
         """Record a call that failed."""
         tries.count = tries.count + 1 if tries.follower.is_lost else 1
         tries.tried, tries.failed = began, self._clock.now()
-        tries.reached = list_returned(self.list_others(), ())
+        others = self.list_others()
+        tries.reached, tries.is_alone = list_returned(others, ()), not others
         tries.is_probed = tries.is_probe_lost()
         tries.is_failing = True
 
@@ -91,21 +107,23 @@
 
         Once its calls fail it asks others, and tries for itself once a period.
         """
-        is_waiting = self._clock.now() < tries.tried + self._period
+        is_waiting = tries.count > 1 and self._clock.now() < tries.tried + self._period
         return not (self._is_on and tries.is_failing and is_waiting)
 
     def has_cause(self, tries: FailedTries) -> bool:
         """Tell whether a call is worth its price after one that failed.
 
-        It is in this router's turn, and once another router reaches the store again or
-        the follower's probe does.
+        It is in this router's turn, once another router reaches the store again or the
+        follower's probe does, and when a router that heard nobody hears one.
         """
         others = self.list_others()
-        turns = self._find_turns(others)
+        turns = self.find_turns(tries, others)
         if turns is None or not tries.follower.is_lost:
             return False
         tries.reached &= list_returned(others, ())
-        if list_returned(others, tries.reached):
+        tries.is_alone = tries.is_alone or not others
+        is_back = tries.is_alone and bool(others) and tries.follower.probe is None
+        if is_back or list_returned(others, tries.reached):
             return True
         is_probed = tries.is_probe_lost()
         if tries.is_probed and not is_probed:
@@ -118,17 +136,26 @@
         """Tell whether a call may have to wait for this router's turn."""
         is_probe_back = tries.follower.probe is not None and not tries.is_probe_lost()
         is_failing = tries.follower.is_lost and not is_probe_back
-        return is_failing and self._find_turns(self.list_others()) is not None
+        return is_failing and self.find_turns(tries, self.list_others()) is not None
 
-    def check(self, tries: FailedTries) -> None:
+    def check(self, tries: FailedTries, is_reader: bool = False) -> None:
         """Make sure that a call may be made now.
 
+        Parameters
+        ----------
+        is_reader
+            Whether this router reads for others.  These believe it for a moment, so
+            it tries once more, as a single call may fail by itself.
+
         Raises
         ------
         AnvilshiftError
             Code 5001 if it is another router's turn.
         """
-        if self._takes_turns(tries) and not self.has_cause(tries):
+        if not self._takes_turns(tries) or self.has_cause(tries):
+            return
+        is_believed = is_reader and tries.follower.probe is None and tries.reached
+        if tries.count > 1 or not is_believed:
             raise AnvilshiftError(PLATFORM_DOWN, "other routers try the store now")
 
     def bound_wait(self, tries: FailedTries, wait: Millis) -> Millis:
--- a/anvilshift/objects/hedged.py
+++ b/anvilshift/objects/hedged.py
@@ -183,8 +183,14 @@
     async def watch(
         self, kinds: Iterable[str], after: int, wait: Millis
     ) -> ChangeBatch:
-        """Wait for changes; once that is overdue, wait on a new connection too."""
+        """Wait for changes; once that is overdue, wait on a new connection too.
+
+        A watch that waits for nothing is made once, as any short call.
+        """
         wanted = list(kinds)
+        if wait <= 0.0:
+            with self._observe():
+                return await self._store.watch(wanted, after, wait)
 
         async def call() -> ChangeBatch:
             began = self._clock.now()
--- a/tests/gateway/test_storeturns.py
+++ b/tests/gateway/test_storeturns.py
@@ -12,6 +12,13 @@
 FLEETS = (12, 28)
 
 
+def cut(fleet: Fleet) -> None:
+    """Cut all routers off from the store and from each other."""
+    fail(fleet, is_silent=True)
+    silence_routers(fleet)
+    fleet.dark |= set(fleet.nodes)
+
+
 def fail(fleet: Fleet, is_silent: bool) -> None:
     """Let the store answer nobody, by refusals or by silence."""
     if not is_silent:
@@ -41,7 +48,7 @@
     def find_due(ip: str) -> float:
         node = fleet.nodes[ip]
         turns, tries = node.shared_watches.turns, node.shared_watches._tries
-        plan = turns._find_turns(turns.list_others())
+        plan = turns.find_turns(tries, turns.list_others())
         return plan.find_due(tries.tried, tries.failed, tries.count, False)
 
     return sorted(fleet.nodes, key=find_due)
@@ -104,6 +111,40 @@
         """Guards against a fleet that pays for each router's calls in vain."""
         self.check_calls(is_silent=True)
 
+    def test_routers_that_are_cut_off_call_a_third_as_often(self):
+        """Guards against calls in vain of a router that nothing reaches."""
+
+        async def scenario(fleet):
+            cut(fleet)
+            before = count_tries(fleet)
+            await asyncio.sleep(OUTAGE_S)
+            return count_tries(fleet) - before
+
+        for routers in FLEETS:
+            with self.subTest(routers=routers):
+                alone = self.play(scenario, routers=routers, sparing=False)
+                turns = self.play(scenario, routers=routers)
+                self.assertLessEqual(turns, alone * CALLS_LEFT)
+
+    def test_change_is_in_force_in_time_as_all_are_connected_again(self):
+        """Guards against routers that wait for their turns though they hear others."""
+
+        async def scenario(fleet, outage):
+            cut(fleet)
+            await asyncio.sleep(outage)
+            mend(fleet)
+            fleet.dark.clear()
+            fleet.put(2)
+            return await fleet.measure(2)
+
+        for routers in FLEETS:
+            for outage in (2.0, 5.0, 8.0, 9.3):
+                with self.subTest(routers=routers, outage=outage):
+                    took = self.play(
+                        lambda fleet, s=outage: scenario(fleet, s), routers=routers
+                    )
+                    self.assertLess(took, IN_FORCE_S)
+
     def test_small_fleet_tries_as_before(self):
         alone = self.count_in_outage(False, routers=8, sparing=False)
         self.assertEqual(self.count_in_outage(False, routers=8), alone)
