--- a/tests/gateway/test_storeturns.py
+++ b/tests/gateway/test_storeturns.py
@@ -145,6 +145,20 @@
                     )
                     self.assertLess(took, IN_FORCE_S)
 
+    def test_router_that_hears_another_again_tries_at_once(self):
+        """Guards against a router that waits for its turn though its link is back."""
+
+        async def scenario(fleet):
+            cut(fleet)
+            await asyncio.sleep(6.5)
+            watches = [node.shared_watches for node in fleet.nodes.values()]
+            before = {one.turns.has_cause(one._tries) for one in watches[:3]}
+            fleet.dark.clear()
+            fleet.meet()
+            return before, {one.turns.has_cause(one._tries) for one in watches[:3]}
+
+        self.assertEqual(self.play(scenario), ({False}, {True}))
+
     def test_small_fleet_tries_as_before(self):
         alone = self.count_in_outage(False, routers=8, sparing=False)
         self.assertEqual(self.count_in_outage(False, routers=8), alone)
