--- a/anvilshift/core/admission/listening.py
+++ b/anvilshift/core/admission/listening.py
@@ -5,10 +5,12 @@
 link that is full already, where it waits for seconds; one that is refused costs a
 packet, and its caller chooses another router at once.
 
-A router refuses new connections only while others have room for their callers.  It
-still listens for a moment each second: a router that takes none is no router.
+A router refuses new connections only while its link stays full and others have room
+for their callers.  It still listens for a moment each second: a router that takes none
+is no router.
 """
 
+import math
 from dataclasses import dataclass
 
 from anvilshift.core.clock import SECOND, Millis
@@ -19,6 +21,12 @@
 _MOST_FULL = 0.5
 """Part of all routers that may be full: twice the callers is what the others can be
 expected to bear."""
+_LASTING: Millis = 400.0
+"""Time for which the link has to be full before anyone is refused: what came together
+by chance is carried by then.  At twice what the link carries requests wait as long as
+it has been full, and the shortest objectives of interactive work are about as long."""
+_REMEMBERED: Millis = 5 * SECOND
+"""Time after refusals in which a link that fills again is taken to stay full."""
 _PERIOD: Millis = 1 * SECOND
 _OPEN: Millis = 100.0
 """How long a full router listens in each period."""
@@ -36,16 +44,16 @@
     Examples
     --------
     >>> listening = Listening()
-    >>> listening.update(link=1.1, full_part=0.1, now=1_000.0)
-    True
-    >>> listening.update(link=1.1, full_part=0.1, now=1_100.0)
-    False
+    >>> [listening.update(1.1, full_part=0.1, now=n * 200.0) for n in range(6)]
+    [True, True, True, False, False, False]
     >>> listening.update(link=1.1, full_part=0.7, now=1_200.0)
     True
     """
 
     is_refusing: bool = False
+    _full_since: Millis | None = None
     _since: Millis = 0.0
+    _refused: Millis = -math.inf
 
     def update(self, link: float, full_part: float, now: Millis) -> bool:
         """Return whether to listen until the next update.
@@ -57,8 +65,20 @@
         full_part
             Part of all routers that is full.
         """
+        if link < _FULL:
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = now
         if full_part > _MOST_FULL or link < _ROOMY:
             self.is_refusing = False
-        elif link >= _FULL and not self.is_refusing:
+        elif self._stays_full(now) and not self.is_refusing:
             self.is_refusing, self._since = True, now
+        if self.is_refusing:
+            self._refused = now
         return not self.is_refusing or (now - self._since) % _PERIOD < _OPEN
+
+    def _stays_full(self, now: Millis) -> bool:
+        if self._full_since is None:
+            return False
+        is_lasting = now - self._full_since >= _LASTING
+        return is_lasting or now - self._refused < _REMEMBERED
