--- a/anvilshift/core/bucket.py
+++ b/anvilshift/core/bucket.py
@@ -32,12 +32,12 @@
             self._permits = min(self._burst, self._permits + added)
         self._refilled_at = now
 
-    def take(self, now: Millis) -> bool:
-        """Take a permit if there is one; return whether one was taken."""
+    def take(self, now: Millis, permits: float = 1.0) -> bool:
+        """Take permits if there are as many; return whether they were taken."""
         self._refill(now)
-        if self._permits < 1.0:
+        if self._permits < permits:
             return False
-        self._permits -= 1.0
+        self._permits -= permits
         return True
 
     def wait(self, now: Millis) -> Millis:
--- /dev/null
+++ b/anvilshift/core/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which runs get a copy on another target, and which go on from it."""
--- /dev/null
+++ b/tests/core/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of which runs get copies and go on from them."""
