--- a/anvilshift/core/streams/runcopies.py
+++ b/anvilshift/core/streams/runcopies.py
@@ -239,10 +239,10 @@
 
         Examples
         --------
-        >>> BrokenRun("7", True, True, has_ended=True, targets=1, most=1).may_continue()
-        True
-        >>> BrokenRun("7", True, True, has_ended=False, targets=1, most=1).may_continue()
-        False
+        >>> ended = BrokenRun("7", True, True, has_ended=True, targets=1, most=1)
+        >>> reset = BrokenRun("7", True, True, has_ended=False, targets=1, most=1)
+        >>> ended.may_continue(), reset.may_continue()
+        (True, False)
         """
         if self.last_id is None or not self.is_lost or not self.is_direct:
             return False
