Load in a router's start only what a router uses of three modules

Cause: a router loads the dispatcher's data types for the reasons why attempts end, the estimates of run times for one mean, and the client of the general object API for the interface that the platform's own store shares. Each nested record of the store is given a validator of its own although only three records are ever read by themselves.

Change: core/failures.py, core/decayingmean.py and objects/httpstore.py take these parts; records are built when they are first read (pydantic's defer_build), so that nested ones are built once, within the outer ones.

--- a/anvilshift/core/dispatcher.py
+++ b/anvilshift/core/dispatcher.py
@@ -12,6 +12,7 @@
 
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
+from anvilshift.core.failures import NOT_EXECUTED, Failure
 from anvilshift.core.healthmonitor import HealthMonitor
 from anvilshift.core.pools import TargetView
 from anvilshift.core.queue import Entry
@@ -23,13 +24,11 @@
 from anvilshift.core.targetlimits import PermitNeed, TargetLimits
 from anvilshift.core.targetviews import TargetViews
 from anvilshift.core.work import (
-    NOT_EXECUTED,
     Actions,
     Ask,
     CacheEvent,
     CrashAnnouncement,
     DispatchSettings,
-    Failure,
     LoadReport,
     Target,
     Work,
--- a/anvilshift/core/durations.py
+++ b/anvilshift/core/durations.py
@@ -6,28 +6,19 @@
 
 Two times are estimated for each set of targets: the time to first token by request
 class, and the time between tokens.  The used fraction of an answer's token limit is
-estimated by organisation and request class.  Logarithms are averaged, so that one
-slow target among many changes the means little.
+estimated by organisation and request class.
 """
 
 import math
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.decayingmean import WARM_UP, DecayingMean
 from anvilshift.core.work import Work
 
-_GAIN = 0.05
-"""Weight of a new sample: the mean follows a change within twenty samples, one second
-at twenty answers a second, and a single outlier changes it little."""
-_WARM_UP = 20
-"""Samples until the weight of a new one has fallen to _GAIN: until then the mean
-weights all samples equally, and the measured saving of a prefix isn't used."""
 _FRESH_FOR: Millis = 5 * SECOND
 """Age of the last answer above which the estimates are out of date.  They refuse no
 request then: a router that refused all would never get a new measurement."""
-_SAFETY_DEVIATIONS = 1.5
-"""Standard deviations above the mean: about one request in fifteen runs longer.  An
-attempt that is cut off at its deadline wastes more than an early refusal."""
 _MIN_SAFETY_FACTOR, _MAX_SAFETY_FACTOR = 1.05, 2.0
 _DEFAULT_FIRST_TOKEN: Millis = 20.0
 """Assumed time to first token before any measurement."""
@@ -39,43 +30,6 @@
 first request is admitted."""
 
 
-@dataclass(slots=True)
-class DecayingMean:
-    """A geometric mean with exponential decay.
-
-    Attributes
-    ----------
-    count
-        Number of samples.
-    variance
-        Variance of the samples' logarithms, with the same decay.
-
-    Examples
-    --------
-    >>> mean = DecayingMean(8.0)
-    >>> mean.add(2.0); mean.add(8.0)
-    >>> round(mean.value, 3)
-    4.0
-    """
-
-    value: float
-    count: int = 0
-    variance: float = 0.0
-
-    def add(self, sample: float) -> None:
-        """Add a sample."""
-        self.count += 1
-        gain = max(_GAIN, 1.0 / min(self.count, _WARM_UP))
-        old = math.log(self.value)
-        error = math.log(max(sample, 1e-3)) - old
-        self.value = math.exp(old + gain * error)
-        self.variance = (1.0 - gain) * (self.variance + gain * error * error)
-
-    def high(self) -> float:
-        """Return an upper bound that few samples exceed."""
-        return self.value * math.exp(_SAFETY_DEVIATIONS * math.sqrt(self.variance))
-
-
 @dataclass
 class Durations:
     """Estimated times of one set of targets.
@@ -145,7 +99,7 @@
         """Return the time to first token that a cached prefix is expected to save."""
         first = self.first(request_class)
         warm = self._warm.get(request_class)
-        if warm is None or warm.count < _WARM_UP:
+        if warm is None or warm.count < WARM_UP:
             return first * _DEFAULT_SAVED_FRACTION
         return max(0.0, first - warm.value)
 
--- a/anvilshift/core/healthmonitor.py
+++ b/anvilshift/core/healthmonitor.py
@@ -5,12 +5,13 @@
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
 from anvilshift.core.ejection import HealthState, may_eject
+from anvilshift.core.failures import Failure
 from anvilshift.core.pools import TargetView
 from anvilshift.core.relocation import Relocation
 from anvilshift.core.restriction import TargetRestriction
 from anvilshift.core.sending import Sender
 from anvilshift.core.state import Attempt, DispatchState
-from anvilshift.core.work import Actions, Cancel, Failure
+from anvilshift.core.work import Actions, Cancel
 
 _OVERDUE_FACTOR = 4.0
 _OVERDUE_MARGIN: Millis = 250.0
--- a/anvilshift/core/placement/learnedspeeds.py
+++ b/anvilshift/core/placement/learnedspeeds.py
@@ -16,7 +16,7 @@
 from enum import StrEnum
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.durations import DecayingMean
+from anvilshift.core.decayingmean import DecayingMean
 
 _PRIOR_SAMPLES = 2.0
 """Samples of a target that count as much as the speed usual at its service."""
--- a/anvilshift/core/pools.py
+++ b/anvilshift/core/pools.py
@@ -12,7 +12,8 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.concurrency import ConcurrencyLimit
-from anvilshift.core.durations import DecayingMean, Durations
+from anvilshift.core.decayingmean import DecayingMean
+from anvilshift.core.durations import Durations
 from anvilshift.core.ejection import Health, HealthState
 from anvilshift.core.homes import rank_targets
 from anvilshift.core.queue import Entry, FairQueue, ServiceTags
--- a/anvilshift/core/quarantine.py
+++ b/anvilshift/core/quarantine.py
@@ -26,7 +26,8 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.exposure import CHARGE_LIFETIME, TARGETS, Exposure
-from anvilshift.core.work import CrashAnnouncement, Failure
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import CrashAnnouncement
 
 _WINDOW: Millis = 60 * SECOND
 _FAULTY_INCIDENTS = 3
--- a/anvilshift/core/retrier.py
+++ b/anvilshift/core/retrier.py
@@ -3,6 +3,7 @@
 from anvilshift.core.backlog import Backlog
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import ENGINE_FAILED, NO_ENGINE
+from anvilshift.core.failures import NOT_EXECUTED, Failure
 from anvilshift.core.pools import Pool
 from anvilshift.core.queue import Entry
 from anvilshift.core.relocation import Relocation
@@ -10,7 +11,7 @@
 from anvilshift.core.retries import BACKOFF
 from anvilshift.core.sending import Sender
 from anvilshift.core.state import NO_TARGET_RETRY, DispatchState
-from anvilshift.core.work import NOT_EXECUTED, Actions, Failure
+from anvilshift.core.work import Actions
 
 CRASH_REPORT_DELAY: Millis = 50.0
 """Delay between a crash of a target and the next attempt of work that ran there.  By
--- a/anvilshift/core/state.py
+++ b/anvilshift/core/state.py
@@ -5,9 +5,10 @@
 
 from anvilshift.core.admission.deadlines import draw_retry_delay, misses_deadline
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.durations import DecayingMean
+from anvilshift.core.decayingmean import DecayingMean
 from anvilshift.core.errors import QUARANTINED, Code
 from anvilshift.core.exposure import CHARGE_LIFETIME
+from anvilshift.core.failures import Failure
 from anvilshift.core.former import FormerTargets
 from anvilshift.core.pools import Pool, Pools, TargetView
 from anvilshift.core.prefixes import PrefixIndex
@@ -15,7 +16,7 @@
 from anvilshift.core.quarantine import Quarantine
 from anvilshift.core.queue import Entry
 from anvilshift.core.timers import Timers
-from anvilshift.core.work import DispatchSettings, Failure, Refuse, Work
+from anvilshift.core.work import DispatchSettings, Refuse, Work
 
 NO_TARGET_RETRY: Millis = 1 * SECOND
 """Retry delay for callers while no target is in use.  A target that restarts or is
--- a/anvilshift/core/targetload.py
+++ b/anvilshift/core/targetload.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import Millis
-from anvilshift.core.durations import DecayingMean
+from anvilshift.core.decayingmean import DecayingMean
 from anvilshift.core.ejection import Health
 from anvilshift.core.health.coldtargets import ColdTerm
 from anvilshift.core.placement.learnedspeeds import TargetSpeeds, WorkKind
--- a/anvilshift/core/work.py
+++ b/anvilshift/core/work.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
 
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import Code
@@ -66,21 +65,6 @@
     route: str = ""
 
 
-class Failure(Enum):
-    """Why an attempt ended without an answer."""
-
-    NOT_SENT = "not sent"
-    REJECTED = "rejected"
-    BROKE_OFF = "broke off"
-    MIXED_UP = "another answer"
-    CRASHED = "crashed"
-    TIMED_OUT = "timed out"
-
-
-NOT_EXECUTED = (Failure.NOT_SENT, Failure.REJECTED)
-"""Failures that prove that the target did not start the request."""
-
-
 @dataclass(frozen=True)
 class LoadReport:
     """A target's report of its load at a time in the past.
--- a/anvilshift/engines/http.py
+++ b/anvilshift/engines/http.py
@@ -9,7 +9,8 @@
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.declarations import Engine
 from anvilshift.core.errors import ENGINE_FAILED, AnvilshiftError
-from anvilshift.core.work import CacheEvent, Failure, LoadReport
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import CacheEvent, LoadReport
 from anvilshift.engines.engine import AnswerPart, ModelCall, Order, Usage
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.events import Event, EventReader
--- a/anvilshift/gateway/attemptfailures.py
+++ b/anvilshift/gateway/attemptfailures.py
@@ -5,8 +5,8 @@
 
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
+from anvilshift.core.failures import Failure
 from anvilshift.core.targetload import TargetLoad
-from anvilshift.core.work import Failure
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.outgoing import AttemptError
 from anvilshift.gateway.parttries import PartTry
--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -9,6 +9,7 @@
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import ENGINE_FAILED, OVERLOADED, AnvilshiftError
+from anvilshift.core.failures import Failure
 from anvilshift.core.health.slowstart import judge_answer
 from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.placement.toldload import LoadReport
@@ -20,7 +21,6 @@
     find_return,
     rank,
 )
-from anvilshift.core.work import Failure
 from anvilshift.gateway.attemptfailures import AttemptFailures
 from anvilshift.gateway.border import TargetFields
 from anvilshift.gateway.crashes import CrashTracker
--- a/anvilshift/gateway/coldtargets.py
+++ b/anvilshift/gateway/coldtargets.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.failures import Failure
 from anvilshift.core.health.coldtargets import (
     PERMIT_LIFETIME,
     ColdBounds,
@@ -20,7 +21,6 @@
 )
 from anvilshift.core.routing import Service
 from anvilshift.core.targetload import TargetInfo, TargetLoad
-from anvilshift.core.work import Failure
 from anvilshift.gateway.coldmessages import TargetCold
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
--- a/anvilshift/gateway/crashes.py
+++ b/anvilshift/gateway/crashes.py
@@ -9,9 +9,9 @@
 from anvilshift.core.blame import MAX_CRASHES
 from anvilshift.core.ejection import HealthState
 from anvilshift.core.errors import QUARANTINED, AnvilshiftError
+from anvilshift.core.failures import Failure
 from anvilshift.core.homes import choose_homes
 from anvilshift.core.targetload import Prompt, TargetInfo, TargetLoad
-from anvilshift.core.work import Failure
 from anvilshift.gateway.outgoing import AttemptError
 from anvilshift.gateway.reach import Reached
 from anvilshift.gateway.shared import RouterContext
--- a/anvilshift/gateway/outgoing.py
+++ b/anvilshift/gateway/outgoing.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from anvilshift.core.choosing import Choice
+from anvilshift.core.failures import Failure
 from anvilshift.core.pauses import SilenceSign
 from anvilshift.core.targetload import Prompt
-from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, TargetFields
 from anvilshift.wire.connection import Connection
 from anvilshift.wire.messages import Headers, HttpRequest
--- a/anvilshift/gateway/relaying.py
+++ b/anvilshift/gateway/relaying.py
@@ -6,7 +6,7 @@
 from anvilshift.core.answerbuffers import AnswerBuffer, AnswerBuffers
 from anvilshift.core.clock import Clock, Millis
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.work import Failure
+from anvilshift.core.failures import Failure
 from anvilshift.gateway.outgoing import Answer, AttemptError
 from anvilshift.gateway.silencewatch import SilenceWatch
 from anvilshift.gateway.splitting import EventSplitter
--- a/anvilshift/gateway/sending.py
+++ b/anvilshift/gateway/sending.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field, replace
 
 from anvilshift.core.clock import Clock, Millis
+from anvilshift.core.failures import Failure
 from anvilshift.core.health.slowstart import Outcome
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo, TargetLoad
-from anvilshift.core.work import Failure
 from anvilshift.gateway.border import AnswerFields, Dialect
 from anvilshift.gateway.coldtargets import ColdTargets
 from anvilshift.gateway.journal import Journal
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -7,7 +7,7 @@
 from anvilshift.core.answerbuffers import AnswerBuffers
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import Clock, Millis
-from anvilshift.core.durations import DecayingMean
+from anvilshift.core.decayingmean import DecayingMean
 from anvilshift.core.errors import NOT_READY, AnvilshiftError
 from anvilshift.core.retries import RetryBudget
 from anvilshift.core.routing import RouteTable
--- a/anvilshift/gateway/silencewatch.py
+++ b/anvilshift/gateway/silencewatch.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 from anvilshift.core.clock import SECOND, Clock, Millis
+from anvilshift.core.failures import Failure
 from anvilshift.core.pauses import LOOK_INTERVAL, Silence, SilenceSign, TargetActivity
-from anvilshift.core.work import Failure
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.outgoing import AttemptError, PlannedAttempt
 
--- a/anvilshift/gateway/targethealth.py
+++ b/anvilshift/gateway/targethealth.py
@@ -8,10 +8,10 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.ejection import HealthState, may_eject
 from anvilshift.core.failurereports import FailureReport, FailureReports
+from anvilshift.core.failures import Failure
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.pauses import SilenceSign
 from anvilshift.core.targetload import TargetLoad
-from anvilshift.core.work import Failure
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.messages import Failed
 from anvilshift.gateway.peers import Peers
--- a/anvilshift/operator/checking.py
+++ b/anvilshift/operator/checking.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from anvilshift.core.errors import BAD_DECLARATION, AnvilshiftError
-from anvilshift.objects.store import HttpObjectStore, StoredObject
+from anvilshift.objects.httpstore import HttpObjectStore
+from anvilshift.objects.store import StoredObject
 from anvilshift.operator.administration import read_stored
 from anvilshift.operator.checks.configurations import Surroundings
 from anvilshift.operator.checks.findings import EXIT_ERRORS, find_exit_code
--- a/anvilshift/operator/main.py
+++ b/anvilshift/operator/main.py
@@ -13,7 +13,8 @@
 
 from anvilshift.core.clock import SECOND, MonotonicClock
 from anvilshift.core.errors import BAD_DECLARATION, BAD_SETTINGS, AnvilshiftError
-from anvilshift.objects.store import ConflictError, HttpObjectStore
+from anvilshift.objects.httpstore import HttpObjectStore
+from anvilshift.objects.store import ConflictError
 from anvilshift.operator.administration import (
     apply_differences,
     compare,
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -34,10 +34,16 @@
 
 
 class _Record(BaseModel):
-    """Base of the platform's records: camel-case keys, unknown fields are ignored."""
+    """Base of the platform's records: camel-case keys, unknown fields are ignored.
+
+    A record that is only read as part of another one needs no validator of its own.
+    """
 
     model_config = ConfigDict(
-        alias_generator=to_camel, extra="ignore", populate_by_name=True
+        alias_generator=to_camel,
+        extra="ignore",
+        populate_by_name=True,
+        defer_build=True,
     )
 
 
--- a/anvilshift/router/daemon.py
+++ b/anvilshift/router/daemon.py
@@ -8,7 +8,7 @@
 
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.engines.http import HttpConnector
-from anvilshift.objects.store import HttpObjectStore
+from anvilshift.objects.httpstore import HttpObjectStore
 from anvilshift.peers.link import GrpcPeerLink, PeerServer
 from anvilshift.router.node import Node, World
 from anvilshift.router.operations import OperatorApi
--- a/anvilshift/router/dispatching.py
+++ b/anvilshift/router/dispatching.py
@@ -9,12 +9,12 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     Actions,
     Ask,
     Cancel,
     CrashAnnouncement,
-    Failure,
     Refuse,
     Send,
     Work,
--- a/anvilshift/router/runs.py
+++ b/anvilshift/router/runs.py
@@ -19,8 +19,9 @@
     OVERLOADED,
     AnvilshiftError,
 )
+from anvilshift.core.failures import NOT_EXECUTED, Failure
 from anvilshift.core.transcripts import Transcript
-from anvilshift.core.work import NOT_EXECUTED, Failure, Send, Work
+from anvilshift.core.work import Send, Work
 from anvilshift.engines.engine import AnswerPart, ModelCall, Usage
 from anvilshift.engines.http import MismatchedAnswerError, TargetError
 from anvilshift.router.budgets import RouterBudgets
--- a/anvilshift/router/services.py
+++ b/anvilshift/router/services.py
@@ -10,8 +10,9 @@
 from anvilshift.core.claims import Answer
 from anvilshift.core.clock import SECOND
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.core.failures import NOT_EXECUTED, Failure
 from anvilshift.core.identity import make_identity
-from anvilshift.core.work import NOT_EXECUTED, Failure, Send, Work
+from anvilshift.core.work import Send, Work
 from anvilshift.engines.http import TargetError
 from anvilshift.router.progress import Progress
 from anvilshift.router.requests import KEY_HEADER, Job, digest, find_time_left
--- a/anvilshift/router/targets.py
+++ b/anvilshift/router/targets.py
@@ -12,7 +12,8 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.declarations import Catalogue, Engine, TargetKind
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.core.work import CacheEvent, Failure, LoadReport
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import CacheEvent, LoadReport
 from anvilshift.engines.engine import Connector, ModelEngine, PlainService
 from anvilshift.engines.http import TargetError
 from anvilshift.wire.response import ExchangeError
--- a/bench/inforce.py
+++ b/bench/inforce.py
@@ -11,7 +11,8 @@
 import time
 
 from anvilshift.core.clock import SECOND, MonotonicClock
-from anvilshift.objects.store import HttpObjectStore, update
+from anvilshift.objects.httpstore import HttpObjectStore
+from anvilshift.objects.store import update
 from anvilshift.operator.administration import wait_until_in_force
 from bench.fleet import LocalFleet
 
--- a/bench/load/baselines.py
+++ b/bench/load/baselines.py
@@ -7,12 +7,12 @@
 from anvilshift.core.clock import Millis
 from anvilshift.core.dispatcher import Dispatcher
 from anvilshift.core.errors import ENGINE_FAILED
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     Actions,
     Ask,
     CacheEvent,
     DispatchSettings,
-    Failure,
     LoadReport,
     Refuse,
     Send,
--- a/bench/load/engines.py
+++ b/bench/load/engines.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
-from anvilshift.core.work import Failure
+from anvilshift.core.failures import Failure
 from bench.load.timeline import Timeline
 
 _RESTART_TIME: Millis = 5 * SECOND
--- a/bench/load/runs.py
+++ b/bench/load/runs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Millis
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     Actions,
     Ask,
@@ -12,7 +13,6 @@
     Cancel,
     CrashAnnouncement,
     DispatchSettings,
-    Failure,
     LoadReport,
     Refuse,
     Send,
--- a/bench/load/thin.py
+++ b/bench/load/thin.py
@@ -7,11 +7,11 @@
 
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import ENGINE_FAILED, NO_ENGINE, OVERLOADED, PAST_DEADLINE
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     Actions,
     CacheEvent,
     DispatchSettings,
-    Failure,
     LoadReport,
     Refuse,
     Send,
--- a/bench/soak/network.py
+++ b/bench/soak/network.py
@@ -14,7 +14,8 @@
 
 from anvilshift.core.clock import SECOND, Millis
 from anvilshift.core.declarations import Engine
-from anvilshift.core.work import CacheEvent, Failure, LoadReport
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import CacheEvent, LoadReport
 from anvilshift.engines.engine import AnswerPart, ModelCall, Order, Usage
 from anvilshift.engines.http import TargetError
 from anvilshift.peers.generated.peers_pb2 import (
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -12,10 +12,10 @@
     PAST_DEADLINE,
     QUARANTINED,
 )
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     Cancel,
     DispatchSettings,
-    Failure,
     LoadReport,
     Refuse,
     Send,
--- a/tests/core/test_dispatcher_poison.py
+++ b/tests/core/test_dispatcher_poison.py
@@ -8,11 +8,11 @@
 
 from anvilshift.core.dispatcher import CRASH_REPORT_DELAY, Dispatcher
 from anvilshift.core.errors import NO_ENGINE, QUARANTINED
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     Cancel,
     CrashAnnouncement,
     DispatchSettings,
-    Failure,
     Refuse,
     Send,
     Target,
--- a/tests/core/test_dispatcher_random.py
+++ b/tests/core/test_dispatcher_random.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 
 from anvilshift.core.dispatcher import Dispatcher
+from anvilshift.core.failures import Failure
 from anvilshift.core.work import (
     CacheEvent,
     Cancel,
     CrashAnnouncement,
     DispatchSettings,
-    Failure,
     LoadReport,
     Refuse,
     Send,
--- a/tests/core/test_dispatcher_retries.py
+++ b/tests/core/test_dispatcher_retries.py
@@ -2,7 +2,8 @@
 import unittest
 
 from anvilshift.core.dispatcher import Dispatcher
-from anvilshift.core.work import DispatchSettings, Failure, Send, Target, Work
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import DispatchSettings, Send, Target, Work
 
 
 class RetryLimitTest(unittest.TestCase):
--- a/tests/core/test_silent_engines.py
+++ b/tests/core/test_silent_engines.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from anvilshift.core.dispatcher import Dispatcher
-from anvilshift.core.work import Cancel, DispatchSettings, Failure, Send, Target, Work
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import Cancel, DispatchSettings, Send, Target, Work
 from tests.core.silentengines import FOREVER, STEP, SilentFleet
 
 NAMES = ("e1", "e2", "e3", "e4")
--- a/tests/engines/test_http.py
+++ b/tests/engines/test_http.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from anvilshift.core.work import Failure
+from anvilshift.core.failures import Failure
 from anvilshift.engines.http import HttpPlainService, TargetError
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
--- a/tests/gateway/test_startshares.py
+++ b/tests/gateway/test_startshares.py
@@ -4,8 +4,8 @@
 import unittest
 
 from anvilshift.core.ejection import HealthState
+from anvilshift.core.failures import Failure
 from anvilshift.core.health.slowstart import Outcome
-from anvilshift.core.work import Failure
 from anvilshift.gateway.startmessages import StartShareAnswer
 from tests.gateway.startfleet import SLOTS, StartFleet
 from tests.gateway.virtualtime import run
--- a/tests/gateway/test_targethealth.py
+++ b/tests/gateway/test_targethealth.py
@@ -7,9 +7,9 @@
 
 from anvilshift.core.clock import SECOND
 from anvilshift.core.ejection import HealthState
+from anvilshift.core.failures import Failure
 from anvilshift.core.loadmap import LoadMap
 from anvilshift.core.targetload import TargetInfo
-from anvilshift.core.work import Failure
 from anvilshift.gateway.datagrams import decode, encode
 from anvilshift.gateway.targethealth import TargetHealth
 from tests.gateway.silent import SilentJournal
--- a/tests/integration/fleetcase.py
+++ b/tests/integration/fleetcase.py
@@ -7,7 +7,7 @@
 
 from anvilshift.client.client import CallError, Client, Conversation
 from anvilshift.core.clock import MonotonicClock
-from anvilshift.objects.store import HttpObjectStore
+from anvilshift.objects.httpstore import HttpObjectStore
 from anvilshift.operator.administration import (
     apply_differences,
     compare,
--- a/tests/objects/test_http_store.py
+++ b/tests/objects/test_http_store.py
@@ -9,12 +9,8 @@
 from hypothesis import strategies as st
 
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.objects.store import (
-    ConflictError,
-    HttpObjectStore,
-    UncertainWriteError,
-    update,
-)
+from anvilshift.objects.httpstore import HttpObjectStore
+from anvilshift.objects.store import ConflictError, UncertainWriteError, update
 from anvilshift.standins.platform import PlatformStandin
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address, Headers, HttpResponse
--- a/tests/operator/test_verbs.py
+++ b/tests/operator/test_verbs.py
@@ -7,7 +7,8 @@
 
 import yaml
 
-from anvilshift.objects.store import HttpObjectStore, update
+from anvilshift.objects.httpstore import HttpObjectStore
+from anvilshift.objects.store import update
 from anvilshift.operator.explanations import explain
 from anvilshift.operator.validation import cross_check
 from anvilshift.settings.declarations import parse_declaration
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -3,9 +3,9 @@
 import json
 
 from anvilshift.core.errors import STREAM_NOT_RESUMABLE
+from anvilshift.core.failures import Failure
 from anvilshift.core.origins import OriginTable, make_stream_key
 from anvilshift.core.versionhistory import SETTLING_TIME
-from anvilshift.core.work import Failure
 from anvilshift.gateway.streammessages import HistorySeen
 from anvilshift.wire.messages import Address
 from anvilshift.wire.response import ExchangeError
--- a/tests/router/test_claims.py
+++ b/tests/router/test_claims.py
@@ -8,8 +8,8 @@
 from anvilshift.core.claims import LIFETIME_S, Claim, ClaimState
 from anvilshift.core.clock import MonotonicClock
 from anvilshift.core.errors import AnvilshiftError
+from anvilshift.objects.httpstore import HttpObjectStore
 from anvilshift.objects.records import encode
-from anvilshift.objects.store import HttpObjectStore
 from anvilshift.router.claims import CLAIM_KIND, ClaimStore
 from anvilshift.standins.memory import MemoryStore
 from anvilshift.wire.client import HttpClient
--- a/tests/router/test_returning.py
+++ b/tests/router/test_returning.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from anvilshift.core.work import Failure, LoadReport, Send, Work
+from anvilshift.core.failures import Failure
+from anvilshift.core.work import LoadReport, Send, Work
 from anvilshift.engines.http import TargetError
 from anvilshift.standins.virtual import run_virtual
 from tests.router.nodes import InProcessFleet, wait_until
--- a/tests/router/test_silent_platform.py
+++ b/tests/router/test_silent_platform.py
@@ -6,7 +6,8 @@
 import unittest
 
 from anvilshift.core.errors import AnvilshiftError
-from anvilshift.objects.store import HttpObjectStore, update
+from anvilshift.objects.httpstore import HttpObjectStore
+from anvilshift.objects.store import update
 from anvilshift.router.following import Follower
 from anvilshift.router.relayed import RelayedStore
 from anvilshift.standins.platform import PlatformStandin
--- a/tests/router/test_silent_runs.py
+++ b/tests/router/test_silent_runs.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from anvilshift.core.ejection import Health
-from anvilshift.core.work import Failure
+from anvilshift.core.failures import Failure
 from anvilshift.engines import http
 from anvilshift.engines.http import TargetError
 from anvilshift.standins.engine import make_answer
--- a/tests/router/test_targets.py
+++ b/tests/router/test_targets.py
@@ -4,7 +4,7 @@
 import unittest
 
 from anvilshift.core.declarations import Catalogue, Engine, EngineGroup, TargetKind
-from anvilshift.core.work import Failure
+from anvilshift.core.failures import Failure
 from anvilshift.engines.http import TargetError
 from anvilshift.router.targets import Targets
 from anvilshift.standins.virtual import VirtualClock, run_virtual
