Freeze a router's objects at its start without a full collection before

Cause: before it froze the objects that exist at its start, a router collected garbage in full: 26 ms of the 30 ms between its imports and serving (cProfile of a started router beside the stand-in of the store). It finds 26 unreachable objects of 45,829, 0.1 MB of 20.7 MB (tracemalloc); the chat interface's router finds none in 32 ms.

Change: the objects are frozen at once.

Not done: absl's logging (23 ms), data classes (200 ms), thresholds of the collector before the imports (27 ms).

--- a/anvilshift/wire/collection.py
+++ b/anvilshift/wire/collection.py
@@ -15,8 +15,9 @@
     A full collection traverses every object while all streams wait. With the
     interpreter's own thresholds this happens several times a minute under load.
     Objects that exist at the start (modules, models, instruments) live until the
-    process exits, so they are excluded from collection.
+    process exits, so they are excluded from collection. They aren't collected before:
+    that takes longer than the rest of a start after its imports, and finds next to
+    nothing.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*_THRESHOLDS)
--- a/tests/wire/test_collection.py
+++ b/tests/wire/test_collection.py
@@ -25,3 +25,8 @@
         self.begun.clear()
         kept = [[index] for index in range(_OBJECTS)]
         self.assertEqual((len(kept), self.begun), (_OBJECTS, []))
+
+    def test_start_waits_for_no_collection(self):
+        """Guards against a start that traverses every object before it serves."""
+        configure_collection()
+        self.assertEqual(self.begun, [])
