--- a/anvilshift/core/streams/runcopies.py
+++ b/anvilshift/core/streams/runcopies.py
@@ -101,9 +101,9 @@
         ended = self._ended.get(target.info.name)
         if ended is not None and now - ended < LIKELY_FOR:
             return True
-        is_failing = target.health.state is not HealthState.HEALTHY
-        is_failing = is_failing or target.avoided_until > now
-        return target.info.leaving or target.ended_at is not None or is_failing
+        is_ending = target.info.leaving or target.ended_at is not None
+        is_ejected = target.health.state is not HealthState.HEALTHY
+        return is_ending or is_ejected or target.avoided_until > now
 
 
 @dataclass
@@ -246,4 +246,5 @@
         """
         if self.last_id is None or not self.is_lost or not self.is_direct:
             return False
-        return self.targets - self.has_ended < self.most
+        counted = self.targets - 1 if self.has_ended else self.targets
+        return counted < self.most
