--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -577,7 +577,7 @@
                 held = await play(deployment)
             deployment.record.note(f"the rule {'held' if held else 'was broken'}")
             code = HELD if held else BROKEN
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.record.note(f"the case couldn't run: {error!r}")
         finally:
             await deployment.close()
