--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,7 +22,7 @@
 _UPLOADS, _UPLOAD_BYTES = 3, 4 * 1024 * 1024
 _CHATS = 12
 _STEP_S = 0.05
-_READ_S = 0.5
+_READ_S = 0.2
 """Time from the sending of the chats to the SIGTERM."""
 
 
