--- a/review/4/case.py
+++ b/review/4/case.py
@@ -56,7 +56,7 @@
 
 async def play(deployment: Deployment) -> bool:
     """Stop a router; return whether each chat that it has read was answered."""
-    engine = deployment.make_engine("pound-advisor", _work)
+    engine = deployment.make_engine("pound-advisor", _work, slots=64)
     files = deployment.make_engine("file-desk", _work)
     for one in (engine, files):
         await one.start()
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -302,13 +302,15 @@
         self,
         service: str,
         work: Callable[[Message], Awaitable[bytes]],
-        zone: str = "nitra",
+        slots: int = 6,
     ) -> Engine:
         """Return an engine that isn't started."""
         self._engines += 1
         address = (f"{self._net}.{100 + self._engines}", self._ports[8])
         name = f"i-{self._engines:08x}"
-        return Engine(name, service, address, self.store, self.record, work, zone)
+        return Engine(
+            name, service, address, self.store, self.record, work, slots=slots
+        )
 
     async def start_store(self) -> None:
         """Start the store."""
@@ -343,6 +345,10 @@
 
     def start_router(self, ip: str) -> subprocess.Popen[bytes]:
         """Start a router with the command of the deploy file."""
+        if ip in self.processes:
+            settings = self.folder / f"{ip}.toml"
+            text = settings.read_text().replace("bootstrap = true", "bootstrap = false")
+            settings.write_text(text)
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = shlex.split(deploy["roles"]["router"]["run"])
         environment = {
