--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""The store turns some machines away, and one router stays alone afterwards."""
+"""The store turns some machines away, and other routers leave afterwards."""
 
 import asyncio
 import pathlib
@@ -17,10 +17,16 @@
 from common.http import Caller, Message
 from common.store import Entrance
 
+_ENGINES = 4
+"""Engines of the first service; with that of the later one there are five."""
 _AWAY_S = 8.0
-"""Time for which the store turns a router and an engine away."""
+"""Time for which the store turns a router away."""
+_CUT_S = 5.0
+"""Time for which the store turns an engine away."""
 _SILENT_S = 3 * 1.2
 """Silence after which the store removes an engine's entry: three heartbeats."""
+_GAP_S = 2.0
+"""Time between the SIGTERMs of the routers that leave."""
 _SETTLE_S = 6.0
 _REQUESTS = 30
 
@@ -47,14 +53,14 @@
 
 async def play(deployment: Deployment) -> bool:
     """Compare how often routes are served that were there first, and added later."""
-    first = deployment.make_engine("stock-desk", _work)
+    for _ in range(_ENGINES):
+        await deployment.make_engine("stock-desk", _work).start()
     later = deployment.make_engine("label-desk", _work)
-    await first.start()
     routes = [make_route("r-stock", "/stock/", "idempotent", "stock-desk", 2500)]
     configuration = make_configuration(7, routes, ["stock-desk"])
     deployment.store.put("config", "main", configuration)
     await deployment.start_store()
-    alone, other = deployment.ips
+    alone, *others = deployment.ips
     entrance = Entrance(deployment.store)
     await entrance.start(*deployment.write_settings(behind=[alone]))
     for ip in deployment.ips:
@@ -78,17 +84,22 @@
         await asyncio.sleep(_SILENT_S)
         deployment.store.delete("servers", later.name)
         deployment.record.note(f"the store has removed the entry of {later.name}")
-        await asyncio.sleep(_AWAY_S - _SILENT_S)
-        entrance.closed = False
+        await asyncio.sleep(_CUT_S - _SILENT_S)
         later.renew()
-        deployment.record.note("the store serves all machines again")
+        deployment.record.note(f"the store serves {later.name} again")
+        await asyncio.sleep(_AWAY_S - _CUT_S)
+        entrance.closed = False
+        deployment.record.note(f"the store serves {alone} again")
     else:
         await asyncio.sleep(_AWAY_S)
     await asyncio.sleep(_SETTLE_S)
-    deployment.signal(other, signal.SIGTERM)
-    while deployment.processes[other].poll() is None:
-        await asyncio.sleep(0.05)
-    deployment.record.note(f"router {other} has left for good")
+    for other in others:
+        deployment.signal(other, signal.SIGTERM)
+        await asyncio.sleep(_GAP_S)
+    for other in others:
+        while deployment.processes[other].poll() is None:
+            await asyncio.sleep(0.05)
+        deployment.record.note(f"router {other} has left for good")
     await asyncio.sleep(_SETTLE_S)
     assert await deployment.is_ready(alone), "the router isn't ready"
     served_first = await _count_served(deployment, alone, "/stock/")
@@ -102,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, routers=3)
