Let an announced departure end with a later entry

Cause: the engine's entry lapsed and came back while the store turned the router away. The others read the lapse and broadcast Leaving with the engine's name only. TargetRegistry.apply_change took the entry that came back, of the same start and ready, for one older than the announcement; nothing ended it. Evidence: the router's log has target_leaving with told=true at 523166 and nothing of the engine after it, though its follower regained the store at 528336. The same held for an engine that drains and is ready again by its own entry, and for one whose address was found taken over.

Ruled out: that the entry wasn't read (store_regained, and the list behind it), an ejection, a failed health check (no such line in the log).

Change: Leaving carries the revision of the store for which it holds, and an entry of a later revision is more recent, in whichever order they arrive. Registered tells a router that is turned away of the return meanwhile. What an engine says of itself in an answer holds as before while that start lives.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -237,6 +237,7 @@
             self.shared.health.reports.forget,
             self.shared.origins.note_target,
         )
+        self.targets.connect(self.shared, self.messenger.add_handler)
         self.configurations = Configurations(
             settings,
             dialect,
@@ -317,7 +318,6 @@
         self.reservations.ask = messenger.ask_for_tokens
         self.recorder.on_new_mark = messenger.send_mark
         self.shared.on_target_lost = messenger.handle_lost_target
-        self.shared.on_target_replaced = messenger.handle_replaced_target
         return messenger
 
     def _connect_cold(self) -> None:
--- a/anvilshift/gateway/conversation.py
+++ b/anvilshift/gateway/conversation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from anvilshift.core.allocators import AllocatorMap
@@ -26,7 +26,6 @@
     Gift,
     Held,
     Lack,
-    Leaving,
     Limited,
     Marked,
     Message,
@@ -191,7 +190,6 @@
             Held: self._handle_held,
             Begun: self._handle_begun,
             Ended: self._handle_ended,
-            Leaving: lambda one: self._mark_leaving(one.target),
             Failed: shared.health.apply_report,
             Blamed: self._handle_blamed,
             Ask: self._handle_ask,
@@ -282,12 +280,6 @@
         service = table.configuration.services.get(known.info.service)
         return service.model.cache_tokens if service and service.model else 0
 
-    def _mark_leaving(self, target: str) -> None:
-        known = self.loads.targets.get(target)
-        if known is not None and not known.info.leaving:
-            self.journal.write("target_leaving", target=target, told=True)
-            self.loads.declare(replace(known.info, leaving=True))
-
     def send_known_state(self, beat: Beat) -> None:
         """Send a new router what it needs to know of the time before its start.
 
@@ -337,17 +329,6 @@
         self.loads.remove_runs(f"{peer.beat.incarnation}/")
         self.shared.tries.end_router(peer.beat.incarnation)
 
-    def handle_replaced_target(self, name: str) -> None:
-        """Stop using a target whose address another target has taken over.
-
-        The old target's entry stays in the store for some seconds.  If the routers
-        went on using it, each request there would fail and take a retry from the
-        budget that all requests share.
-        """
-        self.handle_lost_target(name)
-        self._mark_leaving(name)
-        self.peers.broadcast(Leaving(name))
-
     def handle_lost_target(self, name: str) -> None:
         """Blame the content that was running at a target that is found lost.
 
--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -13,7 +13,7 @@
 from anvilshift.core.clock import SECOND, Clock, Millis
 from anvilshift.core.errors import PLATFORM_UNREADABLE, AnvilshiftError
 from anvilshift.gateway.journal import Journal
-from anvilshift.objects.store import Body, ObjectChange, WatchedStore
+from anvilshift.objects.store import ObjectChange, WatchedStore
 
 _FIRST_PAUSE: Millis = 300.0
 """Pause after the first failed call."""
@@ -295,30 +295,41 @@
 
     clock: Clock
     remove: Callable[[str], None]
-    bodies: dict[str, Body] = field(default_factory=dict)
     outage_until: Millis = -1e12
+    _versions: dict[str, int] = field(default_factory=dict)
     _missing_until: dict[str, Millis] = field(default_factory=dict)
 
     def note_outage(self) -> None:
         """Record that the store is unreachable now."""
         self.outage_until = self.clock.now()
 
-    def put(self, name: str, body: Body) -> None:
+    def find_version(self, name: str) -> int:
+        """Return the last known version of an entry; 0 if none is known."""
+        return self._versions.get(name, 0)
+
+    def put(self, name: str, version: int) -> None:
         """Add or update an entry."""
-        self.bodies[name] = body
+        self._versions[name] = max(version, self.find_version(name))
         self._missing_until.pop(name, None)
 
-    def drop(self, name: str) -> None:
-        """Record that an entry is missing."""
-        now = self.clock.now()
-        due = max(now, self.outage_until + _REGISTRATION_TIME)
-        if name in self.bodies:
+    def drop(self, name: str, version: int = 0) -> None:
+        """Record that an entry is missing.
+
+        Parameters
+        ----------
+        version
+            Version of the entry that was removed; 0 if it isn't known.
+        """
+        known = self._versions.get(name)
+        if known is not None and not 0 < version < known:
+            self._versions[name] = max(version, known)
+            due = max(self.clock.now(), self.outage_until + _REGISTRATION_TIME)
             self._missing_until.setdefault(name, due)
         self.remove_missing()
 
     def settle(self, names: set[str]) -> None:
         """Record as missing all entries that a complete list doesn't contain."""
-        for name in set(self.bodies) - names:
+        for name in set(self._versions) - names:
             self.drop(name)
 
     def remove_missing(self) -> None:
@@ -327,5 +338,5 @@
         for name, due in list(self._missing_until.items()):
             if due <= now:
                 del self._missing_until[name]
-                self.bodies.pop(name, None)
                 self.remove(name)
+                del self._versions[name]
--- a/anvilshift/gateway/messages.py
+++ b/anvilshift/gateway/messages.py
@@ -4,7 +4,7 @@
 is compensated by the next message about it or by the run's maximum duration.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from anvilshift.core.clock import Millis
 from anvilshift.gateway.coldmessages import TargetCold
@@ -66,9 +66,34 @@
 
 @dataclass(frozen=True)
 class Leaving:
-    """A target is leaving or gone and gets no new work."""
+    """A target is leaving or gone and gets no new work.
+
+    Parameters
+    ----------
+    revision
+        Revision of the store at which its entry said so, or was found to be wrong; a
+        later entry may say that it is ready.  0 if the target itself said so.
+    """
 
     target: str
+    revision: int = field(default=0, metadata={"optional": True})
+
+
+@dataclass(frozen=True)
+class Registered:
+    """A target that was said to leave, or to be gone, is ready by a later entry.
+
+    Parameters
+    ----------
+    revision
+        Revision of that entry.
+    born
+        Identifies the start of the target, so that another one isn't taken for it.
+    """
+
+    target: str
+    revision: int
+    born: int
 
 
 @dataclass(frozen=True)
@@ -315,6 +340,7 @@
     | Begun
     | Ended
     | Leaving
+    | Registered
     | Failed
     | Blamed
     | Ask
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -2,15 +2,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from anvilshift.core.clock import Clock
+from anvilshift.core.departurenotices import DepartureNotices
 from anvilshift.core.loadmap import LoadMap
-from anvilshift.core.targetload import TargetInfo
+from anvilshift.core.targetload import TargetInfo, TargetLoad
 from anvilshift.gateway.border import Dialect
 from anvilshift.gateway.following import TargetEntries
 from anvilshift.gateway.journal import Journal
-from anvilshift.gateway.messages import Leaving
+from anvilshift.gateway.messages import Leaving, Registered
 from anvilshift.gateway.peers import Peers
+from anvilshift.gateway.shared import RouterContext
 from anvilshift.objects.store import ObjectChange
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
@@ -43,14 +46,25 @@
     on_read: Callable[[TargetInfo], None] = lambda info: None
     on_entry: Callable[[TargetInfo], None] = lambda info: None
     _unreadable: set[str] = field(default_factory=set)
+    _notices: DepartureNotices = field(default_factory=DepartureNotices)
 
     def __post_init__(self) -> None:
         self.entries = TargetEntries(self.clock, self.remove)
 
+    def connect(
+        self,
+        shared: RouterContext,
+        add_handler: Callable[[type, Callable[[Any], None]], None],
+    ) -> None:
+        """Handle what is said elsewhere of targets that leave and come back."""
+        shared.on_target_replaced = self.handle_replaced
+        add_handler(Leaving, self.apply_leaving)
+        add_handler(Registered, self.apply_registered)
+
     def apply_change(self, change: ObjectChange) -> None:
         """Apply a target's written or removed entry."""
         if change.body is None:
-            self.entries.drop(change.name)
+            self.entries.drop(change.name, change.version)
             return
         info = self.dialect.read_target(change.name, change.body, self.clock.now())
         if info is None:
@@ -59,34 +73,113 @@
                 self.journal.write("target_unreadable", target=change.name)
             self.loads.remove(change.name, self.clock.now())
             return
-        self.entries.put(change.name, change.body)
+        self.entries.put(change.name, change.version)
         self.on_read(info)
         known = self.loads.targets.get(change.name)
         if known is None or info.is_other_start(known.info):
-            self.journal.write(
-                "target_found",
-                target=info.name,
-                service=info.service,
-                address=info.address,
-                version=info.version,
-            )
-            self.client.forget(Address.parse(info.address))
-            if known is not None:
-                self.on_target_lost(info.name)
-                self.on_new_start(info.name)
-        elif known.info.leaving and not info.leaving:
-            # Another router announced that the target leaves; its entry is older.
-            info = replace(info, leaving=True)
-        elif info.leaving and not known.info.leaving:
-            self.journal.write("target_leaving", target=info.name)
-            self.peers.broadcast(Leaving(info.name))
+            self._record_start(info, known)
+        info = self._apply_notices(info, change.version)
+        self._tell_others(info, known, change.version)
         if known is None or known.info != info:
             self.loads.declare(info)
         self.on_entry(info)
 
+    def _record_start(self, info: TargetInfo, known: TargetLoad | None) -> None:
+        """Record a target that is new, or was restarted under its name."""
+        self.journal.write(
+            "target_found",
+            target=info.name,
+            service=info.service,
+            address=info.address,
+            version=info.version,
+        )
+        self.client.forget(Address.parse(info.address))
+        if known is not None:
+            self.on_target_lost(info.name)
+            self.on_new_start(info.name)
+
+    def _apply_notices(self, info: TargetInfo, version: int) -> TargetInfo:
+        """Return the target as leaving if that was said of this entry or a later."""
+        is_covered = self._notices.covers(info.name, version)
+        return replace(info, leaving=info.leaving or is_covered)
+
+    def _tell_others(
+        self, info: TargetInfo, known: TargetLoad | None, version: int
+    ) -> None:
+        """Tell the other routers if an entry says that its target leaves, or doesn't.
+
+        The store may turn them away, so that they read neither this entry nor the one
+        before it.
+        """
+        was_leaving = known is not None and known.info.leaving and not known.farewell
+        if info.leaving:
+            if known is not None and not known.info.leaving:
+                self.journal.write("target_leaving", target=info.name)
+                self.peers.broadcast(Leaving(info.name, version))
+        elif self._notices.end(info.name) or was_leaving:
+            self.journal.write("target_registered", target=info.name, revision=version)
+            self.peers.broadcast(Registered(info.name, version, info.born))
+
+    def apply_leaving(self, message: Leaving) -> None:
+        """Send nothing more to a target that leaves or is gone, as another router says.
+
+        A later entry that was read here already is more recent than that.
+        """
+        known = self.loads.targets.get(message.target)
+        if not message.revision:
+            if known is not None and not known.farewell:
+                self._journal_leaving(known)
+                known.mark_leaving()
+            return
+        self._notices.add(message.target, message.revision)
+        if known is not None and self._is_covered(message.target):
+            self._journal_leaving(known)
+            self.loads.declare(replace(known.info, leaving=True))
+
+    def apply_registered(self, message: Registered) -> None:
+        """Use a target again that is ready by an entry which another router has read.
+
+        Only the store's entry says where another start of it is.
+        """
+        name, revision = message.target, message.revision
+        known = self.loads.targets.get(name)
+        if known is not None and known.info.born != message.born:
+            return
+        is_outdated = self.entries.find_version(name) >= revision
+        if is_outdated or self._notices.covers(name, revision):
+            return
+        self._notices.end(name)
+        if known is None:
+            return
+        self.entries.put(name, revision)
+        if known.info.leaving:
+            self.journal.write("target_registered", target=name, told=True)
+            self.loads.declare(replace(known.info, leaving=False))
+
+    def handle_replaced(self, name: str) -> None:
+        """Stop using a target whose address another target has taken over.
+
+        The old target's entry stays in the store for some seconds.  If the routers
+        went on using it, each request there would fail and take a retry from the
+        budget that all requests share.
+        """
+        self.on_target_lost(name)
+        leaving = Leaving(name, self.entries.find_version(name))
+        self.apply_leaving(leaving)
+        self.peers.broadcast(leaving)
+
     def remove(self, name: str) -> None:
         """Remove a target, and announce to the other routers that it is gone."""
         self.on_target_lost(name)
         self.journal.write("target_gone", target=name)
-        self.peers.broadcast(Leaving(name))
+        revision = self.entries.find_version(name)
+        self.peers.broadcast(Leaving(name, revision))
+        self._notices.add(name, revision)
         self.loads.remove(name, self.clock.now())
+
+    def _is_covered(self, name: str) -> bool:
+        return self._notices.covers(name, self.entries.find_version(name))
+
+    def _journal_leaving(self, known: TargetLoad) -> None:
+        if not known.info.leaving:
+            self.journal.write("target_leaving", target=known.info.name, told=True)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -183,7 +183,7 @@
         self.entries = TargetEntries(self.clock, self.removed.append)
 
     def test_a_missing_entry_is_removed_at_once_without_an_outage(self):
-        self.entries.put("e1", {})
+        self.entries.put("e1", 1)
         self.entries.drop("e1")
         self.assertEqual(self.removed, ["e1"])
 
@@ -193,20 +193,20 @@
         If the entry counted as removed when the store is back, a healthy target would
         get no work for the two seconds that it needs to register again.
         """
-        self.entries.put("e1", {})
+        self.entries.put("e1", 1)
         self.entries.note_outage()
         self.clock.advance(500.0)
         self.entries.drop("e1")
         self.clock.advance(1_500.0)
         self.entries.remove_missing()
         self.assertEqual(self.removed, [])
-        self.entries.put("e1", {})
+        self.entries.put("e1", 1)
         self.clock.advance(5_000.0)
         self.entries.remove_missing()
         self.assertEqual(self.removed, [])
 
     def test_an_entry_that_stays_missing_after_an_outage_is_removed(self):
-        self.entries.put("e1", {})
+        self.entries.put("e1", 1)
         self.entries.note_outage()
         self.entries.drop("e1")
         self.clock.advance(2_300.0)
@@ -214,7 +214,7 @@
         self.assertEqual(self.removed, ["e1"])
 
     def test_entries_missing_in_a_list_are_removed(self):
-        self.entries.put("e1", {})
-        self.entries.put("e2", {})
+        self.entries.put("e1", 1)
+        self.entries.put("e2", 1)
         self.entries.settle({"e2"})
         self.assertEqual(self.removed, ["e1"])
