Answer what a stopping router holds before it ends

Orders that ran were closed at the same moment.

Cause: the planned stop only waited. Waits for the link, for tokens and for targets knew the caller's deadline and not the stop's end.

Ruled out: the engine and the link (served without the SIGTERM; nothing was sent).

Change: the stop's end is known to requests. One that wasn't sent is refused as not run as soon as its wait and what its route's requests mostly take don't fit before it, also when it comes after the SIGTERM; the rest is answered at the end, as not run or as unknown.

--- a/anvilshift/gateway/attempts.py
+++ b/anvilshift/gateway/attempts.py
@@ -9,8 +9,6 @@
 from anvilshift.core.choosing import Choice
 from anvilshift.core.clock import Millis
 from anvilshift.core.errors import ENGINE_FAILED, OVERLOADED, AnvilshiftError
-from anvilshift.core.health.slowstart import judge_answer
-from anvilshift.core.placement.learnedspeeds import WorkKind
 from anvilshift.core.placement.toldload import LoadReport
 from anvilshift.core.routing import RequestKind
 from anvilshift.core.targetload import Prompt
@@ -22,6 +20,7 @@
 )
 from anvilshift.core.work import Failure
 from anvilshift.gateway.attemptfailures import AttemptFailures
+from anvilshift.gateway.attempttimes import AttemptTimes
 from anvilshift.gateway.border import TargetFields
 from anvilshift.gateway.crashes import CrashTracker
 from anvilshift.gateway.outgoing import Answer, AttemptError, Outgoing
@@ -36,9 +35,6 @@
 from anvilshift.gateway.streambinding import StreamBinding
 from anvilshift.gateway.targetchoice import TargetChooser
 
-_LEAST_EVENTS = 5
-"""Events of a stream from which the time between them is measured."""
-
 
 class Attempts:
     """The attempts of one request at targets.
@@ -91,10 +87,10 @@
         self._progress = self._planner.progress
         self._failures = AttemptFailures(shared, routed, relay, crashes, self._try)
         self._has_begun = False
-        self._first_at: Millis = 0.0
-        self._events_before = 0
+        self._times = AttemptTimes(shared, routed, relay)
         self.told: LoadReport | None = None
         self._planned_ahead: PlannedAttempt | None = None
+        self._link_due: Millis | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -167,7 +163,7 @@
         self.target = choice.target.info.name
         self.version = choice.target.info.version
         self.told = choice.target.report
-        self._events_before = self._relay.events
+        self._times.begin()
         progress, watch = self._progress, self._make_watch()
         before = progress.may_have_run, progress.targets
         self._crashes.charge_target(self.target)
@@ -206,12 +202,23 @@
         left = max(0.0, routed.end - now)
         expected = throttle.find_expected(due, length)
         if not expected or expected < left:
-            await throttle.wait(due, length)
+            self._link_due = due
+            try:
+                await throttle.wait(due, length)
+            finally:
+                self._link_due = None
             return
         detail = f"a wait of {expected:.0f} ms for this router's link is expected"
         code = ENGINE_FAILED if self._progress.may_have_run else OVERLOADED
         raise AnvilshiftError(code, detail, find_return(expected, left, shared.rng))
 
+    def find_link_wait(self) -> Millis:
+        """Return how long the request is still kept back for this router's link."""
+        throttle = self._shared.sender.link_throttle
+        if self._link_due is None or throttle is None:
+            return 0.0
+        return throttle.find_expected(self._link_due, 0)
+
     def _make_watch(self) -> SilenceWatch:
         target = self.target
         return SilenceWatch(
@@ -313,7 +320,8 @@
                 on_first_event,
                 self._routed.call.resume_after is not None,
             )
-            self._record_stream(outgoing)
+            self._times.record_stream(outgoing)
+            self._times.record_run(self.sent)
             return
         record_part = partial(self._record_part, watch, outgoing.choice)
         body = await self._relay.read_complete(answer, record_part)
@@ -326,6 +334,8 @@
         if self._routed.model is None:
             took = self._shared.clock.now() - self._routed.arrived
             self._shared.find_service_time(self._routed.service).add(took)
+        if success:
+            self._times.record_run(self.sent)
         await self._relay.send_complete(answer, body)
 
     def _record_part(self, watch: SilenceWatch, choice: Choice) -> None:
@@ -351,39 +361,4 @@
         span = self._shared.clock.now() - self.sent
         target.measure(span, outgoing.choice.unscaled)
         if success:
-            self._first_at = self._shared.clock.now()
-            self._record_outcome(outgoing, span)
-            self._record_speed(outgoing, span)
-
-    def _record_outcome(self, outgoing: Outgoing, span: Millis) -> None:
-        """Record whether the target was late by its own fault."""
-        objective = self._routed.rule.objective - (self.sent - self._routed.arrived)
-        usual = outgoing.choice.wait
-        if not outgoing.capacity:
-            usual += self._shared.find_service_time(self._routed.service).value
-        outcome = judge_answer(span, objective, usual)
-        self._shared.sender.record_outcome(outgoing, outcome, self.sent)
-
-    def _record_speed(self, outgoing: Outgoing, span: Millis) -> None:
-        """Record how fast the target worked, unless the request waited for a slot."""
-        choice, now = outgoing.choice, self._shared.clock.now()
-        if self.concurrent_runs >= choice.target.info.slots:
-            return
-        kind = WorkKind.PREFILL if outgoing.capacity else WorkKind.PLAIN
-        sample = choice.target.normalise(kind, span, choice.unscaled, now)
-        if sample is not None:
-            self._shared.sender.told.add_sample(
-                choice.target, outgoing.run, kind, sample, now
-            )
-
-    def _record_stream(self, outgoing: Outgoing) -> None:
-        """Record the time between the events of a stream that has ended."""
-        events, now = self._relay.events - self._events_before, self._shared.clock.now()
-        target = outgoing.choice.target
-        if events > 0:
-            target.learned_speeds.service.events.add(float(events))
-        if events >= _LEAST_EVENTS:
-            between = (now - self._first_at) / (events - 1) / target.find_slowness(now)
-            self._shared.sender.told.add_sample(
-                target, outgoing.run, WorkKind.DECODE, between, now
-            )
+            self._times.record_first_byte(outgoing, self.sent, self.concurrent_runs)
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -34,7 +34,7 @@
 from anvilshift.gateway.permitsession import PermitSession
 from anvilshift.gateway.relaying import AnswerRelay
 from anvilshift.gateway.routed import RoutedRequest
-from anvilshift.gateway.shared import RouterContext
+from anvilshift.gateway.shared import STOPPING, RouterContext
 from anvilshift.gateway.toldloads import describe_report
 from anvilshift.wire.messages import HttpRequest
 from anvilshift.wire.responder import SERVER_CLOSED, CallerDisconnectedError, Responder
@@ -69,6 +69,8 @@
         self.tokens = 0
         self.why = ""
         self.is_cut = False
+        self._route_name = ""
+        self._timeout: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Answer the request, and write its log line.
@@ -83,8 +85,9 @@
         call = self.shared.dialect.read_call(self.request)
         self.call = call
         self.turn = PermitSession(self.shared, call.identity, self.arrived)
+        self.shared.open_requests.add(self)
         try:
-            await self._serve(call)
+            await self._serve_until_stopped(call)
         except AnvilshiftError as error:
             self._record_end(error.code.name, error.detail)
             raise
@@ -98,9 +101,53 @@
             self._record_end("handler failed", repr(error))
             raise
         finally:
+            self.shared.open_requests.discard(self)
             self.turn.close()
             self._write_log_line()
 
+    # A planned stop
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether its answer hasn't begun."""
+        return not self.relay.started
+
+    def check_stop(self) -> None:
+        """End the request unless it may be answered before a planned stop ends."""
+        is_ended = self._timeout is None or self._timeout.when() is not None
+        if is_ended or self.relay.started or self._may_be_answered():
+            return
+        assert self._timeout is not None
+        self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    def _may_be_answered(self) -> bool:
+        term, now, sent = self.shared.term, self.shared.clock.now(), self.attempts
+        if sent is not None and sent.may_have_run:
+            return now < term.ends
+        wait = sent.find_link_wait() if sent is not None else 0.0
+        return term.allows(self._route_name, wait, now)
+
+    async def _serve_until_stopped(self, call: Call) -> None:
+        """Serve a request until a planned stop leaves no time to answer it.
+
+        Raises
+        ------
+        AnvilshiftError
+            When it has ended the request.
+        """
+        try:
+            async with asyncio.timeout(None) as self._timeout:
+                await self._serve(call)
+        except TimeoutError:
+            assert self._timeout is not None
+            if not self._timeout.expired():
+                raise
+            if self.relay.responder.finished:
+                return
+            if self.attempts is not None and self.attempts.may_have_run:
+                raise AnvilshiftError(ANSWER_LATE, STOPPING) from None
+            raise self.shared.make_stop_refusal() from None
+
     def _record_loss(self, why: str) -> None:
         """Record that nobody waits for the answer any more."""
         outcome = "process ended" if why == SERVER_CLOSED else "caller gone"
@@ -149,6 +196,8 @@
             raise AnvilshiftError(UNKNOWN_ROUTE)
         self.payer = self._authenticate(table, call, rule)
         self.turn.organisation = self.payer.name if self.payer else ""
+        self._route_name = rule.name
+        self.shared.check_finishing(rule.name)
         content = digest_request(self.request, self.turn.organisation)
         crashes = CrashTracker(self.shared, content)
         crashes.check()
--- a/anvilshift/gateway/shared.py
+++ b/anvilshift/gateway/shared.py
@@ -3,7 +3,9 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
+from anvilshift.core.admission.servingterm import ServingTerm
 from anvilshift.core.answerbuffers import AnswerBuffers
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import Clock, Millis
@@ -23,6 +25,8 @@
 
 _RETRY_DELAY: Millis = 150.0
 """Retry delay for callers that a stopping router refuses; they reach another router."""
+STOPPING = "a planned stop"
+"""Detail of the errors with which a planned stop ends requests."""
 _DEFAULT_WORK = 40.0
 """Assumed milliseconds of a plain service's request until some are measured."""
 
@@ -31,6 +35,17 @@
     return None
 
 
+class OpenRequest(Protocol):
+    """A caller's request that is being handled."""
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether its answer hasn't begun."""
+
+    def check_stop(self) -> None:
+        """End it unless it may be answered before a planned stop ends."""
+
+
 @dataclass
 class RouterContext:
     """State and services of a router that all its requests share.
@@ -54,6 +69,10 @@
         Number of attempts named so far.
     ending
         Whether a planned stop will soon cut off streams.
+    term
+        Until when this router serves, and how long requests run.
+    open_requests
+        The callers' requests that are being handled.
     """
 
     router: str
@@ -80,6 +99,8 @@
     buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     runs: int = 0
     ending: bool = False
+    term: ServingTerm = field(default_factory=ServingTerm)
+    open_requests: set[OpenRequest] = field(default_factory=set)
 
     def check_accepting_streams(self) -> None:
         """Refuse a stream that a planned stop of this router would cut off.
@@ -94,7 +115,22 @@
             the caller may retry at another router.
         """
         if self.ending:
-            raise AnvilshiftError(NOT_READY, "a planned stop", retry_after=_RETRY_DELAY)
+            raise self.make_stop_refusal()
+
+    def check_finishing(self, route: str) -> None:
+        """Refuse a request that runs for longer than this router still serves.
+
+        Raises
+        ------
+        AnvilshiftError
+            As above.
+        """
+        if not self.term.allows(route, 0.0, self.clock.now()):
+            raise self.make_stop_refusal()
+
+    def make_stop_refusal(self) -> AnvilshiftError:
+        """Return the refusal of a request that another router may still serve."""
+        return AnvilshiftError(NOT_READY, STOPPING, retry_after=_RETRY_DELAY)
 
     def next_run(self) -> str:
         """Return a name for an attempt that is unique among all routers."""
