Read the store's other objects on beside one that can't be read

What callers saw: beside one odd entry among those of the targets, 503 for every request at routers that started then, 503 for targets that registered later, or 500 (9001) for about half of the orders.

Causes: a list or a watch was parsed whole, so a value nested 2,000 deep or an integer of 5,000 digits lost the answer and each one after it (store_call_failed, "the body is not valid JSON"); slots of 400 digits and ports out of range passed the checks of an entry and ended in an OverflowError in each request that looked at the target; a follower, and the reading of stored parts, knew the expected errors only.

Ruled out: the store (other kinds, and the list without the entry, were read).

Change: platform/answers.py makes what can't be read the matter of its own object; objects without a name are left out; entries have bounds, an address that exists and a name that a header can carry; a change that can't be applied is logged and the next one applied. Related: token counts that no prompt has are refused as malformed, and hosts' records without an address aren't greeted.

--- a/anvilshift/gateway/following.py
+++ b/anvilshift/gateway/following.py
@@ -28,6 +28,8 @@
 back about 2 s after the store is reachable."""
 _WATCH_GRACE: Millis = 1_000.0
 """The store counts as unreachable when a watch is overdue by this much."""
+_MAX_LOGGED_NAME, _MAX_LOGGED_REASON = 80, 200
+"""Characters of an object's name, and of an error, that are logged."""
 _UNSTRETCHED_ROUTERS = 4
 _MAX_INTERVAL_FACTOR = 2.7
 _MAX_WAIT_FACTOR = 3.0
@@ -244,13 +246,25 @@
         if listing.revision < self._newest:
             raise AnvilshiftError(PLATFORM_UNREADABLE, "the listing is outdated")
         for item in listing.items:
-            self.change(ObjectChange(item.kind, item.name, item.version, item.body))
+            self._apply(ObjectChange(item.kind, item.name, item.version, item.body))
         self.settle({item.name for item in listing.items})
         self.revision = self._newest = listing.revision
         self.confirmed = asked
         self.on_list(listing.revision)
         self.note_applied(self.revision)
 
+    def _apply(self, change: ObjectChange) -> None:
+        """Apply a change; one that can't be applied mustn't hide those behind it."""
+        try:
+            self.change(change)
+        except Exception as error:
+            self.journal.write(
+                "change_not_applied",
+                kind=self.kind,
+                name=change.name[:_MAX_LOGGED_NAME],
+                why=repr(error)[:_MAX_LOGGED_REASON],
+            )
+
     async def _watch(self) -> None:
         wait = self._find_wait()
         asked = self._begin(Call.WATCH)
@@ -261,7 +275,7 @@
             self.revision = 0
             return
         for change in found.changes:
-            self.change(change)
+            self._apply(change)
         self.revision = max(self.revision, found.revision)
         self._newest = max(self._newest, self.revision)
         self.on_batch(self.revision, found.changes)
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -7,7 +7,7 @@
 from anvilshift.gateway.assembly import GatewayParts
 from anvilshift.gateway.periodic import TICK_INTERVAL, PeriodicWork
 from anvilshift.gateway.stopping import PlannedStop
-from anvilshift.wire.messages import Address
+from anvilshift.wire.messages import Address, is_ipv4
 
 _SEED_TIMEOUT: Millis = 60.0
 """Time after the start for a seed to answer.  If all routers lost power, the seeds may
@@ -57,7 +57,9 @@
         if self.settings.history is None or self.peers.routers:
             return
         try:
-            self.peers.greet(await self.recorder.list_hosts())
+            hosts = await self.recorder.list_hosts()
+            # A record of another writer may name what isn't an address.
+            self.peers.greet({host for host in hosts if is_ipv4(host)})
         except AnvilshiftError as error:
             self.journal.write("hosts_unknown", code=error.code.number)
 
--- a/anvilshift/gateway/partstore.py
+++ b/anvilshift/gateway/partstore.py
@@ -119,5 +119,5 @@
         )
         key = PartKey(str(entry["scope"]), str(entry["part"]))
         return PartReport(key, crashes, frozenset(map(str, entry["companions"])))
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         return None
--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -18,6 +18,11 @@
 from anvilshift.wire.client import HttpClient
 from anvilshift.wire.messages import Address
 
+_MAX_UNREADABLE = 1_000
+"""Most names of unreadable entries that are kept; then they are logged again."""
+_MAX_LOGGED_NAME = 80
+"""Characters of such a name that are logged."""
+
 
 @dataclass
 class TargetRegistry:
@@ -68,11 +73,10 @@
             return
         info = self.dialect.read_target(change.name, change.body, self.clock.now())
         if info is None:
-            if change.name not in self._unreadable:
-                self._unreadable.add(change.name)
-                self.journal.write("target_unreadable", target=change.name)
+            self._note_unreadable(change.name)
             self.loads.remove(change.name, self.clock.now())
             return
+        self._unreadable.discard(change.name)
         self.entries.put(change.name, change.version)
         self.on_read(info)
         known = self.loads.targets.get(change.name)
@@ -84,6 +88,15 @@
             self.loads.declare(info)
         self.on_entry(info)
 
+    def _note_unreadable(self, name: str) -> None:
+        """Log that an entry names no target to use, once until it changes."""
+        if name in self._unreadable:
+            return
+        if len(self._unreadable) >= _MAX_UNREADABLE:
+            self._unreadable.clear()
+        self._unreadable.add(name)
+        self.journal.write("target_unreadable", target=name[:_MAX_LOGGED_NAME])
+
     def _record_start(self, info: TargetInfo, known: TargetLoad | None) -> None:
         """Record a target that is new, or was restarted under its name."""
         self.journal.write(
--- a/anvilshift/platform/dialect.py
+++ b/anvilshift/platform/dialect.py
@@ -1,6 +1,7 @@
 """Conversion between the platform's wire format and the gateway's typed values."""
 
 import math
+import re
 
 from pydantic import ValidationError
 
@@ -19,6 +20,8 @@
     list_connection_options,
 )
 
+_TARGET_NAME = re.compile(r"[!-~]{1,256}")
+_MAX_TOKENS = 10**12
 _MAX_HASH_DIGITS = 64
 _MAX_MODEL_CHARACTERS = 64
 _MAX_LOAD_CHARACTERS = 64
@@ -50,7 +53,12 @@
             raise AnvilshiftError(PLATFORM_UNREADABLE, detail) from error
 
     def read_target(self, name: str, body: Raw, now: Millis) -> TargetInfo | None:
-        """Return the target that an entry registers; None if the entry is invalid."""
+        """Return the target that an entry registers; None if the entry is invalid.
+
+        Its name is sent to it in a header.
+        """
+        if not _TARGET_NAME.fullmatch(name):
+            return None
         try:
             return TargetRecord.model_validate(body).convert(name, now)
         except ValidationError:
@@ -183,7 +191,7 @@
     if usage is None:
         return Prompt()
     try:
-        tokens, answer = (int(number) for number in usage.split(","))
+        tokens, answer = (_read_tokens(number) for number in usage.split(","))
         model = (headers.get(names.MODEL) or "")[:_MAX_MODEL_CHARACTERS]
         return Prompt(_read_parts(parts or ""), max(0, tokens), max(0, answer), model)
     except ValueError as error:
@@ -195,5 +203,19 @@
     parts = []
     for entry in text.split(",") if text else []:
         identity, _, tokens = entry.strip().partition(":")
-        parts.append((identity[:_MAX_HASH_DIGITS], int(tokens)))
+        parts.append((identity[:_MAX_HASH_DIGITS], _read_tokens(tokens)))
     return tuple(parts)
+
+
+def _read_tokens(text: str) -> int:
+    """Return a count of tokens, bounded as it is used in sums and predictions.
+
+    Raises
+    ------
+    ValueError
+        When it is no integer, or more than any prompt has.
+    """
+    tokens = int(text)
+    if abs(tokens) > _MAX_TOKENS:
+        raise ValueError("too many tokens")
+    return tokens
--- a/anvilshift/platform/main.py
+++ b/anvilshift/platform/main.py
@@ -38,7 +38,9 @@
         clock = MonotonicClock()
         self._journal = Journal(settings.name, clock)
         self._store_client = HttpClient()
-        store = self._store = PlatformStore(self._store_client, settings.store)
+        store = self._store = PlatformStore(
+            self._store_client, settings.store, self._note_unreadable
+        )
         rng = random.Random(random.SystemRandom().getrandbits(64))
         self.node = GatewayNode(
             settings,
@@ -82,6 +84,10 @@
             await server.close()
         await self.node.close()
 
+    def _note_unreadable(self, kind: str, why: str) -> None:
+        """Log that an answer of the store has an object that can't be read."""
+        self._journal.write("object_unreadable", kind=kind, why=why)
+
     async def _write_store_calls(self) -> None:
         """Log now and then how often the store was called for what."""
         while True:
--- a/anvilshift/platform/records.py
+++ b/anvilshift/platform/records.py
@@ -3,9 +3,9 @@
 import hashlib
 import math
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 from pydantic.alias_generators import to_camel
 
 from anvilshift.core.clock import SECOND, Millis
@@ -20,6 +20,7 @@
     Service,
 )
 from anvilshift.core.targetload import TargetInfo
+from anvilshift.wire.messages import is_ipv4
 
 _BITS_PER_BYTE = 8
 """Bits per byte."""
@@ -33,6 +34,29 @@
 }
 
 
+_MAX_NAME_CHARACTERS = 256
+_Name = Annotated[str, Field(max_length=_MAX_NAME_CHARACTERS, pattern="^[ -~]+$")]
+_MAX_SLOTS = 1_000_000
+_MAX_MILLIS = 2**53
+"""Largest time stamp: Unix milliseconds that a float holds as well."""
+_MAX_PORT = 65_535
+
+
+def _check_address(value: str) -> str:
+    """Return an address with a port, as it is written.
+
+    Raises
+    ------
+    ValueError
+        When nothing can be reached at it.
+    """
+    ip, _, port = value.rpartition(":")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len("65535")
+    if not is_ipv4(ip) or not is_number or not 1 <= int(port) <= _MAX_PORT:
+        raise ValueError("the address or the port is out of range")
+    return value
+
+
 class _Record(BaseModel):
     """Base of the platform's records: camel-case keys, unknown fields are ignored."""
 
@@ -183,13 +207,13 @@
     """The entry with which a target registers itself."""
 
     model_config = ConfigDict(strict=True)
-    service: str
-    address: str = Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-    zone: str
-    slots: int
+    service: _Name
+    address: Annotated[str, AfterValidator(_check_address)]
+    zone: _Name
+    slots: int = Field(ge=1, le=_MAX_SLOTS)
     state: str = Field(pattern="^(ready|draining)$")
-    cold_left_ms: float = 0.0
-    born: int = 0
+    cold_left_ms: float = Field(default=0.0, allow_inf_nan=False)
+    born: int = Field(default=0, ge=0, le=_MAX_MILLIS)
     version: Any = None
 
     def convert(self, name: str, now: Millis) -> TargetInfo:
--- a/anvilshift/platform/store.py
+++ b/anvilshift/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's metadata store, as an object store."""
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 from anvilshift.core.clock import Millis
@@ -19,28 +19,43 @@
     UncertainWriteError,
 )
 from anvilshift.platform import names
+from anvilshift.platform.answers import parse_answer, read_content
 from anvilshift.wire.client import HttpClient
-from anvilshift.wire.jsons import dump_json, parse_object
+from anvilshift.wire.jsons import dump_json
 from anvilshift.wire.messages import JSON_TYPE, Address, HttpResponse
 from anvilshift.wire.response import ExchangeError
 
 _TIMEOUT: Millis = 1_000.0
 """A call normally takes 4 ms, and 240 ms when the store is 60 times slower."""
 _WRITE_METHODS = ("PUT", "POST", "DELETE")
+NoteUnreadable = Callable[[str, str], None]
+Item = TypeVar("Item")
 
 
 class PlatformStore:
     """Object store on the platform's metadata API, one kind per list or watch.
 
+    Parameters
+    ----------
+    note_unreadable
+        Called with the kind of an object that was left out, and why it couldn't be
+        read.
+
     Attributes
     ----------
     counts
         Calls that have ended; each page of a list is one.
     """
 
-    def __init__(self, client: HttpClient, address: Address) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        address: Address,
+        note_unreadable: NoteUnreadable = lambda kind, why: None,
+    ) -> None:
         self._client = client
         self._address = address
+        self._note_unreadable = note_unreadable
         self.counts = CallCounts()
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
@@ -60,11 +75,14 @@
                 await self._call("list", kind, "GET", _path(kind) + query)
             )
             revision = revision or _read_revision(page.get("at"))
-            entries = _read_entries(kind, page.get("entries"))
+            entries = _read_entries(kind, page.get("entries"), self._note_unreadable)
             items += entries
-            if not page.get("hasMore") or not entries:
+            if not page.get("hasMore"):
                 return Listing(revision, tuple(items))
-            query = "?" + urlencode({"sinceRevision": entries[-1].name})
+            if not entries:
+                raise AnvilshiftError(PLATFORM_UNREADABLE, "a page can't be read")
+            after = {"sinceRevision": entries[-1].name}
+            query = "?" + urlencode(after, errors="surrogatepass")
 
     async def put(self, kind: str, name: str, body: Body, version: int) -> StoredObject:
         """Write an object if its version is unchanged; version 0 creates it."""
@@ -101,11 +119,10 @@
         if answer.status == 410:
             return ChangeBatch(after, too_old=True)
         page = _parse_answer(answer)
-        changes = []
-        for event in page.get("events") or []:
-            change = _read_event(kind, event)
-            if change is not None:
-                changes.append(change)
+        events = page.get("events") or []
+        if not isinstance(events, list):
+            raise AnvilshiftError(PLATFORM_UNREADABLE, "a watch has no list of events")
+        changes = _read_all(kind, events, _read_event, self._note_unreadable)
         return ChangeBatch(_read_revision(page.get("at")), tuple(changes))
 
     async def hosts(self) -> tuple[HostEntry, ...]:
@@ -157,16 +174,15 @@
 
 def _path(kind: str, name: str | None = None) -> str:
     parts = [names.OBJECTS_PATH, quote(kind, safe="")]
-    return "/".join(parts if name is None else [*parts, quote(name, safe="")])
+    if name is not None:
+        parts.append(quote(name, safe="", errors="surrogatepass"))
+    return "/".join(parts)
 
 
 def _parse_answer(answer: HttpResponse) -> dict[str, Any]:
     if answer.status >= 300:
         raise AnvilshiftError(PLATFORM_UNREADABLE, f"status {answer.status}")
-    try:
-        return parse_object(answer.body)
-    except AnvilshiftError as error:
-        raise AnvilshiftError(PLATFORM_UNREADABLE, error.detail) from error
+    return parse_answer(answer.body)
 
 
 def _read_conflict(kind: str, answer: HttpResponse) -> StoredObject | None:
@@ -175,7 +191,7 @@
     If it is invalid, the writer reads the object again, and that read raises the error.
     """
     try:
-        return _read_object(kind, parse_object(answer.body))
+        return _read_object(kind, parse_answer(answer.body))
     except AnvilshiftError:
         return None
 
@@ -189,26 +205,43 @@
 
 
 def _read_object(kind: str, value: Any) -> StoredObject:
-    """Return an object; a body that is not a mapping is replaced by an empty one."""
+    """Return an object; a body that can't be read is replaced by an empty one."""
     metadata = value.get("metadata") if isinstance(value, dict) else None
     if not isinstance(metadata, dict) or not isinstance(metadata.get("name"), str):
         raise AnvilshiftError(PLATFORM_UNREADABLE, "an object has no name")
-    spec = value.get("spec")
-    body = spec if isinstance(spec, dict) else {}
+    revision = _read_revision(metadata.get("revision"))
     return StoredObject(
-        kind, metadata["name"], _read_revision(metadata.get("revision")), body
+        kind, metadata["name"], revision, read_content(value.get("spec"))
     )
 
 
-def _read_entries(kind: str, values: Any) -> list[StoredObject]:
+def _read_entries(
+    kind: str, values: Any, note_unreadable: NoteUnreadable
+) -> list[StoredObject]:
     if not isinstance(values, list):
         raise AnvilshiftError(PLATFORM_UNREADABLE, "a list answer has no entries")
-    return [_read_object(kind, value) for value in values]
+    return _read_all(kind, values, _read_object, note_unreadable)
+
+
+def _read_all(
+    kind: str,
+    values: list[Any],
+    read: Callable[[str, Any], Item],
+    note_unreadable: NoteUnreadable,
+) -> list[Item]:
+    """Return what can be read of some values; what can't be read is left out."""
+    items = []
+    for value in values:
+        try:
+            items.append(read(kind, value))
+        except AnvilshiftError as error:
+            note_unreadable(kind, error.detail)
+    return items
 
 
-def _read_event(kind: str, event: Any) -> ObjectChange | None:
+def _read_event(kind: str, event: Any) -> ObjectChange:
     if not isinstance(event, dict):
-        return None
+        raise AnvilshiftError(PLATFORM_UNREADABLE, "an event is not a mapping")
     stored = _read_object(kind, event.get("object"))
     body = None if event.get("deleted") else stored.body
     return ObjectChange(kind, stored.name, stored.version, body)
--- a/anvilshift/wire/messages.py
+++ b/anvilshift/wire/messages.py
@@ -1,6 +1,7 @@
 """HTTP messages, limits and socket settings shared by the server and the client."""
 
 import asyncio
+import ipaddress
 import socket
 import struct
 from collections.abc import Iterable
@@ -24,6 +25,21 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
 
+def is_ipv4(text: str) -> bool:
+    """Return whether a text is an IPv4 address in dotted decimals.
+
+    Examples
+    --------
+    >>> is_ipv4("127.0.0.1"), is_ipv4("localhost"), is_ipv4("127.0.0.999")
+    (True, False, False)
+    """
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 @dataclass(frozen=True)
 class Address:
     """An IP address and a port.
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -248,3 +248,60 @@
         self.assertEqual((read("2"), read("0.25")), (2_000.0, 250.0))
         for value in ("soon", "-1", "Wed, 21 Oct 2015 07:28:00 GMT"):
             self.assertIsNone(read(value), value)
+
+
+class OddTargetTest(unittest.TestCase):
+    """Guards against what a target says oddly and that costs more than itself."""
+
+    def test_report_that_can_not_be_read_tells_no_start(self):
+        bodies = (
+            b'{"born":' + b"9" * 5_000 + b"}",
+            b'{"born":1e400}',
+            b'{"born":1,"x":' + b"[" * 5_000 + b"]" * 5_000 + b"}",
+            b'{"born":"\xff"}',
+            b"[" * 100_000,
+            b"",
+        )
+        for body in bodies:
+            with self.subTest(body[:20]):
+                self.assertIsNone(PlatformDialect().read_start(200, body))
+
+    def test_headers_that_can_not_be_read_announce_nothing(self):
+        for value in ("9" * 400, "1e400", "nan", "-1", "1" * 5_000, ",,"):
+            pairs = [
+                ("anvilshift-engine-load", value),
+                ("anvilshift-engine-load", f"{value},0,8"),
+                ("retry-after", value),
+                ("server-limit", value),
+                ("server-brittle", value),
+            ]
+            for pair in pairs:
+                with self.subTest(pair):
+                    fields = PlatformDialect().read_answer_fields(503, Headers([pair]))
+                    self.assertIsNone(fields.load)
+                    self.assertIn(fields.pause, (None, 3_000.0))
+                    limits = (fields.limit, fields.brittle)
+                    self.assertTrue(
+                        all(x is None or x != x or x == 3.0 for x in limits)
+                    )
+
+
+class OddCallerTest(unittest.TestCase):
+    """Guards against token counts that no arithmetic of the router bears."""
+
+    def test_counts_that_are_too_large_are_refused_as_malformed(self):
+        sound = {"anvilshift-token-usage": "7,3", "anvilshift-prefix-hash": "a:7"}
+        for name, value in (
+            ("anvilshift-token-usage", "9" * 400 + ",3"),
+            ("anvilshift-token-usage", "7," + "9" * 400),
+            ("anvilshift-prefix-hash", "a:" + "9" * 400),
+        ):
+            headers = {"host": "h", "anvilshift-attempt-id": "a", **sound, name: value}
+            request = HttpRequest("POST", "/x", Headers(list(headers.items())), b"")
+            with self.subTest(value[:5]), self.assertRaises(AnvilshiftError) as caught:
+                PlatformDialect().read_call(request)
+            self.assertEqual(caught.exception.code.number, 1009)
+
+
+if __name__ == "__main__":
+    unittest.main()
