Infer a stream's version only from a register that is read

A stream that was taken up at a router that had been out of step was answered 200 to its end, with the rest from another version of the engines' software (reported by others; it happens here).

Cause: where nobody was told of a stream, its version is inferred if the service has had one for long, by what this router has read. A router that was cut off, or stood still, has missed the others' news and reads the register with its next watches only; a watch counts as working for 2.5 s and more after its last answer, and the record breaks 2 s behind that. The routes' services were judged the same way.

Ruled out: streams whose callers name the first attempt: the others are asked.

--- a/anvilshift/gateway/assembly.py
+++ b/anvilshift/gateway/assembly.py
@@ -3,7 +3,6 @@
 import random
 
 from anvilshift.core.admission.linkqueue import LinkQueue
-from anvilshift.core.admission.linkuse import Traffic
 from anvilshift.core.allocators import AllocatorMap
 from anvilshift.core.blame import CrashBlame
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -30,6 +29,7 @@
 from anvilshift.gateway.journal import Journal
 from anvilshift.gateway.limits import RateLimits
 from anvilshift.gateway.linkthrottle import LinkThrottle
+from anvilshift.gateway.linktraffic import LinkTraffic
 from anvilshift.gateway.loadmessages import RouterLoad
 from anvilshift.gateway.origins import StreamOrigins
 from anvilshift.gateway.partstore import PartStore
@@ -39,6 +39,7 @@
 from anvilshift.gateway.permits import Permits
 from anvilshift.gateway.reach import TargetReach
 from anvilshift.gateway.recording import Recorder
+from anvilshift.gateway.registercheck import RegisterCheck
 from anvilshift.gateway.reserving import Reservations
 from anvilshift.gateway.retryshares import RetryShares
 from anvilshift.gateway.sending import Sender
@@ -159,7 +160,8 @@
         self.starts = TargetStarts(self.client, dialect, clock, journal)
         link = settings.limits.link
         self.link_throttle = LinkThrottle(clock, LinkQueue(link) if link else None)
-        self.link_throttle.count_written = self._count_written
+        self.traffic = LinkTraffic(self.peers, [self.client.traffic])
+        self.link_throttle.count_written = self.traffic.count_written
         self.slow_starts = SlowStarts(
             self.incarnation,
             settings.failure_domain,
@@ -264,18 +266,22 @@
         self.shared_watches = SharedWatches(
             settings, self.peers, clock, journal, network
         )
-        for follower in (self.configuration_follower, self.target_follower):
+        followers = (self.configuration_follower, self.target_follower)
+        for follower in followers:
             self.shared_watches.share(follower, store)
+        self.register_check = RegisterCheck(store, followers, clock, journal)
+        self.shared.origins.confirm = self.register_check.confirm
         self.drains.follow(store, dialect.drains_kind, self.configuration_follower)
         self._connect_cold()
         self.server = HttpServer(self.handle)
+        self.traffic.counters.append(self.server.traffic)
         self.host_load = HostLoad(
             settings.name,
             settings.limits,
             self.peers,
             clock,
             journal,
-            self._find_traffic,
+            self.traffic.find,
             self._count_sockets,
         )
         self.held = HeldMemory(settings.limits, self.shared)
@@ -368,19 +374,6 @@
             name: value for one in parts for name, value in one.list_gauges().items()
         }
 
-    def _find_traffic(self) -> tuple[Traffic, Traffic]:
-        """Return what was sent and received for callers and among routers so far."""
-        peers, server, client = self.peers, self.server.traffic, self.client.traffic
-        return (
-            server.sent + client.sent + peers.sent,
-            server.received + client.received + peers.received,
-        )
-
-    def _count_written(self) -> int:
-        """Return the bytes that were written to the link so far, with headers."""
-        sent, received = self._find_traffic()
-        return sent.count_bytes(received)
-
     def _count_sockets(self) -> int:
         """Return about how many sockets are open."""
         return len(self.server.connections) + self.in_flight + self.client.count_idle()
--- a/anvilshift/gateway/node.py
+++ b/anvilshift/gateway/node.py
@@ -101,6 +101,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.server.close()
+        self.register_check.close()
         self.reach.close()
         self.starts.close()
         self.shared.tries.close()
--- a/anvilshift/gateway/origins.py
+++ b/anvilshift/gateway/origins.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 from anvilshift.core.clock import SECOND, Clock, Millis
@@ -33,6 +33,10 @@
 """Time for the answers of other routers, which may be in another region."""
 
 
+async def _is_confirmed(since: Millis) -> bool:
+    return True
+
+
 @dataclass(frozen=True)
 class Finding:
     """What is known of a stream that a caller takes up.
@@ -73,6 +77,8 @@
     ----------
     began
         An instant before this router made itself known to the others.
+    confirm
+        Returns whether the register and the routes were read until an instant.
     """
 
     router: str
@@ -85,6 +91,7 @@
     history: VersionHistory = field(default_factory=VersionHistory)
     routes: RouteChanges = field(default_factory=RouteChanges)
     began: Millis = field(init=False)
+    confirm: Callable[[Millis], Awaitable[bool]] = _is_confirmed
     _domains: dict[str, list[str]] = field(default_factory=dict)
     _questions: dict[str, _Question] = field(default_factory=dict)
 
--- a/anvilshift/gateway/passing.py
+++ b/anvilshift/gateway/passing.py
@@ -257,11 +257,15 @@
         if call.resume_after is None or rule.kind is not RequestKind.STREAMING:
             return None
         finding = await self._ask_origin(call)
-        origin = finding.origin
-        if origin is None and finding.is_final and not finding.is_told:
+        origin, is_final = finding.origin, finding.is_final
+        if origin is None and is_final and not finding.is_told:
             origin = self._infer_origin(call, rule)
+            # What was written before the caller came may not be read here yet.
+            if origin is not None:
+                is_final = await self.shared.origins.confirm(self.arrived)
+                origin = self._infer_origin(call, rule) if is_final else None
         if origin is None:
-            wait = None if finding.is_final else _KEEPER_RETRY
+            wait = None if is_final else _KEEPER_RETRY
             detail = "where the stream began isn't known"
             raise AnvilshiftError(STREAM_NOT_RESUMABLE, detail, wait)
         if not rule.leads_to(origin.service):
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -49,6 +49,13 @@
         """Return the engines that ran an attempt of a caller."""
         return [n for n, t in self.targets.items() if identity in t.runs]
 
+    async def pass_time(self, span: float) -> None:
+        """Let the router look back on some time in which nothing changed."""
+        origins, clock = self.node.shared.origins, self.node.clock
+        await self.wait_for(lambda: origins.history.find_covered(clock.now()))
+        origins.began = clock.now()
+        origins.adopt_history(HistorySeen(span, (), ()))
+
     def check_refused(self, status: int, headers, body: bytes) -> None:
         self.assertEqual(status, 503)
         error = json.loads(body)["error"]
@@ -233,13 +240,6 @@
         await self.wait_for(lambda: self.node.loads.targets["e1"].version == "v2")
         self.check_refused(*await self.take_up("b", "a"))
 
-    async def pass_time(self, span: float) -> None:
-        """Let the router look back on some time in which nothing changed."""
-        origins, clock = self.node.shared.origins, self.node.clock
-        await self.wait_for(lambda: origins.history.find_covered(clock.now()))
-        origins.began = clock.now()
-        origins.adopt_history(HistorySeen(span, (), ()))
-
     async def test_unnamed_stream_does_not_go_on_where_its_route_has_changed(self):
         """Guards against a stream that goes on at another service's only version."""
         await self.add_engines(e1="v1")
