--- a/tests/platform/test_returned_targets.py
+++ b/tests/platform/test_returned_targets.py
@@ -74,6 +74,17 @@
         self.serve_again()
         await self.wait_until_used("d0")
 
+    async def test_nothing_is_sent_to_a_target_that_drains_meanwhile(self):
+        """Guards against announcements that count for nothing without an entry."""
+        await self.start()
+        self.store_stub.put("servers", "d0", {**self.entry, "state": "draining"})
+        await self.wait_until_leaving("d0")
+        before = len(self.targets["d0"].runs)
+        self.serve_again()
+        for node in self.nodes:
+            self.assertEqual(await self.count_served(node), 0)
+        self.assertEqual(len(self.targets["d0"].runs), before)
+
     async def test_nothing_is_sent_to_a_target_that_drains_after_its_return(self):
         """Guards against a return that outweighs a later departure."""
         await self.start()
