Leave a return without a start to the entry, and announce no gone entry

From reading the change again: an entry that doesn't name its start may be of any start, so a return that is told of it proves no address; and a target whose entry is gone was announced with that entry, while an announcement without one would hold for as long as the start lives. Both with a test that was red before (registry, without a network).

--- a/anvilshift/gateway/targetregistry.py
+++ b/anvilshift/gateway/targetregistry.py
@@ -152,11 +152,13 @@
     def apply_registered(self, message: Registered) -> None:
         """Use a target again that is ready by an entry which another router has read.
 
-        Only the store's entry says where another start of it is.
+        Only the store's entry says where another start of it is, and an entry without
+        its start may be of any.
         """
         name, revision = message.target, message.revision
         known = self.loads.targets.get(name)
-        if known is not None and known.info.born != message.born:
+        is_other = known is not None and known.info.born != message.born
+        if is_other or not message.born:
             return
         is_outdated = self.entries.find_version(name) >= revision
         if is_outdated or self._notices.covers(name, revision):
@@ -165,7 +167,7 @@
         if known is None:
             return
         self.entries.put(name, revision)
-        if known.info.leaving:
+        if known.info.leaving and not known.farewell:
             self.journal.write("target_registered", target=name, told=True)
             self.loads.declare(replace(known.info, leaving=False))
 
@@ -177,7 +179,11 @@
         budget that all requests share.
         """
         self.on_target_lost(name)
-        leaving = Leaving(name, self.entries.find_version(name))
+        revision = self.entries.find_version(name)
+        if not revision:
+            # Its entry is gone, which was announced.
+            return
+        leaving = Leaving(name, revision)
         self.apply_leaving(leaving)
         self.peers.broadcast(leaving)
 
--- a/tests/gateway/test_targetregistry.py
+++ b/tests/gateway/test_targetregistry.py
@@ -145,6 +145,17 @@
         self.assertTrue(self.is_used)
         self.assertEqual(self.peers.messages, [Leaving(NAME, 5)])
 
+    def test_return_of_another_or_an_unknown_start_is_left_to_the_entry(self):
+        for born, told in ((1, 2), (0, 0)):
+            with self.subTest(born=born, told=told):
+                self.setUp()
+                self.read(5, born=born)
+                self.hear(Leaving(NAME, 5))
+                self.hear(Registered(NAME, 7, told))
+                self.assertFalse(self.is_used)
+                self.read(7, born=told)
+                self.assertTrue(self.is_used)
+
     def test_removal_of_an_older_entry_does_not_end_a_return(self):
         self.read(5)
         self.hear(Leaving(NAME, 5))
@@ -163,6 +174,13 @@
             self.peers.messages, [Leaving(NAME, 5), Registered(NAME, 6, 1)]
         )
 
+    def test_replaced_target_without_an_entry_is_not_announced(self):
+        """Guards against an announcement that no entry ends."""
+        self.read(5)
+        self.read_removal(5)
+        self.registry.handle_replaced(NAME)
+        self.assertEqual(self.peers.messages, [Leaving(NAME, 5)])
+
 
 if __name__ == "__main__":
     unittest.main()
