--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -27,11 +27,12 @@
     deadline_ms: int,
     headers: list[tuple[str, str]] | None = None,
     body: bytes = b"",
+    host: str = HOST,
 ) -> Attempt:
     """Send one attempt on a connection of its own and read the whole answer."""
     attempt = Attempt(secrets.token_hex(8), router)
     fields = [
-        ("Host", HOST),
+        ("Host", host),
         ("Anvilshift-Attempt-Id", attempt.identity),
         ("Anvilshift-Deadline-Ms", str(deadline_ms)),
         ("Authorization", f"Bearer {KEY}"),
--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -12,20 +12,20 @@
 _BEAT_S = 1.2
 _SILENCES = 3
 """Heartbeats without one after which the store removes an entry."""
-_SLOTS, _WORK_S = 6, 0.03
+_SLOTS = 6
 
 
 class Engine:
-    """An engine that a poison request crashes, and that comes back.
+    """An engine that a poison request crashes, and that comes back under a new id.
 
     Parameters
     ----------
     is_poison
         Tells whether a request crashes the engine that begins to run it.
-    keeps_id
-        Whether it comes back under the id that it had.
     back_s
         Time from a crash until it is back.
+    work_s
+        Time that it works on a request.
     """
 
     def __init__(
@@ -35,13 +35,13 @@
         service: str,
         zone: str,
         is_poison: Callable[[Message], bool],
-        keeps_id: bool = False,
         back_s: float = 4.0,
+        work_s: float = 0.03,
     ) -> None:
         self._store, self._record = store, record
         self._service, self._zone = service, zone
         self._is_poison = is_poison
-        self._keeps_id, self._back_s = keeps_id, back_s
+        self._back_s, self._work_s = back_s, work_s
         self._task: asyncio.Task[None] | None = None
         self.name = ""
         self.poison_runs: list[tuple[float, str]] = []
@@ -49,8 +49,7 @@
 
     async def start(self) -> None:
         """Start a new incarnation."""
-        if not (self.name and self._keeps_id):
-            self.name = f"i-{secrets.token_hex(5)}"
+        self.name = f"i-{secrets.token_hex(5)}"
         self._born = int(time.time() * 1000)
         self._running = 0
         self.server = Server(self._handle)
@@ -117,7 +116,7 @@
             return False
         self._running += 1
         try:
-            await asyncio.sleep(_WORK_S)
+            await asyncio.sleep(self._work_s)
         finally:
             self._running -= 1
         load = f"{self._running},0,{_SLOTS}"
