--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -20,7 +20,7 @@
     answer: Message | None = None
 
 
-async def send(
+def make_request(
     router: Router,
     method: str,
     path: str,
@@ -28,8 +28,8 @@
     headers: list[tuple[str, str]] | None = None,
     body: bytes = b"",
     host: str = HOST,
-) -> Attempt:
-    """Send one attempt on a connection of its own and read the whole answer."""
+) -> tuple[Attempt, bytes]:
+    """Return a new attempt at a machine, and the bytes of its request."""
     attempt = Attempt(secrets.token_hex(8), router)
     fields = [
         ("Host", host),
@@ -40,11 +40,25 @@
         ("Content-Length", str(len(body))),
     ]
     lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields), "", ""]
+    return attempt, "\r\n".join(lines).encode() + body
+
+
+async def send(
+    router: Router,
+    method: str,
+    path: str,
+    deadline_ms: int,
+    headers: list[tuple[str, str]] | None = None,
+    body: bytes = b"",
+    host: str = HOST,
+) -> Attempt:
+    """Send one attempt on a connection of its own and read the whole answer."""
+    attempt, data = make_request(router, method, path, deadline_ms, headers, body, host)
     writer = None
     try:
         async with asyncio.timeout(deadline_ms / 1000.0):
             reader, writer = await asyncio.open_connection(router.ip, router.front)
-            writer.write("\r\n".join(lines).encode() + body)
+            writer.write(data)
             attempt.answer = await read_message(reader, True)
             attempt.status = attempt.answer.status
     except (OSError, EOFError, TimeoutError, ValueError):
--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -26,6 +26,8 @@
         Time from a crash until it is back.
     work_s
         Time that it works on a request.
+    fields
+        Further header fields of its answers.
     """
 
     def __init__(
@@ -37,15 +39,19 @@
         is_poison: Callable[[Message], bool],
         back_s: float = 4.0,
         work_s: float = 0.03,
+        fields: list[tuple[str, str]] | None = None,
     ) -> None:
         self._store, self._record = store, record
         self._service, self._zone = service, zone
         self._is_poison = is_poison
         self._back_s, self._work_s = back_s, work_s
+        self._fields = fields or []
         self._task: asyncio.Task[None] | None = None
         self.name = ""
         self.poison_runs: list[tuple[float, str]] = []
         """When it ran requests that crashed it, and their ids."""
+        self.answered: list[str] = []
+        """Ids of the requests that it ran to a good end."""
 
     async def start(self) -> None:
         """Start a new incarnation."""
@@ -124,6 +130,8 @@
             ("Anvilshift-Attempt-Id", identity),
             ("Anvilshift-Engine-Signature", f"{self.name}.1"),
             ("Anvilshift-Engine-Load", load),
+            *self._fields,
         ]
+        self.answered.append(identity)
         write_answer(writer, 200, headers, b"x" * 800)
         return True
