--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,7 +20,7 @@
 STABLE_S = 3.0
 BAD_GAP_S, SOUND_GAP_S = 1.0, 0.25
 LENGTH_S = 40.0
-DENIED_ALWAYS, DENIED_EACH = 5, 500
+MOST_RETRIES = 3
 DEADLINE_MS = 2500
 
 
@@ -103,7 +103,6 @@
     course.is_over = True
     await asyncio.gather(*tasks)
     denied, late = course.count_denied(), course.count_late_retries()
-    allowed = DENIED_ALWAYS + len(course.attempts) / DENIED_EACH
     runs = sum(len(one.poison_runs) for one in course.bad)
     stage.record.write(
         f"engines crashed: {runs}; late retries that reached one: {late};"
@@ -111,7 +110,7 @@
     )
     if not any(one.status == 200 for _, one in course.attempts):
         return NOT_RUN
-    return BROKEN if denied > allowed else HELD
+    return BROKEN if late > MOST_RETRIES else HELD
 
 
 if __name__ == "__main__":
