--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -26,8 +26,8 @@
         Time from a crash until it is back.
     work_s
         Time that it works on a request.
-    fields
-        Further header fields of its answers.
+    make_fields
+        Returns further header fields of the answer to a request.
     """
 
     def __init__(
@@ -39,13 +39,13 @@
         is_poison: Callable[[Message], bool],
         back_s: float = 4.0,
         work_s: float = 0.03,
-        fields: list[tuple[str, str]] | None = None,
+        make_fields: Callable[[Message], list[tuple[str, str]]] = lambda request: [],
     ) -> None:
         self._store, self._record = store, record
         self._service, self._zone = service, zone
         self._is_poison = is_poison
         self._back_s, self._work_s = back_s, work_s
-        self._fields = fields or []
+        self._make_fields = make_fields
         self._task: asyncio.Task[None] | None = None
         self.name = ""
         self.poison_runs: list[tuple[float, str]] = []
@@ -130,7 +130,7 @@
             ("Anvilshift-Attempt-Id", identity),
             ("Anvilshift-Engine-Signature", f"{self.name}.1"),
             ("Anvilshift-Engine-Load", load),
-            *self._fields,
+            *self._make_fields(request),
         ]
         self.answered.append(identity)
         write_answer(writer, 200, headers, b"x" * 800)
